Set up the workspace, the design page, shared types and the RPC schema

Cause: the repository was empty; every later package needs the same types, error kinds, schema and checks. Conclusion: packages can now be written side by side against packages/types.

--- /dev/null
+++ b/packages/errors/src/index.ts
@@ -0,0 +1,2 @@
+export { describeError, isCertainlyNotRun } from "./describe-error.js";
+export { mapErrorCode, type RpcCode } from "./map-error-code.js";
--- /dev/null
+++ b/packages/logger/src/index.ts
@@ -0,0 +1,67 @@
+import loglevel from "loglevel";
+
+/** Level of a log line. */
+export type LogLevel = "debug" | "info" | "warn" | "error";
+
+/** Ids and figures of a log line; never a payload. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes log lines of one service. */
+export interface Logger {
+    readonly debug: (message: string, fields?: LogFields) => void;
+    readonly info: (message: string, fields?: LogFields) => void;
+    readonly warn: (message: string, fields?: LogFields) => void;
+    readonly error: (message: string, fields?: LogFields) => void;
+    /** The same logger under the name of another service. */
+    readonly forService: (service: string) => Logger;
+}
+
+/** Fields of each line of a process. */
+export interface ProcessFields {
+    readonly host: string;
+    readonly availabilityZone: string;
+}
+
+/** Where lines go; standard error by default, so that standard output stays free for results. */
+export type LineWriter = (line: string) => void;
+
+function writeToStandardError(line: string): void {
+    process.stderr.write(line + "\n");
+}
+
+/** Creates a logger that writes one JSON object a line: time, level, service, host, availability zone, message, fields. */
+export function createLogger(
+    service: string,
+    processFields: ProcessFields,
+    level: LogLevel,
+    writeLine: LineWriter = writeToStandardError,
+): Logger {
+    const target = loglevel.getLogger(Symbol(service));
+    target.methodFactory = methodName => (message: string, fields?: LogFields) => {
+        writeLine(JSON.stringify({
+            time: new Date().toISOString(),
+            level: methodName,
+            service,
+            ...processFields,
+            message,
+            ...fields,
+        }));
+    };
+    target.setLevel(level, false);
+    return {
+        debug: (message, fields) => target.debug(message, fields),
+        info: (message, fields) => target.info(message, fields),
+        warn: (message, fields) => target.warn(message, fields),
+        error: (message, fields) => target.error(message, fields),
+        forService: other => createLogger(other, processFields, level, writeLine),
+    };
+}
+
+/** A logger that drops every line, for tests. */
+export const silentLogger: Logger = {
+    debug: () => undefined,
+    info: () => undefined,
+    warn: () => undefined,
+    error: () => undefined,
+    forService: () => silentLogger,
+};
--- /dev/null
+++ b/packages/types/src/resources.ts
@@ -0,0 +1,30 @@
+import type { Resources } from "./domain.js";
+
+/** No resources. */
+export const noResources: Resources = { milliCpu: 0, memoryMib: 0, accelerators: 0 };
+
+/** Names of the resources, in the order in which shortages are reported. */
+export const resourceNames = ["milliCpu", "memoryMib", "accelerators"] as const satisfies readonly (keyof Resources)[];
+
+/** Sum of two amounts. */
+export function addResources(left: Resources, right: Resources): Resources {
+    return {
+        milliCpu: left.milliCpu + right.milliCpu,
+        memoryMib: left.memoryMib + right.memoryMib,
+        accelerators: left.accelerators + right.accelerators,
+    };
+}
+
+/** Difference of two amounts; may be negative. */
+export function subtractResources(left: Resources, right: Resources): Resources {
+    return {
+        milliCpu: left.milliCpu - right.milliCpu,
+        memoryMib: left.memoryMib - right.memoryMib,
+        accelerators: left.accelerators - right.accelerators,
+    };
+}
+
+/** The first resource of which `wanted` exceeds `available`; undefined when all fit. */
+export function findShortage(wanted: Resources, available: Resources): keyof Resources | undefined {
+    return resourceNames.find(name => wanted[name] > available[name]);
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Sets up from the lock file, builds, checks and runs every test. The tests of KNOWN-RED.txt run too and alone may fail.
+set -eu
+cd "$(dirname "$0")/.."
+npm ci --no-audit --no-fund --loglevel=error
+node scripts/sync-references.mjs --check
+npx tsc -b
+node scripts/format.mjs --check
+npx eslint . --max-warnings 0
+node scripts/check-generated.mjs
+node scripts/run-tests.mjs
