Add the peer link over WebSocket and its in-memory network

Cause: control and entry processes need calls, streams and one-way messages with a clear result when a link breaks. Change: one hub matches calls and replies for two transports; a call that was not sent fails as peerUnavailable, one whose link broke as outcomeUnknown; streams have a window of 16 items; a silent link is closed after 3 s. Conclusion: packages can be tested over the in-memory network and run over WebSocket unchanged.

--- /dev/null
+++ b/packages/peer-link/src/web-socket-link.ts
@@ -0,0 +1,219 @@
+import type { Logger } from "@chestnutspool/logger";
+import { type ErrorData, type PeerId, type PeerLink, peerProtocolVersion } from "@chestnutspool/types";
+import { Effect, FiberMap, Queue } from "effect";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { WebSocket, WebSocketServer } from "ws";
+import { createChannelHub } from "./channel-hub.js";
+import { decodeFrame, encodeFrame, type Frame, frameLimitBytes } from "./frame.js";
+
+/** Bytes that may wait in the send buffer of one link; beyond it sending fails instead of filling the memory. */
+const sendBufferLimitBytes = 16 * 1024 * 1024;
+/** Interval of pings in milliseconds. */
+const pingIntervalMs = 1_000;
+/** A link from which nothing came for this long is closed, in milliseconds; TCP alone would not notice a silent cut. */
+const silenceLimitMs = 3_000;
+/** Pause before a link is opened again, in milliseconds. */
+const reconnectPauseMs = 200;
+/** Time allowed for opening a link, in milliseconds. */
+const openLimitMs = 2_000;
+
+/** Where and as whom a process accepts links. */
+export interface WebSocketLinkOptions {
+    readonly self: PeerId;
+    /** IP number to listen on. */
+    readonly listenHost: string;
+    /** Port to listen on; 0 lets the operating system choose. */
+    readonly listenPort: number;
+}
+
+type SocketEvent =
+    | { readonly kind: "frame"; readonly frame: Frame; }
+    | { readonly kind: "alive"; }
+    | { readonly kind: "closed"; };
+
+function trySend(socket: WebSocket, frame: Frame, logger: Logger): boolean {
+    if (socket.readyState !== WebSocket.OPEN || socket.bufferedAmount > sendBufferLimitBytes) {
+        return false;
+    }
+    const bytes = encodeFrame(frame);
+    if (bytes.length > frameLimitBytes) {
+        logger.error("frame exceeds the limit and was not sent", { bytes: bytes.length, limitBytes: frameLimitBytes });
+        return false;
+    }
+    socket.send(bytes);
+    return true;
+}
+
+function openEvents(socket: WebSocket, logger: Logger): Effect.Effect<Queue.Queue<SocketEvent>> {
+    return Effect.map(Queue.unbounded<SocketEvent>(), events => {
+        socket.on("message", (data: Buffer) => {
+            const frame = decodeFrame(data);
+            if (frame === undefined) {
+                logger.warn("undecodable frame, closing the link", { bytes: data.length });
+                socket.terminate();
+                return;
+            }
+            Queue.offerUnsafe(events, { kind: "frame", frame });
+        });
+        socket.on("pong", () => Queue.offerUnsafe(events, { kind: "alive" }));
+        socket.on("ping", () => Queue.offerUnsafe(events, { kind: "alive" }));
+        socket.on("close", () => Queue.offerUnsafe(events, { kind: "closed" }));
+        socket.on("error", error => {
+            logger.debug("link error", { detail: error.message });
+            socket.terminate();
+        });
+        return events;
+    });
+}
+
+/** Takes the next event, or `closed` after too long a silence. */
+function awaitEvent(socket: WebSocket, events: Queue.Dequeue<SocketEvent>): Effect.Effect<SocketEvent> {
+    return Queue.take(events).pipe(Effect.timeoutOrElse({
+        duration: silenceLimitMs,
+        orElse: () =>
+            Effect.sync((): SocketEvent => {
+                socket.terminate();
+                return { kind: "closed" };
+            }),
+    }));
+}
+
+const sendPings = (socket: WebSocket) =>
+    Effect.forever(Effect.andThen(
+        Effect.sleep(pingIntervalMs),
+        Effect.sync(() => {
+            if (socket.readyState === WebSocket.OPEN) {
+                socket.ping();
+            }
+        }),
+    ));
+
+function listen(server: Server, host: string, port: number): Effect.Effect<number, ErrorData> {
+    return Effect.callback(resume => {
+        server.once("error", error =>
+            resume(Effect.fail({
+                kind: "serviceFailed",
+                service: "peer-link",
+                detail: `cannot listen on ${host}:${port}: ${error.message}`,
+            })));
+        server.listen(port, host, () => resume(Effect.succeed((server.address() as AddressInfo).port)));
+    });
+}
+
+/** Opens the link of this process: accepts connections of peers and keeps up a connection to each peer that is set. */
+export const openWebSocketLink = Effect.fnUntraced(function*(options: WebSocketLinkOptions, logger: Logger) {
+    const { self } = options;
+    const scope = yield* Effect.scope;
+    const runFork = Effect.runForkWith(yield* Effect.context<never>());
+    const sockets = new Map<PeerId, WebSocket>();
+    const dialers = yield* FiberMap.make<PeerId>();
+    const addresses = new Map<PeerId, string>();
+    const hub = createChannelHub((peer, frame) => {
+        const socket = sockets.get(peer);
+        return socket !== undefined && trySend(socket, frame, logger);
+    }, logger);
+
+    const serveSocket = Effect.fnUntraced(function*(socket: WebSocket) {
+        const events = yield* openEvents(socket, logger);
+        yield* Effect.addFinalizer(() => Effect.sync(() => socket.terminate()));
+        const first = yield* awaitEvent(socket, events);
+        if (
+            first.kind !== "frame" || first.frame.kind !== "hello" || first.frame.to !== self
+            || first.frame.version !== peerProtocolVersion
+        ) {
+            logger.warn("link refused: another version or addressee; check peer ids and versions", { self });
+            return;
+        }
+        const peer = first.frame.from;
+        trySend(socket, { kind: "welcome", version: peerProtocolVersion, from: self }, logger);
+        yield* Effect.forkScoped(sendPings(socket));
+        const frames = yield* Queue.unbounded<Frame>();
+        yield* Effect.forkScoped(hub.serveConnection(peer, frames, frame => trySend(socket, frame, logger)));
+        while (true) {
+            const event = yield* awaitEvent(socket, events);
+            if (event.kind === "closed") {
+                return;
+            }
+            if (event.kind === "frame") {
+                Queue.offerUnsafe(frames, event.frame);
+            }
+        }
+    });
+
+    const dialOnce = Effect.fnUntraced(function*(peer: PeerId, address: string) {
+        const socket = new WebSocket(`ws://${address}`, {
+            maxPayload: frameLimitBytes,
+            handshakeTimeout: openLimitMs,
+            perMessageDeflate: false,
+        });
+        const events = yield* openEvents(socket, logger);
+        yield* Effect.addFinalizer(() =>
+            Effect.sync(() => {
+                sockets.delete(peer);
+                socket.terminate();
+                hub.failCalls(peer);
+            })
+        );
+        socket.on("open", () => {
+            trySend(socket, { kind: "hello", version: peerProtocolVersion, from: self, to: peer }, logger);
+        });
+        const first = yield* awaitEvent(socket, events);
+        if (first.kind !== "frame" || first.frame.kind !== "welcome" || first.frame.from !== peer) {
+            return;
+        }
+        sockets.set(peer, socket);
+        logger.debug("link open", { peer });
+        yield* Effect.forkScoped(sendPings(socket));
+        while (true) {
+            const event = yield* awaitEvent(socket, events);
+            if (event.kind === "closed") {
+                logger.info("link closed", { peer });
+                return;
+            }
+            if (event.kind === "frame") {
+                hub.handleReplyFrame(peer, event.frame);
+            }
+        }
+    });
+
+    const keepDialing = (peer: PeerId, address: string) =>
+        Effect.forever(Effect.andThen(Effect.scoped(dialOnce(peer, address)), Effect.sleep(reconnectPauseMs)));
+
+    const server = createServer((request, response) => {
+        response.writeHead(426).end();
+    });
+    const webSocketServer = new WebSocketServer({ server, maxPayload: frameLimitBytes, perMessageDeflate: false });
+    webSocketServer.on("connection", socket => {
+        runFork(Effect.forkIn(Effect.scoped(serveSocket(socket)), scope));
+    });
+    const port = yield* listen(server, options.listenHost, options.listenPort);
+    yield* Effect.addFinalizer(() =>
+        Effect.sync(() => {
+            for (const socket of webSocketServer.clients) {
+                socket.terminate();
+            }
+            webSocketServer.close();
+            server.close();
+        })
+    );
+
+    const link: PeerLink = {
+        self,
+        address: `${options.listenHost}:${port}`,
+        openChannel: hub.openChannel,
+        setPeer: (peer, address) => {
+            if (addresses.get(peer) === address) {
+                return;
+            }
+            addresses.set(peer, address);
+            runFork(FiberMap.run(dialers, peer, keepDialing(peer, address)));
+        },
+        removePeer: peer => {
+            addresses.delete(peer);
+            runFork(FiberMap.remove(dialers, peer));
+        },
+        isConnected: peer => sockets.has(peer),
+    };
+    return link;
+});
--- a/packages/replicated-log/src/index.ts
+++ b/packages/replicated-log/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export { createMemoryLog } from "./memory-log.js";
--- /dev/null
+++ b/packages/replicated-log/src/memory-log.ts
@@ -0,0 +1,36 @@
+import type { PeerId, ReplicaStatus, ReplicatedLog, StateMachine } from "@chestnutspool/types";
+import { Effect } from "effect";
+
+/** A log of one replica without storage, for tests of its users. Each command is applied at once. */
+export function createMemoryLog<Command, Result>(
+    self: PeerId,
+    machine: StateMachine<Command, Result>,
+): ReplicatedLog<Command, Result> {
+    let index = 0;
+    const readStatus = (): ReplicaStatus => ({
+        self,
+        role: "leader",
+        term: 1,
+        leader: self,
+        lastIndex: index,
+        commitIndex: index,
+        appliedIndex: index,
+        snapshotIndex: 0,
+        members: [{ id: self, address: "memory", replicaIdentity: self, votes: true }],
+    });
+    return {
+        proposeCommand: command =>
+            Effect.sync(() => {
+                index += 1;
+                return machine.applyCommand(index, command);
+            }),
+        confirmRead: Effect.void,
+        readStatus,
+        watchStatus: listener => {
+            listener(readStatus());
+            return () => undefined;
+        },
+        transferLeadership: Effect.void,
+        changeMembers: () => Effect.void,
+    };
+}
