Serve a process's own calls within the hub and pin the settings types

Cause: a process with both roles would need a link to itself, and two roles could not open the same channel. Change: frames to the process itself are served within it; handlers of a channel merge; indexes and settings types added. Conclusion: one program can carry one role or both without a special case in either.

--- a/packages/peer-link/src/channel-hub.ts
+++ b/packages/peer-link/src/channel-hub.ts
@@ -45,11 +45,30 @@
     ) => Effect.Effect<never, never, Scope.Scope>;
 }
 
-/** Creates a hub; `sendTo` sends a frame over the link that this process opened to a peer. */
-export function createChannelHub(sendTo: (peer: PeerId, frame: Frame) => boolean, logger: Logger): ChannelHub {
+/** Adds methods to the handler of a channel; a second use of a method would hide the first. */
+function mergeHandlers(name: ChannelName, existing: AnyHandler | undefined, added: AnyHandler): AnyHandler {
+    const repeated = Object.keys(added).find(method => existing !== undefined && method in existing);
+    if (repeated !== undefined) {
+        throw new Error(`channel "${name}" has a ${repeated} already; register each handler once`);
+    }
+    return { ...existing, ...added };
+}
+
+/**
+ * Creates a hub; `sendToPeer` sends a frame over the link that this process opened to a peer. Frames to the process itself
+ * are served within it, so that a process with several roles needs no link to itself.
+ */
+export const createChannelHub = Effect.fnUntraced(function*(
+    self: PeerId,
+    sendToPeer: (peer: PeerId, frame: Frame) => boolean,
+    logger: Logger,
+) {
     const handlers = new Map<ChannelName, AnyHandler>();
     const pending = new Map<number, PendingCall>();
     let nextId = 1;
+    const ownFrames = yield* Queue.unbounded<Frame>();
+    const sendTo = (peer: PeerId, frame: Frame): boolean =>
+        peer === self ? Queue.offerUnsafe(ownFrames, frame) : sendToPeer(peer, frame);
 
     const openCall = (peer: PeerId, channel: ChannelName, streamed: boolean, body: unknown) =>
         Effect.acquireRelease(
@@ -232,15 +251,17 @@
         }
     });
 
-    return {
+    yield* Effect.forkScoped(serveConnection(self, ownFrames, frame => {
+        handleReplyFrame(self, frame);
+        return true;
+    }));
+
+    const hub: ChannelHub = {
         openChannel: <Request, Reply>(
             name: ChannelName,
             handler: ChannelHandler<Request, Reply>,
         ): Channel<Request, Reply> => {
-            if (handlers.has(name)) {
-                throw new Error(`channel "${name}" is open already; open each channel once`);
-            }
-            handlers.set(name, handler as AnyHandler);
+            handlers.set(name, mergeHandlers(name, handlers.get(name), handler as AnyHandler));
             return {
                 sendMessage: (to, message) => sendTo(to, { kind: "message", channel: name, body: message }),
                 callPeer: (to, request, limitMs) =>
@@ -267,4 +288,5 @@
         },
         serveConnection,
     };
-}
+    return hub;
+});
--- a/packages/peer-link/src/memory-network.ts
+++ b/packages/peer-link/src/memory-network.ts
@@ -82,7 +82,7 @@
 
     const createLink = Effect.fnUntraced(function*(self: PeerId, logger: Logger) {
         const node: Node = {
-            hub: createChannelHub((peer, frame) =>
+            hub: yield* createChannelHub(self, (peer, frame) =>
                 node.peers.has(peer)
                 && deliver(self, peer, frame, (receiver, copy) => {
                     Queue.offerUnsafe(openAccepted(receiver, peer, self), copy);
@@ -105,7 +105,8 @@
             removePeer: peer => {
                 node.peers.delete(peer);
             },
-            isConnected: peer => node.peers.has(peer) && nodes.has(peer) && !cuts.has(formatPair(self, peer)),
+            isConnected: peer =>
+                peer === self || node.peers.has(peer) && nodes.has(peer) && !cuts.has(formatPair(self, peer)),
         } satisfies PeerLink;
     });
 
--- a/packages/peer-link/src/web-socket-link.ts
+++ b/packages/peer-link/src/web-socket-link.ts
@@ -109,7 +109,7 @@
     const sockets = new Map<PeerId, WebSocket>();
     const dialers = yield* FiberMap.make<PeerId>();
     const addresses = new Map<PeerId, string>();
-    const hub = createChannelHub((peer, frame) => {
+    const hub = yield* createChannelHub(self, (peer, frame) => {
         const socket = sockets.get(peer);
         return socket !== undefined && trySend(socket, frame, logger);
     }, logger);
@@ -203,7 +203,7 @@
         address: `${options.listenHost}:${port}`,
         openChannel: hub.openChannel,
         setPeer: (peer, address) => {
-            if (addresses.get(peer) === address) {
+            if (peer === self || addresses.get(peer) === address) {
                 return;
             }
             addresses.set(peer, address);
@@ -213,7 +213,7 @@
             addresses.delete(peer);
             runFork(FiberMap.remove(dialers, peer));
         },
-        isConnected: peer => sockets.has(peer),
+        isConnected: peer => peer === self || sockets.has(peer),
     };
     return link;
 });
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -5,5 +5,6 @@
 export * from "./messages.js";
 export * from "./ports.js";
 export * from "./resources.js";
+export * from "./settings.js";
 export * from "./state.js";
 export * from "./time.js";
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -22,7 +22,7 @@
 export const peerProtocolVersion = 1;
 
 /** Name of a channel of the peer link. */
-export type ChannelName = "log" | "control" | "entry";
+export type ChannelName = "log" | "control" | "notice" | "entry";
 
 /** An item that an entry host has stopped using. */
 export interface ReleasedItem {
@@ -85,7 +85,7 @@
     | { readonly kind: "forwarded"; readonly body: Uint8Array; }
     | { readonly kind: "error"; readonly error: ErrorData; };
 
-/** One-way message from the control leader to an entry host, sent on channel `control`. */
+/** One-way message from the control leader to an entry host, sent on channel `notice`. */
 export type ControlNotice =
     | { readonly kind: "configuration"; readonly configuration: ConfigurationRecord; }
     | { readonly kind: "ownership"; readonly ownership: OwnershipMap; };
--- a/packages/types/src/ports.ts
+++ b/packages/types/src/ports.ts
@@ -40,7 +40,7 @@
     readonly self: PeerId;
     /** IP number and port on which this process accepts links. */
     readonly address: string;
-    /** Opens a channel; each name may be opened once. */
+    /** Opens a channel. It may be opened more than once, but each method of its handler may be given once. */
     readonly openChannel: <Request, Reply>(
         name: ChannelName,
         handler: ChannelHandler<Request, Reply>,
--- a/packages/types/src/state.ts
+++ b/packages/types/src/state.ts
@@ -177,6 +177,12 @@
     readonly clockMs: number;
     readonly works: ReadonlyMap<string, WorkRecord>;
     readonly tasks: ReadonlyMap<TaskId, TaskRecord>;
+    /** Tasks in phase `pending`; derived from `tasks`. */
+    readonly pendingTasks: ReadonlySet<TaskId>;
+    /** Tasks whose resources are charged to a worker; derived from `tasks`. */
+    readonly tasksByWorker: ReadonlyMap<WorkerId, ReadonlySet<TaskId>>;
+    /** Resources charged to the tasks of a tenant; derived from `tasks`. */
+    readonly usedByTenant: ReadonlyMap<TenantId, Resources>;
     readonly workers: ReadonlyMap<WorkerId, WorkerRecord>;
     readonly tenants: ReadonlyMap<TenantId, TenantRecord>;
     readonly entries: ReadonlyMap<EntryId, EntrySessionRecord>;
