Add the state machine of the cluster

Tokens and epochs come from a counter of applied commands instead of the log index, because commands of one batch share an index and the worker acknowledges ended tasks by token alone.

finishRequest gets an optional beganIndex: without it, a late repetition of a finish with outcome notRun could end a second begin of the same request, which would then run twice.

--- a/packages/cluster-state/src/index.ts
+++ b/packages/cluster-state/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export { type ClusterMachine, createClusterMachine } from "./cluster-machine.js";
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -61,6 +61,8 @@
         readonly requestId: string;
         readonly entry: EntryId;
         readonly epoch: number;
+        /** Log index of `requestBegun`; without it, a request that was not run cannot begin again under its id. */
+        readonly beganIndex?: number | undefined;
         readonly outcome: RequestOutcome;
     }
     | {
