Add the control role

Entry hosts and the command line build on startControl. It renews sessions, serves worker syncs as long polls, expires leases, runs the scheduling loop, pushes configuration and ownership, and answers operator calls.

--- a/packages/cluster-state/src/cluster-machine.ts
+++ b/packages/cluster-state/src/cluster-machine.ts
@@ -1,4 +1,11 @@
-import type { ClusterState, CommandResult, ControlCommand, ErrorData, StateMachine } from "@chestnutspool/types";
+import type {
+    ClusterState,
+    CommandResult,
+    ControlCommand,
+    ErrorData,
+    StateMachine,
+    WorkerId,
+} from "@chestnutspool/types";
 import type { Either } from "purify-ts";
 import { createModel, type Model } from "./model.js";
 import { applyOperatorChange } from "./operator-changes.js";
@@ -29,6 +36,8 @@
 export interface ClusterMachine extends StateMachine<ControlCommand, CommandResult> {
     /** The present state; the same object over the life of the machine, also after a restore. */
     readonly state: ClusterState;
+    /** Workers whose tasks changed since the last call; the control leader wakes their held syncs. */
+    readonly takeTouchedWorkers: () => readonly WorkerId[];
 }
 
 function convertOutcome(model: Model, outcome: Either<ErrorData, number>): CommandResult {
@@ -99,6 +108,11 @@
     addShards(model);
     return {
         state: model,
+        takeTouchedWorkers: () => {
+            const touched = [...model.touchedWorkers];
+            model.touchedWorkers.clear();
+            return touched;
+        },
         applyCommand: (index, command) => {
             model.index = index;
             model.eventOrdinal = 0;
--- a/packages/cluster-state/src/model.ts
+++ b/packages/cluster-state/src/model.ts
@@ -89,6 +89,8 @@
     configuration: ConfigurationRecord;
     readonly configurationHistory: ConfigurationRecord[];
     readonly events: EventRecord[];
+    /** Workers whose tasks changed since they were last taken; not part of a snapshot. */
+    readonly touchedWorkers: Set<WorkerId>;
 }
 
 /** Creates an empty model, without key shards. */
@@ -119,6 +121,7 @@
         configuration: { revision: 0, entries: {}, changedBy: "", acceptedAtMs: 0 },
         configurationHistory: [],
         events: [],
+        touchedWorkers: new Set(),
     };
 }
 
@@ -235,6 +238,11 @@
 /** Replaces or adds a task. The only place where resources are charged to and released from a worker and a tenant. */
 export function setTask(model: Model, next: TaskRecord): void {
     const previous = model.tasks.get(next.id);
+    for (const worker of [previous?.worker, next.worker]) {
+        if (worker !== undefined) {
+            model.touchedWorkers.add(worker);
+        }
+    }
     if (previous !== undefined) {
         if (previous.phase === next.phase && previous.worker === next.worker && previous.charged === next.charged) {
             model.tasks.set(next.id, next);
--- /dev/null
+++ b/packages/control/src/context.ts
@@ -0,0 +1,91 @@
+import type { ClusterMachine } from "@chestnutspool/cluster-state";
+import type { Logger } from "@chestnutspool/logger";
+import {
+    type Channel,
+    type CommandResult,
+    type ControlCommand,
+    type ControlNotice,
+    type ErrorData,
+    type PeerLink,
+    type ProcessSettings,
+    readWallMs,
+    type ReplicatedLog,
+} from "@chestnutspool/types";
+import { Effect } from "effect";
+import type { LeaderMemory } from "./leader-memory.js";
+import type { Placer } from "./placer.js";
+import type { Signal } from "./signal.js";
+
+/** What the control role is built from. */
+export interface ControlParts {
+    readonly link: PeerLink;
+    readonly log: ReplicatedLog<ControlCommand, CommandResult>;
+    readonly machine: ClusterMachine;
+    readonly placer: Placer;
+    readonly logger: Logger;
+}
+
+/** What all parts of the control role share. */
+export interface ControlContext extends ControlParts {
+    readonly settings: ProcessSettings;
+    readonly notices: Channel<ControlNotice, never>;
+    /** Notified after the state has changed. */
+    readonly stateChanged: Signal;
+    /** Memory of the present term; undefined unless this replica leads. */
+    memory: LeaderMemory | undefined;
+    /** Index of the state that was last announced by `stateChanged`. */
+    announcedIndex: number;
+    /** Calls in progress. */
+    callsInProgress: number;
+}
+
+type WithoutTime<Command> = Command extends unknown ? Omit<Command, "nowMs"> : never;
+
+/** A command to which the leader adds its time. */
+export type ProposedCommand = WithoutTime<ControlCommand>;
+
+/** Wakes those who wait for a change of the state. */
+export function announceChanges(context: ControlContext): void {
+    const { machine, memory } = context;
+    if (machine.state.index === context.announcedIndex) {
+        return;
+    }
+    context.announcedIndex = machine.state.index;
+    for (const worker of machine.takeTouchedWorkers()) {
+        memory?.workers.get(worker)?.changed.notifyAll();
+    }
+    context.stateChanged.notifyAll();
+}
+
+/** Adds the leader's wall-clock time to a command. */
+export function createCommand(command: ProposedCommand, nowMs: number): ControlCommand {
+    return { ...command, nowMs };
+}
+
+/** Proposes a command at the present time. Fails as `proposeCommand` does. */
+export const propose = Effect.fnUntraced(function*(context: ControlContext, command: ProposedCommand) {
+    const nowMs = yield* readWallMs;
+    const result = yield* context.log.proposeCommand(createCommand(command, nowMs));
+    announceChanges(context);
+    return result;
+});
+
+/** Proposes commands as one; the results are in the order of the commands. Nothing is proposed for none. */
+export const proposeAll = Effect.fnUntraced(function*(context: ControlContext, commands: readonly ProposedCommand[]) {
+    if (commands.length === 0) {
+        return [];
+    }
+    const nowMs = yield* readWallMs;
+    const batch = { kind: "batch", commands: commands.map(command => createCommand(command, nowMs)) } as const;
+    const result = yield* propose(context, batch);
+    return result.kind === "batch" ? result.results : yield* Effect.fail<ErrorData>(describeUnexpected(result));
+});
+
+function describeUnexpected(result: CommandResult): ErrorData {
+    return result.kind === "refused" ? result.error : { kind: "internal", detail: `result ${result.kind} of a batch` };
+}
+
+/** The time after which a lease has certainly ended, counted from its grant, on a clock that may run faster. */
+export function computeCertainEndMs(settings: ProcessSettings, leaseMs: number, marginMs: number): number {
+    return Math.ceil(leaseMs * (1 + settings.leases.clockDriftPercent / 100)) + marginMs;
+}
--- /dev/null
+++ b/packages/control/src/expire-leases.ts
@@ -0,0 +1,84 @@
+import { describeError } from "@chestnutspool/errors";
+import { type CommandResult, type ErrorData, readMonotonicMs } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { computeCertainEndMs, type ControlContext, propose, type ProposedCommand } from "./context.js";
+import { getWorkerMemory, type LeaderMemory, type SessionMemory } from "./leader-memory.js";
+
+interface Lease {
+    /** Marks the lease, so that it is not renewed while its expiry is proposed. */
+    readonly memory: { expiring: boolean; };
+    readonly command: ProposedCommand;
+    readonly forget: () => void;
+    readonly subject: string;
+}
+
+function getSessionMemory(memory: LeaderMemory, entry: string, incarnation: string): SessionMemory {
+    const existing = memory.sessions.get(entry);
+    if (existing?.incarnation === incarnation) {
+        return existing;
+    }
+    const created = { incarnation, renewedAtMs: memory.termBeganAtMs, appliedRevision: 0, expiring: false };
+    memory.sessions.set(entry, created);
+    return created;
+}
+
+function listExpiredSessions(context: ControlContext, memory: LeaderMemory, nowMs: number): Lease[] {
+    const { sessionTtlMs, sessionMarginMs } = context.settings.leases;
+    const limitMs = computeCertainEndMs(context.settings, sessionTtlMs, sessionMarginMs);
+    return [...context.machine.state.entries.values()].flatMap(({ entry, incarnation }) => {
+        const session = getSessionMemory(memory, entry, incarnation);
+        return nowMs - Math.max(session.renewedAtMs, memory.termBeganAtMs) <= limitMs ? [] : [{
+            memory: session,
+            command: { kind: "expireEntry" as const, entry, incarnation },
+            forget: () => memory.sessions.delete(entry),
+            subject: `entry ${entry}`,
+        }];
+    });
+}
+
+function listExpiredWorkers(context: ControlContext, memory: LeaderMemory, nowMs: number): Lease[] {
+    const { workerLeaseMs, workerMarginMs } = context.settings.leases;
+    const limitMs = computeCertainEndMs(context.settings, workerLeaseMs, workerMarginMs);
+    return [...context.machine.state.workers.values()].filter(worker => worker.incarnation !== "").flatMap(
+        ({ id, incarnation }) => {
+            const worker = getWorkerMemory(memory, id, incarnation);
+            return nowMs - Math.max(worker.syncedAtMs, memory.termBeganAtMs) <= limitMs ? [] : [{
+                memory: worker,
+                command: { kind: "expireWorker" as const, worker: id, incarnation },
+                forget: () => memory.workers.delete(id),
+                subject: `worker ${id}`,
+            }];
+        },
+    );
+}
+
+const expireLease = Effect.fnUntraced(function*(context: ControlContext, lease: Lease) {
+    lease.memory.expiring = true;
+    const { logger } = context;
+    yield* Effect.matchEffect(propose(context, lease.command), {
+        // The mark stays: the command may still be committed, and a renewal must not hide that. The next pass proposes again.
+        onFailure: (error: ErrorData) =>
+            Effect.sync(() =>
+                logger.warn("expiry not confirmed", { subject: lease.subject, detail: describeError(error) })
+            ),
+        onSuccess: (result: CommandResult) =>
+            Effect.sync(() => {
+                lease.forget();
+                logger.info("lease expired", { subject: lease.subject, result: result.kind });
+            }),
+    });
+});
+
+/**
+ * Expires the sessions and workers whose lease has certainly ended: counted from the last renewal that this leader received
+ * and not from before its own term began.
+ */
+export const expireLeases = Effect.fnUntraced(function*(context: ControlContext, memory: LeaderMemory) {
+    const nowMs = yield* readMonotonicMs;
+    const leases = [
+        ...listExpiredSessions(context, memory, nowMs),
+        ...listExpiredWorkers(context, memory, nowMs),
+    ];
+    // The log commits concurrent proposals together, so that the loss of a rack costs one round.
+    yield* Effect.all(leases.map(lease => expireLease(context, lease)), { concurrency: "unbounded" });
+});
--- /dev/null
+++ b/packages/control/src/start-control.ts
@@ -0,0 +1,127 @@
+import { describeError } from "@chestnutspool/errors";
+import type {
+    ClusterState,
+    ControlNotice,
+    ControlReply,
+    ControlRequest,
+    ErrorData,
+    ProcessSettings,
+    ReplicaStatus,
+} from "@chestnutspool/types";
+import { Cause, Effect, type Scope } from "effect";
+import { announceChanges, type ControlContext, type ControlParts } from "./context.js";
+import { expireLeases } from "./expire-leases.js";
+import { handleRequest } from "./handle-request.js";
+import { getLeaderMemory, type LeaderMemory } from "./leader-memory.js";
+import { pushNotices, updatePeers } from "./push-notices.js";
+import { scheduleTasks } from "./schedule-tasks.js";
+import { createSignal } from "./signal.js";
+
+/** Interval at which leases are checked. */
+const expiryIntervalMs = 100;
+/** Interval at which changes of the state are looked for that other replicas proposed. */
+const changeIntervalMs = 50;
+/** Time that a drain waits for calls in progress. */
+const drainLimitMs = 10_000;
+const drainPollMs = 20;
+/** Time allowed for handing over leadership. */
+const transferLimitMs = 5_000;
+
+/** The running control role. */
+export interface ControlApi {
+    readonly readStatus: () => ReplicaStatus;
+    /** The state as this replica has applied it; it may be behind on a follower. */
+    readonly state: ClusterState;
+    /** Answers a request of this process without a link. */
+    readonly handleRequest: (request: ControlRequest) => Effect.Effect<ControlReply>;
+    /** Hands over leadership and waits until the calls in progress are answered. */
+    readonly drain: Effect.Effect<void>;
+}
+
+type LeaderStep = (context: ControlContext, memory: LeaderMemory) => Effect.Effect<void, ErrorData>;
+
+/** Runs a step at an interval while this replica leads. A failed step is logged and made again. */
+function repeatStep(context: ControlContext, name: string, intervalMs: number, step: LeaderStep): Effect.Effect<never> {
+    const { logger } = context;
+    const runOnce = Effect.gen(function*() {
+        if (context.log.readStatus().role === "leader") {
+            yield* step(context, yield* getLeaderMemory(context));
+        }
+    }).pipe(
+        Effect.catch((error: ErrorData) =>
+            Effect.sync(() => logger.warn("control step failed", { step: name, detail: describeError(error) }))
+        ),
+        Effect.catchCause(cause =>
+            Cause.hasInterruptsOnly(cause)
+                ? Effect.failCause(cause)
+                : Effect.sync(() => logger.error("control step failed", { step: name, detail: Cause.pretty(cause) }))
+        ),
+    );
+    return Effect.forever(Effect.andThen(runOnce, Effect.sleep(intervalMs)));
+}
+
+function createContext(settings: ProcessSettings, parts: ControlParts): ControlContext {
+    return {
+        settings,
+        ...parts,
+        notices: parts.link.openChannel<ControlNotice, never>("notice", {}),
+        stateChanged: createSignal(),
+        memory: undefined,
+        announcedIndex: -1,
+        callsInProgress: 0,
+    };
+}
+
+const drainControl = Effect.fnUntraced(function*(context: ControlContext) {
+    const { log, logger } = context;
+    if (log.readStatus().role === "leader") {
+        const transfer = log.transferLeadership.pipe(Effect.timeoutOrElse({
+            duration: transferLimitMs,
+            orElse: () =>
+                Effect.fail<ErrorData>({
+                    kind: "timeout",
+                    operation: "transfer of leadership",
+                    limitMs: transferLimitMs,
+                }),
+        }));
+        yield* Effect.catch(
+            transfer,
+            (error: ErrorData) =>
+                Effect.sync(() => logger.warn("leadership was not transferred", { detail: describeError(error) })),
+        );
+    }
+    for (let waitedMs = 0; context.callsInProgress > 0 && waitedMs < drainLimitMs; waitedMs += drainPollMs) {
+        yield* Effect.sleep(drainPollMs);
+    }
+    logger.info("control role drained", { callsInProgress: context.callsInProgress });
+});
+
+/** Starts the control role on a replica of the log; its loops end with the scope. */
+export const startControl = (
+    settings: ProcessSettings,
+    parts: ControlParts,
+): Effect.Effect<ControlApi, ErrorData, Scope.Scope> =>
+    Effect.gen(function*() {
+        const context = createContext(settings, parts);
+        const linked = new Map<string, string>();
+        parts.link.openChannel<ControlRequest, ControlReply>("control", {
+            handleCall: (from, request) => handleRequest(context, request),
+        });
+        yield* Effect.forkScoped(
+            repeatStep(context, "notices", changeIntervalMs, (shared, memory) => {
+                announceChanges(shared);
+                updatePeers(shared, linked);
+                return pushNotices(shared, memory);
+            }),
+        );
+        yield* Effect.forkScoped(repeatStep(context, "expiry", expiryIntervalMs, expireLeases));
+        yield* Effect.forkScoped(
+            repeatStep(context, "scheduling", settings.placement.intervalMs, scheduleTasks),
+        );
+        return {
+            readStatus: parts.log.readStatus,
+            state: parts.machine.state,
+            handleRequest: request => handleRequest(context, request),
+            drain: drainControl(context),
+        };
+    });
