Test the state machine with random commands

Cause: the state machine had no property tests yet. Change: model-based commands, a ledger of what was granted, and focused tests.

--- /dev/null
+++ b/packages/cluster-state/src/cluster-machine.test.ts
@@ -0,0 +1,126 @@
+import type { CommandResult, ControlCommand } from "@chestnutspool/types";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    checkCharges,
+    checkConfiguration,
+    checkOwnership,
+    createLedger,
+    type Leaf,
+    type Ledger,
+    observeCommand,
+} from "./fakes/ledger.js";
+import { anyStep, makeCommand, makeStart, type Step } from "./fakes/random-commands.js";
+import { type ClusterMachine, createClusterMachine } from "./index.js";
+
+const seed = 20_261;
+
+interface Run {
+    readonly machine: ClusterMachine;
+    readonly ledger: Ledger;
+    readonly history: ControlCommand[];
+    readonly results: CommandResult[];
+}
+
+function listLeaves(command: ControlCommand): Leaf[] {
+    return command.kind === "batch" ? command.commands.flatMap(listLeaves) : [command];
+}
+
+function applyOne(run: Run, command: ControlCommand): void {
+    const { machine, ledger, history, results } = run;
+    const index = history.length + 1;
+    // The parts of a batch are applied one by one, so that the ledger sees the state after each of them.
+    for (const part of listLeaves(command)) {
+        const incarnations = new Map(
+            [...machine.state.workers.values()].map(worker => [worker.id, worker.incarnation]),
+        );
+        const result = machine.applyCommand(index, part);
+        results.push(result);
+        observeCommand(ledger, { incarnations }, machine.state, part, result);
+        checkCharges(ledger, machine.state);
+        checkOwnership(ledger, machine.state);
+        checkConfiguration(ledger, machine.state);
+    }
+    history.push(command);
+}
+
+function runSteps(steps: readonly Step[]): Run {
+    const run: Run = { machine: createClusterMachine(), ledger: createLedger(), history: [], results: [] };
+    for (const command of makeStart()) {
+        applyOne(run, command);
+    }
+    let nowMs = 1_000;
+    for (const step of steps) {
+        nowMs += 1 + step.elapsedMs;
+        applyOne(run, makeCommand(run.machine.state, step, run.history, nowMs));
+    }
+    return run;
+}
+
+void test("no command sequence exceeds capacity, doubles an attempt, loses a checkpoint or lowers an epoch", () => {
+    fc.assert(
+        fc.property(fc.array(anyStep, { minLength: 40, maxLength: 160 }), steps => {
+            runSteps(steps);
+        }),
+        { seed, numRuns: 400, includeErrorInReport: true },
+    );
+});
+
+void test("random sequences reach the states that the properties are about", () => {
+    const reached = new Map<string, number>();
+    for (const steps of fc.sample(fc.array(anyStep, { minLength: 160, maxLength: 160 }), { seed, numRuns: 40 })) {
+        const { machine, results } = runSteps(steps);
+        const events = machine.state.events.map(event => event.kind);
+        const refusals = results.flatMap(result => result.kind === "refused" ? [result.error.kind] : []);
+        for (const name of [...events, ...refusals, ...results.map(result => result.kind)]) {
+            reached.set(name, (reached.get(name) ?? 0) + 1);
+        }
+    }
+    const wanted = [
+        "taskPlaced",
+        "taskEnded",
+        "taskEvicted",
+        "taskImpossible",
+        "workerExpired",
+        "entryExpired",
+        "ownershipMoved",
+    ];
+    const refused = [
+        "capacityExceeded",
+        "staleToken",
+        "revisionConflict",
+        "requestIdReused",
+        "sessionExpired",
+        "notFound",
+    ];
+    for (const name of [...wanted, ...refused, "requestBegun", "requestKnown", "configurationChanged"]) {
+        assert.ok((reached.get(name) ?? 0) >= 5, `${name} was reached ${reached.get(name) ?? 0} times`);
+    }
+});
+
+void test("a snapshot at any point gives the same state and the same later results", () => {
+    fc.assert(
+        fc.property(fc.array(anyStep, { minLength: 20, maxLength: 100 }), fc.nat(1_000), (steps, choice) => {
+            const { history } = runSteps(steps);
+            const original = createClusterMachine();
+            const restored = createClusterMachine();
+            const snapshotAt = choice % history.length;
+            for (const [position, command] of history.entries()) {
+                const result = original.applyCommand(position + 1, command);
+                if (position === snapshotAt) {
+                    restored.applyCommand(1, { kind: "rebalanceOwnership", nowMs: 7 });
+                    restored.restoreSnapshot(original.takeSnapshot());
+                    original.takeTouchedWorkers();
+                    restored.takeTouchedWorkers();
+                    assert.deepEqual(restored.state, original.state);
+                }
+                else if (position > snapshotAt) {
+                    assert.deepEqual(restored.applyCommand(position + 1, command), result);
+                }
+            }
+            assert.ok(Buffer.from(original.takeSnapshot()).equals(restored.takeSnapshot()));
+        }),
+        { seed, numRuns: 200, includeErrorInReport: true },
+    );
+});
--- a/packages/cluster-state/src/cluster-machine.ts
+++ b/packages/cluster-state/src/cluster-machine.ts
@@ -115,8 +115,9 @@
         },
         applyCommand: (index, command) => {
             model.index = index;
+            const result = applyOne(model, command);
             model.eventOrdinal = 0;
-            return applyOne(model, command);
+            return result;
         },
         takeSnapshot: () => encodeSnapshot(model),
         restoreSnapshot: bytes => restoreSnapshot(model, bytes),
--- /dev/null
+++ b/packages/cluster-state/src/task-commands.test.ts
@@ -0,0 +1,91 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { getRefusal, makeApply, makeDriver, placeOn, registerWorker } from "./fakes/make-commands.js";
+
+void test("an evicted watch resumes once, with a higher token and from its last recorded checkpoint", () => {
+    const driver = makeDriver();
+    registerWorker(driver, "worker-0", "first");
+    registerWorker(driver, "worker-1", "first");
+    driver.change("w", makeApply("watch-a", 0, 0));
+    const task = "watch-a/0";
+    const first = placeOn(driver, task, "worker-0");
+    driver.apply({ kind: "confirmStart", task, token: first });
+    driver.apply({ kind: "recordCheckpoint", task, token: first, checkpoint: "c1" });
+    driver.apply({ kind: "requestEviction", task, token: first, reason: "busy" });
+    const early = driver.apply({ kind: "placeTask", task, worker: "worker-1", previousToken: first });
+    assert.equal(getRefusal(early).kind, "staleToken");
+    driver.apply({ kind: "recordCheckpoint", task, token: first, checkpoint: "c2" });
+    driver.apply({ kind: "endTask", task, token: first, outcome: "stopped", reason: "" });
+    const second = placeOn(driver, task, "worker-1");
+    assert.ok(second > first);
+    assert.equal(driver.state.tasks.get(task)?.checkpoint, "c2");
+    const late = driver.apply({ kind: "recordCheckpoint", task, token: first, checkpoint: "late" });
+    assert.deepEqual(getRefusal(late), { kind: "staleToken", subject: `task ${task}`, seen: first, current: second });
+    const again = driver.apply({ kind: "placeTask", task, worker: "worker-0", previousToken: first });
+    assert.equal(getRefusal(again).kind, "staleToken");
+    assert.equal(driver.state.tasks.get(task)?.evictions, 1);
+});
+
+void test("a late registration of a replaced incarnation does not bring it back", () => {
+    const driver = makeDriver();
+    registerWorker(driver, "worker-0", "first");
+    driver.change("j", makeApply("job-a", 0, 0));
+    placeOn(driver, "job-a/0", "worker-0");
+    registerWorker(driver, "worker-0", "second");
+    assert.equal(driver.state.tasks.get("job-a/0")?.phase, "pending");
+    const token = placeOn(driver, "job-a/0", "worker-0");
+    assert.equal(getRefusal(registerWorker(driver, "worker-0", "first")).kind, "staleToken");
+    assert.equal(driver.state.tasks.get("job-a/0")?.token, token);
+    assert.equal(driver.state.tasks.get("job-a/0")?.phase, "starting");
+});
+
+void test("an operator's drain outlives the worker, a probe takes one task, a smaller worker gives up tasks", () => {
+    const driver = makeDriver();
+    registerWorker(driver, "worker-0", "first");
+    driver.change("s", makeApply("service-a", 3, 0));
+    const place = (task: string) => driver.apply({ kind: "placeTask", task, worker: "worker-0", previousToken: 0 });
+    driver.change("d", { kind: "setWorkerAdmission", worker: "worker-0", admission: "draining" });
+    driver.apply({ kind: "expireWorker", worker: "worker-0", incarnation: "first" });
+    assert.equal(getRefusal(place("service-a/0")).kind, "notFound");
+    registerWorker(driver, "worker-0", "first");
+    assert.equal(getRefusal(place("service-a/0")).kind, "invalidArgument");
+    driver.change("o", { kind: "setWorkerAdmission", worker: "worker-0", admission: "open" });
+    driver.apply({ kind: "setAsideWorker", worker: "worker-0", setAside: true });
+    assert.equal(place("service-a/0").kind, "done");
+    assert.equal(getRefusal(place("service-a/1")).kind, "invalidArgument");
+    driver.apply({ kind: "setAsideWorker", worker: "worker-0", setAside: false });
+    assert.equal(place("service-a/1").kind, "done");
+    assert.deepEqual(getRefusal(place("service-a/2")), {
+        kind: "capacityExceeded",
+        worker: "worker-0",
+        resource: "milliCpu",
+    });
+    registerWorker(driver, "worker-0", "first", 2);
+    assert.equal(driver.state.tasks.get("service-a/0")?.phase, "starting");
+    assert.equal(driver.state.tasks.get("service-a/1")?.phase, "stopping");
+});
+
+void test("a failing task backs off, and its job fails after the attempts it is allowed", () => {
+    const driver = makeDriver();
+    registerWorker(driver, "worker-0", "first");
+    driver.change("j", makeApply("job-a", 1, 0));
+    const fail = () => {
+        const token = placeOn(driver, "job-a/0", "worker-0");
+        driver.apply({ kind: "endTask", task: "job-a/0", token, outcome: "failed", reason: "exit 1" });
+        return driver.state.tasks.get("job-a/0");
+    };
+    assert.equal(fail()?.notBeforeMs, driver.nowMs + 1_000);
+    assert.equal(fail()?.phase, "failed");
+    assert.equal(driver.state.tasks.get("job-a/1")?.phase, "cancelled");
+    assert.equal(driver.state.workers.get("worker-0")?.failuresInRow, 2);
+});
+
+void test("an impossible task is considered again when a worker that can carry it appears", () => {
+    const driver = makeDriver();
+    driver.change("j", makeApply("watch-a", 3, 0));
+    driver.apply({ kind: "rejectTask", task: "watch-a/0", reason: "too few cores" });
+    registerWorker(driver, "worker-0", "first", 1);
+    assert.equal(driver.state.tasks.get("watch-a/0")?.phase, "impossible");
+    registerWorker(driver, "worker-1", "first");
+    assert.ok(driver.state.pendingTasks.has("watch-a/0"));
+});
