Compare plain fan-out with corrected trees for configuration

Change: packages/measure gets compare-fan-out, which measures the cost of a send over WebSocket and counts messages, latency and missed receivers of three plans at 8, 50 and 1,300 receivers with 0, 1 and 4% failed; README and developers' page.

--- a/packages/measure/src/index.ts
+++ b/packages/measure/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export { compareFanOut } from "./commands/compare-fan-out/index.js";
