--- /dev/null
+++ b/packages/replicated-log/src/elect.ts
@@ -0,0 +1,149 @@
+import type { LogMember } from "@chestnutspool/types";
+import { readMonotonicMs } from "@chestnutspool/types";
+import { Effect, Option, Queue } from "effect";
+import { logProtocolVersion, type LogReply, type VoteRequest } from "./messages.js";
+import {
+    announceStatus,
+    awaitHardState,
+    awaitWake,
+    checkLeadership,
+    countMajority,
+    isVoter,
+    listVoters,
+    type Replica,
+    setElectionDeadline,
+    setFollower,
+    setVote,
+} from "./replica.js";
+import { startLeading } from "./replicate.js";
+
+function createVoteRequest(
+    replica: Replica,
+    voter: LogMember,
+    term: number,
+    preVote: boolean,
+    transfer: boolean,
+): VoteRequest {
+    return {
+        kind: "vote",
+        version: logProtocolVersion,
+        term,
+        toIdentity: voter.replicaIdentity,
+        fromIdentity: replica.identity,
+        preVote,
+        transfer,
+        lastIndex: replica.window.lastIndex(),
+        lastTerm: replica.window.lastTerm(),
+    };
+}
+
+/** Asks the other voters; true as soon as a majority, this replica included, grants the vote. */
+const collectVotes = (replica: Replica, term: number, preVote: boolean, transfer: boolean) =>
+    Effect.scoped(Effect.gen(function*() {
+        const others = listVoters(replica).filter(voter => voter.id !== replica.self);
+        const startTerm = replica.term;
+        const limitMs = replica.settings.electionTimeoutMinMs / 2;
+        const replies = yield* Queue.unbounded<Option.Option<LogReply>>();
+        for (const voter of others) {
+            const request = createVoteRequest(replica, voter, term, preVote, transfer);
+            const call = Effect.option(replica.channel.callPeer(voter.id, request, limitMs));
+            yield* Effect.forkScoped(Effect.flatMap(call, reply => Queue.offer(replies, reply)));
+        }
+        let granted = 1;
+        for (let answered = 0; answered < others.length && granted < countMajority(replica); answered += 1) {
+            const reply = Option.getOrUndefined(yield* Queue.take(replies));
+            if (replica.term !== startTerm || replica.role !== "candidate") {
+                return false;
+            }
+            if (reply?.kind === "vote") {
+                granted += reply.granted ? 1 : 0;
+                if (!reply.granted && reply.term > replica.term) {
+                    setFollower(replica, reply.term, undefined);
+                    return false;
+                }
+            }
+        }
+        return granted >= countMajority(replica) && replica.term === startTerm && replica.role === "candidate";
+    }));
+
+function setCandidate(replica: Replica): void {
+    replica.role = "candidate";
+    replica.leader = undefined;
+    announceStatus(replica);
+}
+
+/** Tries to become leader: a pre-vote, which changes no term, then the vote. */
+const campaign = Effect.fnUntraced(function*(replica: Replica) {
+    const { electionTimeoutMinMs, electionTimeoutMaxMs, heartbeatMs } = replica.settings;
+    const transfer = replica.transferRequested;
+    replica.transferRequested = false;
+    setCandidate(replica);
+    if (!transfer && !(yield* collectVotes(replica, replica.term + 1, true, false))) {
+        // A pre-vote disturbs nobody, so it is repeated sooner than an election.
+        setElectionDeadline(replica, yield* readMonotonicMs, heartbeatMs, electionTimeoutMinMs);
+        return;
+    }
+    setElectionDeadline(replica, yield* readMonotonicMs, electionTimeoutMinMs, electionTimeoutMaxMs);
+    setVote(replica, replica.term + 1, replica.identity);
+    announceStatus(replica);
+    const { term } = replica;
+    yield* awaitHardState(replica);
+    if (replica.term !== term || replica.role !== "candidate") {
+        return;
+    }
+    if (yield* collectVotes(replica, term, false, transfer)) {
+        yield* startLeading(replica, yield* readMonotonicMs);
+    }
+});
+
+/** The fiber of the election timer; it also ends a leadership without contact to a majority. */
+export const runElectionTimer = Effect.fnUntraced(function*(replica: Replica) {
+    while (replica.role !== "stopped") {
+        const nowMs = yield* readMonotonicMs;
+        if (checkLeadership(replica, nowMs)) {
+            yield* awaitWake(replica.timerWake, replica.settings.heartbeatMs);
+            continue;
+        }
+        const remainingMs = replica.electionDeadlineMs - nowMs;
+        if (isVoter(replica) && (replica.transferRequested || remainingMs <= 0)) {
+            yield* campaign(replica);
+        }
+        else {
+            yield* awaitWake(replica.timerWake, remainingMs > 0 ? remainingMs : replica.settings.electionTimeoutMinMs);
+        }
+    }
+});
+
+function isUpToDate(replica: Replica, request: VoteRequest): boolean {
+    const lastTerm = replica.window.lastTerm();
+    return request.lastTerm > lastTerm
+        || request.lastTerm === lastTerm && request.lastIndex >= replica.window.lastIndex();
+}
+
+/** Whether a leader was heard so recently that an election would only disturb it. */
+function hasLiveLeader(replica: Replica, nowMs: number): boolean {
+    return checkLeadership(replica, nowMs)
+        || nowMs - replica.heardLeaderMs < replica.settings.electionTimeoutMinMs;
+}
+
+/** Answers a request for a vote; the vote is synced before the answer. */
+export const handleVote = Effect.fnUntraced(function*(replica: Replica, request: VoteRequest) {
+    const nowMs = yield* readMonotonicMs;
+    let granted = request.term > replica.term || !request.preVote && request.term === replica.term;
+    granted &&= request.transfer || !hasLiveLeader(replica, nowMs);
+    if (granted && !request.preVote && request.term > replica.term) {
+        setFollower(replica, request.term, undefined);
+    }
+    granted &&= isUpToDate(replica, request);
+    if (granted && !request.preVote) {
+        granted = replica.votedFor === undefined || replica.votedFor === request.fromIdentity;
+        if (granted) {
+            setVote(replica, request.term, request.fromIdentity);
+            const { electionTimeoutMinMs, electionTimeoutMaxMs } = replica.settings;
+            setElectionDeadline(replica, nowMs, electionTimeoutMinMs, electionTimeoutMaxMs);
+        }
+    }
+    const { term } = replica;
+    yield* awaitHardState(replica);
+    return { kind: "vote", term, granted } satisfies LogReply;
+});
--- /dev/null
+++ b/packages/replicated-log/src/fakes/memory-disk.ts
@@ -0,0 +1,151 @@
+import type { AppendFile, Disk, ErrorData } from "@chestnutspool/types";
+import { Effect } from "effect";
+
+/** A disk in memory whose faults a test chooses. */
+export interface MemoryDisk {
+    readonly disk: Disk;
+    /** Loses all writes that were not synced; keeps the given share (0 to 1) of the bytes of each unsynced end. */
+    readonly crash: (keptShare: number) => void;
+    /** Inverts the bits of one byte, counted from the start or, when negative, from the end. */
+    readonly flipByte: (name: string, offset: number) => void;
+    /** Makes syncs fail from now on, or work again. */
+    readonly failSync: (fails: boolean) => void;
+    /** Bytes that may still be written; a write beyond it fails like a full disk. */
+    readonly setFreeBytes: (bytes: number) => void;
+    /** Time that each sync takes, in milliseconds. */
+    readonly setSyncDelay: (delayMs: number) => void;
+    /** Removes all files, like a replaced disk. */
+    readonly removeAll: () => void;
+    /** Number of syncs of append files since the start. */
+    readonly countSyncs: () => number;
+    readonly listNames: () => readonly string[];
+    readonly readBytes: (name: string) => Uint8Array;
+    /** Sets the content of a file, as synced. */
+    readonly writeBytes: (name: string, bytes: Uint8Array) => void;
+}
+
+interface MemoryFile {
+    content: Buffer;
+    synced: Buffer;
+}
+
+interface Faults {
+    syncFails: boolean;
+    freeBytes: number;
+    syncDelayMs: number;
+    syncs: number;
+}
+
+function fail(file: string, detail: string): Effect.Effect<never, ErrorData> {
+    return Effect.fail({ kind: "storageFailed", file, detail });
+}
+
+function takeSpace(faults: Faults, name: string, bytes: number): Effect.Effect<void, ErrorData> {
+    return Effect.suspend(() => {
+        if (bytes > faults.freeBytes) {
+            return fail(name, "no space left on device");
+        }
+        faults.freeBytes -= bytes;
+        return Effect.void;
+    });
+}
+
+function awaitSync(faults: Faults, name: string): Effect.Effect<void, ErrorData> {
+    return Effect.andThen(
+        Effect.suspend(() => Effect.sleep(faults.syncDelayMs)),
+        Effect.suspend(() => faults.syncFails ? fail(name, "sync failed") : Effect.void),
+    );
+}
+
+function createAppendFile(faults: Faults, name: string, file: MemoryFile): AppendFile {
+    return {
+        append: bytes =>
+            Effect.map(takeSpace(faults, name, bytes.length), () => {
+                file.content = Buffer.concat([file.content, bytes]);
+            }),
+        sync: Effect.suspend(() => {
+            const written = file.content;
+            faults.syncs += 1;
+            return Effect.map(awaitSync(faults, name), () => {
+                file.synced = written;
+            });
+        }),
+        truncate: length =>
+            Effect.sync(() => {
+                file.content = file.content.subarray(0, length);
+            }),
+        lengthBytes: () => file.content.length,
+    };
+}
+
+/** Creates an empty disk without faults. */
+export function createMemoryDisk(): MemoryDisk {
+    const files = new Map<string, MemoryFile>();
+    const faults: Faults = { syncFails: false, freeBytes: Number.POSITIVE_INFINITY, syncDelayMs: 0, syncs: 0 };
+    const getFile = (name: string): MemoryFile => {
+        const file = files.get(name);
+        if (file === undefined) {
+            throw new Error(`the disk has no file ${name}`);
+        }
+        return file;
+    };
+    const disk: Disk = {
+        readFile: name => Effect.sync(() => files.get(name)?.content),
+        replaceFile: (name, bytes) =>
+            Effect.gen(function*() {
+                yield* takeSpace(faults, name, bytes.length);
+                yield* awaitSync(faults, name);
+                const copy = Buffer.from(bytes);
+                files.set(name, { content: copy, synced: copy });
+            }),
+        openAppend: name =>
+            Effect.sync(() => {
+                const file = files.get(name) ?? { content: Buffer.alloc(0), synced: Buffer.alloc(0) };
+                files.set(name, file);
+                return createAppendFile(faults, name, file);
+            }),
+        listFiles: () => Effect.sync(() => [...files.keys()].sort()),
+        removeFile: name =>
+            Effect.sync(() => {
+                files.delete(name);
+            }),
+    };
+    return {
+        disk,
+        crash: keptShare => {
+            for (const [name, file] of files) {
+                const unsynced = Math.max(0, file.content.length - file.synced.length);
+                const kept = file.synced.length + Math.floor(unsynced * keptShare);
+                const content = Buffer.from(
+                    unsynced > 0 ? file.content.subarray(0, kept) : file.synced,
+                );
+                // A new object: an append file that was opened before the crash must not write any more.
+                files.set(name, { content, synced: content });
+            }
+        },
+        flipByte: (name, offset) => {
+            const file = getFile(name);
+            const bytes = Buffer.from(file.content);
+            const position = offset < 0 ? bytes.length + offset : offset;
+            bytes.writeUInt8(bytes.readUInt8(position) ^ 0xff, position);
+            files.set(name, { content: bytes, synced: bytes });
+        },
+        failSync: fails => {
+            faults.syncFails = fails;
+        },
+        setFreeBytes: bytes => {
+            faults.freeBytes = bytes;
+        },
+        setSyncDelay: delayMs => {
+            faults.syncDelayMs = delayMs;
+        },
+        removeAll: () => files.clear(),
+        countSyncs: () => faults.syncs,
+        listNames: () => [...files.keys()].sort(),
+        readBytes: name => getFile(name).content,
+        writeBytes: (name, bytes) => {
+            const copy = Buffer.from(bytes);
+            files.set(name, { content: copy, synced: copy });
+        },
+    };
+}
--- /dev/null
+++ b/packages/replicated-log/src/follow.ts
@@ -0,0 +1,179 @@
+import { type PeerId, readMonotonicMs } from "@chestnutspool/types";
+import { Deferred, Effect } from "effect";
+import { crc32 } from "node:zlib";
+import type { AppendRequest, LogReply, Snapshot, SnapshotRequest } from "./messages.js";
+import {
+    awaitHardState,
+    commitUntil,
+    listMembers,
+    recordLeaderContact,
+    type Replica,
+    setFollower,
+    stopReplica,
+} from "./replica.js";
+
+/** Takes the sender as leader of its term; false when the term is over. */
+function followSender(replica: Replica, from: PeerId, term: number, nowMs: number): boolean {
+    if (term < replica.term) {
+        return false;
+    }
+    if (term > replica.term || replica.role !== "follower" || replica.leader !== from) {
+        setFollower(replica, term, from);
+    }
+    recordLeaderContact(replica, nowMs);
+    return true;
+}
+
+/** Where the leader tries next, less one, when the entry before the sent ones does not agree; undefined when it does. */
+function findConflict(replica: Replica, request: AppendRequest): number | undefined {
+    const { window } = replica;
+    if (request.prevIndex > window.lastIndex()) {
+        return window.lastIndex();
+    }
+    const term = window.findTerm(request.prevIndex);
+    if (request.prevIndex <= replica.commitIndex || term === request.prevTerm) {
+        return undefined;
+    }
+    // Skips the whole term that disagrees, so that finding the common part takes one request for each term.
+    let index = request.prevIndex - 1;
+    while (index > replica.commitIndex && window.findTerm(index) === term) {
+        index -= 1;
+    }
+    return index;
+}
+
+/** Adds the entries that are new and removes those of this replica that they contradict. */
+function storeEntries(replica: Replica, request: AppendRequest): void {
+    const { window, storage } = replica;
+    const added = request.entries.filter(entry =>
+        entry.index > window.baseIndex() && window.findTerm(entry.index) !== entry.term
+    );
+    const first = added[0];
+    if (first === undefined) {
+        return;
+    }
+    if (first.index <= replica.commitIndex) {
+        throw new Error(`the leader contradicts committed entry ${first.index}`);
+    }
+    if (first.index <= window.lastIndex()) {
+        window.dropAfter(first.index - 1);
+        storage.dropAfter(first.index - 1);
+    }
+    added.forEach(window.appendEntry);
+    storage.appendEntries(added);
+    setMemberLinks(replica);
+}
+
+/** Keeps links to all members, because any of them may have to be called after an election. */
+export function setMemberLinks(replica: Replica): void {
+    for (const member of listMembers(replica)) {
+        if (member.id !== replica.self) {
+            replica.link.setPeer(member.id, member.address);
+        }
+    }
+}
+
+/** Waits until the log is synced up to an index, at most for a heartbeat interval, so that contact is not lost. */
+const awaitSynced = Effect.fnUntraced(function*(replica: Replica, index: number) {
+    const { storage, settings } = replica;
+    if (storage.syncedIndex() >= index) {
+        return;
+    }
+    const wait = Deferred.await(storage.findLastWrite());
+    yield* Effect.timeoutOption(wait, settings.heartbeatMs);
+});
+
+/** Answers entries or a heartbeat of a leader. */
+export const handleAppend = Effect.fnUntraced(function*(replica: Replica, from: PeerId, request: AppendRequest) {
+    if (!followSender(replica, from, request.term, yield* readMonotonicMs)) {
+        yield* awaitHardState(replica);
+        return createAppendReply(replica.term, false, 0, 0);
+    }
+    const conflict = findConflict(replica, request);
+    if (conflict !== undefined) {
+        yield* awaitHardState(replica);
+        return createAppendReply(replica.term, false, conflict, 0);
+    }
+    const verifiedIndex = request.prevIndex + request.entries.length;
+    try {
+        storeEntries(replica, request);
+    }
+    catch (cause) {
+        const error = { kind: "internal" as const, detail: String(cause) };
+        stopReplica(replica, error);
+        return yield* Effect.fail(error);
+    }
+    commitUntil(replica, Math.min(request.commitIndex, verifiedIndex));
+    yield* awaitHardState(replica);
+    yield* awaitSynced(replica, verifiedIndex);
+    if (replica.term !== request.term) {
+        // A later leader may have replaced the entries meanwhile.
+        yield* awaitHardState(replica);
+        return createAppendReply(replica.term, false, 0, 0);
+    }
+    return createAppendReply(request.term, true, verifiedIndex, Math.min(verifiedIndex, replica.storage.syncedIndex()));
+});
+
+function createAppendReply(term: number, accepted: boolean, verifiedIndex: number, syncedIndex: number): LogReply {
+    return { kind: "append", term, accepted, verifiedIndex, syncedIndex };
+}
+
+/** Adds a chunk; returns the whole snapshot with the last one. */
+function collectChunk(replica: Replica, request: SnapshotRequest): Snapshot | undefined {
+    const { term, lastIndex, lastTerm, members, offset, chunk } = request;
+    if (offset === 0) {
+        replica.incoming = { term, index: lastIndex, chunks: [], receivedBytes: 0 };
+    }
+    const { incoming } = replica;
+    if (incoming?.term !== term || incoming.index !== lastIndex || incoming.receivedBytes !== offset) {
+        return undefined;
+    }
+    incoming.chunks.push(chunk);
+    incoming.receivedBytes += chunk.length;
+    if (incoming.receivedBytes < request.totalBytes) {
+        return undefined;
+    }
+    const data = Buffer.concat(incoming.chunks);
+    replica.incoming = undefined;
+    return crc32(data) === request.checksum ? { index: lastIndex, term: lastTerm, members, data } : undefined;
+}
+
+/** Replaces state and log by a snapshot and waits until it is synced. */
+const installSnapshot = Effect.fnUntraced(function*(replica: Replica, snapshot: Snapshot) {
+    const { window, storage, machine } = replica;
+    if (window.findTerm(snapshot.index) === snapshot.term) {
+        commitUntil(replica, snapshot.index);
+        yield* Deferred.await(storage.findLastWrite());
+        return;
+    }
+    machine.restoreSnapshot(snapshot.data);
+    window.setBase(snapshot.index, snapshot.term);
+    window.setMembers(snapshot.index, snapshot.members);
+    replica.snapshot = snapshot;
+    replica.commitIndex = snapshot.index;
+    replica.appliedIndex = snapshot.index;
+    setMemberLinks(replica);
+    replica.logger.info("snapshot installed", { index: snapshot.index, bytes: snapshot.data.length });
+    yield* Deferred.await(storage.saveSnapshot(snapshot, true));
+});
+
+/** Answers a chunk of a snapshot. */
+export const handleSnapshot = Effect.fnUntraced(function*(replica: Replica, from: PeerId, request: SnapshotRequest) {
+    if (!followSender(replica, from, request.term, yield* readMonotonicMs)) {
+        yield* awaitHardState(replica);
+        return { kind: "snapshot", term: replica.term, receivedBytes: 0, installed: false } satisfies LogReply;
+    }
+    let installed = request.lastIndex <= replica.commitIndex;
+    if (installed) {
+        // The leader counts the entries as synced after this reply.
+        yield* Deferred.await(replica.storage.findLastWrite());
+    }
+    const snapshot = installed ? undefined : collectChunk(replica, request);
+    const receivedBytes = snapshot?.data.length ?? replica.incoming?.receivedBytes ?? 0;
+    if (snapshot !== undefined) {
+        yield* installSnapshot(replica, snapshot);
+        installed = true;
+    }
+    yield* awaitHardState(replica);
+    return { kind: "snapshot", term: request.term, receivedBytes, installed } satisfies LogReply;
+});
--- /dev/null
+++ b/packages/replicated-log/src/log-window.ts
@@ -0,0 +1,115 @@
+import type { LogMember } from "@chestnutspool/types";
+import type { LogEntry } from "./messages.js";
+
+/** The part of the log that is in memory: all entries after a base whose index and term are known. */
+export interface LogWindow {
+    readonly baseIndex: () => number;
+    readonly lastIndex: () => number;
+    readonly lastTerm: () => number;
+    /** Term of an entry; undefined when it is outside the window. */
+    readonly findTerm: (index: number) => number | undefined;
+    readonly findEntry: (index: number) => LogEntry | undefined;
+    /** Entries from an index on, up to limits; at least one when there is one. */
+    readonly listEntries: (from: number, maxEntries: number, maxBytes: number) => readonly LogEntry[];
+    /** Adds the next entry. */
+    readonly appendEntry: (entry: LogEntry) => void;
+    /** Removes all entries after an index. */
+    readonly dropAfter: (index: number) => void;
+    /** Forgets the entries up to an index; its term stays known. */
+    readonly forgetUntil: (index: number) => void;
+    /** Empties the window and sets its base. */
+    readonly setBase: (index: number, term: number) => void;
+    /** Member list of the last `members` entry at or before an index; undefined when there is none. */
+    readonly findMembers: (index: number) => readonly LogMember[] | undefined;
+    /** Index of the last `members` entry. */
+    readonly membersIndex: () => number;
+    /** Sets the member list of a snapshot. */
+    readonly setMembers: (index: number, members: readonly LogMember[]) => void;
+}
+
+interface MembersAt {
+    readonly index: number;
+    readonly members: readonly LogMember[];
+}
+
+/** Size of an entry on the wire, in bytes, near enough for limits of messages. */
+export function estimateEntryBytes(entry: LogEntry): number {
+    const overheadBytes = 64;
+    switch (entry.kind) {
+        case "command":
+            return overheadBytes + entry.data.length;
+        case "members":
+            return overheadBytes + entry.members.length * 256;
+        case "noop":
+            return overheadBytes;
+    }
+}
+
+/** Creates an empty window. */
+export function createLogWindow(): LogWindow {
+    let baseIndex = 0;
+    let baseTerm = 0;
+    let entries: LogEntry[] = [];
+    let lists: MembersAt[] = [];
+    const lastIndex = (): number => baseIndex + entries.length;
+    const findEntry = (index: number): LogEntry | undefined => entries[index - baseIndex - 1];
+    const findTerm = (index: number): number | undefined => index === baseIndex ? baseTerm : findEntry(index)?.term;
+    return {
+        baseIndex: () => baseIndex,
+        lastIndex,
+        lastTerm: () => entries.at(-1)?.term ?? baseTerm,
+        findTerm,
+        findEntry,
+        listEntries: (from, maxEntries, maxBytes) => {
+            const listed: LogEntry[] = [];
+            let bytes = 0;
+            for (let index = from; index <= lastIndex() && listed.length < maxEntries; index += 1) {
+                const entry = findEntry(index);
+                if (entry === undefined) {
+                    break;
+                }
+                bytes += estimateEntryBytes(entry);
+                if (bytes > maxBytes && listed.length > 0) {
+                    break;
+                }
+                listed.push(entry);
+            }
+            return listed;
+        },
+        appendEntry: entry => {
+            if (entry.index !== lastIndex() + 1) {
+                throw new Error(`entry ${entry.index} does not follow entry ${lastIndex()}`);
+            }
+            entries.push(entry);
+            if (entry.kind === "members") {
+                lists.push({ index: entry.index, members: entry.members });
+            }
+        },
+        dropAfter: index => {
+            entries.length = Math.max(0, Math.min(entries.length, index - baseIndex));
+            lists = lists.filter(list => list.index <= index);
+        },
+        forgetUntil: index => {
+            const term = findTerm(index);
+            if (index <= baseIndex || term === undefined) {
+                return;
+            }
+            entries = entries.slice(index - baseIndex);
+            baseIndex = index;
+            baseTerm = term;
+            const kept = lists.findLastIndex(list => list.index <= index);
+            lists = lists.slice(Math.max(0, kept));
+        },
+        setBase: (index, term) => {
+            baseIndex = index;
+            baseTerm = term;
+            entries = [];
+            lists = [];
+        },
+        findMembers: index => lists.findLast(list => list.index <= index)?.members,
+        membersIndex: () => lists.at(-1)?.index ?? 0,
+        setMembers: (index, members) => {
+            lists = [{ index, members }, ...lists.filter(list => list.index > index)];
+        },
+    };
+}
--- /dev/null
+++ b/packages/replicated-log/src/members.ts
@@ -0,0 +1,168 @@
+import { type ErrorData, type LogMember, type MemberChange, type PeerId, readMonotonicMs } from "@chestnutspool/types";
+import { Deferred, Effect } from "effect";
+import { type Either, Left, Right } from "purify-ts";
+import { setMemberLinks } from "./follow.js";
+import { runEither } from "./load-storage.js";
+import { listMembers, listVoters, type Replica } from "./replica.js";
+import { appendOwn, findLeaderError, updatePeerLoops } from "./replicate.js";
+
+/** Time allowed for a learner to catch up, in milliseconds; a snapshot of several MiB takes a few seconds. */
+const catchUpLimitMs = 60_000;
+/** Interval at which the progress of a learner or of a transfer target is looked at, in milliseconds. */
+const progressPollMs = 5;
+
+function planAddition(
+    members: readonly LogMember[],
+    change: Extract<MemberChange, { kind: "addLearner"; }>,
+): Either<ErrorData, readonly LogMember[]> {
+    const known = members.find(member => member.id === change.id);
+    if (known !== undefined && known.replicaIdentity !== change.replicaIdentity) {
+        const allowed = `the identity of member "${change.id}"; remove the old member first`;
+        return Left({ kind: "invalidArgument", field: "replicaIdentity", seen: change.replicaIdentity, allowed });
+    }
+    const { id, address, replicaIdentity } = change;
+    return Right(known === undefined ? [...members, { id, address, replicaIdentity, votes: false }] : members);
+}
+
+/** The member list after a change; the same list when the change is already in effect. */
+export function planMembers(
+    members: readonly LogMember[],
+    change: MemberChange,
+): Either<ErrorData, readonly LogMember[]> {
+    if (change.kind === "addLearner") {
+        return planAddition(members, change);
+    }
+    const known = members.find(member => member.id === change.id);
+    if (known === undefined) {
+        return Left({ kind: "notFound", object: "member", id: change.id });
+    }
+    if (change.kind === "promoteLearner") {
+        const promoted = members.map(member => member === known ? { ...member, votes: true } : member);
+        return Right(known.votes ? members : promoted);
+    }
+    const left = members.filter(member => member !== known);
+    if (!left.some(member => member.votes)) {
+        return Left({ kind: "invalidArgument", field: "id", seen: change.id, allowed: "not the last voting member" });
+    }
+    return Right(left);
+}
+
+/** Waits until the learner has caught up to within one short round of replication. */
+const awaitCaughtUp = Effect.fnUntraced(function*(replica: Replica, id: PeerId) {
+    while (true) {
+        const startMs = yield* readMonotonicMs;
+        const target = replica.window.lastIndex();
+        while ((replica.peers.get(id)?.matchIndex ?? 0) < target) {
+            yield* Effect.sleep(progressPollMs);
+            const error = findLeaderError(replica, yield* readMonotonicMs);
+            if (error !== undefined) {
+                return yield* Effect.fail(error);
+            }
+        }
+        if ((yield* readMonotonicMs) - startMs < replica.settings.electionTimeoutMinMs) {
+            return;
+        }
+    }
+});
+
+const appendMembers = Effect.fnUntraced(function*(replica: Replica, members: readonly LogMember[]) {
+    const error = findLeaderError(replica, yield* readMonotonicMs);
+    if (error !== undefined) {
+        return yield* Effect.fail(error);
+    }
+    const index = replica.window.lastIndex() + 1;
+    const done = Deferred.makeUnsafe<unknown, ErrorData>();
+    replica.proposals.set(index, { term: replica.term, done });
+    appendOwn(replica, { kind: "members", index, term: replica.term, members });
+    setMemberLinks(replica);
+    yield* updatePeerLoops(replica, yield* readMonotonicMs);
+    yield* Deferred.await(done);
+});
+
+const runChange = Effect.fnUntraced(function*(replica: Replica, change: MemberChange) {
+    const present = listMembers(replica);
+    const planned = yield* runEither(planMembers(present, change));
+    if (planned === present) {
+        return;
+    }
+    if (change.kind === "promoteLearner") {
+        yield* Effect.timeoutOrElse(awaitCaughtUp(replica, change.id), {
+            duration: catchUpLimitMs,
+            orElse: () =>
+                Effect.fail<ErrorData>({
+                    kind: "timeout",
+                    operation: `catching up of learner ${change.id}`,
+                    limitMs: catchUpLimitMs,
+                }),
+        });
+    }
+    yield* appendMembers(replica, planned);
+});
+
+/**
+ * Changes one member and waits until the new list is committed. The caller has confirmed the leadership, so an entry of
+ * the own term is committed; without it two lists of different terms could have majorities that do not overlap.
+ */
+export const changeMembers = Effect.fnUntraced(function*(replica: Replica, change: MemberChange) {
+    if (replica.changingMember !== undefined || replica.window.membersIndex() > replica.commitIndex) {
+        const member = replica.changingMember ?? change.id;
+        return yield* Effect.fail<ErrorData>({ kind: "membershipChangeInProgress", member });
+    }
+    replica.changingMember = change.id;
+    yield* Effect.ensuring(
+        runChange(replica, change),
+        Effect.sync(() => {
+            replica.changingMember = undefined;
+        }),
+    );
+});
+
+function findTransferTarget(replica: Replica): PeerId | undefined {
+    return listVoters(replica)
+        .filter(voter => voter.id !== replica.self)
+        .toSorted((left, right) =>
+            (replica.peers.get(right.id)?.matchIndex ?? 0) - (replica.peers.get(left.id)?.matchIndex ?? 0)
+        )[0]?.id;
+}
+
+/** Hands leadership to the member that is furthest, after all that was proposed is committed. */
+export const transferLeadership = Effect.fnUntraced(function*(
+    replica: Replica,
+    sendCampaign: (target: PeerId) => Effect.Effect<unknown, ErrorData>,
+) {
+    const error = findLeaderError(replica, yield* readMonotonicMs);
+    if (error !== undefined) {
+        return yield* Effect.fail(error);
+    }
+    const target = findTransferTarget(replica);
+    if (target === undefined) {
+        return yield* Effect.fail<ErrorData>({ kind: "notFound", object: "other voting member", id: replica.self });
+    }
+    const { term } = replica;
+    const isLeading = (): boolean => replica.role === "leader" && replica.term === term;
+    const isBehind = (): boolean => {
+        const last = replica.window.lastIndex();
+        return replica.commitIndex < last || (replica.peers.get(target)?.matchIndex ?? 0) < last;
+    };
+    const limitMs = replica.settings.electionTimeoutMaxMs * 2;
+    replica.transferring = true;
+    yield* Effect.gen(function*() {
+        while (isLeading() && isBehind()) {
+            yield* Effect.sleep(progressPollMs);
+        }
+        if (isLeading()) {
+            yield* sendCampaign(target);
+        }
+        while (isLeading()) {
+            yield* Effect.sleep(progressPollMs);
+        }
+    }).pipe(
+        Effect.timeoutOrElse({
+            duration: limitMs,
+            orElse: () => Effect.fail<ErrorData>({ kind: "timeout", operation: `transfer to ${target}`, limitMs }),
+        }),
+        Effect.ensuring(Effect.sync(() => {
+            replica.transferring = false;
+        })),
+    );
+});
--- /dev/null
+++ b/packages/replicated-log/src/record.ts
@@ -0,0 +1,152 @@
+import type { ErrorData } from "@chestnutspool/types";
+import { Packr } from "msgpackr";
+import { crc32 } from "node:zlib";
+import { type Either, Left, Right } from "purify-ts";
+import type { LogEntry } from "./messages.js";
+
+/** What one synced write adds to the log. An entry replaces the entries from its index on. */
+export type LogRecord =
+    | { readonly kind: "entries"; readonly entries: readonly LogEntry[]; }
+    | { readonly kind: "reset"; readonly index: number; readonly term: number; };
+
+/** Records of one file and the length up to which it is whole. */
+export interface DecodedLog {
+    readonly records: readonly LogRecord[];
+    readonly wholeBytes: number;
+}
+
+const recordMagic = Buffer.from("CSL1", "latin1");
+const headerBytes = 16;
+/** Sector size of disks; a torn write leaves whole sectors unwritten, and those read as zeros in a new part of a file. */
+const sectorBytes = 512;
+/** Shortest run of zeros that counts as an unwritten sector; shorter runs occur in intact data. */
+const unwrittenMinBytes = 8;
+
+const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: false });
+
+/** Encodes a value as MessagePack, in the way of the peer link. */
+export function encodeValue(value: unknown): Uint8Array {
+    return packr.pack(value);
+}
+
+/** Decodes MessagePack; throws on bytes that are none. */
+export function decodeValue(bytes: Uint8Array): unknown {
+    return packr.unpack(bytes);
+}
+
+/** Encodes a record: magic, length, CRC-32 of the payload, CRC-32 of the header, payload. */
+export function encodeRecord(record: LogRecord): Uint8Array {
+    const payload = encodeValue(record);
+    const bytes = Buffer.alloc(headerBytes + payload.length);
+    recordMagic.copy(bytes, 0);
+    bytes.writeUInt32LE(payload.length, 4);
+    bytes.writeUInt32LE(crc32(payload), 8);
+    bytes.writeUInt32LE(crc32(bytes.subarray(0, 12)), 12);
+    bytes.set(payload, headerBytes);
+    return bytes;
+}
+
+type RecordState =
+    | { readonly kind: "whole"; readonly record: LogRecord; readonly endBytes: number; }
+    | { readonly kind: "badHeader"; }
+    | { readonly kind: "short"; }
+    | { readonly kind: "badPayload"; readonly endBytes: number; };
+
+function readRecord(bytes: Buffer, offset: number): RecordState {
+    const header = bytes.subarray(offset, offset + headerBytes);
+    if (header.length < headerBytes) {
+        return { kind: "short" };
+    }
+    if (!header.subarray(0, 4).equals(recordMagic) || crc32(header.subarray(0, 12)) !== header.readUInt32LE(12)) {
+        return { kind: "badHeader" };
+    }
+    const endBytes = offset + headerBytes + header.readUInt32LE(4);
+    if (endBytes > bytes.length) {
+        return { kind: "short" };
+    }
+    const payload = bytes.subarray(offset + headerBytes, endBytes);
+    if (crc32(payload) !== header.readUInt32LE(8)) {
+        return { kind: "badPayload", endBytes };
+    }
+    return { kind: "whole", record: decodeValue(payload) as LogRecord, endBytes };
+}
+
+function hasUnwrittenSector(bytes: Buffer, start: number, end: number): boolean {
+    let position = start;
+    while (position < end) {
+        const sectorEnd = Math.min(end, (Math.floor(position / sectorBytes) + 1) * sectorBytes);
+        const part = bytes.subarray(position, sectorEnd);
+        if (part.length >= unwrittenMinBytes && part.every(byte => byte === 0)) {
+            return true;
+        }
+        position = sectorEnd;
+    }
+    return false;
+}
+
+function hasWholeRecordAfter(bytes: Buffer, offset: number): boolean {
+    let candidate = bytes.indexOf(recordMagic, offset);
+    while (candidate >= 0) {
+        if (readRecord(bytes, candidate).kind === "whole") {
+            return true;
+        }
+        candidate = bytes.indexOf(recordMagic, candidate + 1);
+    }
+    return false;
+}
+
+/**
+ * Whether the unreadable end of a file is an interrupted write. A record is written only after the one before it is
+ * synced, so a whole record behind the unreadable one proves damage. At full length, damage is told from an interrupted
+ * write by unwritten sectors; without them a synced record was changed, and cutting it could lose a committed entry.
+ */
+function isTornEnd(bytes: Buffer, offset: number, state: RecordState): boolean {
+    switch (state.kind) {
+        case "whole":
+            return false;
+        case "short":
+            return true;
+        case "badHeader":
+            return !hasWholeRecordAfter(bytes, offset + 1) && hasUnwrittenSector(bytes, offset, bytes.length);
+        case "badPayload":
+            return state.endBytes === bytes.length && hasUnwrittenSector(bytes, offset, bytes.length);
+    }
+}
+
+/** Decodes a log file. Only the last file may end in an interrupted write. Fails with `corruptRecord`. */
+export function decodeLog(file: string, source: Uint8Array, isLastFile: boolean): Either<ErrorData, DecodedLog> {
+    const bytes = Buffer.from(source.buffer, source.byteOffset, source.byteLength);
+    const records: LogRecord[] = [];
+    let offset = 0;
+    while (offset < bytes.length) {
+        const state = readRecord(bytes, offset);
+        if (state.kind !== "whole") {
+            if (isLastFile && isTornEnd(bytes, offset, state)) {
+                break;
+            }
+            const detail = `a synced record does not match its CRC-32 (${state.kind})`;
+            return Left({ kind: "corruptRecord", file, offset, detail });
+        }
+        records.push(state.record);
+        offset = state.endBytes;
+    }
+    return Right({ records, wholeBytes: offset });
+}
+
+/** Encodes a value that fills a whole file, with its CRC-32 in front. */
+export function encodeFile(value: unknown): Uint8Array {
+    const payload = encodeValue(value);
+    const bytes = Buffer.alloc(4 + payload.length);
+    bytes.writeUInt32LE(crc32(payload), 0);
+    bytes.set(payload, 4);
+    return bytes;
+}
+
+/** Decodes a file of `encodeFile`. Fails with `corruptRecord`. */
+export function decodeFile(file: string, source: Uint8Array): Either<ErrorData, unknown> {
+    const bytes = Buffer.from(source.buffer, source.byteOffset, source.byteLength);
+    if (bytes.length < 4 || crc32(bytes.subarray(4)) !== bytes.readUInt32LE(0)) {
+        return Left({ kind: "corruptRecord", file, offset: 0, detail: "the file does not match its CRC-32" });
+    }
+    return Right(decodeValue(bytes.subarray(4)));
+}
--- /dev/null
+++ b/packages/replicated-log/src/replicate.ts
@@ -0,0 +1,244 @@
+import { type ErrorData, type PeerId, readMonotonicMs } from "@chestnutspool/types";
+import { Effect, Exit, FiberMap, Queue } from "effect";
+import { crc32 } from "node:zlib";
+import { type AppendRequest, type LogEntry, logProtocolVersion, type LogReply, type LogRequest } from "./messages.js";
+import {
+    announceStatus,
+    awaitWake,
+    checkLeadership,
+    commitUntil,
+    completeReads,
+    countMajority,
+    listMembers,
+    listVoters,
+    type PeerProgress,
+    type Replica,
+    setFollower,
+    wakePeers,
+} from "./replica.js";
+import type { Synced } from "./storage.js";
+
+/** Largest number of entries in one message. */
+const batchMaxEntries = 1_000;
+/** Largest size of the entries in one message, in bytes; a single larger entry still goes. */
+const batchMaxBytes = 1024 * 1024;
+/** Size of a snapshot chunk in bytes: far below the frame limit of the link, so that a chunk blocks it only briefly. */
+export const snapshotChunkBytes = 256 * 1024;
+
+function createProgress(replica: Replica, id: PeerId, nowMs: number): PeerProgress {
+    return {
+        id,
+        nextIndex: replica.window.lastIndex() + 1,
+        matchIndex: 0,
+        contactMs: nowMs,
+        ackedRound: -1,
+        wake: Effect.runSync(Queue.sliding<void>(1)),
+    };
+}
+
+/** Appends an entry of the leader to memory and requests its write. */
+export function appendOwn(replica: Replica, entry: LogEntry): Synced {
+    replica.window.appendEntry(entry);
+    const synced = replica.storage.appendEntries([entry]);
+    wakePeers(replica);
+    return synced;
+}
+
+/** Commits what a majority of the voters has synced, if it is of the present term. */
+export function commitSynced(replica: Replica): void {
+    if (replica.role !== "leader") {
+        return;
+    }
+    const synced = listVoters(replica)
+        .map(voter =>
+            voter.id === replica.self ? replica.storage.syncedIndex() : replica.peers.get(voter.id)?.matchIndex ?? 0
+        )
+        .sort((left, right) => right - left);
+    const index = synced[countMajority(replica) - 1] ?? 0;
+    if (index > replica.commitIndex && replica.window.findTerm(index) === replica.term) {
+        commitUntil(replica, index);
+    }
+}
+
+/** Makes the elected replica the leader: it appends an entry of its term and starts the replication loops. */
+export const startLeading = Effect.fnUntraced(function*(replica: Replica, nowMs: number) {
+    replica.role = "leader";
+    replica.leader = replica.self;
+    replica.transferring = false;
+    replica.changingMember = undefined;
+    replica.incoming = undefined;
+    replica.peers.clear();
+    replica.termStartIndex = replica.window.lastIndex() + 1;
+    for (const member of listMembers(replica)) {
+        if (member.id !== replica.self) {
+            replica.peers.set(member.id, createProgress(replica, member.id, nowMs));
+        }
+    }
+    appendOwn(replica, { kind: "noop", index: replica.termStartIndex, term: replica.term });
+    announceStatus(replica);
+    yield* FiberMap.clear(replica.peerLoops);
+    for (const progress of replica.peers.values()) {
+        yield* FiberMap.run(replica.peerLoops, progress.id, replicateTo(replica, progress, replica.term));
+    }
+});
+
+/** Starts and stops replication loops after a change of the member list. */
+export const updatePeerLoops = Effect.fnUntraced(function*(replica: Replica, nowMs: number) {
+    const members = listMembers(replica).filter(member => member.id !== replica.self);
+    for (const id of [...replica.peers.keys()]) {
+        if (!members.some(member => member.id === id)) {
+            replica.peers.delete(id);
+            yield* FiberMap.remove(replica.peerLoops, id);
+        }
+    }
+    for (const { id } of members) {
+        if (!replica.peers.has(id)) {
+            const progress = createProgress(replica, id, nowMs);
+            replica.peers.set(id, progress);
+            yield* FiberMap.run(replica.peerLoops, id, replicateTo(replica, progress, replica.term));
+        }
+    }
+});
+
+function findIdentity(replica: Replica, id: PeerId): string {
+    return listMembers(replica).find(member => member.id === id)?.replicaIdentity ?? "";
+}
+
+function createAppend(replica: Replica, peer: PeerProgress, prevTerm: number): AppendRequest {
+    return {
+        kind: "append",
+        version: logProtocolVersion,
+        term: replica.term,
+        toIdentity: findIdentity(replica, peer.id),
+        fromIdentity: replica.identity,
+        prevIndex: peer.nextIndex - 1,
+        prevTerm,
+        entries: replica.window.listEntries(peer.nextIndex, batchMaxEntries, batchMaxBytes),
+        commitIndex: replica.commitIndex,
+    };
+}
+
+/** Calls the peer; undefined when there was no usable answer or this leadership is over. */
+const callInTerm = Effect.fnUntraced(
+    function*(replica: Replica, peer: PeerProgress, term: number, request: LogRequest) {
+        const sentMs = yield* readMonotonicMs;
+        const { round } = replica;
+        const limitMs = replica.settings.electionTimeoutMinMs / 2;
+        const exit = yield* Effect.exit(replica.channel.callPeer(peer.id, request, limitMs));
+        if (replica.term !== term || !checkLeadership(replica, yield* readMonotonicMs) || Exit.isFailure(exit)) {
+            return undefined;
+        }
+        const reply = exit.value;
+        if (reply.kind === "refused") {
+            replica.logger.warn(
+                "replica refused the leader; admit it with a member change if its data folder was replaced",
+                {
+                    replica: peer.id,
+                    reason: reply.reason,
+                    identity: reply.identity,
+                },
+            );
+            return undefined;
+        }
+        if (reply.kind !== "append" && reply.kind !== "snapshot") {
+            return undefined;
+        }
+        if (reply.term > replica.term) {
+            setFollower(replica, reply.term, undefined);
+            return undefined;
+        }
+        peer.contactMs = Math.max(peer.contactMs, sentMs);
+        peer.ackedRound = Math.max(peer.ackedRound, round);
+        completeReads(replica);
+        return reply;
+    },
+);
+
+function recordAppendReply(replica: Replica, peer: PeerProgress, reply: Extract<LogReply, { kind: "append"; }>): void {
+    if (!reply.accepted) {
+        peer.nextIndex = Math.max(1, Math.min(peer.nextIndex - 1, reply.verifiedIndex + 1));
+        return;
+    }
+    peer.nextIndex = Math.max(peer.matchIndex, reply.verifiedIndex) + 1;
+    if (reply.syncedIndex > peer.matchIndex) {
+        peer.matchIndex = reply.syncedIndex;
+        commitSynced(replica);
+    }
+}
+
+/** Sends the snapshot in chunks; false when it was not installed. */
+const sendSnapshot = Effect.fnUntraced(function*(replica: Replica, peer: PeerProgress, term: number) {
+    const { snapshot } = replica;
+    if (snapshot === undefined) {
+        return false;
+    }
+    const checksum = crc32(snapshot.data);
+    let offset = 0;
+    do {
+        const chunk = snapshot.data.subarray(offset, offset + snapshotChunkBytes);
+        const reply = yield* callInTerm(replica, peer, term, {
+            kind: "snapshot",
+            version: logProtocolVersion,
+            term,
+            toIdentity: findIdentity(replica, peer.id),
+            fromIdentity: replica.identity,
+            lastIndex: snapshot.index,
+            lastTerm: snapshot.term,
+            members: snapshot.members,
+            offset,
+            totalBytes: snapshot.data.length,
+            checksum,
+            chunk,
+        });
+        if (reply?.kind !== "snapshot" || !reply.installed && reply.receivedBytes !== offset + chunk.length) {
+            return false;
+        }
+        if (reply.installed) {
+            break;
+        }
+        offset += chunk.length;
+    }
+    while (offset < snapshot.data.length);
+    replica.logger.info("snapshot sent", { replica: peer.id, index: snapshot.index, bytes: snapshot.data.length });
+    peer.nextIndex = snapshot.index + 1;
+    peer.matchIndex = Math.max(peer.matchIndex, snapshot.index);
+    return true;
+});
+
+/** Sends what the peer lacks; false when it did not answer. */
+const sendNext = Effect.fnUntraced(function*(replica: Replica, peer: PeerProgress, term: number) {
+    const prevTerm = replica.window.findTerm(peer.nextIndex - 1);
+    if (prevTerm === undefined) {
+        return yield* sendSnapshot(replica, peer, term);
+    }
+    const reply = yield* callInTerm(replica, peer, term, createAppend(replica, peer, prevTerm));
+    if (reply?.kind !== "append") {
+        return false;
+    }
+    recordAppendReply(replica, peer, reply);
+    return true;
+});
+
+/** The fiber of one peer: one request at a time, with all entries that came up since the last one. */
+const replicateTo = Effect.fnUntraced(function*(replica: Replica, peer: PeerProgress, term: number) {
+    const { heartbeatMs } = replica.settings;
+    while (replica.term === term && checkLeadership(replica, yield* readMonotonicMs)) {
+        const { round } = replica;
+        if (!(yield* sendNext(replica, peer, term))) {
+            yield* Effect.sleep(heartbeatMs);
+            continue;
+        }
+        const lastIndex = replica.window.lastIndex();
+        if (peer.matchIndex >= lastIndex && round === replica.round) {
+            yield* awaitWake(peer.wake, heartbeatMs);
+        }
+    }
+});
+
+/** Finds the error for a call that needs the leader; undefined when this replica is a confirmed one. */
+export function findLeaderError(replica: Replica, nowMs: number): ErrorData | undefined {
+    if (replica.stopError !== undefined) {
+        return replica.stopError;
+    }
+    return checkLeadership(replica, nowMs) ? undefined : { kind: "notLeader", leader: replica.leader };
+}
--- /dev/null
+++ b/packages/replicated-log/src/storage.ts
@@ -0,0 +1,219 @@
+import type { AppendFile, Disk, ErrorData } from "@chestnutspool/types";
+import { Deferred, Effect, Exit, Queue, Scope } from "effect";
+import {
+    createSegment,
+    hardStateFile,
+    type LoadedStorage,
+    loadStorage,
+    type Segment,
+    snapshotFile,
+} from "./load-storage.js";
+import type { HardState, LogEntry, Snapshot } from "./messages.js";
+import { encodeFile, encodeRecord, type LogRecord } from "./record.js";
+
+/** Completes when a write is synced; fails with `storageFailed`. */
+export type Synced = Deferred.Deferred<void, ErrorData>;
+
+interface EntriesItem {
+    readonly kind: "entries";
+    readonly entries: readonly LogEntry[];
+    /** Index up to which the log is synced after this write; lowered when the entries are replaced meanwhile. */
+    syncedIndex: number;
+    readonly done: Synced;
+}
+
+type WriteItem =
+    | EntriesItem
+    | { readonly kind: "hardState"; readonly state: HardState; readonly done: Synced; }
+    | { readonly kind: "snapshot"; readonly snapshot: Snapshot; readonly replacesLog: boolean; readonly done: Synced; };
+
+/** Writes of one replica, in the order in which they were requested; one fiber does them. */
+export interface LogStorage {
+    /** Index up to which the log in memory is synced. */
+    readonly syncedIndex: () => number;
+    /** Writes entries that are in memory already. */
+    readonly appendEntries: (entries: readonly LogEntry[]) => Synced;
+    /** Notes that the entries after an index were removed from memory. */
+    readonly dropAfter: (index: number) => void;
+    /** Completes when all entries and snapshots requested so far are synced. */
+    readonly findLastWrite: () => Synced;
+    readonly saveHardState: (state: HardState) => Synced;
+    /** Writes a snapshot and removes the files it covers; with `replacesLog` all entries are void. */
+    readonly saveSnapshot: (snapshot: Snapshot, replacesLog: boolean) => Synced;
+    /** The fiber that does the writes; ends with the first error, after which every write fails with it. */
+    readonly runWrites: Effect.Effect<never, ErrorData>;
+}
+
+interface Writer {
+    readonly disk: Disk;
+    segments: Segment[];
+    current: Segment;
+    file: AppendFile;
+    fileScope: Scope.Closeable;
+}
+
+const openSegment = Effect.fnUntraced(function*(disk: Disk, segment: Segment) {
+    const fileScope = yield* Scope.make();
+    const file = yield* Scope.provide(disk.openAppend(segment.name), fileScope);
+    return { file, fileScope };
+});
+
+const openWriter = Effect.fnUntraced(function*(disk: Disk, loaded: LoadedStorage) {
+    const current = loaded.segments.at(-1) ?? createSegment(1);
+    const opened = yield* openSegment(disk, current);
+    const segments = loaded.segments.length > 0 ? [...loaded.segments] : [current];
+    const writer: Writer = { disk, segments, current, ...opened };
+    return writer;
+});
+
+const writeRecord = Effect.fnUntraced(function*(writer: Writer, record: LogRecord, highestIndex: number) {
+    yield* writer.file.append(encodeRecord(record));
+    yield* writer.file.sync;
+    writer.current.lastIndex = Math.max(writer.current.lastIndex, highestIndex);
+});
+
+/** Starts a new file and removes those that hold nothing behind the snapshot. */
+const rollSegment = Effect.fnUntraced(function*(writer: Writer, coveredIndex: number) {
+    if (writer.current.lastIndex > 0) {
+        const next = createSegment(writer.current.sequence + 1);
+        const opened = yield* openSegment(writer.disk, next);
+        yield* Scope.close(writer.fileScope, Exit.void);
+        Object.assign(writer, opened);
+        writer.current = next;
+        writer.segments.push(next);
+    }
+    // From the oldest on, so that a crash in between leaves no gap.
+    for (const segment of [...writer.segments]) {
+        if (segment === writer.current || segment.lastIndex > coveredIndex) {
+            break;
+        }
+        yield* writer.disk.removeFile(segment.name);
+        writer.segments = writer.segments.filter(kept => kept !== segment);
+    }
+});
+
+/** Writes the entries of consecutive items as one record with one sync. */
+const writeEntries = Effect.fnUntraced(function*(writer: Writer, items: readonly EntriesItem[]) {
+    const entries = items.flatMap(item => item.entries);
+    const highestIndex = entries.reduce((highest, entry) => Math.max(highest, entry.index), 0);
+    yield* writeRecord(writer, { kind: "entries", entries }, highestIndex);
+});
+
+const writeSnapshot = Effect.fnUntraced(function*(writer: Writer, snapshot: Snapshot, replacesLog: boolean) {
+    yield* writer.disk.replaceFile(snapshotFile, encodeFile(snapshot));
+    if (replacesLog) {
+        const { index, term } = snapshot;
+        yield* writeRecord(writer, { kind: "reset", index, term }, index);
+    }
+    yield* rollSegment(writer, snapshot.index);
+});
+
+/** Opens the storage of a replica on what was loaded. `onSynced` is called after each sync of entries or a snapshot. */
+export const openStorage = Effect.fnUntraced(function*(disk: Disk, self: string, onSynced: () => void) {
+    const loaded = yield* loadStorage(disk, self);
+    const writer = yield* openWriter(disk, loaded);
+    yield* Effect.addFinalizer(() => Scope.close(writer.fileScope, Exit.void));
+    if (loaded.needsReset) {
+        const { index, term } = loaded.snapshot as Snapshot;
+        yield* writeRecord(writer, { kind: "reset", index, term }, index);
+    }
+    const items = yield* Queue.unbounded<WriteItem>();
+    const waiting = new Set<WriteItem>();
+    let syncedIndex = loaded.window.lastIndex();
+    let failure: ErrorData | undefined;
+    let lastWrite: Synced = Deferred.makeUnsafe();
+    Deferred.doneUnsafe(lastWrite, Effect.void);
+
+    const request = (item: WriteItem): Synced => {
+        lastWrite = item.kind === "hardState" ? lastWrite : item.done;
+        if (failure !== undefined) {
+            Deferred.doneUnsafe(item.done, Effect.fail(failure));
+            return item.done;
+        }
+        waiting.add(item);
+        Queue.offerUnsafe(items, item);
+        return item.done;
+    };
+    const complete = (item: WriteItem): void => {
+        waiting.delete(item);
+        Deferred.doneUnsafe(item.done, Effect.void);
+    };
+    const dropAfter = (index: number): void => {
+        syncedIndex = Math.min(syncedIndex, index);
+        for (const item of waiting) {
+            if (item.kind === "entries") {
+                item.syncedIndex = Math.min(item.syncedIndex, index);
+            }
+        }
+    };
+    const completeEntries = (done: readonly EntriesItem[]): void => {
+        for (const item of done) {
+            syncedIndex = Math.max(syncedIndex, item.syncedIndex);
+            complete(item);
+        }
+        onSynced();
+    };
+
+    const writeBatch = Effect.fnUntraced(function*(batch: readonly WriteItem[]) {
+        // Term and vote go first: entries of a term on disk without the term itself would allow a second vote in it.
+        const hardStates = batch.filter(item => item.kind === "hardState");
+        const lastState = hardStates.at(-1);
+        if (lastState !== undefined) {
+            yield* disk.replaceFile(hardStateFile, encodeFile(lastState.state));
+            hardStates.forEach(complete);
+        }
+        let group: EntriesItem[] = [];
+        for (const item of batch) {
+            if (item.kind === "entries") {
+                group.push(item);
+            }
+            else if (item.kind === "snapshot") {
+                if (group.length > 0) {
+                    yield* writeEntries(writer, group);
+                    completeEntries(group);
+                    group = [];
+                }
+                yield* writeSnapshot(writer, item.snapshot, item.replacesLog);
+                syncedIndex = item.replacesLog ? Math.max(syncedIndex, item.snapshot.index) : syncedIndex;
+                complete(item);
+                onSynced();
+            }
+        }
+        if (group.length > 0) {
+            yield* writeEntries(writer, group);
+            completeEntries(group);
+        }
+    });
+
+    // After a failed sync the kernel may drop the dirty pages and report success next time, so nothing is retried.
+    const stopWrites = (error: ErrorData): void => {
+        failure = error;
+        for (const item of waiting) {
+            Deferred.doneUnsafe(item.done, Effect.fail(error));
+        }
+        waiting.clear();
+    };
+
+    const storage: LogStorage = {
+        syncedIndex: () => syncedIndex,
+        appendEntries: entries => {
+            const last = (entries.at(-1) as LogEntry).index;
+            return request({ kind: "entries", entries, syncedIndex: last, done: Deferred.makeUnsafe() });
+        },
+        dropAfter,
+        findLastWrite: () => lastWrite,
+        saveHardState: state => request({ kind: "hardState", state, done: Deferred.makeUnsafe() }),
+        saveSnapshot: (snapshot, replacesLog) => {
+            if (replacesLog) {
+                dropAfter(0);
+            }
+            return request({ kind: "snapshot", snapshot, replacesLog, done: Deferred.makeUnsafe() });
+        },
+        runWrites: Effect.gen(function*() {
+            while (true) {
+                yield* writeBatch(yield* Queue.takeAll(items));
+            }
+        }).pipe(Effect.tapError(error => Effect.sync(() => stopWrites(error)))),
+    };
+    return { loaded, storage };
+});
