--- /dev/null
+++ b/packages/place-tasks/src/worker-views.ts
@@ -0,0 +1,144 @@
+import {
+    type ClusterState,
+    findShortage,
+    type Resources,
+    type TaskClass,
+    type TaskId,
+    type WorkerId,
+    type WorkerRecord,
+    type WorkKind,
+    type WorkSpec,
+} from "@chestnutspool/types";
+import type { PlacementDecision } from "./decision.js";
+
+/** What the placer needs to know of a task that occupies a worker or is about to. */
+export interface SeatedTask {
+    readonly id: TaskId;
+    readonly work: string;
+    readonly tenant: string;
+    readonly kind: WorkKind;
+    readonly interferenceClass: string;
+    readonly resources: Resources;
+}
+
+/** A worker with the tasks charged to it and those whose placement is planned or in flight. */
+export interface WorkerView {
+    readonly record: WorkerRecord;
+    /** What is left of the capacity; replaced when a task is seated. */
+    free: Resources;
+    readonly seated: Map<TaskId, SeatedTask>;
+}
+
+/** Views of all workers, rebuilt only where the record of the worker has changed. */
+export interface WorkerViews {
+    readonly updateViews: (
+        state: ClusterState,
+        placements: readonly Extract<PlacementDecision, { kind: "placeTask"; }>[],
+        dropped: readonly PlacementDecision[],
+    ) => void;
+    readonly listViews: () => readonly WorkerView[];
+    readonly findView: (worker: WorkerId) => WorkerView | undefined;
+}
+
+/** Class of the tasks of a work. */
+export function findTaskClass(kind: WorkKind): TaskClass {
+    return kind === "service" ? "latencyCritical" : "batch";
+}
+
+/** The placer's record of a task. */
+export function buildSeatedTask(id: TaskId, spec: WorkSpec, resources: Resources): SeatedTask {
+    return {
+        id,
+        work: spec.name,
+        tenant: spec.tenant,
+        kind: spec.kind,
+        interferenceClass: spec.interferenceClass,
+        resources,
+    };
+}
+
+/** Whether the view has room for the resources. */
+export function hasRoom(view: WorkerView, wanted: Resources): boolean {
+    return findShortage(wanted, view.free) === undefined;
+}
+
+/** Seats a task on the view. */
+export function addSeatedTask(view: WorkerView, task: SeatedTask): void {
+    const { free } = view;
+    view.free = {
+        milliCpu: free.milliCpu - task.resources.milliCpu,
+        memoryMib: free.memoryMib - task.resources.memoryMib,
+        accelerators: free.accelerators - task.resources.accelerators,
+    };
+    view.seated.set(task.id, task);
+}
+
+function buildView(state: ClusterState, record: WorkerRecord): WorkerView {
+    const { capacity, used } = record;
+    const seated = new Map<TaskId, SeatedTask>();
+    for (const id of state.tasksByWorker.get(record.id) ?? []) {
+        const task = state.tasks.get(id);
+        const spec = task === undefined ? undefined : state.works.get(task.work)?.spec;
+        if (task !== undefined && spec !== undefined) {
+            seated.set(id, buildSeatedTask(id, spec, task.charged));
+        }
+    }
+    return {
+        record,
+        free: {
+            milliCpu: capacity.milliCpu - used.milliCpu,
+            memoryMib: capacity.memoryMib - used.memoryMib,
+            accelerators: capacity.accelerators - used.accelerators,
+        },
+        seated,
+    };
+}
+
+/** Creates views without workers. */
+export function createWorkerViews(): WorkerViews {
+    const views = new Map<WorkerId, WorkerView>();
+    let list: readonly WorkerView[] = [];
+
+    function seatInFlight(
+        state: ClusterState,
+        placements: readonly Extract<PlacementDecision, { kind: "placeTask"; }>[],
+        rebuilt: ReadonlySet<WorkerId>,
+    ): void {
+        for (const { task, worker } of placements) {
+            const view = views.get(worker);
+            const record = state.tasks.get(task);
+            const spec = record === undefined ? undefined : state.works.get(record.work)?.spec;
+            if (view !== undefined && spec !== undefined && rebuilt.has(worker) && !view.seated.has(task)) {
+                addSeatedTask(view, buildSeatedTask(task, spec, spec.resources));
+            }
+        }
+    }
+
+    return {
+        updateViews: (state, placements, dropped) => {
+            const rebuilt = new Set<WorkerId>();
+            const stale = new Set(dropped.flatMap(decision => decision.kind === "placeTask" ? [decision.worker] : []));
+            let changed = false;
+            for (const record of state.workers.values()) {
+                if (views.get(record.id)?.record !== record || stale.has(record.id)) {
+                    views.set(record.id, buildView(state, record));
+                    rebuilt.add(record.id);
+                    changed = true;
+                }
+            }
+            for (const id of views.keys()) {
+                if (!state.workers.has(id)) {
+                    views.delete(id);
+                    changed = true;
+                }
+            }
+            seatInFlight(state, placements, rebuilt);
+            if (changed) {
+                // Sorted by id, so that decisions do not depend on the order in which workers registered.
+                list = [...views.values()].sort((left, right) => left.record.id < right.record.id ? -1 : 1);
+            }
+        },
+        listViews: () => list,
+        findView: worker => views.get(worker),
+    };
+}
