Restore the test for lines that are passed over

Cause: an edit of the settings test joined two tests and dropped one check. Change: the two tests are separate again, with the check of keys outside of a section.

--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -99,6 +99,10 @@
         `${valid}\nc=127.0.0.1:1004`,
         /\[control\] c is "127.0.0.1:1003" and "127.0.0.1:1004"; allowed is one/,
     );
+});
+
+void test("no line is passed over without a fault", () => {
+    checkFault(`stray=1\n${valid}`, /stray is "outside of a section"/);
     checkFault(`${valid}\n[leases]\nsession_ttl=3000`, /\[leases\] session_ttl is "3000"; .* unknown/);
     checkFault(`${valid}\n[lease]\nsession_ttl_ms=3000`, /\[lease\] is "an unknown section"/);
     checkFault(`${valid}\n__proto__=1`, /line 14 is "__proto__=1"/);
