Add the deciding parts of the request path

The entry role needs admission, queueing, routing, slot accounting and retry rules that can be tested without sockets. Each is a small module of route-requests whose functions take the present time.

--- /dev/null
+++ b/packages/entry/src/control-client.ts
@@ -0,0 +1,100 @@
+import type { Channel, ControlReply, ControlRequest, ErrorData, PeerId } from "@chestnutspool/types";
+import { Effect, Result } from "effect";
+import type { EntryContext } from "./entry-context.js";
+
+/**
+ * When a call is sent again: `certain` only after it was certainly not applied, `always` also after an unknown outcome,
+ * for calls that have the same effect when they are applied twice.
+ */
+export type CallRepetition = "certain" | "always";
+
+/** Calls the control leader. */
+export interface ControlClient {
+    /** Calls until there is an answer or the limit has passed; fails with the last error. */
+    readonly callLeader: (
+        request: ControlRequest,
+        limitMs: number,
+        repetition: CallRepetition,
+    ) => Effect.Effect<Exclude<ControlReply, { kind: "error"; }>, ErrorData>;
+    /** The replica that answered last; undefined when none did since the last failure. */
+    readonly readLeader: () => PeerId | undefined;
+}
+
+/** Pause before the next replica is tried, in milliseconds; an election takes several of them. */
+const retryPauseMs = 30;
+/** Time after which a replica that does not answer is given up, in milliseconds; a partition may be silent. */
+const replicaLimitMs = 1_500;
+
+function isCertainlyNotApplied(error: ErrorData): boolean {
+    return error.kind === "notLeader" || error.kind === "peerUnavailable";
+}
+
+function isOutcomeUnknown(error: ErrorData): boolean {
+    return error.kind === "outcomeUnknown" || error.kind === "timeout";
+}
+
+/** Creates a client of the replicas that the settings name, and keeps links to them. */
+export function createControlClient(context: EntryContext): ControlClient {
+    const peers = context.settings.controlPeers;
+    const channel: Channel<ControlRequest, ControlReply> = context.link.openChannel("control", {});
+    let leader: PeerId | undefined;
+    let turn = 0;
+    for (const peer of peers) {
+        context.link.setPeer(peer.id, peer.address);
+    }
+
+    const choosePeer = (): PeerId | undefined => {
+        if (leader !== undefined && context.link.isConnected(leader)) {
+            return leader;
+        }
+        const connected = peers.filter(peer => context.link.isConnected(peer.id));
+        turn += 1;
+        return connected[turn % Math.max(1, connected.length)]?.id;
+    };
+
+    const callReplica = Effect.fnUntraced(function*(peer: PeerId, request: ControlRequest, limitMs: number) {
+        const reply = yield* channel.callPeer(peer, request, limitMs);
+        if (reply.kind === "error") {
+            return yield* Effect.fail(reply.error);
+        }
+        leader = peer;
+        return reply;
+    });
+
+    /** Learns from a failure where the leader is, so that the next call goes there. */
+    const recordFailure = (error: ErrorData): void => {
+        leader = error.kind === "notLeader" && peers.some(peer => peer.id === error.leader) ? error.leader : undefined;
+    };
+
+    const callLeader: ControlClient["callLeader"] = Effect.fnUntraced(function*(request, limitMs, repetition) {
+        const endsAtMs = context.readNowMs() + limitMs;
+        let last: ErrorData = { kind: "notLeader", leader: undefined };
+        while (true) {
+            const leftMs = endsAtMs - context.readNowMs();
+            if (leftMs <= 0) {
+                return yield* Effect.fail(last);
+            }
+            const peer = choosePeer();
+            if (peer !== undefined) {
+                const waitMs = repetition === "always" ? Math.min(leftMs, replicaLimitMs) : leftMs;
+                const result = yield* Effect.result(callReplica(peer, request, waitMs));
+                if (Result.isSuccess(result)) {
+                    return result.success;
+                }
+                const mayRepeat = isCertainlyNotApplied(result.failure)
+                    || (repetition === "always" && isOutcomeUnknown(result.failure));
+                if (mayRepeat || isOutcomeUnknown(result.failure)) {
+                    recordFailure(result.failure);
+                }
+                if (!mayRepeat) {
+                    return yield* Effect.fail(result.failure);
+                }
+                // Once a call may have been applied, the error stays "unknown" whatever later tries say.
+                last = isOutcomeUnknown(last) ? last : result.failure;
+            }
+            yield* Effect.sleep(Math.min(retryPauseMs, Math.max(1, leftMs)));
+        }
+    });
+
+    return { callLeader, readLeader: () => leader };
+}
--- /dev/null
+++ b/packages/entry/src/dispatch-attempt.ts
@@ -0,0 +1,264 @@
+import type { EntryReply, ErrorData, NotRunReason, RequestEnvelope } from "@chestnutspool/types";
+import { Effect, Result } from "effect";
+import { type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
+import type { Socket } from "node:net";
+import { crc32 } from "node:zlib";
+import { closeIdleConnections, type HeldSlot, recordSlotSent } from "./owned-minion.js";
+
+/** Passes a part of an answer on; waits while the receiver is slow. */
+export type EmitReply = (reply: EntryReply) => Effect.Effect<void, ErrorData>;
+
+/** How an attempt ended. */
+export type AttemptResult =
+    | {
+        readonly state: "ran";
+        readonly status: number;
+        readonly lengthBytes: number;
+        readonly crc32: number;
+        /** The whole answer when it is small enough to be recorded; undefined otherwise. */
+        readonly kept: Uint8Array | undefined;
+    }
+    | {
+        readonly state: "notSent";
+        readonly reason: NotRunReason;
+        /** Whether the minion could not be reached or refused, so that another one should be tried. */
+        readonly minionFailed: boolean;
+    }
+    | {
+        readonly state: "maybeRun";
+        readonly answerBegun: boolean;
+        readonly error: ErrorData;
+    };
+
+/** What the dispatch needs beside the slot. */
+export interface DispatchOptions {
+    readonly envelope: RequestEnvelope;
+    readonly streamLimitBytes: number;
+    readonly readNowMs: () => number;
+    /** Checked right before the first byte is written; a reason stops the dispatch. */
+    readonly findRefusal: () => NotRunReason | undefined;
+}
+
+/** Header by which a minion states that it did not start an attempt. */
+const notStartedHeader = "chestnutspool-not-started";
+/** Largest part of an answer that is passed on at once, in bytes. */
+const chunkBytes = 64 * 1024;
+/** Largest answer that is recorded for a resend, in bytes. */
+export const keptAnswerLimitBytes = 64 * 1024;
+/** Time allowed for opening a connection to a minion, in milliseconds; within a region it takes about 2. */
+const connectLimitMs = 1_000;
+
+type HttpEvent<Value> = Effect.Effect<Value, string>;
+
+/** Waits until the request has a connection; nothing is written before. */
+function awaitConnection(request: ClientRequest): HttpEvent<void> {
+    return Effect.callback<void, string>(resume => {
+        const watchSocket = (socket: Socket): void => {
+            if (socket.connecting) {
+                socket.once("connect", () => resume(Effect.void));
+            }
+            else {
+                resume(Effect.void);
+            }
+        };
+        request.once("error", error => resume(Effect.fail(error.message)));
+        if (request.destroyed) {
+            resume(Effect.fail("the connection failed"));
+        }
+        else if (request.socket !== null) {
+            watchSocket(request.socket);
+        }
+        else {
+            request.once("socket", watchSocket);
+        }
+    }).pipe(Effect.timeoutOrElse({
+        duration: connectLimitMs,
+        orElse: () => Effect.fail(`no connection within ${connectLimitMs} ms`),
+    }));
+}
+
+type SendResult =
+    | { readonly kind: "answered"; readonly response: IncomingMessage; }
+    | { readonly kind: "failed"; readonly detail: string; }
+    | { readonly kind: "refused"; readonly reason: NotRunReason; readonly minionFailed: boolean; };
+
+/**
+ * Writes the request and waits for the head of the answer. No other code runs between the last check and the first
+ * write, so an attempt is `notSent` exactly until `recordSlotSent`.
+ */
+function sendRequest(request: ClientRequest, slot: HeldSlot, options: DispatchOptions): Effect.Effect<SendResult> {
+    return Effect.callback(resume => {
+        const end = (result: SendResult): void => resume(Effect.succeed(result));
+        const reason = options.findRefusal();
+        if (reason !== undefined) {
+            end({ kind: "refused", reason, minionFailed: false });
+            return;
+        }
+        if (request.destroyed || request.socket?.destroyed === true) {
+            end({ kind: "refused", reason: "refusedByMinion", minionFailed: true });
+            return;
+        }
+        request.once("response", response => {
+            // An error of the body shows in its reader; without a listener it could end the process.
+            response.on("error", () => undefined);
+            end({ kind: "answered", response });
+        });
+        request.once("error", error => end({ kind: "failed", detail: error.message }));
+        request.once("close", () => end({ kind: "failed", detail: "the connection closed before an answer" }));
+        recordSlotSent(slot, options.readNowMs());
+        request.end(options.envelope.body);
+    });
+}
+
+/** Closes the connection of a request that is not complete; the reset also drops bytes that were not sent yet. */
+function closeRequest(request: ClientRequest, isComplete: boolean): void {
+    if (!isComplete) {
+        request.socket?.resetAndDestroy();
+        request.destroy();
+    }
+}
+
+/** An answer without a length can end early without a sign, so it is never taken as complete. */
+function hasLength(response: IncomingMessage): boolean {
+    return response.headers["content-length"] !== undefined
+        || response.headers["transfer-encoding"]?.includes("chunked") === true;
+}
+
+function createMaybeRun(answerBegun: boolean, error: ErrorData): AttemptResult {
+    return { state: "maybeRun", answerBegun, error };
+}
+
+function createNotSent(reason: NotRunReason, minionFailed: boolean): AttemptResult {
+    return { state: "notSent", reason, minionFailed };
+}
+
+const passAnswer = Effect.fnUntraced(function*(
+    response: IncomingMessage,
+    slot: HeldSlot,
+    options: DispatchOptions,
+    emit: EmitReply,
+) {
+    const minion = slot.ref.minion;
+    const status = response.statusCode ?? 0;
+    if (!hasLength(response)) {
+        const detail = "the answer has neither content-length nor chunked encoding";
+        return createMaybeRun(false, { kind: "minionFailed", minion, status, detail });
+    }
+    yield* emit({ kind: "answerHead", status, minion });
+    const chunks = response[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+    const kept: Buffer[] = [];
+    let lengthBytes = 0;
+    let checksum = 0;
+    const createTruncated = (): AttemptResult =>
+        createMaybeRun(true, {
+            kind: "answerTruncated",
+            expectedBytes: Number(response.headers["content-length"] ?? 0),
+            receivedBytes: lengthBytes,
+        });
+    while (true) {
+        const next = yield* Effect.result(Effect.tryPromise(() => chunks.next()));
+        if (Result.isFailure(next)) {
+            return createTruncated();
+        }
+        if (next.success.done === true) {
+            break;
+        }
+        const bytes = next.success.value;
+        lengthBytes += bytes.length;
+        checksum = crc32(bytes, checksum);
+        if (lengthBytes > options.streamLimitBytes) {
+            return createMaybeRun(true, { kind: "answerTooLarge", limitBytes: options.streamLimitBytes });
+        }
+        if (lengthBytes <= keptAnswerLimitBytes) {
+            kept.push(bytes);
+        }
+        for (let start = 0; start < bytes.length; start += chunkBytes) {
+            yield* emit({ kind: "answerChunk", bytes: bytes.subarray(start, start + chunkBytes) });
+        }
+    }
+    if (!response.complete) {
+        return createTruncated();
+    }
+    const result: AttemptResult = {
+        state: "ran",
+        status,
+        lengthBytes,
+        crc32: checksum,
+        kept: lengthBytes <= keptAnswerLimitBytes ? Buffer.concat(kept) : undefined,
+    };
+    return result;
+});
+
+function createRequest(slot: HeldSlot, envelope: RequestEnvelope): ClientRequest {
+    const { minion, ref } = slot;
+    const { address, connections } = minion.slots.getInfo();
+    const separator = address.lastIndexOf(":");
+    const agent = envelope.idempotent ? minion.sharedAgent : minion.freshAgent;
+    closeIdleConnections(minion, connections - minion.slots.countHeld());
+    return openRequest({
+        host: address.slice(0, separator).replace(/^\[|\]$/g, ""),
+        port: Number(address.slice(separator + 1)),
+        method: "POST",
+        path: "/run",
+        agent,
+        headers: {
+            "content-type": "application/octet-stream",
+            "content-length": envelope.body.length,
+            "chestnutspool-attempt": ref.attempt,
+            "chestnutspool-epoch": minion.slots.getEpoch(),
+            "chestnutspool-run-lease-ms": ref.runLeaseLeftMs,
+            "chestnutspool-tenant": envelope.tenant,
+            "chestnutspool-class": envelope.class,
+        },
+    });
+}
+
+const runRequest = Effect.fnUntraced(function*(
+    request: ClientRequest,
+    slot: HeldSlot,
+    options: DispatchOptions,
+    emit: EmitReply,
+) {
+    const connected = yield* Effect.result(awaitConnection(request));
+    if (Result.isFailure(connected)) {
+        return createNotSent("refusedByMinion", true);
+    }
+    const sent = yield* sendRequest(request, slot, options);
+    if (sent.kind === "refused") {
+        return createNotSent(sent.reason, sent.minionFailed);
+    }
+    if (sent.kind === "failed") {
+        const minion = slot.ref.minion;
+        return createMaybeRun(false, { kind: "minionFailed", minion, status: 0, detail: sent.detail });
+    }
+    if (sent.response.headers[notStartedHeader] === "1") {
+        return createNotSent("refusedByMinion", true);
+    }
+    return yield* passAnswer(sent.response, slot, options, emit);
+});
+
+/**
+ * Sends an attempt to its minion and passes the answer on, without the last message. Fails only when `emit` fails. The
+ * state of the slot tells how far the attempt got, also when the effect is interrupted.
+ */
+export function dispatchAttempt(
+    slot: HeldSlot,
+    options: DispatchOptions,
+    emit: EmitReply,
+): Effect.Effect<AttemptResult, ErrorData> {
+    return Effect.suspend(() => {
+        let isComplete = false;
+        const request = createRequest(slot, options.envelope);
+        // Errors are read where they matter; without a listener a late one would end the process.
+        request.on("error", () => undefined);
+        return runRequest(request, slot, options, emit).pipe(
+            Effect.tap(result =>
+                Effect.sync(() => {
+                    slot.state = result.state;
+                    isComplete = result.state === "ran";
+                })
+            ),
+            Effect.ensuring(Effect.sync(() => closeRequest(request, isComplete))),
+        );
+    });
+}
--- /dev/null
+++ b/packages/entry/src/entry-context.ts
@@ -0,0 +1,59 @@
+import { describeError } from "@chestnutspool/errors";
+import type { Logger } from "@chestnutspool/logger";
+import type { EntryId, ErrorData, PeerLink, ProcessSettings } from "@chestnutspool/types";
+import { Clock, Effect } from "effect";
+import type { EntryMetrics } from "./entry-metrics.js";
+
+/** What all parts of the entry role share. */
+export interface EntryContext {
+    readonly settings: ProcessSettings;
+    readonly self: EntryId;
+    /** Identity of this run of the process. */
+    readonly incarnation: string;
+    readonly link: PeerLink;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+    /** Monotonic time in milliseconds. */
+    readonly readNowMs: () => number;
+    /** Runs an effect in the background until the entry role stops. */
+    readonly runInBackground: (effect: Effect.Effect<void, ErrorData>) => void;
+}
+
+/** What `startEntry` needs beside the settings. */
+export interface EntryServices {
+    readonly link: PeerLink;
+    readonly logger: Logger;
+    readonly metrics: EntryMetrics;
+}
+
+const nanosecondsPerMillisecond = 1_000_000;
+
+/** Creates the context within the scope of the entry role. */
+export const createEntryContext = Effect.fnUntraced(
+    function*(settings: ProcessSettings, services: EntryServices, incarnation: string) {
+        const scope = yield* Effect.scope;
+        const clock = yield* Clock.Clock;
+        const runFork = Effect.runForkWith(yield* Effect.context<never>());
+        const logger = services.logger.forService("entry");
+        const context: EntryContext = {
+            settings,
+            self: settings.process.id,
+            incarnation,
+            link: services.link,
+            logger,
+            metrics: services.metrics,
+            readNowMs: () => Number(clock.monotonicTimeNanosUnsafe()) / nanosecondsPerMillisecond,
+            runInBackground: effect => {
+                runFork(Effect.forkIn(
+                    Effect.catch(
+                        effect,
+                        error =>
+                            Effect.sync(() => logger.warn("background work failed", { detail: describeError(error) })),
+                    ),
+                    scope,
+                ));
+            },
+        };
+        return context;
+    },
+);
--- /dev/null
+++ b/packages/entry/src/owned-items.ts
@@ -0,0 +1,171 @@
+import { createOutlierEjector, createServiceTimes, type OwnershipStart } from "@chestnutspool/route-requests";
+import type { AttemptRef, MinionId, MinionInfo, OwnershipRecord, ReleasedItem } from "@chestnutspool/types";
+import type { EntryContext } from "./entry-context.js";
+import { createOwnedMinion, type OwnedMinion, stopOwnedMinion } from "./owned-minion.js";
+import type { OwnershipView } from "./ownership-view.js";
+
+/** A key shard that this host coordinates. */
+export interface OwnedShard {
+    readonly shard: number;
+    readonly epoch: number;
+    /** True once new requests of the shard are refused because it goes to another host. */
+    readonly releasing: boolean;
+}
+
+/** What changes with the owned items. */
+export interface OwnedItemsListener {
+    readonly handleShardGained: (record: OwnershipRecord, shard: number) => void;
+    readonly handleMinionChanged: (service: string) => void;
+    /** The slot of a closed attempt is free again. */
+    readonly handleAttemptEnded: (attempt: string, minion: OwnedMinion) => void;
+    /** Requests of a shard in progress; undefined while some of them wait in the queue and must be decided first. */
+    readonly listShardAttempts: (shard: number) => readonly AttemptRef[] | undefined;
+}
+
+/** The minions and key shards of this host, kept in step with the ownership map. */
+export interface OwnedItems {
+    /** Compares the newest ownership map with what this host owns. */
+    readonly updateItems: () => void;
+    readonly findMinion: (minion: MinionId) => OwnedMinion | undefined;
+    readonly listMinions: (service: string) => readonly OwnedMinion[];
+    readonly listAllMinions: () => readonly OwnedMinion[];
+    readonly listServices: () => readonly string[];
+    readonly findShard: (shard: number) => OwnedShard | undefined;
+    readonly listShards: () => readonly OwnedShard[];
+    readonly listReleased: () => readonly ReleasedItem[];
+    readonly countItems: () => number;
+    readonly ejector: ReturnType<typeof createOutlierEjector>;
+    readonly minionTimes: ReturnType<typeof createServiceTimes>;
+}
+
+/** Margin that is added to a run lease for the way of the request, in milliseconds. */
+export const leaseMarginMs = 250;
+
+/** First epoch of an item; its owner is the first one. */
+const firstEpoch = 1;
+
+function decideStart(record: OwnershipRecord): OwnershipStart {
+    if (record.afterExpiry) {
+        return { kind: "afterExpiry" };
+    }
+    return record.epoch <= firstEpoch ? { kind: "registered" } : { kind: "moved", attempts: record.attempts };
+}
+
+/** Creates the set of owned items, empty until the first update. */
+export function createOwnedItems(
+    context: EntryContext,
+    view: OwnershipView,
+    listener: OwnedItemsListener,
+): OwnedItems {
+    const minions = new Map<MinionId, OwnedMinion>();
+    const shards = new Map<number, OwnedShard>();
+    const ejector = createOutlierEjector();
+    const minionTimes = createServiceTimes();
+    const { leases } = context.settings;
+
+    const stopMinion = (id: MinionId, minion: OwnedMinion): void => {
+        stopOwnedMinion(minion);
+        minions.delete(id);
+        ejector.forgetMinion(id);
+        minionTimes.forgetName(id);
+    };
+
+    const startMinion = (info: MinionInfo, record: OwnershipRecord): void => {
+        const times = {
+            silenceMs: leases.minionSilenceMs,
+            maxRunMs: view.getMaxRunMs(info.service),
+            leaseMarginMs,
+            clockDriftPercent: leases.clockDriftPercent,
+        };
+        const minion = createOwnedMinion(
+            info,
+            record.epoch,
+            decideStart(record),
+            times,
+            context.readNowMs(),
+            attempt => listener.handleAttemptEnded(attempt, minion),
+        );
+        minions.set(info.id, minion);
+    };
+
+    const updateMinion = (id: MinionId, record: OwnershipRecord): void => {
+        const info = view.findMinion(id);
+        const known = minions.get(id);
+        const isOwner = record.owner === context.self && record.phase !== "unowned" && info !== undefined;
+        if (known !== undefined && (!isOwner || known.slots.getEpoch() !== record.epoch)) {
+            stopMinion(id, known);
+        }
+        if (!isOwner) {
+            return;
+        }
+        if (!minions.has(id)) {
+            startMinion(info, record);
+        }
+        const minion = minions.get(id);
+        if (minion !== undefined) {
+            minion.slots.updateInfo(info);
+            if (record.phase === "releasing") {
+                minion.isOwned = false;
+            }
+        }
+        listener.handleMinionChanged(info.service);
+    };
+
+    const updateShard = (shard: number, record: OwnershipRecord): void => {
+        if (record.owner !== context.self || record.phase === "unowned") {
+            shards.delete(shard);
+            return;
+        }
+        const known = shards.get(shard);
+        shards.set(shard, { shard, epoch: record.epoch, releasing: record.phase === "releasing" });
+        if (known?.epoch !== record.epoch) {
+            listener.handleShardGained(record, shard);
+        }
+    };
+
+    const listReleased = (): readonly ReleasedItem[] => {
+        const released: ReleasedItem[] = [];
+        for (const { item, epoch, owner, phase } of view.listRecords()) {
+            if (owner !== context.self || phase !== "releasing") {
+                continue;
+            }
+            const attempts = item.kind === "minion"
+                ? minions.get(item.minion)?.slots.releaseMinion(context.readNowMs()) ?? []
+                : listener.listShardAttempts(item.shard);
+            if (attempts !== undefined) {
+                released.push({ item, epoch, attempts });
+            }
+        }
+        return released;
+    };
+
+    return {
+        updateItems: () => {
+            const present = new Set<MinionId>();
+            for (const record of view.listRecords()) {
+                if (record.item.kind === "minion") {
+                    present.add(record.item.minion);
+                    updateMinion(record.item.minion, record);
+                }
+                else {
+                    updateShard(record.item.shard, record);
+                }
+            }
+            for (const [id, minion] of [...minions]) {
+                if (!present.has(id)) {
+                    stopMinion(id, minion);
+                }
+            }
+        },
+        findMinion: id => minions.get(id),
+        listMinions: service => [...minions.values()].filter(each => each.slots.getInfo().service === service),
+        listAllMinions: () => [...minions.values()],
+        listServices: () => [...new Set([...minions.values()].map(each => each.slots.getInfo().service))],
+        findShard: shard => shards.get(shard),
+        listShards: () => [...shards.values()],
+        listReleased,
+        countItems: () => minions.size + shards.size,
+        ejector,
+        minionTimes,
+    };
+}
--- /dev/null
+++ b/packages/entry/src/running-requests.ts
@@ -0,0 +1,73 @@
+import { computeLeaseEndMs, createQuarantine, createRequestRegistry } from "@chestnutspool/route-requests";
+import { type AttemptRef, formatRequestKey, type OwnershipRecord } from "@chestnutspool/types";
+import type { EntryContext } from "./entry-context.js";
+import { leaseMarginMs } from "./owned-items.js";
+
+/** An attempt of a request that this host coordinates. */
+interface CoordinatedAttempt {
+    readonly ref: AttemptRef;
+    readonly endsAtMs: number;
+}
+
+/** Requests that this host coordinates: their keys and the attempts that may run. */
+export interface RunningRequests {
+    readonly registry: ReturnType<typeof createRequestRegistry>;
+    /** Time for which requests of unknown keys of a shard are refused, in milliseconds. */
+    readonly computeQuarantineMs: (shard: number, maxRunMs: number, nowMs: number) => number;
+    /** Takes over a shard with the attempts that its last coordinator named. */
+    readonly addShard: (record: OwnershipRecord, shard: number) => void;
+    /** Notes an attempt before it may be sent, so that it is named when its shard is handed over. */
+    readonly addAttempt: (ref: AttemptRef, endsAtMs: number) => void;
+    /** Ends an attempt: its key is free again, and so is the shard of it. */
+    readonly confirmEnd: (attempt: string) => void;
+    readonly listAttempts: (shard: number) => readonly AttemptRef[];
+}
+
+/** Creates an empty set. */
+export function createRunningRequests(context: EntryContext): RunningRequests {
+    const { sessionTtlMs, sessionMarginMs, clockDriftPercent } = context.settings.leases;
+    const registry = createRequestRegistry();
+    const quarantine = createQuarantine({
+        sessionMs: sessionTtlMs * (1 + clockDriftPercent / 100) + sessionMarginMs,
+        leaseMarginMs,
+        clockDriftPercent,
+    });
+    const attempts = new Map<string, CoordinatedAttempt>();
+    return {
+        registry,
+        computeQuarantineMs: quarantine.computeLeftMs,
+        addShard: (record, shard) => {
+            const nowMs = context.readNowMs();
+            if (record.afterExpiry) {
+                quarantine.recordExpiry(shard, nowMs);
+            }
+            else {
+                quarantine.forgetShard(shard);
+            }
+            for (const ref of record.attempts) {
+                const key = formatRequestKey(ref.tenant, ref.requestId);
+                const endsAtMs = computeLeaseEndMs(nowMs, ref.runLeaseLeftMs, { leaseMarginMs, clockDriftPercent });
+                registry.addHandedOver(key, shard, ref.attempt, endsAtMs);
+                attempts.set(ref.attempt, { ref, endsAtMs });
+            }
+        },
+        addAttempt: (ref, endsAtMs) => {
+            attempts.set(ref.attempt, { ref, endsAtMs });
+        },
+        confirmEnd: attempt => {
+            attempts.delete(attempt);
+            registry.confirmEnd(attempt);
+        },
+        listAttempts: shard => {
+            const nowMs = context.readNowMs();
+            for (const [id, { endsAtMs }] of [...attempts]) {
+                if (endsAtMs <= nowMs) {
+                    attempts.delete(id);
+                }
+            }
+            return [...attempts.values()]
+                .filter(({ ref }) => ref.shard === shard)
+                .map(({ ref, endsAtMs }) => ({ ...ref, runLeaseLeftMs: Math.max(0, Math.ceil(endsAtMs - nowMs)) }));
+        },
+    };
+}
--- /dev/null
+++ b/packages/entry/src/slot-desk.ts
@@ -0,0 +1,299 @@
+import {
+    createMinionChooser,
+    createRequestQueue,
+    createServiceTimes,
+    decideAdmission,
+    estimateRetryAfterMs,
+    type LoadView,
+    type MinionCandidate,
+    noMinionRetryAfterMs,
+    type QueuedRequest,
+} from "@chestnutspool/route-requests";
+import type { EntryId, ErrorData, RequestEnvelope } from "@chestnutspool/types";
+import { Deferred, Effect } from "effect";
+import type { EntryContext } from "./entry-context.js";
+import type { FreeSlots } from "./free-slots.js";
+import type { OwnedItems } from "./owned-items.js";
+import { type HeldSlot, openSlot, type OwnedMinion } from "./owned-minion.js";
+import type { OwnershipView } from "./ownership-view.js";
+
+/** What a request needs to get a slot. */
+export interface SlotRequest {
+    readonly envelope: RequestEnvelope;
+    readonly attempt: string;
+    readonly shard: number;
+    readonly deadlineAtMs: number;
+    readonly runLeaseMs: number;
+    /** Minions that failed this request. */
+    readonly excludedMinions: ReadonlySet<string>;
+    /** Whether the request may go to another entry host; one that came from there may not. */
+    readonly canSpill: boolean;
+    /** Whether the request may wait for a slot. */
+    readonly canWait: boolean;
+}
+
+/** Where an attempt may run: in a slot of an own minion, or at an entry host that advertised a free slot. */
+export type SlotGrant =
+    | { readonly kind: "own"; readonly slot: HeldSlot; }
+    | { readonly kind: "spill"; readonly entry: EntryId; };
+
+/** Gives slots to requests, in the order of the queue when none is free. */
+export interface SlotDesk {
+    /** Waits for a slot, runs the use of it, and gives the slot back however the use ends. */
+    readonly useSlot: <Value>(
+        request: SlotRequest,
+        use: (grant: SlotGrant) => Effect.Effect<Value, ErrorData>,
+    ) => Effect.Effect<Value, ErrorData>;
+    /** Gives free slots of a service to waiting requests. */
+    readonly serveQueue: (service: string) => void;
+    /** Answers waiting requests whose deadline can no longer be met, and serves all others that can be served. */
+    readonly sweepQueue: () => void;
+    /** Rejects the waiting requests of a shard that goes to another host. */
+    readonly rejectShard: (shard: number) => void;
+    readonly hasWaiting: (shard: number) => boolean;
+    readonly countFree: (service: string) => number;
+    readonly countWaiting: () => number;
+    readonly serviceTimes: ReturnType<typeof createServiceTimes>;
+}
+
+interface WaitingRequest extends QueuedRequest {
+    readonly request: SlotRequest;
+    readonly answer: Deferred.Deferred<SlotGrant, ErrorData>;
+}
+
+/** Seed of the random choices; they decide only between minions of equal worth. */
+const chooserSeed = 20_261_203;
+
+/** Creates a desk with an empty queue. */
+export function createSlotDesk(
+    context: EntryContext,
+    view: OwnershipView,
+    items: OwnedItems,
+    freeSlots: FreeSlots,
+    canDispatch: () => boolean,
+    onFreeChanged: (service: string) => void,
+): SlotDesk {
+    const queue = createRequestQueue<WaitingRequest>(context.settings.requests.queueLimit);
+    const chooser = createMinionChooser("leastExpectedWait", chooserSeed);
+    const serviceTimes = createServiceTimes();
+    const ownZone = context.settings.process.availabilityZone;
+
+    const listUsable = (service: string, nowMs: number): readonly OwnedMinion[] => {
+        const minions = items.listMinions(service).filter(each => each.isOwned && each.slots.isUsable(nowMs));
+        const usable = new Set(items.ejector.filterUsable(minions.map(each => each.slots.getInfo().id), nowMs));
+        return minions.filter(each => usable.has(each.slots.getInfo().id));
+    };
+
+    const countFree = (service: string): number => {
+        const nowMs = context.readNowMs();
+        return canDispatch()
+            ? listUsable(service, nowMs).reduce((sum, each) => sum + each.slots.countFree(nowMs), 0)
+            : 0;
+    };
+
+    const takeOwnSlot = (request: SlotRequest, nowMs: number): HeldSlot | undefined => {
+        const { service, tenant, requestId } = request.envelope;
+        const candidates: MinionCandidate[] = listUsable(service, nowMs)
+            .filter(each => each.slots.countFree(nowMs) > 0 && !request.excludedMinions.has(each.slots.getInfo().id))
+            .map(each => ({
+                minion: each.slots.getInfo().id,
+                ownZone: each.slots.getInfo().availabilityZone === ownZone,
+                outstanding: each.slots.countHeld(),
+                slots: each.slots.getInfo().slots,
+                meanMs: items.minionTimes.estimateTime(each.slots.getInfo().id),
+            }));
+        const chosen = chooser.chooseMinion(candidates, serviceTimes.estimateTime(service));
+        const minion = chosen === undefined ? undefined : items.findMinion(chosen);
+        if (minion === undefined) {
+            return undefined;
+        }
+        const { attempt, shard, runLeaseMs } = request;
+        const ref = {
+            attempt,
+            minion: minion.slots.getInfo().id,
+            shard,
+            tenant,
+            requestId,
+            runLeaseLeftMs: runLeaseMs,
+        };
+        return openSlot(minion, ref, nowMs);
+    };
+
+    const takeGrant = (request: SlotRequest): SlotGrant | undefined => {
+        const nowMs = context.readNowMs();
+        if (!canDispatch()) {
+            return undefined;
+        }
+        const { service } = request.envelope;
+        const slot = takeOwnSlot(request, nowMs);
+        if (slot !== undefined) {
+            onFreeChanged(service);
+            return { kind: "own", slot };
+        }
+        const entry = request.canSpill ? freeSlots.findHost(service, nowMs) : undefined;
+        if (entry === undefined || !context.link.isConnected(entry)) {
+            return undefined;
+        }
+        freeSlots.takeSlot(entry, service);
+        return { kind: "spill", entry };
+    };
+
+    const returnGrant = (grant: SlotGrant): void => {
+        if (grant.kind === "own") {
+            const { slot } = grant;
+            slot.minion.slots.closeAttempt(slot.ref.attempt, slot.state, context.readNowMs());
+        }
+    };
+
+    const hasFree = (service: string): boolean =>
+        countFree(service) > 0 || freeSlots.findHost(service, context.readNowMs()) !== undefined;
+
+    const serveQueue = (service: string): void => {
+        while (true) {
+            let grant: SlotGrant | undefined;
+            if (!hasFree(service)) {
+                onFreeChanged(service);
+                return;
+            }
+            const item = queue.takeNext(service, waiting => {
+                grant = takeGrant(waiting.request);
+                return grant !== undefined;
+            });
+            if (item === undefined || grant === undefined) {
+                onFreeChanged(service);
+                return;
+            }
+            Deferred.doneUnsafe(item.answer, Effect.succeed(grant));
+        }
+    };
+
+    const readLoad = (request: SlotRequest): LoadView => {
+        const { service } = request.envelope;
+        const nowMs = context.readNowMs();
+        const usable = listUsable(service, nowMs);
+        // Without own minions the slots of other hosts serve the request.
+        const others = request.canSpill && usable.length === 0
+            ? view.listMinions(service).filter(info => items.findMinion(info.id) === undefined)
+            : [];
+        return {
+            queuedAhead: queue.countAhead(service, request.envelope.class),
+            slots: [...usable.map(each => each.slots.getInfo()), ...others].reduce((sum, info) => sum + info.slots, 0),
+            freeSlots: countFree(service) + (request.canSpill ? freeSlots.countFree(service, nowMs) : 0),
+            serviceTimeMs: serviceTimes.estimateTime(service),
+        };
+    };
+
+    const addToQueue = (request: SlotRequest): WaitingRequest => {
+        const { service, tenant, class: requestClass } = request.envelope;
+        const waiting: WaitingRequest = {
+            id: request.attempt,
+            service,
+            class: requestClass,
+            tenant,
+            shard: request.shard,
+            deadlineAtMs: request.deadlineAtMs,
+            excludedMinions: request.excludedMinions,
+            request,
+            answer: Deferred.makeUnsafe(),
+        };
+        const retryAfterMs = estimateRetryAfterMs(readLoad(request));
+        const victim = queue.addRequest(waiting);
+        if (victim !== undefined) {
+            Deferred.doneUnsafe(victim.answer, Effect.fail({ kind: "notRun", reason: "queueFull", retryAfterMs }));
+        }
+        return waiting;
+    };
+
+    const removeWaiting = (waiting: WaitingRequest) =>
+        Effect.gen(function*() {
+            if (queue.removeRequest(waiting.id) !== undefined) {
+                return;
+            }
+            // The grant and the interruption can cross; a grant that nobody takes must not keep its slot.
+            const granted = yield* Effect.exit(Deferred.await(waiting.answer));
+            if (granted._tag === "Success") {
+                returnGrant(granted.value);
+                serveQueue(waiting.service);
+            }
+        });
+
+    const awaitGrant = Effect.fnUntraced(function*(request: SlotRequest) {
+        const { service } = request.envelope;
+        const isFirst = queue.countAhead(service, request.envelope.class) === 0;
+        const immediate = isFirst ? takeGrant(request) : undefined;
+        if (immediate !== undefined) {
+            return immediate;
+        }
+        if (!canDispatch()) {
+            const retryAfterMs = context.settings.leases.sessionTtlMs;
+            return yield* Effect.fail<ErrorData>({ kind: "notRun", reason: "noSession", retryAfterMs });
+        }
+        const load = readLoad(request);
+        const admitted = decideAdmission(load, request.deadlineAtMs - context.readNowMs());
+        if (admitted.isLeft()) {
+            return yield* Effect.fail(admitted.extract() as ErrorData);
+        }
+        if (!request.canWait) {
+            const retryAfterMs = estimateRetryAfterMs(load);
+            return yield* Effect.fail<ErrorData>({ kind: "notRun", reason: "queueFull", retryAfterMs });
+        }
+        const waiting = addToQueue(request);
+        return yield* Effect.interruptible(Deferred.await(waiting.answer)).pipe(
+            Effect.onInterrupt(() => removeWaiting(waiting)),
+        );
+    });
+
+    const rejectAll = (isRejected: (waiting: WaitingRequest) => boolean, error: ErrorData): void => {
+        for (const waiting of queue.takeAll(isRejected)) {
+            Deferred.doneUnsafe(waiting.answer, Effect.fail(error));
+        }
+    };
+
+    return {
+        useSlot: (request, use) =>
+            Effect.uninterruptibleMask(restore =>
+                Effect.gen(function*() {
+                    const grant = yield* awaitGrant(request);
+                    const exit = yield* Effect.exit(restore(use(grant)));
+                    returnGrant(grant);
+                    serveQueue(request.envelope.service);
+                    return yield* exit;
+                })
+            ),
+        serveQueue,
+        sweepQueue: () => {
+            const nowMs = context.readNowMs();
+            rejectAll(
+                waiting => nowMs + (serviceTimes.estimateTime(waiting.service) ?? 0) >= waiting.deadlineAtMs,
+                { kind: "notRun", reason: "deadlineExceeded", retryAfterMs: undefined },
+            );
+            for (const minion of items.listAllMinions()) {
+                minion.slots.expireLeases(nowMs);
+            }
+            for (const service of queue.listServices()) {
+                if (listUsable(service, nowMs).length === 0 && view.listMinions(service).length === 0) {
+                    rejectAll(
+                        waiting => waiting.service === service,
+                        { kind: "notRun", reason: "noMinion", retryAfterMs: noMinionRetryAfterMs },
+                    );
+                }
+                serveQueue(service);
+            }
+            if (!canDispatch()) {
+                const retryAfterMs = context.settings.leases.sessionTtlMs;
+                rejectAll(() => true, { kind: "notRun", reason: "noSession", retryAfterMs });
+            }
+        },
+        rejectShard: shard => {
+            rejectAll(waiting => waiting.shard === shard, {
+                kind: "notRun",
+                reason: "draining",
+                retryAfterMs: context.settings.leases.sessionRenewMs,
+            });
+        },
+        hasWaiting: shard => queue.hasShard(shard),
+        countFree,
+        countWaiting: () => queue.countRequests(),
+        serviceTimes,
+    };
+}
--- /dev/null
+++ b/packages/route-requests/src/decide-retry.ts
@@ -0,0 +1,68 @@
+import type { ErrorData, NotRunReason } from "@chestnutspool/types";
+import type { RetryBudget } from "./retry-budget.js";
+
+/** How a failed attempt ended. */
+export type FailedAttempt =
+    | { readonly state: "notSent"; readonly reason: NotRunReason; readonly retryAfterMs: number | undefined; }
+    | {
+        readonly state: "maybeRun";
+        /** Monotonic time at which the run lease has certainly ended. */
+        readonly endsAtMs: number;
+        /** True once a part of the answer has gone to the caller; a retry could then mix two answers. */
+        readonly answerBegun: boolean;
+    };
+
+/** What decides about a retry, beside the attempt. */
+export interface RetryContext {
+    readonly requestId: string;
+    readonly idempotent: boolean;
+    readonly deadlineAtMs: number;
+    /** Expected service time in milliseconds; undefined before the first observation. */
+    readonly serviceTimeMs: number | undefined;
+}
+
+/** Whether and when a request is tried again. */
+export type RetryDecision =
+    | { readonly kind: "retry"; readonly atMs: number; }
+    | { readonly kind: "giveUp"; readonly error: ErrorData; };
+
+function decideAfterNotSent(
+    attempt: Extract<FailedAttempt, { state: "notSent"; }>,
+    context: RetryContext,
+    budget: RetryBudget,
+    nowMs: number,
+): RetryDecision {
+    const { retryAfterMs } = attempt;
+    if (nowMs + (context.serviceTimeMs ?? 0) > context.deadlineAtMs) {
+        return { kind: "giveUp", error: { kind: "notRun", reason: attempt.reason, retryAfterMs } };
+    }
+    if (!budget.takeRetry(nowMs)) {
+        return { kind: "giveUp", error: { kind: "notRun", reason: "retryBudgetEmpty", retryAfterMs } };
+    }
+    return { kind: "retry", atMs: nowMs };
+}
+
+/**
+ * Decides about a retry. It never starts while an earlier attempt may run, and a request that is not idempotent is never
+ * tried again after `maybeRun`. "Not run" is reported only after `notSent`.
+ */
+export function decideRetry(
+    attempt: FailedAttempt,
+    context: RetryContext,
+    budget: RetryBudget,
+    nowMs: number,
+): RetryDecision {
+    switch (attempt.state) {
+        case "notSent":
+            return decideAfterNotSent(attempt, context, budget, nowMs);
+        case "maybeRun": {
+            const startMs = Math.max(nowMs, attempt.endsAtMs);
+            const isLate = startMs + (context.serviceTimeMs ?? 0) >= context.deadlineAtMs;
+            if (!context.idempotent || attempt.answerBegun || isLate || !budget.takeRetry(nowMs)) {
+                const subject = `request "${context.requestId}"`;
+                return { kind: "giveUp", error: { kind: "outcomeUnknown", subject } };
+            }
+            return { kind: "retry", atMs: startMs };
+        }
+    }
+}
--- a/packages/route-requests/src/index.ts
+++ b/packages/route-requests/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from "./choose-minion.js";
+export * from "./decide-admission.js";
+export * from "./decide-retry.js";
+export * from "./eject-outliers.js";
+export * from "./minion-slots.js";
+export * from "./quarantine.js";
+export * from "./request-queue.js";
+export * from "./request-registry.js";
+export * from "./retry-budget.js";
+export * from "./service-times.js";
--- /dev/null
+++ b/packages/route-requests/src/minion-slots.ts
@@ -0,0 +1,224 @@
+import type { AttemptRef, AttemptState, MinionAnnouncement, MinionInfo } from "@chestnutspool/types";
+
+/** How an owner came to own a minion; it decides what the owner knows about the slots in use. */
+export type OwnershipStart =
+    | { readonly kind: "registered"; }
+    | { readonly kind: "moved"; readonly attempts: readonly AttemptRef[]; }
+    | { readonly kind: "afterExpiry"; };
+
+/** Times of the accounting, in milliseconds. */
+export interface SlotTimes {
+    /** A minion that was silent for longer gets no new work. */
+    readonly silenceMs: number;
+    /** Longest run of a request of the minion's service. */
+    readonly maxRunMs: number;
+    /** Margin added to a run lease, for the way of the request. */
+    readonly leaseMarginMs: number;
+    readonly clockDriftPercent: number;
+}
+
+/** Slots and connections of one minion, as counted by its owner. */
+export interface MinionSlots {
+    readonly getInfo: () => MinionInfo;
+    readonly getEpoch: () => number;
+    /** Slots that may be used now; 0 while the minion is silent, leaving, released or not known after an expiry. */
+    readonly countFree: (nowMs: number) => number;
+    /** Slots in use. */
+    readonly countHeld: () => number;
+    /** Whether the minion takes new work once a slot is free. */
+    readonly isUsable: (nowMs: number) => boolean;
+    /** Takes a slot for an attempt; false when none is free. */
+    readonly openAttempt: (attempt: AttemptRef, nowMs: number) => boolean;
+    /** Starts the run lease of an attempt at its dispatch. */
+    readonly recordSent: (attempt: string, leaseEndsAtMs: number) => void;
+    /** Ends an attempt whose connection is closed. After `maybeRun` the slot stays in use until the end is certain. */
+    readonly closeAttempt: (attempt: string, state: AttemptState, nowMs: number) => void;
+    /** Takes an announcement; false when it is older than one that was taken. */
+    readonly recordAnnouncement: (announcement: MinionAnnouncement, nowMs: number) => boolean;
+    /** Ends a handed-over attempt that its host reported as ended. */
+    readonly confirmEnd: (attempt: string) => void;
+    /** Frees the slots of closed attempts whose run lease has certainly ended. */
+    readonly expireLeases: (nowMs: number) => void;
+    /** Stops new work for good, before the minion is released. */
+    readonly releaseMinion: (nowMs: number) => readonly AttemptRef[];
+    readonly updateInfo: (info: MinionInfo) => void;
+}
+
+interface HeldAttempt {
+    readonly ref: AttemptRef;
+    readonly leaseEndsAtMs: number;
+    /** True while this host has the connection of the attempt. */
+    readonly open: boolean;
+    /** True once an announcement listed the attempt. */
+    readonly listed: boolean;
+    /** Number of announcements taken when the connection closed or this host took over. */
+    readonly closedAtCount: number;
+}
+
+/**
+ * Announcements after the close of a connection that must not list an attempt which was never listed. The first may have
+ * been made before the close and arrive after it; the second was made after the answer to the first.
+ */
+const unlistedAnnouncements = 2;
+
+/** Old incarnations of a minion that are remembered, so that their late announcements are dropped. */
+const rememberedIncarnations = 8;
+
+/** Monotonic time at which a run that was sent at `sentAtMs` has certainly ended. */
+export function computeLeaseEndMs(
+    sentAtMs: number,
+    leaseMs: number,
+    times: Pick<SlotTimes, "leaseMarginMs" | "clockDriftPercent">,
+): number {
+    return sentAtMs + leaseMs * (1 + times.clockDriftPercent / 100) + times.leaseMarginMs;
+}
+
+/** Creates the accounting of a minion that this host has begun to own under an epoch. */
+export function createMinionSlots(
+    initialInfo: MinionInfo,
+    epoch: number,
+    start: OwnershipStart,
+    times: SlotTimes,
+    startedAtMs: number,
+    onEnd: (attempt: string) => void = () => undefined,
+): MinionSlots {
+    let info = initialInfo;
+    const held = new Map<string, HeldAttempt>();
+    /** False until an announcement shows what runs at the minion. */
+    let known = start.kind === "moved";
+    let heardAtMs: number | undefined = start.kind === "moved" ? startedAtMs : undefined;
+    let announcementCount = 0;
+    let incarnation: string | undefined;
+    let sequence = -1;
+    const oldIncarnations: string[] = [];
+    let stopped = false;
+
+    const addForeign = (ref: AttemptRef, leaseEndsAtMs: number, listed: boolean): void => {
+        held.set(ref.attempt, { ref, leaseEndsAtMs, open: false, listed, closedAtCount: announcementCount });
+    };
+    if (start.kind === "moved") {
+        for (const ref of start.attempts) {
+            addForeign(ref, computeLeaseEndMs(startedAtMs, ref.runLeaseLeftMs, times), false);
+        }
+    }
+
+    const endAttempt = (attempt: string): void => {
+        if (held.delete(attempt)) {
+            onEnd(attempt);
+        }
+    };
+
+    const isUsable = (nowMs: number): boolean =>
+        !stopped && known && heardAtMs !== undefined && nowMs - heardAtMs <= times.silenceMs;
+    const countFree = (nowMs: number): number =>
+        isUsable(nowMs) ? Math.max(0, Math.min(info.slots, info.connections) - held.size) : 0;
+
+    const isStale = (announcement: MinionAnnouncement): boolean =>
+        announcement.incarnation === incarnation
+            ? announcement.sequence <= sequence
+            : oldIncarnations.includes(announcement.incarnation);
+
+    const startIncarnation = (next: string): void => {
+        if (incarnation !== undefined) {
+            oldIncarnations.push(incarnation);
+            oldIncarnations.splice(0, Math.max(0, oldIncarnations.length - rememberedIncarnations));
+        }
+        incarnation = next;
+    };
+
+    /** Learns from the first announcement under this epoch what the last owner left running. */
+    const recordRunning = (running: readonly string[], nowMs: number): void => {
+        for (const attempt of running) {
+            if (!held.has(attempt)) {
+                const ref = { attempt, minion: info.id, shard: -1, tenant: "", requestId: "", runLeaseLeftMs: 0 };
+                addForeign(ref, computeLeaseEndMs(nowMs, times.maxRunMs, times), true);
+            }
+        }
+        known = true;
+    };
+
+    const updateHeld = (running: ReadonlySet<string>): void => {
+        for (const [id, attempt] of [...held]) {
+            if (running.has(id)) {
+                held.set(id, { ...attempt, listed: true });
+                continue;
+            }
+            const unlisted = announcementCount - attempt.closedAtCount;
+            if (!attempt.open && (attempt.listed || unlisted >= unlistedAnnouncements)) {
+                endAttempt(id);
+            }
+        }
+    };
+
+    return {
+        getInfo: () => info,
+        getEpoch: () => epoch,
+        countFree,
+        countHeld: () => held.size,
+        isUsable,
+        openAttempt: (ref, nowMs) => {
+            if (countFree(nowMs) <= 0 || held.has(ref.attempt)) {
+                return false;
+            }
+            const leaseEndsAtMs = computeLeaseEndMs(nowMs, ref.runLeaseLeftMs, times);
+            held.set(ref.attempt, { ref, leaseEndsAtMs, open: true, listed: false, closedAtCount: 0 });
+            return true;
+        },
+        recordSent: (id, leaseEndsAtMs) => {
+            const attempt = held.get(id);
+            if (attempt !== undefined) {
+                held.set(id, { ...attempt, leaseEndsAtMs });
+            }
+        },
+        closeAttempt: (id, state, nowMs) => {
+            const attempt = held.get(id);
+            if (attempt === undefined) {
+                return;
+            }
+            if (state !== "maybeRun" || attempt.leaseEndsAtMs <= nowMs) {
+                endAttempt(id);
+                return;
+            }
+            held.set(id, { ...attempt, open: false, closedAtCount: announcementCount });
+        },
+        recordAnnouncement: (announcement, nowMs) => {
+            if (isStale(announcement)) {
+                return false;
+            }
+            if (announcement.incarnation !== incarnation) {
+                startIncarnation(announcement.incarnation);
+            }
+            sequence = announcement.sequence;
+            announcementCount += 1;
+            heardAtMs = nowMs;
+            stopped ||= announcement.leaving;
+            if (!known && (start.kind !== "afterExpiry" || announcement.highestEpoch >= epoch)) {
+                recordRunning(announcement.runningAttempts, nowMs);
+            }
+            updateHeld(new Set(announcement.runningAttempts));
+            return true;
+        },
+        confirmEnd: id => {
+            if (held.get(id)?.open === false) {
+                endAttempt(id);
+            }
+        },
+        expireLeases: nowMs => {
+            for (const [id, attempt] of [...held]) {
+                if (!attempt.open && attempt.leaseEndsAtMs <= nowMs) {
+                    endAttempt(id);
+                }
+            }
+        },
+        releaseMinion: nowMs => {
+            stopped = true;
+            return [...held.values()].map(({ ref, leaseEndsAtMs }) => ({
+                ...ref,
+                runLeaseLeftMs: Math.max(0, Math.ceil(leaseEndsAtMs - nowMs)),
+            }));
+        },
+        updateInfo: next => {
+            info = next;
+        },
+    };
+}
