--- a/packages/entry/src/slot-desk.ts
+++ b/packages/entry/src/slot-desk.ts
@@ -231,7 +231,7 @@
         const load = readLoad(request);
         const admitted = decideAdmission(load, request.deadlineAtMs - context.readNowMs());
         if (admitted.isLeft()) {
-            return yield* Effect.fail(admitted.extract() as ErrorData);
+            return yield* Effect.fail(admitted.extract());
         }
         if (!request.canWait) {
             const retryAfterMs = estimateRetryAfterMs(load);
