--- a/packages/peer-link/src/memory-network.ts
+++ b/packages/peer-link/src/memory-network.ts
@@ -1,6 +1,6 @@
 import type { Logger } from "@chestnutspool/logger";
 import type { PeerId, PeerLink } from "@chestnutspool/types";
-import { Effect, Queue, Scope } from "effect";
+import { Effect, Exit, Queue, Scope } from "effect";
 import { type ChannelHub, createChannelHub } from "./channel-hub.js";
 import { decodeFrame, encodeFrame, type Frame } from "./frame.js";
 
@@ -64,7 +64,13 @@
         if (existing !== undefined) {
             return existing;
         }
-        const frames = Effect.runSync(Queue.unbounded<Frame>());
+        // Not with runSync: a queue wakes its takers on the scheduler of the fiber that made it, and `TestClock` waits
+        // only for the scheduler of the test.
+        const made = runFork(Queue.unbounded<Frame>()).pollUnsafe();
+        if (made === undefined || Exit.isFailure(made)) {
+            throw new Error("a queue is made without waiting");
+        }
+        const frames = made.value;
         node.accepted.set(peer, frames);
         const sendBack = (frame: Frame): boolean =>
             deliver(self, peer, frame, (receiver, copy) => receiver.hub.handleReplyFrame(self, copy));
--- a/packages/replicated-log/src/replica.ts
+++ b/packages/replicated-log/src/replica.ts
@@ -27,6 +27,8 @@
     contactMs: number;
     /** Last confirmation round that an answered request carried. */
     ackedRound: number;
+    /** Identity under which the member last refused; logged once. */
+    refusedIdentity: string | undefined;
     /** Wakes the replication loop. */
     readonly wake: Queue.Queue<void>;
 }
--- a/packages/replicated-log/src/replicate.ts
+++ b/packages/replicated-log/src/replicate.ts
@@ -25,15 +25,16 @@
 /** Size of a snapshot chunk in bytes: far below the frame limit of the link, so that a chunk blocks it only briefly. */
 export const snapshotChunkBytes = 256 * 1024;
 
-function createProgress(replica: Replica, id: PeerId, nowMs: number): PeerProgress {
-    return {
+function createProgress(replica: Replica, id: PeerId, nowMs: number): Effect.Effect<PeerProgress> {
+    return Effect.map(Queue.sliding<void>(1), wake => ({
         id,
         nextIndex: replica.window.lastIndex() + 1,
         matchIndex: 0,
         contactMs: nowMs,
         ackedRound: -1,
-        wake: Effect.runSync(Queue.sliding<void>(1)),
-    };
+        refusedIdentity: undefined,
+        wake,
+    }));
 }
 
 /** Appends an entry of the leader to memory and requests its write. */
@@ -62,18 +63,22 @@
 
 /** Makes the elected replica the leader: it appends an entry of its term and starts the replication loops. */
 export const startLeading = Effect.fnUntraced(function*(replica: Replica, nowMs: number) {
+    const { term } = replica;
+    const peers: PeerProgress[] = [];
+    for (const { id } of listMembers(replica).filter(member => member.id !== replica.self)) {
+        peers.push(yield* createProgress(replica, id, nowMs));
+    }
+    if (replica.role !== "candidate" || replica.term !== term) {
+        return;
+    }
     replica.role = "leader";
     replica.leader = replica.self;
     replica.transferring = false;
     replica.changingMember = undefined;
     replica.incoming = undefined;
     replica.peers.clear();
+    peers.forEach(progress => replica.peers.set(progress.id, progress));
     replica.termStartIndex = replica.window.lastIndex() + 1;
-    for (const member of listMembers(replica)) {
-        if (member.id !== replica.self) {
-            replica.peers.set(member.id, createProgress(replica, member.id, nowMs));
-        }
-    }
     appendOwn(replica, { kind: "noop", index: replica.termStartIndex, term: replica.term });
     announceStatus(replica);
     yield* FiberMap.clear(replica.peerLoops);
@@ -93,7 +98,7 @@
     }
     for (const { id } of members) {
         if (!replica.peers.has(id)) {
-            const progress = createProgress(replica, id, nowMs);
+            const progress = yield* createProgress(replica, id, nowMs);
             replica.peers.set(id, progress);
             yield* FiberMap.run(replica.peerLoops, id, replicateTo(replica, progress, replica.term));
         }
