--- a/packages/replicated-log/src/fakes/test-cluster.ts
+++ b/packages/replicated-log/src/fakes/test-cluster.ts
@@ -1,7 +1,9 @@
 import { type Logger, silentLogger } from "@chestnutspool/logger";
 import { createMemoryNetwork, type MemoryNetwork } from "@chestnutspool/peer-link";
 import type { ControlPeer, ErrorData, LogSection, PeerId, ReplicatedLog, StateMachine } from "@chestnutspool/types";
-import { Effect, Exit, Scope } from "effect";
+import { Effect, Exit, Fiber, Scope } from "effect";
+import { TestClock } from "effect/testing";
+import assert from "node:assert/strict";
 import { openReplicatedLog } from "../open-log.js";
 import { decodeValue, encodeValue } from "../record.js";
 import { createMemoryDisk, type MemoryDisk } from "./memory-disk.js";
@@ -128,3 +130,63 @@
     };
     return cluster;
 });
+
+/** Long enough for an election with a repeated vote, in milliseconds. */
+export const settleMs = 6_000;
+
+/** Runs a test body under the test clock. */
+export function runTest(body: Effect.Effect<void, ErrorData, Scope.Scope>): Promise<void> {
+    return Effect.runPromise(Effect.provide(Effect.scoped(body), TestClock.layer()));
+}
+
+/** Creates a cluster, starts its replicas and waits for a leader. */
+export const startCluster = Effect.fnUntraced(function*(size: number, section: LogSection = testLogSection) {
+    const cluster = yield* createTestCluster(size, 1, section);
+    for (const replica of cluster.replicas) {
+        yield* cluster.startReplica(replica.id);
+    }
+    yield* TestClock.adjust(settleMs);
+    return cluster;
+});
+
+/** The leader, which must exist, and the other replicas. */
+export function splitRoles(cluster: TestCluster): { leader: TestReplica; followers: readonly TestReplica[]; } {
+    const leader = cluster.findLeader();
+    assert.ok(leader !== undefined, "no leader");
+    return { leader, followers: cluster.replicas.filter(replica => replica !== leader) };
+}
+
+/** The log of a replica that runs. */
+export function getLog(replica: TestReplica): ReplicatedLog<string, number> {
+    assert.ok(replica.log !== undefined, `replica ${replica.id} does not run`);
+    return replica.log;
+}
+
+/** Runs an effect while the clock moves; gives how it ended. */
+export const settle = Effect.fnUntraced(
+    function*<Value>(effect: Effect.Effect<Value, ErrorData>, durationMs: number = settleMs) {
+        const fiber = yield* Effect.forkChild(Effect.exit(effect));
+        yield* TestClock.adjust(durationMs);
+        const exit = fiber.pollUnsafe();
+        assert.ok(exit !== undefined, "the effect did not end in time");
+        return yield* Fiber.join(fiber);
+    },
+);
+
+/** The typed error of a failed exit. */
+export function getError<Value>(exit: Exit.Exit<Value, ErrorData>): ErrorData {
+    assert.ok(Exit.isFailure(exit), "expected a failure");
+    const reason = exit.cause.reasons[0];
+    assert.ok(reason?._tag === "Fail", String(exit.cause));
+    return reason.error;
+}
+
+/** Proposes commands one after the other; each must succeed. */
+export const proposeAll = Effect.fnUntraced(function*(replica: TestReplica, commands: readonly string[]) {
+    for (const command of commands) {
+        const exit = yield* settle(getLog(replica).proposeCommand(command), 300);
+        assert.ok(Exit.isSuccess(exit), `${command}: ${String(exit)}`);
+    }
+    // Followers learn with the next heartbeat what is committed.
+    yield* TestClock.adjust(testLogSection.heartbeatMs * 2);
+});
--- a/packages/replicated-log/src/replicated-log.test.ts
+++ b/packages/replicated-log/src/replicated-log.test.ts
@@ -1,56 +1,51 @@
-import type { ErrorData, LogSection } from "@chestnutspool/types";
-import { Effect, Exit, Fiber, Scope } from "effect";
+import type { MemberChange } from "@chestnutspool/types";
+import { Clock, Effect, Exit } from "effect";
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createTestCluster, type TestCluster, testLogSection, type TestReplica } from "./fakes/test-cluster.js";
+import { readIdentity } from "./fakes/log-model.js";
+import {
+    getError,
+    getLog,
+    proposeAll,
+    runTest,
+    settle,
+    splitRoles,
+    startCluster,
+    type TestCluster,
+    testLogSection,
+    type TestReplica,
+} from "./fakes/test-cluster.js";
 
-/** Long enough for an election with a repeated vote, in milliseconds. */
-const settleMs = 6_000;
-
-function runTest(body: Effect.Effect<void, ErrorData, Scope.Scope>): Promise<void> {
-    return Effect.runPromise(Effect.provide(Effect.scoped(body), TestClock.layer()));
+function setIsolated(cluster: TestCluster, replica: TestReplica, cut: boolean): void {
+    for (const other of cluster.replicas.filter(candidate => candidate !== replica)) {
+        cluster.network.setCut(replica.id, other.id, cut);
+        cluster.network.setCut(other.id, replica.id, cut);
+    }
 }
 
-const startCluster = Effect.fnUntraced(function*(size: number, section: LogSection = testLogSection) {
-    const cluster = yield* createTestCluster(size, 1, section);
-    for (const replica of cluster.replicas) {
-        yield* cluster.startReplica(replica.id);
+const changeAll = Effect.fnUntraced(function*(cluster: TestCluster, changes: readonly MemberChange[]) {
+    for (const change of changes) {
+        const exit = yield* settle(getLog(splitRoles(cluster).leader).changeMembers(change));
+        assert.ok(Exit.isSuccess(exit), `${change.kind} ${change.id}: ${String(exit)}`);
     }
-    yield* TestClock.adjust(settleMs);
-    return cluster;
 });
 
-function getLeader(cluster: TestCluster): TestReplica {
-    const leader = cluster.findLeader();
-    assert.ok(leader !== undefined, "no leader");
-    return leader;
-}
-
-const settle = <Value>(effect: Effect.Effect<Value, ErrorData>, durationMs = settleMs) =>
-    Effect.gen(function*() {
-        const fiber = yield* Effect.forkChild(Effect.exit(effect));
-        yield* TestClock.adjust(durationMs);
-        return yield* Fiber.join(fiber);
-    });
-
-const propose = (replica: TestReplica, command: string) =>
-    replica.log?.proposeCommand(command) ?? Effect.die("replica does not run");
-
-function getError<Value>(exit: Exit.Exit<Value, ErrorData>): ErrorData {
-    assert.ok(Exit.isFailure(exit), "expected a failure");
-    const reason = exit.cause.reasons[0];
-    assert.ok(reason?._tag === "Fail", String(exit.cause));
-    return reason.error;
+function planAdmission(replica: TestReplica): readonly MemberChange[] {
+    const { id } = replica;
+    return [
+        { kind: "addLearner", id, address: `memory:${id}`, replicaIdentity: readIdentity(replica) },
+        { kind: "promoteLearner", id },
+    ];
 }
 
 for (const size of [1, 3, 5]) {
     void test(`${size} replicas elect one leader and apply a command everywhere`, () =>
         runTest(Effect.gen(function*() {
             const cluster = yield* startCluster(size);
-            const leader = getLeader(cluster);
-            assert.deepEqual(yield* settle(propose(leader, "one")), Exit.succeed(1));
-            assert.ok(Exit.isSuccess(yield* settle(leader.log?.confirmRead ?? Effect.die("stopped"))));
+            const { leader } = splitRoles(cluster);
+            assert.deepEqual(yield* settle(getLog(leader).proposeCommand("one")), Exit.succeed(1));
+            assert.ok(Exit.isSuccess(yield* settle(getLog(leader).confirmRead)));
             for (const replica of cluster.replicas) {
                 assert.deepEqual(replica.machine.listCommands(), ["one"]);
             }
@@ -58,10 +53,154 @@
 }
 
 void test("a follower refuses a command as certainly not appended and names the leader", () =>
+    runTest(Effect.gen(function*() {
+        const { leader, followers } = splitRoles(yield* startCluster(3));
+        const exit = yield* settle(getLog(followers[0] as TestReplica).proposeCommand("one"));
+        assert.deepEqual(getError(exit), { kind: "notLeader", leader: leader.id });
+    })));
+
+// Guards against stale reads and against "not appended" for a command that is in the log of the old leader.
+void test("a leader that is cut off fails reads, leaves open what it appended and steps down", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader, followers } = splitRoles(cluster);
+        setIsolated(cluster, leader, true);
+        const both = Effect.all([
+            Effect.exit(getLog(leader).confirmRead),
+            Effect.exit(getLog(leader).proposeCommand("lost")),
+        ], { concurrency: "unbounded" });
+        const exit = yield* settle(both);
+        assert.ok(Exit.isSuccess(exit));
+        assert.equal(getError(exit.value[0]).kind, "notLeader");
+        assert.equal(getError(exit.value[1]).kind, "outcomeUnknown");
+        assert.notEqual(getLog(leader).readStatus().role, "leader");
+        const next = splitRoles(cluster).leader;
+        assert.ok(followers.includes(next));
+        yield* proposeAll(next, ["kept"]);
+        setIsolated(cluster, leader, false);
+        yield* TestClock.adjust(2_000);
+        assert.deepEqual(leader.machine.listCommands(), ["kept"]);
+    })));
+
+// Guards against a process that was stopped and woken (SIGSTOP): its timers have not run yet when the first call comes.
+void test("a leader whose clock jumped over the election timeout acts no more", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader } = splitRoles(cluster);
+        const clock = yield* Clock.Clock;
+        const jumped = Object.assign(Object.create(clock) as Clock.Clock, {
+            monotonicTimeNanos: Effect.map(clock.monotonicTimeNanos, nanoseconds => nanoseconds + 2_000_000_000n),
+        });
+        const proposal = getLog(leader).proposeCommand("late").pipe(Effect.provideService(Clock.Clock, jumped));
+        assert.equal(getError(yield* Effect.exit(proposal)).kind, "notLeader");
+        assert.notEqual(getLog(leader).readStatus().role, "leader");
+    })));
+
+void test("a replica hundreds of entries behind gets a snapshot in chunks, and covered files are removed", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3, { ...testLogSection, snapshotEveryEntries: 50 });
+        const { leader, followers } = splitRoles(cluster);
+        const behind = followers[0] as TestReplica;
+        yield* cluster.crashReplica(behind.id, 0);
+        // 400 commands of 4 KiB are a snapshot of 1.6 MiB, which is seven chunks.
+        const commands = Array.from({ length: 400 }, (item, index) => `${index}`.padEnd(4_096, "."));
+        yield* proposeAll(leader, commands);
+        yield* cluster.startReplica(behind.id);
+        yield* TestClock.adjust(3_000);
+        assert.deepEqual(behind.machine.listCommands(), commands);
+        assert.ok(getLog(behind).readStatus().snapshotIndex >= 350);
+        for (const replica of [leader, behind]) {
+            const files = replica.memoryDisk.listNames().filter(name => name.startsWith("log-"));
+            assert.ok(files.length <= 2, `log files left on ${replica.id}: ${files.join(" ")}`);
+        }
+        yield* cluster.crashReplica(behind.id, 0);
+        yield* cluster.startReplica(behind.id);
+        yield* TestClock.adjust(2_000);
+        assert.deepEqual(behind.machine.listCommands(), commands);
+    })));
+
+void test("a transfer moves leadership and loses no command", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader } = splitRoles(cluster);
+        const proposals = Effect.all([
+            Effect.exit(getLog(leader).proposeCommand("one")),
+            Effect.exit(getLog(leader).transferLeadership),
+            Effect.exit(Effect.delay(getLog(leader).proposeCommand("two"), 1)),
+        ], { concurrency: "unbounded" });
+        const exit = yield* settle(proposals, 400);
+        assert.ok(Exit.isSuccess(exit));
+        assert.deepEqual(exit.value[0], Exit.succeed(1));
+        assert.ok(Exit.isSuccess(exit.value[1]));
+        assert.equal(getError(exit.value[2]).kind, "notLeader");
+        assert.notEqual(splitRoles(cluster).leader, leader);
+    })));
+
+// Guards against a replica with an emptied folder that helps to elect a leader without the acknowledged commands.
+for (const emptied of ["a", "b", "c"]) {
+    void test(`replica ${emptied} with an emptied folder neither votes nor founds a cluster until it is admitted`, () =>
+        runTest(Effect.gen(function*() {
+            const cluster = yield* startCluster(3);
+            yield* proposeAll(splitRoles(cluster).leader, ["one"]);
+            const replica = cluster.getReplica(emptied);
+            yield* cluster.crashReplica(emptied, 0);
+            replica.memoryDisk.removeAll();
+            yield* cluster.startReplica(emptied);
+            yield* TestClock.adjust(6_000);
+            assert.equal(getLog(replica).readStatus().role, "learner");
+            const { leader } = splitRoles(cluster);
+            yield* cluster.crashReplica(leader.id, 0);
+            yield* TestClock.adjust(6_000);
+            assert.equal(cluster.findLeader(), undefined, "a leader without a majority of the members");
+            yield* cluster.startReplica(leader.id);
+            yield* TestClock.adjust(6_000);
+            const [addLearner] = planAdmission(replica);
+            const early = yield* settle(getLog(splitRoles(cluster).leader).changeMembers(addLearner as MemberChange));
+            assert.equal(getError(early).kind, "invalidArgument");
+            yield* changeAll(cluster, [{ kind: "removeMember", id: emptied }, ...planAdmission(replica)]);
+            assert.deepEqual(replica.machine.listCommands(), ["one"]);
+        })));
+}
+
+// Guards against a promotion before the new replica has synced what the others acknowledged.
+void test("a second replica lost just after a repair loses nothing", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const commands = Array.from({ length: 30 }, (item, index) => `command-${index}`);
+        yield* proposeAll(splitRoles(cluster).leader, commands);
+        const repaired = cluster.getReplica("c");
+        yield* cluster.crashReplica("c", 0);
+        repaired.memoryDisk.removeAll();
+        yield* cluster.startReplica("c");
+        yield* TestClock.adjust(6_000);
+        yield* changeAll(cluster, [{ kind: "removeMember", id: "c" }, ...planAdmission(repaired)]);
+        const second = splitRoles(cluster).leader;
+        assert.notEqual(second.id, "c");
+        yield* cluster.crashReplica(second.id, 0);
+        second.memoryDisk.removeAll();
+        yield* TestClock.adjust(6_000);
+        yield* proposeAll(splitRoles(cluster).leader, ["last"]);
+        assert.deepEqual(repaired.machine.listCommands(), [...commands, "last"]);
+    })));
+
+void test("a host that was no initial member replaces the leader, one change at a time", () =>
     runTest(Effect.gen(function*() {
         const cluster = yield* startCluster(3);
-        const leader = getLeader(cluster);
-        const follower = cluster.replicas.find(replica => replica !== leader) as TestReplica;
-        const error = getError(yield* settle(propose(follower, "one")));
-        assert.deepEqual(error, { kind: "notLeader", leader: leader.id });
+        const { leader } = splitRoles(cluster);
+        yield* proposeAll(leader, ["one"]);
+        const added = cluster.addReplica("d");
+        yield* cluster.startReplica("d");
+        yield* changeAll(cluster, [...planAdmission(added), { kind: "removeMember", id: leader.id }]);
+        const next = splitRoles(cluster).leader;
+        assert.notEqual(next, leader);
+        assert.deepEqual(getLog(next).readStatus().members.map(member => member.id).includes(leader.id), false);
+        yield* proposeAll(next, ["two"]);
+        assert.deepEqual(added.machine.listCommands(), ["one", "two"]);
+        setIsolated(cluster, next, true);
+        const twice = Effect.all([
+            Effect.exit(Effect.timeoutOption(getLog(next).changeMembers({ kind: "removeMember", id: "d" }), 100)),
+            Effect.exit(Effect.timeoutOption(getLog(next).changeMembers({ kind: "removeMember", id: "d" }), 100)),
+        ]);
+        assert.ok(Exit.isSuccess(yield* settle(twice)));
+        assert.ok(getLog(next).readStatus().members.some(member => member.id === "d"), "changed without a majority");
     })));
