--- /dev/null
+++ b/packages/entry/src/announcements.ts
@@ -0,0 +1,187 @@
+import {
+    type Channel,
+    type EntryReply,
+    type EntryRequest,
+    type ErrorData,
+    type MinionAnnouncement,
+    type MinionInfo,
+} from "@chestnutspool/types";
+import { Effect } from "effect";
+import type { ControlClient } from "./control-client.js";
+import type { EntryContext } from "./entry-context.js";
+import type { OwnedItems } from "./owned-items.js";
+import type { OwnershipView } from "./ownership-view.js";
+import type { SlotDesk } from "./slot-desk.js";
+
+/** What a minion learns from its announcement. */
+export interface AnnouncementAnswer {
+    readonly epoch: number;
+    readonly announceAgainMs: number;
+}
+
+/** Takes announcements of minions to their owners. */
+export interface Announcements {
+    /** Serves an announcement that a minion sent to this host. */
+    readonly receiveAnnouncement: (announcement: MinionAnnouncement) => Effect.Effect<AnnouncementAnswer, ErrorData>;
+    /** Serves the leave of a minion; succeeds once its owner has stopped new work on it. */
+    readonly receiveLeave: (minion: string, incarnation: string) => Effect.Effect<number, ErrorData>;
+    /** Serves an announcement that another host forwarded to this owner. */
+    readonly handleForwarded: (announcement: MinionAnnouncement) => Effect.Effect<EntryReply, ErrorData>;
+    /** Removes own minions that have been silent for long. */
+    readonly removeSilent: () => void;
+}
+
+/** Parts that announcements work with. */
+export interface AnnouncementParts {
+    readonly view: OwnershipView;
+    readonly items: OwnedItems;
+    readonly desk: SlotDesk;
+    readonly control: ControlClient;
+    readonly channel: Channel<EntryRequest, EntryReply>;
+    readonly renewNow: () => void;
+}
+
+/** Interval of announcements in milliseconds. */
+const announceIntervalMs = 1_000;
+/** Interval while the owner waits for the minion to see a new epoch, in milliseconds. */
+const announceSoonMs = 50;
+/** Time for one call of the way of an announcement, in milliseconds. */
+const callLimitMs = 2_000;
+/** Interval at which the ownership map is looked at for a minion that was just registered, in milliseconds. */
+const ownerPollMs = 20;
+/** Time that an owner waits for the map which makes it the owner, in milliseconds. */
+const ownerWaitMs = 1_000;
+/** Silence after which a minion is forgotten, in milliseconds; it registers again when it comes back. */
+const removeAfterSilenceMs = 60_000;
+/** Sequence of the last announcement of a minion; above those that it sent before. */
+const leaveSequence = Number.MAX_SAFE_INTEGER;
+
+function isSameInfo(left: MinionInfo, right: MinionInfo): boolean {
+    return left.service === right.service && left.address === right.address
+        && left.availabilityZone === right.availabilityZone && left.slots === right.slots
+        && left.connections === right.connections;
+}
+
+/** Creates the service of announcements. */
+export function createAnnouncements(context: EntryContext, parts: AnnouncementParts): Announcements {
+    const { view, items, desk, control, channel } = parts;
+
+    const failNoOwner = (minion: string): Effect.Effect<never, ErrorData> =>
+        Effect.fail({ kind: "timeout", operation: `wait for an owner of minion ${minion}`, limitMs: callLimitMs });
+
+    /** Registers a minion that is new or changed, and waits until the map that names its owner is here. */
+    const registerMinion = Effect.fnUntraced(function*(info: MinionInfo) {
+        const known = view.findMinion(info.id);
+        if (known !== undefined && isSameInfo(known, info)) {
+            return;
+        }
+        const reply = yield* control.callLeader({ kind: "registerMinion", minion: info }, callLimitMs, "always");
+        if (reply.kind === "result" && reply.result.kind === "refused") {
+            return yield* Effect.fail(reply.result.error);
+        }
+        parts.renewNow();
+        const endsAtMs = context.readNowMs() + callLimitMs;
+        while (true) {
+            const present = view.findMinion(info.id);
+            if (present !== undefined && isSameInfo(present, info)) {
+                return;
+            }
+            if (context.readNowMs() >= endsAtMs) {
+                return yield* failNoOwner(info.id);
+            }
+            yield* Effect.sleep(ownerPollMs);
+        }
+    });
+
+    const takeOwn = (announcement: MinionAnnouncement): Extract<EntryReply, { kind: "announced"; }> | undefined => {
+        const { id, service } = announcement.minion;
+        const minion = items.findMinion(id);
+        if (minion === undefined) {
+            return undefined;
+        }
+        const nowMs = context.readNowMs();
+        minion.slots.recordAnnouncement(announcement, nowMs);
+        desk.serveQueue(service);
+        const acceptsWork = minion.isOwned && minion.slots.isUsable(nowMs);
+        const attemptsInProgress = minion.slots.countHeld();
+        return { kind: "announced", epoch: minion.slots.getEpoch(), acceptsWork, attemptsInProgress };
+    };
+
+    const callOwner = Effect.fnUntraced(function*(announcement: MinionAnnouncement) {
+        const { id } = announcement.minion;
+        const owner = view.findRecord({ kind: "minion", minion: id })?.owner;
+        if (owner === undefined) {
+            return yield* failNoOwner(id);
+        }
+        const own = owner === context.self ? takeOwn(announcement) : undefined;
+        if (own !== undefined) {
+            return own;
+        }
+        const reply = yield* channel.callPeer(owner, { kind: "announceMinion", announcement }, callLimitMs);
+        if (reply.kind === "announced") {
+            return reply;
+        }
+        return yield* reply.kind === "error" ? Effect.fail(reply.error) : failNoOwner(id);
+    });
+
+    const receiveAnnouncement: Announcements["receiveAnnouncement"] = Effect.fnUntraced(function*(announcement) {
+        yield* registerMinion(announcement.minion);
+        const { epoch, acceptsWork } = yield* callOwner(announcement);
+        return { epoch, announceAgainMs: acceptsWork ? announceIntervalMs : announceSoonMs };
+    });
+
+    /** Removes a minion that has left; its attempts in progress keep their slots at the owner until they end. */
+    const removeMinion = (minion: string): void => {
+        context.runInBackground(
+            Effect.asVoid(control.callLeader({ kind: "removeMinion", minion }, callLimitMs, "always")),
+        );
+    };
+
+    const receiveLeave: Announcements["receiveLeave"] = Effect.fnUntraced(function*(minion, incarnation) {
+        const info = view.findMinion(minion);
+        if (info === undefined) {
+            return yield* Effect.fail<ErrorData>({ kind: "notFound", object: "minion", id: minion });
+        }
+        const { acceptsWork, attemptsInProgress } = yield* callOwner({
+            minion: info,
+            leaving: true,
+            runningAttempts: [],
+            highestEpoch: 0,
+            sequence: leaveSequence,
+            incarnation,
+        });
+        // The leave of an earlier process must not remove the one that runs now.
+        if (!acceptsWork) {
+            removeMinion(minion);
+        }
+        return attemptsInProgress;
+    });
+
+    return {
+        receiveAnnouncement,
+        receiveLeave,
+        handleForwarded: Effect.fnUntraced(function*(announcement) {
+            // The sender may have seen a newer ownership map than this host.
+            const endsAtMs = context.readNowMs() + ownerWaitMs;
+            while (true) {
+                const reply = takeOwn(announcement);
+                if (reply !== undefined) {
+                    return reply;
+                }
+                if (context.readNowMs() >= endsAtMs) {
+                    return yield* failNoOwner(announcement.minion.id);
+                }
+                yield* Effect.sleep(ownerPollMs);
+            }
+        }),
+        removeSilent: () => {
+            const nowMs = context.readNowMs();
+            for (const { slots } of items.listAllMinions()) {
+                if (slots.computeSilenceMs(nowMs) > removeAfterSilenceMs && slots.countHeld() === 0) {
+                    context.logger.info("silent minion removed", { minion: slots.getInfo().id });
+                    removeMinion(slots.getInfo().id);
+                }
+            }
+        },
+    };
+}
--- /dev/null
+++ b/packages/entry/src/caller-service.ts
@@ -0,0 +1,166 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { ServiceImpl } from "@connectrpc/connect";
+import { isCertainlyNotRun } from "@chestnutspool/errors";
+import type { CallerService, SubmitChunkSchema, SubmitRequest } from "@chestnutspool/schema";
+import type { EntryReply, ErrorData, RequestEnvelope } from "@chestnutspool/types";
+import { Effect, Exit, Queue } from "effect";
+import { createAnswerCheck } from "./answer-check.js";
+import { checkSubmit } from "./check-request.js";
+import type { EmitReply } from "./dispatch-attempt.js";
+import type { EntryContext } from "./entry-context.js";
+import type { RequestRouter } from "./request-router.js";
+import { getOrThrow, type RunCall } from "./rpc-errors.js";
+
+/** Parts that serve callers. */
+export interface CallerParts {
+    readonly router: RequestRouter;
+    readonly runCall: RunCall;
+    /** Why new requests are refused now; undefined when they are taken. */
+    readonly findRefusal: (envelope: RequestEnvelope) => ErrorData | undefined;
+    /** Counts a request as in progress while it runs. */
+    readonly trackRequest: <Value>(effect: Effect.Effect<Value, ErrorData>) => Effect.Effect<Value, ErrorData>;
+}
+
+type Chunk = MessageInitShape<typeof SubmitChunkSchema>;
+
+/** Parts of an answer that may wait for a slow caller. */
+const streamWindowParts = 4;
+
+interface CollectedAnswer {
+    readonly requestId: string;
+    readonly status: number;
+    readonly minion: string;
+    readonly answer: Uint8Array;
+}
+
+function createChunk(requestId: string, reply: EntryReply): Chunk | undefined {
+    switch (reply.kind) {
+        case "answerHead":
+            return { part: { case: "head", value: { requestId, status: reply.status, minion: reply.minion } } };
+        case "answerChunk":
+            return { part: { case: "data", value: reply.bytes } };
+        case "answerEnd":
+            return {
+                part: { case: "end", value: { lengthBytes: BigInt(reply.lengthBytes), crc32: reply.crc32 } },
+            };
+        case "announced":
+        case "accepted":
+        case "error":
+            return undefined;
+    }
+}
+
+/** Creates the handlers of CallerService. */
+export function createCallerService(
+    context: EntryContext,
+    parts: CallerParts,
+): ServiceImpl<typeof CallerService> {
+    const { router, runCall } = parts;
+    const { bodyLimitBytes, answerLimitBytes } = context.settings.requests;
+
+    const readEnvelope = (request: SubmitRequest): Effect.Effect<RequestEnvelope, ErrorData> =>
+        checkSubmit(request, bodyLimitBytes).caseOf<Effect.Effect<RequestEnvelope, ErrorData>>({
+            Left: error => Effect.fail(error),
+            Right: envelope => {
+                const refusal = parts.findRefusal(envelope);
+                if (refusal !== undefined) {
+                    return Effect.fail(refusal);
+                }
+                const requestId = envelope.callerSuppliedId
+                    ? envelope.requestId
+                    : router.createRequestId(envelope.tenant, envelope.service);
+                return Effect.succeed({ ...envelope, requestId });
+            },
+        });
+
+    const recordEnd = (envelope: RequestEnvelope, startedMs: number, exit: Exit.Exit<unknown, ErrorData>): void => {
+        const { tenant, class: className } = envelope;
+        if (Exit.isSuccess(exit)) {
+            context.metrics.recordDuration("requestMs", tenant, className, context.readNowMs() - startedMs);
+            context.metrics.countEvent("requests.answered", tenant, className);
+            return;
+        }
+        const error = exit.cause.reasons.find(reason => reason._tag === "Fail")?.error;
+        const name = error === undefined ? "cancelled" : isCertainlyNotRun(error) ? "notRun" : "failed";
+        context.metrics.countEvent(`requests.${name}`, tenant, className);
+    };
+
+    const runRequest = (envelope: RequestEnvelope, emit: EmitReply) =>
+        Effect.suspend(() => {
+            const startedMs = context.readNowMs();
+            return parts.trackRequest(router.routeRequest(envelope, emit)).pipe(
+                Effect.onExit(exit => Effect.sync(() => recordEnd(envelope, startedMs, exit))),
+            );
+        });
+
+    /** Collects an answer; one that is too large is counted to its end, so that its run is not cut off. */
+    const collectAnswer = Effect.fnUntraced(function*(envelope: RequestEnvelope) {
+        const check = createAnswerCheck();
+        const chunks: Uint8Array[] = [];
+        let collectedBytes = 0;
+        let minion = "";
+        yield* runRequest(envelope, reply =>
+            Effect.map(check.takeReply(reply), () => {
+                if (reply.kind === "answerHead") {
+                    minion = reply.minion;
+                }
+                if (reply.kind === "answerChunk") {
+                    collectedBytes += reply.bytes.length;
+                    if (collectedBytes <= answerLimitBytes) {
+                        chunks.push(reply.bytes);
+                    }
+                }
+            }));
+        const whole = check.readWhole();
+        if (whole === undefined) {
+            return yield* Effect.fail(check.createTruncated());
+        }
+        if (collectedBytes > answerLimitBytes) {
+            return yield* Effect.fail<ErrorData>({ kind: "answerTooLarge", limitBytes: answerLimitBytes });
+        }
+        const answer: CollectedAnswer = {
+            requestId: envelope.requestId,
+            status: whole.status,
+            minion,
+            answer: Buffer.concat(chunks),
+        };
+        return answer;
+    });
+
+    async function* submitStream(request: SubmitRequest, signal: AbortSignal): AsyncGenerator<Chunk> {
+        const queue = Effect.runSync(Queue.bounded<Chunk | Exit.Exit<void, ErrorData>>(streamWindowParts));
+        const run = Effect.gen(function*() {
+            const envelope = yield* readEnvelope(request);
+            yield* runRequest(envelope, reply => {
+                const chunk = createChunk(envelope.requestId, reply);
+                return chunk === undefined ? Effect.void : Effect.asVoid(Queue.offer(queue, chunk));
+            });
+        });
+        // The end of the generator, by an error or a caller that went away, must also end the run.
+        const stop = new AbortController();
+        const stopRun = (): void => stop.abort();
+        signal.addEventListener("abort", stopRun);
+        const ended = Effect.exit(run).pipe(Effect.flatMap(exit => Queue.offer(queue, exit)), Effect.asVoid);
+        const running = runCall(ended, stop.signal).catch(() => undefined);
+        try {
+            while (true) {
+                const next = await runCall(Queue.take(queue), signal);
+                if (Exit.isExit(next)) {
+                    getOrThrow(next);
+                    return;
+                }
+                yield next;
+            }
+        }
+        finally {
+            signal.removeEventListener("abort", stopRun);
+            stopRun();
+            await running;
+        }
+    }
+
+    return {
+        submit: (request, call) => runCall(Effect.flatMap(readEnvelope(request), collectAnswer), call.signal),
+        submitStream: (request, call) => submitStream(request, call.signal),
+    };
+}
--- /dev/null
+++ b/packages/entry/src/coordinator.ts
@@ -0,0 +1,213 @@
+import type { BodyFingerprint } from "@chestnutspool/route-requests";
+import { type AttemptRef, computeShard, type ErrorData, formatRequestKey, type RequestEnvelope } from "@chestnutspool/types";
+import { Deferred, Effect, Exit } from "effect";
+import { crc32 } from "node:zlib";
+import type { EmitReply } from "./dispatch-attempt.js";
+import type { EntryContext } from "./entry-context.js";
+import type { OwnedItems, OwnedShard } from "./owned-items.js";
+import type { OwnershipView } from "./ownership-view.js";
+import { createRelay } from "./relay.js";
+import { computeOutcome, type RequestRecords } from "./request-records.js";
+import type { CoordinatedRequest, RanResult, RunAttempts } from "./run-attempts.js";
+import type { RunningRequests } from "./running-requests.js";
+
+/** Coordinates the requests of the key shards that this host owns. */
+export interface Coordinator {
+    /** Runs a request until its final answer; fails with `staleToken` when this host does not coordinate its shard. */
+    readonly runRequest: (
+        envelope: RequestEnvelope,
+        deadlineAtMs: number,
+        emit: EmitReply,
+    ) => Effect.Effect<void, ErrorData>;
+    /** Attempts of a shard; undefined while a request of it has none and could still get one. */
+    readonly listShardAttempts: (shard: number) => readonly AttemptRef[] | undefined;
+    readonly countRequests: () => number;
+}
+
+/** Parts that the coordinator works with. */
+export interface CoordinatorParts {
+    readonly view: OwnershipView;
+    readonly items: OwnedItems;
+    readonly running: RunningRequests;
+    readonly records: RequestRecords;
+    readonly runAttempts: RunAttempts;
+    readonly isSessionValid: () => boolean;
+}
+
+/** The error of a host without a valid session. Only the records tell whether an earlier send of the request has run. */
+export function createSessionError(envelope: RequestEnvelope, retryAfterMs: number): ErrorData {
+    return envelope.idempotent
+        ? { kind: "notRun", reason: "noSession", retryAfterMs }
+        : { kind: "outcomeUnknown", subject: `request "${envelope.requestId}"` };
+}
+
+/** Creates the coordinator of this host. */
+export function createCoordinator(context: EntryContext, parts: CoordinatorParts): Coordinator {
+    const { leases } = context.settings;
+    const { view, items, running, records, runAttempts } = parts;
+    const coordinated = new Set<CoordinatedRequest>();
+
+    /** Frees the key, or holds it while the last attempt may still run. */
+    const releaseKey = (request: CoordinatedRequest): void => {
+        coordinated.delete(request);
+        const last = request.lastAttempt;
+        if (last !== undefined && running.hasAttempt(last.id)) {
+            running.registry.holdRequest(request.key, last.id, last.endsAtMs);
+        }
+        else {
+            running.registry.forgetRequest(request.key);
+        }
+    };
+
+    const emitEnd = (emit: EmitReply, result: RanResult) =>
+        emit({ kind: "answerEnd", lengthBytes: result.lengthBytes, crc32: result.crc32 });
+
+    const runIdempotent = (request: CoordinatedRequest, emit: EmitReply) =>
+        Effect.flatMap(runAttempts(request, emit), result => emitEnd(emit, result));
+
+    /** Runs a recorded request and records its outcome, whatever becomes of its caller. */
+    const runToRecord = Effect.fnUntraced(
+        function*(request: CoordinatedRequest, beganIndex: number | undefined, emit: EmitReply) {
+            const exit = yield* Effect.exit(Effect.interruptible(runAttempts(request, emit)));
+            const recorded = records.finishRequest(
+                request.envelope,
+                request.shard.epoch,
+                beganIndex,
+                computeOutcome(exit, request.mayHaveRun),
+                () => releaseKey(request),
+            );
+            if (Exit.isSuccess(exit)) {
+                // A resend after the answer must find it recorded.
+                yield* recorded;
+                yield* emitEnd(emit, exit.value);
+            }
+            return yield* exit;
+        },
+    );
+
+    /**
+     * Waits for a recorded run. A caller that goes away or whose deadline passes ends a run that has not been sent; one that
+     * has been sent goes on, so that its outcome is recorded instead of lost.
+     */
+    const awaitRecordedRun = Effect.fnUntraced(
+        function*(request: CoordinatedRequest, beganIndex: number | undefined, emit: EmitReply) {
+            const relay = createRelay(emit);
+            const done = Deferred.makeUnsafe<RanResult, ErrorData>();
+            const run = Effect.uninterruptible(runToRecord(request, beganIndex, relay.emit)).pipe(
+                Effect.onExit(exit => Deferred.done(done, exit)),
+            );
+            const fiber = yield* Effect.forkIn(run, context.scope);
+            const hasBeenSent = (): boolean => request.mayHaveRun || request.lastAttempt?.hasBeenSent() === true;
+            const leave = Effect.sync((): void => {
+                relay.detach();
+                if (!hasBeenSent()) {
+                    fiber.interruptUnsafe();
+                }
+            });
+            yield* Effect.interruptible(Deferred.await(done)).pipe(
+                Effect.onInterrupt(() => leave),
+                Effect.timeoutOrElse({
+                    duration: Math.max(0, request.deadlineAtMs - context.readNowMs()),
+                    orElse: () =>
+                        Effect.fail<ErrorData>({
+                            kind: "deadlineExceeded",
+                            state: hasBeenSent() ? "maybeRun" : "notSent",
+                        }),
+                }),
+            );
+        },
+    );
+
+    const runRecorded = Effect.fnUntraced(
+        function*(request: CoordinatedRequest, body: BodyFingerprint, emit: EmitReply) {
+            const { envelope, shard } = request;
+            const leftMs = Math.max(1, request.deadlineAtMs - context.readNowMs());
+            const begin = yield* records.beginRequest(envelope, body, shard.epoch, leftMs).pipe(
+                Effect.tapError(() => Effect.sync(() => releaseKey(request))),
+            );
+            if (begin.kind === "known") {
+                releaseKey(request);
+                return yield* Effect.interruptible(records.replayOutcome(begin.record, emit));
+            }
+            yield* awaitRecordedRun(request, begin.beganIndex, emit);
+        },
+    );
+
+    const checkQuarantine = (envelope: RequestEnvelope, shard: OwnedShard, key: string): ErrorData | undefined => {
+        const nowMs = context.readNowMs();
+        const isKnown = running.registry.findRequest(key, nowMs) !== undefined;
+        if (!envelope.idempotent || !envelope.callerSuppliedId || isKnown) {
+            return undefined;
+        }
+        const leftMs = running.computeQuarantineMs(shard.shard, view.getMaxRunMs(envelope.service), nowMs);
+        return leftMs > 0 ? { kind: "notRun", reason: "quarantine", retryAfterMs: leftMs } : undefined;
+    };
+
+    const checkShard = (shard: number): Effect.Effect<OwnedShard, ErrorData> => {
+        const owned = items.findShard(shard);
+        return owned === undefined || owned.releasing
+            ? Effect.fail({ kind: "staleToken", subject: `shard ${shard}`, seen: 0, current: owned?.epoch ?? 0 })
+            : Effect.succeed(owned);
+    };
+
+    const createCoordinated = (envelope: RequestEnvelope, shard: OwnedShard, deadlineAtMs: number): CoordinatedRequest => {
+        const maxRunMs = view.getMaxRunMs(envelope.service);
+        const leftMs = Math.max(1, deadlineAtMs - context.readNowMs());
+        return {
+            envelope,
+            shard,
+            key: formatRequestKey(envelope.tenant, envelope.requestId),
+            deadlineAtMs,
+            // An answer after the deadline is worthless, but a run that changes something must not be cut off there.
+            runLeaseMs: Math.ceil(envelope.idempotent ? Math.min(maxRunMs, leftMs) : maxRunMs),
+            excludedMinions: new Set(),
+            lastAttempt: undefined,
+            isUndecided: true,
+            mayHaveRun: false,
+        };
+    };
+
+    const startRequest = Effect.fnUntraced(
+        function*(envelope: RequestEnvelope, deadlineAtMs: number) {
+            if (!parts.isSessionValid()) {
+                return yield* Effect.fail(createSessionError(envelope, leases.sessionTtlMs));
+            }
+            const shard = yield* checkShard(computeShard(envelope.tenant, envelope.requestId));
+            const request = createCoordinated(envelope, shard, deadlineAtMs);
+            const refusal = checkQuarantine(envelope, shard, request.key);
+            if (refusal !== undefined) {
+                return yield* Effect.fail(refusal);
+            }
+            const body = { crc32: crc32(envelope.body), length: envelope.body.length };
+            const registered = running.registry.registerRequest(
+                request.key,
+                shard.shard,
+                body,
+                context.readNowMs(),
+            );
+            yield* registered.caseOf<Effect.Effect<void, ErrorData>>({ Left: Effect.fail, Right: () => Effect.void });
+            coordinated.add(request);
+            return { request, body };
+        },
+    );
+
+    return {
+        runRequest: (envelope, deadlineAtMs, emit) =>
+            Effect.uninterruptibleMask(restore =>
+                Effect.gen(function*() {
+                    const { request, body } = yield* startRequest(envelope, deadlineAtMs);
+                    if (!envelope.idempotent) {
+                        return yield* runRecorded(request, body, emit);
+                    }
+                    yield* restore(runIdempotent(request, emit)).pipe(
+                        Effect.onExit(() => Effect.sync(() => releaseKey(request))),
+                    );
+                })
+            ),
+        listShardAttempts: shard => {
+            const isUndecided = [...coordinated].some(each => each.shard.shard === shard && each.isUndecided);
+            return isUndecided ? undefined : running.listAttempts(shard);
+        },
+        countRequests: () => coordinated.size,
+    };
+}
--- a/packages/entry/src/dispatch-attempt.ts
+++ b/packages/entry/src/dispatch-attempt.ts
@@ -1,4 +1,4 @@
-import type { EntryReply, ErrorData, NotRunReason, RequestEnvelope } from "@chestnutspool/types";
+import type { EntryReply, ErrorData, MinionId, NotRunReason, RequestEnvelope } from "@chestnutspool/types";
 import { Effect, Result } from "effect";
 import { type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
 import type { Socket } from "node:net";
@@ -21,8 +21,8 @@
     | {
         readonly state: "notSent";
         readonly reason: NotRunReason;
-        /** Whether the minion could not be reached or refused, so that another one should be tried. */
-        readonly minionFailed: boolean;
+        /** The minion that could not be reached or refused, so that another one should be tried. */
+        readonly failedMinion: MinionId | undefined;
     }
     | {
         readonly state: "maybeRun";
@@ -46,7 +46,7 @@
 /** Largest answer that is recorded for a resend, in bytes. */
 export const keptAnswerLimitBytes = 64 * 1024;
 /** Time allowed for opening a connection to a minion, in milliseconds; within a region it takes about 2. */
-const connectLimitMs = 1_000;
+export const connectLimitMs = 1_000;
 
 type HttpEvent<Value> = Effect.Effect<Value, string>;
 
@@ -80,7 +80,7 @@
 type SendResult =
     | { readonly kind: "answered"; readonly response: IncomingMessage; }
     | { readonly kind: "failed"; readonly detail: string; }
-    | { readonly kind: "refused"; readonly reason: NotRunReason; readonly minionFailed: boolean; };
+    | { readonly kind: "refused"; readonly reason: NotRunReason; readonly failedMinion: MinionId | undefined; };
 
 /**
  * Writes the request and waits for the head of the answer. No other code runs between the last check and the first
@@ -91,11 +91,11 @@
         const end = (result: SendResult): void => resume(Effect.succeed(result));
         const reason = options.findRefusal();
         if (reason !== undefined) {
-            end({ kind: "refused", reason, minionFailed: false });
+            end({ kind: "refused", reason, failedMinion: undefined });
             return;
         }
         if (request.destroyed || request.socket?.destroyed === true) {
-            end({ kind: "refused", reason: "refusedByMinion", minionFailed: true });
+            end({ kind: "refused", reason: "refusedByMinion", failedMinion: slot.ref.minion });
             return;
         }
         request.once("response", response => {
@@ -128,8 +128,8 @@
     return { state: "maybeRun", answerBegun, error };
 }
 
-function createNotSent(reason: NotRunReason, minionFailed: boolean): AttemptResult {
-    return { state: "notSent", reason, minionFailed };
+function createNotSent(reason: NotRunReason, failedMinion: MinionId | undefined): AttemptResult {
+    return { state: "notSent", reason, failedMinion };
 }
 
 const passAnswer = Effect.fnUntraced(function*(
@@ -221,18 +221,18 @@
 ) {
     const connected = yield* Effect.result(awaitConnection(request));
     if (Result.isFailure(connected)) {
-        return createNotSent("refusedByMinion", true);
+        return createNotSent("refusedByMinion", slot.ref.minion);
     }
     const sent = yield* sendRequest(request, slot, options);
     if (sent.kind === "refused") {
-        return createNotSent(sent.reason, sent.minionFailed);
+        return createNotSent(sent.reason, sent.failedMinion);
     }
     if (sent.kind === "failed") {
         const minion = slot.ref.minion;
         return createMaybeRun(false, { kind: "minionFailed", minion, status: 0, detail: sent.detail });
     }
     if (sent.response.headers[notStartedHeader] === "1") {
-        return createNotSent("refusedByMinion", true);
+        return createNotSent("refusedByMinion", slot.ref.minion);
     }
     return yield* passAnswer(sent.response, slot, options, emit);
 });
--- /dev/null
+++ b/packages/entry/src/drain.ts
@@ -0,0 +1,98 @@
+import { type ErrorData, formatItemKey } from "@chestnutspool/types";
+import { Effect } from "effect";
+import type { Coordinator } from "./coordinator.js";
+import type { EntryContext } from "./entry-context.js";
+import type { OwnedItems } from "./owned-items.js";
+import type { OwnershipView } from "./ownership-view.js";
+import type { SpillServer } from "./peer-requests.js";
+import type { EntrySession } from "./session.js";
+import type { SlotDesk } from "./slot-desk.js";
+
+/** Shutdown without an interrupted request, and the release of key shards. */
+export interface Drain {
+    readonly isDraining: () => boolean;
+    readonly trackRequest: <Value>(effect: Effect.Effect<Value, ErrorData>) => Effect.Effect<Value, ErrorData>;
+    /** Rejects waiting requests of shards whose release has waited for too long. */
+    readonly decideReleasing: () => void;
+    /** Drains; `stopAccepting` is called once new requests are refused. */
+    readonly run: (stopAccepting: () => void) => Effect.Effect<void>;
+}
+
+/** Parts that the drain works with. */
+export interface DrainParts {
+    readonly view: OwnershipView;
+    readonly items: OwnedItems;
+    readonly desk: SlotDesk;
+    readonly coordinator: Coordinator;
+    readonly spills: SpillServer;
+    readonly session: EntrySession;
+    readonly isSessionValid: () => boolean;
+}
+
+/** Interval at which the drain looks whether it is complete, in milliseconds. */
+const drainPollMs = 20;
+/** Time that waiting requests of a shard to be released get to be dispatched, in milliseconds. */
+const releaseWaitMs = 1_000;
+
+/** Creates the drain of this host. */
+export function createDrain(context: EntryContext, parts: DrainParts): Drain {
+    const { view, items, desk, coordinator, spills, session } = parts;
+    let draining = false;
+    let tracked = 0;
+    let announcedReleases: ReadonlySet<string> = new Set();
+    const releasingSince = new Map<number, number>();
+
+    const hasWork = (): boolean => tracked > 0 || coordinator.countRequests() > 0 || spills.countSpills() > 0;
+    /** Whether items remain that control can give to another host. */
+    const canHandOver = (): boolean =>
+        items.countItems() > 0 && parts.isSessionValid()
+        && view.listEntries().some(entry => entry.entry !== context.self && !entry.draining);
+
+    const decideReleasing = (): void => {
+        const nowMs = context.readNowMs();
+        for (const { shard, releasing } of items.listShards()) {
+            if (!releasing) {
+                releasingSince.delete(shard);
+                continue;
+            }
+            const sinceMs = releasingSince.get(shard) ?? nowMs;
+            releasingSince.set(shard, sinceMs);
+            if (nowMs - sinceMs > releaseWaitMs) {
+                desk.rejectShard(shard);
+            }
+        }
+        const released = items.listReleased().map(each => `${formatItemKey(each.item)}@${each.epoch}`);
+        if (released.some(key => !announcedReleases.has(key))) {
+            announcedReleases = new Set(released);
+            session.renewNow();
+        }
+    };
+
+    return {
+        isDraining: () => draining || view.findEntry(context.self)?.draining === true,
+        trackRequest: effect =>
+            Effect.acquireUseRelease(
+                Effect.sync(() => {
+                    tracked += 1;
+                }),
+                () => effect,
+                () =>
+                    Effect.sync(() => {
+                        tracked -= 1;
+                    }),
+            ),
+        decideReleasing,
+        run: stopAccepting =>
+            Effect.gen(function*() {
+                draining = true;
+                context.logger.info("draining", { items: items.countItems() });
+                session.announceDraining();
+                stopAccepting();
+                const endsAtMs = context.readNowMs() + context.settings.requests.drainLimitMs;
+                while ((hasWork() || canHandOver()) && context.readNowMs() < endsAtMs) {
+                    yield* Effect.sleep(drainPollMs);
+                }
+                context.logger.info("drained", { unfinished: hasWork(), itemsLeft: items.countItems() });
+            }),
+    };
+}
--- a/packages/entry/src/entry-context.ts
+++ b/packages/entry/src/entry-context.ts
@@ -1,7 +1,7 @@
 import { describeError } from "@chestnutspool/errors";
 import type { Logger } from "@chestnutspool/logger";
 import type { EntryId, ErrorData, PeerLink, ProcessSettings } from "@chestnutspool/types";
-import { Clock, Effect } from "effect";
+import { Clock, Effect, type Scope } from "effect";
 import type { EntryMetrics } from "./entry-metrics.js";
 
 /** What all parts of the entry role share. */
@@ -15,6 +15,8 @@
     readonly metrics: EntryMetrics;
     /** Monotonic time in milliseconds. */
     readonly readNowMs: () => number;
+    /** Scope of the entry role. */
+    readonly scope: Scope.Scope;
     /** Runs an effect in the background until the entry role stops. */
     readonly runInBackground: (effect: Effect.Effect<void, ErrorData>) => void;
 }
@@ -39,6 +41,7 @@
             settings,
             self: settings.process.id,
             incarnation,
+            scope,
             link: services.link,
             logger,
             metrics: services.metrics,
--- /dev/null
+++ b/packages/entry/src/health.ts
@@ -0,0 +1,12 @@
+/** Health of the entry role. */
+export interface EntryHealth {
+    readonly process: string;
+    readonly ready: boolean;
+    /** Why the role is not ready; empty when it is. */
+    readonly reasons: readonly string[];
+    readonly configurationRevision: number;
+    /** Whether a valid session confirms the revision. */
+    readonly configurationConfirmed: boolean;
+    /** The control replica that answered last; empty when none did. */
+    readonly leader: string;
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export type { EntryServices } from "./entry-context.js";
+export type { EntryMetrics, MeasuredCounter, MeasuredDistribution } from "./entry-metrics.js";
+export type { EntryHealth } from "./health.js";
+export { type EntryApi, startEntry } from "./start-entry.js";
--- a/packages/entry/src/owned-items.ts
+++ b/packages/entry/src/owned-items.ts
@@ -1,5 +1,5 @@
 import { createOutlierEjector, createServiceTimes, type OwnershipStart } from "@chestnutspool/route-requests";
-import type { AttemptRef, MinionId, MinionInfo, OwnershipRecord, ReleasedItem } from "@chestnutspool/types";
+import type { AttemptRef, EntryId, MinionId, MinionInfo, OwnershipRecord, ReleasedItem } from "@chestnutspool/types";
 import type { EntryContext } from "./entry-context.js";
 import { createOwnedMinion, type OwnedMinion, stopOwnedMinion } from "./owned-minion.js";
 import type { OwnershipView } from "./ownership-view.js";
@@ -30,6 +30,8 @@
     readonly listMinions: (service: string) => readonly OwnedMinion[];
     readonly listAllMinions: () => readonly OwnedMinion[];
     readonly listServices: () => readonly string[];
+    /** Frees the slots of attempts whose run lease has ended, also at minions that went to other hosts. */
+    readonly expireLeases: (nowMs: number) => void;
     readonly findShard: (shard: number) => OwnedShard | undefined;
     readonly listShards: () => readonly OwnedShard[];
     readonly listReleased: () => readonly ReleasedItem[];
@@ -41,14 +43,8 @@
 /** Margin that is added to a run lease for the way of the request, in milliseconds. */
 export const leaseMarginMs = 250;
 
-/** First epoch of an item; its owner is the first one. */
-const firstEpoch = 1;
-
-function decideStart(record: OwnershipRecord): OwnershipStart {
-    if (record.afterExpiry) {
-        return { kind: "afterExpiry" };
-    }
-    return record.epoch <= firstEpoch ? { kind: "registered" } : { kind: "moved", attempts: record.attempts };
+function isSameAttempt(ref: AttemptRef): (other: AttemptRef) => boolean {
+    return other => other.attempt === ref.attempt;
 }
 
 /** Creates the set of owned items, empty until the first update. */
@@ -58,6 +54,8 @@
     listener: OwnedItemsListener,
 ): OwnedItems {
     const minions = new Map<MinionId, OwnedMinion>();
+    /** Minions that went to other hosts while attempts of this host were in progress. */
+    const formerMinions = new Set<OwnedMinion>();
     const shards = new Map<number, OwnedShard>();
     const ejector = createOutlierEjector();
     const minionTimes = createServiceTimes();
@@ -66,11 +64,25 @@
     const stopMinion = (id: MinionId, minion: OwnedMinion): void => {
         stopOwnedMinion(minion);
         minions.delete(id);
+        formerMinions.add(minion);
         ejector.forgetMinion(id);
         minionTimes.forgetName(id);
     };
 
-    const startMinion = (info: MinionInfo, record: OwnershipRecord): void => {
+    /** Owners in the last map; a move from a live owner can be told from a registration only by them. */
+    const lastOwners = new Map<MinionId, EntryId>();
+
+    const decideStart = (id: MinionId, record: OwnershipRecord, known: OwnedMinion | undefined): OwnershipStart => {
+        // A new epoch without a new owner loses nothing: the attempts in progress here are known here.
+        const own = known?.slots.releaseMinion(context.readNowMs()) ?? [];
+        const attempts = [...record.attempts, ...own.filter(ref => !record.attempts.some(isSameAttempt(ref)))];
+        if (record.afterExpiry) {
+            return { attemptsKnown: "afterEpoch", attempts };
+        }
+        return { attemptsKnown: lastOwners.has(id) ? "atOnce" : "afterFirst", attempts };
+    };
+
+    const startMinion = (info: MinionInfo, record: OwnershipRecord, known: OwnedMinion | undefined): void => {
         const times = {
             silenceMs: leases.minionSilenceMs,
             maxRunMs: view.getMaxRunMs(info.service),
@@ -80,7 +92,7 @@
         const minion = createOwnedMinion(
             info,
             record.epoch,
-            decideStart(record),
+            decideStart(info.id, record, known),
             times,
             context.readNowMs(),
             attempt => listener.handleAttemptEnded(attempt, minion),
@@ -99,7 +111,7 @@
             return;
         }
         if (!minions.has(id)) {
-            startMinion(info, record);
+            startMinion(info, record, known);
         }
         const minion = minions.get(id);
         if (minion !== undefined) {
@@ -146,11 +158,17 @@
                 if (record.item.kind === "minion") {
                     present.add(record.item.minion);
                     updateMinion(record.item.minion, record);
+                    if (record.owner !== undefined) {
+                        lastOwners.set(record.item.minion, record.owner);
+                    }
                 }
                 else {
                     updateShard(record.item.shard, record);
                 }
             }
+            for (const id of [...lastOwners.keys()].filter(each => !present.has(each))) {
+                lastOwners.delete(id);
+            }
             for (const [id, minion] of [...minions]) {
                 if (!present.has(id)) {
                     stopMinion(id, minion);
@@ -161,6 +179,14 @@
         listMinions: service => [...minions.values()].filter(each => each.slots.getInfo().service === service),
         listAllMinions: () => [...minions.values()],
         listServices: () => [...new Set([...minions.values()].map(each => each.slots.getInfo().service))],
+        expireLeases: nowMs => {
+            for (const minion of [...minions.values(), ...formerMinions]) {
+                minion.slots.expireLeases(nowMs);
+                if (minion.slots.countHeld() === 0) {
+                    formerMinions.delete(minion);
+                }
+            }
+        },
         findShard: shard => shards.get(shard),
         listShards: () => [...shards.values()],
         listReleased,
--- /dev/null
+++ b/packages/entry/src/peer-requests.ts
@@ -0,0 +1,200 @@
+import {
+    type AttemptRef,
+    type Channel,
+    type ChannelHandler,
+    type EntryId,
+    type EntryReply,
+    type EntryRequest,
+    type ErrorData,
+    type RequestEnvelope,
+} from "@chestnutspool/types";
+import { Effect } from "effect";
+import type { AttemptRunner } from "./attempt-runner.js";
+import { createSessionError } from "./coordinator.js";
+import type { EmitReply } from "./dispatch-attempt.js";
+import type { EntryContext } from "./entry-context.js";
+import type { FreeSlots } from "./free-slots.js";
+import type { OwnershipView } from "./ownership-view.js";
+import type { RunningRequests } from "./running-requests.js";
+import type { SlotDesk, SlotRequest } from "./slot-desk.js";
+
+type SpillRequest = Extract<EntryRequest, { kind: "spill"; }>;
+
+/** Parts that serve the other entry hosts. */
+export interface PeerParts {
+    readonly view: OwnershipView;
+    readonly desk: SlotDesk;
+    readonly running: RunningRequests;
+    readonly freeSlots: FreeSlots;
+    readonly isSessionValid: () => boolean;
+    readonly runRequest: (
+        envelope: RequestEnvelope,
+        deadlineAtMs: number,
+        emit: EmitReply,
+    ) => Effect.Effect<void, ErrorData>;
+    readonly handleAnnouncement: (
+        request: Extract<EntryRequest, { kind: "announceMinion"; }>,
+    ) => Effect.Effect<EntryReply, ErrorData>;
+    /** Ends an attempt of which another host reports the end. */
+    readonly confirmEnd: (attempt: string, minion: string) => void;
+}
+
+/** Serves spilled attempts, and tells their coordinators when an attempt that was given up has ended. */
+export interface SpillServer {
+    readonly runSpill: (from: EntryId, spill: SpillRequest, emit: EmitReply) => Effect.Effect<void, ErrorData>;
+    readonly reportEnd: (attempt: string, minion: string) => void;
+    readonly countSpills: () => number;
+}
+
+/** Creates the server of spilled attempts. */
+export function createSpillServer(
+    context: EntryContext,
+    parts: Pick<PeerParts, "view" | "desk" | "isSessionValid"> & { readonly runner: AttemptRunner; },
+    channel: Channel<EntryRequest, EntryReply>,
+): SpillServer {
+    const { view, desk, runner } = parts;
+    const origins = new Map<string, EntryId>();
+    let spills = 0;
+
+    const checkSpill = (spill: SpillRequest): ErrorData | undefined => {
+        if (!parts.isSessionValid()) {
+            return createSessionError({ ...spill.envelope, idempotent: true }, context.settings.leases.sessionTtlMs);
+        }
+        const current = view.findRecord({ kind: "shard", shard: spill.shard })?.epoch ?? 0;
+        return current > spill.shardEpoch
+            ? { kind: "staleToken", subject: `shard ${spill.shard}`, seen: spill.shardEpoch, current }
+            : undefined;
+    };
+
+    const runGranted = (from: EntryId, spill: SpillRequest, deadlineAtMs: number, emit: EmitReply) =>
+        desk.useSlot(createSlotRequest(from, spill, deadlineAtMs), grant =>
+            Effect.gen(function*() {
+                if (grant.kind === "spill") {
+                    return yield* Effect.fail<ErrorData>({ kind: "internal", detail: "a spill was spilled again" });
+                }
+                const result = yield* Effect.ensuring(
+                    runner.runOwn(grant.slot, spill.envelope, deadlineAtMs, emit),
+                    Effect.sync(() => {
+                        if (grant.slot.state === "maybeRun") {
+                            origins.set(spill.attempt, from);
+                        }
+                    }),
+                );
+                switch (result.state) {
+                    case "ran":
+                        return result;
+                    case "notSent":
+                        return yield* Effect.fail<ErrorData>({
+                            kind: "notRun",
+                            reason: result.reason,
+                            retryAfterMs: undefined,
+                        });
+                    case "maybeRun":
+                        return yield* Effect.fail(result.error);
+                }
+            }));
+
+    const createSlotRequest = (from: EntryId, spill: SpillRequest, deadlineAtMs: number): SlotRequest => {
+        const { envelope, attempt, shard } = spill;
+        const maxRunMs = view.getMaxRunMs(envelope.service);
+        return {
+            envelope,
+            attempt,
+            shard,
+            deadlineAtMs,
+            runLeaseMs: Math.ceil(envelope.idempotent ? Math.min(maxRunMs, envelope.deadlineLeftMs) : maxRunMs),
+            excludedMinions: new Set<string>(),
+            canSpill: false,
+            // A coordinator with own minions has a queue that drains; one without has none, so its requests wait here.
+            canWait: !view.hasMinionOf(from, envelope.service),
+        };
+    };
+
+    const runSpill: SpillServer["runSpill"] = Effect.fnUntraced(function*(from, spill, emit) {
+        const refusal = checkSpill(spill);
+        if (refusal !== undefined) {
+            return yield* Effect.fail(refusal);
+        }
+        const deadlineAtMs = context.readNowMs() + spill.envelope.deadlineLeftMs;
+        spills += 1;
+        const result = yield* Effect.ensuring(
+            runGranted(from, spill, deadlineAtMs, emit),
+            Effect.sync(() => {
+                spills -= 1;
+            }),
+        );
+        yield* emit({ kind: "answerEnd", lengthBytes: result.lengthBytes, crc32: result.crc32 });
+    });
+
+    return {
+        runSpill,
+        reportEnd: (attempt, minion) => {
+            const origin = origins.get(attempt);
+            if (origin !== undefined) {
+                origins.delete(attempt);
+                channel.sendMessage(origin, { kind: "attemptEnded", attempt, minion });
+            }
+        },
+        countSpills: () => spills,
+    };
+}
+
+/** Creates the handler of the channel between entry hosts. */
+export function createPeerHandler(
+    context: EntryContext,
+    parts: PeerParts,
+    spills: () => SpillServer,
+): ChannelHandler<EntryRequest, EntryReply> {
+    const failUnexpected = (kind: string): Effect.Effect<never, ErrorData> =>
+        Effect.fail({ kind: "internal", detail: `message ${kind} does not belong here` });
+    return {
+        handleStream: (from, request, emit) => {
+            switch (request.kind) {
+                case "coordinate": {
+                    const deadlineAtMs = context.readNowMs() + request.envelope.deadlineLeftMs;
+                    return parts.runRequest(request.envelope, deadlineAtMs, emit);
+                }
+                case "spill":
+                    return spills().runSpill(from, request, emit);
+                case "announceMinion":
+                case "attemptEnded":
+                case "freeSlots":
+                    return failUnexpected(request.kind);
+            }
+        },
+        handleCall: (from, request) =>
+            request.kind === "announceMinion" ? parts.handleAnnouncement(request) : failUnexpected(request.kind),
+        handleMessage: (from, message) =>
+            Effect.sync(() => {
+                if (message.kind === "freeSlots") {
+                    parts.freeSlots.recordAdvertisement(from, message.freeByService, context.readNowMs());
+                    for (const service of Object.keys(message.freeByService)) {
+                        parts.desk.serveQueue(service);
+                    }
+                }
+                if (message.kind === "attemptEnded") {
+                    parts.confirmEnd(message.attempt, message.minion);
+                }
+            }),
+    };
+}
+
+/** Tells the hosts that now count an attempt, after its item was handed over, that it has ended. */
+export function sendAttemptEnded(
+    context: EntryContext,
+    view: OwnershipView,
+    channel: Channel<EntryRequest, EntryReply>,
+    attempt: string,
+    minion: string,
+    ref: AttemptRef | undefined,
+): void {
+    const owners = [
+        view.findRecord({ kind: "minion", minion })?.owner,
+        ref === undefined ? undefined : view.findRecord({ kind: "shard", shard: ref.shard })?.owner,
+    ];
+    for (const owner of new Set(owners)) {
+        if (owner !== undefined && owner !== context.self) {
+            channel.sendMessage(owner, { kind: "attemptEnded", attempt, minion });
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/request-router.ts
@@ -0,0 +1,140 @@
+import {
+    type Channel,
+    computeShard,
+    type EntryId,
+    type EntryReply,
+    type EntryRequest,
+    type ErrorData,
+    type RequestEnvelope,
+} from "@chestnutspool/types";
+import { Effect, Result } from "effect";
+import { randomUUID } from "node:crypto";
+import { type Coordinator, createSessionError } from "./coordinator.js";
+import type { EmitReply } from "./dispatch-attempt.js";
+import type { EntryContext } from "./entry-context.js";
+import type { OwnedItems } from "./owned-items.js";
+import type { OwnershipView } from "./ownership-view.js";
+
+/** Takes requests of callers to their coordinators. */
+export interface RequestRouter {
+    readonly routeRequest: (envelope: RequestEnvelope, emit: EmitReply) => Effect.Effect<void, ErrorData>;
+    /** A request id whose shard is coordinated by a host that can serve the service without a further hop. */
+    readonly createRequestId: (tenant: string, service: string) => string;
+}
+
+/** Parts that the router works with. */
+export interface RouterParts {
+    readonly view: OwnershipView;
+    readonly items: OwnedItems;
+    readonly coordinator: Coordinator;
+    readonly channel: Channel<EntryRequest, EntryReply>;
+    readonly isSessionValid: () => boolean;
+}
+
+/** Time for which the answer of the coordinator may be late after the deadline, in milliseconds. */
+const coordinatorGraceMs = 100;
+/** Pause before a request whose shard is being handed over is tried again, in milliseconds. */
+const handoverPauseMs = 25;
+/** Longest time that a request waits for the handover of its shard, in milliseconds. */
+const handoverLimitMs = 1_500;
+/** Tries to find a random id in a chosen shard; with 8 entry hosts about 8 are needed. */
+const idTriesLimit = 1_024;
+
+/** Creates the router of this host. */
+export function createRequestRouter(context: EntryContext, parts: RouterParts): RequestRouter {
+    const { view, items, coordinator, channel } = parts;
+    const { leases } = context.settings;
+
+    const chooseCoordinator = (service: string): EntryId => {
+        const canCoordinate = (entry: EntryId): boolean =>
+            view.hasMinionOf(entry, service)
+            && (entry === context.self || context.link.isConnected(entry));
+        const hasShards = items.listShards().some(each => !each.releasing);
+        const others = view.listEntries().filter(each => !each.draining).map(each => each.entry);
+        if (hasShards && (canCoordinate(context.self) || !others.some(canCoordinate))) {
+            return context.self;
+        }
+        const able = others.filter(canCoordinate);
+        return able[Math.floor(Math.random() * able.length)] ?? others[0] ?? context.self;
+    };
+
+    const isOwnedBy = (shard: number, entry: EntryId): boolean => {
+        const record = view.findRecord({ kind: "shard", shard });
+        return record?.owner === entry && record.phase === "owned";
+    };
+
+    const createRequestId = (tenant: string, service: string): string => {
+        const entry = chooseCoordinator(service);
+        let id = randomUUID() as string;
+        for (let tries = 0; tries < idTriesLimit && !isOwnedBy(computeShard(tenant, id), entry); tries += 1) {
+            id = randomUUID();
+        }
+        return id;
+    };
+
+    /** What a caller learns when the coordinator could not be asked: only a request that may be repeated was "not run". */
+    const createUnreachable = (envelope: RequestEnvelope): ErrorData =>
+        createSessionError(envelope, leases.sessionTtlMs);
+
+    const mapCallError = (error: ErrorData, envelope: RequestEnvelope): ErrorData => {
+        if (error.kind === "peerUnavailable") {
+            return createUnreachable(envelope);
+        }
+        if (error.kind === "timeout") {
+            return { kind: "deadlineExceeded", state: "maybeRun" };
+        }
+        return error.kind === "outcomeUnknown"
+            ? { kind: "outcomeUnknown", subject: `request "${envelope.requestId}"` }
+            : error;
+    };
+
+    const callCoordinator = Effect.fnUntraced(
+        function*(entry: EntryId, envelope: RequestEnvelope, deadlineAtMs: number, emit: EmitReply) {
+            const deadlineLeftMs = Math.max(1, deadlineAtMs - context.readNowMs());
+            const request: EntryRequest = { kind: "coordinate", envelope: { ...envelope, deadlineLeftMs } };
+            const limitMs = deadlineLeftMs + coordinatorGraceMs;
+            yield* channel.callStream(
+                entry,
+                request,
+                limitMs,
+                reply => reply.kind === "error" ? Effect.fail(reply.error) : emit(reply),
+            ).pipe(Effect.mapError(error => mapCallError(error, envelope)));
+        },
+    );
+
+    const routeOnce = (envelope: RequestEnvelope, deadlineAtMs: number, emit: EmitReply) => {
+        const shard = computeShard(envelope.tenant, envelope.requestId);
+        const owner = view.findRecord({ kind: "shard", shard })?.owner;
+        if (owner === undefined) {
+            return Effect.fail<ErrorData>({ kind: "staleToken", subject: `shard ${shard}`, seen: 0, current: 0 });
+        }
+        return owner === context.self
+            ? coordinator.runRequest(envelope, deadlineAtMs, emit)
+            : callCoordinator(owner, envelope, deadlineAtMs, emit);
+    };
+
+    const routeRequest: RequestRouter["routeRequest"] = Effect.fnUntraced(function*(envelope, emit) {
+        const arrivedMs = context.readNowMs();
+        const deadlineAtMs = arrivedMs + envelope.deadlineLeftMs;
+        const handoverEndsAtMs = Math.min(deadlineAtMs, arrivedMs + handoverLimitMs);
+        while (true) {
+            if (!parts.isSessionValid()) {
+                return yield* Effect.fail(createUnreachable(envelope));
+            }
+            const result = yield* Effect.result(routeOnce(envelope, deadlineAtMs, emit));
+            if (Result.isSuccess(result)) {
+                return;
+            }
+            // `staleToken` says that no coordinator has taken the request yet, because its shard changes hands.
+            if (result.failure.kind !== "staleToken") {
+                return yield* Effect.fail(result.failure);
+            }
+            if (context.readNowMs() + handoverPauseMs >= handoverEndsAtMs) {
+                return yield* Effect.fail(createUnreachable(envelope));
+            }
+            yield* Effect.sleep(handoverPauseMs);
+        }
+    });
+
+    return { routeRequest, createRequestId };
+}
--- /dev/null
+++ b/packages/entry/src/rpc-server.ts
@@ -0,0 +1,175 @@
+import type { ServiceImpl } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { CallerService, OperatorService, TargetService, WorkerService } from "@chestnutspool/schema";
+import type { ErrorData } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Announcements } from "./announcements.js";
+import { checkAnnouncement } from "./check-request.js";
+import type { EntryContext } from "./entry-context.js";
+import type { ForwardedServices } from "./forwarded-services.js";
+import type { EntryHealth } from "./health.js";
+import { createRpcError, type RunCall } from "./rpc-errors.js";
+
+/** Parts that the RPC server serves. */
+export interface ServerParts {
+    readonly caller: ServiceImpl<typeof CallerService>;
+    readonly announcements: Announcements;
+    readonly forwarded: ForwardedServices;
+    readonly runCall: RunCall;
+    readonly readHealth: () => EntryHealth;
+}
+
+/** A running RPC server. */
+export interface RpcServer {
+    /** IP number and port. */
+    readonly address: string;
+    /** Closes connections that carry no call, and each other one after its call. */
+    readonly stopAccepting: () => void;
+}
+
+/** Bytes of a message beside its body. */
+const envelopeBytes = 64 * 1024;
+/** Characters of base64 for each byte of a body in JSON. */
+const base64Growth = 4 / 3;
+/** Time for the head of an HTTP request in milliseconds; a slow sender must not hold a connection. */
+const headersTimeoutMs = 10_000;
+/** Time for a whole HTTP request with its body in milliseconds. */
+const requestTimeoutMs = 60_000;
+/** Idle time after which a caller's connection is closed, in milliseconds; above that of common balancers. */
+const keepAliveTimeoutMs = 65_000;
+
+function createTargetService(parts: ServerParts): ServiceImpl<typeof TargetService> {
+    const { announcements, runCall } = parts;
+    return {
+        announce: (request, call) =>
+            runCall(
+                checkAnnouncement(request).caseOf<ReturnType<Announcements["receiveAnnouncement"]>>({
+                    Left: error => Effect.fail(error),
+                    Right: announcements.receiveAnnouncement,
+                }),
+                call.signal,
+            ).then(answer => ({ epoch: BigInt(answer.epoch), announceAgainMs: answer.announceAgainMs })),
+        leave: (request, call) =>
+            runCall(announcements.receiveLeave(request.minion, request.incarnation), call.signal)
+                .then(attemptsInProgress => ({ attemptsInProgress })),
+    };
+}
+
+function createOperatorService(context: EntryContext, parts: ServerParts): ServiceImpl<typeof OperatorService> {
+    const methods: ServiceImpl<typeof OperatorService> = {
+        ...parts.forwarded.operatorMethods,
+        watchEvents: (request, call) => parts.forwarded.watchEvents(request, call.signal),
+        getHealth: () => {
+            const { reasons, configurationRevision, ...health } = parts.readHealth();
+            return {
+                ...health,
+                reasons: [...reasons],
+                configurationRevision: BigInt(configurationRevision),
+                role: "entry",
+            };
+        },
+        getStatistics: request => {
+            if (request.process !== "" && request.process !== context.self) {
+                throw createRpcError({
+                    kind: "invalidArgument",
+                    field: "process",
+                    seen: request.process,
+                    allowed: `"${context.self}" or empty at this process; call the other process itself`,
+                });
+            }
+            return {
+                distributions: context.metrics.readDistributions().map(({ className, count, ...rest }) => ({
+                    ...rest,
+                    class: className,
+                    count: BigInt(count),
+                })),
+                counters: context.metrics.readCounters().map(({ className, value, ...rest }) => ({
+                    ...rest,
+                    class: className,
+                    value: BigInt(value),
+                })),
+            };
+        },
+    };
+    return methods;
+}
+
+function sendJson(response: ServerResponse, status: number, value: unknown): void {
+    response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(value));
+}
+
+function handleOther(request: IncomingMessage, response: ServerResponse, readHealth: () => EntryHealth): void {
+    switch (request.url) {
+        case "/live":
+            sendJson(response, 200, { live: true });
+            return;
+        case "/ready": {
+            const health = readHealth();
+            sendJson(response, health.ready ? 200 : 503, health);
+            return;
+        }
+        case undefined:
+        default:
+            sendJson(response, 404, { code: "not_found", message: "there is no such method; check the service name" });
+    }
+}
+
+function listen(server: Server, host: string, port: number): Effect.Effect<number, ErrorData> {
+    return Effect.callback(resume => {
+        server.once("error", error =>
+            resume(Effect.fail({
+                kind: "serviceFailed",
+                service: "entry",
+                detail: `cannot listen on ${host}:${port}: ${error.message}`,
+            })));
+        server.listen(port, host, () => resume(Effect.succeed((server.address() as AddressInfo).port)));
+    });
+}
+
+/** Starts the RPC server; it closes all connections when the scope closes. */
+export const startRpcServer = Effect.fnUntraced(function*(context: EntryContext, parts: ServerParts) {
+    const { listen: { rpcHost, rpcPort }, requests } = context.settings;
+    const handleRpc = connectNodeAdapter({
+        routes: router => {
+            router.service(CallerService, parts.caller);
+            router.service(TargetService, createTargetService(parts));
+            router.service(WorkerService, parts.forwarded.workerMethods);
+            router.service(OperatorService, createOperatorService(context, parts));
+        },
+        readMaxBytes: Math.ceil(requests.bodyLimitBytes * base64Growth) + envelopeBytes,
+        fallback: (request, response) =>
+            handleOther(request as IncomingMessage, response as ServerResponse, parts.readHealth),
+    });
+    let accepting = true;
+    const server = createServer(
+        {
+            headersTimeout: headersTimeoutMs,
+            requestTimeout: requestTimeoutMs,
+            keepAliveTimeout: keepAliveTimeoutMs,
+            noDelay: true,
+        },
+        (request, response) => {
+            if (!accepting) {
+                response.setHeader("connection", "close");
+            }
+            handleRpc(request, response);
+        },
+    );
+    const port = yield* listen(server, rpcHost, rpcPort);
+    yield* Effect.addFinalizer(() =>
+        Effect.sync(() => {
+            server.close();
+            server.closeAllConnections();
+        })
+    );
+    const rpcServer: RpcServer = {
+        address: rpcHost.includes(":") ? `[${rpcHost}]:${port}` : `${rpcHost}:${port}`,
+        stopAccepting: () => {
+            accepting = false;
+            server.closeIdleConnections();
+        },
+    };
+    return rpcServer;
+});
--- /dev/null
+++ b/packages/entry/src/run-attempts.ts
@@ -0,0 +1,229 @@
+import { isCertainlyNotRun } from "@chestnutspool/errors";
+import {
+    computeLeaseEndMs,
+    createRetryBudget,
+    decideRetry,
+    type FailedAttempt,
+    noMinionRetryAfterMs,
+} from "@chestnutspool/route-requests";
+import type { AttemptRef, EntryId, EntryRequest, ErrorData, RequestEnvelope } from "@chestnutspool/types";
+import { Effect, Exit } from "effect";
+import { randomUUID } from "node:crypto";
+import type { AttemptRunner } from "./attempt-runner.js";
+import { type AttemptResult, connectLimitMs, type EmitReply } from "./dispatch-attempt.js";
+import type { EntryContext } from "./entry-context.js";
+import { leaseMarginMs, type OwnedItems, type OwnedShard } from "./owned-items.js";
+import type { RunningRequests } from "./running-requests.js";
+import type { SlotDesk, SlotGrant, SlotRequest } from "./slot-desk.js";
+
+/** An attempt whose whole answer was passed on. */
+export type RanResult = Extract<AttemptResult, { state: "ran"; }>;
+type FailedResult = Exclude<AttemptResult, RanResult>;
+
+/** The last attempt of a request. */
+interface NotedAttempt {
+    readonly id: string;
+    /** Latest time at which its run lease ends. */
+    readonly endsAtMs: number;
+    readonly hasBeenSent: () => boolean;
+}
+
+/** A request while it is coordinated. */
+export interface CoordinatedRequest {
+    readonly envelope: RequestEnvelope;
+    readonly shard: OwnedShard;
+    readonly key: string;
+    readonly deadlineAtMs: number;
+    readonly runLeaseMs: number;
+    readonly excludedMinions: Set<string>;
+    /** The last attempt; it may still run when the request ends. */
+    lastAttempt: NotedAttempt | undefined;
+    /** True while no attempt is open, so that the shard cannot be handed over. */
+    isUndecided: boolean;
+    /** True once any attempt may have run. */
+    mayHaveRun: boolean;
+}
+
+/** Runs attempts of a request until one is answered or the request is given up. */
+export type RunAttempts = (request: CoordinatedRequest, emit: EmitReply) => Effect.Effect<RanResult, ErrorData>;
+
+/** Parts that the attempts work with. */
+export interface AttemptParts {
+    readonly items: OwnedItems;
+    readonly desk: SlotDesk;
+    readonly running: RunningRequests;
+    readonly runner: AttemptRunner;
+    readonly isSessionValid: () => boolean;
+    readonly forgetFreeSlots: (entry: EntryId, service: string) => void;
+}
+
+/** Minions that may refuse one request before it is given up; a caller should not wait for a whole service that is down. */
+const refusalLimit = 3;
+/** Interval at which a waiting retry looks whether the earlier attempt has ended, in milliseconds. */
+const retryPollMs = 25;
+/** Time for which the answer of another entry host may be late after the deadline, in milliseconds. */
+const remoteGraceMs = 100;
+
+function createUnknown(request: CoordinatedRequest): ErrorData {
+    return { kind: "outcomeUnknown", subject: `request "${request.envelope.requestId}"` };
+}
+
+/** Errors of an attempt that tell the caller more than "outcome unknown". */
+function isSpecific(error: ErrorData): boolean {
+    return ["answerTruncated", "answerTooLarge", "deadlineExceeded"].includes(error.kind)
+        || (error.kind === "minionFailed" && error.status > 0);
+}
+
+/** Creates the loop of attempts; the retry budget is shared by all requests of this host. */
+export function createRunAttempts(context: EntryContext, parts: AttemptParts): RunAttempts {
+    const { requests, leases } = context.settings;
+    const { items, desk, running, runner } = parts;
+    const budget = createRetryBudget(requests.retryBudgetPercent, requests.retryMinPerSecond);
+    const leaseTimes = { leaseMarginMs, clockDriftPercent: leases.clockDriftPercent };
+
+    const isCoordinated = (request: CoordinatedRequest): boolean => {
+        const owned = items.findShard(request.shard.shard);
+        return owned !== undefined && owned.epoch === request.shard.epoch && !owned.releasing;
+    };
+
+    const runSpilled = Effect.fnUntraced(
+        function*(request: CoordinatedRequest, attempt: string, entry: EntryId, emit: EmitReply) {
+            const { envelope, shard, deadlineAtMs, runLeaseMs } = request;
+            const deadlineLeftMs = Math.max(1, deadlineAtMs - context.readNowMs());
+            const spill = {
+                kind: "spill",
+                envelope: { ...envelope, deadlineLeftMs },
+                attempt,
+                shard: shard.shard,
+                shardEpoch: shard.epoch,
+            } satisfies EntryRequest;
+            const limitMs = deadlineLeftMs + (envelope.idempotent ? remoteGraceMs : runLeaseMs);
+            const result = yield* runner.runRemote(entry, spill, limitMs, emit);
+            if (result.state !== "maybeRun") {
+                running.confirmEnd(attempt);
+            }
+            if (result.state === "notSent") {
+                parts.forgetFreeSlots(entry, envelope.service);
+            }
+            return result;
+        },
+    );
+
+    /** Notes the attempt with the latest end that it can have before it may be sent. */
+    const runAttempt = Effect.fnUntraced(
+        function*(request: CoordinatedRequest, slotRequest: SlotRequest, grant: SlotGrant, emit: EmitReply) {
+            const { envelope, deadlineAtMs, runLeaseMs } = request;
+            const { attempt, shard } = slotRequest;
+            // A spilled attempt may wait at the other host until the deadline before it starts.
+            const startsByMs = grant.kind === "own" ? context.readNowMs() + connectLimitMs : deadlineAtMs;
+            const endsAtMs = computeLeaseEndMs(startsByMs, runLeaseMs, leaseTimes);
+            const ref: AttemptRef = {
+                attempt,
+                minion: grant.kind === "own" ? grant.slot.ref.minion : "",
+                shard,
+                tenant: envelope.tenant,
+                requestId: envelope.requestId,
+                runLeaseLeftMs: runLeaseMs,
+            };
+            running.addAttempt(ref, endsAtMs);
+            const hasBeenSent = (): boolean => grant.kind === "spill" || grant.slot.state !== "notSent";
+            request.lastAttempt = { id: attempt, endsAtMs, hasBeenSent };
+            request.isUndecided = false;
+            const run = grant.kind === "own"
+                ? runner.runOwn(grant.slot, envelope, deadlineAtMs, emit)
+                : runSpilled(request, attempt, grant.entry, emit);
+            return yield* Effect.onExit(run, exit =>
+                Effect.sync(() => {
+                    request.isUndecided = true;
+                    request.mayHaveRun ||= Exit.isSuccess(exit) ? exit.value.state === "maybeRun" : hasBeenSent();
+                }));
+        },
+    );
+
+    const createSlotRequest = (request: CoordinatedRequest): SlotRequest => ({
+        envelope: request.envelope,
+        attempt: randomUUID(),
+        shard: request.shard.shard,
+        deadlineAtMs: request.deadlineAtMs,
+        runLeaseMs: request.runLeaseMs,
+        excludedMinions: request.excludedMinions,
+        canSpill: true,
+        canWait: true,
+    });
+
+    const createFailed = (request: CoordinatedRequest, result: FailedResult): FailedAttempt =>
+        result.state === "notSent"
+            ? { state: "notSent", reason: result.reason, retryAfterMs: noMinionRetryAfterMs }
+            : {
+                state: "maybeRun",
+                endsAtMs: request.lastAttempt?.endsAtMs ?? Number.POSITIVE_INFINITY,
+                answerBegun: result.answerBegun,
+            };
+
+    const awaitAttemptEnd = Effect.fnUntraced(function*(request: CoordinatedRequest, atMs: number) {
+        while (context.readNowMs() < atMs && running.hasAttempt(request.lastAttempt?.id ?? "")) {
+            if (!isCoordinated(request)) {
+                return yield* Effect.fail(createUnknown(request));
+            }
+            yield* Effect.sleep(retryPollMs);
+        }
+    });
+
+    /** Decides what follows a failed attempt: fails with the final error, or returns when the next may start. */
+    const prepareRetry = Effect.fnUntraced(function*(request: CoordinatedRequest, result: FailedResult) {
+        const { envelope, deadlineAtMs } = request;
+        const isMisrouted = result.state === "notSent" && result.failedMinion === undefined;
+        if (isMisrouted && parts.isSessionValid() && context.readNowMs() < deadlineAtMs) {
+            // The minion or the advertised slot went to another host; nothing failed, so the budget is not touched.
+            return;
+        }
+        const retryContext = {
+            requestId: envelope.requestId,
+            idempotent: envelope.idempotent,
+            deadlineAtMs,
+            serviceTimeMs: desk.serviceTimes.estimateTime(envelope.service),
+        };
+        const decision = decideRetry(createFailed(request, result), retryContext, budget, context.readNowMs());
+        if (decision.kind === "giveUp") {
+            const hasDetail = result.state === "maybeRun" && isSpecific(result.error);
+            return yield* Effect.fail(hasDetail ? result.error : decision.error);
+        }
+        context.metrics.countEvent("retries", envelope.tenant, envelope.class);
+        yield* awaitAttemptEnd(request, decision.atMs);
+    });
+
+    const runLoop = Effect.fnUntraced(function*(request: CoordinatedRequest, emit: EmitReply) {
+        budget.recordFirstAttempt(context.readNowMs());
+        let refusals = 0;
+        while (true) {
+            const slotRequest = createSlotRequest(request);
+            const result: AttemptResult = yield* desk.useSlot(
+                slotRequest,
+                grant => runAttempt(request, slotRequest, grant, emit),
+            );
+            if (result.state === "ran") {
+                return result;
+            }
+            if (result.state === "notSent" && result.failedMinion !== undefined) {
+                request.excludedMinions.add(result.failedMinion);
+                refusals += 1;
+            }
+            if (refusals >= refusalLimit) {
+                const retryAfterMs = noMinionRetryAfterMs;
+                return yield* Effect.fail<ErrorData>({ kind: "notRun", reason: "refusedByMinion", retryAfterMs });
+            }
+            yield* prepareRetry(request, result);
+            if (!isCoordinated(request)) {
+                const retryAfterMs = leases.sessionRenewMs;
+                return yield* Effect.fail<ErrorData>({ kind: "notRun", reason: "draining", retryAfterMs });
+            }
+        }
+    });
+
+    return (request, emit) =>
+        Effect.mapError(
+            runLoop(request, emit),
+            // A later attempt that was not run does not change that an earlier one may have run.
+            error => request.mayHaveRun && isCertainlyNotRun(error) ? createUnknown(request) : error,
+        );
+}
--- a/packages/entry/src/running-requests.ts
+++ b/packages/entry/src/running-requests.ts
@@ -18,11 +18,16 @@
     readonly addShard: (record: OwnershipRecord, shard: number) => void;
     /** Notes an attempt before it may be sent, so that it is named when its shard is handed over. */
     readonly addAttempt: (ref: AttemptRef, endsAtMs: number) => void;
-    /** Ends an attempt: its key is free again, and so is the shard of it. */
-    readonly confirmEnd: (attempt: string) => void;
+    /** Ends an attempt: a key that was held for it is free again. Returns the attempt when it was known. */
+    readonly confirmEnd: (attempt: string) => AttemptRef | undefined;
+    /** Whether an attempt may still run. */
+    readonly hasAttempt: (attempt: string) => boolean;
     readonly listAttempts: (shard: number) => readonly AttemptRef[];
 }
 
+/** Interval at which attempts whose run lease has ended are dropped, in milliseconds. */
+const sweepIntervalMs = 1_000;
+
 /** Creates an empty set. */
 export function createRunningRequests(context: EntryContext): RunningRequests {
     const { sessionTtlMs, sessionMarginMs, clockDriftPercent } = context.settings.leases;
@@ -33,6 +38,14 @@
         clockDriftPercent,
     });
     const attempts = new Map<string, CoordinatedAttempt>();
+    let nextSweepAtMs = 0;
+    const dropEnded = (nowMs: number): void => {
+        for (const [id, { endsAtMs }] of [...attempts]) {
+            if (endsAtMs <= nowMs) {
+                attempts.delete(id);
+            }
+        }
+    };
     return {
         registry,
         computeQuarantineMs: quarantine.computeLeftMs,
@@ -52,19 +65,23 @@
             }
         },
         addAttempt: (ref, endsAtMs) => {
+            const nowMs = context.readNowMs();
+            if (nowMs >= nextSweepAtMs) {
+                nextSweepAtMs = nowMs + sweepIntervalMs;
+                dropEnded(nowMs);
+            }
             attempts.set(ref.attempt, { ref, endsAtMs });
         },
         confirmEnd: attempt => {
+            const ref = attempts.get(attempt)?.ref;
             attempts.delete(attempt);
             registry.confirmEnd(attempt);
+            return ref;
         },
+        hasAttempt: attempt => attempts.has(attempt),
         listAttempts: shard => {
             const nowMs = context.readNowMs();
-            for (const [id, { endsAtMs }] of [...attempts]) {
-                if (endsAtMs <= nowMs) {
-                    attempts.delete(id);
-                }
-            }
+            dropEnded(nowMs);
             return [...attempts.values()]
                 .filter(({ ref }) => ref.shard === shard)
                 .map(({ ref, endsAtMs }) => ({ ...ref, runLeaseLeftMs: Math.max(0, Math.ceil(endsAtMs - nowMs)) }));
--- a/packages/entry/src/slot-desk.ts
+++ b/packages/entry/src/slot-desk.ts
@@ -24,7 +24,7 @@
     readonly shard: number;
     readonly deadlineAtMs: number;
     readonly runLeaseMs: number;
-    /** Minions that failed this request. */
+    /** Minions that failed this request; they are used only when there is no other. */
     readonly excludedMinions: ReadonlySet<string>;
     /** Whether the request may go to another entry host; one that came from there may not. */
     readonly canSpill: boolean;
@@ -230,9 +230,7 @@
         }
         const load = readLoad(request);
         const admitted = decideAdmission(load, request.deadlineAtMs - context.readNowMs());
-        if (admitted.isLeft()) {
-            return yield* Effect.fail(admitted.extract() as ErrorData);
-        }
+        yield* admitted.caseOf<Effect.Effect<unknown, ErrorData>>({ Left: Effect.fail, Right: Effect.succeed });
         if (!request.canWait) {
             const retryAfterMs = estimateRetryAfterMs(load);
             return yield* Effect.fail<ErrorData>({ kind: "notRun", reason: "queueFull", retryAfterMs });
@@ -267,9 +265,7 @@
                 waiting => nowMs + (serviceTimes.estimateTime(waiting.service) ?? 0) >= waiting.deadlineAtMs,
                 { kind: "notRun", reason: "deadlineExceeded", retryAfterMs: undefined },
             );
-            for (const minion of items.listAllMinions()) {
-                minion.slots.expireLeases(nowMs);
-            }
+            items.expireLeases(nowMs);
             for (const service of queue.listServices()) {
                 if (listUsable(service, nowMs).length === 0 && view.listMinions(service).length === 0) {
                     rejectAll(
--- /dev/null
+++ b/packages/entry/src/start-entry.ts
@@ -0,0 +1,191 @@
+import type { EntryReply, EntryRequest, ErrorData, ProcessSettings, RequestEnvelope } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { randomUUID } from "node:crypto";
+import { createAnnouncements } from "./announcements.js";
+import { createAttemptRunner } from "./attempt-runner.js";
+import { createCallerService } from "./caller-service.js";
+import { createControlClient } from "./control-client.js";
+import { createCoordinator, createSessionError } from "./coordinator.js";
+import { createDrain } from "./drain.js";
+import { createEntryContext, type EntryServices } from "./entry-context.js";
+import { createForwardedServices } from "./forwarded-services.js";
+import { createFreeSlots } from "./free-slots.js";
+import { createFreeSlotsSender } from "./free-slots-sender.js";
+import type { EntryHealth } from "./health.js";
+import { createOwnedItems } from "./owned-items.js";
+import type { OwnedMinion } from "./owned-minion.js";
+import { createOwnershipView } from "./ownership-view.js";
+import { createPeerHandler, createSpillServer, sendAttemptEnded } from "./peer-requests.js";
+import { createRequestRecords } from "./request-records.js";
+import { createRequestRouter } from "./request-router.js";
+import { getOrThrow, type RunCall } from "./rpc-errors.js";
+import { startRpcServer } from "./rpc-server.js";
+import { createRunAttempts } from "./run-attempts.js";
+import { createRunningRequests } from "./running-requests.js";
+import { type EntrySession, openSession } from "./session.js";
+import { createSlotDesk } from "./slot-desk.js";
+
+/** The running entry role. */
+export interface EntryApi {
+    /** IP number and port of the RPC server. */
+    readonly rpcAddress: string;
+    readonly readHealth: () => EntryHealth;
+    /** Refuses new requests, finishes those in progress and hands all items over. */
+    readonly drain: Effect.Effect<void>;
+}
+
+/** Interval at which deadlines of waiting requests and ended run leases are looked at, in milliseconds. */
+const sweepIntervalMs = 20;
+
+/** Starts the entry role; it stops when the scope closes. */
+export const startEntry = Effect.fnUntraced(function*(settings: ProcessSettings, services: EntryServices) {
+    const context = yield* createEntryContext(settings, services, randomUUID());
+    const runPromiseExit = Effect.runPromiseExitWith(yield* Effect.context<never>());
+    const runCall: RunCall = async (effect, signal) => getOrThrow(await runPromiseExit(effect, { signal }));
+
+    const view = createOwnershipView();
+    const control = createControlClient(context);
+    const running = createRunningRequests(context);
+    const records = createRequestRecords(context, control, view);
+    const freeSlots = createFreeSlots(settings.requests.freeSlotsIntervalMs);
+    let session: EntrySession | undefined;
+    const isSessionValid = (): boolean => session?.isValid(context.readNowMs()) === true;
+
+    const handleAttemptEnded = (attempt: string, minion: OwnedMinion): void => {
+        const { id } = minion.slots.getInfo();
+        const ref = running.confirmEnd(attempt);
+        spills.reportEnd(attempt, id);
+        if (items.findMinion(id) !== minion) {
+            items.findMinion(id)?.slots.confirmEnd(attempt);
+            sendAttemptEnded(context, view, channel, attempt, id, ref);
+        }
+        else if (ref !== undefined && ref.shard >= 0 && items.findShard(ref.shard) === undefined) {
+            sendAttemptEnded(context, view, channel, attempt, id, ref);
+        }
+    };
+    const items = createOwnedItems(context, view, {
+        handleShardGained: (record, shard) => running.addShard(record, shard),
+        handleMinionChanged: service => desk.serveQueue(service),
+        handleAttemptEnded,
+        listShardAttempts: shard => coordinator.listShardAttempts(shard),
+    });
+    const desk = createSlotDesk(
+        context,
+        view,
+        items,
+        freeSlots,
+        isSessionValid,
+        service => freeSlotsSender.sendOnChange(service),
+    );
+
+    const channel = context.link.openChannel<EntryRequest, EntryReply>(
+        "entry",
+        createPeerHandler(
+            context,
+            {
+                view,
+                desk,
+                running,
+                freeSlots,
+                isSessionValid,
+                runRequest: (envelope, deadlineAtMs, emit) => coordinator.runRequest(envelope, deadlineAtMs, emit),
+                handleAnnouncement: request => announcements.handleForwarded(request.announcement),
+                confirmEnd: (attempt, minion) => {
+                    running.confirmEnd(attempt);
+                    items.findMinion(minion)?.slots.confirmEnd(attempt);
+                },
+            },
+            () => spills,
+        ),
+    );
+    const runner = createAttemptRunner(context, { items, desk, channel, isSessionValid });
+    const spills = createSpillServer(context, { view, desk, runner, isSessionValid }, channel);
+    const freeSlotsSender = createFreeSlotsSender(context, view, items, desk, channel);
+    const runAttempts = createRunAttempts(context, {
+        items,
+        desk,
+        running,
+        runner,
+        isSessionValid,
+        forgetFreeSlots: freeSlots.forgetSlots,
+    });
+    const coordinator = createCoordinator(context, { view, items, running, records, runAttempts, isSessionValid });
+    const router = createRequestRouter(context, { view, items, coordinator, channel, isSessionValid });
+    const announcements = createAnnouncements(context, {
+        view,
+        items,
+        desk,
+        control,
+        channel,
+        renewNow: () => session?.renewNow(),
+    });
+
+    const openedSession = yield* openSession(context, control, view, {
+        handleOwnership: () => {
+            items.updateItems();
+            if (items.listReleased().length > 0) {
+                session?.renewNow();
+            }
+        },
+        listReleased: items.listReleased,
+    });
+    session = openedSession;
+    const drain = createDrain(context, {
+        view,
+        items,
+        desk,
+        coordinator,
+        spills,
+        session: openedSession,
+        isSessionValid,
+    });
+
+    const readHealth = (): EntryHealth => {
+        const configuration = openedSession.readConfiguration();
+        const reasons = [
+            ...(isSessionValid() ? [] : ["no valid session with the control leader"]),
+            ...(configuration === undefined ? ["no confirmed configuration"] : []),
+            ...(drain.isDraining() ? ["draining"] : []),
+        ];
+        return {
+            process: context.self,
+            ready: reasons.length === 0,
+            reasons,
+            configurationRevision: configuration?.revision ?? 0,
+            configurationConfirmed: configuration !== undefined && isSessionValid(),
+            leader: control.readLeader() ?? "",
+        };
+    };
+
+    /** Only the records tell whether an earlier send of a recorded request has run, so it is never reported as not run. */
+    const findRefusal = (envelope: RequestEnvelope): ErrorData | undefined => {
+        if (drain.isDraining()) {
+            return envelope.idempotent
+                ? { kind: "notRun", reason: "draining", retryAfterMs: settings.leases.sessionRenewMs }
+                : createSessionError(envelope, settings.leases.sessionRenewMs);
+        }
+        return isSessionValid() && openedSession.readConfiguration() !== undefined
+            ? undefined
+            : createSessionError(envelope, settings.leases.sessionTtlMs);
+    };
+
+    const server = yield* startRpcServer(context, {
+        caller: createCallerService(context, { router, runCall, findRefusal, trackRequest: drain.trackRequest }),
+        announcements,
+        forwarded: createForwardedServices(control, runCall),
+        runCall,
+        readHealth,
+    });
+    yield* Effect.forkScoped(freeSlotsSender.keepSending);
+    yield* Effect.forkScoped(Effect.forever(Effect.andThen(
+        Effect.sleep(sweepIntervalMs),
+        Effect.sync(() => {
+            desk.sweepQueue();
+            drain.decideReleasing();
+            announcements.removeSilent();
+        }),
+    )));
+
+    const api: EntryApi = { rpcAddress: server.address, readHealth, drain: drain.run(server.stopAccepting) };
+    return api;
+});
--- a/packages/route-requests/src/minion-slots.ts
+++ b/packages/route-requests/src/minion-slots.ts
@@ -1,10 +1,15 @@
 import type { AttemptRef, AttemptState, MinionAnnouncement, MinionInfo } from "@chestnutspool/types";
 
-/** How an owner came to own a minion; it decides what the owner knows about the slots in use. */
-export type OwnershipStart =
-    | { readonly kind: "registered"; }
-    | { readonly kind: "moved"; readonly attempts: readonly AttemptRef[]; }
-    | { readonly kind: "afterExpiry"; };
+/** What a new owner of a minion knows about the slots in use. */
+export interface OwnershipStart {
+    /**
+     * When the attempts are fully known: `atOnce` after a move from a live owner, `afterFirst` announcement of a minion
+     * that was registered, and `afterEpoch`, once the minion has seen the new epoch, after the last owner was lost.
+     */
+    readonly attemptsKnown: "atOnce" | "afterFirst" | "afterEpoch";
+    /** Attempts in progress that the last owner named. */
+    readonly attempts: readonly AttemptRef[];
+}
 
 /** Times of the accounting, in milliseconds. */
 export interface SlotTimes {
@@ -27,6 +32,10 @@
     readonly countHeld: () => number;
     /** Whether the minion takes new work once a slot is free. */
     readonly isUsable: (nowMs: number) => boolean;
+    /** Whether the minion was released or has left; no attempt may be sent any more. */
+    readonly isStopped: () => boolean;
+    /** Time since the last announcement, or since the ownership began, in milliseconds. */
+    readonly computeSilenceMs: (nowMs: number) => number;
     /** Takes a slot for an attempt; false when none is free. */
     readonly openAttempt: (attempt: AttemptRef, nowMs: number) => boolean;
     /** Starts the run lease of an attempt at its dispatch. */
@@ -85,8 +94,8 @@
     let info = initialInfo;
     const held = new Map<string, HeldAttempt>();
     /** False until an announcement shows what runs at the minion. */
-    let known = start.kind === "moved";
-    let heardAtMs: number | undefined = start.kind === "moved" ? startedAtMs : undefined;
+    let known = start.attemptsKnown === "atOnce";
+    let heardAtMs: number | undefined = known ? startedAtMs : undefined;
     let announcementCount = 0;
     let incarnation: string | undefined;
     let sequence = -1;
@@ -96,10 +105,8 @@
     const addForeign = (ref: AttemptRef, leaseEndsAtMs: number, listed: boolean): void => {
         held.set(ref.attempt, { ref, leaseEndsAtMs, open: false, listed, closedAtCount: announcementCount });
     };
-    if (start.kind === "moved") {
-        for (const ref of start.attempts) {
-            addForeign(ref, computeLeaseEndMs(startedAtMs, ref.runLeaseLeftMs, times), false);
-        }
+    for (const ref of start.attempts) {
+        addForeign(ref, computeLeaseEndMs(startedAtMs, ref.runLeaseLeftMs, times), false);
     }
 
     const endAttempt = (attempt: string): void => {
@@ -156,6 +163,8 @@
         countFree,
         countHeld: () => held.size,
         isUsable,
+        isStopped: () => stopped,
+        computeSilenceMs: nowMs => nowMs - (heardAtMs ?? startedAtMs),
         openAttempt: (ref, nowMs) => {
             if (countFree(nowMs) <= 0 || held.has(ref.attempt)) {
                 return false;
@@ -191,8 +200,12 @@
             sequence = announcement.sequence;
             announcementCount += 1;
             heardAtMs = nowMs;
-            stopped ||= announcement.leaving;
-            if (!known && (start.kind !== "afterExpiry" || announcement.highestEpoch >= epoch)) {
+            if (announcement.leaving) {
+                // A leave does not list attempts.
+                stopped = true;
+                return true;
+            }
+            if (!known && (start.attemptsKnown === "afterFirst" || announcement.highestEpoch >= epoch)) {
                 recordRunning(announcement.runningAttempts, nowMs);
             }
             updateHeld(new Set(announcement.runningAttempts));
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -140,7 +140,13 @@
     | { readonly kind: "answerHead"; readonly status: number; readonly minion: MinionId; }
     | { readonly kind: "answerChunk"; readonly bytes: Uint8Array; }
     | { readonly kind: "answerEnd"; readonly lengthBytes: number; readonly crc32: number; }
-    | { readonly kind: "announced"; readonly epoch: number; readonly acceptsWork: boolean; }
+    | {
+        readonly kind: "announced";
+        readonly epoch: number;
+        readonly acceptsWork: boolean;
+        /** Attempts that hold a slot of the minion. */
+        readonly attemptsInProgress: number;
+    }
     | { readonly kind: "accepted"; }
     | { readonly kind: "error"; readonly error: ErrorData; };
 
