--- a/packages/entry/src/check-request.ts
+++ b/packages/entry/src/check-request.ts
@@ -1,7 +1,7 @@
-import type { ErrorData, MinionAnnouncement, RequestEnvelope } from "@chestnutspool/types";
 import { type AnnounceRequest, RequestClass, type SubmitRequest } from "@chestnutspool/schema";
-import { type Either, Left, Right } from "purify-ts";
+import type { ErrorData, MinionAnnouncement, RequestEnvelope } from "@chestnutspool/types";
 import { isIP } from "node:net";
+import { type Either, Left, Right } from "purify-ts";
 
 /** Longest id of a request, tenant, service, minion or incarnation. */
 const idLengthLimit = 128;
@@ -17,14 +17,12 @@
 /** Longest text of a bad value that is repeated in an error. */
 const shownLength = 40;
 
-function createFault(field: string, seen: string | number, allowed: string): Left<ErrorData> {
+function createFault(field: string, seen: string | number, allowed: string): Either<ErrorData, never> {
     const text = String(seen);
     const shown = text.length > shownLength ? `${text.slice(0, shownLength)}...` : text;
-    return Left({ kind: "invalidArgument", field, seen: shown === "" ? "empty" : shown, allowed }) as Left<ErrorData>;
+    return Left({ kind: "invalidArgument", field, seen: shown === "" ? "empty" : shown, allowed });
 }
 
-type Left<Error> = Either<Error, never>;
-
 function checkId(field: string, value: string): Either<ErrorData, string> {
     return value.length > idLengthLimit || !idPattern.test(value)
         ? createFault(field, value, `1 to ${idLengthLimit} printable ASCII characters without spaces`)
@@ -53,15 +51,13 @@
 }
 
 function checkClass(value: RequestClass): Either<ErrorData, "urgent" | "standard"> {
-    switch (value) {
-        case RequestClass.URGENT:
-            return Right("urgent");
-        case RequestClass.STANDARD:
-        case RequestClass.UNSPECIFIED:
-            return Right("standard");
-        default:
-            return createFault("class", value, "0 (unspecified), 1 (urgent) or 2 (standard)");
+    if (value === RequestClass.URGENT) {
+        return Right("urgent");
     }
+    // The protocol passes on values that the schema does not name.
+    return value === RequestClass.STANDARD || value === RequestClass.UNSPECIFIED
+        ? Right("standard")
+        : createFault("class", value, "0 (unspecified), 1 (urgent) or 2 (standard)");
 }
 
 /** Checks a request of a caller; the request id stays empty when the caller gave none. */
@@ -115,19 +111,21 @@
         .chain(() => checkId("incarnation", request.incarnation))
         .chain(() => checkRunning(request.runningAttempts))
         .chain(() => checkSafe("sequence", request.sequence))
-        .chain(sequence => checkSafe("highest_epoch", request.highestEpoch).map(highestEpoch => ({
-            minion: {
-                id: request.minion,
-                service: request.service,
-                address: request.address,
-                availabilityZone: request.availabilityZone,
-                slots: request.slots,
-                connections: request.connections,
-            },
-            leaving: false,
-            runningAttempts: request.runningAttempts,
-            highestEpoch,
-            sequence,
-            incarnation: request.incarnation,
-        })));
+        .chain(sequence =>
+            checkSafe("highest_epoch", request.highestEpoch).map(highestEpoch => ({
+                minion: {
+                    id: request.minion,
+                    service: request.service,
+                    address: request.address,
+                    availabilityZone: request.availabilityZone,
+                    slots: request.slots,
+                    connections: request.connections,
+                },
+                leaving: false,
+                runningAttempts: request.runningAttempts,
+                highestEpoch,
+                sequence,
+                incarnation: request.incarnation,
+            }))
+        );
 }
--- a/packages/entry/src/rpc-server.ts
+++ b/packages/entry/src/rpc-server.ts
@@ -1,7 +1,7 @@
-import type { ServiceImpl } from "@connectrpc/connect";
-import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { CallerService, OperatorService, TargetService, WorkerService } from "@chestnutspool/schema";
 import type { ErrorData } from "@chestnutspool/types";
+import type { ServiceImpl } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { Effect } from "effect";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -80,16 +80,11 @@
                 });
             }
             return {
-                distributions: context.metrics.readDistributions().map(({ className, count, ...rest }) => ({
-                    ...rest,
-                    class: className,
-                    count: BigInt(count),
-                })),
-                counters: context.metrics.readCounters().map(({ className, value, ...rest }) => ({
-                    ...rest,
-                    class: className,
-                    value: BigInt(value),
+                distributions: context.metrics.readDistributions().map(each => ({
+                    ...each,
+                    count: BigInt(each.count),
                 })),
+                counters: context.metrics.readCounters().map(each => ({ ...each, value: BigInt(each.value) })),
             };
         },
     };
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -9,8 +9,8 @@
 import { createDrain } from "./drain.js";
 import { createEntryContext, type EntryServices } from "./entry-context.js";
 import { createForwardedServices } from "./forwarded-services.js";
-import { createFreeSlots } from "./free-slots.js";
 import { createFreeSlotsSender } from "./free-slots-sender.js";
+import { createFreeSlots } from "./free-slots.js";
 import type { EntryHealth } from "./health.js";
 import { createOwnedItems } from "./owned-items.js";
 import type { OwnedMinion } from "./owned-minion.js";
@@ -48,8 +48,8 @@
     const running = createRunningRequests(context);
     const records = createRequestRecords(context, control, view);
     const freeSlots = createFreeSlots(settings.requests.freeSlotsIntervalMs);
-    let session: EntrySession | undefined;
-    const isSessionValid = (): boolean => session?.isValid(context.readNowMs()) === true;
+    const opened: { session: EntrySession | undefined; } = { session: undefined };
+    const isSessionValid = (): boolean => opened.session?.isValid(context.readNowMs()) === true;
 
     const handleAttemptEnded = (attempt: string, minion: OwnedMinion): void => {
         const { id } = minion.slots.getInfo();
@@ -117,31 +117,31 @@
         desk,
         control,
         channel,
-        renewNow: () => session?.renewNow(),
+        renewNow: () => opened.session?.renewNow(),
     });
 
-    const openedSession = yield* openSession(context, control, view, {
+    const session = yield* openSession(context, control, view, {
         handleOwnership: () => {
             items.updateItems();
             if (items.listReleased().length > 0) {
-                session?.renewNow();
+                opened.session?.renewNow();
             }
         },
         listReleased: items.listReleased,
     });
-    session = openedSession;
+    opened.session = session;
     const drain = createDrain(context, {
         view,
         items,
         desk,
         coordinator,
         spills,
-        session: openedSession,
+        session,
         isSessionValid,
     });
 
     const readHealth = (): EntryHealth => {
-        const configuration = openedSession.readConfiguration();
+        const configuration = session.readConfiguration();
         const reasons = [
             ...(isSessionValid() ? [] : ["no valid session with the control leader"]),
             ...(configuration === undefined ? ["no confirmed configuration"] : []),
@@ -164,7 +164,7 @@
                 ? { kind: "notRun", reason: "draining", retryAfterMs: settings.leases.sessionRenewMs }
                 : createSessionError(envelope, settings.leases.sessionRenewMs);
         }
-        return isSessionValid() && openedSession.readConfiguration() !== undefined
+        return isSessionValid() && session.readConfiguration() !== undefined
             ? undefined
             : createSessionError(envelope, settings.leases.sessionTtlMs);
     };
