--- a/packages/entry/src/entry-context.ts
+++ b/packages/entry/src/entry-context.ts
@@ -1,8 +1,8 @@
 import { describeError } from "@chestnutspool/errors";
 import type { Logger } from "@chestnutspool/logger";
+import type { Metrics } from "@chestnutspool/record-metrics";
 import type { EntryId, ErrorData, PeerLink, ProcessSettings } from "@chestnutspool/types";
-import { Clock, Effect } from "effect";
-import type { EntryMetrics } from "./entry-metrics.js";
+import { Clock, Effect, type Scope } from "effect";
 
 /** What all parts of the entry role share. */
 export interface EntryContext {
@@ -12,9 +12,11 @@
     readonly incarnation: string;
     readonly link: PeerLink;
     readonly logger: Logger;
-    readonly metrics: EntryMetrics;
+    readonly metrics: Metrics;
     /** Monotonic time in milliseconds. */
     readonly readNowMs: () => number;
+    /** Scope of the entry role. */
+    readonly scope: Scope.Scope;
     /** Runs an effect in the background until the entry role stops. */
     readonly runInBackground: (effect: Effect.Effect<void, ErrorData>) => void;
 }
@@ -23,7 +25,7 @@
 export interface EntryServices {
     readonly link: PeerLink;
     readonly logger: Logger;
-    readonly metrics: EntryMetrics;
+    readonly metrics: Metrics;
 }
 
 const nanosecondsPerMillisecond = 1_000_000;
@@ -39,6 +41,7 @@
             settings,
             self: settings.process.id,
             incarnation,
+            scope,
             link: services.link,
             logger,
             metrics: services.metrics,
