--- /dev/null
+++ b/packages/replay-traces/src/placement/generate-parts.ts
@@ -0,0 +1,146 @@
+import type { JobSpec, Resources, ServiceSpec, WatchSpec } from "@chestnutspool/types";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { SlowdownTable, TaskTruth, TraceEvent } from "./trace.js";
+
+/** One minute in milliseconds. */
+export const minuteMs = 60_000;
+
+/** Workers of both users today: 32 cores and 125 GB. */
+const workerCapacity: Resources = { milliCpu: 32_000, memoryMib: 128_000, accelerators: 0 };
+
+/** Random source of a generator. */
+export interface Random {
+    /** A whole number from `least` to `most`. */
+    readonly takeInt: (least: number, most: number) => number;
+    /** A factor from 1/limit to limit, even on a logarithmic scale. */
+    readonly takeFactor: (limit: number) => number;
+}
+
+/** Creates the random source of a seed. */
+export function createRandom(seed: number): Random {
+    const generator = xoroshiro128plus(seed);
+    const takeInt = (least: number, most: number): number => uniformInt(generator, least, most);
+    return { takeInt, takeFactor: limit => limit ** (takeInt(-1000, 1000) / 1000) };
+}
+
+/**
+ * Slowdown in percent that one task of the second class adds to one of the first. Forecasts hurt plume checks, and
+ * price lists hurt stock checks, so that the best neighbours differ by service.
+ */
+export const slowdown: SlowdownTable = {
+    "plume-check": { "forecast": 30, "price-list": 5, "watch": 3, "plume-check": 2, "stock-check": 2 },
+    "stock-check": { "forecast": 6, "price-list": 20, "watch": 3, "plume-check": 2, "stock-check": 2 },
+    "forecast": { "forecast": 3, "price-list": 1, "plume-check": 2, "stock-check": 2 },
+    "price-list": { "forecast": 1, "price-list": 2, "plume-check": 2, "stock-check": 2 },
+    "watch": { "forecast": 5, "price-list": 5 },
+};
+
+/** The whole numbers from 0 up to the count. */
+export function listOrdinals(count: number): number[] {
+    return [...Array(count).keys()];
+}
+
+/** Racks of six workers in two availability zones in turn, as at Moreno Hermanos. */
+export function buildWorkers(racks: number, atMs = 0): Extract<TraceEvent, { kind: "worker"; }>[] {
+    const workersPerRack = 6;
+    return listOrdinals(racks * workersPerRack).map(ordinal => {
+        const rack = Math.floor(ordinal / workersPerRack);
+        return {
+            kind: "worker" as const,
+            atMs,
+            worker: `worker-${String(ordinal).padStart(2, "0")}`,
+            availabilityZone: `cuyo-${"ab"[rack % 2]}`,
+            rack: `rack-${rack}`,
+            capacity: workerCapacity,
+        };
+    });
+}
+
+/** A quota in cores, with 4 GB for each core. */
+export function buildQuota(tenant: string, cores: number): TraceEvent {
+    return {
+        kind: "tenant",
+        atMs: 0,
+        tenant,
+        quota: { milliCpu: cores * 1000, memoryMib: cores * 4000, accelerators: 0 },
+    };
+}
+
+function buildSize(cores: number): Resources {
+    return { milliCpu: cores * 1000, memoryMib: cores * 4000, accelerators: 0 };
+}
+
+/** What the generators choose for a piece of work. */
+export interface WorkChoice {
+    readonly name: string;
+    readonly tenant: string;
+    readonly interferenceClass: string;
+    readonly cores: number;
+    readonly atMs: number;
+    readonly tasks: number;
+    /** True size divided by the declared one. */
+    readonly sizeFactor?: number;
+    /** True run time divided by the declared one. */
+    readonly runFactor?: number;
+    readonly fails?: boolean;
+}
+
+function buildTruth(choice: WorkChoice, runMs: number | undefined): TaskTruth {
+    const factor = choice.sizeFactor ?? 1;
+    return {
+        runMs,
+        milliCpu: Math.round(choice.cores * 1000 * factor),
+        memoryMib: Math.round(choice.cores * 4000 * factor),
+        fails: choice.fails ?? false,
+    };
+}
+
+/** A service with its latency-critical tasks. */
+export function buildService(choice: WorkChoice): TraceEvent {
+    const { name, tenant, interferenceClass, cores, tasks, atMs } = choice;
+    const spec: ServiceSpec = {
+        kind: "service",
+        name,
+        tenant,
+        interferenceClass,
+        resources: buildSize(cores),
+        command: "",
+        replicas: tasks,
+        maxRunMs: 10_000,
+    };
+    return { kind: "work", atMs, spec, truth: buildTruth(choice, undefined) };
+}
+
+/** A job; the deadline is relative to its start. */
+export function buildJob(choice: WorkChoice, expectedRunMs: number, deadlineInMs: number | undefined): TraceEvent {
+    const { name, tenant, interferenceClass, cores, tasks, atMs } = choice;
+    const spec: JobSpec = {
+        kind: "job",
+        name,
+        tenant,
+        interferenceClass,
+        resources: buildSize(cores),
+        command: "",
+        tasks,
+        deadlineAtMs: deadlineInMs === undefined ? undefined : atMs + deadlineInMs,
+        expectedRunMs,
+        maxAttempts: 5,
+    };
+    return { kind: "work", atMs, spec, truth: buildTruth(choice, Math.round(expectedRunMs * (choice.runFactor ?? 1))) };
+}
+
+/** A watch with one task. */
+export function buildWatch(choice: WorkChoice): TraceEvent {
+    const { name, tenant, interferenceClass, cores, atMs } = choice;
+    const spec: WatchSpec = {
+        kind: "watch",
+        name,
+        tenant,
+        interferenceClass,
+        resources: buildSize(cores),
+        command: "",
+        checkpointIntervalMs: minuteMs,
+    };
+    return { kind: "work", atMs, spec, truth: buildTruth(choice, undefined) };
+}
--- /dev/null
+++ b/packages/replay-traces/src/placement/replay-trace.ts
@@ -0,0 +1,113 @@
+import type { PlacementDecision, Placer } from "@chestnutspool/place-tasks";
+import { advanceTasks, takeReports } from "./advance-tasks.js";
+import { computePercentile, countJobs, countMostWithin, type PlacementOutcome } from "./outcome.js";
+import { applyTraceEvent, createReplay, type Replay, traceStartMs } from "./replay.js";
+import type { Trace } from "./trace.js";
+
+/** Time between two passes of the replay in milliseconds. */
+const stepMs = 1_000;
+/** Interval and lag of the usage reports in milliseconds, as late as those of the platform may be. */
+const reportIntervalMs = 5_000;
+const reportLagMs = 4_000;
+/** Time after which a service should run, in milliseconds. */
+const serviceStartMs = 60_000;
+
+function applyDecision(replay: Replay, decision: PlacementDecision, nowMs: number): void {
+    const result = replay.applyCommand(decision, nowMs);
+    if (decision.kind === "requestEviction" && result.kind === "done") {
+        replay.evictionTimes.push(nowMs);
+    }
+}
+
+/** Measures how long tasks of services wait between the need for a start and the placement. */
+function recordWaits(replay: Replay, nowMs: number): void {
+    const { state } = replay.machine;
+    for (const id of state.pendingTasks) {
+        const task = state.tasks.get(id);
+        if (task !== undefined && state.works.get(task.work)?.spec.kind === "service" && task.notBeforeMs <= nowMs) {
+            replay.waitingSince.set(id, replay.waitingSince.get(id) ?? nowMs);
+        }
+    }
+    for (const [id, sinceMs] of replay.waitingSince) {
+        if (!state.pendingTasks.has(id)) {
+            replay.urgentWaits.push(nowMs - sinceMs);
+            replay.waitingSince.delete(id);
+        }
+    }
+}
+
+function recordServiceShares(replay: Replay, nowMs: number): void {
+    const { state } = replay.machine;
+    for (const { spec, createdAtMs } of state.works.values()) {
+        if (spec.kind !== "service" || nowMs - createdAtMs < serviceStartMs) {
+            continue;
+        }
+        let running = 0;
+        for (let ordinal = 0; ordinal < spec.replicas; ordinal += 1) {
+            running += state.tasks.get(`${spec.name}/${ordinal}`)?.phase === "running" ? 1 : 0;
+        }
+        replay.leastServiceShare = Math.min(replay.leastServiceShare, running / spec.replicas);
+    }
+}
+
+function exchangeReports(replay: Replay, placer: Placer, nowMs: number): void {
+    if ((nowMs - traceStartMs) % reportIntervalMs === 0) {
+        replay.late.push({ takenAtMs: nowMs, reports: takeReports(replay, reportLagMs) });
+    }
+    while (replay.late[0] !== undefined && replay.late[0].takenAtMs + reportLagMs <= nowMs) {
+        placer.recordReports(replay.late[0].reports, nowMs);
+        replay.late.shift();
+    }
+}
+
+function buildOutcome(replay: Replay): PlacementOutcome {
+    const { state } = replay.machine;
+    return {
+        slowdownP50: computePercentile(replay.slowdowns, 0.5),
+        slowdownP99: computePercentile(replay.slowdowns, 0.99),
+        urgentWaitP99Ms: computePercentile(replay.urgentWaits, 0.99),
+        urgentWaiting: replay.waitingSince.size,
+        leastServiceShare: replay.leastServiceShare,
+        ...countJobs(state),
+        batchCoreSeconds: Math.round(replay.keptCoreMs / 1000),
+        lostCoreSeconds: Math.round(replay.lostCoreMs / 1000),
+        evictions: replay.evictionTimes.length,
+        evictionsPerMinute: countMostWithin(replay.evictionTimes, 60_000),
+        wastedStarts: replay.wastedStarts,
+        impossible: [...state.tasks.values()].filter(task => task.phase === "impossible").map(task => ({
+            task: task.id,
+            reason: task.reason,
+            afterMs: (task.endedAtMs ?? 0) - task.createdAtMs,
+        })),
+        refused: replay.refused,
+    };
+}
+
+/** Replays a trace through a placer and the real state machine. The same trace and placer give the same outcome. */
+export function replayPlacementTrace(
+    trace: Trace,
+    placer: Placer,
+    observe?: (replay: Replay, nowMs: number) => void,
+): PlacementOutcome {
+    const replay = createReplay(trace.head);
+    let next = 0;
+    for (let nowMs = traceStartMs; nowMs <= traceStartMs + trace.head.durationMs; nowMs += stepMs) {
+        for (let event = trace.events[next]; event !== undefined; event = trace.events[next]) {
+            if (traceStartMs + event.atMs > nowMs) {
+                break;
+            }
+            applyTraceEvent(replay, event, nowMs);
+            next += 1;
+        }
+        advanceTasks(replay, nowMs, stepMs);
+        exchangeReports(replay, placer, nowMs);
+        recordWaits(replay, nowMs);
+        for (const decision of placer.planPlacements(replay.machine.state, nowMs)) {
+            applyDecision(replay, decision, nowMs);
+        }
+        recordWaits(replay, nowMs);
+        recordServiceShares(replay, nowMs);
+        observe?.(replay, nowMs);
+    }
+    return buildOutcome(replay);
+}
