--- a/packages/replay-traces/src/placement/outcome.ts
+++ b/packages/replay-traces/src/placement/outcome.ts
@@ -11,7 +11,7 @@
     readonly urgentWaiting: number;
     /** Least share of the tasks of any service that ran at one time, from a minute after its start on. */
     readonly leastServiceShare: number;
-    /** Tasks of jobs with a deadline, without those cancelled or impossible. */
+    /** Tasks of jobs whose deadline lies within the trace, without those cancelled or impossible. */
     readonly dueTasks: number;
     readonly doneByDeadline: number;
     /** All tasks of jobs that succeeded. */
@@ -51,7 +51,7 @@
 }
 
 /** Counts of jobs at the end of a replay. */
-export function countJobs(state: ClusterState) {
+export function countJobs(state: ClusterState, endMs: number) {
     let dueTasks = 0;
     let doneByDeadline = 0;
     let batchDone = 0;
@@ -62,7 +62,7 @@
         }
         const succeeded = task.phase === "succeeded";
         batchDone += succeeded ? 1 : 0;
-        if (spec.deadlineAtMs !== undefined) {
+        if (spec.deadlineAtMs !== undefined && spec.deadlineAtMs <= endMs) {
             dueTasks += 1;
             doneByDeadline += succeeded && (task.endedAtMs ?? Infinity) <= spec.deadlineAtMs ? 1 : 0;
         }
--- a/packages/replay-traces/src/placement/replay-trace.ts
+++ b/packages/replay-traces/src/placement/replay-trace.ts
@@ -60,7 +60,7 @@
     }
 }
 
-function buildOutcome(replay: Replay): PlacementOutcome {
+function buildOutcome(replay: Replay, endMs: number): PlacementOutcome {
     const { state } = replay.machine;
     return {
         slowdownP50: computePercentile(replay.slowdowns, 0.5),
@@ -68,7 +68,7 @@
         urgentWaitP99Ms: computePercentile(replay.urgentWaits, 0.99),
         urgentWaiting: replay.waitingSince.size,
         leastServiceShare: replay.leastServiceShare,
-        ...countJobs(state),
+        ...countJobs(state, endMs),
         batchCoreSeconds: Math.round(replay.keptCoreMs / 1000),
         lostCoreSeconds: Math.round(replay.lostCoreMs / 1000),
         evictions: replay.evictionTimes.length,
@@ -91,7 +91,8 @@
 ): PlacementOutcome {
     const replay = createReplay(trace.head);
     let next = 0;
-    for (let nowMs = traceStartMs; nowMs <= traceStartMs + trace.head.durationMs; nowMs += stepMs) {
+    const endMs = traceStartMs + trace.head.durationMs;
+    for (let nowMs = traceStartMs; nowMs <= endMs; nowMs += stepMs) {
         for (let event = trace.events[next]; event !== undefined; event = trace.events[next]) {
             if (traceStartMs + event.atMs > nowMs) {
                 break;
@@ -109,5 +110,5 @@
         recordServiceShares(replay, nowMs);
         observe?.(replay, nowMs);
     }
-    return buildOutcome(replay);
+    return buildOutcome(replay, endMs);
 }
