Order batch work by the slack to its deadline

First fit took jobs in the order of arrival, so that jobs with time to spare went before urgent ones.

Works are sorted by class and slack; the expected run time is the declared one corrected by observed runs of the work and, pooled, of its interference class.

--- a/packages/place-tasks/src/placer.ts
+++ b/packages/place-tasks/src/placer.ts
@@ -1,7 +1,15 @@
-import { type ClusterState, findShortage, type PlacementSection, type Resources } from "@chestnutspool/types";
+import {
+    type ClusterState,
+    findShortage,
+    type PlacementSection,
+    type Resources,
+    type TaskId,
+} from "@chestnutspool/types";
 import type { PlacementDecision, Placer } from "./decision.js";
 import { createInFlightDecisions } from "./in-flight.js";
+import { sortPendingWorks } from "./order-works.js";
 import { listPendingWorks, type PendingWork } from "./pending.js";
+import { createRunTimeModel } from "./run-time-model.js";
 import { createSetAsidePolicy, isWorkerUsable } from "./set-aside.js";
 import { addSeatedTask, buildSeatedTask, createWorkerViews, hasRoom, type WorkerView } from "./worker-views.js";
 
@@ -46,11 +54,19 @@
     const inFlight = createInFlightDecisions();
     const workerViews = createWorkerViews();
     const setAside = createSetAsidePolicy();
+    const runTimes = createRunTimeModel();
+    const observeLeft = (state: ClusterState) => (id: TaskId): void => {
+        const task = state.tasks.get(id);
+        const spec = task === undefined ? undefined : state.works.get(task.work)?.spec;
+        if (task?.phase === "succeeded" && spec?.kind === "job") {
+            runTimes.observeRun(spec, task);
+        }
+    };
     return {
         recordReports: () => {},
         planPlacements: (state, nowMs) => {
             const dropped = inFlight.dropSettled(state, nowMs);
-            workerViews.updateViews(state, inFlight.listPlacements(), dropped);
+            workerViews.updateViews(state, inFlight.listPlacements(), dropped, observeLeft(state));
             const decisions: PlacementDecision[] = [...setAside.planSetAside(state, inFlight, nowMs)];
             const excluded = new Set(
                 decisions.flatMap(decision => decision.kind === "setAsideWorker" ? [decision.worker] : []),
@@ -58,8 +74,7 @@
             const usable = workerViews.listViews().filter(({ record }) =>
                 !excluded.has(record.id) && !inFlight.hasWorker(record.id)
             );
-            const works = listPendingWorks(state, inFlight, nowMs);
-            works.sort((left, right) => Number(right.spec.kind === "service") - Number(left.spec.kind === "service"));
+            const works = sortPendingWorks(listPendingWorks(state, inFlight, nowMs), runTimes, nowMs);
             for (const pending of works) {
                 const shortage = findImpossibleResource(state, pending.spec.resources);
                 decisions.push(
--- /dev/null
+++ b/packages/place-tasks/src/run-time-model.ts
@@ -0,0 +1,60 @@
+import type { JobSpec, TaskRecord } from "@chestnutspool/types";
+
+/** Weight of the declared run time, in observed runs, before its class and its work have their own figures. */
+const priorRuns = 2;
+/** Share by which an older run counts less than the next one, so that the model follows changes. */
+const decay = 0.95;
+/** Works that the model remembers; the oldest are forgotten first. */
+const workLimit = 20_000;
+
+/** Decaying mean of the logarithm of observed over declared run time. */
+interface RatioMean {
+    weight: number;
+    mean: number;
+}
+
+/** Learns how far declared run times are off, by work and pooled by interference class. */
+export interface RunTimeModel {
+    readonly observeRun: (spec: JobSpec, task: TaskRecord) => void;
+    /** Expected run time of a task in milliseconds. */
+    readonly estimateRunMs: (spec: JobSpec) => number;
+}
+
+function addRatio(known: RatioMean | undefined, ratio: number): RatioMean {
+    const weight = (known?.weight ?? 0) * decay + 1;
+    const mean = known?.mean ?? 0;
+    return { weight, mean: mean + (ratio - mean) / weight };
+}
+
+/** Mean of the figures with a prior that counts as `priorRuns` runs. */
+function blendRatio(known: RatioMean | undefined, prior: number): number {
+    return known === undefined
+        ? prior
+        : (known.mean * known.weight + prior * priorRuns) / (known.weight + priorRuns);
+}
+
+/** Creates a model that trusts declarations. */
+export function createRunTimeModel(): RunTimeModel {
+    const byWork = new Map<string, RatioMean>();
+    const byClass = new Map<string, RatioMean>();
+    return {
+        observeRun: (spec, task) => {
+            if (task.startedAtMs === undefined || task.endedAtMs === undefined) {
+                return;
+            }
+            const ratio = Math.log(Math.max(1, task.endedAtMs - task.startedAtMs) / Math.max(1, spec.expectedRunMs));
+            const known = byWork.get(spec.name);
+            byWork.delete(spec.name);
+            byWork.set(spec.name, addRatio(known, ratio));
+            byClass.set(spec.interferenceClass, addRatio(byClass.get(spec.interferenceClass), ratio));
+            const oldest = byWork.size > workLimit ? byWork.keys().next().value : undefined;
+            if (oldest !== undefined) {
+                byWork.delete(oldest);
+            }
+        },
+        estimateRunMs: spec => {
+            const pooled = blendRatio(byClass.get(spec.interferenceClass), 0);
+            return spec.expectedRunMs * Math.exp(blendRatio(byWork.get(spec.name), pooled));
+        },
+    };
+}
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -31,10 +31,12 @@
 
 /** Views of all workers, rebuilt only where the record of the worker has changed. */
 export interface WorkerViews {
+    /** Brings the views up to date; `observeLeft` gets each task that no longer occupies the worker it was on. */
     readonly updateViews: (
         state: ClusterState,
         placements: readonly Extract<PlacementDecision, { kind: "placeTask"; }>[],
         dropped: readonly PlacementDecision[],
+        observeLeft: (task: TaskId) => void,
     ) => void;
     readonly listViews: () => readonly WorkerView[];
     readonly findView: (worker: WorkerId) => WorkerView | undefined;
@@ -94,6 +96,10 @@
     };
 }
 
+function listLeft(previous: WorkerView | undefined, present: WorkerView): TaskId[] {
+    return [...previous?.seated.keys() ?? []].filter(task => !present.seated.has(task));
+}
+
 /** Creates views without workers. */
 export function createWorkerViews(): WorkerViews {
     const views = new Map<WorkerId, WorkerView>();
@@ -115,13 +121,16 @@
     }
 
     return {
-        updateViews: (state, placements, dropped) => {
+        updateViews: (state, placements, dropped, observeLeft) => {
             const rebuilt = new Set<WorkerId>();
             const stale = new Set(dropped.flatMap(decision => decision.kind === "placeTask" ? [decision.worker] : []));
             let changed = false;
             for (const record of state.workers.values()) {
-                if (views.get(record.id)?.record !== record || stale.has(record.id)) {
-                    views.set(record.id, buildView(state, record));
+                const previous = views.get(record.id);
+                if (previous?.record !== record || stale.has(record.id)) {
+                    const view = buildView(state, record);
+                    views.set(record.id, view);
+                    listLeft(previous, view).forEach(observeLeft);
                     rebuilt.add(record.id);
                     changed = true;
                 }
