Keep quotas, lend unused shares and take them back

A tenant could fill the cluster, and urgent tasks waited until batch work ended by itself.

Tasks are placed in four tiers: urgent within quota, urgent beyond it, batch within quota, batch beyond it; borrowers take turns by what they have borrowed. A task that is entitled to space and finds none claims a worker and evicts the borrowed batch work that loses least, within the eviction budget; a batch task waits 10 s for space that comes free by itself. An urgent task may also displace batch work of its own tenant.

Kept: guaranteed shares and urgent starts come first.

--- /dev/null
+++ b/packages/place-tasks/src/pass.ts
@@ -0,0 +1,59 @@
+import type { ClusterState, PlacementSection, Resources, TaskId } from "@chestnutspool/types";
+import type { Claims } from "./claims.js";
+import type { PlacementDecision } from "./decision.js";
+import type { EvictionBudget } from "./eviction-budget.js";
+import type { InFlightDecisions } from "./in-flight.js";
+import type { RunTimeModel } from "./run-time-model.js";
+import type { TenantShares } from "./tenant-shares.js";
+import { findTaskClass, type SeatedTask, type WorkerView, type WorkerViews } from "./worker-views.js";
+
+/** What the placer keeps between passes. */
+export interface PlacerMemory {
+    readonly settings: PlacementSection;
+    readonly inFlight: InFlightDecisions;
+    readonly views: WorkerViews;
+    readonly claims: Claims;
+    readonly budget: EvictionBudget;
+    readonly runTimes: RunTimeModel;
+}
+
+/** One pass of the placer. */
+export interface Pass {
+    readonly memory: PlacerMemory;
+    readonly state: ClusterState;
+    readonly nowMs: number;
+    /** Workers that may take a task in this pass. */
+    readonly usable: readonly WorkerView[];
+    readonly shares: TenantShares;
+    readonly addDecision: (decision: PlacementDecision) => void;
+}
+
+/** Whether a task counts as urgent. */
+export function isUrgent(task: SeatedTask): boolean {
+    return findTaskClass(task.kind) === "latencyCritical";
+}
+
+/** Whether a worker has room for a task beside the claims of others. */
+export function hasRoomFor(pass: Pass, view: WorkerView, task: SeatedTask): boolean {
+    const claim = pass.memory.claims.findByWorker(view.record.id);
+    const binds = claim !== undefined && claim.task !== task.id && (claim.urgent || !isUrgent(task));
+    return hasAmount(view.free, task.resources, binds ? claim.resources : undefined);
+}
+
+function hasAmount(free: Resources, wanted: Resources, claimed: Resources | undefined): boolean {
+    return wanted.milliCpu <= free.milliCpu - (claimed?.milliCpu ?? 0)
+        && wanted.memoryMib <= free.memoryMib - (claimed?.memoryMib ?? 0)
+        && wanted.accelerators <= free.accelerators - (claimed?.accelerators ?? 0);
+}
+
+/** Requests the end of a running attempt within the budget; false when the budget is used up. */
+export function evictTask(pass: Pass, task: TaskId, reason: string): boolean {
+    const record = pass.state.tasks.get(task);
+    if (record === undefined || pass.memory.budget.countLeft() === 0) {
+        return false;
+    }
+    pass.memory.budget.recordEviction(pass.nowMs);
+    pass.shares.addReturn(record.tenant, record.charged);
+    pass.addDecision({ kind: "requestEviction", task, token: record.token, reason });
+    return true;
+}
--- /dev/null
+++ b/packages/place-tasks/src/place-pending.ts
@@ -0,0 +1,130 @@
+import { resourceNames, type Resources, type TaskRecord } from "@chestnutspool/types";
+import { chooseWorker } from "./choose-worker.js";
+import { isUrgent, type Pass } from "./pass.js";
+import type { PendingWork } from "./pending.js";
+import { reclaimSpace } from "./reclaim.js";
+import { addSeatedTask, buildSeatedTask, findTaskClass, type SeatedTask } from "./worker-views.js";
+
+/** Tasks for which a pass takes back space at most; clearing a worker looks at all of its tasks. */
+const reclaimsPerPass = 4;
+/** Time that a batch task waits for space that comes free by itself before it takes some back, in milliseconds. */
+const batchPatienceMs = 10_000;
+
+interface Waiting {
+    readonly task: TaskRecord;
+    readonly seated: SeatedTask;
+}
+
+/** Sizes that did not fit anywhere in this pass, by class; what is at least as large need not be tried. */
+interface FailedSizes {
+    readonly urgent: Resources[];
+    readonly batch: Resources[];
+}
+
+function isAtLeast(left: Resources, right: Resources): boolean {
+    return resourceNames.every(name => left[name] >= right[name]);
+}
+
+/** Places a task if it fits. */
+function placeTask(pass: Pass, { task, seated }: Waiting, failed: FailedSizes): boolean {
+    const sizes = isUrgent(seated) ? failed.urgent : failed.batch;
+    const hasClaim = pass.memory.claims.findByTask(task.id) !== undefined;
+    if (!hasClaim && sizes.some(size => isAtLeast(seated.resources, size))) {
+        return false;
+    }
+    const view = chooseWorker(pass, seated);
+    if (view === undefined) {
+        sizes.push(seated.resources);
+        return false;
+    }
+    pass.memory.claims.removeClaim(task.id);
+    addSeatedTask(view, seated);
+    pass.shares.addUse(seated.tenant, seated.resources);
+    pass.addDecision({ kind: "placeTask", task: task.id, worker: view.record.id, previousToken: task.token });
+    return true;
+}
+
+function listWaiting(works: readonly PendingWork[]): Waiting[] {
+    return works.flatMap(({ spec, tasks }) =>
+        tasks.map(task => ({ task, seated: buildSeatedTask(task.id, spec, spec.resources) }))
+    );
+}
+
+/** Places what stays within the quotas; returns the tasks that would borrow and those that found no room. */
+function placeWithinQuota(pass: Pass, waiting: readonly Waiting[], failed: FailedSizes) {
+    const borrowers: Waiting[] = [];
+    const unplaced: Waiting[] = [];
+    for (const item of waiting) {
+        if (!pass.shares.isWithinQuota(item.seated.tenant, item.seated.resources)) {
+            borrowers.push(item);
+        }
+        else if (!placeTask(pass, item, failed)) {
+            unplaced.push(item);
+        }
+    }
+    return { borrowers, unplaced };
+}
+
+/** Places borrowing tasks, always of the tenant that would have borrowed least; returns those that found no room. */
+function placeBorrowers(pass: Pass, waiting: readonly Waiting[], failed: FailedSizes): Waiting[] {
+    const queues = new Map<string, Waiting[]>();
+    for (const item of [...waiting].reverse()) {
+        const queue = queues.get(item.seated.tenant) ?? [];
+        queue.push(item);
+        queues.set(item.seated.tenant, queue);
+    }
+    const unplaced: Waiting[] = [];
+    while (queues.size > 0) {
+        let chosen: { readonly tenant: string; readonly queue: Waiting[]; readonly borrowed: number; } | undefined;
+        for (const [tenant, queue] of queues) {
+            const next = queue.at(-1);
+            const borrowed = next === undefined ? Infinity : pass.shares.computeBorrowed(tenant, next.seated.resources);
+            if (chosen === undefined || borrowed < chosen.borrowed) {
+                chosen = { tenant, queue, borrowed };
+            }
+        }
+        const item = chosen?.queue.pop();
+        if (chosen === undefined || item === undefined) {
+            break;
+        }
+        if (chosen.queue.length === 0) {
+            queues.delete(chosen.tenant);
+        }
+        if (!placeTask(pass, item, failed)) {
+            unplaced.push(item);
+        }
+    }
+    return unplaced;
+}
+
+function reclaimFor(pass: Pass, waiting: readonly Waiting[]): void {
+    let left = reclaimsPerPass;
+    for (const { task, seated } of waiting) {
+        const patient = !isUrgent(seated)
+            && pass.nowMs - Math.max(task.createdAtMs, task.endedAtMs ?? 0, task.notBeforeMs) < batchPatienceMs;
+        if (left === 0 || pass.memory.budget.countLeft() === 0) {
+            return;
+        }
+        if (!patient && pass.memory.claims.findByTask(task.id) === undefined) {
+            reclaimSpace(pass, seated);
+            left -= 1;
+        }
+    }
+}
+
+/**
+ * Places the pending works, which are sorted by urgency, in four tiers: urgent tasks within the quota of their tenant,
+ * urgent tasks beyond it, batch tasks within it, batch tasks beyond it. Then takes back space for urgent tasks and for
+ * batch tasks within their quota that found no room.
+ */
+export function placePending(pass: Pass, works: readonly PendingWork[]): void {
+    const failed: FailedSizes = { urgent: [], batch: [] };
+    const listClass = (name: "latencyCritical" | "batch"): Waiting[] =>
+        listWaiting(works.filter(({ spec }) => findTaskClass(spec.kind) === name));
+    const urgent = placeWithinQuota(pass, listClass("latencyCritical"), failed);
+    const urgentBorrowers = placeBorrowers(pass, urgent.borrowers, failed);
+    reclaimFor(pass, [...urgent.unplaced, ...urgentBorrowers]);
+    const batch = placeWithinQuota(pass, listClass("batch"), failed);
+    reclaimFor(pass, batch.unplaced);
+    placeBorrowers(pass, batch.borrowers, failed);
+}
--- a/packages/place-tasks/src/placer.ts
+++ b/packages/place-tasks/src/placer.ts
@@ -1,92 +1,76 @@
-import {
-    type ClusterState,
-    findShortage,
-    type PlacementSection,
-    type Resources,
-    type TaskId,
-} from "@chestnutspool/types";
+import type { ClusterState, PlacementSection, TaskId } from "@chestnutspool/types";
+import { createClaims } from "./claims.js";
 import type { PlacementDecision, Placer } from "./decision.js";
+import { createEvictionBudget } from "./eviction-budget.js";
 import { createInFlightDecisions } from "./in-flight.js";
 import { sortPendingWorks } from "./order-works.js";
-import { listPendingWorks, type PendingWork } from "./pending.js";
+import type { Pass, PlacerMemory } from "./pass.js";
+import { listPendingWorks } from "./pending.js";
+import { placePending } from "./place-pending.js";
+import { rejectImpossible } from "./reject-impossible.js";
 import { createRunTimeModel } from "./run-time-model.js";
-import { createSetAsidePolicy, isWorkerUsable } from "./set-aside.js";
-import { addSeatedTask, buildSeatedTask, createWorkerViews, hasRoom, type WorkerView } from "./worker-views.js";
+import { createSetAsidePolicy } from "./set-aside.js";
+import { createTenantShares } from "./tenant-shares.js";
+import { createWorkerViews } from "./worker-views.js";
 
-/** The resource of which no registered worker has enough for the task; undefined when some worker could hold it. */
-function findImpossibleResource(state: ClusterState, wanted: Resources): keyof Resources | undefined {
-    let shortage: keyof Resources | undefined;
-    for (const worker of state.workers.values()) {
-        const found = findShortage(wanted, worker.capacity);
-        if (found === undefined) {
-            return undefined;
-        }
-        shortage = found;
+function observeEndedTask(memory: PlacerMemory, state: ClusterState, id: TaskId): void {
+    const task = state.tasks.get(id);
+    const spec = task === undefined ? undefined : state.works.get(task.work)?.spec;
+    if (task?.phase === "succeeded" && spec?.kind === "job") {
+        memory.runTimes.observeRun(spec, task);
     }
-    return shortage;
-}
-
-function planRejections(pending: PendingWork, shortage: keyof Resources): PlacementDecision[] {
-    const wanted = pending.spec.resources[shortage];
-    const reason = `needs ${wanted} ${shortage}, which no registered worker offers`;
-    return pending.tasks.filter(task => task.token === 0)
-        .map(task => ({ kind: "rejectTask", task: task.id, reason }));
 }
 
-function planFirstFit(
-    pending: PendingWork,
-    views: readonly WorkerView[],
-): PlacementDecision[] {
-    const decisions: PlacementDecision[] = [];
-    for (const task of pending.tasks) {
-        const view = views.find(candidate => isWorkerUsable(candidate) && hasRoom(candidate, pending.spec.resources));
-        if (view === undefined) {
-            break;
+/** Brings the memory up to date with the state and opens a pass. */
+function openPass(memory: PlacerMemory, state: ClusterState, nowMs: number, decisions: PlacementDecision[]): Pass {
+    const { inFlight, views, claims, budget } = memory;
+    const dropped = inFlight.dropSettled(state, nowMs);
+    const placements = inFlight.listPlacements();
+    views.updateViews(state, placements, dropped, id => observeEndedTask(memory, state, id));
+    claims.updateClaims(state, nowMs);
+    budget.updateBudget(state, nowMs);
+    const shares = createTenantShares(state);
+    for (const { task } of placements) {
+        const spec = state.works.get(state.tasks.get(task)?.work ?? "")?.spec;
+        if (spec !== undefined) {
+            shares.addUse(spec.tenant, spec.resources);
         }
-        addSeatedTask(view, buildSeatedTask(task.id, pending.spec, pending.spec.resources));
-        decisions.push({ kind: "placeTask", task: task.id, worker: view.record.id, previousToken: task.token });
     }
-    return decisions;
+    return {
+        memory,
+        state,
+        nowMs,
+        usable: views.listViews().filter(({ record }) => !inFlight.hasWorker(record.id)),
+        shares,
+        addDecision: decision => {
+            decisions.push(decision);
+            inFlight.addDecision(decision, nowMs);
+        },
+    };
 }
 
 /** Creates a placer with empty memory. */
-export const createPlacer: (settings: PlacementSection) => Placer = () => {
-    const inFlight = createInFlightDecisions();
-    const workerViews = createWorkerViews();
-    const setAside = createSetAsidePolicy();
-    const runTimes = createRunTimeModel();
-    const observeLeft = (state: ClusterState) => (id: TaskId): void => {
-        const task = state.tasks.get(id);
-        const spec = task === undefined ? undefined : state.works.get(task.work)?.spec;
-        if (task?.phase === "succeeded" && spec?.kind === "job") {
-            runTimes.observeRun(spec, task);
-        }
+export function createPlacer(settings: PlacementSection): Placer {
+    const memory: PlacerMemory = {
+        settings,
+        inFlight: createInFlightDecisions(),
+        views: createWorkerViews(),
+        claims: createClaims(),
+        budget: createEvictionBudget(settings.evictionsPerMinute),
+        runTimes: createRunTimeModel(),
     };
+    const setAside = createSetAsidePolicy();
     return {
         recordReports: () => {},
         planPlacements: (state, nowMs) => {
-            const dropped = inFlight.dropSettled(state, nowMs);
-            workerViews.updateViews(state, inFlight.listPlacements(), dropped, observeLeft(state));
-            const decisions: PlacementDecision[] = [...setAside.planSetAside(state, inFlight, nowMs)];
-            const excluded = new Set(
-                decisions.flatMap(decision => decision.kind === "setAsideWorker" ? [decision.worker] : []),
-            );
-            const usable = workerViews.listViews().filter(({ record }) =>
-                !excluded.has(record.id) && !inFlight.hasWorker(record.id)
-            );
-            const works = sortPendingWorks(listPendingWorks(state, inFlight, nowMs), runTimes, nowMs);
-            for (const pending of works) {
-                const shortage = findImpossibleResource(state, pending.spec.resources);
-                decisions.push(
-                    ...shortage === undefined
-                        ? planFirstFit(pending, usable)
-                        : planRejections(pending, shortage),
-                );
-            }
-            for (const decision of decisions) {
-                inFlight.addDecision(decision, nowMs);
-            }
+            const decisions: PlacementDecision[] = [];
+            const pass = openPass(memory, state, nowMs, decisions);
+            const changed = setAside.planSetAside(state, memory.inFlight, nowMs);
+            changed.forEach(pass.addDecision);
+            const usable = pass.usable.filter(({ record }) => !memory.inFlight.hasWorker(record.id));
+            const works = rejectImpossible(pass, listPendingWorks(state, memory.inFlight, nowMs));
+            placePending({ ...pass, usable }, sortPendingWorks(works, memory.runTimes, nowMs));
             return decisions;
         },
     };
-};
+}
--- /dev/null
+++ b/packages/place-tasks/src/reclaim.ts
@@ -0,0 +1,115 @@
+import {
+    addResources,
+    findShortage,
+    type Resources,
+    subtractResources,
+    type TaskRecord,
+    type WorkSpec,
+} from "@chestnutspool/types";
+import { evictTask, isUrgent, type Pass } from "./pass.js";
+import { isWorkerUsable } from "./set-aside.js";
+import { findTaskClass, type SeatedTask, type WorkerView } from "./worker-views.js";
+
+/** Loss of an eviction beside the work done, in milliseconds of run time: stop, wait and start. */
+const evictionOverheadMs = 10_000;
+/** Additional loss for each earlier eviction of a task, in milliseconds, so that the same task is not hit again. */
+const repeatedEvictionMs = 60_000;
+/** Share of the checkpoint interval that a watch loses when it is asked for a checkpoint before it stops. */
+const watchLossShare = 0.1;
+
+interface Victim {
+    readonly task: TaskRecord;
+    readonly loss: number;
+}
+
+interface ReclaimChoice {
+    readonly view: WorkerView;
+    readonly victims: readonly Victim[];
+    readonly loss: number;
+}
+
+/** Core milliseconds that an eviction of the task loses. */
+export function estimateEvictionLoss(task: TaskRecord, spec: WorkSpec, nowMs: number): number {
+    const ranMs = task.startedAtMs === undefined ? 0 : Math.max(0, nowMs - task.startedAtMs);
+    const lostMs = spec.kind === "watch" && task.checkpoint !== undefined
+        ? Math.min(ranMs, spec.checkpointIntervalMs * watchLossShare)
+        : ranMs;
+    const overheadMs = evictionOverheadMs + repeatedEvictionMs * task.evictions;
+    return (lostMs + overheadMs) * Math.max(1, task.charged.milliCpu) / 1000;
+}
+
+/** Whether the claimant may take back the space of a task: borrowed batch work, or batch work of its own tenant. */
+function findVictim(pass: Pass, seated: SeatedTask, claimant: SeatedTask): Victim | undefined {
+    const task = pass.state.tasks.get(seated.id);
+    const spec = pass.state.works.get(seated.work)?.spec;
+    const running = task?.phase === "running" || task?.phase === "starting";
+    if (task === undefined || spec === undefined || !running || pass.memory.inFlight.hasTask(task.id)) {
+        return undefined;
+    }
+    const allowed = findTaskClass(spec.kind) === "batch"
+        && (pass.shares.isBorrowing(task.tenant) && task.tenant !== claimant.tenant
+            || isUrgent(claimant) && task.tenant === claimant.tenant);
+    return allowed ? { task, loss: estimateEvictionLoss(task, spec, pass.nowMs) } : undefined;
+}
+
+/** Resources that come free on a worker without another eviction. */
+function sumStopping(pass: Pass, view: WorkerView): Resources {
+    let sum: Resources = { milliCpu: 0, memoryMib: 0, accelerators: 0 };
+    for (const id of view.seated.keys()) {
+        const task = pass.state.tasks.get(id);
+        sum = task?.phase === "stopping" ? addResources(sum, task.charged) : sum;
+    }
+    return sum;
+}
+
+function planVictims(pass: Pass, view: WorkerView, claimant: SeatedTask): ReclaimChoice | undefined {
+    let missing = subtractResources(claimant.resources, addResources(view.free, sumStopping(pass, view)));
+    const nothing = { milliCpu: 0, memoryMib: 0, accelerators: 0 };
+    const candidates = [...view.seated.values()].flatMap(seated => findVictim(pass, seated, claimant) ?? [])
+        .sort((left, right) => left.loss - right.loss || (left.task.id < right.task.id ? -1 : 1));
+    const victims: Victim[] = [];
+    for (const victim of candidates) {
+        const shortage = findShortage(missing, nothing);
+        if (shortage === undefined) {
+            break;
+        }
+        if (victim.task.charged[shortage] > 0) {
+            victims.push(victim);
+            missing = subtractResources(missing, victim.task.charged);
+        }
+    }
+    return findShortage(missing, nothing) === undefined
+        ? { view, victims, loss: victims.reduce((sum, victim) => sum + victim.loss, 0) }
+        : undefined;
+}
+
+/**
+ * Takes back space for a pending task from the batch work that loses least, and claims the space. Does nothing when no
+ * worker can be cleared or the budget does not allow it.
+ */
+export function reclaimSpace(pass: Pass, claimant: SeatedTask): void {
+    const { claims, budget } = pass.memory;
+    let best: ReclaimChoice | undefined;
+    for (const view of pass.usable) {
+        if (!isWorkerUsable(view) || claims.findByWorker(view.record.id) !== undefined) {
+            continue;
+        }
+        const choice = planVictims(pass, view, claimant);
+        if (choice !== undefined && choice.loss < (best?.loss ?? Infinity)) {
+            best = choice;
+        }
+    }
+    if (best === undefined || best.victims.length > budget.countLeft()) {
+        return;
+    }
+    claims.addClaim({
+        task: claimant.id,
+        worker: best.view.record.id,
+        resources: claimant.resources,
+        urgent: isUrgent(claimant),
+        sinceMs: pass.nowMs,
+    });
+    for (const { task } of best.victims) {
+        evictTask(pass, task.id, `space on ${best.view.record.id} is taken back for ${claimant.id}`);
+    }
+}
--- /dev/null
+++ b/packages/place-tasks/src/reject-impossible.ts
@@ -0,0 +1,36 @@
+import { type ClusterState, findShortage, type Resources } from "@chestnutspool/types";
+import type { Pass } from "./pass.js";
+import type { PendingWork } from "./pending.js";
+
+/** The resource of which no registered worker has enough; undefined when some worker could hold the task. */
+function findImpossibleResource(state: ClusterState, wanted: Resources): keyof Resources | undefined {
+    let shortage: keyof Resources | undefined;
+    for (const worker of state.workers.values()) {
+        const found = findShortage(wanted, worker.capacity);
+        if (found === undefined) {
+            return undefined;
+        }
+        shortage = found;
+    }
+    return shortage;
+}
+
+/**
+ * Rejects the tasks that no registered worker of any admission could hold, and returns the other works. A task that has
+ * run before waits instead, because its worker is lost and comes back.
+ */
+export function rejectImpossible(pass: Pass, works: readonly PendingWork[]): PendingWork[] {
+    return works.filter(({ spec, tasks }) => {
+        const shortage = findImpossibleResource(pass.state, spec.resources);
+        if (shortage === undefined) {
+            return true;
+        }
+        const reason = `needs ${spec.resources[shortage]} ${shortage}, which no registered worker offers`;
+        for (const task of tasks) {
+            if (task.token === 0) {
+                pass.addDecision({ kind: "rejectTask", task: task.id, reason });
+            }
+        }
+        return false;
+    });
+}
--- /dev/null
+++ b/packages/place-tasks/src/tenant-shares.ts
@@ -0,0 +1,65 @@
+import {
+    addResources,
+    type ClusterState,
+    noResources,
+    resourceNames,
+    type Resources,
+    subtractResources,
+    type TenantId,
+} from "@chestnutspool/types";
+
+/** Use and quota of the tenants during one pass; the use counts what the pass has planned so far. */
+export interface TenantShares {
+    /** Whether the tenant stays within its quota when it uses this much more. */
+    readonly isWithinQuota: (tenant: TenantId, added: Resources) => boolean;
+    /** Whether the tenant uses more than its quota, apart from what is being taken back already. */
+    readonly isBorrowing: (tenant: TenantId) => boolean;
+    /** The largest share of the cluster's resources that the tenant would borrow, divided by its weight. */
+    readonly computeBorrowed: (tenant: TenantId, added: Resources) => number;
+    readonly addUse: (tenant: TenantId, added: Resources) => void;
+    /** Counts resources as returned before the task has ended. */
+    readonly addReturn: (tenant: TenantId, returned: Resources) => void;
+}
+
+function sumCapacity(state: ClusterState): Resources {
+    const sum = { milliCpu: 0, memoryMib: 0, accelerators: 0 };
+    for (const { capacity } of state.workers.values()) {
+        sum.milliCpu += capacity.milliCpu;
+        sum.memoryMib += capacity.memoryMib;
+        sum.accelerators += capacity.accelerators;
+    }
+    return sum;
+}
+
+/** Creates the shares at the start of a pass; a tenant without a record has no quota. */
+export function createTenantShares(state: ClusterState): TenantShares {
+    const capacity = sumCapacity(state);
+    const added = new Map<TenantId, Resources>();
+    const returned = new Map<TenantId, Resources>();
+    const readUse = (tenant: TenantId): Resources =>
+        addResources(state.usedByTenant.get(tenant) ?? noResources, added.get(tenant) ?? noResources);
+    const readQuota = (tenant: TenantId): Resources => state.tenants.get(tenant)?.quota ?? noResources;
+    return {
+        isWithinQuota: (tenant, wanted) => {
+            const use = addResources(readUse(tenant), wanted);
+            const quota = readQuota(tenant);
+            return resourceNames.every(name => wanted[name] === 0 || use[name] <= quota[name]);
+        },
+        isBorrowing: tenant => {
+            const use = subtractResources(readUse(tenant), returned.get(tenant) ?? noResources);
+            const quota = readQuota(tenant);
+            return resourceNames.some(name => use[name] > quota[name]);
+        },
+        computeBorrowed: (tenant, wanted) => {
+            const over = subtractResources(addResources(readUse(tenant), wanted), readQuota(tenant));
+            const shares = resourceNames.map(name => over[name] / Math.max(1, capacity[name]));
+            return Math.max(0, ...shares) / Math.max(Number.MIN_VALUE, state.tenants.get(tenant)?.weight ?? 1);
+        },
+        addUse: (tenant, amount) => {
+            added.set(tenant, addResources(added.get(tenant) ?? noResources, amount));
+        },
+        addReturn: (tenant, amount) => {
+            returned.set(tenant, addResources(returned.get(tenant) ?? noResources, amount));
+        },
+    };
+}
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -1,6 +1,5 @@
 import {
     type ClusterState,
-    findShortage,
     type Resources,
     type TaskClass,
     type TaskId,
@@ -59,11 +58,6 @@
     };
 }
 
-/** Whether the view has room for the resources. */
-export function hasRoom(view: WorkerView, wanted: Resources): boolean {
-    return findShortage(wanted, view.free) === undefined;
-}
-
 /** Seats a task on the view. */
 export function addSeatedTask(view: WorkerView, task: SeatedTask): void {
     const { free } = view;
