Choose workers by the observed use of their tasks

Declared sizes are off by up to four times, so that a worker that looks half free can be overloaded.

The hard limit stays the declared size. Urgent tasks look for headroom, batch tasks pack, and load above the high-use limit costs.

--- a/packages/place-tasks/src/choose-worker.ts
+++ b/packages/place-tasks/src/choose-worker.ts
@@ -1,8 +1,50 @@
-import { hasRoomFor, type Pass } from "./pass.js";
+import { hasRoomFor, isUrgent, type Pass } from "./pass.js";
 import { isWorkerUsable } from "./set-aside.js";
+import type { ExpectedUse } from "./use-model.js";
 import type { SeatedTask, WorkerView } from "./worker-views.js";
 
-/** The worker on which a task should start; undefined when it fits on none. */
+/** Cost of each unit of load between the limit and the capacity, and beyond the capacity. */
+const highUseSlope = 2;
+const overloadSlope = 10;
+/** Cost of a fully loaded worker to a new urgent task, which needs headroom for its bursts. */
+const headroomCost = 0.3;
+/** Gain of packing batch work on loaded workers, so that others stay free for large and urgent tasks. */
+const packingGain = 0.05;
+
+/** Cost of a load, where 1 is the capacity. */
+function computeLoadCost(load: number, highUse: number): number {
+    const high = Math.max(0, Math.min(load, 1) - highUse) * highUseSlope;
+    return high + Math.max(0, load - 1) * overloadSlope;
+}
+
+/** Cost of starting the task on the worker; only the differences between workers matter. */
+function computeCost(pass: Pass, view: WorkerView, task: SeatedTask, added: ExpectedUse): number {
+    const { settings, views, uses } = pass.memory;
+    const highUse = settings.highUsePercent / 100;
+    const expected = views.readExpected(view, uses);
+    const cpuLoad = (expected.milliCpu + added.milliCpu) / Math.max(1, view.record.capacity.milliCpu);
+    const memoryLoad = (expected.memoryMib + added.memoryMib) / Math.max(1, view.record.capacity.memoryMib);
+    const loadCost = (settings.tailLatencyWeight + settings.batchThroughputWeight)
+        * (computeLoadCost(cpuLoad, highUse) + computeLoadCost(memoryLoad, highUse));
+    return loadCost + (isUrgent(task)
+        ? settings.tailLatencyWeight * headroomCost * cpuLoad
+        : -settings.batchThroughputWeight * packingGain * cpuLoad);
+}
+
+/** The worker on which a task starts at the least cost; undefined when it fits on none. Ties go to the first id. */
 export function chooseWorker(pass: Pass, task: SeatedTask): WorkerView | undefined {
-    return pass.usable.find(view => isWorkerUsable(view) && hasRoomFor(pass, view, task));
+    const added = pass.memory.uses.estimateUse({ name: task.work, resources: task.resources });
+    let best: WorkerView | undefined;
+    let bestCost = Infinity;
+    for (const view of pass.usable) {
+        if (!isWorkerUsable(view) || !hasRoomFor(pass, view, task)) {
+            continue;
+        }
+        const cost = computeCost(pass, view, task, added);
+        if (cost < bestCost) {
+            best = view;
+            bestCost = cost;
+        }
+    }
+    return best;
 }
--- a/packages/place-tasks/src/pass.ts
+++ b/packages/place-tasks/src/pass.ts
@@ -5,6 +5,7 @@
 import type { InFlightDecisions } from "./in-flight.js";
 import type { RunTimeModel } from "./run-time-model.js";
 import type { TenantShares } from "./tenant-shares.js";
+import type { UseModel } from "./use-model.js";
 import { findTaskClass, type SeatedTask, type WorkerView, type WorkerViews } from "./worker-views.js";
 
 /** What the placer keeps between passes. */
@@ -15,6 +16,7 @@
     readonly claims: Claims;
     readonly budget: EvictionBudget;
     readonly runTimes: RunTimeModel;
+    readonly uses: UseModel;
 }
 
 /** One pass of the placer. */
--- a/packages/place-tasks/src/placer.ts
+++ b/packages/place-tasks/src/placer.ts
@@ -4,6 +4,7 @@
 import { createEvictionBudget } from "./eviction-budget.js";
 import { createInFlightDecisions } from "./in-flight.js";
 import { sortPendingWorks } from "./order-works.js";
+import { observeReports, type ReportQueue } from "./observe-reports.js";
 import type { Pass, PlacerMemory } from "./pass.js";
 import { listPendingWorks } from "./pending.js";
 import { placePending } from "./place-pending.js";
@@ -11,6 +12,7 @@
 import { createRunTimeModel } from "./run-time-model.js";
 import { createSetAsidePolicy } from "./set-aside.js";
 import { createTenantShares } from "./tenant-shares.js";
+import { createUseModel } from "./use-model.js";
 import { createWorkerViews } from "./worker-views.js";
 
 function observeEndedTask(memory: PlacerMemory, state: ClusterState, id: TaskId): void {
@@ -58,13 +60,20 @@
         claims: createClaims(),
         budget: createEvictionBudget(settings.evictionsPerMinute),
         runTimes: createRunTimeModel(),
+        uses: createUseModel(),
     };
     const setAside = createSetAsidePolicy();
+    const reports: ReportQueue = new Map();
     return {
-        recordReports: () => {},
+        recordReports: arrived => {
+            for (const report of arrived) {
+                reports.set(report.worker, report);
+            }
+        },
         planPlacements: (state, nowMs) => {
             const decisions: PlacementDecision[] = [];
             const pass = openPass(memory, state, nowMs, decisions);
+            observeReports(memory, state, reports);
             const changed = setAside.planSetAside(state, memory.inFlight, nowMs);
             changed.forEach(pass.addDecision);
             const usable = pass.usable.filter(({ record }) => !memory.inFlight.hasWorker(record.id));
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -9,6 +9,7 @@
     type WorkSpec,
 } from "@chestnutspool/types";
 import type { PlacementDecision } from "./decision.js";
+import type { ExpectedUse, UseModel } from "./use-model.js";
 
 /** What the placer needs to know of a task that occupies a worker or is about to. */
 export interface SeatedTask {
@@ -26,6 +27,8 @@
     /** What is left of the capacity; replaced when a task is seated. */
     free: Resources;
     readonly seated: Map<TaskId, SeatedTask>;
+    /** Expected use of the seated tasks; undefined until it is needed again. */
+    expected: ExpectedUse | undefined;
 }
 
 /** Views of all workers, rebuilt only where the record of the worker has changed. */
@@ -39,6 +42,10 @@
     ) => void;
     readonly listViews: () => readonly WorkerView[];
     readonly findView: (worker: WorkerId) => WorkerView | undefined;
+    /** Expected use of all tasks seated on the worker. */
+    readonly readExpected: (view: WorkerView, uses: UseModel) => ExpectedUse;
+    /** Lets the expected use of a worker be computed again, after reports. */
+    readonly forgetExpected: (worker: WorkerId) => void;
 }
 
 /** Class of the tasks of a work. */
@@ -67,6 +74,7 @@
         accelerators: free.accelerators - task.resources.accelerators,
     };
     view.seated.set(task.id, task);
+    view.expected = undefined;
 }
 
 function buildView(state: ClusterState, record: WorkerRecord): WorkerView {
@@ -87,9 +95,21 @@
             accelerators: capacity.accelerators - used.accelerators,
         },
         seated,
+        expected: undefined,
     };
 }
 
+function computeExpected(view: WorkerView, uses: UseModel): ExpectedUse {
+    let milliCpu = 0;
+    let memoryMib = 0;
+    for (const task of view.seated.values()) {
+        const use = uses.estimateUse({ name: task.work, resources: task.resources });
+        milliCpu += use.milliCpu;
+        memoryMib += use.memoryMib;
+    }
+    return { milliCpu, memoryMib };
+}
+
 function listLeft(previous: WorkerView | undefined, present: WorkerView): TaskId[] {
     return [...previous?.seated.keys() ?? []].filter(task => !present.seated.has(task));
 }
@@ -143,5 +163,15 @@
         },
         listViews: () => list,
         findView: worker => views.get(worker),
+        readExpected: (view, uses) => {
+            view.expected ??= computeExpected(view, uses);
+            return view.expected;
+        },
+        forgetExpected: worker => {
+            const view = views.get(worker);
+            if (view !== undefined) {
+                view.expected = undefined;
+            }
+        },
     };
 }
