Learn the slowdown by pair of interference classes

Urgent tasks stood beside batch tasks that hurt them, because the choice knew only sizes.

The choice weighs the slowdown in both directions.

--- a/packages/place-tasks/src/choose-worker.ts
+++ b/packages/place-tasks/src/choose-worker.ts
@@ -1,7 +1,7 @@
 import { hasRoomFor, isUrgent, type Pass } from "./pass.js";
 import { isWorkerUsable } from "./set-aside.js";
 import type { ExpectedUse } from "./use-model.js";
-import type { SeatedTask, WorkerView } from "./worker-views.js";
+import { readSeatedClasses, type SeatedTask, type WorkerView } from "./worker-views.js";
 
 /** Cost of each unit of load between the limit and the capacity, and beyond the capacity. */
 const highUseSlope = 2;
@@ -17,6 +17,24 @@
     return high + Math.max(0, load - 1) * overloadSlope;
 }
 
+/** Slowdown that the task would add to the tasks of the worker, and they to it, weighted by class. */
+function computeSlowdownCost(pass: Pass, view: WorkerView, task: SeatedTask, classId: number): number {
+    const { settings, slowdowns } = pass.memory;
+    const { urgent, batch } = readSeatedClasses(view, slowdowns);
+    const { tailLatencyWeight, batchThroughputWeight } = settings;
+    const ownWeight = isUrgent(task) ? tailLatencyWeight : batchThroughputWeight;
+    let cost = 0;
+    for (const { classId: other, count } of urgent) {
+        cost += count * (tailLatencyWeight * slowdowns.estimateAdded(other, classId)
+            + ownWeight * slowdowns.estimateAdded(classId, other));
+    }
+    for (const { classId: other, count } of batch) {
+        cost += count * (batchThroughputWeight * slowdowns.estimateAdded(other, classId)
+            + ownWeight * slowdowns.estimateAdded(classId, other));
+    }
+    return cost;
+}
+
 /** Cost of starting the task on the worker; only the differences between workers matter. */
 function computeCost(pass: Pass, view: WorkerView, task: SeatedTask, added: ExpectedUse): number {
     const { settings, views, uses } = pass.memory;
@@ -26,7 +44,13 @@
     const memoryLoad = (expected.memoryMib + added.memoryMib) / Math.max(1, view.record.capacity.memoryMib);
     const loadCost = (settings.tailLatencyWeight + settings.batchThroughputWeight)
         * (computeLoadCost(cpuLoad, highUse) + computeLoadCost(memoryLoad, highUse));
-    return loadCost + (isUrgent(task)
+    const slowdownCost = computeSlowdownCost(
+        pass,
+        view,
+        task,
+        pass.memory.slowdowns.findClassId(task.interferenceClass),
+    );
+    return loadCost + slowdownCost + (isUrgent(task)
         ? settings.tailLatencyWeight * headroomCost * cpuLoad
         : -settings.batchThroughputWeight * packingGain * cpuLoad);
 }
--- a/packages/place-tasks/src/pass.ts
+++ b/packages/place-tasks/src/pass.ts
@@ -4,6 +4,7 @@
 import type { EvictionBudget } from "./eviction-budget.js";
 import type { InFlightDecisions } from "./in-flight.js";
 import type { RunTimeModel } from "./run-time-model.js";
+import type { SlowdownModel } from "./slowdown-model.js";
 import type { TenantShares } from "./tenant-shares.js";
 import type { UseModel } from "./use-model.js";
 import { findTaskClass, type SeatedTask, type WorkerView, type WorkerViews } from "./worker-views.js";
@@ -17,6 +18,7 @@
     readonly budget: EvictionBudget;
     readonly runTimes: RunTimeModel;
     readonly uses: UseModel;
+    readonly slowdowns: SlowdownModel;
 }
 
 /** One pass of the placer. */
--- a/packages/place-tasks/src/placer.ts
+++ b/packages/place-tasks/src/placer.ts
@@ -3,14 +3,15 @@
 import type { PlacementDecision, Placer } from "./decision.js";
 import { createEvictionBudget } from "./eviction-budget.js";
 import { createInFlightDecisions } from "./in-flight.js";
-import { sortPendingWorks } from "./order-works.js";
 import { observeReports, type ReportQueue } from "./observe-reports.js";
+import { sortPendingWorks } from "./order-works.js";
 import type { Pass, PlacerMemory } from "./pass.js";
 import { listPendingWorks } from "./pending.js";
 import { placePending } from "./place-pending.js";
 import { rejectImpossible } from "./reject-impossible.js";
 import { createRunTimeModel } from "./run-time-model.js";
 import { createSetAsidePolicy } from "./set-aside.js";
+import { createSlowdownModel } from "./slowdown-model.js";
 import { createTenantShares } from "./tenant-shares.js";
 import { createUseModel } from "./use-model.js";
 import { createWorkerViews } from "./worker-views.js";
@@ -61,6 +62,7 @@
         budget: createEvictionBudget(settings.evictionsPerMinute),
         runTimes: createRunTimeModel(),
         uses: createUseModel(),
+        slowdowns: createSlowdownModel(),
     };
     const setAside = createSetAsidePolicy();
     const reports: ReportQueue = new Map();
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -9,6 +9,7 @@
     type WorkSpec,
 } from "@chestnutspool/types";
 import type { PlacementDecision } from "./decision.js";
+import type { ClassCount, SlowdownModel } from "./slowdown-model.js";
 import type { ExpectedUse, UseModel } from "./use-model.js";
 
 /** What the placer needs to know of a task that occupies a worker or is about to. */
@@ -21,12 +22,20 @@
     readonly resources: Resources;
 }
 
+/** Numbers of seated tasks by interference class, urgent and batch apart. */
+export interface SeatedClasses {
+    readonly urgent: readonly ClassCount[];
+    readonly batch: readonly ClassCount[];
+}
+
 /** A worker with the tasks charged to it and those whose placement is planned or in flight. */
 export interface WorkerView {
     readonly record: WorkerRecord;
     /** What is left of the capacity; replaced when a task is seated. */
     free: Resources;
     readonly seated: Map<TaskId, SeatedTask>;
+    /** Seated tasks by interference class; undefined until it is needed again. */
+    classes: SeatedClasses | undefined;
     /** Expected use of the seated tasks; undefined until it is needed again. */
     expected: ExpectedUse | undefined;
 }
@@ -75,6 +84,7 @@
     };
     view.seated.set(task.id, task);
     view.expected = undefined;
+    view.classes = undefined;
 }
 
 function buildView(state: ClusterState, record: WorkerRecord): WorkerView {
@@ -96,9 +106,34 @@
         },
         seated,
         expected: undefined,
+        classes: undefined,
     };
 }
 
+function addToClass(counts: ClassCount[], classId: number): void {
+    const known = counts.find(count => count.classId === classId);
+    if (known === undefined) {
+        counts.push({ classId, count: 1 });
+    }
+    else {
+        known.count += 1;
+    }
+}
+
+/** Seated tasks of the worker by interference class. */
+export function readSeatedClasses(view: WorkerView, slowdowns: SlowdownModel): SeatedClasses {
+    if (view.classes === undefined) {
+        const urgent: ClassCount[] = [];
+        const batch: ClassCount[] = [];
+        for (const task of view.seated.values()) {
+            const counts = findTaskClass(task.kind) === "latencyCritical" ? urgent : batch;
+            addToClass(counts, slowdowns.findClassId(task.interferenceClass));
+        }
+        view.classes = { urgent, batch };
+    }
+    return view.classes;
+}
+
 function computeExpected(view: WorkerView, uses: UseModel): ExpectedUse {
     let milliCpu = 0;
     let memoryMib = 0;
