--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -1,6 +1,5 @@
 import {
     type ClusterState,
-    findShortage,
     type Resources,
     type TaskClass,
     type TaskId,
@@ -10,6 +9,8 @@
     type WorkSpec,
 } from "@chestnutspool/types";
 import type { PlacementDecision } from "./decision.js";
+import type { ClassCount, SlowdownModel } from "./slowdown-model.js";
+import type { ExpectedUse, UseModel } from "./use-model.js";
 
 /** What the placer needs to know of a task that occupies a worker or is about to. */
 export interface SeatedTask {
@@ -21,23 +22,39 @@
     readonly resources: Resources;
 }
 
+/** Numbers of seated tasks by interference class, urgent and batch apart. */
+export interface SeatedClasses {
+    readonly urgent: readonly ClassCount[];
+    readonly batch: readonly ClassCount[];
+}
+
 /** A worker with the tasks charged to it and those whose placement is planned or in flight. */
 export interface WorkerView {
     readonly record: WorkerRecord;
     /** What is left of the capacity; replaced when a task is seated. */
     free: Resources;
     readonly seated: Map<TaskId, SeatedTask>;
+    /** Seated tasks by interference class; undefined until it is needed again. */
+    classes: SeatedClasses | undefined;
+    /** Expected use of the seated tasks; undefined until it is needed again. */
+    expected: ExpectedUse | undefined;
 }
 
 /** Views of all workers, rebuilt only where the record of the worker has changed. */
 export interface WorkerViews {
+    /** Brings the views up to date; `observeLeft` gets each task that no longer occupies the worker it was on. */
     readonly updateViews: (
         state: ClusterState,
         placements: readonly Extract<PlacementDecision, { kind: "placeTask"; }>[],
         dropped: readonly PlacementDecision[],
+        observeLeft: (task: TaskId) => void,
     ) => void;
     readonly listViews: () => readonly WorkerView[];
     readonly findView: (worker: WorkerId) => WorkerView | undefined;
+    /** Expected use of all tasks seated on the worker. */
+    readonly readExpected: (view: WorkerView, uses: UseModel) => ExpectedUse;
+    /** Lets the expected use of a worker be computed again, after reports. */
+    readonly forgetExpected: (worker: WorkerId) => void;
 }
 
 /** Class of the tasks of a work. */
@@ -57,11 +74,6 @@
     };
 }
 
-/** Whether the view has room for the resources. */
-export function hasRoom(view: WorkerView, wanted: Resources): boolean {
-    return findShortage(wanted, view.free) === undefined;
-}
-
 /** Seats a task on the view. */
 export function addSeatedTask(view: WorkerView, task: SeatedTask): void {
     const { free } = view;
@@ -71,6 +83,8 @@
         accelerators: free.accelerators - task.resources.accelerators,
     };
     view.seated.set(task.id, task);
+    view.expected = undefined;
+    view.classes = undefined;
 }
 
 function buildView(state: ClusterState, record: WorkerRecord): WorkerView {
@@ -91,9 +105,50 @@
             accelerators: capacity.accelerators - used.accelerators,
         },
         seated,
+        expected: undefined,
+        classes: undefined,
     };
 }
 
+function addToClass(counts: ClassCount[], classId: number): void {
+    const known = counts.find(count => count.classId === classId);
+    if (known === undefined) {
+        counts.push({ classId, count: 1 });
+    }
+    else {
+        known.count += 1;
+    }
+}
+
+/** Seated tasks of the worker by interference class. */
+export function readSeatedClasses(view: WorkerView, slowdowns: SlowdownModel): SeatedClasses {
+    if (view.classes === undefined) {
+        const urgent: ClassCount[] = [];
+        const batch: ClassCount[] = [];
+        for (const task of view.seated.values()) {
+            const counts = findTaskClass(task.kind) === "latencyCritical" ? urgent : batch;
+            addToClass(counts, slowdowns.findClassId(task.interferenceClass));
+        }
+        view.classes = { urgent, batch };
+    }
+    return view.classes;
+}
+
+function computeExpected(view: WorkerView, uses: UseModel): ExpectedUse {
+    let milliCpu = 0;
+    let memoryMib = 0;
+    for (const task of view.seated.values()) {
+        const use = uses.estimateUse({ name: task.work, resources: task.resources });
+        milliCpu += use.milliCpu;
+        memoryMib += use.memoryMib;
+    }
+    return { milliCpu, memoryMib };
+}
+
+function listLeft(previous: WorkerView | undefined, present: WorkerView): TaskId[] {
+    return [...previous?.seated.keys() ?? []].filter(task => !present.seated.has(task));
+}
+
 /** Creates views without workers. */
 export function createWorkerViews(): WorkerViews {
     const views = new Map<WorkerId, WorkerView>();
@@ -115,13 +170,16 @@
     }
 
     return {
-        updateViews: (state, placements, dropped) => {
+        updateViews: (state, placements, dropped, observeLeft) => {
             const rebuilt = new Set<WorkerId>();
             const stale = new Set(dropped.flatMap(decision => decision.kind === "placeTask" ? [decision.worker] : []));
             let changed = false;
             for (const record of state.workers.values()) {
-                if (views.get(record.id)?.record !== record || stale.has(record.id)) {
-                    views.set(record.id, buildView(state, record));
+                const previous = views.get(record.id);
+                if (previous?.record !== record || stale.has(record.id)) {
+                    const view = buildView(state, record);
+                    views.set(record.id, view);
+                    listLeft(previous, view).forEach(observeLeft);
                     rebuilt.add(record.id);
                     changed = true;
                 }
@@ -140,5 +198,15 @@
         },
         listViews: () => list,
         findView: worker => views.get(worker),
+        readExpected: (view, uses) => {
+            view.expected ??= computeExpected(view, uses);
+            return view.expected;
+        },
+        forgetExpected: worker => {
+            const view = views.get(worker);
+            if (view !== undefined) {
+                view.expected = undefined;
+            }
+        },
     };
 }
