Serve the control role

Cause: the program must run processes from their settings. A taken peer port ended the process with an uncaught exception, because the WebSocket server repeats the error of its HTTP server and nothing handled it. Change: serve registers link, log and control with the kernel, drains on SIGTERM and SIGINT and exits with 0.

--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -10,6 +10,7 @@
 import { listCommand } from "./list/index.js";
 import { membersCommand } from "./members/index.js";
 import { minionsCommand } from "./minions/index.js";
+import { serveCommand } from "./serve/index.js";
 import { statsCommand } from "./stats/index.js";
 import { submitCommand } from "./submit/index.js";
 import { tasksCommand } from "./tasks/index.js";
@@ -19,6 +20,7 @@
 
 /** All commands, in the order of the help text. */
 export const commands: readonly CliCommand[] = [
+    serveCommand,
     checkConfigCommand,
     submitCommand,
     applyCommand,
--- /dev/null
+++ b/packages/cli/src/commands/serve/index.ts
@@ -0,0 +1,44 @@
+import { loadSettings } from "@chestnutspool/settings";
+import type { ProcessSettings } from "@chestnutspool/types";
+import { Effect, Fiber } from "effect";
+import type { CliCommand } from "../../command.js";
+import { exitCodes } from "../../exit-codes.js";
+import { type CliFailure, createUsageFailure, mapErrorToFailure } from "../../failure.js";
+import { awaitStopSignal } from "../../process/await-stop-signal.js";
+import { createProcess, entryKey, linkKey } from "../../process/create-process.js";
+import { readText } from "../../read-options.js";
+
+/** Runs a process with the roles of its settings until SIGTERM or SIGINT. */
+export const serveCommand: CliCommand = {
+    form: "serve",
+    description: "Run a process; SIGTERM or SIGINT drains it and ends it with exit code 0",
+    options: [["--config <file>", "settings file; required"]],
+    examples: ["serve --config /etc/chestnutspool.ini"],
+    run: Effect.fnUntraced(function*(input) {
+        const file = readText(input, "config");
+        if (file === undefined) {
+            return yield* Effect.fail(createUsageFailure("--config is missing", "give --config FILE"));
+        }
+        const settings = yield* loadSettings(file).caseOf<Effect.Effect<ProcessSettings, CliFailure>>({
+            Left: error => Effect.fail(mapErrorToFailure(error)),
+            Right: loaded => Effect.succeed(loaded),
+        });
+        const { kernel, logger } = createProcess(settings);
+        const stopSignal = yield* Effect.forkChild(awaitStopSignal, { startImmediately: true });
+        yield* Effect.mapError(kernel.startAll, mapErrorToFailure);
+        const rpcAddress = settings.process.roles.includes("entry")
+            ? kernel.findService(entryKey).rpcAddress
+            : undefined;
+        logger.info("process started", {
+            process: settings.process.id,
+            roles: settings.process.roles.join(","),
+            peerAddress: kernel.findService(linkKey).address,
+            rpcAddress,
+        });
+        const signal = yield* Fiber.join(stopSignal);
+        logger.info("process drains", { signal });
+        yield* kernel.stopAll;
+        logger.info("process stopped");
+        return exitCodes.ok;
+    }),
+};
--- a/packages/cli/src/failure.ts
+++ b/packages/cli/src/failure.ts
@@ -74,7 +74,8 @@
     return {
         exitCode: mapExitCode(codesByName[mapErrorCode(error)]),
         kind: error.kind,
-        text: describeError(error),
+        // Each fault names its own remedy; one a line is easier to work through.
+        text: error.kind === "invalidSettings" ? error.faults.join("\n") : describeError(error),
         remedy: "",
     };
 }
--- /dev/null
+++ b/packages/cli/src/process/create-process.ts
@@ -0,0 +1,81 @@
+import { createClusterMachine } from "@chestnutspool/cluster-state";
+import { type ControlApi, startControl } from "@chestnutspool/control";
+import { createKernel, defineService, type Kernel } from "@chestnutspool/kernel";
+import { createLogger, type Logger } from "@chestnutspool/logger";
+import { openWebSocketLink } from "@chestnutspool/peer-link";
+import { createPlacer } from "@chestnutspool/place-tasks";
+import { openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
+import type { CommandResult, ControlCommand, PeerLink, ProcessSettings, ReplicatedLog } from "@chestnutspool/types";
+import { Effect } from "effect";
+
+/** Key of the peer link. */
+export const linkKey = defineService<PeerLink>("link");
+/** Key of the control role. */
+export const controlKey = defineService<ControlApi>("control");
+/** The running entry role. */
+interface EntryApi {
+    readonly rpcAddress: string;
+    readonly drain: Effect.Effect<void>;
+}
+
+/** Key of the entry role. */
+export const entryKey = defineService<EntryApi>("entry");
+
+type Machine = ReturnType<typeof createClusterMachine>;
+
+/** The replica with the state that it drives. */
+interface Replica {
+    readonly log: ReplicatedLog<ControlCommand, CommandResult>;
+    readonly machine: Machine;
+}
+
+const logKey = defineService<Replica>("log");
+
+function registerControl(kernel: Kernel, settings: ProcessSettings, dataFolder: string, logger: Logger): void {
+    kernel.registerService({
+        key: logKey,
+        needs: [linkKey],
+        start: Effect.gen(function*() {
+            const disk = yield* openFileDisk(dataFolder);
+            const machine = createClusterMachine();
+            const log = yield* openReplicatedLog(
+                { self: settings.process.id, initialMembers: settings.controlPeers, log: settings.log },
+                { link: kernel.findService(linkKey), disk, logger: logger.forService("log") },
+                machine,
+            );
+            return { log, machine };
+        }),
+    });
+    kernel.registerService({
+        key: controlKey,
+        needs: [linkKey, logKey],
+        start: Effect.suspend(() =>
+            startControl(settings, {
+                link: kernel.findService(linkKey),
+                ...kernel.findService(logKey),
+                placer: createPlacer(settings.placement),
+                logger: logger.forService("control"),
+            })
+        ),
+        drain: control => control.drain,
+    });
+}
+
+/** Creates the kernel of a process with the services that its roles need; nothing is started yet. */
+export function createProcess(settings: ProcessSettings): { readonly kernel: Kernel; readonly logger: Logger; } {
+    const { id, host, availabilityZone, logLevel, roles, dataFolder } = settings.process;
+    const logger = createLogger("process", { host, availabilityZone }, logLevel);
+    const kernel = createKernel(logger);
+    kernel.registerService({
+        key: linkKey,
+        needs: [],
+        start: openWebSocketLink(
+            { self: id, listenHost: settings.listen.peerHost, listenPort: settings.listen.peerPort },
+            logger.forService("link"),
+        ),
+    });
+    if (roles.includes("control") && dataFolder !== undefined) {
+        registerControl(kernel, settings, dataFolder, logger);
+    }
+    return { kernel, logger };
+}
--- a/packages/peer-link/src/web-socket-link.ts
+++ b/packages/peer-link/src/web-socket-link.ts
@@ -184,6 +184,8 @@
         response.writeHead(426).end();
     });
     const webSocketServer = new WebSocketServer({ server, maxPayload: frameLimitBytes, perMessageDeflate: false });
+    // It repeats the errors of the HTTP server, which `listen` reports; without a handler they would end the process.
+    webSocketServer.on("error", error => logger.debug("link server error", { detail: error.message }));
     webSocketServer.on("connection", socket => {
         runFork(Effect.forkIn(Effect.scoped(serveSocket(socket)), scope));
     });
