--- /dev/null
+++ b/packages/cli/src/commands/dev/dev-system.ts
@@ -0,0 +1,76 @@
+import { type StandInWorkerOptions, startStandInWorker, type WorkerApi } from "@chestnutspool/stand-ins";
+import { type ErrorData, readWallMs } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { type CliFailure, mapErrorToFailure } from "../../failure.js";
+import { createProcess, entryKey, logKey } from "../../process/create-process.js";
+import { createDevSettings } from "./dev-settings.js";
+
+/** The running system of `dev`. */
+export interface DevSystem {
+    readonly rpcAddress: string;
+    /** Asks for an eviction as the scheduler does. */
+    readonly evictTask: (task: string, token: number) => Effect.Effect<void, CliFailure>;
+    /** The checkpoints from which the stand-in workers started a task; "" for a start anew. */
+    readonly listStarts: (task: string) => readonly string[];
+}
+
+const workerCount = 3;
+const workerCapacity = { milliCpu: 8000, memoryMib: 16_384, accelerators: 1 };
+/** A clash of ports is as rare as another program that binds just then. */
+const startTries = 5;
+
+const openDataFolder = Effect.acquireRelease(
+    Effect.sync(() => mkdtempSync(join(tmpdir(), "chestnutspool-dev-"))),
+    folder => Effect.sync(() => rmSync(folder, { recursive: true, force: true })),
+);
+
+const startProcess = Effect.gen(function*() {
+    const dataFolder = yield* openDataFolder;
+    const { kernel } = createProcess(yield* createDevSettings(dataFolder));
+    yield* Effect.acquireRelease(kernel.startAll, () => kernel.stopAll);
+    return kernel;
+});
+
+function createWorkerOptions(rpcAddress: string, ordinal: number): StandInWorkerOptions {
+    return {
+        worker: `worker-${ordinal}`,
+        addresses: [rpcAddress],
+        availabilityZone: "dev-a",
+        rack: `rack-${ordinal}`,
+        capacity: workerCapacity,
+    };
+}
+
+function listStarts(workers: readonly WorkerApi[], task: string): readonly string[] {
+    return workers.flatMap(worker => worker.listEvents())
+        .flatMap(event => event.task === task && event.kind === "started" ? [event] : [])
+        .sort((left, right) => Number(left.token - right.token))
+        .map(event => event.resumedFrom ?? "");
+}
+
+/** Starts a process with both roles, stand-in minions and stand-in workers; they stop with the scope. */
+export const startDevSystem = Effect.gen(function*() {
+    const kernel = yield* Effect.retry(startProcess, { times: startTries });
+    const { rpcAddress } = kernel.findService(entryKey);
+    const workers: WorkerApi[] = [];
+    for (let ordinal = 1; ordinal <= workerCount; ordinal += 1) {
+        workers.push(yield* startStandInWorker(createWorkerOptions(rpcAddress, ordinal)));
+    }
+    const { log } = kernel.findService(logKey);
+    const system: DevSystem = {
+        rpcAddress,
+        evictTask: Effect.fnUntraced(function*(task: string, token: number) {
+            const nowMs = yield* readWallMs;
+            const command = { kind: "requestEviction", task, token, reason: "asked for by dev", nowMs } as const;
+            const result = yield* Effect.mapError(log.proposeCommand(command), mapErrorToFailure);
+            if (result.kind === "refused") {
+                return yield* Effect.fail(mapErrorToFailure(result.error));
+            }
+        }),
+        listStarts: task => listStarts(workers, task),
+    };
+    return system;
+}).pipe(Effect.mapError((error: ErrorData) => mapErrorToFailure(error)));
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -3,6 +3,7 @@
 import { cancelCommand } from "./cancel/index.js";
 import { checkConfigCommand } from "./check-config/index.js";
 import { configCommand } from "./config/index.js";
+import { devCommand } from "./dev/index.js";
 import { drainCommand } from "./drain/index.js";
 import { eventsCommand } from "./events/index.js";
 import { getCommand } from "./get/index.js";
@@ -21,6 +22,7 @@
 /** All commands, in the order of the help text. */
 export const commands: readonly CliCommand[] = [
     serveCommand,
+    devCommand,
     checkConfigCommand,
     submitCommand,
     applyCommand,
--- a/packages/cli/src/commands/serve/index.ts
+++ b/packages/cli/src/commands/serve/index.ts
@@ -5,7 +5,7 @@
 import { exitCodes } from "../../exit-codes.js";
 import { type CliFailure, createUsageFailure, mapErrorToFailure } from "../../failure.js";
 import { awaitStopSignal } from "../../process/await-stop-signal.js";
-import { createProcess, entryKey, linkKey } from "../../process/create-process.js";
+import { controlKey, createProcess, entryKey, linkKey } from "../../process/create-process.js";
 import { readText } from "../../read-options.js";
 
 /** Runs a process with the roles of its settings until SIGTERM or SIGINT. */
@@ -26,6 +26,11 @@
         const { kernel, logger } = createProcess(settings);
         const stopSignal = yield* Effect.forkChild(awaitStopSignal, { startImmediately: true });
         yield* Effect.mapError(kernel.startAll, mapErrorToFailure);
+        // A replica that is not a member yet lists itself, so that an operator can add it under its identity.
+        const replicaIdentity = settings.process.roles.includes("control")
+            ? kernel.findService(controlKey).readStatus().members.find(member => member.id === settings.process.id)
+                ?.replicaIdentity
+            : undefined;
         const rpcAddress = settings.process.roles.includes("entry")
             ? kernel.findService(entryKey).rpcAddress
             : undefined;
@@ -34,6 +39,7 @@
             roles: settings.process.roles.join(","),
             peerAddress: kernel.findService(linkKey).address,
             rpcAddress,
+            replicaIdentity,
         });
         const signal = yield* Fiber.join(stopSignal);
         logger.info("process drains", { signal });
--- a/packages/cli/src/process/create-process.ts
+++ b/packages/cli/src/process/create-process.ts
@@ -1,9 +1,11 @@
 import { createClusterMachine } from "@chestnutspool/cluster-state";
 import { type ControlApi, startControl } from "@chestnutspool/control";
+import { type EntryApi, type EntryMetrics, startEntry } from "@chestnutspool/entry";
 import { createKernel, defineService, type Kernel } from "@chestnutspool/kernel";
 import { createLogger, type Logger } from "@chestnutspool/logger";
 import { openWebSocketLink } from "@chestnutspool/peer-link";
 import { createPlacer } from "@chestnutspool/place-tasks";
+import { createMetrics, type Metrics } from "@chestnutspool/record-metrics";
 import { openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
 import type { CommandResult, ControlCommand, PeerLink, ProcessSettings, ReplicatedLog } from "@chestnutspool/types";
 import { Effect } from "effect";
@@ -12,24 +14,30 @@
 export const linkKey = defineService<PeerLink>("link");
 /** Key of the control role. */
 export const controlKey = defineService<ControlApi>("control");
-/** The running entry role. */
-interface EntryApi {
-    readonly rpcAddress: string;
-    readonly drain: Effect.Effect<void>;
-}
-
 /** Key of the entry role. */
 export const entryKey = defineService<EntryApi>("entry");
 
 type Machine = ReturnType<typeof createClusterMachine>;
 
 /** The replica with the state that it drives. */
-interface Replica {
+export interface Replica {
     readonly log: ReplicatedLog<ControlCommand, CommandResult>;
     readonly machine: Machine;
 }
 
-const logKey = defineService<Replica>("log");
+/** Key of the replica. */
+export const logKey = defineService<Replica>("log");
+
+/** The metrics in the form that the entry role takes. */
+function mapMetrics(metrics: Metrics): EntryMetrics {
+    return {
+        recordDuration: metrics.recordDuration,
+        countEvent: metrics.countEvent,
+        readDistributions: () =>
+            metrics.readDistributions().map(({ class: className, ...rest }) => ({ ...rest, className })),
+        readCounters: () => metrics.readCounters().map(({ class: className, ...rest }) => ({ ...rest, className })),
+    };
+}
 
 function registerControl(kernel: Kernel, settings: ProcessSettings, dataFolder: string, logger: Logger): void {
     kernel.registerService({
@@ -77,5 +85,20 @@
     if (roles.includes("control") && dataFolder !== undefined) {
         registerControl(kernel, settings, dataFolder, logger);
     }
+    if (roles.includes("entry")) {
+        kernel.registerService({
+            key: entryKey,
+            // An entry host that is its own control replica starts after it and so is drained before it.
+            needs: roles.includes("control") ? [linkKey, controlKey] : [linkKey],
+            start: Effect.suspend(() =>
+                startEntry(settings, {
+                    link: kernel.findService(linkKey),
+                    logger,
+                    metrics: mapMetrics(createMetrics()),
+                })
+            ),
+            drain: entry => entry.drain,
+        });
+    }
     return { kernel, logger };
 }
--- /dev/null
+++ b/packages/cli/src/processes.test.ts
@@ -0,0 +1,181 @@
+import { OperatorService } from "@chestnutspool/schema";
+import { buildAnswer } from "@chestnutspool/stand-ins";
+import { createClient } from "@connectrpc/connect";
+import assert from "node:assert/strict";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test, type TestContext } from "node:test";
+import { createEntryTransport } from "./call-entry.js";
+import { awaitCondition } from "./fakes/await-condition.js";
+import { startConfigurationChanges } from "./fakes/configuration-changes.js";
+import { type ProcessGroup, startProcessGroup, type TestProcess } from "./fakes/process-group.js";
+import { type LoadOutcome, type LoadRequest, makeRequests, runConcurrently, sendLoadRequest } from "./fakes/request-load.js";
+import { runCommand } from "./fakes/run-command.js";
+import {
+    listOverlaps,
+    listRequestSpans,
+    listTaskSpans,
+    startTestTargets,
+    type TestTargets,
+} from "./fakes/test-targets.js";
+
+const service = "plume-check";
+const minionCount = 4;
+const workerCount = 3;
+const concurrency = 16;
+
+interface System {
+    readonly group: ProcessGroup;
+    readonly targets: TestTargets;
+    readonly environment: Readonly<Record<string, string>>;
+    readonly folder: string;
+}
+
+async function apply(system: Omit<System, "targets">, value: unknown): Promise<void> {
+    const file = join(system.folder, "object.json");
+    writeFileSync(file, JSON.stringify(value));
+    const run = await runCommand(["apply", file, "--timeout-ms", "60000"], system.environment);
+    assert.equal(run.exitCode, 0, run.errors);
+}
+
+async function startSystem(context: TestContext): Promise<System> {
+    const group = await startProcessGroup({ controls: 3, entries: 2 });
+    context.after(() => group.close());
+    const folder = mkdtempSync(join(tmpdir(), "processes-test-"));
+    context.after(() => rmSync(folder, { recursive: true }));
+    const addresses = group.entries.map(entry => entry.rpcAddress);
+    const environment = { CHESTNUTSPOOL_ENTRY: addresses.join(",") };
+    const quota = { milliCpu: 24_000, memoryMib: 49_152 };
+    await apply({ group, environment, folder }, { tenant: { id: "moreno", quota } });
+    await apply({ group, environment, folder }, {
+        work: { name: service, tenant: "moreno", resources: { milliCpu: 1000 }, service: { maxRunMs: 2000 } },
+    });
+    const targets = await startTestTargets(addresses, service, minionCount, workerCount);
+    context.after(() => targets.close());
+    for (const [list, count] of [["minions", minionCount], ["workers", workerCount]] as const) {
+        await awaitCondition(`${count} ${list}`, async () => {
+            const run = await runCommand([list], environment);
+            return run.output.trim().split("\n").length === count + 1;
+        });
+    }
+    for (const entry of group.entries) {
+        await awaitCondition(`${entry.id} is ready`, async () =>
+            (await runCommand(["health", "--entry", entry.rpcAddress])).exitCode === 0);
+    }
+    return { group, targets, environment, folder };
+}
+
+function checkOutcomes(
+    requests: readonly LoadRequest[],
+    outcomes: readonly LoadOutcome[],
+    targets: TestTargets,
+): Readonly<Record<LoadOutcome["kind"], number>> {
+    const spans = listRequestSpans(targets.minions);
+    const count = { answered: 0, notRun: 0, unknown: 0 };
+    for (const [index, request] of requests.entries()) {
+        const outcome = outcomes[index];
+        const runs = spans.filter(span => span.key === request.id).length;
+        assert.ok(outcome !== undefined);
+        count[outcome.kind] += 1;
+        switch (outcome.kind) {
+            case "answered":
+                assert.ok(Buffer.from(outcome.answer).equals(buildAnswer(request.body)), `answer of ${request.id}`);
+                assert.ok(runs >= 1, `${request.id} was answered and did not run`);
+                break;
+            case "notRun":
+                assert.equal(runs, 0, `${request.id} ran and was called not run: ${outcome.reason}`);
+                break;
+            case "unknown":
+                break;
+        }
+        assert.ok(request.idempotent || runs <= 1, `${request.id} is not idempotent and ran ${runs} times`);
+    }
+    assert.deepEqual(listOverlaps(spans), [], "requests that ran in two places at once");
+    for (const minion of targets.minions) {
+        assert.ok(minion.readHighestRunning() <= 8, `${minion.minion} ran ${minion.readHighestRunning()} at once`);
+    }
+    return count;
+}
+
+async function createJob(system: System, name: string, tasks: number): Promise<void> {
+    const job = { tasks, expectedRunMs: 500, maxAttempts: 5 };
+    const resources = { milliCpu: 1000, memoryMib: 512 };
+    await apply(system, { work: { name, tenant: "moreno", resources, command: "run-ms=500", job } });
+}
+
+async function awaitJob(system: System, name: string, tasks: number): Promise<void> {
+    await awaitCondition(`end of ${name}`, async () => {
+        const run = await runCommand(["tasks", "--work", name, "--phase", "succeeded"], system.environment);
+        return run.exitCode === 0 && run.output.trim().split("\n").length === tasks + 1;
+    });
+    const ended = system.targets.workers.flatMap(worker => worker.listEvents())
+        .filter(event => event.kind === "ended" && event.end === "succeeded" && event.task.startsWith(`${name}/`));
+    assert.equal(ended.length, tasks, "each task succeeds once");
+    assert.deepEqual(listOverlaps(listTaskSpans(system.targets.workers)), [], "tasks that ran in two places at once");
+}
+
+async function findLeader(system: System): Promise<TestProcess> {
+    let leader: TestProcess | undefined;
+    await awaitCondition("a leader", async () => {
+        const client = createClient(OperatorService, createEntryTransport(system.group.entries[0]?.rpcAddress ?? ""));
+        const members = await client.listMembers({}).then(response => response.members, () => []);
+        const id = members.find(member => member.leader)?.id;
+        leader = system.group.controls.find(control => control.id === id && !control.hasExited());
+        return leader !== undefined;
+    });
+    assert.ok(leader !== undefined);
+    return leader;
+}
+
+void test("separate processes answer concurrent requests byte for byte and run a batch job", async context => {
+    const system = await startSystem(context);
+    const addresses = system.group.entries.map(entry => entry.rpcAddress);
+    await createJob(system, "forecast", 12);
+    const requests = makeRequests("plain", service, 200);
+    const outcomes = await runConcurrently(requests, concurrency, (request, index) =>
+        sendLoadRequest(addresses[index % addresses.length] ?? "", request));
+    const failed = outcomes.flatMap(outcome => outcome.kind === "answered" ? [] : [outcome.reason]);
+    assert.deepEqual(failed, []);
+    checkOutcomes(requests, outcomes, system.targets);
+    await awaitJob(system, "forecast", 12);
+    for (const one of [...system.group.entries, ...system.group.controls]) {
+        assert.equal(await one.terminate(), 0, `${one.id} after SIGTERM: ${one.readLog()}`);
+    }
+});
+
+void test("after kill -9 of the leader and of an entry host nothing ran twice and no promise was broken", async context => {
+    const system = await startSystem(context);
+    const { controls, entries } = system.group;
+    const addresses = entries.map(entry => entry.rpcAddress);
+    const changes = startConfigurationChanges(addresses);
+    context.after(() => changes.stop());
+    await createJob(system, "forecast", 24);
+    const requests = makeRequests("crash", service, 400);
+    const killed: string[] = [];
+    const outcomes = await runConcurrently(requests, concurrency, async (request, index) => {
+        if (index === 100) {
+            const leader = await findLeader(system);
+            killed.push(leader.id);
+            await leader.kill();
+        }
+        if (index === 250) {
+            killed.push(entries[1]?.id ?? "");
+            await entries[1]?.kill();
+        }
+        const address = addresses[index % addresses.length] ?? "";
+        return sendLoadRequest(index >= 250 ? addresses[0] ?? "" : address, request);
+    });
+    assert.equal(killed.length, 2);
+    const count = checkOutcomes(requests, outcomes, system.targets);
+    context.diagnostic(`killed ${killed.join(", ")}; ${JSON.stringify(count)}`);
+    assert.ok(count.answered > requests.length / 4, `too few answers to say anything: ${JSON.stringify(count)}`);
+    await awaitJob(system, "forecast", 24);
+    for (const id of killed) {
+        await system.group.restart(id);
+    }
+    await changes.awaitAccepted(changes.listAccepted().length + 3);
+    await changes.stop();
+    await changes.checkNeverReverted();
+    assert.equal(controls.length, 3);
+});
--- a/packages/entry/src/caller-service.ts
+++ b/packages/entry/src/caller-service.ts
@@ -1,8 +1,8 @@
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import type { ServiceImpl } from "@connectrpc/connect";
 import { isCertainlyNotRun } from "@chestnutspool/errors";
 import type { CallerService, SubmitChunkSchema, SubmitRequest } from "@chestnutspool/schema";
 import type { EntryReply, ErrorData, RequestEnvelope } from "@chestnutspool/types";
+import type { ServiceImpl } from "@connectrpc/connect";
 import { Effect, Exit, Queue } from "effect";
 import { createAnswerCheck } from "./answer-check.js";
 import { checkSubmit } from "./check-request.js";
--- a/packages/entry/src/check-request.ts
+++ b/packages/entry/src/check-request.ts
@@ -1,7 +1,7 @@
-import type { ErrorData, MinionAnnouncement, RequestEnvelope } from "@chestnutspool/types";
 import { type AnnounceRequest, RequestClass, type SubmitRequest } from "@chestnutspool/schema";
-import { type Either, Left, Right } from "purify-ts";
+import type { ErrorData, MinionAnnouncement, RequestEnvelope } from "@chestnutspool/types";
 import { isIP } from "node:net";
+import { type Either, Left, Right } from "purify-ts";
 
 /** Longest id of a request, tenant, service, minion or incarnation. */
 const idLengthLimit = 128;
@@ -115,19 +115,21 @@
         .chain(() => checkId("incarnation", request.incarnation))
         .chain(() => checkRunning(request.runningAttempts))
         .chain(() => checkSafe("sequence", request.sequence))
-        .chain(sequence => checkSafe("highest_epoch", request.highestEpoch).map(highestEpoch => ({
-            minion: {
-                id: request.minion,
-                service: request.service,
-                address: request.address,
-                availabilityZone: request.availabilityZone,
-                slots: request.slots,
-                connections: request.connections,
-            },
-            leaving: false,
-            runningAttempts: request.runningAttempts,
-            highestEpoch,
-            sequence,
-            incarnation: request.incarnation,
-        })));
+        .chain(sequence =>
+            checkSafe("highest_epoch", request.highestEpoch).map(highestEpoch => ({
+                minion: {
+                    id: request.minion,
+                    service: request.service,
+                    address: request.address,
+                    availabilityZone: request.availabilityZone,
+                    slots: request.slots,
+                    connections: request.connections,
+                },
+                leaving: false,
+                runningAttempts: request.runningAttempts,
+                highestEpoch,
+                sequence,
+                incarnation: request.incarnation,
+            }))
+        );
 }
--- a/packages/entry/src/coordinator.ts
+++ b/packages/entry/src/coordinator.ts
@@ -1,5 +1,11 @@
 import type { BodyFingerprint } from "@chestnutspool/route-requests";
-import { type AttemptRef, computeShard, type ErrorData, formatRequestKey, type RequestEnvelope } from "@chestnutspool/types";
+import {
+    type AttemptRef,
+    computeShard,
+    type ErrorData,
+    formatRequestKey,
+    type RequestEnvelope,
+} from "@chestnutspool/types";
 import { Deferred, Effect, Exit } from "effect";
 import { crc32 } from "node:zlib";
 import type { EmitReply } from "./dispatch-attempt.js";
@@ -150,7 +156,11 @@
             : Effect.succeed(owned);
     };
 
-    const createCoordinated = (envelope: RequestEnvelope, shard: OwnedShard, deadlineAtMs: number): CoordinatedRequest => {
+    const createCoordinated = (
+        envelope: RequestEnvelope,
+        shard: OwnedShard,
+        deadlineAtMs: number,
+    ): CoordinatedRequest => {
         const maxRunMs = view.getMaxRunMs(envelope.service);
         const leftMs = Math.max(1, deadlineAtMs - context.readNowMs());
         return {
--- a/packages/entry/src/forwarded-services.ts
+++ b/packages/entry/src/forwarded-services.ts
@@ -1,5 +1,4 @@
 import { create, type DescMethod, fromBinary, type Message, toBinary } from "@bufbuild/protobuf";
-import type { ServiceImpl } from "@connectrpc/connect";
 import {
     type Event,
     ListEventsRequestSchema,
@@ -9,6 +8,7 @@
     WorkerService,
 } from "@chestnutspool/schema";
 import type { ErrorData } from "@chestnutspool/types";
+import type { ServiceImpl } from "@connectrpc/connect";
 import { Effect } from "effect";
 import type { CallRepetition, ControlClient } from "./control-client.js";
 import type { RunCall } from "./rpc-errors.js";
--- a/packages/entry/src/rpc-errors.ts
+++ b/packages/entry/src/rpc-errors.ts
@@ -1,7 +1,7 @@
-import { Code, ConnectError } from "@connectrpc/connect";
 import { describeError, isCertainlyNotRun, mapErrorCode, type RpcCode } from "@chestnutspool/errors";
 import { ErrorDetailSchema } from "@chestnutspool/schema";
 import type { ErrorData } from "@chestnutspool/types";
+import { Code, ConnectError } from "@connectrpc/connect";
 import { Cause, type Effect, Exit } from "effect";
 
 /** Runs an effect for a call; it is interrupted when the caller goes away. */
@@ -29,7 +29,9 @@
 export function createRpcError(error: ErrorData): ConnectError {
     const text = describeError(error);
     const retryAfterMs = getRetryAfterMs(error);
-    const headers: Record<string, string> = retryAfterMs > 0 ? { "retry-after": String(Math.ceil(retryAfterMs / 1_000)) } : {};
+    const headers: Record<string, string> = retryAfterMs > 0
+        ? { "retry-after": String(Math.ceil(retryAfterMs / 1_000)) }
+        : {};
     return new ConnectError(text, codes[mapErrorCode(error)], headers, [{
         desc: ErrorDetailSchema,
         value: {
--- a/packages/entry/src/rpc-server.ts
+++ b/packages/entry/src/rpc-server.ts
@@ -1,7 +1,7 @@
-import type { ServiceImpl } from "@connectrpc/connect";
-import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { CallerService, OperatorService, TargetService, WorkerService } from "@chestnutspool/schema";
 import type { ErrorData } from "@chestnutspool/types";
+import type { ServiceImpl } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { Effect } from "effect";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
