--- a/packages/entry/src/check-request.ts
+++ b/packages/entry/src/check-request.ts
@@ -17,14 +17,12 @@
 /** Longest text of a bad value that is repeated in an error. */
 const shownLength = 40;
 
-function createFault(field: string, seen: string | number, allowed: string): Left<ErrorData> {
+function createFault(field: string, seen: string | number, allowed: string): Either<ErrorData, never> {
     const text = String(seen);
     const shown = text.length > shownLength ? `${text.slice(0, shownLength)}...` : text;
-    return Left({ kind: "invalidArgument", field, seen: shown === "" ? "empty" : shown, allowed }) as Left<ErrorData>;
+    return Left({ kind: "invalidArgument", field, seen: shown === "" ? "empty" : shown, allowed });
 }
 
-type Left<Error> = Either<Error, never>;
-
 function checkId(field: string, value: string): Either<ErrorData, string> {
     return value.length > idLengthLimit || !idPattern.test(value)
         ? createFault(field, value, `1 to ${idLengthLimit} printable ASCII characters without spaces`)
@@ -53,15 +51,13 @@
 }
 
 function checkClass(value: RequestClass): Either<ErrorData, "urgent" | "standard"> {
-    switch (value) {
-        case RequestClass.URGENT:
-            return Right("urgent");
-        case RequestClass.STANDARD:
-        case RequestClass.UNSPECIFIED:
-            return Right("standard");
-        default:
-            return createFault("class", value, "0 (unspecified), 1 (urgent) or 2 (standard)");
+    if (value === RequestClass.URGENT) {
+        return Right("urgent");
     }
+    // The protocol passes on values that the schema does not name.
+    return value === RequestClass.STANDARD || value === RequestClass.UNSPECIFIED
+        ? Right("standard")
+        : createFault("class", value, "0 (unspecified), 1 (urgent) or 2 (standard)");
 }
 
 /** Checks a request of a caller; the request id stays empty when the caller gave none. */
--- a/packages/entry/src/relay.ts
+++ b/packages/entry/src/relay.ts
@@ -1,4 +1,3 @@
-import type { ErrorData } from "@chestnutspool/types";
 import { Deferred, Effect } from "effect";
 import type { EmitReply } from "./dispatch-attempt.js";
 
@@ -13,7 +12,7 @@
 export function createRelay(emit: EmitReply): Relay {
     const detached = Deferred.makeUnsafe<void>();
     const emitOrDetach = (reply: Parameters<EmitReply>[0]): Effect.Effect<void> =>
-        Effect.catch(emit(reply), (_error: ErrorData) => Deferred.succeed(detached, undefined).pipe(Effect.asVoid));
+        Effect.catch(emit(reply), () => Effect.asVoid(Deferred.succeed(detached, undefined)));
     return {
         emit: reply =>
             Deferred.isDoneUnsafe(detached)
--- a/packages/entry/src/rpc-server.ts
+++ b/packages/entry/src/rpc-server.ts
@@ -80,16 +80,11 @@
                 });
             }
             return {
-                distributions: context.metrics.readDistributions().map(({ className, count, ...rest }) => ({
-                    ...rest,
-                    class: className,
-                    count: BigInt(count),
-                })),
-                counters: context.metrics.readCounters().map(({ className, value, ...rest }) => ({
-                    ...rest,
-                    class: className,
-                    value: BigInt(value),
+                distributions: context.metrics.readDistributions().map(each => ({
+                    ...each,
+                    count: BigInt(each.count),
                 })),
+                counters: context.metrics.readCounters().map(each => ({ ...each, value: BigInt(each.value) })),
             };
         },
     };
