--- a/packages/cli/src/commands/dev/dev-settings.ts
+++ b/packages/cli/src/commands/dev/dev-settings.ts
@@ -14,7 +14,7 @@
         "region=dev",
         "availability_zone=dev-a",
         `data_folder=${dataFolder}`,
-        "log_level=warn",
+        "log_level=error",
         "[listen]",
         `rpc_port=${rpcPort}`,
         `peer_port=${peerPort}`,
--- a/packages/cli/src/commands/dev/dev-story.ts
+++ b/packages/cli/src/commands/dev/dev-story.ts
@@ -47,7 +47,7 @@
             operator.applyWork({ operatorRequestId: `dev-${work.name ?? ""}`, work, expectedRevision: 0n }, limits),
     );
 
-export const applyTenant = (settings: CallSettings, id: string) =>
+const applyTenant = (settings: CallSettings, id: string) =>
     callEntry(settings, "always", ({ operator }, limits) =>
         operator.applyTenant(
             { operatorRequestId: `dev-${id}`, tenant: { id, quota: tenantQuota, weight: 1 }, expectedRevision: 0n },
@@ -82,7 +82,7 @@
     io.writeLine(`${service}: "${text}" answered by ${response.minion} with ${response.answer.length} bytes`);
 });
 
-export const showJob = Effect.fnUntraced(
+const showJob = Effect.fnUntraced(
     function*(io: CommandIo, settings: CallSettings, tenant: string, name: string, tasks: number) {
         yield* applyWork(settings, {
             name,
@@ -104,37 +104,43 @@
     },
 );
 
-export const showWatch = Effect.fnUntraced(function*(io: CommandIo, settings: CallSettings, system: DevSystem, name: string) {
-    yield* applyWork(settings, {
-        name,
-        tenant: "moreno",
-        resources: oneCore,
-        kind: { case: "watch", value: { checkpointIntervalMs: 200 } },
-    });
-    const readTask = Effect.map(listTasks(settings, name), tasks => tasks[0]);
-    const before = yield* awaitResult(
-        `a checkpoint of ${name}`,
-        Effect.map(readTask, task => task?.phase === "running" && task.checkpoint !== "" ? task : undefined),
-    );
-    io.writeLine(`${name}: runs on ${before.worker} with checkpoint ${before.checkpoint}`);
-    yield* callEntry(settings, "always", ({ operator }, limits) =>
-        operator.setWorkerAdmission(
-            { operatorRequestId: "dev-drain", worker: before.worker, admission: "draining" },
-            limits,
-        ));
-    yield* system.evictTask(before.id, Number(before.token));
-    const after = yield* awaitResult(
-        `the second start of ${name}`,
-        Effect.map(readTask, task => task?.phase === "running" && task.token > before.token ? task : undefined),
-    );
-    const starts = system.listStarts(before.id);
-    const resumedFrom = starts.at(-1);
-    if (starts.length !== 2 || resumedFrom === undefined) {
-        return yield* Effect.fail(createStoryFailure(`${name} was started ${starts.length} times instead of twice`));
-    }
-    io.writeLine(`${name}: evicted from ${before.worker}, resumed on ${after.worker} from checkpoint ${resumedFrom}`);
-    return resumedFrom;
-});
+const showWatch = Effect.fnUntraced(
+    function*(io: CommandIo, settings: CallSettings, system: DevSystem, name: string) {
+        yield* applyWork(settings, {
+            name,
+            tenant: "moreno",
+            resources: oneCore,
+            kind: { case: "watch", value: { checkpointIntervalMs: 200 } },
+        });
+        const readTask = Effect.map(listTasks(settings, name), tasks => tasks[0]);
+        const before = yield* awaitResult(
+            `a checkpoint of ${name}`,
+            Effect.map(readTask, task => task?.phase === "running" && task.checkpoint !== "" ? task : undefined),
+        );
+        io.writeLine(`${name}: runs on ${before.worker} with checkpoint ${before.checkpoint}`);
+        yield* callEntry(settings, "always", ({ operator }, limits) =>
+            operator.setWorkerAdmission(
+                { operatorRequestId: "dev-drain", worker: before.worker, admission: "draining" },
+                limits,
+            ));
+        yield* system.evictTask(before.id, Number(before.token));
+        const after = yield* awaitResult(
+            `the second start of ${name}`,
+            Effect.map(readTask, task => task?.phase === "running" && task.token > before.token ? task : undefined),
+        );
+        const starts = system.listStarts(before.id);
+        const resumedFrom = starts.at(-1);
+        if (starts.length !== 2 || resumedFrom === undefined) {
+            return yield* Effect.fail(
+                createStoryFailure(`${name} was started ${starts.length} times instead of twice`),
+            );
+        }
+        io.writeLine(
+            `${name}: evicted from ${before.worker}, resumed on ${after.worker} from checkpoint ${resumedFrom}`,
+        );
+        return resumedFrom;
+    },
+);
 
 /** Plays a short story on a running system and returns what it has seen. */
 export const playStory = Effect.fnUntraced(function*(io: CommandIo, settings: CallSettings, system: DevSystem) {
--- a/packages/cli/src/commands/dev/dev-system.ts
+++ b/packages/cli/src/commands/dev/dev-system.ts
@@ -1,4 +1,9 @@
-import { type StandInWorkerOptions, startStandInWorker, type WorkerApi } from "@chestnutspool/stand-ins";
+import {
+    type StandInWorkerOptions,
+    startStandInMinion,
+    startStandInWorker,
+    type WorkerApi,
+} from "@chestnutspool/stand-ins";
 import { type ErrorData, readWallMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { mkdtempSync, rmSync } from "node:fs";
@@ -17,6 +22,10 @@
     readonly listStarts: (task: string) => readonly string[];
 }
 
+const services = ["stock-check", "plume-check"];
+const minionsPerService = 2;
+const minionSlots = 8;
+const minionConnections = 64;
 const workerCount = 3;
 const workerCapacity = { milliCpu: 8000, memoryMib: 16_384, accelerators: 1 };
 /** A clash of ports is as rare as another program that binds just then. */
@@ -55,6 +64,18 @@
 export const startDevSystem = Effect.gen(function*() {
     const kernel = yield* Effect.retry(startProcess, { times: startTries });
     const { rpcAddress } = kernel.findService(entryKey);
+    for (const service of services) {
+        for (let ordinal = 1; ordinal <= minionsPerService; ordinal += 1) {
+            yield* startStandInMinion({
+                minion: `${service}-${ordinal}`,
+                service,
+                addresses: [rpcAddress],
+                availabilityZone: "dev-a",
+                slots: minionSlots,
+                connections: minionConnections,
+            });
+        }
+    }
     const workers: WorkerApi[] = [];
     for (let ordinal = 1; ordinal <= workerCount; ordinal += 1) {
         workers.push(yield* startStandInWorker(createWorkerOptions(rpcAddress, ordinal)));
--- a/packages/cli/src/fakes/configuration-changes.ts
+++ b/packages/cli/src/fakes/configuration-changes.ts
@@ -82,12 +82,17 @@
             const revisions = accepted.map(change => change.revision);
             assert.deepEqual(revisions, revisions.map((unused, index) => BigInt(index + 1)), "revisions without gaps");
             for (const address of addresses) {
-                const { configuration, history } = await createOperator(address).getConfiguration({ historyLimit: 1000 });
+                const { configuration, history } = await createOperator(address).getConfiguration({
+                    historyLimit: 1000,
+                });
                 assert.equal(configuration?.revision, revisions.at(-1));
                 assert.equal(configuration?.entries[key], accepted.at(-1)?.value);
                 for (const change of accepted) {
                     const found = history.find(record => record.revision === change.revision);
-                    assert.ok(found === undefined || found.entries[key] === change.value, `revision ${change.revision}`);
+                    assert.ok(
+                        found === undefined || found.entries[key] === change.value,
+                        `revision ${change.revision}`,
+                    );
                 }
             }
         },
--- a/packages/cli/src/process/create-process.ts
+++ b/packages/cli/src/process/create-process.ts
@@ -1,11 +1,11 @@
 import { createClusterMachine } from "@chestnutspool/cluster-state";
 import { type ControlApi, startControl } from "@chestnutspool/control";
-import { type EntryApi, type EntryMetrics, startEntry } from "@chestnutspool/entry";
+import { type EntryApi, startEntry } from "@chestnutspool/entry";
 import { createKernel, defineService, type Kernel } from "@chestnutspool/kernel";
 import { createLogger, type Logger } from "@chestnutspool/logger";
 import { openWebSocketLink } from "@chestnutspool/peer-link";
 import { createPlacer } from "@chestnutspool/place-tasks";
-import { createMetrics, type Metrics } from "@chestnutspool/record-metrics";
+import { createMetrics } from "@chestnutspool/record-metrics";
 import { openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
 import type { CommandResult, ControlCommand, PeerLink, ProcessSettings, ReplicatedLog } from "@chestnutspool/types";
 import { Effect } from "effect";
@@ -28,17 +28,6 @@
 /** Key of the replica. */
 export const logKey = defineService<Replica>("log");
 
-/** The metrics in the form that the entry role takes. */
-function mapMetrics(metrics: Metrics): EntryMetrics {
-    return {
-        recordDuration: metrics.recordDuration,
-        countEvent: metrics.countEvent,
-        readDistributions: () =>
-            metrics.readDistributions().map(({ class: className, ...rest }) => ({ ...rest, className })),
-        readCounters: () => metrics.readCounters().map(({ class: className, ...rest }) => ({ ...rest, className })),
-    };
-}
-
 function registerControl(kernel: Kernel, settings: ProcessSettings, dataFolder: string, logger: Logger): void {
     kernel.registerService({
         key: logKey,
@@ -94,7 +83,7 @@
                 startEntry(settings, {
                     link: kernel.findService(linkKey),
                     logger,
-                    metrics: mapMetrics(createMetrics()),
+                    metrics: createMetrics(),
                 })
             ),
             drain: entry => entry.drain,
--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -10,7 +10,13 @@
 import { awaitCondition } from "./fakes/await-condition.js";
 import { startConfigurationChanges } from "./fakes/configuration-changes.js";
 import { type ProcessGroup, startProcessGroup, type TestProcess } from "./fakes/process-group.js";
-import { type LoadOutcome, type LoadRequest, makeRequests, runConcurrently, sendLoadRequest } from "./fakes/request-load.js";
+import {
+    type LoadOutcome,
+    type LoadRequest,
+    makeRequests,
+    runConcurrently,
+    sendLoadRequest,
+} from "./fakes/request-load.js";
 import { runCommand } from "./fakes/run-command.js";
 import {
     listOverlaps,
@@ -60,8 +66,10 @@
         });
     }
     for (const entry of group.entries) {
-        await awaitCondition(`${entry.id} is ready`, async () =>
-            (await runCommand(["health", "--entry", entry.rpcAddress])).exitCode === 0);
+        await awaitCondition(
+            `${entry.id} is ready`,
+            async () => (await runCommand(["health", "--entry", entry.rpcAddress])).exitCode === 0,
+        );
     }
     return { group, targets, environment, folder };
 }
@@ -133,8 +141,11 @@
     const addresses = system.group.entries.map(entry => entry.rpcAddress);
     await createJob(system, "forecast", 12);
     const requests = makeRequests("plain", service, 200);
-    const outcomes = await runConcurrently(requests, concurrency, (request, index) =>
-        sendLoadRequest(addresses[index % addresses.length] ?? "", request));
+    const outcomes = await runConcurrently(
+        requests,
+        concurrency,
+        (request, index) => sendLoadRequest(addresses[index % addresses.length] ?? "", request),
+    );
     const failed = outcomes.flatMap(outcome => outcome.kind === "answered" ? [] : [outcome.reason]);
     assert.deepEqual(failed, []);
     checkOutcomes(requests, outcomes, system.targets);
