Test the system as separate processes

Cause: nothing showed that the built program keeps its guarantees when processes die. Change: processes.test.ts starts 3 control and 2 entry processes with stand-in minions and workers. One test sends 200 requests of mixed sizes and 60 pairs with equal ids, runs a batch job and ends all processes with SIGTERM. The other kills the leader after 100 and an entry host after 250 of 400 requests, resends what is unknown, and checks that no request or task ran in two places at once, that no non-idempotent request ran twice, that nothing called not run had run, and that no accepted configuration is lost.

--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -30,6 +30,7 @@
 const minionCount = 4;
 const workerCount = 3;
 const concurrency = 16;
+const resendTries = 3;
 
 interface System {
     readonly group: ProcessGroup;
@@ -55,7 +56,12 @@
     const quota = { milliCpu: 24_000, memoryMib: 49_152 };
     await apply({ group, environment, folder }, { tenant: { id: "moreno", quota } });
     await apply({ group, environment, folder }, {
-        work: { name: service, tenant: "moreno", resources: { milliCpu: 1000 }, service: { maxRunMs: 2000 } },
+        work: {
+            name: service,
+            tenant: "moreno",
+            resources: { milliCpu: 1000, memoryMib: 512 },
+            service: { maxRunMs: 2000 },
+        },
     });
     const targets = await startTestTargets(addresses, service, minionCount, workerCount);
     context.after(() => targets.close());
@@ -106,6 +112,24 @@
     return count;
 }
 
+/** Sends the requests of unknown outcome again with their ids, as a caller does, until each has an outcome or tries run out. */
+async function resendUnknown(
+    requests: readonly LoadRequest[],
+    outcomes: readonly LoadOutcome[],
+    address: string,
+): Promise<readonly LoadOutcome[]> {
+    return runConcurrently(requests, concurrency, async (request, index) => {
+        let outcome = outcomes[index];
+        for (let tries = 0; outcome?.kind === "unknown" && tries < resendTries; tries += 1) {
+            outcome = await sendLoadRequest(address, request);
+            // A request whose outcome was unknown may have run before, so that "not run" is said of the resend only.
+            outcome = outcome.kind === "notRun" ? { ...outcome, kind: "unknown" } : outcome;
+        }
+        assert.ok(outcome !== undefined);
+        return outcome;
+    });
+}
+
 async function createJob(system: System, name: string, tasks: number): Promise<void> {
     const job = { tasks, expectedRunMs: 500, maxAttempts: 5 };
     const resources = { milliCpu: 1000, memoryMib: 512 };
@@ -136,6 +160,24 @@
     return leader;
 }
 
+/** Sends requests with equal ids through both entry hosts at once. */
+async function checkTwins(system: System, addresses: readonly string[]): Promise<void> {
+    const requests = makeRequests("twin", service, 60);
+    const twins = await runConcurrently(
+        requests,
+        concurrency,
+        request => Promise.all(addresses.map(address => sendLoadRequest(address, request))),
+    );
+    for (const [index, request] of requests.entries()) {
+        const answers = twins[index]?.flatMap(outcome => outcome.kind === "answered" ? [outcome.answer] : []) ?? [];
+        assert.ok(answers.length > 0, `neither of two sends of ${request.id} was answered`);
+        assert.ok(answers.every(answer => Buffer.from(answer).equals(buildAnswer(request.body))));
+        const runs = listRequestSpans(system.targets.minions).filter(span => span.key === request.id).length;
+        assert.ok(request.idempotent || runs === 1, `${request.id} is not idempotent and ran ${runs} times`);
+    }
+    assert.deepEqual(listOverlaps(listRequestSpans(system.targets.minions)), []);
+}
+
 void test("separate processes answer concurrent requests byte for byte and run a batch job", async context => {
     const system = await startSystem(context);
     const addresses = system.group.entries.map(entry => entry.rpcAddress);
@@ -150,6 +192,7 @@
     assert.deepEqual(failed, []);
     checkOutcomes(requests, outcomes, system.targets);
     await awaitJob(system, "forecast", 12);
+    await checkTwins(system, addresses);
     for (const one of [...system.group.entries, ...system.group.controls]) {
         assert.equal(await one.terminate(), 0, `${one.id} after SIGTERM: ${one.readLog()}`);
     }
@@ -179,6 +222,7 @@
     });
     assert.equal(killed.length, 2);
     const count = checkOutcomes(requests, outcomes, system.targets);
+    checkOutcomes(requests, await resendUnknown(requests, outcomes, addresses[0] ?? ""), system.targets);
     context.diagnostic(`killed ${killed.join(", ")}; ${JSON.stringify(count)}`);
     assert.ok(count.answered > requests.length / 4, `too few answers to say anything: ${JSON.stringify(count)}`);
     await awaitJob(system, "forecast", 24);
