--- /dev/null
+++ b/packages/entry/src/fakes/test-cluster.ts
@@ -0,0 +1,101 @@
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { createClusterMachine } from "@chestnutspool/cluster-state";
+import { startControl } from "@chestnutspool/control";
+import { silentLogger } from "@chestnutspool/logger";
+import { createMemoryNetwork } from "@chestnutspool/peer-link";
+import { createMetrics } from "@chestnutspool/record-metrics";
+import { createMemoryLog } from "@chestnutspool/replicated-log";
+import { CallerService, RequestClass, type SubmitRequestSchema } from "@chestnutspool/schema";
+import { type MinionApi, type StandInMinionOptions, startStandInMinion } from "@chestnutspool/stand-ins";
+import type { ErrorData, ProcessSettings } from "@chestnutspool/types";
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { Effect, Exit, Scope } from "effect";
+import { type EntryApi, startEntry } from "../index.js";
+import { buildSettings } from "./test-settings.js";
+
+/** An entry host in a test. */
+export interface TestEntry {
+    readonly id: string;
+    readonly api: EntryApi;
+    readonly client: ReturnType<typeof createCallerClient>;
+    /** Ends the process without a drain. */
+    readonly stop: Effect.Effect<void>;
+}
+
+function createCallerClient(address: string) {
+    return createClient(CallerService, createConnectTransport({ baseUrl: `http://${address}`, httpVersion: "1.1" }));
+}
+
+/** Repeats a check until it holds; the test runner's limit ends one that never does. */
+export const awaitCondition = (check: () => boolean): Effect.Effect<void> =>
+    Effect.gen(function*() {
+        while (!check()) {
+            yield* Effect.sleep(5);
+        }
+    });
+
+/** A request with defaults for tests. */
+export function buildRequest(
+    fields: MessageInitShape<typeof SubmitRequestSchema>,
+): MessageInitShape<typeof SubmitRequestSchema> {
+    return {
+        tenant: "moreno",
+        service: "plume",
+        class: RequestClass.URGENT,
+        deadlineMs: 5_000,
+        idempotent: true,
+        ...fields,
+    };
+}
+
+/** Starts one control replica with a log in memory; entry hosts and minions are added to it. */
+export const createTestCluster = Effect.gen(function*() {
+    const network = yield* createMemoryNetwork;
+    const machine = createClusterMachine();
+    const link = yield* network.createLink("control", silentLogger);
+    const control = yield* startControl(buildSettings("control"), {
+        link,
+        log: createMemoryLog("control", machine),
+        machine,
+        placer: { recordReports: () => undefined, planPlacements: () => [] },
+        logger: silentLogger,
+    });
+
+    const addEntry = Effect.fnUntraced(function*(id: string, overrides: Partial<ProcessSettings["requests"]> = {}) {
+        const scope = yield* Scope.fork(yield* Effect.scope);
+        const start = Effect.gen(function*() {
+            const entryLink = yield* network.createLink(id, silentLogger);
+            const services = { link: entryLink, logger: silentLogger, metrics: createMetrics() };
+            return yield* startEntry(buildSettings(id, overrides), services);
+        });
+        const api = yield* Scope.provide(start, scope);
+        yield* awaitCondition(() => api.readHealth().ready);
+        const entry: TestEntry = {
+            id,
+            api,
+            client: createCallerClient(api.rpcAddress),
+            stop: Scope.close(scope, Exit.void),
+        };
+        return entry;
+    });
+
+    const addMinion = (
+        entries: readonly TestEntry[],
+        options: Partial<StandInMinionOptions> & { readonly minion: string; },
+    ): Effect.Effect<MinionApi, ErrorData, Scope.Scope> =>
+        Effect.tap(
+            startStandInMinion({
+                service: "plume",
+                addresses: entries.map(entry => entry.api.rpcAddress),
+                availabilityZone: "zone-a",
+                slots: 4,
+                connections: 16,
+                announceIntervalMs: 100,
+                ...options,
+            }),
+            minion => awaitCondition(() => minion.countAnnounced() > 1),
+        );
+
+    return { network, control, state: machine.state, addEntry, addMinion };
+});
--- /dev/null
+++ b/packages/place-tasks/src/placer.ts
@@ -0,0 +1,87 @@
+import type { ClusterState, PlacementSection, TaskId } from "@chestnutspool/types";
+import { createClaims } from "./claims.js";
+import type { PlacementDecision, Placer } from "./decision.js";
+import { createEvictionBudget } from "./eviction-budget.js";
+import { createInFlightDecisions } from "./in-flight.js";
+import { observeReports, type ReportQueue } from "./observe-reports.js";
+import { sortPendingWorks } from "./order-works.js";
+import type { Pass, PlacerMemory } from "./pass.js";
+import { listPendingWorks } from "./pending.js";
+import { placePending } from "./place-pending.js";
+import { rejectImpossible } from "./reject-impossible.js";
+import { createRunTimeModel } from "./run-time-model.js";
+import { createSetAsidePolicy } from "./set-aside.js";
+import { createSlowdownModel } from "./slowdown-model.js";
+import { createTenantShares } from "./tenant-shares.js";
+import { createUseModel } from "./use-model.js";
+import { createWorkerViews } from "./worker-views.js";
+
+function observeEndedTask(memory: PlacerMemory, state: ClusterState, id: TaskId): void {
+    const task = state.tasks.get(id);
+    const spec = task === undefined ? undefined : state.works.get(task.work)?.spec;
+    if (task?.phase === "succeeded" && spec?.kind === "job") {
+        memory.runTimes.observeRun(spec, task);
+    }
+}
+
+/** Brings the memory up to date with the state and opens a pass. */
+function openPass(memory: PlacerMemory, state: ClusterState, nowMs: number, decisions: PlacementDecision[]): Pass {
+    const { inFlight, views, claims, budget } = memory;
+    const dropped = inFlight.dropSettled(state, nowMs);
+    const placements = inFlight.listPlacements();
+    views.updateViews(state, placements, dropped, id => observeEndedTask(memory, state, id));
+    claims.updateClaims(state, nowMs);
+    budget.updateBudget(state, nowMs);
+    const shares = createTenantShares(state);
+    for (const { task } of placements) {
+        const spec = state.works.get(state.tasks.get(task)?.work ?? "")?.spec;
+        if (spec !== undefined) {
+            shares.addUse(spec.tenant, spec.resources);
+        }
+    }
+    return {
+        memory,
+        state,
+        nowMs,
+        usable: views.listViews().filter(({ record }) => !inFlight.hasWorker(record.id)),
+        shares,
+        addDecision: decision => {
+            decisions.push(decision);
+            inFlight.addDecision(decision, nowMs);
+        },
+    };
+}
+
+/** Creates a placer with empty memory. */
+export function createPlacer(settings: PlacementSection): Placer {
+    const memory: PlacerMemory = {
+        settings,
+        inFlight: createInFlightDecisions(),
+        views: createWorkerViews(),
+        claims: createClaims(),
+        budget: createEvictionBudget(settings.evictionsPerMinute),
+        runTimes: createRunTimeModel(),
+        uses: createUseModel(),
+        slowdowns: createSlowdownModel(),
+    };
+    const setAside = createSetAsidePolicy();
+    const reports: ReportQueue = new Map();
+    return {
+        recordReports: arrived => {
+            for (const report of arrived) {
+                reports.set(report.worker, report);
+            }
+        },
+        planPlacements: (state, nowMs) => {
+            const decisions: PlacementDecision[] = [];
+            const pass = openPass(memory, state, nowMs, decisions);
+            observeReports(memory, state, reports);
+            const changed = setAside.planSetAside(state, memory.inFlight, nowMs);
+            changed.forEach(pass.addDecision);
+            const usable = pass.usable.filter(({ record }) => !memory.inFlight.hasWorker(record.id));
+            const works = rejectImpossible(pass, listPendingWorks(state, memory.inFlight, nowMs));
+            placePending({ ...pass, usable }, sortPendingWorks(works, memory.runTimes, nowMs));
+            return decisions;
+        },
+    };
+}
--- /dev/null
+++ b/packages/place-tasks/src/worker-views.ts
@@ -0,0 +1,212 @@
+import {
+    type ClusterState,
+    type Resources,
+    type TaskClass,
+    type TaskId,
+    type WorkerId,
+    type WorkerRecord,
+    type WorkKind,
+    type WorkSpec,
+} from "@chestnutspool/types";
+import type { PlacementDecision } from "./decision.js";
+import type { ClassCount, SlowdownModel } from "./slowdown-model.js";
+import type { ExpectedUse, UseModel } from "./use-model.js";
+
+/** What the placer needs to know of a task that occupies a worker or is about to. */
+export interface SeatedTask {
+    readonly id: TaskId;
+    readonly work: string;
+    readonly tenant: string;
+    readonly kind: WorkKind;
+    readonly interferenceClass: string;
+    readonly resources: Resources;
+}
+
+/** Numbers of seated tasks by interference class, urgent and batch apart. */
+export interface SeatedClasses {
+    readonly urgent: readonly ClassCount[];
+    readonly batch: readonly ClassCount[];
+}
+
+/** A worker with the tasks charged to it and those whose placement is planned or in flight. */
+export interface WorkerView {
+    readonly record: WorkerRecord;
+    /** What is left of the capacity; replaced when a task is seated. */
+    free: Resources;
+    readonly seated: Map<TaskId, SeatedTask>;
+    /** Seated tasks by interference class; undefined until it is needed again. */
+    classes: SeatedClasses | undefined;
+    /** Expected use of the seated tasks; undefined until it is needed again. */
+    expected: ExpectedUse | undefined;
+}
+
+/** Views of all workers, rebuilt only where the record of the worker has changed. */
+export interface WorkerViews {
+    /** Brings the views up to date; `observeLeft` gets each task that no longer occupies the worker it was on. */
+    readonly updateViews: (
+        state: ClusterState,
+        placements: readonly Extract<PlacementDecision, { kind: "placeTask"; }>[],
+        dropped: readonly PlacementDecision[],
+        observeLeft: (task: TaskId) => void,
+    ) => void;
+    readonly listViews: () => readonly WorkerView[];
+    readonly findView: (worker: WorkerId) => WorkerView | undefined;
+    /** Expected use of all tasks seated on the worker. */
+    readonly readExpected: (view: WorkerView, uses: UseModel) => ExpectedUse;
+    /** Lets the expected use of a worker be computed again, after reports. */
+    readonly forgetExpected: (worker: WorkerId) => void;
+}
+
+/** Class of the tasks of a work. */
+export function findTaskClass(kind: WorkKind): TaskClass {
+    return kind === "service" ? "latencyCritical" : "batch";
+}
+
+/** The placer's record of a task. */
+export function buildSeatedTask(id: TaskId, spec: WorkSpec, resources: Resources): SeatedTask {
+    return {
+        id,
+        work: spec.name,
+        tenant: spec.tenant,
+        kind: spec.kind,
+        interferenceClass: spec.interferenceClass,
+        resources,
+    };
+}
+
+/** Seats a task on the view. */
+export function addSeatedTask(view: WorkerView, task: SeatedTask): void {
+    const { free } = view;
+    view.free = {
+        milliCpu: free.milliCpu - task.resources.milliCpu,
+        memoryMib: free.memoryMib - task.resources.memoryMib,
+        accelerators: free.accelerators - task.resources.accelerators,
+    };
+    view.seated.set(task.id, task);
+    view.expected = undefined;
+    view.classes = undefined;
+}
+
+function buildView(state: ClusterState, record: WorkerRecord): WorkerView {
+    const { capacity, used } = record;
+    const seated = new Map<TaskId, SeatedTask>();
+    for (const id of state.tasksByWorker.get(record.id) ?? []) {
+        const task = state.tasks.get(id);
+        const spec = task === undefined ? undefined : state.works.get(task.work)?.spec;
+        if (task !== undefined && spec !== undefined) {
+            seated.set(id, buildSeatedTask(id, spec, task.charged));
+        }
+    }
+    return {
+        record,
+        free: {
+            milliCpu: capacity.milliCpu - used.milliCpu,
+            memoryMib: capacity.memoryMib - used.memoryMib,
+            accelerators: capacity.accelerators - used.accelerators,
+        },
+        seated,
+        expected: undefined,
+        classes: undefined,
+    };
+}
+
+function addToClass(counts: ClassCount[], classId: number): void {
+    const known = counts.find(count => count.classId === classId);
+    if (known === undefined) {
+        counts.push({ classId, count: 1 });
+    }
+    else {
+        known.count += 1;
+    }
+}
+
+/** Seated tasks of the worker by interference class. */
+export function readSeatedClasses(view: WorkerView, slowdowns: SlowdownModel): SeatedClasses {
+    if (view.classes === undefined) {
+        const urgent: ClassCount[] = [];
+        const batch: ClassCount[] = [];
+        for (const task of view.seated.values()) {
+            const counts = findTaskClass(task.kind) === "latencyCritical" ? urgent : batch;
+            addToClass(counts, slowdowns.findClassId(task.interferenceClass));
+        }
+        view.classes = { urgent, batch };
+    }
+    return view.classes;
+}
+
+function computeExpected(view: WorkerView, uses: UseModel): ExpectedUse {
+    let milliCpu = 0;
+    let memoryMib = 0;
+    for (const task of view.seated.values()) {
+        const use = uses.estimateUse({ name: task.work, resources: task.resources });
+        milliCpu += use.milliCpu;
+        memoryMib += use.memoryMib;
+    }
+    return { milliCpu, memoryMib };
+}
+
+function listLeft(previous: WorkerView | undefined, present: WorkerView): TaskId[] {
+    return [...previous?.seated.keys() ?? []].filter(task => !present.seated.has(task));
+}
+
+/** Creates views without workers. */
+export function createWorkerViews(): WorkerViews {
+    const views = new Map<WorkerId, WorkerView>();
+    let list: readonly WorkerView[] = [];
+
+    function seatInFlight(
+        state: ClusterState,
+        placements: readonly Extract<PlacementDecision, { kind: "placeTask"; }>[],
+        rebuilt: ReadonlySet<WorkerId>,
+    ): void {
+        for (const { task, worker } of placements) {
+            const view = views.get(worker);
+            const record = state.tasks.get(task);
+            const spec = record === undefined ? undefined : state.works.get(record.work)?.spec;
+            if (view !== undefined && spec !== undefined && rebuilt.has(worker) && !view.seated.has(task)) {
+                addSeatedTask(view, buildSeatedTask(task, spec, spec.resources));
+            }
+        }
+    }
+
+    return {
+        updateViews: (state, placements, dropped, observeLeft) => {
+            const rebuilt = new Set<WorkerId>();
+            const stale = new Set(dropped.flatMap(decision => decision.kind === "placeTask" ? [decision.worker] : []));
+            let changed = false;
+            for (const record of state.workers.values()) {
+                const previous = views.get(record.id);
+                if (previous?.record !== record || stale.has(record.id)) {
+                    const view = buildView(state, record);
+                    views.set(record.id, view);
+                    listLeft(previous, view).forEach(observeLeft);
+                    rebuilt.add(record.id);
+                    changed = true;
+                }
+            }
+            for (const id of views.keys()) {
+                if (!state.workers.has(id)) {
+                    views.delete(id);
+                    changed = true;
+                }
+            }
+            seatInFlight(state, placements, rebuilt);
+            if (changed) {
+                // Sorted by id, so that decisions do not depend on the order in which workers registered.
+                list = [...views.values()].sort((left, right) => left.record.id < right.record.id ? -1 : 1);
+            }
+        },
+        listViews: () => list,
+        findView: worker => views.get(worker),
+        readExpected: (view, uses) => {
+            view.expected ??= computeExpected(view, uses);
+            return view.expected;
+        },
+        forgetExpected: worker => {
+            const view = views.get(worker);
+            if (view !== undefined) {
+                view.expected = undefined;
+            }
+        },
+    };
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./minion/index.js";
+export * from "./worker/index.js";
