Measure the request path, idle cost, loss of an entry host and configuration

Cause: the design states what a hop and a lost entry host cost, without a run that shows it. Change: packages/measure gets request-path, idle, entry-loss and configuration, on separate processes of the built program.

--- /dev/null
+++ b/packages/cli/src/fakes/index.ts
@@ -0,0 +1,4 @@
+/** Processes and targets for tests and measurements with the built program. */
+export { awaitCondition } from "./await-condition.js";
+export { type ProcessGroup, type ProcessGroupOptions, startProcessGroup, type TestProcess } from "./process-group.js";
+export { listOverlaps, listRequestSpans, listTaskSpans, startTestTargets, type TestTargets } from "./test-targets.js";
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -1,10 +1,20 @@
 import { cac } from "cac";
 import { Effect } from "effect";
 import { compareFanOut } from "./commands/compare-fan-out/index.js";
+import { measureConfiguration } from "./commands/measure-configuration/index.js";
+import { measureEntryLoss } from "./commands/measure-entry-loss/index.js";
+import { measureIdle } from "./commands/measure-idle/index.js";
+import { measureRequestPath } from "./commands/measure-request-path/index.js";
 
 const program = cac("measure");
 program.command("compare-fan-out", "Plain fan-out against trees for configuration").action(() =>
     Effect.runPromise(compareFanOut)
 );
+program.command("request-path", "Time of a request through entry hosts against a direct call").action(
+    measureRequestPath,
+);
+program.command("idle", "Processor time and memory of each role without load").action(measureIdle);
+program.command("entry-loss", "What a killed entry host blocks and for how long").action(measureEntryLoss);
+program.command("configuration", "Time until a revision is in force everywhere").action(measureConfiguration);
 program.help();
 program.parse();
