Test that an unconfirmed leader renews nothing and that a drain waits

The tests of the control role tied confirmRead to the role, so that the confirmation itself was not tested, and the drain test passed without the wait for calls in progress.

The check of the role before a proposal may be removed without a failing test, because the log refuses the proposal itself; it only saves the way to the log.

--- a/packages/control/src/control.test.ts
+++ b/packages/control/src/control.test.ts
@@ -301,6 +301,26 @@
         }
     })));
 
+void test("a leader that is cut off from the other replicas renews no lease and answers no read", () =>
+    runWithClock(Effect.gen(function*() {
+        const control = yield* startTestControl;
+        yield* control.renew("entry-0");
+        yield* advance(control.sync({}), 1_000);
+        control.log.confirms = false;
+        const refused = { kind: "error", error: { kind: "notLeader", leader: undefined } };
+        assert.deepEqual(yield* control.renew("entry-0"), refused);
+        assert.equal((yield* getError(control.sync({}))).kind, "notLeader");
+        const minion = { id: "m", service: "s", address: "a", availabilityZone: "a", slots: 8, connections: 64 };
+        assert.deepEqual(yield* control.api.handleRequest({ kind: "registerMinion", minion }), refused);
+        const read = control.callOperator(
+            "ListTenants",
+            schema.ListTenantsRequestSchema,
+            schema.ListTenantsResponseSchema,
+            {},
+        );
+        assert.equal((yield* getError(read)).kind, "notLeader");
+    })));
+
 void test("a follower names the leader over the link, and a drained leader hands over and finishes its calls", () =>
     runWithClock(Effect.gen(function*() {
         const control = yield* startTestControl;
@@ -309,8 +329,13 @@
         const channel = link.openChannel<ControlRequest, ControlReply>("control", {});
         const held = yield* Effect.forkChild(control.sync({}));
         yield* TestClock.adjust(100);
-        const drain = yield* Effect.forkChild(control.api.drain);
-        yield* TestClock.adjust(1_100);
+        const steps: string[] = [];
+        const drain = yield* Effect.forkChild(
+            Effect.tap(control.api.drain, () => Effect.sync(() => steps.push("drained"))),
+        );
+        yield* TestClock.adjust(500);
+        assert.deepEqual(steps, [], "a sync is still held");
+        yield* TestClock.adjust(600);
         assert.equal((yield* Fiber.join(held)).leaseMs, 10_000);
         yield* Fiber.join(drain);
         const reply = yield* channel.callPeer("control-0", { kind: "removeMinion", minion: "m" }, 1_000);
--- a/packages/control/src/fakes/make-control.ts
+++ b/packages/control/src/fakes/make-control.ts
@@ -96,6 +96,8 @@
 export interface TestLog extends ReplicatedLog<ControlCommand, CommandResult> {
     /** Makes this replica leader of a term, or a follower of another leader. */
     readonly setLeader: (term: number, leader: string) => void;
+    /** Whether the other replicas confirm that this one leads; a leader cut off from them does not know that it is not. */
+    confirms: boolean;
     /** Runs before each command of a kind is committed. */
     beforeCommit: (command: ControlCommand) => Effect.Effect<void>;
 }
@@ -112,6 +114,7 @@
             term = newTerm;
             leader = newLeader;
         },
+        confirms: true,
         beforeCommit: () => Effect.void,
         readStatus: () => ({
             ...memoryLog.readStatus(),
@@ -119,7 +122,9 @@
             leader,
             role: leader === "control-0" ? "leader" : "follower",
         }),
-        confirmRead: failUnlessLeader,
+        confirmRead: Effect.suspend(() =>
+            log.confirms ? failUnlessLeader : Effect.fail<ErrorData>({ kind: "notLeader", leader: undefined })
+        ),
         proposeCommand: command =>
             failUnlessLeader.pipe(
                 Effect.andThen(Effect.suspend(() => log.beforeCommit(command))),
