End attempts that their worker never started, and refuse overtaken syncs

A task that was cancelled or evicted between its placement and the reply that carries its start stayed in phase stopping, because the worker does not know the token and never reports its end. Its resources stayed charged until the worker expired. Control now ends such an attempt when its start was never sent in this term, or only in replies to earlier syncs: a worker syncs again only after it took a reply or gave up on it. Attempts that an earlier leader may have started are left to the worker, which reports the end of a token that it is told to stop and does not run. The stand-in worker does so now.

SyncRequest gets a sequence. A sync that a later one overtook, for instance through another entry host, could otherwise bring back an older checkpoint. 0 means that the worker does not count.

A change of a service's longest run now raises the version of the ownership map, which carries it to the entry hosts; before, they kept the old value.

Removed once each, seen to fail, restored: the end of unstarted attempts ("the first attempt was never sent and has ended at once"), the exception for inherited attempts, the sequence of the start ("the same sync does not show that the start was lost"), the refusal of overtaken syncs.

--- a/packages/cluster-state/src/work-changes.ts
+++ b/packages/cluster-state/src/work-changes.ts
@@ -47,6 +47,13 @@
     }
 }
 
+/** Entry hosts get the longest run of each service with the ownership map, so that a change of it needs a new version. */
+function announceService(model: Model, work: ModelWork): void {
+    if (work.spec.kind === "service") {
+        model.ownershipVersion += 1;
+    }
+}
+
 function updateTasks(model: Model, work: ModelWork): void {
     const wanted = countWantedTasks(work);
     for (let ordinal = 0; ordinal < wanted; ordinal += 1) {
@@ -107,6 +114,7 @@
     const taskCount = Math.max(work.taskCount, countWantedTasks(work));
     model.works.set(spec.name, { ...work, taskCount });
     updateTasks(model, { ...work, taskCount });
+    announceService(model, work);
     addEvent(model, "workChanged", spec.name, `revision ${work.revision} by ${changedBy}`);
     return Right(work.revision);
 }
@@ -128,6 +136,7 @@
         }
         model.works.set(name, { ...work, cancelled: true, revision: work.revision + 1, changedBy });
         cancelUnwanted(model, name, `cancelled by ${changedBy}`);
+        announceService(model, work);
         if (!model.openTasksByWork.has(name) && !model.finishedWorks.has(name)) {
             model.finishedWorks.set(name, model.clockMs);
         }
--- a/packages/control/src/context.ts
+++ b/packages/control/src/context.ts
@@ -1,5 +1,6 @@
 import type { ClusterMachine } from "@chestnutspool/cluster-state";
 import type { Logger } from "@chestnutspool/logger";
+import type { Placer } from "@chestnutspool/place-tasks";
 import {
     type Channel,
     type CommandResult,
@@ -13,7 +14,6 @@
 } from "@chestnutspool/types";
 import { Effect } from "effect";
 import type { LeaderMemory } from "./leader-memory.js";
-import type { Placer } from "./placer.js";
 import type { Signal } from "./signal.js";
 
 /** What the control role is built from. */
--- a/packages/control/src/control.test.ts
+++ b/packages/control/src/control.test.ts
@@ -225,6 +225,48 @@
         assert.deepEqual(listActions(yield* advance(control.sync({}), 1_000)), lost);
     })));
 
+void test("a cancelled task that its worker never started, or whose start was lost, does not hold its resources", () =>
+    runWithClock(Effect.gen(function*() {
+        const control = yield* startTestControl;
+        yield* addTenant(control);
+        yield* advance(control.sync({ sequence: 1n }), 1_000);
+        yield* addWatch(control);
+        yield* TestClock.adjust(100);
+        const task = () => control.state.tasks.get("ash/0");
+        assert.equal(task()?.phase, "starting");
+        control.decisions.push({ kind: "requestEviction", task: "ash/0", token: task()?.token ?? 0, reason: "busy" });
+        yield* TestClock.adjust(1_100);
+        assert.equal(task()?.phase, "stopping");
+        const lost = yield* advance(control.sync({ sequence: 2n }), 100);
+        assert.equal(
+            lost.directives[0]?.action.case,
+            "start",
+            "the first attempt was never sent and has ended at once",
+        );
+        yield* control.callOperator("CancelWorks", schema.CancelWorksRequestSchema, schema.ChangeResponseSchema, {
+            operatorRequestId: "cancel",
+            names: ["ash"],
+        });
+        assert.equal(task()?.phase, "stopping");
+        yield* advance(control.sync({ sequence: 2n }), 1_000);
+        assert.equal(task()?.phase, "stopping", "the same sync does not show that the start was lost");
+        yield* advance(control.sync({ sequence: 3n }), 1_000);
+        assert.equal(task()?.phase, "cancelled");
+        assert.equal((yield* getError(control.sync({ sequence: 2n }))).kind, "staleToken");
+    })));
+
+void test("a new leader leaves an attempt that an earlier one may have started to the worker's own report", () =>
+    runWithClock(Effect.gen(function*() {
+        const control = yield* startTestControl;
+        const token = yield* startWatch(control);
+        control.log.setLeader(3, "control-0");
+        control.decisions.push({ kind: "requestEviction", task: "ash/0", token: Number(token), reason: "busy" });
+        yield* TestClock.adjust(1_100);
+        const late = yield* advance(control.sync({ sequence: 1n }), 1_000);
+        assert.equal(control.state.tasks.get("ash/0")?.phase, "stopping");
+        assert.deepEqual(listActions(late), [`checkpoint ash/0 ${token}`, `stop ash/0 ${token}`]);
+    })));
+
 void test("a process that is behind by hundreds of configuration changes needs one reply, and a push in time needs none", () =>
     runWithClock(Effect.gen(function*() {
         const control = yield* startTestControl;
--- a/packages/control/src/fakes/make-control.ts
+++ b/packages/control/src/fakes/make-control.ts
@@ -9,6 +9,7 @@
 import { createClusterMachine } from "@chestnutspool/cluster-state";
 import { silentLogger } from "@chestnutspool/logger";
 import { createMemoryNetwork } from "@chestnutspool/peer-link";
+import type { PlacementDecision, Placer } from "@chestnutspool/place-tasks";
 import { createMemoryLog } from "@chestnutspool/replicated-log";
 import {
     ResourceAmountsSchema,
@@ -29,7 +30,7 @@
 import { Effect, type Scope } from "effect";
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
-import { type ControlApi, type PlacementDecision, type Placer, startControl } from "../index.js";
+import { type ControlApi, startControl } from "../index.js";
 
 /** Settings with the default times. */
 export const testSettings: ProcessSettings = {
--- a/packages/control/src/leader-memory.ts
+++ b/packages/control/src/leader-memory.ts
@@ -1,4 +1,4 @@
-import { type EntryId, type ErrorData, readMonotonicMs, type WorkerId } from "@chestnutspool/types";
+import { type ClusterState, type EntryId, type ErrorData, readMonotonicMs, type WorkerId } from "@chestnutspool/types";
 import { Effect } from "effect";
 import type { ControlContext } from "./context.js";
 import { createSignal, type Signal } from "./signal.js";
@@ -15,6 +15,8 @@
 /** Directives that were sent for one attempt. */
 export interface SentDirectives {
     startedAtMs: number | undefined;
+    /** Sequence of the last sync whose reply carried the start; undefined when none did. */
+    startSequence: bigint | undefined;
     stoppedAtMs: number | undefined;
     throttlePercent: number | undefined;
 }
@@ -26,6 +28,8 @@
     expiring: boolean;
     /** Ordinal of the last sync; an earlier one that is still held ends without directives. */
     lastSync: number;
+    /** Highest sequence that the worker gave to a sync. */
+    lastSequence: bigint;
     /** By token. */
     readonly sent: Map<number, SentDirectives>;
     readonly changed: Signal;
@@ -38,6 +42,8 @@
     readonly termBeganAtMs: number;
     readonly sessions: Map<EntryId, SessionMemory>;
     readonly workers: Map<WorkerId, WorkerMemory>;
+    /** Tokens whose start an earlier leader may have sent; undefined until the first confirmed read of the term. */
+    inheritedTokens: ReadonlySet<number> | undefined;
     /** When each configuration revision of this term was seen first. */
     readonly revisionSeenAtMs: Map<number, number>;
     /** Revision and version that were pushed last. */
@@ -55,6 +61,7 @@
         termBeganAtMs: nowMs,
         sessions: new Map(),
         workers: new Map(),
+        inheritedTokens: undefined,
         revisionSeenAtMs: new Map(),
         pushedRevision: -1,
         pushedOwnershipVersion: -1,
@@ -90,9 +97,18 @@
         syncedAtMs: memory.termBeganAtMs,
         expiring: false,
         lastSync: 0,
+        lastSequence: 0n,
         sent: new Map(),
         changed: createSignal(),
     };
     memory.workers.set(worker, created);
     return created;
 }
+
+/** Notes the attempts of earlier terms; to be called after a confirmed read, which shows all of them. */
+export function recordInheritedTokens(memory: LeaderMemory, state: ClusterState): void {
+    if (memory.inheritedTokens === undefined) {
+        const charged = [...state.tasksByWorker.values()].flatMap(ids => [...ids]);
+        memory.inheritedTokens = new Set(charged.flatMap(id => state.tasks.get(id)?.token ?? []));
+    }
+}
--- a/packages/control/src/sync-worker.ts
+++ b/packages/control/src/sync-worker.ts
@@ -13,8 +13,14 @@
 import { Effect } from "effect";
 import { type ControlContext, proposeAll, type ProposedCommand } from "./context.js";
 import { decodeMessage } from "./decode-message.js";
-import { getLeaderMemory, getWorkerMemory, type LeaderMemory, type WorkerMemory } from "./leader-memory.js";
-import { planDirectives } from "./worker-directives.js";
+import {
+    getLeaderMemory,
+    getWorkerMemory,
+    type LeaderMemory,
+    recordInheritedTokens,
+    type WorkerMemory,
+} from "./leader-memory.js";
+import { listNeverStarted, planDirectives, type WorkerSync } from "./worker-directives.js";
 import {
     convertResources,
     convertUsage,
@@ -67,6 +73,10 @@
     return commands;
 }
 
+function createNeverStarted({ id, token }: TaskRecord): ProposedCommand {
+    return { kind: "endTask", task: id, token, outcome: "stopped", reason: "never started" };
+}
+
 const recordUsage = Effect.fnUntraced(function*(context: ControlContext, memory: LeaderMemory, request: SyncRequest) {
     const { state } = context.machine;
     const usage = request.usage.map(convertUsage)
@@ -82,9 +92,8 @@
     context: ControlContext,
     workerMemory: WorkerMemory,
     request: SyncRequest,
-    ended: ReadonlySet<number>,
+    report: WorkerSync,
 ) {
-    const running = request.running.map(({ task, token }) => ({ task, token: Number(token) }));
     const { state } = context.machine;
     const sync = workerMemory.lastSync;
     const holdUntilMs = (yield* readMonotonicMs) + context.settings.leases.syncHoldMs;
@@ -94,8 +103,8 @@
         if (workerMemory.lastSync !== sync || state.workers.get(request.worker)?.incarnation !== request.incarnation) {
             return [];
         }
-        const directives = planDirectives(state, workerMemory, request.worker, running, ended, nowMs);
-        if (directives.length > 0 || nowMs >= holdUntilMs || ended.size > 0) {
+        const directives = planDirectives(state, workerMemory, report, nowMs);
+        if (directives.length > 0 || nowMs >= holdUntilMs || report.ended.size > 0) {
             return directives;
         }
         yield* Effect.raceFirst(changed, Effect.sleep(holdUntilMs - nowMs));
@@ -124,6 +133,22 @@
         : Effect.void;
 }
 
+/** Refuses a sync that was overtaken by a later one: it could bring back an older checkpoint. */
+function failWhenOvertaken(
+    memory: LeaderMemory,
+    { worker, incarnation, sequence }: SyncRequest,
+): Effect.Effect<void, ErrorData> {
+    const known = memory.workers.get(worker);
+    return known?.incarnation === incarnation && sequence < known.lastSequence
+        ? Effect.fail({
+            kind: "staleToken",
+            subject: `sync of worker ${worker}`,
+            seen: Number(sequence),
+            current: Number(known.lastSequence),
+        })
+        : Effect.void;
+}
+
 function checkIdentity(request: SyncRequest): ErrorData | undefined {
     const field = (["worker", "incarnation"] as const).find(name => request[name] === "");
     return field === undefined ? undefined : { kind: "invalidArgument", field, seen: "\"\"", allowed: "a text" };
@@ -134,22 +159,27 @@
     context: ControlContext,
     request: SyncRequest,
     ended: readonly EndedAttempt[],
+    report: WorkerSync,
 ) {
     yield* getLeaderMemory(context);
     yield* context.log.confirmRead;
     const memory = yield* getLeaderMemory(context);
     const { state } = context.machine;
+    recordInheritedTokens(memory, state);
     yield* failWhenExpiring(memory, request);
+    yield* failWhenOvertaken(memory, request);
     const [registration] = yield* proposeAll(context, planRegistration(state, request));
     if (registration?.kind === "refused") {
         return yield* Effect.fail(registration.error);
     }
-    yield* proposeAll(context, planReport(state, request, ended));
+    const workerMemory = getWorkerMemory(memory, request.worker, request.incarnation);
+    workerMemory.lastSequence = request.sequence;
+    const neverStarted = listNeverStarted(state, workerMemory, memory.inheritedTokens ?? new Set(), report);
+    yield* proposeAll(context, [...planReport(state, request, ended), ...neverStarted.map(createNeverStarted)]);
     yield* failWhenExpiring(memory, request);
     if (state.workers.get(request.worker)?.incarnation !== request.incarnation) {
         return yield* Effect.fail<ErrorData>({ kind: "sessionExpired", entry: `worker ${request.worker}` });
     }
-    const workerMemory = getWorkerMemory(memory, request.worker, request.incarnation);
     workerMemory.syncedAtMs = yield* readMonotonicMs;
     workerMemory.lastSync += 1;
     workerMemory.changed.notifyAll();
@@ -168,8 +198,13 @@
         Left: error => Effect.fail(error),
         Right: attempts => Effect.succeed(attempts),
     });
-    const workerMemory = yield* recordSync(context, request, ended);
-    const endedTokens = new Set(ended.map(attempt => attempt.token));
-    const directives = yield* awaitDirectives(context, workerMemory, request, endedTokens);
-    return toBinary(SyncResponseSchema, createResponse(context, directives, endedTokens));
+    const report: WorkerSync = {
+        worker: request.worker,
+        running: request.running.map(({ task, token }) => ({ task, token: Number(token) })),
+        ended: new Set(ended.map(attempt => attempt.token)),
+        sequence: request.sequence,
+    };
+    const workerMemory = yield* recordSync(context, request, ended, report);
+    const directives = yield* awaitDirectives(context, workerMemory, request, report);
+    return toBinary(SyncResponseSchema, createResponse(context, directives, report.ended));
 });
--- a/packages/stand-ins/src/worker/stand-in-worker.ts
+++ b/packages/stand-ins/src/worker/stand-in-worker.ts
@@ -58,6 +58,8 @@
     readonly tasks: WorkerTasks;
     /** Monotonic time at which the lease ends; 0 before the first sync. */
     leaseEndMs: number;
+    /** Number of syncs sent. */
+    syncs: bigint;
 }
 
 /** Stops all tasks when the lease has ended; returns whether it has. */
@@ -129,12 +131,14 @@
             },
         });
         tasks.setFailing(failing);
-        return { incarnation, tasks, leaseEndMs: 0 };
+        return { incarnation, tasks, leaseEndMs: 0, syncs: 0n };
     };
     let run = createRun();
 
-    const buildRequest = (nowMs: number): SyncRequest =>
-        create(SyncRequestSchema, {
+    const buildRequest = (nowMs: number): SyncRequest => {
+        run.syncs += 1n;
+        return create(SyncRequestSchema, {
+            sequence: run.syncs,
             worker: options.worker,
             incarnation: run.incarnation,
             availabilityZone: options.availabilityZone,
@@ -144,6 +148,7 @@
             ended: run.tasks.listEnded(),
             usage: run.tasks.listUsage(nowMs),
         });
+    };
 
     const syncOnce = Effect.fnUntraced(function*() {
         const call = calls[addressIndex % calls.length] as (typeof calls)[number];
--- a/packages/stand-ins/src/worker/worker-tasks.ts
+++ b/packages/stand-ins/src/worker/worker-tasks.ts
@@ -161,6 +161,16 @@
         }
     }
 
+    /** Confirms the end of an attempt that does not run here, and never starts it; control waits for this confirmation. */
+    function refuseAttempt(task: string, token: bigint): void {
+        const highest = highestTokens.get(task) ?? 0n;
+        highestTokens.set(task, token > highest ? token : highest);
+        if (!ended.has(token)) {
+            const reason = "does not run here";
+            ended.set(token, create(EndedTaskSchema, { task, token, end: TaskEnd.STOPPED, reason, checkpoint: "" }));
+        }
+    }
+
     function applyDirective(directive: Directive, nowMs: number): void {
         const { action, task, token } = directive;
         if (action.case === "start") {
@@ -171,6 +181,9 @@
         }
         const attempt = running.get(task);
         if (attempt === undefined || attempt.token !== token) {
+            if (action.case === "stop") {
+                refuseAttempt(task, token);
+            }
             return;
         }
         switch (action.case) {
