--- a/packages/route-requests/src/minion-slots.ts
+++ b/packages/route-requests/src/minion-slots.ts
@@ -60,15 +60,18 @@
     readonly open: boolean;
     /** True once an announcement listed the attempt. */
     readonly listed: boolean;
-    /** Number of announcements taken when the connection closed or this host took over. */
-    readonly closedAtCount: number;
+    /** Number of announcements without the attempt after which a run that was never listed has certainly ended. */
+    readonly unlistedLeft: number;
 }
 
 /**
- * Announcements after the close of a connection that must not list an attempt which was never listed. The first may have
- * been made before the close and arrive after it; the second was made after the answer to the first.
+ * Announcements under the present epoch, after the close of a connection, that must not list an attempt which was never
+ * listed. The first may have been made before the close and arrive after it; the second was made after the answer to the
+ * first.
  */
-const unlistedAnnouncements = 2;
+const unlistedAfterClose = 2;
+/** For a handed-over attempt one is enough: a minion that has seen the present epoch refuses what was sent under another. */
+const unlistedAfterMove = 1;
 
 /** Old incarnations of a minion that are remembered, so that their late announcements are dropped. */
 const rememberedIncarnations = 8;
@@ -96,14 +99,13 @@
     /** False until an announcement shows what runs at the minion. */
     let known = start.attemptsKnown === "atOnce";
     let heardAtMs: number | undefined = known ? startedAtMs : undefined;
-    let announcementCount = 0;
     let incarnation: string | undefined;
     let sequence = -1;
     const oldIncarnations: string[] = [];
     let stopped = false;
 
     const addForeign = (ref: AttemptRef, leaseEndsAtMs: number, listed: boolean): void => {
-        held.set(ref.attempt, { ref, leaseEndsAtMs, open: false, listed, closedAtCount: announcementCount });
+        held.set(ref.attempt, { ref, leaseEndsAtMs, open: false, listed, unlistedLeft: unlistedAfterMove });
     };
     for (const ref of start.attempts) {
         addForeign(ref, computeLeaseEndMs(startedAtMs, ref.runLeaseLeftMs, times), false);
@@ -144,14 +146,18 @@
         known = true;
     };
 
-    const updateHeld = (running: ReadonlySet<string>): void => {
+    const updateHeld = (running: ReadonlySet<string>, hasSeenEpoch: boolean): void => {
         for (const [id, attempt] of [...held]) {
             if (running.has(id)) {
                 held.set(id, { ...attempt, listed: true });
                 continue;
             }
-            const unlisted = announcementCount - attempt.closedAtCount;
-            if (!attempt.open && (attempt.listed || unlisted >= unlistedAnnouncements)) {
+            if (attempt.open) {
+                continue;
+            }
+            const unlistedLeft = attempt.unlistedLeft - (hasSeenEpoch ? 1 : 0);
+            held.set(id, { ...attempt, unlistedLeft });
+            if (attempt.listed || unlistedLeft <= 0) {
                 endAttempt(id);
             }
         }
@@ -170,7 +176,7 @@
                 return false;
             }
             const leaseEndsAtMs = computeLeaseEndMs(nowMs, ref.runLeaseLeftMs, times);
-            held.set(ref.attempt, { ref, leaseEndsAtMs, open: true, listed: false, closedAtCount: 0 });
+            held.set(ref.attempt, { ref, leaseEndsAtMs, open: true, listed: false, unlistedLeft: unlistedAfterClose });
             return true;
         },
         recordSent: (id, leaseEndsAtMs) => {
@@ -188,7 +194,7 @@
                 endAttempt(id);
                 return;
             }
-            held.set(id, { ...attempt, open: false, closedAtCount: announcementCount });
+            held.set(id, { ...attempt, open: false });
         },
         recordAnnouncement: (announcement, nowMs) => {
             if (isStale(announcement)) {
@@ -198,17 +204,17 @@
                 startIncarnation(announcement.incarnation);
             }
             sequence = announcement.sequence;
-            announcementCount += 1;
             heardAtMs = nowMs;
             if (announcement.leaving) {
                 // A leave does not list attempts.
                 stopped = true;
                 return true;
             }
-            if (!known && (start.attemptsKnown === "afterFirst" || announcement.highestEpoch >= epoch)) {
+            const hasSeenEpoch = announcement.highestEpoch >= epoch;
+            if (!known && (start.attemptsKnown === "afterFirst" || hasSeenEpoch)) {
                 recordRunning(announcement.runningAttempts, nowMs);
             }
-            updateHeld(new Set(announcement.runningAttempts));
+            updateHeld(new Set(announcement.runningAttempts), hasSeenEpoch);
             return true;
         },
         confirmEnd: id => {
