Test the request path, bad input and recorded requests over real sockets

The entry role had only one test. The new ones run entry hosts, the real control role with a log in memory and stand-in minions on loopback.

Faults found and corrected: - Closing idle connections to make room opened a new connection before the minion saw the old one closed, so a minion that allows 3 connections saw more. Kept connections are now bounded by the slots and used again; new ones for requests that must not be repeated have their own share. - The key of a booking was held after its outcome was recorded, so that resends got stillRunning until the run lease ended instead of the recorded outcome. - A message of too great a declared length closed the connection before its error arrived. Its bytes are now dropped first, up to 64 MiB.

--- a/packages/entry/src/coordinator.ts
+++ b/packages/entry/src/coordinator.ts
@@ -53,11 +53,14 @@
     const { view, items, running, records, runAttempts } = parts;
     const coordinated = new Set<CoordinatedRequest>();
 
-    /** Frees the key, or holds it while the last attempt may still run. */
+    /**
+     * Frees the key, or holds it while the last attempt may still run. A recorded request needs no hold, because its record
+     * keeps it from running again.
+     */
     const releaseKey = (request: CoordinatedRequest): void => {
         coordinated.delete(request);
         const last = request.lastAttempt;
-        if (last !== undefined && running.hasAttempt(last.id)) {
+        if (request.envelope.idempotent && last !== undefined && running.hasAttempt(last.id)) {
             running.registry.holdRequest(request.key, last.id, last.endsAtMs);
         }
         else {
--- a/packages/entry/src/dispatch-attempt.ts
+++ b/packages/entry/src/dispatch-attempt.ts
@@ -3,7 +3,7 @@
 import { type ClientRequest, type IncomingMessage, request as openRequest } from "node:http";
 import type { Socket } from "node:net";
 import { crc32 } from "node:zlib";
-import { closeIdleConnections, type HeldSlot, recordSlotSent } from "./owned-minion.js";
+import { type HeldSlot, recordSlotSent } from "./owned-minion.js";
 
 /** Passes a part of an answer on; waits while the receiver is slow. */
 export type EmitReply = (reply: EntryReply) => Effect.Effect<void, ErrorData>;
@@ -191,10 +191,9 @@
 
 function createRequest(slot: HeldSlot, envelope: RequestEnvelope): ClientRequest {
     const { minion, ref } = slot;
-    const { address, connections } = minion.slots.getInfo();
+    const { address } = minion.slots.getInfo();
     const separator = address.lastIndexOf(":");
-    const agent = envelope.idempotent ? minion.sharedAgent : minion.freshAgent;
-    closeIdleConnections(minion, connections - minion.slots.countHeld());
+    const agent = (envelope.idempotent ? undefined : minion.freshAgent) ?? minion.sharedAgent;
     return openRequest({
         host: address.slice(0, separator).replace(/^\[|\]$/g, ""),
         port: Number(address.slice(separator + 1)),
--- a/packages/entry/src/entry.test.ts
+++ b/packages/entry/src/entry.test.ts
@@ -1,22 +1,175 @@
 import { buildAnswer, buildBody } from "@chestnutspool/stand-ins";
-import type { ErrorData } from "@chestnutspool/types";
-import { Effect, type Scope } from "effect";
+import { ConnectError } from "@connectrpc/connect";
+import { Effect, Fiber } from "effect";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { buildRequest, createTestCluster } from "./fakes/test-cluster.js";
+import { crc32 } from "node:zlib";
+import {
+    awaitCondition,
+    buildRequest,
+    createTestCluster,
+    describeOutcome,
+    runScoped,
+    submit,
+    type TestEntry,
+} from "./fakes/test-cluster.js";
 
-/** Runs a test on a cluster whose processes end with it. */
-export function runOnCluster(run: Effect.Effect<void, ErrorData, Scope.Scope>): Promise<void> {
-    return Effect.runPromise(Effect.scoped(run));
-}
+const work = (key: string, runMs: number, answerBytes = 100) => buildBody({ key, runMs, answerBytes });
 
-void test("a request gets the whole answer of its minion, byte for byte", () =>
-    runOnCluster(Effect.gen(function*() {
+void test("each of many callers gets the answer to its own request, and no slot or connection is exceeded", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entries: TestEntry[] = [];
+        for (const id of ["entry-1", "entry-2", "entry-3"]) {
+            entries.push(yield* cluster.addEntry(id));
+        }
+        const minions = [
+            yield* cluster.addMinion(entries, { minion: "minion-1", slots: 2, connections: 3 }),
+            yield* cluster.addMinion(entries, { minion: "minion-2", slots: 3, connections: 3 }),
+        ];
+        const requests = Array.from({ length: 120 }, (item, index) => index);
+        yield* Effect.forEach(requests, index =>
+            Effect.gen(function*() {
+                const body = work(`key-${index}`, index % 7, index * 37);
+                const requestId = index % 2 === 0 ? `id-${index}` : "";
+                const entry = entries[index % entries.length] as TestEntry;
+                const outcome = yield* submit(entry, { body, requestId, deadlineMs: 30_000 });
+                assert.equal(describeOutcome(outcome), "answered");
+                assert.ok(outcome.kind === "answered");
+                assert.ok(Buffer.from(buildAnswer(body)).equals(outcome.answer), `answer ${index} is another one's`);
+            }), { concurrency: 60 });
+        const runs = minions.flatMap(minion => minion.listRuns());
+        assert.equal(new Set(runs.map(run => run.key)).size, requests.length);
+        assert.equal(runs.length, requests.length);
+        for (const [index, slots] of [2, 3].entries()) {
+            assert.ok((minions[index]?.readHighestRunning() ?? 0) <= slots);
+            assert.ok((minions[index]?.readHighestConnections() ?? 0) <= 3);
+        }
+    })));
+
+void test("a streamed answer arrives whole, with its length and checksum in the last message", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const first = yield* cluster.addEntry("entry-1");
+        const second = yield* cluster.addEntry("entry-2");
+        yield* cluster.addMinion([first, second], { minion: "minion-1" });
+        const body = work("large", 1, 9_000_000);
+        for (const entry of [first, second]) {
+            const parts: Uint8Array[] = [];
+            let end: { readonly lengthBytes: bigint; readonly crc32: number; } | undefined;
+            yield* Effect.promise(async () => {
+                for await (const { part } of entry.client.submitStream(buildRequest({ body, requestId: "large" }))) {
+                    if (part.case === "data") {
+                        parts.push(part.value);
+                    }
+                    end = part.case === "end" ? part.value : end;
+                }
+            });
+            const answer = Buffer.concat(parts);
+            assert.ok(answer.equals(buildAnswer(body)));
+            assert.ok(parts.every(part => part.length <= 64 * 1024));
+            assert.equal(end?.lengthBytes, 9_000_000n);
+            assert.equal(end?.crc32, crc32(answer));
+        }
+    })));
+
+void test("an answer that breaks off or has no length is an error and never looks complete", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1" });
+        for (const [fault, kind] of [["dropMidAnswer", "answerTruncated"], ["noLength", "minionFailed"]] as const) {
+            minion.setFault(fault);
+            assert.equal(describeOutcome(yield* submit(entry, { body: work(fault, 1, 300_000) })), kind);
+            yield* Effect.promise(() =>
+                assert.rejects(async () => {
+                    const request = buildRequest({ body: work(fault, 1, 300_000) });
+                    for await (const { part } of entry.client.submitStream(request)) {
+                        assert.notEqual(part.case, "end");
+                    }
+                }, ConnectError)
+            );
+        }
+    })));
+
+void test("a unary answer above the limit is an error that names the stream, and the run is not cut off", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1", { answerLimitBytes: 1_000 });
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1" });
+        assert.equal(describeOutcome(yield* submit(entry, { body: work("fits", 1, 1_000) })), "answered");
+        assert.equal(describeOutcome(yield* submit(entry, { body: work("large", 1, 200_000) })), "answerTooLarge");
+        assert.deepEqual(minion.listRuns().map(run => run.end), ["completed", "completed"]);
+    })));
+
+void test("a caller that goes away ends the run, and the slot serves the next request", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1", slots: 1 });
+        const abort = new AbortController();
+        yield* Effect.forkChild(
+            submit(entry, { body: work("long", 60_000), deadlineMs: 60_000, requestId: "long" }, abort.signal),
+        );
+        yield* awaitCondition(() => minion.listRunning().length === 1);
+        abort.abort();
+        yield* awaitCondition(() => minion.listRunning().length === 0);
+        assert.equal(minion.listRuns()[0]?.end, "connectionClosed");
+        const next = yield* submit(entry, { body: work("next", 1), deadlineMs: 10_000 });
+        assert.equal(describeOutcome(next), "answered");
+    })));
+
+void test("a resend while the first request runs is told so, and with another body it is refused", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entries = [yield* cluster.addEntry("entry-1"), yield* cluster.addEntry("entry-2")] as const;
+        const minion = yield* cluster.addMinion(entries, { minion: "minion-1" });
+        const first = yield* Effect.forkChild(submit(entries[0], { body: work("a", 300), requestId: "a" }));
+        yield* awaitCondition(() => minion.listRunning().length === 1);
+        assert.equal(
+            describeOutcome(yield* submit(entries[1], { body: work("a", 300), requestId: "a" })),
+            "stillRunning",
+        );
+        assert.equal(
+            describeOutcome(yield* submit(entries[1], { body: work("b", 300), requestId: "a" })),
+            "requestIdReused",
+        );
+        assert.equal(describeOutcome(yield* Fiber.join(first)), "answered");
+        assert.equal(minion.listRuns().length, 1);
+    })));
+
+void test("an overload rejects the lowest class at once with a time to come back", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1", { queueLimit: 4 });
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1", slots: 1 });
+        const outcomes = yield* Effect.forEach(
+            Array.from({ length: 12 }, (item, index) => index),
+            index =>
+                submit(entry, {
+                    body: work(`key-${index}`, 200),
+                    deadlineMs: 20_000,
+                    class: index < 4 ? 1 : 2,
+                }),
+            { concurrency: "unbounded" },
+        );
+        const rejected = outcomes.filter(outcome => describeOutcome(outcome) === "queueFull");
+        assert.equal(rejected.length, 12 - 5);
+        assert.ok(rejected.every(each => each.kind === "failed" && (each.detail?.retryAfterMs ?? 0) > 0));
+        assert.ok(rejected.every(each => each.kind === "failed" && each.detail?.notRun === true));
+        assert.equal(minion.listRuns().length, 5);
+        assert.equal(outcomes.slice(0, 4).filter(outcome => describeOutcome(outcome) !== "answered").length, 0);
+    })));
+
+void test("a request that cannot finish by its deadline is answered at once instead of at its deadline", () =>
+    runScoped(Effect.gen(function*() {
         const cluster = yield* createTestCluster;
         const entry = yield* cluster.addEntry("entry-1");
-        yield* cluster.addMinion([entry], { minion: "minion-1" });
-        const body = buildBody({ key: "first", runMs: 5, answerBytes: 1_000 });
-        const answer = yield* Effect.promise(() => entry.client.submit(buildRequest({ body })));
-        assert.equal(answer.status, 200);
-        assert.deepEqual(Buffer.from(answer.answer), Buffer.from(buildAnswer(body)));
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1", slots: 1 });
+        yield* submit(entry, { body: work("learn", 400) });
+        yield* Effect.forkChild(submit(entry, { body: work("long", 400) }));
+        yield* awaitCondition(() => minion.listRunning().length === 1);
+        const outcome = yield* submit(entry, { body: work("late", 400), deadlineMs: 500 });
+        assert.equal(describeOutcome(outcome), "deadlineTooShort");
+        assert.equal(minion.listRunning().length, 1, "the answer came while the other request still ran");
     })));
--- a/packages/entry/src/fakes/test-cluster.ts
+++ b/packages/entry/src/fakes/test-cluster.ts
@@ -5,10 +5,17 @@
 import { createMemoryNetwork } from "@chestnutspool/peer-link";
 import { createMetrics } from "@chestnutspool/record-metrics";
 import { createMemoryLog } from "@chestnutspool/replicated-log";
-import { CallerService, RequestClass, type SubmitRequestSchema } from "@chestnutspool/schema";
+import {
+    CallerService,
+    type ErrorDetail,
+    ErrorDetailSchema,
+    OperatorService,
+    RequestClass,
+    type SubmitRequestSchema,
+} from "@chestnutspool/schema";
 import { type MinionApi, type StandInMinionOptions, startStandInMinion } from "@chestnutspool/stand-ins";
 import type { ErrorData, ProcessSettings } from "@chestnutspool/types";
-import { createClient } from "@connectrpc/connect";
+import { Code, ConnectError, createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
 import { Effect, Exit, Scope } from "effect";
 import { type EntryApi, startEntry } from "../index.js";
@@ -19,12 +26,51 @@
     readonly id: string;
     readonly api: EntryApi;
     readonly client: ReturnType<typeof createCallerClient>;
+    readonly operator: ReturnType<typeof createOperatorClient>;
     /** Ends the process without a drain. */
     readonly stop: Effect.Effect<void>;
 }
 
+function createTransport(address: string) {
+    return createConnectTransport({ baseUrl: `http://${address}`, httpVersion: "1.1" });
+}
+
 function createCallerClient(address: string) {
-    return createClient(CallerService, createConnectTransport({ baseUrl: `http://${address}`, httpVersion: "1.1" }));
+    return createClient(CallerService, createTransport(address));
+}
+
+function createOperatorClient(address: string) {
+    return createClient(OperatorService, createTransport(address));
+}
+
+/** What a caller got: an answer, or the code and detail of an error. */
+export type Outcome =
+    | { readonly kind: "answered"; readonly status: number; readonly answer: Uint8Array; readonly requestId: string; }
+    | { readonly kind: "failed"; readonly code: Code; readonly detail: ErrorDetail | undefined; };
+
+/** Sends a request and returns what came of it. */
+export const submit = (
+    entry: TestEntry,
+    fields: MessageInitShape<typeof SubmitRequestSchema>,
+    signal?: AbortSignal,
+): Effect.Effect<Outcome> =>
+    Effect.promise(() =>
+        entry.client.submit(buildRequest(fields), signal === undefined ? {} : { signal }).then(
+            ({ status, answer, requestId }): Outcome => ({ kind: "answered", status, answer, requestId }),
+            (thrown: unknown): Outcome => {
+                const error = ConnectError.from(thrown);
+                return { kind: "failed", code: error.code, detail: error.findDetails(ErrorDetailSchema)[0] };
+            },
+        )
+    );
+
+/** The kind of the error that a caller got, and the reason when it was "notRun"; "answered" otherwise. */
+export function describeOutcome(outcome: Outcome): string {
+    if (outcome.kind === "answered") {
+        return "answered";
+    }
+    const { detail } = outcome;
+    return detail === undefined ? Code[outcome.code] : detail.reason === "" ? detail.kind : detail.reason;
 }
 
 /** Repeats a check until it holds; the test runner's limit ends one that never does. */
@@ -49,6 +95,11 @@
     };
 }
 
+/** Runs a test on processes that end with it. */
+export function runScoped(run: Effect.Effect<void, ErrorData, Scope.Scope>): Promise<void> {
+    return Effect.runPromise(Effect.scoped(run));
+}
+
 /** Starts one control replica with a log in memory; entry hosts and minions are added to it. */
 export const createTestCluster = Effect.gen(function*() {
     const network = yield* createMemoryNetwork;
@@ -75,11 +126,26 @@
             id,
             api,
             client: createCallerClient(api.rpcAddress),
+            operator: createOperatorClient(api.rpcAddress),
             stop: Scope.close(scope, Exit.void),
         };
         return entry;
     });
 
+    /** Creates the service, which limits the run time of its requests. */
+    const addService = (entry: TestEntry, maxRunMs: number): Effect.Effect<void> =>
+        Effect.promise(async () => {
+            await entry.operator.applyWork({
+                operatorRequestId: "create service",
+                work: {
+                    name: "plume",
+                    tenant: "moreno",
+                    resources: { milliCpu: 1_000, memoryMib: 100, accelerators: 0 },
+                    kind: { case: "service", value: { replicas: 0, maxRunMs } },
+                },
+            });
+        });
+
     const addMinion = (
         entries: readonly TestEntry[],
         options: Partial<StandInMinionOptions> & { readonly minion: string; },
@@ -97,5 +163,5 @@
             minion => awaitCondition(() => minion.countAnnounced() > 1),
         );
 
-    return { network, control, state: machine.state, addEntry, addMinion };
+    return { network, control, state: machine.state, addEntry, addService, addMinion };
 });
--- a/packages/entry/src/owned-items.ts
+++ b/packages/entry/src/owned-items.ts
@@ -1,7 +1,7 @@
 import { createOutlierEjector, createServiceTimes, type OwnershipStart } from "@chestnutspool/route-requests";
 import type { AttemptRef, EntryId, MinionId, MinionInfo, OwnershipRecord, ReleasedItem } from "@chestnutspool/types";
 import type { EntryContext } from "./entry-context.js";
-import { createOwnedMinion, type OwnedMinion, stopOwnedMinion } from "./owned-minion.js";
+import { createOwnedMinion, type OwnedMinion, stopOwnedMinion, updateOwnedMinion } from "./owned-minion.js";
 import type { OwnershipView } from "./ownership-view.js";
 
 /** A key shard that this host coordinates. */
@@ -115,7 +115,7 @@
         }
         const minion = minions.get(id);
         if (minion !== undefined) {
-            minion.slots.updateInfo(info);
+            updateOwnedMinion(minion, info);
             if (record.phase === "releasing") {
                 minion.isOwned = false;
             }
--- a/packages/entry/src/owned-minion.ts
+++ b/packages/entry/src/owned-minion.ts
@@ -12,10 +12,14 @@
 export interface OwnedMinion {
     readonly slots: MinionSlots;
     readonly times: SlotTimes;
-    /** Connections for attempts that may be repeated; idle ones are used again. */
+    /** Connections that are kept open and used again; at most one for each slot. */
     readonly sharedAgent: Agent;
-    /** One new connection for each attempt, so that a failure to connect is a proof that nothing was sent. */
-    readonly freshAgent: Agent;
+    /**
+     * One new connection for each attempt that must not be repeated: a kept connection can be closed by the minion just
+     * when it is used again, and the outcome of the attempt would then be unknown. Undefined when the minion allows too few
+     * connections for both kinds.
+     */
+    freshAgent: Agent | undefined;
     /** False once the minion was released or given to another host. */
     isOwned: boolean;
 }
@@ -39,13 +43,35 @@
     nowMs: number,
     onEnd: (attempt: string) => void,
 ): OwnedMinion {
-    return {
+    const minion: OwnedMinion = {
         slots: createMinionSlots(info, epoch, start, times, nowMs, onEnd),
         times,
-        sharedAgent: new Agent({ keepAlive: true, maxSockets: info.connections, maxFreeSockets: info.slots }),
-        freshAgent: new Agent({ keepAlive: false, maxSockets: info.connections }),
+        sharedAgent: new Agent({ keepAlive: true }),
+        freshAgent: undefined,
         isOwned: true,
     };
+    setConnectionLimits(minion, info);
+    return minion;
+}
+
+/** Divides the connections that the minion allows between kept and new ones. */
+function setConnectionLimits(minion: OwnedMinion, info: MinionInfo): void {
+    const sharedLimit = Math.min(info.slots, info.connections);
+    const freshLimit = info.connections - sharedLimit;
+    minion.sharedAgent.maxSockets = sharedLimit;
+    minion.sharedAgent.maxFreeSockets = sharedLimit;
+    minion.freshAgent = freshLimit > sharedLimit
+        ? new Agent({ keepAlive: false, maxSockets: freshLimit })
+        : undefined;
+}
+
+/** Takes over what a minion announces about itself when it has changed. */
+export function updateOwnedMinion(minion: OwnedMinion, info: MinionInfo): void {
+    const known = minion.slots.getInfo();
+    if (known.slots !== info.slots || known.connections !== info.connections) {
+        setConnectionLimits(minion, info);
+    }
+    minion.slots.updateInfo(info);
 }
 
 /** Takes a slot of a minion; undefined when none is free. */
@@ -64,17 +90,11 @@
     slot.minion.slots.recordSent(slot.ref.attempt, slot.leaseEndsAtMs);
 }
 
-/** Closes idle connections until open ones and attempts in progress together keep to the minion's limit. */
-export function closeIdleConnections(minion: OwnedMinion, limit: number): void {
-    const idle = Object.values(minion.sharedAgent.freeSockets).flatMap(sockets => sockets ?? []);
-    for (const socket of idle.slice(Math.max(0, limit))) {
-        socket.destroy();
-    }
-}
-
 /** Stops the use of a minion; attempts in progress keep their connections until they end. */
 export function stopOwnedMinion(minion: OwnedMinion): void {
     minion.isOwned = false;
     minion.sharedAgent.maxFreeSockets = 0;
-    closeIdleConnections(minion, 0);
+    for (const socket of Object.values(minion.sharedAgent.freeSockets).flatMap(sockets => sockets ?? [])) {
+        socket.destroy();
+    }
 }
--- /dev/null
+++ b/packages/entry/src/recorded-requests.test.ts
@@ -0,0 +1,128 @@
+import { buildAnswer, buildBody } from "@chestnutspool/stand-ins";
+import { Effect } from "effect";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    awaitCondition,
+    createTestCluster,
+    describeOutcome,
+    runScoped,
+    submit,
+    type TestEntry,
+} from "./fakes/test-cluster.js";
+
+const createBooking = (key: string, runMs: number, answerBytes = 100) => ({
+    body: buildBody({ key, runMs, answerBytes }),
+    requestId: key,
+    idempotent: false,
+});
+
+/** Resends as a caller does who is told that the request is still running, or not yet recorded. */
+const resend = (entry: TestEntry, booking: ReturnType<typeof createBooking>): Effect.Effect<string> =>
+    Effect.gen(function*() {
+        while (true) {
+            const outcome = describeOutcome(yield* submit(entry, booking));
+            if (outcome !== "stillRunning") {
+                return outcome;
+            }
+            yield* Effect.sleep(20);
+        }
+    });
+
+void test("a resend of a booking gets the first answer through any host, and the booking runs once", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entries = [yield* cluster.addEntry("entry-1"), yield* cluster.addEntry("entry-2")] as const;
+        const minion = yield* cluster.addMinion(entries, { minion: "minion-1" });
+        const booking = createBooking("booking", 20);
+        for (const entry of [...entries, ...entries]) {
+            const outcome = yield* submit(entry, booking);
+            assert.ok(outcome.kind === "answered");
+            assert.ok(Buffer.from(buildAnswer(booking.body)).equals(outcome.answer));
+        }
+        const other = yield* submit(entries[0], { ...createBooking("other", 20), requestId: "booking" });
+        assert.equal(describeOutcome(other), "requestIdReused");
+        const large = createBooking("large", 1, 70_000);
+        assert.equal(describeOutcome(yield* submit(entries[0], large)), "answered");
+        assert.equal(describeOutcome(yield* submit(entries[1], large)), "answerNotKept");
+        assert.deepEqual(minion.listRuns().map(run => run.key), ["booking", "large"]);
+    })));
+
+void test("a booking whose caller goes away runs to its end, and the resend learns the outcome", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1" });
+        const booking = createBooking("booking", 200);
+        const abort = new AbortController();
+        yield* Effect.forkChild(submit(entry, booking, abort.signal));
+        yield* awaitCondition(() => minion.listRunning().length === 1);
+        abort.abort();
+        assert.equal(describeOutcome(yield* submit(entry, booking)), "stillRunning");
+        yield* awaitCondition(() => minion.listRunning().length === 0);
+        assert.equal(yield* resend(entry, booking), "answered");
+        assert.deepEqual(minion.listRuns().map(run => run.end), ["completed"]);
+    })));
+
+void test("a booking whose deadline passes may have run, and is never reported as not run", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1" });
+        const booking = { ...createBooking("booking", 300), deadlineMs: 100 };
+        const outcome = yield* submit(entry, booking);
+        assert.ok(outcome.kind === "failed" && outcome.detail?.kind === "deadlineExceeded" && !outcome.detail.notRun);
+        yield* awaitCondition(() => minion.listRunning().length === 0);
+        assert.equal(yield* resend(entry, booking), "answered");
+    })));
+
+void test("a booking that broke off is never run again, whatever the resends say", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        const minions = [
+            yield* cluster.addMinion([entry], { minion: "minion-1" }),
+            yield* cluster.addMinion([entry], { minion: "minion-2" }),
+        ];
+        for (const minion of minions) {
+            minion.setFault("dropBeforeAnswer");
+        }
+        const booking = createBooking("booking", 5);
+        assert.equal(describeOutcome(yield* submit(entry, booking)), "outcomeUnknown");
+        for (const minion of minions) {
+            minion.setFault("none");
+        }
+        assert.equal(yield* resend(entry, booking), "outcomeUnknown");
+        assert.equal(minions.flatMap(minion => minion.listRuns()).length, 1);
+    })));
+
+void test("a booking that no minion started is reported as not run, and may run under its id afterwards", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1" });
+        minion.setFault("refuse");
+        const booking = createBooking("booking", 5);
+        const outcome = yield* submit(entry, booking);
+        assert.ok(outcome.kind === "failed" && outcome.detail?.notRun === true);
+        assert.equal(minion.listRuns().length, 0);
+        minion.setFault("none");
+        assert.equal(yield* resend(entry, booking), "answered");
+        assert.equal(minion.listRuns().length, 1);
+    })));
+
+void test("without a control leader a booking is neither run nor reported as not run, because it may have run before", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1" });
+        cluster.network.setCut("entry-1", "control", true);
+        const outcome = yield* submit(entry, { ...createBooking("booking", 5), deadlineMs: 300 });
+        assert.ok(outcome.kind === "failed" && outcome.detail?.notRun === false);
+        yield* awaitCondition(() => !entry.api.readHealth().ready);
+        const late = yield* submit(entry, createBooking("booking", 5));
+        assert.ok(late.kind === "failed" && late.detail?.kind === "outcomeUnknown");
+        const repeatable = yield* submit(entry, { body: Buffer.from("x") });
+        assert.ok(repeatable.kind === "failed" && repeatable.detail?.notRun === true);
+        assert.equal(minion.listRuns().length, 0);
+    })));
--- a/packages/entry/src/rpc-server.ts
+++ b/packages/entry/src/rpc-server.ts
@@ -1,3 +1,4 @@
+import { describeError } from "@chestnutspool/errors";
 import { CallerService, OperatorService, TargetService, WorkerService } from "@chestnutspool/schema";
 import type { ErrorData } from "@chestnutspool/types";
 import type { ServiceImpl } from "@connectrpc/connect";
@@ -33,6 +34,8 @@
 const envelopeBytes = 64 * 1024;
 /** Characters of base64 for each byte of a body in JSON. */
 const base64Growth = 4 / 3;
+/** Longest message that is read to its end although it is refused, in bytes. */
+const droppedBytesLimit = 64 * 1024 * 1024;
 /** Time for the head of an HTTP request in milliseconds; a slow sender must not hold a connection. */
 const headersTimeoutMs = 10_000;
 /** Time for a whole HTTP request with its body in milliseconds. */
@@ -111,6 +114,24 @@
     }
 }
 
+/**
+ * Refuses a message that declares too great a length. Its bytes are dropped first, because a connection that is closed with
+ * unread bytes loses the error on its way to the caller.
+ */
+function refuseOversized(request: IncomingMessage, response: ServerResponse, bytes: number, limitBytes: number): void {
+    const message = describeError({ kind: "frameTooLarge", bytes, limitBytes });
+    const send = (): void => {
+        response.setHeader("connection", "close");
+        sendJson(response, 400, { code: "invalid_argument", message });
+    };
+    if (bytes > droppedBytesLimit) {
+        send();
+        return;
+    }
+    request.resume();
+    request.once("end", send);
+}
+
 function listen(server: Server, host: string, port: number): Effect.Effect<number, ErrorData> {
     return Effect.callback(resume => {
         server.once("error", error =>
@@ -126,6 +147,7 @@
 /** Starts the RPC server; it closes all connections when the scope closes. */
 export const startRpcServer = Effect.fnUntraced(function*(context: EntryContext, parts: ServerParts) {
     const { listen: { rpcHost, rpcPort }, requests } = context.settings;
+    const readMaxBytes = Math.ceil(requests.bodyLimitBytes * base64Growth) + envelopeBytes;
     const handleRpc = connectNodeAdapter({
         routes: router => {
             router.service(CallerService, parts.caller);
@@ -133,7 +155,7 @@
             router.service(WorkerService, parts.forwarded.workerMethods);
             router.service(OperatorService, createOperatorService(context, parts));
         },
-        readMaxBytes: Math.ceil(requests.bodyLimitBytes * base64Growth) + envelopeBytes,
+        readMaxBytes,
         fallback: (request, response) =>
             handleOther(request as IncomingMessage, response as ServerResponse, parts.readHealth),
     });
@@ -149,6 +171,11 @@
             if (!accepting) {
                 response.setHeader("connection", "close");
             }
+            const declaredBytes = Number(request.headers["content-length"] ?? 0);
+            if (declaredBytes > readMaxBytes) {
+                refuseOversized(request, response, declaredBytes, readMaxBytes);
+                return;
+            }
             handleRpc(request, response);
         },
     );
--- a/packages/route-requests/src/request-registry.ts
+++ b/packages/route-requests/src/request-registry.ts
@@ -41,6 +41,8 @@
 
 /** Retry-after time for a resend of a request that is being served, in milliseconds. */
 const servedRetryAfterMs = 100;
+/** Longest retry-after time for a held key, in milliseconds; the next announcement of the minion often ends the hold. */
+const heldRetryAfterMs = 1_000;
 
 function parseRequestId(key: string): string {
     const tenantLength = Number(key.slice(0, key.indexOf(":")));
@@ -102,7 +104,7 @@
             }
             const retryAfterMs = known.heldUntilMs === undefined
                 ? servedRetryAfterMs
-                : Math.ceil(known.heldUntilMs - nowMs);
+                : Math.min(heldRetryAfterMs, Math.ceil(known.heldUntilMs - nowMs));
             return Left({ kind: "stillRunning", requestId, retryAfterMs });
         },
         holdRequest: (key, attempt, untilMs) => {
--- a/packages/stand-ins/src/minion/serve-run.ts
+++ b/packages/stand-ins/src/minion/serve-run.ts
@@ -70,8 +70,13 @@
 
 const awaitDrain = (response: ServerResponse) =>
     Effect.callback<void>(resume => {
-        response.once("drain", () => resume(Effect.void));
-        response.once("close", () => resume(Effect.void));
+        const end = (): void => {
+            response.off("drain", end);
+            response.off("close", end);
+            resume(Effect.void);
+        };
+        response.on("drain", end);
+        response.on("close", end);
     });
 
 const writeAnswer = Effect.fnUntraced(function*(response: ServerResponse, answer: Uint8Array, fault: MinionFault) {
