--- a/packages/entry/src/rpc-server.ts
+++ b/packages/entry/src/rpc-server.ts
@@ -26,7 +26,7 @@
 export interface RpcServer {
     /** IP number and port. */
     readonly address: string;
-    /** Closes connections that carry no call, and each other one after its call. */
+    /** Closes each connection after its next answer. */
     readonly stopAccepting: () => void;
 }
 
@@ -189,8 +189,9 @@
     const rpcServer: RpcServer = {
         address: rpcHost.includes(":") ? `[${rpcHost}]:${port}` : `${rpcHost}:${port}`,
         stopAccepting: () => {
+            // Idle connections stay open until their next call: closing one just when a caller uses it would lose the
+            // refusal on its way.
             accepting = false;
-            server.closeIdleConnections();
         },
     };
     return rpcServer;
