Let batch work with slack wait for a place that harms no urgent task

Batch tasks filled the places beside the urgent tasks that they hurt most, although their deadlines left time.

A job may add only so much weighted slowdown to the urgent tasks of a worker; the limit grows as its slack shrinks or its wait grows, and then ends.

--- a/packages/place-tasks/src/choose-worker.ts
+++ b/packages/place-tasks/src/choose-worker.ts
@@ -17,6 +17,15 @@
     return high + Math.max(0, load - 1) * overloadSlope;
 }
 
+/** Slowdown that the task would add to the urgent tasks of the worker together. */
+function computeUrgentHarm(pass: Pass, view: WorkerView, classId: number): number {
+    const { slowdowns } = pass.memory;
+    return readSeatedClasses(view, slowdowns).urgent.reduce(
+        (sum, { classId: other, count }) => sum + count * slowdowns.estimateAdded(other, classId),
+        0,
+    );
+}
+
 /** Slowdown that the task would add to the tasks of the worker, and they to it, weighted by class. */
 function computeSlowdownCost(pass: Pass, view: WorkerView, task: SeatedTask, classId: number): number {
     const { settings, slowdowns } = pass.memory;
@@ -55,20 +64,36 @@
         : -settings.batchThroughputWeight * packingGain * cpuLoad);
 }
 
-/** The worker on which a task starts at the least cost; undefined when it fits on none. Ties go to the first id. */
-export function chooseWorker(pass: Pass, task: SeatedTask): WorkerView | undefined {
-    const added = pass.memory.uses.estimateUse({ name: task.work, resources: task.resources });
+/** Where a task starts, or why not: it fits nowhere, or it would slow urgent tasks down more than it may. */
+export type WorkerChoice =
+    | { readonly kind: "found"; readonly view: WorkerView; }
+    | { readonly kind: "noRoom"; }
+    | { readonly kind: "deferred"; };
+
+/**
+ * The worker on which a task starts at the least cost; ties go to the first id. A batch task may add at most `harmLimit` of
+ * weighted slowdown to the urgent tasks of a worker.
+ */
+export function chooseWorker(pass: Pass, task: SeatedTask, harmLimit: number): WorkerChoice {
+    const { uses, slowdowns, settings } = pass.memory;
+    const added = uses.estimateUse({ name: task.work, resources: task.resources });
+    const classId = slowdowns.findClassId(task.interferenceClass);
     let best: WorkerView | undefined;
     let bestCost = Infinity;
+    let deferred = false;
     for (const view of pass.usable) {
         if (!isWorkerUsable(view) || !hasRoomFor(pass, view, task)) {
             continue;
         }
+        if (settings.tailLatencyWeight * computeUrgentHarm(pass, view, classId) > harmLimit) {
+            deferred = true;
+            continue;
+        }
         const cost = computeCost(pass, view, task, added);
         if (cost < bestCost) {
             best = view;
             bestCost = cost;
         }
     }
-    return best;
+    return best === undefined ? { kind: deferred ? "deferred" : "noRoom" } : { kind: "found", view: best };
 }
--- a/packages/place-tasks/src/place-pending.ts
+++ b/packages/place-tasks/src/place-pending.ts
@@ -1,5 +1,6 @@
 import { resourceNames, type Resources, type TaskRecord } from "@chestnutspool/types";
 import { chooseWorker } from "./choose-worker.js";
+import { computeHarmLimit } from "./order-works.js";
 import { isUrgent, type Pass } from "./pass.js";
 import type { PendingWork } from "./pending.js";
 import { reclaimSpace } from "./reclaim.js";
@@ -13,41 +14,61 @@
 interface Waiting {
     readonly task: TaskRecord;
     readonly seated: SeatedTask;
+    /** Weighted slowdown that the task may add to urgent ones where it starts. */
+    readonly harmLimit: number;
 }
 
 /** Sizes that did not fit anywhere in this pass, by class; what is at least as large need not be tried. */
 interface FailedSizes {
     readonly urgent: Resources[];
     readonly batch: Resources[];
+    /** Works whose tasks wait, because they would slow urgent tasks down too much wherever they fit. */
+    readonly deferredWorks: Set<string>;
 }
 
 function isAtLeast(left: Resources, right: Resources): boolean {
     return resourceNames.every(name => left[name] >= right[name]);
 }
 
-/** Places a task if it fits. */
-function placeTask(pass: Pass, { task, seated }: Waiting, failed: FailedSizes): boolean {
+type PlaceResult = "placed" | "noRoom" | "deferred";
+
+/** Places a task if it fits and harms no urgent task too much. */
+function placeTask(pass: Pass, { task, seated, harmLimit }: Waiting, failed: FailedSizes): PlaceResult {
     const sizes = isUrgent(seated) ? failed.urgent : failed.batch;
     const hasClaim = pass.memory.claims.findByTask(task.id) !== undefined;
     if (!hasClaim && sizes.some(size => isAtLeast(seated.resources, size))) {
-        return false;
+        return "noRoom";
     }
-    const view = chooseWorker(pass, seated);
-    if (view === undefined) {
-        sizes.push(seated.resources);
-        return false;
+    const choice = failed.deferredWorks.has(task.work)
+        ? { kind: "deferred" as const }
+        : chooseWorker(pass, seated, harmLimit);
+    switch (choice.kind) {
+        case "noRoom":
+            sizes.push(seated.resources);
+            return "noRoom";
+        case "deferred":
+            failed.deferredWorks.add(task.work);
+            return "deferred";
+        case "found":
+            break;
     }
+    const { view } = choice;
     pass.memory.claims.removeClaim(task.id);
     addSeatedTask(view, seated);
     pass.shares.addUse(seated.tenant, seated.resources);
     pass.addDecision({ kind: "placeTask", task: task.id, worker: view.record.id, previousToken: task.token });
-    return true;
+    return "placed";
 }
 
-function listWaiting(works: readonly PendingWork[]): Waiting[] {
-    return works.flatMap(({ spec, tasks }) =>
-        tasks.map(task => ({ task, seated: buildSeatedTask(task.id, spec, spec.resources) }))
-    );
+function listWaiting(pass: Pass, works: readonly PendingWork[]): Waiting[] {
+    return works.flatMap(work => {
+        const harmLimit = computeHarmLimit(pass.memory.settings, work, pass.memory.runTimes, pass.nowMs);
+        return work.tasks.map(task => ({
+            task,
+            seated: buildSeatedTask(task.id, work.spec, work.spec.resources),
+            harmLimit,
+        }));
+    });
 }
 
 /** Places what stays within the quotas; returns the tasks that would borrow and those that found no room. */
@@ -58,7 +79,7 @@
         if (!pass.shares.isWithinQuota(item.seated.tenant, item.seated.resources)) {
             borrowers.push(item);
         }
-        else if (!placeTask(pass, item, failed)) {
+        else if (placeTask(pass, item, failed) === "noRoom") {
             unplaced.push(item);
         }
     }
@@ -90,7 +111,7 @@
         if (chosen.queue.length === 0) {
             queues.delete(chosen.tenant);
         }
-        if (!placeTask(pass, item, failed)) {
+        if (placeTask(pass, item, failed) === "noRoom") {
             unplaced.push(item);
         }
     }
@@ -118,9 +139,9 @@
  * batch tasks within their quota that found no room.
  */
 export function placePending(pass: Pass, works: readonly PendingWork[]): void {
-    const failed: FailedSizes = { urgent: [], batch: [] };
+    const failed: FailedSizes = { urgent: [], batch: [], deferredWorks: new Set() };
     const listClass = (name: "latencyCritical" | "batch"): Waiting[] =>
-        listWaiting(works.filter(({ spec }) => findTaskClass(spec.kind) === name));
+        listWaiting(pass, works.filter(({ spec }) => findTaskClass(spec.kind) === name));
     const urgent = placeWithinQuota(pass, listClass("latencyCritical"), failed);
     const urgentBorrowers = placeBorrowers(pass, urgent.borrowers, failed);
     reclaimFor(pass, [...urgent.unplaced, ...urgentBorrowers]);
--- a/packages/place-tasks/src/run-time-model.ts
+++ b/packages/place-tasks/src/run-time-model.ts
@@ -9,8 +9,9 @@
 
 /** Decaying mean of the logarithm of observed over declared run time. */
 interface RatioMean {
-    weight: number;
-    mean: number;
+    readonly weight: number;
+    readonly mean: number;
+    readonly variance: number;
 }
 
 /** Learns how far declared run times are off, by work and pooled by interference class. */
@@ -18,12 +19,16 @@
     readonly observeRun: (spec: JobSpec, task: TaskRecord) => void;
     /** Expected run time of a task in milliseconds. */
     readonly estimateRunMs: (spec: JobSpec) => number;
+    /** Run time in milliseconds that a task exceeds rarely: the expected one with one standard deviation. */
+    readonly estimateLongRunMs: (spec: JobSpec) => number;
 }
 
 function addRatio(known: RatioMean | undefined, ratio: number): RatioMean {
     const weight = (known?.weight ?? 0) * decay + 1;
     const mean = known?.mean ?? 0;
-    return { weight, mean: mean + (ratio - mean) / weight };
+    const difference = ratio - mean;
+    const variance = (1 - 1 / weight) * ((known?.variance ?? 0) + difference * difference / weight);
+    return { weight, mean: mean + difference / weight, variance };
 }
 
 /** Mean of the figures with a prior that counts as `priorRuns` runs. */
@@ -37,6 +42,10 @@
 export function createRunTimeModel(): RunTimeModel {
     const byWork = new Map<string, RatioMean>();
     const byClass = new Map<string, RatioMean>();
+    const estimateRunMs = (spec: JobSpec): number => {
+        const pooled = blendRatio(byClass.get(spec.interferenceClass), 0);
+        return spec.expectedRunMs * Math.exp(blendRatio(byWork.get(spec.name), pooled));
+    };
     return {
         observeRun: (spec, task) => {
             if (task.startedAtMs === undefined || task.endedAtMs === undefined) {
@@ -52,9 +61,12 @@
                 byWork.delete(oldest);
             }
         },
-        estimateRunMs: spec => {
-            const pooled = blendRatio(byClass.get(spec.interferenceClass), 0);
-            return spec.expectedRunMs * Math.exp(blendRatio(byWork.get(spec.name), pooled));
+        estimateRunMs,
+        estimateLongRunMs: spec => {
+            const variance = byClass.get(spec.interferenceClass)?.variance ?? 0;
+            const weight = byWork.get(spec.name)?.weight ?? 0;
+            // The more runs of the work itself are known, the less the differences between works count.
+            return estimateRunMs(spec) * Math.exp(Math.sqrt(variance * priorRuns / (weight + priorRuns)));
         },
     };
 }
