Spread the tasks of a service over workers, racks and availability zones

The loss of one rack could take all tasks of a service.

Each task of the same service on the worker, in the rack and in the availability zone adds a cost in proportion to its share of the service.

--- a/packages/place-tasks/src/choose-worker.ts
+++ b/packages/place-tasks/src/choose-worker.ts
@@ -1,5 +1,6 @@
 import { hasRoomFor, isUrgent, type Pass } from "./pass.js";
 import { isWorkerUsable } from "./set-aside.js";
+import { computeSpreadCost, countSpread } from "./spread.js";
 import type { ExpectedUse } from "./use-model.js";
 import { readSeatedClasses, type SeatedTask, type WorkerView } from "./worker-views.js";
 
@@ -78,6 +79,7 @@
     const { uses, slowdowns, settings } = pass.memory;
     const added = uses.estimateUse({ name: task.work, resources: task.resources });
     const classId = slowdowns.findClassId(task.interferenceClass);
+    const spread = isUrgent(task) ? countSpread(pass, task) : undefined;
     let best: WorkerView | undefined;
     let bestCost = Infinity;
     let deferred = false;
@@ -89,7 +91,8 @@
             deferred = true;
             continue;
         }
-        const cost = computeCost(pass, view, task, added);
+        const spreadCost = spread === undefined ? 0 : computeSpreadCost(spread, view);
+        const cost = computeCost(pass, view, task, added) + settings.tailLatencyWeight * spreadCost;
         if (cost < bestCost) {
             best = view;
             bestCost = cost;
--- a/packages/place-tasks/src/in-flight.ts
+++ b/packages/place-tasks/src/in-flight.ts
@@ -19,6 +19,8 @@
     readonly addDecision: (decision: PlacementDecision, nowMs: number) => void;
     /** Removes the decisions that are applied, superseded or timed out, and returns them. */
     readonly dropSettled: (state: ClusterState, nowMs: number) => readonly PlacementDecision[];
+    /** Worker of a placement in flight. */
+    readonly findPlacement: (task: TaskId) => WorkerId | undefined;
     /** Placements in flight. */
     readonly listPlacements: () => readonly Extract<PlacementDecision, { kind: "placeTask"; }>[];
 }
@@ -68,6 +70,10 @@
             }
             return dropped;
         },
+        findPlacement: task => {
+            const decision = decisions.get(`task:${task}`)?.decision;
+            return decision?.kind === "placeTask" ? decision.worker : undefined;
+        },
         listPlacements: () =>
             [...decisions.values()].flatMap(({ decision }) => decision.kind === "placeTask" ? [decision] : []),
     };
--- /dev/null
+++ b/packages/place-tasks/src/spread.ts
@@ -0,0 +1,52 @@
+import type { Pass } from "./pass.js";
+import type { SeatedTask, WorkerView } from "./worker-views.js";
+
+/** Cost of having all tasks of a work in one domain, as a share of the weight of tail latency. */
+const workerCost = 0.4;
+const rackCost = 1;
+const availabilityZoneCost = 0.5;
+
+/** Where the tasks of one work are; the loss of a domain takes its share of the work. */
+export interface WorkSpread {
+    readonly tasks: number;
+    readonly byWorker: ReadonlyMap<string, number>;
+    readonly byRack: ReadonlyMap<string, number>;
+    readonly byAvailabilityZone: ReadonlyMap<string, number>;
+}
+
+function addOne(counts: Map<string, number>, key: string): void {
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+}
+
+/** A rack is known by its availability zone and name, because racks of two zones may have the same name. */
+function formatRack(view: WorkerView): string {
+    return `${view.record.availabilityZone}/${view.record.rack}`;
+}
+
+/** Counts the tasks of the work that hold a worker or are about to, by failure domain. */
+export function countSpread(pass: Pass, task: SeatedTask): WorkSpread {
+    const byWorker = new Map<string, number>();
+    const byRack = new Map<string, number>();
+    const byAvailabilityZone = new Map<string, number>();
+    const spec = pass.state.works.get(task.work)?.spec;
+    const tasks = spec?.kind === "service" ? spec.replicas : 1;
+    for (let ordinal = 0; ordinal < tasks; ordinal += 1) {
+        const id = `${task.work}/${ordinal}`;
+        const worker = pass.state.tasks.get(id)?.worker ?? pass.memory.inFlight.findPlacement(id);
+        const view = worker === undefined ? undefined : pass.memory.views.findView(worker);
+        if (view !== undefined) {
+            addOne(byWorker, view.record.id);
+            addOne(byRack, formatRack(view));
+            addOne(byAvailabilityZone, view.record.availabilityZone);
+        }
+    }
+    return { tasks, byWorker, byRack, byAvailabilityZone };
+}
+
+/** Cost of adding a task of the work to a worker, 0 to the sum of the costs of the domains. */
+export function computeSpreadCost(spread: WorkSpread, view: WorkerView): number {
+    const cost = (spread.byWorker.get(view.record.id) ?? 0) * workerCost
+        + (spread.byRack.get(formatRack(view)) ?? 0) * rackCost
+        + (spread.byAvailabilityZone.get(view.record.availabilityZone) ?? 0) * availabilityZoneCost;
+    return cost / Math.max(1, spread.tasks);
+}
