Keep headroom for urgent tasks when batch work borrows

In a cluster full of borrowed batch work, each urgent start costs an eviction; ten starts of new services at once waited for the eviction budget.

Borrowing batch work leaves up to 10% of the cluster free, in proportion to the weight of tail latency beside that of batch throughput.

Tried and reverted: keeping 40% of the eviction budget for urgent tasks.

--- a/packages/place-tasks/src/place-pending.ts
+++ b/packages/place-tasks/src/place-pending.ts
@@ -11,6 +11,12 @@
 /** Time that a batch task waits for space that comes free by itself before it takes some back, in milliseconds. */
 const batchPatienceMs = 10_000;
 
+/**
+ * Share of the cluster that borrowing batch work leaves free when only tail latency has a weight, in percent. Without it
+ * each urgent start in a full cluster costs an eviction, and a burst of starts waits for the eviction budget.
+ */
+const largestHeadroomPercent = 10;
+
 interface Waiting {
     readonly task: TaskRecord;
     readonly seated: SeatedTask;
@@ -86,6 +92,17 @@
     return { borrowers, unplaced };
 }
 
+/** Whether the cluster keeps the headroom for urgent tasks when a borrowing batch task starts. */
+function keepsHeadroom(pass: Pass, seated: SeatedTask): boolean {
+    const { tailLatencyWeight, batchThroughputWeight } = pass.memory.settings;
+    const weights = tailLatencyWeight + batchThroughputWeight;
+    const share = weights > 0 ? largestHeadroomPercent / 100 * tailLatencyWeight / weights : 0;
+    const { capacity, free } = pass.shares;
+    return isUrgent(seated)
+        || (free().milliCpu - seated.resources.milliCpu >= capacity.milliCpu * share
+            && free().memoryMib - seated.resources.memoryMib >= capacity.memoryMib * share);
+}
+
 /** Places borrowing tasks, always of the tenant that would have borrowed least; returns those that found no room. */
 function placeBorrowers(pass: Pass, waiting: readonly Waiting[], failed: FailedSizes): Waiting[] {
     const queues = new Map<string, Waiting[]>();
@@ -111,7 +128,7 @@
         if (chosen.queue.length === 0) {
             queues.delete(chosen.tenant);
         }
-        if (placeTask(pass, item, failed) === "noRoom") {
+        if (keepsHeadroom(pass, item.seated) && placeTask(pass, item, failed) === "noRoom") {
             unplaced.push(item);
         }
     }
--- a/packages/place-tasks/src/tenant-shares.ts
+++ b/packages/place-tasks/src/tenant-shares.ts
@@ -10,6 +10,10 @@
 
 /** Use and quota of the tenants during one pass; the use counts what the pass has planned so far. */
 export interface TenantShares {
+    /** Capacity of all workers. */
+    readonly capacity: Resources;
+    /** What no task uses of the capacity of all workers. */
+    readonly free: () => Resources;
     /** Whether the tenant stays within its quota when it uses this much more. */
     readonly isWithinQuota: (tenant: TenantId, added: Resources) => boolean;
     /** Whether the tenant uses more than its quota, apart from what is being taken back already. */
@@ -39,7 +43,13 @@
     const readUse = (tenant: TenantId): Resources =>
         addResources(state.usedByTenant.get(tenant) ?? noResources, added.get(tenant) ?? noResources);
     const readQuota = (tenant: TenantId): Resources => state.tenants.get(tenant)?.quota ?? noResources;
+    let free = subtractResources(
+        capacity,
+        [...state.usedByTenant.values()].reduce(addResources, noResources),
+    );
     return {
+        capacity,
+        free: () => free,
         isWithinQuota: (tenant, wanted) => {
             const use = addResources(readUse(tenant), wanted);
             const quota = readQuota(tenant);
@@ -56,6 +66,7 @@
             return Math.max(0, ...shares) / Math.max(Number.MIN_VALUE, state.tenants.get(tenant)?.weight ?? 1);
         },
         addUse: (tenant, amount) => {
+            free = subtractResources(free, amount);
             added.set(tenant, addResources(added.get(tenant) ?? noResources, amount));
         },
         addReturn: (tenant, amount) => {
