Hold batch work back from workers whose memory is really full

With sizes off by four times, workers swapped although the declared sizes fitted, and every task on them slowed down.

A batch task is placed only where the mean of the used memory, its own included, stays within 103% of the capacity; an empty worker takes it in any case. Urgent tasks are placed anyway, with the cost of the load.

Tried and reverted: the limit on mean plus one standard deviation of each task.

--- a/packages/place-tasks/src/choose-worker.ts
+++ b/packages/place-tasks/src/choose-worker.ts
@@ -7,6 +7,8 @@
 /** Cost of each unit of load between the limit and the capacity, and beyond the capacity. */
 const highUseSlope = 2;
 const overloadSlope = 10;
+/** Use of memory up to which measured means count as fitting; errors of measurement must not block exact sizes. */
+const memoryTolerance = 1.03;
 /** Cost of a fully loaded worker to a new urgent task, which needs headroom for its bursts. */
 const headroomCost = 0.3;
 /** Gain of packing batch work on loaded workers, so that others stay free for large and urgent tasks. */
@@ -18,6 +20,16 @@
     return high + Math.max(0, load - 1) * overloadSlope;
 }
 
+/**
+ * Whether the memory that the tasks really use, this one included, fits. A worker that swaps slows all of its tasks down, so
+ * that batch work waits for another one; an empty worker takes any task that fits by its declared size.
+ */
+function hasMemory(pass: Pass, view: WorkerView, added: ExpectedUse): boolean {
+    const expected = pass.memory.views.readExpected(view, pass.memory.uses);
+    const limitMib = view.record.capacity.memoryMib * memoryTolerance;
+    return view.seated.size === 0 || expected.meanMemoryMib + added.meanMemoryMib <= limitMib;
+}
+
 /** Slowdown that the task would add to the urgent tasks of the worker together. */
 function computeUrgentHarm(pass: Pass, view: WorkerView, classId: number): number {
     const { slowdowns } = pass.memory;
@@ -65,10 +77,14 @@
         : -settings.batchThroughputWeight * packingGain * cpuLoad);
 }
 
-/** Where a task starts, or why not: it fits nowhere, or it would slow urgent tasks down more than it may. */
+/**
+ * Where a task starts, or why not: it fits nowhere by its declared size, or nowhere by the memory that the tasks really use,
+ * or it would slow urgent tasks down more than it may.
+ */
 export type WorkerChoice =
     | { readonly kind: "found"; readonly view: WorkerView; }
     | { readonly kind: "noRoom"; }
+    | { readonly kind: "noMemory"; }
     | { readonly kind: "deferred"; };
 
 /**
@@ -82,11 +98,16 @@
     const spread = isUrgent(task) ? countSpread(pass, task) : undefined;
     let best: WorkerView | undefined;
     let bestCost = Infinity;
+    let fits = false;
     let deferred = false;
     for (const view of pass.usable) {
         if (!isWorkerUsable(view) || !hasRoomFor(pass, view, task)) {
             continue;
         }
+        fits = true;
+        if (!isUrgent(task) && !hasMemory(pass, view, added)) {
+            continue;
+        }
         if (settings.tailLatencyWeight * computeUrgentHarm(pass, view, classId) > harmLimit) {
             deferred = true;
             continue;
@@ -98,5 +119,8 @@
             bestCost = cost;
         }
     }
-    return best === undefined ? { kind: deferred ? "deferred" : "noRoom" } : { kind: "found", view: best };
+    if (best !== undefined) {
+        return { kind: "found", view: best };
+    }
+    return { kind: deferred ? "deferred" : fits ? "noMemory" : "noRoom" };
 }
--- a/packages/place-tasks/src/place-pending.ts
+++ b/packages/place-tasks/src/place-pending.ts
@@ -30,6 +30,8 @@
     readonly batch: Resources[];
     /** Works whose tasks wait, because they would slow urgent tasks down too much wherever they fit. */
     readonly deferredWorks: Set<string>;
+    /** Works whose tasks find no worker with enough memory beside what its tasks really use. */
+    readonly worksWithoutMemory: Set<string>;
 }
 
 function isAtLeast(left: Resources, right: Resources): boolean {
@@ -45,6 +47,9 @@
     if (!hasClaim && sizes.some(size => isAtLeast(seated.resources, size))) {
         return "noRoom";
     }
+    if (failed.worksWithoutMemory.has(task.work)) {
+        return "noRoom";
+    }
     const choice = failed.deferredWorks.has(task.work)
         ? { kind: "deferred" as const }
         : chooseWorker(pass, seated, harmLimit);
@@ -52,6 +57,9 @@
         case "noRoom":
             sizes.push(seated.resources);
             return "noRoom";
+        case "noMemory":
+            failed.worksWithoutMemory.add(task.work);
+            return "noRoom";
         case "deferred":
             failed.deferredWorks.add(task.work);
             return "deferred";
@@ -156,7 +164,7 @@
  * batch tasks within their quota that found no room.
  */
 export function placePending(pass: Pass, works: readonly PendingWork[]): void {
-    const failed: FailedSizes = { urgent: [], batch: [], deferredWorks: new Set() };
+    const failed: FailedSizes = { urgent: [], batch: [], deferredWorks: new Set(), worksWithoutMemory: new Set() };
     const listClass = (name: "latencyCritical" | "batch"): Waiting[] =>
         listWaiting(pass, works.filter(({ spec }) => findTaskClass(spec.kind) === name));
     const urgent = placeWithinQuota(pass, listClass("latencyCritical"), failed);
--- a/packages/place-tasks/src/use-model.ts
+++ b/packages/place-tasks/src/use-model.ts
@@ -22,12 +22,14 @@
 export interface ExpectedUse {
     readonly milliCpu: number;
     readonly memoryMib: number;
+    /** Memory without the standard deviation, which the errors of measurement enlarge. */
+    readonly meanMemoryMib: number;
 }
 
 /** Learns what the tasks of a work really use. */
 export interface UseModel {
     /** Takes one sample of an unthrottled task. */
-    readonly observeUse: (work: string, use: ExpectedUse) => void;
+    readonly observeUse: (work: string, use: Pick<ExpectedUse, "milliCpu" | "memoryMib">) => void;
     /** Mean plus one standard deviation of the use, with the declared size as prior. */
     readonly estimateUse: (spec: Pick<WorkSpec, "name" | "resources">) => ExpectedUse;
 }
@@ -39,9 +41,8 @@
     figure.variance = (1 - share) * (figure.variance + difference * difference * share);
 }
 
-function estimateFigure(figure: Figure, weight: number, declared: number): number {
-    const mean = (figure.mean * weight + declared * priorSamples) / (weight + priorSamples);
-    return mean + Math.sqrt(figure.variance);
+function estimateMean(figure: Figure, weight: number, declared: number): number {
+    return (figure.mean * weight + declared * priorSamples) / (weight + priorSamples);
 }
 
 /** Creates a model that trusts declarations. */
@@ -71,12 +72,17 @@
         },
         estimateUse: ({ name, resources }) => {
             const known = byWork.get(name);
-            return known === undefined
-                ? resources
-                : {
-                    milliCpu: estimateFigure(known.milliCpu, known.weight, resources.milliCpu),
-                    memoryMib: estimateFigure(known.memoryMib, known.weight, resources.memoryMib),
-                };
+            if (known === undefined) {
+                const { milliCpu, memoryMib } = resources;
+                return { milliCpu, memoryMib, meanMemoryMib: memoryMib };
+            }
+            const meanMemoryMib = estimateMean(known.memoryMib, known.weight, resources.memoryMib);
+            return {
+                milliCpu: estimateMean(known.milliCpu, known.weight, resources.milliCpu)
+                    + Math.sqrt(known.milliCpu.variance),
+                memoryMib: meanMemoryMib + Math.sqrt(known.memoryMib.variance),
+                meanMemoryMib,
+            };
         },
     };
 }
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -137,12 +137,14 @@
 function computeExpected(view: WorkerView, uses: UseModel): ExpectedUse {
     let milliCpu = 0;
     let memoryMib = 0;
+    let meanMemoryMib = 0;
     for (const task of view.seated.values()) {
         const use = uses.estimateUse({ name: task.work, resources: task.resources });
         milliCpu += use.milliCpu;
         memoryMib += use.memoryMib;
+        meanMemoryMib += use.meanMemoryMib;
     }
-    return { milliCpu, memoryMib };
+    return { milliCpu, memoryMib, meanMemoryMib };
 }
 
 function listLeft(previous: WorkerView | undefined, present: WorkerView): TaskId[] {
