Judge work without samples by how far others of its class are off

Work that had just arrived was taken at its declared size, so that ten tasks of four times that size started together before the first report.

The ratio of used to declared amounts is pooled by interference class over works, once each, when the mean of a work has settled. A new work starts from the pooled mean, and the variation between works counts as uncertainty until its own samples come.

--- a/packages/place-tasks/src/choose-worker.ts
+++ b/packages/place-tasks/src/choose-worker.ts
@@ -93,7 +93,7 @@
  */
 export function chooseWorker(pass: Pass, task: SeatedTask, harmLimit: number): WorkerChoice {
     const { uses, slowdowns, settings } = pass.memory;
-    const added = uses.estimateUse({ name: task.work, resources: task.resources });
+    const added = uses.estimateUse({ ...task, name: task.work });
     const classId = slowdowns.findClassId(task.interferenceClass);
     const spread = isUrgent(task) ? countSpread(pass, task) : undefined;
     let best: WorkerView | undefined;
--- a/packages/place-tasks/src/observe-reports.ts
+++ b/packages/place-tasks/src/observe-reports.ts
@@ -1,4 +1,4 @@
-import type { ClusterState, TaskRecord, UsageSample, WorkerId, WorkerReport } from "@chestnutspool/types";
+import type { ClusterState, TaskRecord, UsageSample, WorkerId, WorkerReport, WorkSpec } from "@chestnutspool/types";
 import type { PlacerMemory } from "./pass.js";
 
 /** Reports wait here for the next pass, because only the state tells what the tasks are; the last of each worker stays. */
@@ -7,6 +7,7 @@
 interface KnownSample {
     readonly sample: UsageSample;
     readonly task: TaskRecord;
+    readonly spec: WorkSpec;
     readonly classId: number;
 }
 
@@ -17,7 +18,7 @@
         // A sample of an earlier attempt tells about another worker.
         return task === undefined || spec === undefined || task.token !== sample.token
             ? []
-            : [{ sample, task, classId: memory.slowdowns.findClassId(spec.interferenceClass) }];
+            : [{ sample, task, spec, classId: memory.slowdowns.findClassId(spec.interferenceClass) }];
     });
 }
 
@@ -50,9 +51,9 @@
 export function observeReports(memory: PlacerMemory, state: ClusterState, reports: ReportQueue): void {
     for (const { worker, usage } of reports.values()) {
         const known = listKnownSamples(memory, state, usage);
-        for (const { sample, task } of known) {
+        for (const { sample, task, spec } of known) {
             if (task.throttlePercent === 100) {
-                memory.uses.observeUse(task.work, sample);
+                memory.uses.observeUse(spec, sample);
             }
         }
         observeSlowdowns(memory, known, computeProcessorSpeed(state, worker, usage));
--- a/packages/place-tasks/src/use-model.ts
+++ b/packages/place-tasks/src/use-model.ts
@@ -1,87 +1,106 @@
 import type { WorkSpec } from "@chestnutspool/types";
 
-/** Weight of the declared size, in samples, beside the observed ones. */
+/** Weight of the prior, in samples, beside the observed ones. */
 const priorSamples = 3;
 /** Share by which an older sample counts less than the next one. */
 const decay = 0.98;
+/** Weight at which the mean of a work is exact enough to tell how far declarations of its class are off. */
+const settledWeight = 2.9;
+/** Share by which an older work counts less for its class than the next one. */
+const poolDecay = 0.95;
 /** Works that the model remembers; the one observed longest ago is forgotten first. */
 const workLimit = 20_000;
 
+/** Decaying mean and variance. */
 interface Figure {
+    weight: number;
     mean: number;
     variance: number;
 }
 
-interface WorkUse {
-    weight: number;
+interface UseFigures {
     readonly milliCpu: Figure;
     readonly memoryMib: Figure;
 }
 
 /** Amounts that a task is expected to use; accelerators are always used as declared. */
 export interface ExpectedUse {
+    /** Mean plus one standard deviation. */
     readonly milliCpu: number;
     readonly memoryMib: number;
-    /** Memory without the standard deviation, which the errors of measurement enlarge. */
+    /** Mean plus the uncertainty of the mean, without the variation around it. */
     readonly meanMemoryMib: number;
 }
 
-/** Learns what the tasks of a work really use. */
+/** What the model needs to know of a work. */
+export type SizedWork = Pick<WorkSpec, "name" | "interferenceClass" | "resources">;
+
+/** Learns what the tasks of a work really use; a work without samples is judged by the others of its class. */
 export interface UseModel {
     /** Takes one sample of an unthrottled task. */
-    readonly observeUse: (work: string, use: Pick<ExpectedUse, "milliCpu" | "memoryMib">) => void;
-    /** Mean plus one standard deviation of the use, with the declared size as prior. */
-    readonly estimateUse: (spec: Pick<WorkSpec, "name" | "resources">) => ExpectedUse;
+    readonly observeUse: (work: SizedWork, use: Pick<ExpectedUse, "milliCpu" | "memoryMib">) => void;
+    readonly estimateUse: (work: SizedWork) => ExpectedUse;
+}
+
+function createFigure(): Figure {
+    return { weight: 0, mean: 0, variance: 0 };
 }
 
-function addSample(figure: Figure, value: number, weight: number): void {
+function addSample(figure: Figure, value: number, keptShare: number): void {
+    figure.weight = figure.weight * keptShare + 1;
     const difference = value - figure.mean;
-    const share = 1 / weight;
+    const share = 1 / figure.weight;
     figure.mean += difference * share;
     figure.variance = (1 - share) * (figure.variance + difference * difference * share);
 }
 
-function estimateMean(figure: Figure, weight: number, declared: number): number {
-    return (figure.mean * weight + declared * priorSamples) / (weight + priorSamples);
+/** Expected amount, its uncertainty as a standard deviation, and the variation of single samples around it. */
+function estimateFigure(figure: Figure | undefined, pool: Figure | undefined, declared: number) {
+    const weight = figure?.weight ?? 0;
+    const poolShare = pool === undefined ? 0 : pool.weight / (pool.weight + priorSamples);
+    const prior = declared * (1 + ((pool?.mean ?? 1) - 1) * poolShare);
+    const mean = ((figure?.mean ?? 0) * weight + prior * priorSamples) / (weight + priorSamples);
+    const uncertainty = declared * Math.sqrt((pool?.variance ?? 0) * priorSamples / (weight + priorSamples));
+    return { mean, uncertainty, variation: Math.sqrt(figure?.variance ?? 0) };
 }
 
 /** Creates a model that trusts declarations. */
 export function createUseModel(): UseModel {
-    const byWork = new Map<string, WorkUse>();
-    const findOrAdd = (work: string): WorkUse => {
-        const known = byWork.get(work);
-        if (known !== undefined) {
-            byWork.delete(work);
-            byWork.set(work, known);
-            return known;
-        }
-        const added = { weight: 0, milliCpu: { mean: 0, variance: 0 }, memoryMib: { mean: 0, variance: 0 } };
-        byWork.set(work, added);
-        const oldest = byWork.size > workLimit ? byWork.keys().next().value : undefined;
+    const byWork = new Map<string, UseFigures>();
+    /** Used over declared amount of the works of a class. */
+    const byClass = new Map<string, UseFigures>();
+    const findOrAdd = (figures: Map<string, UseFigures>, key: string): UseFigures => {
+        const known = figures.get(key) ?? { milliCpu: createFigure(), memoryMib: createFigure() };
+        figures.delete(key);
+        figures.set(key, known);
+        const oldest = figures.size > workLimit ? figures.keys().next().value : undefined;
         if (oldest !== undefined) {
-            byWork.delete(oldest);
+            figures.delete(oldest);
+        }
+        return known;
+    };
+    const observeAmount = (work: SizedWork, name: "milliCpu" | "memoryMib", value: number): void => {
+        const figure = findOrAdd(byWork, work.name)[name];
+        const wasSettled = figure.weight >= settledWeight;
+        addSample(figure, value, decay);
+        if (!wasSettled && figure.weight >= settledWeight && work.resources[name] > 0) {
+            addSample(findOrAdd(byClass, work.interferenceClass)[name], figure.mean / work.resources[name], poolDecay);
         }
-        return added;
     };
     return {
         observeUse: (work, use) => {
-            const known = findOrAdd(work);
-            known.weight = known.weight * decay + 1;
-            addSample(known.milliCpu, use.milliCpu, known.weight);
-            addSample(known.memoryMib, use.memoryMib, known.weight);
+            observeAmount(work, "milliCpu", use.milliCpu);
+            observeAmount(work, "memoryMib", use.memoryMib);
         },
-        estimateUse: ({ name, resources }) => {
-            const known = byWork.get(name);
-            if (known === undefined) {
-                const { milliCpu, memoryMib } = resources;
-                return { milliCpu, memoryMib, meanMemoryMib: memoryMib };
-            }
-            const meanMemoryMib = estimateMean(known.memoryMib, known.weight, resources.memoryMib);
+        estimateUse: ({ name, interferenceClass, resources }) => {
+            const figures = byWork.get(name);
+            const pool = byClass.get(interferenceClass);
+            const cpu = estimateFigure(figures?.milliCpu, pool?.milliCpu, resources.milliCpu);
+            const memory = estimateFigure(figures?.memoryMib, pool?.memoryMib, resources.memoryMib);
             return {
-                milliCpu: estimateMean(known.milliCpu, known.weight, resources.milliCpu)
-                    + Math.sqrt(known.milliCpu.variance),
-                memoryMib: meanMemoryMib + Math.sqrt(known.memoryMib.variance),
-                meanMemoryMib,
+                milliCpu: cpu.mean + cpu.uncertainty + cpu.variation,
+                memoryMib: memory.mean + memory.uncertainty + memory.variation,
+                meanMemoryMib: memory.mean + memory.uncertainty,
             };
         },
     };
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -139,7 +139,7 @@
     let memoryMib = 0;
     let meanMemoryMib = 0;
     for (const task of view.seated.values()) {
-        const use = uses.estimateUse({ name: task.work, resources: task.resources });
+        const use = uses.estimateUse({ ...task, name: task.work });
         milliCpu += use.milliCpu;
         memoryMib += use.memoryMib;
         meanMemoryMib += use.meanMemoryMib;
