--- a/packages/cli/src/commands/stats/index.ts
+++ b/packages/cli/src/commands/stats/index.ts
@@ -12,7 +12,7 @@
     form: "stats",
     description: "Show distributions and counters of a process",
     options: [
-        ["--process <id>", "process to ask (the one that is called)"],
+        ["--process <id>", "fail unless the process that is called has this id"],
         ...callOptions,
     ],
     examples: ["stats --process cuyo-entry-2"],
--- a/packages/cli/src/fakes/process-group.ts
+++ b/packages/cli/src/fakes/process-group.ts
@@ -18,7 +18,8 @@
     readonly kill: () => Promise<void>;
     /** Sends SIGTERM and returns the exit code. */
     readonly terminate: () => Promise<number | null>;
-    /** The log lines so far. */
+    readonly peerAddress: string;
+    /** The log lines so far, of earlier runs too. */
     readonly readLog: () => string;
     readonly hasExited: () => boolean;
 }
@@ -37,6 +38,8 @@
     readonly entries: TestProcess[];
     /** Starts a process again that has ended, with its settings and data folder. */
     readonly restart: (id: string) => Promise<TestProcess>;
+    /** Empties the data folder of a process that has ended, as the loss of a disk does. */
+    readonly loseDisk: (id: string) => void;
     /** Kills what still runs and removes the files. */
     readonly close: () => Promise<void>;
 }
@@ -96,6 +99,7 @@
     return {
         id: member.id,
         rpcAddress: `127.0.0.1:${member.rpcPort}`,
+        peerAddress: `127.0.0.1:${member.peerPort}`,
         processId: child.pid ?? 0,
         kill: async () => {
             child.kill("SIGKILL");
@@ -150,6 +154,10 @@
             running.push(started);
             return started;
         },
+        loseDisk: id => {
+            rmSync(join(folder, id), { recursive: true });
+            mkdirSync(join(folder, id));
+        },
         close: async () => {
             await killAll();
             rmSync(folder, { recursive: true });
--- a/packages/record-metrics/src/metrics.test.ts
+++ b/packages/record-metrics/src/metrics.test.ts
@@ -16,6 +16,7 @@
             const [found] = metrics.readDistributions();
             assert.ok(found !== undefined);
             assert.equal(found.count, all.length);
+            assert.ok(found.p50 <= found.p90 && found.p90 <= found.p99 && found.p999 <= found.max);
             for (
                 const [share, value] of [[0.5, found.p50], [0.9, found.p90], [0.99, found.p99], [1, found.max]] as const
             ) {
--- a/packages/record-metrics/src/metrics.ts
+++ b/packages/record-metrics/src/metrics.ts
@@ -64,8 +64,9 @@
 }
 
 function summarizeSeries({ name, tenant, class: className, value: histogram }: Series<Histogram>): Distribution {
+    // The histogram gives the upper end of the interval that holds a value, which may lie above the highest one.
     const readPercentile = (percentile: number): number =>
-        histogram.getValueAtPercentile(percentile) / microsecondsPerMillisecond;
+        Math.min(histogram.getValueAtPercentile(percentile), histogram.maxValue) / microsecondsPerMillisecond;
     return {
         measure: name,
         tenant,
