--- a/packages/cluster-state/src/check-change.ts
+++ b/packages/cluster-state/src/check-change.ts
@@ -22,7 +22,7 @@
 
 const namePattern = /^[a-z0-9-]{1,63}$/;
 const labelPattern = /^[A-Za-z0-9._-]{1,63}$/;
-const configurationKeyPattern = /^[A-Za-z0-9._/-]{1,128}$/;
+const configurationKeyPattern = /^[A-Za-z0-9][A-Za-z0-9._/-]{0,127}$/;
 const requestIdPattern = /^[\x21-\x7e]{1,128}$/;
 
 type Fault = ErrorData | undefined;
@@ -119,7 +119,12 @@
 
 function checkConfigurationEntry(key: string, value: string): Fault {
     return findFault([
-        checkText("entries key", key, configurationKeyPattern, "1 to 128 letters, digits, dots, slashes and hyphens"),
+        checkText(
+            "entries key",
+            key,
+            configurationKeyPattern,
+            "1 to 128 letters, digits, dots, underscores, slashes and hyphens, beginning with a letter or digit",
+        ),
         typeof value === "string" && value.length <= configurationValueLimit
             ? undefined
             : createFieldError(`entries.${key}`, value, `at most ${configurationValueLimit} characters`),
--- a/packages/cluster-state/src/snapshot.ts
+++ b/packages/cluster-state/src/snapshot.ts
@@ -5,7 +5,7 @@
 /** Version of the snapshot layout; raised with each change that older code cannot read. */
 const snapshotVersion = 1;
 
-const packr = new Packr({ useRecords: false });
+const packr = new Packr({ useRecords: true });
 
 /** Maps that a snapshot holds; the other maps and sets of the model are derived from them. */
 const storedMaps = [
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -5,6 +5,7 @@
 import { measureEntryLoss } from "./commands/measure-entry-loss/index.js";
 import { measureIdle } from "./commands/measure-idle/index.js";
 import { measureRequestPath } from "./commands/measure-request-path/index.js";
+import { measureState } from "./commands/measure-state/index.js";
 
 const program = cac("measure");
 program.command("compare-fan-out", "Plain fan-out against trees for configuration").action(() =>
@@ -16,5 +17,6 @@
 program.command("idle", "Processor time and memory of each role without load").action(measureIdle);
 program.command("entry-loss", "What a killed entry host blocks and for how long").action(measureEntryLoss);
 program.command("configuration", "Time until a revision is in force everywhere").action(measureConfiguration);
+program.command("state", "Cost of the replicated state at the target size").action(measureState);
 program.help();
 program.parse();
