--- a/packages/cluster-state/src/cluster-machine.test.ts
+++ b/packages/cluster-state/src/cluster-machine.test.ts
@@ -119,7 +119,13 @@
                     assert.deepEqual(restored.applyCommand(position + 1, command), result);
                 }
             }
-            assert.ok(Buffer.from(original.takeSnapshot()).equals(restored.takeSnapshot()));
+            const last = restored.takeSnapshot();
+            assert.ok(Buffer.from(original.takeSnapshot()).equals(last));
+            // Both machines use encoded records of the first snapshot again; a stale one shows only in the state.
+            const fresh = createClusterMachine();
+            fresh.restoreSnapshot(last);
+            original.takeTouchedWorkers();
+            assert.deepEqual(fresh.state, original.state);
         }),
         { seed, numRuns: 200, includeErrorInReport: true },
     );
--- a/packages/cluster-state/src/cluster-machine.ts
+++ b/packages/cluster-state/src/cluster-machine.ts
@@ -20,7 +20,7 @@
     registerMinion,
     removeMinion,
 } from "./session-commands.js";
-import { encodeSnapshot, restoreSnapshot } from "./snapshot.js";
+import { encodeSnapshot, restoreSnapshot, type SnapshotCache } from "./snapshot.js";
 import {
     confirmStart,
     endTask,
@@ -94,6 +94,7 @@
 
 function applyOne(model: Model, command: ControlCommand): CommandResult {
     model.clockMs = Math.max(model.clockMs, command.nowMs);
+    model.commandMs = command.nowMs;
     if (command.kind === "batch") {
         const results = command.commands.map(inner => applyOne(model, inner));
         return { kind: "batch", index: model.index, results };
@@ -105,6 +106,7 @@
 /** Creates the state machine with an empty state. */
 export function createClusterMachine(): ClusterMachine {
     const model = createModel();
+    const snapshotCache: SnapshotCache = new Map();
     addShards(model);
     return {
         state: model,
@@ -117,9 +119,10 @@
             model.index = index;
             const result = applyOne(model, command);
             model.eventOrdinal = 0;
+            model.commandMs = 0;
             return result;
         },
-        takeSnapshot: () => encodeSnapshot(model),
-        restoreSnapshot: bytes => restoreSnapshot(model, bytes),
+        takeSnapshot: () => encodeSnapshot(model, snapshotCache),
+        restoreSnapshot: bytes => restoreSnapshot(model, bytes, snapshotCache),
     };
 }
--- a/packages/cluster-state/src/model.ts
+++ b/packages/cluster-state/src/model.ts
@@ -61,6 +61,8 @@
 export interface Model extends ClusterState {
     index: number;
     clockMs: number;
+    /** Time of the present command. Unlike `clockMs` it follows a clock that was set back; not part of a snapshot. */
+    commandMs: number;
     /** Number of applied commands, those within batches included. Tokens and epochs are taken from it. */
     sequence: number;
     /** Ordinal of the next event of the present log index. */
@@ -98,6 +100,7 @@
     return {
         index: 0,
         clockMs: 0,
+        commandMs: 0,
         sequence: 0,
         eventOrdinal: 0,
         works: new Map(),
--- a/packages/cluster-state/src/snapshot.ts
+++ b/packages/cluster-state/src/snapshot.ts
@@ -5,23 +5,26 @@
 /** Version of the snapshot layout; raised with each change that older code cannot read. */
 const snapshotVersion = 1;
 
-const packr = new Packr({ useRecords: true });
+// Records would refer to definitions in other parts, so that the encoding of one record could not be used again.
+const packr = new Packr({ useRecords: false });
 
-/** Maps that a snapshot holds; the other maps and sets of the model are derived from them. */
-const storedMaps = [
+/** Maps of records that are encoded one by one. */
+const recordMaps = [
     "works",
     "tasks",
-    "finishedWorks",
     "workers",
     "tenants",
     "entries",
     "minions",
     "ownership",
-    "attemptsUnknownUntilMs",
     "requests",
     "operatorRequests",
 ] as const satisfies readonly (keyof Model)[];
 
+/** Maps of times. */
+const timeMaps = ["finishedWorks", "attemptsUnknownUntilMs"] as const satisfies readonly (keyof Model)[];
+
+/** Collections that are derived from the others. */
 const derivedCollections = [
     "pendingTasks",
     "impossibleTasks",
@@ -35,28 +38,56 @@
 
 const storedLists = ["configurationHistory", "events"] as const;
 
-interface SnapshotBody extends Pick<Model, (typeof storedValues)[number] | (typeof storedLists)[number]> {
+type RecordMapName = (typeof recordMaps)[number];
+
+/** The first value of a snapshot; the records of the maps follow as pairs of key and record. */
+interface SnapshotHead extends Pick<Model, (typeof storedValues)[number] | (typeof storedLists)[number]> {
     readonly version: number;
-    /** Entries of each map in order. */
-    readonly maps: Readonly<Record<(typeof storedMaps)[number], readonly (readonly [string, unknown])[]>>;
+    /** Number of records of each map, in the order of `recordMaps`. */
+    readonly counts: readonly number[];
+    readonly times: Readonly<Record<(typeof timeMaps)[number], readonly (readonly [string, number])[]>>;
     /** Keys of the finished request records of all tenants in order of their end. */
     readonly finishedRequests: readonly string[];
     /** Keys of the running request records of all tenants in order of their begin. */
     readonly runningRequests: readonly string[];
 }
 
-/** Encodes the whole state. */
-export function encodeSnapshot(model: Model): Uint8Array {
+interface EncodedRecord {
+    readonly record: unknown;
+    readonly bytes: Uint8Array;
+}
+
+/** Encoded records of the last snapshot, taken or restored. Records are replaced, never changed, so that most stay valid. */
+export type SnapshotCache = Map<RecordMapName, ReadonlyMap<string, EncodedRecord>>;
+
+function encodeHead(model: Model): Uint8Array {
     const orders = [...model.requestsByTenant.entries()].sort(([left], [right]) => left < right ? -1 : 1)
         .map(([, order]) => order);
-    const body = {
+    return packr.pack({
         version: snapshotVersion,
         ...Object.fromEntries([...storedValues, ...storedLists].map(name => [name, model[name]])),
-        maps: Object.fromEntries(storedMaps.map(name => [name, [...model[name]]])),
+        counts: recordMaps.map(name => model[name].size),
+        times: Object.fromEntries(timeMaps.map(name => [name, [...model[name]]])),
         finishedRequests: orders.flatMap(order => [...order.finished]),
         runningRequests: orders.flatMap(order => [...order.running]),
-    };
-    return packr.pack(body);
+    });
+}
+
+/** Encodes the whole state. The cache makes the time depend on the changes since the last snapshot rather than on the size. */
+export function encodeSnapshot(model: Model, cache: SnapshotCache): Uint8Array {
+    const chunks = [encodeHead(model)];
+    for (const name of recordMaps) {
+        const earlier = cache.get(name);
+        const present = new Map<string, EncodedRecord>();
+        for (const [key, record] of model[name]) {
+            const known = earlier?.get(key);
+            const encoded = known?.record === record ? known : { record, bytes: packr.pack([key, record]) };
+            present.set(key, encoded);
+            chunks.push(encoded.bytes);
+        }
+        cache.set(name, present);
+    }
+    return Buffer.concat(chunks);
 }
 
 function createOwnAnswer(record: ModelRequest): ModelRequest {
@@ -67,7 +98,7 @@
     return { ...record, outcome };
 }
 
-function restoreRequestOrder(model: Model, body: SnapshotBody): void {
+function restoreRequestOrder(model: Model, head: SnapshotHead): void {
     for (const [key, record] of model.requests) {
         const own = createOwnAnswer(record);
         model.requests.set(key, own);
@@ -76,7 +107,7 @@
         }
     }
     for (const name of ["finished", "running"] as const) {
-        for (const key of body[`${name}Requests`]) {
+        for (const key of head[`${name}Requests`]) {
             const record = model.requests.get(key);
             if (record !== undefined) {
                 getTenantRequests(model, record.tenant)[name].add(key);
@@ -94,27 +125,66 @@
     }
 }
 
-/** Replaces the contents of the model by a snapshot; the model object and its maps stay the same objects. */
-export function restoreSnapshot(model: Model, bytes: Uint8Array): void {
-    const body = packr.unpack(bytes) as SnapshotBody;
-    if (body.version !== snapshotVersion) {
-        throw new Error(
-            `snapshot has version ${body.version}, this program reads ${snapshotVersion}; use the newer program`,
-        );
-    }
-    for (const name of [...storedMaps, ...derivedCollections]) {
-        model[name].clear();
-    }
-    Object.assign(model, Object.fromEntries(storedValues.map(name => [name, body[name]])));
+function restoreHead(model: Model, head: SnapshotHead): void {
+    Object.assign(model, Object.fromEntries(storedValues.map(name => [name, head[name]])));
     for (const name of storedLists) {
-        model[name].splice(0, model[name].length, ...(body[name] as never[]));
+        model[name].splice(0, model[name].length, ...(head[name] as never[]));
     }
-    for (const name of storedMaps) {
+    for (const name of timeMaps) {
+        for (const [key, timeMs] of head.times[name]) {
+            model[name].set(key, timeMs);
+        }
+    }
+}
+
+function restoreRecords(
+    model: Model,
+    head: SnapshotHead,
+    pairs: readonly (readonly [string, EncodedRecord])[],
+    cache: SnapshotCache,
+): void {
+    let position = 0;
+    for (const [order, name] of recordMaps.entries()) {
+        const own = pairs.slice(position, position + (head.counts[order] ?? 0));
         const target = model[name] as Map<string, unknown>;
-        for (const [key, value] of body.maps[name]) {
-            target.set(key, value);
+        for (const [key, { record }] of own) {
+            target.set(key, record);
+        }
+        cache.set(name, new Map(own));
+        position += head.counts[order] ?? 0;
+    }
+    if (position !== pairs.length) {
+        throw new Error(`snapshot has ${pairs.length} records instead of ${position}; take it from another replica`);
+    }
+}
+
+function decodeSnapshot(bytes: Uint8Array): { head: SnapshotHead; pairs: (readonly [string, EncodedRecord])[]; } {
+    let head: SnapshotHead | undefined;
+    const pairs: (readonly [string, EncodedRecord])[] = [];
+    packr.unpackMultiple(bytes, (value: unknown, start, end) => {
+        if (head === undefined) {
+            head = value as SnapshotHead;
+            return;
         }
+        const [key, record] = value as readonly [string, unknown];
+        pairs.push([key, { record, bytes: bytes.subarray(start, end) }]);
+    });
+    if (head?.version !== snapshotVersion) {
+        throw new Error(
+            `snapshot has version ${head?.version}, this program reads ${snapshotVersion}; use the newer program`,
+        );
+    }
+    return { head, pairs };
+}
+
+/** Replaces the contents of the model by a snapshot; the model object and its maps stay the same objects. */
+export function restoreSnapshot(model: Model, bytes: Uint8Array, cache: SnapshotCache): void {
+    const { head, pairs } = decodeSnapshot(bytes);
+    for (const name of [...recordMaps, ...timeMaps, ...derivedCollections]) {
+        model[name].clear();
     }
+    restoreHead(model, head);
+    restoreRecords(model, head, pairs, cache);
     restoreIndexes(model);
-    restoreRequestOrder(model, body);
+    restoreRequestOrder(model, head);
 }
--- a/packages/cluster-state/src/task-commands.test.ts
+++ b/packages/cluster-state/src/task-commands.test.ts
@@ -74,7 +74,10 @@
         driver.apply({ kind: "endTask", task: "job-a/0", token, outcome: "failed", reason: "exit 1" });
         return driver.state.tasks.get("job-a/0");
     };
-    assert.equal(fail()?.notBeforeMs, driver.nowMs + 1_000);
+    driver.nowMs += 1_000_000_000;
+    driver.change("late", { kind: "drainEntry", entry: "absent" });
+    driver.nowMs -= 1_000_000_000;
+    assert.equal(fail()?.notBeforeMs, driver.nowMs + 1_000, "a clock that was set back does not delay the next start");
     assert.equal(fail()?.phase, "failed");
     assert.equal(driver.state.tasks.get("job-a/1")?.phase, "cancelled");
     assert.equal(driver.state.workers.get("worker-0")?.failuresInRow, 2);
--- a/packages/cluster-state/src/task-commands.ts
+++ b/packages/cluster-state/src/task-commands.ts
@@ -159,7 +159,12 @@
         return createReleased(model, task, { phase: "failed", failures, reason });
     }
     const backoffMs = Math.min(longestBackoffMs, firstBackoffMs * 2 ** Math.min(failures - 1, 20));
-    return createReleased(model, task, { phase: "pending", failures, reason, notBeforeMs: model.clockMs + backoffMs });
+    return createReleased(model, task, {
+        phase: "pending",
+        failures,
+        reason,
+        notBeforeMs: model.commandMs + backoffMs,
+    });
 }
 
 function createStopped(model: Model, task: TaskRecord): TaskRecord {
--- a/packages/control/src/expire-leases.ts
+++ b/packages/control/src/expire-leases.ts
@@ -53,7 +53,6 @@
 }
 
 const expireLease = Effect.fnUntraced(function*(context: ControlContext, lease: Lease) {
-    lease.memory.expiring = true;
     const { logger } = context;
     yield* Effect.matchEffect(propose(context, lease.command), {
         // The mark stays: the command may still be committed, and a renewal must not hide that. The next pass proposes again.
@@ -79,6 +78,11 @@
         ...listExpiredSessions(context, memory, nowMs),
         ...listExpiredWorkers(context, memory, nowMs),
     ];
+    // Marked in the same step as the leases are read: a fiber may be suspended at any yield, and a renewal in between would
+    // be answered although its lease expires.
+    for (const lease of leases) {
+        lease.memory.expiring = true;
+    }
     // The log commits concurrent proposals together, so that the loss of a rack costs one round.
     yield* Effect.all(leases.map(lease => expireLease(context, lease)), { concurrency: "unbounded" });
 });
--- a/packages/control/src/renew-session.ts
+++ b/packages/control/src/renew-session.ts
@@ -67,11 +67,9 @@
     return appliedRevision === 0 || seenAtMs === undefined || nowMs - seenAtMs >= pushLimitMs;
 }
 
-function failWhenExpiring(memory: LeaderMemory, session: EntrySessionRecord): Effect.Effect<void, ErrorData> {
-    const known = memory.sessions.get(session.entry);
-    return known?.expiring === true && known.incarnation === session.incarnation
-        ? Effect.fail({ kind: "sessionExpired", entry: session.entry })
-        : Effect.void;
+function isExpiring(memory: LeaderMemory, { entry, incarnation }: EntrySessionRecord): boolean {
+    const known = memory.sessions.get(entry);
+    return known?.expiring === true && known.incarnation === incarnation;
 }
 
 /**
@@ -84,17 +82,20 @@
     const memory = yield* getLeaderMemory(context);
     const { state } = context.machine;
     const { session } = request;
-    yield* failWhenExpiring(memory, session);
+    const expired: ErrorData = { kind: "sessionExpired", entry: session.entry };
+    if (isExpiring(memory, session)) {
+        return yield* Effect.fail(expired);
+    }
     const results = yield* proposeAll(context, listCommands(state, request));
     if (results[0]?.kind === "refused" && !isSameSession(state.entries.get(session.entry), session)) {
         return yield* Effect.fail(results[0].error);
     }
-    // The expiry may have been proposed while the commands above were on their way.
-    yield* failWhenExpiring(memory, session);
-    if (state.entries.get(session.entry)?.incarnation !== session.incarnation) {
-        return yield* Effect.fail<ErrorData>({ kind: "sessionExpired", entry: session.entry });
-    }
     const nowMs = yield* readMonotonicMs;
+    // The expiry may have been proposed while the commands above were on their way. There is no yield between this check
+    // and the record of the renewal.
+    if (isExpiring(memory, session) || state.entries.get(session.entry)?.incarnation !== session.incarnation) {
+        return yield* Effect.fail(expired);
+    }
     recordRenewal(memory, request, nowMs);
     const reply: ControlReply = {
         kind: "session",
--- a/packages/control/src/sync-worker.ts
+++ b/packages/control/src/sync-worker.ts
@@ -126,11 +126,9 @@
     });
 }
 
-function failWhenExpiring(memory: LeaderMemory, request: SyncRequest): Effect.Effect<void, ErrorData> {
-    const known = memory.workers.get(request.worker);
-    return known?.expiring === true && known.incarnation === request.incarnation
-        ? Effect.fail({ kind: "sessionExpired", entry: `worker ${request.worker}` })
-        : Effect.void;
+function isExpiring(memory: LeaderMemory, { worker, incarnation }: SyncRequest): boolean {
+    const known = memory.workers.get(worker);
+    return known?.expiring === true && known.incarnation === incarnation;
 }
 
 /** Refuses a sync that was overtaken by a later one: it could bring back an older checkpoint. */
@@ -166,7 +164,10 @@
     const memory = yield* getLeaderMemory(context);
     const { state } = context.machine;
     recordInheritedTokens(memory, state);
-    yield* failWhenExpiring(memory, request);
+    const expired: ErrorData = { kind: "sessionExpired", entry: `worker ${request.worker}` };
+    if (isExpiring(memory, request)) {
+        return yield* Effect.fail(expired);
+    }
     yield* failWhenOvertaken(memory, request);
     const [registration] = yield* proposeAll(context, planRegistration(state, request));
     if (registration?.kind === "refused") {
@@ -176,11 +177,12 @@
     workerMemory.lastSequence = request.sequence;
     const neverStarted = listNeverStarted(state, workerMemory, memory.inheritedTokens ?? new Set(), report);
     yield* proposeAll(context, [...planReport(state, request, ended), ...neverStarted.map(createNeverStarted)]);
-    yield* failWhenExpiring(memory, request);
-    if (state.workers.get(request.worker)?.incarnation !== request.incarnation) {
-        return yield* Effect.fail<ErrorData>({ kind: "sessionExpired", entry: `worker ${request.worker}` });
+    const nowMs = yield* readMonotonicMs;
+    // There is no yield between this check and the record of the sync, so that an expiry cannot come between them.
+    if (isExpiring(memory, request) || state.workers.get(request.worker)?.incarnation !== request.incarnation) {
+        return yield* Effect.fail(expired);
     }
-    workerMemory.syncedAtMs = yield* readMonotonicMs;
+    workerMemory.syncedAtMs = nowMs;
     workerMemory.lastSync += 1;
     workerMemory.changed.notifyAll();
     yield* recordUsage(context, memory, request);
--- a/packages/measure/src/commands/measure-state/index.ts
+++ b/packages/measure/src/commands/measure-state/index.ts
@@ -8,6 +8,8 @@
 /** Jobs of one day, which stay readable for 24 h. */
 const finishedCount = 24_000;
 const cancelCount = 10_000;
+/** Jobs between two snapshots: each is two or three of the 10,000 log entries after which one is taken. */
+const changedCount = 3_000;
 const startMs = 1_700_000_000_000;
 
 type WithoutTime<Command> = Command extends unknown ? Omit<Command, "nowMs"> : never;
@@ -80,8 +82,14 @@
     const takeMs = measureMs(() => {
         bytes = machine.takeSnapshot();
     });
+    for (let job = 0; job < changedCount; job += 1) {
+        applyJob(`n${job}`, `t${job % tenantCount}`);
+        runTask(`n${job}/0`, `w${job % workerCount}`);
+    }
+    const nextTakeMs = measureMs(() => machine.takeSnapshot());
     const restored = createClusterMachine();
     const restoreMs = measureMs(() => restored.restoreSnapshot(bytes));
+    const takeRestoredMs = measureMs(() => restored.takeSnapshot());
     for (let job = 0; job < cancelCount; job += 1) {
         applyJob(`c${job}`, `t${job % tenantCount}`);
     }
@@ -95,8 +103,10 @@
     console.log("|---|---|");
     console.log(`| applied commands a second | ${Math.round(commands / fillMs * 1_000)} |`);
     console.log(`| snapshot size | ${(bytes.length / 2 ** 20).toFixed(1)} MiB |`);
-    console.log(`| time to take a snapshot | ${takeMs.toFixed(0)} ms |`);
+    console.log(`| time to take a snapshot without an earlier one | ${takeMs.toFixed(0)} ms |`);
+    console.log(`| time to take one after ${changedCount} further jobs | ${nextTakeMs.toFixed(0)} ms |`);
     console.log(`| time to restore it | ${restoreMs.toFixed(0)} ms |`);
+    console.log(`| time to take one after the restore | ${takeRestoredMs.toFixed(0)} ms |`);
     console.log(`| one cancellation of ${cancelCount} works | ${cancelMs.toFixed(0)} ms |`);
     console.log(`| heap of two such states | ${heapMib.toFixed(0)} MiB |`);
 }
