Run only tests whose source exists

Cause: the compiler leaves the output of removed tests, and the runner ran it. Change: the runner looks for the source of each test. Conclusion: a stale build cannot change the verdict.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -21,6 +21,8 @@
             readdirSync(`packages/${name}/dist`, { recursive: true }).map(file => `packages/${name}/dist/${file}`)
         )
         .filter(file => file.endsWith(".test.js"))
+        // The compiler leaves the output of a test that was renamed or removed.
+        .filter(file => existsSync(file.replace("/dist/", "/src/").replace(/\.js$/, ".ts")))
         .sort();
 }
 
