Test the request path under random faults

Entry hosts crash, join and drain, links are cut, minions freeze, refuse, drop connections and fall silent, while ten callers send and resend. Checked: no recorded request runs twice, no key runs twice at once, nothing that ran is reported as not run, answers match, slots are kept.

--- /dev/null
+++ b/packages/entry/src/failures.test.ts
@@ -0,0 +1,231 @@
+import { buildAnswer, buildBody, type MinionApi, type RunRecord } from "@chestnutspool/stand-ins";
+import { Effect, Fiber } from "effect";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    awaitCondition,
+    createTestCluster,
+    describeOutcome,
+    type Outcome,
+    runScoped,
+    submit,
+    type TestEntry,
+} from "./fakes/test-cluster.js";
+
+const work = (key: string, runMs: number) => buildBody({ key, runMs, answerBytes: 500 });
+const maxRunMs = 400;
+
+void test("after the loss of an entry host its keys wait for the end of its runs, and its minions serve again", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const lost = yield* cluster.addEntry("entry-1");
+        const other = yield* cluster.addEntry("entry-2");
+        yield* cluster.addService(other, maxRunMs);
+        const minions = [
+            yield* cluster.addMinion([other], { minion: "minion-1", slots: 1 }),
+            yield* cluster.addMinion([other], { minion: "minion-2", slots: 1 }),
+        ];
+        const keys = Array.from({ length: 24 }, (item, index) => `key-${index}`);
+        assert.equal(new Set([...cluster.state.ownership.values()].map(record => record.owner)).size, 2);
+        yield* lost.stop;
+        const during = yield* Effect.forEach(
+            keys,
+            key => submit(other, { body: work(key, 5), requestId: key, deadlineMs: 300 }),
+            { concurrency: 8 },
+        );
+        assert.ok(during.some(outcome => outcome.kind === "failed" && outcome.detail?.notRun === true));
+        yield* awaitCondition(() => [...cluster.state.ownership.values()].every(record => record.owner === "entry-2"));
+        const quarantined = yield* Effect.forEach(keys, key => submit(other, { body: work(key, 5), requestId: key }));
+        assert.ok(quarantined.some(outcome => describeOutcome(outcome) === "quarantine"));
+        yield* Effect.sleep(1_000 * 1.01 + 100 + maxRunMs * 1.01 + 250 + 100);
+        const outcomes = yield* Effect.forEach(
+            keys,
+            key => submit(other, { body: work(key, 5), requestId: key, deadlineMs: 20_000 }),
+            { concurrency: 8 },
+        );
+        assert.deepEqual(outcomes.map(describeOutcome).filter(outcome => outcome !== "answered"), []);
+        for (const minion of minions) {
+            assert.ok(minion.readHighestRunning() <= 1);
+            assert.ok(minion.listRuns().length > 0);
+        }
+    })));
+
+void test("a repeatable request is run again only after the run lease of a lost attempt has ended", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        yield* cluster.addService(entry, maxRunMs);
+        const minions = [
+            yield* cluster.addMinion([entry], { minion: "minion-1" }),
+            yield* cluster.addMinion([entry], { minion: "minion-2" }),
+        ];
+        const call = yield* Effect.forkChild(submit(entry, { body: work("a", 100), requestId: "a" }));
+        yield* awaitCondition(() => minions.some(minion => minion.listRunning().length === 1));
+        minions.find(minion => minion.listRunning().length === 1)?.dropConnections();
+        assert.equal(describeOutcome(yield* Fiber.join(call)), "answered");
+        const runs = minions.flatMap(minion => minion.listRuns()).toSorted((a, b) => a.startedMs - b.startedMs);
+        assert.equal(runs.length, 2);
+        assert.ok((runs[0]?.endedMs ?? Infinity) <= (runs[1]?.startedMs ?? 0));
+    })));
+
+type Fault = "drop" | "refuse" | "freeze" | "silent" | "cutControl" | "cutPeer" | "crash" | "join" | "drain";
+
+const faults: fc.Arbitrary<{ readonly fault: Fault; readonly pick: number; readonly atMs: number; }[]> = fc.array(
+    fc.record({
+        fault: fc.constantFrom<Fault>(
+            "drop",
+            "refuse",
+            "freeze",
+            "silent",
+            "cutControl",
+            "cutPeer",
+            "crash",
+            "join",
+            "drain",
+        ),
+        pick: fc.nat({ max: 20 }),
+        atMs: fc.integer({ min: 0, max: 400 }),
+    }),
+    { minLength: 8, maxLength: 8 },
+);
+
+/** A request of the random load and all that its caller was told. */
+interface LoadedRequest {
+    readonly key: string;
+    readonly body: Uint8Array;
+    readonly idempotent: boolean;
+    readonly outcomes: Outcome[];
+}
+
+function checkRequest(request: LoadedRequest, runs: readonly RunRecord[]): void {
+    const { key, outcomes, idempotent, body } = request;
+    const told = outcomes.map(describeOutcome).join(", ");
+    const own = runs.filter(run => run.key === key).toSorted((a, b) => a.startedMs - b.startedMs);
+    const isNotRun = (outcome: Outcome | undefined): boolean =>
+        outcome?.kind === "failed" && outcome.detail?.notRun === true;
+    assert.ok(idempotent || own.length <= 1, `${key} ran ${own.length} times: ${told}`);
+    for (const [index, run] of own.entries()) {
+        const next = own[index + 1];
+        assert.ok(
+            next === undefined || (run.endedMs ?? Infinity) <= next.startedMs,
+            `${key} ran twice at once: ${told}`,
+        );
+    }
+    assert.ok(!outcomes.every(isNotRun) || own.length === 0, `${key} ran and was reported as not run: ${told}`);
+    assert.ok(idempotent || !isNotRun(outcomes.at(-1)) || own.length === 0, `${key} ran before: ${told}`);
+    for (const outcome of outcomes) {
+        if (outcome.kind === "answered") {
+            assert.ok(own.length > 0 && Buffer.from(buildAnswer(body)).equals(outcome.answer), `${key}: ${told}`);
+        }
+    }
+}
+
+/** Starts a fault, and ends it after a while where it is one that ends. */
+const applyFault = Effect.fnUntraced(
+    function*(
+        cluster: Effect.Success<typeof createTestCluster>,
+        entries: TestEntry[],
+        minions: readonly MinionApi[],
+        { fault, pick }: { readonly fault: Fault; readonly pick: number; },
+    ) {
+        const minion = minions[pick % minions.length] as MinionApi;
+        const entry = entries[pick % entries.length] as TestEntry;
+        const lastMs = 200 + pick * 60;
+        switch (fault) {
+            case "drop":
+                return minion.dropConnections();
+            case "refuse":
+                minion.setFault("refuse");
+                yield* Effect.sleep(lastMs);
+                return minion.setFault("none");
+            case "freeze":
+                minion.setFrozen(true);
+                yield* Effect.sleep(lastMs);
+                return minion.setFrozen(false);
+            case "silent":
+                minion.setSilent(true);
+                yield* Effect.sleep(lastMs);
+                return minion.setSilent(false);
+            case "cutControl":
+            case "cutPeer": {
+                const peer = fault === "cutControl" ? "control" : entries[(pick + 1) % entries.length]?.id ?? "";
+                cluster.network.setCut(entry.id, peer, true);
+                cluster.network.setCut(peer, entry.id, pick % 2 === 0);
+                yield* Effect.sleep(lastMs);
+                cluster.network.setCut(entry.id, peer, false);
+                return cluster.network.setCut(peer, entry.id, false);
+            }
+            case "crash":
+            case "drain":
+                if (entries.length > 1) {
+                    entries.splice(entries.indexOf(entry), 1);
+                    yield* fault === "drain" ? entry.api.drain : Effect.void;
+                    yield* entry.stop;
+                }
+                return;
+            case "join":
+                entries.push(yield* cluster.addEntry(`entry-${entries.length}-${pick}-${Date.now()}`));
+        }
+    },
+);
+
+const runLoad = Effect.fnUntraced(function*(schedule: readonly { fault: Fault; pick: number; atMs: number; }[]) {
+    const cluster = yield* createTestCluster;
+    const entries: TestEntry[] = [];
+    for (const id of ["entry-1", "entry-2", "entry-3"]) {
+        entries.push(yield* cluster.addEntry(id));
+    }
+    yield* cluster.addService(entries[0] as TestEntry, maxRunMs);
+    const minions = yield* Effect.forEach(
+        ["minion-1", "minion-2", "minion-3", "minion-4"],
+        minion => cluster.addMinion(entries, { minion, slots: 2, connections: 4, defaultRunMs: 20 }),
+    );
+    const requests: LoadedRequest[] = [];
+    let isOver = false;
+    const call = Effect.fnUntraced(function*(caller: number) {
+        for (let index = 0; !isOver; index += 1) {
+            const key = `key-${caller}-${index}`;
+            const body = work(key, 10 + (index * 7 + caller * 13) % 60);
+            const idempotent = (index + caller) % 2 === 0;
+            const request: LoadedRequest = { key, body, idempotent, outcomes: [] };
+            requests.push(request);
+            for (let send = 0; send < 6; send += 1) {
+                const entry = entries[(caller + index + send) % entries.length] as TestEntry;
+                const outcome = yield* submit(entry, { body, requestId: key, idempotent, deadlineMs: 1_500 });
+                request.outcomes.push(outcome);
+                if (outcome.kind === "answered") {
+                    break;
+                }
+                yield* Effect.sleep(50);
+            }
+        }
+    });
+    const load = yield* Effect.forkChild(
+        Effect.forEach([1, 2, 3, 4, 5, 6, 7, 8, 9, 10], call, { concurrency: "unbounded" }),
+    );
+    const running: Fiber.Fiber<unknown, unknown>[] = [];
+    for (const each of schedule) {
+        yield* Effect.sleep(each.atMs);
+        running.push(yield* Effect.forkScoped(applyFault(cluster, entries, minions, each)));
+    }
+    yield* Effect.sleep(1_000);
+    isOver = true;
+    yield* Fiber.join(load);
+    yield* awaitCondition(() => minions.every(minion => minion.listRunning().length === 0));
+    const runs = minions.flatMap(minion => minion.listRuns());
+    for (const request of requests) {
+        checkRequest(request, runs);
+    }
+    for (const minion of minions) {
+        assert.ok(minion.readHighestRunning() <= 2, `${minion.minion} ran ${minion.readHighestRunning()} at once`);
+    }
+    assert.ok(requests.filter(request => request.outcomes.at(-1)?.kind === "answered").length > requests.length / 4);
+});
+
+void test("faults in any combination make no request run twice at once, none untrue and no slot exceeded", () =>
+    fc.assert(
+        fc.asyncProperty(faults, schedule => runScoped(runLoad(schedule))),
+        // Each run takes seconds, so a failure is reported as it was found.
+        { seed: 2_026, numRuns: 6, endOnFailure: true },
+    ));
--- a/packages/entry/src/fakes/test-cluster.ts
+++ b/packages/entry/src/fakes/test-cluster.ts
@@ -135,8 +135,12 @@
     /** Creates the service, which limits the run time of its requests. */
     const addService = (entry: TestEntry, maxRunMs: number): Effect.Effect<void> =>
         Effect.promise(async () => {
+            await entry.operator.applyTenant({
+                operatorRequestId: "create-tenant",
+                tenant: { id: "moreno", quota: { milliCpu: 1_000, memoryMib: 1_000, accelerators: 0 }, weight: 1 },
+            });
             await entry.operator.applyWork({
-                operatorRequestId: "create service",
+                operatorRequestId: "create-service",
                 work: {
                     name: "plume",
                     tenant: "moreno",
