Serve requests of hosts without own minions and observe runs that were given up

A coordinator without minions of a service only forwarded to advertised free slots. When all hosts are busy none is advertised, so its requests waited without a chance. They now go to the queue of a host that has such minions.

Runs that were given up at their deadline were not observed, which made a slow service look as fast as its fastest runs; they count with the time they took. A deadline that passes early no longer counts as a failure of the minion.

A service named like an inherited property of objects got a function as its longest run; the look-up now takes own properties only.

--- a/packages/entry/src/attempt-runner.ts
+++ b/packages/entry/src/attempt-runner.ts
@@ -39,6 +39,9 @@
 /** First status of answers that count as a failure of the minion. */
 const firstFailureStatus = 500;
 
+/** A run that takes this many times the mean is a failure of its minion. */
+const lateFactor = 2;
+
 /** Whether an error of another entry host proves that nothing ran there. */
 export function isProofOfNotRun(error: ErrorData): boolean {
     return isCertainlyNotRun(error) || error.kind === "peerUnavailable" || error.kind === "staleToken";
@@ -56,23 +59,42 @@
         return slot.minion.isOwned && !slot.minion.slots.isStopped() ? undefined : "draining";
     };
 
+    /** A deadline that passes early says more about the caller than about the minion. */
+    const isMinionLate = (service: string, elapsedMs: number): boolean =>
+        elapsedMs > lateFactor * (desk.serviceTimes.estimateTime(service) ?? Number.POSITIVE_INFINITY);
+
+    const isMinionFailure = (service: string, result: AttemptResult, elapsedMs: number): boolean => {
+        switch (result.state) {
+            case "ran":
+                return result.status >= firstFailureStatus;
+            case "notSent":
+                return result.failedMinion !== undefined;
+            case "maybeRun":
+                return result.error.kind !== "deadlineExceeded" || isMinionLate(service, elapsedMs);
+        }
+    };
+
     const recordResult = (slot: HeldSlot, service: string, result: AttemptResult, startedMs: number): void => {
         const nowMs = context.readNowMs();
+        const elapsedMs = nowMs - startedMs;
         const { minion } = slot.ref;
-        const failed = result.state === "ran" ? result.status >= firstFailureStatus : result.state === "maybeRun";
-        if (failed || (result.state === "notSent" && result.failedMinion !== undefined)) {
+        if (isMinionFailure(service, result, elapsedMs)) {
             items.ejector.recordFailure(minion, nowMs);
         }
         else if (result.state === "ran") {
             items.ejector.recordSuccess(minion);
-            desk.serviceTimes.observeTime(service, nowMs - startedMs);
-            items.minionTimes.observeTime(minion, nowMs - startedMs);
+        }
+        // A run that was given up took at least so long; without it, a slow service would look as fast as its fastest runs.
+        const known = desk.serviceTimes.estimateTime(service) ?? 0;
+        if (result.state === "ran" || (result.state === "maybeRun" && elapsedMs > known)) {
+            desk.serviceTimes.observeTime(service, elapsedMs);
+            items.minionTimes.observeTime(minion, elapsedMs);
         }
     };
 
     const createDeadlineResult = (slot: HeldSlot, answerBegun: boolean): AttemptResult =>
         slot.state === "notSent"
-            ? { state: "notSent", reason: "deadlineExceeded", failedMinion: undefined }
+            ? { state: "notSent", reason: "deadlineExceeded", failedMinion: undefined, retryAfterMs: undefined }
             : { state: "maybeRun", answerBegun, error: { kind: "deadlineExceeded", state: "maybeRun" } };
 
     const runOwn: AttemptRunner["runOwn"] = Effect.fnUntraced(function*(slot, envelope, deadlineAtMs, emit) {
@@ -98,8 +120,9 @@
 
     const toRemoteResult = (error: ErrorData, check: AnswerCheck): AttemptResult => {
         if (!check.hasBegun() && isProofOfNotRun(error)) {
-            const reason: NotRunReason = error.kind === "notRun" ? error.reason : "noSession";
-            return { state: "notSent", reason, failedMinion: undefined };
+            return error.kind === "notRun"
+                ? { state: "notSent", reason: error.reason, failedMinion: undefined, retryAfterMs: error.retryAfterMs }
+                : { state: "notSent", reason: "noSession", failedMinion: undefined, retryAfterMs: undefined };
         }
         return { state: "maybeRun", answerBegun: check.hasBegun(), error };
     };
--- a/packages/entry/src/coordinator.ts
+++ b/packages/entry/src/coordinator.ts
@@ -61,7 +61,7 @@
         coordinated.delete(request);
         const last = request.lastAttempt;
         if (request.envelope.idempotent && last !== undefined && running.hasAttempt(last.id)) {
-            running.registry.holdRequest(request.key, last.id, last.endsAtMs);
+            running.registry.holdRequest(request.key, last.id, last.computeEndMs());
         }
         else {
             running.registry.forgetRequest(request.key);
@@ -176,6 +176,7 @@
             excludedMinions: new Set(),
             lastAttempt: undefined,
             isUndecided: true,
+            canReroute: true,
             mayHaveRun: false,
         };
     };
--- a/packages/entry/src/dispatch-attempt.ts
+++ b/packages/entry/src/dispatch-attempt.ts
@@ -23,6 +23,7 @@
         readonly reason: NotRunReason;
         /** The minion that could not be reached or refused, so that another one should be tried. */
         readonly failedMinion: MinionId | undefined;
+        readonly retryAfterMs: number | undefined;
     }
     | {
         readonly state: "maybeRun";
@@ -129,7 +130,7 @@
 }
 
 function createNotSent(reason: NotRunReason, failedMinion: MinionId | undefined): AttemptResult {
-    return { state: "notSent", reason, failedMinion };
+    return { state: "notSent", reason, failedMinion, retryAfterMs: undefined };
 }
 
 const passAnswer = Effect.fnUntraced(function*(
--- a/packages/entry/src/entry-context.ts
+++ b/packages/entry/src/entry-context.ts
@@ -1,6 +1,7 @@
 import { describeError } from "@chestnutspool/errors";
 import type { Logger } from "@chestnutspool/logger";
 import type { Metrics } from "@chestnutspool/record-metrics";
+import type { ChoiceRule } from "@chestnutspool/route-requests";
 import type { EntryId, ErrorData, PeerLink, ProcessSettings } from "@chestnutspool/types";
 import { Clock, Effect, type Scope } from "effect";
 
@@ -13,6 +14,7 @@
     readonly link: PeerLink;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    readonly choiceRule: ChoiceRule;
     /** Monotonic time in milliseconds. */
     readonly readNowMs: () => number;
     /** Scope of the entry role. */
@@ -26,6 +28,8 @@
     readonly link: PeerLink;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /** Rule by which minions are chosen; `leastExpectedWait` unless a measurement compares another. */
+    readonly choiceRule?: ChoiceRule;
 }
 
 const nanosecondsPerMillisecond = 1_000_000;
@@ -45,6 +49,7 @@
             link: services.link,
             logger,
             metrics: services.metrics,
+            choiceRule: services.choiceRule ?? "leastExpectedWait",
             readNowMs: () => Number(clock.monotonicTimeNanosUnsafe()) / nanosecondsPerMillisecond,
             runInBackground: effect => {
                 runFork(Effect.forkIn(
--- a/packages/entry/src/ownership-view.ts
+++ b/packages/entry/src/ownership-view.ts
@@ -65,7 +65,11 @@
         listRecords: () => map.ownership,
         findEntry: entry => map.entries.find(session => session.entry === entry),
         listEntries: () => map.entries,
-        getMaxRunMs: service => map.maxRunMsByService[service] ?? defaultMaxRunMs,
+        getMaxRunMs: service =>
+            // A caller may name a service like an inherited property of objects.
+            Object.hasOwn(map.maxRunMsByService, service)
+                ? map.maxRunMsByService[service] ?? defaultMaxRunMs
+                : defaultMaxRunMs,
         hasMinionOf: (entry, service) =>
             listMinions(service).some(minion => findRecord({ kind: "minion", minion: minion.id })?.owner === entry),
     };
--- a/packages/entry/src/peer-requests.ts
+++ b/packages/entry/src/peer-requests.ts
@@ -87,7 +87,7 @@
                         return yield* Effect.fail<ErrorData>({
                             kind: "notRun",
                             reason: result.reason,
-                            retryAfterMs: undefined,
+                            retryAfterMs: result.retryAfterMs,
                         });
                     case "maybeRun":
                         return yield* Effect.fail(result.error);
--- a/packages/entry/src/recorded-requests.test.ts
+++ b/packages/entry/src/recorded-requests.test.ts
@@ -80,6 +80,8 @@
     runScoped(Effect.gen(function*() {
         const cluster = yield* createTestCluster;
         const entry = yield* cluster.addEntry("entry-1");
+        // A short run lease leaves time for a retry within the deadline, which must not be used.
+        yield* cluster.addService(entry, 50);
         const minions = [
             yield* cluster.addMinion([entry], { minion: "minion-1" }),
             yield* cluster.addMinion([entry], { minion: "minion-2" }),
@@ -92,6 +94,7 @@
         for (const minion of minions) {
             minion.setFault("none");
         }
+        yield* Effect.sleep(500);
         assert.equal(yield* resend(entry, booking), "outcomeUnknown");
         assert.equal(minions.flatMap(minion => minion.listRuns()).length, 1);
     })));
--- a/packages/entry/src/run-attempts.ts
+++ b/packages/entry/src/run-attempts.ts
@@ -23,8 +23,8 @@
 /** The last attempt of a request. */
 interface NotedAttempt {
     readonly id: string;
-    /** Latest time at which its run lease ends. */
-    readonly endsAtMs: number;
+    /** Time at which its run lease has certainly ended; it is known exactly once the attempt was sent. */
+    readonly computeEndMs: () => number;
     readonly hasBeenSent: () => boolean;
 }
 
@@ -40,6 +40,8 @@
     lastAttempt: NotedAttempt | undefined;
     /** True while no attempt is open, so that the shard cannot be handed over. */
     isUndecided: boolean;
+    /** True when the last attempt went to a slot that was free as far as this host knew. */
+    canReroute: boolean;
     /** True once any attempt may have run. */
     mayHaveRun: boolean;
 }
@@ -127,8 +129,11 @@
             };
             running.addAttempt(ref, endsAtMs);
             const hasBeenSent = (): boolean => grant.kind === "spill" || grant.slot.state !== "notSent";
-            request.lastAttempt = { id: attempt, endsAtMs, hasBeenSent };
+            const computeEndMs = (): number =>
+                grant.kind === "own" && hasBeenSent() ? grant.slot.leaseEndsAtMs : endsAtMs;
+            request.lastAttempt = { id: attempt, computeEndMs, hasBeenSent };
             request.isUndecided = false;
+            request.canReroute = grant.kind === "own" || grant.isAdvertised;
             const run = grant.kind === "own"
                 ? runner.runOwn(grant.slot, envelope, deadlineAtMs, emit)
                 : runSpilled(request, attempt, grant.entry, emit);
@@ -153,10 +158,10 @@
 
     const createFailed = (request: CoordinatedRequest, result: FailedResult): FailedAttempt =>
         result.state === "notSent"
-            ? { state: "notSent", reason: result.reason, retryAfterMs: noMinionRetryAfterMs }
+            ? { state: "notSent", reason: result.reason, retryAfterMs: result.retryAfterMs ?? noMinionRetryAfterMs }
             : {
                 state: "maybeRun",
-                endsAtMs: request.lastAttempt?.endsAtMs ?? Number.POSITIVE_INFINITY,
+                endsAtMs: request.lastAttempt?.computeEndMs() ?? Number.POSITIVE_INFINITY,
                 answerBegun: result.answerBegun,
             };
 
@@ -172,10 +177,15 @@
     /** Decides what follows a failed attempt: fails with the final error, or returns when the next may start. */
     const prepareRetry = Effect.fnUntraced(function*(request: CoordinatedRequest, result: FailedResult) {
         const { envelope, deadlineAtMs } = request;
-        const isMisrouted = result.state === "notSent" && result.failedMinion === undefined;
-        if (isMisrouted && parts.isSessionValid() && context.readNowMs() < deadlineAtMs) {
-            // The minion or the advertised slot went to another host; nothing failed, so the budget is not touched.
-            return;
+        if (result.state === "notSent" && result.failedMinion === undefined) {
+            if (!request.canReroute) {
+                const { reason, retryAfterMs } = result;
+                return yield* Effect.fail<ErrorData>({ kind: "notRun", reason, retryAfterMs });
+            }
+            if (parts.isSessionValid() && context.readNowMs() < deadlineAtMs) {
+                // The minion or the advertised slot went to another host; nothing failed, so the budget is not touched.
+                return;
+            }
         }
         const retryContext = {
             requestId: envelope.requestId,
@@ -204,9 +214,9 @@
             if (result.state === "ran") {
                 return result;
             }
+            refusals += result.state === "notSent" && result.reason === "refusedByMinion" ? 1 : 0;
             if (result.state === "notSent" && result.failedMinion !== undefined) {
                 request.excludedMinions.add(result.failedMinion);
-                refusals += 1;
             }
             if (refusals >= refusalLimit) {
                 const retryAfterMs = noMinionRetryAfterMs;
--- a/packages/entry/src/slot-desk.ts
+++ b/packages/entry/src/slot-desk.ts
@@ -35,7 +35,12 @@
 /** Where an attempt may run: in a slot of an own minion, or at an entry host that advertised a free slot. */
 export type SlotGrant =
     | { readonly kind: "own"; readonly slot: HeldSlot; }
-    | { readonly kind: "spill"; readonly entry: EntryId; };
+    | {
+        readonly kind: "spill";
+        readonly entry: EntryId;
+        /** False when the host did not advertise a free slot, but serves the service while this host does not. */
+        readonly isAdvertised: boolean;
+    };
 
 /** Gives slots to requests, in the order of the queue when none is free. */
 export interface SlotDesk {
@@ -61,6 +66,8 @@
     readonly answer: Deferred.Deferred<SlotGrant, ErrorData>;
 }
 
+/** Retry-after time of a request whose deadline passed while it waited, in milliseconds. */
+const lateRetryAfterMs = 100;
 /** Seed of the random choices; they decide only between minions of equal worth. */
 const chooserSeed = 20_261_203;
 
@@ -74,8 +81,10 @@
     onFreeChanged: (service: string) => void,
 ): SlotDesk {
     const queue = createRequestQueue<WaitingRequest>(context.settings.requests.queueLimit);
-    const chooser = createMinionChooser("leastExpectedWait", chooserSeed);
+    const chooser = createMinionChooser(context.choiceRule, chooserSeed);
     const serviceTimes = createServiceTimes();
+    /** Turns among the hosts that serve a service which this host does not. */
+    let turn = 0;
     const ownZone = context.settings.process.availabilityZone;
 
     const listUsable = (service: string, nowMs: number): readonly OwnedMinion[] => {
@@ -119,6 +128,27 @@
         return openSlot(minion, ref, nowMs);
     };
 
+    /**
+     * A host that advertises a free slot. Without own minions of the service there is no queue here that could drain, so the
+     * request then goes to the queue of a host that has some.
+     */
+    const findSpill = (service: string, nowMs: number): SlotGrant | undefined => {
+        const advertised = freeSlots.findHost(service, nowMs);
+        if (advertised !== undefined && context.link.isConnected(advertised)) {
+            freeSlots.takeSlot(advertised, service);
+            return { kind: "spill", entry: advertised, isAdvertised: true };
+        }
+        if (items.listMinions(service).length > 0) {
+            return undefined;
+        }
+        const serving = view.listEntries().map(each => each.entry).filter(entry =>
+            entry !== context.self && view.hasMinionOf(entry, service) && context.link.isConnected(entry)
+        );
+        turn += 1;
+        const entry = serving[turn % Math.max(1, serving.length)];
+        return entry === undefined ? undefined : { kind: "spill", entry, isAdvertised: false };
+    };
+
     const takeGrant = (request: SlotRequest): SlotGrant | undefined => {
         const nowMs = context.readNowMs();
         if (!canDispatch()) {
@@ -130,12 +160,7 @@
             onFreeChanged(service);
             return { kind: "own", slot };
         }
-        const entry = request.canSpill ? freeSlots.findHost(service, nowMs) : undefined;
-        if (entry === undefined || !context.link.isConnected(entry)) {
-            return undefined;
-        }
-        freeSlots.takeSlot(entry, service);
-        return { kind: "spill", entry };
+        return request.canSpill ? findSpill(service, nowMs) : undefined;
     };
 
     const returnGrant = (grant: SlotGrant): void => {
@@ -167,17 +192,21 @@
         }
     };
 
+    /** Slots that may serve a request: those of own minions, or without any those of other hosts. */
+    const countSlots = (service: string, canSpill: boolean): number => {
+        const usable = listUsable(service, context.readNowMs()).map(each => each.slots.getInfo());
+        const others = canSpill && usable.length === 0
+            ? view.listMinions(service).filter(info => items.findMinion(info.id) === undefined)
+            : [];
+        return [...usable, ...others].reduce((sum, info) => sum + info.slots, 0);
+    };
+
     const readLoad = (request: SlotRequest): LoadView => {
         const { service } = request.envelope;
         const nowMs = context.readNowMs();
-        const usable = listUsable(service, nowMs);
-        // Without own minions the slots of other hosts serve the request.
-        const others = request.canSpill && usable.length === 0
-            ? view.listMinions(service).filter(info => items.findMinion(info.id) === undefined)
-            : [];
         return {
             queuedAhead: queue.countAhead(service, request.envelope.class),
-            slots: [...usable.map(each => each.slots.getInfo()), ...others].reduce((sum, info) => sum + info.slots, 0),
+            slots: countSlots(service, request.canSpill),
             freeSlots: countFree(service) + (request.canSpill ? freeSlots.countFree(service, nowMs) : 0),
             serviceTimeMs: serviceTimes.estimateTime(service),
         };
@@ -263,11 +292,11 @@
             const nowMs = context.readNowMs();
             rejectAll(
                 waiting => nowMs + (serviceTimes.estimateTime(waiting.service) ?? 0) >= waiting.deadlineAtMs,
-                { kind: "notRun", reason: "deadlineExceeded", retryAfterMs: undefined },
+                { kind: "notRun", reason: "deadlineExceeded", retryAfterMs: lateRetryAfterMs },
             );
             items.expireLeases(nowMs);
             for (const service of queue.listServices()) {
-                if (listUsable(service, nowMs).length === 0 && view.listMinions(service).length === 0) {
+                if (countSlots(service, true) === 0) {
                     rejectAll(
                         waiting => waiting.service === service,
                         { kind: "notRun", reason: "noMinion", retryAfterMs: noMinionRetryAfterMs },
--- a/packages/stand-ins/src/minion/serve-run.ts
+++ b/packages/stand-ins/src/minion/serve-run.ts
@@ -25,6 +25,8 @@
     frozen: boolean;
     highestEpoch: number;
     readonly defaultRunMs: number;
+    /** Time after which a run notices that its connection has closed, in milliseconds. */
+    readonly closeNoticeMs: number;
 }
 
 const notStarted = { "chestnutspool-not-started": "1" };
@@ -132,9 +134,10 @@
         Effect.sleep(headers.leaseMs - (readNowMs() - arrivedMs)),
         "leaseEnded" as const,
     );
-    const end = yield* Effect.raceFirst(run, Effect.raceFirst(lease, awaitClose(response)));
+    const awaitCloseNotice = Effect.tap(awaitClose(response), () => Effect.sleep(behaviour.closeNoticeMs));
+    const end = yield* Effect.raceFirst(run, Effect.raceFirst(lease, awaitCloseNotice));
     records.endRun(attempt, end, readNowMs());
-    if (end !== "completed" || behaviour.fault === "dropBeforeAnswer") {
+    if (end !== "completed" || response.destroyed || behaviour.fault === "dropBeforeAnswer") {
         response.socket?.destroy();
         return;
     }
--- a/packages/stand-ins/src/minion/stand-in-minion.ts
+++ b/packages/stand-ins/src/minion/stand-in-minion.ts
@@ -18,6 +18,8 @@
     readonly connections: number;
     /** Run time of a body that names none, in milliseconds; default 10. */
     readonly defaultRunMs?: number;
+    /** Time after which a run notices that its connection has closed, in milliseconds; default 0. */
+    readonly closeNoticeMs?: number;
     /** IP number to listen on; default 127.0.0.1. */
     readonly listenHost?: string;
     /** Longest interval of announcements in milliseconds; default 1,000. */
@@ -95,6 +97,7 @@
         frozen: false,
         highestEpoch: 0,
         defaultRunMs: options.defaultRunMs ?? defaultRunMs,
+        closeNoticeMs: options.closeNoticeMs ?? 0,
     };
     let silent = false;
     let hasLeft = false;
