--- a/packages/entry/src/failures.test.ts
+++ b/packages/entry/src/failures.test.ts
@@ -71,6 +71,27 @@
         assert.ok((runs[0]?.endedMs ?? Infinity) <= (runs[1]?.startedMs ?? 0));
     })));
 
+void test("a resend of a request whose attempt was given up waits until that attempt has ended", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        yield* cluster.addService(entry, maxRunMs);
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1", closeNoticeMs: 10_000 });
+        const request = { body: work("a", 300), requestId: "a", deadlineMs: 350 };
+        const call = yield* Effect.forkChild(submit(entry, request));
+        yield* awaitCondition(() => minion.listRunning().length === 1);
+        minion.dropConnections();
+        assert.equal(describeOutcome(yield* Fiber.join(call)), "outcomeUnknown");
+        const told = new Set<string>();
+        while (!told.has("answered")) {
+            told.add(describeOutcome(yield* submit(entry, { ...request, deadlineMs: 5_000 })));
+            yield* Effect.sleep(10);
+        }
+        assert.deepEqual([...told], ["stillRunning", "answered"]);
+        const [first, second] = minion.listRuns();
+        assert.ok(first?.endedMs !== undefined && second !== undefined && first.endedMs <= second.startedMs);
+    })));
+
 type Fault = "drop" | "refuse" | "freeze" | "silent" | "cutControl" | "cutPeer" | "crash" | "join" | "drain";
 
 const faults: fc.Arbitrary<{ readonly fault: Fault; readonly pick: number; readonly atMs: number; }[]> = fc.array(
