Throttle or move batch work that slows urgent tasks down

Placement alone cannot follow load that shifts while tasks run.

Each report gives the mean slowdown of the urgent tasks of a worker. After two reports above the accepted slowdown, which grows with the weight of batch throughput and shrinks on a worker above its high-use limit, the batch task that hurts most is throttled to 50% and then 25%; above twice the accepted slowdown the one that loses least for its harm is evicted. A step needs 12 s for its effect to be reported, throttling is lifted below half the accepted slowdown, and a job that would be late is not throttled. Throttling must gain more than it costs by the weights.

The headroom for urgent tasks now exists only in a cluster that has urgent tasks, and a task that has waited ten minutes may use it.

--- a/packages/place-tasks/src/observe-reports.ts
+++ b/packages/place-tasks/src/observe-reports.ts
@@ -1,5 +1,6 @@
 import type { ClusterState, TaskRecord, UsageSample, WorkerId, WorkerReport, WorkSpec } from "@chestnutspool/types";
 import type { PlacerMemory } from "./pass.js";
+import { findTaskClass } from "./worker-views.js";
 
 /** Reports wait here for the next pass, because only the state tells what the tasks are; the last of each worker stays. */
 export type ReportQueue = Map<WorkerId, WorkerReport>;
@@ -22,11 +23,10 @@
     });
 }
 
-/** Speed that the processors of the worker allow to all tasks together, 1 when they suffice. */
-function computeProcessorSpeed(state: ClusterState, worker: WorkerId, usage: readonly UsageSample[]): number {
-    const wanted = usage.reduce((sum, sample) => sum + sample.milliCpu, 0);
-    const capacity = state.workers.get(worker)?.capacity.milliCpu ?? 0;
-    return capacity > 0 && wanted > capacity ? capacity / wanted : 1;
+/** Processor time that the tasks used, as a share of the processors of the worker. */
+function computeLoad(state: ClusterState, worker: WorkerId, usage: readonly UsageSample[]): number {
+    const used = usage.reduce((sum, sample) => sum + sample.milliCpu, 0);
+    return used / Math.max(1, state.workers.get(worker)?.capacity.milliCpu ?? 0);
 }
 
 /** Learns slowdowns from samples that were taken together, so that each names the neighbours of the others. */
@@ -47,6 +47,19 @@
     }
 }
 
+/** Mean slowdown of the urgent tasks of one report; 0 without any, so that throttling of their neighbours is lifted. */
+function computeUrgentSlowdown(known: readonly KnownSample[]): number {
+    let sum = 0;
+    let count = 0;
+    for (const { sample, spec } of known) {
+        if (findTaskClass(spec.kind) === "latencyCritical" && (sample.speedPercent ?? 0) > 0) {
+            sum += Math.max(0, 100 / (sample.speedPercent ?? 100) - 1);
+            count += 1;
+        }
+    }
+    return count === 0 ? 0 : sum / count;
+}
+
 /** Takes the waiting reports into the models. */
 export function observeReports(memory: PlacerMemory, state: ClusterState, reports: ReportQueue): void {
     for (const { worker, usage } of reports.values()) {
@@ -56,7 +69,10 @@
                 memory.uses.observeUse(spec, sample);
             }
         }
-        observeSlowdowns(memory, known, computeProcessorSpeed(state, worker, usage));
+        const load = computeLoad(state, worker, usage);
+        // Beyond the capacity all tasks share the processors, which is not the doing of single neighbours.
+        observeSlowdowns(memory, known, 1 / Math.max(1, load));
+        memory.mitigations.recordSlowdown(worker, computeUrgentSlowdown(known), load);
         memory.views.forgetExpected(worker);
     }
     reports.clear();
--- a/packages/place-tasks/src/pass.ts
+++ b/packages/place-tasks/src/pass.ts
@@ -3,6 +3,7 @@
 import type { PlacementDecision } from "./decision.js";
 import type { EvictionBudget } from "./eviction-budget.js";
 import type { InFlightDecisions } from "./in-flight.js";
+import type { Mitigations } from "./mitigate.js";
 import type { RunTimeModel } from "./run-time-model.js";
 import type { SlowdownModel } from "./slowdown-model.js";
 import type { TenantShares } from "./tenant-shares.js";
@@ -19,6 +20,7 @@
     readonly runTimes: RunTimeModel;
     readonly uses: UseModel;
     readonly slowdowns: SlowdownModel;
+    readonly mitigations: Mitigations;
 }
 
 /** One pass of the placer. */
--- a/packages/place-tasks/src/place-pending.ts
+++ b/packages/place-tasks/src/place-pending.ts
@@ -4,7 +4,7 @@
 import { isUrgent, type Pass } from "./pass.js";
 import type { PendingWork } from "./pending.js";
 import { reclaimSpace } from "./reclaim.js";
-import { addSeatedTask, buildSeatedTask, findTaskClass, type SeatedTask } from "./worker-views.js";
+import { addSeatedTask, buildSeatedTask, findTaskClass, readSeatedClasses, type SeatedTask } from "./worker-views.js";
 
 /** Tasks for which a pass takes back space at most; clearing a worker looks at all of its tasks. */
 const reclaimsPerPass = 4;
@@ -16,6 +16,8 @@
  * each urgent start in a full cluster costs an eviction, and a burst of starts waits for the eviction budget.
  */
 const largestHeadroomPercent = 10;
+/** Wait after which a borrowing task may use the headroom, in milliseconds; a large task might never start otherwise. */
+const headroomPatienceMs = 600_000;
 
 interface Waiting {
     readonly task: TaskRecord;
@@ -100,13 +102,20 @@
     return { borrowers, unplaced };
 }
 
-/** Whether the cluster keeps the headroom for urgent tasks when a borrowing batch task starts. */
-function keepsHeadroom(pass: Pass, seated: SeatedTask): boolean {
-    const { tailLatencyWeight, batchThroughputWeight } = pass.memory.settings;
+/** Share of the cluster that borrowing batch work leaves free; none in a cluster without urgent tasks. */
+function computeHeadroomShare(pass: Pass): number {
+    const { settings, slowdowns } = pass.memory;
+    const { tailLatencyWeight, batchThroughputWeight } = settings;
     const weights = tailLatencyWeight + batchThroughputWeight;
-    const share = weights > 0 ? largestHeadroomPercent / 100 * tailLatencyWeight / weights : 0;
+    const hasUrgent = pass.usable.some(view => readSeatedClasses(view, slowdowns).urgent.length > 0);
+    return hasUrgent && weights > 0 ? largestHeadroomPercent / 100 * tailLatencyWeight / weights : 0;
+}
+
+/** Whether the headroom is left when the task starts, or the task has waited too long for it. */
+function keepsHeadroom(pass: Pass, { task, seated }: Waiting, share: number): boolean {
     const { capacity, free } = pass.shares;
-    return isUrgent(seated)
+    const waitedMs = pass.nowMs - Math.max(task.createdAtMs, task.endedAtMs ?? 0);
+    return isUrgent(seated) || waitedMs >= headroomPatienceMs
         || (free().milliCpu - seated.resources.milliCpu >= capacity.milliCpu * share
             && free().memoryMib - seated.resources.memoryMib >= capacity.memoryMib * share);
 }
@@ -120,6 +129,7 @@
         queues.set(item.seated.tenant, queue);
     }
     const unplaced: Waiting[] = [];
+    const headroomShare = computeHeadroomShare(pass);
     while (queues.size > 0) {
         let chosen: { readonly tenant: string; readonly queue: Waiting[]; readonly borrowed: number; } | undefined;
         for (const [tenant, queue] of queues) {
@@ -136,7 +146,7 @@
         if (chosen.queue.length === 0) {
             queues.delete(chosen.tenant);
         }
-        if (keepsHeadroom(pass, item.seated) && placeTask(pass, item, failed) === "noRoom") {
+        if (keepsHeadroom(pass, item, headroomShare) && placeTask(pass, item, failed) === "noRoom") {
             unplaced.push(item);
         }
     }
--- a/packages/place-tasks/src/placer.test.ts
+++ b/packages/place-tasks/src/placer.test.ts
@@ -42,6 +42,7 @@
         works: [job, service],
         tasks: [0, 1, 2].map(ordinal => buildTask(job, ordinal)).concat(buildTask(service, 0)),
         workers: [buildWorker("w", capacity)],
+        tenants: [{ id: "t", quota: capacity, weight: 1, revision: 1, changedBy: "test" }],
     });
     const decisions = createPlacer(settings).planPlacements(state, 1000);
     assert.deepEqual(decisions.map(decision => "task" in decision ? decision.task : ""), ["service/0", "job/0"]);
--- a/packages/place-tasks/src/placer.ts
+++ b/packages/place-tasks/src/placer.ts
@@ -3,6 +3,7 @@
 import type { PlacementDecision, Placer } from "./decision.js";
 import { createEvictionBudget } from "./eviction-budget.js";
 import { createInFlightDecisions } from "./in-flight.js";
+import { createMitigations } from "./mitigate.js";
 import { observeReports, type ReportQueue } from "./observe-reports.js";
 import { sortPendingWorks } from "./order-works.js";
 import type { Pass, PlacerMemory } from "./pass.js";
@@ -63,6 +64,7 @@
         runTimes: createRunTimeModel(),
         uses: createUseModel(),
         slowdowns: createSlowdownModel(),
+        mitigations: createMitigations(),
     };
     const setAside = createSetAsidePolicy();
     const reports: ReportQueue = new Map();
@@ -81,6 +83,7 @@
             const usable = pass.usable.filter(({ record }) => !memory.inFlight.hasWorker(record.id));
             const works = rejectImpossible(pass, listPendingWorks(state, memory.inFlight, nowMs));
             placePending({ ...pass, usable }, sortPendingWorks(works, memory.runTimes, nowMs));
+            memory.mitigations.planMitigations(pass);
             return decisions;
         },
     };
