--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,2 @@
+export * from "./minion/index.js";
 export * from "./worker/index.js";
