--- a/packages/entry/src/drain.test.ts
+++ b/packages/entry/src/drain.test.ts
@@ -22,13 +22,16 @@
             yield* cluster.addMinion([leaving, staying], { minion: "minion-1", slots: 4 }),
             yield* cluster.addMinion([leaving, staying], { minion: "minion-2", slots: 4 }),
         ];
-        const calls = yield* Effect.forEach(Array.from({ length: 16 }, (item, index) => index), index =>
-            Effect.forkChild(submit(index % 2 === 0 ? leaving : staying, {
-                body: work(`key-${index}`, 300),
-                requestId: `id-${index}`,
-                idempotent: index % 3 !== 0,
-                deadlineMs: 20_000,
-            })));
+        const calls = yield* Effect.forEach(
+            Array.from({ length: 16 }, (item, index) => index),
+            index =>
+                Effect.forkChild(submit(index % 2 === 0 ? leaving : staying, {
+                    body: work(`key-${index}`, 300),
+                    requestId: `id-${index}`,
+                    idempotent: index % 3 !== 0,
+                    deadlineMs: 20_000,
+                })),
+        );
         yield* awaitCondition(() => minions.reduce((sum, minion) => sum + minion.listRunning().length, 0) === 8);
         const drain = yield* Effect.forkChild(leaving.api.drain);
         yield* awaitCondition(() => !leaving.api.readHealth().ready);
@@ -60,20 +63,22 @@
             yield* cluster.addMinion(entries, { minion: "minion-2", slots: 2 }),
         ];
         const load = yield* Effect.forkChild(
-            Effect.forEach(Array.from({ length: 60 }, (item, index) => index), index =>
-                submit(entries[index % entries.length] as TestEntry, {
-                    body: work(`key-${index}`, 40),
-                    requestId: `id-${index}`,
-                    deadlineMs: 20_000,
-                }), { concurrency: 6 }),
+            Effect.forEach(
+                Array.from({ length: 60 }, (item, index) => index),
+                index =>
+                    submit(entries[index % entries.length] as TestEntry, {
+                        body: work(`key-${index}`, 40),
+                        requestId: `id-${index}`,
+                        deadlineMs: 20_000,
+                    }),
+                { concurrency: 6 },
+            ),
         );
         yield* awaitCondition(() => minions[0]?.listRunning().length === 2);
         entries.push(yield* cluster.addEntry("entry-2"));
         const outcomes = (yield* Fiber.join(load)).map(describeOutcome);
         assert.deepEqual(outcomes.filter(outcome => outcome !== "answered"), []);
-        yield* awaitCondition(() =>
-            [...cluster.state.ownership.values()].every(record => record.phase === "owned")
-        );
+        yield* awaitCondition(() => [...cluster.state.ownership.values()].every(record => record.phase === "owned"));
         const owned = [...cluster.state.ownership.values()].filter(record => record.owner === "entry-2");
         assert.equal(owned.length, 33);
         for (const minion of minions) {
@@ -89,10 +94,14 @@
         const leaving = yield* cluster.addMinion([entries[0]], { minion: "minion-1", slots: 2 });
         const other = yield* cluster.addMinion(entries, { minion: "minion-2", slots: 2 });
         const load = yield* Effect.forkChild(
-            Effect.forEach(Array.from({ length: 40 }, (item, index) => index), index =>
-                submit(entries[index % 2] as TestEntry, { body: work(`key-${index}`, 30), deadlineMs: 20_000 }), {
-                concurrency: 4,
-            }),
+            Effect.forEach(
+                Array.from({ length: 40 }, (item, index) => index),
+                index =>
+                    submit(entries[index % 2] as TestEntry, { body: work(`key-${index}`, 30), deadlineMs: 20_000 }),
+                {
+                    concurrency: 4,
+                },
+            ),
         );
         yield* awaitCondition(() => leaving.listRunning().length === 2 && other.listRunning().length > 0);
         const inProgress = yield* leaving.leave;
--- a/packages/place-tasks/src/choose-worker.ts
+++ b/packages/place-tasks/src/choose-worker.ts
@@ -1,5 +1,4 @@
-import { hasRoomFor, isUrgent, type Pass } from "./pass.js";
-import { isWorkerUsable } from "./set-aside.js";
+import { hasRoomFor, isUrgent, isWorkerUsable, type Pass } from "./pass.js";
 import { computeSpreadCost, countSpread } from "./spread.js";
 import type { ExpectedUse } from "./use-model.js";
 import { readSeatedClasses, type SeatedTask, type WorkerView } from "./worker-views.js";
@@ -14,6 +13,10 @@
 /** Gain of packing batch work on loaded workers, so that others stay free for large and urgent tasks. */
 const packingGain = 0.05;
 
+/** A worker that must show that it works again is the first choice of batch tasks and the last of urgent ones. */
+const batchProbeGain = 1000;
+const urgentProbeCost = 1000;
+
 /** Cost of a load, where 1 is the capacity. */
 function computeLoadCost(load: number, highUse: number): number {
     const high = Math.max(0, Math.min(load, 1) - highUse) * highUseSlope;
@@ -92,7 +95,7 @@
  * weighted slowdown to the urgent tasks of a worker.
  */
 export function chooseWorker(pass: Pass, task: SeatedTask, harmLimit: number): WorkerChoice {
-    const { uses, slowdowns, settings } = pass.memory;
+    const { uses, slowdowns, settings, setAside } = pass.memory;
     const added = uses.estimateUse({ ...task, name: task.work });
     const classId = slowdowns.findClassId(task.interferenceClass);
     const spread = isUrgent(task) ? countSpread(pass, task) : undefined;
@@ -101,7 +104,7 @@
     let fits = false;
     let deferred = false;
     for (const view of pass.usable) {
-        if (!isWorkerUsable(view) || !hasRoomFor(pass, view, task)) {
+        if (!isWorkerUsable(pass, view) || !hasRoomFor(pass, view, task)) {
             continue;
         }
         fits = true;
@@ -113,7 +116,8 @@
             continue;
         }
         const spreadCost = spread === undefined ? 0 : computeSpreadCost(spread, view);
-        const cost = computeCost(pass, view, task, added) + settings.tailLatencyWeight * spreadCost;
+        const probeCost = setAside.isOnProbation(view) ? isUrgent(task) ? urgentProbeCost : -batchProbeGain : 0;
+        const cost = computeCost(pass, view, task, added) + settings.tailLatencyWeight * spreadCost + probeCost;
         if (cost < bestCost) {
             best = view;
             bestCost = cost;
--- a/packages/place-tasks/src/pass.ts
+++ b/packages/place-tasks/src/pass.ts
@@ -5,6 +5,7 @@
 import type { InFlightDecisions } from "./in-flight.js";
 import type { Mitigations } from "./mitigate.js";
 import type { RunTimeModel } from "./run-time-model.js";
+import type { SetAsidePolicy } from "./set-aside.js";
 import type { SlowdownModel } from "./slowdown-model.js";
 import type { TenantShares } from "./tenant-shares.js";
 import type { UseModel } from "./use-model.js";
@@ -17,6 +18,7 @@
     readonly views: WorkerViews;
     readonly claims: Claims;
     readonly budget: EvictionBudget;
+    readonly setAside: SetAsidePolicy;
     readonly runTimes: RunTimeModel;
     readonly uses: UseModel;
     readonly slowdowns: SlowdownModel;
@@ -39,6 +41,11 @@
     return findTaskClass(task.kind) === "latencyCritical";
 }
 
+/** Whether a worker may take one more task now. */
+export function isWorkerUsable(pass: Pass, view: WorkerView): boolean {
+    return pass.memory.setAside.isUsable(view);
+}
+
 /** Whether a worker has room for a task beside the claims of others. */
 export function hasRoomFor(pass: Pass, view: WorkerView, task: SeatedTask): boolean {
     const claim = pass.memory.claims.findByWorker(view.record.id);
--- a/packages/place-tasks/src/placer.test.ts
+++ b/packages/place-tasks/src/placer.test.ts
@@ -87,13 +87,16 @@
             ),
         });
     const placer = createPlacer(settings);
+    const plan = (admission: "open" | "setAside", failuresInRow: number, nowMs: number) =>
+        placer.planPlacements(build(admission, failuresInRow), nowMs);
     const setAside = (flag: boolean) => [{ kind: "setAsideWorker", worker: "a", setAside: flag }];
-    assert.deepEqual(placer.planPlacements(build("open", 3), 1000), setAside(true));
-    assert.deepEqual(placer.planPlacements(build("setAside", 3), 30_000), []);
-    assert.deepEqual(placer.planPlacements(build("setAside", 3), 31_000), setAside(false));
-    const probe = placer.planPlacements(build("open", 3), 31_050);
-    assert.deepEqual(probe.map(decision => decision.kind), ["placeTask"]);
-    assert.deepEqual(placer.planPlacements(build("open", 4), 32_000), setAside(true));
-    assert.deepEqual(placer.planPlacements(build("setAside", 4), 91_000), []);
-    assert.deepEqual(placer.planPlacements(build("setAside", 4), 92_000), setAside(false));
+    assert.deepEqual(plan("open", 3, 1000), setAside(true));
+    assert.deepEqual(plan("setAside", 3, 30_000), []);
+    assert.deepEqual(plan("setAside", 3, 31_000), setAside(false), "the first probe comes after 30 s");
+    assert.deepEqual(plan("open", 3, 31_050).map(({ kind }) => kind), ["placeTask"]);
+    assert.deepEqual(plan("open", 4, 32_000), setAside(true));
+    assert.deepEqual(plan("setAside", 4, 91_000), []);
+    assert.deepEqual(plan("setAside", 4, 92_000), setAside(false), "the second probe comes after 60 s more");
+    assert.deepEqual(plan("open", 0, 93_000).map(({ kind }) => kind), ["placeTask"], "on probation");
+    assert.deepEqual(plan("open", 0, 152_000).map(({ kind }) => kind), ["placeTask", "placeTask"]);
 });
--- a/packages/place-tasks/src/placer.ts
+++ b/packages/place-tasks/src/placer.ts
@@ -61,12 +61,12 @@
         views: createWorkerViews(),
         claims: createClaims(),
         budget: createEvictionBudget(settings.evictionsPerMinute),
+        setAside: createSetAsidePolicy(),
         runTimes: createRunTimeModel(),
         uses: createUseModel(),
         slowdowns: createSlowdownModel(),
         mitigations: createMitigations(),
     };
-    const setAside = createSetAsidePolicy();
     const reports: ReportQueue = new Map();
     return {
         recordReports: arrived => {
@@ -78,7 +78,7 @@
             const decisions: PlacementDecision[] = [];
             const pass = openPass(memory, state, nowMs, decisions);
             observeReports(memory, state, reports);
-            const changed = setAside.planSetAside(state, memory.inFlight, nowMs);
+            const changed = memory.setAside.planSetAside(state, memory.inFlight, nowMs);
             changed.forEach(pass.addDecision);
             const usable = pass.usable.filter(({ record }) => !memory.inFlight.hasWorker(record.id));
             const works = rejectImpossible(pass, listPendingWorks(state, memory.inFlight, nowMs));
--- a/packages/place-tasks/src/reclaim.ts
+++ b/packages/place-tasks/src/reclaim.ts
@@ -6,8 +6,7 @@
     type TaskRecord,
     type WorkSpec,
 } from "@chestnutspool/types";
-import { evictTask, isUrgent, type Pass } from "./pass.js";
-import { isWorkerUsable } from "./set-aside.js";
+import { evictTask, isUrgent, isWorkerUsable, type Pass } from "./pass.js";
 import { findTaskClass, type SeatedTask, type WorkerView } from "./worker-views.js";
 
 /** Loss of an eviction beside the work done, in milliseconds of run time: stop, wait and start. */
@@ -88,10 +87,13 @@
  * worker can be cleared or the budget does not allow it.
  */
 export function reclaimSpace(pass: Pass, claimant: SeatedTask): void {
-    const { claims, budget } = pass.memory;
+    const { claims, budget, setAside } = pass.memory;
     let best: ReclaimChoice | undefined;
     for (const view of pass.usable) {
-        if (!isWorkerUsable(view) || claims.findByWorker(view.record.id) !== undefined) {
+        if (
+            setAside.isOnProbation(view) || !isWorkerUsable(pass, view)
+            || claims.findByWorker(view.record.id) !== undefined
+        ) {
             continue;
         }
         const choice = planVictims(pass, view, claimant);
--- a/packages/place-tasks/src/set-aside.ts
+++ b/packages/place-tasks/src/set-aside.ts
@@ -12,11 +12,22 @@
 /** Share of the workers that may be set aside; a job that fails everywhere must not take the cluster out of use. */
 const setAsideLimitPercent = 25;
 
+/** Time without a failure after which a worker on probation counts as working again, in milliseconds. */
+const probationMs = 60_000;
+/** Time without a failure after which the length of the next wait starts anew, in milliseconds. */
+const forgetMs = 30 * 60_000;
+
 interface SetAsideRecord {
+    readonly incarnation: string;
     readonly sinceMs: number;
     readonly waitMs: number;
-    readonly failuresInRow: number;
-    readonly incarnation: string;
+    /** Least number of failures in a row since; more of them are a new failure. */
+    failuresInRow: number;
+    /** Time at which the worker was taken back; undefined while it is set aside. */
+    takenBackAtMs: number | undefined;
+    /** Tasks that the worker held when it was taken back; on probation it may hold one more. */
+    held: number;
+    cleared: boolean;
 }
 
 /** Sets aside workers whose starts fail in a row and probes them with one task after a growing time. */
@@ -26,66 +37,103 @@
         inFlight: InFlightDecisions,
         nowMs: number,
     ) => readonly PlacementDecision[];
-}
-
-/** Whether a worker may take one more task: it is open, and one on probation holds a single task. */
-export function isWorkerUsable(view: WorkerView): boolean {
-    return view.record.admission === "open"
-        && (view.record.failuresInRow < failuresBeforeSetAside || view.seated.size === 0);
+    /** Whether a worker may take one more task. */
+    readonly isUsable: (view: WorkerView) => boolean;
+    /** Whether a worker takes one task to show that it works. */
+    readonly isOnProbation: (view: WorkerView) => boolean;
 }
 
 /** Creates the policy without any record. */
 export function createSetAsidePolicy(): SetAsidePolicy {
     const records = new Map<WorkerId, SetAsideRecord>();
 
-    function planWorker(worker: WorkerRecord, mayAdd: boolean, nowMs: number): PlacementDecision | undefined {
+    function findRecord(worker: WorkerRecord): SetAsideRecord | undefined {
         const known = records.get(worker.id);
-        const record = known?.incarnation === worker.incarnation ? known : undefined;
-        if (worker.admission === "setAside") {
-            if (record === undefined) {
-                // Set aside by an operator or an earlier leader; the first probe comes after the first wait.
-                const { failuresInRow, incarnation } = worker;
-                records.set(worker.id, { sinceMs: nowMs, waitMs: firstProbeMs, failuresInRow, incarnation });
-                return undefined;
-            }
-            return worker.failuresInRow > 0 && Math.abs(nowMs - record.sinceMs) >= record.waitMs
-                ? { kind: "setAsideWorker", worker: worker.id, setAside: false }
-                : undefined;
-        }
-        if (worker.failuresInRow === 0) {
-            records.delete(worker.id);
-            return undefined;
-        }
-        const failedAgain = worker.failuresInRow >= failuresBeforeSetAside
-            && worker.failuresInRow > (record?.failuresInRow ?? 0);
-        if (worker.admission !== "open" || !failedAgain || !mayAdd) {
-            return undefined;
-        }
+        return known?.incarnation === worker.incarnation ? known : undefined;
+    }
+
+    function startWait(worker: WorkerRecord, nowMs: number): void {
+        const known = findRecord(worker);
         records.set(worker.id, {
+            incarnation: worker.incarnation,
             sinceMs: nowMs,
-            waitMs: record === undefined ? firstProbeMs : Math.min(longestProbeMs, record.waitMs * 2),
+            waitMs: known === undefined ? firstProbeMs : Math.min(longestProbeMs, known.waitMs * 2),
             failuresInRow: worker.failuresInRow,
-            incarnation: worker.incarnation,
+            takenBackAtMs: undefined,
+            held: 0,
+            cleared: false,
         });
-        return { kind: "setAsideWorker", worker: worker.id, setAside: true };
+    }
+
+    function planSetAsideWorker(
+        state: ClusterState,
+        worker: WorkerRecord,
+        nowMs: number,
+    ): PlacementDecision | undefined {
+        const record = findRecord(worker);
+        if (record === undefined) {
+            // Set aside under an earlier leader or incarnation.
+            startWait(worker, nowMs);
+            return undefined;
+        }
+        // Tasks that started before may still fail or succeed; neither is a probe.
+        record.failuresInRow = worker.failuresInRow;
+        if (Math.abs(nowMs - record.sinceMs) < record.waitMs) {
+            return undefined;
+        }
+        record.held = state.tasksByWorker.get(worker.id)?.size ?? 0;
+        record.takenBackAtMs = nowMs;
+        return { kind: "setAsideWorker", worker: worker.id, setAside: false };
+    }
+
+    function planOpenWorker(worker: WorkerRecord, mayAdd: boolean, nowMs: number): PlacementDecision | undefined {
+        const record = findRecord(worker);
+        const limit = record === undefined || record.cleared ? failuresBeforeSetAside : 1;
+        const failures = worker.failuresInRow - (record?.failuresInRow ?? 0);
+        if (mayAdd && failures >= limit) {
+            startWait(worker, nowMs);
+            return { kind: "setAsideWorker", worker: worker.id, setAside: true };
+        }
+        if (record !== undefined) {
+            record.failuresInRow = Math.min(record.failuresInRow, worker.failuresInRow);
+            const sinceMs = Math.abs(nowMs - (record.takenBackAtMs ?? nowMs));
+            record.cleared ||= sinceMs >= probationMs;
+            if (sinceMs >= forgetMs) {
+                records.delete(worker.id);
+            }
+        }
+        return undefined;
+    }
+
+    function isOnProbation({ record: worker }: WorkerView): boolean {
+        const record = findRecord(worker);
+        return worker.admission === "open"
+            && (record === undefined ? worker.failuresInRow >= failuresBeforeSetAside : !record.cleared);
     }
 
     return {
         planSetAside: (state, inFlight, nowMs) => {
             const decisions: PlacementDecision[] = [];
-            const limit = Math.floor(state.workers.size * setAsideLimitPercent / 100);
+            const limit = Math.max(1, Math.floor(state.workers.size * setAsideLimitPercent / 100));
             let setAside = 0;
+            const watched: WorkerRecord[] = [];
             for (const worker of state.workers.values()) {
                 setAside += worker.admission === "setAside" ? 1 : 0;
-            }
-            for (const worker of state.workers.values()) {
-                if (inFlight.hasWorker(worker.id)) {
-                    continue;
+                const suspect = worker.failuresInRow > 0 || worker.admission === "setAside" || records.has(worker.id);
+                if (suspect && !inFlight.hasWorker(worker.id)) {
+                    watched.push(worker);
                 }
-                const decision = planWorker(worker, setAside < limit, nowMs);
+            }
+            watched.sort((left, right) => right.failuresInRow - left.failuresInRow || (left.id < right.id ? -1 : 1));
+            for (const worker of watched) {
+                const decision = worker.admission === "setAside"
+                    ? planSetAsideWorker(state, worker, nowMs)
+                    : worker.admission === "open"
+                    ? planOpenWorker(worker, setAside < limit, nowMs)
+                    : undefined;
                 if (decision !== undefined) {
                     decisions.push(decision);
-                    setAside += decision.kind === "setAsideWorker" && decision.setAside ? 1 : 0;
+                    setAside += worker.admission === "open" ? 1 : 0;
                 }
             }
             for (const id of records.keys()) {
@@ -95,5 +143,9 @@
             }
             return decisions;
         },
+        isUsable: view =>
+            view.record.admission === "open"
+            && (!isOnProbation(view) || view.seated.size <= (findRecord(view.record)?.held ?? 0)),
+        isOnProbation,
     };
 }
