Cut off followers, answers and a worker in the test with separate processes

Cause: with only the two kills, mutations of the program went unseen. Change: the leader is killed after it could reach no follower for 500 ms; one minion loses answers for a part of the load; one worker is cut off while it runs tasks.

--- a/packages/cli/src/fakes/process-group.ts
+++ b/packages/cli/src/fakes/process-group.ts
@@ -16,6 +16,8 @@
     readonly processId: number;
     /** Ends it without warning, as a crash does. */
     readonly kill: () => Promise<void>;
+    /** Freezes it, as a partition without notice or a stalled host does, or lets it go on. */
+    readonly setFrozen: (frozen: boolean) => void;
     /** Sends SIGTERM and returns the exit code. */
     readonly terminate: () => Promise<number | null>;
     readonly peerAddress: string;
@@ -105,6 +107,9 @@
             child.kill("SIGKILL");
             await awaitExit(child);
         },
+        setFrozen: frozen => {
+            child.kill(frozen ? "SIGSTOP" : "SIGCONT");
+        },
         terminate: () => {
             child.kill("SIGTERM");
             return awaitExit(child);
--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createEntryTransport } from "./call-entry.js";
 import { awaitCondition } from "./fakes/await-condition.js";
 import { startConfigurationChanges } from "./fakes/configuration-changes.js";
@@ -31,6 +32,11 @@
 const workerCount = 3;
 const concurrency = 16;
 const resendTries = 3;
+const shortLeases = "[leases]\nworker_lease_ms=2000\nworker_margin_ms=500\nsync_hold_ms=500";
+/** Three worker leases, so that no task of a worker that is cut off ends before its lease. */
+const longRunMs = 6_000;
+/** Several intervals of configuration changes. */
+const lonelyMs = 500;
 
 interface System {
     readonly group: ProcessGroup;
@@ -46,8 +52,8 @@
     assert.equal(run.exitCode, 0, run.errors);
 }
 
-async function startSystem(context: TestContext): Promise<System> {
-    const group = await startProcessGroup({ controls: 3, entries: 2 });
+async function startSystem(context: TestContext, extraSettings: string): Promise<System> {
+    const group = await startProcessGroup({ controls: 3, entries: 2, extraSettings });
     context.after(() => group.close());
     const folder = mkdtempSync(join(tmpdir(), "processes-test-"));
     context.after(() => rmSync(folder, { recursive: true }));
@@ -130,10 +136,10 @@
     });
 }
 
-async function createJob(system: System, name: string, tasks: number): Promise<void> {
-    const job = { tasks, expectedRunMs: 500, maxAttempts: 5 };
+async function createJob(system: System, name: string, tasks: number, runMs: number): Promise<void> {
+    const job = { tasks, expectedRunMs: runMs, maxAttempts: 5 };
     const resources = { milliCpu: 1000, memoryMib: 512 };
-    await apply(system, { work: { name, tenant: "moreno", resources, command: "run-ms=500", job } });
+    await apply(system, { work: { name, tenant: "moreno", resources, command: `run-ms=${runMs}`, job } });
 }
 
 async function awaitJob(system: System, name: string, tasks: number): Promise<void> {
@@ -178,10 +184,31 @@
     assert.deepEqual(listOverlaps(listRequestSpans(system.targets.minions)), []);
 }
 
-void test("separate processes answer concurrent requests byte for byte and run a batch job", async context => {
-    const system = await startSystem(context);
+/**
+ * Kills the leader after it could reach no follower for a while. A change that it accepted alone would be lost, because the
+ * followers elect the next leader among them.
+ */
+async function killLonelyLeader(system: System): Promise<string> {
+    const leader = await findLeader(system);
+    const followers = system.group.controls.filter(control => control !== leader);
+    for (const follower of followers) {
+        follower.setFrozen(true);
+    }
+    await sleep(lonelyMs);
+    await leader.kill();
+    for (const follower of followers) {
+        follower.setFrozen(false);
+    }
+    return leader.id;
+}
+
+void test("separate processes answer concurrent requests byte for byte and run a batch job over the loss of a worker", async context => {
+    const system = await startSystem(context, shortLeases);
     const addresses = system.group.entries.map(entry => entry.rpcAddress);
-    await createJob(system, "forecast", 12);
+    await createJob(system, "forecast", 12, longRunMs);
+    const [worker] = system.targets.workers;
+    await awaitCondition("tasks on the worker to be cut off", () => (worker?.countRunning() ?? 0) > 0);
+    worker?.setPartitioned(true);
     const requests = makeRequests("plain", service, 200);
     const outcomes = await runConcurrently(
         requests,
@@ -192,6 +219,7 @@
     assert.deepEqual(failed, []);
     checkOutcomes(requests, outcomes, system.targets);
     await awaitJob(system, "forecast", 12);
+    worker?.setPartitioned(false);
     await checkTwins(system, addresses);
     for (const one of [...system.group.entries, ...system.group.controls]) {
         assert.equal(await one.terminate(), 0, `${one.id} after SIGTERM: ${one.readLog()}`);
@@ -199,19 +227,21 @@
 });
 
 void test("after kill -9 of the leader and of an entry host nothing ran twice and no promise was broken", async context => {
-    const system = await startSystem(context);
+    const system = await startSystem(context, "");
     const { controls, entries } = system.group;
     const addresses = entries.map(entry => entry.rpcAddress);
     const changes = startConfigurationChanges(addresses);
     context.after(() => changes.stop());
-    await createJob(system, "forecast", 24);
+    await createJob(system, "forecast", 24, 2000);
     const requests = makeRequests("crash", service, 400);
     const killed: string[] = [];
     const outcomes = await runConcurrently(requests, concurrency, async (request, index) => {
         if (index === 100) {
-            const leader = await findLeader(system);
-            killed.push(leader.id);
-            await leader.kill();
+            killed.push(await killLonelyLeader(system));
+        }
+        // Requests that run and lose their answer, so that their callers and the system do not know that they ran.
+        if (index === 20 || index === 90) {
+            system.targets.minions[0]?.setFault(index === 20 ? "dropBeforeAnswer" : "none");
         }
         if (index === 250) {
             killed.push(entries[1]?.id ?? "");
