Begin the test of a rolling restart

Cause: no test restarted the processes one after the other under load. Change: shared start of the system for process tests, and a first rolling restart; the test was not finished in this commit.

--- a/packages/cli/src/fakes/process-group.ts
+++ b/packages/cli/src/fakes/process-group.ts
@@ -38,7 +38,7 @@
 export interface ProcessGroup {
     readonly controls: TestProcess[];
     readonly entries: TestProcess[];
-    /** Starts a process again that has ended, with its settings and data folder. */
+    /** Starts a process again that has ended, with its settings and data folder; it takes its place in the lists. */
     readonly restart: (id: string) => Promise<TestProcess>;
     /** Empties the data folder of a process that has ended, as the loss of a disk does. */
     readonly loseDisk: (id: string) => void;
@@ -147,9 +147,11 @@
     }
     const listRole = (role: Member["role"]): TestProcess[] =>
         running.filter(one => members.some(member => member.id === one.id && member.role === role));
+    const controls = listRole("control");
+    const entries = listRole("entry");
     return {
-        controls: listRole("control"),
-        entries: listRole("entry"),
+        controls,
+        entries,
         restart: async id => {
             const member = members.find(one => one.id === id);
             if (member === undefined) {
@@ -157,6 +159,8 @@
             }
             const started = await startMember(member, folder);
             running.push(started);
+            const list = member.role === "control" ? controls : entries;
+            list[list.findIndex(one => one.id === id)] = started;
             return started;
         },
         loseDisk: id => {
--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -1,16 +1,9 @@
-import { OperatorService } from "@chestnutspool/schema";
 import { buildAnswer } from "@chestnutspool/stand-ins";
-import { createClient } from "@connectrpc/connect";
 import assert from "node:assert/strict";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { createEntryTransport } from "./call-entry.js";
 import { awaitCondition } from "./fakes/await-condition.js";
 import { startConfigurationChanges } from "./fakes/configuration-changes.js";
-import { type ProcessGroup, startProcessGroup, type TestProcess } from "./fakes/process-group.js";
 import {
     type LoadOutcome,
     type LoadRequest,
@@ -19,17 +12,9 @@
     sendLoadRequest,
 } from "./fakes/request-load.js";
 import { runCommand } from "./fakes/run-command.js";
-import {
-    listOverlaps,
-    listRequestSpans,
-    listTaskSpans,
-    startTestTargets,
-    type TestTargets,
-} from "./fakes/test-targets.js";
+import { applyObject, findLeader, service, startSystem, type System } from "./fakes/start-system.js";
+import { listOverlaps, listRequestSpans, listTaskSpans, type TestTargets } from "./fakes/test-targets.js";
 
-const service = "plume-check";
-const minionCount = 4;
-const workerCount = 3;
 const concurrency = 16;
 const resendTries = 3;
 const shortLeases = "[leases]\nworker_lease_ms=2000\nworker_margin_ms=500\nsync_hold_ms=500";
@@ -38,54 +23,6 @@
 /** Several intervals of configuration changes. */
 const lonelyMs = 500;
 
-interface System {
-    readonly group: ProcessGroup;
-    readonly targets: TestTargets;
-    readonly environment: Readonly<Record<string, string>>;
-    readonly folder: string;
-}
-
-async function apply(system: Omit<System, "targets">, value: unknown): Promise<void> {
-    const file = join(system.folder, "object.json");
-    writeFileSync(file, JSON.stringify(value));
-    const run = await runCommand(["apply", file, "--timeout-ms", "60000"], system.environment);
-    assert.equal(run.exitCode, 0, run.errors);
-}
-
-async function startSystem(context: TestContext, extraSettings: string): Promise<System> {
-    const group = await startProcessGroup({ controls: 3, entries: 2, extraSettings });
-    context.after(() => group.close());
-    const folder = mkdtempSync(join(tmpdir(), "processes-test-"));
-    context.after(() => rmSync(folder, { recursive: true }));
-    const addresses = group.entries.map(entry => entry.rpcAddress);
-    const environment = { CHESTNUTSPOOL_ENTRY: addresses.join(",") };
-    const quota = { milliCpu: 24_000, memoryMib: 49_152 };
-    await apply({ group, environment, folder }, { tenant: { id: "moreno", quota } });
-    await apply({ group, environment, folder }, {
-        work: {
-            name: service,
-            tenant: "moreno",
-            resources: { milliCpu: 1000, memoryMib: 512 },
-            service: { maxRunMs: 2000 },
-        },
-    });
-    const targets = await startTestTargets(addresses, service, minionCount, workerCount);
-    context.after(() => targets.close());
-    for (const [list, count] of [["minions", minionCount], ["workers", workerCount]] as const) {
-        await awaitCondition(`${count} ${list}`, async () => {
-            const run = await runCommand([list], environment);
-            return run.output.trim().split("\n").length === count + 1;
-        });
-    }
-    for (const entry of group.entries) {
-        await awaitCondition(
-            `${entry.id} is ready`,
-            async () => (await runCommand(["health", "--entry", entry.rpcAddress])).exitCode === 0,
-        );
-    }
-    return { group, targets, environment, folder };
-}
-
 function checkOutcomes(
     requests: readonly LoadRequest[],
     outcomes: readonly LoadOutcome[],
@@ -139,7 +76,7 @@
 async function createJob(system: System, name: string, tasks: number, runMs: number): Promise<void> {
     const job = { tasks, expectedRunMs: runMs, maxAttempts: 5 };
     const resources = { milliCpu: 1000, memoryMib: 512 };
-    await apply(system, { work: { name, tenant: "moreno", resources, command: `run-ms=${runMs}`, job } });
+    await applyObject(system, { work: { name, tenant: "moreno", resources, command: `run-ms=${runMs}`, job } });
 }
 
 async function awaitJob(system: System, name: string, tasks: number): Promise<void> {
@@ -153,19 +90,6 @@
     assert.deepEqual(listOverlaps(listTaskSpans(system.targets.workers)), [], "tasks that ran in two places at once");
 }
 
-async function findLeader(system: System): Promise<TestProcess> {
-    let leader: TestProcess | undefined;
-    await awaitCondition("a leader", async () => {
-        const client = createClient(OperatorService, createEntryTransport(system.group.entries[0]?.rpcAddress ?? ""));
-        const members = await client.listMembers({}).then(response => response.members, () => []);
-        const id = members.find(member => member.leader)?.id;
-        leader = system.group.controls.find(control => control.id === id && !control.hasExited());
-        return leader !== undefined;
-    });
-    assert.ok(leader !== undefined);
-    return leader;
-}
-
 /** Sends requests with equal ids through both entry hosts at once. */
 async function checkTwins(system: System, addresses: readonly string[]): Promise<void> {
     const requests = makeRequests("twin", service, 60);
--- /dev/null
+++ b/packages/cli/src/rolling-restart.test.ts
@@ -0,0 +1,84 @@
+import { buildAnswer } from "@chestnutspool/stand-ins";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { awaitCondition } from "./fakes/await-condition.js";
+import {
+    type LoadOutcome,
+    type LoadRequest,
+    makeRequests,
+    runConcurrently,
+    sendLoadRequest,
+} from "./fakes/request-load.js";
+import { runCommand } from "./fakes/run-command.js";
+import { findLeader, service, startSystem } from "./fakes/start-system.js";
+import { listOverlaps, listRequestSpans } from "./fakes/test-targets.js";
+
+const waveSize = 40;
+const concurrency = 8;
+const sendTries = 200;
+const retryPauseMs = 50;
+
+/**
+ * Whether a caller sends again. A host that drains cannot tell whether an earlier send of a non-idempotent request has run
+ * and says "unknown"; a resend with the same id is safe. An idempotent request has no reason to be unknown here.
+ */
+function mayResend(request: LoadRequest, outcome: LoadOutcome): boolean {
+    return outcome.kind === "notRun" || (outcome.kind === "unknown" && !request.idempotent);
+}
+
+/** Sends to the entry hosts in turn until one has run the request, as a balancer and a caller do together. */
+async function sendUntilRun(addresses: readonly string[], request: LoadRequest, index: number): Promise<LoadOutcome> {
+    let outcome: LoadOutcome = { kind: "notRun", reason: "not sent" };
+    for (let tries = 0; mayResend(request, outcome) && tries < sendTries; tries += 1) {
+        await sleep(tries < addresses.length ? 0 : retryPauseMs);
+        outcome = await sendLoadRequest(addresses[(index + tries) % addresses.length] ?? "", request);
+    }
+    return outcome;
+}
+
+// Guards docs/upgrade.md and guarantee 8.
+void test("a rolling restart of all processes interrupts no request in progress", async context => {
+    const system = await startSystem(context, "");
+    const { group, targets } = system;
+    const addresses = group.entries.map(entry => entry.rpcAddress);
+    const requests: LoadRequest[] = [];
+    const outcomes: LoadOutcome[] = [];
+    let restarting = true;
+    const load = (async (): Promise<void> => {
+        for (let wave = 0; restarting; wave += 1) {
+            const batch = makeRequests(`wave${wave}`, service, waveSize);
+            requests.push(...batch);
+            outcomes.push(
+                ...await runConcurrently(
+                    batch,
+                    concurrency,
+                    (request, index) => sendUntilRun(addresses, request, index),
+                ),
+            );
+        }
+    })();
+    const leader = await findLeader(system);
+    const followers = group.controls.filter(control => control !== leader);
+    for (const one of [...group.entries, ...followers, leader]) {
+        assert.equal(await one.terminate(), 0, one.readLog());
+        await group.restart(one.id);
+        await awaitCondition(`${one.id} serves again`, async () =>
+            group.entries.some(entry => entry.id === one.id)
+                ? (await runCommand(["health", "--entry", one.rpcAddress])).exitCode === 0
+                : (await findLeader(system)).id !== "");
+    }
+    restarting = false;
+    await load;
+    const spans = listRequestSpans(targets.minions);
+    for (const [index, request] of requests.entries()) {
+        const outcome = outcomes[index];
+        assert.ok(outcome?.kind === "answered", `${request.id}: ${JSON.stringify(outcome)}`);
+        assert.ok(Buffer.from(outcome.answer).equals(buildAnswer(request.body)));
+        assert.equal(spans.filter(span => span.key === request.id).length, 1, `runs of ${request.id}`);
+    }
+    assert.deepEqual(listOverlaps(spans), []);
+    context.diagnostic(
+        `${requests.length} requests answered over ${group.entries.length + group.controls.length} restarts`,
+    );
+});
