--- a/packages/cli/src/processes.test.ts
+++ b/packages/cli/src/processes.test.ts
@@ -1,15 +1,9 @@
-import { OperatorService } from "@chestnutspool/schema";
 import { buildAnswer } from "@chestnutspool/stand-ins";
-import { createClient } from "@connectrpc/connect";
 import assert from "node:assert/strict";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { test, type TestContext } from "node:test";
-import { createEntryTransport } from "./call-entry.js";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { awaitCondition } from "./fakes/await-condition.js";
 import { startConfigurationChanges } from "./fakes/configuration-changes.js";
-import { type ProcessGroup, startProcessGroup, type TestProcess } from "./fakes/process-group.js";
 import {
     type LoadOutcome,
     type LoadRequest,
@@ -18,67 +12,16 @@
     sendLoadRequest,
 } from "./fakes/request-load.js";
 import { runCommand } from "./fakes/run-command.js";
-import {
-    listOverlaps,
-    listRequestSpans,
-    listTaskSpans,
-    startTestTargets,
-    type TestTargets,
-} from "./fakes/test-targets.js";
+import { applyObject, findLeader, service, startSystem, type System } from "./fakes/start-system.js";
+import { listOverlaps, listRequestSpans, listTaskSpans, type TestTargets } from "./fakes/test-targets.js";
 
-const service = "plume-check";
-const minionCount = 4;
-const workerCount = 3;
 const concurrency = 16;
 const resendTries = 3;
-
-interface System {
-    readonly group: ProcessGroup;
-    readonly targets: TestTargets;
-    readonly environment: Readonly<Record<string, string>>;
-    readonly folder: string;
-}
-
-async function apply(system: Omit<System, "targets">, value: unknown): Promise<void> {
-    const file = join(system.folder, "object.json");
-    writeFileSync(file, JSON.stringify(value));
-    const run = await runCommand(["apply", file, "--timeout-ms", "60000"], system.environment);
-    assert.equal(run.exitCode, 0, run.errors);
-}
-
-async function startSystem(context: TestContext): Promise<System> {
-    const group = await startProcessGroup({ controls: 3, entries: 2 });
-    context.after(() => group.close());
-    const folder = mkdtempSync(join(tmpdir(), "processes-test-"));
-    context.after(() => rmSync(folder, { recursive: true }));
-    const addresses = group.entries.map(entry => entry.rpcAddress);
-    const environment = { CHESTNUTSPOOL_ENTRY: addresses.join(",") };
-    const quota = { milliCpu: 24_000, memoryMib: 49_152 };
-    await apply({ group, environment, folder }, { tenant: { id: "moreno", quota } });
-    await apply({ group, environment, folder }, {
-        work: {
-            name: service,
-            tenant: "moreno",
-            resources: { milliCpu: 1000, memoryMib: 512 },
-            service: { maxRunMs: 2000 },
-        },
-    });
-    const targets = await startTestTargets(addresses, service, minionCount, workerCount);
-    context.after(() => targets.close());
-    for (const [list, count] of [["minions", minionCount], ["workers", workerCount]] as const) {
-        await awaitCondition(`${count} ${list}`, async () => {
-            const run = await runCommand([list], environment);
-            return run.output.trim().split("\n").length === count + 1;
-        });
-    }
-    for (const entry of group.entries) {
-        await awaitCondition(
-            `${entry.id} is ready`,
-            async () => (await runCommand(["health", "--entry", entry.rpcAddress])).exitCode === 0,
-        );
-    }
-    return { group, targets, environment, folder };
-}
+const shortLeases = "[leases]\nworker_lease_ms=2000\nworker_margin_ms=500\nsync_hold_ms=500";
+/** Three worker leases, so that no task of a worker that is cut off ends before its lease. */
+const longRunMs = 6_000;
+/** Several intervals of configuration changes. */
+const lonelyMs = 500;
 
 function checkOutcomes(
     requests: readonly LoadRequest[],
@@ -130,10 +73,10 @@
     });
 }
 
-async function createJob(system: System, name: string, tasks: number): Promise<void> {
-    const job = { tasks, expectedRunMs: 500, maxAttempts: 5 };
+async function createJob(system: System, name: string, tasks: number, runMs: number): Promise<void> {
+    const job = { tasks, expectedRunMs: runMs, maxAttempts: 5 };
     const resources = { milliCpu: 1000, memoryMib: 512 };
-    await apply(system, { work: { name, tenant: "moreno", resources, command: "run-ms=500", job } });
+    await applyObject(system, { work: { name, tenant: "moreno", resources, command: `run-ms=${runMs}`, job } });
 }
 
 async function awaitJob(system: System, name: string, tasks: number): Promise<void> {
@@ -147,19 +90,6 @@
     assert.deepEqual(listOverlaps(listTaskSpans(system.targets.workers)), [], "tasks that ran in two places at once");
 }
 
-async function findLeader(system: System): Promise<TestProcess> {
-    let leader: TestProcess | undefined;
-    await awaitCondition("a leader", async () => {
-        const client = createClient(OperatorService, createEntryTransport(system.group.entries[0]?.rpcAddress ?? ""));
-        const members = await client.listMembers({}).then(response => response.members, () => []);
-        const id = members.find(member => member.leader)?.id;
-        leader = system.group.controls.find(control => control.id === id && !control.hasExited());
-        return leader !== undefined;
-    });
-    assert.ok(leader !== undefined);
-    return leader;
-}
-
 /** Sends requests with equal ids through both entry hosts at once. */
 async function checkTwins(system: System, addresses: readonly string[]): Promise<void> {
     const requests = makeRequests("twin", service, 60);
@@ -178,10 +108,31 @@
     assert.deepEqual(listOverlaps(listRequestSpans(system.targets.minions)), []);
 }
 
-void test("separate processes answer concurrent requests byte for byte and run a batch job", async context => {
-    const system = await startSystem(context);
+/**
+ * Kills the leader after it could reach no follower for a while. A change that it accepted alone would be lost, because the
+ * followers elect the next leader among them.
+ */
+async function killLonelyLeader(system: System): Promise<string> {
+    const leader = await findLeader(system);
+    const followers = system.group.controls.filter(control => control !== leader);
+    for (const follower of followers) {
+        follower.setFrozen(true);
+    }
+    await sleep(lonelyMs);
+    await leader.kill();
+    for (const follower of followers) {
+        follower.setFrozen(false);
+    }
+    return leader.id;
+}
+
+void test("separate processes answer concurrent requests byte for byte and run a batch job over the loss of a worker", async context => {
+    const system = await startSystem(context, shortLeases);
     const addresses = system.group.entries.map(entry => entry.rpcAddress);
-    await createJob(system, "forecast", 12);
+    await createJob(system, "forecast", 12, longRunMs);
+    const [worker] = system.targets.workers;
+    await awaitCondition("tasks on the worker to be cut off", () => (worker?.countRunning() ?? 0) > 0);
+    worker?.setPartitioned(true);
     const requests = makeRequests("plain", service, 200);
     const outcomes = await runConcurrently(
         requests,
@@ -192,6 +143,7 @@
     assert.deepEqual(failed, []);
     checkOutcomes(requests, outcomes, system.targets);
     await awaitJob(system, "forecast", 12);
+    worker?.setPartitioned(false);
     await checkTwins(system, addresses);
     for (const one of [...system.group.entries, ...system.group.controls]) {
         assert.equal(await one.terminate(), 0, `${one.id} after SIGTERM: ${one.readLog()}`);
@@ -199,19 +151,21 @@
 });
 
 void test("after kill -9 of the leader and of an entry host nothing ran twice and no promise was broken", async context => {
-    const system = await startSystem(context);
+    const system = await startSystem(context, "");
     const { controls, entries } = system.group;
     const addresses = entries.map(entry => entry.rpcAddress);
     const changes = startConfigurationChanges(addresses);
     context.after(() => changes.stop());
-    await createJob(system, "forecast", 24);
+    await createJob(system, "forecast", 24, 2000);
     const requests = makeRequests("crash", service, 400);
     const killed: string[] = [];
     const outcomes = await runConcurrently(requests, concurrency, async (request, index) => {
         if (index === 100) {
-            const leader = await findLeader(system);
-            killed.push(leader.id);
-            await leader.kill();
+            killed.push(await killLonelyLeader(system));
+        }
+        // Requests that run and lose their answer, so that their callers and the system do not know that they ran.
+        if (index === 20 || index === 90) {
+            system.targets.minions[0]?.setFault(index === 20 ? "dropBeforeAnswer" : "none");
         }
         if (index === 250) {
             killed.push(entries[1]?.id ?? "");
