--- a/packages/replicated-log/src/fakes/log-model.ts
+++ b/packages/replicated-log/src/fakes/log-model.ts
@@ -14,6 +14,7 @@
     | { readonly kind: "propose"; readonly replica: number; readonly count: number; }
     | { readonly kind: "read"; readonly replica: number; }
     | { readonly kind: "crash"; readonly replica: number; readonly keptShare: number; }
+    | { readonly kind: "powerLoss"; readonly keptShare: number; }
     | { readonly kind: "restart"; readonly replica: number; }
     | { readonly kind: "wipe"; readonly replica: number; }
     | { readonly kind: "cut"; readonly from: number; readonly to: number; readonly bothWays: boolean; }
@@ -200,6 +201,11 @@
             case "crash":
                 yield* crash(getReplica(action.replica), action.keptShare);
                 break;
+            case "powerLoss":
+                yield* Effect.forEach(replicas, replica => cluster.crashReplica(replica.id, action.keptShare));
+                yield* TestClock.adjust(maxDelayMs + 1);
+                yield* Effect.forEach(replicas, restart);
+                break;
             case "restart":
                 yield* restart(getReplica(action.replica));
                 break;
--- a/packages/replicated-log/src/fakes/test-cluster.ts
+++ b/packages/replicated-log/src/fakes/test-cluster.ts
@@ -137,6 +137,16 @@
 /** Steps of 1 ms in which fibers that are ready run; a call over the memory network takes fewer. */
 const readySteps = 20;
 
+/**
+ * Moves the clock by 20 ms in short steps. `adjust` waits for the fibers that it wakes, not for those that are ready
+ * before; short steps let them run first.
+ */
+export const runReady = Effect.gen(function*() {
+    for (let step = 0; step < readySteps; step += 1) {
+        yield* TestClock.adjust(1);
+    }
+});
+
 /** Runs a test body under the test clock. */
 export function runTest(body: Effect.Effect<void, ErrorData, Scope.Scope>): Promise<void> {
     return Effect.runPromise(Effect.provide(Effect.scoped(body), TestClock.layer()));
@@ -169,10 +179,7 @@
 export const settle = Effect.fnUntraced(
     function*<Value>(effect: Effect.Effect<Value, ErrorData>, durationMs: number = settleMs) {
         const fiber = yield* Effect.forkChild(Effect.exit(effect));
-        // `adjust` waits for fibers that it wakes, not for those that are ready before; short steps let them run first.
-        for (let step = 0; step < readySteps; step += 1) {
-            yield* TestClock.adjust(1);
-        }
+        yield* runReady;
         yield* TestClock.adjust(durationMs - readySteps);
         const exit = fiber.pollUnsafe();
         assert.ok(exit !== undefined, "the effect did not end in time");
--- a/packages/replicated-log/src/log-model.test.ts
+++ b/packages/replicated-log/src/log-model.test.ts
@@ -27,6 +27,7 @@
             },
             { weight: 3, arbitrary: fc.record({ kind: kind("read"), replica }) },
             { weight: 4, arbitrary: fc.record({ kind: kind("crash"), replica, keptShare }) },
+            { weight: 2, arbitrary: fc.record({ kind: kind("powerLoss"), keptShare }) },
             { weight: 4, arbitrary: fc.record({ kind: kind("restart"), replica }) },
             { weight: 1, arbitrary: fc.record({ kind: kind("wipe"), replica }) },
             {
@@ -46,7 +47,7 @@
             },
             {
                 weight: 2,
-                arbitrary: fc.record({ kind: kind("slowDisk"), replica, delayMs: fc.constantFrom(0, 5, 40, 150) }),
+                arbitrary: fc.record({ kind: kind("slowDisk"), replica, delayMs: fc.constantFrom(0, 40, 150, 400) }),
             },
             { weight: 1, arbitrary: fc.record({ kind: kind("transfer") }) },
             { weight: 2, arbitrary: fc.record({ kind: kind("change"), replica, change }) },
--- a/packages/replicated-log/src/protocol.test.ts
+++ b/packages/replicated-log/src/protocol.test.ts
@@ -8,6 +8,7 @@
 import {
     getLog,
     proposeAll,
+    runReady,
     runTest,
     settle,
     splitRoles,
@@ -97,7 +98,7 @@
         const term = getLog(replica).readStatus().term + 5;
         replica.memoryDisk.setSyncDelay(50);
         const early = yield* Effect.forkChild(sendVote(first, replica, "first", term));
-        yield* TestClock.adjust(20);
+        yield* runReady;
         const grantedEarly = isGranted(early.pollUnsafe());
         yield* cluster.crashReplica("b", 0);
         yield* Fiber.interrupt(early);
