Read the log of a test process as soon as its line was seen

It waited for the line "process started" in memory, then read the replica identity from the log file, which a stream had not written yet, and admitted the member under its old identity; the leader was refused for good. The log of the leader showed the refusals from the moment of the admission on; a lost removal and a slow election were ruled out by the same log. Conclusion: the fault was in the test's support code; the system refused the stale identity as it should.

--- a/packages/cli/src/fakes/process-group.ts
+++ b/packages/cli/src/fakes/process-group.ts
@@ -1,6 +1,6 @@
 import { Effect } from "effect";
 import { type ChildProcess, spawn } from "node:child_process";
-import { createWriteStream, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { appendFileSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { reservePorts } from "../process/reserve-ports.js";
@@ -84,14 +84,14 @@
 
 async function startMember(member: Member, folder: string): Promise<TestProcess> {
     const logFile = join(folder, `${member.id}.log`);
-    const logStream = createWriteStream(logFile, { flags: "a" });
     const child = spawn(process.execPath, [programFile, "serve", "--config", join(folder, `${member.id}.ini`)], {
         stdio: ["ignore", "ignore", "pipe"],
     });
     let log = "";
     child.stderr.on("data", (part: Buffer) => {
         log += part.toString();
-        logStream.write(part);
+        // Written at once, because a test that reads the log must see the line that it waited for.
+        appendFileSync(logFile, part);
     });
     const hasExited = (): boolean => child.exitCode !== null || child.signalCode !== null;
     await awaitCondition(`start of ${member.id}`, () => hasExited() || log.includes("process started"));
