--- a/packages/replicated-log/src/replica.ts
+++ b/packages/replicated-log/src/replica.ts
@@ -285,6 +285,8 @@
     }
     if (!hasQuorumContact(replica, nowMs)) {
         replica.logger.warn("no contact with a majority, leadership ends", { term: replica.term });
+        const { electionTimeoutMinMs, electionTimeoutMaxMs } = replica.settings;
+        setElectionDeadline(replica, nowMs, electionTimeoutMinMs, electionTimeoutMaxMs);
         setFollower(replica, replica.term, undefined);
         return false;
     }
