--- a/packages/place-tasks/src/choose-worker.ts
+++ b/packages/place-tasks/src/choose-worker.ts
@@ -29,8 +29,9 @@
     let bestCost = Infinity;
     let fits = false;
     let deferred = false;
-    for (const [position, view] of pass.usable.entries()) {
-        if (!hasRoomFor(pass, view, task) || !isWorkerUsable(pass, view)) {
+    for (let position = 0; position < pass.usable.length; position += 1) {
+        const view = pass.usable[position];
+        if (view === undefined || !hasRoomFor(pass, view, task) || !isWorkerUsable(pass, view)) {
             continue;
         }
         fits = true;
@@ -41,7 +42,9 @@
             continue;
         }
         const spreadCost = spread === undefined ? 0 : computeSpreadCost(spread, view);
-        const probeCost = pass.probation.has(view) ? urgent ? urgentProbeCost : -batchProbeGain : 0;
+        const probeCost = pass.probation.size > 0 && pass.probation.has(view)
+            ? urgent ? urgentProbeCost : -batchProbeGain
+            : 0;
         const cost = (known.costs[position] ?? 0) + pass.memory.settings.tailLatencyWeight * spreadCost + probeCost;
         if (cost < bestCost) {
             best = view;
--- a/packages/place-tasks/src/measure/live-state.ts
+++ b/packages/place-tasks/src/measure/live-state.ts
@@ -21,6 +21,8 @@
 const urgentPerWorker = 3300 / 1300;
 const batchPerWorker = 10;
 const tenantCount = 32;
+/** Share of the cluster that the quotas guarantee; the rest is lent. */
+const quotaShare = 0.85;
 const workersPerRack = 11;
 const tasksPerJob = 20;
 const classNames = Array.from({ length: 24 }, (unused, ordinal) => `class-${ordinal}`);
@@ -178,9 +180,9 @@
         workers,
         tenants: new Map(Array.from({ length: tenantCount }, (unused, ordinal) => {
             const quota = {
-                milliCpu: Math.round(workerCount * workerCapacity.milliCpu / tenantCount),
-                memoryMib: Math.round(workerCount * workerCapacity.memoryMib / tenantCount),
-                accelerators: Math.round(workerCount * 2 / tenantCount),
+                milliCpu: Math.round(workerCount * workerCapacity.milliCpu * quotaShare / tenantCount),
+                memoryMib: Math.round(workerCount * workerCapacity.memoryMib * quotaShare / tenantCount),
+                accelerators: Math.round(workerCount * 2 * quotaShare / tenantCount),
             };
             const id = `tenant-${ordinal}`;
             return [id, { id, quota, weight: 1, revision: 1, changedBy: "measure" }];
--- a/packages/place-tasks/src/observe-reports.ts
+++ b/packages/place-tasks/src/observe-reports.ts
@@ -1,5 +1,6 @@
 import type { ClusterState, TaskRecord, UsageSample, WorkerId, WorkerReport, WorkSpec } from "@chestnutspool/types";
 import type { PlacerMemory } from "./pass.js";
+import type { ClassCount } from "./slowdown-model.js";
 import type { SizedWork } from "./use-model.js";
 import { findTaskClass } from "./worker-views.js";
 
@@ -37,18 +38,25 @@
     return used / Math.max(1, state.workers.get(worker)?.capacity.milliCpu ?? 0);
 }
 
+/** Neighbours of a task of the class; it is not its own neighbour. */
+function listNeighbours(counts: ReadonlyMap<number, number>, classId: number): ClassCount[] {
+    return [...counts].map(([other, count]) => ({ classId: other, count: other === classId ? count - 1 : count }));
+}
+
 /** Learns slowdowns from samples that were taken together, so that each names the neighbours of the others. */
 function observeSlowdowns(memory: PlacerMemory, known: readonly KnownSample[], processorSpeed: number): void {
     const counts = new Map<number, number>();
     for (const { task, classId } of known) {
         counts.set(classId, (counts.get(classId) ?? 0) + task.throttlePercent / 100);
     }
+    const neighboursByClass = new Map<number, readonly ClassCount[]>();
     for (const { sample, task, classId } of known) {
         if (task.throttlePercent === 100 && sample.speedPercent !== undefined && sample.speedPercent > 0) {
-            const neighbours = [...counts].map(([other, count]) => ({
-                classId: other,
-                count: other === classId ? count - 1 : count,
-            }));
+            let neighbours = neighboursByClass.get(classId);
+            if (neighbours === undefined) {
+                neighbours = listNeighbours(counts, classId);
+                neighboursByClass.set(classId, neighbours);
+            }
             const slowdown = processorSpeed * 100 / sample.speedPercent - 1;
             memory.slowdowns.observeSlowdown(classId, neighbours, Math.max(0, slowdown));
         }
--- a/packages/place-tasks/src/spread.ts
+++ b/packages/place-tasks/src/spread.ts
@@ -18,11 +18,6 @@
     counts.set(key, (counts.get(key) ?? 0) + 1);
 }
 
-/** A rack is known by its availability zone and name, because racks of two zones may have the same name. */
-function formatRack(view: WorkerView): string {
-    return `${view.record.availabilityZone}/${view.record.rack}`;
-}
-
 /** Counts the tasks of the work that hold a worker or are about to, by failure domain. */
 export function countSpread(pass: Pass, task: SeatedTask): WorkSpread {
     const byWorker = new Map<string, number>();
@@ -36,7 +31,7 @@
         const view = worker === undefined ? undefined : pass.memory.views.findView(worker);
         if (view !== undefined) {
             addOne(byWorker, view.record.id);
-            addOne(byRack, formatRack(view));
+            addOne(byRack, view.rackKey);
             addOne(byAvailabilityZone, view.record.availabilityZone);
         }
     }
@@ -45,8 +40,11 @@
 
 /** Cost of adding a task of the work to a worker, 0 to the sum of the costs of the domains. */
 export function computeSpreadCost(spread: WorkSpread, view: WorkerView): number {
+    if (spread.byWorker.size === 0) {
+        return 0;
+    }
     const cost = (spread.byWorker.get(view.record.id) ?? 0) * workerCost
-        + (spread.byRack.get(formatRack(view)) ?? 0) * rackCost
+        + (spread.byRack.get(view.rackKey) ?? 0) * rackCost
         + (spread.byAvailabilityZone.get(view.record.availabilityZone) ?? 0) * availabilityZoneCost;
     return cost / Math.max(1, spread.tasks);
 }
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -38,6 +38,8 @@
     classes: SeatedClasses | undefined;
     /** Expected use of the seated tasks; undefined until it is needed again. */
     expected: ExpectedUse | undefined;
+    /** Availability zone and name of the rack, because racks of two zones may have the same name. */
+    readonly rackKey: string;
     /** Raised when a task is seated; costs computed for an earlier version are stale. */
     version: number;
 }
@@ -110,6 +112,7 @@
         seated,
         expected: undefined,
         classes: undefined,
+        rackKey: `${record.availabilityZone}/${record.rack}`,
         version: 1,
     };
 }
