Keep the headroom for urgent tasks from batch work within quotas too

Quotas that add up to the whole cluster let batch work fill it, and urgent starts waited for evictions.

The headroom holds for all batch work, but a task within its quota may still take space back from borrowers and uses the space that was cleared for it. There is no headroom where it could not hold the largest running urgent task, so that a small cluster can be filled. Urgent tasks may take back space for 16 tasks in a pass instead of 4.

--- a/packages/place-tasks/src/place-pending.ts
+++ b/packages/place-tasks/src/place-pending.ts
@@ -6,23 +6,24 @@
 import { reclaimSpace } from "./reclaim.js";
 import { addSeatedTask, buildSeatedTask, findTaskClass, readSeatedClasses, type SeatedTask } from "./worker-views.js";
 
-/** Tasks for which a pass takes back space at most; clearing a worker looks at all of its tasks. */
-const reclaimsPerPass = 4;
+/** Tasks for which a pass takes back space at most; the search looks at the tasks of all workers. */
+const urgentReclaimsPerPass = 16;
+const batchReclaimsPerPass = 4;
 /** Time that a batch task waits for space that comes free by itself before it takes some back, in milliseconds. */
 const batchPatienceMs = 10_000;
 
 /**
- * Share of the cluster that borrowing batch work leaves free when only tail latency has a weight, in percent. Without it
+ * Share of the cluster that batch work leaves free when only tail latency has a weight, in percent. Without it
  * each urgent start in a full cluster costs an eviction, and a burst of starts waits for the eviction budget.
  */
 const largestHeadroomPercent = 10;
-/** Wait after which a borrowing task may use the headroom, in milliseconds; a large task might never start otherwise. */
+/** Wait after which a batch task may use the headroom, in milliseconds; a large task might never start otherwise. */
 const headroomPatienceMs = 600_000;
 
 /** Batch tasks that a pass places at most, so that a flood of them does not hold up the next urgent task. */
 const batchPlacementsPerPass = 400;
 /** Unplaced tasks of one work for which space may be taken back in one pass. */
-const unplacedPerWork = 4;
+const unplacedPerWork = 8;
 /** Time after which batch work that found no place is tried again, in milliseconds; its slack changes in minutes. */
 const retryMs = 1_000;
 /** Time after which an urgent work that could not take back space tries again, in milliseconds. */
@@ -119,6 +120,7 @@
 /** Places what stays within the quotas; returns the works that would borrow and tasks that found no room. */
 function placeWithinQuota(pass: Pass, works: readonly WaitingWork[], attempts: Attempts) {
     const borrowers: WaitingWork[] = [];
+    const headroomShare = works.length === 0 ? 0 : computeHeadroomShare(pass);
     const unplaced: Waiting[] = [];
     for (const waiting of works) {
         const { tenant, resources } = waiting.work.spec;
@@ -128,7 +130,10 @@
                 borrowers.push(waiting);
                 break;
             }
-            const result = placeTask(pass, buildWaiting(waiting, task), waiting.harmLimit, attempts);
+            const item = buildWaiting(waiting, task);
+            const result = keepsHeadroom(pass, item, headroomShare)
+                ? placeTask(pass, item, waiting.harmLimit, attempts)
+                : "noRoom";
             if (result !== "placed") {
                 unplaced.push(...result === "noRoom" ? listUnplaced(waiting) : []);
                 break;
@@ -139,20 +144,24 @@
     return { borrowers, unplaced };
 }
 
-/** Share of the cluster that borrowing batch work leaves free; none in a cluster without urgent tasks. */
+/** Share of the cluster that batch work leaves free; none where it could not hold the largest urgent task that runs. */
 function computeHeadroomShare(pass: Pass): number {
     const { settings, slowdowns } = pass.memory;
     const { tailLatencyWeight, batchThroughputWeight } = settings;
     const weights = tailLatencyWeight + batchThroughputWeight;
-    const hasUrgent = pass.usable.some(view => readSeatedClasses(view, slowdowns).urgent.length > 0);
-    return hasUrgent && weights > 0 ? largestHeadroomPercent / 100 * tailLatencyWeight / weights : 0;
+    const share = weights > 0 ? largestHeadroomPercent / 100 * tailLatencyWeight / weights : 0;
+    let largest = 0;
+    for (const view of pass.usable) {
+        largest = Math.max(largest, readSeatedClasses(view, slowdowns).largestUrgentMilliCpu);
+    }
+    return largest > 0 && pass.shares.capacity.milliCpu * share >= largest ? share : 0;
 }
 
-/** Whether the headroom is left when the task starts, or the task has waited too long for it. */
+/** Whether the headroom is left when the task starts, or the task has waited too long for it or took back its space. */
 function keepsHeadroom(pass: Pass, { task, seated }: Waiting, share: number): boolean {
     const { capacity, free } = pass.shares;
     const waitedMs = pass.nowMs - Math.max(task.createdAtMs, task.endedAtMs ?? 0);
-    return isUrgent(seated) || waitedMs >= headroomPatienceMs
+    return isUrgent(seated) || waitedMs >= headroomPatienceMs || pass.memory.claims.findByTask(task.id) !== undefined
         || (free().milliCpu - seated.resources.milliCpu >= capacity.milliCpu * share
             && free().memoryMib - seated.resources.memoryMib >= capacity.memoryMib * share);
 }
@@ -206,8 +215,8 @@
     return unplaced;
 }
 
-function reclaimFor(pass: Pass, waiting: readonly Waiting[]): void {
-    let left = reclaimsPerPass;
+function reclaimFor(pass: Pass, waiting: readonly Waiting[], limit: number): void {
+    let left = limit;
     for (const { task, seated } of waiting) {
         const patient = !isUrgent(seated)
             && pass.nowMs - Math.max(task.createdAtMs, task.endedAtMs ?? 0, task.notBeforeMs) < batchPatienceMs;
@@ -243,9 +252,9 @@
     const attempts: Attempts = { urgentSizes: [], batchSizes: [], batchLeft: batchPlacementsPerPass };
     const urgent = placeWithinQuota(pass, listWaitingWorks(pass, works, "latencyCritical"), attempts);
     const urgentBorrowers = placeBorrowers(pass, urgent.borrowers, attempts);
-    reclaimFor(pass, [...urgent.unplaced, ...urgentBorrowers]);
+    reclaimFor(pass, [...urgent.unplaced, ...urgentBorrowers], urgentReclaimsPerPass);
     const batch = placeWithinQuota(pass, listWaitingWorks(pass, works, "batch"), attempts);
-    reclaimFor(pass, batch.unplaced);
+    reclaimFor(pass, batch.unplaced, batchReclaimsPerPass);
     placeBorrowers(pass, batch.borrowers, attempts);
     forgetPast(pass.memory.retryAtMs, pass.nowMs);
     forgetPast(pass.memory.reclaimAtMs, pass.nowMs);
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -26,6 +26,8 @@
 export interface SeatedClasses {
     readonly urgent: readonly ClassCount[];
     readonly batch: readonly ClassCount[];
+    /** Processors of the largest urgent task, in thousandths of a core; 0 without any. */
+    readonly largestUrgentMilliCpu: number;
 }
 
 /** A worker with the tasks charged to it and those whose placement is planned or in flight. */
@@ -132,11 +134,13 @@
     if (view.classes === undefined) {
         const urgent: ClassCount[] = [];
         const batch: ClassCount[] = [];
+        let largestUrgentMilliCpu = 0;
         for (const task of view.seated.values()) {
-            const counts = findTaskClass(task.kind) === "latencyCritical" ? urgent : batch;
-            addToClass(counts, slowdowns.findClassId(task.interferenceClass));
+            const isLatencyCritical = findTaskClass(task.kind) === "latencyCritical";
+            addToClass(isLatencyCritical ? urgent : batch, slowdowns.findClassId(task.interferenceClass));
+            largestUrgentMilliCpu = Math.max(largestUrgentMilliCpu, isLatencyCritical ? task.resources.milliCpu : 0);
         }
-        view.classes = { urgent, batch };
+        view.classes = { urgent, batch, largestUrgentMilliCpu };
     }
     return view.classes;
 }
