Let a draining process finish its answers, and test a rolling restart

Cause: a test of docs/upgrade.md found a request that had run and whose answer was cut off, because the process exited when the request had ended but its answer was not written yet (wave10-23: socket hang up, runs 1). Requests that reached a host just before its exit got a broken connection instead of a refusal. Change: the entry role counts open answers to callers and waits for them, and serve keeps a drained entry host for 500 ms to refuse what still comes. The test restarts all 5 processes under load and looks for requests that ran and were not answered. Without drain and linger the test fails: wave0-0: the outcome is not known.

--- a/packages/cli/src/process/create-process.ts
+++ b/packages/cli/src/process/create-process.ts
@@ -58,6 +58,12 @@
     });
 }
 
+/**
+ * Time in milliseconds for which a drained entry host still refuses what callers and other entry hosts send before they
+ * know that it drains. An exit at once would break those connections, and the callers would not know whether the request ran.
+ */
+const lingerMs = 500;
+
 /** Creates the kernel of a process with the services that its roles need; nothing is started yet. */
 export function createProcess(settings: ProcessSettings): { readonly kernel: Kernel; readonly logger: Logger; } {
     const { id, host, availabilityZone, logLevel, roles, dataFolder } = settings.process;
@@ -86,7 +92,7 @@
                     metrics: createMetrics(),
                 })
             ),
-            drain: entry => entry.drain,
+            drain: entry => Effect.andThen(entry.drain, Effect.sleep(lingerMs)),
         });
     }
     return { kernel, logger };
--- a/packages/cli/src/rolling-restart.test.ts
+++ b/packages/cli/src/rolling-restart.test.ts
@@ -20,19 +20,24 @@
 const retryPauseMs = 50;
 
 /**
- * Whether a caller sends again. A host that drains cannot tell whether an earlier send of a non-idempotent request has run
- * and says "unknown"; a resend with the same id is safe. An idempotent request has no reason to be unknown here.
+ * Sends to the entry hosts in turn until one has run the request, as a balancer and a caller do together. An outcome is
+ * unknown when a connection breaks as its host exits, and when a host that drains cannot tell whether an earlier send of a
+ * non-idempotent request has run. The caller then sends again with the same id, but if the request has run, its answer was
+ * lost, which is the interruption that this test looks for.
  */
-function mayResend(request: LoadRequest, outcome: LoadOutcome): boolean {
-    return outcome.kind === "notRun" || (outcome.kind === "unknown" && !request.idempotent);
-}
-
-/** Sends to the entry hosts in turn until one has run the request, as a balancer and a caller do together. */
-async function sendUntilRun(addresses: readonly string[], request: LoadRequest, index: number): Promise<LoadOutcome> {
+async function sendUntilRun(
+    addresses: readonly string[],
+    request: LoadRequest,
+    index: number,
+    countRuns: (id: string) => number,
+): Promise<LoadOutcome> {
     let outcome: LoadOutcome = { kind: "notRun", reason: "not sent" };
-    for (let tries = 0; mayResend(request, outcome) && tries < sendTries; tries += 1) {
+    for (let tries = 0; outcome.kind !== "answered" && tries < sendTries; tries += 1) {
         await sleep(tries < addresses.length ? 0 : retryPauseMs);
         outcome = await sendLoadRequest(addresses[(index + tries) % addresses.length] ?? "", request);
+        if (outcome.kind === "unknown" && countRuns(request.id) > 0) {
+            return outcome;
+        }
     }
     return outcome;
 }
@@ -42,6 +47,7 @@
     const system = await startSystem(context, "");
     const { group, targets } = system;
     const addresses = group.entries.map(entry => entry.rpcAddress);
+    const countRuns = (id: string): number => listRequestSpans(targets.minions).filter(span => span.key === id).length;
     const requests: LoadRequest[] = [];
     const outcomes: LoadOutcome[] = [];
     let restarting = true;
@@ -53,7 +59,7 @@
                 ...await runConcurrently(
                     batch,
                     concurrency,
-                    (request, index) => sendUntilRun(addresses, request, index),
+                    (request, index) => sendUntilRun(addresses, request, index, countRuns),
                 ),
             );
         }
@@ -75,7 +81,7 @@
         const outcome = outcomes[index];
         assert.ok(outcome?.kind === "answered", `${request.id}: ${JSON.stringify(outcome)}`);
         assert.ok(Buffer.from(outcome.answer).equals(buildAnswer(request.body)));
-        assert.equal(spans.filter(span => span.key === request.id).length, 1, `runs of ${request.id}`);
+        assert.equal(countRuns(request.id), 1, `runs of ${request.id}`);
     }
     assert.deepEqual(listOverlaps(spans), []);
     context.diagnostic(
--- a/packages/cli/src/serve.test.ts
+++ b/packages/cli/src/serve.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readdirSync, rmSync, writeFileSync } from "node:fs";
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -39,3 +39,26 @@
         assert.match(run.errors, /\[control\] a is absent/);
     }
 });
+
+void test("dev plays its story, ends with what it has seen and leaves no data folder", async context => {
+    const ownFolder = mkdtempSync(join(tmpdir(), "dev-test-"));
+    const previous = process.env["TMPDIR"];
+    process.env["TMPDIR"] = ownFolder;
+    context.after(() => {
+        if (previous === undefined) {
+            delete process.env["TMPDIR"];
+        }
+        else {
+            process.env["TMPDIR"] = previous;
+        }
+        rmSync(ownFolder, { recursive: true });
+    });
+    const run = await runCommand(["dev"]);
+    assert.equal(run.exitCode, 0, run.errors);
+    const last = run.output.trim().split("\n").at(-1) ?? "";
+    assert.match(
+        last,
+        /^seen: 2 requests answered, 8 batch tasks succeeded, 1 watch evicted and resumed once from checkpoint ash-watch/,
+    );
+    assert.deepEqual(readdirSync(ownFolder), []);
+});
--- a/packages/entry/src/rpc-server.ts
+++ b/packages/entry/src/rpc-server.ts
@@ -28,6 +28,8 @@
     readonly address: string;
     /** Closes each connection after its next answer. */
     readonly stopAccepting: () => void;
+    /** Waits until the answers to callers have left the process, at most for the drain limit. */
+    readonly awaitAnswers: Effect.Effect<void>;
 }
 
 /** Bytes of a message beside its body. */
@@ -42,6 +44,11 @@
 const requestTimeoutMs = 60_000;
 /** Idle time after which a caller's connection is closed, in milliseconds; above that of common balancers. */
 const keepAliveTimeoutMs = 65_000;
+/** Start of the path of each call of CallerService. */
+const callerPath = `/${CallerService.typeName}/`;
+const answerPollMs = 20;
+/** Time for the last refusals of a host that has drained, in milliseconds. */
+const lastAnswersLimitMs = 1_000;
 
 function createTargetService(parts: ServerParts): ServiceImpl<typeof TargetService> {
     const { announcements, runCall } = parts;
@@ -160,6 +167,8 @@
             handleOther(request as IncomingMessage, response as ServerResponse, parts.readHealth),
     });
     let accepting = true;
+    // A request has ended before its answer is written; a process that exits in between would cut the answer off.
+    let openAnswers = 0;
     const server = createServer(
         {
             headersTimeout: headersTimeoutMs,
@@ -168,6 +177,12 @@
             noDelay: true,
         },
         (request, response) => {
+            if (request.url?.startsWith(callerPath) === true) {
+                openAnswers += 1;
+                response.once("close", () => {
+                    openAnswers -= 1;
+                });
+            }
             if (!accepting) {
                 response.setHeader("connection", "close");
             }
@@ -180,13 +195,23 @@
         },
     );
     const port = yield* listen(server, rpcHost, rpcPort);
+    const awaitAnswers = (limitMs: number): Effect.Effect<void> =>
+        Effect.gen(function*() {
+            const endsAtMs = context.readNowMs() + limitMs;
+            while (openAnswers > 0 && context.readNowMs() < endsAtMs) {
+                yield* Effect.sleep(answerPollMs);
+            }
+        });
     yield* Effect.addFinalizer(() =>
-        Effect.sync(() => {
+        Effect.gen(function*() {
             server.close();
+            // Callers that were connected before may still send; they get their refusal, new ones cannot connect.
+            yield* awaitAnswers(accepting ? 0 : lastAnswersLimitMs);
             server.closeAllConnections();
         })
     );
     const rpcServer: RpcServer = {
+        awaitAnswers: awaitAnswers(requests.drainLimitMs),
         address: rpcHost.includes(":") ? `[${rpcHost}]:${port}` : `${rpcHost}:${port}`,
         stopAccepting: () => {
             // Idle connections stay open until their next call: closing one just when a caller uses it would lose the
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -186,6 +186,10 @@
         }),
     )));
 
-    const api: EntryApi = { rpcAddress: server.address, readHealth, drain: drain.run(server.stopAccepting) };
+    const api: EntryApi = {
+        rpcAddress: server.address,
+        readHealth,
+        drain: Effect.andThen(drain.run(server.stopAccepting), server.awaitAnswers),
+    };
     return api;
 });
