--- a/packages/place-tasks/src/placer.ts
+++ b/packages/place-tasks/src/placer.ts
@@ -3,6 +3,7 @@
 import type { PlacementDecision, Placer } from "./decision.js";
 import { createEvictionBudget } from "./eviction-budget.js";
 import { createInFlightDecisions } from "./in-flight.js";
+import { createMitigations } from "./mitigate.js";
 import { observeReports, type ReportQueue } from "./observe-reports.js";
 import { sortPendingWorks } from "./order-works.js";
 import type { Pass, PlacerMemory } from "./pass.js";
@@ -60,11 +61,12 @@
         views: createWorkerViews(),
         claims: createClaims(),
         budget: createEvictionBudget(settings.evictionsPerMinute),
+        setAside: createSetAsidePolicy(),
         runTimes: createRunTimeModel(),
         uses: createUseModel(),
         slowdowns: createSlowdownModel(),
+        mitigations: createMitigations(),
     };
-    const setAside = createSetAsidePolicy();
     const reports: ReportQueue = new Map();
     return {
         recordReports: arrived => {
@@ -76,11 +78,12 @@
             const decisions: PlacementDecision[] = [];
             const pass = openPass(memory, state, nowMs, decisions);
             observeReports(memory, state, reports);
-            const changed = setAside.planSetAside(state, memory.inFlight, nowMs);
+            const changed = memory.setAside.planSetAside(state, memory.inFlight, nowMs);
             changed.forEach(pass.addDecision);
             const usable = pass.usable.filter(({ record }) => !memory.inFlight.hasWorker(record.id));
             const works = rejectImpossible(pass, listPendingWorks(state, memory.inFlight, nowMs));
             placePending({ ...pass, usable }, sortPendingWorks(works, memory.runTimes, nowMs));
+            memory.mitigations.planMitigations(pass);
             return decisions;
         },
     };
