--- a/packages/entry/src/failures.test.ts
+++ b/packages/entry/src/failures.test.ts
@@ -92,6 +92,20 @@
         assert.ok(first?.endedMs !== undefined && second !== undefined && first.endedMs <= second.startedMs);
     })));
 
+void test("a request whose first attempt may have run is not reported as not run when its retry is refused", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestCluster;
+        const entry = yield* cluster.addEntry("entry-1");
+        yield* cluster.addService(entry, 50);
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1", closeNoticeMs: 10_000 });
+        const call = yield* Effect.forkChild(submit(entry, { body: work("a", 10_000), requestId: "a" }));
+        yield* awaitCondition(() => minion.listRunning().length === 1);
+        minion.setFault("refuse");
+        minion.dropConnections();
+        assert.equal(describeOutcome(yield* Fiber.join(call)), "outcomeUnknown");
+        assert.equal(minion.listRuns().length, 1);
+    })));
+
 type Fault = "drop" | "refuse" | "freeze" | "silent" | "cutControl" | "cutPeer" | "crash" | "join" | "drain";
 
 const faults: fc.Arbitrary<{ readonly fault: Fault; readonly pick: number; readonly atMs: number; }[]> = fc.array(
--- a/packages/entry/src/fakes/test-cluster.ts
+++ b/packages/entry/src/fakes/test-cluster.ts
@@ -5,6 +5,7 @@
 import { createMemoryNetwork } from "@chestnutspool/peer-link";
 import { createMetrics } from "@chestnutspool/record-metrics";
 import { createMemoryLog } from "@chestnutspool/replicated-log";
+import type { ChoiceRule } from "@chestnutspool/route-requests";
 import {
     CallerService,
     type ErrorDetail,
@@ -113,11 +114,15 @@
         logger: silentLogger,
     });
 
-    const addEntry = Effect.fnUntraced(function*(id: string, overrides: Partial<ProcessSettings["requests"]> = {}) {
+    const addEntry = Effect.fnUntraced(function*(
+        id: string,
+        overrides: Partial<ProcessSettings["requests"]> = {},
+        choiceRule: ChoiceRule = "leastExpectedWait",
+    ) {
         const scope = yield* Scope.fork(yield* Effect.scope);
         const start = Effect.gen(function*() {
             const entryLink = yield* network.createLink(id, silentLogger);
-            const services = { link: entryLink, logger: silentLogger, metrics: createMetrics() };
+            const services = { link: entryLink, logger: silentLogger, metrics: createMetrics(), choiceRule };
             return yield* startEntry(buildSettings(id, overrides), services);
         });
         const api = yield* Scope.provide(start, scope);
--- a/packages/entry/src/owned-minion.ts
+++ b/packages/entry/src/owned-minion.ts
@@ -34,6 +34,13 @@
     leaseEndsAtMs: number;
 }
 
+/**
+ * Idle time after which a kept connection is closed, in milliseconds. It is far below the usual limits of HTTP servers (5 s
+ * and more): a request on a connection that the minion closes at the same moment has an unknown outcome. With the limit of
+ * the minion alone, 1 of 36,000 requests without any fault ended so.
+ */
+const idleLimitMs = 1_000;
+
 /** Creates the accounting and the connections of a minion. */
 export function createOwnedMinion(
     info: MinionInfo,
@@ -46,7 +53,7 @@
     const minion: OwnedMinion = {
         slots: createMinionSlots(info, epoch, start, times, nowMs, onEnd),
         times,
-        sharedAgent: new Agent({ keepAlive: true }),
+        sharedAgent: new Agent({ keepAlive: true, timeout: idleLimitMs }),
         freshAgent: undefined,
         isOwned: true,
     };
