--- a/packages/entry/src/announcements.ts
+++ b/packages/entry/src/announcements.ts
@@ -66,7 +66,7 @@
 export function createAnnouncements(context: EntryContext, parts: AnnouncementParts): Announcements {
     const { view, items, desk, control, channel } = parts;
 
-    const failNoOwner = (minion: string): Effect.Effect<never, ErrorData> =>
+    const rejectWithoutOwner = (minion: string): Effect.Effect<never, ErrorData> =>
         Effect.fail({ kind: "timeout", operation: `wait for an owner of minion ${minion}`, limitMs: callLimitMs });
 
     /** Registers a minion that is new or changed, and waits until the map that names its owner is here. */
@@ -87,7 +87,7 @@
                 return;
             }
             if (context.readNowMs() >= endsAtMs) {
-                return yield* failNoOwner(info.id);
+                return yield* rejectWithoutOwner(info.id);
             }
             yield* Effect.sleep(ownerPollMs);
         }
@@ -111,7 +111,7 @@
         const { id } = announcement.minion;
         const owner = view.findRecord({ kind: "minion", minion: id })?.owner;
         if (owner === undefined) {
-            return yield* failNoOwner(id);
+            return yield* rejectWithoutOwner(id);
         }
         const own = owner === context.self ? takeOwn(announcement) : undefined;
         if (own !== undefined) {
@@ -121,7 +121,7 @@
         if (reply.kind === "announced") {
             return reply;
         }
-        return yield* reply.kind === "error" ? Effect.fail(reply.error) : failNoOwner(id);
+        return yield* reply.kind === "error" ? Effect.fail(reply.error) : rejectWithoutOwner(id);
     });
 
     const receiveAnnouncement: Announcements["receiveAnnouncement"] = Effect.fnUntraced(function*(announcement) {
@@ -169,7 +169,7 @@
                     return reply;
                 }
                 if (context.readNowMs() >= endsAtMs) {
-                    return yield* failNoOwner(announcement.minion.id);
+                    return yield* rejectWithoutOwner(announcement.minion.id);
                 }
                 yield* Effect.sleep(ownerPollMs);
             }
--- a/packages/entry/src/answer-check.ts
+++ b/packages/entry/src/answer-check.ts
@@ -35,20 +35,20 @@
         expectedBytes,
         receivedBytes: lengthBytes,
     });
-    const failOutOfPlace = (kind: string): Effect.Effect<void, ErrorData> =>
+    const rejectPart = (kind: string): Effect.Effect<void, ErrorData> =>
         Effect.fail({ kind: "internal", detail: `part ${kind} of an answer is out of place` });
 
     const takeReply = (reply: EntryReply): Effect.Effect<void, ErrorData> => {
         switch (reply.kind) {
             case "answerHead":
                 if (status !== undefined) {
-                    return failOutOfPlace(reply.kind);
+                    return rejectPart(reply.kind);
                 }
                 status = reply.status;
                 return Effect.void;
             case "answerChunk":
                 if (status === undefined || isWhole) {
-                    return failOutOfPlace(reply.kind);
+                    return rejectPart(reply.kind);
                 }
                 lengthBytes += reply.bytes.length;
                 checksum = crc32(reply.bytes, checksum);
@@ -65,7 +65,7 @@
                 return Effect.fail(reply.error);
             case "announced":
             case "accepted":
-                return failOutOfPlace(reply.kind);
+                return rejectPart(reply.kind);
         }
     };
 
--- a/packages/entry/src/attempt-runner.ts
+++ b/packages/entry/src/attempt-runner.ts
@@ -118,7 +118,7 @@
         return result;
     });
 
-    const toRemoteResult = (error: ErrorData, check: AnswerCheck): AttemptResult => {
+    const createRemoteResult = (error: ErrorData, check: AnswerCheck): AttemptResult => {
         if (!check.hasBegun() && isProofOfNotRun(error)) {
             return error.kind === "notRun"
                 ? { state: "notSent", reason: error.reason, failedMinion: undefined, retryAfterMs: error.retryAfterMs }
@@ -145,7 +145,7 @@
             return yield* Effect.fail(emitError);
         }
         if (Result.isFailure(called)) {
-            return toRemoteResult(called.failure, check);
+            return createRemoteResult(called.failure, check);
         }
         const whole = check.readWhole();
         const result: AttemptResult = whole === undefined
--- a/packages/entry/src/caller-service.ts
+++ b/packages/entry/src/caller-service.ts
@@ -18,7 +18,7 @@
     /** Why new requests are refused now; undefined when they are taken. */
     readonly findRefusal: (envelope: RequestEnvelope) => ErrorData | undefined;
     /** Counts a request as in progress while it runs. */
-    readonly trackRequest: <Value>(effect: Effect.Effect<Value, ErrorData>) => Effect.Effect<Value, ErrorData>;
+    readonly runCounted: <Value>(effect: Effect.Effect<Value, ErrorData>) => Effect.Effect<Value, ErrorData>;
 }
 
 type Chunk = MessageInitShape<typeof SubmitChunkSchema>;
@@ -88,7 +88,7 @@
     const runRequest = (envelope: RequestEnvelope, emit: EmitReply) =>
         Effect.suspend(() => {
             const startedMs = context.readNowMs();
-            return parts.trackRequest(router.routeRequest(envelope, emit)).pipe(
+            return parts.runCounted(router.routeRequest(envelope, emit)).pipe(
                 Effect.onExit(exit => Effect.sync(() => recordEnd(envelope, startedMs, exit))),
             );
         });
--- a/packages/entry/src/dispatch-attempt.ts
+++ b/packages/entry/src/dispatch-attempt.ts
@@ -133,7 +133,7 @@
     return { state: "notSent", reason, failedMinion, retryAfterMs: undefined };
 }
 
-const passAnswer = Effect.fnUntraced(function*(
+const forwardAnswer = Effect.fnUntraced(function*(
     response: IncomingMessage,
     slot: HeldSlot,
     options: DispatchOptions,
@@ -234,7 +234,7 @@
     if (sent.response.headers[notStartedHeader] === "1") {
         return createNotSent("refusedByMinion", slot.ref.minion);
     }
-    return yield* passAnswer(sent.response, slot, options, emit);
+    return yield* forwardAnswer(sent.response, slot, options, emit);
 });
 
 /**
--- a/packages/entry/src/drain.test.ts
+++ b/packages/entry/src/drain.test.ts
@@ -50,6 +50,11 @@
         const runs = minions.flatMap(minion => minion.listRuns());
         assert.equal(runs.length, 16);
         assert.ok(runs.every(run => run.end === "completed"));
+        // Keys whose shard moved while they ran are free again, because the old coordinator reported their end.
+        for (const index of [1, 2, 4, 5, 7, 8, 10, 11, 13, 14]) {
+            const again = yield* submit(staying, { body: work(`key-${index}`, 300), requestId: `id-${index}` });
+            assert.equal(describeOutcome(again), "answered");
+        }
         yield* leaving.stop;
         assert.equal(describeOutcome(yield* submit(staying, { body: work("after", 1) })), "answered");
     })));
--- a/packages/entry/src/drain.ts
+++ b/packages/entry/src/drain.ts
@@ -11,7 +11,7 @@
 /** Shutdown without an interrupted request, and the release of key shards. */
 export interface Drain {
     readonly isDraining: () => boolean;
-    readonly trackRequest: <Value>(effect: Effect.Effect<Value, ErrorData>) => Effect.Effect<Value, ErrorData>;
+    readonly runCounted: <Value>(effect: Effect.Effect<Value, ErrorData>) => Effect.Effect<Value, ErrorData>;
     /** Rejects waiting requests of shards whose release has waited for too long. */
     readonly decideReleasing: () => void;
     /** Drains; `stopAccepting` is called once new requests are refused. */
@@ -70,7 +70,7 @@
 
     return {
         isDraining: () => draining || view.findEntry(context.self)?.draining === true,
-        trackRequest: effect =>
+        runCounted: effect =>
             Effect.acquireUseRelease(
                 Effect.sync(() => {
                     tracked += 1;
--- a/packages/entry/src/peer-requests.ts
+++ b/packages/entry/src/peer-requests.ts
@@ -1,11 +1,12 @@
 import {
-    type AttemptRef,
     type Channel,
     type ChannelHandler,
     type EntryId,
     type EntryReply,
     type EntryRequest,
     type ErrorData,
+    type MinionId,
+    type OwnedItem,
     type RequestEnvelope,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
@@ -145,7 +146,7 @@
     parts: PeerParts,
     spills: () => SpillServer,
 ): ChannelHandler<EntryRequest, EntryReply> {
-    const failUnexpected = (kind: string): Effect.Effect<never, ErrorData> =>
+    const rejectUnexpected = (kind: string): Effect.Effect<never, ErrorData> =>
         Effect.fail({ kind: "internal", detail: `message ${kind} does not belong here` });
     return {
         handleStream: (from, request, emit) => {
@@ -159,11 +160,11 @@
                 case "announceMinion":
                 case "attemptEnded":
                 case "freeSlots":
-                    return failUnexpected(request.kind);
+                    return rejectUnexpected(request.kind);
             }
         },
         handleCall: (from, request) =>
-            request.kind === "announceMinion" ? parts.handleAnnouncement(request) : failUnexpected(request.kind),
+            request.kind === "announceMinion" ? parts.handleAnnouncement(request) : rejectUnexpected(request.kind),
         handleMessage: (from, message) =>
             Effect.sync(() => {
                 if (message.kind === "freeSlots") {
@@ -179,22 +180,17 @@
     };
 }
 
-/** Tells the hosts that now count an attempt, after its item was handed over, that it has ended. */
+/** Tells the host that now owns an item of an attempt, when that is another, that the attempt has ended. */
 export function sendAttemptEnded(
     context: EntryContext,
     view: OwnershipView,
     channel: Channel<EntryRequest, EntryReply>,
+    item: OwnedItem,
     attempt: string,
-    minion: string,
-    ref: AttemptRef | undefined,
+    minion: MinionId,
 ): void {
-    const owners = [
-        view.findRecord({ kind: "minion", minion })?.owner,
-        ref === undefined ? undefined : view.findRecord({ kind: "shard", shard: ref.shard })?.owner,
-    ];
-    for (const owner of new Set(owners)) {
-        if (owner !== undefined && owner !== context.self) {
-            channel.sendMessage(owner, { kind: "attemptEnded", attempt, minion });
-        }
+    const owner = view.findRecord(item)?.owner;
+    if (owner !== undefined && owner !== context.self) {
+        channel.sendMessage(owner, { kind: "attemptEnded", attempt, minion });
     }
 }
--- a/packages/entry/src/rpc-server.ts
+++ b/packages/entry/src/rpc-server.ts
@@ -118,7 +118,7 @@
  * Refuses a message that declares too great a length. Its bytes are dropped first, because a connection that is closed with
  * unread bytes loses the error on its way to the caller.
  */
-function refuseOversized(request: IncomingMessage, response: ServerResponse, bytes: number, limitBytes: number): void {
+function rejectOversized(request: IncomingMessage, response: ServerResponse, bytes: number, limitBytes: number): void {
     const message = describeError({ kind: "frameTooLarge", bytes, limitBytes });
     const send = (): void => {
         response.setHeader("connection", "close");
@@ -173,7 +173,7 @@
             }
             const declaredBytes = Number(request.headers["content-length"] ?? 0);
             if (declaredBytes > readMaxBytes) {
-                refuseOversized(request, response, declaredBytes, readMaxBytes);
+                rejectOversized(request, response, declaredBytes, readMaxBytes);
                 return;
             }
             handleRpc(request, response);
--- a/packages/entry/src/running-requests.ts
+++ b/packages/entry/src/running-requests.ts
@@ -18,8 +18,8 @@
     readonly addShard: (record: OwnershipRecord, shard: number) => void;
     /** Notes an attempt before it may be sent, so that it is named when its shard is handed over. */
     readonly addAttempt: (ref: AttemptRef, endsAtMs: number) => void;
-    /** Ends an attempt: a key that was held for it is free again. Returns the attempt when it was known. */
-    readonly confirmEnd: (attempt: string) => AttemptRef | undefined;
+    /** Ends an attempt: a key that was held for it is free again, here and at a host that took over its shard. */
+    readonly confirmEnd: (attempt: string) => void;
     /** Whether an attempt may still run. */
     readonly hasAttempt: (attempt: string) => boolean;
     readonly listAttempts: (shard: number) => readonly AttemptRef[];
@@ -28,8 +28,8 @@
 /** Interval at which attempts whose run lease has ended are dropped, in milliseconds. */
 const sweepIntervalMs = 1_000;
 
-/** Creates an empty set. */
-export function createRunningRequests(context: EntryContext): RunningRequests {
+/** Creates an empty set; `onEnd` is called once for each attempt whose end is confirmed. */
+export function createRunningRequests(context: EntryContext, onEnd: (ref: AttemptRef) => void): RunningRequests {
     const { sessionTtlMs, sessionMarginMs, clockDriftPercent } = context.settings.leases;
     const registry = createRequestRegistry();
     const quarantine = createQuarantine({
@@ -76,7 +76,9 @@
             const ref = attempts.get(attempt)?.ref;
             attempts.delete(attempt);
             registry.confirmEnd(attempt);
-            return ref;
+            if (ref !== undefined) {
+                onEnd(ref);
+            }
         },
         hasAttempt: attempt => attempts.has(attempt),
         listAttempts: shard => {
--- a/packages/entry/src/slot-desk.ts
+++ b/packages/entry/src/slot-desk.ts
@@ -163,7 +163,7 @@
         return request.canSpill ? findSpill(service, nowMs) : undefined;
     };
 
-    const returnGrant = (grant: SlotGrant): void => {
+    const releaseGrant = (grant: SlotGrant): void => {
         if (grant.kind === "own") {
             const { slot } = grant;
             slot.minion.slots.closeAttempt(slot.ref.attempt, slot.state, context.readNowMs());
@@ -241,7 +241,7 @@
             // The grant and the interruption can cross; a grant that nobody takes must not keep its slot.
             const granted = yield* Effect.exit(Deferred.await(waiting.answer));
             if (granted._tag === "Success") {
-                returnGrant(granted.value);
+                releaseGrant(granted.value);
                 serveQueue(waiting.service);
             }
         });
@@ -282,7 +282,7 @@
                 Effect.gen(function*() {
                     const grant = yield* awaitGrant(request);
                     const exit = yield* Effect.exit(restore(use(grant)));
-                    returnGrant(grant);
+                    releaseGrant(grant);
                     serveQueue(request.envelope.service);
                     return yield* exit;
                 })
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -45,7 +45,9 @@
 
     const view = createOwnershipView();
     const control = createControlClient(context);
-    const running = createRunningRequests(context);
+    const running = createRunningRequests(context, ref => {
+        sendAttemptEnded(context, view, channel, { kind: "shard", shard: ref.shard }, ref.attempt, ref.minion);
+    });
     const records = createRequestRecords(context, control, view);
     const freeSlots = createFreeSlots(settings.requests.freeSlotsIntervalMs);
     const opened: { session: EntrySession | undefined; } = { session: undefined };
@@ -53,14 +55,11 @@
 
     const handleAttemptEnded = (attempt: string, minion: OwnedMinion): void => {
         const { id } = minion.slots.getInfo();
-        const ref = running.confirmEnd(attempt);
+        running.confirmEnd(attempt);
         spills.reportEnd(attempt, id);
         if (items.findMinion(id) !== minion) {
             items.findMinion(id)?.slots.confirmEnd(attempt);
-            sendAttemptEnded(context, view, channel, attempt, id, ref);
-        }
-        else if (ref !== undefined && ref.shard >= 0 && items.findShard(ref.shard) === undefined) {
-            sendAttemptEnded(context, view, channel, attempt, id, ref);
+            sendAttemptEnded(context, view, channel, { kind: "minion", minion: id }, attempt, id);
         }
     };
     const items = createOwnedItems(context, view, {
@@ -170,7 +169,7 @@
     };
 
     const server = yield* startRpcServer(context, {
-        caller: createCallerService(context, { router, runCall, findRefusal, trackRequest: drain.trackRequest }),
+        caller: createCallerService(context, { router, runCall, findRefusal, runCounted: drain.runCounted }),
         announcements,
         forwarded: createForwardedServices(control, runCall),
         runCall,
--- a/packages/route-requests/src/fakes/slot-world.ts
+++ b/packages/route-requests/src/fakes/slot-world.ts
@@ -61,13 +61,13 @@
             case "dispatch":
                 return this.dispatch();
             case "deliver":
-                return this.withPicked("underway", step.pick, each => this.deliver(each));
+                return this.applyToPicked("underway", step.pick, each => this.deliver(each));
             case "complete":
-                return this.withPicked("running", step.pick, each => this.complete(each));
+                return this.applyToPicked("running", step.pick, each => this.complete(each));
             case "abandon":
-                return this.withPicked("any", step.pick, each => this.abandon(each));
+                return this.applyToPicked("any", step.pick, each => this.cancelAttempt(each));
             case "seeClose":
-                return this.withPicked("running", step.pick, each => this.seeClose(each));
+                return this.applyToPicked("running", step.pick, each => this.observeClose(each));
             case "announce":
                 this.pending ??= this.createAnnouncement();
                 return;
@@ -79,13 +79,13 @@
                 this.pending = undefined;
                 return;
             case "move":
-                return this.move();
+                return this.releaseMinion();
             case "expire":
-                return this.expire();
+                return this.expireOwner();
             case "restart":
-                return this.restart();
+                return this.startAgain();
             case "wait":
-                return this.wait(step.ms);
+                return this.updateTime(step.ms);
         }
     }
 
@@ -93,11 +93,11 @@
     settle(by: "announcements" | "time"): void {
         for (const each of this.dispatches) {
             if (each.connected) {
-                this.abandon(each);
+                this.cancelAttempt(each);
             }
         }
         if (by === "time") {
-            this.wait(leaseMs * 2);
+            this.updateTime(leaseMs * 2);
             this.owner.expireLeases(this.nowMs);
             return;
         }
@@ -114,7 +114,7 @@
         return createMinionSlots(info, this.epoch, start, times, this.nowMs);
     }
 
-    private withPicked(state: Dispatch["state"] | "any", pick: number, act: (dispatch: Dispatch) => void): void {
+    private applyToPicked(state: Dispatch["state"] | "any", pick: number, act: (dispatch: Dispatch) => void): void {
         const possible = this.dispatches.filter(each =>
             state === "any" ? each.state !== "ended" && each.connected : each.state === state
         );
@@ -168,14 +168,14 @@
     }
 
     /** The owner gives up: the connection is reset, which also drops a request that is still underway. */
-    private abandon(dispatch: Dispatch): void {
+    private cancelAttempt(dispatch: Dispatch): void {
         if (dispatch.state === "underway") {
             dispatch.state = "ended";
         }
         this.close(dispatch, "maybeRun");
     }
 
-    private seeClose(dispatch: Dispatch): void {
+    private observeClose(dispatch: Dispatch): void {
         if (!dispatch.connected) {
             dispatch.state = "ended";
         }
@@ -219,14 +219,14 @@
         }
     }
 
-    private move(): void {
+    private releaseMinion(): void {
         const attempts = this.owner.releaseMinion(this.nowMs);
         this.epoch += 1;
         this.owner = this.createOwner({ attemptsKnown: this.afterExpiry ? "afterEpoch" : "atOnce", attempts });
     }
 
     /** The owner is lost with its connections; what it had sent may still arrive. */
-    private expire(): void {
+    private expireOwner(): void {
         this.epoch += 1;
         this.afterExpiry = true;
         for (const dispatch of this.dispatches) {
@@ -236,7 +236,7 @@
     }
 
     /** Connections end with the process, and so do requests on them that it has not read. */
-    private restart(): void {
+    private startAgain(): void {
         for (const dispatch of this.dispatches) {
             if (dispatch.state !== "ended") {
                 dispatch.state = "ended";
@@ -251,7 +251,7 @@
         this.pending = undefined;
     }
 
-    private wait(ms: number): void {
+    private updateTime(ms: number): void {
         this.nowMs += ms;
         for (const each of this.dispatches) {
             if (each.state === "underway" && this.nowMs - each.sentAtMs > longestWayMs) {
