--- a/packages/place-tasks/src/measure/live-state.ts
+++ b/packages/place-tasks/src/measure/live-state.ts
@@ -21,12 +21,18 @@
 const urgentPerWorker = 3300 / 1300;
 const batchPerWorker = 10;
 const tenantCount = 32;
+/** Share of the cluster that the quotas guarantee; the rest is lent. */
+const quotaShare = 0.85;
 const workersPerRack = 11;
 const tasksPerJob = 20;
 const classNames = Array.from({ length: 24 }, (unused, ordinal) => `class-${ordinal}`);
 const workerCapacity = { milliCpu: 32_000, memoryMib: 128_000 };
 const urgentSize: Resources = { milliCpu: 2000, memoryMib: 8000, accelerators: 0 };
+/** One task of six needs an accelerator, 2,167 of 13,000. */
 const batchSizes: readonly Resources[] = [
+    { milliCpu: 1500, memoryMib: 6000, accelerators: 0 },
+    { milliCpu: 2000, memoryMib: 9000, accelerators: 0 },
+    { milliCpu: 2500, memoryMib: 9000, accelerators: 0 },
     { milliCpu: 1500, memoryMib: 6000, accelerators: 0 },
     { milliCpu: 2000, memoryMib: 9000, accelerators: 0 },
     { milliCpu: 2500, memoryMib: 10_000, accelerators: 1 },
@@ -174,9 +180,9 @@
         workers,
         tenants: new Map(Array.from({ length: tenantCount }, (unused, ordinal) => {
             const quota = {
-                milliCpu: Math.round(workerCount * workerCapacity.milliCpu / tenantCount),
-                memoryMib: Math.round(workerCount * workerCapacity.memoryMib / tenantCount),
-                accelerators: Math.round(workerCount * 2 / tenantCount),
+                milliCpu: Math.round(workerCount * workerCapacity.milliCpu * quotaShare / tenantCount),
+                memoryMib: Math.round(workerCount * workerCapacity.memoryMib * quotaShare / tenantCount),
+                accelerators: Math.round(workerCount * 2 * quotaShare / tenantCount),
             };
             const id = `tenant-${ordinal}`;
             return [id, { id, quota, weight: 1, revision: 1, changedBy: "measure" }];
