Hold a worker's sync for up to 3 s and send free slots only when they change

Cause: the leader's processor time grows with the number of syncs, 0.08% of a core for a worker at one a second; an idle entry process sent its free slots ten times a second to each other one. ListEvents with a long wait was cut off after 1.5 s and repeated, because the forwarding limit did not allow for the wait. Change: sync_hold_ms is 3,000 by default, still below a third of the worker lease; unchanged free slots are sent every 500 ms; the time for which a call may be held is added to the limit of one try. Conclusion: syncs carry news at once in any case, since a worker sends the next one as soon as something ended.

--- a/packages/entry/src/control-client.ts
+++ b/packages/entry/src/control-client.ts
@@ -15,6 +15,8 @@
         request: ControlRequest,
         limitMs: number,
         repetition: CallRepetition,
+        /** Time that the leader may hold the call before it answers, in milliseconds. */
+        holdMs?: number,
     ) => Effect.Effect<Exclude<ControlReply, { kind: "error"; }>, ErrorData>;
     /** The replica that answered last; undefined when none did since the last failure. */
     readonly readLeader: () => PeerId | undefined;
@@ -66,35 +68,37 @@
         leader = error.kind === "notLeader" && peers.some(peer => peer.id === error.leader) ? error.leader : undefined;
     };
 
-    const callLeader: ControlClient["callLeader"] = Effect.fnUntraced(function*(request, limitMs, repetition) {
-        const endsAtMs = context.readNowMs() + limitMs;
-        let last: ErrorData = { kind: "notLeader", leader: undefined };
-        while (true) {
-            const leftMs = endsAtMs - context.readNowMs();
-            if (leftMs <= 0) {
-                return yield* Effect.fail(last);
-            }
-            const peer = choosePeer();
-            if (peer !== undefined) {
-                const waitMs = repetition === "always" ? Math.min(leftMs, replicaLimitMs) : leftMs;
-                const result = yield* Effect.result(callReplica(peer, request, waitMs));
-                if (Result.isSuccess(result)) {
-                    return result.success;
-                }
-                const mayRepeat = isCertainlyNotApplied(result.failure)
-                    || (repetition === "always" && isOutcomeUnknown(result.failure));
-                if (mayRepeat || isOutcomeUnknown(result.failure)) {
-                    recordFailure(result.failure);
+    const callLeader: ControlClient["callLeader"] = Effect.fnUntraced(
+        function*(request, limitMs, repetition, holdMs = 0) {
+            const endsAtMs = context.readNowMs() + limitMs;
+            let last: ErrorData = { kind: "notLeader", leader: undefined };
+            while (true) {
+                const leftMs = endsAtMs - context.readNowMs();
+                if (leftMs <= 0) {
+                    return yield* Effect.fail(last);
                 }
-                if (!mayRepeat) {
-                    return yield* Effect.fail(result.failure);
+                const peer = choosePeer();
+                if (peer !== undefined) {
+                    const waitMs = repetition === "always" ? Math.min(leftMs, replicaLimitMs + holdMs) : leftMs;
+                    const result = yield* Effect.result(callReplica(peer, request, waitMs));
+                    if (Result.isSuccess(result)) {
+                        return result.success;
+                    }
+                    const mayRepeat = isCertainlyNotApplied(result.failure)
+                        || (repetition === "always" && isOutcomeUnknown(result.failure));
+                    if (mayRepeat || isOutcomeUnknown(result.failure)) {
+                        recordFailure(result.failure);
+                    }
+                    if (!mayRepeat) {
+                        return yield* Effect.fail(result.failure);
+                    }
+                    // Once a call may have been applied, the error stays "unknown" whatever later tries say.
+                    last = isOutcomeUnknown(last) ? last : result.failure;
                 }
-                // Once a call may have been applied, the error stays "unknown" whatever later tries say.
-                last = isOutcomeUnknown(last) ? last : result.failure;
+                yield* Effect.sleep(Math.min(retryPauseMs, Math.max(1, leftMs)));
             }
-            yield* Effect.sleep(Math.min(retryPauseMs, Math.max(1, leftMs)));
-        }
-    });
+        },
+    );
 
     return { callLeader, readLeader: () => leader };
 }
--- a/packages/entry/src/forwarded-services.ts
+++ b/packages/entry/src/forwarded-services.ts
@@ -42,6 +42,12 @@
     return typeof id === "string" && id !== "" ? "always" : "certain";
 }
 
+/** Time for which a call asks the leader to wait before it answers, in milliseconds. */
+function readHoldMs(message: Message): number {
+    const waitMs = (message as { readonly waitMs?: unknown; }).waitMs;
+    return typeof waitMs === "number" ? waitMs : 0;
+}
+
 /** Creates the forwarding handlers. */
 export function createForwardedServices(control: ControlClient, runCall: RunCall): ForwardedServices {
     const forwardCall = Effect.fnUntraced(
@@ -51,6 +57,7 @@
                 { kind: "forwardCall", service, method: method.name, body },
                 forwardLimitMs,
                 decideRepetition(method, message),
+                readHoldMs(message),
             );
             if (reply.kind !== "forwarded") {
                 return yield* Effect.fail<ErrorData>({ kind: "internal", detail: `unexpected reply ${reply.kind}` });
--- a/packages/entry/src/free-slots-sender.ts
+++ b/packages/entry/src/free-slots-sender.ts
@@ -1,6 +1,7 @@
 import type { Channel, EntryReply, EntryRequest } from "@chestnutspool/types";
 import { Effect } from "effect";
 import type { EntryContext } from "./entry-context.js";
+import { repeatIntervals } from "./free-slots.js";
 import type { OwnedItems } from "./owned-items.js";
 import type { OwnershipView } from "./ownership-view.js";
 import type { SlotDesk } from "./slot-desk.js";
@@ -9,7 +10,7 @@
 export interface FreeSlotsSender {
     /** Sends at once when the number of free slots of a service has changed from or to zero. */
     readonly sendOnChange: (service: string) => void;
-    /** Sends at each interval. */
+    /** Sends at each interval when a number has changed, and otherwise at the longer interval of repetition. */
     readonly keepSending: Effect.Effect<never>;
 }
 
@@ -21,10 +22,16 @@
     desk: SlotDesk,
     channel: Channel<EntryRequest, EntryReply>,
 ): FreeSlotsSender {
+    const { freeSlotsIntervalMs } = context.settings.requests;
     const sent = new Map<string, number>();
-    const sendAll = (): void => {
+    let sentAtMs = Number.NEGATIVE_INFINITY;
+    const countFree = (): Readonly<Record<string, number>> => {
         const services = new Set([...items.listServices(), ...sent.keys()]);
-        const freeByService = Object.fromEntries([...services].map(service => [service, desk.countFree(service)]));
+        return Object.fromEntries([...services].map(service => [service, desk.countFree(service)]));
+    };
+    const sendAll = (): void => {
+        const freeByService = countFree();
+        sentAtMs = context.readNowMs();
         sent.clear();
         for (const [service, free] of Object.entries(freeByService)) {
             sent.set(service, free);
@@ -35,6 +42,12 @@
             }
         }
     };
+    const sendWhenDue = (): void => {
+        const isChanged = Object.entries(countFree()).some(([service, free]) => sent.get(service) !== free);
+        if (isChanged || context.readNowMs() - sentAtMs >= freeSlotsIntervalMs * repeatIntervals) {
+            sendAll();
+        }
+    };
     return {
         sendOnChange: service => {
             if ((desk.countFree(service) > 0) !== ((sent.get(service) ?? 0) > 0)) {
@@ -42,8 +55,8 @@
             }
         },
         keepSending: Effect.forever(Effect.andThen(
-            Effect.sync(sendAll),
-            Effect.sleep(context.settings.requests.freeSlotsIntervalMs),
+            Effect.sync(sendWhenDue),
+            Effect.sleep(freeSlotsIntervalMs),
         )),
     };
 }
--- a/packages/entry/src/free-slots.ts
+++ b/packages/entry/src/free-slots.ts
@@ -16,8 +16,10 @@
     readonly forgetSlots: (entry: EntryId, service: string) => void;
 }
 
-/** Advertisements that are older than this many intervals are not used. */
-const staleIntervals = 5;
+/** Advertisements that are older than this many intervals are not used: twice the interval of unchanged ones. */
+const staleIntervals = 10;
+/** Intervals after which numbers are sent although none has changed; a host that joined has none yet. */
+export const repeatIntervals = 5;
 
 /** Creates a view without advertisements. */
 export function createFreeSlots(intervalMs: number): FreeSlots {
--- a/packages/settings/src/setting-keys.ts
+++ b/packages/settings/src/setting-keys.ts
@@ -151,7 +151,7 @@
         "leases",
         "sync_hold_ms",
         milliseconds(0, minuteMs),
-        1000,
+        3000,
         "Longest time that a worker's sync is held open. Below a third of worker_lease_ms.",
     ),
     defineOptional(
--- a/packages/stand-ins/src/worker/stand-in-worker.ts
+++ b/packages/stand-ins/src/worker/stand-in-worker.ts
@@ -27,7 +27,7 @@
     readonly findBehaviour?: (command: string, task: string) => TaskBehaviour;
     /** Age of usage samples; default 2,000. */
     readonly usageLagMs?: number;
-    /** Limit of one sync call; default 3,000, which allows for the 1,000 that control may hold it. */
+    /** Limit of one sync call; default 5,000, which allows for the 3,000 that control may hold it. */
     readonly callLimitMs?: number;
     /** Wait after a failed call; default 100. */
     readonly retryMs?: number;
@@ -112,7 +112,7 @@
             allowed: "at least one RPC address",
         });
     }
-    const calls = options.addresses.map(address => createSyncCall(address, options.callLimitMs ?? 3000));
+    const calls = options.addresses.map(address => createSyncCall(address, options.callLimitMs ?? 5000));
     const events: TaskEvent[] = [];
     let failing = false;
     let partitioned = false;
