--- a/packages/place-tasks/src/observe-reports.ts
+++ b/packages/place-tasks/src/observe-reports.ts
@@ -1,5 +1,7 @@
 import type { ClusterState, TaskRecord, UsageSample, WorkerId, WorkerReport, WorkSpec } from "@chestnutspool/types";
 import type { PlacerMemory } from "./pass.js";
+import type { ClassCount } from "./slowdown-model.js";
+import type { SizedWork } from "./use-model.js";
 import { findTaskClass } from "./worker-views.js";
 
 /** Reports wait here for the next pass, because only the state tells what the tasks are; the last of each worker stays. */
@@ -9,6 +11,7 @@
     readonly sample: UsageSample;
     readonly task: TaskRecord;
     readonly spec: WorkSpec;
+    readonly sized: SizedWork;
     readonly classId: number;
 }
 
@@ -19,7 +22,13 @@
         // A sample of an earlier attempt tells about another worker.
         return task === undefined || spec === undefined || task.token !== sample.token
             ? []
-            : [{ sample, task, spec, classId: memory.slowdowns.findClassId(spec.interferenceClass) }];
+            : [{
+                sample,
+                task,
+                spec,
+                sized: { work: spec.name, interferenceClass: spec.interferenceClass, resources: spec.resources },
+                classId: memory.slowdowns.findClassId(spec.interferenceClass),
+            }];
     });
 }
 
@@ -29,18 +38,25 @@
     return used / Math.max(1, state.workers.get(worker)?.capacity.milliCpu ?? 0);
 }
 
+/** Neighbours of a task of the class; it is not its own neighbour. */
+function listNeighbours(counts: ReadonlyMap<number, number>, classId: number): ClassCount[] {
+    return [...counts].map(([other, count]) => ({ classId: other, count: other === classId ? count - 1 : count }));
+}
+
 /** Learns slowdowns from samples that were taken together, so that each names the neighbours of the others. */
 function observeSlowdowns(memory: PlacerMemory, known: readonly KnownSample[], processorSpeed: number): void {
     const counts = new Map<number, number>();
     for (const { task, classId } of known) {
         counts.set(classId, (counts.get(classId) ?? 0) + task.throttlePercent / 100);
     }
+    const neighboursByClass = new Map<number, readonly ClassCount[]>();
     for (const { sample, task, classId } of known) {
         if (task.throttlePercent === 100 && sample.speedPercent !== undefined && sample.speedPercent > 0) {
-            const neighbours = [...counts].map(([other, count]) => ({
-                classId: other,
-                count: other === classId ? count - 1 : count,
-            }));
+            let neighbours = neighboursByClass.get(classId);
+            if (neighbours === undefined) {
+                neighbours = listNeighbours(counts, classId);
+                neighboursByClass.set(classId, neighbours);
+            }
             const slowdown = processorSpeed * 100 / sample.speedPercent - 1;
             memory.slowdowns.observeSlowdown(classId, neighbours, Math.max(0, slowdown));
         }
@@ -64,9 +80,9 @@
 export function observeReports(memory: PlacerMemory, state: ClusterState, reports: ReportQueue): void {
     for (const { worker, usage } of reports.values()) {
         const known = listKnownSamples(memory, state, usage);
-        for (const { sample, task, spec } of known) {
+        for (const { sample, task, sized } of known) {
             if (task.throttlePercent === 100) {
-                memory.uses.observeUse(spec, sample);
+                memory.uses.observeUse(sized, sample);
             }
         }
         const load = computeLoad(state, worker, usage);
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -26,6 +26,8 @@
 export interface SeatedClasses {
     readonly urgent: readonly ClassCount[];
     readonly batch: readonly ClassCount[];
+    /** Processors of the largest urgent task, in thousandths of a core; 0 without any. */
+    readonly largestUrgentMilliCpu: number;
 }
 
 /** A worker with the tasks charged to it and those whose placement is planned or in flight. */
@@ -38,6 +40,10 @@
     classes: SeatedClasses | undefined;
     /** Expected use of the seated tasks; undefined until it is needed again. */
     expected: ExpectedUse | undefined;
+    /** Availability zone and name of the rack, because racks of two zones may have the same name. */
+    readonly rackKey: string;
+    /** Raised when a task is seated; costs computed for an earlier version are stale. */
+    version: number;
 }
 
 /** Views of all workers, rebuilt only where the record of the worker has changed. */
@@ -85,6 +91,7 @@
     view.seated.set(task.id, task);
     view.expected = undefined;
     view.classes = undefined;
+    view.version += 1;
 }
 
 function buildView(state: ClusterState, record: WorkerRecord): WorkerView {
@@ -107,6 +114,8 @@
         seated,
         expected: undefined,
         classes: undefined,
+        rackKey: `${record.availabilityZone}/${record.rack}`,
+        version: 1,
     };
 }
 
@@ -125,11 +134,13 @@
     if (view.classes === undefined) {
         const urgent: ClassCount[] = [];
         const batch: ClassCount[] = [];
+        let largestUrgentMilliCpu = 0;
         for (const task of view.seated.values()) {
-            const counts = findTaskClass(task.kind) === "latencyCritical" ? urgent : batch;
-            addToClass(counts, slowdowns.findClassId(task.interferenceClass));
+            const isLatencyCritical = findTaskClass(task.kind) === "latencyCritical";
+            addToClass(isLatencyCritical ? urgent : batch, slowdowns.findClassId(task.interferenceClass));
+            largestUrgentMilliCpu = Math.max(largestUrgentMilliCpu, isLatencyCritical ? task.resources.milliCpu : 0);
         }
-        view.classes = { urgent, batch };
+        view.classes = { urgent, batch, largestUrgentMilliCpu };
     }
     return view.classes;
 }
@@ -139,7 +150,7 @@
     let memoryMib = 0;
     let meanMemoryMib = 0;
     for (const task of view.seated.values()) {
-        const use = uses.estimateUse({ ...task, name: task.work });
+        const use = uses.estimateUse(task);
         milliCpu += use.milliCpu;
         memoryMib += use.memoryMib;
         meanMemoryMib += use.meanMemoryMib;
@@ -154,7 +165,15 @@
 /** Creates views without workers. */
 export function createWorkerViews(): WorkerViews {
     const views = new Map<WorkerId, WorkerView>();
-    let list: readonly WorkerView[] = [];
+    const positions = new Map<WorkerId, number>();
+    let list: WorkerView[] = [];
+
+    /** Sorted by id, so that decisions do not depend on the order in which workers registered. */
+    function sortList(): void {
+        list = [...views.values()].sort((left, right) => left.record.id < right.record.id ? -1 : 1);
+        positions.clear();
+        list.forEach((view, position) => positions.set(view.record.id, position));
+    }
 
     function seatInFlight(
         state: ClusterState,
@@ -183,7 +202,13 @@
                     views.set(record.id, view);
                     listLeft(previous, view).forEach(observeLeft);
                     rebuilt.add(record.id);
-                    changed = true;
+                    const position = positions.get(record.id);
+                    if (position === undefined) {
+                        changed = true;
+                    }
+                    else {
+                        list[position] = view;
+                    }
                 }
             }
             for (const id of views.keys()) {
@@ -194,8 +219,7 @@
             }
             seatInFlight(state, placements, rebuilt);
             if (changed) {
-                // Sorted by id, so that decisions do not depend on the order in which workers registered.
-                list = [...views.values()].sort((left, right) => left.record.id < right.record.id ? -1 : 1);
+                sortList();
             }
         },
         listViews: () => list,
