Keep links of a process with both roles when an entry host is gone

The session removed the link to each entry host that left the ownership map. In a process that is also a control replica, that link can belong to the log, whose members may have been added after the settings were written. Such processes now keep their links.

--- a/packages/entry/src/session.ts
+++ b/packages/entry/src/session.ts
@@ -57,6 +57,9 @@
         }
     };
     const linked = new Set<EntryId>();
+    /** Links to control replicas belong to the control client, and in a process with both roles also to the log. */
+    const isKept = (entry: EntryId): boolean =>
+        process.roles.includes("control") || context.settings.controlPeers.some(peer => peer.id === entry);
     const updateLinks = (map: OwnershipMap): void => {
         for (const entry of map.entries) {
             if (entry.entry !== context.self) {
@@ -65,8 +68,7 @@
             }
         }
         for (const entry of linked) {
-            const isControl = context.settings.controlPeers.some(peer => peer.id === entry);
-            if (!isControl && !map.entries.some(session => session.entry === entry)) {
+            if (!isKept(entry) && !map.entries.some(session => session.entry === entry)) {
                 linked.delete(entry);
                 context.link.removePeer(entry);
             }
