--- a/packages/place-tasks/src/place-pending.ts
+++ b/packages/place-tasks/src/place-pending.ts
@@ -29,6 +29,9 @@
 /** Time after which an urgent work that could not take back space tries again, in milliseconds. */
 const urgentReclaimRetryMs = 250;
 
+/** Share of the eviction budget that batch work leaves to urgent tasks, in percent. */
+const reservedBudgetPercent = 20;
+
 interface Waiting {
     readonly task: TaskRecord;
     readonly seated: SeatedTask;
@@ -216,18 +219,20 @@
 }
 
 function reclaimFor(pass: Pass, waiting: readonly Waiting[], limit: number): void {
+    const reserved = Math.ceil(pass.memory.settings.evictionsPerMinute * reservedBudgetPercent / 100);
     let left = limit;
     for (const { task, seated } of waiting) {
         const patient = !isUrgent(seated)
             && pass.nowMs - Math.max(task.createdAtMs, task.endedAtMs ?? 0, task.notBeforeMs) < batchPatienceMs;
-        if (left === 0 || pass.memory.budget.countLeft() === 0) {
+        const budget = pass.memory.budget.countLeft() - (isUrgent(seated) ? 0 : reserved);
+        if (left === 0 || budget <= 0) {
             return;
         }
         const { claims, reclaimAtMs } = pass.memory;
         const mayTry = !patient && pass.nowMs >= (reclaimAtMs.get(task.work) ?? 0);
         if (mayTry && claims.findByTask(task.id) === undefined) {
             left -= 1;
-            if (!reclaimSpace(pass, seated)) {
+            if (!reclaimSpace(pass, seated, budget)) {
                 reclaimAtMs.set(task.work, pass.nowMs + (isUrgent(seated) ? urgentReclaimRetryMs : retryMs));
             }
         }
--- a/packages/place-tasks/src/reclaim.ts
+++ b/packages/place-tasks/src/reclaim.ts
@@ -87,10 +87,10 @@
 
 /**
  * Takes back space for a pending task from the batch work that loses least, and claims the space. Does nothing when no
- * worker can be cleared or the budget does not allow it. Returns whether a claim was made.
+ * worker can be cleared with the given number of evictions. Returns whether a claim was made.
  */
-export function reclaimSpace(pass: Pass, claimant: SeatedTask): boolean {
-    const { claims, budget } = pass.memory;
+export function reclaimSpace(pass: Pass, claimant: SeatedTask, evictionLimit: number): boolean {
+    const { claims } = pass.memory;
     let best: ReclaimChoice | undefined;
     for (const view of pass.usable) {
         if (pass.probation.has(view) || claims.findByWorker(view.record.id) !== undefined) {
@@ -101,7 +101,7 @@
             best = choice;
         }
     }
-    if (best === undefined || best.victims.length > budget.countLeft()) {
+    if (best === undefined || best.victims.length > evictionLimit) {
         return false;
     }
     claims.addClaim({
