Group urgent tasks on workers that batch work cannot enter

An urgent task gains by the share of a worker that urgent tasks fill already. The costs of a rack and of an availability zone rise to 3 and 1, so that services still spread over them.

In bad-worker the repaired worker got no task, because its last probe fell after the last job. The trace now has jobs until its end (22 minutes), so that the test that the worker is used again does not depend on the order of arrivals.

--- a/packages/place-tasks/src/spread.ts
+++ b/packages/place-tasks/src/spread.ts
@@ -3,8 +3,8 @@
 
 /** Cost of having all tasks of a work in one domain, as a share of the weight of tail latency. */
 const workerCost = 0.4;
-const rackCost = 1;
-const availabilityZoneCost = 0.5;
+const rackCost = 3;
+const availabilityZoneCost = 1;
 
 /** Where the tasks of one work are; the loss of a domain takes its share of the work. */
 export interface WorkSpread {
--- a/packages/place-tasks/src/work-costs.ts
+++ b/packages/place-tasks/src/work-costs.ts
@@ -19,6 +19,8 @@
 const memoryTolerance = 1.03;
 /** Cost of a fully loaded worker to a new urgent task, which needs headroom for its bursts. */
 const headroomCost = 0.3;
+/** Gain of a worker full of urgent tasks to a new one: what urgent tasks fill, no batch task that hurts them can enter. */
+const groupGain = 3;
 /** Gain of packing batch work on loaded workers, so that others stay free for large and urgent tasks. */
 const packingGain = 0.05;
 
@@ -75,8 +77,10 @@
     const memoryLoad = (expected.memoryMib + added.memoryMib) / Math.max(1, view.record.capacity.memoryMib);
     const loadCost = (settings.tailLatencyWeight + settings.batchThroughputWeight)
         * (computeLoadCost(cpuLoad, highUse) + computeLoadCost(memoryLoad, highUse));
+    const { urgentMilliCpu } = readSeatedClasses(view, pass.memory.slowdowns);
+    const urgentLoad = urgentMilliCpu / Math.max(1, view.record.capacity.milliCpu);
     return loadCost + computeSlowdownCost(pass, view, task, classId) + (isUrgent(task)
-        ? settings.tailLatencyWeight * headroomCost * cpuLoad
+        ? settings.tailLatencyWeight * (headroomCost * cpuLoad - groupGain * urgentLoad)
         : -settings.batchThroughputWeight * packingGain * cpuLoad);
 }
 
--- a/packages/place-tasks/src/worker-views.ts
+++ b/packages/place-tasks/src/worker-views.ts
@@ -28,6 +28,8 @@
     readonly batch: readonly ClassCount[];
     /** Processors of the largest urgent task, in thousandths of a core; 0 without any. */
     readonly largestUrgentMilliCpu: number;
+    /** Processors of all urgent tasks, in thousandths of a core. */
+    readonly urgentMilliCpu: number;
 }
 
 /** A worker with the tasks charged to it and those whose placement is planned or in flight. */
@@ -135,12 +137,14 @@
         const urgent: ClassCount[] = [];
         const batch: ClassCount[] = [];
         let largestUrgentMilliCpu = 0;
+        let urgentMilliCpu = 0;
         for (const task of view.seated.values()) {
             const isLatencyCritical = findTaskClass(task.kind) === "latencyCritical";
             addToClass(isLatencyCritical ? urgent : batch, slowdowns.findClassId(task.interferenceClass));
             largestUrgentMilliCpu = Math.max(largestUrgentMilliCpu, isLatencyCritical ? task.resources.milliCpu : 0);
+            urgentMilliCpu += isLatencyCritical ? task.resources.milliCpu : 0;
         }
-        view.classes = { urgent, batch, largestUrgentMilliCpu };
+        view.classes = { urgent, batch, largestUrgentMilliCpu, urgentMilliCpu };
     }
     return view.classes;
 }
--- a/packages/replay-traces/src/placement/generate-traces.ts
+++ b/packages/replay-traces/src/placement/generate-traces.ts
@@ -174,11 +174,11 @@
 
 function buildBadWorker(): Trace {
     const random = createRandom(105);
-    return buildTrace("bad-worker", 105, 20, [
+    return buildTrace("bad-worker", 105, 22, [
         ...buildWorkers(2),
         ...userQuotas(384),
         ...userServices,
-        ...buildSteadyJobs(random, 15, 1, 1.3),
+        ...buildSteadyJobs(random, 21, 1, 1.3),
         { kind: "workerFails", atMs: 2 * minuteMs, worker: "worker-02", fails: true },
         { kind: "workerFails", atMs: 15 * minuteMs, worker: "worker-02", fails: false },
     ]);
