--- a/packages/measure/src/commands/measure-failures/index.ts
+++ b/packages/measure/src/commands/measure-failures/index.ts
@@ -50,6 +50,8 @@
     falselyNotRun: number;
     wrongAnswer: number;
     resends: number;
+    /** Requests without an answer after all sends, by what the last send was told. */
+    readonly unanswered: Record<string, number>;
 }
 
 function judge(histories: readonly RequestHistory[], system: MeasuredSystem): Verdict {
@@ -59,7 +61,15 @@
         runs.set(span.key, (runs.get(span.key) ?? 0) + 1);
     }
     const overlapping = new Set(listOverlaps(spans));
-    const verdict: Verdict = { answered: 0, lost: 0, doubled: 0, falselyNotRun: 0, wrongAnswer: 0, resends: 0 };
+    const verdict: Verdict = {
+        answered: 0,
+        lost: 0,
+        doubled: 0,
+        falselyNotRun: 0,
+        wrongAnswer: 0,
+        resends: 0,
+        unanswered: {},
+    };
     for (const { request, outcomes } of histories) {
         const count = runs.get(request.id) ?? 0;
         const last = outcomes.at(-1);
@@ -69,6 +79,10 @@
             verdict.wrongAnswer += Buffer.from(last.answer).equals(buildAnswer(request.body)) ? 0 : 1;
             verdict.lost += count === 0 ? 1 : 0;
         }
+        else if (last !== undefined) {
+            const reason = last.reason.split(":")[0] ?? last.kind;
+            verdict.unanswered[reason] = (verdict.unanswered[reason] ?? 0) + 1;
+        }
         verdict.doubled += overlapping.has(request.id) || (!request.idempotent && count > 1) ? 1 : 0;
         // Only when every send was answered with "not run" does the count of runs prove that one answer was false.
         verdict.falselyNotRun += outcomes.every(outcome => outcome.kind === "notRun") && count > 0 ? 1 : 0;
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -6,6 +6,7 @@
 import { measureEntryLoss } from "./commands/measure-entry-loss/index.js";
 import { measureFailures } from "./commands/measure-failures/index.js";
 import { measureIdle } from "./commands/measure-idle/index.js";
+import { measureMessageSizes } from "./commands/measure-message-sizes/index.js";
 import { measureRequestPath } from "./commands/measure-request-path/index.js";
 import { measureState } from "./commands/measure-state/index.js";
 
@@ -25,5 +26,6 @@
     .option("--requests <number>", "Requests in all")
     .action(measureFailures);
 program.command("capacity", "Processor time and memory of each role by number of workers").action(measureCapacity);
+program.command("message-sizes", "Size of the messages of workers and minions").action(measureMessageSizes);
 program.help();
 program.parse();
