Map error kinds to RPC codes in one place

Cause: the command line and the entry role each had the same table; dev counted the workers of ended tasks, which hold none, and always printed one. Change: the entry package exports mapRpcCode; the line of dev drops the count. Conclusion: no behaviour of the command line changes but that line.

--- a/packages/cli/src/commands/dev/dev-story.ts
+++ b/packages/cli/src/commands/dev/dev-story.ts
@@ -99,7 +99,7 @@
             ),
         );
         io.writeLine(
-            `${name}: ${ended.length} tasks succeeded on ${new Set(ended.map(task => task.worker)).size} workers`,
+            `${name}: ${ended.length} tasks succeeded`,
         );
     },
 );
--- a/packages/cli/src/failure.ts
+++ b/packages/cli/src/failure.ts
@@ -1,4 +1,5 @@
-import { describeError, mapErrorCode } from "@chestnutspool/errors";
+import { mapRpcCode } from "@chestnutspool/entry";
+import { describeError } from "@chestnutspool/errors";
 import { ErrorDetailSchema } from "@chestnutspool/schema";
 import type { ErrorData } from "@chestnutspool/types";
 import { Code, ConnectError } from "@connectrpc/connect";
@@ -55,24 +56,10 @@
     }
 }
 
-const codesByName: Readonly<Record<ReturnType<typeof mapErrorCode>, Code>> = {
-    invalid_argument: Code.InvalidArgument,
-    not_found: Code.NotFound,
-    aborted: Code.Aborted,
-    already_exists: Code.AlreadyExists,
-    resource_exhausted: Code.ResourceExhausted,
-    unavailable: Code.Unavailable,
-    unknown: Code.Unknown,
-    deadline_exceeded: Code.DeadlineExceeded,
-    data_loss: Code.DataLoss,
-    failed_precondition: Code.FailedPrecondition,
-    internal: Code.Internal,
-};
-
 /** A typed error as a failure; its text names the remedy. */
 export function mapErrorToFailure(error: ErrorData): CliFailure {
     return {
-        exitCode: mapExitCode(codesByName[mapErrorCode(error)]),
+        exitCode: mapExitCode(mapRpcCode(error)),
         kind: error.kind,
         // Each fault names its own remedy; one a line is easier to work through.
         text: error.kind === "invalidSettings" ? error.faults.join("\n") : describeError(error),
--- a/packages/entry/src/rpc-errors.ts
+++ b/packages/entry/src/rpc-errors.ts
@@ -21,6 +21,11 @@
     internal: Code.Internal,
 };
 
+/** The RPC status code of a typed error. */
+export function mapRpcCode(error: ErrorData): Code {
+    return codes[mapErrorCode(error)];
+}
+
 function getRetryAfterMs(error: ErrorData): number {
     return error.kind === "notRun" || error.kind === "stillRunning" ? error.retryAfterMs ?? 0 : 0;
 }
@@ -32,7 +37,7 @@
     const headers: Record<string, string> = retryAfterMs > 0
         ? { "retry-after": String(Math.ceil(retryAfterMs / 1_000)) }
         : {};
-    return new ConnectError(text, codes[mapErrorCode(error)], headers, [{
+    return new ConnectError(text, mapRpcCode(error), headers, [{
         desc: ErrorDetailSchema,
         value: {
             kind: error.kind,
