Let one piece of code serve repeated logic

Cause: the read-through found the same code twice: the commands cancel, drain and worker each sent a change in the same way, the placement benchmark built task records as the test support does, and the measuring tool had its own copy of running items in lanes. The free-slot sender counted its slots twice before each message. Change: runChange of the command line, buildTask and runConcurrently serve both places; the count is passed on. Behaviour and tests stay as they are. Conclusion: each of these rules now stands in one place.

--- a/packages/cli/src/commands/worker/index.ts
+++ b/packages/cli/src/commands/worker/index.ts
@@ -1,12 +1,8 @@
-import { ChangeResponseSchema } from "@chestnutspool/schema";
 import { Effect } from "effect";
-import { callEntry } from "../../call-entry.js";
 import type { CliCommand } from "../../command.js";
-import { exitCodes } from "../../exit-codes.js";
 import { createUsageFailure } from "../../failure.js";
-import { listChangeTables } from "../../list-tables.js";
-import { printResult } from "../../print-result.js";
-import { changeOptions, readCallSettings, readOperatorRequestId } from "../../read-options.js";
+import { changeOptions } from "../../read-options.js";
+import { runChange } from "../../run-change.js";
 
 const admissions: Readonly<Record<string, string>> = { drain: "draining", open: "open" };
 
@@ -17,8 +13,6 @@
     options: changeOptions,
     examples: ["worker drain node-17", "worker open node-17"],
     run: Effect.fnUntraced(function*(input) {
-        const settings = yield* readCallSettings(input);
-        const operatorRequestId = readOperatorRequestId(input);
         const [action = "", worker = ""] = input.args;
         const admission = admissions[action];
         if (admission === undefined) {
@@ -26,12 +20,10 @@
                 createUsageFailure(`the action is "${action}"; allowed is drain or open`, "correct the action"),
             );
         }
-        const response = yield* callEntry(
-            settings,
-            "always",
-            ({ operator }, limits) => operator.setWorkerAdmission({ operatorRequestId, worker, admission }, limits),
+        return yield* runChange(
+            input,
+            (operator, operatorRequestId, limits) =>
+                operator.setWorkerAdmission({ operatorRequestId, worker, admission }, limits),
         );
-        printResult(input.io, settings.output, ChangeResponseSchema, response, listChangeTables);
-        return exitCodes.ok;
     }),
 };
--- a/packages/entry/src/free-slots-sender.ts
+++ b/packages/entry/src/free-slots-sender.ts
@@ -29,8 +29,7 @@
         const services = new Set([...items.listServices(), ...sent.keys()]);
         return Object.fromEntries([...services].map(service => [service, desk.countFree(service)]));
     };
-    const sendAll = (): void => {
-        const freeByService = countFree();
+    const sendAll = (freeByService: Readonly<Record<string, number>>): void => {
         sentAtMs = context.readNowMs();
         sent.clear();
         for (const [service, free] of Object.entries(freeByService)) {
@@ -43,15 +42,16 @@
         }
     };
     const sendWhenDue = (): void => {
-        const isChanged = Object.entries(countFree()).some(([service, free]) => sent.get(service) !== free);
+        const freeByService = countFree();
+        const isChanged = Object.entries(freeByService).some(([service, free]) => sent.get(service) !== free);
         if (isChanged || context.readNowMs() - sentAtMs >= freeSlotsIntervalMs * repeatIntervals) {
-            sendAll();
+            sendAll(freeByService);
         }
     };
     return {
         sendOnChange: service => {
             if ((desk.countFree(service) > 0) !== ((sent.get(service) ?? 0) > 0)) {
-                sendAll();
+                sendAll(countFree());
             }
         },
         keepSending: Effect.forever(Effect.andThen(
--- a/packages/measure/src/commands/measure-request-path/index.ts
+++ b/packages/measure/src/commands/measure-request-path/index.ts
@@ -1,7 +1,7 @@
+import { runConcurrently } from "@chestnutspool/cli/fakes";
 import { Agent, request as sendHttp } from "node:http";
 import { createTimeHistogram, formatTimes, type TimeHistogram } from "../../support/histogram.js";
 import { readProcessUsage } from "../../support/process-usage.js";
-import { runLanes } from "../../support/run-lanes.js";
 import { createBody, type MeasuredSystem, sendRequest, startMeasuredSystem } from "../../support/start-system.js";
 
 const warmUpRequests = 1_000;
@@ -12,6 +12,9 @@
 const minionCount = 4;
 const runMs = 1;
 
+const runLanes = (lanes: number, count: number, run: (ordinal: number) => Promise<void>) =>
+    runConcurrently(Array.from({ length: count }, (unused, ordinal) => ordinal), lanes, run);
+
 let attemptOrdinal = 0;
 const directAgent = new Agent({ keepAlive: true });
 
--- a/packages/place-tasks/src/measure/live-state.ts
+++ b/packages/place-tasks/src/measure/live-state.ts
@@ -16,6 +16,7 @@
     type WorkSpec,
 } from "@chestnutspool/types";
 import type { PlacementDecision } from "../decision.js";
+import { buildTask } from "../fakes/build-state.js";
 
 /** Figures of the target: 1,300 workers, 3,300 urgent and 13,000 batch tasks, 2,400 accelerators, 32 tenants. */
 const urgentPerWorker = 3300 / 1300;
@@ -113,24 +114,7 @@
         return Array.from({ length: count }, (unused, ordinal) => {
             const id = `${name}/${ordinal}`;
             pendingTasks.add(id);
-            tasks.set(id, {
-                id,
-                work: name,
-                tenant: spec.tenant,
-                phase: "pending",
-                token: 0,
-                worker: undefined,
-                charged: noResources,
-                checkpoint: undefined,
-                failures: 0,
-                evictions: 0,
-                notBeforeMs: 0,
-                throttlePercent: 100,
-                reason: "",
-                createdAtMs: 0,
-                startedAtMs: undefined,
-                endedAtMs: undefined,
-            });
+            tasks.set(id, buildTask(spec, ordinal));
             return id;
         });
     }
