--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "packages/schema/src/gen/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "target/**", "journal/**", "packages/schema/src/gen/**"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: {
--- /dev/null
+++ b/packages/forward-jobs/src/index.ts
@@ -0,0 +1,1 @@
+export { createForwarder, type Forwarder, type ForwardReply } from "./forwarder.js";
--- /dev/null
+++ b/packages/job-state/src/change-jobs.ts
@@ -0,0 +1,93 @@
+import type { JobCommand, JobResult, QueueConfiguration, QueueSettings } from "@chestnutspool/types";
+import { closeIfOver } from "./change-runs.js";
+import { createJob, isJobEnded, type JobModel } from "./model.js";
+
+type CommandOf<Kind extends JobCommand["kind"]> = Extract<JobCommand, { readonly kind: Kind; }>;
+
+/** Time for which the state of an ended job can be read, in milliseconds; twice the longest time that a deployment states. */
+const closedJobRetentionMs = 600_000;
+/** Ended jobs that are kept at most, so that a flood of short jobs does not fill the memory. */
+const closedJobLimit = 50_000;
+
+/** The queue that a host name and path lead to; undefined when there is none. */
+export function findQueue(
+    configuration: QueueConfiguration | undefined,
+    hostName: string,
+    path: string,
+): QueueSettings | undefined {
+    let best: QueueSettings | undefined;
+    for (const queue of configuration?.queues ?? []) {
+        const matches = queue.hostName === hostName && path.startsWith(queue.path);
+        if (matches && (best === undefined || queue.path.length > best.path.length)) {
+            best = queue;
+        }
+    }
+    return best;
+}
+
+/** Name under which the services of a queue are remembered. */
+export function formatQueueKey(queue: Pick<QueueSettings, "hostName" | "path">): string {
+    return `${queue.hostName} ${queue.path}`;
+}
+
+function forgetOldJobs(model: JobModel): void {
+    for (const id of model.closedJobs) {
+        const endedAtMs = model.jobs.get(id)?.endedAtMs ?? 0;
+        const isOld = model.clockMs - endedAtMs > closedJobRetentionMs;
+        if (!isOld && model.closedJobs.size <= closedJobLimit) {
+            return;
+        }
+        model.closedJobs.delete(id);
+        model.jobs.delete(id);
+    }
+}
+
+/** Stores a job under its id. A job that is known stays as it is. */
+export function submitJob(model: JobModel, command: CommandOf<"submitJob">): JobResult {
+    const { spec } = command;
+    if (model.jobs.has(spec.id)) {
+        return { kind: "accepted", isRepeat: true };
+    }
+    const queue = findQueue(model.configuration, command.hostName, command.path);
+    if (queue === undefined) {
+        return { kind: "noQueue" };
+    }
+    forgetOldJobs(model);
+    const job = createJob(spec, queue, model.clockMs);
+    model.jobs.set(job.id, job);
+    model.openJobs.set(job.id, job);
+    return { kind: "accepted", isRepeat: false };
+}
+
+/** Ends a job; its runs are stopped by the leader. An ended job stays as it is. */
+export function cancelJob(model: JobModel, command: CommandOf<"cancelJob">): JobResult {
+    const job = model.jobs.get(command.job);
+    if (job === undefined) {
+        return { kind: "noJob" };
+    }
+    if (!isJobEnded(job)) {
+        job.phase = "cancelled";
+        job.endedAtMs = model.clockMs;
+        closeIfOver(model, job);
+    }
+    return { kind: "done" };
+}
+
+/** Puts a configuration into force unless the present version is at least as high. */
+export function setConfiguration(model: JobModel, configuration: QueueConfiguration): JobResult {
+    const present = model.configuration?.version;
+    if (present === undefined || configuration.version > present) {
+        model.configuration = configuration;
+        recordServices(model, configuration);
+    }
+    return { kind: "configuration", version: model.configuration?.version ?? configuration.version };
+}
+
+function recordServices(model: JobModel, configuration: QueueConfiguration): void {
+    for (const queue of configuration.queues) {
+        const key = formatQueueKey(queue);
+        const services = model.servicesByQueue.get(key) ?? new Set();
+        services.add(queue.service);
+        model.servicesByQueue.set(key, services);
+    }
+}
--- /dev/null
+++ b/packages/job-state/src/change-runs.ts
@@ -0,0 +1,203 @@
+import {
+    addResources,
+    findShortage,
+    type JobCommand,
+    type JobResult,
+    type RunEnd,
+    type RunStart,
+    subtractResources,
+} from "@chestnutspool/types";
+import {
+    computeReservation,
+    isJobEnded,
+    isStepReady,
+    type JobModel,
+    type JobOccurrence,
+    type JobRecord,
+    type JobStep,
+    type JobTask,
+    type WorkerRun,
+    type WorkerState,
+} from "./model.js";
+import { formatRunKey } from "./run-keys.js";
+
+type CommandOf<Kind extends JobCommand["kind"]> = Extract<JobCommand, { readonly kind: Kind; }>;
+
+/** Removes a job from the open ones once it has ended and nothing of it runs; its tasks are forgotten. */
+export function closeIfOver(model: JobModel, job: JobRecord): void {
+    if (isJobEnded(job) && job.runsInProgress === 0) {
+        job.occurrences.clear();
+        model.openJobs.delete(job.id);
+        model.closedJobs.add(job.id);
+    }
+}
+
+function findTask(model: JobModel, key: RunStart | RunEnd) {
+    const job = model.jobs.get(key.job);
+    const occurrence = job?.occurrences.get(key.occurrence);
+    const step = occurrence?.steps[key.step];
+    const task = step?.tasks[key.position];
+    if (job === undefined || occurrence === undefined || step === undefined || task === undefined) {
+        return undefined;
+    }
+    return { job, occurrence, step, task };
+}
+
+function mayStart(job: JobRecord, occurrence: JobOccurrence, step: JobStep, task: JobTask, run: number): boolean {
+    const hasFreePlace = task.runs.length === 0 || (step.spec.speculative && task.runs.length === 1);
+    return !isJobEnded(job) && !task.isDone && hasFreePlace && run > task.lastRun && isStepReady(occurrence, step)
+        && (step.spec.longRunning || countFailures(step, task) < job.queue.maxAttempts);
+}
+
+function startRun(model: JobModel, start: RunStart): boolean {
+    const found = findTask(model, start);
+    const worker = model.workers.get(start.worker);
+    if (found === undefined || worker === undefined || worker.isDraining) {
+        return false;
+    }
+    const { job, occurrence, step, task } = found;
+    if (!mayStart(job, occurrence, step, task, start.run)) {
+        return false;
+    }
+    const used = addResources(worker.used, computeReservation(step.spec));
+    if (findShortage(used, worker.info.capacity) !== undefined) {
+        return false;
+    }
+    worker.used = used;
+    task.lastRun = start.run;
+    task.runs = [...task.runs, { run: start.run, worker: start.worker }];
+    step.waiting.delete(task.position);
+    worker.runs.set(formatRunKey(start), { job, occurrence, step, task, run: start.run });
+    job.runsInProgress += 1;
+    if (job.phase === "queued") {
+        job.phase = "running";
+    }
+    return true;
+}
+
+/** Records starts before they are sent. A start that no longer applies is refused by its position. */
+export function startRuns(model: JobModel, command: CommandOf<"startRuns">): JobResult {
+    const refused: number[] = [];
+    command.starts.forEach((start, position) => {
+        if (!startRun(model, start)) {
+            refused.push(position);
+        }
+    });
+    return { kind: "started", refused };
+}
+
+function completeTask(model: JobModel, { job, occurrence, step, task }: WorkerRun): void {
+    if (task.isDone || step.spec.longRunning) {
+        return;
+    }
+    task.isDone = true;
+    step.waiting.delete(task.position);
+    step.tasksLeft -= 1;
+    if (step.tasksLeft > 0) {
+        return;
+    }
+    occurrence.stepsLeft -= 1;
+    if (occurrence.stepsLeft === 0) {
+        job.occurrences.delete(occurrence.number);
+    }
+    if (job.occurrences.size === 0 && !isJobEnded(job)) {
+        job.phase = "completed";
+        job.endedAtMs = model.clockMs;
+    }
+}
+
+/** One end of a gang's member as succeeded stands for all members. */
+function completeStep(model: JobModel, run: WorkerRun): void {
+    if (!run.step.spec.gang) {
+        completeTask(model, run);
+        return;
+    }
+    for (const task of run.step.tasks) {
+        completeTask(model, { ...run, task });
+    }
+}
+
+/** Failed runs that count against the limit of a task; the members of a gang fail together. */
+export function countFailures(step: JobStep, task: JobTask): number {
+    return step.spec.gang ? step.gangFailures : task.failures;
+}
+
+function recordFailure(model: JobModel, { job, step, task, run }: WorkerRun): void {
+    task.failures += 1;
+    if (step.spec.gang && run > step.lastFailedGangRun) {
+        step.lastFailedGangRun = run;
+        step.gangFailures += 1;
+    }
+    if (!step.spec.longRunning && !isJobEnded(job) && countFailures(step, task) >= job.queue.maxAttempts) {
+        job.phase = "failed";
+        job.endedAtMs = model.clockMs;
+    }
+}
+
+/** Applies the end of a run that is in progress. */
+function settleRun(model: JobModel, run: WorkerRun, end: RunEnd): void {
+    const { job, step, task } = run;
+    task.runs = task.runs.filter(placed => placed.run !== run.run);
+    job.runsInProgress -= 1;
+    if (end.checkpoint !== "") {
+        task.checkpoint = end.checkpoint;
+    }
+    switch (end.outcome) {
+        case "succeeded":
+            completeStep(model, run);
+            break;
+        case "failed":
+            recordFailure(model, run);
+            break;
+        case "stopped":
+        case "lapsed":
+        case "gangBroken":
+        case "gangIncomplete":
+        case "neverStarted":
+            break;
+    }
+    if (!task.isDone && task.runs.length === 0) {
+        step.waiting.add(task.position);
+    }
+    closeIfOver(model, job);
+}
+
+function removeRun(worker: WorkerState, key: string, run: WorkerRun): void {
+    worker.runs.delete(key);
+    worker.used = subtractResources(worker.used, computeReservation(run.step.spec));
+}
+
+/** Applies the end of a run on a worker; an end of a run that is not in progress there changes nothing. */
+export function endRun(model: JobModel, workerId: string, end: RunEnd): void {
+    const worker = model.workers.get(workerId);
+    const key = formatRunKey(end);
+    const run = worker?.runs.get(key);
+    if (worker === undefined || run === undefined) {
+        return;
+    }
+    removeRun(worker, key, run);
+    settleRun(model, run, end);
+}
+
+/** Ends all runs of a worker whose lease has ended, with the last progress that was reported. */
+export function expireRuns(model: JobModel, command: CommandOf<"expireWorker">): void {
+    for (const end of command.checkpoints) {
+        endRun(model, command.worker, end);
+    }
+    const worker = model.workers.get(command.worker);
+    if (worker === undefined) {
+        return;
+    }
+    for (const [key, run] of [...worker.runs]) {
+        removeRun(worker, key, run);
+        settleRun(model, run, {
+            job: run.job.id,
+            occurrence: run.occurrence.number,
+            step: run.step.position,
+            position: run.task.position,
+            run: run.run,
+            outcome: "lapsed",
+            checkpoint: "",
+        });
+    }
+}
--- /dev/null
+++ b/packages/job-state/src/snapshot.ts
@@ -0,0 +1,222 @@
+import {
+    addResources,
+    type JobDefinition,
+    type JobPhase,
+    noResources,
+    type QueueConfiguration,
+    type QueueSettings,
+    type UpkeepWave,
+    type WorkerInfo,
+} from "@chestnutspool/types";
+import { Packr } from "msgpackr";
+import {
+    computeReservation,
+    createJob,
+    type JobModel,
+    type JobOccurrence,
+    type JobRecord,
+    type JobStep,
+    type JobTask,
+} from "./model.js";
+import { formatRunKey } from "./run-keys.js";
+
+const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: false });
+
+/** Position, last run, failures, checkpoint and runs of a task that differs from a new one. */
+type SavedTask = readonly [number, number, number, string, readonly (readonly [number, string])[]];
+
+interface SavedStep {
+    /** Positions of the tasks that are done. */
+    readonly done: readonly number[];
+    readonly tasks: readonly SavedTask[];
+    readonly gangFailures: number;
+    readonly lastFailedGangRun: number;
+}
+
+interface SavedOccurrence {
+    readonly number: number;
+    readonly steps: readonly SavedStep[];
+}
+
+interface SavedJob {
+    readonly id: string;
+    readonly queue: QueueSettings;
+    readonly phase: JobPhase;
+    readonly acceptedAtMs: number;
+    readonly endedAtMs: number | undefined;
+    /** Undefined once the job is over; its steps are then not needed. */
+    readonly definition: JobDefinition | undefined;
+    readonly occurrences: readonly SavedOccurrence[];
+}
+
+interface SavedModel {
+    readonly clockMs: number;
+    readonly configuration: QueueConfiguration | undefined;
+    readonly jobs: readonly SavedJob[];
+    readonly workers: readonly { readonly info: WorkerInfo; readonly isDraining: boolean; }[];
+    readonly waves: readonly {
+        readonly wave: UpkeepWave;
+        readonly requestedAtMs: number;
+        readonly begun: readonly string[];
+    }[];
+    readonly services: readonly (readonly [string, readonly string[]])[];
+}
+
+function isChanged(task: JobTask): boolean {
+    return task.lastRun > 0 || task.failures > 0 || task.checkpoint !== "";
+}
+
+function saveTask(task: JobTask): SavedTask {
+    const runs = task.runs.map(({ run, worker }) => [run, worker] as const);
+    return [task.position, task.lastRun, task.failures, task.checkpoint, runs];
+}
+
+function saveStep(step: JobStep): SavedStep {
+    return {
+        done: step.tasks.filter(task => task.isDone).map(task => task.position),
+        tasks: step.tasks.filter(isChanged).map(saveTask),
+        gangFailures: step.gangFailures,
+        lastFailedGangRun: step.lastFailedGangRun,
+    };
+}
+
+function saveJob(job: JobRecord, isOpen: boolean): SavedJob {
+    return {
+        id: job.id,
+        queue: job.queue,
+        phase: job.phase,
+        acceptedAtMs: job.acceptedAtMs,
+        endedAtMs: job.endedAtMs,
+        definition: isOpen ? job.definition : undefined,
+        occurrences: isOpen
+            ? [...job.occurrences.values()].map(({ number, steps }) => ({ number, steps: steps.map(saveStep) }))
+            : [],
+    };
+}
+
+/** Encodes the state as MessagePack. */
+export function encodeSnapshot(model: JobModel): Uint8Array {
+    const saved: SavedModel = {
+        clockMs: model.clockMs,
+        configuration: model.configuration,
+        jobs: [...model.jobs.values()].map(job => saveJob(job, model.openJobs.has(job.id))),
+        workers: [...model.workers.values()].map(({ info, isDraining }) => ({ info, isDraining })),
+        waves: [...model.waves.values()].map(({ wave, requestedAtMs, begun }) => ({
+            wave,
+            requestedAtMs,
+            begun: [...begun],
+        })),
+        services: [...model.servicesByQueue].map(([queue, services]) => [queue, [...services]]),
+    };
+    return packr.pack(saved);
+}
+
+function restoreTask(
+    model: JobModel,
+    owner: { readonly job: JobRecord; readonly occurrence: JobOccurrence; readonly step: JobStep; },
+    [position, lastRun, failures, checkpoint, runs]: SavedTask,
+): void {
+    const task = owner.step.tasks[position];
+    if (task === undefined) {
+        return;
+    }
+    Object.assign(task, { lastRun, failures, checkpoint });
+    task.runs = runs.map(([run, worker]) => ({ run, worker }));
+    for (const { run, worker } of task.runs) {
+        owner.step.waiting.delete(position);
+        owner.job.runsInProgress += 1;
+        const key = formatRunKey({
+            job: owner.job.id,
+            occurrence: owner.occurrence.number,
+            step: owner.step.position,
+            position,
+            run,
+        });
+        const state = model.workers.get(worker);
+        if (state !== undefined) {
+            state.runs.set(key, { ...owner, task, run });
+            state.used = addResources(state.used, computeReservation(owner.step.spec));
+        }
+    }
+}
+
+function restoreStep(
+    model: JobModel,
+    job: JobRecord,
+    occurrence: JobOccurrence,
+    step: JobStep,
+    saved: SavedStep,
+): void {
+    step.gangFailures = saved.gangFailures;
+    step.lastFailedGangRun = saved.lastFailedGangRun;
+    for (const position of saved.done) {
+        const task = step.tasks[position];
+        if (task !== undefined) {
+            task.isDone = true;
+            step.waiting.delete(position);
+        }
+    }
+    step.tasksLeft = step.tasks.length - saved.done.length;
+    saved.tasks.forEach(task => restoreTask(model, { job, occurrence, step }, task));
+}
+
+function restoreJob(model: JobModel, saved: SavedJob): void {
+    const { id, queue, acceptedAtMs } = saved;
+    const ended: JobDefinition = { id, payload: "", steps: [], occurrences: 0, firstAtMs: undefined, intervalMs: 0 };
+    const job = createJob(saved.definition ?? ended, queue, acceptedAtMs);
+    job.phase = saved.phase;
+    job.endedAtMs = saved.endedAtMs;
+    const savedByNumber = new Map(saved.occurrences.map(occurrence => [occurrence.number, occurrence]));
+    for (const occurrence of [...job.occurrences.values()]) {
+        const found = savedByNumber.get(occurrence.number);
+        if (found === undefined) {
+            job.occurrences.delete(occurrence.number);
+            continue;
+        }
+        occurrence.steps.forEach((step, position) => {
+            const savedStep = found.steps[position];
+            if (savedStep !== undefined) {
+                restoreStep(model, job, occurrence, step, savedStep);
+            }
+        });
+        occurrence.stepsLeft = occurrence.steps.filter(step => step.tasksLeft > 0).length;
+    }
+    model.jobs.set(id, job);
+    if (saved.definition !== undefined) {
+        model.openJobs.set(id, job);
+    }
+    else {
+        model.closedJobs.add(id);
+    }
+}
+
+/** Replaces the state by an encoded one. */
+export function restoreSnapshot(model: JobModel, bytes: Uint8Array): void {
+    const saved = packr.unpack(bytes) as SavedModel;
+    for (
+        const collection of [
+            model.jobs,
+            model.openJobs,
+            model.closedJobs,
+            model.workers,
+            model.waves,
+            model.servicesByQueue,
+        ]
+    ) {
+        collection.clear();
+    }
+    model.clockMs = saved.clockMs;
+    model.configuration = saved.configuration ?? undefined;
+    for (const { info, isDraining } of saved.workers) {
+        model.workers.set(info.id, { info, isDraining, used: noResources, runs: new Map() });
+    }
+    [...saved.jobs]
+        .sort((left, right) => (left.endedAtMs ?? Infinity) - (right.endedAtMs ?? Infinity))
+        .forEach(job => restoreJob(model, job));
+    for (const { wave, requestedAtMs, begun } of saved.waves) {
+        model.waves.set(wave.wave, { wave, requestedAtMs, begun: new Set(begun) });
+    }
+    for (const [queue, services] of saved.services) {
+        model.servicesByQueue.set(queue, new Set(services));
+    }
+}
--- /dev/null
+++ b/packages/join-cluster/src/locate-leader.ts
@@ -0,0 +1,66 @@
+import type { Channel, ControlAddress, DirectoryReply, DirectoryRequest, PeerLink } from "@chestnutspool/types";
+import { Effect, Option } from "effect";
+
+/** Time allowed for one question about the leader, in milliseconds; several round trips between availability zones. */
+const askLimitMs = 300;
+
+/** What a process knows of the control processes. */
+export interface ControlView {
+    /** The leader as far as known; undefined while it is not. */
+    leader: ControlAddress | undefined;
+    /** Control processes that may know the leader, by id. */
+    readonly candidates: Map<string, ControlAddress>;
+}
+
+/** Creates a view that knows the seeds only. */
+export function createControlView(seeds: readonly ControlAddress[]): ControlView {
+    return { leader: undefined, candidates: new Map(seeds.map(seed => [seed.id, seed])) };
+}
+
+/** Takes what another process knows. Known candidates stay, because the answer may come from a process that is behind. */
+export function recordReply(view: ControlView, link: PeerLink, reply: DirectoryReply): void {
+    for (const member of reply.members) {
+        view.candidates.set(member.id, member);
+    }
+    if (reply.leader !== undefined) {
+        view.leader = reply.leader;
+        view.candidates.set(reply.leader.id, reply.leader);
+        link.setPeer(reply.leader.id, reply.leader.address);
+    }
+}
+
+/**
+ * Asks all candidates at once who leads and takes the first answer that names a leader; undefined when none does. A leader
+ * that names itself settles the question, because another process may not know yet that the leader changed.
+ */
+export const locateLeader = Effect.fnUntraced(function*(
+    view: ControlView,
+    link: PeerLink,
+    channel: Channel<DirectoryRequest, DirectoryReply>,
+) {
+    const others = [...view.candidates.values()].filter(candidate => candidate.id !== link.self);
+    for (const { id, address } of others) {
+        link.setPeer(id, address);
+    }
+    const replies = yield* Effect.forEach(
+        others,
+        candidate =>
+            Effect.map(Effect.option(channel.callPeer(candidate.id, { kind: "locate" }, askLimitMs)), reply => ({
+                from: candidate.id,
+                reply: Option.getOrUndefined(reply),
+            })),
+        { concurrency: "unbounded" },
+    );
+    const answered = replies.filter(({ reply }) => reply?.leader !== undefined);
+    const own = answered.find(({ from, reply }) => reply?.leader?.id === from);
+    const chosen = (own ?? answered[0])?.reply;
+    for (const { reply } of replies) {
+        if (reply !== undefined) {
+            recordReply(view, link, { leader: undefined, members: reply.members });
+        }
+    }
+    if (chosen !== undefined) {
+        recordReply(view, link, chosen);
+    }
+    return chosen?.leader;
+});
--- /dev/null
+++ b/packages/join-cluster/src/serve-directory.ts
@@ -0,0 +1,146 @@
+import { describeError } from "@chestnutspool/errors";
+import type { Logger } from "@chestnutspool/logger";
+import {
+    type Channel,
+    type ControlAddress,
+    type DirectoryReply,
+    type DirectoryRequest,
+    type ErrorData,
+    type PeerLink,
+    readMonotonicMs,
+    type ReplicaStatus,
+    type ReplicatedLog,
+} from "@chestnutspool/types";
+import { Effect, Queue } from "effect";
+import { type ControlView, createControlView, locateLeader, recordReply } from "./locate-leader.js";
+import { type JoinRequest, planNextChange } from "./plan-members.js";
+
+/** Pause between two attempts to join, in milliseconds. */
+const joinPauseMs = 400;
+/** Time allowed for a join request; the leader answers before the member list has changed. */
+const joinLimitMs = 500;
+/** Changes that one join may take: removal of an old identity and of a silent member, addition, promotion. */
+const changesPerJoin = 4;
+
+/** What the directory of a control process is built from. */
+export interface DirectoryParts<Command, Result> {
+    readonly link: PeerLink;
+    readonly log: ReplicatedLog<Command, Result>;
+    readonly seeds: readonly ControlAddress[];
+    readonly logger: Logger;
+}
+
+/** Tells who leads, and makes a control process a member of the log. */
+export interface Directory {
+    /** The leader as this process knows it. */
+    readonly findLeader: () => ControlAddress | undefined;
+    readonly listMembers: () => readonly ControlAddress[];
+}
+
+function findLeader(status: ReplicaStatus): ControlAddress | undefined {
+    const member = status.members.find(({ id }) => id === status.leader);
+    return member === undefined ? undefined : { id: member.id, address: member.address };
+}
+
+function listMembers(status: ReplicaStatus): readonly ControlAddress[] {
+    // Without a member list the status names this process alone, which is no member yet.
+    return status.role === "learner" && status.lastIndex === 0
+        ? []
+        : status.members.map(({ id, address }) => ({ id, address }));
+}
+
+/** Carries out the changes for one process that asks to join. */
+const admitMember = Effect.fnUntraced(function*<Command, Result>(
+    parts: DirectoryParts<Command, Result>,
+    request: JoinRequest,
+) {
+    const { log, logger } = parts;
+    for (let step = 0; step < changesPerJoin; step += 1) {
+        const status = log.readStatus();
+        const nowMs = yield* readMonotonicMs;
+        const change = planNextChange(status.members, request, member => log.readSilenceMs(member, nowMs));
+        if (status.role !== "leader" || change === undefined) {
+            return;
+        }
+        yield* log.changeMembers(change);
+        logger.info("member list changed", { change: change.kind, member: change.id, for: request.member.id });
+    }
+});
+
+/** Admits one process after the other; a request of a process that waits already is dropped. */
+const runAdmissions = <Command, Result>(
+    parts: DirectoryParts<Command, Result>,
+    requests: Queue.Dequeue<JoinRequest>,
+    waiting: Set<string>,
+) => Effect.forever(Effect.gen(function*() {
+    const request = yield* Queue.take(requests);
+    yield* admitMember(parts, request).pipe(
+        Effect.catch((error: ErrorData) =>
+            Effect.sync(() =>
+                parts.logger.warn("member was not admitted", {
+                    member: request.member.id,
+                    detail: describeError(error),
+                })
+            )
+        ),
+    );
+    waiting.delete(request.member.id);
+}));
+
+/** Asks the leader to be admitted until this process is a voting member under its present identity. */
+const keepJoining = Effect.fnUntraced(function*<Command, Result>(
+    parts: DirectoryParts<Command, Result>,
+    view: ControlView,
+    channel: Channel<DirectoryRequest, DirectoryReply>,
+) {
+    const { link, log, logger } = parts;
+    while (true) {
+        const status = log.readStatus();
+        if (status.role === "learner") {
+            recordReply(view, link, { leader: undefined, members: listMembers(status) });
+            const leader = yield* locateLeader(view, link, channel);
+            if (leader !== undefined && leader.id !== link.self) {
+                const member = { id: link.self, address: link.address };
+                const call = channel.callPeer(
+                    leader.id,
+                    { kind: "join", member, replicaIdentity: status.identity },
+                    joinLimitMs,
+                );
+                yield* Effect.catch(
+                    call,
+                    (error: ErrorData) =>
+                        Effect.sync(() => logger.debug("join request failed", { detail: describeError(error) })),
+                );
+            }
+        }
+        yield* Effect.sleep(joinPauseMs);
+    }
+});
+
+/** Serves the directory of a control process and joins the log when this process is not a member. */
+export const serveDirectory = Effect.fnUntraced(function*<Command, Result>(parts: DirectoryParts<Command, Result>) {
+    const { link, log, seeds } = parts;
+    const requests = yield* Queue.unbounded<JoinRequest>();
+    const waiting = new Set<string>();
+    const readReply = (): DirectoryReply => ({
+        leader: findLeader(log.readStatus()),
+        members: listMembers(log.readStatus()),
+    });
+    const channel = link.openChannel<DirectoryRequest, DirectoryReply>("directory", {
+        handleCall: (from, request) =>
+            Effect.sync(() => {
+                if (request.kind === "join" && log.readStatus().role === "leader" && !waiting.has(request.member.id)) {
+                    waiting.add(request.member.id);
+                    Queue.offerUnsafe(requests, { member: request.member, replicaIdentity: request.replicaIdentity });
+                }
+                return readReply();
+            }),
+    });
+    yield* Effect.forkScoped(runAdmissions(parts, requests, waiting));
+    yield* Effect.forkScoped(keepJoining(parts, createControlView(seeds), channel));
+    const directory: Directory = {
+        findLeader: () => findLeader(log.readStatus()),
+        listMembers: () => listMembers(log.readStatus()),
+    };
+    return directory;
+});
--- /dev/null
+++ b/packages/lead-jobs/src/check-job.ts
@@ -0,0 +1,56 @@
+import { computeReservation, type JobModel } from "@chestnutspool/job-state";
+import {
+    findShortage,
+    type JobDefinition,
+    type JobReply,
+    type QueueSettings,
+    type StepSpec,
+} from "@chestnutspool/types";
+
+/** Tasks of one job over all steps and occurrences at most; far above the widest job of the deployments. */
+const taskLimit = 20_000;
+
+function findFault(spec: JobDefinition): string | undefined {
+    if (spec.steps.length === 0) {
+        return "a job needs a step";
+    }
+    let tasks = 0;
+    for (const [position, step] of spec.steps.entries()) {
+        tasks += step.count * spec.occurrences;
+        if (step.count < 1) {
+            return `step ${position} has ${step.count} tasks; it needs one at least`;
+        }
+        if (step.dependsOn.some(earlier => earlier < 0 || earlier >= position)) {
+            return `step ${position} depends on a step that does not come before it`;
+        }
+    }
+    return tasks > taskLimit ? `the job has ${tasks} tasks; allowed are ${taskLimit}` : undefined;
+}
+
+/** Whether some worker of the service could run a task of the step if it were empty. */
+function canEverRun(state: JobModel, spec: StepSpec, service: string): boolean {
+    let hasWorkers = false;
+    for (const { info } of state.workers.values()) {
+        if (info.service !== service) {
+            continue;
+        }
+        hasWorkers = true;
+        const hasLabel = spec.requiredLabel === undefined || info.labels.includes(spec.requiredLabel);
+        if (hasLabel && findShortage(computeReservation(spec), info.capacity) === undefined) {
+            return true;
+        }
+    }
+    return !hasWorkers;
+}
+
+/** Why a new job is not accepted; undefined when it is. */
+export function checkJob(state: JobModel, spec: JobDefinition, queue: QueueSettings): JobReply | undefined {
+    const fault = findFault(spec);
+    if (fault !== undefined) {
+        return { kind: "invalid", detail: fault };
+    }
+    if (!spec.steps.every(step => canEverRun(state, step, queue.service))) {
+        return { kind: "rejected", reason: "impossible", retryAfterMs: undefined };
+    }
+    return undefined;
+}
--- /dev/null
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -0,0 +1,172 @@
+import { findQueue, formatQueueKey, type JobRecord } from "@chestnutspool/job-state";
+import type { ErrorData, JobReply, JobRequest, JobResult } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { checkConfiguration } from "./check-configuration.js";
+import { checkJob } from "./check-job.js";
+import { recordHeartbeat, removeWorker } from "./record-heartbeat.js";
+import { propose, type Term, wakePlanner } from "./term.js";
+
+type RequestOf<Kind extends JobRequest["kind"]> = Extract<JobRequest, { readonly kind: Kind; }>;
+
+/** The job that a caller names through one of the queues; undefined when that queue has none of this id. */
+function findJob(term: Term, request: RequestOf<"readJob"> | RequestOf<"cancelJob">): JobRecord | undefined {
+    const job = term.machine.state.jobs.get(request.job);
+    const queue = findQueue(term.machine.state.configuration, request.hostName, request.path);
+    return job !== undefined && queue !== undefined && formatQueueKey(job.queue) === formatQueueKey(queue)
+        ? job
+        : undefined;
+}
+
+function hasQueue(term: Term, request: { readonly hostName: string; readonly path: string; }): boolean {
+    return findQueue(term.machine.state.configuration, request.hostName, request.path) !== undefined;
+}
+
+function convertResult(result: JobResult): JobReply {
+    switch (result.kind) {
+        case "accepted":
+            return { kind: "accepted" };
+        case "noQueue":
+        case "noJob":
+            return { kind: result.kind };
+        case "done":
+        case "started":
+            return { kind: "done" };
+        case "configuration":
+            return { kind: "configuration", version: result.version, document: undefined };
+    }
+}
+
+const submitJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"submitJob">) {
+    const { spec, hostName, path } = request;
+    const { state } = term.machine;
+    if (!state.jobs.has(spec.id)) {
+        const queue = findQueue(state.configuration, hostName, path);
+        if (queue === undefined) {
+            return { kind: "noQueue" } satisfies JobReply;
+        }
+        const refusal = checkJob(state, spec, queue);
+        if (refusal !== undefined) {
+            term.logger.info("job refused", { job: spec.id, queue: queue.name, refusal: refusal.kind });
+            return refusal;
+        }
+    }
+    const result = yield* propose(term, { kind: "submitJob", spec, hostName, path });
+    if (result.kind === "accepted" && !result.isRepeat) {
+        term.logger.info("job accepted", { job: spec.id, steps: spec.steps.length });
+    }
+    wakePlanner(term);
+    return convertResult(result);
+});
+
+const cancelJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"cancelJob">) {
+    if (findJob(term, request) === undefined) {
+        return hasQueue(term, request) ? { kind: "noJob" } as const : { kind: "noQueue" } as const;
+    }
+    const result = yield* propose(term, { kind: "cancelJob", job: request.job });
+    term.logger.info("job cancelled", { job: request.job });
+    wakePlanner(term);
+    return convertResult(result);
+});
+
+function readJob(term: Term, request: RequestOf<"readJob">): JobReply {
+    const job = findJob(term, request);
+    if (job !== undefined) {
+        return { kind: "phase", phase: job.phase };
+    }
+    return hasQueue(term, request) ? { kind: "noJob" } : { kind: "noQueue" };
+}
+
+function countPending(term: Term, request: RequestOf<"countPending">): JobReply {
+    const queue = findQueue(term.machine.state.configuration, request.hostName, request.path);
+    if (queue === undefined) {
+        return { kind: "noQueue" };
+    }
+    const key = formatQueueKey(queue);
+    let count = 0;
+    for (const job of term.machine.state.openJobs.values()) {
+        count += job.phase === "queued" && formatQueueKey(job.queue) === key ? 1 : 0;
+    }
+    return { kind: "pending", count };
+}
+
+const setConfiguration = Effect.fnUntraced(function*(term: Term, request: RequestOf<"setConfiguration">) {
+    const { configuration } = request;
+    const present = term.machine.state.configuration?.version;
+    if (present !== undefined && configuration.version <= present) {
+        // Known by a majority only once this leader is confirmed, so the answer waits for that.
+        yield* term.log.confirmRead;
+        return { kind: "configuration", version: present, document: undefined } satisfies JobReply;
+    }
+    const fault = checkConfiguration(configuration);
+    if (fault !== undefined) {
+        term.logger.warn("configuration refused", { version: configuration.version, fault });
+        return { kind: "invalid", detail: fault } satisfies JobReply;
+    }
+    const result = yield* propose(term, { kind: "setConfiguration", configuration });
+    term.logger.info("configuration in force", {
+        version: result.kind === "configuration" ? result.version : 0,
+        sent: configuration.version,
+        queues: configuration.queues.length,
+    });
+    wakePlanner(term);
+    return convertResult(result);
+});
+
+const readConfiguration = Effect.fnUntraced(function*(term: Term) {
+    yield* term.log.confirmRead;
+    const { configuration } = term.machine.state;
+    return {
+        kind: "configuration",
+        version: configuration?.version ?? 0,
+        document: configuration?.document,
+    } satisfies JobReply;
+});
+
+function handleAny(term: Term, request: JobRequest): Effect.Effect<JobReply, ErrorData> {
+    switch (request.kind) {
+        case "submitJob":
+            return submitJob(term, request);
+        case "cancelJob":
+            return cancelJob(term, request);
+        case "readJob":
+            return Effect.sync(() => readJob(term, request));
+        case "countPending":
+            return Effect.sync(() => countPending(term, request));
+        case "setConfiguration":
+            return setConfiguration(term, request);
+        case "readConfiguration":
+            return readConfiguration(term);
+        case "recordHeartbeat":
+            return recordHeartbeat(term, request.heartbeat);
+        case "removeWorker":
+            return removeWorker(term, request.worker);
+        case "startWave":
+            return Effect.map(propose(term, { kind: "startWave", wave: request.wave }), convertResult);
+        case "readWave":
+            return Effect.sync(() => readWave(term, request));
+    }
+}
+
+function readWave(term: Term, request: RequestOf<"readWave">): JobReply {
+    const wave = term.machine.state.waves.get(request.wave);
+    if (wave === undefined) {
+        return { kind: "noWave" };
+    }
+    return { kind: "wave", isComplete: wave.wave.hosts.every(host => wave.begun.has(host)) };
+}
+
+function convertError(term: Term, error: ErrorData): JobReply {
+    if (error.kind === "notLeader") {
+        return { kind: "notLeader", leader: undefined };
+    }
+    term.logger.warn("request has no certain outcome", { error: error.kind });
+    return { kind: "outcomeUnknown" };
+}
+
+/** Answers a request in an open term. A request whose command may have been appended has the reply `outcomeUnknown`. */
+export function handleInTerm(term: Term, request: JobRequest): Effect.Effect<JobReply> {
+    return Effect.catch(
+        handleAny(term, request),
+        (error: ErrorData) => Effect.sync(() => convertError(term, error)),
+    );
+}
--- /dev/null
+++ b/packages/lead-jobs/src/record-heartbeat.ts
@@ -0,0 +1,65 @@
+import { recordClock } from "@chestnutspool/track-workers";
+import {
+    type JobReply,
+    readMonotonicMs,
+    type WorkerHeartbeat,
+    type WorkerId,
+    type WorkerInfo,
+} from "@chestnutspool/types";
+import { Effect, FiberMap } from "effect";
+import { propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
+import { createSession, runSession } from "./worker-session.js";
+
+/** Starts to look after a worker. */
+export const openSession = Effect.fnUntraced(function*(term: Term, info: WorkerInfo) {
+    const nowMs = yield* readMonotonicMs;
+    const session = createSession(term, info, nowMs);
+    term.sessions.set(info.id, session);
+    yield* FiberMap.run(term.sessionLoops, info.id, runSession(term, session));
+    return session;
+});
+
+const recordDraining = Effect.fnUntraced(function*(term: Term, session: WorkerSession, heartbeat: WorkerHeartbeat) {
+    const state = term.machine.state.workers.get(session.info.id);
+    if (!heartbeat.draining || state?.isDraining === true) {
+        return;
+    }
+    if (state === undefined) {
+        yield* propose(term, { kind: "registerWorker", worker: session.info });
+    }
+    // Recorded before it is acknowledged, so that the next leader starts nothing there either.
+    yield* propose(term, { kind: "drainWorker", worker: session.info.id });
+    term.logger.info("worker drains", { worker: session.info.id, remainingMs: heartbeat.remainingMs });
+    wakePlanner(term);
+});
+
+/** Takes a heartbeat of a worker; a late one of an earlier time is acknowledged and changes nothing. */
+export const recordHeartbeat = Effect.fnUntraced(function*(term: Term, heartbeat: WorkerHeartbeat) {
+    const nowMs = yield* readMonotonicMs;
+    const { worker, sequence, clockMs } = heartbeat;
+    const known = term.sessions.get(worker.id);
+    if (known !== undefined && sequence <= known.heartbeatSequence) {
+        return { kind: "done" } satisfies JobReply;
+    }
+    const session = known ?? (yield* openSession(term, worker));
+    if (known === undefined) {
+        term.logger.info("worker announced itself", { worker: worker.id, address: worker.address });
+    }
+    session.heartbeatSequence = sequence;
+    session.heardAtMs = nowMs;
+    if (clockMs !== undefined && session.lease !== undefined) {
+        session.lease = recordClock(session.lease, clockMs, nowMs);
+    }
+    yield* recordDraining(term, session, heartbeat);
+    return { kind: "done" } satisfies JobReply;
+});
+
+/** Takes the farewell of a worker, which ends right after it. */
+export const removeWorker = Effect.fnUntraced(function*(term: Term, worker: WorkerId) {
+    const session = term.sessions.get(worker);
+    if (session !== undefined && session.leftAtMs === undefined) {
+        session.leftAtMs = yield* readMonotonicMs;
+        term.logger.info("worker leaves", { worker });
+    }
+    return { kind: "done" } satisfies JobReply;
+});
--- /dev/null
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -0,0 +1,65 @@
+import { formatRunKey } from "@chestnutspool/job-state";
+import { listUnwantedRuns, planStarts } from "@chestnutspool/plan-jobs";
+import { createRunView } from "@chestnutspool/track-workers";
+import { type ErrorData, readMonotonicMs, readWallMs, type RunStart, type WorkerId } from "@chestnutspool/types";
+import { Effect, Queue } from "effect";
+import { requestStop, sendStart } from "./give-orders.js";
+import { canGiveOrders, logStepError, propose, type Term } from "./term.js";
+
+/** Longest pause between two passes in milliseconds, for what depends on time alone. */
+const idlePassMs = 100;
+/** Shortest pause between two passes in milliseconds, so that changes that come close together share one. */
+const passPauseMs = 5;
+
+function isUsable(term: Term, worker: WorkerId): boolean {
+    const session = term.sessions.get(worker);
+    return session !== undefined && session.isResponsive && session.isReconciled && session.lease !== undefined
+        && session.leftAtMs === undefined;
+}
+
+/** Records the starts, then gives the orders; a start that is not recorded is not ordered. */
+const carryOutStarts = Effect.fnUntraced(function*(term: Term, starts: readonly RunStart[]) {
+    if (starts.length === 0) {
+        return;
+    }
+    const result = yield* propose(term, { kind: "startRuns", starts });
+    const refused = new Set(result.kind === "started" ? result.refused : []);
+    const nowMs = yield* readMonotonicMs;
+    for (const [position, start] of starts.entries()) {
+        const key = formatRunKey(start);
+        const session = term.sessions.get(start.worker);
+        const run = term.machine.state.workers.get(start.worker)?.runs.get(key);
+        if (refused.has(position) || session === undefined || run === undefined) {
+            continue;
+        }
+        const { job, occurrence, step, position: taskPosition, run: number } = start;
+        const view = createRunView({ job, occurrence, step, position: taskPosition, run: number }, "ordered", nowMs);
+        session.views.set(key, view);
+        yield* Effect.forkIn(sendStart(term, session, run, view, undefined), term.scope);
+    }
+});
+
+const stopUnwanted = Effect.fnUntraced(function*(term: Term) {
+    const nowMs = yield* readMonotonicMs;
+    for (const session of term.sessions.values()) {
+        const state = term.machine.state.workers.get(session.info.id);
+        for (const key of state === undefined ? [] : listUnwantedRuns(state)) {
+            yield* requestStop(term, session, key, "it is not needed any more", nowMs);
+        }
+    }
+});
+
+const runPass = Effect.fnUntraced(function*(term: Term) {
+    yield* stopUnwanted(term);
+    const nowMs = yield* readWallMs;
+    yield* carryOutStarts(term, planStarts(term.machine.state, worker => isUsable(term, worker), nowMs));
+});
+
+/** The fiber of the planner: a pass after each change and at least at an interval. */
+export const runPlanner = Effect.fnUntraced(function*(term: Term) {
+    while (canGiveOrders(term, yield* readMonotonicMs)) {
+        yield* Effect.catch(runPass(term), (error: ErrorData) => logStepError(term.logger, "plan", error));
+        yield* Effect.timeoutOption(Queue.take(term.planWake), idlePassMs);
+        yield* Effect.sleep(passPauseMs);
+    }
+});
--- /dev/null
+++ b/packages/plan-jobs/src/index.ts
@@ -0,0 +1,2 @@
+export { planStarts } from "./plan-starts.js";
+export { listUnwantedRuns } from "./plan-stops.js";
--- a/packages/replicated-log/src/memory-log.ts
+++ b/packages/replicated-log/src/memory-log.ts
@@ -9,6 +9,7 @@
     let index = 0;
     const readStatus = (): ReplicaStatus => ({
         self,
+        identity: self,
         role: "leader",
         term: 1,
         leader: self,
@@ -26,6 +27,8 @@
             }),
         confirmRead: Effect.void,
         readStatus,
+        isLeading: () => true,
+        readSilenceMs: () => 0,
         watchStatus: listener => {
             listener(readStatus());
             return () => undefined;
--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -24,6 +24,7 @@
 import { encodeValue } from "./record.js";
 import {
     awaitHardState,
+    checkLeadership,
     completeReads,
     listMembers,
     readStatus,
@@ -238,6 +239,11 @@
         proposeCommand: command => Effect.map(proposeCommand(replica, command), result => result as Result),
         confirmRead: confirmRead(replica),
         readStatus: () => readStatus(replica),
+        isLeading: nowMs => checkLeadership(replica, nowMs),
+        readSilenceMs: (member, nowMs) => {
+            const contactMs = replica.role === "leader" ? replica.peers.get(member)?.contactMs : undefined;
+            return contactMs === undefined ? 0 : nowMs - contactMs;
+        },
         watchStatus: listener => {
             replica.listeners.add(listener);
             listener(readStatus(replica));
--- a/packages/replicated-log/src/replica.ts
+++ b/packages/replicated-log/src/replica.ts
@@ -131,6 +131,7 @@
     const own: LogMember = { id: self, address: replica.link.address, replicaIdentity: identity, votes: false };
     return {
         self,
+        identity,
         role: mapRole(replica),
         term: replica.term,
         leader: replica.leader,
--- /dev/null
+++ b/packages/run-job-process/src/create-job-process.ts
@@ -0,0 +1,140 @@
+import { createForwarder, type Forwarder } from "@chestnutspool/forward-jobs";
+import { createJobMachine, type JobMachine } from "@chestnutspool/job-state";
+import { createControlView, type Directory, serveDirectory } from "@chestnutspool/join-cluster";
+import { createKernel, defineService, type Kernel } from "@chestnutspool/kernel";
+import { type Leadership, startLeadership } from "@chestnutspool/lead-jobs";
+import type { Logger } from "@chestnutspool/logger";
+import { openWebSocketLink } from "@chestnutspool/peer-link";
+import type { Metrics } from "@chestnutspool/record-metrics";
+import { openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
+import type {
+    JobCommand,
+    JobReply,
+    JobRequest,
+    JobResult,
+    PeerLink,
+    ReplicatedLog,
+    WorkerPort,
+} from "@chestnutspool/types";
+import { Effect } from "effect";
+import { type ControlSettings, type JobProcessSettings, logTiming } from "./process-settings.js";
+
+/** Time allowed for handing over leadership at the end of a process, in milliseconds. */
+const transferLimitMs = 2_000;
+
+/** What a process uses to speak with the outside. */
+export interface JobProcessPorts {
+    readonly workers: WorkerPort;
+    readonly logger: Logger;
+    readonly metrics: Metrics;
+}
+
+const linkKey = defineService<PeerLink>("link");
+const machineKey = defineService<JobMachine>("jobMachine");
+const logKey = defineService<ReplicatedLog<JobCommand, JobResult>>("jobLog");
+const leadershipKey = defineService<Leadership>("leadership");
+const directoryKey = defineService<Directory>("directory");
+/** The service that brings requests to the leader. */
+export const forwarderKey = defineService<Forwarder>("forwarder");
+
+/** Hands leadership over, so that no request has to wait for an election. */
+const transferLeadership = (log: ReplicatedLog<JobCommand, JobResult>): Effect.Effect<void> =>
+    log.readStatus().role === "leader"
+        ? Effect.ignore(Effect.timeoutOption(log.transferLeadership, transferLimitMs))
+        : Effect.void;
+
+function registerControl(
+    kernel: Kernel,
+    settings: JobProcessSettings,
+    control: ControlSettings,
+    ports: JobProcessPorts,
+): void {
+    const { logger, metrics, workers } = ports;
+    kernel.registerService({
+        key: machineKey,
+        needs: [],
+        start: Effect.sync(createJobMachine),
+    });
+    kernel.registerService({
+        key: logKey,
+        needs: [linkKey, machineKey],
+        start: Effect.gen(function*() {
+            const disk = yield* openFileDisk(control.dataFolder);
+            const options = {
+                self: settings.id,
+                initialMembers: control.formsCluster ? settings.seeds : [],
+                log: logTiming,
+            };
+            const log = logger.forService("log");
+            const link = kernel.findService(linkKey);
+            return yield* openReplicatedLog(options, { link, disk, logger: log }, kernel.findService(machineKey));
+        }),
+        drain: transferLeadership,
+    });
+    kernel.registerService({
+        key: leadershipKey,
+        needs: [logKey],
+        start: Effect.gen(function*() {
+            const leadership = yield* startLeadership({
+                log: kernel.findService(logKey),
+                machine: kernel.findService(machineKey),
+                workers,
+                limits: { longestLeaseMs: control.longestLeaseMs, stopMs: control.stopMs },
+                logger: logger.forService("leader"),
+                metrics,
+            });
+            kernel.findService(linkKey).openChannel<JobRequest, JobReply>("jobs", {
+                handleCall: (from, request) => leadership.handleRequest(request),
+            });
+            return leadership;
+        }),
+    });
+    kernel.registerService({
+        key: directoryKey,
+        needs: [logKey, linkKey],
+        start: Effect.suspend(() =>
+            serveDirectory({
+                link: kernel.findService(linkKey),
+                log: kernel.findService(logKey),
+                seeds: settings.seeds,
+                logger: logger.forService("directory"),
+            })
+        ),
+    });
+}
+
+/** Creates the kernel of a process: a control process has a replica of the log, an entry process has none. */
+export function createJobProcess(settings: JobProcessSettings, ports: JobProcessPorts): Kernel {
+    const { logger } = ports;
+    const kernel = createKernel(logger);
+    kernel.registerService({
+        key: linkKey,
+        needs: [],
+        start: openWebSocketLink(
+            { self: settings.id, listenHost: settings.peerHost, listenPort: settings.peerPort },
+            logger.forService("link"),
+        ),
+    });
+    const { control } = settings;
+    if (control !== undefined) {
+        registerControl(kernel, settings, control, ports);
+    }
+    kernel.registerService({
+        key: forwarderKey,
+        needs: control === undefined ? [linkKey] : [linkKey, leadershipKey, directoryKey],
+        start: Effect.gen(function*() {
+            const directory = control === undefined ? undefined : kernel.findService(directoryKey);
+            const leadership = control === undefined ? undefined : kernel.findService(leadershipKey);
+            const forwarder = createForwarder({
+                link: kernel.findService(linkKey),
+                view: createControlView(settings.seeds),
+                findOwnLeader: directory?.findLeader,
+                handleLocally: leadership?.handleRequest,
+                logger: logger.forService("forwarder"),
+            });
+            yield* Effect.forkScoped(forwarder.keepLocating);
+            return forwarder;
+        }),
+    });
+    return kernel;
+}
--- /dev/null
+++ b/packages/run-job-process/src/index.ts
@@ -0,0 +1,2 @@
+export { createJobProcess, forwarderKey, type JobProcessPorts } from "./create-job-process.js";
+export type { ControlSettings, JobProcessSettings } from "./process-settings.js";
--- /dev/null
+++ b/packages/track-workers/src/index.ts
@@ -0,0 +1,17 @@
+export {
+    clockRateDifference,
+    computeLeaseEnd,
+    estimateClock,
+    recordClock,
+    renewLease,
+    type WorkerLease,
+} from "./lease.js";
+export {
+    applyReport,
+    createRunView,
+    type ReportOutcome,
+    type RunView,
+    type RunViews,
+    type StartState,
+    type WorkerReport,
+} from "./run-views.js";
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./commands.js";
 export * from "./domain.js";
 export * from "./error-data.js";
+export * from "./jobs.js";
 export * from "./keys.js";
 export * from "./messages.js";
 export * from "./ports.js";
@@ -8,3 +9,4 @@
 export * from "./settings.js";
 export * from "./state.js";
 export * from "./time.js";
+export * from "./worker-port.js";
--- /dev/null
+++ b/packages/types/src/jobs.ts
@@ -0,0 +1,284 @@
+import type { Resources, WorkerId } from "./domain.js";
+
+/** Identity of a submitted job, chosen by the caller and unique among all jobs. */
+export type JobId = string;
+
+/** A step of a job: a number of equal tasks. */
+export interface StepSpec {
+    /** Number of tasks. */
+    readonly count: number;
+    /** Declared size of one task. */
+    readonly resources: Resources;
+    /** Declared run time of one task in milliseconds; often far off. */
+    readonly expectedRunMs: number;
+    /** Positions of earlier steps whose tasks must all have succeeded first. */
+    readonly dependsOn: readonly number[];
+    /** The tasks save their progress, so that a stopped one can resume. */
+    readonly checkpointing: boolean;
+    /** All tasks start together and end together. */
+    readonly gang: boolean;
+    /** The tasks are slower when they run in more than one rack. */
+    readonly prefersOneRack: boolean;
+    /** Label that a worker must have; undefined when any will do. */
+    readonly requiredLabel: string | undefined;
+    /** Rack in which the data is; the tasks are slower elsewhere. */
+    readonly rackOfData: string | undefined;
+    /** Most tasks of the step on one worker; undefined without a limit. */
+    readonly perWorkerLimit: number | undefined;
+    /** A task may run in several copies; the first one to finish counts. */
+    readonly speculative: boolean;
+    /** The tasks run until the job is cancelled and are started again whenever they end. */
+    readonly longRunning: boolean;
+    /** What the tasks run; tasks of one image behave alike. */
+    readonly image: string | undefined;
+    /** Tail of the response time that a serving task must keep, in milliseconds; undefined for other tasks. */
+    readonly tailTargetMs: number | undefined;
+    /** The tasks use processor time that others leave idle; their declared processors are not reserved. */
+    readonly usesIdleCpu: boolean;
+    /** Tasks of a long-running step that may be away at once through the scheduler's own actions; undefined: any. */
+    readonly awayLimit: number | undefined;
+}
+
+/** What a caller submits. */
+export interface JobDefinition {
+    readonly id: JobId;
+    /** Opaque text handed to each task. */
+    readonly payload: string;
+    readonly steps: readonly StepSpec[];
+    /** Number of times that the steps run; 1 for a job without a schedule. */
+    readonly occurrences: number;
+    /** Wall-clock time of the first occurrence in milliseconds since the epoch; undefined: at once. */
+    readonly firstAtMs: number | undefined;
+    /** Time between two occurrences in milliseconds. */
+    readonly intervalMs: number;
+}
+
+/** Advice that a queue requires before its steps are placed. */
+export interface AdviceTerms {
+    /** Time that one answer takes, in milliseconds, and the time for each worker asked about. */
+    readonly decisionMs: number;
+    readonly perWorkerMs: number;
+    /** How long a ticket is valid, in milliseconds. */
+    readonly validityMs: number;
+}
+
+/** A queue of jobs as the configuration sets it. */
+export interface QueueSettings {
+    readonly name: string;
+    /** Host name under which callers reach the queue. */
+    readonly hostName: string;
+    /** Path under which callers reach the queue; the longest that matches wins. */
+    readonly path: string;
+    /** Pool of workers that run the tasks. */
+    readonly service: string;
+    /** 0 comes first. */
+    readonly priority: number;
+    /** Failed runs of a task after which the job fails. */
+    readonly maxAttempts: number;
+    /** A job is on time within this factor of its longest chain of work, and `targetLatencyMs` more. */
+    readonly slackFactor: number;
+    readonly targetLatencyMs: number;
+    readonly timeoutMs: number;
+    readonly advice: AdviceTerms | undefined;
+}
+
+/** A pool of workers as the configuration sets it. */
+export interface PoolSettings {
+    readonly name: string;
+    /** Path of the workers' health check. */
+    readonly healthPath: string;
+    /** The workers refuse tasks that exceed their capacity. */
+    readonly guardsCapacity: boolean;
+    /** The hosts of the pool are switched off until they are moved to another pool. */
+    readonly isStandby: boolean;
+}
+
+/** The configuration of the queues and pools; the highest version is in force. */
+export interface QueueConfiguration {
+    readonly version: number;
+    readonly queues: readonly QueueSettings[];
+    readonly pools: readonly PoolSettings[];
+    /** Largest request of a caller in bytes. */
+    readonly bodyLimitBytes: number;
+    /** The document as it was received, compressed, so that it is read back unchanged. */
+    readonly document: Uint8Array;
+}
+
+/** What a worker says of itself. */
+export interface WorkerInfo {
+    readonly id: WorkerId;
+    /** IP number and port on which it takes orders. */
+    readonly address: string;
+    readonly service: string;
+    readonly availabilityZone: string;
+    readonly capacity: Resources;
+    /** Kind of the worker and its rack, in this order; more may follow. */
+    readonly labels: readonly string[];
+}
+
+/** One heartbeat of a worker. */
+export interface WorkerHeartbeat {
+    readonly worker: WorkerInfo;
+    readonly draining: boolean;
+    /** Least time until a draining worker leaves, in milliseconds. */
+    readonly remainingMs: number | undefined;
+    /** Raised with each heartbeat of one worker. */
+    readonly sequence: number;
+    /** Reading of the worker's own clock, in milliseconds. */
+    readonly clockMs: number | undefined;
+}
+
+/** Names one task: job, occurrence, step and position within the step. */
+export interface TaskKey {
+    readonly job: JobId;
+    readonly occurrence: number;
+    readonly step: number;
+    readonly position: number;
+}
+
+/** One run of a task. */
+export interface RunKey extends TaskKey {
+    /** Number of the start of the task; rises from 1. */
+    readonly run: number;
+}
+
+/** How a run ended at its worker. */
+export type RunOutcome =
+    /** The task succeeded. */
+    | "succeeded"
+    /** The task or its worker failed. */
+    | "failed"
+    /** It was told to stop. */
+    | "stopped"
+    /** Its lease ended, or its worker is gone. */
+    | "lapsed"
+    /** Another member of its gang ended. */
+    | "gangBroken"
+    /** It waited too long for the other members of its gang. */
+    | "gangIncomplete"
+    /** It certainly never started. */
+    | "neverStarted";
+
+/** End of a run. */
+export interface RunEnd extends RunKey {
+    readonly outcome: RunOutcome;
+    /** Progress from which the next run can resume; empty when there is none. */
+    readonly checkpoint: string;
+}
+
+/** A run that is to start on a worker. */
+export interface RunStart extends RunKey {
+    readonly worker: WorkerId;
+}
+
+/** State of a job as callers see it. */
+export type JobPhase = "queued" | "running" | "completed" | "failed" | "cancelled";
+
+/** A command of the log of jobs; `nowMs` is the leader's wall-clock time in milliseconds since the epoch. */
+export type JobCommand =
+    & { readonly nowMs: number; }
+    & (
+        | {
+            readonly kind: "submitJob";
+            readonly spec: JobDefinition;
+            readonly hostName: string;
+            readonly path: string;
+        }
+        | { readonly kind: "cancelJob"; readonly job: JobId; }
+        | { readonly kind: "startRuns"; readonly starts: readonly RunStart[]; }
+        | { readonly kind: "endRuns"; readonly worker: WorkerId; readonly ends: readonly RunEnd[]; }
+        | { readonly kind: "registerWorker"; readonly worker: WorkerInfo; }
+        | { readonly kind: "drainWorker"; readonly worker: WorkerId; }
+        | {
+            /** The worker is gone, or its lease has certainly ended; all its runs have ended. */
+            readonly kind: "expireWorker";
+            readonly worker: WorkerId;
+            /** False when the worker may come back with the same identity. */
+            readonly isGone: boolean;
+            /** Last progress that was reported for its runs. */
+            readonly checkpoints: readonly RunEnd[];
+        }
+        | { readonly kind: "setConfiguration"; readonly configuration: QueueConfiguration; }
+        | { readonly kind: "startWave"; readonly wave: UpkeepWave; }
+        | { readonly kind: "recordUpkeep"; readonly wave: number; readonly host: string; }
+    );
+
+/** A request that hosts be maintained within a time, a few at once. */
+export interface UpkeepWave {
+    readonly wave: number;
+    readonly hosts: readonly string[];
+    readonly durationMs: number;
+    readonly hostsAtOnce: number;
+}
+
+/** Result of a command of the log of jobs; the same on each replica. */
+export type JobResult =
+    | { readonly kind: "done"; }
+    /** The job is stored, by this command or by an earlier one. */
+    | { readonly kind: "accepted"; readonly isRepeat: boolean; }
+    | { readonly kind: "noQueue"; }
+    | { readonly kind: "noJob"; }
+    /** Version of the configuration in force after the command. */
+    | { readonly kind: "configuration"; readonly version: number; }
+    /** Starts that no longer applied, by position in the command. */
+    | { readonly kind: "started"; readonly refused: readonly number[]; };
+
+/** A process of the control role and where its peer link listens. */
+export interface ControlAddress {
+    readonly id: string;
+    readonly address: string;
+}
+
+/** A request to the leader of the log of jobs, sent on channel `jobs`. */
+export type JobRequest =
+    | {
+        readonly kind: "submitJob";
+        readonly spec: JobDefinition;
+        readonly hostName: string;
+        readonly path: string;
+    }
+    | { readonly kind: "readJob"; readonly job: JobId; readonly hostName: string; readonly path: string; }
+    | { readonly kind: "cancelJob"; readonly job: JobId; readonly hostName: string; readonly path: string; }
+    | { readonly kind: "countPending"; readonly hostName: string; readonly path: string; }
+    | { readonly kind: "setConfiguration"; readonly configuration: QueueConfiguration; }
+    | { readonly kind: "readConfiguration"; }
+    | { readonly kind: "recordHeartbeat"; readonly heartbeat: WorkerHeartbeat; }
+    | { readonly kind: "removeWorker"; readonly worker: WorkerId; }
+    | { readonly kind: "startWave"; readonly wave: UpkeepWave; }
+    | { readonly kind: "readWave"; readonly wave: number; };
+
+/** Why a job was not accepted; it certainly does not run. */
+export type JobRejection =
+    /** No worker of the service can ever run one of its tasks. */
+    | "impossible"
+    /** It would wait longer than it is worth. */
+    | "overloaded";
+
+/** Reply of a process of the control role to a `JobRequest`. */
+export type JobReply =
+    | { readonly kind: "accepted"; }
+    | { readonly kind: "rejected"; readonly reason: JobRejection; readonly retryAfterMs: number | undefined; }
+    | { readonly kind: "noQueue"; }
+    | { readonly kind: "noJob"; }
+    | { readonly kind: "phase"; readonly phase: JobPhase; }
+    | { readonly kind: "pending"; readonly count: number; }
+    | { readonly kind: "configuration"; readonly document: Uint8Array | undefined; readonly version: number; }
+    | { readonly kind: "done"; }
+    | { readonly kind: "invalid"; readonly detail: string; }
+    | { readonly kind: "wave"; readonly isComplete: boolean; }
+    | { readonly kind: "noWave"; }
+    /** This process does not lead and has changed nothing. */
+    | { readonly kind: "notLeader"; readonly leader: ControlAddress | undefined; }
+    /** The change may or may not be made. */
+    | { readonly kind: "outcomeUnknown"; };
+
+/** A request about who takes part in control, sent on channel `directory`. */
+export type DirectoryRequest =
+    | { readonly kind: "locate"; }
+    | { readonly kind: "join"; readonly member: ControlAddress; readonly replicaIdentity: string; };
+
+/** Reply to a `DirectoryRequest`. */
+export interface DirectoryReply {
+    readonly leader: ControlAddress | undefined;
+    readonly members: readonly ControlAddress[];
+}
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -22,7 +22,7 @@
 export const peerProtocolVersion = 1;
 
 /** Name of a channel of the peer link. */
-export type ChannelName = "log" | "control" | "notice" | "entry";
+export type ChannelName = "log" | "control" | "notice" | "entry" | "directory" | "jobs";
 
 /** An item that an entry host has stopped using. */
 export interface ReleasedItem {
--- a/packages/types/src/ports.ts
+++ b/packages/types/src/ports.ts
@@ -86,6 +86,8 @@
 /** What a replica knows of itself. */
 export interface ReplicaStatus {
     readonly self: PeerId;
+    /** Random identity of the data folder. */
+    readonly identity: string;
     readonly role: ReplicaRole;
     readonly term: number;
     readonly leader: PeerId | undefined;
@@ -119,6 +121,10 @@
     /** Succeeds once this replica, as a confirmed leader, has applied all that was committed when the call began. */
     readonly confirmRead: Effect.Effect<void, ErrorData>;
     readonly readStatus: () => ReplicaStatus;
+    /** Whether this replica leads and was in contact with a majority so recently that there can be no other leader. */
+    readonly isLeading: (nowMs: number) => boolean;
+    /** On the leader, the time since a member was last in contact, in milliseconds; 0 for itself and on other replicas. */
+    readonly readSilenceMs: (member: PeerId, nowMs: number) => number;
     /** Calls the listener after each change of role, term or leader; the result stops it. */
     readonly watchStatus: (listener: (status: ReplicaStatus) => void) => () => void;
     readonly transferLeadership: Effect.Effect<void, ErrorData>;
--- /dev/null
+++ b/scripts/bundle-platform.mjs
@@ -0,0 +1,25 @@
+// Bundles the program for the platform into one file, because a process on a small host loads one file many times faster
+// than the separate ones. The sources of the workspace packages are bundled, so that no compiled output is needed.
+import { build } from "esbuild";
+
+const workspacePackages = {
+    name: "workspace-packages",
+    setup: context => {
+        context.onResolve({ filter: /^@chestnutspool\// }, ({ path }) => ({
+            path: new URL(`../packages/${path.slice("@chestnutspool/".length)}/src/index.ts`, import.meta.url).pathname,
+        }));
+    },
+};
+
+await build({
+    entryPoints: ["platform/src/main.ts"],
+    outfile: "target/chestnutspool.mjs",
+    bundle: true,
+    minify: true,
+    keepNames: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    plugins: [workspacePackages],
+    banner: { js: "import { createRequire } from \"node:module\";const require = createRequire(import.meta.url);" },
+});
--- a/scripts/format.mjs
+++ b/scripts/format.mjs
@@ -14,7 +14,7 @@
     return readdirSync(folder, { withFileTypes: true }).flatMap(entry => {
         const path = join(folder, entry.name);
         if (entry.isDirectory()) {
-            return ["node_modules", "dist", "gen", ".git"].includes(entry.name) ? [] : listSources(path);
+            return ["node_modules", "dist", "gen", ".git", "target", "journal"].includes(entry.name) ? [] : listSources(path);
         }
         return /\.(ts|mjs)$/.test(entry.name) ? [path] : [];
     });
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -16,10 +16,10 @@
 const files = chosen.length > 0 ? chosen : listTestFiles();
 function listTestFiles() {
     return readdirSync("packages")
-        .filter(name => existsSync(`packages/${name}/dist`))
-        .flatMap(name =>
-            readdirSync(`packages/${name}/dist`, { recursive: true }).map(file => `packages/${name}/dist/${file}`)
-        )
+        .map(name => `packages/${name}`)
+        .concat("platform")
+        .filter(folder => existsSync(`${folder}/dist`))
+        .flatMap(folder => readdirSync(`${folder}/dist`, { recursive: true }).map(file => `${folder}/dist/${file}`))
         .filter(file => file.endsWith(".test.js"))
         // The compiler leaves the output of a test that was renamed or removed.
         .filter(file => existsSync(file.replace("/dist/", "/src/").replace(/\.js$/, ".ts")))
