Learn which images disturb each other, place and pace by it

Change: package learn-interference (Kalman filter on headroom of a job and disturbance of a pair), placement by predicted margin, pacing after each report, short tasks before long-running ones.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -51,8 +51,12 @@
 
 const runPass = Effect.fnUntraced(function*(term: Term) {
     yield* stopUnwanted(term);
-    const nowMs = yield* readWallMs;
-    yield* carryOutStarts(term, planStarts(term.machine.state, worker => isUsable(term, worker), nowMs));
+    const input = {
+        model: term.machine.state,
+        isUsable: (worker: WorkerId) => isUsable(term, worker),
+        interference: term.interference,
+    };
+    yield* carryOutStarts(term, planStarts(input, yield* readWallMs));
 });
 
 /** The fiber of the planner: a pass after each change and at least at an interval. */
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -1,3 +1,4 @@
+import { createInterferenceModel } from "@chestnutspool/learn-interference";
 import { describeError } from "@chestnutspool/errors";
 import {
     type ErrorData,
@@ -36,6 +37,7 @@
         sessions: new Map(),
         sessionLoops: yield* FiberMap.make<WorkerId>(),
         planWake: yield* Queue.sliding<void>(1),
+        interference: createInterferenceModel(),
         isFenced: false,
     };
     for (const { info } of parts.machine.state.workers.values()) {
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -1,5 +1,6 @@
 import { describeError } from "@chestnutspool/errors";
 import type { JobMachine } from "@chestnutspool/job-state";
+import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { Logger } from "@chestnutspool/logger";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import type { RunViews, WorkerLease } from "@chestnutspool/track-workers";
@@ -64,6 +65,7 @@
     readonly sessionLoops: FiberMap.FiberMap<WorkerId>;
     /** Wakes the planner. */
     readonly planWake: Queue.Queue<void>;
+    readonly interference: InterferenceModel;
     /** A worker has obeyed a later leader, so this one gives no more orders. */
     isFenced: boolean;
 }
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -10,6 +10,7 @@
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { sendStop } from "./give-orders.js";
+import { limitDisturbance } from "./limit-disturbance.js";
 import { canGiveOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Time that a worker may hold a renewal while nothing ends, in milliseconds; the age of what is known of its runs. */
@@ -118,6 +119,7 @@
     if (!wasUsable) {
         wakePlanner(term);
     }
+    yield* limitDisturbance(term, session, state);
 });
 
 /** Ends all runs of a worker that is gone or whose lease has certainly ended. */
--- /dev/null
+++ b/packages/learn-interference/src/index.ts
@@ -0,0 +1,1 @@
+export { createInterferenceModel, type ImageUse, type InterferenceModel } from "./interference-model.js";
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,5 +1,7 @@
 import { countFailures, type JobModel, type JobTask } from "@chestnutspool/job-state";
+import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
+import { rateWorker } from "./rate-workers.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import {
     createWorkerRoom,
@@ -14,43 +16,38 @@
 /** Starts that a pass plans at most, so that a flood of tasks does not hold up the process. */
 const startsPerPass = 500;
 
+/** What the planner decides upon. */
+export interface PlanInput {
+    readonly model: JobModel;
+    /** Whether a worker may get tasks now. */
+    readonly isUsable: (worker: WorkerId) => boolean;
+    readonly interference: InterferenceModel;
+}
+
 /** What a pass of the planner works on. */
 interface Pass {
+    readonly input: PlanInput;
     readonly rooms: readonly WorkerRoom[];
     readonly starts: RunStart[];
 }
 
-function listRooms(model: JobModel, isUsable: (worker: WorkerId) => boolean): WorkerRoom[] {
+function listRooms({ model, isUsable }: PlanInput): WorkerRoom[] {
     return [...model.workers.values()]
         .filter(worker => !worker.isDraining && isUsable(worker.info.id))
         .map(createWorkerRoom);
 }
 
-/** How well a worker suits a task of the step; the highest is chosen. */
-function rateWorker(room: WorkerRoom, waiting: WaitingStep, racks: ReadonlyMap<string, number>): number {
+function chooseRoom(pass: Pass, waiting: WaitingStep, stepKey: string, tasksByRack: ReadonlyMap<string, number>) {
     const { spec } = waiting.step;
-    const rack = findRack(room);
-    let rating = spec.usesIdleCpu
-        ? room.idleMilliCpu / room.state.info.capacity.milliCpu
-        : -room.free.milliCpu / room.state.info.capacity.milliCpu;
-    if (spec.rackOfData !== undefined && spec.rackOfData === rack) {
-        rating += 10;
-    }
-    if (spec.prefersOneRack) {
-        rating += (racks.get(rack) ?? 0) * 10;
-    }
-    return rating;
-}
-
-function chooseRoom(pass: Pass, waiting: WaitingStep, stepKey: string, racks: ReadonlyMap<string, number>) {
+    const context = { interference: pass.input.interference, tasksByRack };
     let best: WorkerRoom | undefined;
     let bestRating = Number.NEGATIVE_INFINITY;
     for (const room of pass.rooms) {
-        if (room.state.info.service !== waiting.job.queue.service || !hasRoom(room, waiting.step.spec, stepKey)) {
+        if (room.state.info.service !== waiting.job.queue.service || !hasRoom(room, spec, stepKey)) {
             continue;
         }
-        const rating = rateWorker(room, waiting, racks);
-        if (rating > bestRating) {
+        const rating = rateWorker(room, spec, context);
+        if (rating !== undefined && rating > bestRating) {
             best = room;
             bestRating = rating;
         }
@@ -88,7 +85,7 @@
         if (room === undefined) {
             return;
         }
-        takeRoom(room, waiting.step.spec, stepKey);
+        takeRoom(room, waiting.job.id, waiting.step.spec, stepKey);
         const rack = findRack(room);
         racks.set(rack, (racks.get(rack) ?? 0) + 1);
         pass.starts.push(createStart(waiting, task, task.lastRun + 1, room));
@@ -97,7 +94,7 @@
 
 /** Plans a gang as a whole: all of its tasks under one number of run, or none. */
 function planGang(pass: Pass, waiting: WaitingStep, stepKey: string): void {
-    const { step } = waiting;
+    const { job, step } = waiting;
     if (step.waiting.size < step.tasks.length) {
         return;
     }
@@ -109,22 +106,22 @@
         if (room === undefined) {
             break;
         }
-        takeRoom(room, step.spec, stepKey);
+        takeRoom(room, job.id, step.spec, stepKey);
         const rack = findRack(room);
         racks.set(rack, (racks.get(rack) ?? 0) + 1);
         taken.push({ room, task });
     }
     if (taken.length < step.tasks.length) {
-        taken.forEach(({ room }) => returnRoom(room, step.spec, stepKey));
+        taken.forEach(({ room }) => returnRoom(room, job.id, step.spec, stepKey));
         return;
     }
     pass.starts.push(...taken.map(({ room, task }) => createStart(waiting, task, run, room)));
 }
 
-/** Plans starts on the workers that are usable; `nowMs` is wall-clock time in milliseconds since the epoch. */
-export function planStarts(model: JobModel, isUsable: (worker: WorkerId) => boolean, nowMs: number): RunStart[] {
-    const pass: Pass = { rooms: listRooms(model, isUsable), starts: [] };
-    for (const waiting of sortWaitingSteps(listWaitingSteps(model, nowMs))) {
+/** Plans starts; `nowMs` is wall-clock time in milliseconds since the epoch. */
+export function planStarts(input: PlanInput, nowMs: number): RunStart[] {
+    const pass: Pass = { input, rooms: listRooms(input), starts: [] };
+    for (const waiting of sortWaitingSteps(listWaitingSteps(input.model, nowMs))) {
         const { job, occurrence, step } = waiting;
         const stepKey = formatStepKey(job.id, occurrence.number, step.position);
         if (step.spec.gang) {
--- /dev/null
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -0,0 +1,89 @@
+import type { InterferenceModel } from "@chestnutspool/learn-interference";
+import type { StepSpec } from "@chestnutspool/types";
+import { findRack, type WorkerRoom } from "./worker-room.js";
+
+/** Margin (target / tail) below which no serving task may be pushed by a task that starts beside it. */
+export const leastMargin = 1.1;
+/** How far ahead the load of serving tasks is looked at when a task starts beside them, in milliseconds. */
+const lookAheadMs = 1_500;
+/** Headroom that serving tasks are expected to keep at their highest load. */
+const lowestHeadroom = 1.4;
+/** Gain of a worker in the rack of the data, or in the rack of the other tasks; larger than all other differences. */
+const rackGain = 100;
+/** Gain for each serving task of the same image, and loss for each of another: alike tasks bear the same neighbours. */
+const sameImageGain = 1;
+/** Share of its processors that a task without reservation needs at least to start, so that it does not crawl. */
+const leastIdleShare = 0.5;
+
+/** What the rating of a worker depends on beside the worker and the step. */
+export interface RatingContext {
+    readonly interference: InterferenceModel;
+    /** Tasks of the step that the pass has placed, by rack. */
+    readonly tasksByRack: ReadonlyMap<string, number>;
+}
+
+/**
+ * Least margin that the serving tasks on a worker are expected to have if a task of the image used another `share` of its
+ * processors; Infinity without serving tasks.
+ */
+export function predictMargin(
+    room: WorkerRoom,
+    image: string,
+    share: number,
+    interference: InterferenceModel,
+): number {
+    let least = Number.POSITIVE_INFINITY;
+    for (const group of room.serving.values()) {
+        let margin = Math.max(lowestHeadroom, interference.predictHeadroom(group.job, lookAheadMs))
+            - interference.estimateDisturbance(group.image, image) * share;
+        for (const [other, otherShare] of room.fillingShares) {
+            margin -= interference.estimateDisturbance(group.image, other) * otherShare;
+        }
+        least = group.count > 0 ? Math.min(least, margin) : least;
+    }
+    return least;
+}
+
+/** A task that uses idle processors goes where it gets most of them and disturbs nobody; undefined: not here. */
+function rateFilling(room: WorkerRoom, spec: StepSpec, context: RatingContext): number | undefined {
+    const { milliCpu } = spec.resources;
+    const capacity = Math.max(1, room.state.info.capacity.milliCpu);
+    const idleShare = milliCpu === 0 ? 1 : Math.min(1, room.idleMilliCpu / milliCpu);
+    if (idleShare < leastIdleShare) {
+        return undefined;
+    }
+    const margin = predictMargin(room, spec.image ?? "", milliCpu / capacity, context.interference);
+    if (margin < leastMargin) {
+        return undefined;
+    }
+    return idleShare + Math.min(margin, 2) / 2 + room.idleMilliCpu / capacity;
+}
+
+/** A serving task goes beside tasks of its image and away from tasks that disturb it. */
+function rateServing(room: WorkerRoom, spec: StepSpec, context: RatingContext): number {
+    let alike = 0;
+    for (const group of room.serving.values()) {
+        alike += group.image === (spec.image ?? "") ? group.count : -group.count;
+    }
+    let disturbance = 0;
+    for (const [other, share] of room.fillingShares) {
+        disturbance += context.interference.estimateDisturbance(spec.image ?? "", other) * share;
+    }
+    return alike * sameImageGain - disturbance - room.free.milliCpu / Math.max(1, room.state.info.capacity.milliCpu);
+}
+
+/** How well a worker with room suits a task of the step; the highest is chosen, and none where it is undefined. */
+export function rateWorker(room: WorkerRoom, spec: StepSpec, context: RatingContext): number | undefined {
+    const rack = findRack(room);
+    let rating = spec.rackOfData !== undefined && spec.rackOfData === rack ? rackGain : 0;
+    rating += spec.prefersOneRack ? (context.tasksByRack.get(rack) ?? 0) * rackGain : 0;
+    if (spec.usesIdleCpu) {
+        const filling = rateFilling(room, spec, context);
+        return filling === undefined ? undefined : rating + filling;
+    }
+    if (spec.tailTargetMs !== undefined) {
+        return rating + rateServing(room, spec, context);
+    }
+    // The fullest worker, so that large tasks find room elsewhere.
+    return rating - room.free.milliCpu / Math.max(1, room.state.info.capacity.milliCpu);
+}
--- a/packages/plan-jobs/src/waiting-steps.ts
+++ b/packages/plan-jobs/src/waiting-steps.ts
@@ -53,9 +53,14 @@
     return waiting;
 }
 
-/** Sorts by priority of the queue, then by the time at which the job should be complete. */
+/**
+ * Sorts by priority of the queue, then tasks that end before long-running ones, because these take up their room for good,
+ * then by the time at which the job should be complete.
+ */
 export function sortWaitingSteps(waiting: readonly WaitingStep[]): WaitingStep[] {
     return [...waiting].sort((left, right) =>
-        left.job.queue.priority - right.job.queue.priority || left.wantedAtMs - right.wantedAtMs
+        left.job.queue.priority - right.job.queue.priority
+        || Number(left.step.spec.longRunning) - Number(right.step.spec.longRunning)
+        || left.wantedAtMs - right.wantedAtMs
     );
 }
--- a/packages/plan-jobs/src/worker-room.ts
+++ b/packages/plan-jobs/src/worker-room.ts
@@ -1,6 +1,9 @@
 import { computeReservation, type WorkerState } from "@chestnutspool/job-state";
 import { addResources, findShortage, type Resources, type StepSpec, subtractResources } from "@chestnutspool/types";
 
+/** Share of its reserved processors that a serving task uses when its load is high. */
+const servingUseShare = 0.65;
+
 /** A worker as a pass of the planner sees it. */
 export interface WorkerRoom {
     readonly state: WorkerState;
@@ -8,8 +11,19 @@
     free: Resources;
     /** Tasks by job, occurrence and step that are placed or planned here, for steps with a limit for each worker. */
     readonly tasksByStep: Map<string, number>;
-    /** Processor time that reserved and planned tasks are expected to leave idle, in thousandths of a core. */
+    /** Processor time that nobody is expected to use, in thousandths of a core; below 0 when tasks slow each other down. */
     idleMilliCpu: number;
+    /** Jobs of the serving tasks here, with the image of their tasks and how many there are. */
+    readonly serving: Map<string, ServingGroup>;
+    /** Processor time that tasks without reservation are expected to use, by image, as a share of the worker. */
+    readonly fillingShares: Map<string, number>;
+}
+
+/** Serving tasks of one job and image on a worker. */
+export interface ServingGroup {
+    readonly job: string;
+    readonly image: string;
+    count: number;
 }
 
 /** Position of the rack among the labels of a worker. */
@@ -25,36 +39,45 @@
     return `${job}.${occurrence}.${step}`;
 }
 
-/** Share of its reserved processors that a serving task uses on average, until reports say more. */
-const expectedUseShare = 0.6;
-
-function estimateIdle(state: WorkerState): number {
-    let idle = state.info.capacity.milliCpu;
-    for (const { step } of state.runs.values()) {
-        const isServing = step.spec.tailTargetMs !== undefined;
-        idle -= step.spec.resources.milliCpu * (isServing ? expectedUseShare : 1);
+function addTask(room: WorkerRoom, job: string, spec: StepSpec, stepKey: string, change: 1 | -1): void {
+    const { milliCpu } = spec.resources;
+    const image = spec.image ?? "";
+    if (spec.tailTargetMs !== undefined) {
+        const groupKey = `${job} ${image}`;
+        const group = room.serving.get(groupKey) ?? { job, image, count: 0 };
+        group.count += change;
+        room.serving.set(groupKey, group);
+        room.idleMilliCpu -= change * milliCpu * servingUseShare;
+    }
+    else {
+        room.idleMilliCpu -= change * milliCpu;
+    }
+    if (spec.usesIdleCpu) {
+        const share = milliCpu / Math.max(1, room.state.info.capacity.milliCpu);
+        room.fillingShares.set(image, (room.fillingShares.get(image) ?? 0) + change * share);
+    }
+    if (spec.perWorkerLimit !== undefined) {
+        room.tasksByStep.set(stepKey, (room.tasksByStep.get(stepKey) ?? 0) + change);
     }
-    return idle;
 }
 
 /** The room on a worker. */
 export function createWorkerRoom(state: WorkerState): WorkerRoom {
-    const tasksByStep = new Map<string, number>();
-    for (const { job, occurrence, step } of state.runs.values()) {
-        if (step.spec.perWorkerLimit !== undefined) {
-            const key = formatStepKey(job.id, occurrence.number, step.position);
-            tasksByStep.set(key, (tasksByStep.get(key) ?? 0) + 1);
-        }
-    }
-    return {
+    const room: WorkerRoom = {
         state,
         free: subtractResources(state.info.capacity, state.used),
-        tasksByStep,
-        idleMilliCpu: estimateIdle(state),
+        tasksByStep: new Map(),
+        idleMilliCpu: state.info.capacity.milliCpu,
+        serving: new Map(),
+        fillingShares: new Map(),
     };
+    for (const { job, occurrence, step } of state.runs.values()) {
+        addTask(room, job.id, step.spec, formatStepKey(job.id, occurrence.number, step.position), 1);
+    }
+    return room;
 }
 
-/** Whether a task of a step may start on a worker. */
+/** Whether a task of a step may start on a worker by its declared size. */
 export function hasRoom(room: WorkerRoom, spec: StepSpec, stepKey: string): boolean {
     if (spec.requiredLabel !== undefined && !room.state.info.labels.includes(spec.requiredLabel)) {
         return false;
@@ -66,19 +89,13 @@
 }
 
 /** Takes the room of one more task of a step. */
-export function takeRoom(room: WorkerRoom, spec: StepSpec, stepKey: string): void {
+export function takeRoom(room: WorkerRoom, job: string, spec: StepSpec, stepKey: string): void {
     room.free = subtractResources(room.free, computeReservation(spec));
-    room.idleMilliCpu -= spec.resources.milliCpu;
-    if (spec.perWorkerLimit !== undefined) {
-        room.tasksByStep.set(stepKey, (room.tasksByStep.get(stepKey) ?? 0) + 1);
-    }
+    addTask(room, job, spec, stepKey, 1);
 }
 
 /** Gives back the room of one task that was planned and is not to start after all. */
-export function returnRoom(room: WorkerRoom, spec: StepSpec, stepKey: string): void {
+export function returnRoom(room: WorkerRoom, job: string, spec: StepSpec, stepKey: string): void {
     room.free = addResources(room.free, computeReservation(spec));
-    room.idleMilliCpu += spec.resources.milliCpu;
-    if (spec.perWorkerLimit !== undefined) {
-        room.tasksByStep.set(stepKey, (room.tasksByStep.get(stepKey) ?? 1) - 1);
-    }
+    addTask(room, job, spec, stepKey, -1);
 }
