--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -40,6 +40,8 @@
     readonly forwardRequest: (request: JobRequest, budgetMs: number) => Effect.Effect<ForwardReply>;
     /** Whether the leader is known. */
     readonly hasLeader: () => boolean;
+    /** Takes further control processes that may know the leader. */
+    readonly addSeeds: (seeds: readonly ControlAddress[]) => void;
     /** Looks for the leader until it is known. */
     readonly keepLocating: Effect.Effect<never>;
 }
@@ -119,6 +121,9 @@
     return {
         forwardRequest,
         hasLeader: () => findLeader() !== undefined,
+        addSeeds: seeds => {
+            seeds.forEach(seed => view.candidates.set(seed.id, seed));
+        },
         keepLocating: Effect.forever(Effect.gen(function*() {
             if (findLeader() === undefined) {
                 yield* locate;
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -1,5 +1,5 @@
-import { createInterferenceModel } from "@chestnutspool/learn-interference";
 import { describeError } from "@chestnutspool/errors";
+import { createInterferenceModel } from "@chestnutspool/learn-interference";
 import {
     type ErrorData,
     type JobReply,
--- a/scripts/format.mjs
+++ b/scripts/format.mjs
@@ -14,7 +14,9 @@
     return readdirSync(folder, { withFileTypes: true }).flatMap(entry => {
         const path = join(folder, entry.name);
         if (entry.isDirectory()) {
-            return ["node_modules", "dist", "gen", ".git", "target", "journal"].includes(entry.name) ? [] : listSources(path);
+            return ["node_modules", "dist", "gen", ".git", "target", "journal"].includes(entry.name)
+                ? []
+                : listSources(path);
         }
         return /\.(ts|mjs)$/.test(entry.name) ? [path] : [];
     });
