Learn disturbance from smoothed readings, and try unknown pairs with care

A trial that toggled the pace of all fillers showed that workers read four times a second and that each tail reading is the mean of the present tail and the last reading; the model compared it with the present uses and learnt wrong pairs. A dump of the planner showed that tasks which use two thirds of their declared processors by themselves were taken for held back.

Change: uses are smoothed like the readings; readings while uses change count less; a pair that is not known yet is taken at its worst and read every 300 ms; paces are planned every 150 ms from the headroom of the whole job; fillers do not start on a worker whose fillers are held back; stuck fillers move.

--- a/packages/lead-jobs/src/limit-disturbance.ts
+++ b/packages/lead-jobs/src/limit-disturbance.ts
@@ -1,47 +1,12 @@
-import { formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
-import type { ImageUse } from "@chestnutspool/learn-interference";
-import { type PaceChange, planPaces } from "@chestnutspool/plan-jobs";
-import type { RunViews } from "@chestnutspool/track-workers";
+import { formatTaskKey } from "@chestnutspool/job-state";
+import { type PaceChange, planPaces, recordUses } from "@chestnutspool/plan-jobs";
 import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { recordAnswer } from "./give-orders.js";
-import type { Term, WorkerSession } from "./term.js";
+import { canGiveOrders, type Term, type WorkerSession } from "./term.js";
 
-/** Time allowed for an order on pace, in milliseconds; the next report corrects one that is lost. */
+/** Time allowed for an order on pace, in milliseconds; the next round corrects one that is lost. */
 const paceLimitMs = 500;
-/** Time that a serving task needs until its readings are those of its work, in milliseconds. */
-const settledAfterMs = 1_000;
-/** Progress of a long-running task that has started up, in percent. */
-const startedPercent = 100;
-
-/** Processor time in use on a worker by tasks that use idle processors, by image. */
-function listUses(state: WorkerState, views: RunViews): ImageUse[] {
-    const shares = new Map<string, number>();
-    for (const [key, { step }] of state.runs) {
-        const reading = views.get(key)?.lastReading;
-        if (step.spec.usesIdleCpu && reading !== undefined) {
-            const image = step.spec.image ?? "";
-            shares.set(image, (shares.get(image) ?? 0) + reading / Math.max(1, state.info.capacity.milliCpu));
-        }
-    }
-    return [...shares].map(([image, share]) => ({ image, share }));
-}
-
-/** Teaches the model what a report shows of the serving tasks. */
-function observeReport(term: Term, state: WorkerState, views: RunViews, nowMs: number): void {
-    const uses = listUses(state, views);
-    for (const [key, { job, step }] of state.runs) {
-        const view = views.get(key);
-        const { tailTargetMs, image = "" } = step.spec;
-        if (tailTargetMs === undefined || view?.lastReading === undefined || view.lastReading <= 0) {
-            continue;
-        }
-        if (view.progressPercent >= startedPercent && nowMs - view.progressAtMs > settledAfterMs) {
-            term.interference.observeMargin(job.id, image, tailTargetMs / view.lastReading, uses, nowMs);
-        }
-    }
-}
-
 const sendPace = Effect.fnUntraced(function*(term: Term, session: WorkerSession, change: PaceChange) {
     const view = session.views.get(change.runKey);
     if (view === undefined) {
@@ -49,6 +14,7 @@
     }
     const before = view.pacePercent;
     view.pacePercent = change.percent;
+    view.paceChangedAtMs = yield* readMonotonicMs;
     const answer = yield* term.workers.paceRun(session.info, view.key, change.percent, term.number, paceLimitMs);
     recordAnswer(term, session, answer, yield* readMonotonicMs);
     if (answer.kind !== "done") {
@@ -64,11 +30,23 @@
     });
 });
 
-/** Learns from the report that was just taken, and slows down or lets go the tasks that use idle processors. */
-export const limitDisturbance = Effect.fnUntraced(function*(term: Term, session: WorkerSession, state: WorkerState) {
-    const nowMs = yield* readMonotonicMs;
-    observeReport(term, state, session.views, nowMs);
-    for (const change of planPaces(state, session.views, term.interference)) {
-        yield* Effect.forkIn(sendPace(term, session, change), term.scope);
+/** Interval at which paces are planned, in milliseconds; the load of a serving job changes within seconds. */
+const paceIntervalMs = 150;
+
+/** The fiber that slows down tasks that use idle processors before they push a serving task over its target. */
+export const runPacing = Effect.fnUntraced(function*(term: Term) {
+    while (canGiveOrders(term, yield* readMonotonicMs)) {
+        const nowMs = yield* readMonotonicMs;
+        for (const session of term.sessions.values()) {
+            const state = term.machine.state.workers.get(session.info.id);
+            if (state === undefined || !session.isResponsive) {
+                continue;
+            }
+            recordUses(state, session.views, session.uses, nowMs);
+            for (const change of planPaces(state, session.views, term.interference)) {
+                yield* Effect.forkIn(sendPace(term, session, change), term.scope);
+            }
+        }
+        yield* Effect.sleep(paceIntervalMs);
     }
 });
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -1,5 +1,5 @@
 import { formatRunKey } from "@chestnutspool/job-state";
-import { listUnwantedRuns, planStarts } from "@chestnutspool/plan-jobs";
+import { listStuckRuns, listUnwantedRuns, planStarts } from "@chestnutspool/plan-jobs";
 import { createRunView } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, readWallMs, type RunStart, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
@@ -55,7 +55,15 @@
         model: term.machine.state,
         isUsable: (worker: WorkerId) => isUsable(term, worker),
         interference: term.interference,
+        findViews: (worker: WorkerId) => term.sessions.get(worker)?.views,
     };
+    const nowMs = yield* readMonotonicMs;
+    for (const { worker, runKey } of listStuckRuns(input, nowMs)) {
+        const session = term.sessions.get(worker);
+        if (session !== undefined) {
+            yield* requestStop(term, session, runKey, "it makes no progress here", nowMs);
+        }
+    }
     yield* carryOutStarts(term, planStarts(input, yield* readWallMs));
 });
 
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -10,6 +10,7 @@
 } from "@chestnutspool/types";
 import { Effect, FiberMap, Queue } from "effect";
 import { handleInTerm } from "./handle-request.js";
+import { runPacing } from "./limit-disturbance.js";
 import { openSession } from "./record-heartbeat.js";
 import { runPlanner } from "./run-planner.js";
 import { canGiveOrders, type LeaderParts, type Term } from "./term.js";
@@ -67,6 +68,7 @@
             const term = yield* openTerm(parts, number);
             holder.term = term;
             yield* Effect.forkScoped(runPlanner(term));
+            yield* Effect.forkScoped(runPacing(term));
             while (isLeader(parts.log.readStatus(), number)) {
                 yield* Queue.take(changes);
             }
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -1,6 +1,6 @@
 import { describeError } from "@chestnutspool/errors";
 import type { JobMachine } from "@chestnutspool/job-state";
-import type { InterferenceModel } from "@chestnutspool/learn-interference";
+import type { InterferenceModel, UseHistory } from "@chestnutspool/learn-interference";
 import type { Logger } from "@chestnutspool/logger";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import type { RunViews, WorkerLease } from "@chestnutspool/track-workers";
@@ -53,6 +53,8 @@
     heartbeatSequence: number;
     /** When it said that it ends now; undefined while it has not. */
     leftAtMs: number | undefined;
+    /** How much of the worker the tasks that use idle processors have used. */
+    readonly uses: UseHistory;
 }
 
 /** One term of this replica as leader. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,4 +1,6 @@
 import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
+import { createUseHistory } from "@chestnutspool/learn-interference";
+import { isLearning, observeReport, recordUses } from "@chestnutspool/plan-jobs";
 import {
     applyReport,
     computeLeaseEnd,
@@ -10,11 +12,12 @@
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { sendStop } from "./give-orders.js";
-import { limitDisturbance } from "./limit-disturbance.js";
 import { canGiveOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Time that a worker may hold a renewal while nothing ends, in milliseconds; the age of what is known of its runs. */
 const reportIntervalMs = 900;
+/** The same while tasks are beside each other whose disturbance is not known yet. */
+const learningIntervalMs = 300;
 /** Time beyond the hold after which a renewal counts as lost, in milliseconds. */
 const renewGraceMs = 600;
 /** Pause between two renewals, in milliseconds, so that ends that come close together share one. */
@@ -39,6 +42,7 @@
         heardAtMs: nowMs,
         heartbeatSequence: 0,
         leftAtMs: undefined,
+        uses: createUseHistory(),
     };
     for (const [key, run] of term.machine.state.workers.get(info.id)?.runs ?? []) {
         const { job, occurrence, step, task } = run;
@@ -111,6 +115,8 @@
         return;
     }
     const outcome = applyReport(state, session.views, answer, sentAtMs, nowMs);
+    recordUses(state, session.views, session.uses, nowMs);
+    observeReport(state, session.views, term.interference, session.uses, nowMs);
     yield* recordEnds(term, session, outcome);
     session.isReconciled ||= answer.isComplete;
     for (const stray of outcome.strays) {
@@ -119,7 +125,6 @@
     if (!wasUsable) {
         wakePlanner(term);
     }
-    yield* limitDisturbance(term, session, state);
 });
 
 /** Ends all runs of a worker that is gone or whose lease has certainly ended. */
@@ -179,6 +184,12 @@
     return true;
 });
 
+function chooseWait(term: Term, session: WorkerSession): number {
+    const state = findState(term, session);
+    const learns = state !== undefined && isLearning(state, session.views, term.interference);
+    return learns ? learningIntervalMs : reportIntervalMs;
+}
+
 /** Renews the lease of one worker and reads its runs; false when the worker is gone. */
 const runOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     const sentAtMs = yield* readMonotonicMs;
@@ -187,7 +198,7 @@
     if (session.lease !== undefined && mayRenew) {
         session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
     }
-    const waitMs = session.isResponsive ? reportIntervalMs : 0;
+    const waitMs = session.isResponsive ? chooseWait(term, session) : 0;
     const answer = yield* term.workers.renewLease(session.info, {
         leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
         fencingToken: term.number,
--- a/packages/learn-interference/src/interference-model.ts
+++ b/packages/learn-interference/src/interference-model.ts
@@ -11,12 +11,25 @@
 /** Processor time in use by the tasks of one image on a worker, as a share of the worker's processors. */
 export interface ImageUse {
     readonly image: string;
+    /** Use now. */
     readonly share: number;
+    /** Use that a tail reading shows, which follows with a delay. */
+    readonly smoothedShare: number;
+}
+
+/** What is known of one pair of images. */
+export interface PairEstimate {
+    readonly image: string;
+    readonly other: string;
+    readonly disturbance: number;
+    readonly variance: number;
 }
 
 /** Disturbance of a pair that was never seen together: between that of harmless and of harmful pairs. */
 const unknownDisturbance = 3;
 const unknownVariance = 9;
+/** Variance from which on a pair is not relied on: a harmless pair cannot be told from a harmful one. */
+const unsureVariance = 2.5;
 /** Headroom of a job that was never seen: a target of a few times the tail of an idle worker, at half load. */
 const unknownHeadroom = 2.4;
 const unknownHeadroomVariance = 1;
@@ -35,7 +48,9 @@
 const pairLimit = 10_000;
 const jobLimit = 10_000;
 
-interface PairEstimate {
+interface MutablePair {
+    readonly image: string;
+    readonly other: string;
     disturbance: number;
     variance: number;
 }
@@ -60,12 +75,20 @@
     ) => void;
     /** How much the margin of a serving image falls for each whole worker that another image uses. */
     readonly estimateDisturbance: (image: string, other: string) => number;
+    /** The same with an allowance for what is not known yet. */
+    readonly estimateWorstDisturbance: (image: string, other: string) => number;
+    /** Whether too little is known of a pair to rely on it. */
+    readonly isUnsure: (image: string, other: string) => boolean;
     /** Present headroom of a job. */
     readonly estimateHeadroom: (job: string) => number;
     /** Headroom that a job is expected to have in `aheadMs`; it is not expected to rise. */
     readonly predictHeadroom: (job: string, aheadMs: number) => number;
     /** Forgets a job that has ended. */
     readonly forgetJob: (job: string) => void;
+    /** All pairs that were seen together. */
+    readonly listPairs: () => readonly PairEstimate[];
+    /** Takes pairs that an earlier leader has learnt; a pair that is known better here stays. */
+    readonly addPairs: (pairs: readonly PairEstimate[]) => void;
 }
 
 function formatPair(image: string, other: string): string {
@@ -81,15 +104,13 @@
 
 /** Creates a model that has seen nothing. */
 export function createInterferenceModel(): InterferenceModel {
-    const pairs = new Map<string, PairEstimate>();
+    const pairs = new Map<string, MutablePair>();
     const jobs = new Map<string, HeadroomEstimate>();
 
-    const findDisturbance = (image: string, other: string): number =>
-        pairs.get(formatPair(image, other))?.disturbance ?? unknownDisturbance;
-
-    const getPair = (image: string, other: string): PairEstimate => {
+    const getPair = (image: string, other: string): MutablePair => {
         const key = formatPair(image, other);
-        const known = pairs.get(key) ?? { disturbance: unknownDisturbance, variance: unknownVariance };
+        const known = pairs.get(key)
+            ?? { image, other, disturbance: unknownDisturbance, variance: unknownVariance };
         pairs.set(key, known);
         dropOldest(pairs, pairLimit);
         return known;
@@ -103,21 +124,32 @@
         return known;
     };
 
+    const advanceJob = (job: string, nowMs: number): HeadroomEstimate => {
+        const own = getJob(job, nowMs);
+        const passedMs = Math.max(0, nowMs - own.readAtMs);
+        own.variance = Math.min(unknownHeadroomVariance, own.variance + headroomDrift * passedMs / 1000);
+        own.headroom += own.trend * passedMs / 1000;
+        own.trend *= Math.exp(-passedMs / trendFadeMs);
+        own.readAtMs = nowMs;
+        return own;
+    };
+
     return {
         observeMargin: (job, image, margin, uses, nowMs) => {
-            const own = getJob(job, nowMs);
-            const passedMs = Math.max(0, nowMs - own.readAtMs);
-            own.variance = Math.min(unknownHeadroomVariance, own.variance + headroomDrift * passedMs / 1000);
-            own.headroom += own.trend * passedMs / 1000;
-            own.trend *= Math.exp(-passedMs / trendFadeMs);
-            own.readAtMs = nowMs;
-            const beside = uses.filter(use => use.share > 0).map(use => ({ use, pair: getPair(image, use.image) }));
+            const own = advanceJob(job, nowMs);
+            const beside = uses
+                .filter(use => use.smoothedShare > 0)
+                .map(use => ({ use, pair: getPair(image, use.image) }));
             let predicted = own.headroom;
+            let unsettled = 0;
             let spread = own.variance + readingNoise + (readingNoiseShare * margin) ** 2;
             for (const { use, pair } of beside) {
-                predicted -= pair.disturbance * use.share;
-                spread += pair.variance * use.share ** 2;
+                predicted -= pair.disturbance * use.smoothedShare;
+                unsettled += pair.disturbance * Math.abs(use.smoothedShare - use.share);
+                spread += pair.variance * use.smoothedShare ** 2;
             }
+            // The tail is smoothed and not the margin, so that a reading says little while the use changes.
+            spread += unsettled ** 2;
             const surprise = margin - predicted;
             if (margin < saturatedMargin && surprise > 0) {
                 return;
@@ -126,12 +158,19 @@
             own.trend += own.variance / spread * surprise * trendGain;
             own.variance *= 1 - own.variance / spread;
             for (const { use, pair } of beside) {
-                const gain = pair.variance * use.share / spread;
+                const gain = pair.variance * use.smoothedShare / spread;
                 pair.disturbance = Math.max(0, pair.disturbance - gain * surprise);
-                pair.variance *= 1 - gain * use.share;
+                pair.variance *= 1 - gain * use.smoothedShare;
             }
         },
-        estimateDisturbance: findDisturbance,
+        estimateDisturbance: (image, other) => pairs.get(formatPair(image, other))?.disturbance ?? unknownDisturbance,
+        estimateWorstDisturbance: (image, other) => {
+            const pair = pairs.get(formatPair(image, other));
+            return pair === undefined
+                ? unknownDisturbance + Math.sqrt(unknownVariance)
+                : pair.disturbance + Math.sqrt(pair.variance);
+        },
+        isUnsure: (image, other) => (pairs.get(formatPair(image, other))?.variance ?? unknownVariance) > unsureVariance,
         estimateHeadroom: job => jobs.get(job)?.headroom ?? unknownHeadroom,
         predictHeadroom: (job, aheadMs) => {
             const known = jobs.get(job);
@@ -140,5 +179,15 @@
         forgetJob: job => {
             jobs.delete(job);
         },
+        listPairs: () => [...pairs.values()].filter(pair => pair.variance < unknownVariance),
+        addPairs: added => {
+            for (const { image, other, disturbance, variance } of added) {
+                const pair = getPair(image, other);
+                if (variance < pair.variance) {
+                    pair.disturbance = disturbance;
+                    pair.variance = variance;
+                }
+            }
+        },
     };
 }
--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -2,12 +2,14 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunView, RunViews } from "@chestnutspool/track-workers";
 
-/** Margin (target / tail) below which neighbours are slowed down. */
-const lowMargin = 1.1;
-/** Margin at which neighbours are left or let go again; above `lowMargin`, so that paces do not change to and fro. */
-const wantedMargin = 1.35;
-/** Least share of its speed that a slowed task keeps while it is not the only cause, in percent. */
-const paceStepPercent = 25;
+/** Margin (target / tail) below which neighbours are slowed down; estimates of it scatter by about a tenth. */
+const lowMargin = 1.15;
+/** Margin up to which neighbours are let go again; above `lowMargin`, so that paces do not change to and fro. */
+const wantedMargin = 1.3;
+/** How far ahead the load is looked at, in milliseconds: readings lag, and an order on pace takes a while. */
+const lookAheadMs = 800;
+/** Smallest change of a pace, in percent. */
+const paceStepPercent = 20;
 const fullPacePercent = 100;
 
 /** A change of the share of its speed that a run keeps. */
@@ -25,11 +27,9 @@
     percent: number;
 }
 
-interface ServingRun {
+interface ServingImage {
     readonly image: string;
-    /** Margin that the report shows. */
-    readonly margin: number;
-    /** Margin that it would have without neighbours that use idle processors. */
+    /** Margin that it is expected to have without neighbours that use idle processors. */
     readonly headroom: number;
 }
 
@@ -38,55 +38,41 @@
     const capacity = Math.max(1, state.info.capacity.milliCpu);
     for (const [runKey, { step }] of state.runs) {
         const view = views.get(runKey);
-        if (view === undefined || !step.spec.usesIdleCpu) {
-            continue;
+        if (view !== undefined && step.spec.usesIdleCpu) {
+            const fullShare = step.spec.resources.milliCpu / capacity;
+            filling.push({ runKey, image: step.spec.image ?? "", fullShare, view, percent: view.pacePercent });
         }
-        const fullShare = step.spec.resources.milliCpu / capacity;
-        filling.push({ runKey, image: step.spec.image ?? "", fullShare, view, percent: view.pacePercent });
     }
     return filling;
 }
 
-function computeShare(run: FillingRun): number {
-    return run.fullShare * run.percent / fullPacePercent;
-}
-
-function listServing(
-    state: WorkerState,
-    views: RunViews,
-    filling: readonly FillingRun[],
-    interference: InterferenceModel,
-): ServingRun[] {
-    const serving: ServingRun[] = [];
-    for (const [runKey, { step }] of state.runs) {
-        const view = views.get(runKey);
-        const { tailTargetMs, image = "" } = step.spec;
-        if (tailTargetMs === undefined || view?.lastReading === undefined || view.lastReading <= 0) {
-            continue;
+function listServing(state: WorkerState, interference: InterferenceModel): ServingImage[] {
+    const headrooms = new Map<string, number>();
+    for (const { job, step } of state.runs.values()) {
+        if (step.spec.tailTargetMs !== undefined) {
+            const image = step.spec.image ?? "";
+            const headroom = interference.predictHeadroom(job.id, lookAheadMs);
+            headrooms.set(image, Math.min(headrooms.get(image) ?? Number.POSITIVE_INFINITY, headroom));
         }
-        const margin = tailTargetMs / view.lastReading;
-        const pressure = filling.reduce(
-            (sum, run) => sum + interference.estimateDisturbance(image, run.image) * computeShare(run),
-            0,
-        );
-        serving.push({ image, margin, headroom: margin + pressure });
     }
-    return serving;
+    return [...headrooms].map(([image, headroom]) => ({ image, headroom }));
 }
 
-function predictMargin(task: ServingRun, filling: readonly FillingRun[], interference: InterferenceModel): number {
-    return filling.reduce(
-        (margin, run) => margin - interference.estimateDisturbance(task.image, run.image) * computeShare(run),
-        task.headroom,
-    );
+function computeHarm(serving: ServingImage, run: FillingRun, interference: InterferenceModel): number {
+    return interference.estimateWorstDisturbance(serving.image, run.image) * run.fullShare * run.percent
+        / fullPacePercent;
+}
+
+function predictMargin(serving: ServingImage, filling: readonly FillingRun[], model: InterferenceModel): number {
+    return filling.reduce((margin, run) => margin - computeHarm(serving, run, model), serving.headroom);
 }
 
 /** The run that takes most from a serving task. */
-function findWorst(task: ServingRun, filling: readonly FillingRun[], interference: InterferenceModel) {
+function findWorst(serving: ServingImage, filling: readonly FillingRun[], model: InterferenceModel) {
     let worst: FillingRun | undefined;
     let worstHarm = 0;
     for (const run of filling) {
-        const harm = interference.estimateDisturbance(task.image, run.image) * computeShare(run);
+        const harm = computeHarm(serving, run, model);
         if (harm > worstHarm) {
             worst = run;
             worstHarm = harm;
@@ -96,28 +82,28 @@
 }
 
 /** Slows the most harmful neighbours down until every serving task is expected to keep its target. */
-function slowDown(serving: readonly ServingRun[], filling: readonly FillingRun[], model: InterferenceModel): void {
-    for (const task of serving) {
-        if (task.margin >= lowMargin) {
+function slowDown(serving: readonly ServingImage[], filling: readonly FillingRun[], model: InterferenceModel): void {
+    for (const image of serving) {
+        if (predictMargin(image, filling, model) >= lowMargin) {
             continue;
         }
-        while (predictMargin(task, filling, model) < wantedMargin) {
-            const worst = findWorst(task, filling, model);
-            if (worst === undefined) {
-                break;
-            }
+        for (
+            let worst = findWorst(image, filling, model);
+            worst !== undefined && predictMargin(image, filling, model) < wantedMargin;
+            worst = findWorst(image, filling, model)
+        ) {
             worst.percent = Math.max(0, worst.percent - paceStepPercent);
         }
     }
 }
 
 /** Lets slowed neighbours go faster as far as every serving task is expected to keep more than its target. */
-function speedUp(serving: readonly ServingRun[], filling: readonly FillingRun[], model: InterferenceModel): void {
+function speedUp(serving: readonly ServingImage[], filling: readonly FillingRun[], model: InterferenceModel): void {
     for (const run of filling) {
         while (run.percent < fullPacePercent) {
             const before = run.percent;
             run.percent = Math.min(fullPacePercent, before + paceStepPercent);
-            if (serving.some(task => predictMargin(task, filling, model) < wantedMargin)) {
+            if (serving.some(image => predictMargin(image, filling, model) < wantedMargin)) {
                 run.percent = before;
                 break;
             }
@@ -126,19 +112,17 @@
 }
 
 /**
- * Plans the paces of the tasks that use idle processors on a worker, after a report. A serving task near its target slows down
- * those that disturb it most; once there is margin they are let go again.
+ * Plans the paces of the tasks that use idle processors on a worker. Those that disturb a serving task most are slowed down
+ * before it passes its target, and let go again once there is margin.
  */
 export function planPaces(state: WorkerState, views: RunViews, interference: InterferenceModel): PaceChange[] {
     const filling = listFilling(state, views);
     if (filling.length === 0) {
         return [];
     }
-    const serving = listServing(state, views, filling, interference);
-    if (serving.some(task => task.margin < lowMargin)) {
-        slowDown(serving, filling, interference);
-    }
-    else {
+    const serving = listServing(state, interference);
+    slowDown(serving, filling, interference);
+    if (filling.every(run => run.percent === run.view.pacePercent)) {
         speedUp(serving, filling, interference);
     }
     return filling
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,5 +1,6 @@
 import { countFailures, type JobModel, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
+import type { RunViews } from "@chestnutspool/track-workers";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
 import { rateWorker } from "./rate-workers.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
@@ -22,6 +23,8 @@
     /** Whether a worker may get tasks now. */
     readonly isUsable: (worker: WorkerId) => boolean;
     readonly interference: InterferenceModel;
+    /** What the reports of a worker showed of its runs. */
+    readonly findViews: (worker: WorkerId) => RunViews | undefined;
 }
 
 /** What a pass of the planner works on. */
@@ -31,10 +34,11 @@
     readonly starts: RunStart[];
 }
 
-function listRooms({ model, isUsable }: PlanInput): WorkerRoom[] {
+/** The rooms on the workers that may get tasks. */
+export function listRooms({ model, isUsable, findViews }: PlanInput): WorkerRoom[] {
     return [...model.workers.values()]
         .filter(worker => !worker.isDraining && isUsable(worker.info.id))
-        .map(createWorkerRoom);
+        .map(worker => createWorkerRoom(worker, findViews(worker.info.id)));
 }
 
 function chooseRoom(pass: Pass, waiting: WaitingStep, stepKey: string, tasksByRack: ReadonlyMap<string, number>) {
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -35,7 +35,7 @@
     let least = Number.POSITIVE_INFINITY;
     for (const group of room.serving.values()) {
         let margin = Math.max(lowestHeadroom, interference.predictHeadroom(group.job, lookAheadMs))
-            - interference.estimateDisturbance(group.image, image) * share;
+            - interference.estimateWorstDisturbance(group.image, image) * share;
         for (const [other, otherShare] of room.fillingShares) {
             margin -= interference.estimateDisturbance(group.image, other) * otherShare;
         }
@@ -49,7 +49,7 @@
     const { milliCpu } = spec.resources;
     const capacity = Math.max(1, room.state.info.capacity.milliCpu);
     const idleShare = milliCpu === 0 ? 1 : Math.min(1, room.idleMilliCpu / milliCpu);
-    if (idleShare < leastIdleShare) {
+    if (room.isContended || idleShare < leastIdleShare) {
         return undefined;
     }
     const margin = predictMargin(room, spec.image ?? "", milliCpu / capacity, context.interference);
--- a/packages/plan-jobs/src/worker-room.ts
+++ b/packages/plan-jobs/src/worker-room.ts
@@ -1,8 +1,9 @@
 import { computeReservation, type WorkerState } from "@chestnutspool/job-state";
+import type { RunView, RunViews } from "@chestnutspool/track-workers";
 import { addResources, findShortage, type Resources, type StepSpec, subtractResources } from "@chestnutspool/types";
 
-/** Share of its reserved processors that a serving task uses when its load is high. */
-const servingUseShare = 0.65;
+/** Share of its reserved processors that a serving task uses on average. */
+const servingUseShare = 0.45;
 
 /** A worker as a pass of the planner sees it. */
 export interface WorkerRoom {
@@ -15,6 +16,8 @@
     idleMilliCpu: number;
     /** Jobs of the serving tasks here, with the image of their tasks and how many there are. */
     readonly serving: Map<string, ServingGroup>;
+    /** The tasks that use idle processors get less than they could use, so that another one would only slow them down. */
+    readonly isContended: boolean;
     /** Processor time that tasks without reservation are expected to use, by image, as a share of the worker. */
     readonly fillingShares: Map<string, number>;
 }
@@ -61,14 +64,36 @@
     }
 }
 
-/** The room on a worker. */
-export function createWorkerRoom(state: WorkerState): WorkerRoom {
+/** Time after a start or a change of pace from which a reading shows what a task gets, in milliseconds. */
+const settledAfterMs = 500;
+/** Share of its declared processors below which a task is held back; by itself it uses two thirds of them or more. */
+const contendedShare = 0.45;
+
+function isHeldBack(spec: StepSpec, view: RunView): boolean {
+    const paceMilliCpu = spec.resources.milliCpu * view.pacePercent / 100;
+    return spec.usesIdleCpu && view.pacePercent > 0 && view.lastReading !== undefined
+        && view.readAtMs - view.paceChangedAtMs > settledAfterMs && view.lastReading < paceMilliCpu * contendedShare;
+}
+
+function isContended(state: WorkerState, views: RunViews | undefined): boolean {
+    for (const [key, { step }] of state.runs) {
+        const view = views?.get(key);
+        if (view !== undefined && isHeldBack(step.spec, view)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** The room on a worker; `views` are what its reports showed. */
+export function createWorkerRoom(state: WorkerState, views: RunViews | undefined): WorkerRoom {
     const room: WorkerRoom = {
         state,
         free: subtractResources(state.info.capacity, state.used),
         tasksByStep: new Map(),
         idleMilliCpu: state.info.capacity.milliCpu,
         serving: new Map(),
+        isContended: isContended(state, views),
         fillingShares: new Map(),
     };
     for (const { job, occurrence, step } of state.runs.values()) {
--- a/packages/track-workers/src/run-views.ts
+++ b/packages/track-workers/src/run-views.ts
@@ -32,6 +32,8 @@
     readAtMs: number;
     /** Share of its speed that the run was told to keep, in percent. */
     pacePercent: number;
+    /** When that last changed. */
+    paceChangedAtMs: number;
 }
 
 /** The views of one worker by run key. */
@@ -52,6 +54,7 @@
         lastReading: undefined,
         readAtMs: nowMs,
         pacePercent: 100,
+        paceChangedAtMs: nowMs,
     };
 }
 
