Keep a margin that grows with the disturbance

Cause: most readings over the target came as a surprise of 0.3 to 0.8 in target / tail beside harmful pairs, because the disturbance of one task changes by about 40% within seconds (residuals of the fit: 0.27 without, 0.41 with disturbance).

Change: one prediction (predict-margin) for placement and pacing, the expected margin less 1.5 standard deviations.

--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -1,11 +1,12 @@
 import type { WorkerState } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
+import { predictMargin } from "./predict-margin.js";
 import type { RunView, RunViews } from "@chestnutspool/track-workers";
 
-/** Margin (target / tail) below which neighbours are slowed down; estimates of it scatter by about a tenth. */
-const lowMargin = 1.15;
+/** Margin (target / tail) below which neighbours are slowed down. */
+const lowMargin = 1;
 /** Margin up to which neighbours are let go again; above `lowMargin`, so that paces do not change to and fro. */
-const wantedMargin = 1.3;
+const wantedMargin = 1.1;
 /** How far ahead the load is looked at, in milliseconds: readings lag, and an order on pace takes a while. */
 const lookAheadMs = 800;
 /** Smallest change of a pace, in percent. */
@@ -59,12 +60,17 @@
 }
 
 function computeHarm(serving: ServingImage, run: FillingRun, interference: InterferenceModel): number {
-    return interference.estimateWorstDisturbance(serving.image, run.image) * run.fullShare * run.percent
-        / fullPacePercent;
+    const pair = interference.estimatePair(serving.image, run.image);
+    return (pair.disturbance + Math.sqrt(pair.variance)) * run.fullShare * run.percent / fullPacePercent;
 }
 
-function predictMargin(serving: ServingImage, filling: readonly FillingRun[], model: InterferenceModel): number {
-    return filling.reduce((margin, run) => margin - computeHarm(serving, run, model), serving.headroom);
+function predictPacedMargin(serving: ServingImage, filling: readonly FillingRun[], model: InterferenceModel): number {
+    const shares = new Map<string, number>();
+    for (const run of filling) {
+        const share = run.fullShare * run.percent / fullPacePercent;
+        shares.set(run.image, (shares.get(run.image) ?? 0) + share);
+    }
+    return predictMargin(serving.image, serving.headroom, shares, model);
 }
 
 /** The run that takes most from a serving task. */
@@ -84,12 +90,12 @@
 /** Slows the most harmful neighbours down until every serving task is expected to keep its target. */
 function slowDown(serving: readonly ServingImage[], filling: readonly FillingRun[], model: InterferenceModel): void {
     for (const image of serving) {
-        if (predictMargin(image, filling, model) >= lowMargin) {
+        if (predictPacedMargin(image, filling, model) >= lowMargin) {
             continue;
         }
         for (
             let worst = findWorst(image, filling, model);
-            worst !== undefined && predictMargin(image, filling, model) < wantedMargin;
+            worst !== undefined && predictPacedMargin(image, filling, model) < wantedMargin;
             worst = findWorst(image, filling, model)
         ) {
             worst.percent = Math.max(0, worst.percent - paceStepPercent);
@@ -103,7 +109,7 @@
         while (run.percent < fullPacePercent) {
             const before = run.percent;
             run.percent = Math.min(fullPacePercent, before + paceStepPercent);
-            if (serving.some(image => predictMargin(image, filling, model) < wantedMargin)) {
+            if (serving.some(image => predictPacedMargin(image, filling, model) < wantedMargin)) {
                 run.percent = before;
                 break;
             }
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -1,9 +1,10 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { StepSpec } from "@chestnutspool/types";
+import { predictMargin } from "./predict-margin.js";
 import { findRack, type WorkerRoom } from "./worker-room.js";
 
-/** Margin (target / tail) below which no serving task may be pushed by a task that starts beside it. */
-export const leastMargin = 1.1;
+/** Margin (target / tail) that each serving task has to keep when a task starts beside it. */
+const leastMargin = 1;
 /** How far ahead the load of serving tasks is looked at when a task starts beside them, in milliseconds. */
 const lookAheadMs = 1_500;
 /** Headroom that serving tasks are expected to keep at their highest load. */
@@ -22,24 +23,16 @@
     readonly tasksByRack: ReadonlyMap<string, number>;
 }
 
-/**
- * Least margin that the serving tasks on a worker are expected to have if a task of the image used another `share` of its
- * processors; Infinity without serving tasks.
- */
-export function predictMargin(
-    room: WorkerRoom,
-    image: string,
-    share: number,
-    interference: InterferenceModel,
-): number {
+/** Least margin that the serving tasks on a worker keep if a task of the image used another `share` of its processors. */
+function predictLeastMargin(room: WorkerRoom, image: string, share: number, interference: InterferenceModel): number {
+    const shares = new Map(room.fillingShares);
+    shares.set(image, (shares.get(image) ?? 0) + share);
     let least = Number.POSITIVE_INFINITY;
     for (const group of room.serving.values()) {
-        let margin = Math.max(lowestHeadroom, interference.predictHeadroom(group.job, lookAheadMs))
-            - interference.estimateWorstDisturbance(group.image, image) * share;
-        for (const [other, otherShare] of room.fillingShares) {
-            margin -= interference.estimateDisturbance(group.image, other) * otherShare;
+        if (group.count > 0) {
+            const headroom = Math.max(lowestHeadroom, interference.predictHeadroom(group.job, lookAheadMs));
+            least = Math.min(least, predictMargin(group.image, headroom, shares, interference));
         }
-        least = group.count > 0 ? Math.min(least, margin) : least;
     }
     return least;
 }
@@ -52,7 +45,7 @@
     if (room.isContended || idleShare < leastIdleShare) {
         return undefined;
     }
-    const margin = predictMargin(room, spec.image ?? "", milliCpu / capacity, context.interference);
+    const margin = predictLeastMargin(room, spec.image ?? "", milliCpu / capacity, context.interference);
     if (margin < leastMargin) {
         return undefined;
     }
@@ -67,7 +60,7 @@
     }
     let disturbance = 0;
     for (const [other, share] of room.fillingShares) {
-        disturbance += context.interference.estimateDisturbance(spec.image ?? "", other) * share;
+        disturbance += context.interference.estimatePair(spec.image ?? "", other).disturbance * share;
     }
     return alike * sameImageGain - disturbance - room.free.milliCpu / Math.max(1, room.state.info.capacity.milliCpu);
 }
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -34,6 +34,8 @@
 /** Share of the tasks that use only a part of their declared processors, and that part. */
 const smallUseShare = 0.4;
 const smallUse = 0.68;
+/** Part by which a tail reading is off at most. */
+const readErrorShare = 0.15;
 /** Start of the simulated wall clock, so that times are never 0. */
 const epochMs = 1_000_000;
 
@@ -168,7 +170,7 @@
                 const percent = isServing ? 100 : Math.floor(100 * run.doneMs / run.workMs);
                 view.progressAtMs = percent === view.progressPercent ? view.progressAtMs : nowMs;
                 view.progressPercent = percent;
-                view.lastReading = Math.round(isServing ? run.tailMs : run.milliCpu);
+                view.lastReading = Math.round(isServing ? run.tailMs * (1 + readErrorShare * (2 * world.random.readShare() - 1)) : run.milliCpu);
                 view.readAtMs = nowMs;
             }
         }
@@ -219,6 +221,7 @@
         useShare: world.random.readShare() < smallUseShare ? smallUse : 1,
         failsAt: fails && job.kind.character.kind !== "serving" ? world.random.readShare() : undefined,
         percent: 100,
+        phase: world.random.readShare(),
         milliCpu: 0,
         tailMs: 0,
         isHarmed: false,
--- a/packages/replay-jobs/src/simulated-workers.ts
+++ b/packages/replay-jobs/src/simulated-workers.ts
@@ -15,6 +15,8 @@
     /** Share of the work after which it fails; undefined when it does not. */
     readonly failsAt: number | undefined;
     percent: number;
+    /** Place of its swing of disturbance, from 0 to 1. */
+    readonly phase: number;
     /** Processor time in use, in thousandths of a core. */
     milliCpu: number;
     /** Tail of the response time of a serving task, in milliseconds. */
@@ -25,6 +27,9 @@
 
 /** Interval at which a worker reads the tails, in milliseconds; each reading counts half of the last one. */
 const readingMs = 240;
+/** Part by which the disturbance by one task swings, and for how long, in milliseconds. */
+const pressureSwing = 0.5;
+const pressureSwingMs = 2_700;
 /** Largest factor by which a tail grows on a saturated worker. */
 const largestTailFactor = 70;
 
@@ -72,7 +77,8 @@
             const paced = spec.resources.milliCpu * run.useShare * run.percent / 100;
             run.milliCpu = Math.min(paced, Math.max(0, idle));
             idle -= run.milliCpu;
-            uses.set(spec.image ?? "", (uses.get(spec.image ?? "") ?? 0) + run.milliCpu / capacity);
+            const swing = 1 + pressureSwing * Math.sin(2 * Math.PI * (nowMs / pressureSwingMs + run.phase));
+            uses.set(spec.image ?? "", (uses.get(spec.image ?? "") ?? 0) + run.milliCpu * swing / capacity);
             run.doneMs += stepMs * run.milliCpu / (spec.resources.milliCpu * run.useShare);
         }
         else {
