--- a/packages/plan-jobs/src/worker-room.ts
+++ b/packages/plan-jobs/src/worker-room.ts
@@ -2,8 +2,8 @@
 import type { RunView, RunViews } from "@chestnutspool/track-workers";
 import { addResources, findShortage, type Resources, type StepSpec, subtractResources } from "@chestnutspool/types";
 
-/** Share of its reserved processors that a serving task uses on average. */
-const servingUseShare = 0.45;
+/** Share of its reserved processors that a serving task uses when it is not busy; fillers that get too little show the rest. */
+const servingUseShare = 0.35;
 
 /** A worker as a pass of the planner sees it. */
 export interface WorkerRoom {
