Test the state machine of jobs, leases, reports, learning and planning

Cause: the new packages had no tests.

Change: the order of closed jobs is saved, the steps of closed jobs are dropped; a headroom stays above 1.2; the goal of pacing is at most a little less than the margin without neighbours.

--- /dev/null
+++ b/packages/job-state/src/change-jobs.test.ts
@@ -0,0 +1,61 @@
+import type { QueueConfiguration } from "@chestnutspool/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { findQueue } from "./change-jobs.js";
+import { makeJob, makeMachine, makeQueue, testStartMs } from "./fakes/index.js";
+
+function makeConfiguration(version: number, queues: QueueConfiguration["queues"]): QueueConfiguration {
+    const pools = [{ name: "pool", healthPath: "/health", guardsCapacity: false, isStandby: false }];
+    return { version, queues, pools, bodyLimitBytes: 1, document: new Uint8Array(0) };
+}
+
+test("a job that is sent twice is one job, also after it was cancelled", () => {
+    const machine = makeMachine();
+    assert.deepEqual(machine.submit(makeJob("a")), { kind: "accepted", isRepeat: false });
+    machine.apply({ kind: "cancelJob", job: "a" });
+    assert.deepEqual(machine.submit(makeJob("a")), { kind: "accepted", isRepeat: true });
+    assert.equal(machine.state.jobs.get("a")?.phase, "cancelled");
+});
+
+test("a job for a queue that was removed is not accepted", () => {
+    const machine = makeMachine();
+    machine.apply({ kind: "setConfiguration", configuration: makeConfiguration(2, []) });
+    assert.deepEqual(machine.submit(makeJob("a")), { kind: "noQueue" });
+});
+
+test("a configuration that is not higher changes nothing and names the one in force", () => {
+    const machine = makeMachine();
+    const later = makeConfiguration(9, [makeQueue({ name: "later" })]);
+    assert.deepEqual(machine.apply({ kind: "setConfiguration", configuration: later }), {
+        kind: "configuration",
+        version: 9,
+    });
+    for (const version of [9, 3]) {
+        const result = machine.apply({ kind: "setConfiguration", configuration: makeConfiguration(version, []) });
+        assert.deepEqual(result, { kind: "configuration", version: 9 });
+    }
+    assert.equal(machine.state.configuration?.queues[0]?.name, "later");
+});
+
+test("the longest path that a request begins with selects the queue", () => {
+    const queues = [makeQueue(), makeQueue({ name: "inner", path: "/main/inner/" }), makeQueue({ hostName: "other" })];
+    const configuration = makeConfiguration(1, queues);
+    assert.equal(findQueue(configuration, "jobs.example", "/main/inner/x")?.name, "inner");
+    assert.equal(findQueue(configuration, "jobs.example", "/main/x")?.name, "main");
+    assert.equal(findQueue(configuration, "jobs.example", "/none"), undefined);
+    assert.equal(findQueue(undefined, "jobs.example", "/main/x"), undefined);
+});
+
+test("cancelling a job that does not exist says so", () => {
+    assert.deepEqual(makeMachine().apply({ kind: "cancelJob", job: "none" }), { kind: "noJob" });
+});
+
+test("ended jobs are forgotten after their retention, open ones are not", () => {
+    const machine = makeMachine();
+    machine.submit(makeJob("open"));
+    machine.submit(makeJob("ended"));
+    machine.apply({ kind: "cancelJob", job: "ended" });
+    machine.apply({ kind: "drainWorker", worker: "none" }, testStartMs + 3_600_000);
+    machine.submit(makeJob("next"));
+    assert.deepEqual([...machine.state.jobs.keys()], ["open", "next"]);
+});
--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -9,6 +9,7 @@
 } from "@chestnutspool/types";
 import {
     computeReservation,
+    createEndedDefinition,
     isJobEnded,
     isStepReady,
     type JobModel,
@@ -27,6 +28,7 @@
 export function closeIfOver(model: JobModel, job: JobRecord): void {
     if (isJobEnded(job) && job.runsInProgress === 0) {
         job.occurrences.clear();
+        job.definition = createEndedDefinition(job.id);
         model.openJobs.delete(job.id);
         model.closedJobs.add(job.id);
     }
--- /dev/null
+++ b/packages/job-state/src/fakes/index.ts
@@ -0,0 +1,1 @@
+export * from "./make-jobs.js";
--- a/packages/job-state/src/model.ts
+++ b/packages/job-state/src/model.ts
@@ -58,7 +58,8 @@
 /** A job. */
 export interface JobRecord {
     readonly id: JobId;
-    readonly definition: JobDefinition;
+    /** Emptied when the job is over, because only its phase is still asked for. */
+    definition: JobDefinition;
     /** The queue as it was when the job was accepted. */
     readonly queue: QueueSettings;
     phase: JobPhase;
@@ -162,6 +163,11 @@
     };
 }
 
+/** What is left of a definition when the job is over. */
+export function createEndedDefinition(id: JobId): JobDefinition {
+    return { id, payload: "", steps: [], occurrences: 0, firstAtMs: undefined, intervalMs: 0 };
+}
+
 /** Creates the record of a job that was just accepted. */
 export function createJob(definition: JobDefinition, queue: QueueSettings, acceptedAtMs: number): JobRecord {
     const occurrences = new Map<number, JobOccurrence>();
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -11,6 +11,7 @@
 import { Packr } from "msgpackr";
 import {
     computeReservation,
+    createEndedDefinition,
     createJob,
     type JobModel,
     type JobOccurrence,
@@ -53,6 +54,8 @@
     readonly clockMs: number;
     readonly configuration: QueueConfiguration | undefined;
     readonly jobs: readonly SavedJob[];
+    /** Ids of the jobs that are over, in the order in which they closed. */
+    readonly closed: readonly string[];
     readonly workers: readonly { readonly info: WorkerInfo; readonly isDraining: boolean; }[];
     readonly waves: readonly {
         readonly wave: UpkeepWave;
@@ -100,6 +103,7 @@
         clockMs: model.clockMs,
         configuration: model.configuration,
         jobs: [...model.jobs.values()].map(job => saveJob(job, model.openJobs.has(job.id))),
+        closed: [...model.closedJobs],
         workers: [...model.workers.values()].map(({ info, isDraining }) => ({ info, isDraining })),
         waves: [...model.waves.values()].map(({ wave, requestedAtMs, begun }) => ({
             wave,
@@ -162,8 +166,7 @@
 
 function restoreJob(model: JobModel, saved: SavedJob): void {
     const { id, queue, acceptedAtMs } = saved;
-    const ended: JobDefinition = { id, payload: "", steps: [], occurrences: 0, firstAtMs: undefined, intervalMs: 0 };
-    const job = createJob(saved.definition ?? ended, queue, acceptedAtMs);
+    const job = createJob(saved.definition ?? createEndedDefinition(id), queue, acceptedAtMs);
     job.phase = saved.phase;
     job.endedAtMs = saved.endedAtMs;
     const savedByNumber = new Map(saved.occurrences.map(occurrence => [occurrence.number, occurrence]));
@@ -185,9 +188,6 @@
     if (saved.definition !== undefined) {
         model.openJobs.set(id, job);
     }
-    else {
-        model.closedJobs.add(id);
-    }
 }
 
 /** Replaces the state by an encoded one. */
@@ -210,9 +210,8 @@
     for (const { info, isDraining } of saved.workers) {
         model.workers.set(info.id, { info, isDraining, used: noResources, runs: new Map() });
     }
-    [...saved.jobs]
-        .sort((left, right) => (left.endedAtMs ?? Infinity) - (right.endedAtMs ?? Infinity))
-        .forEach(job => restoreJob(model, job));
+    saved.jobs.forEach(job => restoreJob(model, job));
+    saved.closed.forEach(id => model.closedJobs.add(id));
     for (const { wave, requestedAtMs, begun } of saved.waves) {
         model.waves.set(wave.wave, { wave, requestedAtMs, begun: new Set(begun) });
     }
--- /dev/null
+++ b/packages/learn-interference/src/interference-model.test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createInterferenceModel, type InterferenceModel } from "./interference-model.js";
+import { createUseHistory } from "./use-history.js";
+
+/** Readings of a job whose tasks are beside tasks that disturb by known amounts. */
+function feed(model: InterferenceModel, truth: ReadonlyMap<string, number>, seconds: number): void {
+    const images = [...truth.keys()];
+    for (let atMs = 0; atMs < seconds * 1_000; atMs += 300) {
+        const image = images[Math.floor(atMs / 1_500) % images.length] ?? "";
+        const share = 0.1 + 0.1 * (Math.floor(atMs / 600) % 2);
+        const headroom = 2.5 + 0.8 * Math.sin(atMs / 1_600);
+        const margin = headroom - (truth.get(image) ?? 0) * share;
+        // Two tasks of the job: one with a neighbour, one without.
+        model.observeMargin("job", "web", headroom, [], atMs);
+        model.observeMargin("job", "web", margin, [{ image, share, smoothedShare: share }], atMs);
+    }
+}
+
+test("harmful and harmless pairs are told apart within some seconds, while the load of the job swings", () => {
+    const model = createInterferenceModel();
+    feed(model, new Map([["harmful", 8], ["harmless", 1]]), 6);
+    assert.ok(model.estimatePair("web", "harmful").disturbance > 5);
+    assert.ok(model.estimatePair("web", "harmless").disturbance < 2.5);
+    assert.ok(!model.isUnsure("web", "harmful"));
+    assert.ok(model.isUnsure("web", "other"));
+});
+
+test("a reading while the use changes teaches less than one while it is steady", () => {
+    const learnt = [0.2, 0].map(share => {
+        const model = createInterferenceModel();
+        model.observeMargin("job", "web", 2.4, [], 0);
+        model.observeMargin("job", "web", 0.6, [{ image: "x", share, smoothedShare: 0.2 }], 300);
+        return model.estimatePair("web", "x").disturbance;
+    });
+    assert.ok((learnt[0] ?? 0) > (learnt[1] ?? 0));
+});
+
+test("a saturated worker does not make a pair look less harmful", () => {
+    const model = createInterferenceModel();
+    feed(model, new Map([["harmful", 8]]), 6);
+    const before = model.estimatePair("web", "harmful").disturbance;
+    model.observeMargin("job", "web", 0.05, [{ image: "harmful", share: 0.9, smoothedShare: 0.9 }], 7_000);
+    assert.ok(model.estimatePair("web", "harmful").disturbance >= before);
+});
+
+test("a job that is seen on a saturated worker first still blames its neighbours", () => {
+    const model = createInterferenceModel();
+    for (let atMs = 0; atMs < 4_000; atMs += 250) {
+        model.observeMargin("job", "web", 0.1, [{ image: "harmful", share: 0.3, smoothedShare: 0.3 }], atMs);
+    }
+    assert.ok(model.estimatePair("web", "harmful").disturbance > 3.5);
+});
+
+test("what an earlier leader has learnt is taken, unless this one knows better", () => {
+    const model = createInterferenceModel();
+    feed(model, new Map([["harmful", 8]]), 6);
+    const heir = createInterferenceModel();
+    heir.addPairs(model.listPairs());
+    assert.deepEqual(heir.estimatePair("web", "harmful"), model.estimatePair("web", "harmful"));
+    heir.addPairs([{ image: "web", other: "harmful", disturbance: 1, variance: 8 }]);
+    assert.ok(heir.estimatePair("web", "harmful").disturbance > 5);
+});
+
+test("a falling headroom is expected to fall on, a rising one is not expected to rise", () => {
+    const model = createInterferenceModel();
+    for (let atMs = 0; atMs <= 2_000; atMs += 200) {
+        model.observeMargin("falling", "web", 3 - atMs / 2_000, [], atMs);
+        model.observeMargin("rising", "web", 2 + atMs / 2_000, [], atMs);
+    }
+    assert.ok(model.predictHeadroom("falling", 1_000) < model.estimateHeadroom("falling") - 0.1);
+    assert.equal(model.predictHeadroom("rising", 1_000), model.estimateHeadroom("rising"));
+});
+
+test("a use history follows a change by half in each quarter of a second, as readings do", () => {
+    const history = createUseHistory();
+    history.recordUses(new Map([["x", 0.4]]), 0);
+    history.recordUses(new Map([["x", 0.4]]), 250);
+    assert.ok(Math.abs((history.listUses()[0]?.smoothedShare ?? 0) - 0.2) < 0.001);
+    history.recordUses(new Map(), 500);
+    assert.ok(Math.abs((history.listUses()[0]?.smoothedShare ?? 0) - 0.3) < 0.001);
+    history.recordUses(new Map(), 5_000);
+    assert.deepEqual(history.listUses(), []);
+});
--- a/packages/learn-interference/src/interference-model.ts
+++ b/packages/learn-interference/src/interference-model.ts
@@ -33,6 +33,8 @@
 /** Headroom of a job that was never seen: a target of a few times the tail of an idle worker, at half load. */
 const unknownHeadroom = 2.4;
 const unknownHeadroomVariance = 1;
+/** A job keeps its target by itself, so that a lower margin comes from its neighbours. */
+const lowestHeadroom = 1.2;
 /** Growth of the headroom's variance, per second: load swings within some seconds. */
 const headroomDrift = 0.25;
 /** Variance of a margin that is read: readings are whole milliseconds and scatter by about a tenth. */
@@ -126,7 +128,7 @@
         const own = getJob(job, nowMs);
         const passedMs = Math.max(0, nowMs - own.readAtMs);
         own.variance = Math.min(unknownHeadroomVariance, own.variance + headroomDrift * passedMs / 1000);
-        own.headroom += own.trend * passedMs / 1000;
+        own.headroom = Math.max(lowestHeadroom, own.headroom + own.trend * passedMs / 1000);
         own.trend *= Math.exp(-passedMs / trendFadeMs);
         own.readAtMs = nowMs;
         return own;
@@ -152,7 +154,7 @@
             if (margin < saturatedMargin && surprise > 0) {
                 return;
             }
-            own.headroom += own.variance / spread * surprise;
+            own.headroom = Math.max(lowestHeadroom, own.headroom + own.variance / spread * surprise);
             own.trend += own.variance / spread * surprise * trendGain;
             own.variance *= 1 - own.variance / spread;
             for (const { use, pair } of beside) {
--- /dev/null
+++ b/packages/plan-jobs/src/plan-paces.test.ts
@@ -0,0 +1,105 @@
+import { formatRunKey } from "@chestnutspool/job-state";
+import { makeJob, makeMachine, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
+import { createInterferenceModel, createUseHistory } from "@chestnutspool/learn-interference";
+import { createRunView, type RunViews } from "@chestnutspool/track-workers";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { isLearning, observeReport, recordUses } from "./observe-report.js";
+import { listStuckRuns } from "./plan-moves.js";
+import { planPaces } from "./plan-paces.js";
+import { listUnwantedRuns } from "./plan-stops.js";
+
+const fillingStep = makeStep({
+    usesIdleCpu: true,
+    checkpointing: true,
+    resources: { milliCpu: 1_000, memoryMib: 10, accelerators: 0 },
+});
+
+/** A worker with a serving task, a harmful and a harmless task beside it. */
+function setUp() {
+    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    machine.submit(makeJob("web", [makeStep({ longRunning: true, tailTargetMs: 20, image: "web" })]));
+    machine.submit(makeJob("harmful", [{ ...fillingStep, image: "harmful" }]));
+    machine.submit(makeJob("harmless", [{ ...fillingStep, image: "harmless" }]));
+    const views: RunViews = new Map();
+    for (const job of ["web", "harmful", "harmless"]) {
+        const key = { job, occurrence: 0, step: 0, position: 0, run: 1 };
+        machine.apply({ kind: "startRuns", starts: [{ ...key, worker: "w1" }] });
+        views.set(formatRunKey(key), createRunView(key, "confirmed", 0));
+    }
+    const interference = createInterferenceModel();
+    interference.addPairs([
+        { image: "web", other: "harmful", disturbance: 6, variance: 0.05 },
+        { image: "web", other: "harmless", disturbance: 0.5, variance: 0.05 },
+    ]);
+    const state = machine.state.workers.get("w1");
+    assert.ok(state !== undefined);
+    const getView = (job: string) => {
+        const view = views.get(`${job}.0.0.0#1`);
+        assert.ok(view !== undefined);
+        return view;
+    };
+    return { machine, views, interference, state, getView };
+}
+
+test("only the task that disturbs a serving task most is slowed down, before it is over its target", () => {
+    const { state, views, interference } = setUp();
+    interference.observeMargin("web", "web", 2, [], 0);
+    const changes = planPaces(state, views, interference);
+    assert.deepEqual(changes.map(change => change.runKey), ["harmful.0.0.0#1"]);
+    assert.ok((changes[0]?.percent ?? 100) < 100);
+});
+
+test("a slowed task is let go when the serving task has margin again", () => {
+    const { state, views, interference, getView } = setUp();
+    getView("harmful").pacePercent = 0;
+    for (let atMs = 0; atMs < 1_000; atMs += 250) {
+        interference.observeMargin("web", "web", 1.6, [], atMs);
+    }
+    assert.deepEqual(planPaces(state, views, interference), []);
+    for (let atMs = 1_000; atMs < 9_000; atMs += 250) {
+        interference.observeMargin("web", "web", 6, [], atMs);
+    }
+    assert.deepEqual(planPaces(state, views, interference), [{ runKey: "harmful.0.0.0#1", percent: 100 }]);
+});
+
+test("reports teach the disturbance of the tasks that were running", () => {
+    const { state, views, interference, getView } = setUp();
+    const history = createUseHistory();
+    assert.ok(!isLearning(state, views, interference));
+    const fresh = createInterferenceModel();
+    assert.ok(isLearning(state, views, fresh));
+    getView("web").progressPercent = 100;
+    getView("web").lastReading = 200;
+    for (let atMs = 2_000; atMs < 6_000; atMs += 250) {
+        recordUses(state, views, history, atMs);
+        observeReport(state, views, fresh, history, atMs);
+    }
+    assert.ok(fresh.listPairs().length === 2);
+});
+
+test("a task that makes no progress moves if it would get on elsewhere, and stays if it would begin anew", () => {
+    const { machine, views, interference, getView } = setUp();
+    const input = {
+        model: machine.state,
+        isUsable: () => true,
+        interference,
+        findViews: (worker: string) => worker === "w1" ? views : undefined,
+    };
+    const stuck = getView("harmful");
+    stuck.pacePercent = 0;
+    getView("harmless").progressAtMs = 5_000;
+    assert.deepEqual(listStuckRuns(input, 5_000), [{ worker: "w1", runKey: "harmful.0.0.0#1" }]);
+    stuck.progressAtMs = 4_900;
+    assert.deepEqual(listStuckRuns(input, 5_000), []);
+    stuck.progressAtMs = 0;
+    machine.apply({ kind: "drainWorker", worker: "w2" }, testStartMs);
+    assert.deepEqual(listStuckRuns(input, 5_000), []);
+});
+
+test("runs of an ended job are not wanted any more", () => {
+    const { machine, state } = setUp();
+    assert.deepEqual(listUnwantedRuns(state), []);
+    machine.apply({ kind: "cancelJob", job: "web" });
+    assert.deepEqual(listUnwantedRuns(state), ["web.0.0.0#1"]);
+});
--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -1,7 +1,7 @@
 import type { WorkerState } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
-import { predictMargin } from "./predict-margin.js";
 import type { RunView, RunViews } from "@chestnutspool/track-workers";
+import { computeMarginGoal, predictMargin } from "./predict-margin.js";
 
 /** Margin (target / tail) below which neighbours are slowed down. */
 const lowMargin = 1;
@@ -90,12 +90,16 @@
 /** Slows the most harmful neighbours down until every serving task is expected to keep its target. */
 function slowDown(serving: readonly ServingImage[], filling: readonly FillingRun[], model: InterferenceModel): void {
     for (const image of serving) {
-        if (predictPacedMargin(image, filling, model) >= lowMargin) {
+        if (
+            predictPacedMargin(image, filling, model)
+                >= computeMarginGoal(image.image, image.headroom, lowMargin, model)
+        ) {
             continue;
         }
+        const goal = computeMarginGoal(image.image, image.headroom, wantedMargin, model);
         for (
             let worst = findWorst(image, filling, model);
-            worst !== undefined && predictPacedMargin(image, filling, model) < wantedMargin;
+            worst !== undefined && predictPacedMargin(image, filling, model) < goal;
             worst = findWorst(image, filling, model)
         ) {
             worst.percent = Math.max(0, worst.percent - paceStepPercent);
@@ -105,11 +109,12 @@
 
 /** Lets slowed neighbours go faster as far as every serving task is expected to keep more than its target. */
 function speedUp(serving: readonly ServingImage[], filling: readonly FillingRun[], model: InterferenceModel): void {
+    const goals = serving.map(image => computeMarginGoal(image.image, image.headroom, wantedMargin, model));
     for (const run of filling) {
         while (run.percent < fullPacePercent) {
             const before = run.percent;
             run.percent = Math.min(fullPacePercent, before + paceStepPercent);
-            if (serving.some(image => predictPacedMargin(image, filling, model) < wantedMargin)) {
+            if (serving.some((image, position) => predictPacedMargin(image, filling, model) < (goals[position] ?? 0))) {
                 run.percent = before;
                 break;
             }
--- /dev/null
+++ b/packages/plan-jobs/src/plan-starts.test.ts
@@ -0,0 +1,119 @@
+import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
+import { createInterferenceModel, type InterferenceModel } from "@chestnutspool/learn-interference";
+import type { StepSpec, WorkerInfo } from "@chestnutspool/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { planStarts } from "./plan-starts.js";
+
+type Machine = ReturnType<typeof makeMachine>;
+
+function plan(machine: Machine, interference: InterferenceModel = createInterferenceModel(), nowMs = testStartMs) {
+    const input = { model: machine.state, isUsable: () => true, interference, findViews: () => undefined };
+    return planStarts(input, nowMs);
+}
+
+function planOn(workers: readonly WorkerInfo[], step: Partial<StepSpec>): string[] {
+    const machine = makeMachine(workers);
+    machine.submit(makeJob("a", [makeStep(step)]));
+    return plan(machine).map(start => start.worker);
+}
+
+const serving = makeStep({ longRunning: true, tailTargetMs: 20, image: "web", count: 1 });
+
+test("a gang starts as a whole under one number of run, or not at all", () => {
+    const step = { count: 3, gang: true, resources: { milliCpu: 2_000, memoryMib: 10, accelerators: 0 } };
+    assert.deepEqual(planOn([makeWorker("w1")], step), []);
+    assert.equal(planOn([makeWorker("w1"), makeWorker("w2")], step).length, 3);
+    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    machine.submit(makeJob("a", [makeStep(step)]));
+    assert.equal(new Set(plan(machine).map(start => start.run)).size, 1);
+});
+
+test("no more tasks of a step go to one worker than its limit allows", () => {
+    const workers = ["w1", "w2"].map(id => makeWorker(id));
+    assert.deepEqual(planOn(workers, { count: 3, perWorkerLimit: 1 }).sort(), ["w1", "w2"]);
+});
+
+test("a task goes only to a worker with its label, and rather to the rack of its data", () => {
+    const workers = [
+        makeWorker("w1"),
+        makeWorker("w2", { labels: ["b", "r1"] }),
+        makeWorker("w3", { labels: ["a", "r1"] }),
+    ];
+    assert.deepEqual(planOn(workers, { requiredLabel: "b" }), ["w2"]);
+    assert.deepEqual(planOn(workers, { requiredLabel: "c" }), []);
+    assert.deepEqual(planOn(workers, { rackOfData: "r1", requiredLabel: "a" }), ["w3"]);
+    // Far from the data is better than not at all.
+    assert.deepEqual(planOn([makeWorker("w1")], { rackOfData: "r9" }), ["w1"]);
+});
+
+test("the tasks of a step that wants one rack share one", () => {
+    const workers = ["r0", "r1"].flatMap(rack =>
+        [1, 2].map(number => makeWorker(`${rack}-${number}`, { labels: ["a", rack] }))
+    );
+    const step = { count: 4, prefersOneRack: true, resources: { milliCpu: 2_000, memoryMib: 10, accelerators: 0 } };
+    assert.equal(new Set(planOn(workers, step).map(worker => worker.split("-")[0])).size, 1);
+});
+
+test("an occurrence does not start before it is due", () => {
+    const machine = makeMachine();
+    machine.submit({ ...makeJob("a"), occurrences: 2, firstAtMs: testStartMs + 100, intervalMs: 1_000 });
+    assert.equal(plan(machine).length, 0);
+    assert.deepEqual(plan(machine, undefined, testStartMs + 100).map(start => start.occurrence), [0]);
+    assert.deepEqual(plan(machine, undefined, testStartMs + 1_100).map(start => start.occurrence), [0, 1]);
+});
+
+test("of two queues the one of the lower priority number comes first, and short tasks before long-running ones", () => {
+    const large = { milliCpu: 3_000, memoryMib: 10, accelerators: 0 };
+    const machine = makeMachine([makeWorker("w1")], [
+        makeQueue({ name: "urgent", path: "/urgent/", priority: 0 }),
+        makeQueue({ priority: 2 }),
+    ]);
+    machine.submit(makeJob("batch", [makeStep({ resources: large })]));
+    machine.submit(makeJob("watch", [makeStep({ resources: large, longRunning: true })]), "/urgent/");
+    machine.submit(makeJob("check", [makeStep({ resources: large })]), "/urgent/");
+    assert.deepEqual(plan(machine).map(start => start.job), ["check"]);
+});
+
+/**
+ * Load: forecasts of an image that disturbs one kind of serving task and not the other. They must go to the workers of the
+ * other kind, and wait when there is none.
+ */
+test("a task that uses idle processors goes where it disturbs nobody, and waits otherwise", () => {
+    const interference = createInterferenceModel();
+    interference.addPairs([
+        { image: "web", other: "forecast", disturbance: 12, variance: 0.1 },
+        { image: "map", other: "forecast", disturbance: 0.5, variance: 0.1 },
+    ]);
+    const filling = makeStep({
+        usesIdleCpu: true,
+        image: "forecast",
+        resources: { milliCpu: 1_000, memoryMib: 10, accelerators: 0 },
+    });
+    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    machine.submit(makeJob("web", [serving]));
+    machine.submit(makeJob("map", [{ ...serving, image: "map" }]));
+    const run = { occurrence: 0, step: 0, position: 0, run: 1 };
+    machine.apply({
+        kind: "startRuns",
+        starts: [{ ...run, job: "web", worker: "w1" }, { ...run, job: "map", worker: "w2" }],
+    });
+    machine.submit(makeJob("forecast", [filling]));
+    assert.deepEqual(plan(machine, interference).map(start => start.worker), ["w2"]);
+    machine.apply({ kind: "drainWorker", worker: "w2" });
+    assert.deepEqual(plan(machine, interference), []);
+});
+
+test("serving tasks of one image share workers, because they bear the same neighbours", () => {
+    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    const run = { occurrence: 0, step: 0, position: 0, run: 1 };
+    machine.submit(makeJob("web", [serving]));
+    machine.submit(makeJob("map", [{ ...serving, image: "map" }]));
+    machine.apply({
+        kind: "startRuns",
+        starts: [{ ...run, job: "web", worker: "w1" }, { ...run, job: "map", worker: "w2" }],
+    });
+    machine.submit(makeJob("web2", [serving]));
+    machine.submit(makeJob("map2", [{ ...serving, image: "map" }]));
+    assert.deepEqual(plan(machine).map(start => [start.job, start.worker]), [["web2", "w1"], ["map2", "w2"]]);
+});
--- a/packages/plan-jobs/src/predict-margin.ts
+++ b/packages/plan-jobs/src/predict-margin.ts
@@ -10,6 +10,19 @@
  */
 const caution = 1.5;
 
+/** Part of the margin without neighbours that these may always take; a job whose own load is too high gains nothing from less. */
+const allowedLoss = 0.15;
+
+/** The margin that neighbours must leave: the wanted one, or a little less than the task has without any. */
+export function computeMarginGoal(
+    image: string,
+    headroom: number,
+    wantedMargin: number,
+    interference: InterferenceModel,
+): number {
+    return Math.min(wantedMargin, predictMargin(image, headroom, new Map(), interference) - allowedLoss);
+}
+
 /**
  * The margin (target / tail) that a serving task keeps with some certainty beside tasks that use the given shares of the
  * worker, by image.
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -1,6 +1,6 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { StepSpec } from "@chestnutspool/types";
-import { predictMargin } from "./predict-margin.js";
+import { computeMarginGoal, predictMargin } from "./predict-margin.js";
 import { findRack, type WorkerRoom } from "./worker-room.js";
 
 /** Margin (target / tail) that each serving task has to keep when a task starts beside it. */
@@ -23,15 +23,19 @@
     readonly tasksByRack: ReadonlyMap<string, number>;
 }
 
-/** Least margin that the serving tasks on a worker keep if a task of the image used another `share` of its processors. */
-function predictLeastMargin(room: WorkerRoom, image: string, share: number, interference: InterferenceModel): number {
+/**
+ * What the serving tasks on a worker keep above the margin that they need, if a task of the image used another `share` of its
+ * processors.
+ */
+function predictSpareMargin(room: WorkerRoom, image: string, share: number, interference: InterferenceModel): number {
     const shares = new Map(room.fillingShares);
     shares.set(image, (shares.get(image) ?? 0) + share);
     let least = Number.POSITIVE_INFINITY;
     for (const group of room.serving.values()) {
         if (group.count > 0) {
             const headroom = Math.max(lowestHeadroom, interference.predictHeadroom(group.job, lookAheadMs));
-            least = Math.min(least, predictMargin(group.image, headroom, shares, interference));
+            const goal = computeMarginGoal(group.image, headroom, leastMargin, interference);
+            least = Math.min(least, predictMargin(group.image, headroom, shares, interference) - goal);
         }
     }
     return least;
@@ -45,11 +49,11 @@
     if (room.isContended || idleShare < leastIdleShare) {
         return undefined;
     }
-    const margin = predictLeastMargin(room, spec.image ?? "", milliCpu / capacity, context.interference);
-    if (margin < leastMargin) {
+    const margin = predictSpareMargin(room, spec.image ?? "", milliCpu / capacity, context.interference);
+    if (margin < 0) {
         return undefined;
     }
-    return idleShare + Math.min(margin, 2) / 2 + room.idleMilliCpu / capacity;
+    return idleShare + Math.min(margin, 1) / 2 + room.idleMilliCpu / capacity;
 }
 
 /** A serving task goes beside tasks of its image and away from tasks that disturb it. */
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -170,7 +170,9 @@
                 const percent = isServing ? 100 : Math.floor(100 * run.doneMs / run.workMs);
                 view.progressAtMs = percent === view.progressPercent ? view.progressAtMs : nowMs;
                 view.progressPercent = percent;
-                view.lastReading = Math.round(isServing ? run.tailMs * (1 + readErrorShare * (2 * world.random.readShare() - 1)) : run.milliCpu);
+                view.lastReading = Math.round(
+                    isServing ? run.tailMs * (1 + readErrorShare * (2 * world.random.readShare() - 1)) : run.milliCpu,
+                );
                 view.readAtMs = nowMs;
             }
         }
