--- /dev/null
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -0,0 +1,297 @@
+import { formatTaskKey } from "@chestnutspool/job-state";
+import {
+    type ListedEnd,
+    type OrderAnswer,
+    readMonotonicMs,
+    type RenewAnswer,
+    type RenewOrder,
+    type RunKey,
+    type RunOutcome,
+    type StartOrder,
+    type WorkerInfo,
+    type WorkerPort,
+} from "@chestnutspool/types";
+import { Effect, type Scope } from "effect";
+
+/** What happens to the next orders to a worker. */
+export type WorkerFault =
+    | "none"
+    /** Orders do not arrive. */
+    | "cut"
+    /** Orders are carried out and their answers are lost. */
+    | "answersLost"
+    /** Orders are carried out some seconds later and have no answer. */
+    | "late"
+    /** The same for starts only; everything else works. */
+    | "startsLate";
+
+/** How long after its arrival a late order is carried out, in milliseconds. */
+export const lateOrderMs = 4_000;
+
+/** One run as a worker carried it out. */
+export interface LedgerRun {
+    readonly worker: string;
+    readonly task: string;
+    readonly run: number;
+    readonly startedAtMs: number;
+    endedAtMs: number | undefined;
+    outcome: RunOutcome | undefined;
+}
+
+interface RunningRun {
+    readonly key: RunKey;
+    readonly entry: LedgerRun;
+    readonly endsAtMs: number;
+    readonly outcome: RunOutcome;
+}
+
+interface FakeWorker {
+    readonly info: WorkerInfo;
+    readonly clockRate: number;
+    fault: WorkerFault;
+    token: number;
+    /** In readings of the worker's clock. */
+    leaseUntilMs: number;
+    readonly running: Map<string, RunningRun>;
+    /** Highest run of each task that was stopped or has ended. */
+    readonly pastRuns: Map<string, number>;
+    ended: ListedEnd[];
+    nextSequence: number;
+}
+
+/** Workers that keep the platform's promises: tokens, leases, run numbers, and ends that are listed until acknowledged. */
+export interface FakeWorkers {
+    readonly port: WorkerPort;
+    readonly addWorker: (info: WorkerInfo, clockRate?: number) => void;
+    readonly removeWorker: (id: string, nowMs: number) => void;
+    readonly setFault: (id: string, fault: WorkerFault) => void;
+    /** How long a run of a task takes and how it ends; one second and success unless set. */
+    readonly setBehaviour: (decide: (run: RunKey) => { readonly runMs: number; readonly outcome: RunOutcome; }) => void;
+    /** All runs so far, after everything up to `nowMs` has happened. */
+    readonly readLedger: (nowMs: number) => readonly LedgerRun[];
+}
+
+/** Creates the workers; late orders are carried out in the scope. */
+export const createFakeWorkers: Effect.Effect<FakeWorkers, never, Scope.Scope> = Effect.gen(function*() {
+    const scope = yield* Effect.scope;
+    const workers = new Map<string, FakeWorker>();
+    const ledger: LedgerRun[] = [];
+    let decide = (run: RunKey): { readonly runMs: number; readonly outcome: RunOutcome; } => ({
+        runMs: run.run > 0 ? 1_000 : 0,
+        outcome: "succeeded",
+    });
+
+    const readClock = (worker: FakeWorker, nowMs: number): number => Math.floor(nowMs * worker.clockRate);
+
+    const endRun = (worker: FakeWorker, key: string, outcome: RunOutcome, atMs: number): void => {
+        const running = worker.running.get(key);
+        if (running === undefined) {
+            return;
+        }
+        worker.running.delete(key);
+        worker.pastRuns.set(key, Math.max(worker.pastRuns.get(key) ?? 0, running.key.run));
+        running.entry.endedAtMs = atMs;
+        running.entry.outcome = outcome;
+        worker.ended.push({ ...running.key, outcome, checkpoint: "", sequence: worker.nextSequence });
+        worker.nextSequence += 1;
+    };
+
+    /** Lets everything happen that is due: ends of runs, and the end of the lease. */
+    const advance = (worker: FakeWorker, nowMs: number): void => {
+        const leaseEndMs = worker.leaseUntilMs / worker.clockRate;
+        for (const [key, run] of [...worker.running].sort((left, right) => left[1].endsAtMs - right[1].endsAtMs)) {
+            if (run.endsAtMs <= Math.min(nowMs, leaseEndMs)) {
+                endRun(worker, key, run.outcome, run.endsAtMs);
+            }
+        }
+        if (leaseEndMs <= nowMs) {
+            [...worker.running.keys()].forEach(key => endRun(worker, key, "lapsed", leaseEndMs));
+        }
+    };
+
+    const acceptToken = (worker: FakeWorker, token: number): boolean => {
+        if (token < worker.token) {
+            return false;
+        }
+        worker.token = token;
+        return true;
+    };
+
+    const refuse = (worker: FakeWorker, reason: Extract<OrderAnswer, { kind: "refused"; }>["reason"], nowMs: number) =>
+        ({ kind: "refused", reason, clockMs: readClock(worker, nowMs) }) as const;
+
+    const carryOutStart = (worker: FakeWorker, order: StartOrder, nowMs: number): OrderAnswer => {
+        advance(worker, nowMs);
+        const key = formatTaskKey(order);
+        if (!acceptToken(worker, order.fencingToken)) {
+            return refuse(worker, "staleToken", nowMs);
+        }
+        if (order.leaseUntilMs <= readClock(worker, nowMs)) {
+            return refuse(worker, "leaseOver", nowMs);
+        }
+        worker.leaseUntilMs = Math.max(worker.leaseUntilMs, order.leaseUntilMs);
+        if (worker.running.get(key)?.key.run === order.run) {
+            return { kind: "done", clockMs: readClock(worker, nowMs) };
+        }
+        if (order.run <= (worker.pastRuns.get(key) ?? 0) || worker.running.has(key)) {
+            return refuse(worker, "staleRun", nowMs);
+        }
+        const { job, occurrence, step, position, run } = order;
+        const behaviour = decide(order);
+        const entry: LedgerRun = {
+            worker: worker.info.id,
+            task: key,
+            run,
+            startedAtMs: nowMs,
+            endedAtMs: undefined,
+            outcome: undefined,
+        };
+        ledger.push(entry);
+        worker.running.set(key, {
+            key: { job, occurrence, step, position, run },
+            entry,
+            endsAtMs: nowMs + behaviour.runMs,
+            outcome: behaviour.outcome,
+        });
+        return { kind: "done", clockMs: readClock(worker, nowMs) };
+    };
+
+    const carryOutStop = (worker: FakeWorker, run: RunKey, token: number, nowMs: number): OrderAnswer => {
+        advance(worker, nowMs);
+        if (!acceptToken(worker, token)) {
+            return refuse(worker, "staleToken", nowMs);
+        }
+        const key = formatTaskKey(run);
+        worker.pastRuns.set(key, Math.max(worker.pastRuns.get(key) ?? 0, run.run));
+        if (worker.running.get(key)?.key.run === run.run) {
+            endRun(worker, key, "stopped", nowMs);
+        }
+        return { kind: "done", clockMs: readClock(worker, nowMs) };
+    };
+
+    /** Brings an order to a worker under its present fault. */
+    const deliver = Effect.fnUntraced(function*(
+        info: WorkerInfo,
+        limitMs: number,
+        isStart: boolean,
+        carryOut: (worker: FakeWorker, nowMs: number) => OrderAnswer,
+    ) {
+        yield* Effect.sleep(1);
+        const worker = workers.get(info.id);
+        if (worker === undefined) {
+            return { kind: "notSent", detail: "connection refused" } satisfies OrderAnswer;
+        }
+        const fault = worker.fault === "startsLate" ? isStart ? "late" : "none" : worker.fault;
+        switch (fault) {
+            case "none":
+                return carryOut(worker, yield* readMonotonicMs);
+            case "cut":
+                yield* Effect.sleep(limitMs);
+                return { kind: "notSent", detail: "no connection" } satisfies OrderAnswer;
+            case "answersLost":
+                carryOut(worker, yield* readMonotonicMs);
+                yield* Effect.sleep(limitMs);
+                return { kind: "unknown", detail: "no answer" } satisfies OrderAnswer;
+            case "late":
+                yield* Effect.forkIn(
+                    Effect.gen(function*() {
+                        yield* Effect.sleep(lateOrderMs);
+                        carryOut(worker, yield* readMonotonicMs);
+                    }),
+                    scope,
+                );
+                yield* Effect.sleep(limitMs);
+                return { kind: "unknown", detail: "no answer" } satisfies OrderAnswer;
+        }
+    });
+
+    const carryOutRenewal = (worker: FakeWorker, order: RenewOrder, nowMs: number): OrderAnswer => {
+        advance(worker, nowMs);
+        if (!acceptToken(worker, order.fencingToken)) {
+            return refuse(worker, "staleToken", nowMs);
+        }
+        if (order.leaseUntilMs !== undefined) {
+            worker.leaseUntilMs = Math.max(worker.leaseUntilMs, order.leaseUntilMs);
+        }
+        worker.ended = worker.ended.filter(end => end.sequence > order.acknowledgedSequence);
+        return { kind: "done", clockMs: readClock(worker, nowMs) };
+    };
+
+    const createReport = (worker: FakeWorker, nowMs: number): RenewAnswer => ({
+        kind: "report",
+        clockMs: readClock(worker, nowMs),
+        running: [...worker.running.values()].map(({ key }) => ({
+            ...key,
+            checkpoint: "",
+            progressPercent: 50,
+            lastReading: undefined,
+        })),
+        ended: [...worker.ended],
+        isComplete: true,
+    });
+
+    const renewLease = Effect.fnUntraced(function*(info: WorkerInfo, order: RenewOrder, limitMs: number) {
+        const answer = yield* deliver(info, limitMs, false, (worker, nowMs) => carryOutRenewal(worker, order, nowMs));
+        const worker = workers.get(info.id);
+        if (answer.kind !== "done" || worker === undefined) {
+            return answer.kind === "done" ? { kind: "unknown", detail: "it ended" } as const : answer;
+        }
+        const endMs = (yield* readMonotonicMs) + order.waitMs;
+        for (let nowMs = yield* readMonotonicMs; worker.ended.length === 0 && nowMs < endMs;) {
+            yield* Effect.sleep(Math.min(20, endMs - nowMs));
+            nowMs = yield* readMonotonicMs;
+            advance(worker, nowMs);
+        }
+        return worker.fault === "none" || worker.fault === "startsLate"
+            ? createReport(worker, yield* readMonotonicMs)
+            : { kind: "unknown", detail: "no answer" } satisfies RenewAnswer;
+    });
+
+    const fakes: FakeWorkers = {
+        port: {
+            startRun: (info, order, limitMs) =>
+                deliver(info, limitMs, true, (worker, nowMs) => carryOutStart(worker, order, nowMs)),
+            stopRun: (info, run, token, limitMs) =>
+                deliver(info, limitMs, false, (worker, nowMs) => carryOutStop(worker, run, token, nowMs)),
+            paceRun: (info, run, percent, token, limitMs) =>
+                deliver(info, limitMs, false, (worker, nowMs) => ({ kind: "done", clockMs: readClock(worker, nowMs) })),
+            renewLease,
+            closeConnections: () => undefined,
+        },
+        addWorker: (info, clockRate = 1) => {
+            workers.set(info.id, {
+                info,
+                clockRate,
+                fault: "none",
+                token: 0,
+                leaseUntilMs: 0,
+                running: new Map(),
+                pastRuns: new Map(),
+                ended: [],
+                nextSequence: 1,
+            });
+        },
+        removeWorker: (id, nowMs) => {
+            const worker = workers.get(id);
+            if (worker !== undefined) {
+                advance(worker, nowMs);
+                [...worker.running.keys()].forEach(key => endRun(worker, key, "lapsed", nowMs));
+                workers.delete(id);
+            }
+        },
+        setFault: (id, fault) => {
+            const worker = workers.get(id);
+            if (worker !== undefined) {
+                worker.fault = fault;
+            }
+        },
+        setBehaviour: behaviour => {
+            decide = behaviour;
+        },
+        readLedger: nowMs => {
+            workers.forEach(worker => advance(worker, nowMs));
+            return ledger;
+        },
+    };
+    return fakes;
+});
--- /dev/null
+++ b/packages/lead-jobs/src/fakes/index.ts
@@ -0,0 +1,2 @@
+export * from "./fake-workers.js";
+export * from "./test-system.js";
--- /dev/null
+++ b/packages/lead-jobs/src/fakes/test-log.ts
@@ -0,0 +1,73 @@
+import type { JobMachine } from "@chestnutspool/job-state";
+import type { ErrorData, JobCommand, JobResult, PeerId, ReplicaStatus, ReplicatedLog } from "@chestnutspool/types";
+import { Effect } from "effect";
+
+/** Time that a commit takes, in milliseconds. */
+const commitMs = 5;
+
+/** A log of one state whose leadership the test hands from one holder to the next. */
+export interface TestLog {
+    /** The log as one replica sees it. */
+    readonly createReplica: (self: PeerId) => ReplicatedLog<JobCommand, JobResult>;
+    /** Makes a replica the leader of the next term; the one before stops at once. */
+    readonly setLeader: (self: PeerId | undefined) => void;
+}
+
+/** Creates a log over a machine that all replicas share. */
+export function createTestLog(machine: JobMachine): TestLog {
+    let leader: PeerId | undefined;
+    let term = 0;
+    let index = 0;
+    const listeners = new Set<() => void>();
+    const createStatus = (self: PeerId): ReplicaStatus => ({
+        self,
+        identity: self,
+        role: leader === self ? "leader" : "follower",
+        term,
+        leader,
+        lastIndex: index,
+        commitIndex: index,
+        appliedIndex: index,
+        snapshotIndex: 0,
+        members: [],
+    });
+    return {
+        createReplica: self => {
+            const checkLeader = Effect.suspend(() =>
+                leader === self ? Effect.void : Effect.fail<ErrorData>({ kind: "notLeader", leader })
+            );
+            return {
+                proposeCommand: command =>
+                    Effect.gen(function*() {
+                        yield* checkLeader;
+                        const proposedIn = term;
+                        yield* Effect.sleep(commitMs);
+                        if (term !== proposedIn) {
+                            return yield* Effect.fail<ErrorData>({ kind: "outcomeUnknown", subject: "a command" });
+                        }
+                        index += 1;
+                        return machine.applyCommand(index, command);
+                    }),
+                confirmRead: Effect.andThen(checkLeader, Effect.sleep(1)),
+                readStatus: () => createStatus(self),
+                isLeading: () => leader === self,
+                readSilenceMs: () => 0,
+                watchStatus: listener => {
+                    const notify = (): void => listener(createStatus(self));
+                    listeners.add(notify);
+                    notify();
+                    return () => {
+                        listeners.delete(notify);
+                    };
+                },
+                transferLeadership: Effect.void,
+                changeMembers: () => Effect.void,
+            };
+        },
+        setLeader: next => {
+            leader = next;
+            term += 1;
+            listeners.forEach(notify => notify());
+        },
+    };
+}
--- /dev/null
+++ b/packages/lead-jobs/src/lead-jobs.test.ts
@@ -0,0 +1,221 @@
+import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
+import type { JobReply } from "@chestnutspool/types";
+import { Effect, type Scope } from "effect";
+import { TestClock } from "effect/testing";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { lateOrderMs, listOverlaps, makeWorker, startTestSystem, testLeaseMs, type TestSystem } from "./fakes/index.js";
+
+/** Runs a test on a system in simulated time. */
+function testSystem(name: string, run: (system: TestSystem) => Effect.Effect<void, never, Scope.Scope>): void {
+    test(name, () =>
+        Effect.runPromise(
+            Effect.scoped(Effect.flatMap(startTestSystem, run)).pipe(Effect.provide(TestClock.layer())),
+        ));
+}
+
+const readPhase = (system: TestSystem, job: string): Effect.Effect<JobReply> =>
+    system.ask({ kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` });
+const cancel = (system: TestSystem, job: string): Effect.Effect<JobReply> =>
+    system.ask({ kind: "cancelJob", job, hostName: "jobs.example", path: `/main/${job}` });
+
+testSystem("a job of two steps runs once from submission to completion", system =>
+    Effect.gen(function*() {
+        yield* system.addWorker(makeWorker("w1"));
+        yield* system.pass(100);
+        const reply = yield* system.submit(makeJob("a", [makeStep({ count: 2 }), makeStep({ dependsOn: [0] })]));
+        assert.deepEqual(reply, { kind: "accepted" });
+        yield* system.pass(500);
+        assert.deepEqual(yield* readPhase(system, "a"), { kind: "phase", phase: "running" });
+        yield* system.pass(3_000);
+        assert.deepEqual(yield* readPhase(system, "a"), { kind: "phase", phase: "completed" });
+        assert.equal((yield* system.readLedger).length, 3);
+    }));
+
+testSystem(
+    "the task of a silent worker starts elsewhere only after the lease there has ended",
+    system =>
+        Effect.gen(function*() {
+            system.workers.setBehaviour(() => ({ runMs: 30_000, outcome: "succeeded" }));
+            yield* system.addWorker(makeWorker("w1"), 0.98);
+            yield* system.pass(100);
+            yield* system.submit(makeJob("a"));
+            yield* system.pass(500);
+            yield* system.addWorker(makeWorker("w2"));
+            system.workers.setFault("w1", "cut");
+            yield* system.pass(testLeaseMs + 4_000);
+            const ledger = yield* system.readLedger;
+            assert.deepEqual(ledger.map(run => run.worker), ["w1", "w2"]);
+            assert.deepEqual(listOverlaps(ledger), []);
+        }),
+);
+
+testSystem(
+    "a worker whose answers are lost gets no more time, so that its tasks can start elsewhere",
+    system =>
+        Effect.gen(function*() {
+            system.workers.setBehaviour(() => ({ runMs: 60_000, outcome: "succeeded" }));
+            yield* system.addWorker(makeWorker("w1"));
+            yield* system.pass(100);
+            yield* system.submit(makeJob("a"));
+            yield* system.pass(500);
+            yield* system.addWorker(makeWorker("w2"));
+            system.workers.setFault("w1", "answersLost");
+            yield* system.pass(testLeaseMs + 5_000);
+            const ledger = yield* system.readLedger;
+            assert.deepEqual(ledger.map(run => run.worker), ["w1", "w2"]);
+            assert.deepEqual(listOverlaps(ledger), []);
+        }),
+);
+
+testSystem(
+    "a start that is carried out late, after the job was cancelled, is refused or stopped",
+    system =>
+        Effect.gen(function*() {
+            system.workers.setBehaviour(() => ({ runMs: 60_000, outcome: "succeeded" }));
+            yield* system.addWorker(makeWorker("w1"));
+            yield* system.pass(100);
+            system.workers.setFault("w1", "late");
+            yield* system.submit(makeJob("a"));
+            yield* system.pass(50);
+            system.workers.setFault("w1", "none");
+            assert.deepEqual(yield* cancel(system, "a"), { kind: "done" });
+            yield* system.pass(lateOrderMs + 3_000);
+            const ledger = yield* system.readLedger;
+            assert.ok(ledger.every(run => run.endedAtMs !== undefined), "a run of a cancelled job goes on");
+        }),
+);
+
+testSystem(
+    "a start that is carried out late does not run beside the one that replaced it",
+    system =>
+        Effect.gen(function*() {
+            system.workers.setBehaviour(() => ({ runMs: 20_000, outcome: "succeeded" }));
+            yield* system.addWorker(makeWorker("w1"));
+            yield* system.pass(100);
+            system.workers.setFault("w1", "startsLate");
+            yield* system.submit(makeJob("a"));
+            yield* system.pass(100);
+            system.workers.setFault("w1", "none");
+            // The second worker is the fuller one, which the planner prefers.
+            yield* system.addWorker(makeWorker("w2", { labels: ["b", "r0"] }));
+            yield* system.pass(100);
+            const resources = { milliCpu: 2_000, memoryMib: 10, accelerators: 0 };
+            yield* system.submit(makeJob("b", [makeStep({ requiredLabel: "b", resources })]));
+            yield* system.pass(lateOrderMs + 3_000);
+            const ledger = yield* system.readLedger;
+            assert.deepEqual(listOverlaps(ledger), []);
+            assert.ok(ledger.some(run => run.endedAtMs === undefined), "the task does not run");
+        }),
+);
+
+testSystem("a start without an answer is settled and made again once", system =>
+    Effect.gen(function*() {
+        yield* system.addWorker(makeWorker("w1"));
+        yield* system.pass(100);
+        system.workers.setFault("w1", "answersLost");
+        yield* system.submit(makeJob("a"));
+        yield* system.pass(200);
+        system.workers.setFault("w1", "none");
+        yield* system.pass(5_000);
+        assert.deepEqual(yield* readPhase(system, "a"), { kind: "phase", phase: "completed" });
+        assert.deepEqual(listOverlaps(yield* system.readLedger), []);
+    }));
+
+testSystem(
+    "the next leader goes on with the runs it finds, and starts again what never started",
+    system =>
+        Effect.gen(function*() {
+            system.workers.setBehaviour(() => ({ runMs: 5_000, outcome: "succeeded" }));
+            yield* system.addWorker(makeWorker("w1"));
+            yield* system.addWorker(makeWorker("w2"));
+            yield* system.pass(100);
+            yield* system.submit(makeJob("a"));
+            yield* system.pass(300);
+            // The order for the second job is lost together with the leader.
+            ["w1", "w2"].forEach(worker => system.workers.setFault(worker, "cut"));
+            yield* system.submit(makeJob("b"));
+            yield* system.pass(30);
+            system.log.setLeader("b");
+            ["w1", "w2"].forEach(worker => system.workers.setFault(worker, "none"));
+            yield* system.pass(10_000);
+            for (const job of ["a", "b"]) {
+                assert.deepEqual(yield* readPhase(system, job), { kind: "phase", phase: "completed" });
+            }
+            assert.deepEqual((yield* system.readLedger).map(run => run.task).sort(), ["a.0.0.0", "b.0.0.0"]);
+        }),
+);
+
+testSystem(
+    "nothing starts on a worker after its draining was acknowledged, also under the next leader",
+    system =>
+        Effect.gen(function*() {
+            const worker = makeWorker("w1");
+            yield* system.addWorker(worker);
+            yield* system.pass(100);
+            assert.deepEqual(yield* system.heartbeat(worker, true), { kind: "done" });
+            yield* system.submit(makeJob("a"));
+            system.log.setLeader("b");
+            yield* system.pass(2_000);
+            assert.deepEqual(yield* system.readLedger, []);
+        }),
+);
+
+testSystem("a job that no worker can ever run is refused at once", system =>
+    Effect.gen(function*() {
+        yield* system.addWorker(makeWorker("w1"));
+        yield* system.pass(100);
+        const huge = makeStep({ resources: { milliCpu: 99_000, memoryMib: 1, accelerators: 0 } });
+        assert.deepEqual(yield* system.submit(makeJob("a", [huge])), {
+            kind: "rejected",
+            reason: "impossible",
+            retryAfterMs: undefined,
+        });
+        assert.deepEqual(yield* readPhase(system, "a"), { kind: "noJob" });
+        const invalid = yield* system.submit(makeJob("b", [makeStep({ dependsOn: [0] })]));
+        assert.equal(invalid.kind, "invalid");
+    }));
+
+testSystem("a worker that left is forgotten and its task starts elsewhere", system =>
+    Effect.gen(function*() {
+        system.workers.setBehaviour(() => ({ runMs: 20_000, outcome: "succeeded" }));
+        yield* system.addWorker(makeWorker("w1"));
+        yield* system.pass(100);
+        yield* system.submit(makeJob("a"));
+        yield* system.pass(300);
+        yield* system.addWorker(makeWorker("w2"));
+        assert.deepEqual(yield* system.ask({ kind: "removeWorker", worker: "w1" }), { kind: "done" });
+        system.workers.removeWorker("w1", 0);
+        yield* system.pass(4_000);
+        assert.equal(system.machine.state.workers.has("w1"), false);
+        const ledger = yield* system.readLedger;
+        assert.deepEqual(ledger.map(run => run.worker), ["w1", "w2"]);
+    }));
+
+testSystem("jobs that have not started are counted for their queue", system =>
+    Effect.gen(function*() {
+        yield* system.submit(makeJob("a"));
+        yield* system.submit(makeJob("b"));
+        const count = (path: string) => system.ask({ kind: "countPending", hostName: "jobs.example", path });
+        assert.deepEqual(yield* count("/main/"), { kind: "pending", count: 2 });
+        assert.deepEqual(yield* count("/none/"), { kind: "noQueue" });
+        yield* system.addWorker(makeWorker("w1"));
+        yield* system.pass(500);
+        assert.deepEqual(yield* count("/main/"), { kind: "pending", count: 0 });
+    }));
+
+testSystem(
+    "of two configurations the higher one is in force, and a repeated one is acknowledged",
+    system =>
+        Effect.gen(function*() {
+            const present = system.machine.state.configuration;
+            assert.ok(present !== undefined);
+            const send = (version: number, changes: Partial<typeof present> = {}) =>
+                system.ask({ kind: "setConfiguration", configuration: { ...present, ...changes, version } });
+            assert.deepEqual(yield* send(5), { kind: "configuration", version: 5, document: undefined });
+            assert.deepEqual(yield* send(3), { kind: "configuration", version: 5, document: undefined });
+            assert.deepEqual(yield* send(5), { kind: "configuration", version: 5, document: undefined });
+            assert.equal((yield* send(9, { pools: [] })).kind, "invalid");
+            assert.equal(system.machine.state.configuration?.version, 5);
+        }),
+);
--- /dev/null
+++ b/packages/lead-jobs/src/random-faults.test.ts
@@ -0,0 +1,85 @@
+import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
+import { Effect } from "effect";
+import { TestClock } from "effect/testing";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { listOverlaps, makeWorker, startTestSystem, type WorkerFault } from "./fakes/index.js";
+
+const workerIds = ["w1", "w2", "w3"];
+const faults: readonly WorkerFault[] = ["none", "cut", "answersLost", "late", "startsLate"];
+
+type Event =
+    | { readonly kind: "fault"; readonly worker: number; readonly fault: number; }
+    | { readonly kind: "leader"; }
+    | { readonly kind: "submit"; }
+    | { readonly kind: "cancel"; readonly job: number; };
+
+const events: fc.Arbitrary<Event> = fc.oneof(
+    fc.record({
+        kind: fc.constant("fault" as const),
+        worker: fc.nat(workerIds.length - 1),
+        fault: fc.nat(faults.length - 1),
+    }),
+    fc.record({ kind: fc.constant("leader" as const) }),
+    fc.record({ kind: fc.constant("submit" as const) }),
+    fc.record({ kind: fc.constant("cancel" as const), job: fc.nat(5) }),
+);
+const timedEvents = fc.array(fc.record({ afterMs: fc.integer({ min: 10, max: 2_000 }), event: events }), {
+    minLength: 5,
+    maxLength: 20,
+});
+
+/** Time after which everything has settled once the faults are over, in milliseconds. */
+const settleMs = 30_000;
+
+function playEvents(list: readonly { readonly afterMs: number; readonly event: Event; }[]): Promise<void> {
+    const play = Effect.gen(function*() {
+        const system = yield* startTestSystem;
+        system.workers.setBehaviour(run => ({
+            runMs: 400 + 2_500 * run.position,
+            outcome: run.run % 4 === 1 && run.position === 1 ? "failed" : "succeeded",
+        }));
+        for (const [position, id] of workerIds.entries()) {
+            yield* system.addWorker(makeWorker(id), [0.98, 1, 1.02][position]);
+        }
+        let jobs = 0;
+        let leader = "a";
+        for (const { afterMs, event } of list) {
+            yield* system.pass(afterMs);
+            switch (event.kind) {
+                case "fault":
+                    system.workers.setFault(workerIds[event.worker] ?? "", faults[event.fault] ?? "none");
+                    break;
+                case "leader":
+                    leader = leader === "a" ? "b" : "a";
+                    system.log.setLeader(leader);
+                    break;
+                case "submit":
+                    yield* system.submit(makeJob(`j${jobs}`, [makeStep({ count: 3 }), makeStep({ dependsOn: [0] })]));
+                    jobs += 1;
+                    break;
+                case "cancel":
+                    yield* system.ask({
+                        kind: "cancelJob",
+                        job: `j${event.job}`,
+                        hostName: "jobs.example",
+                        path: `/main/j${event.job}`,
+                    });
+                    break;
+            }
+        }
+        workerIds.forEach(id => system.workers.setFault(id, "none"));
+        yield* system.pass(settleMs);
+        const ledger = yield* system.readLedger;
+        assert.deepEqual(listOverlaps(ledger), [], "two runs of a task at once");
+        assert.deepEqual(ledger.filter(run => run.endedAtMs === undefined), [], "a run goes on");
+        for (const job of system.machine.state.jobs.values()) {
+            assert.ok(["completed", "cancelled"].includes(job.phase), `job ${job.id} is ${job.phase}`);
+        }
+    });
+    return Effect.runPromise(Effect.scoped(play).pipe(Effect.provide(TestClock.layer())));
+}
+
+test("under cuts, lost answers, late orders and changes of leader no task runs twice at once and every job ends", () =>
+    fc.assert(fc.asyncProperty(timedEvents, playEvents), { seed: 20_261_203, numRuns: 15 }));
