--- /dev/null
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -0,0 +1,90 @@
+import { createControlView } from "@chestnutspool/join-cluster";
+import { silentLogger } from "@chestnutspool/logger";
+import { createMemoryNetwork } from "@chestnutspool/peer-link";
+import type { ControlAddress, DirectoryReply, DirectoryRequest, JobReply, JobRequest } from "@chestnutspool/types";
+import { Effect, type Scope } from "effect";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createForwarder } from "./forwarder.js";
+
+const budgetMs = 1_000;
+const request: JobRequest = { kind: "readJob", job: "a", hostName: "jobs.example", path: "/main/a" };
+
+function makeAddress(id: string): ControlAddress {
+    return { id, address: `${id}:1` };
+}
+
+/** Control processes `a` and `b` of which one leads, and an entry process with a forwarder. */
+const openSystem = Effect.fnUntraced(function*(answer: (self: string) => Effect.Effect<JobReply>) {
+    const network = yield* createMemoryNetwork;
+    const state: { leader: string | undefined; asked: string[]; } = { leader: "a", asked: [] };
+    for (const id of ["a", "b"]) {
+        const link = yield* network.createLink(id, silentLogger);
+        link.openChannel<DirectoryRequest, DirectoryReply>("directory", {
+            handleCall: () =>
+                Effect.sync(() => ({
+                    leader: state.leader === undefined ? undefined : makeAddress(state.leader),
+                    members: ["a", "b"].map(makeAddress),
+                })),
+        });
+        link.openChannel<JobRequest, JobReply>("jobs", {
+            handleCall: () =>
+                Effect.suspend((): Effect.Effect<JobReply> => {
+                    state.asked.push(id);
+                    return state.leader === id ? answer(id) : Effect.succeed({ kind: "notLeader", leader: undefined });
+                }),
+        });
+    }
+    const link = yield* network.createLink("entry", silentLogger);
+    const forwarder = createForwarder({
+        link,
+        view: createControlView([makeAddress("a")]),
+        findOwnLeader: undefined,
+        handleLocally: undefined,
+        logger: silentLogger,
+    });
+    return { network, state, forwarder };
+});
+
+function run(effect: Effect.Effect<void, never, Scope.Scope>): Promise<void> {
+    return Effect.runPromise(Effect.scoped(effect));
+}
+
+const answerPhase = (): Effect.Effect<JobReply> => Effect.succeed({ kind: "phase", phase: "running" });
+
+test("a request reaches the leader, and the next leader after a change", () =>
+    run(Effect.gen(function*() {
+        const { state, forwarder } = yield* openSystem(answerPhase);
+        assert.deepEqual(yield* forwarder.forwardRequest(request, budgetMs), { kind: "phase", phase: "running" });
+        state.leader = "b";
+        assert.deepEqual(yield* forwarder.forwardRequest(request, budgetMs), { kind: "phase", phase: "running" });
+        assert.equal(state.asked.at(-1), "b");
+    })));
+
+test("without a leader the answer is that the request was certainly not carried out", () =>
+    run(Effect.gen(function*() {
+        const { state, forwarder } = yield* openSystem(answerPhase);
+        state.leader = undefined;
+        assert.deepEqual(yield* forwarder.forwardRequest(request, 200), { kind: "noLeader" });
+        assert.ok(!forwarder.hasLeader());
+    })));
+
+test("a request whose answer did not come is never said not to have been carried out", () =>
+    run(Effect.gen(function*() {
+        const { network, state, forwarder } = yield* openSystem(answerPhase);
+        yield* forwarder.forwardRequest(request, budgetMs);
+        network.setCut("a", "entry", true);
+        state.asked.length = 0;
+        assert.deepEqual(yield* forwarder.forwardRequest(request, 600), { kind: "outcomeUnknown" });
+        assert.ok(state.asked.length > 0);
+    })));
+
+test("a request whose answer was lost is sent again to the next leader", () =>
+    run(Effect.gen(function*() {
+        const { network, state, forwarder } = yield* openSystem(answerPhase);
+        yield* forwarder.forwardRequest(request, budgetMs);
+        network.setCut("a", "entry", true);
+        state.leader = "b";
+        const reply = yield* forwarder.forwardRequest(request, 2_000);
+        assert.deepEqual(reply, { kind: "phase", phase: "running" });
+    })));
--- /dev/null
+++ b/packages/run-job-process/src/job-processes.test.ts
@@ -0,0 +1,156 @@
+import { makeJob, makeQueue, makeWorker } from "@chestnutspool/job-state/fakes";
+import type { Kernel } from "@chestnutspool/kernel";
+import { createFakeWorkers, type FakeWorkers } from "@chestnutspool/lead-jobs/fakes";
+import { silentLogger } from "@chestnutspool/logger";
+import { createMetrics } from "@chestnutspool/record-metrics";
+import type { JobRequest, QueueConfiguration } from "@chestnutspool/types";
+import { Effect, Scope } from "effect";
+import assert from "node:assert/strict";
+import { mkdtemp, rm } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { createJobProcess, forwarderKey } from "./create-job-process.js";
+import type { JobProcessSettings } from "./process-settings.js";
+
+/** Each process has a loopback address of its own, because its address is its identity. */
+const controlHosts = ["127.0.0.11", "127.0.0.12", "127.0.0.13"];
+const newcomerHost = "127.0.0.14";
+const entryHost = "127.0.0.21";
+const budgetMs = 20_000;
+
+function reservePort(): Promise<number> {
+    return new Promise((resolve, reject) => {
+        const server = createServer();
+        server.once("error", reject);
+        server.listen(0, entryHost, () => {
+            const address = server.address();
+            server.close(() => resolve(typeof address === "object" && address !== null ? address.port : 0));
+        });
+    });
+}
+
+interface Cluster {
+    readonly start: (host: string, formsCluster: boolean) => Effect.Effect<Kernel>;
+    readonly stop: (host: string) => Effect.Effect<void>;
+    readonly workers: FakeWorkers;
+}
+
+const openCluster = Effect.gen(function*() {
+    const folder = yield* Effect.promise(() => mkdtemp(join(tmpdir(), "job-processes-")));
+    yield* Effect.addFinalizer(() => Effect.promise(() => rm(folder, { recursive: true, force: true })));
+    const peerPort = yield* Effect.promise(reservePort);
+    const workers = yield* createFakeWorkers;
+    const running = new Map<string, Kernel>();
+    const stop = (host: string): Effect.Effect<void> => {
+        const kernel = running.get(host);
+        running.delete(host);
+        return kernel === undefined ? Effect.void : kernel.stopAll;
+    };
+    yield* Effect.addFinalizer(() => Effect.forEach([...running.keys()], stop, { discard: true }));
+    const cluster: Cluster = {
+        workers,
+        stop,
+        start: (host, formsCluster) =>
+            Effect.gen(function*() {
+                const settings: JobProcessSettings = {
+                    id: host,
+                    hostName: host,
+                    region: "r",
+                    availabilityZone: "z",
+                    peerHost: host,
+                    peerPort,
+                    seeds: controlHosts.map(id => ({ id, address: `${id}:${peerPort}` })),
+                    control: host === entryHost
+                        ? undefined
+                        : { dataFolder: join(folder, host), formsCluster, longestLeaseMs: 6_000, stopMs: 200 },
+                    logLevel: "info",
+                };
+                const kernel = createJobProcess(settings, {
+                    workers: workers.port,
+                    logger: silentLogger,
+                    metrics: createMetrics(),
+                });
+                running.set(host, kernel);
+                yield* Effect.orDie(kernel.startAll);
+                return kernel;
+            }),
+    };
+    return cluster;
+});
+
+const configuration: QueueConfiguration = {
+    version: 1,
+    queues: [makeQueue()],
+    pools: [{ name: "pool", healthPath: "/health", guardsCapacity: false, isStandby: false }],
+    bodyLimitBytes: 1_000,
+    document: Buffer.from("text"),
+};
+
+function ask(kernel: Kernel, request: JobRequest) {
+    return kernel.findService(forwarderKey).forwardRequest(request, budgetMs);
+}
+
+const submit = (kernel: Kernel, id: string) =>
+    ask(kernel, { kind: "submitJob", spec: makeJob(id), hostName: "jobs.example", path: `/main/${id}` });
+
+const awaitCompletion = Effect.fnUntraced(function*(kernel: Kernel, job: string) {
+    const request: JobRequest = { kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` };
+    for (let reply = yield* ask(kernel, request); reply.kind !== "phase" || reply.phase !== "completed";) {
+        assert.notEqual(reply.kind, "noJob");
+        yield* Effect.sleep(50);
+        reply = yield* ask(kernel, request);
+    }
+});
+
+function testCluster(name: string, run: (cluster: Cluster) => Effect.Effect<void, never, Scope.Scope>): void {
+    test(name, { timeout: 120_000 }, () => Effect.runPromise(Effect.scoped(Effect.flatMap(openCluster, run))));
+}
+
+testCluster(
+    "control processes form a cluster from seeds and run jobs that come through an entry process",
+    cluster =>
+        Effect.gen(function*() {
+            for (const host of controlHosts) {
+                yield* cluster.start(host, true);
+            }
+            const entry = yield* cluster.start(entryHost, false);
+            assert.equal((yield* ask(entry, { kind: "setConfiguration", configuration })).kind, "configuration");
+            const worker = makeWorker("w1");
+            cluster.workers.addWorker(worker);
+            const heartbeat = { worker, draining: false, remainingMs: undefined, sequence: 1, clockMs: undefined };
+            assert.equal((yield* ask(entry, { kind: "recordHeartbeat", heartbeat })).kind, "done");
+            assert.equal((yield* submit(entry, "a")).kind, "accepted");
+            yield* awaitCompletion(entry, "a");
+        }),
+);
+
+testCluster(
+    "jobs survive the end of each control process in turn, and a new process takes the place of a lost one",
+    cluster =>
+        Effect.gen(function*() {
+            for (const host of controlHosts) {
+                yield* cluster.start(host, true);
+            }
+            const entry = yield* cluster.start(entryHost, false);
+            yield* ask(entry, { kind: "setConfiguration", configuration });
+            for (const host of controlHosts) {
+                assert.equal((yield* submit(entry, `before-${host}`)).kind, "accepted");
+                yield* cluster.stop(host);
+                assert.equal((yield* submit(entry, `without-${host}`)).kind, "accepted");
+                yield* cluster.start(host, false);
+            }
+            const newcomer = yield* cluster.start(newcomerHost, false);
+            const worker = makeWorker("w1");
+            cluster.workers.addWorker(worker);
+            const heartbeat = { worker, draining: false, remainingMs: undefined, sequence: 1, clockMs: undefined };
+            assert.equal((yield* ask(newcomer, { kind: "recordHeartbeat", heartbeat })).kind, "done");
+            for (const host of controlHosts) {
+                yield* awaitCompletion(entry, `before-${host}`);
+                yield* awaitCompletion(entry, `without-${host}`);
+            }
+            const read = yield* ask(newcomer, { kind: "readConfiguration" });
+            assert.equal(read.kind === "configuration" ? Buffer.from(read.document ?? []).toString() : "", "text");
+        }),
+);
