Record what was learnt of images for the next leader

Cause: each new leader learnt the pairs of images anew, at the cost of some hundred task-seconds over the target.

--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -4,6 +4,9 @@
 import { createModel, type JobModel, type WorkerRun } from "./model.js";
 import { encodeSnapshot, restoreSnapshot } from "./snapshot.js";
 
+/** Pairs of images that are kept at most. */
+const disturbanceLimit = 5_000;
+
 /** The state machine of jobs. */
 export interface JobMachine extends StateMachine<JobCommand, JobResult> {
     /** The present state, read-only for everyone else; the same object over the life of the machine. */
@@ -48,6 +51,20 @@
     }
 }
 
+function recordDisturbances(model: JobModel, command: Extract<JobCommand, { kind: "recordDisturbances"; }>): void {
+    for (const pair of command.pairs) {
+        const key = `${pair.image} ${pair.other}`;
+        model.disturbances.delete(key);
+        model.disturbances.set(key, pair);
+    }
+    for (const key of model.disturbances.keys()) {
+        if (model.disturbances.size <= disturbanceLimit) {
+            break;
+        }
+        model.disturbances.delete(key);
+    }
+}
+
 function applyCommand(model: JobModel, command: JobCommand): JobResult {
     model.clockMs = Math.max(model.clockMs, command.nowMs);
     switch (command.kind) {
@@ -77,6 +94,9 @@
         case "recordUpkeep":
             model.waves.get(command.wave)?.begun.add(command.host);
             return { kind: "done" };
+        case "recordDisturbances":
+            recordDisturbances(model, command);
+            return { kind: "done" };
     }
 }
 
--- a/packages/job-state/src/model.ts
+++ b/packages/job-state/src/model.ts
@@ -2,6 +2,7 @@
     JobDefinition,
     JobId,
     JobPhase,
+    LearntDisturbance,
     QueueConfiguration,
     QueueSettings,
     Resources,
@@ -109,6 +110,8 @@
     readonly closedJobs: Set<JobId>;
     readonly workers: Map<WorkerId, WorkerState>;
     readonly waves: Map<number, WaveState>;
+    /** What leaders have learnt of pairs of images, by both names; the pairs that were recorded longest ago come first. */
+    readonly disturbances: Map<string, LearntDisturbance>;
     /** Services to which a queue was ever sent, by host name and path of the queue. */
     readonly servicesByQueue: Map<string, Set<string>>;
 }
@@ -123,6 +126,7 @@
         closedJobs: new Set(),
         workers: new Map(),
         waves: new Map(),
+        disturbances: new Map(),
         servicesByQueue: new Map(),
     };
 }
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -2,6 +2,7 @@
     addResources,
     type JobDefinition,
     type JobPhase,
+    type LearntDisturbance,
     noResources,
     type QueueConfiguration,
     type QueueSettings,
@@ -62,6 +63,7 @@
         readonly requestedAtMs: number;
         readonly begun: readonly string[];
     }[];
+    readonly disturbances: readonly LearntDisturbance[];
     readonly services: readonly (readonly [string, readonly string[]])[];
 }
 
@@ -110,6 +112,7 @@
             requestedAtMs,
             begun: [...begun],
         })),
+        disturbances: [...model.disturbances.values()],
         services: [...model.servicesByQueue].map(([queue, services]) => [queue, [...services]]),
     };
     return packr.pack(saved);
@@ -200,6 +203,7 @@
             model.closedJobs,
             model.workers,
             model.waves,
+            model.disturbances,
             model.servicesByQueue,
         ]
     ) {
@@ -215,6 +219,9 @@
     for (const { wave, requestedAtMs, begun } of saved.waves) {
         model.waves.set(wave.wave, { wave, requestedAtMs, begun: new Set(begun) });
     }
+    for (const pair of saved.disturbances) {
+        model.disturbances.set(`${pair.image} ${pair.other}`, pair);
+    }
     for (const [queue, services] of saved.services) {
         model.servicesByQueue.set(queue, new Set(services));
     }
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -11,6 +11,7 @@
 import { Effect, FiberMap, Queue } from "effect";
 import { handleInTerm } from "./handle-request.js";
 import { runPacing } from "./limit-disturbance.js";
+import { runRecording } from "./record-disturbances.js";
 import { openSession } from "./record-heartbeat.js";
 import { runPlanner } from "./run-planner.js";
 import { canGiveOrders, type LeaderParts, type Term } from "./term.js";
@@ -41,6 +42,7 @@
         interference: createInterferenceModel(),
         isFenced: false,
     };
+    term.interference.addPairs([...parts.machine.state.disturbances.values()]);
     for (const { info } of parts.machine.state.workers.values()) {
         yield* openSession(term, info);
     }
@@ -69,6 +71,7 @@
             holder.term = term;
             yield* Effect.forkScoped(runPlanner(term));
             yield* Effect.forkScoped(runPacing(term));
+            yield* Effect.forkScoped(runRecording(term));
             while (isLeader(parts.log.readStatus(), number)) {
                 yield* Queue.take(changes);
             }
--- a/packages/learn-interference/src/interference-model.ts
+++ b/packages/learn-interference/src/interference-model.ts
@@ -8,6 +8,8 @@
  * Both are estimated by a Kalman filter whose pairs are treated as independent.
  */
 
+import type { LearntDisturbance } from "@chestnutspool/types";
+
 /** Processor time in use by the tasks of one image on a worker, as a share of the worker's processors. */
 export interface ImageUse {
     readonly image: string;
@@ -17,14 +19,6 @@
     readonly smoothedShare: number;
 }
 
-/** What is known of one pair of images. */
-export interface PairEstimate {
-    readonly image: string;
-    readonly other: string;
-    readonly disturbance: number;
-    readonly variance: number;
-}
-
 /** Disturbance of a pair that was never seen together: between that of harmless and of harmful pairs. */
 const unknownDisturbance = 3;
 const unknownVariance = 9;
@@ -76,7 +70,7 @@
         nowMs: number,
     ) => void;
     /** How much the margin of a serving image falls for each whole worker that another image uses. */
-    readonly estimatePair: (image: string, other: string) => PairEstimate;
+    readonly estimatePair: (image: string, other: string) => LearntDisturbance;
     /** Whether too little is known of a pair to rely on it. */
     readonly isUnsure: (image: string, other: string) => boolean;
     /** Present headroom of a job. */
@@ -86,9 +80,9 @@
     /** Forgets a job that has ended. */
     readonly forgetJob: (job: string) => void;
     /** All pairs that were seen together. */
-    readonly listPairs: () => readonly PairEstimate[];
+    readonly listPairs: () => readonly LearntDisturbance[];
     /** Takes pairs that an earlier leader has learnt; a pair that is known better here stays. */
-    readonly addPairs: (pairs: readonly PairEstimate[]) => void;
+    readonly addPairs: (pairs: readonly LearntDisturbance[]) => void;
 }
 
 function formatPair(image: string, other: string): string {
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -201,8 +201,19 @@
         | { readonly kind: "setConfiguration"; readonly configuration: QueueConfiguration; }
         | { readonly kind: "startWave"; readonly wave: UpkeepWave; }
         | { readonly kind: "recordUpkeep"; readonly wave: number; readonly host: string; }
+        /** What the leader has learnt since it last recorded it, for the next leader. */
+        | { readonly kind: "recordDisturbances"; readonly pairs: readonly LearntDisturbance[]; }
     );
 
+/** How much the tasks of one image disturb the serving tasks of another. */
+export interface LearntDisturbance {
+    readonly image: string;
+    readonly other: string;
+    /** Fall of target / tail for each whole worker that the other image uses. */
+    readonly disturbance: number;
+    readonly variance: number;
+}
+
 /** A request that hosts be maintained within a time, a few at once. */
 export interface UpkeepWave {
     readonly wave: number;
