Log each decision on a bounded sink, serve metrics as text

Cause: lines went to standard output by synchronous writes without a bound, and most decisions on jobs left no line.

Changes of pace are summed up on the line of the run's end.

--- a/packages/forward-jobs/src/forwarder.test.ts
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -1,6 +1,7 @@
 import { createControlView } from "@chestnutspool/join-cluster";
 import { silentLogger } from "@chestnutspool/logger";
 import { createMemoryNetwork } from "@chestnutspool/peer-link";
+import { createMetrics } from "@chestnutspool/record-metrics";
 import type { ControlAddress, DirectoryReply, DirectoryRequest, JobReply, JobRequest } from "@chestnutspool/types";
 import { Effect, type Scope } from "effect";
 import assert from "node:assert/strict";
@@ -42,6 +43,7 @@
         findOwnLeader: undefined,
         handleLocally: undefined,
         logger: silentLogger,
+        metrics: createMetrics(),
     });
     return { network, state, forwarder };
 });
--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -1,7 +1,9 @@
 import { type ControlView, locateLeader } from "@chestnutspool/join-cluster";
 import type { Logger } from "@chestnutspool/logger";
+import type { Metrics } from "@chestnutspool/record-metrics";
 import {
     type ControlAddress,
+    describeRequest,
     type DirectoryReply,
     type DirectoryRequest,
     type ErrorData,
@@ -29,6 +31,7 @@
     /** Answers a request when this process leads; undefined where it has no replica of the log. */
     readonly handleLocally: ((request: JobRequest) => Effect.Effect<JobReply>) | undefined;
     readonly logger: Logger;
+    readonly metrics: Metrics;
 }
 
 /** Brings requests to the leader. */
@@ -54,6 +57,22 @@
     return error.kind !== "peerUnavailable";
 }
 
+/** What was tried for a request. */
+interface ForwardTrace {
+    attempts: number;
+    leader: string | undefined;
+}
+
+/** Chooses the level of the line for a reply: what went wrong always, what changes a job always, plain reads for debugging. */
+function chooseWriter(logger: Logger, request: JobRequest, reply: ForwardReply): Logger["info"] {
+    if (reply.kind === "noLeader" || reply.kind === "outcomeUnknown") {
+        return logger.warn;
+    }
+    const isUsual = reply.kind === "phase" || reply.kind === "pending" || reply.kind === "wave"
+        || request.kind === "recordHeartbeat" || request.kind === "readConfiguration";
+    return isUsual ? logger.debug : logger.info;
+}
+
 /** Creates a forwarder on the link of this process. */
 export function createForwarder(parts: ForwarderParts): Forwarder {
     const { link, view, logger } = parts;
@@ -93,8 +112,7 @@
         return uncertain ? { kind: "outcomeUnknown" } as const : { kind: "notLeader", leader: undefined } as const;
     });
 
-    const forwardRequest = Effect.fnUntraced(function*(request: JobRequest, budgetMs: number) {
-        const endMs = (yield* readMonotonicMs) + budgetMs;
+    const tryUntil = Effect.fnUntraced(function*(request: JobRequest, endMs: number, trace: ForwardTrace) {
         let mayHaveEffect = false;
         for (let nowMs = yield* readMonotonicMs; nowMs < endMs; nowMs = yield* readMonotonicMs) {
             const leader = findLeader() ?? (yield* locate);
@@ -102,6 +120,8 @@
                 yield* Effect.sleep(searchPauseMs);
                 continue;
             }
+            trace.attempts += 1;
+            trace.leader = leader.id;
             const reply = yield* attempt(leader, request, Math.min(attemptLimitMs, endMs - nowMs));
             if (reply.kind !== "notLeader" && reply.kind !== "outcomeUnknown") {
                 return reply satisfies ForwardReply;
@@ -118,6 +138,26 @@
         return mayHaveEffect ? { kind: "outcomeUnknown" } as const : { kind: "noLeader" } as const;
     });
 
+    const forwardRequest = Effect.fnUntraced(function*(request: JobRequest, budgetMs: number) {
+        const startedMs = yield* readMonotonicMs;
+        const trace: ForwardTrace = { attempts: 0, leader: undefined };
+        const reply: ForwardReply = yield* tryUntil(request, startedMs + budgetMs, trace);
+        const tookMs = (yield* readMonotonicMs) - startedMs;
+        parts.metrics.recordDuration("requestMs", "", request.kind, tookMs);
+        parts.metrics.countEvent(`replies.${reply.kind}`, "", request.kind);
+        const write = chooseWriter(logger, request, reply);
+        write("request answered", {
+            ...describeRequest(request),
+            reply: reply.kind,
+            phase: reply.kind === "phase" ? reply.phase : undefined,
+            leader: trace.leader,
+            attempts: trace.attempts,
+            tookMs: Math.round(tookMs),
+            budgetMs: Math.round(budgetMs),
+        });
+        return reply;
+    });
+
     return {
         forwardRequest,
         hasLeader: () => findLeader() !== undefined,
--- a/packages/lead-jobs/src/give-orders.ts
+++ b/packages/lead-jobs/src/give-orders.ts
@@ -2,6 +2,7 @@
 import { recordClock, renewLease, type RunView } from "@chestnutspool/track-workers";
 import { type OrderAnswer, readMonotonicMs, type RunEnd, type RunKey, type RunOutcome } from "@chestnutspool/types";
 import { Effect } from "effect";
+import { logRunEnded, logRunOrdered } from "./log-decisions.js";
 import { canGiveOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Time allowed for an order, in milliseconds; far above a round trip, so that only a lost answer exceeds it. */
@@ -37,6 +38,7 @@
     const { job, occurrence, step, position, run: number } = run;
     const end: RunEnd = { job, occurrence, step, position, run: number, outcome, checkpoint };
     yield* propose(term, { kind: "endRuns", worker: session.info.id, ends: [end] });
+    logRunEnded(term, session, end);
     session.views.delete(formatRunKey(run));
     wakePlanner(term);
 });
@@ -88,6 +90,7 @@
         return;
     }
     session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
+    logRunOrdered(term, session, run, view.key, sentAtMs);
     const answer = yield* term.workers.startRun(session.info, {
         ...view.key,
         payload: run.job.definition.payload,
@@ -98,7 +101,7 @@
     }, orderLimitMs);
     const nowMs = yield* readMonotonicMs;
     recordAnswer(term, session, answer, nowMs);
-    term.metrics.recordDuration("startOrder", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
+    term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
     if (answer.kind !== "done") {
         term.logger.info("start was not confirmed", {
             job: view.key.job,
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -1,5 +1,5 @@
 import { findQueue, formatQueueKey, type JobRecord } from "@chestnutspool/job-state";
-import type { ErrorData, JobReply, JobRequest, JobResult } from "@chestnutspool/types";
+import { describeRequest, type ErrorData, type JobReply, type JobRequest, type JobResult } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { checkConfiguration } from "./check-configuration.js";
 import { checkJob } from "./check-job.js";
@@ -42,28 +42,60 @@
     if (!state.jobs.has(spec.id)) {
         const queue = findQueue(state.configuration, hostName, path);
         if (queue === undefined) {
+            term.logger.info("job has no queue", {
+                job: spec.id,
+                host: hostName,
+                path,
+                configuration: state.configuration?.version,
+            });
             return { kind: "noQueue" } satisfies JobReply;
         }
         const refusal = checkJob(state, spec, queue);
         if (refusal !== undefined) {
-            term.logger.info("job refused", { job: spec.id, queue: queue.name, refusal: refusal.kind });
+            term.metrics.countEvent("jobs.refused", queue.name, queue.service);
+            term.logger.info("job refused", {
+                job: spec.id,
+                queue: queue.name,
+                refusal: refusal.kind,
+                detail: refusal.kind === "invalid" ? refusal.detail : undefined,
+                configuration: state.configuration?.version,
+                workers: state.workers.size,
+            });
             return refusal;
         }
     }
     const result = yield* propose(term, { kind: "submitJob", spec, hostName, path });
     if (result.kind === "accepted" && !result.isRepeat) {
-        term.logger.info("job accepted", { job: spec.id, steps: spec.steps.length });
+        const queue = state.jobs.get(spec.id)?.queue;
+        term.metrics.countEvent("jobs.accepted", queue?.name ?? "", queue?.service ?? "");
+        term.logger.info("job accepted", {
+            job: spec.id,
+            queue: queue?.name,
+            service: queue?.service,
+            steps: spec.steps.length,
+            tasks: spec.steps.reduce((sum, step) => sum + step.count, 0),
+            openJobs: state.openJobs.size,
+            configuration: state.configuration?.version,
+            term: term.number,
+        });
     }
     wakePlanner(term);
     return convertResult(result);
 });
 
 const cancelJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"cancelJob">) {
-    if (findJob(term, request) === undefined) {
+    const found = findJob(term, request);
+    if (found === undefined) {
+        term.logger.info("job to cancel is not known", {
+            job: request.job,
+            host: request.hostName,
+            path: request.path,
+        });
         return hasQueue(term, request) ? { kind: "noJob" } as const : { kind: "noQueue" } as const;
     }
+    const before = found.phase;
     const result = yield* propose(term, { kind: "cancelJob", job: request.job });
-    term.logger.info("job cancelled", { job: request.job });
+    term.logger.info("job cancelled", { job: request.job, before, runs: found.runsInProgress });
     wakePlanner(term);
     return convertResult(result);
 });
@@ -155,11 +187,11 @@
     return { kind: "wave", isComplete: wave.wave.hosts.every(host => wave.begun.has(host)) };
 }
 
-function convertError(term: Term, error: ErrorData): JobReply {
+function convertError(term: Term, request: JobRequest, error: ErrorData): JobReply {
     if (error.kind === "notLeader") {
         return { kind: "notLeader", leader: undefined };
     }
-    term.logger.warn("request has no certain outcome", { error: error.kind });
+    term.logger.warn("request has no certain outcome", { ...describeRequest(request), error: error.kind });
     return { kind: "outcomeUnknown" };
 }
 
@@ -167,6 +199,6 @@
 export function handleInTerm(term: Term, request: JobRequest): Effect.Effect<JobReply> {
     return Effect.catch(
         handleAny(term, request),
-        (error: ErrorData) => Effect.sync(() => convertError(term, error)),
+        (error: ErrorData) => Effect.sync(() => convertError(term, request, error)),
     );
 }
--- a/packages/lead-jobs/src/limit-disturbance.ts
+++ b/packages/lead-jobs/src/limit-disturbance.ts
@@ -7,20 +7,31 @@
 
 /** Time allowed for an order on pace, in milliseconds; the next round corrects one that is lost. */
 const paceLimitMs = 500;
+/** Pace of a run that is not slowed down, in percent. */
+const fullPacePercent = 100;
+
 const sendPace = Effect.fnUntraced(function*(term: Term, session: WorkerSession, change: PaceChange) {
     const view = session.views.get(change.runKey);
     if (view === undefined) {
         return;
     }
     const before = view.pacePercent;
+    const nowMs = yield* readMonotonicMs;
+    if (before < fullPacePercent) {
+        view.slowedMs += nowMs - view.paceChangedAtMs;
+    }
+    view.lowestPacePercent = Math.min(view.lowestPacePercent, change.percent);
     view.pacePercent = change.percent;
-    view.paceChangedAtMs = yield* readMonotonicMs;
+    view.paceChangedAtMs = nowMs;
     const answer = yield* term.workers.paceRun(session.info, view.key, change.percent, term.number, paceLimitMs);
     recordAnswer(term, session, answer, yield* readMonotonicMs);
     if (answer.kind !== "done") {
         view.pacePercent = before;
     }
-    term.logger.info("pace of a run changed", {
+    // Changes of pace are many; the line on the end of a run sums them up.
+    const write = answer.kind === "done" ? term.logger.debug : term.logger.info;
+    term.metrics.countEvent("paces.ordered", "", session.info.service);
+    write("pace of a run changed", {
         job: view.key.job,
         task: formatTaskKey(view.key),
         worker: session.info.id,
--- /dev/null
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -0,0 +1,125 @@
+import { formatRunKey, formatTaskKey, isJobEnded, type JobRecord, type WorkerRun } from "@chestnutspool/job-state";
+import { describeWait, listRooms, listWaitingSteps, type PlanInput } from "@chestnutspool/plan-jobs";
+import type { JobPhase, RunEnd, RunKey } from "@chestnutspool/types";
+import type { Term, WorkerSession } from "./term.js";
+
+/** Waiting time of a step after which a line tells why it waits, in milliseconds; a step with room starts within a pass. */
+const waitNoticeMs = 1_000;
+/** Waiting steps that one round describes at most, because each is compared with all workers. */
+const noticesPerRound = 20;
+
+/** Logs an order to start a run with what is known of the worker. */
+export function logRunOrdered(term: Term, session: WorkerSession, run: WorkerRun, key: RunKey, nowMs: number): void {
+    const { job, step } = run;
+    const state = term.machine.state.workers.get(session.info.id);
+    const waitedMs = term.machine.state.clockMs - job.acceptedAtMs;
+    term.metrics.countEvent("runs.ordered", job.queue.name, job.queue.service);
+    if (key.run === 1 && key.step === 0) {
+        term.metrics.recordDuration("acceptedToStartMs", job.queue.name, job.queue.service, waitedMs);
+    }
+    term.logger.info("run is ordered", {
+        job: job.id,
+        task: formatTaskKey(key),
+        run: key.run,
+        worker: session.info.id,
+        queue: job.queue.name,
+        sinceAcceptedMs: waitedMs,
+        checkpoint: run.task.checkpoint === "" ? undefined : run.task.checkpoint,
+        rack: session.info.labels[1],
+        rackOfData: step.spec.rackOfData,
+        workerRuns: state?.runs.size,
+        workerMilliCpuUsed: state?.used.milliCpu,
+        workerReportAgeMs: session.answeredAtMs === undefined ? undefined : Math.round(nowMs - session.answeredAtMs),
+    });
+}
+
+/** The phases of the jobs of some ends, to be compared after the ends are recorded. */
+export function readPhases(term: Term, ends: readonly RunEnd[]): ReadonlyMap<JobRecord, JobPhase> {
+    const phases = new Map<JobRecord, JobPhase>();
+    for (const { job: id } of ends) {
+        const job = term.machine.state.jobs.get(id);
+        if (job !== undefined) {
+            phases.set(job, job.phase);
+        }
+    }
+    return phases;
+}
+
+/** Logs the jobs that have ended since their phases were read. */
+export function logEndedJobs(term: Term, before: ReadonlyMap<JobRecord, JobPhase>): void {
+    for (const [job, phase] of before) {
+        if (job.phase === phase || !isJobEnded(job)) {
+            continue;
+        }
+        const tookMs = (job.endedAtMs ?? job.acceptedAtMs) - job.acceptedAtMs;
+        term.metrics.countEvent(`jobs.${job.phase}`, job.queue.name, job.queue.service);
+        term.metrics.recordDuration("jobMs", job.queue.name, job.queue.service, tookMs);
+        term.logger.info("job ended", { job: job.id, queue: job.queue.name, phase: job.phase, tookMs });
+    }
+}
+
+/** Logs the end of a run with what its last report showed. Called before the view of the run is dropped. */
+export function logRunEnded(term: Term, session: WorkerSession, end: RunEnd): void {
+    const view = session.views.get(formatRunKey(end));
+    term.metrics.countEvent(`runs.${end.outcome}`, "", session.info.service);
+    term.logger.info("run ended", {
+        job: end.job,
+        task: formatTaskKey(end),
+        run: end.run,
+        worker: session.info.id,
+        outcome: end.outcome,
+        checkpoint: end.checkpoint === "" ? undefined : end.checkpoint,
+        progressPercent: view?.progressPercent,
+        lowestPacePercent: view?.lowestPacePercent,
+        slowedMs: view === undefined ? undefined : Math.round(view.slowedMs),
+    });
+}
+
+/**
+ * Logs why steps wait that have waited for long: once for each state of the matter. `noticed` holds what was logged; `nowMs`
+ * is wall-clock time in milliseconds.
+ */
+export function logWaitingSteps(term: Term, input: PlanInput, noticed: Map<string, string>, nowMs: number): void {
+    const rooms = listRooms(input);
+    const seen = new Set<string>();
+    let described = 0;
+    for (const waiting of listWaitingSteps(input.model, nowMs)) {
+        const { job, occurrence, step } = waiting;
+        const waitedMs = nowMs - (occurrence.dueAtMs ?? job.acceptedAtMs);
+        const key = formatTaskKey({ job: job.id, occurrence: occurrence.number, step: step.position, position: 0 });
+        if (waitedMs < waitNoticeMs || described >= noticesPerRound) {
+            continue;
+        }
+        described += 1;
+        seen.add(key);
+        const { workers, withRoom, suitable } = describeWait(rooms, waiting, input);
+        const reason = workers === 0
+            ? "noWorker"
+            : withRoom === 0
+            ? "noRoom"
+            : suitable === 0
+            ? "disturbs"
+            : "notAllFit";
+        if (noticed.get(key) === reason) {
+            continue;
+        }
+        noticed.set(key, reason);
+        term.logger.info("step waits", {
+            job: job.id,
+            queue: job.queue.name,
+            occurrence: occurrence.number,
+            step: step.position,
+            tasks: step.waiting.size,
+            waitedMs,
+            reason,
+            workers,
+            withRoom,
+            suitable,
+        });
+    }
+    for (const key of noticed.keys()) {
+        if (!seen.has(key)) {
+            noticed.delete(key);
+        }
+    }
+}
--- a/packages/lead-jobs/src/record-disturbances.ts
+++ b/packages/lead-jobs/src/record-disturbances.ts
@@ -21,6 +21,9 @@
             .filter(pair => isWorthRecording(term, pair))
             .map(({ image, other, disturbance, variance }) => ({ image, other, disturbance, variance }));
         if (pairs.length > 0) {
+            for (const { image, other, disturbance, variance } of pairs) {
+                term.logger.info("disturbance learnt", { image, other, disturbance, variance });
+            }
             yield* Effect.catch(
                 propose(term, { kind: "recordDisturbances", pairs }),
                 (error: ErrorData) => logStepError(term.logger, "record disturbances", error),
--- a/packages/lead-jobs/src/record-heartbeat.ts
+++ b/packages/lead-jobs/src/record-heartbeat.ts
@@ -43,7 +43,13 @@
     }
     const session = known ?? (yield* openSession(term, worker));
     if (known === undefined) {
-        term.logger.info("worker announced itself", { worker: worker.id, address: worker.address });
+        term.logger.info("worker announced itself", {
+            worker: worker.id,
+            address: worker.address,
+            service: worker.service,
+            milliCpu: worker.capacity.milliCpu,
+            sequence,
+        });
     }
     session.heartbeatSequence = sequence;
     session.heardAtMs = nowMs;
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -4,12 +4,15 @@
 import { type ErrorData, readMonotonicMs, readWallMs, type RunStart, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { requestStop, sendStart } from "./give-orders.js";
+import { logWaitingSteps } from "./log-decisions.js";
 import { canGiveOrders, logStepError, propose, type Term } from "./term.js";
 
 /** Longest pause between two passes in milliseconds, for what depends on time alone. */
 const idlePassMs = 100;
 /** Shortest pause between two passes in milliseconds, so that changes that come close together share one. */
 const passPauseMs = 5;
+/** Interval at which the reasons of waiting steps are looked at, in milliseconds. */
+const noticeIntervalMs = 1_000;
 
 function isUsable(term: Term, worker: WorkerId): boolean {
     const session = term.sessions.get(worker);
@@ -49,7 +52,13 @@
     }
 });
 
-const runPass = Effect.fnUntraced(function*(term: Term) {
+/** Reasons that were logged for steps that wait. */
+interface WaitNotices {
+    readonly reasons: Map<string, string>;
+    lastAtMs: number;
+}
+
+const runPass = Effect.fnUntraced(function*(term: Term, notices: WaitNotices) {
     yield* stopUnwanted(term);
     const input = {
         model: term.machine.state,
@@ -64,13 +73,19 @@
             yield* requestStop(term, session, runKey, "it makes no progress here", nowMs);
         }
     }
-    yield* carryOutStarts(term, planStarts(input, yield* readWallMs));
+    const wallMs = yield* readWallMs;
+    yield* carryOutStarts(term, planStarts(input, wallMs));
+    if (nowMs - notices.lastAtMs >= noticeIntervalMs) {
+        notices.lastAtMs = nowMs;
+        logWaitingSteps(term, input, notices.reasons, wallMs);
+    }
 });
 
 /** The fiber of the planner: a pass after each change and at least at an interval. */
 export const runPlanner = Effect.fnUntraced(function*(term: Term) {
+    const notices: WaitNotices = { reasons: new Map(), lastAtMs: 0 };
     while (canGiveOrders(term, yield* readMonotonicMs)) {
-        yield* Effect.catch(runPass(term), (error: ErrorData) => logStepError(term.logger, "plan", error));
+        yield* Effect.catch(runPass(term, notices), (error: ErrorData) => logStepError(term.logger, "plan", error));
         yield* Effect.timeoutOption(Queue.take(term.planWake), idlePassMs);
         yield* Effect.sleep(passPauseMs);
     }
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,4 +1,4 @@
-import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
+import { formatRunKey, type WorkerState } from "@chestnutspool/job-state";
 import { createUseHistory } from "@chestnutspool/learn-interference";
 import { isLearning, observeReport, recordUses } from "@chestnutspool/plan-jobs";
 import {
@@ -12,6 +12,7 @@
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { sendStop } from "./give-orders.js";
+import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { canGiveOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Time that a worker may hold a renewal while nothing ends, in milliseconds; the age of what is known of its runs. */
@@ -74,19 +75,13 @@
             outcome: how,
             checkpoint,
         }));
+        const phases = readPhases(term, ends);
         yield* propose(term, { kind: "endRuns", worker: session.info.id, ends });
         for (const end of ends) {
+            logRunEnded(term, session, end);
             session.views.delete(formatRunKey(end));
-            if (end.outcome !== "succeeded") {
-                term.logger.info("run ended", {
-                    job: end.job,
-                    task: formatTaskKey(end),
-                    run: end.run,
-                    worker: session.info.id,
-                    outcome: end.outcome,
-                });
-            }
         }
+        logEndedJobs(term, phases);
         wakePlanner(term);
     }
     session.acknowledgedSequence = Math.max(session.acknowledgedSequence, outcome.lastSequence);
@@ -139,10 +134,14 @@
         isGone,
         reason,
     });
-    const checkpoints = [...session.views.values()]
-        .filter(view => view.checkpoint !== "")
-        .map(({ key, checkpoint }): RunEnd => ({ ...key, outcome: "lapsed", checkpoint }));
+    const lapsed = [...session.views.values()].map(({ key, checkpoint }): RunEnd => ({
+        ...key,
+        outcome: "lapsed",
+        checkpoint,
+    }));
+    const checkpoints = lapsed.filter(end => end.checkpoint !== "");
     yield* propose(term, { kind: "expireWorker", worker: session.info.id, isGone, checkpoints });
+    lapsed.forEach(end => logRunEnded(term, session, end));
     session.views.clear();
     wakePlanner(term);
 });
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -1,7 +1,14 @@
 import loglevel from "loglevel";
+import type { LogLevel } from "./log-level.js";
 
-/** Level of a log line. */
-export type LogLevel = "debug" | "info" | "warn" | "error";
+export {
+    createDescriptorWriter,
+    createLineSink,
+    type LineSink,
+    type LineSinkLimits,
+    type WriteBytes,
+} from "./line-sink.js";
+export type { LogLevel } from "./log-level.js";
 
 /** Ids and figures of a log line; never a payload. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -23,12 +30,23 @@
 }
 
 /** Where lines go; standard error by default, so that standard output stays free for results. */
-export type LineWriter = (line: string) => void;
+export type LineWriter = (line: string, level: LogLevel, nowMs: number) => void;
 
 function writeToStandardError(line: string): void {
     process.stderr.write(line + "\n");
 }
 
+function convertLevel(name: string): LogLevel {
+    switch (name) {
+        case "warn":
+        case "error":
+        case "info":
+            return name;
+        default:
+            return "debug";
+    }
+}
+
 /** Creates a logger that writes one JSON object a line: time, level, service, host, availability zone, message, fields. */
 export function createLogger(
     service: string,
@@ -38,14 +56,9 @@
 ): Logger {
     const target = loglevel.getLogger(Symbol(service));
     target.methodFactory = methodName => (message: string, fields?: LogFields) => {
-        writeLine(JSON.stringify({
-            time: new Date().toISOString(),
-            level: methodName,
-            service,
-            ...processFields,
-            message,
-            ...fields,
-        }));
+        const now = new Date();
+        const line = { time: now.toISOString(), level: methodName, service, ...processFields, message, ...fields };
+        writeLine(JSON.stringify(line), convertLevel(methodName), now.getTime());
     };
     target.setLevel(level, false);
     return {
--- /dev/null
+++ b/packages/logger/src/line-sink.test.ts
@@ -0,0 +1,101 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createLineSink, type LineSinkLimits, type WriteBytes } from "./line-sink.js";
+
+const limits: LineSinkLimits = { linesPerSecond: 10, burstLines: 20, waitingBytes: 2_000 };
+
+/** A reader that can be halted; it takes at most `chunk` bytes at once. */
+function createReader(chunk: number) {
+    const reader = {
+        text: "",
+        isHalted: false,
+        pending: undefined as (() => void) | undefined,
+        error: undefined as Error | undefined,
+    };
+    const writeBytes: WriteBytes = (bytes, callback) => {
+        const take = (): void => {
+            if (reader.error !== undefined) {
+                callback(reader.error, 0);
+                return;
+            }
+            const part = bytes.subarray(0, chunk);
+            reader.text += part.toString("utf8");
+            callback(undefined, part.length);
+        };
+        if (reader.isHalted) {
+            reader.pending = take;
+        }
+        else {
+            setImmediate(take);
+        }
+    };
+    return { reader, writeBytes };
+}
+
+test("lines arrive whole and in order, also when the reader takes them in pieces", async () => {
+    const { reader, writeBytes } = createReader(3);
+    const sink = createLineSink(writeBytes, limits);
+    ["first", "second", "dritte Zeile: ü"].forEach(line => sink.writeLine(line, "info", 0));
+    await sink.flushLines(1_000);
+    assert.equal(reader.text, "first\nsecond\ndritte Zeile: ü\n");
+    assert.equal(sink.countDropped(), 0);
+});
+
+test("lines above the rate are dropped and counted, warnings are kept", async () => {
+    const { reader, writeBytes } = createReader(10_000);
+    const sink = createLineSink(writeBytes, limits);
+    for (let index = 0; index < 50; index += 1) {
+        sink.writeLine(`line ${index}`, "info", 1_000);
+    }
+    assert.equal(sink.countDropped(), 30);
+    sink.writeLine("important", "warn", 1_000);
+    sink.writeLine("later", "info", 3_000);
+    await sink.flushLines(1_000);
+    const lines = reader.text.trim().split("\n");
+    assert.equal(lines.length, 23);
+    assert.equal(lines[20]?.includes("\"lines\":30"), true);
+    assert.deepEqual(lines.slice(21), ["important", "later"]);
+});
+
+test("a reader that stops blocks nothing, and what waits for it is bounded", async () => {
+    const { reader, writeBytes } = createReader(100_000);
+    reader.isHalted = true;
+    const sink = createLineSink(writeBytes, { ...limits, burstLines: 100_000 });
+    const line = "x".repeat(99);
+    sink.writeLine(line, "info", 0);
+    await new Promise(resolve => setImmediate(resolve));
+    for (let index = 0; index < 1_000; index += 1) {
+        sink.writeLine(line, "info", 0);
+    }
+    for (let index = 0; index < 1_000; index += 1) {
+        sink.writeLine(line, "error", 0);
+    }
+    const written = 2_001 - sink.countDropped();
+    assert.ok(written > 0 && written * 100 <= limits.waitingBytes, `${written} lines were taken`);
+    await sink.flushLines(10);
+    reader.isHalted = false;
+    reader.pending?.();
+    await sink.flushLines(1_000);
+    sink.writeLine("after", "info", 5_000);
+    await sink.flushLines(1_000);
+    const notices = [...reader.text.matchAll(/"lines":(\d+)/g)].map(match => Number(match[1]));
+    assert.equal(notices.reduce((sum, count) => sum + count, 0), sink.countDropped());
+    assert.equal(reader.text.split("\n").filter(each => each === line).length, written);
+    assert.ok(reader.text.endsWith("\nafter\n"));
+});
+
+test("a full pipe is tried again, a closed one ends the output without an exception", async () => {
+    const { reader, writeBytes } = createReader(100_000);
+    const sink = createLineSink(writeBytes, limits);
+    reader.error = Object.assign(new Error("busy"), { code: "EAGAIN" });
+    sink.writeLine("first", "info", 0);
+    await sink.flushLines(5);
+    reader.error = undefined;
+    await sink.flushLines(1_000);
+    assert.equal(reader.text, "first\n");
+    reader.error = Object.assign(new Error("closed"), { code: "EPIPE" });
+    sink.writeLine("second", "info", 0);
+    await sink.flushLines(1_000);
+    sink.writeLine("third", "info", 0);
+    assert.equal(sink.countDropped(), 1);
+});
--- /dev/null
+++ b/packages/logger/src/log-level.ts
@@ -0,0 +1,2 @@
+/** Level of a log line. */
+export type LogLevel = "debug" | "info" | "warn" | "error";
--- a/packages/run-job-process/src/create-job-process.ts
+++ b/packages/run-job-process/src/create-job-process.ts
@@ -30,8 +30,10 @@
 }
 
 const linkKey = defineService<PeerLink>("link");
-const machineKey = defineService<JobMachine>("jobMachine");
-const logKey = defineService<ReplicatedLog<JobCommand, JobResult>>("jobLog");
+/** The state of jobs; only in a control process. */
+export const machineKey = defineService<JobMachine>("jobMachine");
+/** The replicated log of jobs; only in a control process. */
+export const logKey = defineService<ReplicatedLog<JobCommand, JobResult>>("jobLog");
 const leadershipKey = defineService<Leadership>("leadership");
 const directoryKey = defineService<Directory>("directory");
 /** The service that brings requests to the leader. */
@@ -131,6 +133,7 @@
                 findOwnLeader: directory?.findLeader,
                 handleLocally: leadership?.handleRequest,
                 logger: logger.forService("forwarder"),
+                metrics: ports.metrics,
             });
             yield* Effect.forkScoped(forwarder.keepLocating);
             return forwarder;
--- /dev/null
+++ b/packages/run-job-process/src/read-gauges.ts
@@ -0,0 +1,33 @@
+import type { Kernel } from "@chestnutspool/kernel";
+import type { Gauge } from "@chestnutspool/record-metrics";
+import { forwarderKey, logKey, machineKey } from "./create-job-process.js";
+import type { JobProcessSettings } from "./process-settings.js";
+
+function* listControlGauges(kernel: Kernel): Generator<Gauge> {
+    const status = kernel.findService(logKey).readStatus();
+    yield { name: "log_is_leader", value: status.role === "leader" ? 1 : 0 };
+    yield { name: "log_term", value: status.term };
+    yield { name: "log_last_index", value: status.lastIndex };
+    yield { name: "log_members", value: status.members.length };
+    const { state } = kernel.findService(machineKey);
+    yield { name: "jobs_open", value: state.openJobs.size };
+    yield { name: "workers", value: state.workers.size };
+    yield { name: "configuration_version", value: state.configuration?.version ?? 0 };
+    let runs = 0;
+    for (const worker of state.workers.values()) {
+        runs += worker.runs.size;
+    }
+    yield { name: "runs_placed", value: runs };
+}
+
+/** Reads what a process knows at present, for its metrics. */
+export function readGauges(kernel: Kernel, settings: JobProcessSettings): Gauge[] {
+    const memory = process.memoryUsage();
+    const gauges: Gauge[] = [
+        { name: "has_leader", value: kernel.findService(forwarderKey).hasLeader() ? 1 : 0 },
+        { name: "memory_resident_bytes", value: memory.rss },
+        { name: "memory_heap_bytes", value: memory.heapUsed },
+        { name: "uptime_seconds", value: process.uptime() },
+    ];
+    return settings.control === undefined ? gauges : [...gauges, ...listControlGauges(kernel)];
+}
--- a/packages/track-workers/src/run-views.ts
+++ b/packages/track-workers/src/run-views.ts
@@ -34,6 +34,9 @@
     pacePercent: number;
     /** When that last changed. */
     paceChangedAtMs: number;
+    /** Lowest pace so far in percent, and for how long the run was below full pace until the last change. */
+    lowestPacePercent: number;
+    slowedMs: number;
 }
 
 /** The views of one worker by run key. */
@@ -55,6 +58,8 @@
         readAtMs: nowMs,
         pacePercent: 100,
         paceChangedAtMs: nowMs,
+        lowestPacePercent: 100,
+        slowedMs: 0,
     };
 }
 
--- /dev/null
+++ b/packages/types/src/describe-request.ts
@@ -0,0 +1,29 @@
+import type { JobRequest } from "./jobs.js";
+
+/** What a log line tells of a request; never its payload. */
+export type RequestFields = Readonly<Record<string, string | number | undefined>>;
+
+/** The fields by which a request is found in the log. */
+export function describeRequest(request: JobRequest): RequestFields {
+    switch (request.kind) {
+        case "submitJob":
+            return { request: request.kind, job: request.spec.id, host: request.hostName, path: request.path };
+        case "readJob":
+        case "cancelJob":
+            return { request: request.kind, job: request.job, host: request.hostName, path: request.path };
+        case "countPending":
+            return { request: request.kind, host: request.hostName, path: request.path };
+        case "setConfiguration":
+            return { request: request.kind, version: request.configuration.version };
+        case "readConfiguration":
+            return { request: request.kind };
+        case "recordHeartbeat":
+            return { request: request.kind, worker: request.heartbeat.worker.id, sequence: request.heartbeat.sequence };
+        case "removeWorker":
+            return { request: request.kind, worker: request.worker };
+        case "startWave":
+            return { request: request.kind, wave: request.wave.wave };
+        case "readWave":
+            return { request: request.kind, wave: request.wave };
+    }
+}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./commands.js";
+export * from "./describe-request.js";
 export * from "./domain.js";
 export * from "./error-data.js";
 export * from "./jobs.js";
