Let steps whose job can still be in time go first, small ones before large

Cause: under more load than idle processors every job ended a little late, because those that were late already went first.

Change: rank-outlook tells whether a job can still be in time, can be late or is too late to be of use; steps wait in this order, and in the order of size among equals.

--- a/packages/plan-jobs/src/waiting-steps.ts
+++ b/packages/plan-jobs/src/waiting-steps.ts
@@ -6,30 +6,16 @@
     type JobRecord,
     type JobStep,
 } from "@chestnutspool/job-state";
+import { computeSize, type Outlook, rankOutlook } from "./rank-outlook.js";
 
 /** A step with tasks that may start now. */
 export interface WaitingStep {
     readonly job: JobRecord;
     readonly occurrence: JobOccurrence;
     readonly step: JobStep;
-    /** Wall-clock time by which the job should be complete, in milliseconds since the epoch. */
-    readonly wantedAtMs: number;
-}
-
-/** Longest chain of declared run times from a step of an occurrence to its end, in milliseconds. */
-function computeChainMs(job: JobRecord): number {
-    const { steps } = job.definition;
-    const chains: number[] = [];
-    steps.forEach((step, position) => {
-        const before = Math.max(0, ...step.dependsOn.map(earlier => chains[earlier] ?? 0));
-        chains[position] = before + step.expectedRunMs;
-    });
-    return Math.max(0, ...chains);
-}
-
-function computeWantedAt(job: JobRecord, occurrence: JobOccurrence): number {
-    const { slackFactor, targetLatencyMs } = job.queue;
-    return (occurrence.dueAtMs ?? job.acceptedAtMs) + computeChainMs(job) * slackFactor + targetLatencyMs;
+    /** Size of what is left, as `computeSize` gives it. */
+    readonly size: number;
+    readonly outlook: Outlook;
 }
 
 /** The steps that have tasks to start at `nowMs`, wall-clock time in milliseconds since the epoch. */
@@ -43,24 +29,29 @@
             if (occurrence.dueAtMs !== undefined && occurrence.dueAtMs > nowMs) {
                 continue;
             }
-            for (const step of occurrence.steps) {
-                if (step.waiting.size > 0 && isStepReady(occurrence, step)) {
-                    waiting.push({ job, occurrence, step, wantedAtMs: computeWantedAt(job, occurrence) });
-                }
+            const ready = occurrence.steps.filter(step => step.waiting.size > 0 && isStepReady(occurrence, step));
+            if (ready.length === 0) {
+                continue;
             }
+            const size = computeSize(job, occurrence);
+            const outlook = rankOutlook(job, occurrence, nowMs);
+            waiting.push(...ready.map(step => ({ job, occurrence, step, size, outlook })));
         }
     }
     return waiting;
 }
 
+const outlookRanks: Readonly<Record<Outlook, number>> = { inTime: 0, late: 1, tooLate: 2 };
+
 /**
- * Sorts by priority of the queue, then tasks that end before long-running ones, because these take up their room for good,
- * then by the time at which the job should be complete.
+ * Sorts by priority of the queue, then tasks that end before long-running ones, because these take up their room for good, then
+ * by what the job can still achieve, then by size.
  */
 export function sortWaitingSteps(waiting: readonly WaitingStep[]): WaitingStep[] {
     return [...waiting].sort((left, right) =>
         left.job.queue.priority - right.job.queue.priority
         || Number(left.step.spec.longRunning) - Number(right.step.spec.longRunning)
-        || left.wantedAtMs - right.wantedAtMs
+        || outlookRanks[left.outlook] - outlookRanks[right.outlook]
+        || left.size - right.size
     );
 }
--- a/packages/replay-jobs/src/generate-jobs.ts
+++ b/packages/replay-jobs/src/generate-jobs.ts
@@ -46,8 +46,6 @@
     };
 }
 
-/** Part of a swing by which the loads of jobs are apart; they serve the same users. */
-const phaseSpread = 0.1;
 /** Spread of the work of the tasks of one step. */
 const taskSpread = 0.2;
 
@@ -77,7 +75,7 @@
         cancelAtMs: character.kind === "serving"
             ? arrivesAtMs + random.readGap(character.stayMs)
             : undefined,
-        phase: random.readShare() * phaseSpread,
+        phase: random.readShare(),
     };
 }
 
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -21,7 +21,7 @@
     readonly lateWorth: number;
     readonly character:
         | { readonly kind: "reserved"; }
-        /** Uses idle processors; of its images `harmfulShare` of the pairs disturb much. */
+        /** Uses idle processors. */
         | { readonly kind: "filling"; readonly images: number; }
         | {
             readonly kind: "serving";
@@ -47,8 +47,8 @@
     /** Disturbance of a harmful and of a harmless pair of images, for one whole worker in use. */
     readonly harmful: number;
     readonly harmless: number;
-    /** Share of the pairs that are harmful. */
-    readonly harmfulShare: number;
+    /** Share of the images that press on a shared resource. */
+    readonly heavyShare: number;
 }
 
 /** Quick checks, long forecasts on idle processors and watches, as the ash advisory service has them. */
@@ -60,7 +60,7 @@
     workersPerRack: 6,
     harmful: 1.6,
     harmless: 0.25,
-    harmfulShare: 0.4,
+    heavyShare: 0.65,
     kinds: [
         {
             name: "check",
@@ -181,3 +181,9 @@
         }),
     ],
 };
+
+/** The wholesaler's load while rebuilds come faster than idle processors can do them. */
+export const overloadedLoad: Load = {
+    ...wholesaleLoad,
+    kinds: wholesaleLoad.kinds.map(kind => kind.name === "forecast" ? scaleKind(kind, { perSecond: 12 }) : kind),
+};
--- a/packages/replay-jobs/src/print-replay.ts
+++ b/packages/replay-jobs/src/print-replay.ts
@@ -1,4 +1,4 @@
-import { advisoryLoad, wholesaleLoad } from "./load.js";
+import { advisoryLoad, overloadedLoad, wholesaleLoad } from "./load.js";
 import { replayLoad } from "./replay.js";
 
 const lengthMs = 40_000;
@@ -6,7 +6,13 @@
 
 /** Prints what callers get of both loads; the argument is the number of seeds. */
 function printReplays(seeds: number): void {
-    for (const [name, load] of Object.entries({ advisory: advisoryLoad, wholesale: wholesaleLoad })) {
+    for (
+        const [name, load] of Object.entries({
+            advisory: advisoryLoad,
+            wholesale: wholesaleLoad,
+            overloaded: overloadedLoad,
+        })
+    ) {
         const totals = new Map<string, { earned: number; inTime: number; harmed: number; paces: number; }>();
         let earned = 0;
         let owed = 0;
--- a/packages/replay-jobs/src/simulated-workers.ts
+++ b/packages/replay-jobs/src/simulated-workers.ts
@@ -33,15 +33,34 @@
 /** Largest factor by which a tail grows on a saturated worker. */
 const largestTailFactor = 70;
 
-/** Disturbance of each pair of images, drawn once for a replay. */
+/** Resources beside processors that tasks on one worker compete for, such as caches and memory bandwidth. */
+const sharedResources = 3;
+
+/**
+ * Disturbance of each pair of images, drawn once for a replay. Some images press on one shared resource; each serving image is
+ * sensitive to one of them or more.
+ */
 export function drawDisturbances(load: Load, random: Random): (image: string, other: string) => number {
-    const pairs = new Map<string, number>();
-    return (image, other) => {
-        const key = `${image} ${other}`;
-        const known = pairs.get(key) ?? (random.readShare() < load.harmfulShare ? load.harmful : load.harmless);
-        pairs.set(key, known);
+    const pressedByImage = new Map<string, number | undefined>();
+    const sensitiveByImage = new Map<string, readonly number[]>();
+    const readPressed = (image: string): number | undefined => {
+        if (!pressedByImage.has(image)) {
+            const presses = random.readShare() < load.heavyShare;
+            pressedByImage.set(image, presses ? Math.floor(random.readShare() * sharedResources) : undefined);
+        }
+        return pressedByImage.get(image);
+    };
+    const readSensitive = (image: string): readonly number[] => {
+        const first = Math.floor(random.readShare() * sharedResources);
+        const second = random.readShare() < 0.4 ? (first + 1) % sharedResources : first;
+        const known = sensitiveByImage.get(image) ?? [first, second];
+        sensitiveByImage.set(image, known);
         return known;
     };
+    return (image, other) => {
+        const pressed = readPressed(other);
+        return pressed !== undefined && readSensitive(image).includes(pressed) ? load.harmful : load.harmless;
+    };
 }
 
 /** The load of a serving job at a time, as a share of its processors. */
