Suspect workers whose runs fail, stand still or crawl

Change: a worker gets no tasks for a while after three bad runs of two jobs or more, then one at a time until one is good; a task with reserved processors that stands still for two seconds starts anew elsewhere; a task that failed goes to another worker if one has room. If more than a third of the workers are under suspicion, all are used. A slow run is one that took 2.5 times as long as others of its step; comparing with declared run times was tried first and dropped, because these are off by any factor.

--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -66,7 +66,9 @@
     readonly removeWorker: (id: string, nowMs: number) => void;
     readonly setFault: (id: string, fault: WorkerFault) => void;
     /** How long a run of a task takes and how it ends; one second and success unless set. */
-    readonly setBehaviour: (decide: (run: RunKey) => { readonly runMs: number; readonly outcome: RunOutcome; }) => void;
+    readonly setBehaviour: (
+        decide: (run: RunKey, worker: string) => { readonly runMs: number; readonly outcome: RunOutcome; },
+    ) => void;
     /** All runs so far, after everything up to `nowMs` has happened. */
     readonly readLedger: (nowMs: number) => readonly LedgerRun[];
 }
@@ -76,7 +78,7 @@
     const scope = yield* Effect.scope;
     const workers = new Map<string, FakeWorker>();
     const ledger: LedgerRun[] = [];
-    let decide = (run: RunKey): { readonly runMs: number; readonly outcome: RunOutcome; } => ({
+    let decide = (run: RunKey, _worker: string): { readonly runMs: number; readonly outcome: RunOutcome; } => ({
         runMs: run.run > 0 ? 1_000 : 0,
         outcome: "succeeded",
     });
@@ -137,7 +139,7 @@
             return refuse(worker, "staleRun", nowMs);
         }
         const { job, occurrence, step, position, run } = order;
-        const behaviour = decide(order);
+        const behaviour = decide(order, worker.info.id);
         const entry: LedgerRun = {
             worker: worker.info.id,
             task: key,
@@ -220,10 +222,10 @@
     const createReport = (worker: FakeWorker, nowMs: number): RenewAnswer => ({
         kind: "report",
         clockMs: readClock(worker, nowMs),
-        running: [...worker.running.values()].map(({ key }) => ({
+        running: [...worker.running.values()].map(({ key, entry, endsAtMs }) => ({
             ...key,
             checkpoint: "",
-            progressPercent: 50,
+            progressPercent: Math.floor(100 * (nowMs - entry.startedAtMs) / (endsAtMs - entry.startedAtMs)),
             lastReading: undefined,
         })),
         ended: [...worker.ended],
--- a/packages/lead-jobs/src/lead-jobs.test.ts
+++ b/packages/lead-jobs/src/lead-jobs.test.ts
@@ -219,3 +219,59 @@
             assert.equal(system.machine.state.configuration?.version, 5);
         }),
 );
+
+testSystem(
+    "a worker that fails all it starts gets few tasks, and no job fails for it",
+    system =>
+        Effect.gen(function*() {
+            system.workers.setBehaviour((run, worker) => ({
+                runMs: worker === "w1" ? 20 : 1_000,
+                outcome: worker === "w1" ? "failed" : "succeeded",
+            }));
+            for (const id of ["w1", "w2", "w3", "w4"]) {
+                yield* system.addWorker(makeWorker(id));
+            }
+            yield* system.pass(100);
+            const jobs = Array.from({ length: 100 }, (_, number) => `j${number}`);
+            for (const job of jobs) {
+                yield* system.submit(makeJob(job));
+                yield* system.pass(100);
+            }
+            yield* system.pass(3_000);
+            for (const job of jobs) {
+                assert.deepEqual(yield* readPhase(system, job), { kind: "phase", phase: "completed" });
+            }
+            // Three starts until it is suspected, and one after each pause of 1, 2 and 4 s in 12 s; four may run at a time.
+            const failed = (yield* system.readLedger).filter(run => run.worker === "w1").length;
+            assert.ok(failed <= 3 + 3 + 4, `${failed} runs on w1`);
+        }),
+);
+
+testSystem(
+    "a task that stands still starts anew elsewhere, and its worker is tried with one task at a time",
+    system =>
+        Effect.gen(function*() {
+            system.workers.setBehaviour((run, worker) => ({
+                runMs: worker === "w1" ? Number.POSITIVE_INFINITY : 1_000,
+                outcome: "succeeded",
+            }));
+            for (const id of ["w1", "w2", "w3", "w4"]) {
+                yield* system.addWorker(makeWorker(id));
+            }
+            yield* system.pass(100);
+            const jobs = Array.from({ length: 30 }, (_, number) => `j${number}`);
+            for (const job of jobs) {
+                yield* system.submit(makeJob(job));
+                yield* system.pass(300);
+            }
+            yield* system.pass(8_000);
+            for (const job of jobs) {
+                assert.deepEqual(yield* readPhase(system, job), { kind: "phase", phase: "completed" });
+            }
+            const ledger = yield* system.readLedger;
+            assert.deepEqual(listOverlaps(ledger), []);
+            // Four until the first is found standing, and one after each pause.
+            const standing = ledger.filter(run => run.worker === "w1").length;
+            assert.ok(standing <= 4 + 4, `${standing} runs on w1`);
+        }),
+);
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -4,6 +4,7 @@
 import { type ErrorData, readMonotonicMs, readWallMs, type RunStart, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { requestStop, sendStart } from "./give-orders.js";
+import { judgeStandingRun, listStartLimits } from "./judge-workers.js";
 import { logWaitingSteps } from "./log-decisions.js";
 import { canGiveOrders, logStepError, propose, type Term } from "./term.js";
 
@@ -60,17 +61,24 @@
 
 const runPass = Effect.fnUntraced(function*(term: Term, notices: WaitNotices) {
     yield* stopUnwanted(term);
+    const nowMs = yield* readMonotonicMs;
+    const startLimits = listStartLimits(term, nowMs);
     const input = {
         model: term.machine.state,
         isUsable: (worker: WorkerId) => isUsable(term, worker),
+        findFailedWorker: (task: string) => term.failedOn.get(task),
+        findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         interference: term.interference,
         findViews: (worker: WorkerId) => term.sessions.get(worker)?.views,
     };
-    const nowMs = yield* readMonotonicMs;
-    for (const { worker, runKey } of listStuckRuns(input, nowMs)) {
+    for (const { worker, runKey, reason } of listStuckRuns(input, nowMs)) {
         const session = term.sessions.get(worker);
-        if (session !== undefined) {
-            yield* requestStop(term, session, runKey, "it makes no progress here", nowMs);
+        const view = session?.views.get(runKey);
+        if (session !== undefined && view !== undefined) {
+            if (reason === "standsStill") {
+                judgeStandingRun(term, session, view.key.job, nowMs);
+            }
+            yield* requestStop(term, session, runKey, reason, nowMs);
         }
     }
     const wallMs = yield* readWallMs;
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -38,6 +38,8 @@
         scope,
         sessions: new Map(),
         sessionLoops: yield* FiberMap.make<WorkerId>(),
+        failedOn: new Map(),
+        runTimes: new Map(),
         planWake: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
         isFenced: false,
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -3,7 +3,7 @@
 import type { InterferenceModel, UseHistory } from "@chestnutspool/learn-interference";
 import type { Logger } from "@chestnutspool/logger";
 import type { Metrics } from "@chestnutspool/record-metrics";
-import type { RunViews, WorkerLease } from "@chestnutspool/track-workers";
+import type { RunViews, WorkerLease, WorkerSoundness } from "@chestnutspool/track-workers";
 import {
     type ErrorData,
     type JobCommand,
@@ -55,6 +55,8 @@
     leftAtMs: number | undefined;
     /** How much of the worker the tasks that use idle processors have used. */
     readonly uses: UseHistory;
+    /** How its runs ended. */
+    readonly soundness: WorkerSoundness;
 }
 
 /** One term of this replica as leader. */
@@ -65,6 +67,10 @@
     readonly scope: Scope.Scope;
     readonly sessions: Map<WorkerId, WorkerSession>;
     readonly sessionLoops: FiberMap.FiberMap<WorkerId>;
+    /** Worker of the last failed run of each task, by the key of the task; of the latest failures only. */
+    readonly failedOn: Map<string, WorkerId>;
+    /** Run times of the successful runs of each step, by its key; of the latest steps only. */
+    readonly runTimes: Map<string, { readonly runs: number; readonly totalMs: number; }>;
     /** Wakes the planner. */
     readonly planWake: Queue.Queue<void>;
     readonly interference: InterferenceModel;
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -5,6 +5,7 @@
     applyReport,
     computeLeaseEnd,
     createRunView,
+    createSoundness,
     recordClock,
     renewLease,
     type ReportOutcome,
@@ -12,6 +13,7 @@
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { sendStop } from "./give-orders.js";
+import { judgeRun } from "./judge-workers.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { canGiveOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
@@ -44,6 +46,7 @@
         heartbeatSequence: 0,
         leftAtMs: undefined,
         uses: createUseHistory(),
+        soundness: createSoundness(),
     };
     for (const [key, run] of term.machine.state.workers.get(info.id)?.runs ?? []) {
         const { job, occurrence, step, task } = run;
@@ -75,6 +78,8 @@
             outcome: how,
             checkpoint,
         }));
+        const nowMs = yield* readMonotonicMs;
+        ends.forEach(end => judgeRun(term, session, end, nowMs));
         const phases = readPhases(term, ends);
         yield* propose(term, { kind: "endRuns", worker: session.info.id, ends });
         for (const end of ends) {
--- a/packages/plan-jobs/src/plan-moves.ts
+++ b/packages/plan-jobs/src/plan-moves.ts
@@ -7,6 +7,8 @@
 
 /** Time without progress after which a task may move, in milliseconds; a move costs about half a second. */
 const stuckAfterMs = 1_200;
+/** Time without progress after which a task with reserved processors stands still, in milliseconds; two to three reports. */
+const standingAfterMs = 2_000;
 /** Progress from which a task without checkpoints stays, in percent, because it would begin anew. */
 const keptProgressPercent = 40;
 /** Tasks that a pass moves at most. */
@@ -16,6 +18,17 @@
 export interface StuckRun {
     readonly worker: WorkerId;
     readonly runKey: string;
+    readonly reason: "standsStill" | "noIdleProcessors";
+}
+
+/**
+ * A task with reserved processors whose progress stands still though its worker reports; it may start anew elsewhere. A run
+ * that is at work moves on at each report.
+ */
+export function isStandingStill({ step }: WorkerRun, view: RunView, nowMs: number): boolean {
+    return !step.spec.usesIdleCpu && !step.spec.longRunning && view.start === "confirmed"
+        && view.stopWantedAtMs === undefined && view.readAtMs - view.progressAtMs > standingAfterMs
+        && nowMs - view.readAtMs < standingAfterMs && nowMs - view.orderedAtMs > 2 * step.spec.expectedRunMs;
 }
 
 /** A task that uses idle processors and was slowed down, or gets none, for some time. */
@@ -50,12 +63,19 @@
         const views = input.findViews(worker);
         for (const [runKey, run] of runs) {
             const view = views?.get(runKey);
-            if (view === undefined || stuck.length >= movesPerPass || !isStuck(run, view, nowMs)) {
+            if (view === undefined || stuck.length >= movesPerPass) {
+                continue;
+            }
+            if (isStandingStill(run, view, nowMs)) {
+                stuck.push({ worker, runKey, reason: "standsStill" });
+                continue;
+            }
+            if (!isStuck(run, view, nowMs)) {
                 continue;
             }
             rooms ??= listRooms(input);
             if (findOtherRoom(rooms, worker, run, input) !== undefined) {
-                stuck.push({ worker, runKey });
+                stuck.push({ worker, runKey, reason: "noIdleProcessors" });
             }
         }
     }
--- a/packages/plan-jobs/src/plan-paces.test.ts
+++ b/packages/plan-jobs/src/plan-paces.test.ts
@@ -83,13 +83,17 @@
     const input = {
         model: machine.state,
         isUsable: () => true,
+        findStartLimit: () => undefined,
+        findFailedWorker: () => undefined,
         interference,
         findViews: (worker: string) => worker === "w1" ? views : undefined,
     };
     const stuck = getView("harmful");
     stuck.pacePercent = 0;
     getView("harmless").progressAtMs = 5_000;
-    assert.deepEqual(listStuckRuns(input, 5_000), [{ worker: "w1", runKey: "harmful.0.0.0#1" }]);
+    assert.deepEqual(listStuckRuns(input, 5_000), [
+        { worker: "w1", runKey: "harmful.0.0.0#1", reason: "noIdleProcessors" },
+    ]);
     stuck.progressAtMs = 4_900;
     assert.deepEqual(listStuckRuns(input, 5_000), []);
     stuck.progressAtMs = 0;
--- a/packages/plan-jobs/src/plan-starts.test.ts
+++ b/packages/plan-jobs/src/plan-starts.test.ts
@@ -7,9 +7,21 @@
 
 type Machine = ReturnType<typeof makeMachine>;
 
-function plan(machine: Machine, interference: InterferenceModel = createInterferenceModel(), nowMs = testStartMs) {
-    const input = { model: machine.state, isUsable: () => true, interference, findViews: () => undefined };
-    return planStarts(input, nowMs);
+function plan(
+    machine: Machine,
+    interference: InterferenceModel = createInterferenceModel(),
+    nowMs = testStartMs,
+    startLimits: Readonly<Record<string, number>> = {},
+    failedWorker: string | undefined = undefined,
+) {
+    return planStarts({
+        model: machine.state,
+        isUsable: () => true,
+        findStartLimit: worker => startLimits[worker],
+        findFailedWorker: () => failedWorker,
+        interference,
+        findViews: () => undefined,
+    }, nowMs);
 }
 
 function planOn(workers: readonly WorkerInfo[], step: Partial<StepSpec>): string[] {
@@ -55,6 +67,27 @@
     assert.equal(new Set(planOn(workers, step).map(worker => worker.split("-")[0])).size, 1);
 });
 
+test("a worker gets no more starts than its limit allows", () => {
+    const machine = makeMachine(["w1", "w2", "w3"].map(id => makeWorker(id)));
+    machine.submit(makeJob("a", [makeStep({ count: 9 })]));
+    const starts = plan(machine, createInterferenceModel(), testStartMs, { w1: 0, w2: 1 });
+    const count = (worker: string): number => starts.filter(start => start.worker === worker).length;
+    assert.deepEqual(["w1", "w2", "w3"].map(count), [0, 1, 4]);
+});
+
+test("a task that failed on a worker goes to another one while there is one with room", () => {
+    const machine = makeMachine(["w1", "w2"].map(id => makeWorker(id)));
+    machine.submit(makeJob("a"));
+    const start = { job: "a", occurrence: 0, step: 0, position: 0, run: 1 };
+    machine.apply({ kind: "startRuns", starts: [{ ...start, worker: "w1" }] });
+    machine.apply({ kind: "endRuns", worker: "w1", ends: [{ ...start, outcome: "failed", checkpoint: "" }] });
+    const chooseFor = (failedWorker: string, limits: Readonly<Record<string, number>> = {}): (string | undefined)[] =>
+        plan(machine, createInterferenceModel(), testStartMs, limits, failedWorker).map(({ worker }) => worker);
+    assert.deepEqual(chooseFor("w1"), ["w2"]);
+    assert.deepEqual(chooseFor("w2"), ["w1"]);
+    assert.deepEqual(chooseFor("w1", { w2: 0 }), ["w1"]);
+});
+
 test("an occurrence does not start before it is due", () => {
     const machine = makeMachine();
     machine.submit({ ...makeJob("a"), occurrences: 2, firstAtMs: testStartMs + 100, intervalMs: 1_000 });
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -22,6 +22,10 @@
     readonly model: JobModel;
     /** Whether a worker may get tasks now. */
     readonly isUsable: (worker: WorkerId) => boolean;
+    /** Runs that a worker may start now; undefined: as many as it has room for. */
+    readonly findStartLimit: (worker: WorkerId) => number | undefined;
+    /** Worker on which the last failed run of a task was, by the key of the task; undefined when it is not known. */
+    readonly findFailedWorker: (task: string) => WorkerId | undefined;
     readonly interference: InterferenceModel;
     /** What the reports of a worker showed of its runs. */
     readonly findViews: (worker: WorkerId) => RunViews | undefined;
@@ -35,18 +39,33 @@
 }
 
 /** The rooms on the workers that may get tasks. */
-export function listRooms({ model, isUsable, findViews }: PlanInput): WorkerRoom[] {
+export function listRooms({ model, isUsable, findStartLimit, findViews }: PlanInput): WorkerRoom[] {
     return [...model.workers.values()]
         .filter(worker => !worker.isDraining && isUsable(worker.info.id))
-        .map(worker => createWorkerRoom(worker, findViews(worker.info.id)));
+        .map(worker => createWorkerRoom(worker, findViews(worker.info.id), findStartLimit(worker.info.id)));
 }
 
-function chooseRoom(pass: Pass, waiting: WaitingStep, stepKey: string, tasksByRack: ReadonlyMap<string, number>) {
+/** The room for a task; the worker on which it has failed only where no other one has room. */
+function chooseRoom(pass: Pass, waiting: WaitingStep, task: JobTask, racks: ReadonlyMap<string, number>) {
+    const stepKey = formatStepKey(waiting.job.id, waiting.occurrence.number, waiting.step.position);
+    const failedOn = task.failures === 0 ? undefined : pass.input.findFailedWorker(`${stepKey}.${task.position}`);
+    const others = failedOn === undefined ? pass.rooms : pass.rooms.filter(room => room.state.info.id !== failedOn);
+    return chooseRoomAmong(others, pass, waiting, stepKey, racks)
+        ?? (failedOn === undefined ? undefined : chooseRoomAmong(pass.rooms, pass, waiting, stepKey, racks));
+}
+
+function chooseRoomAmong(
+    rooms: readonly WorkerRoom[],
+    pass: Pass,
+    waiting: WaitingStep,
+    stepKey: string,
+    tasksByRack: ReadonlyMap<string, number>,
+) {
     const { spec } = waiting.step;
     const context = { interference: pass.input.interference, tasksByRack };
     let best: WorkerRoom | undefined;
     let bestRating = Number.NEGATIVE_INFINITY;
-    for (const room of pass.rooms) {
+    for (const room of rooms) {
         if (room.state.info.service !== waiting.job.queue.service || !hasRoom(room, spec, stepKey)) {
             continue;
         }
@@ -85,7 +104,7 @@
 function planTasks(pass: Pass, waiting: WaitingStep, stepKey: string): void {
     const racks = new Map<string, number>();
     for (const task of listStartable(waiting)) {
-        const room = pass.starts.length < startsPerPass ? chooseRoom(pass, waiting, stepKey, racks) : undefined;
+        const room = pass.starts.length < startsPerPass ? chooseRoom(pass, waiting, task, racks) : undefined;
         if (room === undefined) {
             return;
         }
@@ -106,7 +125,7 @@
     const run = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
     const taken: { readonly room: WorkerRoom; readonly task: JobTask; }[] = [];
     for (const task of listStartable(waiting)) {
-        const room = chooseRoom(pass, waiting, stepKey, racks);
+        const room = chooseRoom(pass, waiting, task, racks);
         if (room === undefined) {
             break;
         }
--- a/packages/plan-jobs/src/worker-room.ts
+++ b/packages/plan-jobs/src/worker-room.ts
@@ -10,6 +10,8 @@
     readonly state: WorkerState;
     /** What is not reserved; lowered with each start that the pass plans. */
     free: Resources;
+    /** Runs that may still start here; undefined: no limit. */
+    startsLeft: number | undefined;
     /** Tasks by job, occurrence and step that are placed or planned here, for steps with a limit for each worker. */
     readonly tasksByStep: Map<string, number>;
     /** Processor time that nobody is expected to use, in thousandths of a core; below 0 when tasks slow each other down. */
@@ -85,11 +87,12 @@
     return false;
 }
 
-/** The room on a worker; `views` are what its reports showed. */
-export function createWorkerRoom(state: WorkerState, views: RunViews | undefined): WorkerRoom {
+/** The room on a worker; `views` are what its reports showed, `startLimit` the runs that may start there. */
+export function createWorkerRoom(state: WorkerState, views: RunViews | undefined, startLimit?: number): WorkerRoom {
     const room: WorkerRoom = {
         state,
         free: subtractResources(state.info.capacity, state.used),
+        startsLeft: startLimit,
         tasksByStep: new Map(),
         idleMilliCpu: state.info.capacity.milliCpu,
         serving: new Map(),
@@ -104,6 +107,9 @@
 
 /** Whether a task of a step may start on a worker by its declared size. */
 export function hasRoom(room: WorkerRoom, spec: StepSpec, stepKey: string): boolean {
+    if (room.startsLeft === 0) {
+        return false;
+    }
     if (spec.requiredLabel !== undefined && !room.state.info.labels.includes(spec.requiredLabel)) {
         return false;
     }
@@ -116,11 +122,13 @@
 /** Takes the room of one more task of a step. */
 export function takeRoom(room: WorkerRoom, job: string, spec: StepSpec, stepKey: string): void {
     room.free = subtractResources(room.free, computeReservation(spec));
+    room.startsLeft = room.startsLeft === undefined ? undefined : room.startsLeft - 1;
     addTask(room, job, spec, stepKey, 1);
 }
 
 /** Gives back the room of one task that was planned and is not to start after all. */
 export function returnRoom(room: WorkerRoom, job: string, spec: StepSpec, stepKey: string): void {
     room.free = addResources(room.free, computeReservation(spec));
+    room.startsLeft = room.startsLeft === undefined ? undefined : room.startsLeft + 1;
     addTask(room, job, spec, stepKey, -1);
 }
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -244,6 +244,8 @@
     const input = {
         model: world.machine.state,
         isUsable: () => true,
+        findStartLimit: () => undefined,
+        findFailedWorker: () => undefined,
         interference: world.interference,
         findViews: (worker: string) => world.viewsByWorker.get(worker),
     };
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -15,3 +15,10 @@
     type StartState,
     type WorkerReport,
 } from "./run-views.js";
+export {
+    countAllowedStarts,
+    createSoundness,
+    recordRunQuality,
+    type RunQuality,
+    type WorkerSoundness,
+} from "./worker-soundness.js";
