--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -78,8 +78,8 @@
     const scope = yield* Effect.scope;
     const workers = new Map<string, FakeWorker>();
     const ledger: LedgerRun[] = [];
-    let decide = (run: RunKey, _worker: string): { readonly runMs: number; readonly outcome: RunOutcome; } => ({
-        runMs: run.run > 0 ? 1_000 : 0,
+    let decide: (run: RunKey, worker: string) => { readonly runMs: number; readonly outcome: RunOutcome; } = () => ({
+        runMs: 1_000,
         outcome: "succeeded",
     });
 
--- a/packages/lead-jobs/src/lead-jobs.test.ts
+++ b/packages/lead-jobs/src/lead-jobs.test.ts
@@ -232,7 +232,7 @@
                 yield* system.addWorker(makeWorker(id));
             }
             yield* system.pass(100);
-            const jobs = Array.from({ length: 100 }, (_, number) => `j${number}`);
+            const jobs = [...Array(100).keys()].map(number => `j${number}`);
             for (const job of jobs) {
                 yield* system.submit(makeJob(job));
                 yield* system.pass(100);
@@ -259,7 +259,7 @@
                 yield* system.addWorker(makeWorker(id));
             }
             yield* system.pass(100);
-            const jobs = Array.from({ length: 30 }, (_, number) => `j${number}`);
+            const jobs = [...Array(30).keys()].map(number => `j${number}`);
             for (const job of jobs) {
                 yield* system.submit(makeJob(job));
                 yield* system.pass(300);
