Give up starts that have no answer, so that their tasks start again

Cause: a start without an answer stayed recorded until a report listed the run. An order that was carried out late, after its lease had ended, is refused by the worker and leaves no trace, so that the task waited until the next leader. Ruled out: room (there was twice as much) and the planner (the task was not waiting).

Change: a start that had no answer for 1.5 s is stopped; once the worker has answered the stop, the next report settles the run and the task starts again. Functions are renamed to verbs of docs/verbs.md.

--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -112,7 +112,7 @@
         return uncertain ? { kind: "outcomeUnknown" } as const : { kind: "notLeader", leader: undefined } as const;
     });
 
-    const tryUntil = Effect.fnUntraced(function*(request: JobRequest, endMs: number, trace: ForwardTrace) {
+    const attemptUntil = Effect.fnUntraced(function*(request: JobRequest, endMs: number, trace: ForwardTrace) {
         let mayHaveEffect = false;
         for (let nowMs = yield* readMonotonicMs; nowMs < endMs; nowMs = yield* readMonotonicMs) {
             const leader = findLeader() ?? (yield* locate);
@@ -141,7 +141,7 @@
     const forwardRequest = Effect.fnUntraced(function*(request: JobRequest, budgetMs: number) {
         const startedMs = yield* readMonotonicMs;
         const trace: ForwardTrace = { attempts: 0, leader: undefined };
-        const reply: ForwardReply = yield* tryUntil(request, startedMs + budgetMs, trace);
+        const reply: ForwardReply = yield* attemptUntil(request, startedMs + budgetMs, trace);
         const tookMs = (yield* readMonotonicMs) - startedMs;
         parts.metrics.recordDuration("requestMs", "", request.kind, tookMs);
         parts.metrics.countEvent(`replies.${reply.kind}`, "", request.kind);
--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -45,7 +45,7 @@
     return { job, occurrence, step, task };
 }
 
-function mayStart(job: JobRecord, occurrence: JobOccurrence, step: JobStep, task: JobTask, run: number): boolean {
+function canStart(job: JobRecord, occurrence: JobOccurrence, step: JobStep, task: JobTask, run: number): boolean {
     const hasFreePlace = task.runs.length === 0 || (step.spec.speculative && task.runs.length === 1);
     return !isJobEnded(job) && !task.isDone && hasFreePlace && run > task.lastRun && isStepReady(occurrence, step)
         && (step.spec.longRunning || countFailures(step, task) < job.queue.maxAttempts);
@@ -58,7 +58,7 @@
         return false;
     }
     const { job, occurrence, step, task } = found;
-    if (!mayStart(job, occurrence, step, task, start.run)) {
+    if (!canStart(job, occurrence, step, task, start.run)) {
         return false;
     }
     const used = addResources(worker.used, computeReservation(step.spec));
--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -23,7 +23,9 @@
     /** Orders are carried out some seconds later and have no answer. */
     | "late"
     /** The same for starts only; everything else works. */
-    | "startsLate";
+    | "startsLate"
+    /** Starts have no answer and are never carried out; everything else works. */
+    | "startsLost";
 
 /** How long after its arrival a late order is carried out, in milliseconds. */
 export const lateOrderMs = 4_000;
@@ -183,7 +185,9 @@
         if (worker === undefined) {
             return { kind: "notSent", detail: "connection refused" } satisfies OrderAnswer;
         }
-        const fault = worker.fault === "startsLate" ? isStart ? "late" : "none" : worker.fault;
+        const fault = isStart || (worker.fault !== "startsLate" && worker.fault !== "startsLost")
+            ? worker.fault
+            : "none";
         switch (fault) {
             case "none":
                 return carryOut(worker, yield* readMonotonicMs);
@@ -194,7 +198,11 @@
                 carryOut(worker, yield* readMonotonicMs);
                 yield* Effect.sleep(limitMs);
                 return { kind: "unknown", detail: "no answer" } satisfies OrderAnswer;
+            case "startsLost":
+                yield* Effect.sleep(limitMs);
+                return { kind: "unknown", detail: "no answer" } satisfies OrderAnswer;
             case "late":
+            case "startsLate":
                 yield* Effect.forkIn(
                     Effect.gen(function*() {
                         yield* Effect.sleep(lateOrderMs);
--- a/packages/lead-jobs/src/lead-jobs.test.ts
+++ b/packages/lead-jobs/src/lead-jobs.test.ts
@@ -275,3 +275,20 @@
             assert.ok(standing <= 4 + 4, `${standing} runs on w1`);
         }),
 );
+
+testSystem(
+    "a task whose start had no answer and was never carried out starts again within seconds",
+    system =>
+        Effect.gen(function*() {
+            system.workers.setBehaviour(() => ({ runMs: 60_000, outcome: "succeeded" }));
+            yield* system.addWorker(makeWorker("w1"));
+            yield* system.pass(100);
+            system.workers.setFault("w1", "startsLost");
+            yield* system.submit(makeJob("a"));
+            yield* system.pass(500);
+            system.workers.setFault("w1", "none");
+            yield* system.pass(5_000);
+            const ledger = yield* system.readLedger;
+            assert.deepEqual(ledger.map(({ run, endedAtMs }) => [run, endedAtMs]), [[2, undefined]]);
+        }),
+);
--- a/packages/lead-jobs/src/judge-workers.ts
+++ b/packages/lead-jobs/src/rate-ends.ts
@@ -29,8 +29,8 @@
     }
 }
 
-/** Whether a run took far longer than other runs of its step; the run itself is recorded. */
-function isSlow(term: Term, end: RunEnd, tookMs: number): boolean {
+/** Records how long a successful run took; true when that was far longer than other runs of its step. */
+function observeRunTime(term: Term, end: RunEnd, tookMs: number): boolean {
     const key = `${end.job}.${end.occurrence}.${end.step}`;
     const known = term.runTimes.get(key) ?? { runs: 0, totalMs: 0 };
     setLatest(term.runTimes, key, { runs: known.runs + 1, totalMs: known.totalMs + tookMs }, rememberedSteps);
@@ -50,7 +50,9 @@
         case "succeeded": {
             // The time of a task on idle processors or far from its data says more of its place than of the worker.
             const isComparable = !step.spec.usesIdleCpu && step.spec.rackOfData === undefined;
-            return isComparable && isSlow(term, end, nowMs - view.orderedAtMs) ? { kind: "slow" } : { kind: "good" };
+            return isComparable && observeRunTime(term, end, nowMs - view.orderedAtMs)
+                ? { kind: "slow" }
+                : { kind: "good" };
         }
         case "stopped":
         case "lapsed":
@@ -76,7 +78,7 @@
 }
 
 /** Judges a worker by the end of a run; called before the end is recorded. */
-export function judgeRun(term: Term, session: WorkerSession, end: RunEnd, nowMs: number): void {
+export function rateRunEnd(term: Term, session: WorkerSession, end: RunEnd, nowMs: number): void {
     const key = formatRunKey(end);
     const run = term.machine.state.workers.get(session.info.id)?.runs.get(key);
     const view = session.views.get(key);
@@ -90,7 +92,7 @@
 }
 
 /** Judges a worker on which a run stands still. */
-export function judgeStandingRun(term: Term, session: WorkerSession, job: string, nowMs: number): void {
+export function recordStandingRun(term: Term, session: WorkerSession, job: string, nowMs: number): void {
     recordQuality(term, session, job, { kind: "stoodStill" }, nowMs);
 }
 
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -1,11 +1,11 @@
 import { formatRunKey } from "@chestnutspool/job-state";
 import { listStuckRuns, listUnwantedRuns, planStarts } from "@chestnutspool/plan-jobs";
-import { createRunView } from "@chestnutspool/track-workers";
+import { createRunView, isStartGivenUp } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, readWallMs, type RunStart, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { requestStop, sendStart } from "./give-orders.js";
-import { judgeStandingRun, listStartLimits } from "./judge-workers.js";
 import { logWaitingSteps } from "./log-decisions.js";
+import { listStartLimits, recordStandingRun } from "./rate-ends.js";
 import { canGiveOrders, logStepError, propose, type Term } from "./term.js";
 
 /** Longest pause between two passes in milliseconds, for what depends on time alone. */
@@ -48,7 +48,12 @@
     for (const session of term.sessions.values()) {
         const state = term.machine.state.workers.get(session.info.id);
         for (const key of state === undefined ? [] : listUnwantedRuns(state)) {
-            yield* requestStop(term, session, key, "it is not needed any more", nowMs);
+            yield* requestStop(term, session, key, "notNeeded", nowMs);
+        }
+        for (const [key, view] of session.views) {
+            if (isStartGivenUp(view, nowMs)) {
+                yield* requestStop(term, session, key, "startUnanswered", nowMs);
+            }
         }
     }
 });
@@ -76,7 +81,7 @@
         const view = session?.views.get(runKey);
         if (session !== undefined && view !== undefined) {
             if (reason === "standsStill") {
-                judgeStandingRun(term, session, view.key.job, nowMs);
+                recordStandingRun(term, session, view.key.job, nowMs);
             }
             yield* requestStop(term, session, runKey, reason, nowMs);
         }
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -13,8 +13,8 @@
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { sendStop } from "./give-orders.js";
-import { judgeRun } from "./judge-workers.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
+import { rateRunEnd } from "./rate-ends.js";
 import { canGiveOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Time that a worker may hold a renewal while nothing ends, in milliseconds; the age of what is known of its runs. */
@@ -79,7 +79,7 @@
             checkpoint,
         }));
         const nowMs = yield* readMonotonicMs;
-        ends.forEach(end => judgeRun(term, session, end, nowMs));
+        ends.forEach(end => rateRunEnd(term, session, end, nowMs));
         const phases = readPhases(term, ends);
         yield* propose(term, { kind: "endRuns", worker: session.info.id, ends });
         for (const end of ends) {
--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -108,7 +108,7 @@
 }
 
 /** Lets slowed neighbours go faster as far as every serving task is expected to keep more than its target. */
-function speedUp(serving: readonly ServingImage[], filling: readonly FillingRun[], model: InterferenceModel): void {
+function raisePace(serving: readonly ServingImage[], filling: readonly FillingRun[], model: InterferenceModel): void {
     const goals = serving.map(image => computeMarginGoal(image.image, image.headroom, wantedMargin, model));
     for (const run of filling) {
         while (run.percent < fullPacePercent) {
@@ -134,7 +134,7 @@
     const serving = listServing(state, interference);
     slowDown(serving, filling, interference);
     if (filling.every(run => run.percent === run.view.pacePercent)) {
-        speedUp(serving, filling, interference);
+        raisePace(serving, filling, interference);
     }
     return filling
         .filter(run => run.percent !== run.view.pacePercent)
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -9,7 +9,7 @@
     findRack,
     formatStepKey,
     hasRoom,
-    returnRoom,
+    releaseRoom,
     takeRoom,
     type WorkerRoom,
 } from "./worker-room.js";
@@ -135,7 +135,7 @@
         taken.push({ room, task });
     }
     if (taken.length < step.tasks.length) {
-        taken.forEach(({ room }) => returnRoom(room, job.id, step.spec, stepKey));
+        taken.forEach(({ room }) => releaseRoom(room, job.id, step.spec, stepKey));
         return;
     }
     pass.starts.push(...taken.map(({ room, task }) => createStart(waiting, task, run, room)));
--- a/packages/plan-jobs/src/worker-room.ts
+++ b/packages/plan-jobs/src/worker-room.ts
@@ -127,7 +127,7 @@
 }
 
 /** Gives back the room of one task that was planned and is not to start after all. */
-export function returnRoom(room: WorkerRoom, job: string, spec: StepSpec, stepKey: string): void {
+export function releaseRoom(room: WorkerRoom, job: string, spec: StepSpec, stepKey: string): void {
     room.free = addResources(room.free, computeReservation(spec));
     room.startsLeft = room.startsLeft === undefined ? undefined : room.startsLeft + 1;
     addTask(room, job, spec, stepKey, -1);
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -9,6 +9,7 @@
 export {
     applyReport,
     createRunView,
+    isStartGivenUp,
     type ReportOutcome,
     type RunView,
     type RunViews,
--- a/packages/track-workers/src/run-views.ts
+++ b/packages/track-workers/src/run-views.ts
@@ -63,6 +63,18 @@
     };
 }
 
+/**
+ * Time after which a start without an answer is given up, in milliseconds. Reports follow each other within a second, so that a run
+ * that has started is listed by then.
+ */
+const unansweredLimitMs = 1_500;
+
+/** Whether the start of a run had no answer for so long that it is to be stopped, after which it certainly never takes effect. */
+export function isStartGivenUp(view: RunView, nowMs: number): boolean {
+    return view.start === "unanswered" && view.stopWantedAtMs === undefined
+        && nowMs - view.startChangedAtMs > unansweredLimitMs;
+}
+
 /** A report of a worker. */
 export interface WorkerReport {
     readonly running: readonly RunProgress[];
