--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -71,7 +71,7 @@
         term.logger.info("job accepted", {
             job: spec.id,
             queue: queue?.name,
-            service: queue?.service,
+            pool: queue?.service,
             steps: spec.steps.length,
             tasks: spec.steps.reduce((sum, step) => sum + step.count, 0),
             openJobs: state.openJobs.size,
--- a/packages/lead-jobs/src/record-heartbeat.ts
+++ b/packages/lead-jobs/src/record-heartbeat.ts
@@ -46,7 +46,7 @@
         term.logger.info("worker announced itself", {
             worker: worker.id,
             address: worker.address,
-            service: worker.service,
+            pool: worker.service,
             milliCpu: worker.capacity.milliCpu,
             sequence,
         });
