--- a/packages/plan-jobs/src/plan-starts.test.ts
+++ b/packages/plan-jobs/src/plan-starts.test.ts
@@ -1,3 +1,4 @@
+import { formatRunKey } from "@chestnutspool/job-state";
 import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
 import { createInterferenceModel, type InterferenceModel } from "@chestnutspool/learn-interference";
 import type { StepSpec, WorkerInfo } from "@chestnutspool/types";
@@ -150,3 +151,34 @@
     machine.submit(makeJob("map2", [{ ...serving, image: "map" }]));
     assert.deepEqual(plan(machine).map(start => [start.job, start.worker]), [["web2", "w1"], ["map2", "w2"]]);
 });
+
+test("a large long-running task finds a place while small tasks come without end", () => {
+    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    machine.submit(makeJob("stream", [makeStep({ count: 200 })]));
+    const large = makeStep({ longRunning: true, resources: { milliCpu: 3_000, memoryMib: 10, accelerators: 0 } });
+    machine.submit(makeJob("watch", [large]));
+    // A small task runs for one to four rounds of a second, so that some end in each.
+    const startedInRound = new Map<string, number>();
+    let watchRound: number | undefined;
+    for (let round = 0; round < 30 && watchRound === undefined; round += 1) {
+        for (const [worker, { runs }] of machine.state.workers) {
+            for (const [key, { job, task, run }] of [...runs]) {
+                if (round - (startedInRound.get(key) ?? 0) >= 1 + task.position % 4) {
+                    const end = { job: job.id, occurrence: 0, step: 0, position: task.position, run };
+                    machine.apply({
+                        kind: "endRuns",
+                        worker,
+                        ends: [{ ...end, outcome: "succeeded", checkpoint: "" }],
+                    });
+                }
+            }
+        }
+        const nowMs = testStartMs + round * 1_000;
+        const starts = plan(machine, createInterferenceModel(), nowMs);
+        machine.apply({ kind: "startRuns", starts }, nowMs);
+        starts.forEach(start => startedInRound.set(formatRunKey(start), round));
+        watchRound = starts.some(start => start.job === "watch") ? round : undefined;
+    }
+    // The users' rule: a long-running task does not stay away for more than six seconds while there is capacity for it.
+    assert.ok(watchRound !== undefined && watchRound <= 6, `started in round ${watchRound}`);
+});
