--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -79,19 +79,23 @@
     const jobs = link.openChannel<JobRequest, JobReply>("jobs", {});
     const directory = link.openChannel<DirectoryRequest, DirectoryReply>("directory", {});
 
+    /** Leader of the last log line; many requests look for it at the same time. */
+    let announcedLeader: string | undefined;
+
     const findLeader = (): ControlAddress | undefined => parts.findOwnLeader?.() ?? view.leader;
 
     const forgetLeader = (leader: ControlAddress): void => {
         if (view.leader?.id === leader.id) {
             view.leader = undefined;
+            announcedLeader = undefined;
             logger.info("control leader lost", { leader: leader.id });
         }
     };
 
     const locate = Effect.gen(function*() {
-        const before = view.leader?.id;
         const leader = yield* locateLeader(view, link, directory);
-        if (leader !== undefined && leader.id !== before) {
+        if (leader !== undefined && leader.id !== announcedLeader) {
+            announcedLeader = leader.id;
             logger.info("control leader found", { leader: leader.id });
         }
         return leader;
