Name no site in examples of commands and generated traces

Cause: examples in the help and two generators used the users' zone names. Change: neutral names; nothing reads them.

--- a/packages/cli/src/commands/drain/index.ts
+++ b/packages/cli/src/commands/drain/index.ts
@@ -7,7 +7,7 @@
     form: "drain <entry-id>",
     description: "Take work away from an entry host",
     options: changeOptions,
-    examples: ["drain cuyo-entry-3"],
+    examples: ["drain entry-3"],
     run: input =>
         runChange(
             input,
--- a/packages/cli/src/commands/members/index.ts
+++ b/packages/cli/src/commands/members/index.ts
@@ -78,10 +78,10 @@
     options: callOptions,
     examples: [
         "members",
-        "members add cuyo-entry-9 10.21.0.13:7411 4f0c2f4e",
-        "members promote cuyo-entry-9",
-        "members remove cuyo-entry-2",
-        "members transfer cuyo-entry-1",
+        "members add entry-9 10.21.0.13:7411 4f0c2f4e",
+        "members promote entry-9",
+        "members remove entry-2",
+        "members transfer entry-1",
     ],
     run: input => input.args.length === 0 ? listMembers(input) : changeMembers(input),
 };
--- a/packages/cli/src/commands/stats/index.ts
+++ b/packages/cli/src/commands/stats/index.ts
@@ -15,7 +15,7 @@
         ["--process <id>", "fail unless the process that is called has this id"],
         ...callOptions,
     ],
-    examples: ["stats --process cuyo-entry-2"],
+    examples: ["stats --process entry-2"],
     run: Effect.fnUntraced(function*(input) {
         const settings = yield* readCallSettings(input);
         const process = readText(input, "process") ?? "";
--- a/packages/measure/src/commands/measure-message-sizes/index.ts
+++ b/packages/measure/src/commands/measure-message-sizes/index.ts
@@ -15,7 +15,7 @@
     return create(SyncRequestSchema, {
         worker: "worker-0123",
         incarnation: "0b7f3c1e-6f5d-4f57-9d0e-2f1f0a7a1a11",
-        availabilityZone: "cuyo-1",
+        availabilityZone: "zone-1",
         rack: "rack-17",
         capacity: { milliCpu: 32_000, memoryMib: 128_000, accelerators: 2 },
         running: ids.map(id => ({ ...id, checkpoint: "checkpoint-000123" })),
@@ -42,7 +42,7 @@
         minion: "stock-check-1",
         service: "stock-check",
         address: "127.0.0.1:40000",
-        availabilityZone: "cuyo-1",
+        availabilityZone: "zone-1",
         slots: 8,
         connections: 64,
         runningAttempts: Array.from({ length: 8 }, (unused, index) => `entry-1.0b7f3c1e.${index}`),
