--- a/packages/replay-traces/src/placement/generate-parts.ts
+++ b/packages/replay-traces/src/placement/generate-parts.ts
@@ -50,7 +50,7 @@
             kind: "worker" as const,
             atMs,
             worker: `worker-${String(ordinal).padStart(2, "0")}`,
-            availabilityZone: `zone-${"ab"[rack % 2]}`,
+            availabilityZone: `cuyo-${"ab"[rack % 2]}`,
             rack: `rack-${rack}`,
             capacity: workerCapacity,
         };
