--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -14,4 +14,4 @@
     type WorkerRun,
     type WorkerState,
 } from "./model.js";
-export { formatRunKey, formatTaskKey, parseTaskKey } from "./run-keys.js";
+export { formatRunKey, formatStepKey, formatTaskKey, parseTaskKey } from "./run-keys.js";
--- a/packages/job-state/src/run-keys.ts
+++ b/packages/job-state/src/run-keys.ts
@@ -1,8 +1,13 @@
 import type { RunKey, TaskKey } from "@chestnutspool/types";
 
-/** Text form of a task: job, occurrence, step and position, joined by dots. */
+/** Text form of a step of one occurrence: job, occurrence and step, joined by dots. */
+export function formatStepKey({ job, occurrence, step }: Omit<TaskKey, "position">): string {
+    return `${job}.${occurrence}.${step}`;
+}
+
+/** Text form of a task: that of its step, a dot and the position. */
 export function formatTaskKey(task: TaskKey): string {
-    return `${task.job}.${task.occurrence}.${task.step}.${task.position}`;
+    return `${formatStepKey(task)}.${task.position}`;
 }
 
 /** Text form of a run: the task, "#" and the number of the run. */
--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -75,6 +75,10 @@
     readonly readLedger: (nowMs: number) => readonly LedgerRun[];
 }
 
+function isOfStartsOnly(fault: WorkerFault): boolean {
+    return fault === "startsLate" || fault === "startsLost";
+}
+
 /** Creates the workers; late orders are carried out in the scope. */
 export const createFakeWorkers: Effect.Effect<FakeWorkers, never, Scope.Scope> = Effect.gen(function*() {
     const scope = yield* Effect.scope;
@@ -185,9 +189,7 @@
         if (worker === undefined) {
             return { kind: "notSent", detail: "connection refused" } satisfies OrderAnswer;
         }
-        const fault = isStart || (worker.fault !== "startsLate" && worker.fault !== "startsLost")
-            ? worker.fault
-            : "none";
+        const fault = isStart || !isOfStartsOnly(worker.fault) ? worker.fault : "none";
         switch (fault) {
             case "none":
                 return carryOut(worker, yield* readMonotonicMs);
@@ -252,7 +254,7 @@
             nowMs = yield* readMonotonicMs;
             advance(worker, nowMs);
         }
-        return worker.fault === "none" || worker.fault === "startsLate"
+        return worker.fault === "none" || isOfStartsOnly(worker.fault)
             ? createReport(worker, yield* readMonotonicMs)
             : { kind: "unknown", detail: "no answer" } satisfies RenewAnswer;
     });
--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -1,5 +1,19 @@
-import { formatRunKey, formatTaskKey, isJobEnded, type JobRecord, type WorkerRun } from "@chestnutspool/job-state";
-import { describeWait, listRooms, listWaitingSteps, type PlanInput } from "@chestnutspool/plan-jobs";
+import {
+    formatRunKey,
+    formatStepKey,
+    formatTaskKey,
+    isJobEnded,
+    type JobRecord,
+    type WorkerRun,
+} from "@chestnutspool/job-state";
+import {
+    describeWait,
+    findRack,
+    listRooms,
+    listWaitingSteps,
+    type PlanInput,
+    type WaitingStep,
+} from "@chestnutspool/plan-jobs";
 import type { JobPhase, RunEnd, RunKey } from "@chestnutspool/types";
 import type { Term, WorkerSession } from "./term.js";
 
@@ -25,7 +39,7 @@
         queue: job.queue.name,
         sinceAcceptedMs: waitedMs,
         checkpoint: run.task.checkpoint === "" ? undefined : run.task.checkpoint,
-        rack: session.info.labels[1],
+        rack: findRack(session.info),
         rackOfData: step.spec.rackOfData,
         workerRuns: state?.runs.size,
         workerMilliCpuUsed: state?.used.milliCpu,
@@ -80,17 +94,16 @@
  * is wall-clock time in milliseconds.
  */
 export function logWaitingSteps(term: Term, input: PlanInput, noticed: Map<string, string>, nowMs: number): void {
-    const rooms = listRooms(input);
+    const computeWaited = ({ job, occurrence }: WaitingStep): number =>
+        nowMs - (occurrence.dueAtMs ?? job.acceptedAtMs);
+    const late = listWaitingSteps(input.model, nowMs)
+        .filter(waiting => computeWaited(waiting) >= waitNoticeMs)
+        .slice(0, noticesPerRound);
+    const rooms = late.length === 0 ? [] : listRooms(input);
     const seen = new Set<string>();
-    let described = 0;
-    for (const waiting of listWaitingSteps(input.model, nowMs)) {
+    for (const waiting of late) {
         const { job, occurrence, step } = waiting;
-        const waitedMs = nowMs - (occurrence.dueAtMs ?? job.acceptedAtMs);
-        const key = formatTaskKey({ job: job.id, occurrence: occurrence.number, step: step.position, position: 0 });
-        if (waitedMs < waitNoticeMs || described >= noticesPerRound) {
-            continue;
-        }
-        described += 1;
+        const key = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
         seen.add(key);
         const { workers, withRoom, suitable } = describeWait(rooms, waiting, input);
         const reason = workers === 0
@@ -110,7 +123,7 @@
             occurrence: occurrence.number,
             step: step.position,
             tasks: step.waiting.size,
-            waitedMs,
+            waitedMs: computeWaited(waiting),
             reason,
             workers,
             withRoom,
--- a/packages/lead-jobs/src/rate-ends.ts
+++ b/packages/lead-jobs/src/rate-ends.ts
@@ -1,4 +1,4 @@
-import { formatRunKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
+import { formatRunKey, formatStepKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
 import { countAllowedStarts, recordRunQuality, type RunQuality, type RunView } from "@chestnutspool/track-workers";
 import type { RunEnd, WorkerId } from "@chestnutspool/types";
 import type { Term, WorkerSession } from "./term.js";
@@ -31,7 +31,7 @@
 
 /** Records how long a successful run took; true when that was far longer than other runs of its step. */
 function observeRunTime(term: Term, end: RunEnd, tookMs: number): boolean {
-    const key = `${end.job}.${end.occurrence}.${end.step}`;
+    const key = formatStepKey(end);
     const known = term.runTimes.get(key) ?? { runs: 0, totalMs: 0 };
     setLatest(term.runTimes, key, { runs: known.runs + 1, totalMs: known.totalMs + tookMs }, rememberedSteps);
     return known.runs >= runsToCompare && tookMs > slowFactor * known.totalMs / known.runs + reportingMs;
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -1,7 +1,14 @@
-import { formatRunKey } from "@chestnutspool/job-state";
+import { formatRunKey, formatTaskKey } from "@chestnutspool/job-state";
 import { listStuckRuns, listUnwantedRuns, planStarts } from "@chestnutspool/plan-jobs";
 import { createRunView, isStartGivenUp } from "@chestnutspool/track-workers";
-import { type ErrorData, readMonotonicMs, readWallMs, type RunStart, type WorkerId } from "@chestnutspool/types";
+import {
+    type ErrorData,
+    readMonotonicMs,
+    readWallMs,
+    type RunStart,
+    type TaskKey,
+    type WorkerId,
+} from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { requestStop, sendStart } from "./give-orders.js";
 import { logWaitingSteps } from "./log-decisions.js";
@@ -71,7 +78,7 @@
     const input = {
         model: term.machine.state,
         isUsable: (worker: WorkerId) => isUsable(term, worker),
-        findFailedWorker: (task: string) => term.failedOn.get(task),
+        findFailedWorker: (task: TaskKey) => term.failedOn.get(formatTaskKey(task)),
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         interference: term.interference,
         findViews: (worker: WorkerId) => term.sessions.get(worker)?.views,
--- a/packages/plan-jobs/src/plan-moves.ts
+++ b/packages/plan-jobs/src/plan-moves.ts
@@ -1,9 +1,9 @@
-import type { WorkerRun } from "@chestnutspool/job-state";
+import { formatStepKey, type WorkerRun } from "@chestnutspool/job-state";
 import type { RunView } from "@chestnutspool/track-workers";
 import type { WorkerId } from "@chestnutspool/types";
 import { listRooms, type PlanInput } from "./plan-starts.js";
 import { rateWorker } from "./rate-workers.js";
-import { formatStepKey, hasRoom, takeRoom, type WorkerRoom } from "./worker-room.js";
+import { hasRoom, takeRoom, type WorkerRoom } from "./worker-room.js";
 
 /** Time without progress after which a task may move, in milliseconds; a move costs about half a second. */
 const stuckAfterMs = 1_200;
@@ -25,7 +25,7 @@
  * A task with reserved processors whose progress stands still though its worker reports; it may start anew elsewhere. A run
  * that is at work moves on at each report.
  */
-export function isStandingStill({ step }: WorkerRun, view: RunView, nowMs: number): boolean {
+function isStandingStill({ step }: WorkerRun, view: RunView, nowMs: number): boolean {
     return !step.spec.usesIdleCpu && !step.spec.longRunning && view.start === "confirmed"
         && view.stopWantedAtMs === undefined && view.readAtMs - view.progressAtMs > standingAfterMs
         && nowMs - view.readAtMs < standingAfterMs && nowMs - view.orderedAtMs > 2 * step.spec.expectedRunMs;
@@ -40,7 +40,7 @@
 
 function findOtherRoom(rooms: readonly WorkerRoom[], worker: WorkerId, run: WorkerRun, input: PlanInput) {
     const { job, occurrence, step } = run;
-    const stepKey = formatStepKey(job.id, occurrence.number, step.position);
+    const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
     const context = { interference: input.interference, tasksByRack: new Map<string, number>() };
     const found = rooms.find(room =>
         room.state.info.id !== worker && room.state.info.service === job.queue.service
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,18 +1,10 @@
-import { countFailures, type JobModel, type JobTask } from "@chestnutspool/job-state";
+import { countFailures, formatStepKey, type JobModel, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunViews } from "@chestnutspool/track-workers";
-import type { RunStart, WorkerId } from "@chestnutspool/types";
+import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
 import { rateWorker } from "./rate-workers.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
-import {
-    createWorkerRoom,
-    findRack,
-    formatStepKey,
-    hasRoom,
-    releaseRoom,
-    takeRoom,
-    type WorkerRoom,
-} from "./worker-room.js";
+import { createWorkerRoom, findRack, hasRoom, releaseRoom, takeRoom, type WorkerRoom } from "./worker-room.js";
 
 /** Starts that a pass plans at most, so that a flood of tasks does not hold up the process. */
 const startsPerPass = 500;
@@ -24,8 +16,8 @@
     readonly isUsable: (worker: WorkerId) => boolean;
     /** Runs that a worker may start now; undefined: as many as it has room for. */
     readonly findStartLimit: (worker: WorkerId) => number | undefined;
-    /** Worker on which the last failed run of a task was, by the key of the task; undefined when it is not known. */
-    readonly findFailedWorker: (task: string) => WorkerId | undefined;
+    /** Worker on which the last failed run of a task was; undefined when it is not known. */
+    readonly findFailedWorker: (task: TaskKey) => WorkerId | undefined;
     readonly interference: InterferenceModel;
     /** What the reports of a worker showed of its runs. */
     readonly findViews: (worker: WorkerId) => RunViews | undefined;
@@ -46,9 +38,20 @@
 }
 
 /** The room for a task; the worker on which it has failed only where no other one has room. */
-function chooseRoom(pass: Pass, waiting: WaitingStep, task: JobTask, racks: ReadonlyMap<string, number>) {
-    const stepKey = formatStepKey(waiting.job.id, waiting.occurrence.number, waiting.step.position);
-    const failedOn = task.failures === 0 ? undefined : pass.input.findFailedWorker(`${stepKey}.${task.position}`);
+function chooseRoom(
+    pass: Pass,
+    waiting: WaitingStep,
+    task: JobTask,
+    stepKey: string,
+    racks: ReadonlyMap<string, number>,
+) {
+    const { job, occurrence, step } = waiting;
+    const failedOn = task.failures === 0 ? undefined : pass.input.findFailedWorker({
+        job: job.id,
+        occurrence: occurrence.number,
+        step: step.position,
+        position: task.position,
+    });
     const others = failedOn === undefined ? pass.rooms : pass.rooms.filter(room => room.state.info.id !== failedOn);
     return chooseRoomAmong(others, pass, waiting, stepKey, racks)
         ?? (failedOn === undefined ? undefined : chooseRoomAmong(pass.rooms, pass, waiting, stepKey, racks));
@@ -104,12 +107,12 @@
 function planTasks(pass: Pass, waiting: WaitingStep, stepKey: string): void {
     const racks = new Map<string, number>();
     for (const task of listStartable(waiting)) {
-        const room = pass.starts.length < startsPerPass ? chooseRoom(pass, waiting, task, racks) : undefined;
+        const room = pass.starts.length < startsPerPass ? chooseRoom(pass, waiting, task, stepKey, racks) : undefined;
         if (room === undefined) {
             return;
         }
         takeRoom(room, waiting.job.id, waiting.step.spec, stepKey);
-        const rack = findRack(room);
+        const rack = findRack(room.state.info);
         racks.set(rack, (racks.get(rack) ?? 0) + 1);
         pass.starts.push(createStart(waiting, task, task.lastRun + 1, room));
     }
@@ -125,12 +128,12 @@
     const run = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
     const taken: { readonly room: WorkerRoom; readonly task: JobTask; }[] = [];
     for (const task of listStartable(waiting)) {
-        const room = chooseRoom(pass, waiting, task, racks);
+        const room = chooseRoom(pass, waiting, task, stepKey, racks);
         if (room === undefined) {
             break;
         }
         takeRoom(room, job.id, step.spec, stepKey);
-        const rack = findRack(room);
+        const rack = findRack(room.state.info);
         racks.set(rack, (racks.get(rack) ?? 0) + 1);
         taken.push({ room, task });
     }
@@ -146,7 +149,7 @@
     const pass: Pass = { input, rooms: listRooms(input), starts: [] };
     for (const waiting of sortWaitingSteps(listWaitingSteps(input.model, nowMs))) {
         const { job, occurrence, step } = waiting;
-        const stepKey = formatStepKey(job.id, occurrence.number, step.position);
+        const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
         if (step.spec.gang) {
             planGang(pass, waiting, stepKey);
         }
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -71,7 +71,7 @@
 
 /** How well a worker with room suits a task of the step; the highest is chosen, and none where it is undefined. */
 export function rateWorker(room: WorkerRoom, spec: StepSpec, context: RatingContext): number | undefined {
-    const rack = findRack(room);
+    const rack = findRack(room.state.info);
     let rating = spec.rackOfData !== undefined && spec.rackOfData === rack ? rackGain : 0;
     rating += spec.prefersOneRack ? (context.tasksByRack.get(rack) ?? 0) * rackGain : 0;
     if (spec.usesIdleCpu) {
--- a/packages/plan-jobs/src/worker-room.ts
+++ b/packages/plan-jobs/src/worker-room.ts
@@ -1,6 +1,13 @@
-import { computeReservation, type WorkerState } from "@chestnutspool/job-state";
+import { computeReservation, formatStepKey, type WorkerState } from "@chestnutspool/job-state";
 import type { RunView, RunViews } from "@chestnutspool/track-workers";
-import { addResources, findShortage, type Resources, type StepSpec, subtractResources } from "@chestnutspool/types";
+import {
+    addResources,
+    findShortage,
+    type Resources,
+    type StepSpec,
+    subtractResources,
+    type WorkerInfo,
+} from "@chestnutspool/types";
 
 /** Share of its reserved processors that a serving task uses when it is not busy; fillers that get too little show the rest. */
 const servingUseShare = 0.35;
@@ -35,13 +42,8 @@
 const rackLabel = 1;
 
 /** Rack of a worker; empty when it names none. */
-export function findRack(room: WorkerRoom): string {
-    return room.state.info.labels[rackLabel] ?? "";
-}
-
-/** Name of a step of one occurrence, under which its tasks are counted. */
-export function formatStepKey(job: string, occurrence: number, step: number): string {
-    return `${job}.${occurrence}.${step}`;
+export function findRack({ labels }: WorkerInfo): string {
+    return labels[rackLabel] ?? "";
 }
 
 function addTask(room: WorkerRoom, job: string, spec: StepSpec, stepKey: string, change: 1 | -1): void {
@@ -100,7 +102,13 @@
         fillingShares: new Map(),
     };
     for (const { job, occurrence, step } of state.runs.values()) {
-        addTask(room, job.id, step.spec, formatStepKey(job.id, occurrence.number, step.position), 1);
+        addTask(
+            room,
+            job.id,
+            step.spec,
+            formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position }),
+            1,
+        );
     }
     return room;
 }
