Log the load of the leader each second and runs once a step

Cause: at a few hundred starts a second the leader wrote one line for each start and one for each end, more than the log takes, so that the lines that tell a busy event loop from slow commits, slow workers or full workers were dropped or did not exist.

Starts of a pass are one line a step; ends of runs that succeeded without being slowed down and first starts are debug lines.

--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -14,7 +14,7 @@
     type PlanInput,
     type WaitingStep,
 } from "@chestnutspool/plan-jobs";
-import type { JobPhase, RunEnd, RunKey } from "@chestnutspool/types";
+import type { JobPhase, RunEnd, RunKey, RunStart } from "@chestnutspool/types";
 import type { Term, WorkerSession } from "./term.js";
 
 /**
@@ -25,7 +25,39 @@
 /** Limit of waiting steps that one check describes, because each is compared with all workers. */
 const stepsPerCheck = 20;
 
-/** Logs an order to start a run with the state of the worker. */
+/** Lists runs of one step in a line, each as POSITION#RUN@WORKER. */
+function formatStarts(starts: readonly RunStart[]): string {
+    return starts.map(({ position, run, worker }) => `${position}#${run}@${worker}`).join(" ");
+}
+
+/**
+ * Logs the starts of one pass, one line a step, because a line for each run would exceed the limit of the log at a few
+ * hundred starts a second.
+ */
+export function logStarts(term: Term, starts: readonly RunStart[]): void {
+    const startsByStep = new Map<string, RunStart[]>();
+    for (const start of starts) {
+        const key = formatStepKey(start);
+        const ofStep = startsByStep.get(key) ?? [];
+        ofStep.push(start);
+        startsByStep.set(key, ofStep);
+    }
+    for (const ofStep of startsByStep.values()) {
+        const [first] = ofStep;
+        const job = first === undefined ? undefined : term.machine.state.jobs.get(first.job);
+        term.logger.info("runs are ordered", {
+            job: first?.job,
+            occurrence: first?.occurrence,
+            step: first?.step,
+            queue: job?.queue.name,
+            sinceAcceptedMs: job === undefined ? undefined : term.machine.state.clockMs - job.acceptedAtMs,
+            count: ofStep.length,
+            runs: formatStarts(ofStep),
+        });
+    }
+}
+
+/** Logs an order to start a run with the state of the worker: at level info for repeated runs, else at level debug. */
 export function logRunOrdered(term: Term, session: WorkerSession, run: WorkerRun, key: RunKey, nowMs: number): void {
     const { job, step } = run;
     const state = term.machine.state.workers.get(session.info.id);
@@ -34,7 +66,8 @@
     if (key.run === 1 && key.step === 0) {
         term.metrics.recordDuration("acceptedToStartMs", job.queue.name, job.queue.service, waitedMs);
     }
-    term.logger.info("run is ordered", {
+    const writeLog = key.run > 1 ? term.logger.info : term.logger.debug;
+    writeLog("run is ordered", {
         job: job.id,
         task: formatTaskKey(key),
         run: key.run,
@@ -75,11 +108,19 @@
     }
 }
 
-/** Logs the end of a run with the state from its last report. Must be called before its status is deleted. */
+/** Time below full pace from which the end of a successful run is logged at level info, in milliseconds. */
+const loggedSlowedMs = 1_000;
+
+/**
+ * Logs the end of a run with the state from its last report: at level debug if the run succeeded without having been
+ * slowed down for long. Must be called before its status is deleted.
+ */
 export function logRunEnded(term: Term, session: WorkerSession, end: RunEnd): void {
     const status = session.runStatuses.get(formatRunKey(end));
     term.metrics.countEvent(`runs.${end.outcome}`, "", session.info.service);
-    term.logger.info("run ended", {
+    const isRoutine = end.outcome === "succeeded" && (status?.slowedMs ?? 0) < loggedSlowedMs;
+    const writeLog = isRoutine ? term.logger.debug : term.logger.info;
+    writeLog("run ended", {
         job: end.job,
         task: formatTaskKey(end),
         run: end.run,
--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -30,6 +30,7 @@
     }
     // Pace changes are frequent, so that confirmed ones are logged as debug lines; the line "run ended" sums them up.
     const write = answer.kind === "done" ? term.logger.debug : term.logger.info;
+    term.load.paces += 1;
     term.metrics.countEvent("paces.ordered", "", session.info.service);
     write("pace of a run changed", {
         job: status.key.job,
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -10,9 +10,10 @@
     type WorkerId,
 } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
-import { logWaitingSteps } from "./log-decisions.js";
+import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { requestStop, sendStart } from "./send-orders.js";
+import { recordPass } from "./term-load.js";
 import { canSendOrders, logStepError, propose, type Term } from "./term.js";
 
 /** Longest pause between two passes, in milliseconds, because some decisions depend on time alone. */
@@ -35,6 +36,9 @@
     }
     const result = yield* propose(term, { kind: "startRuns", starts });
     const refused = new Set(result.kind === "started" ? result.refused : []);
+    term.load.starts += starts.length;
+    term.load.refusedStarts += refused.size;
+    logStarts(term, starts.filter((start, position) => !refused.has(position)));
     const nowMs = yield* readMonotonicMs;
     for (const [position, start] of starts.entries()) {
         const key = formatRunKey(start);
@@ -100,7 +104,9 @@
         }
     }
     const wallMs = yield* readWallMs;
-    yield* carryOutStarts(term, planStarts(input, wallMs));
+    const starts = planStarts(input, wallMs);
+    recordPass(term.load, (yield* readMonotonicMs) - nowMs);
+    yield* carryOutStarts(term, starts);
     if (nowMs - loggedWaits.checkedAtMs >= waitCheckIntervalMs) {
         loggedWaits.checkedAtMs = nowMs;
         logWaitingSteps(term, input, loggedWaits.reasons, wallMs);
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -103,6 +103,7 @@
     recordAnswer(term, session, answer, nowMs);
     term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
     if (answer.kind !== "done") {
+        term.load.unconfirmedStarts += 1;
         term.logger.info("start was not confirmed", {
             job: status.key.job,
             task: formatTaskKey(status.key),
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -12,8 +12,10 @@
 import { handleInTerm } from "./handle-request.js";
 import { runDisturbanceRecording } from "./record-disturbances.js";
 import { openSession } from "./record-heartbeat.js";
+import { runLoadReport } from "./report-load.js";
 import { runPacing } from "./run-pacing.js";
 import { runPlanner } from "./run-planner.js";
+import { createTermLoad } from "./term-load.js";
 import { canSendOrders, type LeaderDependencies, type Term } from "./term.js";
 
 /** Pause before a failed opening of a term is retried, and between the checks of a waiting request, in milliseconds. */
@@ -42,6 +44,7 @@
         runTimesByStep: new Map(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
+        load: createTermLoad(),
         isFenced: false,
     };
     term.interference.addPairs([...dependencies.machine.state.disturbances.values()]);
@@ -74,6 +77,7 @@
             yield* Effect.forkScoped(runPlanner(term));
             yield* Effect.forkScoped(runPacing(term));
             yield* Effect.forkScoped(runDisturbanceRecording(term));
+            yield* Effect.forkScoped(runLoadReport(term));
             while (isLeaderOfTerm(dependencies.log.readStatus(), number)) {
                 yield* Queue.take(statusChanges);
             }
--- /dev/null
+++ b/packages/lead-jobs/src/term-load.ts
@@ -0,0 +1,51 @@
+/** Work of a leader since its last line about it. Durations are in milliseconds. */
+export interface TermLoad {
+    passes: number;
+    passMs: number;
+    longestPassMs: number;
+    commits: number;
+    commitMs: number;
+    longestCommitMs: number;
+    starts: number;
+    /** Planned starts that the state machine refused, because the state had changed. */
+    refusedStarts: number;
+    unconfirmedStarts: number;
+    renewals: number;
+    failedRenewals: number;
+    paces: number;
+    /** Longest time by which a timer fired late; the event loop was busy for at least this time. */
+    longestDelayMs: number;
+}
+
+/** Creates a record without any work. */
+export function createTermLoad(): TermLoad {
+    return {
+        passes: 0,
+        passMs: 0,
+        longestPassMs: 0,
+        commits: 0,
+        commitMs: 0,
+        longestCommitMs: 0,
+        starts: 0,
+        refusedStarts: 0,
+        unconfirmedStarts: 0,
+        renewals: 0,
+        failedRenewals: 0,
+        paces: 0,
+        longestDelayMs: 0,
+    };
+}
+
+/** Records a planning pass that took `tookMs` until its starts were planned. */
+export function recordPass(load: TermLoad, tookMs: number): void {
+    load.passes += 1;
+    load.passMs += tookMs;
+    load.longestPassMs = Math.max(load.longestPassMs, tookMs);
+}
+
+/** Records a command that was committed `tookMs` after it was proposed. */
+export function recordCommit(load: TermLoad, tookMs: number): void {
+    load.commits += 1;
+    load.commitMs += tookMs;
+    load.longestCommitMs = Math.max(load.longestCommitMs, tookMs);
+}
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -8,6 +8,7 @@
     type ErrorData,
     type JobCommand,
     type JobResult,
+    readMonotonicMs,
     readWallMs,
     type ReplicatedLog,
     type WorkerId,
@@ -15,6 +16,7 @@
     type WorkerPort,
 } from "@chestnutspool/types";
 import { Effect, type FiberMap, Queue, type Scope } from "effect";
+import { recordCommit, type TermLoad } from "./term-load.js";
 
 /** Durations that the deployment sets, in milliseconds. */
 export interface LeaderLimits {
@@ -74,6 +76,8 @@
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
+    /** Work since the last line about the load of the leader. */
+    readonly load: TermLoad;
     /** Whether a worker has accepted the fencing token of a later leader, so that this one sends no more orders. */
     isFenced: boolean;
 }
@@ -93,7 +97,10 @@
 /** Proposes a command with the current wall-clock time. Fails like `proposeCommand`. */
 export const propose = Effect.fnUntraced(function*(term: Term, command: WithoutTime<JobCommand>) {
     const nowMs = yield* readWallMs;
-    return yield* term.log.proposeCommand({ ...command, nowMs });
+    const startedMs = yield* readMonotonicMs;
+    const result = yield* term.log.proposeCommand({ ...command, nowMs });
+    recordCommit(term.load, (yield* readMonotonicMs) - startedMs);
+    return result;
 });
 
 /**
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -220,11 +220,13 @@
         acknowledgedSequence: session.acknowledgedSequence,
         waitMs,
     }, waitMs + renewGraceMs);
+    term.load.renewals += 1;
     if (answer.kind === "report") {
         yield* applyRenewAnswer(term, session, answer, sentAtMs);
         yield* Effect.sleep(renewPauseMs);
         return true;
     }
+    term.load.failedRenewals += 1;
     const nowMs = yield* readMonotonicMs;
     if (answer.kind === "refused" && answer.reason === "staleToken") {
         term.isFenced = true;
