Open the sessions of the workers in groups after an election

Cause: a new leader opened the sessions of all 342 workers in one turn of the event loop, and handled their first reports, each with all runs, as they came. Beside long planning passes that kept it from sending heartbeats of the log for 600 ms, so that it stepped down ("no contact with a majority").

Change: sessions are opened by a fiber of the term, 16 every 10 ms. A worker without a session is not used; a heartbeat opens its session at once, as before.

--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -74,6 +74,8 @@
     readonly setBehaviour: (
         decide: (run: RunKey, worker: string) => { readonly runMs: number; readonly outcome: RunOutcome; },
     ) => void;
+    /** Counts the workers that have received an order with this fencing token or a higher one. */
+    readonly countWorkersWithToken: (token: number) => number;
     /** Returns all runs that have started up to `nowMs`. */
     readonly readStartedRuns: (nowMs: number) => readonly StartedRun[];
 }
@@ -303,6 +305,7 @@
         setBehaviour: behaviour => {
             decide = behaviour;
         },
+        countWorkersWithToken: token => [...workers.values()].filter(worker => worker.token >= token).length,
         readStartedRuns: nowMs => {
             workers.forEach(worker => advance(worker, nowMs));
             return startedRuns;
--- a/packages/lead-jobs/src/lead-jobs.test.ts
+++ b/packages/lead-jobs/src/lead-jobs.test.ts
@@ -293,3 +293,23 @@
             assert.deepEqual(runs.map(({ run, endedAtMs }) => [run, endedAtMs]), [[2, undefined]]);
         }),
 );
+
+// Guards against a new leader that handles the reports of all workers at once and is deposed because of it.
+testSystem("a new leader opens the sessions of its workers in groups", system =>
+    Effect.gen(function*() {
+        const workers = [...Array(200).keys()].map(number => makeWorker(`w${number}`));
+        for (const worker of workers) {
+            yield* system.addWorker(worker);
+        }
+        yield* system.pass(500);
+        system.log.setLeader("b");
+        const term = 2;
+        let before = 0;
+        for (let passedMs = 0; passedMs < 2_000 && before < workers.length; passedMs += 10) {
+            yield* system.pass(10);
+            const contacted = system.workers.countWorkersWithToken(term);
+            assert.ok(contacted - before <= 32, `${contacted - before} sessions opened within 10 ms`);
+            before = contacted;
+        }
+        assert.equal(before, workers.length);
+    }));
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -29,7 +29,32 @@
     readonly handleRequest: (request: JobRequest) => Effect.Effect<JobReply>;
 }
 
-/** Opens a term: waits until the state includes all earlier commits, then opens a session for each recorded worker. */
+/** Workers whose sessions a new leader opens at once. */
+const sessionsPerGroup = 16;
+/**
+ * Pause between two such groups, in milliseconds. The first report of a worker lists all of its runs; handling those of
+ * all workers in one turn of the event loop would delay the heartbeats of the log until another leader is elected.
+ */
+const sessionGroupPauseMs = 10;
+
+/** Opens the sessions of the recorded workers in groups; a heartbeat may have opened one before. */
+const openSessions = Effect.fnUntraced(function*(term: Term) {
+    const { workers } = term.machine.state;
+    let opened = 0;
+    for (const { info } of [...workers.values()]) {
+        if (!workers.has(info.id) || term.sessions.has(info.id)) {
+            continue;
+        }
+        yield* openSession(term, info);
+        opened += 1;
+        if (opened % sessionsPerGroup === 0) {
+            yield* Effect.sleep(sessionGroupPauseMs);
+        }
+    }
+    term.logger.info("sessions opened", { term: term.number, workers: opened });
+});
+
+/** Opens a term: waits until the state includes all earlier commits. */
 const openTerm = Effect.fnUntraced(function*(dependencies: LeaderDependencies, number: number) {
     yield* dependencies.log.confirmRead;
     const scope = yield* Effect.scope;
@@ -48,9 +73,6 @@
         isFenced: false,
     };
     term.interference.addPairs([...dependencies.machine.state.disturbances.values()]);
-    for (const { info } of dependencies.machine.state.workers.values()) {
-        yield* openSession(term, info);
-    }
     dependencies.logger.info("term opened", {
         term: number,
         jobs: dependencies.machine.state.openJobs.size,
@@ -74,6 +96,7 @@
         Effect.scoped(Effect.gen(function*() {
             const term = yield* openTerm(dependencies, number);
             current.term = term;
+            yield* Effect.forkScoped(openSessions(term));
             yield* Effect.forkScoped(runPlanner(term));
             yield* Effect.forkScoped(runPacing(term));
             yield* Effect.forkScoped(runDisturbanceRecording(term));
