--- a/packages/run-job-process/src/job-processes.test.ts
+++ b/packages/run-job-process/src/job-processes.test.ts
@@ -3,7 +3,7 @@
 import { createFakeWorkers, type FakeWorkers } from "@chestnutspool/lead-jobs/fakes";
 import { silentLogger } from "@chestnutspool/logger";
 import { createMetrics } from "@chestnutspool/record-metrics";
-import type { JobRequest, QueueConfiguration } from "@chestnutspool/types";
+import type { JobRequest, QueueConfiguration, WorkerPort } from "@chestnutspool/types";
 import { Effect, Scope } from "effect";
 import assert from "node:assert/strict";
 import { mkdtemp, rm } from "node:fs/promises";
@@ -11,7 +11,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
-import { createJobProcess, forwarderKey } from "./create-job-process.js";
+import { createJobProcess, forwarderKey, logKey } from "./create-job-process.js";
 import type { JobProcessSettings } from "./process-settings.js";
 
 /** Each process has its own loopback address, because its IP address is its identity. */
@@ -35,6 +35,20 @@
     readonly start: (host: string, formsCluster: boolean) => Effect.Effect<Kernel>;
     readonly stop: (host: string) => Effect.Effect<void>;
     readonly workers: FakeWorkers;
+    /** Number of starts that each process has carried out, by host. */
+    readonly startsByHost: Map<string, number>;
+}
+
+/** Counts the starts that a process carries out. */
+function countStarts(port: WorkerPort, host: string, startsByHost: Map<string, number>): WorkerPort {
+    return {
+        ...port,
+        startRun: (worker, order, limitMs) =>
+            Effect.suspend(() => {
+                startsByHost.set(host, (startsByHost.get(host) ?? 0) + 1);
+                return port.startRun(worker, order, limitMs);
+            }),
+    };
 }
 
 const openCluster = Effect.gen(function*() {
@@ -43,6 +57,7 @@
     const peerPort = yield* Effect.promise(reservePort);
     const workers = yield* createFakeWorkers;
     const running = new Map<string, Kernel>();
+    const startsByHost = new Map<string, number>();
     const stop = (host: string): Effect.Effect<void> => {
         const kernel = running.get(host);
         running.delete(host);
@@ -51,6 +66,7 @@
     yield* Effect.addFinalizer(() => Effect.forEach([...running.keys()], stop, { discard: true }));
     const cluster: Cluster = {
         workers,
+        startsByHost,
         stop,
         start: (host, formsCluster) =>
             Effect.gen(function*() {
@@ -68,7 +84,7 @@
                     logLevel: "info",
                 };
                 const kernel = createJobProcess(settings, {
-                    workers: workers.port,
+                    workers: countStarts(workers.port, host, startsByHost),
                     logger: silentLogger,
                     metrics: createMetrics(),
                 });
@@ -154,3 +170,35 @@
             assert.equal(read.kind === "configuration" ? Buffer.from(read.document ?? []).toString() : "", "text");
         }),
 );
+
+// Guards against a leader that makes all calls to workers itself, while the other control processes are idle.
+testCluster(
+    "the control processes that do not lead carry out the calls to workers",
+    cluster =>
+        Effect.gen(function*() {
+            const kernels: Kernel[] = [];
+            for (const host of controlHosts) {
+                kernels.push(yield* cluster.start(host, true));
+            }
+            const entry = yield* cluster.start(entryHost, false);
+            yield* ask(entry, { kind: "setConfiguration", configuration });
+            for (let index = 0; index < 6; index += 1) {
+                const worker = makeWorker(`w${index}`);
+                cluster.workers.addWorker(worker);
+                const heartbeat = { worker, draining: false, remainingMs: undefined, sequence: 1, clockMs: undefined };
+                assert.equal((yield* ask(entry, { kind: "recordHeartbeat", heartbeat })).kind, "done");
+            }
+            const jobs = Array.from({ length: 12 }, (item, index) => `job${index}`);
+            for (const job of jobs) {
+                assert.equal((yield* submit(entry, job)).kind, "accepted");
+            }
+            for (const job of jobs) {
+                yield* awaitCompletion(entry, job);
+            }
+            const leader = kernels[0]?.findService(logKey).readStatus().leader;
+            const startsByLeader = cluster.startsByHost.get(leader ?? "") ?? 0;
+            const starts = [...cluster.startsByHost.values()].reduce((sum, each) => sum + each, 0);
+            assert.ok(starts >= jobs.length);
+            assert.ok(startsByLeader < starts / 2, `the leader carried out ${startsByLeader} of ${starts} starts`);
+        }),
+);
