Let the other control processes call the workers for the leader

Change: package relay-worker-calls. The leader hands each call over the peer link, on the new channel workers, to another control process, which carries it out and sends the answer back. Calls and answers of one turn of the event loop share a message. The relay of a worker is chosen by rendezvous hashing, in the worker's availability zone first. Probes each 100 ms find a relay that is dead, frozen or cut off; its calls become unknown, and later ones go to another relay. The leader calls workers itself only without a usable relay. Decisions, state, leases and fencing stay with the leader. WorkerPort has the type of the worker as a parameter, because a relay knows only its id and address.

--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -10,6 +10,7 @@
     type UnacknowledgedEnd,
     type WorkerInfo,
     type WorkerPort,
+    type WorkerRef,
 } from "@chestnutspool/types";
 import { Effect, type Scope } from "effect";
 
@@ -66,7 +67,7 @@
  * until they are acknowledged.
  */
 export interface FakeWorkers {
-    readonly port: WorkerPort;
+    readonly port: WorkerPort<WorkerRef>;
     readonly addWorker: (info: WorkerInfo, clockRate?: number) => void;
     readonly removeWorker: (id: string, nowMs: number) => void;
     readonly setFault: (id: string, fault: WorkerFault) => void;
@@ -182,7 +183,7 @@
 
     /** Delivers an order to a worker, subject to the worker's current fault. */
     const deliver = Effect.fnUntraced(function*(
-        info: WorkerInfo,
+        info: WorkerRef,
         limitMs: number,
         isStart: boolean,
         carryOut: (worker: FakeWorker, nowMs: number) => OrderAnswer,
@@ -245,7 +246,7 @@
         isComplete: true,
     });
 
-    const renewLease = Effect.fnUntraced(function*(info: WorkerInfo, order: RenewOrder, limitMs: number) {
+    const renewLease = Effect.fnUntraced(function*(info: WorkerRef, order: RenewOrder, limitMs: number) {
         const answer = yield* deliver(info, limitMs, false, (worker, nowMs) => carryOutRenewal(worker, order, nowMs));
         const worker = workers.get(info.id);
         if (answer.kind !== "done" || worker === undefined) {
--- /dev/null
+++ b/packages/relay-worker-calls/src/open-worker-calls.test.ts
@@ -0,0 +1,345 @@
+import { silentLogger } from "@chestnutspool/logger";
+import { createMemoryNetwork, type MemoryNetwork } from "@chestnutspool/peer-link";
+import { createMetrics } from "@chestnutspool/record-metrics";
+import type {
+    OrderAnswer,
+    RelayedAnswer,
+    RelayedCall,
+    ReplicaRole,
+    ReplicaStatus,
+    WorkerInfo,
+    WorkerPort,
+    WorkerRef,
+} from "@chestnutspool/types";
+import { Effect, Exit, Fiber, Scope } from "effect";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { openWorkerCalls, type RelayedWorkerCalls, serveWorkerCalls } from "./index.js";
+
+const zone = "z";
+const run = { job: "j", occurrence: 0, step: 0, position: 0, run: 1 };
+const order = {
+    ...run,
+    payload: "p",
+    checkpoint: "",
+    leaseUntilMs: 6_000,
+    fencingToken: 3,
+    ticket: undefined,
+};
+
+function makeWorker(id: string): WorkerInfo {
+    return {
+        id,
+        address: `${id}:80`,
+        service: "pool",
+        availabilityZone: zone,
+        capacity: { milliCpu: 1, memoryMib: 1, accelerators: 0 },
+        labels: [],
+    };
+}
+
+interface FakePort {
+    readonly port: WorkerPort<WorkerRef>;
+    /** Calls that were carried out, as KIND ID ADDRESS. */
+    readonly calls: string[];
+    readonly limitsMs: number[];
+}
+
+function createFakePort(answer: Effect.Effect<OrderAnswer>): FakePort {
+    const calls: string[] = [];
+    const limitsMs: number[] = [];
+    const perform = (kind: string, { id, address }: WorkerRef, limitMs: number) =>
+        Effect.suspend(() => {
+            calls.push(`${kind} ${id} ${address}`);
+            limitsMs.push(limitMs);
+            return answer;
+        });
+    return {
+        calls,
+        limitsMs,
+        port: {
+            startRun: (worker, sent, limitMs) => perform("startRun", worker, limitMs),
+            stopRun: (worker, sent, token, limitMs) => perform("stopRun", worker, limitMs),
+            paceRun: (worker, sent, percent, token, limitMs) => perform("paceRun", worker, limitMs),
+            renewLease: (worker, sent, limitMs) =>
+                Effect.map(perform("renewLease", worker, limitMs), answered =>
+                    answered.kind === "done"
+                        ? { kind: "report", clockMs: answered.clockMs, running: [], ended: [], isComplete: true }
+                        : answered),
+            closeConnections: ({ id, address }) => {
+                calls.push(`closeConnections ${id} ${address}`);
+            },
+        },
+    };
+}
+
+interface Member {
+    readonly calls: RelayedWorkerCalls;
+    readonly fake: FakePort;
+    readonly setRole: (role: ReplicaRole) => void;
+}
+
+/** Opens the calls of a control process in a cluster of the given processes. */
+const openMember = Effect.fnUntraced(function*(
+    network: MemoryNetwork,
+    self: string,
+    ids: readonly string[],
+    role: ReplicaRole,
+    answer: Effect.Effect<OrderAnswer> = Effect.succeed({ kind: "done", clockMs: 7 }),
+) {
+    const link = yield* network.createLink(self, silentLogger);
+    ids.forEach(id => link.setPeer(id, `${id}:1`));
+    const fake = createFakePort(answer);
+    const members = ids.map(id => ({ id, address: `${id}:1`, replicaIdentity: id, votes: true }));
+    const makeStatus = (present: ReplicaRole): ReplicaStatus => ({
+        self,
+        identity: self,
+        role: present,
+        term: 1,
+        leader: undefined,
+        lastIndex: 0,
+        commitIndex: 0,
+        appliedIndex: 0,
+        snapshotIndex: 0,
+        members,
+    });
+    let status = makeStatus(role);
+    const listeners = new Set<(status: ReplicaStatus) => void>();
+    const calls = yield* openWorkerCalls({
+        link,
+        log: {
+            readStatus: () => status,
+            watchStatus: listener => {
+                listeners.add(listener);
+                return () => listeners.delete(listener);
+            },
+        },
+        workers: fake.port,
+        availabilityZone: zone,
+        logger: silentLogger,
+        metrics: createMetrics(),
+    });
+    const setRole = (next: ReplicaRole): void => {
+        status = makeStatus(next);
+        listeners.forEach(listener => listener(status));
+    };
+    return { calls, fake, setRole } satisfies Member;
+});
+
+const awaitRelays = (member: Member, count: number) =>
+    Effect.gen(function*() {
+        while (member.calls.countRelays() !== count) {
+            yield* Effect.sleep(5);
+        }
+    });
+
+function testScoped(name: string, body: Effect.Effect<void, never, Scope.Scope>): void {
+    test(name, { timeout: 60_000 }, () => Effect.runPromise(Effect.scoped(body)));
+}
+
+// Guards against calls that lose a field on their way, and against a leader that works although it has relays.
+testScoped(
+    "each kind of call is carried out by a relay, and its answer comes back",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const leader = yield* openMember(network, "a", ["a", "b"], "leader");
+        const relay = yield* openMember(network, "b", ["a", "b"], "follower");
+        yield* awaitRelays(leader, 1);
+        const { port } = leader.calls;
+        const worker = makeWorker("w");
+        assert.deepEqual(yield* port.startRun(worker, order, 1_000), { kind: "done", clockMs: 7 });
+        assert.equal((yield* port.stopRun(worker, run, 3, 1_000)).kind, "done");
+        assert.equal((yield* port.paceRun(worker, run, 40, 3, 1_000)).kind, "done");
+        const renewal = { leaseUntilMs: undefined, fencingToken: 3, acknowledgedSequence: 0, waitMs: 0 };
+        const report = yield* port.renewLease(worker, renewal, 1_000);
+        assert.deepEqual(report, { kind: "report", clockMs: 7, running: [], ended: [], isComplete: true });
+        port.closeConnections(worker);
+        while (relay.fake.calls.length < 5) {
+            yield* Effect.sleep(5);
+        }
+        const kinds = ["startRun", "stopRun", "paceRun", "renewLease", "closeConnections"];
+        assert.deepEqual(relay.fake.calls, kinds.map(kind => `${kind} w w:80`));
+        assert.deepEqual(leader.fake.calls, ["closeConnections w w:80"]);
+    }),
+);
+
+// Guards against a single control process that waits for relays.
+testScoped(
+    "a leader without a usable relay carries out its calls itself",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const leader = yield* openMember(network, "a", ["a"], "leader");
+        assert.equal((yield* leader.calls.port.startRun(makeWorker("w"), order, 1_000)).kind, "done");
+        assert.deepEqual(leader.fake.calls, ["startRun w w:80"]);
+    }),
+);
+
+// Guards against an update during which the leader hands calls to processes that do not know the channel.
+testScoped(
+    "a process of an earlier version is not used",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const leader = yield* openMember(network, "a", ["a", "old", "new"], "leader");
+        yield* network.createLink("old", silentLogger);
+        const relay = yield* openMember(network, "new", ["a", "old", "new"], "follower");
+        yield* awaitRelays(leader, 1);
+        for (let index = 0; index < 20; index += 1) {
+            assert.equal((yield* leader.calls.port.startRun(makeWorker(`w${index}`), order, 1_000)).kind, "done");
+        }
+        assert.equal(relay.fake.calls.length, 20);
+        assert.equal(leader.calls.countRelays(), 1);
+    }),
+);
+
+// Guards against workers that seem lost, or calls that hang, because a relay does not answer or has ended.
+testScoped(
+    "calls at a relay whose answers are lost or which ends become unknown, and it is used again when it answers",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const leader = yield* openMember(network, "a", ["a", "b"], "leader");
+        const scope = yield* Scope.make();
+        yield* Scope.provide(openMember(network, "b", ["a", "b"], "follower", Effect.never), scope);
+        yield* awaitRelays(leader, 1);
+        const startOne = leader.calls.port.startRun(makeWorker("w"), order, 60_000);
+        const silent = yield* Effect.forkChild(startOne);
+        yield* Effect.yieldNow;
+        network.setCut("b", "a", true);
+        assert.equal((yield* Fiber.join(silent)).kind, "unknown");
+        assert.equal((yield* startOne).kind, "done");
+        assert.deepEqual(leader.fake.calls, ["startRun w w:80"]);
+        network.setCut("b", "a", false);
+        yield* awaitRelays(leader, 1);
+        const ended = yield* Effect.forkChild(startOne);
+        yield* Effect.sleep(20);
+        yield* Scope.close(scope, Exit.void);
+        assert.equal((yield* Fiber.join(ended)).kind, "unknown");
+        assert.equal((yield* startOne).kind, "done");
+        const again = yield* openMember(network, "b", ["a", "b"], "follower");
+        yield* awaitRelays(leader, 1);
+        assert.equal((yield* startOne).kind, "done");
+        assert.deepEqual(again.fake.calls, ["startRun w w:80"]);
+    }),
+);
+
+// Guards against a new leader that makes its first calls itself, and against probes between all processes at all times.
+testScoped(
+    "a process uses relays as soon as it becomes leader, and none after it",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const first = yield* openMember(network, "a", ["a", "b"], "leader");
+        const second = yield* openMember(network, "b", ["a", "b"], "follower");
+        yield* awaitRelays(first, 1);
+        assert.equal(second.calls.countRelays(), 0);
+        first.setRole("follower");
+        second.setRole("candidate");
+        yield* awaitRelays(second, 1);
+        assert.equal(first.calls.countRelays(), 0);
+        second.setRole("leader");
+        assert.equal((yield* second.calls.port.startRun(makeWorker("w"), order, 1_000)).kind, "done");
+        assert.deepEqual(first.fake.calls, ["startRun w w:80"]);
+    }),
+);
+
+interface Relay {
+    readonly receive: (sentAtMs: number, nowMs: number, calls: readonly RelayedCall[]) => Effect.Effect<void>;
+    readonly fake: FakePort;
+    readonly messages: (readonly RelayedAnswer[])[];
+    readonly flush: () => void;
+}
+
+const openRelay = Effect.fnUntraced(function*(answer: Effect.Effect<OrderAnswer>) {
+    const fake = createFakePort(answer);
+    const messages: (readonly RelayedAnswer[])[] = [];
+    const flushes: (() => void)[] = [];
+    const handleCalls = yield* serveWorkerCalls({
+        workers: fake.port,
+        availabilityZone: zone,
+        sendMessage: (to, message) => {
+            assert.equal(to, "leader");
+            assert.equal(message.incarnation, "run-1");
+            assert.ok(message.kind === "answers" && message.availabilityZone === zone);
+            messages.push(message.answers);
+            return true;
+        },
+        scheduleFlush: flush => {
+            flushes.push(flush);
+        },
+        logger: silentLogger,
+    });
+    const relay: Relay = {
+        fake,
+        messages,
+        flush: () => flushes.splice(0).forEach(flush => flush()),
+        receive: (sentAtMs, nowMs, calls) =>
+            handleCalls("leader", { kind: "calls", incarnation: "run-1", sentAtMs, calls }, nowMs),
+    };
+    return relay;
+});
+
+function makeCalls(count: number, limitMs: number): RelayedCall[] {
+    return Array.from({ length: count }, (item, index) => ({
+        id: index + 1,
+        worker: { id: "w", address: "w:80" },
+        limitMs,
+        call: { kind: "startRun", order },
+    }));
+}
+
+// Guards against a message for each answer, and against answers that are left out or repeated.
+testScoped(
+    "a relay answers each call once, and the answers of one turn in one message",
+    Effect.gen(function*() {
+        const relay = yield* openRelay(Effect.succeed({ kind: "done", clockMs: 1 }));
+        yield* relay.receive(0, 0, makeCalls(30, 1_000));
+        while (relay.fake.calls.length < 30) {
+            yield* Effect.yieldNow;
+        }
+        yield* Effect.yieldNow;
+        relay.flush();
+        assert.equal(relay.messages.length, 1);
+        assert.deepEqual(relay.messages[0]?.map(({ id }) => id), makeCalls(30, 0).map(({ id }) => id));
+    }),
+);
+
+// Guards against probes that wait behind calls.
+testScoped(
+    "a relay answers a probe at once while its calls are in progress",
+    Effect.gen(function*() {
+        const relay = yield* openRelay(Effect.never);
+        yield* relay.receive(0, 0, makeCalls(3, 1_000));
+        yield* relay.receive(100, 100, []);
+        assert.deepEqual(relay.messages, [[]]);
+    }),
+);
+
+// Guards against a start that a relay carries out seconds after it was ordered, because it was paused in between.
+testScoped(
+    "a call that was under way for its limit is notSent; one that was under way for less has the rest of the time",
+    Effect.gen(function*() {
+        const relay = yield* openRelay(Effect.succeed({ kind: "done", clockMs: 1 }));
+        yield* relay.receive(0, 500, []);
+        yield* relay.receive(100, 1_600, makeCalls(2, 1_000));
+        assert.deepEqual(relay.fake.calls, []);
+        yield* relay.receive(1_000, 1_900, makeCalls(1, 1_000));
+        while (relay.fake.calls.length < 1) {
+            yield* Effect.yieldNow;
+        }
+        assert.deepEqual(relay.fake.limitsMs, [600]);
+        relay.flush();
+        assert.deepEqual(relay.messages[1]?.map(({ answer }) => answer.kind).slice(0, 2), ["notSent", "notSent"]);
+    }),
+);
+
+// Guards against a call that never ends because the port failed.
+testScoped(
+    "a call whose port fails unexpectedly is unknown",
+    Effect.gen(function*() {
+        const relay = yield* openRelay(Effect.die(new Error("defect")));
+        yield* relay.receive(0, 0, makeCalls(1, 1_000));
+        while (relay.messages.length === 0) {
+            yield* Effect.yieldNow;
+            relay.flush();
+        }
+        assert.equal(relay.messages[0]?.[0]?.answer.kind, "unknown");
+    }),
+);
--- /dev/null
+++ b/packages/relay-worker-calls/src/serve-worker-calls.ts
@@ -0,0 +1,128 @@
+import type { Logger } from "@chestnutspool/logger";
+import type {
+    OrderAnswer,
+    PeerId,
+    RelayedAnswer,
+    RelayedCall,
+    RenewAnswer,
+    WorkerCallMessage,
+    WorkerPort,
+    WorkerRef,
+} from "@chestnutspool/types";
+import { Cause, Effect } from "effect";
+import { type Batch, createBatch, type ScheduleFlush } from "./batch.js";
+import { type DelayBaseline, estimateDelay } from "./message-delay.js";
+
+/** Largest number of answers in a message; reports with 500 ends each stay below the limit of a frame. */
+const answersPerMessage = 50;
+/** Number of processes whose calls are served at the same time; above the control processes of any deployment. */
+const callerLimit = 64;
+
+/** Dependencies of a relay. */
+export interface RelayDependencies {
+    readonly workers: WorkerPort<WorkerRef>;
+    readonly availabilityZone: string;
+    readonly sendMessage: (to: PeerId, message: WorkerCallMessage) => boolean;
+    readonly scheduleFlush: ScheduleFlush;
+    readonly logger: Logger;
+}
+
+/** Handles the calls in a message that arrived at `nowMs`, in monotonic milliseconds. */
+export type HandleCalls = (
+    from: PeerId,
+    message: Extract<WorkerCallMessage, { kind: "calls"; }>,
+    nowMs: number,
+) => Effect.Effect<void>;
+
+/** A run of a process that sends calls. */
+interface Caller {
+    readonly incarnation: string;
+    readonly answers: Batch<RelayedAnswer>;
+    delays: DelayBaseline | undefined;
+}
+
+/** Carries out a call; undefined for one that gets no answer. */
+function performCall(
+    workers: WorkerPort<WorkerRef>,
+    { worker, call }: RelayedCall,
+    limitMs: number,
+): Effect.Effect<OrderAnswer | RenewAnswer> | undefined {
+    switch (call.kind) {
+        case "startRun":
+            return workers.startRun(worker, call.order, limitMs);
+        case "stopRun":
+            return workers.stopRun(worker, call.run, call.fencingToken, limitMs);
+        case "paceRun":
+            return workers.paceRun(worker, call.run, call.percent, call.fencingToken, limitMs);
+        case "renewLease":
+            return workers.renewLease(worker, call.order, limitMs);
+        case "closeConnections":
+            workers.closeConnections(worker);
+            return undefined;
+    }
+}
+
+/**
+ * Carries out the calls of a leader and sends the answers back. A call that was under way for longer than its limit is
+ * dropped. The calls in progress end with the scope.
+ */
+export const serveWorkerCalls = Effect.fnUntraced(function*(dependencies: RelayDependencies) {
+    const { workers, availabilityZone, sendMessage, scheduleFlush, logger } = dependencies;
+    const scope = yield* Effect.scope;
+    const callers = new Map<PeerId, Caller>();
+
+    const getCaller = (from: PeerId, incarnation: string): Caller => {
+        const known = callers.get(from);
+        if (known?.incarnation === incarnation) {
+            return known;
+        }
+        if (callers.size >= callerLimit) {
+            callers.clear();
+        }
+        const caller: Caller = {
+            incarnation,
+            answers: createBatch(answersPerMessage, answers => {
+                sendMessage(from, { kind: "answers", incarnation, availabilityZone, answers });
+            }, scheduleFlush),
+            delays: undefined,
+        };
+        callers.set(from, caller);
+        return caller;
+    };
+
+    const handleCalls: HandleCalls = Effect.fnUntraced(function*(from, message, nowMs) {
+        const { incarnation, calls } = message;
+        const caller = getCaller(from, incarnation);
+        const { baseline, delayMs } = estimateDelay(caller.delays, message.sentAtMs, nowMs);
+        caller.delays = baseline;
+        if (calls.length === 0) {
+            sendMessage(from, { kind: "answers", incarnation, availabilityZone, answers: [] });
+            return;
+        }
+        let dropped = 0;
+        for (const relayed of calls) {
+            const { id, limitMs, call } = relayed;
+            if (delayMs >= limitMs && call.kind !== "closeConnections") {
+                dropped += 1;
+                const detail = `the call was under way for ${Math.round(delayMs)} ms`;
+                caller.answers.add({ id, answer: { kind: "notSent", detail } });
+                continue;
+            }
+            const performed = performCall(workers, relayed, limitMs - delayMs);
+            if (performed === undefined) {
+                continue;
+            }
+            const answered = performed.pipe(
+                Effect.catchCause(cause =>
+                    Effect.succeed<OrderAnswer>({ kind: "unknown", detail: Cause.pretty(cause) })
+                ),
+                Effect.map(answer => caller.answers.add({ id, answer })),
+            );
+            yield* Effect.forkIn(answered, scope);
+        }
+        if (dropped > 0) {
+            logger.warn("late calls to workers were dropped", { from, dropped, delayMs: Math.round(delayMs) });
+        }
+    });
+    return handleCalls;
+});
--- a/packages/run-job-process/src/create-job-process.ts
+++ b/packages/run-job-process/src/create-job-process.ts
@@ -6,6 +6,7 @@
 import type { Logger } from "@chestnutspool/logger";
 import { openWebSocketLink } from "@chestnutspool/peer-link";
 import type { Metrics } from "@chestnutspool/record-metrics";
+import { openWorkerCalls, type RelayedWorkerCalls } from "@chestnutspool/relay-worker-calls";
 import { openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
 import type {
     JobCommand,
@@ -15,6 +16,7 @@
     PeerLink,
     ReplicatedLog,
     WorkerPort,
+    WorkerRef,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { type ControlSettings, type JobProcessSettings, logTiming } from "./process-settings.js";
@@ -24,7 +26,7 @@
 
 /** Ports of a process: calls to workers, log lines and metrics. */
 export interface JobProcessPorts {
-    readonly workers: WorkerPort;
+    readonly workers: WorkerPort<WorkerRef>;
     readonly logger: Logger;
     readonly metrics: Metrics;
 }
@@ -34,6 +36,8 @@
 export const machineKey = defineService<JobMachine>("jobMachine");
 /** The replicated log of jobs; only in a control process. */
 export const logKey = defineService<ReplicatedLog<JobCommand, JobResult>>("jobLog");
+/** Calls to workers through the other control processes; only in a control process. */
+export const workerCallsKey = defineService<RelayedWorkerCalls>("workerCalls");
 const leadershipKey = defineService<Leadership>("leadership");
 const directoryKey = defineService<Directory>("directory");
 /** The service that forwards requests to the leader. */
@@ -73,14 +77,28 @@
         }),
         drain: transferLeadership,
     });
+    kernel.registerService({
+        key: workerCallsKey,
+        needs: [linkKey, logKey],
+        start: Effect.suspend(() =>
+            openWorkerCalls({
+                link: kernel.findService(linkKey),
+                log: kernel.findService(logKey),
+                workers,
+                availabilityZone: settings.availabilityZone,
+                logger: logger.forService("workerCalls"),
+                metrics,
+            })
+        ),
+    });
     kernel.registerService({
         key: leadershipKey,
-        needs: [logKey],
+        needs: [logKey, workerCallsKey],
         start: Effect.gen(function*() {
             const leadership = yield* startLeadership({
                 log: kernel.findService(logKey),
                 machine: kernel.findService(machineKey),
-                workers,
+                workers: kernel.findService(workerCallsKey).port,
                 limits: { longestLeaseMs: control.longestLeaseMs, stopMs: control.stopMs },
                 logger: logger.forService("leader"),
                 metrics,
--- a/packages/run-job-process/src/job-processes.test.ts
+++ b/packages/run-job-process/src/job-processes.test.ts
@@ -3,7 +3,7 @@
 import { createFakeWorkers, type FakeWorkers } from "@chestnutspool/lead-jobs/fakes";
 import { silentLogger } from "@chestnutspool/logger";
 import { createMetrics } from "@chestnutspool/record-metrics";
-import type { JobRequest, QueueConfiguration, WorkerPort } from "@chestnutspool/types";
+import type { JobRequest, QueueConfiguration, WorkerPort, WorkerRef } from "@chestnutspool/types";
 import { Effect, Scope } from "effect";
 import assert from "node:assert/strict";
 import { mkdtemp, rm } from "node:fs/promises";
@@ -40,7 +40,11 @@
 }
 
 /** Counts the starts that a process carries out. */
-function countStarts(port: WorkerPort, host: string, startsByHost: Map<string, number>): WorkerPort {
+function countStarts(
+    port: WorkerPort<WorkerRef>,
+    host: string,
+    startsByHost: Map<string, number>,
+): WorkerPort<WorkerRef> {
     return {
         ...port,
         startRun: (worker, order, limitMs) =>
--- a/packages/run-job-process/src/read-gauges.ts
+++ b/packages/run-job-process/src/read-gauges.ts
@@ -1,6 +1,6 @@
 import type { Kernel } from "@chestnutspool/kernel";
 import type { Gauge } from "@chestnutspool/record-metrics";
-import { forwarderKey, logKey, machineKey } from "./create-job-process.js";
+import { forwarderKey, logKey, machineKey, workerCallsKey } from "./create-job-process.js";
 import type { JobProcessSettings } from "./process-settings.js";
 
 function* listControlGauges(kernel: Kernel): Generator<Gauge> {
@@ -12,6 +12,7 @@
     const { state } = kernel.findService(machineKey);
     yield { name: "jobs_open", value: state.openJobs.size };
     yield { name: "workers", value: state.workers.size };
+    yield { name: "worker_call_relays", value: kernel.findService(workerCallsKey).countRelays() };
     yield { name: "configuration_version", value: state.configuration?.version ?? 0 };
     let runs = 0;
     for (const worker of state.workers.values()) {
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -10,6 +10,7 @@
     WorkerId,
 } from "./domain.js";
 import type { ErrorData } from "./error-data.js";
+import type { RunKey } from "./jobs.js";
 import type {
     ConfigurationRecord,
     EntrySessionRecord,
@@ -17,12 +18,13 @@
     RequestOutcome,
     RequestRecord,
 } from "./state.js";
+import type { OrderAnswer, RenewAnswer, RenewOrder, StartOrder, WorkerRef } from "./worker-port.js";
 
 /** Version of the messages between the processes of the system; a link between different versions is refused. */
 export const peerProtocolVersion = 1;
 
 /** Name of a channel of the peer link. */
-export type ChannelName = "log" | "control" | "notice" | "entry" | "directory" | "jobs";
+export type ChannelName = "log" | "control" | "notice" | "entry" | "directory" | "jobs" | "workers";
 
 /** An item that an entry host has stopped using. */
 export interface ReleasedItem {
@@ -182,3 +184,48 @@
     readonly worker: WorkerId;
     readonly usage: readonly UsageSample[];
 }
+
+/** What a call to a worker says; the fields are those of `WorkerPort`. */
+export type WorkerCall =
+    | { readonly kind: "startRun"; readonly order: StartOrder; }
+    | { readonly kind: "stopRun"; readonly run: RunKey; readonly fencingToken: number; }
+    | { readonly kind: "paceRun"; readonly run: RunKey; readonly percent: number; readonly fencingToken: number; }
+    | { readonly kind: "renewLease"; readonly order: RenewOrder; }
+    /** Closes the connections to the worker; gets no answer. */
+    | { readonly kind: "closeConnections"; };
+
+/** A call to a worker that another control process carries out for the leader. */
+export interface RelayedCall {
+    /** Number of the call, unique for the incarnation of the sender. */
+    readonly id: number;
+    readonly worker: WorkerRef;
+    /** Time allowed for the call since the message was sent, in milliseconds. */
+    readonly limitMs: number;
+    readonly call: WorkerCall;
+}
+
+/** Answer to a `RelayedCall`. */
+export interface RelayedAnswer {
+    readonly id: number;
+    readonly answer: OrderAnswer | RenewAnswer;
+}
+
+/** One-way message about calls to workers between control processes, sent on channel `workers`. */
+export type WorkerCallMessage =
+    | {
+        /** From the leader. Without calls it is a probe, which is answered at once. */
+        readonly kind: "calls";
+        /** Identity of the sender's run; answers to an earlier run of the process are dropped. */
+        readonly incarnation: string;
+        /** Monotonic time of the sender in milliseconds; only differences between messages have a meaning. */
+        readonly sentAtMs: number;
+        readonly calls: readonly RelayedCall[];
+    }
+    | {
+        readonly kind: "answers";
+        /** Incarnation of the process that sent the calls. */
+        readonly incarnation: string;
+        /** Availability zone of the process that carries out the calls. */
+        readonly availabilityZone: string;
+        readonly answers: readonly RelayedAnswer[];
+    };
--- a/packages/types/src/worker-port.ts
+++ b/packages/types/src/worker-port.ts
@@ -81,26 +81,29 @@
     }
     | Exclude<OrderAnswer, { readonly kind: "done"; }>;
 
+/** What a call to a worker needs to know of it. */
+export type WorkerRef = Pick<WorkerInfo, "id" | "address">;
+
 /** Calls to workers. Each call is one attempt, which ends within `limitMs`. */
-export interface WorkerPort {
-    readonly startRun: (worker: WorkerInfo, order: StartOrder, limitMs: number) => Effect.Effect<OrderAnswer>;
+export interface WorkerPort<Worker extends WorkerRef = WorkerInfo> {
+    readonly startRun: (worker: Worker, order: StartOrder, limitMs: number) => Effect.Effect<OrderAnswer>;
     readonly stopRun: (
-        worker: WorkerInfo,
+        worker: Worker,
         run: RunKey,
         fencingToken: number,
         limitMs: number,
     ) => Effect.Effect<OrderAnswer>;
     /** Throttles a run to a share of its speed, in percent. */
     readonly paceRun: (
-        worker: WorkerInfo,
+        worker: Worker,
         run: RunKey,
         percent: number,
         fencingToken: number,
         limitMs: number,
     ) => Effect.Effect<OrderAnswer>;
-    readonly renewLease: (worker: WorkerInfo, order: RenewOrder, limitMs: number) => Effect.Effect<RenewAnswer>;
+    readonly renewLease: (worker: Worker, order: RenewOrder, limitMs: number) => Effect.Effect<RenewAnswer>;
     /** Closes the connections to a worker, so that the next call opens a new one. */
-    readonly closeConnections: (worker: WorkerInfo) => void;
+    readonly closeConnections: (worker: Worker) => void;
 }
 
 /** A worker that may run the tasks of a step, and the ticket that permits it. */
