Add the load of the grown wholesaler and a measure of the planner in replays

Cause: the loads of replay-jobs end at 45 workers, so that costs that grow with workers times waiting steps do not show.

The existing loads draw the same random numbers.

--- a/packages/replay-jobs/src/generate-jobs.ts
+++ b/packages/replay-jobs/src/generate-jobs.ts
@@ -15,7 +15,21 @@
     readonly loadPhase: number;
 }
 
-function createStep(kind: JobKind, position: number, isChained: boolean, random: Random, workMs: number): StepSpec {
+/** Largest number of tasks on one worker to which a limited job is limited. */
+const largestPerWorkerLimit = 3;
+
+/** Limits the tasks on one worker for every second job of a kind that does so, without a random number. */
+function choosePerWorkerLimit(kind: JobKind, number: number): number | undefined {
+    return kind.limitsTasksPerWorker && number % 2 === 0 ? 1 + number / 2 % largestPerWorkerLimit : undefined;
+}
+
+function createStep(
+    kind: JobKind,
+    position: number,
+    random: Random,
+    workMs: number,
+    perWorkerLimit: number | undefined,
+): StepSpec {
     const { execution } = kind;
     const image = execution.kind === "reserved"
         ? undefined
@@ -33,13 +47,13 @@
         expectedRunMs: execution.kind === "serving"
             ? 0
             : Math.round(workMs * random.drawSize(1, kind.estimateSpread, 10)),
-        dependsOn: isChained && position > 0 ? [position - 1] : [],
+        dependsOn: position > 0 ? [position - 1] : [],
         checkpointing: execution.kind === "filling",
         gang: false,
         prefersOneRack: false,
         requiredLabel: undefined,
         rackOfData: undefined,
-        perWorkerLimit: undefined,
+        perWorkerLimit,
         speculative: false,
         longRunning: execution.kind === "serving",
         image,
@@ -58,7 +72,7 @@
     const workMs: number[][] = [];
     for (let position = 0; position < stepCount; position += 1) {
         const meanMs = random.drawSize(kind.workMs.mean, kind.workMs.spread, kind.workMs.largest);
-        const step = createStep(kind, position, true, random, meanMs);
+        const step = createStep(kind, position, random, meanMs, choosePerWorkerLimit(kind, number));
         steps.push(step);
         workMs.push(Array.from({ length: step.count }, () => random.drawSize(meanMs, runTimeSpread, meanMs * 3)));
     }
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -22,6 +22,8 @@
     readonly estimateSpread: number;
     /** Share of the runs that fail; runs of serving jobs never do. */
     readonly failureShare: number;
+    /** Whether every second job limits the tasks of a step on one worker, to one, two or three. */
+    readonly limitsTasksPerWorker: boolean;
     /** Value of a job that ends in time; for a serving job, the value of each measured interval. */
     readonly value: number;
     /** Value of a job that ends late. */
@@ -96,6 +98,7 @@
             memoryMib: { mean: 4_600, spread: 0.3, largest: 9_200 },
             estimateSpread: 0.2,
             failureShare: 0.02,
+            limitsTasksPerWorker: false,
             value: 0.376,
             lateValue: 0.0565,
             execution: { kind: "reserved" },
@@ -115,6 +118,7 @@
             memoryMib: { mean: 6_400, spread: 0.3, largest: 13_000 },
             estimateSpread: 0.5,
             failureShare: 0.05,
+            limitsTasksPerWorker: false,
             value: 2.24,
             lateValue: 0.336,
             execution: { kind: "filling", images: 9 },
@@ -134,6 +138,7 @@
             memoryMib: { mean: 13_000, spread: 0.3, largest: 26_000 },
             estimateSpread: 0,
             failureShare: 0.03,
+            limitsTasksPerWorker: false,
             value: 0.413,
             lateValue: 0.0619,
             execution: {
@@ -208,3 +213,42 @@
         kind.name === "forecast" ? createKindVariant(kind, { jobsPerSecond: 12 }) : kind
     ),
 };
+
+const [wholesaleCheck, wholesaleForecast, wholesaleWatch] = wholesaleLoad.kinds as readonly [JobKind, JobKind, JobKind];
+
+/** Load of the wholesaler once grown: about a thousand starts a second on 342 workers. */
+export const grownWholesaleLoad: Load = {
+    ...wholesaleLoad,
+    workers: 342,
+    workersPerRack: 20,
+    kinds: [
+        createKindVariant(wholesaleCheck, {
+            jobsPerSecond: 8.1,
+            tasksPerStep: { mean: 10, spread: 0.8, largest: 60 },
+            workMs: { mean: 1_000, spread: 0.5, largest: 2_500 },
+            milliCpu: { mean: 5_700, spread: 0.45, largest: 17_000 },
+        }),
+        createKindVariant(wholesaleForecast, {
+            jobsPerSecond: 21.3,
+            initialJobs: 33,
+            tasksPerStep: { mean: 20, spread: 0.6, largest: 80 },
+            execution: { kind: "filling", images: 18 },
+        }),
+        createKindVariant(wholesaleWatch, {
+            jobsPerSecond: 0.7,
+            initialJobs: 114,
+            tasksPerStep: { mean: 14, spread: 0.4, largest: 28 },
+            limitsTasksPerWorker: true,
+            execution: {
+                kind: "serving",
+                images: 10,
+                unloadedTailMs: 10,
+                targetMs: 45,
+                load: 0.42,
+                loadAmplitude: 0.5,
+                loadPeriodMs: 14_000,
+                meanLifetimeMs: 163_000,
+            },
+        }),
+    ],
+};
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -40,8 +40,15 @@
 /** Start of the simulated wall clock; above 0, so that no timestamp is 0. */
 const epochMs = 1_000_000;
 
+/** Part of the planner that a replay calls. */
+export type PlannerPart = "planStarts" | "listStalledRuns" | "planPaces";
+
+/** Runs one call of a part of the planner, so that a tool can measure it. */
+export type PlannerCallRunner = <Result>(part: PlannerPart, call: () => Result) => Result;
+
 interface Simulation {
     readonly load: Load;
+    readonly runCall: PlannerCallRunner;
     readonly machine: JobMachine;
     readonly interference: InterferenceModel;
     readonly random: Random;
@@ -83,11 +90,12 @@
     };
 }
 
-function createSimulation(load: Load, seed: number): Simulation {
+function createSimulation(load: Load, seed: number, runCall: PlannerCallRunner): Simulation {
     const random = createRandom(seed);
     const machine = createJobMachine();
     const simulation: Simulation = {
         load,
+        runCall,
         machine,
         interference: createInterferenceModel(),
         random,
@@ -192,9 +200,6 @@
 }
 
 function planWorkerPaces(simulation: Simulation, nowMs: number): void {
-    if (nowMs % paceIntervalMs !== 0) {
-        return;
-    }
     for (const [worker, runs] of simulation.runsByWorker) {
         const state = simulation.machine.state.workers.get(worker);
         const statuses = simulation.runStatusesByWorker.get(worker);
@@ -259,13 +264,13 @@
         interference: simulation.interference,
         findRunStatuses: (worker: string) => simulation.runStatusesByWorker.get(worker),
     };
-    for (const { worker, runKey } of listStalledRuns(input, nowMs)) {
+    for (const { worker, runKey } of simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs))) {
         const run = simulation.runsByWorker.get(worker)?.get(runKey);
         if (run !== undefined) {
             endRun(simulation, worker, run, "stopped", nowMs);
         }
     }
-    const starts = planStarts(input, epochMs + nowMs);
+    const starts = simulation.runCall("planStarts", () => planStarts(input, epochMs + nowMs));
     if (starts.length > 0) {
         simulation.commandIndex += 1;
         simulation.machine.applyCommand(simulation.commandIndex, { kind: "startRuns", nowMs: epochMs + nowMs, starts });
@@ -299,8 +304,14 @@
 }
 
 /** Replays a load for `lengthMs`, then for `finishMs` without new jobs. The same seed gives the same result. */
-export function replayLoad(load: Load, lengthMs: number, finishMs: number, seed: number): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed);
+export function replayLoad(
+    load: Load,
+    lengthMs: number,
+    finishMs: number,
+    seed: number,
+    runCall: PlannerCallRunner = (part, call) => call(),
+): readonly TallyRow[] {
+    const simulation = createSimulation(load, seed, runCall);
     const arrivals = generateJobs(load, lengthMs, simulation.random);
     for (let nowMs = 0; nowMs < warmUpMs + lengthMs + finishMs; nowMs += stepMs) {
         submitAndCancelJobs(simulation, arrivals, nowMs);
@@ -312,7 +323,9 @@
         }
         endFinishedRuns(simulation, nowMs);
         reportWorkers(simulation, nowMs);
-        planWorkerPaces(simulation, nowMs);
+        if (nowMs % paceIntervalMs === 0) {
+            runCall("planPaces", () => planWorkerPaces(simulation, nowMs));
+        }
         performSchedulingPass(simulation, nowMs);
         simulation.tally.observe(
             simulation.machine.state,
