Find pairs of images without building a text key

Change: pairs are kept in maps nested by image, and one constant stands for all unknown pairs. A test covers the limit of pairs, whose bookkeeping is new.

--- a/packages/learn-interference/src/interference-model.test.ts
+++ b/packages/learn-interference/src/interference-model.test.ts
@@ -72,6 +72,23 @@
     assert.equal(model.predictHeadroom("rising", 1_000), model.estimateHeadroom("rising"));
 });
 
+// Guards against estimates that outlive their pair, or memory that grows with each image name ever seen.
+test("the oldest of more than 10,000 pairs is forgotten, and the others keep their estimates", () => {
+    const model = createInterferenceModel();
+    const pairs = [...Array(10_001).keys()].map(number => ({
+        image: `web-${number % 3}`,
+        other: `other-${number}`,
+        disturbance: number / 1_000,
+        variance: 0.5,
+    }));
+    model.addPairs(pairs);
+    assert.equal(model.listPairs().length, 10_000);
+    assert.ok(model.isUncertain("web-0", "other-0"));
+    for (const { image, other, disturbance } of pairs.slice(1)) {
+        assert.equal(model.estimatePair(image, other).disturbance, disturbance);
+    }
+});
+
 test("a usage history follows half of a change in a quarter of a second, as readings do", () => {
     const history = createUsageHistory();
     history.recordUsage(new Map([["x", 0.4]]), 0);
--- a/packages/learn-interference/src/interference-model.ts
+++ b/packages/learn-interference/src/interference-model.ts
@@ -52,6 +52,12 @@
 const pairLimit = 10_000;
 const jobLimit = 10_000;
 
+/** Estimated disturbance of a pair of images and the variance of this estimate. */
+export type PairEstimate = Pick<DisturbanceEstimate, "disturbance" | "variance">;
+
+/** Estimate of all pairs without observations. */
+const unknownPair: PairEstimate = { disturbance: initialDisturbance, variance: initialVariance };
+
 interface MutablePair {
     readonly image: string;
     readonly other: string;
@@ -77,8 +83,11 @@
         usages: readonly ImageUsage[],
         nowMs: number,
     ) => void;
-    /** Estimates how much the margin of a serving image falls for each whole worker that another image uses. */
-    readonly estimatePair: (image: string, other: string) => DisturbanceEstimate;
+    /**
+     * Estimates how much the margin of a serving image falls for each whole worker that another image uses. The
+     * estimate changes with later observations, so that it must not be kept.
+     */
+    readonly estimatePair: (image: string, other: string) => PairEstimate;
     /** Whether the estimate of a pair is too uncertain to rely on. */
     readonly isUncertain: (image: string, other: string) => boolean;
     /** Estimates the current headroom of a job. */
@@ -93,10 +102,6 @@
     readonly addPairs: (pairs: readonly DisturbanceEstimate[]) => void;
 }
 
-function formatPair(image: string, other: string): string {
-    return `${image} ${other}`;
-}
-
 function dropOldest(map: Map<string, unknown>, limit: number): void {
     const oldest = map.keys().next();
     if (map.size > limit && oldest.done !== true) {
@@ -106,16 +111,36 @@
 
 /** Creates a model without observations. */
 export function createInterferenceModel(): InterferenceModel {
-    const pairs = new Map<string, MutablePair>();
+    const pairs = new Set<MutablePair>();
+    /** The pairs by image and other image. They are read so often that no text key is built for it. */
+    const pairsByImage = new Map<string, Map<string, MutablePair>>();
     const jobs = new Map<string, HeadroomEstimate>();
 
+    const dropOldestPair = (): void => {
+        const [oldest] = pairs;
+        if (pairs.size <= pairLimit || oldest === undefined) {
+            return;
+        }
+        pairs.delete(oldest);
+        const ofImage = pairsByImage.get(oldest.image);
+        ofImage?.delete(oldest.other);
+        if (ofImage?.size === 0) {
+            pairsByImage.delete(oldest.image);
+        }
+    };
+
     const getPair = (image: string, other: string): MutablePair => {
-        const key = formatPair(image, other);
-        const known = pairs.get(key)
-            ?? { image, other, disturbance: initialDisturbance, variance: initialVariance };
-        pairs.set(key, known);
-        dropOldest(pairs, pairLimit);
-        return known;
+        const known = pairsByImage.get(image)?.get(other);
+        if (known !== undefined) {
+            return known;
+        }
+        const pair = { image, other, disturbance: initialDisturbance, variance: initialVariance };
+        const ofImage = pairsByImage.get(image) ?? new Map<string, MutablePair>();
+        pairsByImage.set(image, ofImage);
+        ofImage.set(other, pair);
+        pairs.add(pair);
+        dropOldestPair();
+        return pair;
     };
 
     const getJob = (job: string, nowMs: number): HeadroomEstimate => {
@@ -168,11 +193,9 @@
                 pair.variance *= 1 - gain * usage.smoothedShare;
             }
         },
-        estimatePair: (image, other) =>
-            pairs.get(formatPair(image, other))
-                ?? { image, other, disturbance: initialDisturbance, variance: initialVariance },
+        estimatePair: (image, other) => pairsByImage.get(image)?.get(other) ?? unknownPair,
         isUncertain: (image, other) =>
-            (pairs.get(formatPair(image, other))?.variance ?? initialVariance) > uncertainVariance,
+            (pairsByImage.get(image)?.get(other)?.variance ?? initialVariance) > uncertainVariance,
         estimateHeadroom: job => jobs.get(job)?.headroom ?? initialHeadroom,
         predictHeadroom: (job, aheadMs) => {
             const known = jobs.get(job);
@@ -181,7 +204,7 @@
         forgetJob: job => {
             jobs.delete(job);
         },
-        listPairs: () => [...pairs.values()].filter(pair => pair.variance < initialVariance),
+        listPairs: () => [...pairs].filter(pair => pair.variance < initialVariance),
         addPairs: added => {
             for (const { image, other, disturbance, variance } of added) {
                 const pair = getPair(image, other);
