Rate each worker once for a step and again after a start there

Change: the ratings of a step are kept while its tasks are planned. Workers are grouped by service once a pass, and a pass without waiting steps creates no candidates.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -2,12 +2,12 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
-import { rateWorker } from "./rate-workers.js";
+import type { RatingContext } from "./rate-workers.js";
+import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import {
     createWorkerCandidate,
     findRack,
-    hasCapacity,
     releaseCapacity,
     reserveCapacity,
     type WorkerCandidate,
@@ -36,10 +36,19 @@
 /** State of one planning pass. */
 interface PlanningPass {
     readonly input: PlanInput;
-    readonly candidates: readonly WorkerCandidate[];
+    readonly candidatesByService: ReadonlyMap<string, readonly WorkerCandidate[]>;
     readonly starts: RunStart[];
 }
 
+/** A step whose tasks are planned in a pass. */
+interface StepPlan {
+    readonly waiting: WaitingStep;
+    readonly stepKey: string;
+    readonly ratings: StepRatings;
+    /** Number of tasks of the step that this pass has placed, by rack. */
+    readonly tasksByRack: Map<string, number>;
+}
+
 /** Lists the workers on which tasks may start. */
 export function listCandidates({ state, isUsable, findStartLimit, findRunStatuses }: PlanInput): WorkerCandidate[] {
     return [...state.workers.values()]
@@ -47,14 +56,35 @@
         .map(worker => createWorkerCandidate(worker, findRunStatuses(worker.info.id), findStartLimit(worker.info.id)));
 }
 
-/** Chooses the worker for a task; the worker of its last failed run only if no other one is suitable. */
-function chooseWorker(
+function groupByService(candidates: readonly WorkerCandidate[]): ReadonlyMap<string, readonly WorkerCandidate[]> {
+    const candidatesByService = new Map<string, WorkerCandidate[]>();
+    for (const candidate of candidates) {
+        const { service } = candidate.state.info;
+        const ofService = candidatesByService.get(service) ?? [];
+        ofService.push(candidate);
+        candidatesByService.set(service, ofService);
+    }
+    return candidatesByService;
+}
+
+function createStepPlan(pass: PlanningPass, waiting: WaitingStep): StepPlan {
+    const { job, occurrence, step } = waiting;
+    const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
+    const tasksByRack = new Map<string, number>();
+    const context: RatingContext = { interference: pass.input.interference, tasksByRack };
+    const candidates = pass.candidatesByService.get(job.queue.service) ?? [];
+    return { waiting, stepKey, ratings: createStepRatings(candidates, step.spec, stepKey, context), tasksByRack };
+}
+
+/**
+ * Reserves capacity for a task on the most suitable worker; on the worker of its last failed run only if no other one
+ * is suitable.
+ */
+function reserveWorker(
     pass: PlanningPass,
-    waiting: WaitingStep,
+    { waiting, stepKey, ratings, tasksByRack }: StepPlan,
     task: JobTask,
-    stepKey: string,
-    tasksByRack: ReadonlyMap<string, number>,
-) {
+): WorkerCandidate | undefined {
     const { job, occurrence, step } = waiting;
     const failedOn = task.failures === 0 ? undefined : pass.input.findFailedWorker({
         job: job.id,
@@ -62,37 +92,14 @@
         step: step.position,
         position: task.position,
     });
-    const others = failedOn === undefined
-        ? pass.candidates
-        : pass.candidates.filter(candidate => candidate.state.info.id !== failedOn);
-    return chooseWorkerAmong(others, pass, waiting, stepKey, tasksByRack)
-        ?? (failedOn === undefined
-            ? undefined
-            : chooseWorkerAmong(pass.candidates, pass, waiting, stepKey, tasksByRack));
-}
-
-function chooseWorkerAmong(
-    candidates: readonly WorkerCandidate[],
-    pass: PlanningPass,
-    waiting: WaitingStep,
-    stepKey: string,
-    tasksByRack: ReadonlyMap<string, number>,
-) {
-    const { spec } = waiting.step;
-    const context = { interference: pass.input.interference, tasksByRack };
-    let best: WorkerCandidate | undefined;
-    let bestRating = Number.NEGATIVE_INFINITY;
-    for (const candidate of candidates) {
-        if (candidate.state.info.service !== waiting.job.queue.service || !hasCapacity(candidate, spec, stepKey)) {
-            continue;
-        }
-        const rating = rateWorker(candidate, spec, context);
-        if (rating !== undefined && rating > bestRating) {
-            best = candidate;
-            bestRating = rating;
-        }
+    const candidate = ratings.chooseWorker(failedOn);
+    if (candidate !== undefined) {
+        reserveCapacity(candidate, job.id, step.spec, stepKey);
+        const rack = findRack(candidate.state.info);
+        tasksByRack.set(rack, (tasksByRack.get(rack) ?? 0) + 1);
+        ratings.updateAfterStart(candidate);
     }
-    return best;
+    return candidate;
 }
 
 function createStart(waiting: WaitingStep, task: JobTask, run: number, candidate: WorkerCandidate): RunStart {
@@ -118,43 +125,40 @@
 }
 
 /** Plans starts of the tasks of a step one by one until no worker is suitable. */
-function planTasks(pass: PlanningPass, waiting: WaitingStep, stepKey: string): void {
-    const tasksByRack = new Map<string, number>();
-    for (const task of listStartable(waiting)) {
-        const candidate = pass.starts.length < startsPerPass
-            ? chooseWorker(pass, waiting, task, stepKey, tasksByRack)
-            : undefined;
+function planTasks(pass: PlanningPass, waiting: WaitingStep): void {
+    const tasks = listStartable(waiting);
+    if (tasks.length === 0 || pass.starts.length >= startsPerPass) {
+        return;
+    }
+    const plan = createStepPlan(pass, waiting);
+    for (const task of tasks.slice(0, startsPerPass - pass.starts.length)) {
+        const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
             return;
         }
-        reserveCapacity(candidate, waiting.job.id, waiting.step.spec, stepKey);
-        const rack = findRack(candidate.state.info);
-        tasksByRack.set(rack, (tasksByRack.get(rack) ?? 0) + 1);
         pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
     }
 }
 
 /** Plans starts of all tasks of a gang with the same run number, or of none. */
-function planGang(pass: PlanningPass, waiting: WaitingStep, stepKey: string): void {
+function planGang(pass: PlanningPass, waiting: WaitingStep): void {
     const { job, step } = waiting;
-    if (step.waiting.size < step.tasks.length) {
+    const tasks = listStartable(waiting);
+    if (step.waiting.size < step.tasks.length || tasks.length < step.tasks.length) {
         return;
     }
-    const tasksByRack = new Map<string, number>();
+    const plan = createStepPlan(pass, waiting);
     const run = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
     const reserved: { readonly candidate: WorkerCandidate; readonly task: JobTask; }[] = [];
-    for (const task of listStartable(waiting)) {
-        const candidate = chooseWorker(pass, waiting, task, stepKey, tasksByRack);
+    for (const task of tasks) {
+        const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
             break;
         }
-        reserveCapacity(candidate, job.id, step.spec, stepKey);
-        const rack = findRack(candidate.state.info);
-        tasksByRack.set(rack, (tasksByRack.get(rack) ?? 0) + 1);
         reserved.push({ candidate, task });
     }
     if (reserved.length < step.tasks.length) {
-        reserved.forEach(({ candidate }) => releaseCapacity(candidate, job.id, step.spec, stepKey));
+        reserved.forEach(({ candidate }) => releaseCapacity(candidate, job.id, step.spec, plan.stepKey));
         return;
     }
     pass.starts.push(...reserved.map(({ candidate, task }) => createStart(waiting, task, run, candidate)));
@@ -162,15 +166,21 @@
 
 /** Plans the starts of one pass; `nowMs` is wall-clock time in milliseconds since the epoch. */
 export function planStarts(input: PlanInput, nowMs: number): RunStart[] {
-    const pass: PlanningPass = { input, candidates: listCandidates(input), starts: [] };
-    for (const waiting of sortWaitingSteps(listWaitingSteps(input.state, nowMs))) {
-        const { job, occurrence, step } = waiting;
-        const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
-        if (step.spec.gang) {
-            planGang(pass, waiting, stepKey);
+    const waitingSteps = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
+    if (waitingSteps.length === 0) {
+        return [];
+    }
+    const pass: PlanningPass = {
+        input,
+        candidatesByService: groupByService(listCandidates(input)),
+        starts: [],
+    };
+    for (const waiting of waitingSteps) {
+        if (waiting.step.spec.gang) {
+            planGang(pass, waiting);
         }
         else {
-            planTasks(pass, waiting, stepKey);
+            planTasks(pass, waiting);
         }
     }
     return pass.starts;
--- /dev/null
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -0,0 +1,69 @@
+import type { StepSpec, WorkerId } from "@chestnutspool/types";
+import { rateWorker, type RatingContext } from "./rate-workers.js";
+import { findRack, hasCapacity, type WorkerCandidate } from "./worker-candidate.js";
+
+/** Ratings of the workers for the tasks of one step in a planning pass. */
+export interface StepRatings {
+    /** Chooses the worker with the highest rating; the excluded one only if no other is suitable. */
+    readonly chooseWorker: (excluded: WorkerId | undefined) => WorkerCandidate | undefined;
+    /** Updates the ratings after a task was planned on a worker. */
+    readonly updateAfterStart: (started: WorkerCandidate) => void;
+}
+
+/**
+ * Rates the workers for a step once. A start changes only the rating of its worker, or of all workers of its rack if
+ * the step prefers one rack.
+ */
+export function createStepRatings(
+    candidates: readonly WorkerCandidate[],
+    spec: StepSpec,
+    stepKey: string,
+    context: RatingContext,
+): StepRatings {
+    const rate = (candidate: WorkerCandidate): number | undefined =>
+        hasCapacity(candidate, spec, stepKey) ? rateWorker(candidate, spec, context) : undefined;
+    const suitable: { readonly candidate: WorkerCandidate; rating: number; }[] = [];
+    for (const candidate of candidates) {
+        const rating = rate(candidate);
+        if (rating !== undefined) {
+            suitable.push({ candidate, rating });
+        }
+    }
+    return {
+        chooseWorker: excluded => {
+            let best: WorkerCandidate | undefined;
+            let bestRating = Number.NEGATIVE_INFINITY;
+            let excludedCandidate: WorkerCandidate | undefined;
+            for (const { candidate, rating } of suitable) {
+                if (candidate.state.info.id === excluded) {
+                    excludedCandidate = candidate;
+                }
+                else if (rating > bestRating) {
+                    best = candidate;
+                    bestRating = rating;
+                }
+            }
+            return best ?? excludedCandidate;
+        },
+        updateAfterStart: started => {
+            const rack = findRack(started.state.info);
+            // A worker that is no longer suitable does not become suitable again within a step.
+            for (let position = suitable.length - 1; position >= 0; position -= 1) {
+                const entry = suitable[position];
+                const isChanged = entry !== undefined
+                    && (entry.candidate === started
+                        || (spec.prefersOneRack && findRack(entry.candidate.state.info) === rack));
+                if (!isChanged) {
+                    continue;
+                }
+                const rating = rate(entry.candidate);
+                if (rating === undefined) {
+                    suitable.splice(position, 1);
+                }
+                else {
+                    entry.rating = rating;
+                }
+            }
+        },
+    };
+}
