Skip steps that need at least as much as one without a suitable worker

Change: a pass remembers for which requirements (service, label, image of best-effort tasks, resources) it found no worker, and skips steps that require at least as much. Starts only lower what workers have left, so that the choices stay the same; the property test fails when the image, the label or a limit per worker is left out of the rule.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -4,6 +4,7 @@
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
 import type { RatingContext } from "./rate-workers.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
+import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import {
     createWorkerCandidate,
@@ -37,6 +38,7 @@
 interface PlanningPass {
     readonly input: PlanInput;
     readonly candidatesByService: ReadonlyMap<string, readonly WorkerCandidate[]>;
+    readonly unmet: UnmetRequirements;
     readonly starts: RunStart[];
 }
 
@@ -134,6 +136,7 @@
     for (const task of tasks.slice(0, startsPerPass - pass.starts.length)) {
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
+            pass.unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec);
             return;
         }
         pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
@@ -157,6 +160,10 @@
         }
         reserved.push({ candidate, task });
     }
+    if (reserved.length === 0) {
+        pass.unmet.recordUnmet(job.queue.service, step.spec);
+        return;
+    }
     if (reserved.length < step.tasks.length) {
         reserved.forEach(({ candidate }) => releaseCapacity(candidate, job.id, step.spec, plan.stepKey));
         return;
@@ -173,10 +180,15 @@
     const pass: PlanningPass = {
         input,
         candidatesByService: groupByService(listCandidates(input)),
+        unmet: createUnmetRequirements(),
         starts: [],
     };
     for (const waiting of waitingSteps) {
-        if (waiting.step.spec.gang) {
+        const { job, step } = waiting;
+        if (pass.unmet.isUnmet(job.queue.service, step.spec)) {
+            continue;
+        }
+        if (step.spec.gang) {
             planGang(pass, waiting);
         }
         else {
