Predict margins without copying the shares of a worker

Change: predictMargin takes an added share, the margin goal is computed from the headroom alone, a rating ends at the first serving task whose goal is missed, candidates keep a list of serving groups, and findShortage compares the three resources in turn. The measure reads processor time instead of elapsed time.

--- a/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
+++ b/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
@@ -101,7 +101,7 @@
     const shares = new Map(candidate.bestEffortShares);
     shares.set(image, (shares.get(image) ?? 0) + share);
     let smallestExcess = Number.POSITIVE_INFINITY;
-    for (const group of candidate.servingGroups.values()) {
+    for (const group of candidate.servingGroups) {
         if (group.count > 0) {
             const headroom = Math.max(lowestHeadroom, interference.predictHeadroom(group.job, lookAheadMs));
             const goal = computeMarginGoal(group.image, headroom, leastMargin, interference);
@@ -135,7 +135,7 @@
 /** Prefers workers with serving tasks of the same image, and without tasks that disturb this one. */
 function rateForServingTask(candidate: WorkerCandidate, spec: StepSpec, context: RatingContext): number {
     let sameImageBalance = 0;
-    for (const group of candidate.servingGroups.values()) {
+    for (const group of candidate.servingGroups) {
         sameImageBalance += group.image === (spec.image ?? "") ? group.count : -group.count;
     }
     let disturbance = 0;
--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -102,11 +102,11 @@
     for (const image of servingImages) {
         if (
             predictPacedMargin(image, runs, model)
-                >= computeMarginGoal(image.image, image.headroom, lowMargin, model)
+                >= computeMarginGoal(image.headroom, lowMargin)
         ) {
             continue;
         }
-        const goal = computeMarginGoal(image.image, image.headroom, wantedMargin, model);
+        const goal = computeMarginGoal(image.headroom, wantedMargin);
         for (
             let mostDisturbing = findMostDisturbing(image, runs, model);
             mostDisturbing !== undefined && predictPacedMargin(image, runs, model) < goal;
@@ -123,7 +123,7 @@
     runs: readonly BestEffortRun[],
     model: InterferenceModel,
 ): void {
-    const goals = servingImages.map(image => computeMarginGoal(image.image, image.headroom, wantedMargin, model));
+    const goals = servingImages.map(image => computeMarginGoal(image.headroom, wantedMargin));
     for (const run of runs) {
         while (run.percent < fullPacePercent) {
             const before = run.percent;
--- a/packages/plan-jobs/src/predict-margin.ts
+++ b/packages/plan-jobs/src/predict-margin.ts
@@ -16,36 +16,51 @@
  */
 const allowedLoss = 0.15;
 
+/** Expected share of a worker that tasks of one image use in addition to the given shares. */
+export interface AddedShare {
+    readonly image: string;
+    readonly share: number;
+}
+
 /**
  * Computes the margin that neighbours must leave: the wanted one, or a little less than the task has without
  * neighbours if that is smaller.
  */
-export function computeMarginGoal(
-    image: string,
-    headroom: number,
-    wantedMargin: number,
-    interference: InterferenceModel,
-): number {
-    return Math.min(wantedMargin, predictMargin(image, headroom, new Map(), interference) - allowedLoss);
+export function computeMarginGoal(headroom: number, wantedMargin: number): number {
+    return Math.min(wantedMargin, headroom - safetyDeviations * headroomDeviation - allowedLoss);
 }
 
 /**
  * Predicts a cautious lower bound of the margin (target / tail latency) of a serving task while its neighbours use the
- * given shares of the worker, by image.
+ * given shares of the worker, by image. `added` is a share besides these, so that callers need not copy the map.
  */
 export function predictMargin(
     image: string,
     headroom: number,
     shares: ReadonlyMap<string, number>,
     interference: InterferenceModel,
+    added?: AddedShare,
 ): number {
     let margin = headroom;
     let variance = headroomDeviation ** 2;
-    for (const [other, share] of shares) {
+    let isAdded = added === undefined;
+    const include = (other: string, share: number): void => {
         const pair = interference.estimatePair(image, other);
         const disturbance = pair.disturbance * share;
         margin -= disturbance;
         variance += (disturbanceVariation * disturbance) ** 2 + pair.variance * share ** 2;
+    };
+    for (const [other, share] of shares) {
+        if (other === added?.image) {
+            include(other, share + added.share);
+            isAdded = true;
+        }
+        else {
+            include(other, share);
+        }
+    }
+    if (added !== undefined && !isAdded) {
+        include(added.image, added.share);
     }
     return margin - safetyDeviations * Math.sqrt(variance);
 }
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -1,6 +1,6 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { StepSpec } from "@chestnutspool/types";
-import { computeMarginGoal, predictMargin } from "./predict-margin.js";
+import { type AddedShare, computeMarginGoal, predictMargin } from "./predict-margin.js";
 import { findRack, type WorkerCandidate } from "./worker-candidate.js";
 
 /** Margin (target / tail latency) that each serving task must keep when a task starts on its worker. */
@@ -30,26 +30,24 @@
 }
 
 /**
- * Predicts by how much the margins of the serving tasks on a worker exceed their goals if tasks of the image use a
- * further `share` of its processors. Returns the smallest difference.
+ * Predicts by how much the margins of the serving tasks on a worker exceed their goals if tasks use a further share of
+ * its processors. Returns the smallest difference; undefined if one is negative.
  */
 function predictSpareMargin(
     candidate: WorkerCandidate,
-    image: string,
-    share: number,
+    added: AddedShare,
     interference: InterferenceModel,
-): number {
-    const shares = new Map(candidate.bestEffortShares);
-    shares.set(image, (shares.get(image) ?? 0) + share);
+): number | undefined {
     let smallestExcess = Number.POSITIVE_INFINITY;
-    for (const group of candidate.servingGroups.values()) {
+    for (const group of candidate.servingGroups) {
         if (group.count > 0) {
             const headroom = Math.max(lowestHeadroom, interference.predictHeadroom(group.job, lookAheadMs));
-            const goal = computeMarginGoal(group.image, headroom, leastMargin, interference);
-            smallestExcess = Math.min(
-                smallestExcess,
-                predictMargin(group.image, headroom, shares, interference) - goal,
-            );
+            const margin = predictMargin(group.image, headroom, candidate.bestEffortShares, interference, added);
+            const excess = margin - computeMarginGoal(headroom, leastMargin);
+            if (excess < 0) {
+                return undefined;
+            }
+            smallestExcess = Math.min(smallestExcess, excess);
         }
     }
     return smallestExcess;
@@ -66,8 +64,9 @@
     if (candidate.isContended || idleShare < leastIdleShare) {
         return undefined;
     }
-    const margin = predictSpareMargin(candidate, spec.image ?? "", milliCpu / capacity, context.interference);
-    if (margin < 0) {
+    const added = { image: spec.image ?? "", share: milliCpu / capacity };
+    const margin = predictSpareMargin(candidate, added, context.interference);
+    if (margin === undefined) {
         return undefined;
     }
     return idleShare + Math.min(margin, 1) / 2 + candidate.idleMilliCpu / capacity;
@@ -76,7 +75,7 @@
 /** Prefers workers with serving tasks of the same image, and without tasks that disturb this one. */
 function rateForServingTask(candidate: WorkerCandidate, spec: StepSpec, context: RatingContext): number {
     let sameImageBalance = 0;
-    for (const group of candidate.servingGroups.values()) {
+    for (const group of candidate.servingGroups) {
         sameImageBalance += group.image === (spec.image ?? "") ? group.count : -group.count;
     }
     let disturbance = 0;
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -32,7 +32,7 @@
      */
     idleMilliCpu: number;
     /** Serving tasks on the worker, grouped by job and image. */
-    readonly servingGroups: Map<string, ServingGroup>;
+    readonly servingGroups: ServingGroup[];
     /**
      * Whether best-effort tasks here get less processor time than they could use, so that another one would slow them
      * down further.
@@ -61,10 +61,13 @@
     const { milliCpu } = spec.resources;
     const image = spec.image ?? "";
     if (spec.tailTargetMs !== undefined) {
-        const groupKey = `${job} ${image}`;
-        const group = candidate.servingGroups.get(groupKey) ?? { job, image, count: 0 };
-        group.count += change;
-        candidate.servingGroups.set(groupKey, group);
+        const group = candidate.servingGroups.find(known => known.job === job && known.image === image);
+        if (group === undefined) {
+            candidate.servingGroups.push({ job, image, count: change });
+        }
+        else {
+            group.count += change;
+        }
         candidate.idleMilliCpu -= change * milliCpu * servingUseShare;
     }
     else {
@@ -119,18 +122,16 @@
         startsLeft: startLimit,
         tasksByStep: new Map(),
         idleMilliCpu: state.info.capacity.milliCpu,
-        servingGroups: new Map(),
+        servingGroups: [],
         isContended: isContended(state, statuses),
         bestEffortShares: new Map(),
     };
     for (const { job, occurrence, step } of state.runs.values()) {
-        addTask(
-            candidate,
-            job.id,
-            step.spec,
-            formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position }),
-            1,
-        );
+        // Only a limit per worker needs the key.
+        const stepKey = step.spec.perWorkerLimit === undefined
+            ? ""
+            : formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
+        addTask(candidate, job.id, step.spec, stepKey, 1);
     }
     return candidate;
 }
--- a/packages/replay-jobs/src/measure/measure-planning.ts
+++ b/packages/replay-jobs/src/measure/measure-planning.ts
@@ -1,4 +1,4 @@
-// Measures the time that the planner takes in replays: node packages/replay-jobs/dist/measure/measure-planning.js
+// Measures the processor time that the planner takes in replays: node packages/replay-jobs/dist/measure/measure-planning.js
 // [LOAD,...] [SEED] [LENGTH_MS]
 import { grownWholesaleLoad, type Load, overloadedLoad, wholesaleLoad } from "../load.js";
 import { type PlannerPart, replayLoad } from "../replay.js";
@@ -20,15 +20,16 @@
     return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 }
 
-/** Replays a load and prints the calls of each part of the planner with their times, and the worth. */
+/** Replays a load and prints the calls of each part of the planner with their processor times, and the worth. */
 function measureLoad(name: string, load: Load, seed: number, lengthMs: number): void {
     const timesByPart = new Map<PlannerPart, number[]>();
     const rows = replayLoad(load, lengthMs, 0, seed, (part, call) => {
-        const beganMs = performance.now();
+        const began = process.cpuUsage();
         const result = call();
         const times = timesByPart.get(part) ?? [];
         timesByPart.set(part, times);
-        times.push(performance.now() - beganMs);
+        const { user, system } = process.cpuUsage(began);
+        times.push((user + system) / 1000);
         return result;
     });
     for (const [part, times] of timesByPart) {
--- a/packages/types/src/resources.ts
+++ b/packages/types/src/resources.ts
@@ -26,5 +26,12 @@
 
 /** The first resource of which `wanted` exceeds `available`; undefined when all fit. */
 export function findShortage(wanted: Resources, available: Resources): keyof Resources | undefined {
-    return resourceNames.find(name => wanted[name] > available[name]);
+    // Written out because the planner calls this for each worker and step.
+    if (wanted.milliCpu > available.milliCpu) {
+        return "milliCpu";
+    }
+    if (wanted.memoryMib > available.memoryMib) {
+        return "memoryMib";
+    }
+    return wanted.accelerators > available.accelerators ? "accelerators" : undefined;
 }
