Bound the ratings of one planning pass

Half of the ratings go to the first steps in order, the others to steps not reached yet, until all were reached once. Below the limit the choices are the same. Two tests: the limit holds and later passes continue; no step starves behind urgent ones that never fit, and a new urgent step starts in the next pass.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -2,6 +2,7 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
+import { createPlanMemory, planWithinLimit } from "./plan-memory.js";
 import type { RatingContext } from "./rate-workers.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
@@ -40,6 +41,8 @@
     readonly candidatesByService: ReadonlyMap<string, readonly WorkerCandidate[]>;
     readonly unmet: UnmetRequirements;
     readonly starts: RunStart[];
+    /** Number of ratings of workers. */
+    ratings: number;
 }
 
 /** A step whose tasks are planned in a pass. */
@@ -73,9 +76,17 @@
     const { job, occurrence, step } = waiting;
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
     const tasksByRack = new Map<string, number>();
+    const countRating = (): void => {
+        pass.ratings += 1;
+    };
     const context: RatingContext = { interference: pass.input.interference, tasksByRack };
     const candidates = pass.candidatesByService.get(job.queue.service) ?? [];
-    return { waiting, stepKey, ratings: createStepRatings(candidates, step.spec, stepKey, context), tasksByRack };
+    return {
+        waiting,
+        stepKey,
+        ratings: createStepRatings(candidates, step.spec, stepKey, context, countRating),
+        tasksByRack,
+    };
 }
 
 /**
@@ -171,10 +182,14 @@
     pass.starts.push(...reserved.map(({ candidate, task }) => createStart(waiting, task, run, candidate)));
 }
 
-/** Plans the starts of one pass; `nowMs` is wall-clock time in milliseconds since the epoch. */
-export function planStarts(input: PlanInput, nowMs: number): RunStart[] {
+/**
+ * Plans the starts of one pass; `nowMs` is wall-clock time in milliseconds since the epoch. The memory is that of the
+ * earlier passes; by default there are none.
+ */
+export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
     const waitingSteps = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
     if (waitingSteps.length === 0) {
+        memory.hasStepsLeft = false;
         return [];
     }
     const pass: PlanningPass = {
@@ -182,18 +197,19 @@
         candidatesByService: groupByService(listCandidates(input)),
         unmet: createUnmetRequirements(),
         starts: [],
+        ratings: 0,
     };
-    for (const waiting of waitingSteps) {
-        const { job, step } = waiting;
-        if (pass.unmet.isUnmet(job.queue.service, step.spec)) {
-            continue;
+    planWithinLimit(memory, waitingSteps, waiting => {
+        const ratingsBefore = pass.ratings;
+        if (!pass.unmet.isUnmet(waiting.job.queue.service, waiting.step.spec)) {
+            if (waiting.step.spec.gang) {
+                planGang(pass, waiting);
+            }
+            else {
+                planTasks(pass, waiting);
+            }
         }
-        if (step.spec.gang) {
-            planGang(pass, waiting);
-        }
-        else {
-            planTasks(pass, waiting);
-        }
-    }
+        return pass.ratings - ratingsBefore;
+    });
     return pass.starts;
 }
--- a/packages/plan-jobs/src/planning-work.test.ts
+++ b/packages/plan-jobs/src/planning-work.test.ts
@@ -1,7 +1,8 @@
-import { makeJob, makeMachine, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
+import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
 import { createInterferenceModel, type InterferenceModel } from "@chestnutspool/learn-interference";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createPlanMemory } from "./plan-memory.js";
 import { planStarts } from "./plan-starts.js";
 
 const workerCount = 320;
@@ -49,15 +50,23 @@
     return machine;
 }
 
-function planWith(machine: ReturnType<typeof makeMachine>, interference: InterferenceModel) {
-    return planStarts({
-        state: machine.state,
-        isUsable: () => true,
-        findStartLimit: () => undefined,
-        findFailedWorker: () => undefined,
-        interference,
-        findRunStatuses: () => undefined,
-    }, testStartMs);
+function planWith(
+    machine: ReturnType<typeof makeMachine>,
+    interference: InterferenceModel,
+    memory = createPlanMemory(),
+) {
+    return planStarts(
+        {
+            state: machine.state,
+            isUsable: () => true,
+            findStartLimit: () => undefined,
+            findFailedWorker: () => undefined,
+            interference,
+            findRunStatuses: () => undefined,
+        },
+        testStartMs,
+        memory,
+    );
 }
 
 const rebuildStep = makeStep({
@@ -88,3 +97,72 @@
     assert.deepEqual(planWith(machine, model), []);
     assert.ok(readEstimates() <= workerCount, `${readEstimates()} pairs were estimated`);
 });
+
+/** Submits best-effort jobs that differ in their image, so that each must be compared with the workers. */
+function submitDistinctJobs(machine: ReturnType<typeof makeMachine>, count: number): void {
+    for (let number = 0; number < count; number += 1) {
+        machine.submit(makeJob(`rebuild${number}`, [{ ...rebuildStep, image: `rebuild-${number}` }]));
+    }
+}
+
+function setUpQueues() {
+    const workers = [...Array(10).keys()].map(number => makeWorker(`w${number}`));
+    return makeMachine(workers, [makeQueue(), makeQueue({ name: "urgent", path: "/urgent/", priority: 0 })]);
+}
+
+// Guards against a pass that blocks the process for as long as a backlog of many images is.
+test("a pass stops at its limit of ratings, and the next passes continue with the steps that it left out", () => {
+    const machine = setUpWorkers();
+    submitDistinctJobs(machine, 100);
+    const disturbing = createInterferenceModel();
+    disturbing.addPairs([...Array(100).keys()].map(number => ({
+        image: "web",
+        other: `rebuild-${number}`,
+        disturbance: 30,
+        variance: 0.05,
+    })));
+    const memory = createPlanMemory(10 * workerCount);
+    const planned = new Set<string>();
+    let passes = 0;
+    do {
+        let estimates = 0;
+        planWith(machine, {
+            ...disturbing,
+            estimatePair: (image, other) => {
+                estimates += 1;
+                planned.add(other);
+                return disturbing.estimatePair(image, other);
+            },
+        }, memory);
+        passes += 1;
+        assert.ok(estimates <= 11 * workerCount, `${estimates} pairs were estimated`);
+    }
+    while (memory.hasStepsLeft && passes < 100);
+    assert.equal(planned.size, 100);
+    // Each pass reaches five more steps besides the first five.
+    assert.ok(passes <= 20, `${passes} passes`);
+});
+
+// Guards against steps that starve behind others that never fit, and against urgent steps that wait for a whole round.
+test("a step that fits starts within a round behind urgent steps that never fit, and an urgent one at once", () => {
+    const machine = setUpQueues();
+    const neverFits = { ...rebuildStep, usesIdleCpu: false, perWorkerLimit: 1 };
+    for (let number = 0; number < 50; number += 1) {
+        const resources = { milliCpu: 5_000, memoryMib: 10, accelerators: 0 };
+        machine.submit(makeJob(`large${number}`, [{ ...neverFits, resources }]), "/urgent/");
+    }
+    machine.submit(makeJob("small", [{ ...rebuildStep, usesIdleCpu: false }]));
+    const memory = createPlanMemory(100);
+    const model = createInterferenceModel();
+    let passes = 0;
+    let started: readonly string[] = [];
+    while (started.length === 0 && passes < 100) {
+        started = planWith(machine, model, memory).map(({ job }) => job);
+        passes += 1;
+    }
+    assert.deepEqual(started, ["small"]);
+    // 50 steps on 10 workers make 500 ratings, of which a pass makes 50 besides those of the first steps.
+    assert.ok(passes <= 10, `${passes} passes`);
+    machine.submit(makeJob("urgent", [{ ...rebuildStep, usesIdleCpu: false, expectedRunMs: 1 }]), "/urgent/");
+    assert.ok(planWith(machine, model, memory).some(({ job }) => job === "urgent"));
+});
--- a/packages/plan-jobs/src/step-ratings.ts
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -12,16 +12,19 @@
 
 /**
  * Rates the workers for a step once. A start changes only the rating of its worker, or of all workers of its rack if
- * the step prefers one rack.
+ * the step prefers one rack. `countRating` is called for each rating.
  */
 export function createStepRatings(
     candidates: readonly WorkerCandidate[],
     spec: StepSpec,
     stepKey: string,
     context: RatingContext,
+    countRating: () => void,
 ): StepRatings {
-    const rate = (candidate: WorkerCandidate): number | undefined =>
-        hasCapacity(candidate, spec, stepKey) ? rateWorker(candidate, spec, context) : undefined;
+    const rate = (candidate: WorkerCandidate): number | undefined => {
+        countRating();
+        return hasCapacity(candidate, spec, stepKey) ? rateWorker(candidate, spec, context) : undefined;
+    };
     const suitable: { readonly candidate: WorkerCandidate; rating: number; }[] = [];
     for (const candidate of candidates) {
         const rating = rate(candidate);
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -6,10 +6,12 @@
     type UsageHistory,
 } from "@chestnutspool/learn-interference";
 import {
+    createPlanMemory,
     hasUncertainPairs,
     listObsoleteRuns,
     listStalledRuns,
     observeMargins,
+    type PlanMemory,
     planPaces,
     planStarts,
     recordUsage,
@@ -58,6 +60,7 @@
     readonly usageByWorker: Map<string, UsageHistory>;
     readonly jobs: Map<string, SimulatedJob>;
     readonly findDisturbance: (image: string, other: string) => number;
+    readonly planMemory: PlanMemory;
     readonly tally: Tally;
     commandIndex: number;
 }
@@ -105,6 +108,7 @@
         usageByWorker: new Map(),
         jobs: new Map(),
         findDisturbance: drawDisturbances(load, random),
+        planMemory: createPlanMemory(),
         tally: createTally(load),
         commandIndex: 0,
     };
@@ -270,7 +274,7 @@
             endRun(simulation, worker, run, "stopped", nowMs);
         }
     }
-    const starts = simulation.runCall("planStarts", () => planStarts(input, epochMs + nowMs));
+    const starts = simulation.runCall("planStarts", () => planStarts(input, epochMs + nowMs, simulation.planMemory));
     if (starts.length > 0) {
         simulation.commandIndex += 1;
         simulation.machine.applyCommand(simulation.commandIndex, { kind: "startRuns", nowMs: epochMs + nowMs, starts });
