Keep the chain of run times of a waiting occurrence

Change: the objective and the remaining chain are kept by occurrence until the number of steps that are not done changes.

--- a/packages/plan-jobs/src/predict-lateness.ts
+++ b/packages/plan-jobs/src/predict-lateness.ts
@@ -12,9 +12,34 @@
 const estimateTolerance = 1.4;
 const milliCpuPerCore = 1000;
 
-/** Computes the time in which an occurrence should complete, in milliseconds. */
-function computeObjectiveMs(job: JobRecord): number {
-    return computeChainMs(job, () => true) * job.queue.slackFactor + job.queue.targetLatencyMs;
+/** Times of an occurrence that change only when one of its steps is done, in milliseconds. */
+interface ChainTimes {
+    /** Time in which the occurrence should complete. */
+    readonly objectiveMs: number;
+    /** Number of steps that were not done when `remainingMs` was computed; steps that are done stay so. */
+    readonly stepsLeft: number;
+    /** Declared run time of the longest chain through the steps that are not done. */
+    readonly remainingMs: number;
+}
+
+/** Kept because each pass of the planner reads the times of each waiting step. */
+const timesByOccurrence = new WeakMap<JobOccurrence, ChainTimes>();
+
+function getChainTimes(job: JobRecord, occurrence: JobOccurrence): ChainTimes {
+    let stepsLeft = 0;
+    for (const step of occurrence.steps) {
+        stepsLeft += step.tasksLeft > 0 ? 1 : 0;
+    }
+    const known = timesByOccurrence.get(occurrence);
+    if (known?.stepsLeft === stepsLeft) {
+        return known;
+    }
+    const objectiveMs = known?.objectiveMs
+        ?? computeChainMs(job, () => true) * job.queue.slackFactor + job.queue.targetLatencyMs;
+    const remainingMs = computeChainMs(job, step => (occurrence.steps[step]?.tasksLeft ?? 0) > 0);
+    const times = { objectiveMs, stepsLeft, remainingMs };
+    timesByOccurrence.set(occurrence, times);
+    return times;
 }
 
 /** Computes the longest chain of declared run times through the steps that `isIncluded` selects, in milliseconds. */
@@ -37,13 +62,12 @@
     for (const { spec, tasksLeft } of occurrence.steps) {
         work += tasksLeft * spec.expectedRunMs * spec.resources.milliCpu / milliCpuPerCore;
     }
-    return Math.sqrt(work) * computeObjectiveMs(job);
+    return Math.sqrt(work) * getChainTimes(job, occurrence).objectiveMs;
 }
 
 /** Predicts the lateness of an occurrence if its tasks start at `nowMs`, wall-clock time in milliseconds. */
 export function predictLateness(job: JobRecord, occurrence: JobOccurrence, nowMs: number): Lateness {
-    const remainingMs = computeChainMs(job, step => (occurrence.steps[step]?.tasksLeft ?? 0) > 0);
-    const objectiveMs = computeObjectiveMs(job);
+    const { objectiveMs, remainingMs } = getChainTimes(job, occurrence);
     const completionMs = nowMs + remainingMs - (occurrence.dueAtMs ?? job.acceptedAtMs);
     if (completionMs <= objectiveMs * estimateTolerance) {
         return "inTime";
