Limit the share of the thread that planning takes

Change: the pause after a pass is at least twice its duration, with the former minimum. All runs are scanned each 100 ms; runs of a job that has ended are still stopped in the next pass, those of a task that another run completed up to 100 ms later. A pass that left out waiting steps is followed by another one without a change. The recorded duration of a pass includes the scans.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -1,5 +1,12 @@
-import { formatRunKey, formatTaskKey } from "@chestnutspool/job-state";
-import { listObsoleteRuns, listStalledRuns, planStarts } from "@chestnutspool/plan-jobs";
+import { formatRunKey, formatTaskKey, isJobEnded } from "@chestnutspool/job-state";
+import {
+    createPlanMemory,
+    listObsoleteRuns,
+    listStalledRuns,
+    type PlanInput,
+    type PlanMemory,
+    planStarts,
+} from "@chestnutspool/plan-jobs";
 import { createRunStatus, isStartTimedOut } from "@chestnutspool/track-workers";
 import {
     type ErrorData,
@@ -11,6 +18,7 @@
 } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
+import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { requestStop, sendStart } from "./send-orders.js";
 import { recordPass } from "./term-load.js";
@@ -18,8 +26,11 @@
 
 /** Longest pause between two passes, in milliseconds, because some decisions depend on time alone. */
 const idlePauseMs = 100;
-/** Shortest pause between two passes, in milliseconds, so that changes in quick succession share one pass. */
-const passPauseMs = 5;
+/**
+ * Interval at which all runs are scanned for stalled ones and unanswered starts, in milliseconds; short against their
+ * time limits of more than a second.
+ */
+const scanIntervalMs = 100;
 /** Interval at which the reasons why steps wait are checked and logged, in milliseconds. */
 const waitCheckIntervalMs = 1_000;
 
@@ -58,13 +69,17 @@
     }
 });
 
-const stopObsoleteRuns = Effect.fnUntraced(function*(term: Term) {
-    const nowMs = yield* readMonotonicMs;
+const stopObsoleteRuns = Effect.fnUntraced(function*(term: Term, nowMs: number) {
     for (const session of term.sessions.values()) {
         const state = term.machine.state.workers.get(session.info.id);
         for (const key of state === undefined ? [] : listObsoleteRuns(state)) {
             yield* requestStop(term, session, key, "notNeeded", nowMs);
         }
+    }
+});
+
+const stopUnansweredStarts = Effect.fnUntraced(function*(term: Term, nowMs: number) {
+    for (const session of term.sessions.values()) {
         for (const [key, status] of session.runStatuses) {
             if (isStartTimedOut(status, nowMs)) {
                 yield* requestStop(term, session, key, "startUnanswered", nowMs);
@@ -73,19 +88,67 @@
     }
 });
 
-/** What was logged about waiting steps. */
-interface LoggedWaits {
-    /** Last logged reason of each step, by its key. */
-    readonly reasons: Map<string, string>;
-    /** When the reasons were last checked, in monotonic milliseconds. */
-    checkedAtMs: number;
+const stopStalledRuns = Effect.fnUntraced(function*(term: Term, input: PlanInput, nowMs: number) {
+    for (const { worker, runKey, reason } of listStalledRuns(input, nowMs)) {
+        const session = term.sessions.get(worker);
+        const status = session?.runStatuses.get(runKey);
+        if (session !== undefined && status !== undefined) {
+            if (reason === "standsStill") {
+                recordStalledRun(term, session, status.key.job, nowMs);
+            }
+            yield* requestStop(term, session, runKey, reason, nowMs);
+        }
+    }
+});
+
+function hasEndedOpenJob(term: Term): boolean {
+    for (const job of term.machine.state.openJobs.values()) {
+        if (isJobEnded(job)) {
+            return true;
+        }
+    }
+    return false;
 }
 
-const runPass = Effect.fnUntraced(function*(term: Term, loggedWaits: LoggedWaits) {
-    yield* stopObsoleteRuns(term);
+/** Stops runs that are not needed, unanswered or stalled. All runs are scanned only at an interval. */
+const stopRuns = Effect.fnUntraced(function*(term: Term, planner: PlannerState, input: PlanInput, nowMs: number) {
+    const isScanDue = nowMs - planner.scannedAtMs >= scanIntervalMs;
+    // The runs of a job that has ended are stopped at once, because others wait for their resources.
+    if (isScanDue || hasEndedOpenJob(term)) {
+        yield* stopObsoleteRuns(term, nowMs);
+    }
+    if (isScanDue) {
+        planner.scannedAtMs = nowMs;
+        yield* stopUnansweredStarts(term, nowMs);
+        yield* stopStalledRuns(term, input, nowMs);
+    }
+});
+
+/** What the planner of a term keeps from one pass to the next. Times are monotonic, in milliseconds. */
+interface PlannerState {
+    readonly memory: PlanMemory;
+    /** Last logged reason why each step waits, by its key. */
+    readonly loggedReasons: Map<string, string>;
+    /** When the reasons were last checked. */
+    reasonsCheckedAtMs: number;
+    /** When all runs were last scanned for stalled ones and unanswered starts. */
+    scannedAtMs: number;
+}
+
+function createPlannerState(): PlannerState {
+    return {
+        memory: createPlanMemory(),
+        loggedReasons: new Map(),
+        reasonsCheckedAtMs: Number.NEGATIVE_INFINITY,
+        scannedAtMs: Number.NEGATIVE_INFINITY,
+    };
+}
+
+/** Makes one pass; returns the time in milliseconds for which it kept the thread until its starts were planned. */
+const runPass = Effect.fnUntraced(function*(term: Term, planner: PlannerState) {
     const nowMs = yield* readMonotonicMs;
     const startLimits = listStartLimits(term, nowMs);
-    const input = {
+    const input: PlanInput = {
         state: term.machine.state,
         isUsable: (worker: WorkerId) => isUsable(term, worker),
         findFailedWorker: (task: TaskKey) => term.failedWorkerByTask.get(formatTaskKey(task)),
@@ -93,32 +156,34 @@
         interference: term.interference,
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
     };
-    for (const { worker, runKey, reason } of listStalledRuns(input, nowMs)) {
-        const session = term.sessions.get(worker);
-        const status = session?.runStatuses.get(runKey);
-        if (session !== undefined && status !== undefined) {
-            if (reason === "standsStill") {
-                recordStalledRun(term, session, status.key.job, nowMs);
-            }
-            yield* requestStop(term, session, runKey, reason, nowMs);
-        }
-    }
+    yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readWallMs;
-    const starts = planStarts(input, wallMs);
-    recordPass(term.load, (yield* readMonotonicMs) - nowMs);
+    const starts = planStarts(input, wallMs, planner.memory);
+    const tookMs = (yield* readMonotonicMs) - nowMs;
+    recordPass(term.load, tookMs);
     yield* carryOutStarts(term, starts);
-    if (nowMs - loggedWaits.checkedAtMs >= waitCheckIntervalMs) {
-        loggedWaits.checkedAtMs = nowMs;
-        logWaitingSteps(term, input, loggedWaits.reasons, wallMs);
+    if (nowMs - planner.reasonsCheckedAtMs >= waitCheckIntervalMs) {
+        planner.reasonsCheckedAtMs = nowMs;
+        logWaitingSteps(term, input, planner.loggedReasons, wallMs);
     }
+    return tookMs;
 });
 
-/** Runs the planner until the term ends: a pass after each change, and at least one per `idlePauseMs`. */
+/**
+ * Runs the planner until the term ends: a pass after each change, and at least one per `idlePauseMs`. A pass that left
+ * out waiting steps is followed by another one without a change.
+ */
 export const runPlanner = Effect.fnUntraced(function*(term: Term) {
-    const loggedWaits: LoggedWaits = { reasons: new Map(), checkedAtMs: 0 };
+    const planner = createPlannerState();
     while (canSendOrders(term, yield* readMonotonicMs)) {
-        yield* Effect.catch(runPass(term, loggedWaits), (error: ErrorData) => logStepError(term.logger, "plan", error));
-        yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), idlePauseMs);
-        yield* Effect.sleep(passPauseMs);
+        const tookMs = yield* Effect.catch(
+            runPass(term, planner),
+            (error: ErrorData) => Effect.as(logStepError(term.logger, "plan", error), 0),
+        );
+        const endedMs = yield* readMonotonicMs;
+        if (!planner.memory.hasStepsLeft) {
+            yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), idlePauseMs);
+        }
+        yield* Effect.sleep(computePassPauseMs(tookMs, (yield* readMonotonicMs) - endedMs));
     }
 });
