Look for uncertain pairs only on workers with serving tasks

Change: the serving images are listed first; without any there is no pair, and the first uncertain pair ends the search.

Measured: existing tests of it pass; no figure of its own after the change.

--- a/packages/plan-jobs/src/observe-report.ts
+++ b/packages/plan-jobs/src/observe-report.ts
@@ -31,19 +31,25 @@
 
 /** Whether a worker runs a serving and a best-effort task whose interference is not known well enough yet. */
 export function hasUncertainPairs(state: WorkerState, statuses: RunStatuses, interference: InterferenceModel): boolean {
-    const servingImages = new Set<string>();
-    const bestEffortImages = new Set<string>();
-    for (const [key, { step }] of state.runs) {
+    const servingImages: string[] = [];
+    for (const { step } of state.runs.values()) {
         if (step.spec.tailTargetMs !== undefined) {
-            servingImages.add(step.spec.image ?? "");
+            servingImages.push(step.spec.image ?? "");
         }
-        else if (step.spec.usesIdleCpu && (statuses.get(key)?.pacePercent ?? 0) > 0) {
-            bestEffortImages.add(step.spec.image ?? "");
+    }
+    if (servingImages.length === 0) {
+        return false;
+    }
+    for (const [key, { step }] of state.runs) {
+        const isBestEffort = step.spec.usesIdleCpu && step.spec.tailTargetMs === undefined;
+        if (isBestEffort && (statuses.get(key)?.pacePercent ?? 0) > 0) {
+            const image = step.spec.image ?? "";
+            if (servingImages.some(serving => interference.isUncertain(serving, image))) {
+                return true;
+            }
         }
     }
-    return [...servingImages].some(image =>
-        [...bestEffortImages].some(other => interference.isUncertain(image, other))
-    );
+    return false;
 }
 
 /** Updates the model with the margins of the serving tasks in a report; `nowMs` is monotonic time in milliseconds. */
