Plan paces without building maps for each prediction

Change: pairs are looked up once a worker, and shares are kept in an array by position. The order of the arithmetic is unchanged.

--- a/packages/learn-interference/src/index.ts
+++ b/packages/learn-interference/src/index.ts
@@ -1,2 +1,7 @@
-export { createInterferenceModel, type ImageUsage, type InterferenceModel } from "./interference-model.js";
+export {
+    createInterferenceModel,
+    type ImageUsage,
+    type InterferenceModel,
+    type PairEstimate,
+} from "./interference-model.js";
 export { createUsageHistory, type UsageHistory } from "./usage-history.js";
--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -1,7 +1,7 @@
 import type { WorkerState } from "@chestnutspool/job-state";
-import type { InterferenceModel } from "@chestnutspool/learn-interference";
+import type { InterferenceModel, PairEstimate } from "@chestnutspool/learn-interference";
 import type { RunStatus, RunStatuses } from "@chestnutspool/track-workers";
-import { computeMarginGoal, predictMargin } from "./predict-margin.js";
+import { computeMarginGoal, predictMarginOfPairs } from "./predict-margin.js";
 
 /** Margin (target / tail latency) below which neighbours are slowed down. */
 const lowMargin = 1;
@@ -21,39 +21,51 @@
 
 interface BestEffortRun {
     readonly runKey: string;
-    readonly image: string;
+    /** Position of its image in the images of the worker. */
+    readonly image: number;
     /** Share of the worker's processors that the run uses at full pace. */
     readonly fullShare: number;
     readonly status: RunStatus;
     percent: number;
 }
 
+/** Best-effort runs on a worker. */
+interface BestEffortRuns {
+    readonly runs: readonly BestEffortRun[];
+    readonly images: readonly string[];
+    /** Share of the worker that each image uses; overwritten by each prediction. */
+    readonly shares: number[];
+}
+
 interface ServingImage {
-    readonly image: string;
     /** Expected margin of its tasks without best-effort neighbours. */
     readonly headroom: number;
+    /** Its pairs with the images of the best-effort runs. */
+    readonly pairs: readonly PairEstimate[];
 }
 
-function listBestEffortRuns(state: WorkerState, statuses: RunStatuses): BestEffortRun[] {
-    const bestEffortRuns: BestEffortRun[] = [];
+function listBestEffortRuns(state: WorkerState, statuses: RunStatuses): BestEffortRuns {
+    const runs: BestEffortRun[] = [];
+    const images: string[] = [];
     const capacity = Math.max(1, state.info.capacity.milliCpu);
     for (const [runKey, { step }] of state.runs) {
-        const status = statuses.get(runKey);
-        if (status !== undefined && step.spec.usesIdleCpu) {
+        const status = step.spec.usesIdleCpu ? statuses.get(runKey) : undefined;
+        if (status !== undefined) {
+            const name = step.spec.image ?? "";
+            const known = images.indexOf(name);
+            const image = known === -1 ? images.push(name) - 1 : known;
             const fullShare = step.spec.resources.milliCpu / capacity;
-            bestEffortRuns.push({
-                runKey,
-                image: step.spec.image ?? "",
-                fullShare,
-                status,
-                percent: status.pacePercent,
-            });
+            runs.push({ runKey, image, fullShare, status, percent: status.pacePercent });
         }
     }
-    return bestEffortRuns;
+    return { runs, images, shares: images.map(() => 0) };
 }
 
-function listServingImages(state: WorkerState, interference: InterferenceModel): ServingImage[] {
+function listServingImages(
+    state: WorkerState,
+    images: readonly string[],
+    interference: InterferenceModel,
+): ServingImage[] {
     const headrooms = new Map<string, number>();
     for (const { job, step } of state.runs.values()) {
         if (step.spec.tailTargetMs !== undefined) {
@@ -62,29 +74,29 @@
             headrooms.set(image, Math.min(headrooms.get(image) ?? Number.POSITIVE_INFINITY, headroom));
         }
     }
-    return [...headrooms].map(([image, headroom]) => ({ image, headroom }));
-}
-
-function computeDisturbance(serving: ServingImage, run: BestEffortRun, interference: InterferenceModel): number {
-    const pair = interference.estimatePair(serving.image, run.image);
-    return (pair.disturbance + Math.sqrt(pair.variance)) * run.fullShare * run.percent / fullPacePercent;
+    return [...headrooms].map(([image, headroom]) => ({
+        headroom,
+        pairs: images.map(other => interference.estimatePair(image, other)),
+    }));
 }
 
-function predictPacedMargin(serving: ServingImage, runs: readonly BestEffortRun[], model: InterferenceModel): number {
-    const shares = new Map<string, number>();
-    for (const run of runs) {
-        const share = run.fullShare * run.percent / fullPacePercent;
-        shares.set(run.image, (shares.get(run.image) ?? 0) + share);
+function predictPacedMargin(serving: ServingImage, { runs, shares }: BestEffortRuns): number {
+    shares.fill(0);
+    for (const { image, fullShare, percent } of runs) {
+        shares[image] = (shares[image] ?? 0) + fullShare * percent / fullPacePercent;
     }
-    return predictMargin(serving.image, serving.headroom, shares, model);
+    return predictMarginOfPairs(serving.headroom, serving.pairs, shares);
 }
 
 /** Finds the run that lowers the margin of a serving task most. */
-function findMostDisturbing(serving: ServingImage, runs: readonly BestEffortRun[], model: InterferenceModel) {
+function findMostDisturbing(serving: ServingImage, { runs }: BestEffortRuns): BestEffortRun | undefined {
     let mostDisturbing: BestEffortRun | undefined;
     let largestDisturbance = 0;
     for (const run of runs) {
-        const disturbance = computeDisturbance(serving, run, model);
+        const pair = serving.pairs[run.image];
+        const disturbance = pair === undefined
+            ? 0
+            : (pair.disturbance + Math.sqrt(pair.variance)) * run.fullShare * run.percent / fullPacePercent;
         if (disturbance > largestDisturbance) {
             mostDisturbing = run;
             largestDisturbance = disturbance;
@@ -94,23 +106,16 @@
 }
 
 /** Slows down the neighbours that disturb most until every serving task is expected to meet its target. */
-function slowNeighbours(
-    servingImages: readonly ServingImage[],
-    runs: readonly BestEffortRun[],
-    model: InterferenceModel,
-): void {
-    for (const image of servingImages) {
-        if (
-            predictPacedMargin(image, runs, model)
-                >= computeMarginGoal(image.headroom, lowMargin)
-        ) {
+function slowNeighbours(servingImages: readonly ServingImage[], bestEffort: BestEffortRuns): void {
+    for (const serving of servingImages) {
+        if (predictPacedMargin(serving, bestEffort) >= computeMarginGoal(serving.headroom, lowMargin)) {
             continue;
         }
-        const goal = computeMarginGoal(image.headroom, wantedMargin);
+        const goal = computeMarginGoal(serving.headroom, wantedMargin);
         for (
-            let mostDisturbing = findMostDisturbing(image, runs, model);
-            mostDisturbing !== undefined && predictPacedMargin(image, runs, model) < goal;
-            mostDisturbing = findMostDisturbing(image, runs, model)
+            let mostDisturbing = findMostDisturbing(serving, bestEffort);
+            mostDisturbing !== undefined && predictPacedMargin(serving, bestEffort) < goal;
+            mostDisturbing = findMostDisturbing(serving, bestEffort)
         ) {
             mostDisturbing.percent = Math.max(0, mostDisturbing.percent - paceStepPercent);
         }
@@ -118,18 +123,16 @@
 }
 
 /** Raises the pace of slowed neighbours as long as every serving task is expected to stay above its target. */
-function raisePace(
-    servingImages: readonly ServingImage[],
-    runs: readonly BestEffortRun[],
-    model: InterferenceModel,
-): void {
-    const goals = servingImages.map(image => computeMarginGoal(image.headroom, wantedMargin));
-    for (const run of runs) {
+function raisePace(servingImages: readonly ServingImage[], bestEffort: BestEffortRuns): void {
+    const goals = servingImages.map(({ headroom }) => computeMarginGoal(headroom, wantedMargin));
+    for (const run of bestEffort.runs) {
         while (run.percent < fullPacePercent) {
             const before = run.percent;
             run.percent = Math.min(fullPacePercent, before + paceStepPercent);
             if (
-                servingImages.some((image, position) => predictPacedMargin(image, runs, model) < (goals[position] ?? 0))
+                servingImages.some((serving, position) =>
+                    predictPacedMargin(serving, bestEffort) < (goals[position] ?? 0)
+                )
             ) {
                 run.percent = before;
                 break;
@@ -143,16 +146,17 @@
  * it exceeds its target, and are sped up again once its margin allows it.
  */
 export function planPaces(state: WorkerState, statuses: RunStatuses, interference: InterferenceModel): PaceChange[] {
-    const bestEffortRuns = listBestEffortRuns(state, statuses);
-    if (bestEffortRuns.length === 0) {
+    const bestEffort = listBestEffortRuns(state, statuses);
+    const { runs } = bestEffort;
+    if (runs.length === 0) {
         return [];
     }
-    const servingImages = listServingImages(state, interference);
-    slowNeighbours(servingImages, bestEffortRuns, interference);
-    if (bestEffortRuns.every(run => run.percent === run.status.pacePercent)) {
-        raisePace(servingImages, bestEffortRuns, interference);
+    const servingImages = listServingImages(state, bestEffort.images, interference);
+    slowNeighbours(servingImages, bestEffort);
+    if (runs.every(run => run.percent === run.status.pacePercent)) {
+        raisePace(servingImages, bestEffort);
     }
-    return bestEffortRuns
+    return runs
         .filter(run => run.percent !== run.status.pacePercent)
         .map(({ runKey, percent }) => ({ runKey, percent }));
 }
--- a/packages/plan-jobs/src/predict-margin.ts
+++ b/packages/plan-jobs/src/predict-margin.ts
@@ -1,4 +1,4 @@
-import type { InterferenceModel } from "@chestnutspool/learn-interference";
+import type { InterferenceModel, PairEstimate } from "@chestnutspool/learn-interference";
 
 /** Standard deviation of a disturbance within seconds, as a share of the disturbance. */
 const disturbanceVariation = 0.4;
@@ -64,3 +64,21 @@
     }
     return margin - safetyDeviations * Math.sqrt(variance);
 }
+
+/** Predicts the same bound from the pairs of the serving image with its neighbours and their shares, by position. */
+export function predictMarginOfPairs(
+    headroom: number,
+    pairs: readonly PairEstimate[],
+    shares: readonly number[],
+): number {
+    let margin = headroom;
+    let variance = headroomDeviation ** 2;
+    for (let position = 0; position < pairs.length; position += 1) {
+        const pair = pairs[position] as PairEstimate;
+        const share = shares[position] ?? 0;
+        const disturbance = pair.disturbance * share;
+        margin -= disturbance;
+        variance += (disturbanceVariation * disturbance) ** 2 + pair.variance * share ** 2;
+    }
+    return margin - safetyDeviations * Math.sqrt(variance);
+}
