Give up the thread between groups of workers when paces are planned

Change: after each 50 workers other fibers and network events run. The time is read for each worker.

Measured: 17 tests of lead-jobs pass; no elapsed times were measured on a leader.

--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -45,19 +45,30 @@
 /** Interval at which paces are planned, in milliseconds; the load of a serving job changes within seconds. */
 const paceIntervalMs = 150;
 
+/**
+ * Number of workers whose paces are planned before other work gets the thread, so that a round over 1,300 workers does
+ * not delay leases and answers.
+ */
+const workersPerTurn = 50;
+
 /** Plans and sends the paces of best-effort tasks until the term ends, so that serving tasks meet their targets. */
 export const runPacing = Effect.fnUntraced(function*(term: Term) {
     while (canSendOrders(term, yield* readMonotonicMs)) {
-        const nowMs = yield* readMonotonicMs;
+        let workersInTurn = 0;
         for (const session of term.sessions.values()) {
             const state = term.machine.state.workers.get(session.info.id);
             if (state === undefined || !session.isResponsive) {
                 continue;
             }
-            recordUsage(state, session.runStatuses, session.usage, nowMs);
+            recordUsage(state, session.runStatuses, session.usage, yield* readMonotonicMs);
             for (const change of planPaces(state, session.runStatuses, term.interference)) {
                 yield* Effect.forkIn(sendPace(term, session, change), term.scope);
             }
+            workersInTurn += 1;
+            if (workersInTurn === workersPerTurn) {
+                workersInTurn = 0;
+                yield* Effect.yieldNow;
+            }
         }
         yield* Effect.sleep(paceIntervalMs);
     }
