--- a/packages/plan-jobs/src/list-stalled-runs.ts
+++ b/packages/plan-jobs/src/list-stalled-runs.ts
@@ -68,8 +68,13 @@
     for (const [worker, { runs }] of input.state.workers) {
         const statuses = input.findRunStatuses(worker);
         for (const [runKey, run] of runs) {
-            const status = statuses?.get(runKey);
-            if (status === undefined || stalled.length >= movesPerPass) {
+            if (stalled.length >= movesPerPass) {
+                return stalled;
+            }
+            const { longRunning, usesIdleCpu } = run.step.spec;
+            // Serving tasks never count as stalled, so that their statuses are not looked up.
+            const status = longRunning && !usesIdleCpu ? undefined : statuses?.get(runKey);
+            if (status === undefined) {
                 continue;
             }
             if (isStalled(run, status, nowMs)) {
