Compare stalled runs with the workers no more than necessary

Change: the scan remembers requirements that no worker meets, as planStarts does, provided that the run's own worker could not take it either. A test counts the estimates; it failed with 102,080 and passes (bound 320).

--- a/packages/plan-jobs/src/list-stalled-runs.ts
+++ b/packages/plan-jobs/src/list-stalled-runs.ts
@@ -3,6 +3,7 @@
 import type { WorkerId } from "@chestnutspool/types";
 import { listCandidates, type PlanInput } from "./plan-starts.js";
 import { rateWorker } from "./rate-workers.js";
+import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { hasCapacity, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
 /** Time without progress after which a best-effort task may move, in milliseconds; a move costs about half a second. */
@@ -43,18 +44,35 @@
         && nowMs - status.progressAtMs > starvedAfterMs && nowMs - status.orderedAtMs > starvedAfterMs;
 }
 
-function findOtherWorker(candidates: readonly WorkerCandidate[], worker: WorkerId, run: WorkerRun, input: PlanInput) {
+/** Finds another worker that could run a best-effort task, and reserves the capacity for it there. */
+function findOtherWorker(
+    candidates: readonly WorkerCandidate[],
+    unmet: UnmetRequirements,
+    worker: WorkerId,
+    run: WorkerRun,
+    input: PlanInput,
+): WorkerCandidate | undefined {
     const { job, occurrence, step } = run;
+    const { service } = job.queue;
+    if (unmet.isUnmet(service, step.spec)) {
+        return undefined;
+    }
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
     const context = { interference: input.interference, tasksByRack: new Map<string, number>() };
-    const found = candidates.find(candidate =>
-        candidate.state.info.id !== worker && candidate.state.info.service === job.queue.service
-        && hasCapacity(candidate, step.spec, stepKey) && rateWorker(candidate, step.spec, context) !== undefined
-    );
+    const isSuitable = (candidate: WorkerCandidate): boolean =>
+        candidate.state.info.service === service && hasCapacity(candidate, step.spec, stepKey)
+        && rateWorker(candidate, step.spec, context) !== undefined;
+    const found = candidates.find(candidate => candidate.state.info.id !== worker && isSuitable(candidate));
     if (found !== undefined) {
         reserveCapacity(found, job.id, step.spec, stepKey);
+        return found;
+    }
+    const own = candidates.find(candidate => candidate.state.info.id === worker);
+    // Its own worker may still be suitable for a run of another worker.
+    if (own === undefined || !isSuitable(own)) {
+        unmet.recordUnmet(service, step.spec);
     }
-    return found;
+    return undefined;
 }
 
 /**
@@ -65,6 +83,7 @@
 export function listStalledRuns(input: PlanInput, nowMs: number): StalledRun[] {
     const stalled: StalledRun[] = [];
     let candidates: readonly WorkerCandidate[] | undefined;
+    const unmet = createUnmetRequirements();
     for (const [worker, { runs }] of input.state.workers) {
         const statuses = input.findRunStatuses(worker);
         for (const [runKey, run] of runs) {
@@ -85,7 +104,7 @@
                 continue;
             }
             candidates ??= listCandidates(input);
-            if (findOtherWorker(candidates, worker, run, input) !== undefined) {
+            if (findOtherWorker(candidates, unmet, worker, run, input) !== undefined) {
                 stalled.push({ worker, runKey, reason: "noIdleProcessors" });
             }
         }
--- a/packages/plan-jobs/src/planning-work.test.ts
+++ b/packages/plan-jobs/src/planning-work.test.ts
@@ -1,9 +1,12 @@
+import { formatRunKey } from "@chestnutspool/job-state";
 import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
 import { createInterferenceModel, type InterferenceModel } from "@chestnutspool/learn-interference";
+import { createRunStatus, type RunStatuses } from "@chestnutspool/track-workers";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { listStalledRuns } from "./list-stalled-runs.js";
 import { createPlanMemory } from "./plan-memory.js";
-import { planStarts } from "./plan-starts.js";
+import { type PlanInput, planStarts } from "./plan-starts.js";
 
 const workerCount = 320;
 
@@ -166,3 +169,27 @@
     machine.submit(makeJob("urgent", [{ ...rebuildStep, usesIdleCpu: false, expectedRunMs: 1 }]), "/urgent/");
     assert.ok(planWith(machine, model, memory).some(({ job }) => job === "urgent"));
 });
+
+// Guards against passes whose cost is the number of runs without progress times the number of workers.
+test("runs without progress are not each compared with all workers when no worker could take one", () => {
+    const machine = setUpWorkers();
+    const statusesByWorker = new Map<string, RunStatuses>();
+    for (let number = 0; number < workerCount; number += 1) {
+        const key = { job: `rebuild${number}`, occurrence: 0, step: 0, position: 0, run: 1 };
+        machine.submit(makeJob(key.job, [{ ...rebuildStep, checkpointing: true }]));
+        machine.apply({ kind: "startRuns", starts: [{ ...key, worker: `w${number}` }] });
+        const status = { ...createRunStatus(key, "confirmed", 0), pacePercent: 0 };
+        statusesByWorker.set(`w${number}`, new Map([[formatRunKey(key), status]]));
+    }
+    const { model, readEstimates } = createCountingModel(30);
+    const input: PlanInput = {
+        state: machine.state,
+        isUsable: () => true,
+        findStartLimit: () => undefined,
+        findFailedWorker: () => undefined,
+        interference: model,
+        findRunStatuses: worker => statusesByWorker.get(worker),
+    };
+    assert.deepEqual(listStalledRuns(input, 5_000), []);
+    assert.ok(readEstimates() <= workerCount, `${readEstimates()} pairs were estimated`);
+});
