Keep waiting for a leader that has a request instead of sending it again

Cause: the forwarder of each entry and control process gave up an attempt after 400 ms and sent the same request over the same link, where the first one still waited. A leader that is busy for seconds got each request up to five times in two seconds, so that an overload fed itself.

Change: an attempt stays pending until the leader answers, the call fails or the request's time ends. After 400 ms the leader is located again, and only another leader gets the request too. At most one attempt is pending for a request and a leader. Attempts at an earlier leader are cancelled once a later one has answered.

A request that is pending at a frozen leader reaches its successor after the next search, as before. A reply that the leader could not send because its send buffer was full is no longer made up for by the next attempt: the caller gets outcomeUnknown at the end of its time and repeats the request.

--- a/packages/forward-jobs/src/forwarder.test.ts
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -3,7 +3,8 @@
 import { createMemoryNetwork } from "@chestnutspool/peer-link";
 import { createMetrics } from "@chestnutspool/record-metrics";
 import type { ControlAddress, DirectoryReply, DirectoryRequest, JobReply, JobRequest } from "@chestnutspool/types";
-import { Effect, type Scope } from "effect";
+import { Effect, Fiber, type Scope } from "effect";
+import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createForwarder } from "./forwarder.js";
@@ -90,3 +91,54 @@
         const reply = yield* forwarder.forwardRequest(request, 2_000);
         assert.deepEqual(reply, { kind: "phase", phase: "running" });
     })));
+
+/** Step by which simulated time advances, in milliseconds. */
+const stepMs = 10;
+
+/** Runs a test in simulated time. */
+function runSimulated(effect: Effect.Effect<void, never, Scope.Scope>): Promise<void> {
+    return Effect.runPromise(Effect.scoped(effect).pipe(Effect.provide(TestClock.layer())));
+}
+
+const pass = Effect.fnUntraced(function*(milliseconds: number) {
+    for (let passedMs = 0; passedMs < milliseconds; passedMs += stepMs) {
+        yield* TestClock.adjust(stepMs);
+    }
+});
+
+// Guards against an overload that feeds itself: each repeated request is more work for a leader that is too busy already.
+test("a request whose answer is pending at the leader is not sent there again", () =>
+    runSimulated(Effect.gen(function*() {
+        const { state, forwarder } = yield* openSystem(() => Effect.delay(answerPhase(), 1_500));
+        const reply = yield* Effect.forkScoped(forwarder.forwardRequest(request, 2_000));
+        yield* pass(1_900);
+        assert.deepEqual(state.asked, ["a"]);
+        assert.deepEqual(yield* Fiber.join(reply), { kind: "phase", phase: "running" });
+    })));
+
+// Guards against waiting for a frozen leader until the deadline although its successor is known.
+test("a request pending at a frozen leader goes to the next leader as soon as it is located", () =>
+    runSimulated(Effect.gen(function*() {
+        const { state, forwarder } = yield* openSystem(self => self === "a" ? Effect.never : answerPhase());
+        const reply = yield* Effect.forkScoped(forwarder.forwardRequest(request, 5_000));
+        yield* pass(1_000);
+        state.leader = "b";
+        // One interval of locating and the pause before a retry.
+        yield* pass(440);
+        assert.deepEqual(reply.pollUnsafe()?._tag, "Success");
+        assert.deepEqual(state.asked, ["a", "b"]);
+    })));
+
+// Guards against a request that waits for its deadline although the link that carried it has broken.
+test("a request is sent again after the call failed", () =>
+    runSimulated(Effect.gen(function*() {
+        let calls = 0;
+        const { state, forwarder } = yield* openSystem(() => {
+            calls += 1;
+            return calls === 1 ? Effect.die("the handler failed") : answerPhase();
+        });
+        const reply = yield* Effect.forkScoped(forwarder.forwardRequest(request, 1_000));
+        yield* pass(200);
+        assert.deepEqual(reply.pollUnsafe()?._tag, "Success");
+        assert.deepEqual(state.asked, ["a", "a"]);
+    })));
--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -9,12 +9,13 @@
     type ErrorData,
     type JobReply,
     type JobRequest,
+    type PeerId,
     type PeerLink,
     readMonotonicMs,
 } from "@chestnutspool/types";
-import { Cause, Effect, Exit } from "effect";
+import { Cause, Effect, Exit, Queue } from "effect";
 
-/** Timeout of one call to the leader, in milliseconds; a commit takes a few disk syncs. */
+/** Time without an answer after which the leader is located again, in milliseconds; a commit takes a few disk syncs. */
 const attemptTimeoutMs = 400;
 /** Pause before a retry when no leader is known or the leader has not changed, in milliseconds. */
 const retryPauseMs = 40;
@@ -63,6 +64,21 @@
     leader: string | undefined;
 }
 
+/** Attempts of one request. */
+interface Attempts {
+    /** Leaders whose answer is pending. */
+    readonly pending: Set<PeerId>;
+    /** Attempts that have ended and are not handled yet. */
+    readonly ended: { readonly leader: ControlAddress; readonly reply: JobReply; }[];
+    /** Gets an item when an attempt ends. */
+    readonly changes: Queue.Queue<void>;
+}
+
+/** Whether a leader has answered the request, so that it is not sent to another one. */
+function isFinal(reply: JobReply): reply is Exclude<ForwardReply, { readonly kind: "noLeader" | "outcomeUnknown"; }> {
+    return reply.kind !== "notLeader" && reply.kind !== "outcomeUnknown";
+}
+
 /** Chooses the log level of a reply: warn for failures, debug for reads and heartbeats, info for everything else. */
 function chooseLogMethod(logger: Logger, request: JobRequest, reply: ForwardReply): Logger["info"] {
     if (reply.kind === "noLeader" || reply.kind === "outcomeUnknown") {
@@ -116,31 +132,78 @@
         return uncertain ? { kind: "outcomeUnknown" } as const : { kind: "notLeader", leader: undefined } as const;
     });
 
+    /** Starts an attempt that adds its reply to `ended`; it is cancelled when the scope closes. */
+    const startAttempt = Effect.fnUntraced(function*(
+        attempts: Attempts,
+        leader: ControlAddress,
+        request: JobRequest,
+        limitMs: number,
+    ) {
+        attempts.pending.add(leader.id);
+        yield* Effect.forkScoped(Effect.map(attempt(leader, request, limitMs), reply => {
+            attempts.pending.delete(leader.id);
+            attempts.ended.push({ leader, reply });
+            Queue.offerUnsafe(attempts.changes, undefined);
+        }));
+    });
+
+    const awaitAttempt = (attempts: Attempts): Effect.Effect<void> =>
+        attempts.ended.length > 0 ? Effect.void : Queue.take(attempts.changes);
+
+    /** Waits until an attempt ends, at most `limitMs`. */
+    const awaitAttemptFor = (attempts: Attempts, limitMs: number): Effect.Effect<void> =>
+        Effect.asVoid(Effect.timeoutOption(awaitAttempt(attempts), limitMs));
+
+    /** Locates the leader; returns `undefined` early when an attempt ends. */
+    const locateUnlessEnded = (attempts: Attempts) =>
+        Effect.raceFirst(locate, Effect.as(awaitAttempt(attempts), undefined));
+
+    /**
+     * Sends the request until a leader has answered. A leader whose answer is still pending over an unbroken link does
+     * not get the request again, because a repeated request is more work for a leader that is too busy to answer.
+     */
     const retryUntil = Effect.fnUntraced(function*(request: JobRequest, deadlineMs: number, trace: ForwardTrace) {
+        const attempts: Attempts = { pending: new Set(), ended: [], changes: yield* Queue.sliding<void>(1) };
         let mayHaveEffect = false;
-        for (let nowMs = yield* readMonotonicMs; nowMs < deadlineMs; nowMs = yield* readMonotonicMs) {
-            const leader = findLeader() ?? (yield* locate);
+        while (true) {
+            for (const { leader, reply } of attempts.ended.splice(0)) {
+                if (isFinal(reply)) {
+                    trace.leader = leader.id;
+                    return reply;
+                }
+                mayHaveEffect ||= reply.kind === "outcomeUnknown";
+            }
+            const leftMs = deadlineMs - (yield* readMonotonicMs);
+            if (leftMs <= 0) {
+                break;
+            }
+            const leader = findLeader() ?? (yield* locateUnlessEnded(attempts));
             if (leader === undefined) {
-                yield* Effect.sleep(retryPauseMs);
+                yield* awaitAttemptFor(attempts, Math.min(retryPauseMs, leftMs));
                 continue;
             }
-            trace.attempts += 1;
-            trace.leader = leader.id;
-            const reply = yield* attempt(leader, request, Math.min(attemptTimeoutMs, deadlineMs - nowMs));
-            if (reply.kind !== "notLeader" && reply.kind !== "outcomeUnknown") {
-                return reply satisfies ForwardReply;
+            if (!attempts.pending.has(leader.id)) {
+                trace.attempts += 1;
+                trace.leader = leader.id;
+                yield* startAttempt(attempts, leader, request, leftMs);
             }
-            mayHaveEffect ||= reply.kind === "outcomeUnknown";
-            const next = yield* locate;
-            if (next === undefined || next.id === leader.id) {
-                if (next === undefined) {
-                    forgetLeader(leader);
-                }
+            yield* awaitAttemptFor(attempts, Math.min(attemptTimeoutMs, leftMs));
+            if (attempts.ended.some(({ reply }) => isFinal(reply))) {
+                continue;
+            }
+            const isPending = attempts.pending.has(leader.id);
+            const next = yield* isPending ? locateUnlessEnded(attempts) : locate;
+            if (next === undefined && attempts.ended.length === 0) {
+                forgetLeader(leader);
+            }
+            if (!isPending && (next === undefined || next.id === leader.id)) {
                 yield* Effect.sleep(retryPauseMs);
             }
         }
-        return mayHaveEffect ? { kind: "outcomeUnknown" } as const : { kind: "noLeader" } as const;
-    });
+        return mayHaveEffect || attempts.pending.size > 0
+            ? { kind: "outcomeUnknown" } as const
+            : { kind: "noLeader" } as const;
+    }, Effect.scoped);
 
     const forwardRequest = Effect.fnUntraced(function*(request: JobRequest, budgetMs: number) {
         const startedMs = yield* readMonotonicMs;
