Share one search for the leader among the requests that wait

Cause: each request that waited for a leader asked every control process who leads, so that the searches of an entry process grew with the requests that it held, and the busy leader answered them too.

Change: a process runs one search at a time; requests that wait share its result.

Result: 40 requests that waited for a leader made 200 calls in one second of simulated time before and at most 6 now.

--- a/packages/forward-jobs/src/forwarder.test.ts
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -19,15 +19,22 @@
 /** Control processes `a` and `b`, one of which is the leader, and an entry process with a forwarder. */
 const openSystem = Effect.fnUntraced(function*(answer: (self: string) => Effect.Effect<JobReply>) {
     const network = yield* createMemoryNetwork;
-    const state: { leader: string | undefined; asked: string[]; } = { leader: "a", asked: [] };
+    const state: { leader: string | undefined; asked: string[]; searches: number; } = {
+        leader: "a",
+        asked: [],
+        searches: 0,
+    };
     for (const id of ["a", "b"]) {
         const link = yield* network.createLink(id, silentLogger);
         link.openChannel<DirectoryRequest, DirectoryReply>("directory", {
             handleCall: () =>
-                Effect.sync(() => ({
-                    leader: state.leader === undefined ? undefined : makeAddress(state.leader),
-                    members: ["a", "b"].map(makeAddress),
-                })),
+                Effect.sync(() => {
+                    state.searches += 1;
+                    return {
+                        leader: state.leader === undefined ? undefined : makeAddress(state.leader),
+                        members: ["a", "b"].map(makeAddress),
+                    };
+                }),
         });
         link.openChannel<JobRequest, JobReply>("jobs", {
             handleCall: () =>
@@ -142,3 +149,17 @@
         assert.deepEqual(reply.pollUnsafe()?._tag, "Success");
         assert.deepEqual(state.asked, ["a", "a"]);
     })));
+
+// Guards against searches that grow with the requests that wait, each of which asks every control process.
+test("requests that wait at the same time share one search for the leader", () =>
+    runSimulated(Effect.gen(function*() {
+        const { network, state, forwarder } = yield* openSystem(() => Effect.never);
+        ["a", "b"].forEach(id => network.setDelay("entry", id, stepMs));
+        yield* Effect.forEach(
+            Array.from({ length: 40 }),
+            () => Effect.forkScoped(forwarder.forwardRequest(request, 2_000)),
+        );
+        yield* pass(1_000);
+        // One search at the start and two after an attempt timeout, each of which asks two processes.
+        assert.ok(state.searches <= 6, `${state.searches} calls`);
+    })));
--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -13,7 +13,7 @@
     type PeerLink,
     readMonotonicMs,
 } from "@chestnutspool/types";
-import { Cause, Effect, Exit, Queue } from "effect";
+import { Cause, Deferred, Effect, Exit, Queue } from "effect";
 
 /** Time without an answer after which the leader is located again, in milliseconds; a commit takes a few disk syncs. */
 const attemptTimeoutMs = 400;
@@ -108,7 +108,7 @@
         }
     };
 
-    const locate = Effect.gen(function*() {
+    const locateOnce = Effect.gen(function*() {
         const leader = yield* locateLeader(view, link, directory);
         if (leader !== undefined && leader.id !== loggedLeader) {
             loggedLeader = leader.id;
@@ -117,6 +117,25 @@
         return leader;
     });
 
+    /** The search for the leader that is in progress. */
+    let search: Deferred.Deferred<ControlAddress | undefined> | undefined;
+
+    /** Locates the leader. Requests that wait at the same time share one search. */
+    const locate = Effect.suspend(() => {
+        if (search !== undefined) {
+            return Deferred.await(search);
+        }
+        const started = Deferred.makeUnsafe<ControlAddress | undefined>();
+        search = started;
+        const run = Effect.gen(function*() {
+            const exit = yield* Effect.exit(locateOnce);
+            search = undefined;
+            yield* Deferred.done(started, exit);
+        });
+        // Detached, because the request that starts the search may end before those that share it.
+        return Effect.andThen(Effect.forkDetach(run), Deferred.await(started));
+    });
+
     /** Calls the leader once. A failed call is `outcomeUnknown` if it may have had an effect, otherwise `notLeader`. */
     const attempt = Effect.fnUntraced(function*(leader: ControlAddress, request: JobRequest, limitMs: number) {
         if (leader.id === link.self && dependencies.handleLocally !== undefined) {
