Refuse submissions at once while the leader answers nothing

Cause: each submission was held for one second, or until 80% of its caller's deadline, although the leader had answered nothing for seconds or none had been known for longer than an election takes. Callers then had no time left to come back, and the requests held by one process had no limit.

Change: the forwarder records when the leader last answered and since when calls wait. After 1.5 s without an answer or a leader, a submission gets noLeader at once, which is true because it was not sent; one submission at a time probes a silent leader, so that service comes back by itself. A process holds at most 1,000 requests. noLeader tells when to come back, 0.5 to 2 s by the id of the request. Each refusal is a log line with its reason, and a counter.

--- a/packages/forward-jobs/src/forwarder.test.ts
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -3,11 +3,12 @@
 import { createMemoryNetwork } from "@chestnutspool/peer-link";
 import { createMetrics } from "@chestnutspool/record-metrics";
 import type { ControlAddress, DirectoryReply, DirectoryRequest, JobReply, JobRequest } from "@chestnutspool/types";
-import { Effect, Fiber, type Scope } from "effect";
+import { Effect, Exit, Fiber, type Scope } from "effect";
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createForwarder } from "./forwarder.js";
+import { computeRetryMs } from "./leader-contact.js";
 
 const budgetMs = 1_000;
 const request: JobRequest = { kind: "readJob", job: "a", hostName: "jobs.example", path: "/main/a" };
@@ -75,7 +76,8 @@
     run(Effect.gen(function*() {
         const { state, forwarder } = yield* openSystem(answerPhase);
         state.leader = undefined;
-        assert.deepEqual(yield* forwarder.forwardRequest(request, 200), { kind: "noLeader" });
+        const retryAfterMs = computeRetryMs("a");
+        assert.deepEqual(yield* forwarder.forwardRequest(request, 200), { kind: "noLeader", retryAfterMs });
         assert.ok(!forwarder.hasLeader());
     })));
 
@@ -99,6 +101,15 @@
         assert.deepEqual(reply, { kind: "phase", phase: "running" });
     })));
 
+function makeSubmission(id: string): JobRequest {
+    return {
+        kind: "submitJob",
+        spec: { id, payload: "", steps: [], occurrences: 1, firstAtMs: undefined, intervalMs: 0 },
+        hostName: "jobs.example",
+        path: `/main/${id}`,
+    };
+}
+
 /** Step by which simulated time advances, in milliseconds. */
 const stepMs = 10;
 
@@ -163,3 +174,58 @@
         // One search at the start and two after an attempt timeout, each of which asks two processes.
         assert.ok(state.searches <= 6, `${state.searches} calls`);
     })));
+
+// Guards against callers who wait until their deadline for a leader that answers nothing.
+test("while the leader is silent one submission probes it and the others are refused at once as not sent", () =>
+    runSimulated(Effect.gen(function*() {
+        let isSilent = true;
+        const { state, forwarder } = yield* openSystem(() => isSilent ? Effect.never : answerPhase());
+        yield* Effect.forkScoped(forwarder.forwardRequest(request, 2_000));
+        yield* pass(1_600);
+        const probe = yield* Effect.forkScoped(forwarder.forwardRequest(makeSubmission("probe"), 1_000));
+        yield* pass(50);
+        const sentBefore = state.asked.length;
+        const refused = yield* Effect.forkScoped(forwarder.forwardRequest(makeSubmission("b"), 1_000));
+        yield* pass(10);
+        const exit = refused.pollUnsafe();
+        assert.ok(exit !== undefined && Exit.isSuccess(exit) && exit.value.kind === "noLeader");
+        assert.equal(state.asked.length, sentBefore);
+        yield* pass(1_000);
+        assert.deepEqual(yield* Fiber.join(probe), { kind: "outcomeUnknown" });
+        isSilent = false;
+        // Service comes back by the next submission, which probes the leader, without any other change.
+        assert.equal((yield* forwarder.forwardRequest(makeSubmission("c"), 1_000)).kind, "phase");
+        assert.equal((yield* forwarder.forwardRequest(makeSubmission("d"), 1_000)).kind, "phase");
+    })));
+
+// Guards against holding each submission for a second although the election has not ended for a long time.
+test("without a leader for longer than an election a submission is refused at once", () =>
+    runSimulated(Effect.gen(function*() {
+        const { state, forwarder } = yield* openSystem(answerPhase);
+        state.leader = undefined;
+        yield* Effect.forkScoped(forwarder.keepLocating);
+        yield* pass(500);
+        const held = yield* Effect.forkScoped(forwarder.forwardRequest(makeSubmission("a"), 1_000));
+        yield* pass(10);
+        assert.equal(held.pollUnsafe(), undefined);
+        yield* pass(1_500);
+        const refused = yield* Effect.forkScoped(forwarder.forwardRequest(makeSubmission("b"), 1_000));
+        yield* pass(10);
+        const exit = refused.pollUnsafe();
+        assert.ok(exit !== undefined && Exit.isSuccess(exit) && exit.value.kind === "noLeader");
+        state.leader = "a";
+        yield* pass(300);
+        assert.equal((yield* forwarder.forwardRequest(makeSubmission("c"), 1_000)).kind, "phase");
+    })));
+
+// Guards against memory that grows without bound with the requests that wait for a leader.
+test("a process holds a bounded number of requests", () =>
+    runSimulated(Effect.gen(function*() {
+        const { state, forwarder } = yield* openSystem(() => Effect.never);
+        yield* Effect.forEach(
+            Array.from({ length: 1_001 }),
+            () => Effect.forkScoped(forwarder.forwardRequest(request, 2_000)),
+        );
+        yield* pass(300);
+        assert.equal(state.asked.length, 1_000);
+    })));
--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -14,6 +14,15 @@
     readMonotonicMs,
 } from "@chestnutspool/types";
 import { Cause, Deferred, Effect, Exit, Queue } from "effect";
+import {
+    computeRetryMs,
+    createLeaderContact,
+    decideHold,
+    type HoldDecision,
+    recordCall,
+    recordCallEnd,
+    recordLeader,
+} from "./leader-contact.js";
 
 /** Time without an answer after which the leader is located again, in milliseconds; a commit takes a few disk syncs. */
 const attemptTimeoutMs = 400;
@@ -21,7 +30,10 @@
 const retryPauseMs = 40;
 
 /** Reply to a forwarded request; `noLeader` means that it was certainly not carried out. */
-export type ForwardReply = Exclude<JobReply, { readonly kind: "notLeader"; }> | { readonly kind: "noLeader"; };
+export type ForwardReply =
+    | Exclude<JobReply, { readonly kind: "notLeader"; }>
+    /** `retryAfterMs`: time after which a leader is likely to answer, spread over the callers. */
+    | { readonly kind: "noLeader"; readonly retryAfterMs: number; };
 
 /** Dependencies of a forwarder. */
 export interface ForwarderDependencies {
@@ -39,7 +51,7 @@
 export interface Forwarder {
     /**
      * Retries until the leader has answered or `budgetMs` has passed. All requests are safe to repeat, because each
-     * carries an id, version or sequence number.
+     * carries an id, version or sequence number. A submission that the leader is not likely to answer is refused at once.
      */
     readonly forwardRequest: (request: JobRequest, budgetMs: number) => Effect.Effect<ForwardReply>;
     /** Whether the leader is known. */
@@ -89,12 +101,28 @@
     return isRoutine ? logger.debug : logger.info;
 }
 
+/** Lists the log fields that tell why a request was refused without a call. */
+function describeRefusal(decision: HoldDecision, heldRequests: number) {
+    return decision.kind === "refuse"
+        ? { refusal: decision.refusal, silentMs: Math.round(decision.silentMs), heldRequests }
+        : {};
+}
+
+function createNoLeaderReply(request: JobRequest): ForwardReply {
+    const { job, worker } = describeJobRequest(request);
+    return { kind: "noLeader", retryAfterMs: computeRetryMs(String(job ?? worker ?? "")) };
+}
+
 /** Creates a forwarder on the link of this process. */
 export function createForwarder(dependencies: ForwarderDependencies): Forwarder {
     const { link, view, logger } = dependencies;
     const jobs = link.openChannel<JobRequest, JobReply>("jobs", {});
     const directory = link.openChannel<DirectoryRequest, DirectoryReply>("directory", {});
 
+    const contact = createLeaderContact();
+    /** Requests that are held until the leader answers. */
+    let heldRequests = 0;
+
     /** Leader that was logged last, so that requests that locate it at the same time log it once. */
     let loggedLeader: string | undefined;
 
@@ -142,7 +170,17 @@
             return yield* dependencies.handleLocally(request);
         }
         link.setPeer(leader.id, leader.address);
-        const exit = yield* Effect.exit(jobs.callPeer(leader.id, request, limitMs));
+        recordCall(contact, leader.id, yield* readMonotonicMs);
+        let isAnswered = false;
+        const exit = yield* Effect.exit(jobs.callPeer(leader.id, request, limitMs)).pipe(
+            Effect.tap(({ _tag: tag }) =>
+                Effect.sync(() => {
+                    isAnswered = tag === "Success";
+                })
+            ),
+            // Also when the call is cancelled at the end of the request's time.
+            Effect.ensuring(Effect.map(readMonotonicMs, nowMs => recordCallEnd(contact, leader.id, isAnswered, nowMs))),
+        );
         if (Exit.isSuccess(exit)) {
             return exit.value;
         }
@@ -221,13 +259,35 @@
         }
         return mayHaveEffect || attempts.pending.size > 0
             ? { kind: "outcomeUnknown" } as const
-            : { kind: "noLeader" } as const;
+            : createNoLeaderReply(request);
     }, Effect.scoped);
 
+    /** Holds a request until the leader has answered it or its time has passed. */
+    const holdRequest = (request: JobRequest, deadlineMs: number, isProbe: boolean, trace: ForwardTrace) =>
+        Effect.suspend(() => {
+            heldRequests += 1;
+            contact.isProbing ||= isProbe;
+            return Effect.ensuring(
+                retryUntil(request, deadlineMs, trace),
+                Effect.sync(() => {
+                    heldRequests -= 1;
+                    contact.isProbing &&= !isProbe;
+                }),
+            );
+        });
+
     const forwardRequest = Effect.fnUntraced(function*(request: JobRequest, budgetMs: number) {
         const startedMs = yield* readMonotonicMs;
         const trace: ForwardTrace = { attempts: 0, leader: undefined };
-        const reply: ForwardReply = yield* retryUntil(request, startedMs + budgetMs, trace);
+        recordLeader(contact, findLeader()?.id, startedMs);
+        const held = heldRequests;
+        const decision = decideHold(contact, request.kind === "submitJob", held, startedMs);
+        if (decision.kind === "refuse") {
+            dependencies.metrics.countEvent(`requests.refused.${decision.refusal}`, "", request.kind);
+        }
+        const reply: ForwardReply = decision.kind === "hold"
+            ? yield* holdRequest(request, startedMs + budgetMs, decision.isProbe, trace)
+            : createNoLeaderReply(request);
         const tookMs = (yield* readMonotonicMs) - startedMs;
         dependencies.metrics.recordDuration("requestMs", "", request.kind, tookMs);
         dependencies.metrics.countEvent(`replies.${reply.kind}`, "", request.kind);
@@ -240,6 +300,8 @@
             attempts: trace.attempts,
             tookMs: Math.round(tookMs),
             budgetMs: Math.round(budgetMs),
+            ...describeRefusal(decision, held),
+            retryAfterMs: reply.kind === "noLeader" ? reply.retryAfterMs : undefined,
         });
         return reply;
     });
@@ -251,6 +313,7 @@
             seeds.forEach(seed => view.candidates.set(seed.id, seed));
         },
         keepLocating: Effect.forever(Effect.gen(function*() {
+            recordLeader(contact, findLeader()?.id, yield* readMonotonicMs);
             if (findLeader() === undefined) {
                 yield* locate;
             }
