Report a refusal as unknown if an earlier attempt may have had an effect

Cause: a request can be pending at one leader while another one refuses it, or be refused after a call whose outcome is not known. The caller was then told that the job never runs, although the other attempt could still be committed.

Change: a refusal is passed on only when no other attempt of the request may have been carried out; otherwise the reply is outcomeUnknown and the caller sends the request again.

--- a/packages/forward-jobs/src/forwarder.test.ts
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -229,3 +229,21 @@
         yield* pass(300);
         assert.equal(state.asked.length, 1_000);
     })));
+
+// Guards against telling a caller that its job never runs although an earlier attempt may have been committed.
+test("a refusal after an attempt with an unknown outcome is reported as outcomeUnknown", () =>
+    runSimulated(Effect.gen(function*() {
+        let calls = 0;
+        const { forwarder } = yield* openSystem(() => {
+            calls += 1;
+            return calls === 1
+                ? Effect.die("the handler failed")
+                : Effect.succeed({ kind: "rejected", reason: "overloaded", retryAfterMs: 1_000 });
+        });
+        const reply = yield* Effect.forkScoped(forwarder.forwardRequest(makeSubmission("a"), 1_000));
+        yield* pass(200);
+        const exit = reply.pollUnsafe();
+        assert.ok(exit !== undefined && Exit.isSuccess(exit));
+        assert.deepEqual(exit.value, { kind: "outcomeUnknown" });
+        assert.equal((yield* forwarder.forwardRequest(makeSubmission("b"), 1_000)).kind, "rejected");
+    })));
--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -91,6 +91,23 @@
     return reply.kind !== "notLeader" && reply.kind !== "outcomeUnknown";
 }
 
+/**
+ * Chooses the reply of the attempts that have ended; undefined if none is final. A leader tells only of itself that it
+ * refused the job: the reply is `outcomeUnknown` if another attempt may have been carried out.
+ */
+function chooseFinalReply(ended: Attempts["ended"], mayHaveOtherEffect: boolean) {
+    let refusal: { readonly leader: ControlAddress; readonly reply: ForwardReply; } | undefined;
+    for (const { leader, reply } of ended) {
+        if (isFinal(reply)) {
+            if (reply.kind !== "rejected") {
+                return { leader, reply };
+            }
+            refusal = { leader, reply: mayHaveOtherEffect ? { kind: "outcomeUnknown" } : reply };
+        }
+    }
+    return refusal;
+}
+
 /** Chooses the log level of a reply: warn for failures, debug for reads and heartbeats, info for everything else. */
 function chooseLogMethod(logger: Logger, request: JobRequest, reply: ForwardReply): Logger["info"] {
     if (reply.kind === "noLeader" || reply.kind === "outcomeUnknown") {
@@ -223,12 +240,12 @@
         const attempts: Attempts = { pending: new Set(), ended: [], changes: yield* Queue.sliding<void>(1) };
         let mayHaveEffect = false;
         while (true) {
-            for (const { leader, reply } of attempts.ended.splice(0)) {
-                if (isFinal(reply)) {
-                    trace.leader = leader.id;
-                    return reply;
-                }
-                mayHaveEffect ||= reply.kind === "outcomeUnknown";
+            const ended = attempts.ended.splice(0);
+            mayHaveEffect ||= ended.some(({ reply }) => reply.kind === "outcomeUnknown");
+            const final = chooseFinalReply(ended, mayHaveEffect || attempts.pending.size > 0);
+            if (final !== undefined) {
+                trace.leader = final.leader.id;
+                return final.reply;
             }
             const leftMs = deadlineMs - (yield* readMonotonicMs);
             if (leftMs <= 0) {
