Refuse jobs that would end too late, or while the leader is too busy

Cause: every job was accepted, however much waited. A job whose result has no value any more still cost the leader the work of its 20 to 100 tasks, and its caller learnt nothing until the end of its time.

Change: the package admit-jobs decides about each new job before any commit, from the work that goes before it in the planner's order, the rates at which the pool has recently started and ended work, and the smoothed delay of the leader's timers. Nothing is refused for waiting work until the pool has been full for 5 s, nor for a prediction below twice the time after which the result has no value. A busy leader refuses the least urgent queues first. Jobs for later and long-running ones are refused only by a busy leader. A job that is recorded, or was proposed in this term with an unknown outcome, is never refused. Each refusal has a log line with its inputs, and a counter.

--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -280,7 +280,7 @@
     }, Effect.scoped);
 
     /** Holds a request until the leader has answered it or its time has passed. */
-    const holdRequest = (request: JobRequest, deadlineMs: number, isProbe: boolean, trace: ForwardTrace) =>
+    const forwardHeld = (request: JobRequest, deadlineMs: number, isProbe: boolean, trace: ForwardTrace) =>
         Effect.suspend(() => {
             heldRequests += 1;
             contact.isProbing ||= isProbe;
@@ -303,7 +303,7 @@
             dependencies.metrics.countEvent(`requests.refused.${decision.refusal}`, "", request.kind);
         }
         const reply: ForwardReply = decision.kind === "hold"
-            ? yield* holdRequest(request, startedMs + budgetMs, decision.isProbe, trace)
+            ? yield* forwardHeld(request, startedMs + budgetMs, decision.isProbe, trace)
             : createNoLeaderReply(request);
         const tookMs = (yield* readMonotonicMs) - startedMs;
         dependencies.metrics.recordDuration("requestMs", "", request.kind, tookMs);
--- a/packages/forward-jobs/src/leader-contact.ts
+++ b/packages/forward-jobs/src/leader-contact.ts
@@ -1,4 +1,4 @@
-import type { PeerId } from "@chestnutspool/types";
+import { computeShareOfId, type PeerId } from "@chestnutspool/types";
 
 /**
  * Time without any answer, or without a known leader, after which submissions are no longer held, in milliseconds. An
@@ -118,21 +118,7 @@
         : { kind: "hold", isProbe: true };
 }
 
-/**
- * Computes a share from 0 to 1 from an id, so that the same caller always gets the same one: FNV-1a, with the last step
- * of MurmurHash3 because the high bits of FNV-1a hardly depend on the last characters.
- */
-function computeShare(id: string): number {
-    let hash = 0x811c9dc5;
-    for (const character of id) {
-        hash = Math.imul(hash ^ character.charCodeAt(0), 0x01000193);
-    }
-    hash = Math.imul(hash ^ hash >>> 16, 0x85ebca6b);
-    hash = Math.imul(hash ^ hash >>> 13, 0xc2b2ae35);
-    return ((hash ^ hash >>> 16) >>> 0) / 2 ** 32;
-}
-
 /** Computes after how long a caller without a leader should come back, in milliseconds, spread by its request's id. */
 export function computeRetryMs(id: string): number {
-    return Math.round(shortestRetryMs + retrySpreadMs * computeShare(id));
+    return Math.round(shortestRetryMs + retrySpreadMs * computeShareOfId(id));
 }
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -3,6 +3,7 @@
 export { createJobMachine, type JobMachine } from "./job-machine.js";
 export {
     computeReservation,
+    createJob,
     isJobEnded,
     isStepReady,
     type JobOccurrence,
--- /dev/null
+++ b/packages/lead-jobs/src/admission.ts
@@ -0,0 +1,258 @@
+import {
+    type Backlog,
+    createBacklogEntry,
+    createLeaderBusyness,
+    createThroughput,
+    decideAdmission,
+    type LeaderBusyness,
+    listBacklog,
+    recordAccepted,
+    recordEnded,
+    recordPoolState,
+    recordStarted,
+    type Throughput,
+} from "@chestnutspool/admit-jobs";
+import type { JobState } from "@chestnutspool/job-state";
+import type {
+    JobCommand,
+    JobDefinition,
+    JobId,
+    JobReply,
+    JobResult,
+    QueueSettings,
+    Resources,
+    StepSpec,
+} from "@chestnutspool/types";
+import type { Term } from "./term.js";
+
+/** Interval at which the waiting work is listed, in milliseconds; listing reads every open job. */
+const observeIntervalMs = 500;
+/** Smoothed delay of timers from which the leader and not its pools limits the starts, in milliseconds. */
+const limitingDelayMs = 100;
+/** Number of jobs with an uncertain outcome from which those that are known by now are removed. */
+const uncertainJobsLimit = 1_000;
+const milliCpuPerCore = 1_000;
+
+/** What a leader knows for the decision about new jobs. */
+export interface Admission {
+    backlog: Backlog;
+    /** When the backlog was listed, in monotonic milliseconds. */
+    observedAtMs: number;
+    readonly throughputs: Map<string, Throughput>;
+    readonly busyness: LeaderBusyness;
+    /** Jobs that this leader proposed and that may still be committed; they are not refused. */
+    readonly proposedJobs: Set<JobId>;
+}
+
+/** Creates the record of a term that has just opened. */
+export function createAdmission(): Admission {
+    return {
+        backlog: [],
+        observedAtMs: Number.NEGATIVE_INFINITY,
+        throughputs: new Map(),
+        busyness: createLeaderBusyness(),
+        proposedJobs: new Set(),
+    };
+}
+
+function getThroughput(admission: Admission, service: string): Throughput {
+    const known = admission.throughputs.get(service);
+    if (known !== undefined) {
+        return known;
+    }
+    const created = createThroughput();
+    admission.throughputs.set(service, created);
+    return created;
+}
+
+function computeCoreMs(spec: StepSpec): number {
+    return spec.expectedRunMs * spec.resources.milliCpu / milliCpuPerCore;
+}
+
+/** Work that a command starts or ends; read before it is applied, because a job that closes loses its definition. */
+export interface CommandWork {
+    readonly kind: "started" | "ended";
+    readonly service: string;
+    readonly coreMs: number;
+    /** Position in the command. */
+    readonly position: number;
+}
+
+type CommandContent = JobCommand extends infer Command ? Command extends unknown ? Omit<Command, "nowMs"> : never
+    : never;
+
+function findWork(state: JobState, job: JobId, step: number) {
+    const record = state.jobs.get(job);
+    const spec = record?.definition.steps[step];
+    return record === undefined || spec === undefined || spec.longRunning
+        ? undefined
+        : { service: record.queue.service, coreMs: computeCoreMs(spec) };
+}
+
+/** Lists the work that a command starts or ends successfully. */
+export function listCommandWork(state: JobState, command: CommandContent): CommandWork[] {
+    const listed: CommandWork[] = [];
+    if (command.kind === "startRuns") {
+        command.starts.forEach(({ job, step }, position) => {
+            const work = findWork(state, job, step);
+            if (work !== undefined) {
+                listed.push({ kind: "started", position, ...work });
+            }
+        });
+    }
+    if (command.kind === "endRuns") {
+        command.ends.forEach(({ job, step, outcome }, position) => {
+            const work = outcome === "succeeded" ? findWork(state, job, step) : undefined;
+            if (work !== undefined) {
+                listed.push({ kind: "ended", position, ...work });
+            }
+        });
+    }
+    return listed;
+}
+
+/** Records the work of a committed command. */
+export function recordWork(admission: Admission, work: readonly CommandWork[], result: JobResult, nowMs: number): void {
+    const refused = new Set(result.kind === "started" ? result.refused : []);
+    for (const { kind, service, coreMs, position } of work) {
+        if (kind === "ended") {
+            recordEnded(getThroughput(admission, service), coreMs, nowMs);
+        }
+        else if (!refused.has(position)) {
+            recordStarted(getThroughput(admission, service), coreMs, nowMs);
+        }
+    }
+}
+
+interface PoolUse {
+    capacity: Resources;
+    used: Resources;
+    coresInUse: number;
+}
+
+function addResources(left: Resources, right: Resources): Resources {
+    return {
+        milliCpu: left.milliCpu + right.milliCpu,
+        memoryMib: left.memoryMib + right.memoryMib,
+        accelerators: left.accelerators + right.accelerators,
+    };
+}
+
+/** Sums for each pool what its workers have and what their runs use; best-effort runs count with their processors. */
+function sumPools(state: JobState): Map<string, PoolUse> {
+    const none: Resources = { milliCpu: 0, memoryMib: 0, accelerators: 0 };
+    const pools = new Map<string, PoolUse>();
+    for (const { info, runs } of state.workers.values()) {
+        const pool = pools.get(info.service) ?? { capacity: none, used: none, coresInUse: 0 };
+        pools.set(info.service, pool);
+        pool.capacity = addResources(pool.capacity, info.capacity);
+        for (const { step: { spec } } of runs.values()) {
+            pool.used = addResources(pool.used, spec.resources);
+            pool.coresInUse += spec.longRunning ? 0 : spec.resources.milliCpu / milliCpuPerCore;
+        }
+    }
+    return pools;
+}
+
+function computeUsedShare({ capacity, used }: PoolUse): number {
+    const share = (of: number, whole: number): number => whole === 0 ? 0 : of / whole;
+    return Math.max(
+        share(used.milliCpu, capacity.milliCpu),
+        share(used.memoryMib, capacity.memoryMib),
+        share(used.accelerators, capacity.accelerators),
+    );
+}
+
+/** Lists the waiting work again if the last list is older than `observeIntervalMs`. */
+export function observeWaitingWork(term: Term, nowMs: number, wallMs: number): void {
+    const { admission, machine } = term;
+    if (nowMs - admission.observedAtMs < observeIntervalMs) {
+        return;
+    }
+    admission.observedAtMs = nowMs;
+    admission.backlog = listBacklog(machine.state, wallMs);
+    const waitingTasks = new Map<string, number>();
+    for (const { service, tasks } of admission.backlog) {
+        waitingTasks.set(service, (waitingTasks.get(service) ?? 0) + tasks);
+    }
+    for (const [service, pool] of sumPools(machine.state)) {
+        recordPoolState(
+            getThroughput(admission, service),
+            waitingTasks.get(service) ?? 0,
+            computeUsedShare(pool),
+            admission.busyness.delayMs >= limitingDelayMs,
+            pool.coresInUse,
+            nowMs,
+        );
+    }
+}
+
+/**
+ * Whether a job is recorded or may still be: this leader proposed it and does not know the outcome. Such a job is never
+ * refused, because it may run. Jobs that earlier leaders proposed are recorded by now or can no longer be committed,
+ * because a term opens only after a commit of its own.
+ */
+export function canBeRecorded({ admission, machine }: Pick<Term, "admission" | "machine">, job: JobId): boolean {
+    return machine.state.jobs.has(job) || admission.proposedJobs.has(job);
+}
+
+/** Decides about a job that is certainly not recorded; returns the reply that refuses it, undefined if it is accepted. */
+export function refuseJob(
+    term: Term,
+    definition: JobDefinition,
+    queue: QueueSettings,
+    nowMs: number,
+    wallMs: number,
+): JobReply | undefined {
+    const { admission, machine } = term;
+    observeWaitingWork(term, nowMs, wallMs);
+    const inputs = {
+        backlog: admission.backlog,
+        throughput: getThroughput(admission, queue.service),
+        busyness: admission.busyness,
+        priorities: machine.state.configuration?.queues.map(({ priority }) => priority) ?? [],
+    };
+    const decision = decideAdmission(definition, queue, inputs, nowMs, wallMs);
+    if (decision.cause === undefined) {
+        return undefined;
+    }
+    term.metrics.countEvent(`jobs.overloaded.${decision.cause}`, queue.name, queue.service);
+    term.logger.info("job refused for overload", {
+        job: definition.id,
+        queue: queue.name,
+        priority: queue.priority,
+        refusal: decision.cause,
+        retryAfterMs: decision.retryAfterMs,
+        predictedWaitMs: Math.round(decision.waitMs),
+        aheadTasks: decision.aheadTasks,
+        aheadCoreMs: Math.round(decision.aheadCoreMs),
+        tasksPerSecond: Math.round(decision.tasksPerSecond),
+        cores: Math.round(decision.cores),
+        delayMs: Math.round(admission.busyness.delayMs),
+        waitingCommits: admission.busyness.waitingCommits,
+        backlogAgeMs: Math.round(nowMs - admission.observedAtMs),
+    });
+    return { kind: "rejected", reason: "overloaded", retryAfterMs: decision.retryAfterMs };
+}
+
+/** Records that a job is proposed, before its command may be appended to the log. */
+export function recordProposal(term: Pick<Term, "admission" | "machine">, job: JobId): void {
+    const { proposedJobs } = term.admission;
+    if (proposedJobs.size >= uncertainJobsLimit) {
+        [...proposedJobs].filter(id => term.machine.state.jobs.has(id)).forEach(id => proposedJobs.delete(id));
+    }
+    proposedJobs.add(job);
+}
+
+/** Adds the tasks of a job that was just accepted to the waiting work. */
+export function recordAcceptance(term: Term, job: JobId, nowMs: number, wallMs: number): void {
+    const { admission, machine } = term;
+    const record = machine.state.jobs.get(job);
+    for (const occurrence of record?.occurrences.values() ?? []) {
+        if (record !== undefined && (occurrence.dueAtMs ?? wallMs) <= wallMs) {
+            const entry = createBacklogEntry(record, occurrence, wallMs);
+            admission.backlog.push(entry);
+            recordAccepted(getThroughput(admission, entry.service), entry, nowMs);
+        }
+    }
+}
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -5,8 +5,11 @@
     type JobReply,
     type JobRequest,
     type JobResult,
+    readMonotonicMs,
+    readWallMs,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
+import { canBeRecorded, recordAcceptance, recordProposal, refuseJob } from "./admission.js";
 import { checkConfiguration } from "./check-configuration.js";
 import { checkJob } from "./check-job.js";
 import { recordHeartbeat, removeWorker } from "./record-heartbeat.js";
@@ -45,7 +48,7 @@
 const submitJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"submitJob">) {
     const { spec, hostName, path } = request;
     const { state } = term.machine;
-    if (!state.jobs.has(spec.id)) {
+    if (!canBeRecorded(term, spec.id)) {
         const queue = findQueue(state.configuration, hostName, path);
         if (queue === undefined) {
             term.logger.info("job has no queue", {
@@ -69,9 +72,17 @@
             });
             return refusal;
         }
+        // Decided before any commit, so that a refusal costs the leader next to nothing.
+        const overload = refuseJob(term, spec, queue, yield* readMonotonicMs, yield* readWallMs);
+        if (overload !== undefined) {
+            return overload;
+        }
     }
+    recordProposal(term, spec.id);
     const result = yield* propose(term, { kind: "submitJob", spec, hostName, path });
+    term.admission.proposedJobs.delete(spec.id);
     if (result.kind === "accepted" && !result.isRepeat) {
+        recordAcceptance(term, spec.id, yield* readMonotonicMs, yield* readWallMs);
         const queue = state.jobs.get(spec.id)?.queue;
         term.metrics.countEvent("jobs.accepted", queue?.name ?? "", queue?.service ?? "");
         term.logger.info("job accepted", {
--- a/packages/lead-jobs/src/lead-jobs.test.ts
+++ b/packages/lead-jobs/src/lead-jobs.test.ts
@@ -293,3 +293,63 @@
             assert.deepEqual(runs.map(({ run, endedAtMs }) => [run, endedAtMs]), [[2, undefined]]);
         }),
 );
+
+/** Submits a job of four tasks of one second every 100 ms, about ten times what one worker with four cores can run. */
+const overload = Effect.fnUntraced(function*(system: TestSystem, milliseconds: number) {
+    const replies = new Map<string, JobReply>();
+    for (let passedMs = 0; passedMs < milliseconds; passedMs += 100) {
+        const id = `job${passedMs}`;
+        replies.set(id, yield* system.submit(makeJob(id, [makeStep({ count: 4 })])));
+        yield* system.pass(80);
+    }
+    return replies;
+});
+
+// Guards against accepting jobs that would end when their result has no value any more, and against refusals that are not true.
+testSystem(
+    "under a lasting overload jobs are refused with a time to come back, and refused jobs never run",
+    system =>
+        Effect.gen(function*() {
+            yield* system.addWorker(makeWorker("w1"));
+            yield* system.pass(100);
+            const replies = yield* overload(system, 12_000);
+            const refused = [...replies].filter(([, reply]) => reply.kind === "rejected").map(([id]) => id);
+            assert.ok(refused.length > 20, `${refused.length} of ${replies.size} refused`);
+            for (const [id, reply] of replies) {
+                assert.ok(
+                    reply.kind === "accepted" || (reply.kind === "rejected" && reply.reason === "overloaded"),
+                    id,
+                );
+                assert.ok(reply.kind !== "rejected" || (reply.retryAfterMs ?? 0) >= 1_000, id);
+            }
+            // Nothing is refused at the start, when little is known about the pool.
+            assert.ok(refused.every(id => Number(id.slice(3)) >= 3_000), refused[0]);
+            const first = makeJob("job0", [makeStep({ count: 4 })]);
+            assert.deepEqual(yield* system.submit(first), { kind: "accepted" });
+            const lasting = makeJob("lasting", [makeStep({ longRunning: true, expectedRunMs: 0 })]);
+            assert.deepEqual(yield* system.submit(lasting), { kind: "accepted" });
+            const wallMs = 60_000;
+            assert.deepEqual(yield* system.submit({ ...makeJob("timed"), firstAtMs: wallMs }), { kind: "accepted" });
+            yield* system.pass(30_000);
+            const runs = yield* system.readStartedRuns;
+            assert.ok(runs.every(run => !refused.includes(run.task.slice(0, run.task.indexOf(".")))));
+        }),
+);
+
+// Guards against refusals on a normal day, when work waits because no worker suits it.
+testSystem("nothing is refused while tasks wait although the pool has room", system =>
+    Effect.gen(function*() {
+        yield* system.addWorker(
+            makeWorker("w1", { capacity: { milliCpu: 64_000, memoryMib: 9_000, accelerators: 0 } }),
+        );
+        yield* system.addWorker(
+            makeWorker("w2", { labels: ["b"], capacity: { milliCpu: 1_000, memoryMib: 100, accelerators: 0 } }),
+        );
+        yield* system.pass(100);
+        const waiting = makeStep({ count: 60, requiredLabel: "b", expectedRunMs: 10_000 });
+        assert.deepEqual(yield* system.submit(makeJob("narrow", [waiting])), { kind: "accepted" });
+        yield* system.pass(8_000);
+        for (const id of ["a", "b", "c"]) {
+            assert.deepEqual(yield* system.submit(makeJob(id)), { kind: "accepted" });
+        }
+    }));
--- a/packages/lead-jobs/src/report-load.ts
+++ b/packages/lead-jobs/src/report-load.ts
@@ -1,6 +1,8 @@
+import { recordDelay } from "@chestnutspool/admit-jobs";
 import { listWaitingSteps } from "@chestnutspool/plan-jobs";
 import { readMonotonicMs, readWallMs } from "@chestnutspool/types";
 import { Effect } from "effect";
+import { observeWaitingWork } from "./admission.js";
 import { createTermLoad } from "./term-load.js";
 import { canSendOrders, type Term } from "./term.js";
 
@@ -28,6 +30,8 @@
         intervalMs: Math.round(intervalMs),
         processorMs: Math.round(processorMs),
         longestDelayMs: Math.round(load.longestDelayMs),
+        delayMs: Math.round(term.admission.busyness.delayMs),
+        waitingCommits: term.admission.busyness.waitingCommits,
         passes: load.passes,
         meanPassMs: mean(load.passMs, load.passes),
         longestPassMs: Math.round(load.longestPassMs),
@@ -57,7 +61,10 @@
         const sleptAtMs = yield* readMonotonicMs;
         yield* Effect.sleep(sampleIntervalMs);
         const nowMs = yield* readMonotonicMs;
-        term.load.longestDelayMs = Math.max(term.load.longestDelayMs, nowMs - sleptAtMs - sampleIntervalMs);
+        const delayMs = nowMs - sleptAtMs - sampleIntervalMs;
+        term.load.longestDelayMs = Math.max(term.load.longestDelayMs, delayMs);
+        recordDelay(term.admission.busyness, delayMs);
+        observeWaitingWork(term, nowMs, yield* readWallMs);
         if (nowMs - reportedAtMs >= reportIntervalMs) {
             const usedMs = readProcessorMs();
             logLoad(term, nowMs - reportedAtMs, usedMs - processorMs, yield* readWallMs);
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -9,6 +9,7 @@
     type WorkerId,
 } from "@chestnutspool/types";
 import { Effect, FiberMap, Queue } from "effect";
+import { createAdmission } from "./admission.js";
 import { handleInTerm } from "./handle-request.js";
 import { runDisturbanceRecording } from "./record-disturbances.js";
 import { openSession } from "./record-heartbeat.js";
@@ -45,6 +46,7 @@
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
         load: createTermLoad(),
+        admission: createAdmission(),
         isFenced: false,
     };
     term.interference.addPairs([...dependencies.machine.state.disturbances.values()]);
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -16,6 +16,7 @@
     type WorkerPort,
 } from "@chestnutspool/types";
 import { Effect, type FiberMap, Queue, type Scope } from "effect";
+import { type Admission, listCommandWork, recordWork } from "./admission.js";
 import { recordCommit, type TermLoad } from "./term-load.js";
 
 /** Durations that the deployment sets, in milliseconds. */
@@ -78,6 +79,8 @@
     readonly interference: InterferenceModel;
     /** Work since the last line about the load of the leader. */
     readonly load: TermLoad;
+    /** What the decision about new jobs needs. */
+    readonly admission: Admission;
     /** Whether a worker has accepted the fencing token of a later leader, so that this one sends no more orders. */
     isFenced: boolean;
 }
@@ -98,8 +101,17 @@
 export const propose = Effect.fnUntraced(function*(term: Term, command: WithoutTime<JobCommand>) {
     const nowMs = yield* readWallMs;
     const startedMs = yield* readMonotonicMs;
-    const result = yield* term.log.proposeCommand({ ...command, nowMs });
-    recordCommit(term.load, (yield* readMonotonicMs) - startedMs);
+    const work = listCommandWork(term.machine.state, command);
+    term.admission.busyness.waitingCommits += 1;
+    const result = yield* Effect.ensuring(
+        term.log.proposeCommand({ ...command, nowMs }),
+        Effect.sync(() => {
+            term.admission.busyness.waitingCommits -= 1;
+        }),
+    );
+    const committedMs = yield* readMonotonicMs;
+    recordCommit(term.load, committedMs - startedMs);
+    recordWork(term.admission, work, result, committedMs);
     return result;
 });
 
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -4,5 +4,13 @@
 export { hasUncertainPairs, observeMargins, recordUsage } from "./observe-report.js";
 export { type PaceChange, planPaces } from "./plan-paces.js";
 export { listCandidates, type PlanInput, planStarts } from "./plan-starts.js";
+export {
+    computeChainMs,
+    computeObjectiveMs,
+    computeSize,
+    lateFactor,
+    type Lateness,
+    predictLateness,
+} from "./predict-lateness.js";
 export { listWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 export { findRack } from "./worker-candidate.js";
--- a/packages/plan-jobs/src/predict-lateness.ts
+++ b/packages/plan-jobs/src/predict-lateness.ts
@@ -7,18 +7,18 @@
 export type Lateness = "inTime" | "late" | "tooLate";
 
 /** A result loses value after its objective and has none after this multiple of it, according to the users' terms. */
-const lateFactor = 3;
+export const lateFactor = 3;
 /** A job counts as in time up to this multiple of its objective, because declared run times are often far off. */
 const estimateTolerance = 1.4;
 const milliCpuPerCore = 1000;
 
 /** Computes the time in which an occurrence should complete, in milliseconds. */
-function computeObjectiveMs(job: JobRecord): number {
+export function computeObjectiveMs(job: JobRecord): number {
     return computeChainMs(job, () => true) * job.queue.slackFactor + job.queue.targetLatencyMs;
 }
 
 /** Computes the longest chain of declared run times through the steps that `isIncluded` selects, in milliseconds. */
-function computeChainMs(job: JobRecord, isIncluded: (step: number) => boolean): number {
+export function computeChainMs(job: JobRecord, isIncluded: (step: number) => boolean): number {
     const { steps } = job.definition;
     const chains: number[] = [];
     steps.forEach((step, position) => {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./ports.js";
 export * from "./resources.js";
 export * from "./settings.js";
+export * from "./spread.js";
 export * from "./state.js";
 export * from "./time.js";
 export * from "./worker-port.js";
