Answer repeated heartbeats without the leader

Change: a control process that does not lead answers a heartbeat itself when the same leader has acknowledged one with the same content to it within 2.5 s. Heartbeats that announce draining, say something else or follow a change of leader, and farewells, always reach the leader before they are acknowledged. The leader removes a silent worker after 15 s, so that it still hears of each living one several times in between.

Result: by the interval, one of three heartbeats of a worker that keeps its control process reaches the leader (not measured). The new test got a call for each heartbeat with the check switched off.

--- a/packages/forward-jobs/src/forwarder.test.ts
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -247,3 +247,50 @@
         assert.deepEqual(exit.value, { kind: "outcomeUnknown" });
         assert.equal((yield* forwarder.forwardRequest(makeSubmission("b"), 1_000)).kind, "rejected");
     })));
+
+function makeHeartbeat(sequence: number, draining = false, address = "w1:1"): JobRequest {
+    const worker = {
+        id: "w1",
+        address,
+        service: "pool",
+        availabilityZone: "z",
+        capacity: { milliCpu: 1_000, memoryMib: 1_000, accelerators: 0 },
+        labels: [],
+    };
+    return {
+        kind: "recordHeartbeat",
+        heartbeat: { worker, draining, remainingMs: undefined, sequence, clockMs: undefined },
+    };
+}
+
+// Guards against a leader that handles each heartbeat of a large fleet although most of them change nothing, and against an
+// acknowledgement of draining or of a change that the leader has not received.
+test("only a heartbeat that repeats an acknowledged one does not reach the leader", () =>
+    runSimulated(Effect.gen(function*() {
+        const { state, forwarder } = yield* openSystem(() => Effect.succeed({ kind: "done" }));
+        const send = Effect.fnUntraced(function*(heartbeat: JobRequest) {
+            const before = state.asked.length;
+            const reply = yield* Effect.forkScoped(forwarder.forwardRequest(heartbeat, 900));
+            yield* pass(200);
+            assert.deepEqual(yield* Fiber.join(reply), { kind: "done" });
+            return state.asked.length - before;
+        });
+        assert.equal(yield* send(makeHeartbeat(1)), 1);
+        yield* pass(800);
+        assert.equal(yield* send(makeHeartbeat(2)), 0);
+        assert.equal(yield* send(makeHeartbeat(3, false, "w1:2")), 1);
+        assert.equal(yield* send(makeHeartbeat(4, true, "w1:2")), 1);
+        assert.equal(yield* send(makeHeartbeat(5, true, "w1:2")), 1);
+        assert.equal(yield* send(makeHeartbeat(6, false, "w1:2")), 1);
+        yield* pass(2_500);
+        assert.equal(yield* send(makeHeartbeat(7, false, "w1:2")), 1);
+        assert.equal(yield* send(makeHeartbeat(8, false, "w1:2")), 0);
+        state.leader = "b";
+        yield* Effect.forkScoped(forwarder.forwardRequest(request, 900));
+        yield* pass(200);
+        assert.equal(yield* send(makeHeartbeat(9, false, "w1:2")), 1);
+        assert.equal(state.asked.at(-1), "b");
+        yield* Effect.forkScoped(forwarder.forwardRequest({ kind: "removeWorker", worker: "w1" }, 900));
+        yield* pass(200);
+        assert.equal(yield* send(makeHeartbeat(10, false, "w1:2")), 1);
+    })));
--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -14,6 +14,7 @@
     readMonotonicMs,
 } from "@chestnutspool/types";
 import { Cause, Deferred, Effect, Exit, Queue } from "effect";
+import { type HeartbeatFilter, isRepeatedHeartbeat, recordAcknowledged } from "./heartbeat-filter.js";
 import {
     computeRetryMs,
     createLeaderContact,
@@ -137,6 +138,7 @@
     const directory = link.openChannel<DirectoryRequest, DirectoryReply>("directory", {});
 
     const contact = createLeaderContact();
+    const heartbeats: HeartbeatFilter = new Map();
     /** Requests that are held until the leader answers. */
     let heldRequests = 0;
 
@@ -296,7 +298,16 @@
     const forwardRequest = Effect.fnUntraced(function*(request: JobRequest, budgetMs: number) {
         const startedMs = yield* readMonotonicMs;
         const trace: ForwardTrace = { attempts: 0, leader: undefined };
-        recordLeader(contact, findLeader()?.id, startedMs);
+        const known = findLeader()?.id;
+        recordLeader(contact, known, startedMs);
+        // The process that leads handles a heartbeat itself at no cost.
+        if (
+            request.kind === "recordHeartbeat" && known !== link.self
+            && isRepeatedHeartbeat(heartbeats, request.heartbeat, known, startedMs)
+        ) {
+            dependencies.metrics.countEvent("heartbeats.repeated", "", request.kind);
+            return { kind: "done" } satisfies ForwardReply;
+        }
         const held = heldRequests;
         const decision = decideHold(contact, request.kind === "submitJob", held, startedMs);
         if (decision.kind === "refuse") {
@@ -305,6 +316,12 @@
         const reply: ForwardReply = decision.kind === "hold"
             ? yield* forwardHeld(request, startedMs + budgetMs, decision.isProbe, trace)
             : createNoLeaderReply(request);
+        if (request.kind === "recordHeartbeat" && reply.kind === "done" && trace.leader !== undefined) {
+            recordAcknowledged(heartbeats, request.heartbeat, trace.leader, startedMs);
+        }
+        if (request.kind === "removeWorker") {
+            heartbeats.delete(request.worker);
+        }
         const tookMs = (yield* readMonotonicMs) - startedMs;
         dependencies.metrics.recordDuration("requestMs", "", request.kind, tookMs);
         dependencies.metrics.countEvent(`replies.${reply.kind}`, "", request.kind);
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -68,6 +68,8 @@
     readonly otherDisturbance: number;
     /** Share of the images that put load on a shared resource. */
     readonly contendingShare: number;
+    /** Number of starts that the leader can order in one second; undefined if only the workers limit them. */
+    readonly startsPerSecond: number | undefined;
 }
 
 /** Load of the ash advisory service: short checks, long forecasts on idle processors, and watches. */
@@ -80,6 +82,7 @@
     contendingDisturbance: 1.6,
     otherDisturbance: 0.25,
     contendingShare: 0.65,
+    startsPerSecond: undefined,
     kinds: [
         {
             name: "check",
@@ -208,3 +211,20 @@
         kind.name === "forecast" ? createKindVariant(kind, { jobsPerSecond: 12 }) : kind
     ),
 };
+
+/**
+ * Sustained overload: three times the rebuilds that idle processors can run, for longer than any of them may wait. Jobs
+ * accepted beyond what ends in time cost their starts and processors and earn nothing.
+ */
+export const sustainedOverload: Load = {
+    ...wholesaleLoad,
+    kinds: wholesaleLoad.kinds.map(kind =>
+        kind.name === "forecast" ? createKindVariant(kind, { jobsPerSecond: 24 }) : kind
+    ),
+};
+
+/** Sustained overload of the leader, which can order fewer starts than the jobs need while the workers have room. */
+export const busyLeaderOverload: Load = {
+    ...wholesaleLoad,
+    startsPerSecond: 80,
+};
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -19,6 +19,7 @@
 import { generateJobs, type SimulatedJob, warmUpMs } from "./generate-jobs.js";
 import type { JobKind, Load } from "./load.js";
 import { createRandom, type Random } from "./random.js";
+import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
 import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
 import { createTally, type Tally, type TallyRow } from "./tally.js";
 
@@ -31,6 +32,9 @@
 /** Interval at which paces are planned, in milliseconds. */
 const paceIntervalMs = 160;
 const service = "pool";
+/** Number of times that a refused caller comes back. */
+const retryLimit = 4;
+const millisecondsPerSecond = 1_000;
 /** Share of the runs on idle processors that use only a part of their declared processors. */
 const partialUseTaskShare = 0.4;
 /** Share of the declared processors that such a run uses. */
@@ -40,6 +44,13 @@
 /** Start of the simulated wall clock; above 0, so that no timestamp is 0. */
 const epochMs = 1_000_000;
 
+/** A caller's attempt to submit a job. */
+interface Attempt {
+    readonly job: SimulatedJob;
+    readonly attempt: number;
+    readonly atMs: number;
+}
+
 interface Simulation {
     readonly load: Load;
     readonly machine: JobMachine;
@@ -52,6 +63,10 @@
     readonly jobs: Map<string, SimulatedJob>;
     readonly findDisturbance: (image: string, other: string) => number;
     readonly tally: Tally;
+    /** Decides about new jobs; undefined if all are accepted. */
+    readonly admission: SimulatedAdmission | undefined;
+    /** Starts that the leader can still order at this moment. */
+    startAllowance: number;
     commandIndex: number;
 }
 
@@ -83,7 +98,7 @@
     };
 }
 
-function createSimulation(load: Load, seed: number): Simulation {
+function createSimulation(load: Load, seed: number, hasAdmission: boolean): Simulation {
     const random = createRandom(seed);
     const machine = createJobMachine();
     const simulation: Simulation = {
@@ -98,6 +113,8 @@
         jobs: new Map(),
         findDisturbance: drawDisturbances(load, random),
         tally: createTally(load),
+        admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
+        startAllowance: 0,
         commandIndex: 0,
     };
     simulation.commandIndex += 1;
@@ -131,6 +148,9 @@
 function endRun(simulation: Simulation, worker: string, run: SimulatedRun, outcome: RunOutcome, nowMs: number): void {
     const key = createRunKey(run.run);
     const end: RunEnd = { ...key, outcome, checkpoint: "" };
+    if (outcome === "succeeded") {
+        simulation.admission?.recordEnd(run.run.step.spec, nowMs);
+    }
     simulation.runsByWorker.get(worker)?.delete(formatRunKey(key));
     simulation.runStatusesByWorker.get(worker)?.delete(formatRunKey(key));
     simulation.commandIndex += 1;
@@ -239,6 +259,8 @@
         isOverTarget: false,
     });
     simulation.runStatusesByWorker.get(start.worker)?.set(key, createRunStatus(createRunKey(run), "confirmed", nowMs));
+    simulation.admission?.recordStart(run.step.spec, nowMs);
+    simulation.tally.countStart();
 }
 
 function performSchedulingPass(simulation: Simulation, nowMs: number): void {
@@ -265,7 +287,14 @@
             endRun(simulation, worker, run, "stopped", nowMs);
         }
     }
-    const starts = planStarts(input, epochMs + nowMs);
+    const { startsPerSecond } = simulation.load;
+    simulation.startAllowance = startsPerSecond === undefined
+        ? Number.POSITIVE_INFINITY
+        : Math.min(1, simulation.startAllowance) + startsPerSecond * stepMs / millisecondsPerSecond;
+    const planned = planStarts(input, epochMs + nowMs);
+    const starts = planned.slice(0, Math.floor(simulation.startAllowance));
+    simulation.startAllowance -= starts.length;
+    simulation.admission?.observe(simulation.machine.state, starts.length < planned.length, epochMs, nowMs);
     if (starts.length > 0) {
         simulation.commandIndex += 1;
         simulation.machine.applyCommand(simulation.commandIndex, { kind: "startRuns", nowMs: epochMs + nowMs, starts });
@@ -273,19 +302,37 @@
     }
 }
 
-function submitAndCancelJobs(simulation: Simulation, arrivals: SimulatedJob[], nowMs: number): void {
-    while ((arrivals[0]?.arrivesAtMs ?? Number.POSITIVE_INFINITY) <= nowMs) {
-        const job = arrivals.shift() as SimulatedJob;
-        simulation.jobs.set(job.definition.id, job);
-        simulation.commandIndex += 1;
-        simulation.machine.applyCommand(simulation.commandIndex, {
-            kind: "submitJob",
-            nowMs: epochMs + nowMs,
-            spec: job.definition,
-            hostName: "host",
-            path: `/${job.kind.name}/${job.definition.id}`,
-        });
+/** Submits a job, or lets its caller come back later if it is refused. */
+function submitJob(
+    simulation: Simulation,
+    job: SimulatedJob,
+    attempts: Attempt[],
+    attempt: number,
+    nowMs: number,
+): void {
+    simulation.jobs.set(job.definition.id, job);
+    const retryAfterMs = simulation.admission?.refuse(job, createQueue(job.kind), epochMs, nowMs);
+    if (retryAfterMs !== undefined) {
+        simulation.tally.countRefusal(job.kind.name);
+        if (attempt < retryLimit) {
+            attempts.push({ job, attempt: attempt + 1, atMs: nowMs + retryAfterMs });
+        }
+        return;
     }
+    simulation.commandIndex += 1;
+    simulation.machine.applyCommand(simulation.commandIndex, {
+        kind: "submitJob",
+        nowMs: epochMs + nowMs,
+        spec: job.definition,
+        hostName: "host",
+        path: `/${job.kind.name}/${job.definition.id}`,
+    });
+}
+
+function submitAndCancelJobs(simulation: Simulation, attempts: Attempt[], nowMs: number): void {
+    const due = attempts.filter(({ atMs }) => atMs <= nowMs);
+    attempts.splice(0, attempts.length, ...attempts.filter(({ atMs }) => atMs > nowMs));
+    due.forEach(({ job, attempt }) => submitJob(simulation, job, attempts, attempt, nowMs));
     for (const job of simulation.jobs.values()) {
         if (job.cancelAtMs !== undefined && job.cancelAtMs <= nowMs && job.cancelAtMs > nowMs - stepMs) {
             simulation.commandIndex += 1;
@@ -298,12 +345,25 @@
     }
 }
 
-/** Replays a load for `lengthMs`, then for `finishMs` without new jobs. The same seed gives the same result. */
-export function replayLoad(load: Load, lengthMs: number, finishMs: number, seed: number): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed);
-    const arrivals = generateJobs(load, lengthMs, simulation.random);
+/**
+ * Replays a load for `lengthMs`, then for `finishMs` without new jobs. With admission, jobs that would end too late are
+ * refused and their callers come back. The same seed gives the same result.
+ */
+export function replayLoad(
+    load: Load,
+    lengthMs: number,
+    finishMs: number,
+    seed: number,
+    hasAdmission = false,
+): readonly TallyRow[] {
+    const simulation = createSimulation(load, seed, hasAdmission);
+    const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
+        job,
+        attempt: 0,
+        atMs: job.arrivesAtMs,
+    }));
     for (let nowMs = 0; nowMs < warmUpMs + lengthMs + finishMs; nowMs += stepMs) {
-        submitAndCancelJobs(simulation, arrivals, nowMs);
+        submitAndCancelJobs(simulation, attempts, nowMs);
         for (const [worker, runs] of simulation.runsByWorker) {
             const state = simulation.machine.state.workers.get(worker);
             if (state !== undefined) {
--- a/packages/replay-jobs/src/tally.ts
+++ b/packages/replay-jobs/src/tally.ts
@@ -19,11 +19,17 @@
     readonly overTargetShare: number;
     /** Pace changes of the whole replay; the same in each row. */
     readonly paceChanges: number;
+    /** Refusals of jobs of this kind, each time that a caller was refused. */
+    readonly refusals: number;
+    /** Starts of runs in the whole replay; the same in each row. */
+    readonly starts: number;
 }
 
 /** Collects the results of a replay. */
 export interface Tally {
     readonly countPaceChange: () => void;
+    readonly countStart: () => void;
+    readonly countRefusal: (kind: string) => void;
     readonly observe: (
         state: JobState,
         jobs: ReadonlyMap<string, SimulatedJob>,
@@ -104,8 +110,16 @@
 /** Creates an empty tally. */
 export function createTally(load: Load): Tally {
     const servingTotals = new Map<string, ServingTotals>();
+    const refusals = new Map<string, number>();
     let paceChanges = 0;
+    let starts = 0;
     return {
+        countStart: () => {
+            starts += 1;
+        },
+        countRefusal: kind => {
+            refusals.set(kind, (refusals.get(kind) ?? 0) + 1);
+        },
         countPaceChange: () => {
             paceChanges += 1;
         },
@@ -156,6 +170,8 @@
                         inTimeShare: totals.servingSamples / totals.taskSamples,
                         overTargetShare: totals.overTargetSamples / totals.taskSamples,
                         paceChanges,
+                        refusals: refusals.get(kind.name) ?? 0,
+                        starts,
                     };
                 }
                 const { attainableValue, earnedValue, inTimeShare } = summarizeJobs(kind, jobsOfKind, state, epochMs);
@@ -167,6 +183,8 @@
                     inTimeShare,
                     overTargetShare: 0,
                     paceChanges,
+                    refusals: refusals.get(kind.name) ?? 0,
+                    starts,
                 };
             }),
     };
