--- /dev/null
+++ b/packages/replay-jobs/src/replay.test.ts
@@ -0,0 +1,25 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Load, sustainedOverload, wholesaleLoad } from "./load.js";
+import { replayLoad } from "./replay.js";
+
+const lengthMs = 12_000;
+const finishMs = 4_000;
+
+function sumRefusals(load: Load, hasAdmission: boolean): number {
+    return replayLoad(load, lengthMs, finishMs, 1, hasAdmission).reduce((sum, { refusals }) => sum + refusals, 0);
+}
+
+// Guards against refusals on a normal day.
+test("nothing is refused on the normal load of the wholesaler", () => {
+    assert.equal(sumRefusals(wholesaleLoad, true), 0);
+});
+
+// Guards against refusing urgent checks for less urgent rebuilds that overload the pool.
+test("under sustained overload urgent jobs are not refused and end in time", () => {
+    const checks = [false, true].map(hasAdmission =>
+        replayLoad(sustainedOverload, lengthMs, finishMs, 1, hasAdmission).find(({ kind }) => kind === "check")
+    );
+    assert.equal(checks[1]?.refusals, 0);
+    assert.ok((checks[1]?.inTimeShare ?? 0) >= 0.9, `${checks[1]?.inTimeShare}`);
+});
