--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -5,5 +5,13 @@
 export { createPlanMemory, type PlanMemory } from "./plan-memory.js";
 export { type PaceChange, planPaces } from "./plan-paces.js";
 export { listCandidates, type PlanInput, planStarts } from "./plan-starts.js";
+export {
+    computeChainMs,
+    computeObjectiveMs,
+    computeSize,
+    lateFactor,
+    type Lateness,
+    predictLateness,
+} from "./predict-lateness.js";
 export { listWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 export { findRack } from "./worker-candidate.js";
--- a/packages/replay-jobs/src/measure/measure-planning.ts
+++ b/packages/replay-jobs/src/measure/measure-planning.ts
@@ -23,14 +23,16 @@
 /** Replays a load and prints the calls of each part of the planner with their processor times, and the worth. */
 function measureLoad(name: string, load: Load, seed: number, lengthMs: number): void {
     const timesByPart = new Map<PlannerPart, number[]>();
-    const rows = replayLoad(load, lengthMs, 0, seed, (part, call) => {
-        const began = process.cpuUsage();
-        const result = call();
-        const times = timesByPart.get(part) ?? [];
-        timesByPart.set(part, times);
-        const { user, system } = process.cpuUsage(began);
-        times.push((user + system) / 1000);
-        return result;
+    const rows = replayLoad(load, lengthMs, 0, seed, {
+        runCall: (part, call) => {
+            const began = process.cpuUsage();
+            const result = call();
+            const times = timesByPart.get(part) ?? [];
+            timesByPart.set(part, times);
+            const { user, system } = process.cpuUsage(began);
+            times.push((user + system) / 1000);
+            return result;
+        },
     });
     for (const [part, times] of timesByPart) {
         const totalMs = times.reduce((sum, time) => sum + time, 0);
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -21,6 +21,7 @@
 import { generateJobs, type SimulatedJob, warmUpMs } from "./generate-jobs.js";
 import type { JobKind, Load } from "./load.js";
 import { createRandom, type Random } from "./random.js";
+import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
 import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
 import { createTally, type Tally, type TallyRow } from "./tally.js";
 
@@ -33,6 +34,9 @@
 /** Interval at which paces are planned, in milliseconds. */
 const paceIntervalMs = 160;
 const service = "pool";
+/** Number of times that a refused caller comes back. */
+const retryLimit = 4;
+const millisecondsPerSecond = 1_000;
 /** Share of the runs on idle processors that use only a part of their declared processors. */
 const partialUseTaskShare = 0.4;
 /** Share of the declared processors that such a run uses. */
@@ -48,6 +52,13 @@
 /** Runs one call of a part of the planner, so that a tool can measure it. */
 export type PlannerCallRunner = <Result>(part: PlannerPart, call: () => Result) => Result;
 
+/** A caller's attempt to submit a job. */
+interface Attempt {
+    readonly job: SimulatedJob;
+    readonly attempt: number;
+    readonly atMs: number;
+}
+
 interface Simulation {
     readonly load: Load;
     readonly runCall: PlannerCallRunner;
@@ -62,6 +73,10 @@
     readonly findDisturbance: (image: string, other: string) => number;
     readonly planMemory: PlanMemory;
     readonly tally: Tally;
+    /** Decides about new jobs; undefined if all are accepted. */
+    readonly admission: SimulatedAdmission | undefined;
+    /** Starts that the leader can still order at this moment. */
+    startAllowance: number;
     commandIndex: number;
 }
 
@@ -93,7 +108,7 @@
     };
 }
 
-function createSimulation(load: Load, seed: number, runCall: PlannerCallRunner): Simulation {
+function createSimulation(load: Load, seed: number, { hasAdmission, runCall }: Required<ReplayOptions>): Simulation {
     const random = createRandom(seed);
     const machine = createJobMachine();
     const simulation: Simulation = {
@@ -110,6 +125,8 @@
         findDisturbance: drawDisturbances(load, random),
         planMemory: createPlanMemory(),
         tally: createTally(load),
+        admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
+        startAllowance: 0,
         commandIndex: 0,
     };
     simulation.commandIndex += 1;
@@ -143,6 +160,9 @@
 function endRun(simulation: Simulation, worker: string, run: SimulatedRun, outcome: RunOutcome, nowMs: number): void {
     const key = createRunKey(run.run);
     const end: RunEnd = { ...key, outcome, checkpoint: "" };
+    if (outcome === "succeeded") {
+        simulation.admission?.recordEnd(run.run.step.spec, nowMs);
+    }
     simulation.runsByWorker.get(worker)?.delete(formatRunKey(key));
     simulation.runStatusesByWorker.get(worker)?.delete(formatRunKey(key));
     simulation.commandIndex += 1;
@@ -248,6 +268,8 @@
         isOverTarget: false,
     });
     simulation.runStatusesByWorker.get(start.worker)?.set(key, createRunStatus(createRunKey(run), "confirmed", nowMs));
+    simulation.admission?.recordStart(run.step.spec, nowMs);
+    simulation.tally.countStart();
 }
 
 function performSchedulingPass(simulation: Simulation, nowMs: number): void {
@@ -274,7 +296,17 @@
             endRun(simulation, worker, run, "stopped", nowMs);
         }
     }
-    const starts = simulation.runCall("planStarts", () => planStarts(input, epochMs + nowMs, simulation.planMemory));
+    const { startsPerSecond } = simulation.load;
+    simulation.startAllowance = startsPerSecond === undefined
+        ? Number.POSITIVE_INFINITY
+        : Math.min(1, simulation.startAllowance) + startsPerSecond * stepMs / millisecondsPerSecond;
+    const planned = simulation.runCall(
+        "planStarts",
+        () => planStarts(input, epochMs + nowMs, simulation.planMemory),
+    );
+    const starts = planned.slice(0, Math.floor(simulation.startAllowance));
+    simulation.startAllowance -= starts.length;
+    simulation.admission?.observe(simulation.machine.state, starts.length < planned.length, epochMs, nowMs);
     if (starts.length > 0) {
         simulation.commandIndex += 1;
         simulation.machine.applyCommand(simulation.commandIndex, { kind: "startRuns", nowMs: epochMs + nowMs, starts });
@@ -282,19 +314,37 @@
     }
 }
 
-function submitAndCancelJobs(simulation: Simulation, arrivals: SimulatedJob[], nowMs: number): void {
-    while ((arrivals[0]?.arrivesAtMs ?? Number.POSITIVE_INFINITY) <= nowMs) {
-        const job = arrivals.shift() as SimulatedJob;
-        simulation.jobs.set(job.definition.id, job);
-        simulation.commandIndex += 1;
-        simulation.machine.applyCommand(simulation.commandIndex, {
-            kind: "submitJob",
-            nowMs: epochMs + nowMs,
-            spec: job.definition,
-            hostName: "host",
-            path: `/${job.kind.name}/${job.definition.id}`,
-        });
+/** Submits a job, or lets its caller come back later if it is refused. */
+function submitJob(
+    simulation: Simulation,
+    job: SimulatedJob,
+    attempts: Attempt[],
+    attempt: number,
+    nowMs: number,
+): void {
+    simulation.jobs.set(job.definition.id, job);
+    const retryAfterMs = simulation.admission?.refuse(job, createQueue(job.kind), epochMs, nowMs);
+    if (retryAfterMs !== undefined) {
+        simulation.tally.countRefusal(job.kind.name);
+        if (attempt < retryLimit) {
+            attempts.push({ job, attempt: attempt + 1, atMs: nowMs + retryAfterMs });
+        }
+        return;
     }
+    simulation.commandIndex += 1;
+    simulation.machine.applyCommand(simulation.commandIndex, {
+        kind: "submitJob",
+        nowMs: epochMs + nowMs,
+        spec: job.definition,
+        hostName: "host",
+        path: `/${job.kind.name}/${job.definition.id}`,
+    });
+}
+
+function submitAndCancelJobs(simulation: Simulation, attempts: Attempt[], nowMs: number): void {
+    const due = attempts.filter(({ atMs }) => atMs <= nowMs);
+    attempts.splice(0, attempts.length, ...attempts.filter(({ atMs }) => atMs > nowMs));
+    due.forEach(({ job, attempt }) => submitJob(simulation, job, attempts, attempt, nowMs));
     for (const job of simulation.jobs.values()) {
         if (job.cancelAtMs !== undefined && job.cancelAtMs <= nowMs && job.cancelAtMs > nowMs - stepMs) {
             simulation.commandIndex += 1;
@@ -307,18 +357,30 @@
     }
 }
 
+/** Parts of a replay that may differ. */
+export interface ReplayOptions {
+    /** Whether jobs that would end too late are refused and their callers come back; by default all are accepted. */
+    readonly hasAdmission?: boolean;
+    /** Runs the calls of the planner; by default it only makes them. */
+    readonly runCall?: PlannerCallRunner;
+}
+
 /** Replays a load for `lengthMs`, then for `finishMs` without new jobs. The same seed gives the same result. */
 export function replayLoad(
     load: Load,
     lengthMs: number,
     finishMs: number,
     seed: number,
-    runCall: PlannerCallRunner = (part, call) => call(),
+    { hasAdmission = false, runCall = (part, call) => call() }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed, runCall);
-    const arrivals = generateJobs(load, lengthMs, simulation.random);
+    const simulation = createSimulation(load, seed, { hasAdmission, runCall });
+    const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
+        job,
+        attempt: 0,
+        atMs: job.arrivesAtMs,
+    }));
     for (let nowMs = 0; nowMs < warmUpMs + lengthMs + finishMs; nowMs += stepMs) {
-        submitAndCancelJobs(simulation, arrivals, nowMs);
+        submitAndCancelJobs(simulation, attempts, nowMs);
         for (const [worker, runs] of simulation.runsByWorker) {
             const state = simulation.machine.state.workers.get(worker);
             if (state !== undefined) {
