Make calls with one reply cheaper on both sides of a link

Cause: a call with one reply used the code of streamed calls: a scope, a queue of events, a race against a timer with two fibers, and on the server side a queue of credits that nothing reads. A call that failed at the peer was cancelled there although it had ended. Each frame was a system call of its own, was masked, and passed one queue more than needed.

Change: a call with one reply is an entry of the table of pending calls, and one timer serves all of them. Credits exist for streamed calls only. Received frames go to the hub without a queue in between after the handshake. Frames for one socket that arise in one turn of the event loop share a write, and the mask of a client's frames is zero, which every receiver accepts. A handler that throws before it returns an effect fails its call as `internal`. Errors are as before; the calls of a hub that is closed fail as `outcomeUnknown` and new ones as `peerUnavailable`, since its timer has ended. Frames are unchanged.

--- a/packages/peer-link/src/channel-hub.ts
+++ b/packages/peer-link/src/channel-hub.ts
@@ -1,6 +1,13 @@
 import { describeError } from "@chestnutspool/errors";
 import type { Logger } from "@chestnutspool/logger";
-import type { Channel, ChannelHandler, ChannelName, ErrorData, PeerId } from "@chestnutspool/types";
+import {
+    type Channel,
+    type ChannelHandler,
+    type ChannelName,
+    type ErrorData,
+    type PeerId,
+    readMonotonicMs,
+} from "@chestnutspool/types";
 import { Cause, Effect, Exit, Fiber, Queue, Scope } from "effect";
 import type { Frame } from "./frame.js";
 
@@ -15,14 +22,25 @@
     | { readonly kind: "end"; }
     | { readonly kind: "failure"; readonly error: ErrorData; };
 
-interface PendingCall {
+/** A call with one reply that waits for it. */
+interface PendingReply {
+    readonly kind: "single";
     readonly peer: PeerId;
-    readonly events: Queue.Queue<PendingEvent>;
+    readonly channel: ChannelName;
+    readonly limitMs: number;
+    /** When the call fails with `timeout`, in monotonic milliseconds. */
+    readonly deadlineMs: number;
+    readonly resume: (result: Effect.Effect<unknown, ErrorData>) => void;
 }
 
+type PendingCall =
+    | PendingReply
+    | { readonly kind: "streamed"; readonly peer: PeerId; readonly events: Queue.Queue<PendingEvent>; };
+
 interface ServedCall {
     readonly fiber: Fiber.Fiber<void>;
-    readonly credit: Queue.Queue<number>;
+    /** Undefined for a call with one reply, which has no flow control. */
+    readonly credit: Queue.Queue<number> | undefined;
 }
 
 type AnyHandler = ChannelHandler<unknown, unknown>;
@@ -70,13 +88,19 @@
     const sendTo = (peer: PeerId, frame: Frame): boolean =>
         peer === self ? Queue.offerUnsafe(localFrames, frame) : sendToPeer(peer, frame);
 
-    const openCall = (peer: PeerId, channel: ChannelName, streamed: boolean, body: unknown) =>
+    const createTimeout = (channel: ChannelName, peer: PeerId, limitMs: number): ErrorData => ({
+        kind: "timeout",
+        operation: `call on channel ${channel} to ${peer}`,
+        limitMs,
+    });
+
+    const openStream = (peer: PeerId, channel: ChannelName, body: unknown) =>
         Effect.acquireRelease(
             Effect.gen(function*() {
                 const events = yield* Queue.unbounded<PendingEvent>();
                 const id = nextId++;
-                pending.set(id, { peer, events });
-                if (!sendTo(peer, { kind: "call", channel, id, streamed, body })) {
+                pending.set(id, { kind: "streamed", peer, events });
+                if (!sendTo(peer, { kind: "call", channel, id, streamed: true, body })) {
                     pending.delete(id);
                     return yield* Effect.fail<ErrorData>({ kind: "peerUnavailable", peer });
                 }
@@ -94,19 +118,16 @@
         channel: ChannelName,
         peer: PeerId,
         body: unknown,
-        streamed: boolean,
         limitMs: number,
         onReply: (reply: unknown) => Effect.Effect<void, ErrorData>,
     ) => Effect.scoped(Effect.gen(function*() {
-        const { id, events } = yield* openCall(peer, channel, streamed, body);
+        const { id, events } = yield* openStream(peer, channel, body);
         while (true) {
             const event = yield* Queue.take(events);
             switch (event.kind) {
                 case "item":
                     yield* onReply(event.body);
-                    if (streamed) {
-                        sendTo(peer, { kind: "credit", id, items: 1 });
-                    }
+                    sendTo(peer, { kind: "credit", id, items: 1 });
                     break;
                 case "end":
                     return;
@@ -116,30 +137,109 @@
         }
     })).pipe(Effect.timeoutOrElse({
         duration: limitMs,
-        orElse: () =>
-            Effect.fail<ErrorData>({ kind: "timeout", operation: `call on channel ${channel} to ${peer}`, limitMs }),
+        orElse: () => Effect.fail(createTimeout(channel, peer, limitMs)),
     }));
 
-    const forwardEvents = (id: number, events: readonly PendingEvent[]): void => {
+    const expiryWake = yield* Queue.sliding<void>(1);
+    let nextExpiryMs = Number.POSITIVE_INFINITY;
+    let isClosed = false;
+
+    const cancelCall = (id: number, peer: PeerId): void => {
+        if (pending.delete(id)) {
+            sendTo(peer, { kind: "cancel", id });
+        }
+    };
+
+    /** Fails the calls whose time is over and returns the next deadline. */
+    const expireCalls = (nowMs: number): number => {
+        let next = Number.POSITIVE_INFINITY;
+        const expired: (readonly [number, PendingReply])[] = [];
+        for (const [id, call] of pending) {
+            if (call.kind === "single" && call.deadlineMs <= nowMs) {
+                expired.push([id, call]);
+            }
+            else if (call.kind === "single") {
+                next = Math.min(next, call.deadlineMs);
+            }
+        }
+        for (const [id, { peer, channel, limitMs, resume }] of expired) {
+            cancelCall(id, peer);
+            resume(Effect.fail(createTimeout(channel, peer, limitMs)));
+        }
+        return next;
+    };
+
+    // One timer serves all calls with one reply, because a timer and its fibers for each call cost more than the call.
+    const runExpiry = Effect.gen(function*() {
+        while (true) {
+            const nowMs = yield* readMonotonicMs;
+            nextExpiryMs = Number.POSITIVE_INFINITY;
+            // A caller that resumes may begin a call with an earlier deadline meanwhile.
+            nextExpiryMs = Math.min(expireCalls(nowMs), nextExpiryMs);
+            const wake = Queue.take(expiryWake);
+            yield* nextExpiryMs === Number.POSITIVE_INFINITY
+                ? wake
+                : Effect.timeoutOption(wake, nextExpiryMs - nowMs);
+        }
+    });
+
+    const callPeer = (channel: ChannelName, peer: PeerId, body: unknown, limitMs: number) =>
+        Effect.flatMap(readMonotonicMs, nowMs =>
+            Effect.callback<unknown, ErrorData>(resume => {
+                const id = nextId++;
+                const deadlineMs = nowMs + limitMs;
+                pending.set(id, { kind: "single", peer, channel, limitMs, deadlineMs, resume });
+                if (isClosed || !sendTo(peer, { kind: "call", channel, id, streamed: false, body })) {
+                    pending.delete(id);
+                    resume(Effect.fail<ErrorData>({ kind: "peerUnavailable", peer }));
+                    return;
+                }
+                if (deadlineMs < nextExpiryMs) {
+                    nextExpiryMs = deadlineMs;
+                    Queue.offerUnsafe(expiryWake, undefined);
+                }
+                return Effect.sync(() => cancelCall(id, peer));
+            }));
+
+    const forwardEvent = (id: number, event: PendingEvent): void => {
         const call = pending.get(id);
-        if (call !== undefined) {
-            Queue.offerAllUnsafe(call.events, events);
+        if (call === undefined) {
+            return;
+        }
+        if (call.kind === "streamed") {
+            Queue.offerUnsafe(call.events, event);
+            return;
+        }
+        switch (event.kind) {
+            case "item":
+                pending.delete(id);
+                call.resume(Effect.succeed(event.body));
+                break;
+            case "end":
+                pending.delete(id);
+                call.resume(Effect.fail<ErrorData>({ kind: "internal", detail: "a call ended without a reply" }));
+                break;
+            case "failure":
+                pending.delete(id);
+                call.resume(Effect.fail(event.error));
+                break;
         }
     };
 
     const handleReplyFrame = (peer: PeerId, frame: Frame): void => {
         switch (frame.kind) {
             case "reply":
-                forwardEvents(frame.id, [{ kind: "item", body: frame.body }, { kind: "end" }]);
+                forwardEvent(frame.id, { kind: "item", body: frame.body });
+                forwardEvent(frame.id, { kind: "end" });
                 break;
             case "item":
-                forwardEvents(frame.id, [{ kind: "item", body: frame.body }]);
+                forwardEvent(frame.id, { kind: "item", body: frame.body });
                 break;
             case "end":
-                forwardEvents(frame.id, [{ kind: "end" }]);
+                forwardEvent(frame.id, { kind: "end" });
                 break;
             case "failure":
-                forwardEvents(frame.id, [{ kind: "failure", error: frame.error }]);
+                forwardEvent(frame.id, { kind: "failure", error: frame.error });
                 break;
             case "hello":
             case "welcome":
@@ -152,14 +252,21 @@
         }
     };
 
+    const failCalls = (isAffected: (call: PendingCall) => boolean): void => {
+        for (const [id, call] of [...pending].filter(([, found]) => isAffected(found))) {
+            const error: ErrorData = { kind: "outcomeUnknown", subject: `call to ${call.peer}` };
+            forwardEvent(id, { kind: "failure", error });
+        }
+    };
+
     const runHandler = (
         handler: AnyHandler | undefined,
         peer: PeerId,
         frame: Extract<Frame, { kind: "call"; }>,
-        credit: Queue.Queue<number>,
+        credit: Queue.Queue<number> | undefined,
         sendFrame: SendFrame,
     ): Effect.Effect<Frame, ErrorData> => {
-        if (frame.streamed && handler?.handleStream !== undefined) {
+        if (credit !== undefined && handler?.handleStream !== undefined) {
             let window = streamWindowItems;
             const emit = (body: unknown) =>
                 Effect.gen(function*() {
@@ -173,7 +280,7 @@
                 });
             return Effect.as(handler.handleStream(peer, frame.body, emit), { kind: "end" as const, id: frame.id });
         }
-        if (!frame.streamed && handler?.handleCall !== undefined) {
+        if (credit === undefined && handler?.handleCall !== undefined) {
             return Effect.map(
                 handler.handleCall(peer, frame.body),
                 body => ({ kind: "reply" as const, id: frame.id, body }),
@@ -185,26 +292,34 @@
         });
     };
 
-    const serveCall = Effect.fnUntraced(function*(
+    const serveCall = (
         peer: PeerId,
         frame: Extract<Frame, { kind: "call"; }>,
-        credit: Queue.Queue<number>,
+        credit: Queue.Queue<number> | undefined,
         sendFrame: SendFrame,
-    ) {
-        const exit = yield* Effect.exit(runHandler(handlers.get(frame.channel), peer, frame, credit, sendFrame));
-        if (Exit.isSuccess(exit)) {
-            sendFrame(exit.value);
-            return;
-        }
-        const known = Cause.findErrorOption(exit.cause);
-        const error: ErrorData = known._tag === "Some"
-            ? known.value
-            : { kind: "internal", detail: Cause.pretty(exit.cause) };
-        if (known._tag === "None" && !Cause.hasInterruptsOnly(exit.cause)) {
-            logger.error("call handler failed", { peer, channel: frame.channel, detail: describeError(error) });
-        }
-        sendFrame({ kind: "failure", id: frame.id, error });
-    });
+    ): Effect.Effect<void> =>
+        Effect.matchCause(
+            Effect.suspend(() => runHandler(handlers.get(frame.channel), peer, frame, credit, sendFrame)),
+            {
+                onSuccess: reply => {
+                    sendFrame(reply);
+                },
+                onFailure: cause => {
+                    const known = Cause.findErrorOption(cause);
+                    const error: ErrorData = known._tag === "Some"
+                        ? known.value
+                        : { kind: "internal", detail: Cause.pretty(cause) };
+                    if (known._tag === "None" && !Cause.hasInterruptsOnly(cause)) {
+                        logger.error("call handler failed", {
+                            peer,
+                            channel: frame.channel,
+                            detail: describeError(error),
+                        });
+                    }
+                    sendFrame({ kind: "failure", id: frame.id, error });
+                },
+            },
+        );
 
     const serveConnection = Effect.fnUntraced(function*(
         peer: PeerId,
@@ -224,7 +339,7 @@
                     break;
                 }
                 case "call": {
-                    const credit = yield* Queue.unbounded<number>();
+                    const credit = frame.streamed ? yield* Queue.unbounded<number>() : undefined;
                     const call = serveCall(peer, frame, credit, sendFrame).pipe(
                         Effect.ensuring(Effect.sync(() => served.delete(frame.id))),
                     );
@@ -233,9 +348,9 @@
                     break;
                 }
                 case "credit": {
-                    const call = served.get(frame.id);
-                    if (call !== undefined) {
-                        Queue.offerUnsafe(call.credit, frame.items);
+                    const credit = served.get(frame.id)?.credit;
+                    if (credit !== undefined) {
+                        Queue.offerUnsafe(credit, frame.items);
                     }
                     break;
                 }
@@ -259,6 +374,15 @@
         return true;
     }));
 
+    yield* Effect.addFinalizer(() =>
+        Effect.sync(() => {
+            // No timer serves the calls after this.
+            isClosed = true;
+            failCalls(call => call.kind === "single");
+        })
+    );
+    yield* Effect.forkScoped(runExpiry);
+
     const hub: ChannelHub = {
         openChannel: <Request, Reply>(
             name: ChannelName,
@@ -268,27 +392,13 @@
             return {
                 sendMessage: (to, message) => sendTo(to, { kind: "message", channel: name, body: message }),
                 callPeer: (to, request, limitMs) =>
-                    Effect.gen(function*() {
-                        const replies: Reply[] = [];
-                        yield* callStream(name, to, request, false, limitMs, reply =>
-                            Effect.sync(() => {
-                                replies.push(reply as Reply);
-                            }));
-                        return replies[0] as Reply;
-                    }),
+                    Effect.map(callPeer(name, to, request, limitMs), reply => reply as Reply),
                 callStream: (to, request, limitMs, onReply) =>
-                    callStream(name, to, request, true, limitMs, reply => onReply(reply as Reply)),
+                    callStream(name, to, request, limitMs, reply => onReply(reply as Reply)),
             };
         },
         handleReplyFrame,
-        failCalls: peer => {
-            for (const call of pending.values()) {
-                if (call.peer === peer) {
-                    const error: ErrorData = { kind: "outcomeUnknown", subject: `call to ${peer}` };
-                    Queue.offerUnsafe(call.events, { kind: "failure", error });
-                }
-            }
-        },
+        failCalls: peer => failCalls(call => call.peer === peer),
         serveConnection,
     };
     return hub;
--- a/packages/peer-link/src/web-socket-link.ts
+++ b/packages/peer-link/src/web-socket-link.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "@chestnutspool/logger";
 import { type ErrorData, type PeerId, type PeerLink, peerProtocolVersion, readMonotonicMs } from "@chestnutspool/types";
-import { Effect, FiberMap, Queue } from "effect";
+import { Effect, Exit, FiberMap, Queue } from "effect";
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
 import { createChannelHub } from "./channel-hub.js";
 import { decodeFrame, encodeFrame, type Frame, frameLimitBytes } from "./frame.js";
@@ -27,11 +27,46 @@
     readonly listenPort: number;
 }
 
+/**
+ * Sets the mask of a client's frame to zero, so that the payload is sent unchanged. A random mask protects caches of web
+ * proxies from scripts in browsers; there are neither between processes.
+ */
+function fillZeroMask(mask: Buffer): void {
+    mask.fill(0);
+}
+
 type SocketEvent =
     | { readonly kind: "frame"; readonly frame: Frame; }
     | { readonly kind: "closed"; };
 
-function sendFrame(socket: WebSocket, frame: Frame, logger: Logger): boolean {
+/** A WebSocket and the TCP socket below it. */
+interface LinkSocket {
+    readonly webSocket: WebSocket;
+    /** Undefined until the handshake. */
+    tcpSocket: Socket | undefined;
+    isCorked: boolean;
+}
+
+function createLinkSocket(webSocket: WebSocket, tcpSocket: Socket | undefined): LinkSocket {
+    return { webSocket, tcpSocket, isCorked: false };
+}
+
+/** Holds back writes until the end of this turn of the event loop, because each system call costs more than a frame. */
+function corkUntilTurnEnds(socket: LinkSocket): void {
+    const { tcpSocket } = socket;
+    if (tcpSocket === undefined || socket.isCorked) {
+        return;
+    }
+    socket.isCorked = true;
+    tcpSocket.cork();
+    process.nextTick(() => {
+        socket.isCorked = false;
+        tcpSocket.uncork();
+    });
+}
+
+function sendFrame(link: LinkSocket, frame: Frame, logger: Logger): boolean {
+    const socket = link.webSocket;
     if (socket.readyState !== WebSocket.OPEN || socket.bufferedAmount > sendBufferLimitBytes) {
         return false;
     }
@@ -40,12 +75,22 @@
         logger.error("frame exceeds the limit and was not sent", { bytes: bytes.length, limitBytes: frameLimitBytes });
         return false;
     }
+    corkUntilTurnEnds(link);
     socket.send(bytes);
     return true;
 }
 
-function openEvents(socket: WebSocket, logger: Logger): Effect.Effect<Queue.Queue<SocketEvent>> {
-    return Effect.map(Queue.unbounded<SocketEvent>(), events => {
+/** What a socket reports. Frames go to the queue until `passFrames` names a receiver, which gets the waiting ones first. */
+interface SocketEvents {
+    readonly queue: Queue.Queue<SocketEvent>;
+    readonly passFrames: (receive: (frame: Frame) => void) => void;
+}
+
+function openEvents(socket: WebSocket, logger: Logger): Effect.Effect<SocketEvents> {
+    return Effect.map(Queue.unbounded<SocketEvent>(), queue => {
+        let receive = (frame: Frame): void => {
+            Queue.offerUnsafe(queue, { kind: "frame", frame });
+        };
         socket.on("message", (data: Buffer) => {
             const frame = decodeFrame(data);
             if (frame === undefined) {
@@ -53,20 +98,41 @@
                 socket.terminate();
                 return;
             }
-            Queue.offerUnsafe(events, { kind: "frame", frame });
+            receive(frame);
         });
-        socket.on("close", () => Queue.offerUnsafe(events, { kind: "closed" }));
+        socket.on("close", () => Queue.offerUnsafe(queue, { kind: "closed" }));
         socket.on("error", error => {
             logger.debug("link error", { detail: error.message });
             socket.terminate();
         });
-        return events;
+        return {
+            queue,
+            passFrames: chosen => {
+                let waiting = Queue.takeUnsafe(queue);
+                while (waiting !== undefined && Exit.isSuccess(waiting) && waiting.value.kind === "frame") {
+                    chosen(waiting.value.frame);
+                    waiting = Queue.takeUnsafe(queue);
+                }
+                if (waiting !== undefined && Exit.isSuccess(waiting)) {
+                    Queue.offerUnsafe(queue, waiting.value);
+                }
+                receive = chosen;
+            },
+        };
+    });
+}
+
+/** Passes all further frames to `receive` and waits until the socket is closed. */
+function passFramesUntilClosed(events: SocketEvents, receive: (frame: Frame) => void): Effect.Effect<void> {
+    return Effect.suspend(() => {
+        events.passFrames(receive);
+        return Effect.asVoid(Queue.take(events.queue));
     });
 }
 
 /** Awaits the first event; closes the socket and returns `closed` when there is none within `silenceLimitMs`. */
-function awaitFirstEvent(socket: WebSocket, events: Queue.Dequeue<SocketEvent>): Effect.Effect<SocketEvent> {
-    return Queue.take(events).pipe(Effect.timeoutOrElse({
+function awaitFirstEvent(socket: WebSocket, events: SocketEvents): Effect.Effect<SocketEvent> {
+    return Queue.take(events.queue).pipe(Effect.timeoutOrElse({
         duration: silenceLimitMs,
         orElse: () =>
             Effect.sync((): SocketEvent => {
@@ -126,7 +192,7 @@
     const { self } = options;
     const scope = yield* Effect.scope;
     const runFork = Effect.runForkWith(yield* Effect.context<never>());
-    const sockets = new Map<PeerId, WebSocket>();
+    const sockets = new Map<PeerId, LinkSocket>();
     const connectors = yield* FiberMap.make<PeerId>();
     const addresses = new Map<PeerId, string>();
     const hub = yield* createChannelHub(self, (peer, frame) => {
@@ -134,7 +200,8 @@
         return socket !== undefined && sendFrame(socket, frame, logger);
     }, logger);
 
-    const serveSocket = Effect.fnUntraced(function*(socket: WebSocket) {
+    const serveSocket = Effect.fnUntraced(function*(socket: WebSocket, tcpSocket: Socket) {
+        const linkSocket = createLinkSocket(socket, tcpSocket);
         const events = yield* openEvents(socket, logger);
         yield* Effect.addFinalizer(() => Effect.sync(() => socket.terminate()));
         const first = yield* awaitFirstEvent(socket, events);
@@ -149,17 +216,11 @@
             return;
         }
         const peer = first.frame.from;
-        sendFrame(socket, { kind: "welcome", version: peerProtocolVersion, from: self }, logger);
+        sendFrame(linkSocket, { kind: "welcome", version: peerProtocolVersion, from: self }, logger);
         yield* Effect.forkScoped(watchSocket(socket));
         const frames = yield* Queue.unbounded<Frame>();
-        yield* Effect.forkScoped(hub.serveConnection(peer, frames, frame => sendFrame(socket, frame, logger)));
-        while (true) {
-            const event = yield* Queue.take(events);
-            if (event.kind === "closed") {
-                return;
-            }
-            Queue.offerUnsafe(frames, event.frame);
-        }
+        yield* Effect.forkScoped(hub.serveConnection(peer, frames, frame => sendFrame(linkSocket, frame, logger)));
+        yield* passFramesUntilClosed(events, frame => Queue.offerUnsafe(frames, frame));
     });
 
     const attemptConnection = Effect.fnUntraced(function*(peer: PeerId, address: string) {
@@ -167,6 +228,7 @@
             maxPayload: frameLimitBytes,
             handshakeTimeout: openLimitMs,
             perMessageDeflate: false,
+            generateMask: fillZeroMask,
         });
         const events = yield* openEvents(socket, logger);
         yield* Effect.addFinalizer(() =>
@@ -176,24 +238,22 @@
                 hub.failCalls(peer);
             })
         );
+        const linkSocket = createLinkSocket(socket, undefined);
+        socket.on("upgrade", response => {
+            linkSocket.tcpSocket = response.socket;
+        });
         socket.on("open", () => {
-            sendFrame(socket, { kind: "hello", version: peerProtocolVersion, from: self, to: peer }, logger);
+            sendFrame(linkSocket, { kind: "hello", version: peerProtocolVersion, from: self, to: peer }, logger);
         });
         const first = yield* awaitFirstEvent(socket, events);
         if (first.kind !== "frame" || first.frame.kind !== "welcome" || first.frame.from !== peer) {
             return;
         }
-        sockets.set(peer, socket);
+        sockets.set(peer, linkSocket);
         logger.debug("link open", { peer });
         yield* Effect.forkScoped(watchSocket(socket));
-        while (true) {
-            const event = yield* Queue.take(events);
-            if (event.kind === "closed") {
-                logger.info("link closed", { peer });
-                return;
-            }
-            hub.handleReplyFrame(peer, event.frame);
-        }
+        yield* passFramesUntilClosed(events, frame => hub.handleReplyFrame(peer, frame));
+        logger.info("link closed", { peer });
     });
 
     const keepConnected = (peer: PeerId, address: string) =>
@@ -206,8 +266,8 @@
     // The WebSocket server emits the errors of the HTTP server again. `listen` reports them; without this handler they
     // would end the process.
     webSocketServer.on("error", error => logger.debug("link server error", { detail: error.message }));
-    webSocketServer.on("connection", socket => {
-        runFork(Effect.forkIn(Effect.scoped(serveSocket(socket)), scope));
+    webSocketServer.on("connection", (socket, request) => {
+        runFork(Effect.forkIn(Effect.scoped(serveSocket(socket, request.socket)), scope));
     });
     const port = yield* listen(server, options.listenHost, options.listenPort);
     yield* Effect.addFinalizer(() =>
