--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -99,12 +99,41 @@
     };
 }
 
-/** Encodes the state as MessagePack. */
+/** Encoded closed jobs, which no longer change; they are most of the state, and encoding them blocks the process. */
+const encodedClosedJobs = new WeakMap<JobRecord, Uint8Array>();
+
+function encodeJob(job: JobRecord, isOpen: boolean): Uint8Array {
+    if (isOpen) {
+        return packr.pack(saveJob(job, true));
+    }
+    const known = encodedClosedJobs.get(job);
+    if (known !== undefined) {
+        return known;
+    }
+    // A copy, because the encoder returns a part of a larger buffer, which would stay in memory as a whole.
+    const encoded = new Uint8Array(packr.pack(saveJob(job, false)));
+    encodedClosedJobs.set(job, encoded);
+    return encoded;
+}
+
+/** Header of a MessagePack array (`array 32`). */
+function encodeArrayHeader(length: number): Uint8Array {
+    const header = Buffer.alloc(5);
+    header.writeUInt8(0xdd, 0);
+    header.writeUInt32BE(length, 1);
+    return header;
+}
+
+/** Header of a MessagePack map with up to 15 keys (`fixmap`). */
+function encodeMapHeader(keys: number): Uint8Array {
+    return Uint8Array.of(0x80 + keys);
+}
+
+/** Encodes the state as MessagePack; the parts are those of a `SavedModel`. */
 export function encodeSnapshot(state: JobState): Uint8Array {
-    const saved: SavedModel = {
+    const saved: Omit<SavedModel, "jobs"> = {
         clockMs: state.clockMs,
         configuration: state.configuration,
-        jobs: [...state.jobs.values()].map(job => saveJob(job, state.openJobs.has(job.id))),
         closed: [...state.closedJobs],
         workers: [...state.workers.values()].map(({ info, isDraining }) => ({ info, isDraining })),
         waves: [...state.waves.values()].map(({ wave, requestedAtMs, begun }) => ({
@@ -115,7 +144,16 @@
         disturbances: [...state.disturbances.values()],
         services: [...state.servicesByQueue].map(([queue, services]) => [queue, [...services]]),
     };
-    return packr.pack(saved);
+    const fields = Object.entries(saved);
+    const parts: Uint8Array[] = [encodeMapHeader(fields.length + 1)];
+    for (const [key, value] of fields) {
+        parts.push(packr.pack(key), packr.pack(value));
+    }
+    parts.push(packr.pack("jobs" satisfies keyof SavedModel), encodeArrayHeader(state.jobs.size));
+    for (const job of state.jobs.values()) {
+        parts.push(encodeJob(job, state.openJobs.has(job.id)));
+    }
+    return Buffer.concat(parts);
 }
 
 function restoreTask(
