--- a/packages/job-state/src/measure/measure-snapshots.ts
+++ b/packages/job-state/src/measure/measure-snapshots.ts
@@ -84,6 +84,9 @@
     }
     const restored = createJobMachine();
     const restoreMs = measureMs(() => restored.restoreSnapshot(bytes));
+    const firstRestoredMs = measureMs(() => {
+        restored.takeSnapshot();
+    });
     const sorted = [...times].sort((left, right) => left - right);
     const result = {
         ...size,
@@ -92,6 +95,7 @@
         medianMs: round(sorted[Math.floor(repeats / 2)] ?? 0),
         longestMs: round(sorted.at(-1) ?? 0),
         restoreMs: round(restoreMs),
+        firstRestoredMs: round(firstRestoredMs),
     };
     process.stdout.write(JSON.stringify(result) + "\n");
 }
