Refuse an invalid configuration also when its version is outdated

Cause: the leader compared the version before it checked the configuration, and acknowledges outdated versions.

Change: the check comes first. A valid outdated configuration is acknowledged as before.

--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -140,17 +140,18 @@
 
 const setConfiguration = Effect.fnUntraced(function*(term: Term, request: RequestOf<"setConfiguration">) {
     const { configuration } = request;
+    // Checked before the version, because an invalid configuration must not be acknowledged even if it is outdated.
+    const fault = checkConfiguration(configuration);
+    if (fault !== undefined) {
+        term.logger.warn("configuration refused", { version: configuration.version, fault });
+        return { kind: "invalid", detail: fault } satisfies JobReply;
+    }
     const currentVersion = term.machine.state.configuration?.version;
     if (currentVersion !== undefined && configuration.version <= currentVersion) {
         // The reply waits until a quorum confirms this leader, because only then is the version certainly committed.
         yield* term.log.confirmRead;
         return { kind: "configuration", version: currentVersion, document: undefined } satisfies JobReply;
     }
-    const fault = checkConfiguration(configuration);
-    if (fault !== undefined) {
-        term.logger.warn("configuration refused", { version: configuration.version, fault });
-        return { kind: "invalid", detail: fault } satisfies JobReply;
-    }
     const result = yield* propose(term, { kind: "setConfiguration", configuration });
     term.logger.info("configuration in force", {
         version: result.kind === "configuration" ? result.version : 0,
