Answer requests before the first configuration with 503

What callers saw: 404 from an entry host that has a leader while there is no configuration yet, after which they give up a queue that is about to exist.

Cause: a state without a configuration has no queue.

Change: a reply kind notConfigured, 503 with Retry-After. It is decided before any command, so the request has certainly not run.

--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -172,7 +172,15 @@
     } satisfies JobReply;
 });
 
+/** Whether the reply depends on the queues of the configuration. */
+function needsQueue({ kind }: JobRequest): boolean {
+    return kind === "submitJob" || kind === "readJob" || kind === "cancelJob" || kind === "countPending";
+}
+
 function handleByKind(term: Term, request: JobRequest): Effect.Effect<JobReply, ErrorData> {
+    if (needsQueue(request) && term.machine.state.configuration === undefined) {
+        return Effect.succeed({ kind: "notConfigured" });
+    }
     switch (request.kind) {
         case "submitJob":
             return submitJob(term, request);
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -273,6 +273,8 @@
     | { readonly kind: "accepted"; }
     | { readonly kind: "rejected"; readonly reason: JobRejection; readonly retryAfterMs: number | undefined; }
     | { readonly kind: "noQueue"; }
+    /** There is no configuration yet, so that the queue may exist soon; nothing was changed. */
+    | { readonly kind: "notConfigured"; }
     | { readonly kind: "noJob"; }
     | { readonly kind: "phase"; readonly phase: JobPhase; }
     | { readonly kind: "pending"; readonly count: number; }
