Forget a leader that has answered that it does not lead

Cause: a request whose call had just been answered with `notLeader` did not forget the leader, because the condition that guards a search cut short by an answer was false for it. In addition, followers name a deposed leader until their election timeout, and the search trusted them although the process itself answered that it does not lead. Each held request called the deposed process again every 40 ms, and `leaderlessSinceMs` stayed unset, so that submissions were held.

Change: the guard applies only to a search that an answer may cut short. The search ignores a leader that others name if that process answers and does not name itself.

--- a/packages/forward-jobs/src/forwarder.test.ts
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -20,8 +20,10 @@
 /** Control processes `a` and `b`, one of which is the leader, and an entry process with a forwarder. */
 const openSystem = Effect.fnUntraced(function*(answer: (self: string) => Effect.Effect<JobReply>) {
     const network = yield* createMemoryNetwork;
-    const state: { leader: string | undefined; asked: string[]; searches: number; } = {
+    const state: { leader: string | undefined; named: string | undefined; asked: string[]; searches: number; } = {
         leader: "a",
+        /** Process that the others name while there is no leader. */
+        named: undefined,
         asked: [],
         searches: 0,
     };
@@ -31,8 +33,9 @@
             handleCall: () =>
                 Effect.sync(() => {
                     state.searches += 1;
+                    const leader = state.leader ?? (state.named === id ? undefined : state.named);
                     return {
-                        leader: state.leader === undefined ? undefined : makeAddress(state.leader),
+                        leader: leader === undefined ? undefined : makeAddress(leader),
                         members: ["a", "b"].map(makeAddress),
                     };
                 }),
@@ -294,3 +297,34 @@
         yield* pass(200);
         assert.equal(yield* send(makeHeartbeat(10, false, "w1:2")), 1);
     })));
+
+for (const [named, suffix] of [[undefined, ""], ["a", " although its followers still name it"]] as const) {
+    // Guards against an election in which each held request calls the deposed leader again every 40 ms: that process is a
+    // voter and was deposed because it had too much work.
+    test(`a request is not sent again to a leader that has answered that it does not lead${suffix}`, () =>
+        runSimulated(Effect.gen(function*() {
+            const { state, forwarder } = yield* openSystem(answerPhase);
+            yield* forwarder.forwardRequest(request, 1_000);
+            Object.assign(state, { leader: undefined, named });
+            state.asked.length = 0;
+            yield* Effect.forkScoped(forwarder.forwardRequest(request, 2_000));
+            yield* pass(1_000);
+            assert.ok(state.asked.length <= 2, `${state.asked.length} calls in one second without a leader`);
+        })));
+
+    // Guards against submissions that are held for a second each because a deposed leader still counts as known.
+    test(`a submission is refused at once when the deposed leader has been without successor for 1.5 s${suffix}`, () =>
+        runSimulated(Effect.gen(function*() {
+            const { state, forwarder } = yield* openSystem(answerPhase);
+            yield* Effect.forkScoped(forwarder.keepLocating);
+            yield* forwarder.forwardRequest(request, 1_000);
+            Object.assign(state, { leader: undefined, named });
+            // Requests that are held all the time, as those of a loaded entry host.
+            yield* Effect.forkScoped(forwarder.forwardRequest(request, 4_000));
+            yield* pass(2_000);
+            const refused = yield* Effect.forkScoped(forwarder.forwardRequest(makeSubmission("b"), 1_000));
+            yield* pass(10);
+            const exit = refused.pollUnsafe();
+            assert.ok(exit !== undefined && Exit.isSuccess(exit) && exit.value.kind === "noLeader");
+        })));
+}
--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -269,7 +269,8 @@
             }
             const isPending = attempts.pending.has(leader.id);
             const next = yield* isPending ? locateUnlessEnded(attempts) : locate;
-            if (next === undefined && attempts.ended.length === 0) {
+            // A search for a pending leader stops without a result when an attempt ends, which does not tell that none leads.
+            if (next === undefined && (!isPending || attempts.ended.length === 0)) {
                 forgetLeader(leader);
             }
             if (!isPending && (next === undefined || next.id === leader.id)) {
--- a/packages/join-cluster/src/locate-leader.test.ts
+++ b/packages/join-cluster/src/locate-leader.test.ts
@@ -62,3 +62,14 @@
         const { link, channel } = yield* openNetwork({ a: { leader: undefined, members: [makeAddress("a")] } });
         assert.equal(yield* locateLeader(createControlView([makeAddress("a")]), link, channel), undefined);
     })));
+
+// Guards against calls to a deposed leader for as long as its followers have not noticed that it stepped down.
+test("a process that answers and does not name itself is not the leader, although others name it", () =>
+    run(Effect.gen(function*() {
+        const members = ["a", "b", "c"].map(makeAddress);
+        const outdated = { leader: makeAddress("a"), members };
+        const { link, channel } = yield* openNetwork({ a: { leader: undefined, members }, b: outdated, c: outdated });
+        const view = createControlView(members);
+        assert.equal(yield* locateLeader(view, link, channel), undefined);
+        assert.equal(view.leader, undefined);
+    })));
--- a/packages/join-cluster/src/locate-leader.ts
+++ b/packages/join-cluster/src/locate-leader.ts
@@ -35,7 +35,8 @@
 /**
  * Asks all candidates concurrently and waits for each reply or its timeout. Returns the leader that the first candidate
  * in the order of the view names; undefined when none names one. A process that names itself takes precedence, because
- * the others may not know yet that the leader changed.
+ * the others may not know yet that the leader changed. For the same reason a process that answers and does not name itself
+ * is not the leader, whoever names it.
  */
 export const locateLeader = Effect.fnUntraced(function*(
     view: ControlView,
@@ -57,7 +58,9 @@
     );
     const answered = replies.filter(({ reply }) => reply?.leader !== undefined);
     const selfNamed = answered.find(({ from, reply }) => reply?.leader?.id === from);
-    const chosen = (selfNamed ?? answered[0])?.reply;
+    const hasAnswered = new Set(replies.flatMap(({ from, reply }) => reply === undefined ? [] : [from]));
+    const hint = answered.find(({ reply }) => reply?.leader !== undefined && !hasAnswered.has(reply.leader.id));
+    const chosen = (selfNamed ?? hint)?.reply;
     for (const { reply } of replies) {
         if (reply !== undefined) {
             recordDirectoryReply(view, link, { leader: undefined, members: reply.members });
