Read answers that have arrived before calls expire and leaders step down

Cause: timers run before sockets are read. In a process that was busy for longer than a call may take, the call expired while its answer waited in the socket buffer, the answer was dropped, and contact was not renewed. A busy leader thus deposed itself although its followers had answered in time. After an answer that was read late, the next heartbeat also came too late.

Change: calls expire, and the fibers of the log end a leadership, after one whole poll phase of the event loop. An answer that comes after the call has expired, within the same time again, still counts as contact. The heartbeat interval counts from the last contact.

Safety: contact counts from the time at which the request was sent, never from the time at which the answer is read. The follower got the request later than that, and refuses other candidates for the shortest election timeout from then on. The fibers of the log send nothing and use no answers without contact. Proposals, reads and orders of the leader still end the leadership at once when contact is outdated, because lead-jobs takes a refusal as the end of the term; so a leader that was busy for nearly an election timeout may still be deposed when one of these comes first.

--- a/packages/peer-link/src/channel-hub.ts
+++ b/packages/peer-link/src/channel-hub.ts
@@ -1,6 +1,7 @@
 import { describeError } from "@chestnutspool/errors";
 import type { Logger } from "@chestnutspool/logger";
 import {
+    awaitSocketReads,
     type Channel,
     type ChannelHandler,
     type ChannelName,
@@ -31,10 +32,21 @@
     /** When the call fails with `timeout`, in monotonic milliseconds. */
     readonly deadlineMs: number;
     readonly resume: (result: Effect.Effect<unknown, ErrorData>) => void;
+    readonly onLateReply: ((reply: unknown) => void) | undefined;
+}
+
+/** A call that has timed out and whose caller still takes the reply. */
+interface LateReply {
+    readonly kind: "late";
+    readonly peer: PeerId;
+    /** When the call is cancelled, in monotonic milliseconds. */
+    readonly deadlineMs: number;
+    readonly onLateReply: (reply: unknown) => void;
 }
 
 type PendingCall =
     | PendingReply
+    | LateReply
     | { readonly kind: "streamed"; readonly peer: PeerId; readonly events: Queue.Queue<PendingEvent>; };
 
 interface ServedCall {
@@ -150,21 +162,33 @@
         }
     };
 
+    const expireCall = (id: number, call: PendingReply | LateReply, nowMs: number): void => {
+        if (call.kind === "late") {
+            cancelCall(id, call.peer);
+            return;
+        }
+        const { peer, channel, limitMs, onLateReply, resume } = call;
+        if (onLateReply === undefined) {
+            cancelCall(id, peer);
+        }
+        else {
+            pending.set(id, { kind: "late", peer, deadlineMs: nowMs + limitMs, onLateReply });
+        }
+        resume(Effect.fail(createTimeout(channel, peer, limitMs)));
+    };
+
     /** Fails the calls whose time is over and returns the next deadline. */
     const expireCalls = (nowMs: number): number => {
-        let next = Number.POSITIVE_INFINITY;
-        const expired: (readonly [number, PendingReply])[] = [];
-        for (const [id, call] of pending) {
-            if (call.kind === "single" && call.deadlineMs <= nowMs) {
-                expired.push([id, call]);
-            }
-            else if (call.kind === "single") {
-                next = Math.min(next, call.deadlineMs);
+        const isExpired = (call: PendingCall): call is PendingReply | LateReply =>
+            call.kind !== "streamed" && call.deadlineMs <= nowMs;
+        for (const [id, call] of [...pending]) {
+            if (isExpired(call)) {
+                expireCall(id, call, nowMs);
             }
         }
-        for (const [id, { peer, channel, limitMs, resume }] of expired) {
-            cancelCall(id, peer);
-            resume(Effect.fail(createTimeout(channel, peer, limitMs)));
+        let next = Number.POSITIVE_INFINITY;
+        for (const call of pending.values()) {
+            next = call.kind === "streamed" ? next : Math.min(next, call.deadlineMs);
         }
         return next;
     };
@@ -173,6 +197,10 @@
     const runExpiry = Effect.gen(function*() {
         while (true) {
             const nowMs = yield* readMonotonicMs;
+            if (nextExpiryMs <= nowMs) {
+                // A reply that has arrived in time must not be lost because this process was busy.
+                yield* awaitSocketReads;
+            }
             nextExpiryMs = Number.POSITIVE_INFINITY;
             // A caller that resumes may begin a call with an earlier deadline meanwhile.
             nextExpiryMs = Math.min(expireCalls(nowMs), nextExpiryMs);
@@ -183,23 +211,28 @@
         }
     });
 
-    const callPeer = (channel: ChannelName, peer: PeerId, body: unknown, limitMs: number) =>
-        Effect.flatMap(readMonotonicMs, nowMs =>
-            Effect.callback<unknown, ErrorData>(resume => {
-                const id = nextId++;
-                const deadlineMs = nowMs + limitMs;
-                pending.set(id, { kind: "single", peer, channel, limitMs, deadlineMs, resume });
-                if (isClosed || !sendTo(peer, { kind: "call", channel, id, streamed: false, body })) {
-                    pending.delete(id);
-                    resume(Effect.fail<ErrorData>({ kind: "peerUnavailable", peer }));
-                    return;
-                }
-                if (deadlineMs < nextExpiryMs) {
-                    nextExpiryMs = deadlineMs;
-                    Queue.offerUnsafe(expiryWake, undefined);
-                }
-                return Effect.sync(() => cancelCall(id, peer));
-            }));
+    const callPeer = (
+        channel: ChannelName,
+        peer: PeerId,
+        body: unknown,
+        limitMs: number,
+        onLateReply?: (reply: unknown) => void,
+    ) => Effect.flatMap(readMonotonicMs, nowMs =>
+        Effect.callback<unknown, ErrorData>(resume => {
+            const id = nextId++;
+            const deadlineMs = nowMs + limitMs;
+            pending.set(id, { kind: "single", peer, channel, limitMs, deadlineMs, resume, onLateReply });
+            if (isClosed || !sendTo(peer, { kind: "call", channel, id, streamed: false, body })) {
+                pending.delete(id);
+                resume(Effect.fail<ErrorData>({ kind: "peerUnavailable", peer }));
+                return;
+            }
+            if (deadlineMs < nextExpiryMs) {
+                nextExpiryMs = deadlineMs;
+                Queue.offerUnsafe(expiryWake, undefined);
+            }
+            return Effect.sync(() => cancelCall(id, peer));
+        }));
 
     const forwardEvent = (id: number, event: PendingEvent): void => {
         const call = pending.get(id);
@@ -210,6 +243,13 @@
             Queue.offerUnsafe(call.events, event);
             return;
         }
+        if (call.kind === "late") {
+            pending.delete(id);
+            if (event.kind === "item") {
+                call.onLateReply(event.body);
+            }
+            return;
+        }
         switch (event.kind) {
             case "item":
                 pending.delete(id);
@@ -391,8 +431,11 @@
             handlers.set(name, mergeHandlers(name, handlers.get(name), handler as AnyHandler));
             return {
                 sendMessage: (to, message) => sendTo(to, { kind: "message", channel: name, body: message }),
-                callPeer: (to, request, limitMs) =>
-                    Effect.map(callPeer(name, to, request, limitMs), reply => reply as Reply),
+                callPeer: (to, request, limitMs, onLateReply) =>
+                    Effect.map(
+                        callPeer(name, to, request, limitMs, onLateReply as ((reply: unknown) => void) | undefined),
+                        reply => reply as Reply,
+                    ),
                 callStream: (to, request, limitMs, onReply) =>
                     callStream(name, to, request, limitMs, reply => onReply(reply as Reply)),
             };
--- a/packages/peer-link/src/unary-calls.test.ts
+++ b/packages/peer-link/src/unary-calls.test.ts
@@ -111,6 +111,33 @@
     ));
 });
 
+// Guards against the loss of an answer that shows that the peer is alive, and against work for a caller that is gone.
+void test("a caller that takes late replies gets one after the timeout, and the call is cancelled after the same time again", async () => {
+    await Effect.runPromise(Effect.provide(
+        Effect.scoped(Effect.gen(function*() {
+            const { hub, channel, listCancels, listCallIds } = yield* createRecordedHub();
+            const late: number[] = [];
+            for (const request of [1, 2]) {
+                const call = channel.callPeer("other", request, 300, reply => {
+                    late.push(reply);
+                });
+                const fiber = yield* Effect.forkChild(Effect.flip(call));
+                yield* runReady;
+                yield* TestClock.adjust(300);
+                assert.equal((yield* Fiber.join(fiber)).kind, "timeout");
+            }
+            assert.deepEqual(listCancels(), [{ kind: "cancel", id: listCallIds()[0] }]);
+            hub.handleReplyFrame("other", { kind: "reply", id: listCallIds()[0] ?? 0, body: 4 });
+            hub.handleReplyFrame("other", { kind: "reply", id: listCallIds()[1] ?? 0, body: 5 });
+            hub.handleReplyFrame("other", { kind: "reply", id: listCallIds()[1] ?? 0, body: 6 });
+            assert.deepEqual(late, [5]);
+            yield* TestClock.adjust(1_000);
+            assert.equal(listCancels().length, 1);
+        })),
+        TestClock.layer(),
+    ));
+});
+
 // A caller that hears no error would wait for a reply that cannot come.
 void test("a broken link fails its calls as `outcomeUnknown` and leaves the calls to other peers", async () => {
     await Effect.runPromise(Effect.provide(
--- a/packages/replicated-log/src/elect.ts
+++ b/packages/replicated-log/src/elect.ts
@@ -1,10 +1,11 @@
 import type { LogMember } from "@chestnutspool/types";
-import { readMonotonicMs } from "@chestnutspool/types";
+import { awaitSocketReads, readMonotonicMs } from "@chestnutspool/types";
 import { Effect, Option, Queue } from "effect";
 import { logProtocolVersion, type LogReply, type VoteRequest } from "./messages.js";
 import {
     awaitHardState,
     awaitWake,
+    canReplicate,
     checkLeadership,
     countMajority,
     isVoter,
@@ -100,8 +101,15 @@
 export const runElectionTimer = Effect.fnUntraced(function*(replica: Replica) {
     while (replica.role !== "stopped") {
         const nowMs = yield* readMonotonicMs;
-        if (checkLeadership(replica, nowMs)) {
-            yield* awaitWake(replica.timerWake, replica.settings.heartbeatMs);
+        if (replica.role === "leader") {
+            if (canReplicate(replica, nowMs)) {
+                yield* awaitWake(replica.timerWake, replica.settings.heartbeatMs);
+            }
+            else {
+                // A process that was busy may not have read the answers of its followers yet.
+                yield* awaitSocketReads;
+                checkLeadership(replica, yield* readMonotonicMs);
+            }
             continue;
         }
         const remainingMs = replica.electionDeadlineMs - nowMs;
--- a/packages/replicated-log/src/replica.ts
+++ b/packages/replicated-log/src/replica.ts
@@ -316,6 +316,22 @@
     return true;
 }
 
+/**
+ * Whether this replica leads and has contact with a majority, for the fibers of the log. Without contact they do not act,
+ * and the election timer ends the leadership once the answers that have arrived are read. Other callers use
+ * `checkLeadership`, because they take a refusal as the end of the term.
+ */
+export function canReplicate(replica: Replica, nowMs: number): boolean {
+    if (replica.role !== "leader") {
+        return false;
+    }
+    if (!hasQuorumContact(replica, nowMs)) {
+        Queue.offerUnsafe(replica.timerWake, undefined);
+        return false;
+    }
+    return true;
+}
+
 /** Completes the reads whose round a majority has answered, once an entry of the own term is committed. */
 export function completeReads(replica: Replica): void {
     if (
--- a/packages/replicated-log/src/replicate.ts
+++ b/packages/replicated-log/src/replicate.ts
@@ -4,6 +4,7 @@
 import { type AppendRequest, type LogEntry, logProtocolVersion, type LogReply, type LogRequest } from "./messages.js";
 import {
     awaitWake,
+    canReplicate,
     checkLeadership,
     commitUntil,
     completeReads,
@@ -138,37 +139,71 @@
     };
 }
 
+/** Whether the replica leads the term, with or without contact to a majority. */
+function isLeaderOf(replica: Replica, term: number): boolean {
+    return replica.role === "leader" && replica.term === term;
+}
+
+/**
+ * Records contact with a peer that answered a request of this term. It counts from the sending time, however late the reply
+ * is read: the peer got the request after that and supports no other candidate for an election timeout from then on.
+ */
+function recordContact(replica: Replica, peer: PeerProgress, sentMs: number, round: number): void {
+    peer.contactMs = Math.max(peer.contactMs, sentMs);
+    peer.ackedRound = Math.max(peer.ackedRound, round);
+}
+
+type PeerReply = Extract<LogReply, { readonly kind: "append" | "snapshot"; }>;
+
+/** Returns the reply if it shows that the peer follows this leader; a higher term ends the leadership. */
+function acceptReply(replica: Replica, peer: PeerProgress, term: number, reply: LogReply): PeerReply | undefined {
+    if (!isLeaderOf(replica, term)) {
+        return undefined;
+    }
+    if (reply.kind === "refused") {
+        replica.logger.warn(
+            "replica refused the leader; admit it with a member change if its data folder was replaced",
+            {
+                replica: peer.id,
+                reason: reply.reason,
+                identity: reply.identity,
+            },
+        );
+        return undefined;
+    }
+    if (reply.kind !== "append" && reply.kind !== "snapshot") {
+        return undefined;
+    }
+    if (reply.term > replica.term) {
+        setFollower(replica, reply.term, undefined);
+        return undefined;
+    }
+    return reply;
+}
+
 /** Calls the peer; undefined when there was no usable reply or this replica no longer leads the term. */
 const callInTerm = Effect.fnUntraced(
     function*(replica: Replica, peer: PeerProgress, term: number, request: LogRequest) {
         const sentMs = yield* readMonotonicMs;
         const { round } = replica;
         const limitMs = replica.settings.electionTimeoutMinMs / 2;
-        const exit = yield* Effect.exit(replica.channel.callPeer(peer.id, request, limitMs));
-        if (replica.term !== term || !checkLeadership(replica, yield* readMonotonicMs) || Exit.isFailure(exit)) {
-            return undefined;
-        }
-        const reply = exit.value;
-        if (reply.kind === "refused") {
-            replica.logger.warn(
-                "replica refused the leader; admit it with a member change if its data folder was replaced",
-                {
-                    replica: peer.id,
-                    reason: reply.reason,
-                    identity: reply.identity,
-                },
-            );
+        const call = replica.channel.callPeer(peer.id, request, limitMs, late => {
+            if (acceptReply(replica, peer, term, late) !== undefined) {
+                recordContact(replica, peer, sentMs, round);
+            }
+        });
+        const exit = yield* Effect.exit(call);
+        if (Exit.isFailure(exit)) {
             return undefined;
         }
-        if (reply.kind !== "append" && reply.kind !== "snapshot") {
+        const reply = acceptReply(replica, peer, term, exit.value);
+        if (reply === undefined) {
             return undefined;
         }
-        if (reply.term > replica.term) {
-            setFollower(replica, reply.term, undefined);
+        recordContact(replica, peer, sentMs, round);
+        if (!canReplicate(replica, yield* readMonotonicMs)) {
             return undefined;
         }
-        peer.contactMs = Math.max(peer.contactMs, sentMs);
-        peer.ackedRound = Math.max(peer.ackedRound, round);
         completeReads(replica);
         return reply;
     },
@@ -261,7 +296,11 @@
  */
 const replicateTo = Effect.fnUntraced(function*(replica: Replica, peer: PeerProgress, term: number) {
     const { heartbeatMs } = replica.settings;
-    while (replica.term === term && checkLeadership(replica, yield* readMonotonicMs)) {
+    while (isLeaderOf(replica, term)) {
+        if (!canReplicate(replica, yield* readMonotonicMs)) {
+            yield* awaitWake(peer.wake, heartbeatMs);
+            continue;
+        }
         const { round } = replica;
         if (!(yield* sendNext(replica, peer, term))) {
             yield* Effect.sleep(heartbeatMs);
@@ -269,7 +308,9 @@
         }
         const lastIndex = replica.window.lastIndex();
         if (peer.matchIndex >= lastIndex && round === replica.round) {
-            yield* awaitWake(peer.wake, heartbeatMs);
+            // Contact is dated by the sending time, so that an answer that was read late must be followed by a request soon.
+            const sinceContactMs = (yield* readMonotonicMs) - peer.contactMs;
+            yield* awaitWake(peer.wake, Math.max(0, heartbeatMs - sinceContactMs));
         }
         const waitMs = computeAccumulationMs(replica, peer, yield* readMonotonicMs);
         if (waitMs > 0) {
--- a/packages/types/src/ports.ts
+++ b/packages/types/src/ports.ts
@@ -23,9 +23,15 @@
     readonly sendMessage: (to: PeerId, message: Request) => boolean;
     /**
      * Calls a peer. Fails with `peerUnavailable` when nothing was sent, with `outcomeUnknown` when the link broke
-     * after sending, and with `timeout` after the limit.
+     * after sending, and with `timeout` after the limit. With `onLateReply` a call that times out is not cancelled at the
+     * peer, and a reply that arrives within the same time again is passed to `onLateReply`.
      */
-    readonly callPeer: (to: PeerId, request: Request, limitMs: number) => Effect.Effect<Reply, ErrorData>;
+    readonly callPeer: (
+        to: PeerId,
+        request: Request,
+        limitMs: number,
+        onLateReply?: (reply: Reply) => void,
+    ) => Effect.Effect<Reply, ErrorData>;
     /** Calls a peer and passes each reply to `onReply` in order; the limit is for the whole call. */
     readonly callStream: (
         to: PeerId,
