--- a/packages/relay-worker-calls/src/review-delay.test.ts
+++ b/packages/relay-worker-calls/src/delay-after-pause.test.ts
@@ -1,11 +1,15 @@
 import { silentLogger } from "@chestnutspool/logger";
 import type { RelayedAnswer, WorkerCallMessage, WorkerPort, WorkerRef } from "@chestnutspool/types";
 import { Effect } from "effect";
+import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type DelayBaseline, estimateDelay } from "./message-delay.js";
 import { serveWorkerCalls } from "./serve-worker-calls.js";
 
+const seed = 173;
+/** Shortest limit of a call to a worker, in milliseconds: that of a change of pace. */
+const shortestLimitMs = 500;
 /** Longest limit of a call to a worker, in milliseconds; longer ones are dropped by a relay. */
 const longestLimitMs = 1_500;
 /** Longest lease of a worker, in milliseconds. */
@@ -43,6 +47,39 @@
     assert.ok(droppedMs < longestLeaseMs, `calls were dropped for ${droppedMs} ms`);
 });
 
+// Guards against a wrong baseline that lasts, whatever the sequence of pauses, shifts of a clock and jitter.
+test("messages that come every 100 ms with little jitter are in time 3.2 s after any disturbance", () => {
+    const disturbance = fc.record({ senderMs: fc.nat(5_000), receiverMs: fc.nat(5_000) });
+    fc.assert(
+        fc.property(
+            fc.array(disturbance, { minLength: 1, maxLength: 8 }),
+            fc.array(fc.nat(90), { minLength: 60, maxLength: 60 }),
+            (disturbances, jitter) => {
+                let baseline: DelayBaseline | undefined;
+                let sentAtMs = 0;
+                let clockMs = 70_000;
+                const observe = (extraMs: number): number => {
+                    const estimate = estimateDelay(baseline, sentAtMs, clockMs + extraMs);
+                    baseline = estimate.baseline;
+                    return estimate.delayMs;
+                };
+                for (const { senderMs, receiverMs } of disturbances) {
+                    sentAtMs += senderMs;
+                    clockMs += receiverMs;
+                    observe(0);
+                }
+                const late = jitter.map((extraMs, index) => {
+                    sentAtMs += 100;
+                    clockMs += 100;
+                    return index >= 32 ? observe(extraMs) : Math.min(0, observe(extraMs));
+                });
+                assert.ok(Math.max(...late) < shortestLimitMs, `a message was late by ${Math.max(...late)} ms`);
+            },
+        ),
+        { seed, numRuns: 2_000 },
+    );
+});
+
 // Guards against leases of all workers that lapse after a suspension of the leader's host, although all relays are sound.
 test("renewals that arrive at once are carried out after the sender's clock stood still for two seconds", () =>
     Effect.runPromise(Effect.scoped(Effect.gen(function*() {
--- a/packages/relay-worker-calls/src/relay-pool.test.ts
+++ b/packages/relay-worker-calls/src/relay-pool.test.ts
@@ -221,6 +221,50 @@
     assert.equal(testPool.pool.findRelay(worker), first);
 });
 
+/** Answers the only call sent since the last call of `takeCalls` as dropped because it was late. */
+function dropLate(testPool: TestPool, relay: string): void {
+    testPool.flush();
+    const id = testPool.takeCalls()[0]?.message.calls[0]?.id ?? 0;
+    testPool.answer(relay, [{ id, answer: { kind: "notSent", detail: "late" }, isLate: true }]);
+}
+
+// Guards against a relay with a wrong estimate of delays that drops the calls to all of its workers.
+test("a relay that drops a call as late is used for no worker for two seconds, and other calls there end", () => {
+    const testPool = openTestPool(["a", "b"]);
+    const outcomes: string[] = [];
+    const first = startStop(testPool, outcomes) ?? "";
+    const other = first === "a" ? "b" : "a";
+    testPool.flush();
+    const earlier = testPool.takeCalls()[0]?.message.calls[0]?.id ?? 0;
+    startStop(testPool, outcomes);
+    dropLate(testPool, first);
+    assert.deepEqual(outcomes, ["notSent"]);
+    for (let index = 0; index < 50; index += 1) {
+        assert.equal(testPool.pool.findRelay({ ...worker, id: `w${index}` }), other);
+    }
+    testPool.answer(first, [{ id: earlier, answer: { kind: "done", clockMs: 1 } }]);
+    assert.deepEqual(outcomes, ["notSent", "done"]);
+    pass(testPool, ["a", "b"], ["a", "b"], 19);
+    assert.equal(testPool.pool.countUsable(), 1);
+    pass(testPool, ["a", "b"], ["a", "b"], 1);
+    assert.equal(testPool.pool.countUsable(), 2);
+    assert.equal(testPool.countEvents("workerCalls.late"), 1);
+});
+
+// Guards against leases that lapse because all relays drop the renewals while they answer probes.
+test("the leader makes its calls itself while every relay drops them as late", () => {
+    const testPool = openTestPool(["a", "b"]);
+    const outcomes: string[] = [];
+    dropLate(testPool, startStop(testPool, outcomes) ?? "");
+    dropLate(testPool, startStop(testPool, outcomes) ?? "");
+    assert.deepEqual(outcomes, ["notSent", "notSent"]);
+    assert.equal(testPool.pool.findRelay(worker), undefined);
+    pass(testPool, ["a", "b"], ["a", "b"], 19);
+    assert.equal(testPool.pool.findRelay(worker), undefined);
+    pass(testPool, ["a", "b"], ["a", "b"], 1);
+    assert.notEqual(testPool.pool.findRelay(worker), undefined);
+});
+
 // Guards against a process that takes its own pause for the loss of all relays.
 test("relays stay in use after a pause of the own process", () => {
     const testPool = openTestPool(["a"]);
--- a/packages/relay-worker-calls/src/relay-pool.ts
+++ b/packages/relay-worker-calls/src/relay-pool.ts
@@ -15,6 +15,11 @@
  * each other while others reach the worker.
  */
 const avoidMs = 10_000;
+/**
+ * Time for which a relay that dropped a call as late is not used, in milliseconds. It measures delays anew in less; a
+ * lease lasts longer, so that the calls that other relays or the leader make meanwhile renew it.
+ */
+const lateRestMs = 2_000;
 /** Largest number of calls in a message; with the largest payloads and checkpoints it stays below the limit of a frame. */
 const callsPerMessage = 400;
 /** Number of workers whose ranking of relays is kept; three times the workers of the largest planned deployment. */
@@ -43,6 +48,8 @@
     /** Running time of the last message from the relay; undefined before the first. */
     heardAtMs: number | undefined;
     isUsable: boolean;
+    /** Running time until which the relay is not used because it dropped a call as late. */
+    restsUntilMs: number;
     readonly pending: Map<number, PendingCall>;
     readonly outbox: Batch<RelayedCall>;
 }
@@ -135,6 +142,7 @@
             availabilityZone: undefined,
             heardAtMs: undefined,
             isUsable: false,
+            restsUntilMs: 0,
             pending: new Map(),
             outbox: createBatch(callsPerMessage, calls => sendCalls(relay, calls), scheduleFlush),
         };
@@ -188,6 +196,18 @@
         countCalls("lost", expired);
     };
 
+    // The calls in progress are left to end, because those that were not late are carried out.
+    const recordLateDrops = (relay: Relay, dropped: number): void => {
+        if (dropped === 0) {
+            return;
+        }
+        if (relay.restsUntilMs <= runningMs) {
+            logger.warn("relay is not used for a while because it dropped late calls", { relay: relay.id, dropped });
+        }
+        relay.restsUntilMs = runningMs + lateRestMs;
+        countCalls("late", dropped);
+    };
+
     const updateRelays = (listed: readonly RelayAddress[]): void => {
         const ids = new Set(listed.map(({ id }) => id));
         for (const relay of relays.values()) {
@@ -229,7 +249,10 @@
         return ranking;
     };
 
-    const isUsable = (id: PeerId): boolean => relays.get(id)?.isUsable === true && isConnected(id);
+    const isUsable = (id: PeerId): boolean => {
+        const relay = relays.get(id);
+        return relay?.isUsable === true && relay.restsUntilMs <= runningMs && isConnected(id);
+    };
     const findRelay = (worker: RelayedWorker): PeerId | undefined =>
         chooseRelay(getRanking(worker), isUsable, avoided.get(worker.id)?.relay);
 
@@ -277,6 +300,7 @@
                 relay.heardAtMs = runningMs;
                 updateUsable(relay);
             }
+            recordLateDrops(relay, message.answers.filter(({ isLate }) => isLate === true).length);
             for (const { id, answer } of message.answers) {
                 const call = relay.pending.get(id);
                 if (call !== undefined && (answer.kind === "notSent" || answer.kind === "unknown")) {
--- a/packages/relay-worker-calls/src/serve-worker-calls.ts
+++ b/packages/relay-worker-calls/src/serve-worker-calls.ts
@@ -105,7 +105,7 @@
             if (delayMs >= limitMs && call.kind !== "closeConnections") {
                 dropped += 1;
                 const detail = `the call was under way for ${Math.round(delayMs)} ms`;
-                caller.answers.add({ id, answer: { kind: "notSent", detail } });
+                caller.answers.add({ id, answer: { kind: "notSent", detail }, isLate: true });
                 continue;
             }
             const performed = performCall(workers, relayed, limitMs - delayMs);
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -208,6 +208,8 @@
 export interface RelayedAnswer {
     readonly id: number;
     readonly answer: OrderAnswer | RenewAnswer;
+    /** Whether the relay dropped the call because it took it to be late; absent in answers of earlier versions. */
+    readonly isLate?: boolean;
 }
 
 /** One-way message about calls to workers between control processes, sent on channel `workers`. */
