Send one pace of a run at a time and keep the newest

Cause: a failed order restored the pace before it even if a newer one had been ordered since, so that the planner took an old pace for the present one. Two orders of one run could overtake each other when the relay of the worker changed.

Change: one order of a run is in progress at a time. When it ends, the pace that is wanted by then is sent, if it is another one. Only the pace that failed is replaced, by the last one that the worker confirmed. Nothing more is sent for a run that has ended or after a later leader was seen.

--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -1,33 +1,24 @@
 import { formatTaskKey } from "@chestnutspool/job-state";
 import { type PaceChange, planPaces, recordUsage } from "@chestnutspool/plan-jobs";
+import type { RunStatus } from "@chestnutspool/track-workers";
 import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
+import { orderPace, type SendPaceOrder } from "./order-pace.js";
 import { recordAnswer } from "./send-orders.js";
 import { canSendOrders, type Term, type WorkerSession } from "./term.js";
 
 /** Timeout of an order to change a pace, in milliseconds; the next planning of paces repeats one that is lost. */
 const paceTimeoutMs = 500;
-/** Pace of a run that is not slowed down, in percent. */
-const fullPacePercent = 100;
 
-const sendPace = Effect.fnUntraced(function*(term: Term, session: WorkerSession, change: PaceChange) {
-    const status = session.runStatuses.get(change.runKey);
-    if (status === undefined) {
-        return;
-    }
-    const before = status.pacePercent;
-    const nowMs = yield* readMonotonicMs;
-    if (before < fullPacePercent) {
-        status.slowedMs += nowMs - status.paceChangedAtMs;
-    }
-    status.lowestPacePercent = Math.min(status.lowestPacePercent, change.percent);
-    status.pacePercent = change.percent;
-    status.paceChangedAtMs = nowMs;
-    const answer = yield* term.workers.paceRun(session.info, status.key, change.percent, term.number, paceTimeoutMs);
+const sendPace = Effect.fnUntraced(function*(
+    term: Term,
+    session: WorkerSession,
+    status: RunStatus,
+    percent: number,
+    before: number,
+) {
+    const answer = yield* term.workers.paceRun(session.info, status.key, percent, term.number, paceTimeoutMs);
     recordAnswer(term, session, answer, yield* readMonotonicMs);
-    if (answer.kind !== "done") {
-        status.pacePercent = before;
-    }
     // Pace changes are frequent, so that confirmed ones are logged as debug lines; the line "run ended" sums them up.
     const write = answer.kind === "done" ? term.logger.debug : term.logger.info;
     term.load.paces += 1;
@@ -36,10 +27,21 @@
         job: status.key.job,
         task: formatTaskKey(status.key),
         worker: session.info.id,
-        percent: change.percent,
+        percent,
         before,
         answer: answer.kind,
     });
+    return answer;
+});
+
+const changePace = Effect.fnUntraced(function*(term: Term, session: WorkerSession, { runKey, percent }: PaceChange) {
+    const status = session.runStatuses.get(runKey);
+    if (status === undefined) {
+        return;
+    }
+    const mayContinue = (): boolean => !term.isFenced && session.runStatuses.get(runKey) === status;
+    const sendOrder: SendPaceOrder = (sent, before) => sendPace(term, session, status, sent, before);
+    yield* orderPace(status, percent, sendOrder, mayContinue);
 });
 
 /** Interval at which paces are planned, in milliseconds; the load of a serving job changes within seconds. */
@@ -62,7 +64,7 @@
             }
             recordUsage(state, session.runStatuses, session.usage, yield* readMonotonicMs);
             for (const change of planPaces(state, session.runStatuses, term.interference)) {
-                yield* Effect.forkIn(sendPace(term, session, change), term.scope);
+                yield* Effect.forkIn(changePace(term, session, change), term.scope);
             }
             workersInTurn += 1;
             if (workersInTurn === workersPerTurn) {
--- a/packages/track-workers/src/run-statuses.ts
+++ b/packages/track-workers/src/run-statuses.ts
@@ -36,6 +36,8 @@
     readAtMs: number;
     /** Pace that was ordered for the run, in percent of its full speed. */
     pacePercent: number;
+    /** Whether an order to change the pace is in progress. */
+    isPaceOrdered: boolean;
     /** When `pacePercent` last changed. */
     paceChangedAtMs: number;
     /** Lowest pace so far, in percent. */
@@ -62,6 +64,7 @@
         lastReading: undefined,
         readAtMs: nowMs,
         pacePercent: 100,
+        isPaceOrdered: false,
         paceChangedAtMs: nowMs,
         lowestPacePercent: 100,
         slowedMs: 0,
