Announce to the leader that a relay stops

Cause: calls at a relay that stopped gracefully became unknown, so that its workers counted as not answering.

Change: a control process that stops says so in its answers and waits up to 1 s for its calls in progress. The leader sends it no further ones. A leader of an earlier build ignores the field. serveWorkerCalls returns the handler of calls and the drain; two tests take the handler from there.

--- a/packages/relay-worker-calls/src/delay-after-pause.test.ts
+++ b/packages/relay-worker-calls/src/delay-after-pause.test.ts
@@ -91,7 +91,7 @@
             renewLease: () => Effect.succeed({ kind: "report", clockMs: 0, running: [], ended: [], isComplete: true }),
             closeConnections: () => undefined,
         };
-        const handle = yield* serveWorkerCalls({
+        const { handleCalls: handle } = yield* serveWorkerCalls({
             workers,
             availabilityZone: "z",
             sendMessage: (to, message: WorkerCallMessage) => {
--- a/packages/relay-worker-calls/src/open-worker-calls.test.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.test.ts
@@ -221,6 +221,64 @@
     }),
 );
 
+// Guards against calls that fail, and workers that count as not answering, each time a process is replaced.
+testScoped(
+    "a relay that is drained ends its calls and gets no further ones, and the next process in its place is used",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const leader = yield* openMember(network, "a", ["a", "b", "c"], "leader");
+        const scope = yield* Scope.make();
+        const answer = Effect.as(Effect.sleep(300), { kind: "done", clockMs: 7 } as const);
+        const leaving = yield* Scope.provide(openMember(network, "b", ["a", "b", "c"], "follower", answer), scope);
+        const other = yield* openMember(network, "c", ["a", "b", "c"], "follower", answer);
+        yield* awaitRelays(leader, 2);
+        const outcomes: string[] = [];
+        const startSome = Effect.gen(function*() {
+            for (let index = 0; index < 20; index += 1) {
+                const start = leader.calls.port.startRun(makeWorker(`w${index}`), order, 1_000);
+                yield* Effect.forkScoped(Effect.map(start, ({ kind }) => outcomes.push(kind)));
+            }
+            yield* Effect.sleep(30);
+        });
+        yield* startSome;
+        const before = leaving.fake.calls.length;
+        assert.ok(before > 0 && before < 20);
+        const drained = yield* Effect.forkChild(Effect.andThen(leaving.calls.drain, Scope.close(scope, Exit.void)));
+        yield* awaitRelays(leader, 1);
+        assert.equal(drained.pollUnsafe(), undefined, "the leader learns of it only when the process has ended");
+        yield* startSome;
+        yield* Fiber.join(drained);
+        yield* Effect.sleep(600);
+        assert.equal(leaving.fake.calls.length, before);
+        assert.equal(other.fake.calls.length, 40 - before);
+        assert.deepEqual(outcomes, Array.from({ length: 40 }, () => "done"));
+        yield* openMember(network, "b", ["a", "b", "c"], "follower");
+        yield* awaitRelays(leader, 2);
+    }),
+);
+
+// Guards against a process that takes seconds to stop because a worker does not answer, or although it serves nobody.
+testScoped(
+    "draining ends at once without a leader, and after a second in any case",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const alone = yield* openMember(network, "x", ["x"], "follower");
+        const startedMs = performance.now();
+        yield* alone.calls.drain;
+        assert.ok(performance.now() - startedMs < 50);
+        const leader = yield* openMember(network, "a", ["a", "b"], "leader");
+        const relay = yield* openMember(network, "b", ["a", "b"], "follower", Effect.never);
+        yield* awaitRelays(leader, 1);
+        yield* Effect.forkScoped(leader.calls.port.startRun(makeWorker("w"), order, 60_000));
+        yield* Effect.sleep(30);
+        assert.equal(relay.fake.calls.length, 1);
+        const drainedMs = performance.now();
+        yield* relay.calls.drain;
+        const tookMs = performance.now() - drainedMs;
+        assert.ok(tookMs > 900 && tookMs < 1_500, `draining took ${tookMs} ms`);
+    }),
+);
+
 // Guards against a new leader that makes its first calls itself, and against probes between all processes at all times.
 testScoped(
     "a process uses relays as soon as it becomes leader, and none after it",
@@ -251,7 +309,7 @@
     const fake = createFakePort(answer);
     const messages: (readonly RelayedAnswer[])[] = [];
     const flushes: (() => void)[] = [];
-    const handleCalls = yield* serveWorkerCalls({
+    const { handleCalls } = yield* serveWorkerCalls({
         workers: fake.port,
         availabilityZone: zone,
         sendMessage: (to, message) => {
--- a/packages/relay-worker-calls/src/open-worker-calls.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.ts
@@ -124,6 +124,8 @@
     readonly port: WorkerPort;
     /** Number of relays that can be used. */
     readonly countRelays: () => number;
+    /** Announces to the leader that this process leaves, and waits for the calls that it carries out. */
+    readonly drain: Effect.Effect<void>;
 }
 
 /**
@@ -138,7 +140,7 @@
         setImmediate(flush);
     };
     const sendMessage = (to: string, message: WorkerCallMessage): boolean => channel.sendMessage(to, message);
-    const handleCalls = yield* serveWorkerCalls({ workers, availabilityZone, sendMessage, scheduleFlush, logger });
+    const relay = yield* serveWorkerCalls({ workers, availabilityZone, sendMessage, scheduleFlush, logger });
     const pool = createRelayPool({
         incarnation: randomUUID(),
         sendMessage,
@@ -152,7 +154,7 @@
         handleMessage: (from, message) => {
             switch (message.kind) {
                 case "calls":
-                    return handleCalls(from, message, readNowMs());
+                    return relay.handleCalls(from, message, readNowMs());
                 case "answers":
                     return Effect.sync(() => pool.handleAnswers(from, message));
             }
@@ -173,6 +175,7 @@
     const calls: RelayedWorkerCalls = {
         port: createRelayedWorkerPort(pool, workers, metrics),
         countRelays: pool.countUsable,
+        drain: relay.drain,
     };
     return calls;
 });
--- a/packages/relay-worker-calls/src/relay-pool.ts
+++ b/packages/relay-worker-calls/src/relay-pool.ts
@@ -50,6 +50,8 @@
     isUsable: boolean;
     /** Running time until which the relay is not used because it dropped a call as late. */
     restsUntilMs: number;
+    /** Whether the process has announced that it is about to stop. */
+    isLeaving: boolean;
     readonly pending: Map<number, PendingCall>;
     readonly outbox: Batch<RelayedCall>;
 }
@@ -143,6 +145,7 @@
             heardAtMs: undefined,
             isUsable: false,
             restsUntilMs: 0,
+            isLeaving: false,
             pending: new Map(),
             outbox: createBatch(callsPerMessage, calls => sendCalls(relay, calls), scheduleFlush),
         };
@@ -208,6 +211,16 @@
         countCalls("late", dropped);
     };
 
+    const recordLeaving = (relay: Relay, isLeaving: boolean): void => {
+        if (isLeaving && !relay.isLeaving) {
+            logger.info("relay gets no further calls because it is about to stop", {
+                relay: relay.id,
+                callsInProgress: relay.pending.size,
+            });
+        }
+        relay.isLeaving = isLeaving;
+    };
+
     const updateRelays = (listed: readonly RelayAddress[]): void => {
         const ids = new Set(listed.map(({ id }) => id));
         for (const relay of relays.values()) {
@@ -251,7 +264,7 @@
 
     const isUsable = (id: PeerId): boolean => {
         const relay = relays.get(id);
-        return relay?.isUsable === true && relay.restsUntilMs <= runningMs && isConnected(id);
+        return relay?.isUsable === true && !relay.isLeaving && relay.restsUntilMs <= runningMs && isConnected(id);
     };
     const findRelay = (worker: RelayedWorker): PeerId | undefined =>
         chooseRelay(getRanking(worker), isUsable, avoided.get(worker.id)?.relay);
@@ -300,6 +313,7 @@
                 relay.heardAtMs = runningMs;
                 updateUsable(relay);
             }
+            recordLeaving(relay, message.isLeaving === true);
             recordLateDrops(relay, message.answers.filter(({ isLate }) => isLate === true).length);
             for (const { id, answer } of message.answers) {
                 const call = relay.pending.get(id);
--- a/packages/relay-worker-calls/src/serve-worker-calls.ts
+++ b/packages/relay-worker-calls/src/serve-worker-calls.ts
@@ -17,6 +17,15 @@
 const answersPerMessage = 50;
 /** Number of processes whose calls are served at the same time; above the control processes of any deployment. */
 const callerLimit = 64;
+/** Time for which calls that were sent before the announcement to leave may arrive, in milliseconds. */
+const leaveNoticeMs = 100;
+/**
+ * Longest time that a relay that leaves waits for its calls in progress, in milliseconds; above the time for which a
+ * worker delays its report, and below the 1.5 s that a process reserves for stopping.
+ */
+const drainLimitMs = 1_000;
+/** Interval at which a relay that leaves looks for calls in progress, in milliseconds. */
+const drainCheckMs = 20;
 
 /** Dependencies of a relay. */
 export interface RelayDependencies {
@@ -34,6 +43,13 @@
     nowMs: number,
 ) => Effect.Effect<void>;
 
+/** The part of a process that carries out calls of a leader. */
+export interface Relay {
+    readonly handleCalls: HandleCalls;
+    /** Announces that this process leaves, and waits for the calls in progress. */
+    readonly drain: Effect.Effect<void>;
+}
+
 /** A run of a process that sends calls. */
 interface Caller {
     readonly incarnation: string;
@@ -70,6 +86,17 @@
     const { workers, availabilityZone, sendMessage, scheduleFlush, logger } = dependencies;
     const scope = yield* Effect.scope;
     const callers = new Map<PeerId, Caller>();
+    let isLeaving = false;
+    let inProgress = 0;
+
+    const sendAnswers = (to: PeerId, incarnation: string, answers: readonly RelayedAnswer[]): boolean =>
+        sendMessage(to, {
+            kind: "answers",
+            incarnation,
+            availabilityZone,
+            answers,
+            ...(isLeaving ? { isLeaving } : {}),
+        });
 
     const getCaller = (from: PeerId, incarnation: string): Caller => {
         const known = callers.get(from);
@@ -82,7 +109,7 @@
         const caller: Caller = {
             incarnation,
             answers: createBatch(answersPerMessage, answers => {
-                sendMessage(from, { kind: "answers", incarnation, availabilityZone, answers });
+                sendAnswers(from, incarnation, answers);
             }, scheduleFlush),
             delays: undefined,
         };
@@ -96,7 +123,7 @@
         const { baseline, delayMs } = estimateDelay(caller.delays, message.sentAtMs, nowMs);
         caller.delays = baseline;
         if (calls.length === 0) {
-            sendMessage(from, { kind: "answers", incarnation, availabilityZone, answers: [] });
+            sendAnswers(from, incarnation, []);
             return;
         }
         let dropped = 0;
@@ -112,11 +139,15 @@
             if (performed === undefined) {
                 continue;
             }
+            inProgress += 1;
             const answered = performed.pipe(
                 Effect.catchCause(cause =>
                     Effect.succeed<OrderAnswer>({ kind: "unknown", detail: Cause.pretty(cause) })
                 ),
-                Effect.map(answer => caller.answers.add({ id, answer })),
+                Effect.map(answer => {
+                    inProgress -= 1;
+                    caller.answers.add({ id, answer });
+                }),
             );
             yield* Effect.forkIn(answered, scope);
         }
@@ -124,5 +155,21 @@
             logger.warn("late calls to workers were dropped", { from, dropped, delayMs: Math.round(delayMs) });
         }
     });
-    return handleCalls;
+
+    const awaitCalls = Effect.gen(function*() {
+        yield* Effect.sleep(leaveNoticeMs);
+        while (inProgress > 0) {
+            yield* Effect.sleep(drainCheckMs);
+        }
+        // The last answers leave at the end of the turn.
+        yield* Effect.sleep(drainCheckMs);
+    });
+    const drain = Effect.gen(function*() {
+        isLeaving = true;
+        const told = [...callers].filter(([from, { incarnation }]) => sendAnswers(from, incarnation, []));
+        if (told.length > 0) {
+            yield* Effect.timeoutOption(awaitCalls, drainLimitMs);
+        }
+    });
+    return { handleCalls, drain } satisfies Relay;
 });
--- a/packages/run-job-process/src/create-job-process.ts
+++ b/packages/run-job-process/src/create-job-process.ts
@@ -90,6 +90,7 @@
                 metrics,
             })
         ),
+        drain: calls => calls.drain,
     });
     kernel.registerService({
         key: leadershipKey,
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -230,4 +230,6 @@
         /** Availability zone of the process that carries out the calls. */
         readonly availabilityZone: string;
         readonly answers: readonly RelayedAnswer[];
+        /** Whether the process is about to stop and takes no further calls; absent in messages of earlier versions. */
+        readonly isLeaving?: boolean;
     };
