Pause after a failed step of a worker session or of the planner

When a command could not be recorded, the session of a worker renewed its lease at once, and a worker with an end that is not acknowledged answers at once. The log refuses commands for up to about 2 s while it hands over its leadership, so that each such worker was called without a pause. A pass of the planner that failed counted as one of 0 ms.

A session now waits 200 ms after an error, as after a renewal without an answer, and the planner 200 ms after a failed pass.

The pause of the planner has no test of its own.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -26,6 +26,8 @@
 
 /** Longest pause between two passes, in milliseconds, because some decisions depend on time alone. */
 const idlePauseMs = 100;
+/** Pause after a pass that failed, in milliseconds; the log refuses commands while it hands over its leadership. */
+const retryPauseMs = 200;
 /**
  * Interval at which all runs are scanned for unneeded ones and unanswered starts, in milliseconds. Stalled runs are
  * looked for in each pass, because a replayed load lost 0.03 of its worth when they moved up to 100 ms later.
@@ -178,8 +180,12 @@
     while (canSendOrders(term, yield* readMonotonicMs)) {
         const tookMs = yield* Effect.catch(
             runPass(term, planner),
-            (error: ErrorData) => Effect.as(logStepError(term.logger, "plan", error), 0),
+            (error: ErrorData) => Effect.as(logStepError(term.logger, "plan", error), undefined),
         );
+        if (tookMs === undefined) {
+            yield* Effect.sleep(retryPauseMs);
+            continue;
+        }
         const endedMs = yield* readMonotonicMs;
         if (!planner.memory.hasStepsLeft) {
             yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), idlePauseMs);
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -28,7 +28,7 @@
 const renewGraceMs = 600;
 /** Pause between two renewals, in milliseconds, so that ends of runs in quick succession share one report. */
 const renewPauseMs = 30;
-/** Pause after a renewal that was not answered, in milliseconds. */
+/** Pause after a renewal that was not answered or whose answer could not be applied, in milliseconds. */
 const retryPauseMs = 200;
 /**
  * Time after a worker announced that it leaves until its runs count as ended, in milliseconds; the worker ends right
@@ -246,7 +246,13 @@
     while (canSendOrders(term, yield* readMonotonicMs)) {
         const isKept = yield* Effect.catch(
             renewOnce(term, session),
-            (error: ErrorData) => Effect.as(logStepError(term.logger, `worker ${session.info.id}`, error), true),
+            // The log refuses commands while it hands over its leadership, and a worker with an end that is not recorded
+            // answers at once.
+            (error: ErrorData) =>
+                logStepError(term.logger, `worker ${session.info.id}`, error).pipe(
+                    Effect.andThen(Effect.sleep(retryPauseMs)),
+                    Effect.as(true),
+                ),
         );
         if (!isKept) {
             return;
