--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -22,7 +22,7 @@
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { requestStop, sendStart } from "./send-orders.js";
 import { recordPass } from "./term-load.js";
-import { canSendOrders, logStepError, propose, type Term } from "./term.js";
+import { canSendOrders, logStepError, propose, type Term, type WorkerSession } from "./term.js";
 
 /** Longest pause between two passes, in milliseconds, because some decisions depend on time alone. */
 const idlePauseMs = 100;
@@ -35,6 +35,7 @@
 const scanIntervalMs = 100;
 /** Interval at which the reasons why steps wait are checked and logged, in milliseconds. */
 const waitCheckIntervalMs = 1_000;
+const nanosecondsPerMillisecond = 1_000_000;
 
 function isUsable(term: Term, worker: WorkerId): boolean {
     const session = term.sessions.get(worker);
@@ -71,27 +72,43 @@
     }
 });
 
-const stopObsoleteRuns = Effect.fnUntraced(function*(term: Term, nowMs: number) {
-    for (const session of term.sessions.values()) {
-        const state = term.machine.state.workers.get(session.info.id);
-        for (const key of state === undefined ? [] : listObsoleteRuns(state)) {
-            yield* requestStop(term, session, key, "notNeeded", nowMs);
-        }
+/** Lists the runs on all workers for which `listOfSession` returns the keys. */
+function listRuns(term: Term, listOfSession: (session: WorkerSession) => readonly string[]) {
+    return [...term.sessions.values()].flatMap(session => listOfSession(session).map(key => ({ session, key })));
+}
+
+const stopObsoleteRuns = Effect.fnUntraced(function*(term: Term, planner: PlannerState, nowMs: number) {
+    const listed = yield* measureStep(planner, () =>
+        listRuns(term, ({ info }) => {
+            const state = term.machine.state.workers.get(info.id);
+            return state === undefined ? [] : listObsoleteRuns(state);
+        }));
+    for (const { session, key } of listed) {
+        yield* requestStop(term, session, key, "notNeeded", nowMs);
     }
 });
 
-const stopUnansweredStarts = Effect.fnUntraced(function*(term: Term, nowMs: number) {
-    for (const session of term.sessions.values()) {
-        for (const [key, status] of session.runStatuses) {
-            if (isStartTimedOut(status, nowMs)) {
-                yield* requestStop(term, session, key, "startUnanswered", nowMs);
-            }
-        }
+const stopUnansweredStarts = Effect.fnUntraced(function*(term: Term, planner: PlannerState, nowMs: number) {
+    const listed = yield* measureStep(
+        planner,
+        () =>
+            listRuns(term, ({ runStatuses }) =>
+                [...runStatuses].filter(([, status]) =>
+                    isStartTimedOut(status, nowMs)
+                ).map(([key]) => key)),
+    );
+    for (const { session, key } of listed) {
+        yield* requestStop(term, session, key, "startUnanswered", nowMs);
     }
 });
 
-const stopStalledRuns = Effect.fnUntraced(function*(term: Term, input: PlanInput, nowMs: number) {
-    for (const { worker, runKey, reason } of listStalledRuns(input, nowMs)) {
+const stopStalledRuns = Effect.fnUntraced(function*(
+    term: Term,
+    planner: PlannerState,
+    input: PlanInput,
+    nowMs: number,
+) {
+    for (const { worker, runKey, reason } of yield* measureStep(planner, () => listStalledRuns(input, nowMs))) {
         const session = term.sessions.get(worker);
         const status = session?.runStatuses.get(runKey);
         if (session !== undefined && status !== undefined) {
@@ -117,13 +134,13 @@
     const isScanDue = nowMs - planner.scannedAtMs >= scanIntervalMs;
     // The runs of a job that has ended are stopped at once, because others wait for their resources.
     if (isScanDue || hasEndedOpenJob(term)) {
-        yield* stopObsoleteRuns(term, nowMs);
+        yield* stopObsoleteRuns(term, planner, nowMs);
     }
     if (isScanDue) {
         planner.scannedAtMs = nowMs;
-        yield* stopUnansweredStarts(term, nowMs);
+        yield* stopUnansweredStarts(term, planner, nowMs);
     }
-    yield* stopStalledRuns(term, input, nowMs);
+    yield* stopStalledRuns(term, planner, input, nowMs);
 });
 
 /** What the planner of a term keeps from one pass to the next. Times are monotonic, in milliseconds. */
@@ -135,6 +152,20 @@
     reasonsCheckedAtMs: number;
     /** When all runs were last scanned for unneeded ones and unanswered starts. */
     scannedAtMs: number;
+    /** Time for which the current pass has kept the thread until now, in milliseconds. */
+    passMs: number;
+}
+
+/** Runs a step of a pass without giving up the thread, and adds the time that it took to that of the pass. */
+function measureStep<Value>(planner: PlannerState, runStep: () => Value): Effect.Effect<Value> {
+    return Effect.clockWith(clock =>
+        Effect.sync(() => {
+            const startedNanos = clock.monotonicTimeNanosUnsafe();
+            const value = runStep();
+            planner.passMs += Number(clock.monotonicTimeNanosUnsafe() - startedNanos) / nanosecondsPerMillisecond;
+            return value;
+        })
+    );
 }
 
 function createPlannerState(): PlannerState {
@@ -143,13 +174,18 @@
         loggedReasons: new Map(),
         reasonsCheckedAtMs: Number.NEGATIVE_INFINITY,
         scannedAtMs: Number.NEGATIVE_INFINITY,
+        passMs: 0,
     };
 }
 
-/** Makes one pass; returns the time in milliseconds for which it kept the thread until its starts were planned. */
+/**
+ * Makes one pass; returns the time in milliseconds for which it planned. Other fibers that ran in between do not count,
+ * so that a busy leader does not plan less often.
+ */
 const runPass = Effect.fnUntraced(function*(term: Term, planner: PlannerState) {
     const nowMs = yield* readMonotonicMs;
-    const startLimits = listStartLimits(term, nowMs);
+    planner.passMs = 0;
+    const startLimits = yield* measureStep(planner, () => listStartLimits(term, nowMs));
     const input: PlanInput = {
         state: term.machine.state,
         isUsable: (worker: WorkerId) => isUsable(term, worker),
@@ -160,8 +196,8 @@
     };
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readWallMs;
-    const starts = planStarts(input, wallMs, planner.memory);
-    const tookMs = (yield* readMonotonicMs) - nowMs;
+    const starts = yield* measureStep(planner, () => planStarts(input, wallMs, planner.memory));
+    const tookMs = planner.passMs;
     recordPass(term.load, tookMs);
     yield* carryOutStarts(term, starts);
     if (nowMs - planner.reasonsCheckedAtMs >= waitCheckIntervalMs) {
--- a/packages/lead-jobs/src/term-load.ts
+++ b/packages/lead-jobs/src/term-load.ts
@@ -36,7 +36,7 @@
     };
 }
 
-/** Records a planning pass that took `tookMs` until its starts were planned. */
+/** Records a pass that planned for `tookMs`. */
 export function recordPass(load: TermLoad, tookMs: number): void {
     load.passes += 1;
     load.passMs += tookMs;
