Send the starts of a pass in groups of 50

The planner sent up to 500 starts of a pass in one turn of the event loop, so that leases and answers waited for all of them. It now gives up the thread after each 50. The statuses of the runs are still created at once, and a start is left out if its run or the session of its worker has gone in between.

--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -46,8 +46,10 @@
     return result.value as Value;
 });
 
-/** Starts a system without workers in which replica `a` leads. */
-export const startTestSystem = Effect.gen(function*() {
+/** Starts a system without workers in which replica `a` leads; `wrapPort` may observe the calls to workers. */
+export const startTestSystemWith = Effect.fnUntraced(function*(
+    wrapPort: (port: FakeWorkers["port"]) => FakeWorkers["port"],
+) {
     const machine = makeMachine([], [makeQueue()]);
     const workers = yield* createFakeWorkers;
     const log = createTestLog(machine);
@@ -57,7 +59,7 @@
             yield* startLeadership({
                 log: log.createReplica(self),
                 machine,
-                workers: workers.port,
+                workers: wrapPort(workers.port),
                 limits: { longestLeaseMs: testLeaseMs, stopMs: 200 },
                 logger: silentLogger,
                 metrics: createMetrics(),
@@ -107,6 +109,9 @@
     return system;
 });
 
+/** Starts a system without workers in which replica `a` leads. */
+export const startTestSystem = startTestSystemWith(port => port);
+
 /** Lists pairs of runs of one task that were in progress at the same time. */
 export function listOverlaps(runs: readonly StartedRun[]): string[] {
     const overlaps: string[] = [];
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -35,6 +35,11 @@
 const scanIntervalMs = 100;
 /** Interval at which the reasons why steps wait are checked and logged, in milliseconds. */
 const waitCheckIntervalMs = 1_000;
+/**
+ * Number of starts that are sent before other work gets the thread, so that a burst of 500 does not delay leases and
+ * answers.
+ */
+const startsPerTurn = 50;
 const nanosecondsPerMillisecond = 1_000_000;
 
 function isUsable(term: Term, worker: WorkerId): boolean {
@@ -43,6 +48,21 @@
         && session.leftAtMs === undefined;
 }
 
+/** Creates the statuses of recorded runs at once, so that a report that arrives before an order is sent knows its run. */
+function createRunStatuses(term: Term, starts: readonly RunStart[], nowMs: number) {
+    return starts.flatMap(start => {
+        const session = term.sessions.get(start.worker);
+        const run = term.machine.state.workers.get(start.worker)?.runs.get(formatRunKey(start));
+        if (session === undefined || run === undefined) {
+            return [];
+        }
+        const { job, occurrence, step, position, run: number } = start;
+        const status = createRunStatus({ job, occurrence, step, position, run: number }, "ordered", nowMs);
+        session.runStatuses.set(formatRunKey(start), status);
+        return [{ session, run, status }];
+    });
+}
+
 /** Commits the starts to the log, then sends the orders. No order is sent for a start that is not recorded. */
 const carryOutStarts = Effect.fnUntraced(function*(term: Term, starts: readonly RunStart[]) {
     if (starts.length === 0) {
@@ -53,22 +73,25 @@
     term.load.starts += starts.length;
     term.load.refusedStarts += refused.size;
     logStarts(term, starts.filter((start, position) => !refused.has(position)));
-    const nowMs = yield* readMonotonicMs;
-    for (const [position, start] of starts.entries()) {
-        const key = formatRunKey(start);
-        const session = term.sessions.get(start.worker);
-        const run = term.machine.state.workers.get(start.worker)?.runs.get(key);
-        if (refused.has(position) || session === undefined || run === undefined) {
+    const ordered = createRunStatuses(
+        term,
+        starts.filter((start, position) => !refused.has(position)),
+        yield* readMonotonicMs,
+    );
+    let startsInTurn = 0;
+    for (const { session, run, status } of ordered) {
+        // The run or the worker may have gone while other work had the thread.
+        const isCurrent = session.runStatuses.get(formatRunKey(status.key)) === status
+            && term.sessions.get(session.info.id) === session;
+        if (!isCurrent) {
             continue;
         }
-        const { job, occurrence, step, position: taskPosition, run: number } = start;
-        const status = createRunStatus(
-            { job, occurrence, step, position: taskPosition, run: number },
-            "ordered",
-            nowMs,
-        );
-        session.runStatuses.set(key, status);
         yield* Effect.forkIn(sendStart(term, session, run, status, undefined), term.scope);
+        startsInTurn += 1;
+        if (startsInTurn === startsPerTurn) {
+            startsInTurn = 0;
+            yield* Effect.yieldNow;
+        }
     }
 });
 
@@ -92,10 +115,11 @@
     const listed = yield* measureStep(
         planner,
         () =>
-            listRuns(term, ({ runStatuses }) =>
-                [...runStatuses].filter(([, status]) =>
-                    isStartTimedOut(status, nowMs)
-                ).map(([key]) => key)),
+            listRuns(
+                term,
+                ({ runStatuses }) =>
+                    [...runStatuses].filter(([, status]) => isStartTimedOut(status, nowMs)).map(([key]) => key),
+            ),
     );
     for (const { session, key } of listed) {
         yield* requestStop(term, session, key, "startUnanswered", nowMs);
