--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -208,6 +208,8 @@
 export interface RelayedAnswer {
     readonly id: number;
     readonly answer: OrderAnswer | RenewAnswer;
+    /** Whether the relay dropped the call because it took it to be late; absent in answers of earlier versions. */
+    readonly isLate?: boolean;
 }
 
 /** One-way message about calls to workers between control processes, sent on channel `workers`. */
@@ -228,4 +230,6 @@
         /** Availability zone of the process that carries out the calls. */
         readonly availabilityZone: string;
         readonly answers: readonly RelayedAnswer[];
+        /** Whether the process is about to stop and takes no further calls; absent in messages of earlier versions. */
+        readonly isLeaving?: boolean;
     };
