Let overdue long-running tasks go first and hold places for them

Cause: at the same priority long-running steps go last, and smaller tasks that come without end take each part of the room that becomes free.

Change: a long-running step is overdue if one of its waiting tasks has run before, or 2 s after it was submitted. Overdue steps go first at their priority. For each of their tasks without room a worker is held, on which no other task starts, on a tenth of the workers at most. The plain planner of the property test follows the same rule.

--- a/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
+++ b/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
@@ -6,6 +6,7 @@
 import { countFailures, formatStepKey, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStart, StepSpec } from "@chestnutspool/types";
+import { holdWorkers } from "../hold-workers.js";
 import { listCandidates, type PlanInput } from "../plan-starts.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "../waiting-steps.js";
 import { findRack, hasCapacity, releaseCapacity, reserveCapacity, type WorkerCandidate } from "../worker-candidate.js";
@@ -295,7 +296,13 @@
             planGang(pass, waiting, stepKey);
         }
         else {
+            const startsBefore = pass.starts.length;
             planTasks(pass, waiting, stepKey);
+            const unplanned = step.waiting.size - (pass.starts.length - startsBefore);
+            if (waiting.isOverdue && unplanned > 0) {
+                const ofService = pass.candidates.filter(({ state }) => state.info.service === job.queue.service);
+                holdWorkers(ofService, step.spec, stepKey, unplanned);
+            }
         }
     }
     return pass.starts;
--- /dev/null
+++ b/packages/plan-jobs/src/hold-workers.ts
@@ -0,0 +1,52 @@
+import { computeReservation } from "@chestnutspool/job-state";
+import { addResources, findShortage, type Resources, type StepSpec } from "@chestnutspool/types";
+import type { WorkerCandidate } from "./worker-candidate.js";
+
+/**
+ * Largest share of the workers of a service that are held for long-running tasks at the same time, so that tasks that
+ * fit nowhere do not stop all others. One worker may always be held.
+ */
+const heldShare = 0.1;
+
+/** Computes what a worker has left once its tasks that end by themselves have ended. */
+function computeFreeLater({ state, free }: WorkerCandidate): Resources {
+    let freeLater = free;
+    for (const { step } of state.runs.values()) {
+        if (!step.spec.longRunning) {
+            freeLater = addResources(freeLater, computeReservation(step.spec));
+        }
+    }
+    return freeLater;
+}
+
+function canHold(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
+    const { state, startsLeft, isHeld, tasksByStep } = candidate;
+    return !isHeld && startsLeft !== 0
+        && (spec.requiredLabel === undefined || state.info.labels.includes(spec.requiredLabel))
+        && (spec.perWorkerLimit === undefined || (tasksByStep.get(stepKey) ?? 0) < spec.perWorkerLimit)
+        && findShortage(computeReservation(spec), computeFreeLater(candidate)) === undefined;
+}
+
+/**
+ * Holds a worker for each of `tasks` long-running tasks that found no room: the ones with the most free processors that
+ * have room once their short tasks have ended. Without it, smaller tasks take each part of the room that becomes free.
+ */
+export function holdWorkers(
+    candidates: readonly WorkerCandidate[],
+    spec: StepSpec,
+    stepKey: string,
+    tasks: number,
+): void {
+    const held = candidates.filter(({ isHeld }) => isHeld).length;
+    const limit = Math.min(tasks, Math.max(1, Math.floor(candidates.length * heldShare)) - held);
+    if (limit <= 0) {
+        return;
+    }
+    candidates
+        .filter(candidate => canHold(candidate, spec, stepKey))
+        .sort((left, right) => right.free.milliCpu - left.free.milliCpu)
+        .slice(0, limit)
+        .forEach(candidate => {
+            candidate.isHeld = true;
+        });
+}
--- a/packages/plan-jobs/src/plan-starts.test.ts
+++ b/packages/plan-jobs/src/plan-starts.test.ts
@@ -182,3 +182,48 @@
     // The users' rule: a long-running task waits no more than six seconds while there is capacity for it.
     assert.ok(watchRound !== undefined && watchRound <= 6, `started in round ${watchRound}`);
 });
+
+// Guards against long-running tasks of a worker that has left, which waited ten seconds while small tasks took all room.
+test("an interrupted long-running task goes before small tasks of the same priority, and a place is held for it", () => {
+    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    const large = { milliCpu: 3_000, memoryMib: 10, accelerators: 0 };
+    machine.submit(makeJob("watch", [makeStep({ longRunning: true, resources: large })]));
+    const [first] = plan(machine);
+    assert.ok(first !== undefined);
+    machine.apply({ kind: "startRuns", starts: [first] });
+    const { worker, ...run } = first;
+    const other = worker === "w1" ? "w2" : "w1";
+    machine.submit(makeJob("check", [makeStep({ count: 20 })]));
+    machine.apply({ kind: "startRuns", starts: plan(machine) });
+    machine.apply({ kind: "endRuns", worker, ends: [{ ...run, outcome: "lapsed", checkpoint: "" }] });
+    assert.deepEqual(plan(machine).map(start => `${start.job} on ${start.worker}`), [
+        `watch on ${worker}`,
+    ]);
+    // Without room for it, the place that a small task leaves stays free.
+    machine.apply({ kind: "drainWorker", worker });
+    const [small] = [...(machine.state.workers.get(other)?.runs.values() ?? [])];
+    assert.ok(small !== undefined);
+    const end = { job: "check", occurrence: 0, step: 0, position: small.task.position, run: small.run };
+    machine.apply({ kind: "endRuns", worker: other, ends: [{ ...end, outcome: "succeeded", checkpoint: "" }] });
+    assert.deepEqual(plan(machine), []);
+});
+
+// Guards against tasks that fit nowhere and stop all others.
+test("places are held on a tenth of the workers at most", () => {
+    const machine = makeMachine([...Array(20).keys()].map(number => makeWorker(`w${number}`)));
+    machine.submit(makeJob("first", [makeStep({ count: 20, resources: makeWorker("w").capacity })]));
+    machine.apply({ kind: "startRuns", starts: plan(machine) });
+    const step = makeStep({ count: 20, longRunning: true, resources: makeWorker("w").capacity });
+    machine.submit(makeJob("watch", [step]));
+    machine.submit(makeJob("check", [makeStep({ count: 200 })]));
+    for (const [worker, { runs }] of machine.state.workers) {
+        const [run] = [...runs.values()];
+        assert.ok(run !== undefined);
+        const end = { job: "first", occurrence: 0, step: 0, position: run.task.position, run: run.run };
+        const second = { ...end, job: "check", position: Number(worker.slice(1)), run: 1, worker };
+        machine.apply({ kind: "endRuns", worker, ends: [{ ...end, outcome: "succeeded", checkpoint: "" }] });
+        machine.apply({ kind: "startRuns", starts: [second] });
+    }
+    const used = new Set(plan(machine, createInterferenceModel(), testStartMs + 10_000).map(start => start.worker));
+    assert.equal(used.size, 18);
+});
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -2,6 +2,7 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
+import { holdWorkers } from "./hold-workers.js";
 import { createPlanMemory, planWithinLimit } from "./plan-memory.js";
 import type { RatingContext } from "./rate-workers.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
@@ -182,6 +183,16 @@
     pass.starts.push(...reserved.map(({ candidate, task }) => createStart(waiting, task, run, candidate)));
 }
 
+/** Holds workers for the tasks of an overdue long-running step that found no room in this pass. */
+function holdForUnplanned(pass: PlanningPass, waiting: WaitingStep, planned: number): void {
+    const { job, occurrence, step, isOverdue } = waiting;
+    const unplanned = step.waiting.size - planned;
+    if (isOverdue && !step.spec.gang && unplanned > 0) {
+        const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
+        holdWorkers(pass.candidatesByService.get(job.queue.service) ?? [], step.spec, stepKey, unplanned);
+    }
+}
+
 /**
  * Plans the starts of one pass; `nowMs` is wall-clock time in milliseconds since the epoch. The memory is that of the
  * earlier passes; by default there are none.
@@ -201,6 +212,7 @@
     };
     planWithinLimit(memory, waitingSteps, waiting => {
         const ratingsBefore = pass.ratings;
+        const startsBefore = pass.starts.length;
         if (!pass.unmet.isUnmet(waiting.job.queue.service, waiting.step.spec)) {
             if (waiting.step.spec.gang) {
                 planGang(pass, waiting);
@@ -209,6 +221,7 @@
                 planTasks(pass, waiting);
             }
         }
+        holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
         return pass.ratings - ratingsBefore;
     });
     return pass.starts;
--- a/packages/plan-jobs/src/waiting-steps.ts
+++ b/packages/plan-jobs/src/waiting-steps.ts
@@ -16,6 +16,26 @@
     /** Result of `computeSize` for the occurrence. */
     readonly size: number;
     readonly lateness: Lateness;
+    /** Whether a long-running task was interrupted, or has waited for too long for its first run. */
+    readonly isOverdue: boolean;
+}
+
+/** Time after which a long-running task that has not run yet is overdue, in milliseconds. */
+const overdueMs = 2_000;
+
+function isStepOverdue(job: JobRecord, occurrence: JobOccurrence, step: JobStep, nowMs: number): boolean {
+    if (!step.spec.longRunning) {
+        return false;
+    }
+    if (nowMs - (occurrence.dueAtMs ?? job.acceptedAtMs) >= overdueMs) {
+        return true;
+    }
+    for (const position of step.waiting) {
+        if ((step.tasks[position]?.lastRun ?? 0) > 0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /** Lists the steps with tasks that may start at `nowMs`, wall-clock time in milliseconds since the epoch. */
@@ -35,7 +55,10 @@
             }
             const size = computeSize(job, occurrence);
             const lateness = predictLateness(job, occurrence, nowMs);
-            waiting.push(...ready.map(step => ({ job, occurrence, step, size, lateness })));
+            waiting.push(...ready.map(step => {
+                const isOverdue = isStepOverdue(job, occurrence, step, nowMs);
+                return { job, occurrence, step, size, lateness, isOverdue };
+            }));
         }
     }
     return waiting;
@@ -43,14 +66,23 @@
 
 const latenessRanks: Readonly<Record<Lateness, number>> = { inTime: 0, late: 1, tooLate: 2 };
 
+/** Rank of a step among those of the same priority. */
+function rankStep({ step, isOverdue }: WaitingStep): number {
+    if (!step.spec.longRunning) {
+        return 1;
+    }
+    return isOverdue ? 0 : 2;
+}
+
 /**
  * Sorts by the priority of the queue, then by lateness and by size. At the same priority long-running tasks go last,
- * because they hold their resources indefinitely.
+ * because they hold their resources indefinitely, unless they are overdue: small tasks that come without end would take
+ * each place that becomes free.
  */
 export function sortWaitingSteps(waiting: readonly WaitingStep[]): WaitingStep[] {
     return [...waiting].sort((left, right) =>
         left.job.queue.priority - right.job.queue.priority
-        || Number(left.step.spec.longRunning) - Number(right.step.spec.longRunning)
+        || rankStep(left) - rankStep(right)
         || latenessRanks[left.lateness] - latenessRanks[right.lateness]
         || left.size - right.size
     );
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -22,6 +22,8 @@
     free: Resources;
     /** Runs that may still start here; undefined: no limit. */
     startsLeft: number | undefined;
+    /** Whether a long-running task waits for room here, so that no other task may start in this pass. */
+    isHeld: boolean;
     /**
      * Number of tasks that are placed or planned here by job, occurrence and step, for steps with a limit per worker.
      */
@@ -120,6 +122,7 @@
         state,
         free: subtractResources(state.info.capacity, state.used),
         startsLeft: startLimit,
+        isHeld: false,
         tasksByStep: new Map(),
         idleMilliCpu: state.info.capacity.milliCpu,
         servingGroups: [],
@@ -138,7 +141,7 @@
 
 /** Whether the limits, labels and free resources of a worker allow a task of a step to start there. */
 export function hasCapacity(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
-    if (candidate.startsLeft === 0) {
+    if (candidate.startsLeft === 0 || (candidate.isHeld && !spec.longRunning)) {
         return false;
     }
     if (spec.requiredLabel !== undefined && !candidate.state.info.labels.includes(spec.requiredLabel)) {
