Reuse addResources and the type of a command without its time in lead-jobs

Cause: admission.ts wrote both again, and carryOutStarts filtered the recorded starts of a pass twice.

Change: admission.ts takes addResources from types and WithoutTime from term.ts; the recorded starts are listed once. No behaviour changes.

--- a/packages/lead-jobs/src/admission.ts
+++ b/packages/lead-jobs/src/admission.ts
@@ -13,17 +13,18 @@
     type Throughput,
 } from "@chestnutspool/admit-jobs";
 import type { JobState } from "@chestnutspool/job-state";
-import type {
-    JobCommand,
-    JobDefinition,
-    JobId,
-    JobReply,
-    JobResult,
-    QueueSettings,
-    Resources,
-    StepSpec,
+import {
+    addResources,
+    type JobCommand,
+    type JobDefinition,
+    type JobId,
+    type JobReply,
+    type JobResult,
+    type QueueSettings,
+    type Resources,
+    type StepSpec,
 } from "@chestnutspool/types";
-import type { Term } from "./term.js";
+import type { Term, WithoutTime } from "./term.js";
 
 /** Interval at which the waiting work is listed, in milliseconds; listing reads every open job. */
 const observeIntervalMs = 500;
@@ -78,9 +79,6 @@
     readonly position: number;
 }
 
-type CommandContent = JobCommand extends infer Command ? Command extends unknown ? Omit<Command, "nowMs"> : never
-    : never;
-
 function findWork(state: JobState, job: JobId, step: number) {
     const record = state.jobs.get(job);
     const spec = record?.definition.steps[step];
@@ -90,7 +88,7 @@
 }
 
 /** Lists the work that a command starts or ends successfully. */
-export function listCommandWork(state: JobState, command: CommandContent): CommandWork[] {
+export function listCommandWork(state: JobState, command: WithoutTime<JobCommand>): CommandWork[] {
     const listed: CommandWork[] = [];
     if (command.kind === "startRuns") {
         command.starts.forEach(({ job, step }, position) => {
@@ -130,14 +128,6 @@
     coresInUse: number;
 }
 
-function addResources(left: Resources, right: Resources): Resources {
-    return {
-        milliCpu: left.milliCpu + right.milliCpu,
-        memoryMib: left.memoryMib + right.memoryMib,
-        accelerators: left.accelerators + right.accelerators,
-    };
-}
-
 /** Sums for each pool what its workers have and what their runs use; best-effort runs count with their processors. */
 function sumPools(state: JobState): Map<string, PoolUse> {
     const none: Resources = { milliCpu: 0, memoryMib: 0, accelerators: 0 };
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -72,12 +72,9 @@
     const refused = new Set(result.kind === "started" ? result.refused : []);
     term.load.starts += starts.length;
     term.load.refusedStarts += refused.size;
-    logStarts(term, starts.filter((start, position) => !refused.has(position)));
-    const ordered = createRunStatuses(
-        term,
-        starts.filter((start, position) => !refused.has(position)),
-        yield* readMonotonicMs,
-    );
+    const recorded = starts.filter((start, position) => !refused.has(position));
+    logStarts(term, recorded);
+    const ordered = createRunStatuses(term, recorded, yield* readMonotonicMs);
     let startsInTurn = 0;
     for (const { session, run, status } of ordered) {
         // The run or the worker may have gone while other work had the thread.
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -95,7 +95,8 @@
     Queue.offerUnsafe(term.plannerWakeups, undefined);
 }
 
-type WithoutTime<Command> = Command extends unknown ? Omit<Command, "nowMs"> : never;
+/** Content of a command before the present time is added. */
+export type WithoutTime<Command> = Command extends unknown ? Omit<Command, "nowMs"> : never;
 
 /** Proposes a command with the current wall-clock time. Fails like `proposeCommand`. */
 export const propose = Effect.fnUntraced(function*(term: Term, command: WithoutTime<JobCommand>) {
