Count the waiting commits of a leader beyond one of each worker

Cause: the leader refused jobs from 1,000 waiting commands (333 for the third priority), whatever the number of workers. Change: commands beyond one of each worker count. The test gives the number of workers, a new input; a second test shows that commands beyond them still refuse the least urgent queue first.

--- a/packages/admit-jobs/src/decide-admission.test.ts
+++ b/packages/admit-jobs/src/decide-admission.test.ts
@@ -31,6 +31,7 @@
         throughput: makeThroughput(),
         busyness: createLeaderBusyness(),
         priorities: [0, 1, 2],
+        workers: 0,
         ...changes,
     };
 }
--- a/packages/admit-jobs/src/decide-admission.ts
+++ b/packages/admit-jobs/src/decide-admission.ts
@@ -18,7 +18,7 @@
  * is handled 600 ms late, and the runs of a worker end with its lease.
  */
 const busyDelayMs = 500;
-/** Commands waiting to be committed from which the leader accepts nothing; each worker has about one at a time. */
+/** Commands waiting to be committed, beyond one of each worker, from which the leader accepts nothing. */
 const busyCommits = 1_000;
 /** Wait below which nothing is refused, in milliseconds, because declared run times are off by up to ten times. */
 const acceptedWaitMs = 3_000;
@@ -48,6 +48,8 @@
     readonly busyness: LeaderBusyness;
     /** Priorities of all queues. */
     readonly priorities: readonly number[];
+    /** Number of workers; each may have one command in progress, such as the ends of its latest report. */
+    readonly workers: number;
 }
 
 /** Whether a new job is accepted, with the figures that decided. */
@@ -62,6 +64,12 @@
     readonly cores: number;
 }
 
+/** Whether the leader is too busy to accept a job that gets `limitShare` of its limits. */
+function isLeaderBusy({ busyness, workers }: AdmissionInputs, limitShare: number): boolean {
+    return busyness.delayMs >= busyDelayMs * limitShare
+        || busyness.waitingCommits - workers >= busyCommits * limitShare;
+}
+
 /** Computes the share of the limits of a busy leader that applies to a priority: less urgent queues are refused first. */
 function computeLimitShare(priority: number, priorities: readonly number[]): number {
     const moreUrgent = new Set(priorities.filter(other => other < priority)).size;
@@ -116,7 +124,7 @@
     nowMs: number,
     wallMs: number,
 ): AdmissionDecision {
-    const { throughput, busyness, priorities } = inputs;
+    const { throughput, priorities } = inputs;
     const accepted: AdmissionDecision = {
         cause: undefined,
         retryAfterMs: 0,
@@ -126,8 +134,7 @@
         tasksPerSecond: 0,
         cores: 0,
     };
-    const limitShare = computeLimitShare(queue.priority, priorities);
-    if (busyness.delayMs >= busyDelayMs * limitShare || busyness.waitingCommits >= busyCommits * limitShare) {
+    if (isLeaderBusy(inputs, computeLimitShare(queue.priority, priorities))) {
         return { ...accepted, cause: "leaderBusy", retryAfterMs: computeRetryMs(definition.id, busyRetryMs) };
     }
     if (!isSaturated(throughput, nowMs)) {
--- a/packages/admit-jobs/src/slow-commit.test.ts
+++ b/packages/admit-jobs/src/slow-commit.test.ts
@@ -17,6 +17,7 @@
                     throughput: createThroughput(),
                     busyness: { delayMs: 0, waitingCommits: workers },
                     priorities: [0, 1, 2],
+                    workers,
                 },
                 100_000,
                 1_000_000,
@@ -25,3 +26,23 @@
         }
     }
 });
+
+// Guards against a limit that grows with the workers but never applies: commands of jobs wait beside those of the workers.
+test("commands beyond one of each worker refuse the least urgent queue first", () => {
+    const refuses = (waitingCommits: number, priority: number): boolean =>
+        decideAdmission(
+            makeJob("a"),
+            makeQueue({ priority }),
+            {
+                backlog: [],
+                throughput: createThroughput(),
+                busyness: { delayMs: 0, waitingCommits },
+                priorities: [0, 1, 2],
+                workers: 1_300,
+            },
+            100_000,
+            1_000_000,
+        ).cause === "leaderBusy";
+    assert.deepEqual([0, 1, 2].map(priority => refuses(1_700, priority)), [false, false, true]);
+    assert.deepEqual([0, 1, 2].map(priority => refuses(2_300, priority)), [true, true, true]);
+});
--- a/packages/lead-jobs/src/admission.ts
+++ b/packages/lead-jobs/src/admission.ts
@@ -201,6 +201,7 @@
         throughput: getThroughput(admission, queue.service),
         busyness: admission.busyness,
         priorities: machine.state.configuration?.queues.map(({ priority }) => priority) ?? [],
+        workers: machine.state.workers.size,
     };
     const decision = decideAdmission(definition, queue, inputs, nowMs, wallMs);
     if (decision.cause === undefined) {
--- a/packages/replay-jobs/src/simulated-admission.ts
+++ b/packages/replay-jobs/src/simulated-admission.ts
@@ -37,6 +37,7 @@
     const throughput = createThroughput();
     const priorities = load.kinds.map(({ priority }) => priority);
     let backlog: Backlog = [];
+    let workers = 0;
     let observedAtMs = Number.NEGATIVE_INFINITY;
     return {
         recordStart: (spec, nowMs) => {
@@ -52,6 +53,7 @@
                 return;
             }
             observedAtMs = nowMs;
+            workers = state.workers.size;
             backlog = listBacklog(state, epochMs + nowMs);
             let capacity = 0;
             let used = 0;
@@ -67,7 +69,7 @@
             recordPoolState(throughput, waitingTasks, used / capacity, isLeaderBusy, coresInUse, nowMs);
         },
         refuse: ({ definition }, queue, epochMs, nowMs) => {
-            const inputs = { backlog, throughput, busyness: createLeaderBusyness(), priorities };
+            const inputs = { backlog, throughput, busyness: createLeaderBusyness(), priorities, workers };
             const decision = decideAdmission(definition, queue, inputs, nowMs, epochMs + nowMs);
             if (decision.cause !== undefined) {
                 return decision.retryAfterMs;
