Reach steps that ten passes have left out before newer ones

Cause: the second half of the ratings of a pass goes to steps that no pass has reached, in the order of priority. Urgent steps that never fit and keep arriving are all unreached, and a small step behind them never got its turn. Change: a step that ten passes have not reached goes before the other unreached ones.

--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -10,19 +10,49 @@
  * have not reached, so that none starves behind steps that never fit.
  */
 const firstStepsShare = 0.5;
+/**
+ * Number of passes after which a step that none of them has reached goes before the other such steps, so that new steps
+ * of a higher priority do not keep it out without end.
+ */
+const longestPassesUnreached = 10;
 
 /** What the planner remembers from one pass to the next. */
 export interface PlanMemory {
     readonly ratingsPerPass: number;
     /** Steps that passes have reached since all waiting steps were last reached. */
     reached: WeakSet<JobStep>;
+    /** Number of the pass that was the first one not to reach a step, for the steps that no later pass has reached. */
+    readonly unreachedSince: WeakMap<JobStep, number>;
+    /** Number of passes so far. */
+    passes: number;
     /** Whether there are waiting steps that were not reached yet, so that the next pass should follow soon. */
     hasStepsLeft: boolean;
 }
 
 /** Creates the memory of a planner that has made no pass. */
 export function createPlanMemory(ratingsPerPass = defaultRatingsPerPass): PlanMemory {
-    return { ratingsPerPass, reached: new WeakSet(), hasStepsLeft: false };
+    return {
+        ratingsPerPass,
+        reached: new WeakSet(),
+        unreachedSince: new WeakMap(),
+        passes: 0,
+        hasStepsLeft: false,
+    };
+}
+
+/** Lists the steps that were not reached: those that have waited for too many passes first, the others in order. */
+function listUnreached<Step extends { readonly step: JobStep; }>(memory: PlanMemory, ordered: readonly Step[]): Step[] {
+    const starving: Step[] = [];
+    const others: Step[] = [];
+    for (const waiting of ordered) {
+        if (memory.reached.has(waiting.step)) {
+            continue;
+        }
+        const since = memory.unreachedSince.get(waiting.step) ?? memory.passes;
+        memory.unreachedSince.set(waiting.step, since);
+        (memory.passes - since >= longestPassesUnreached ? starving : others).push(waiting);
+    }
+    return [...starving, ...others];
 }
 
 /**
@@ -36,14 +66,16 @@
 ): void {
     let ratings = 0;
     let position = 0;
+    memory.passes += 1;
     const plan = (waiting: Step): void => {
         ratings += planStep(waiting);
         memory.reached.add(waiting.step);
+        memory.unreachedSince.delete(waiting.step);
     };
     for (; position < ordered.length && ratings < memory.ratingsPerPass * firstStepsShare; position += 1) {
         plan(ordered[position] as Step);
     }
-    for (const waiting of ordered.slice(position).filter(({ step }) => !memory.reached.has(step))) {
+    for (const waiting of listUnreached(memory, ordered.slice(position))) {
         if (ratings >= memory.ratingsPerPass) {
             memory.hasStepsLeft = true;
             return;
