Send the names of fields once for all objects of a shape

Cause: bytes between availability zones are the largest price at 378 workers, and the leader decodes them. Most of an entry or a row are names of fields. Change: frames and stored values use the records of msgpackr; bytes without them are read as before, and earlier builds read these.

--- a/packages/peer-link/src/frame.ts
+++ b/packages/peer-link/src/frame.ts
@@ -1,5 +1,5 @@
 import type { ChannelName, ErrorData } from "@chestnutspool/types";
-import { Packr } from "msgpackr";
+import { Packr, Unpackr } from "msgpackr";
 
 /** Largest frame between processes, in bytes; an answer of 4 MiB with its envelope fits. */
 export const frameLimitBytes = 8 * 1024 * 1024;
@@ -23,7 +23,12 @@
     | { readonly kind: "credit"; readonly id: number; readonly items: number; }
     | { readonly kind: "cancel"; readonly id: number; };
 
-const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: false });
+/**
+ * Objects of the same shape share the names of their fields within a frame, which halves reports and lists of runs. Frames
+ * without shared names, which processes of earlier builds send, are decoded as well.
+ */
+const packr = new Packr({ useRecords: true, moreTypes: false, encodeUndefinedAsNil: false });
+const unpackr = new Unpackr({ mapsAsObjects: true });
 
 /** Encodes a frame as MessagePack. */
 export function encodeFrame(frame: Frame): Uint8Array {
@@ -46,7 +51,7 @@
 /** Decodes a frame; undefined when the bytes are not one. */
 export function decodeFrame(bytes: Uint8Array): Frame | undefined {
     try {
-        const value: unknown = packr.unpack(bytes);
+        const value: unknown = unpackr.unpack(bytes);
         if (typeof value === "object" && value !== null && "kind" in value && frameKinds.has(value.kind)) {
             return value as Frame;
         }
--- a/packages/replicated-log/src/record.ts
+++ b/packages/replicated-log/src/record.ts
@@ -1,5 +1,5 @@
 import type { ErrorData } from "@chestnutspool/types";
-import { Packr } from "msgpackr";
+import { Packr, Unpackr } from "msgpackr";
 import { crc32 } from "node:zlib";
 import { type Either, Left, Right } from "purify-ts";
 import type { LogEntry } from "./messages.js";
@@ -25,7 +25,9 @@
 /** Shortest run of zeros that counts as an unwritten sector; shorter runs occur in intact data. */
 const unwrittenMinBytes = 8;
 
-const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: false });
+/** Objects of the same shape share the names of their fields within a value; values without shared names are read too. */
+const packr = new Packr({ useRecords: true, moreTypes: false, encodeUndefinedAsNil: false });
+const unpackr = new Unpackr({ mapsAsObjects: true });
 
 /** Encodes a value as MessagePack, with the options of the peer link. */
 export function encodeValue(value: unknown): Uint8Array {
@@ -34,7 +36,7 @@
 
 /** Decodes MessagePack; throws on bytes that are not MessagePack. */
 export function decodeValue(bytes: Uint8Array): unknown {
-    return packr.unpack(bytes);
+    return unpackr.unpack(bytes);
 }
 
 /** Encodes a record: magic, length, CRC-32 of the payload, CRC-32 of the header, payload. */
