Take the age of jobs from a clock that does not step within a term

Cause: the planner compares the time of acceptance with the wall clock of the leader. When that steps ahead by some seconds, all waiting jobs look late and go behind new ones; when it steps back, the highest time seen stays in the state, so that jobs accepted meanwhile get a time ahead of the clock and look in time, and overdue long-running tasks are not recognised. Change: a term has a clock that starts at the wall clock and follows it by at most a tenth of the time that passes. Commands, planner and admission read it.

--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -6,13 +6,13 @@
     type JobRequest,
     type JobResult,
     readMonotonicMs,
-    readWallMs,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { canBeRecorded, recordAcceptance, recordProposal, refuseJob } from "./admission.js";
 import { checkConfiguration } from "./check-configuration.js";
 import { checkJob } from "./check-job.js";
 import { recordHeartbeat, removeWorker } from "./record-heartbeat.js";
+import { readTermMs } from "./steady-clock.js";
 import { propose, type Term, wakePlanner } from "./term.js";
 
 type RequestOf<Kind extends JobRequest["kind"]> = Extract<JobRequest, { readonly kind: Kind; }>;
@@ -73,7 +73,7 @@
             return refusal;
         }
         // Decided before any commit, so that a refusal costs the leader next to nothing.
-        const overload = refuseJob(term, spec, queue, yield* readMonotonicMs, yield* readWallMs);
+        const overload = refuseJob(term, spec, queue, yield* readMonotonicMs, yield* readTermMs(term));
         if (overload !== undefined) {
             return overload;
         }
@@ -82,7 +82,7 @@
     const result = yield* propose(term, { kind: "submitJob", spec, hostName, path });
     term.admission.proposedJobs.delete(spec.id);
     if (result.kind === "accepted" && !result.isRepeat) {
-        recordAcceptance(term, spec.id, yield* readMonotonicMs, yield* readWallMs);
+        recordAcceptance(term, spec.id, yield* readMonotonicMs, yield* readTermMs(term));
         const queue = state.jobs.get(spec.id)?.queue;
         term.metrics.countEvent("jobs.accepted", queue?.name ?? "", queue?.service ?? "");
         term.logger.info("job accepted", {
--- a/packages/lead-jobs/src/report-load.ts
+++ b/packages/lead-jobs/src/report-load.ts
@@ -1,8 +1,9 @@
 import { recordDelay } from "@chestnutspool/admit-jobs";
 import { listWaitingSteps } from "@chestnutspool/plan-jobs";
-import { readMonotonicMs, readWallMs } from "@chestnutspool/types";
+import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { observeWaitingWork } from "./admission.js";
+import { readTermMs } from "./steady-clock.js";
 import { createTermLoad } from "./term-load.js";
 import { canSendOrders, type Term } from "./term.js";
 
@@ -64,10 +65,10 @@
         const delayMs = nowMs - sleptAtMs - sampleIntervalMs;
         term.load.longestDelayMs = Math.max(term.load.longestDelayMs, delayMs);
         recordDelay(term.admission.busyness, delayMs);
-        observeWaitingWork(term, nowMs, yield* readWallMs);
+        observeWaitingWork(term, nowMs, yield* readTermMs(term));
         if (nowMs - reportedAtMs >= reportIntervalMs) {
             const usedMs = readProcessorMs();
-            logLoad(term, nowMs - reportedAtMs, usedMs - processorMs, yield* readWallMs);
+            logLoad(term, nowMs - reportedAtMs, usedMs - processorMs, yield* readTermMs(term));
             reportedAtMs = nowMs;
             processorMs = usedMs;
         }
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -8,19 +8,13 @@
     planStarts,
 } from "@chestnutspool/plan-jobs";
 import { createRunStatus, isStartTimedOut } from "@chestnutspool/track-workers";
-import {
-    type ErrorData,
-    readMonotonicMs,
-    readWallMs,
-    type RunStart,
-    type TaskKey,
-    type WorkerId,
-} from "@chestnutspool/types";
+import { type ErrorData, readMonotonicMs, type RunStart, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { requestStop, sendStart } from "./send-orders.js";
+import { readTermMs } from "./steady-clock.js";
 import { recordPass } from "./term-load.js";
 import { canSendOrders, logStepError, propose, type Term, type WorkerSession } from "./term.js";
 
@@ -216,7 +210,7 @@
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
     };
     yield* stopRuns(term, planner, input, nowMs);
-    const wallMs = yield* readWallMs;
+    const wallMs = yield* readTermMs(term);
     const starts = yield* measureStep(planner, () => planStarts(input, wallMs, planner.memory));
     const tookMs = planner.passMs;
     recordPass(term.load, tookMs);
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -5,6 +5,7 @@
     type JobReply,
     type JobRequest,
     readMonotonicMs,
+    readWallMs,
     type ReplicaStatus,
     type WorkerId,
 } from "@chestnutspool/types";
@@ -16,6 +17,7 @@
 import { runLoadReport } from "./report-load.js";
 import { runPacing } from "./run-pacing.js";
 import { runPlanner } from "./run-planner.js";
+import { createSteadyClock } from "./steady-clock.js";
 import { createTermLoad } from "./term-load.js";
 import { canSendOrders, type LeaderDependencies, type Term } from "./term.js";
 
@@ -59,10 +61,12 @@
 const openTerm = Effect.fnUntraced(function*(dependencies: LeaderDependencies, number: number) {
     yield* dependencies.log.confirmRead;
     const scope = yield* Effect.scope;
+    const openedAtMs = yield* readMonotonicMs;
     const term: Term = {
         ...dependencies,
         number,
-        openedAtMs: yield* readMonotonicMs,
+        openedAtMs,
+        clock: createSteadyClock(openedAtMs, yield* readWallMs),
         scope,
         sessions: new Map(),
         sessionLoops: yield* FiberMap.make<WorkerId>(),
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -9,7 +9,6 @@
     type JobCommand,
     type JobResult,
     readMonotonicMs,
-    readWallMs,
     type ReplicatedLog,
     type WorkerId,
     type WorkerInfo,
@@ -17,6 +16,7 @@
 } from "@chestnutspool/types";
 import { Effect, type FiberMap, Queue, type Scope } from "effect";
 import { type Admission, listCommandWork, recordWork } from "./admission.js";
+import { readTermMs, type SteadyClock } from "./steady-clock.js";
 import { recordCommit, type TermLoad } from "./term-load.js";
 
 /** Durations that the deployment sets, in milliseconds. */
@@ -67,6 +67,8 @@
     readonly number: number;
     /** When the term was opened, in monotonic milliseconds. */
     readonly openedAtMs: number;
+    /** Time of the commands and of the age of jobs. */
+    readonly clock: SteadyClock;
     readonly scope: Scope.Scope;
     readonly sessions: Map<WorkerId, WorkerSession>;
     readonly sessionLoops: FiberMap.FiberMap<WorkerId>;
@@ -98,9 +100,9 @@
 /** Content of a command before the present time is added. */
 export type WithoutTime<Command> = Command extends unknown ? Omit<Command, "nowMs"> : never;
 
-/** Proposes a command with the current wall-clock time. Fails like `proposeCommand`. */
+/** Proposes a command with the current time of the term. Fails like `proposeCommand`. */
 export const propose = Effect.fnUntraced(function*(term: Term, command: WithoutTime<JobCommand>) {
-    const nowMs = yield* readWallMs;
+    const nowMs = yield* readTermMs(term);
     const startedMs = yield* readMonotonicMs;
     const work = listCommandWork(term.machine.state, command);
     term.admission.busyness.waitingCommits += 1;
