Send the payload of a step once in a message to a relay

Change: the orders of a message name their payload by its position in a list of the message, if the relay has said that it reads such lists. Relays of earlier builds get whole orders; an order whose payload is missing is answered as not sent.

--- a/packages/relay-worker-calls/src/relay-pool.ts
+++ b/packages/relay-worker-calls/src/relay-pool.ts
@@ -4,6 +4,7 @@
 import { type Batch, createBatch, type ScheduleFlush } from "./batch.js";
 import { chooseRelay, rankRelays, type RelayedWorker } from "./choose-relay.js";
 import { advanceRunningMs, findRelayFault, type RelayFault } from "./relay-health.js";
+import { takePayloads } from "./share-payloads.js";
 
 /**
  * Time beyond the limit of a call until it counts as lost, in milliseconds. Running time advances in steps of a probe
@@ -52,6 +53,8 @@
     restsUntilMs: number;
     /** Whether the process has announced that it is about to stop. */
     isLeaving: boolean;
+    /** Whether it reads the payloads that the start orders of a message share. */
+    sharesPayloads: boolean;
     readonly pending: Map<number, PendingCall>;
     readonly outbox: Batch<RelayedCall>;
 }
@@ -123,7 +126,8 @@
     };
 
     const sendCalls = (relay: Relay, calls: readonly RelayedCall[]): void => {
-        const isSent = sendMessage(relay.id, { kind: "calls", incarnation, sentAtMs: readNowMs(), calls });
+        const content = relay.sharesPayloads ? takePayloads(calls) : { calls };
+        const isSent = sendMessage(relay.id, { kind: "calls", incarnation, sentAtMs: readNowMs(), ...content });
         if (isSent) {
             countCalls("relayed", calls.length);
         }
@@ -146,6 +150,7 @@
             isUsable: false,
             restsUntilMs: 0,
             isLeaving: false,
+            sharesPayloads: false,
             pending: new Map(),
             outbox: createBatch(callsPerMessage, calls => sendCalls(relay, calls), scheduleFlush),
         };
@@ -160,6 +165,8 @@
             logger.warn("relay is not used", { relay: relay.id, reason, callsInProgress: relay.pending.size, lost });
         }
         relay.isUsable = false;
+        // The process that comes back may be of an earlier build.
+        relay.sharesPayloads = false;
         countCalls("lost", lost);
         for (const [id, { isSent }] of [...relay.pending]) {
             settleCall(relay, id, {
@@ -314,6 +321,7 @@
                 updateUsable(relay);
             }
             recordLeaving(relay, message.isLeaving === true);
+            relay.sharesPayloads = message.sharesPayloads === true;
             recordLateDrops(relay, message.answers.filter(({ isLate }) => isLate === true).length);
             for (const { id, answer } of message.answers) {
                 const call = relay.pending.get(id);
--- a/packages/relay-worker-calls/src/serve-worker-calls.ts
+++ b/packages/relay-worker-calls/src/serve-worker-calls.ts
@@ -12,6 +12,7 @@
 import { Cause, Effect } from "effect";
 import { type Batch, createBatch, type ScheduleFlush } from "./batch.js";
 import { type DelayBaseline, estimateDelay } from "./message-delay.js";
+import { restorePayload } from "./share-payloads.js";
 
 /** Largest number of answers in a message; reports with 500 ends each stay below the limit of a frame. */
 const answersPerMessage = 50;
@@ -95,6 +96,7 @@
             incarnation,
             availabilityZone,
             answers,
+            sharesPayloads: true,
             ...(isLeaving ? { isLeaving } : {}),
         });
 
@@ -135,7 +137,13 @@
                 caller.answers.add({ id, answer: { kind: "notSent", detail }, isLate: true });
                 continue;
             }
-            const performed = performCall(workers, relayed, limitMs - delayMs);
+            const complete = restorePayload(relayed, message.payloads);
+            if (complete === undefined) {
+                logger.warn("a start order without its payload was not carried out", { from, id });
+                caller.answers.add({ id, answer: { kind: "notSent", detail: "the message lacks the payload" } });
+                continue;
+            }
+            const performed = performCall(workers, complete, limitMs - delayMs);
             if (performed === undefined) {
                 continue;
             }
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -202,6 +202,8 @@
     /** Time allowed for the call since the message was sent, in milliseconds. */
     readonly limitMs: number;
     readonly call: WorkerCall;
+    /** Position of the payload of a start in `payloads` of the message; absent if the order has its payload. */
+    readonly payloadPosition?: number;
 }
 
 /** Answer to a `RelayedCall`. */
@@ -222,6 +224,8 @@
         /** Monotonic time of the sender in milliseconds; only differences between messages have a meaning. */
         readonly sentAtMs: number;
         readonly calls: readonly RelayedCall[];
+        /** Payloads that the start orders of the message share; absent if each order has its own. */
+        readonly payloads?: readonly string[];
     }
     | {
         readonly kind: "answers";
@@ -232,4 +236,6 @@
         readonly answers: readonly RelayedAnswer[];
         /** Whether the process is about to stop and takes no further calls; absent in messages of earlier versions. */
         readonly isLeaving?: boolean;
+        /** Whether the process reads `payloads`; absent in messages of earlier versions. */
+        readonly sharesPayloads?: boolean;
     };
