Keep the work of workers that only answer slowly

Cause: each renewal counted as lost after 600 ms, the connections were closed, and a worker without an answer gets no extension. Change: while a worker is silent, a renewal is sent as often as before, but the answers to earlier ones are taken for half of a lease. Connections are closed once, when the worker falls silent. A lease is still extended only after an answer. Result: "a worker that answers after 1.5 s for 20 s keeps its run" failed before (w1 lapsed, run again on w2) and passes.

--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -23,6 +23,8 @@
     | "answersLost"
     /** Orders are carried out some seconds later and get no answer. */
     | "late"
+    /** Orders are carried out at once and answered after `slowAnswerMs`. */
+    | "slow"
     /** Starts are carried out some seconds later and get no answer; all other orders work. */
     | "startsLate"
     /** Starts are never carried out and get no answer; all other orders work. */
@@ -31,6 +33,9 @@
 /** Delay after which a late order is carried out, in milliseconds. */
 export const lateOrderMs = 4_000;
 
+/** Delay of the answers of a slow worker, in milliseconds. */
+export const slowAnswerMs = 1_500;
+
 /** A run that a worker has started. */
 export interface StartedRun {
     readonly worker: string;
@@ -206,6 +211,13 @@
                 carryOut(worker, yield* readMonotonicMs);
                 yield* Effect.sleep(limitMs);
                 return { kind: "unknown", detail: "no answer" } satisfies OrderAnswer;
+            case "slow": {
+                const answer = carryOut(worker, yield* readMonotonicMs);
+                yield* Effect.sleep(Math.min(slowAnswerMs, limitMs));
+                return slowAnswerMs < limitMs
+                    ? answer
+                    : { kind: "unknown", detail: "no answer" } satisfies OrderAnswer;
+            }
             case "startsLost":
                 yield* Effect.sleep(limitMs);
                 return { kind: "unknown", detail: "no answer" } satisfies OrderAnswer;
@@ -249,6 +261,7 @@
     });
 
     const renewLease = Effect.fnUntraced(function*(info: WorkerRef, order: RenewOrder, limitMs: number) {
+        const sentAtMs = yield* readMonotonicMs;
         const answer = yield* deliver(info, limitMs, false, (worker, nowMs) => carryOutRenewal(worker, order, nowMs));
         const worker = workers.get(info.id);
         if (answer.kind !== "done" || worker === undefined) {
@@ -260,7 +273,8 @@
             nowMs = yield* readMonotonicMs;
             advance(worker, nowMs);
         }
-        return worker.fault === "none" || isStartFault(worker.fault)
+        const isInTime = (yield* readMonotonicMs) - sentAtMs < limitMs;
+        return isInTime && (worker.fault === "none" || worker.fault === "slow" || isStartFault(worker.fault))
             ? createReport(worker, yield* readMonotonicMs)
             : { kind: "unknown", detail: "no answer" } satisfies RenewAnswer;
     });
--- a/packages/lead-jobs/src/record-heartbeat.ts
+++ b/packages/lead-jobs/src/record-heartbeat.ts
@@ -13,7 +13,7 @@
 /** Opens the session of a worker and starts the fiber that renews its lease. */
 export const openSession = Effect.fnUntraced(function*(term: Term, info: WorkerInfo) {
     const nowMs = yield* readMonotonicMs;
-    const session = createSession(term, info, nowMs);
+    const session = yield* createSession(term, info, nowMs);
     term.sessions.set(info.id, session);
     yield* FiberMap.run(term.sessionLoops, info.id, runSession(term, session));
     return session;
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -9,6 +9,7 @@
     type JobCommand,
     type JobResult,
     readMonotonicMs,
+    type RenewAnswer,
     type ReplicatedLog,
     type WorkerId,
     type WorkerInfo,
@@ -37,6 +38,13 @@
     readonly metrics: Metrics;
 }
 
+/** Answer of a worker to a renewal of its lease. */
+export interface RenewalAnswer {
+    readonly answer: RenewAnswer;
+    /** When the renewal was sent, in monotonic milliseconds. */
+    readonly sentAtMs: number;
+}
+
 /** State of one worker in the term of a leader. */
 export interface WorkerSession {
     readonly info: WorkerInfo;
@@ -50,6 +58,10 @@
     isResponsive: boolean;
     /** Whether the runs on the worker have been compared with the recorded ones in this term. */
     isReconciled: boolean;
+    /** Answers to renewals that were sent since the worker missed one, and are not applied yet. */
+    readonly lateAnswers: Queue.Queue<RenewalAnswer>;
+    /** When the latest renewal was sent, in monotonic milliseconds. */
+    renewalSentAtMs: number;
     /** When the last heartbeat arrived, in monotonic milliseconds. */
     heartbeatAtMs: number;
     /** Highest sequence number of the worker's heartbeats. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -11,11 +11,19 @@
     type ReportOutcome,
 } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
-import { Effect } from "effect";
+import { Effect, Option, Queue } from "effect";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
-import { canSendOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
+import {
+    canSendOrders,
+    logStepError,
+    propose,
+    type RenewalAnswer,
+    type Term,
+    wakePlanner,
+    type WorkerSession,
+} from "./term.js";
 
 /**
  * Longest time that a worker delays its answer to a renewal while no run ends, in milliseconds; limits the age of
@@ -26,6 +34,13 @@
 const learningIntervalMs = 300;
 /** Time beyond this delay after which a renewal counts as lost, in milliseconds. */
 const renewGraceMs = 600;
+/**
+ * Share of a lease for which the answer of a worker that has missed a renewal is awaited, while further renewals are sent.
+ * The work of a worker that only answers slowly must not end with its lease.
+ */
+const slowAnswerShare = 0.5;
+/** Answers of a silent worker that are kept until they are applied; more renewals than this are never in progress. */
+const lateAnswerLimit = 8;
 /** Pause between two renewals, in milliseconds, so that ends of runs in quick succession share one report. */
 const renewPauseMs = 30;
 /** Pause after a renewal that was not answered or whose answer could not be applied, in milliseconds. */
@@ -39,7 +54,7 @@
 const removeAfterSilenceMs = 15_000;
 
 /** Creates the session of a worker. The first report shows which runs that an earlier leader recorded have started. */
-export function createSession(term: Term, info: WorkerInfo, nowMs: number): WorkerSession {
+export const createSession = Effect.fnUntraced(function*(term: Term, info: WorkerInfo, nowMs: number) {
     const session: WorkerSession = {
         info,
         lease: undefined,
@@ -48,6 +63,8 @@
         answeredAtMs: undefined,
         isResponsive: false,
         isReconciled: false,
+        lateAnswers: yield* Queue.sliding<RenewalAnswer>(lateAnswerLimit),
+        renewalSentAtMs: Number.NEGATIVE_INFINITY,
         heartbeatAtMs: nowMs,
         heartbeatSequence: 0,
         leftAtMs: undefined,
@@ -66,7 +83,7 @@
         session.runStatuses.set(key, createRunStatus(runKey, "excluded", nowMs));
     }
     return session;
-}
+});
 
 function findWorkerState(term: Term, session: WorkerSession): WorkerState | undefined {
     return term.machine.state.workers.get(session.info.id);
@@ -114,6 +131,7 @@
         term.logger.info("worker answers", { worker: session.info.id, term: term.number });
     }
     session.isResponsive = true;
+    yield* Queue.clear(session.lateAnswers);
     if (findWorkerState(term, session) === undefined) {
         // A worker is recorded only once it has answered, so that a false announcement is never recorded.
         yield* propose(term, { kind: "registerWorker", worker: session.info });
@@ -184,8 +202,9 @@
             detail: answer.kind === "refused" ? answer.reason : answer.kind === "report" ? "" : answer.detail,
             answerAgeMs: session.answeredAtMs === undefined ? undefined : nowMs - session.answeredAtMs,
         });
+        // Not again while it is silent: the renewals that are still in progress would be broken off.
+        term.workers.closeConnections(session.info);
     }
-    term.workers.closeConnections(session.info);
     const leaseEndMs = computeLeaseEndMs(session.lease, term.openedAtMs, term.limits.longestLeaseMs);
     const endReason = findEndReason(session, answer, leaseEndMs, nowMs);
     if (endReason !== undefined) {
@@ -205,21 +224,58 @@
     return isLearning ? learningIntervalMs : reportIntervalMs;
 }
 
-/** Renews the lease of a worker once and applies its report; false if the session ends. */
-const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+/** Sends one renewal; the answer carries the time at which it was sent. */
+const sendRenewal = Effect.fnUntraced(function*(
+    term: Term,
+    session: WorkerSession,
+    waitMs: number,
+    limitMs: number,
+) {
     const sentAtMs = yield* readMonotonicMs;
+    session.renewalSentAtMs = sentAtMs;
     // The lease of a worker that does not answer is not extended: orders may arrive while the answers are lost.
     const mayRenew = session.lease !== undefined && session.isResponsive;
     if (session.lease !== undefined && mayRenew) {
         session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
     }
-    const waitMs = session.isResponsive ? chooseWaitMs(term, session) : 0;
     const answer = yield* term.workers.renewLease(session.info, {
         leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
         fencingToken: term.number,
         acknowledgedSequence: session.acknowledgedSequence,
         waitMs,
-    }, waitMs + renewGraceMs);
+    }, limitMs);
+    return { answer, sentAtMs } satisfies RenewalAnswer;
+});
+
+/**
+ * Sends a renewal to a worker that has missed one. It waits no longer for the answer than usual, so that the next renewal
+ * finds a worker that is back, but takes the answers to the earlier ones as well.
+ */
+const renewSilentWorker = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    const renewal = sendRenewal(term, session, 0, term.limits.longestLeaseMs * slowAnswerShare);
+    yield* Effect.forkIn(
+        Effect.map(renewal, renewed => {
+            const isFailure = renewed.answer.kind === "unknown" || renewed.answer.kind === "notSent";
+            const isLatest = renewed.sentAtMs === session.renewalSentAtMs;
+            if (!session.isResponsive && (isLatest || !isFailure)) {
+                Queue.offerUnsafe(session.lateAnswers, renewed);
+            }
+        }),
+        term.scope,
+    );
+    const answered = yield* Effect.timeoutOption(Queue.take(session.lateAnswers), renewGraceMs);
+    return Option.getOrElse(answered, (): RenewalAnswer => ({
+        answer: { kind: "unknown", detail: `no answer within ${renewGraceMs} ms` },
+        sentAtMs: session.renewalSentAtMs,
+    }));
+});
+
+/** Renews the lease of a worker once and applies its report; false if the session ends. */
+const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    const waitMs = session.isResponsive ? chooseWaitMs(term, session) : 0;
+    const { answer, sentAtMs } = session.isResponsive
+        ? yield* sendRenewal(term, session, waitMs, waitMs + renewGraceMs)
+        : yield* renewSilentWorker(term, session);
     term.load.renewals += 1;
     if (answer.kind === "report") {
         yield* applyRenewAnswer(term, session, answer, sentAtMs);
