Rate workers from sums that are kept between ratings and passes

Half of a pass was adding up the runs of each worker again, the other half predicting the margins of all serving tasks for each step. Change: the sums of a worker's runs are kept until a run is added or removed; the margins beside the present neighbours are predicted once a pass and changed by the added share for each rating.

--- a/packages/plan-jobs/src/predict-margin.ts
+++ b/packages/plan-jobs/src/predict-margin.ts
@@ -1,4 +1,4 @@
-import type { InterferenceModel, PairEstimate } from "@chestnutspool/learn-interference";
+import type { PairEstimate } from "@chestnutspool/learn-interference";
 
 /** Standard deviation of a disturbance within seconds, as a share of the disturbance. */
 const disturbanceVariation = 0.4;
@@ -30,39 +30,48 @@
     return Math.min(wantedMargin, headroom - safetyDeviations * headroomDeviation - allowedLoss);
 }
 
+/** A margin and how uncertain it is. */
+export interface ExpectedMargin {
+    readonly expected: number;
+    readonly variance: number;
+}
+
+function computePairVariance({ disturbance, variance }: PairEstimate, share: number): number {
+    return (disturbanceVariation * disturbance * share) ** 2 + variance * share ** 2;
+}
+
 /**
- * Predicts a cautious lower bound of the margin (target / tail latency) of a serving task while its neighbours use the
- * given shares of the worker, by image. `added` is a share besides these, so that callers need not copy the map.
+ * Predicts the margin (target / tail latency) of a serving task while its neighbours use the given shares of the worker,
+ * by image. `findPair` returns the pair of the serving image with another one.
  */
-export function predictMargin(
-    image: string,
+export function predictExpectedMargin(
     headroom: number,
     shares: ReadonlyMap<string, number>,
-    interference: InterferenceModel,
-    added?: AddedShare,
-): number {
-    let margin = headroom;
+    findPair: (other: string) => PairEstimate,
+): ExpectedMargin {
+    let expected = headroom;
     let variance = headroomDeviation ** 2;
-    let isAdded = added === undefined;
-    const include = (other: string, share: number): void => {
-        const pair = interference.estimatePair(image, other);
-        const disturbance = pair.disturbance * share;
-        margin -= disturbance;
-        variance += (disturbanceVariation * disturbance) ** 2 + pair.variance * share ** 2;
-    };
     for (const [other, share] of shares) {
-        if (other === added?.image) {
-            include(other, share + added.share);
-            isAdded = true;
-        }
-        else {
-            include(other, share);
-        }
-    }
-    if (added !== undefined && !isAdded) {
-        include(added.image, added.share);
+        const pair = findPair(other);
+        expected -= pair.disturbance * share;
+        variance += computePairVariance(pair, share);
     }
-    return margin - safetyDeviations * Math.sqrt(variance);
+    return { expected, variance };
+}
+
+/**
+ * Predicts a cautious lower bound of a margin when the image of a pair, which uses `usedShare` of the worker, uses
+ * `addedShare` more.
+ */
+export function predictMarginWithShare(
+    { expected, variance }: ExpectedMargin,
+    pair: PairEstimate,
+    usedShare: number,
+    addedShare: number,
+): number {
+    const margin = expected - pair.disturbance * addedShare;
+    const addedVariance = computePairVariance(pair, usedShare + addedShare) - computePairVariance(pair, usedShare);
+    return margin - safetyDeviations * Math.sqrt(variance + addedVariance);
 }
 
 /** Predicts the same bound from the pairs of the serving image with its neighbours and their shares, by position. */
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -1,7 +1,7 @@
-import type { InterferenceModel } from "@chestnutspool/learn-interference";
+import type { InterferenceModel, PairEstimate } from "@chestnutspool/learn-interference";
 import type { StepSpec } from "@chestnutspool/types";
-import { type AddedShare, computeMarginGoal, predictMargin } from "./predict-margin.js";
-import { findRack, type WorkerCandidate } from "./worker-candidate.js";
+import { type AddedShare, computeMarginGoal, predictExpectedMargin, predictMarginWithShare } from "./predict-margin.js";
+import { findRack, type ServingMargin, type WorkerCandidate } from "./worker-candidate.js";
 
 /** Margin (target / tail latency) that each serving task must keep when a task starts on its worker. */
 const leastMargin = 1;
@@ -29,6 +29,39 @@
     readonly tasksByRack: ReadonlyMap<string, number>;
 }
 
+/** Pairs of one serving image, as estimated when a rating of the worker first needed them. */
+function getPair(
+    { pairs }: WorkerCandidate,
+    image: string,
+    other: string,
+    interference: InterferenceModel,
+): PairEstimate {
+    let ofImage = pairs.get(image);
+    if (ofImage === undefined) {
+        ofImage = new Map();
+        pairs.set(image, ofImage);
+    }
+    let pair = ofImage.get(other);
+    if (pair === undefined) {
+        pair = interference.estimatePair(image, other);
+        ofImage.set(other, pair);
+    }
+    return pair;
+}
+
+function getServingMargins(candidate: WorkerCandidate, interference: InterferenceModel): readonly ServingMargin[] {
+    candidate.servingMargins ??= candidate.servingGroups.filter(({ count }) => count > 0).map(({ job, image }) => {
+        const headroom = Math.max(lowestHeadroom, interference.predictHeadroom(job, lookAheadMs));
+        const predicted = predictExpectedMargin(
+            headroom,
+            candidate.bestEffortShares,
+            other => getPair(candidate, image, other, interference),
+        );
+        return { image, goal: computeMarginGoal(headroom, leastMargin), ...predicted };
+    });
+    return candidate.servingMargins;
+}
+
 /**
  * Predicts by how much the margins of the serving tasks on a worker exceed their goals if tasks use a further share of
  * its processors. Returns the smallest difference; undefined if one is negative.
@@ -38,17 +71,15 @@
     added: AddedShare,
     interference: InterferenceModel,
 ): number | undefined {
+    const usedShare = candidate.bestEffortShares.get(added.image) ?? 0;
     let smallestExcess = Number.POSITIVE_INFINITY;
-    for (const group of candidate.servingGroups) {
-        if (group.count > 0) {
-            const headroom = Math.max(lowestHeadroom, interference.predictHeadroom(group.job, lookAheadMs));
-            const margin = predictMargin(group.image, headroom, candidate.bestEffortShares, interference, added);
-            const excess = margin - computeMarginGoal(headroom, leastMargin);
-            if (excess < 0) {
-                return undefined;
-            }
-            smallestExcess = Math.min(smallestExcess, excess);
+    for (const serving of getServingMargins(candidate, interference)) {
+        const pair = getPair(candidate, serving.image, added.image, interference);
+        const excess = predictMarginWithShare(serving, pair, usedShare, added.share) - serving.goal;
+        if (excess < 0) {
+            return undefined;
         }
+        smallestExcess = Math.min(smallestExcess, excess);
     }
     return smallestExcess;
 }
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -1,4 +1,5 @@
 import { computeReservation, formatStepKey, type WorkerState } from "@chestnutspool/job-state";
+import type { PairEstimate } from "@chestnutspool/learn-interference";
 import type { RunStatus, RunStatuses } from "@chestnutspool/track-workers";
 import {
     addResources,
@@ -15,33 +16,52 @@
  */
 const servingUseShare = 0.35;
 
-/** A worker with the capacity that is left in one planning pass. */
-export interface WorkerCandidate {
-    readonly state: WorkerState;
-    /** Resources that are not reserved; each start that the pass plans lowers them. */
-    free: Resources;
-    /** Runs that may still start here; undefined: no limit. */
-    startsLeft: number | undefined;
-    /** Whether a long-running task waits for room here, so that no other task may start in this pass. */
-    isHeld: boolean;
+/** What the runs on a worker add up to. */
+interface RunSums {
     /**
      * Number of tasks that are placed or planned here by job, occurrence and step, for steps with a limit per worker.
      */
-    readonly tasksByStep: Map<string, number>;
+    tasksByStep: Map<string, number>;
     /**
      * Processor time that no task is expected to use, in thousandths of a core; below 0 when tasks slow each other
      * down.
      */
     idleMilliCpu: number;
     /** Serving tasks on the worker, grouped by job and image. */
-    readonly servingGroups: ServingGroup[];
+    servingGroups: ServingGroup[];
+    /** Processor time that best-effort tasks are expected to use, by image, as a share of the worker's capacity. */
+    bestEffortShares: Map<string, number>;
+}
+
+/** A worker with the capacity that is left in one planning pass. */
+export interface WorkerCandidate extends RunSums {
+    readonly state: WorkerState;
+    /** Resources that are not reserved; each start that the pass plans lowers them. */
+    free: Resources;
+    /** Runs that may still start here; undefined: no limit. */
+    startsLeft: number | undefined;
+    /** Whether a long-running task waits for room here, so that no other task may start in this pass. */
+    isHeld: boolean;
     /**
      * Whether best-effort tasks here get less processor time than they could use, so that another one would slow them
      * down further.
      */
     readonly isContended: boolean;
-    /** Processor time that best-effort tasks are expected to use, by image, as a share of the worker's capacity. */
-    readonly bestEffortShares: Map<string, number>;
+    /** Whether the collections are those of the recorded runs, which later passes read too. */
+    sharesSums: boolean;
+    /** Margins of the serving tasks beside the tasks planned so far; undefined until a rating needs them. */
+    servingMargins: readonly ServingMargin[] | undefined;
+    /** Pairs that the margins were predicted with. They do not change within a pass. */
+    readonly pairs: Map<string, Map<string, PairEstimate>>;
+}
+
+/** Margin (target / tail latency) that serving tasks are expected to have beside the best-effort tasks on their worker. */
+export interface ServingMargin {
+    readonly image: string;
+    /** Least margin that further tasks must leave. */
+    readonly goal: number;
+    readonly expected: number;
+    readonly variance: number;
 }
 
 /** Serving tasks of one job and image on a worker. */
@@ -59,7 +79,13 @@
     return labels[rackLabel] ?? "";
 }
 
-function addTask(candidate: WorkerCandidate, job: string, spec: StepSpec, stepKey: string, change: 1 | -1): void {
+function addTask(
+    candidate: RunSums & Pick<WorkerCandidate, "state">,
+    job: string,
+    spec: StepSpec,
+    stepKey: string,
+    change: 1 | -1,
+): void {
     const { milliCpu } = spec.resources;
     const image = spec.image ?? "";
     if (spec.tailTargetMs !== undefined) {
@@ -109,6 +135,37 @@
     return false;
 }
 
+function sumRuns(state: WorkerState): RunSums {
+    const sums = {
+        state,
+        tasksByStep: new Map<string, number>(),
+        idleMilliCpu: state.info.capacity.milliCpu,
+        servingGroups: [],
+        bestEffortShares: new Map<string, number>(),
+    };
+    for (const { job, occurrence, step } of state.runs.values()) {
+        // Only a limit per worker needs the key.
+        const stepKey = step.spec.perWorkerLimit === undefined
+            ? ""
+            : formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
+        addTask(sums, job.id, step.spec, stepKey, 1);
+    }
+    return sums;
+}
+
+/** Sums of the runs on each worker. The state machine replaces `used` whenever it adds or removes a run. */
+const sumsByWorker = new WeakMap<WorkerState, { readonly used: Resources; readonly sums: RunSums; }>();
+
+function getRunSums(state: WorkerState): RunSums {
+    const known = sumsByWorker.get(state);
+    if (known?.used === state.used) {
+        return known.sums;
+    }
+    const sums = sumRuns(state);
+    sumsByWorker.set(state, { used: state.used, sums });
+    return sums;
+}
+
 /**
  * Creates the candidate of a worker; `statuses` hold the state of its runs, `startLimit` is the number of runs that may
  * start.
@@ -118,25 +175,39 @@
     statuses: RunStatuses | undefined,
     startLimit?: number,
 ): WorkerCandidate {
-    const candidate: WorkerCandidate = {
+    const { tasksByStep, idleMilliCpu, servingGroups, bestEffortShares } = getRunSums(state);
+    return {
         state,
         free: subtractResources(state.info.capacity, state.used),
         startsLeft: startLimit,
         isHeld: false,
-        tasksByStep: new Map(),
-        idleMilliCpu: state.info.capacity.milliCpu,
-        servingGroups: [],
+        tasksByStep,
+        idleMilliCpu,
+        servingGroups,
+        bestEffortShares,
+        sharesSums: true,
+        servingMargins: undefined,
+        pairs: new Map(),
         isContended: isContended(state, statuses),
-        bestEffortShares: new Map(),
     };
-    for (const { job, occurrence, step } of state.runs.values()) {
-        // Only a limit per worker needs the key.
-        const stepKey = step.spec.perWorkerLimit === undefined
-            ? ""
-            : formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
-        addTask(candidate, job.id, step.spec, stepKey, 1);
+}
+
+/** Adds a planned task to the sums of a candidate, or takes it away, on a copy of those that later passes read. */
+function addPlannedTask(
+    candidate: WorkerCandidate,
+    job: string,
+    spec: StepSpec,
+    stepKey: string,
+    change: 1 | -1,
+): void {
+    if (candidate.sharesSums) {
+        candidate.tasksByStep = new Map(candidate.tasksByStep);
+        candidate.servingGroups = candidate.servingGroups.map(group => ({ ...group }));
+        candidate.bestEffortShares = new Map(candidate.bestEffortShares);
+        candidate.sharesSums = false;
     }
-    return candidate;
+    candidate.servingMargins = undefined;
+    addTask(candidate, job, spec, stepKey, change);
 }
 
 /** Whether the limits, labels and free resources of a worker allow a task of a step to start there. */
@@ -157,12 +228,12 @@
 export function reserveCapacity(candidate: WorkerCandidate, job: string, spec: StepSpec, stepKey: string): void {
     candidate.free = subtractResources(candidate.free, computeReservation(spec));
     candidate.startsLeft = candidate.startsLeft === undefined ? undefined : candidate.startsLeft - 1;
-    addTask(candidate, job, spec, stepKey, 1);
+    addPlannedTask(candidate, job, spec, stepKey, 1);
 }
 
 /** Releases the capacity of a task whose planned start is dropped. */
 export function releaseCapacity(candidate: WorkerCandidate, job: string, spec: StepSpec, stepKey: string): void {
     candidate.free = addResources(candidate.free, computeReservation(spec));
     candidate.startsLeft = candidate.startsLeft === undefined ? undefined : candidate.startsLeft + 1;
-    addTask(candidate, job, spec, stepKey, -1);
+    addPlannedTask(candidate, job, spec, stepKey, -1);
 }
