Tell which resource a waiting step lacks

Change: the line carries what a task needs, and how many workers have enough processors, enough memory, and are trusted.

--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -149,7 +149,8 @@
         const { job, occurrence, step } = waiting;
         const key = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
         describedKeys.add(key);
-        const { workers, withRoom, suitable } = describeWait(candidates, waiting, input);
+        const wait = describeWait(candidates, waiting, input);
+        const { workers, withRoom, suitable } = wait;
         const reason = workers === 0
             ? "noWorker"
             : withRoom === 0
@@ -169,9 +170,9 @@
             tasks: step.waiting.size,
             waitedMs: computeWaitedMs(waiting),
             reason,
-            workers,
-            withRoom,
-            suitable,
+            milliCpu: step.spec.resources.milliCpu,
+            memoryMib: step.spec.resources.memoryMib,
+            ...wait,
         });
     }
     for (const key of loggedReasons.keys()) {
--- a/packages/plan-jobs/src/describe-wait.ts
+++ b/packages/plan-jobs/src/describe-wait.ts
@@ -1,4 +1,4 @@
-import { formatStepKey } from "@chestnutspool/job-state";
+import { computeReservation, formatStepKey } from "@chestnutspool/job-state";
 import type { PlanInput } from "./plan-starts.js";
 import { rateWorker } from "./rate-workers.js";
 import type { WaitingStep } from "./waiting-steps.js";
@@ -8,6 +8,11 @@
 export interface WaitDescription {
     /** Usable workers of the service of its queue. */
     readonly workers: number;
+    /** Workers among these with enough free processors, and with enough free memory. */
+    readonly withProcessors: number;
+    readonly withMemory: number;
+    /** Workers that are trusted with another start. */
+    readonly trusted: number;
     /** Workers among these with enough free resources. */
     readonly withRoom: number;
     /** Workers with enough free resources on which the task would disturb no serving task and make progress. */
@@ -26,5 +31,14 @@
     const ofService = candidates.filter(candidate => candidate.state.info.service === job.queue.service);
     const withRoom = ofService.filter(candidate => hasCapacity(candidate, step.spec, stepKey));
     const suitable = withRoom.filter(candidate => rateWorker(candidate, step.spec, context) !== undefined);
-    return { workers: ofService.length, withRoom: withRoom.length, suitable: suitable.length };
+    const needed = computeReservation(step.spec);
+    const count = (isIncluded: (candidate: WorkerCandidate) => boolean): number => ofService.filter(isIncluded).length;
+    return {
+        workers: ofService.length,
+        withProcessors: count(({ free }) => free.milliCpu >= needed.milliCpu),
+        withMemory: count(({ free }) => free.memoryMib >= needed.memoryMib),
+        trusted: count(({ startsLeft }) => startsLeft !== 0),
+        withRoom: withRoom.length,
+        suitable: suitable.length,
+    };
 }
