Compare a long backlog in several short passes

Change: the limit of ratings follows the duration of the last passes, between 5,000 and 20,000, for 25 ms a pass.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -10,6 +10,7 @@
 import { createRunStatus, isStartTimedOut } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RunStart, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
+import { adaptRatings } from "./adapt-ratings.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
@@ -213,6 +214,7 @@
     const wallMs = yield* readTermMs(term);
     const starts = yield* measureStep(planner, () => planStarts(input, wallMs, planner.memory));
     const tookMs = planner.passMs;
+    planner.memory.ratingsPerPass = adaptRatings(planner.memory.ratingsPerPass, tookMs, planner.memory.hasStepsLeft);
     recordPass(term.load, tookMs);
     yield* carryOutStarts(term, starts);
     if (nowMs - planner.reasonsCheckedAtMs >= waitCheckIntervalMs) {
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -1,8 +1,8 @@
 import type { JobStep } from "@chestnutspool/job-state";
 
 /**
- * Limit of the ratings of workers in one pass, so that a long backlog does not block the process. At 1,300 workers it
- * allows 15 steps that must each be compared with all of them.
+ * First limit of the ratings of workers in one pass, so that a long backlog does not block the process. At 1,300 workers
+ * it allows 15 steps that must each be compared with all of them.
  */
 const defaultRatingsPerPass = 20_000;
 /**
@@ -18,7 +18,8 @@
 
 /** What the planner remembers from one pass to the next. */
 export interface PlanMemory {
-    readonly ratingsPerPass: number;
+    /** Limit of the ratings of workers in the next pass. */
+    ratingsPerPass: number;
     /** Steps that passes have reached since all waiting steps were last reached. */
     reached: WeakSet<JobStep>;
     /** Number of the pass that was the first one not to reach a step, for the steps that no later pass has reached. */
