Give suspected workers with long-running tasks a run on probation

Cause: four workers failed runs at 6 to 12 s and were suspected. Once its pause is over a suspected worker gets one run at a time, and the runs in progress counted as that one, also long-running tasks that never end. No run could show that the worker works again, so that its free room was lost for the rest of the term. "step waits" showed it: of 40 workers 36 trusted, processors on two or three, all of them among the other four. Change: only runs that started after the pause count, without long-running tasks that are at work.

--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -99,14 +99,36 @@
     recordQuality(term, session, job, { kind: "stoodStill" }, nowMs);
 }
 
+/** Progress from which a long-running task is at work, in percent. */
+const atWorkPercent = 100;
+
+/**
+ * Counts the runs that a suspected worker got since its pause ended. A long-running task that is at work does not count,
+ * because it does not end.
+ */
+function countProbationRuns(term: Term, { info, health, runStatuses }: WorkerSession): number {
+    const runs = term.machine.state.workers.get(info.id)?.runs;
+    const sinceMs = health.suspectedUntilMs ?? Number.POSITIVE_INFINITY;
+    let count = 0;
+    for (const [key, { orderedAtMs, progressPercent }] of runStatuses) {
+        const isAtWork = runs?.get(key)?.step.spec.longRunning === true && progressPercent >= atWorkPercent;
+        count += orderedAtMs >= sinceMs && !isAtWork ? 1 : 0;
+    }
+    return count;
+}
+
 /**
  * Lists the number of runs that may start on each suspected worker at `nowMs`, monotonic time in milliseconds. Empty if
  * too many workers are suspected.
  */
 export function listStartLimits(term: Term, nowMs: number): ReadonlyMap<WorkerId, number> {
     const limits = new Map<WorkerId, number>();
-    for (const { info, health, runStatuses } of term.sessions.values()) {
-        const limit = countAllowedStarts(health, runStatuses.size, nowMs);
+    for (const session of term.sessions.values()) {
+        const { info, health } = session;
+        if (health.suspectedUntilMs === undefined) {
+            continue;
+        }
+        const limit = countAllowedStarts(health, countProbationRuns(term, session), nowMs);
         if (limit !== undefined) {
             limits.set(info.id, limit);
         }
--- a/packages/track-workers/src/worker-health.ts
+++ b/packages/track-workers/src/worker-health.ts
@@ -66,14 +66,17 @@
     return false;
 }
 
-/** Counts the runs that may start on a worker now besides those in progress; undefined if there is no limit. */
+/**
+ * Counts the runs that may start on a worker now besides those in progress; undefined if there is no limit.
+ * `probationRunsInProgress` are those that started after the pause.
+ */
 export function countAllowedStarts(
     health: WorkerHealth,
-    runsInProgress: number,
+    probationRunsInProgress: number,
     nowMs: number,
 ): number | undefined {
     if (health.suspectedUntilMs === undefined) {
         return undefined;
     }
-    return nowMs < health.suspectedUntilMs ? 0 : Math.max(0, probationRuns - runsInProgress);
+    return nowMs < health.suspectedUntilMs ? 0 : Math.max(0, probationRuns - probationRunsInProgress);
 }
