Confirm with a majority that a leader denies nothing which a later one accepted

Cause: replies that a job, queue or wave does not exist, and refusals for overload, came from the state of a process that believes that it leads. After a suspension its monotonic clock has not advanced, so that it still believes so until the first message of the next leader; requests that waited in its sockets are handled before that. Change: such replies wait for the confirmation of a majority, which is shared by all that wait; without it the reply is notLeader and the caller's process asks the next leader.

--- a/packages/lead-jobs/src/fakes/test-log.ts
+++ b/packages/lead-jobs/src/fakes/test-log.ts
@@ -11,19 +11,23 @@
     readonly createReplica: (self: PeerId) => ReplicatedLog<JobCommand, JobResult>;
     /** Makes a replica the leader of the next term; the previous leader stops leading at once. */
     readonly setLeader: (self: PeerId | undefined) => void;
+    /** Makes a replica the leader of the next term; the previous leader does not learn of it until the next change. */
+    readonly setLeaderUnnoticed: (self: PeerId) => void;
 }
 
 /** Creates a log whose replicas all share one state machine. */
 export function createTestLog(machine: JobMachine): TestLog {
     let leader: PeerId | undefined;
     let term = 0;
+    /** A replica that still believes that it leads the term before. */
+    let deposed: PeerId | undefined;
     let index = 0;
     const listeners = new Set<() => void>();
     const createStatus = (self: PeerId): ReplicaStatus => ({
         self,
         identity: self,
-        role: leader === self ? "leader" : "follower",
-        term,
+        role: leader === self || deposed === self ? "leader" : "follower",
+        term: deposed === self ? term - 1 : term,
         leader,
         lastIndex: index,
         commitIndex: index,
@@ -50,7 +54,7 @@
                     }),
                 confirmRead: Effect.andThen(checkLeader, Effect.sleep(1)),
                 readStatus: () => createStatus(self),
-                isLeading: () => leader === self,
+                isLeading: () => leader === self || deposed === self,
                 readTimeSinceContactMs: () => 0,
                 watchStatus: listener => {
                     const notify = (): void => listener(createStatus(self));
@@ -65,6 +69,13 @@
             };
         },
         setLeader: next => {
+            deposed = undefined;
+            leader = next;
+            term += 1;
+            listeners.forEach(notify => notify());
+        },
+        setLeaderUnnoticed: next => {
+            deposed = leader;
             leader = next;
             term += 1;
             listeners.forEach(notify => notify());
--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -25,6 +25,8 @@
     readonly workers: FakeWorkers;
     readonly log: TestLog;
     readonly ask: (request: JobRequest) => Effect.Effect<JobReply>;
+    /** Asks one replica, `a` or `b`. */
+    readonly askReplica: (self: string, request: JobRequest) => Effect.Effect<JobReply>;
     readonly submit: (definition: JobDefinition) => Effect.Effect<JobReply>;
     readonly addWorker: (info: WorkerInfo, clockRate?: number) => Effect.Effect<void>;
     readonly heartbeat: (info: WorkerInfo, draining?: boolean) => Effect.Effect<JobReply>;
@@ -53,9 +55,10 @@
     const machine = makeMachine([], [makeQueue()]);
     const workers = yield* createFakeWorkers;
     const log = createTestLog(machine);
-    const leaderships: Leadership[] = [];
+    const leaderships = new Map<string, Leadership>();
     for (const self of ["a", "b"]) {
-        leaderships.push(
+        leaderships.set(
+            self,
             yield* startLeadership({
                 log: log.createReplica(self),
                 machine,
@@ -70,7 +73,7 @@
     const sequences = new Map<string, number>();
     const ask = (request: JobRequest): Effect.Effect<JobReply> =>
         Effect.scoped(passWhile(Effect.gen(function*() {
-            for (const leadership of leaderships) {
+            for (const leadership of leaderships.values()) {
                 const reply = yield* leadership.handleRequest(request);
                 if (reply.kind !== "notLeader") {
                     return reply;
@@ -96,6 +99,8 @@
         workers,
         log,
         ask,
+        askReplica: (self, request) =>
+            Effect.scoped(passWhile(leaderships.get(self)?.handleRequest(request) ?? Effect.never)),
         submit: spec => ask({ kind: "submitJob", spec, hostName: "jobs.example", path: `/main/${spec.id}` }),
         addWorker: (info, clockRate) =>
             Effect.asVoid(Effect.suspend(() => {
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -213,6 +213,24 @@
     return { kind: "wave", isComplete: wave.wave.hosts.every(host => wave.begun.has(host)) };
 }
 
+/** Whether a reply tells the caller that something does not exist, or that a job was not accepted. */
+function isDenial({ kind }: JobReply): boolean {
+    return kind === "noJob" || kind === "noQueue" || kind === "rejected" || kind === "notConfigured"
+        || kind === "noWave";
+}
+
+/**
+ * Handles a request. A denial is confirmed by a majority: a process that was suspended may still believe that it leads, and
+ * does not know what a later leader has accepted meanwhile.
+ */
+const handleConfirmed = Effect.fnUntraced(function*(term: Term, request: JobRequest) {
+    const reply = yield* handleByKind(term, request);
+    if (isDenial(reply)) {
+        yield* term.log.confirmRead;
+    }
+    return reply;
+});
+
 function convertError(term: Term, request: JobRequest, error: ErrorData): JobReply {
     if (error.kind === "notLeader") {
         return { kind: "notLeader", leader: undefined };
@@ -226,7 +244,7 @@
  */
 export function handleInTerm(term: Term, request: JobRequest): Effect.Effect<JobReply> {
     return Effect.catch(
-        handleByKind(term, request),
+        handleConfirmed(term, request),
         (error: ErrorData) => Effect.sync(() => convertError(term, request, error)),
     );
 }
