Give the test of many callers sessions longer than its process may pause

Cause: the sessions of the test lasted 1 s. Change: this test uses sessions of 60 s. Every assertion stays; the behaviour at the end of a session has its own tests.

--- a/packages/entry/src/entry.test.ts
+++ b/packages/entry/src/entry.test.ts
@@ -8,6 +8,7 @@
     awaitCondition,
     buildRequest,
     createTestCluster,
+    createTestClusterWith,
     describeOutcome,
     runScoped,
     submit,
@@ -18,7 +19,8 @@
 
 void test("each of many callers gets the answer to its own request, and no slot or connection is exceeded", () =>
     runScoped(Effect.gen(function*() {
-        const cluster = yield* createTestCluster;
+        // Longer than any pause of the test process: a request is rightly refused as not run when a session has ended.
+        const cluster = yield* createTestClusterWith({ sessionTtlMs: 60_000 });
         const entries: TestEntry[] = [];
         for (const id of ["entry-1", "entry-2", "entry-3"]) {
             entries.push(yield* cluster.addEntry(id));
--- a/packages/entry/src/fakes/test-cluster.ts
+++ b/packages/entry/src/fakes/test-cluster.ts
@@ -101,12 +101,15 @@
     return Effect.runPromise(Effect.scoped(run));
 }
 
-/** Starts one control replica with a log in memory; tests add entry hosts and minions. */
-export const createTestCluster = Effect.gen(function*() {
+/**
+ * Starts one control replica with a log in memory; tests add entry hosts and minions. `leases` replaces some of the short
+ * times of the tests.
+ */
+export const createTestClusterWith = Effect.fnUntraced(function*(leases: Partial<ProcessSettings["leases"]>) {
     const network = yield* createMemoryNetwork;
     const machine = createClusterMachine();
     const link = yield* network.createLink("control", silentLogger);
-    const control = yield* startControl(buildSettings("control"), {
+    const control = yield* startControl(buildSettings("control", {}, leases), {
         link,
         log: createMemoryLog("control", machine),
         machine,
@@ -123,7 +126,7 @@
         const start = Effect.gen(function*() {
             const entryLink = yield* network.createLink(id, silentLogger);
             const services = { link: entryLink, logger: silentLogger, metrics: createMetrics(), choiceRule };
-            return yield* startEntry(buildSettings(id, overrides), services);
+            return yield* startEntry(buildSettings(id, overrides, leases), services);
         });
         const api = yield* Scope.provide(start, scope);
         yield* awaitCondition(() => api.readHealth().ready);
@@ -174,3 +177,6 @@
 
     return { network, control, state: machine.state, addEntry, addService, addMinion };
 });
+
+/** Starts such a system with short leases and sessions. */
+export const createTestCluster = createTestClusterWith({});
--- a/packages/entry/src/fakes/test-settings.ts
+++ b/packages/entry/src/fakes/test-settings.ts
@@ -1,7 +1,11 @@
 import type { ProcessSettings } from "@chestnutspool/types";
 
 /** Builds the settings of an entry host for tests, with short times. */
-export function buildSettings(id: string, overrides: Partial<ProcessSettings["requests"]> = {}): ProcessSettings {
+export function buildSettings(
+    id: string,
+    overrides: Partial<ProcessSettings["requests"]> = {},
+    leases: Partial<ProcessSettings["leases"]> = {},
+): ProcessSettings {
     return {
         process: {
             id,
@@ -24,6 +28,7 @@
             clockDriftPercent: 1,
             syncHoldMs: 1_000,
             minionSilenceMs: 3_000,
+            ...leases,
         },
         requests: {
             queueLimit: 256,
