Leave some workers of a shared service to short tasks

Each place that becomes free is taken by the next one within 2 s, and large tasks need a worker with most of its processors free, which no worker has. Change: new long-running tasks do not start on 7% of the workers of a service with several queues, those with the fewest processors reserved by such tasks. Interrupted ones may, and those that no other worker could ever run.

--- a/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
+++ b/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
@@ -7,6 +7,7 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStart, StepSpec } from "@chestnutspool/types";
 import { holdWorkers } from "../hold-workers.js";
+import { listKeptWorkers, selectCandidates } from "../keep-workers.js";
 import { listCandidates, type PlanInput } from "../plan-starts.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "../waiting-steps.js";
 import { findRack, hasCapacity, releaseCapacity, reserveCapacity, type WorkerCandidate } from "../worker-candidate.js";
@@ -170,9 +171,16 @@
 interface PlanningPass {
     readonly input: PlanInput;
     readonly candidates: readonly WorkerCandidate[];
+    readonly kept: ReadonlySet<WorkerCandidate>;
     readonly starts: RunStart[];
 }
 
+function listStepCandidates(pass: PlanningPass, waiting: WaitingStep): readonly WorkerCandidate[] {
+    const { service } = waiting.job.queue;
+    const ofService = pass.candidates.filter(({ state }) => state.info.service === service);
+    return selectCandidates(ofService, pass.kept, waiting);
+}
+
 /** Chooses the worker for a task; the worker of its last failed run only if no other one is suitable. */
 function chooseWorker(
     pass: PlanningPass,
@@ -188,13 +196,14 @@
         step: step.position,
         position: task.position,
     });
+    const candidates = listStepCandidates(pass, waiting);
     const others = failedOn === undefined
-        ? pass.candidates
-        : pass.candidates.filter(candidate => candidate.state.info.id !== failedOn);
+        ? candidates
+        : candidates.filter(candidate => candidate.state.info.id !== failedOn);
     return chooseWorkerAmong(others, pass, waiting, stepKey, tasksByRack)
         ?? (failedOn === undefined
             ? undefined
-            : chooseWorkerAmong(pass.candidates, pass, waiting, stepKey, tasksByRack));
+            : chooseWorkerAmong(candidates, pass, waiting, stepKey, tasksByRack));
 }
 
 function chooseWorkerAmong(
@@ -288,7 +297,8 @@
 
 /** Plans the starts of one pass as `planStarts` does; `nowMs` is wall-clock time in milliseconds since the epoch. */
 export function planStartsPlainly(input: PlanInput, nowMs: number): RunStart[] {
-    const pass: PlanningPass = { input, candidates: listCandidates(input), starts: [] };
+    const candidates = listCandidates(input);
+    const pass: PlanningPass = { input, candidates, kept: listKeptWorkers(input.state, candidates), starts: [] };
     for (const waiting of sortWaitingSteps(listWaitingSteps(input.state, nowMs))) {
         const { job, occurrence, step } = waiting;
         const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
@@ -300,8 +310,7 @@
             planTasks(pass, waiting, stepKey);
             const unplanned = step.waiting.size - (pass.starts.length - startsBefore);
             if (waiting.isOverdue && unplanned > 0) {
-                const ofService = pass.candidates.filter(({ state }) => state.info.service === job.queue.service);
-                holdWorkers(ofService, step.spec, stepKey, unplanned);
+                holdWorkers(listStepCandidates(pass, waiting), step.spec, stepKey, unplanned);
             }
         }
     }
--- /dev/null
+++ b/packages/plan-jobs/src/keep-workers.test.ts
@@ -0,0 +1,69 @@
+import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
+import { createInterferenceModel } from "@chestnutspool/learn-interference";
+import type { RunStart, WorkerInfo } from "@chestnutspool/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { planStarts } from "./plan-starts.js";
+
+type Machine = ReturnType<typeof makeMachine>;
+
+const urgentQueue = makeQueue({ name: "urgent", path: "/urgent/", priority: 0 });
+/** A task that takes a whole worker. */
+const wholeWorker = { milliCpu: 4_000, memoryMib: 10, accelerators: 0 };
+const lastingStep = makeStep({ longRunning: true, resources: wholeWorker });
+
+function plan(machine: Machine): RunStart[] {
+    const starts = planStarts({
+        state: machine.state,
+        isUsable: () => true,
+        findStartLimit: () => undefined,
+        findFailedWorker: () => undefined,
+        interference: createInterferenceModel(),
+        findRunStatuses: () => undefined,
+    }, testStartMs);
+    machine.apply({ kind: "startRuns", starts });
+    return starts;
+}
+
+/** Thirty workers, two of which are kept for short tasks if the service has two queues. */
+function setUp(queues = [makeQueue(), urgentQueue], changes: Partial<WorkerInfo> = {}): Machine {
+    return makeMachine([...Array(30).keys()].map(number => makeWorker(`w${number}`, changes)), queues);
+}
+
+// Guards against urgent tasks without room: the pattern is a service whose long-running tasks need more processors than all
+// of its workers have, so that each place that becomes free is taken by the next one.
+test("new long-running tasks leave some workers to short tasks", () => {
+    const machine = setUp();
+    machine.submit(makeJob("lasting", [{ ...lastingStep, count: 40 }]));
+    assert.equal(plan(machine).length, 28);
+    assert.equal(plan(machine).length, 0);
+    machine.submit(makeJob("check", [makeStep({ count: 2, resources: wholeWorker })]), "/urgent/");
+    assert.deepEqual(plan(machine).map(({ job }) => job), ["check", "check"]);
+});
+
+// Guards against a long-running task that stays away although there is capacity for it.
+test("an interrupted long-running task may start on any worker", () => {
+    const machine = setUp();
+    machine.submit(makeJob("lasting", [{ ...lastingStep, count: 28 }]));
+    const [first] = plan(machine);
+    assert.ok(first !== undefined);
+    machine.apply({ kind: "expireWorker", worker: first.worker, isGone: true, checkpoints: [] });
+    assert.deepEqual(plan(machine).map(({ job, run }) => [job, run]), [["lasting", 2]]);
+});
+
+// Guards against a long-running task that waits without end for a label that only the kept workers have.
+test("a long-running task that only kept workers could run starts there", () => {
+    const machine = makeMachine(
+        [...Array(30).keys()].map(number => makeWorker(`w${number}`, { labels: [number < 1 ? "rare" : "a", "r0"] })),
+        [makeQueue(), urgentQueue],
+    );
+    machine.submit(makeJob("rare", [{ ...lastingStep, requiredLabel: "rare" }]));
+    assert.deepEqual(plan(machine).map(({ worker }) => worker), ["w0"]);
+});
+
+// Guards against idle workers where nothing but long-running tasks can arrive.
+test("a service with one queue keeps no worker", () => {
+    const machine = setUp([makeQueue()]);
+    machine.submit(makeJob("lasting", [{ ...lastingStep, count: 40 }]));
+    assert.equal(plan(machine).length, 30);
+});
--- /dev/null
+++ b/packages/plan-jobs/src/keep-workers.ts
@@ -0,0 +1,66 @@
+import { computeReservation, type JobState } from "@chestnutspool/job-state";
+import { findShortage } from "@chestnutspool/types";
+import type { WaitingStep } from "./waiting-steps.js";
+import type { WorkerCandidate } from "./worker-candidate.js";
+
+/**
+ * Share of the workers of a service on which no new long-running task starts, so that short tasks find room. Long-running
+ * tasks that arrive without end would take all of it, and large tasks need a worker with most of its processors free.
+ */
+const keptShare = 0.07;
+
+/** Lists the workers with the least processors reserved by long-running tasks, by service with several queues. */
+export function listKeptWorkers(state: JobState, candidates: readonly WorkerCandidate[]): ReadonlySet<WorkerCandidate> {
+    const queues = new Map<string, number>();
+    for (const { service } of state.configuration?.queues ?? []) {
+        queues.set(service, (queues.get(service) ?? 0) + 1);
+    }
+    const kept = new Set<WorkerCandidate>();
+    for (const [service, count] of queues) {
+        // A service with one queue has no short tasks beside long-running ones.
+        const ofService = count < 2 ? [] : candidates.filter(({ state: { info } }) => info.service === service);
+        ofService
+            .sort((left, right) =>
+                left.lastingMilliCpu - right.lastingMilliCpu
+                || (left.state.info.id < right.state.info.id ? -1 : 1)
+            )
+            .slice(0, Math.floor(ofService.length * keptShare))
+            .forEach(candidate => kept.add(candidate));
+    }
+    return kept;
+}
+
+/** Whether a step has a long-running task that was never interrupted, which can wait for a place on the other workers. */
+export function isNewLongRunning({ step }: WaitingStep): boolean {
+    if (!step.spec.longRunning) {
+        return false;
+    }
+    for (const position of step.waiting) {
+        if ((step.tasks[position]?.lastRun ?? 0) > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/**
+ * Selects the workers for a step. A new long-running task may use the kept ones only if none of the others could ever run
+ * it, such as one that needs a rare label.
+ */
+export function selectCandidates(
+    candidates: readonly WorkerCandidate[],
+    kept: ReadonlySet<WorkerCandidate>,
+    waiting: WaitingStep,
+): readonly WorkerCandidate[] {
+    if (kept.size === 0 || !isNewLongRunning(waiting)) {
+        return candidates;
+    }
+    const { spec } = waiting.step;
+    const needed = computeReservation(spec);
+    const others = candidates.filter(candidate => !kept.has(candidate));
+    const canEverRun = others.some(({ state: { info } }) =>
+        (spec.requiredLabel === undefined || info.labels.includes(spec.requiredLabel))
+        && findShortage(needed, info.capacity) === undefined
+    );
+    return canEverRun ? others : candidates;
+}
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -3,6 +3,7 @@
 import type { RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
 import { holdWorkers } from "./hold-workers.js";
+import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 import { createPlanMemory, planWithinLimit } from "./plan-memory.js";
 import type { RatingContext } from "./rate-workers.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
@@ -40,6 +41,8 @@
 interface PlanningPass {
     readonly input: PlanInput;
     readonly candidatesByService: ReadonlyMap<string, readonly WorkerCandidate[]>;
+    /** Workers on which no new long-running task starts. */
+    readonly kept: ReadonlySet<WorkerCandidate>;
     readonly unmet: UnmetRequirements;
     readonly starts: RunStart[];
     /** Number of ratings of workers. */
@@ -73,6 +76,10 @@
     return candidatesByService;
 }
 
+function listStepCandidates(pass: PlanningPass, waiting: WaitingStep): readonly WorkerCandidate[] {
+    return selectCandidates(pass.candidatesByService.get(waiting.job.queue.service) ?? [], pass.kept, waiting);
+}
+
 function createStepPlan(pass: PlanningPass, waiting: WaitingStep): StepPlan {
     const { job, occurrence, step } = waiting;
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
@@ -81,7 +88,7 @@
         pass.ratings += 1;
     };
     const context: RatingContext = { interference: pass.input.interference, tasksByRack };
-    const candidates = pass.candidatesByService.get(job.queue.service) ?? [];
+    const candidates = listStepCandidates(pass, waiting);
     return {
         waiting,
         stepKey,
@@ -148,7 +155,7 @@
     for (const task of tasks.slice(0, startsPerPass - pass.starts.length)) {
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
-            pass.unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec);
+            pass.unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting));
             return;
         }
         pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
@@ -173,7 +180,7 @@
         reserved.push({ candidate, task });
     }
     if (reserved.length === 0) {
-        pass.unmet.recordUnmet(job.queue.service, step.spec);
+        pass.unmet.recordUnmet(job.queue.service, step.spec, isNewLongRunning(waiting));
         return;
     }
     if (reserved.length < step.tasks.length) {
@@ -189,7 +196,7 @@
     const unplanned = step.waiting.size - planned;
     if (isOverdue && !step.spec.gang && unplanned > 0) {
         const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
-        holdWorkers(pass.candidatesByService.get(job.queue.service) ?? [], step.spec, stepKey, unplanned);
+        holdWorkers(listStepCandidates(pass, waiting), step.spec, stepKey, unplanned);
     }
 }
 
@@ -203,9 +210,11 @@
         memory.hasStepsLeft = false;
         return [];
     }
+    const candidates = listCandidates(input);
     const pass: PlanningPass = {
         input,
-        candidatesByService: groupByService(listCandidates(input)),
+        candidatesByService: groupByService(candidates),
+        kept: listKeptWorkers(input.state, candidates),
         unmet: createUnmetRequirements(),
         starts: [],
         ratings: 0,
@@ -213,7 +222,7 @@
     planWithinLimit(memory, waitingSteps, waiting => {
         const ratingsBefore = pass.ratings;
         const startsBefore = pass.starts.length;
-        if (!pass.unmet.isUnmet(waiting.job.queue.service, waiting.step.spec)) {
+        if (!pass.unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting))) {
             if (waiting.step.spec.gang) {
                 planGang(pass, waiting);
             }
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -27,6 +27,8 @@
      * down.
      */
     idleMilliCpu: number;
+    /** Processors that long-running tasks reserve, in thousandths of a core. */
+    lastingMilliCpu: number;
     /** Serving tasks on the worker, grouped by job and image. */
     servingGroups: ServingGroup[];
     /** Processor time that best-effort tasks are expected to use, by image, as a share of the worker's capacity. */
@@ -101,6 +103,9 @@
     else {
         candidate.idleMilliCpu -= change * milliCpu;
     }
+    if (spec.longRunning) {
+        candidate.lastingMilliCpu += change * computeReservation(spec).milliCpu;
+    }
     if (spec.usesIdleCpu) {
         const share = milliCpu / Math.max(1, candidate.state.info.capacity.milliCpu);
         candidate.bestEffortShares.set(image, (candidate.bestEffortShares.get(image) ?? 0) + change * share);
@@ -140,6 +145,7 @@
         state,
         tasksByStep: new Map<string, number>(),
         idleMilliCpu: state.info.capacity.milliCpu,
+        lastingMilliCpu: 0,
         servingGroups: [],
         bestEffortShares: new Map<string, number>(),
     };
@@ -175,7 +181,7 @@
     statuses: RunStatuses | undefined,
     startLimit?: number,
 ): WorkerCandidate {
-    const { tasksByStep, idleMilliCpu, servingGroups, bestEffortShares } = getRunSums(state);
+    const { tasksByStep, idleMilliCpu, lastingMilliCpu, servingGroups, bestEffortShares } = getRunSums(state);
     return {
         state,
         free: subtractResources(state.info.capacity, state.used),
@@ -183,6 +189,7 @@
         isHeld: false,
         tasksByStep,
         idleMilliCpu,
+        lastingMilliCpu,
         servingGroups,
         bestEffortShares,
         sharesSums: true,
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -256,6 +256,12 @@
     ],
 };
 
+/** Load of the wholesaler with more long-running tasks than the workers have processors for. */
+export const lastingOverload: Load = {
+    ...wholesaleLoad,
+    kinds: wholesaleLoad.kinds.map(kind => kind.name === "watch" ? createKindVariant(kind, { initialJobs: 51 }) : kind),
+};
+
 /**
  * Sustained overload: three times the rebuilds that idle processors can run, for longer than any of them may wait. Jobs
  * accepted beyond what ends in time cost their starts and processors and earn nothing.
--- a/packages/replay-jobs/src/print-replay.ts
+++ b/packages/replay-jobs/src/print-replay.ts
@@ -1,6 +1,7 @@
 import {
     advisoryLoad,
     busyLeaderOverload,
+    lastingOverload,
     type Load,
     overloadedLoad,
     sustainedOverload,
@@ -56,6 +57,7 @@
         advisory: advisoryLoad,
         wholesale: wholesaleLoad,
         overloaded: overloadedLoad,
+        lasting: lastingOverload,
         sustained: sustainedOverload,
         busyLeader: busyLeaderOverload,
     };
--- a/packages/replay-jobs/src/replay.test.ts
+++ b/packages/replay-jobs/src/replay.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { type Load, sustainedOverload, wholesaleLoad } from "./load.js";
+import { lastingOverload, type Load, sustainedOverload, wholesaleLoad } from "./load.js";
 import { replayLoad } from "./replay.js";
 
 const lengthMs = 12_000;
@@ -23,3 +23,11 @@
     assert.equal(checks[1]?.refusals, 0);
     assert.ok((checks[1]?.inTimeShare ?? 0) >= 0.9, `${checks[1]?.inTimeShare}`);
 });
+
+// Guards against urgent jobs without room behind long-running ones that need more processors than all workers have. The bound is
+// the users' target for a loaded deployment.
+test("each kind of job earns the users' target while long-running tasks need more than all processors", () => {
+    for (const { kind, earnedShare } of replayLoad(lastingOverload, 20_000, 8_000, 1, { hasAdmission: true })) {
+        assert.ok(earnedShare >= 0.71, `${kind} earns ${earnedShare}`);
+    }
+});
