Share what tests, fakes and messages had twice

Change: plain predictions of margins, the creation of starts, the empty part of a state, the record of a finished request, the input of the planner and tests in simulated time have one owner each. Assertions and behaviour are as before.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -7,19 +7,8 @@
     type RunStart,
     subtractResources,
 } from "@chestnutspool/types";
-import {
-    computeReservation,
-    createEmptyDefinition,
-    isJobEnded,
-    isStepReady,
-    type JobOccurrence,
-    type JobRecord,
-    type JobState,
-    type JobStep,
-    type JobTask,
-    type WorkerRun,
-    type WorkerState,
-} from "./job-state.js";
+import type { JobOccurrence, JobRecord, JobState, JobStep, JobTask, WorkerRun, WorkerState } from "./job-state.js";
+import { computeReservation, createEmptyDefinition, isJobEnded, isStepReady } from "./job-state.js";
 import { formatRunKey } from "./run-keys.js";
 
 type CommandOf<Kind extends JobCommand["kind"]> = Extract<JobCommand, { readonly kind: Kind; }>;
--- a/packages/lead-jobs/src/fakes/index.ts
+++ b/packages/lead-jobs/src/fakes/index.ts
@@ -1,2 +1,3 @@
+export * from "./define-test.js";
 export * from "./fake-workers.js";
 export * from "./test-system.js";
--- a/packages/lead-jobs/src/lead-jobs.test.ts
+++ b/packages/lead-jobs/src/lead-jobs.test.ts
@@ -1,18 +1,8 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
 import type { JobReply } from "@chestnutspool/types";
-import { Effect, type Scope } from "effect";
-import { TestClock } from "effect/testing";
+import { Effect } from "effect";
 import assert from "node:assert/strict";
-import { test } from "node:test";
-import { lateOrderMs, listOverlaps, makeWorker, startTestSystem, testLeaseMs, type TestSystem } from "./fakes/index.js";
-
-/** Runs a test on a system in simulated time. */
-function testSystem(name: string, run: (system: TestSystem) => Effect.Effect<void, never, Scope.Scope>): void {
-    test(name, () =>
-        Effect.runPromise(
-            Effect.scoped(Effect.flatMap(startTestSystem, run)).pipe(Effect.provide(TestClock.layer())),
-        ));
-}
+import { lateOrderMs, listOverlaps, makeWorker, testLeaseMs, type TestSystem, testSystem } from "./fakes/index.js";
 
 const readPhase = (system: TestSystem, job: string): Effect.Effect<JobReply> =>
     system.ask({ kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` });
--- a/packages/lead-jobs/src/slow-worker.test.ts
+++ b/packages/lead-jobs/src/slow-worker.test.ts
@@ -1,24 +1,8 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
 import type { RunOutcome } from "@chestnutspool/types";
-import { Effect, type Scope } from "effect";
-import { TestClock } from "effect/testing";
+import { Effect } from "effect";
 import assert from "node:assert/strict";
-import { test } from "node:test";
-import {
-    listOverlaps,
-    makeWorker,
-    startTestSystem,
-    testLeaseMs,
-    type TestSystem,
-    type WorkerFault,
-} from "./fakes/index.js";
-
-function testSystem(name: string, run: (system: TestSystem) => Effect.Effect<void, never, Scope.Scope>): void {
-    test(name, () =>
-        Effect.runPromise(
-            Effect.scoped(Effect.flatMap(startTestSystem, run)).pipe(Effect.provide(TestClock.layer())),
-        ));
-}
+import { listOverlaps, makeWorker, testLeaseMs, type TestSystem, testSystem, type WorkerFault } from "./fakes/index.js";
 
 /** Starts a run of 30 s on the first of two workers, and has that one at fault for a time. */
 const runBesideFault = Effect.fnUntraced(function*(system: TestSystem, fault: WorkerFault, faultMs: number) {
--- a/packages/lead-jobs/src/suspected-worker.test.ts
+++ b/packages/lead-jobs/src/suspected-worker.test.ts
@@ -1,17 +1,8 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
 import type { StepSpec } from "@chestnutspool/types";
-import { Effect, type Scope } from "effect";
-import { TestClock } from "effect/testing";
+import { Effect } from "effect";
 import assert from "node:assert/strict";
-import { test } from "node:test";
-import { makeWorker, startTestSystem, type TestSystem } from "./fakes/index.js";
-
-function testSystem(name: string, run: (system: TestSystem) => Effect.Effect<void, never, Scope.Scope>): void {
-    test(name, () =>
-        Effect.runPromise(
-            Effect.scoped(Effect.flatMap(startTestSystem, run)).pipe(Effect.provide(TestClock.layer())),
-        ));
-}
+import { makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
 
 /** A step that only the first worker can run. */
 function makeLabelledStep(changes: Partial<StepSpec> = {}): StepSpec {
--- a/packages/place-tasks/src/fakes/build-state.ts
+++ b/packages/place-tasks/src/fakes/build-state.ts
@@ -74,6 +74,21 @@
     return groups;
 }
 
+/** The parts of a state that placement does not read. */
+export function buildEmptyRegistry() {
+    return {
+        entries: new Map(),
+        minions: new Map(),
+        ownership: new Map(),
+        ownershipVersion: 0,
+        requests: new Map(),
+        operatorRequests: new Map(),
+        configuration: { revision: 0, entries: {}, changedBy: "", acceptedAtMs: 0 },
+        configurationHistory: [],
+        events: [],
+    };
+}
+
 /** A state with the given records and all derived collections. */
 export function buildState(parts: StateParts): ClusterState {
     const byWorker = groupBy(parts.tasks, task => task.worker);
@@ -97,14 +112,6 @@
             parts.workers.map(worker => [worker.id, { ...worker, used: sumCharged(byWorker.get(worker.id) ?? []) }]),
         ),
         tenants: new Map((parts.tenants ?? []).map(tenant => [tenant.id, tenant])),
-        entries: new Map(),
-        minions: new Map(),
-        ownership: new Map(),
-        ownershipVersion: 0,
-        requests: new Map(),
-        operatorRequests: new Map(),
-        configuration: { revision: 0, entries: {}, changedBy: "", acceptedAtMs: 0 },
-        configurationHistory: [],
-        events: [],
+        ...buildEmptyRegistry(),
     };
 }
--- a/packages/place-tasks/src/measure/benchmark-cluster.ts
+++ b/packages/place-tasks/src/measure/benchmark-cluster.ts
@@ -15,7 +15,7 @@
     type WorkRecord,
     type WorkSpec,
 } from "@chestnutspool/types";
-import { buildTask } from "../fakes/build-state.js";
+import { buildEmptyRegistry, buildTask } from "../fakes/build-state.js";
 import type { PlacementDecision } from "../placement-decision.js";
 
 /** Size of the target cluster: 1,300 workers, 3,300 urgent and 13,000 batch tasks, 2,400 accelerators, 32 tenants. */
@@ -171,15 +171,7 @@
             const id = `tenant-${ordinal}`;
             return [id, { id, quota, weight: 1, revision: 1, changedBy: "measure" }];
         })),
-        entries: new Map(),
-        minions: new Map(),
-        ownership: new Map(),
-        ownershipVersion: 0,
-        requests: new Map(),
-        operatorRequests: new Map(),
-        configuration: { revision: 0, entries: {}, changedBy: "", acceptedAtMs: 0 },
-        configurationHistory: [],
-        events: [],
+        ...buildEmptyRegistry(),
     };
 
     return {
--- a/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
+++ b/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
@@ -3,67 +3,19 @@
  * planner with it.
  */
 
-import { countFailures, formatStepKey, type JobTask } from "@chestnutspool/job-state";
+import { formatStepKey, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStart, StepSpec } from "@chestnutspool/types";
 import { holdWorkers } from "../hold-workers.js";
 import { listKeptWorkers, selectCandidates } from "../keep-workers.js";
 import { listCandidates, type PlanInput } from "../plan-starts.js";
+import { createStart, listStartable } from "../startable-tasks.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "../waiting-steps.js";
 import { findRack, hasCapacity, releaseCapacity, reserveCapacity, type WorkerCandidate } from "../worker-candidate.js";
+import { computeMarginGoal, predictMargin } from "./predict-margin-plainly.js";
 
 const startsPerPass = 500;
 
-/** Standard deviation of a disturbance within seconds, as a share of the disturbance. */
-const disturbanceVariation = 0.4;
-/** Standard deviation of the estimate of a headroom. */
-const headroomDeviation = 0.15;
-/**
- * Standard deviations that are subtracted from an expected margin, so that one prediction in fifteen may be too high. A
- * task over its target costs several times as much as a task that waits.
- */
-const safetyDeviations = 1.5;
-
-/**
- * Margin that neighbours may always take from a task. Slowing neighbours down further does not help a job whose own
- * load is too high.
- */
-const allowedLoss = 0.15;
-
-/**
- * Computes the margin that neighbours must leave: the wanted one, or a little less than the task has without
- * neighbours if that is smaller.
- */
-function computeMarginGoal(
-    image: string,
-    headroom: number,
-    wantedMargin: number,
-    interference: InterferenceModel,
-): number {
-    return Math.min(wantedMargin, predictMargin(image, headroom, new Map(), interference) - allowedLoss);
-}
-
-/**
- * Predicts a cautious lower bound of the margin (target / tail latency) of a serving task while its neighbours use the
- * given shares of the worker, by image.
- */
-function predictMargin(
-    image: string,
-    headroom: number,
-    shares: ReadonlyMap<string, number>,
-    interference: InterferenceModel,
-): number {
-    let margin = headroom;
-    let variance = headroomDeviation ** 2;
-    for (const [other, share] of shares) {
-        const pair = interference.estimatePair(image, other);
-        const disturbance = pair.disturbance * share;
-        margin -= disturbance;
-        variance += (disturbanceVariation * disturbance) ** 2 + pair.variance * share ** 2;
-    }
-    return margin - safetyDeviations * Math.sqrt(variance);
-}
-
 /** Margin (target / tail latency) that each serving task must keep when a task starts on its worker. */
 const leastMargin = 1;
 /** How far ahead the headroom of serving tasks is predicted when a task starts on their worker, in milliseconds. */
@@ -230,28 +182,6 @@
     return best;
 }
 
-function createStart(waiting: WaitingStep, task: JobTask, run: number, candidate: WorkerCandidate): RunStart {
-    return {
-        job: waiting.job.id,
-        occurrence: waiting.occurrence.number,
-        step: waiting.step.position,
-        position: task.position,
-        run,
-        worker: candidate.state.info.id,
-    };
-}
-
-function listStartable({ job, step }: WaitingStep): JobTask[] {
-    const tasks: JobTask[] = [];
-    for (const position of step.waiting) {
-        const task = step.tasks[position];
-        if (task !== undefined && (step.spec.longRunning || countFailures(step, task) < job.queue.maxAttempts)) {
-            tasks.push(task);
-        }
-    }
-    return tasks;
-}
-
 /** Plans starts of the tasks of a step one by one until no worker is suitable. */
 function planTasks(pass: PlanningPass, waiting: WaitingStep, stepKey: string): void {
     const tasksByRack = new Map<string, number>();
--- a/packages/plan-jobs/src/keep-workers.test.ts
+++ b/packages/plan-jobs/src/keep-workers.test.ts
@@ -1,8 +1,8 @@
 import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
-import { createInterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStart, WorkerInfo } from "@chestnutspool/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { makePlanInput } from "./fakes/make-plan-input.js";
 import { planStarts } from "./plan-starts.js";
 
 type Machine = ReturnType<typeof makeMachine>;
@@ -13,14 +13,7 @@
 const lastingStep = makeStep({ longRunning: true, resources: wholeWorker });
 
 function plan(machine: Machine): RunStart[] {
-    const starts = planStarts({
-        state: machine.state,
-        isUsable: () => true,
-        findStartLimit: () => undefined,
-        findFailedWorker: () => undefined,
-        interference: createInterferenceModel(),
-        findRunStatuses: () => undefined,
-    }, testStartMs);
+    const starts = planStarts(makePlanInput(machine.state), testStartMs);
     machine.apply({ kind: "startRuns", starts });
     return starts;
 }
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,4 +1,4 @@
-import { countFailures, formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
+import { formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
@@ -6,6 +6,7 @@
 import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 import { createPlanMemory, planWithinLimit } from "./plan-memory.js";
 import type { RatingContext } from "./rate-workers.js";
+import { createStart, listStartable } from "./startable-tasks.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
@@ -123,28 +124,6 @@
     return candidate;
 }
 
-function createStart(waiting: WaitingStep, task: JobTask, run: number, candidate: WorkerCandidate): RunStart {
-    return {
-        job: waiting.job.id,
-        occurrence: waiting.occurrence.number,
-        step: waiting.step.position,
-        position: task.position,
-        run,
-        worker: candidate.state.info.id,
-    };
-}
-
-function listStartable({ job, step }: WaitingStep): JobTask[] {
-    const tasks: JobTask[] = [];
-    for (const position of step.waiting) {
-        const task = step.tasks[position];
-        if (task !== undefined && (step.spec.longRunning || countFailures(step, task) < job.queue.maxAttempts)) {
-            tasks.push(task);
-        }
-    }
-    return tasks;
-}
-
 /** Plans starts of the tasks of a step one by one until no worker is suitable. */
 function planTasks(pass: PlanningPass, waiting: WaitingStep): void {
     const tasks = listStartable(waiting);
--- a/packages/plan-jobs/src/step-starvation.test.ts
+++ b/packages/plan-jobs/src/step-starvation.test.ts
@@ -1,7 +1,7 @@
 import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
-import { createInterferenceModel } from "@chestnutspool/learn-interference";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { makePlanInput } from "./fakes/make-plan-input.js";
 import { createPlanMemory } from "./plan-memory.js";
 import { planStarts } from "./plan-starts.js";
 
@@ -19,15 +19,7 @@
             const step = makeStep({ perWorkerLimit: 1, resources: { ...resources, milliCpu: 5_000 } });
             machine.submit(makeJob(`large${pass}-${number}`, [step]), "/urgent/");
         }
-        const input = {
-            state: machine.state,
-            isUsable: () => true,
-            findStartLimit: () => undefined,
-            findFailedWorker: () => undefined,
-            interference: createInterferenceModel(),
-            findRunStatuses: () => undefined,
-        };
-        started.push(...planStarts(input, testStartMs, memory).map(({ job }) => job));
+        started.push(...planStarts(makePlanInput(machine.state), testStartMs, memory).map(({ job }) => job));
     }
     assert.deepEqual(started, ["small"]);
 });
--- a/packages/types/src/commands.ts
+++ b/packages/types/src/commands.ts
@@ -14,6 +14,18 @@
 import type { ErrorData } from "./error-data.js";
 import type { EntrySessionRecord, RequestOutcome, RequestRecord, WorkerAdmission } from "./state.js";
 
+/** Records the outcome of a request that an entry host dispatched. */
+export interface FinishRequest {
+    readonly kind: "finishRequest";
+    readonly tenant: TenantId;
+    readonly requestId: string;
+    readonly entry: EntryId;
+    readonly epoch: number;
+    /** Log index of `requestBegun`; without it, a request that was not run cannot begin again under its id. */
+    readonly beganIndex?: number | undefined;
+    readonly outcome: RequestOutcome;
+}
+
 /** A change that an operator asks for. An expected revision of 0 means that the object must not exist yet. */
 export type OperatorChange =
     | { readonly kind: "applyWork"; readonly spec: WorkSpec; readonly expectedRevision: number; }
@@ -87,16 +99,7 @@
             readonly attempts: readonly AttemptRef[];
         }
         | { readonly kind: "beginRequest"; readonly request: Omit<RequestRecord, "beganAtMs" | "outcome">; }
-        | {
-            readonly kind: "finishRequest";
-            readonly tenant: TenantId;
-            readonly requestId: string;
-            readonly entry: EntryId;
-            readonly epoch: number;
-            /** Log index of `requestBegun`; without it, a request that was not run cannot begin again under its id. */
-            readonly beganIndex?: number | undefined;
-            readonly outcome: RequestOutcome;
-        }
+        | FinishRequest
         | { readonly kind: "batch"; readonly commands: readonly ControlCommand[]; }
     );
 
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -1,23 +1,8 @@
-import type { CommandResult } from "./commands.js";
-import type {
-    AttemptRef,
-    EntryId,
-    MinionId,
-    MinionInfo,
-    OwnedItem,
-    RequestClass,
-    TenantId,
-    WorkerId,
-} from "./domain.js";
+import type { CommandResult, FinishRequest } from "./commands.js";
+import type { AttemptRef, MinionId, MinionInfo, OwnedItem, RequestClass, TenantId, WorkerId } from "./domain.js";
 import type { ErrorData } from "./error-data.js";
 import type { RunKey } from "./jobs.js";
-import type {
-    ConfigurationRecord,
-    EntrySessionRecord,
-    OwnershipRecord,
-    RequestOutcome,
-    RequestRecord,
-} from "./state.js";
+import type { ConfigurationRecord, EntrySessionRecord, OwnershipRecord, RequestRecord } from "./state.js";
 import type { OrderAnswer, RenewAnswer, RenewOrder, StartOrder, WorkerRef } from "./worker-port.js";
 
 /** Version of the messages between the processes of the system; a link between different versions is refused. */
@@ -57,16 +42,7 @@
     | { readonly kind: "registerMinion"; readonly minion: MinionInfo; }
     | { readonly kind: "removeMinion"; readonly minion: MinionId; }
     | { readonly kind: "beginRequest"; readonly request: Omit<RequestRecord, "beganAtMs" | "outcome">; }
-    | {
-        readonly kind: "finishRequest";
-        readonly tenant: TenantId;
-        readonly requestId: string;
-        readonly entry: EntryId;
-        readonly epoch: number;
-        /** Log index of `requestBegun`; without it, a request that was not run cannot begin again under its id. */
-        readonly beganIndex?: number | undefined;
-        readonly outcome: RequestOutcome;
-    }
+    | FinishRequest
     | {
         /** A call of OperatorService or WorkerService, forwarded with its message in binary form. */
         readonly kind: "forwardCall";
