--- a/packages/plan-jobs/src/keep-workers.ts
+++ b/packages/plan-jobs/src/keep-workers.ts
@@ -17,7 +17,7 @@
     }
     const kept = new Set<WorkerCandidate>();
     for (const [service, count] of queues) {
-        // A service with one queue has no short tasks beside long-running ones.
+        // A service with one queue is taken to run one kind of job.
         const ofService = count < 2 ? [] : candidates.filter(({ state: { info } }) => info.service === service);
         ofService
             .sort((left, right) =>
