--- a/packages/lead-jobs/src/fakes/test-log.ts
+++ b/packages/lead-jobs/src/fakes/test-log.ts
@@ -56,6 +56,8 @@
                 readStatus: () => createStatus(self),
                 isLeading: () => leader === self || deposed === self,
                 readTimeSinceContactMs: () => 0,
+                readLeaderContactMs: () => undefined,
+                readStorageStatus: () => ({ state: "working", storedBytes: 0 }),
                 watchStatus: listener => {
                     const notify = (): void => listener(createStatus(self));
                     listeners.add(notify);
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -79,8 +79,14 @@
         isFenced: false,
     };
     term.interference.addPairs([...dependencies.machine.state.disturbances.values()]);
+    const contactMs = dependencies.log.readLeaderContactMs();
+    const withoutTermMs = contactMs === undefined ? undefined : openedAtMs - contactMs;
+    if (withoutTermMs !== undefined) {
+        dependencies.metrics.recordDuration("withoutTermMs", "", "", withoutTermMs);
+    }
     dependencies.logger.info("term opened", {
         term: number,
+        withoutTermMs,
         jobs: dependencies.machine.state.openJobs.size,
         workers: dependencies.machine.state.workers.size,
         configuration: dependencies.machine.state.configuration?.version ?? 0,
--- a/packages/replicated-log/src/load-storage.ts
+++ b/packages/replicated-log/src/load-storage.ts
@@ -17,6 +17,8 @@
     readonly sequence: number;
     /** Highest index in the file; 0 when it has none. */
     lastIndex: number;
+    /** Length of its whole records. */
+    bytes: number;
 }
 
 /** Content of the data folder. */
@@ -31,7 +33,7 @@
 
 /** Creates the description of an empty log file. */
 export function createSegment(sequence: number): Segment {
-    return { name: segmentPrefix + String(sequence).padStart(segmentDigits, "0"), sequence, lastIndex: 0 };
+    return { name: segmentPrefix + String(sequence).padStart(segmentDigits, "0"), sequence, lastIndex: 0, bytes: 0 };
 }
 
 /** Converts an `Either` to an effect, which fails with the error of a `Left`. */
@@ -122,6 +124,7 @@
         if (decoded.wholeBytes < bytes.length) {
             yield* removeTornEnd(disk, segment.name, decoded.wholeBytes);
         }
+        segment.bytes = decoded.wholeBytes;
         for (const record of decoded.records) {
             const fault = applyRecord(window, record);
             if (fault !== undefined) {
--- a/packages/replicated-log/src/memory-log.ts
+++ b/packages/replicated-log/src/memory-log.ts
@@ -29,6 +29,8 @@
         readStatus,
         isLeading: () => true,
         readTimeSinceContactMs: () => 0,
+        readLeaderContactMs: () => undefined,
+        readStorageStatus: () => ({ state: "working", storedBytes: 0 }),
         watchStatus: listener => {
             listener(readStatus());
             return () => undefined;
--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -204,7 +204,8 @@
 const startFibers = Effect.fnUntraced(function*(replica: Replica) {
     const writes = Effect.tapError(replica.storage.runWrites, error =>
         Effect.sync(() => {
-            replica.logger.error("replica stopped", { detail: describeError(error) });
+            const { storedBytes } = replica.storage.readStatus();
+            replica.logger.error("replica stopped", { detail: describeError(error), storedBytes });
             stopReplica(replica, error);
         }));
     yield* Effect.forkScoped(runSupervised(replica, writes));
@@ -244,6 +245,8 @@
             const contactMs = replica.role === "leader" ? replica.peers.get(member)?.contactMs : undefined;
             return contactMs === undefined ? 0 : nowMs - contactMs;
         },
+        readLeaderContactMs: () => Number.isFinite(replica.leaderContactMs) ? replica.leaderContactMs : undefined,
+        readStorageStatus: () => replica.storage.readStatus(),
         watchStatus: listener => {
             replica.statusListeners.add(listener);
             listener(readStatus(replica));
--- a/packages/replicated-log/src/storage.ts
+++ b/packages/replicated-log/src/storage.ts
@@ -1,4 +1,4 @@
-import type { AppendFile, Disk, ErrorData } from "@chestnutspool/types";
+import type { AppendFile, Disk, ErrorData, StorageStatus } from "@chestnutspool/types";
 import { Deferred, Effect, Exit, Queue, Scope } from "effect";
 import {
     createSegment,
@@ -45,6 +45,7 @@
     readonly saveHardState: (state: HardState) => SyncCompletion;
     /** Writes a snapshot and removes the log files that it covers; with `replacesLog` it replaces all entries. */
     readonly saveSnapshot: (snapshot: Snapshot, replacesLog: boolean) => SyncCompletion;
+    readonly readStatus: () => StorageStatus;
     /** Performs the requested writes; ends with the first error, after which every write fails with the same error. */
     readonly runWrites: Effect.Effect<never, ErrorData>;
 }
@@ -55,6 +56,7 @@
     current: Segment;
     file: AppendFile;
     fileScope: Scope.Closeable;
+    snapshotBytes: number;
 }
 
 const openSegment = Effect.fnUntraced(function*(disk: Disk, segment: Segment) {
@@ -67,7 +69,8 @@
     const current = loaded.segments.at(-1) ?? createSegment(1);
     const opened = yield* openSegment(disk, current);
     const segments = loaded.segments.length > 0 ? [...loaded.segments] : [current];
-    const writer: Writer = { disk, segments, current, ...opened };
+    const snapshotBytes = loaded.snapshot?.data.length ?? 0;
+    const writer: Writer = { disk, segments, current, ...opened, snapshotBytes };
     return writer;
 });
 
@@ -75,6 +78,7 @@
     yield* writer.file.append(encodeRecord(record));
     yield* writer.file.sync;
     writer.current.lastIndex = Math.max(writer.current.lastIndex, highestIndex);
+    writer.current.bytes = writer.file.lengthBytes();
 });
 
 /** Starts a new log file and removes the files whose entries the snapshot covers. */
@@ -105,7 +109,9 @@
 });
 
 const writeSnapshot = Effect.fnUntraced(function*(writer: Writer, snapshot: Snapshot, replacesLog: boolean) {
-    yield* writer.disk.replaceFile(snapshotFile, encodeFile(snapshot));
+    const bytes = encodeFile(snapshot);
+    yield* writer.disk.replaceFile(snapshotFile, bytes);
+    writer.snapshotBytes = bytes.length;
     if (replacesLog) {
         const { index, term } = snapshot;
         yield* writeRecord(writer, { kind: "reset", index, term }, index);
@@ -214,6 +220,10 @@
             }
             return requestWrite({ kind: "snapshot", snapshot, replacesLog, done: Deferred.makeUnsafe() });
         },
+        readStatus: () => ({
+            state: failure === undefined ? "working" : "stopped",
+            storedBytes: writer.segments.reduce((sum, segment) => sum + segment.bytes, writer.snapshotBytes),
+        }),
         runWrites: Effect.gen(function*() {
             while (true) {
                 yield* writeBatch(yield* Queue.takeAll(items));
--- a/packages/types/src/ports.ts
+++ b/packages/types/src/ports.ts
@@ -104,6 +104,16 @@
     readonly members: readonly LogMember[];
 }
 
+/** State of the data folder of a replica: it takes writes, or an error has ended all writes. */
+export type StorageState = "working" | "stopped";
+
+/** The data folder of a replica. */
+export interface StorageStatus {
+    readonly state: StorageState;
+    /** Size of the log files and the snapshot, in bytes. */
+    readonly storedBytes: number;
+}
+
 /** A change of the member list; only one can be in progress at a time. */
 export type MemberChange =
     | { readonly kind: "addLearner"; readonly id: PeerId; readonly address: string; readonly replicaIdentity: string; }
@@ -133,6 +143,9 @@
      * On the leader, the time since a member was last in contact, in milliseconds; 0 for itself and on other replicas.
      */
     readonly readTimeSinceContactMs: (member: PeerId, nowMs: number) => number;
+    /** When this replica last had contact with another leader, in monotonic milliseconds; undefined before the first. */
+    readonly readLeaderContactMs: () => number | undefined;
+    readonly readStorageStatus: () => StorageStatus;
     /** Calls the listener after each change of role, term or leader; the returned function stops the calls. */
     readonly watchStatus: (listener: (status: ReplicaStatus) => void) => () => void;
     readonly transferLeadership: Effect.Effect<void, ErrorData>;
