Repeat failed writes of the log instead of stopping the replica for good

Cause: the first failed write ended all writes of the replica, for good, while its process went on. After three such disks two of five replicas were left. Class of fault: a passing fault becomes permanent, because the way back is a restart that nobody triggers.

Change: a failed write is repeated every 200 ms; the log file is cut to its synced length before. Nothing counts as synced before its sync, so that to the others the replica looks like one with a slow disk. A replica whose disk takes no writes does not campaign. What waits for the disk is bounded by 32 MiB: then a follower takes no more entries and a leader steps down. The writing of files moves to log-writer.ts. A failed sync still stops the replica, because the kernel may drop dirty pages and report success the next time.

The disk in memory now keeps the part of a write that fits, as a file system does.

--- a/packages/replicated-log/src/elect.ts
+++ b/packages/replicated-log/src/elect.ts
@@ -97,12 +97,21 @@
     }
 });
 
+/** Whether this replica may become the leader; without a disk that takes its vote for itself it would wait in vain. */
+function canCampaign(replica: Replica): boolean {
+    return isVoter(replica) && replica.storage.readStatus().state === "working";
+}
+
 /** Runs the election timer; a leader without contact with a majority steps down here too. */
 export const runElectionTimer = Effect.fnUntraced(function*(replica: Replica) {
     while (replica.role !== "stopped") {
         const nowMs = yield* readMonotonicMs;
         if (replica.role === "leader") {
-            if (canReplicate(replica, nowMs)) {
+            if (!replica.storage.hasRoom()) {
+                replica.logger.warn("too much waits for the disk; stepping down", { term: replica.term });
+                setFollower(replica, replica.term, undefined);
+            }
+            else if (canReplicate(replica, nowMs)) {
                 yield* awaitWake(replica.timerWake, replica.settings.heartbeatMs);
             }
             else {
@@ -113,7 +122,7 @@
             continue;
         }
         const remainingMs = replica.electionDeadlineMs - nowMs;
-        if (isVoter(replica) && (replica.transferRequested || remainingMs <= 0)) {
+        if (canCampaign(replica) && (replica.transferRequested || remainingMs <= 0)) {
             yield* campaign(replica);
         }
         else {
--- a/packages/replicated-log/src/fakes/log-model.ts
+++ b/packages/replicated-log/src/fakes/log-model.ts
@@ -21,6 +21,7 @@
     | { readonly kind: "isolate"; readonly replica: number; }
     | { readonly kind: "heal"; }
     | { readonly kind: "delay"; readonly from: number; readonly to: number; readonly delayMs: number; }
+    | { readonly kind: "fullDisk"; readonly replica: number; readonly freeBytes: number; }
     | { readonly kind: "slowDisk"; readonly replica: number; readonly delayMs: number; }
     | { readonly kind: "transfer"; }
     | { readonly kind: "change"; readonly replica: number; readonly change: MemberChange["kind"]; }
@@ -152,6 +153,8 @@
         if (replica.log === undefined) {
             // The start waits for its writes, and the clock does not advance during the start.
             replica.memoryDisk.setSyncDelay(0);
+            // A start that has to write the identity of a new folder fails on a full disk, as the process would.
+            replica.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
             yield* cluster.startReplica(replica.id);
             watchReplica(replica);
         }
@@ -237,6 +240,9 @@
             case "slowDisk":
                 getReplica(action.replica).memoryDisk.setSyncDelay(action.delayMs);
                 break;
+            case "fullDisk":
+                getReplica(action.replica).memoryDisk.setFreeBytes(action.freeBytes);
+                break;
             case "transfer": {
                 const leader = cluster.findLeader();
                 if (leader?.log !== undefined) {
@@ -267,6 +273,7 @@
         heal();
         for (const replica of replicas) {
             replica.memoryDisk.setSyncDelay(0);
+            replica.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
             yield* restart(replica);
         }
         yield* TestClock.adjust(10_000);
--- a/packages/replicated-log/src/fakes/memory-disk.ts
+++ b/packages/replicated-log/src/fakes/memory-disk.ts
@@ -10,7 +10,7 @@
     readonly flipByte: (name: string, offset: number) => void;
     /** Makes syncs fail from now on, or work again. */
     readonly failSync: (fails: boolean) => void;
-    /** Sets how many bytes may still be written; a write beyond them fails as on a full disk. */
+    /** Sets how many bytes may still be written; a write beyond them fails as on a full disk, and an append keeps a part. */
     readonly setFreeBytes: (bytes: number) => void;
     /** Sets the time that each sync takes, in milliseconds. */
     readonly setSyncDelay: (delayMs: number) => void;
@@ -60,8 +60,10 @@
 function createAppendFile(faults: Faults, name: string, file: MemoryFile): AppendFile {
     return {
         append: bytes =>
-            Effect.map(takeSpace(faults, name, bytes.length), () => {
-                file.content = Buffer.concat([file.content, bytes]);
+            Effect.suspend(() => {
+                // A full disk keeps the part that fits.
+                file.content = Buffer.concat([file.content, bytes.subarray(0, faults.freeBytes)]);
+                return takeSpace(faults, name, bytes.length);
             }),
         sync: Effect.suspend(() => {
             const written = file.content;
--- a/packages/replicated-log/src/follow.ts
+++ b/packages/replicated-log/src/follow.ts
@@ -97,6 +97,12 @@
         yield* awaitHardState(replica);
         return createAppendReply(replica.term, false, conflict, 0);
     }
+    if (request.entries.length > 0 && !replica.storage.hasRoom()) {
+        // The leader sends the entries again, at most once in a heartbeat interval.
+        yield* awaitHardState(replica);
+        yield* Effect.sleep(replica.settings.heartbeatMs);
+        return createAppendReply(request.term, true, request.prevIndex, 0);
+    }
     const verifiedIndex = request.prevIndex + request.entries.length;
     try {
         storeEntries(replica, request);
@@ -177,7 +183,7 @@
         // The leader counts the entries as synced after this reply.
         yield* Deferred.await(replica.storage.findLastWrite());
     }
-    const snapshot = installed ? undefined : collectChunk(replica, request);
+    const snapshot = installed || !replica.storage.hasRoom() ? undefined : collectChunk(replica, request);
     const receivedBytes = snapshot?.data.length ?? replica.incoming?.receivedBytes ?? 0;
     if (snapshot !== undefined) {
         yield* installSnapshot(replica, snapshot);
--- a/packages/replicated-log/src/full-disk.test.ts
+++ b/packages/replicated-log/src/full-disk.test.ts
@@ -1,7 +1,8 @@
-import { Effect, Exit } from "effect";
+import { Deferred, Effect, Exit, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createMemoryDisk } from "./fakes/memory-disk.js";
 import {
     getLog,
     proposeAll,
@@ -12,6 +13,8 @@
     type TestCluster,
     type TestReplica,
 } from "./fakes/test-cluster.js";
+import { loadStorage } from "./load-storage.js";
+import { openStorage } from "./storage.js";
 
 const size = 5;
 /** Bytes that a full disk still takes, so that the write that fails leaves a part of its record. */
@@ -45,3 +48,142 @@
             assert.deepEqual(acknowledged.filter(command => !commands.includes(command)), []);
         }
     })));
+
+// Guards against an answer before the command is on disk, and against a part of a failed write before or behind its record.
+void test("a command that met a full disk is answered once it is on disk, and is read again after a crash", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(1);
+        const replica = cluster.getReplica("a");
+        yield* proposeAll(replica, ["one"]);
+        replica.memoryDisk.setFreeBytes(partOfRecordBytes);
+        const proposals = yield* Effect.forEach(
+            ["two", "three"],
+            command => Effect.forkChild(Effect.exit(getLog(replica).proposeCommand(command))),
+        );
+        yield* TestClock.adjust(3_000);
+        assert.deepEqual(proposals.map(proposal => proposal.pollUnsafe()), [undefined, undefined]);
+        assert.deepEqual(replica.machine.listCommands(), ["one"]);
+        assert.equal(getLog(replica).readStorageStatus().state, "failing");
+        replica.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
+        yield* TestClock.adjust(1_000);
+        for (const proposal of proposals) {
+            assert.ok(Exit.isSuccess(yield* Fiber.join(proposal)));
+        }
+        assert.equal(getLog(replica).readStorageStatus().state, "working");
+        yield* cluster.crashReplica("a", 0);
+        yield* cluster.startReplica("a");
+        yield* TestClock.adjust(3_000);
+        assert.deepEqual(replica.machine.listCommands(), ["one", "two", "three"]);
+    })));
+
+// Guards against a crash while the disk is full that leaves a data folder which the next start refuses.
+void test("a replica that ends while its disk is full starts again without the part of a record", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const replica = splitRoles(cluster).followers[0] as TestReplica;
+        replica.memoryDisk.setFreeBytes(partOfRecordBytes);
+        yield* proposeAll(splitRoles(cluster).leader, ["one"]);
+        yield* cluster.crashReplica(replica.id, 1);
+        replica.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
+        yield* cluster.startReplica(replica.id);
+        yield* TestClock.adjust(3_000);
+        assert.deepEqual(replica.machine.listCommands(), ["one"]);
+    })));
+
+// Guards against an election, and the work that it costs all workers, for a fault of one disk that the majority can bear.
+void test("a leader whose disk is full goes on, and what it acknowledged survives a power loss of all replicas", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader } = splitRoles(cluster);
+        const { term } = getLog(leader).readStatus();
+        leader.memoryDisk.setFreeBytes(partOfRecordBytes);
+        yield* proposeAll(leader, ["one", "two"]);
+        yield* TestClock.adjust(5_000);
+        assert.equal(splitRoles(cluster).leader, leader);
+        assert.equal(getLog(leader).readStatus().term, term);
+        for (const replica of cluster.replicas) {
+            yield* cluster.crashReplica(replica.id, 0);
+        }
+        for (const replica of cluster.replicas) {
+            replica.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
+            yield* cluster.startReplica(replica.id);
+        }
+        yield* TestClock.adjust(6_000);
+        yield* proposeAll(splitRoles(cluster).leader, ["three"]);
+        for (const replica of cluster.replicas) {
+            assert.deepEqual(replica.machine.listCommands(), ["one", "two", "three"]);
+        }
+    })));
+
+// Guards against a vote that is given without being on disk, and against a candidate that waits for its own disk for ever.
+void test("a replica whose disk is full gives no vote, and votes once the disk takes writes", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader, followers } = splitRoles(cluster);
+        followers.forEach(({ memoryDisk }) => memoryDisk.setFreeBytes(0));
+        yield* cluster.crashReplica(leader.id, 0);
+        yield* TestClock.adjust(10_000);
+        assert.equal(cluster.findLeader(), undefined);
+        followers.forEach(({ memoryDisk }) => memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY));
+        yield* TestClock.adjust(6_000);
+        yield* proposeAll(splitRoles(cluster).leader, ["one"]);
+    })));
+
+const mebibyte = 1024 * 1024;
+/** Commands that together exceed what may wait for a disk. */
+const largeCommands = Array.from({ length: 40 }, (item, index) => `${index}`.padEnd(mebibyte, "."));
+
+// Guards against memory that grows until the process is ended while a disk stays full.
+void test("a follower whose disk stays full takes a bounded number of entries, and catches up afterwards", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader, followers } = splitRoles(cluster);
+        const follower = followers[0] as TestReplica;
+        follower.memoryDisk.setFreeBytes(0);
+        yield* proposeAll(leader, largeCommands);
+        const taken = getLog(follower).readStatus().lastIndex;
+        assert.ok(taken < getLog(leader).readStatus().lastIndex, `${taken} entries wait for the disk`);
+        follower.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
+        yield* TestClock.adjust(10_000);
+        assert.equal(follower.machine.listCommands().length, largeCommands.length);
+    })));
+
+// Guards against the same growth on the leader, whose commands do not wait for its own disk.
+void test("a leader steps down when too much waits for its disk, and another one leads", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader } = splitRoles(cluster);
+        leader.memoryDisk.setFreeBytes(0);
+        for (const command of largeCommands) {
+            yield* settle(getLog(cluster.findLeader() ?? leader).proposeCommand(command), 2_500);
+        }
+        assert.notEqual(splitRoles(cluster).leader, leader);
+        leader.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
+        yield* TestClock.adjust(10_000);
+        yield* proposeAll(splitRoles(cluster).leader, ["last"]);
+        assert.equal(leader.machine.listCommands().at(-1), "last");
+    })));
+
+// Guards against a snapshot that is written only in part, or whose log files are removed without it.
+void test("a snapshot that met a full disk is written once the disk takes writes", () =>
+    runTest(Effect.gen(function*() {
+        const memoryDisk = createMemoryDisk();
+        yield* Effect.scoped(Effect.gen(function*() {
+            const { storage } = yield* openStorage(memoryDisk.disk, "a", () => undefined);
+            yield* Effect.forkScoped(Effect.ignore(storage.runWrites));
+            yield* Deferred.await(storage.appendEntries([{ kind: "noop", index: 1, term: 1 }]));
+            memoryDisk.setFreeBytes(0);
+            const saved = storage.saveSnapshot({ index: 4, term: 2, members: [], data: new Uint8Array(100) }, true);
+            const appended = storage.appendEntries([{ kind: "noop", index: 5, term: 2 }]);
+            yield* TestClock.adjust(1_000);
+            assert.equal(storage.syncedIndex(), 0);
+            memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
+            yield* TestClock.adjust(1_000);
+            yield* Deferred.await(saved);
+            yield* Deferred.await(appended);
+            assert.equal(storage.syncedIndex(), 5);
+        }));
+        memoryDisk.crash(0);
+        const { snapshot, window } = yield* loadStorage(memoryDisk.disk, "a");
+        assert.deepEqual([snapshot?.index, window.lastIndex()], [4, 5]);
+    })));
--- a/packages/replicated-log/src/log-model.test.ts
+++ b/packages/replicated-log/src/log-model.test.ts
@@ -49,6 +49,14 @@
                 weight: 2,
                 arbitrary: fc.record({ kind: kind("slowDisk"), replica, delayMs: fc.constantFrom(0, 40, 150, 400) }),
             },
+            {
+                weight: 2,
+                arbitrary: fc.record({
+                    kind: kind("fullDisk"),
+                    replica,
+                    freeBytes: fc.constantFrom(0, 30, 300, Number.POSITIVE_INFINITY),
+                }),
+            },
             { weight: 1, arbitrary: fc.record({ kind: kind("transfer") }) },
             { weight: 2, arbitrary: fc.record({ kind: kind("change"), replica, change }) },
         ),
--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -35,7 +35,7 @@
     wakePeerLoops,
 } from "./replica.js";
 import { appendLeaderEntry, commitSynced, findLeaderError } from "./replicate.js";
-import { openStorage } from "./storage.js";
+import { openStorage, type StorageChange } from "./storage.js";
 
 /** Largest encoded command in bytes; an entry and its envelope must fit a frame of the peer link. */
 const commandLimitBytes = 4 * 1024 * 1024;
@@ -134,6 +134,20 @@
     return (min, max) => uniformInt(generator, Math.floor(min), Math.floor(Math.max(min, max)));
 }
 
+function logStorageChange(logger: Logger, change: StorageChange, storedBytes: number): void {
+    switch (change.kind) {
+        case "failing":
+            logger.warn("disk takes no writes; the write is repeated", {
+                detail: describeError(change.error),
+                storedBytes,
+            });
+            return;
+        case "working":
+            logger.info("disk takes writes again", { failedForMs: change.failedForMs, storedBytes });
+            return;
+    }
+}
+
 const createReplica = Effect.fnUntraced(function*(
     options: ReplicatedLogOptions,
     ports: ReplicatedLogPorts,
@@ -142,11 +156,16 @@
     const { self, initialMembers, log: settings } = options;
     const { link, logger } = ports;
     const holder: { replica: Replica | undefined; } = { replica: undefined };
-    const { loaded, storage } = yield* openStorage(ports.disk, self, () => {
-        if (holder.replica !== undefined) {
-            commitSynced(holder.replica);
-        }
-    });
+    const { loaded, storage } = yield* openStorage(
+        ports.disk,
+        self,
+        () => {
+            if (holder.replica !== undefined) {
+                commitSynced(holder.replica);
+            }
+        },
+        change => logStorageChange(logger, change, storage.readStatus().storedBytes),
+    );
     const { hardState, snapshot, window } = loaded;
     if (snapshot !== undefined) {
         machine.restoreSnapshot(snapshot.data);
@@ -217,7 +236,8 @@
 
 /**
  * Opens the replica of this process and runs it until the scope closes. Fails with `corruptRecord` when synced data is
- * damaged and with `storageFailed` when the data folder cannot be used; a later storage error stops the replica permanently.
+ * damaged and with `storageFailed` when the data folder cannot be used. Later, a failed write is repeated; a failed sync of
+ * a log file stops the replica permanently.
  */
 export const openReplicatedLog = Effect.fnUntraced(function*<Command, Result>(
     options: ReplicatedLogOptions,
--- a/packages/replicated-log/src/storage.ts
+++ b/packages/replicated-log/src/storage.ts
@@ -1,15 +1,18 @@
-import type { AppendFile, Disk, ErrorData, StorageStatus } from "@chestnutspool/types";
-import { Deferred, Effect, Exit, Queue, Scope } from "effect";
-import {
-    createSegment,
-    hardStateFile,
-    type LoadedStorage,
-    loadStorage,
-    type Segment,
-    snapshotFile,
-} from "./load-storage.js";
+import { type Disk, type ErrorData, readMonotonicMs, type StorageStatus } from "@chestnutspool/types";
+import { Deferred, Effect, Queue } from "effect";
+import { loadStorage } from "./load-storage.js";
+import { type LogWriter, openLogWriter, type WriteFault } from "./log-writer.js";
 import type { HardState, LogEntry, Snapshot } from "./messages.js";
-import { encodeFile, encodeRecord, type LogRecord } from "./record.js";
+
+/** Pause before a failed write is repeated, in milliseconds. */
+const writeRetryMs = 200;
+/**
+ * Size of the entries and snapshots that wait for a disk that takes no writes, in bytes, from which on the replica takes no
+ * more; a tenth of the smallest memory limit of a control process.
+ */
+const waitingLimitBytes = 32 * 1024 * 1024;
+/** Size from which on further entries go into another record, in bytes; a disk that was full finds many entries waiting. */
+const recordLimitBytes = 1024 * 1024;
 
 /** Completes when a write is synced; fails with `storageFailed`. */
 export type SyncCompletion = Deferred.Deferred<void, ErrorData>;
@@ -22,15 +25,31 @@
     readonly done: SyncCompletion;
 }
 
-type WriteItem =
-    | EntriesItem
-    | { readonly kind: "hardState"; readonly state: HardState; readonly done: SyncCompletion; }
-    | {
-        readonly kind: "snapshot";
-        readonly snapshot: Snapshot;
-        readonly replacesLog: boolean;
-        readonly done: SyncCompletion;
-    };
+interface HardStateItem {
+    readonly kind: "hardState";
+    readonly state: HardState;
+    readonly done: SyncCompletion;
+}
+
+interface SnapshotItem {
+    readonly kind: "snapshot";
+    readonly snapshot: Snapshot;
+    readonly replacesLog: boolean;
+    readonly done: SyncCompletion;
+}
+
+type WriteItem = EntriesItem | HardStateItem | SnapshotItem;
+
+/** A write of one file, and the requests that it completes. */
+type WriteStep =
+    | { readonly kind: "entries"; readonly items: readonly EntriesItem[]; }
+    | { readonly kind: "hardState"; readonly state: HardState; readonly items: readonly HardStateItem[]; }
+    | { readonly kind: "snapshot"; readonly items: readonly [SnapshotItem]; };
+
+/** A change of whether the disk takes writes. */
+export type StorageChange =
+    | { readonly kind: "failing"; readonly error: ErrorData; }
+    | { readonly kind: "working"; readonly failedForMs: number; };
 
 /** Storage of one replica. One fiber performs the writes in the order of the requests; only term and vote go first. */
 export interface LogStorage {
@@ -46,91 +65,96 @@
     /** Writes a snapshot and removes the log files that it covers; with `replacesLog` it replaces all entries. */
     readonly saveSnapshot: (snapshot: Snapshot, replacesLog: boolean) => SyncCompletion;
     readonly readStatus: () => StorageStatus;
-    /** Performs the requested writes; ends with the first error, after which every write fails with the same error. */
+    /** Whether more entries may be requested: the disk takes writes, or little waits for it. */
+    readonly hasRoom: () => boolean;
+    /**
+     * Performs the requested writes and repeats those that fail, as on a full disk. Ends with the first failed sync of a log
+     * file, after which every write fails with the same error.
+     */
     readonly runWrites: Effect.Effect<never, ErrorData>;
 }
 
-interface Writer {
-    readonly disk: Disk;
-    segments: Segment[];
-    current: Segment;
-    file: AppendFile;
-    fileScope: Scope.Closeable;
-    snapshotBytes: number;
+function countEntryBytes(entries: readonly LogEntry[]): number {
+    return entries.reduce((sum, entry) => sum + (entry.kind === "command" ? entry.data.length : 0), 0);
 }
 
-const openSegment = Effect.fnUntraced(function*(disk: Disk, segment: Segment) {
-    const fileScope = yield* Scope.make();
-    const file = yield* Scope.provide(disk.openAppend(segment.name), fileScope);
-    return { file, fileScope };
-});
-
-const openWriter = Effect.fnUntraced(function*(disk: Disk, loaded: LoadedStorage) {
-    const current = loaded.segments.at(-1) ?? createSegment(1);
-    const opened = yield* openSegment(disk, current);
-    const segments = loaded.segments.length > 0 ? [...loaded.segments] : [current];
-    const snapshotBytes = loaded.snapshot?.data.length ?? 0;
-    const writer: Writer = { disk, segments, current, ...opened, snapshotBytes };
-    return writer;
-});
-
-const writeRecord = Effect.fnUntraced(function*(writer: Writer, record: LogRecord, highestIndex: number) {
-    yield* writer.file.append(encodeRecord(record));
-    yield* writer.file.sync;
-    writer.current.lastIndex = Math.max(writer.current.lastIndex, highestIndex);
-    writer.current.bytes = writer.file.lengthBytes();
-});
+function countItemBytes(item: WriteItem): number {
+    switch (item.kind) {
+        case "entries":
+            return countEntryBytes(item.entries);
+        case "snapshot":
+            return item.snapshot.data.length;
+        case "hardState":
+            return 0;
+    }
+}
 
-/** Starts a new log file and removes the files whose entries the snapshot covers. */
-const rollSegment = Effect.fnUntraced(function*(writer: Writer, coveredIndex: number) {
-    if (writer.current.lastIndex > 0) {
-        const next = createSegment(writer.current.sequence + 1);
-        const opened = yield* openSegment(writer.disk, next);
-        yield* Scope.close(writer.fileScope, Exit.void);
-        Object.assign(writer, opened);
-        writer.current = next;
-        writer.segments.push(next);
+/**
+ * Divides requests into writes. Term and vote go first: entries of a term on disk without the term itself would allow a
+ * second vote in it. Consecutive entries share a record.
+ */
+function* listSteps(batch: readonly WriteItem[]): Generator<WriteStep> {
+    const hardStates = batch.filter(item => item.kind === "hardState");
+    const lastState = hardStates.at(-1);
+    if (lastState !== undefined) {
+        yield { kind: "hardState", state: lastState.state, items: hardStates };
     }
-    // The oldest file is removed first, so that a crash in between leaves no gap.
-    for (const segment of [...writer.segments]) {
-        if (segment === writer.current || segment.lastIndex > coveredIndex) {
-            break;
+    let group: EntriesItem[] = [];
+    let groupBytes = 0;
+    for (const item of batch) {
+        if (item.kind === "hardState") {
+            continue;
+        }
+        if (group.length > 0 && (item.kind === "snapshot" || groupBytes >= recordLimitBytes)) {
+            yield { kind: "entries", items: group };
+            group = [];
+            groupBytes = 0;
+        }
+        if (item.kind === "snapshot") {
+            yield { kind: "snapshot", items: [item] };
+        }
+        else {
+            group.push(item);
+            groupBytes += countItemBytes(item);
         }
-        yield* writer.disk.removeFile(segment.name);
-        writer.segments = writer.segments.filter(kept => kept !== segment);
     }
-});
-
-/** Writes the entries of consecutive items as one record with one sync. */
-const writeEntries = Effect.fnUntraced(function*(writer: Writer, items: readonly EntriesItem[]) {
-    const entries = items.flatMap(item => item.entries);
-    const highestIndex = entries.reduce((highest, entry) => Math.max(highest, entry.index), 0);
-    yield* writeRecord(writer, { kind: "entries", entries }, highestIndex);
-});
+    if (group.length > 0) {
+        yield { kind: "entries", items: group };
+    }
+}
 
-const writeSnapshot = Effect.fnUntraced(function*(writer: Writer, snapshot: Snapshot, replacesLog: boolean) {
-    const bytes = encodeFile(snapshot);
-    yield* writer.disk.replaceFile(snapshotFile, bytes);
-    writer.snapshotBytes = bytes.length;
-    if (replacesLog) {
-        const { index, term } = snapshot;
-        yield* writeRecord(writer, { kind: "reset", index, term }, index);
+function writeStep(writer: LogWriter, step: WriteStep): Effect.Effect<void, WriteFault> {
+    switch (step.kind) {
+        case "hardState":
+            return writer.writeHardState(step.state);
+        case "entries":
+            return writer.writeEntries(step.items.flatMap(item => item.entries));
+        case "snapshot":
+            return writer.writeSnapshot(step.items[0].snapshot, step.items[0].replacesLog);
     }
-    yield* rollSegment(writer, snapshot.index);
-});
+}
 
-/** Loads and opens the storage of a replica. `onSynced` is called after each sync of entries or a snapshot. */
-export const openStorage = Effect.fnUntraced(function*(disk: Disk, self: string, onSynced: () => void) {
+/**
+ * Loads and opens the storage of a replica. `onSynced` is called after each sync of entries or a snapshot, `onChange` when
+ * the disk stops or starts to take writes.
+ */
+export const openStorage = Effect.fnUntraced(function*(
+    disk: Disk,
+    self: string,
+    onSynced: () => void,
+    onChange: (change: StorageChange) => void = () => undefined,
+) {
     const loaded = yield* loadStorage(disk, self);
-    const writer = yield* openWriter(disk, loaded);
-    yield* Effect.addFinalizer(() => Scope.close(writer.fileScope, Exit.void));
+    const writer = yield* openLogWriter(disk, loaded);
     if (loaded.needsReset) {
-        const { index, term } = loaded.snapshot as Snapshot;
-        yield* writeRecord(writer, { kind: "reset", index, term }, index);
+        yield* Effect.mapError(writer.writeReset(loaded.snapshot as Snapshot), fault => fault.error);
     }
     const items = yield* Queue.unbounded<WriteItem>();
     const pendingItems = new Set<WriteItem>();
+    let pendingBytes = 0;
     let syncedIndex = loaded.window.lastIndex();
+    /** When the write that is being repeated failed first, in monotonic milliseconds. */
+    let failingSinceMs: number | undefined;
     let failure: ErrorData | undefined;
     let lastWrite: SyncCompletion = Deferred.makeUnsafe();
     Deferred.doneUnsafe(lastWrite, Effect.void);
@@ -142,13 +166,10 @@
             return item.done;
         }
         pendingItems.add(item);
+        pendingBytes += countItemBytes(item);
         Queue.offerUnsafe(items, item);
         return item.done;
     };
-    const complete = (item: WriteItem): void => {
-        pendingItems.delete(item);
-        Deferred.doneUnsafe(item.done, Effect.void);
-    };
     const dropAfter = (index: number): void => {
         syncedIndex = Math.min(syncedIndex, index);
         for (const item of pendingItems) {
@@ -157,52 +178,66 @@
             }
         }
     };
-    const completeEntries = (done: readonly EntriesItem[]): void => {
-        for (const item of done) {
+
+    const complete = (item: WriteItem): void => {
+        if (item.kind === "entries") {
             syncedIndex = Math.max(syncedIndex, item.syncedIndex);
-            complete(item);
         }
-        onSynced();
+        if (item.kind === "snapshot" && item.replacesLog) {
+            syncedIndex = Math.max(syncedIndex, item.snapshot.index);
+        }
+        pendingItems.delete(item);
+        pendingBytes -= countItemBytes(item);
+        Deferred.doneUnsafe(item.done, Effect.void);
     };
-
-    const writeBatch = Effect.fnUntraced(function*(batch: readonly WriteItem[]) {
-        // Term and vote go first: entries of a term on disk without the term itself would allow a second vote in it.
-        const hardStates = batch.filter(item => item.kind === "hardState");
-        const lastState = hardStates.at(-1);
-        if (lastState !== undefined) {
-            yield* disk.replaceFile(hardStateFile, encodeFile(lastState.state));
-            hardStates.forEach(complete);
+    const completeStep = (step: WriteStep): void => {
+        step.items.forEach(complete);
+        if (step.kind !== "hardState") {
+            onSynced();
         }
-        let group: EntriesItem[] = [];
-        for (const item of batch) {
-            if (item.kind === "entries") {
-                group.push(item);
-            }
-            else if (item.kind === "snapshot") {
-                if (group.length > 0) {
-                    yield* writeEntries(writer, group);
-                    completeEntries(group);
-                    group = [];
+    };
+
+    /** Performs a step; repeats it while the disk takes no writes. */
+    const runStep = Effect.fnUntraced(function*(step: WriteStep) {
+        while (true) {
+            const fault = yield* Effect.match(writeStep(writer, step), {
+                onFailure: failed => failed,
+                onSuccess: () => undefined,
+            });
+            const nowMs = yield* readMonotonicMs;
+            if (fault === undefined) {
+                if (failingSinceMs !== undefined) {
+                    onChange({ kind: "working", failedForMs: nowMs - failingSinceMs });
+                    failingSinceMs = undefined;
                 }
-                yield* writeSnapshot(writer, item.snapshot, item.replacesLog);
-                syncedIndex = item.replacesLog ? Math.max(syncedIndex, item.snapshot.index) : syncedIndex;
-                complete(item);
-                onSynced();
+                return completeStep(step);
             }
-        }
-        if (group.length > 0) {
-            yield* writeEntries(writer, group);
-            completeEntries(group);
+            // After a failed sync the kernel may drop the dirty pages and report success next time.
+            if (fault.operation === "sync") {
+                return yield* Effect.fail(fault.error);
+            }
+            if (failingSinceMs === undefined) {
+                failingSinceMs = nowMs;
+                onChange({ kind: "failing", error: fault.error });
+            }
+            yield* Effect.sleep(writeRetryMs);
         }
     });
 
-    // After a failed sync the kernel may drop the dirty pages and report success next time, so nothing is retried.
     const stopWrites = (error: ErrorData): void => {
         failure = error;
         for (const item of pendingItems) {
             Deferred.doneUnsafe(item.done, Effect.fail(error));
         }
         pendingItems.clear();
+        pendingBytes = 0;
+    };
+
+    const readState = (): StorageStatus["state"] => {
+        if (failure !== undefined) {
+            return "stopped";
+        }
+        return failingSinceMs === undefined ? "working" : "failing";
     };
 
     const storage: LogStorage = {
@@ -220,13 +255,13 @@
             }
             return requestWrite({ kind: "snapshot", snapshot, replacesLog, done: Deferred.makeUnsafe() });
         },
-        readStatus: () => ({
-            state: failure === undefined ? "working" : "stopped",
-            storedBytes: writer.segments.reduce((sum, segment) => sum + segment.bytes, writer.snapshotBytes),
-        }),
+        readStatus: () => ({ state: readState(), storedBytes: writer.countBytes() }),
+        hasRoom: () => failingSinceMs === undefined || pendingBytes < waitingLimitBytes,
         runWrites: Effect.gen(function*() {
             while (true) {
-                yield* writeBatch(yield* Queue.takeAll(items));
+                for (const step of listSteps(yield* Queue.takeAll(items))) {
+                    yield* runStep(step);
+                }
             }
         }).pipe(Effect.tapError(error => Effect.sync(() => stopWrites(error)))),
     };
--- a/packages/run-job-process/src/read-gauges.ts
+++ b/packages/run-job-process/src/read-gauges.ts
@@ -11,6 +11,7 @@
     yield { name: "log_members", value: status.members.length };
     const storage = kernel.findService(logKey).readStorageStatus();
     yield { name: "log_storage_stopped", value: storage.state === "stopped" ? 1 : 0 };
+    yield { name: "log_storage_failing", value: storage.state === "failing" ? 1 : 0 };
     yield { name: "log_stored_bytes", value: storage.storedBytes };
     const { state } = kernel.findService(machineKey);
     yield { name: "jobs_open", value: state.openJobs.size };
--- a/packages/types/src/ports.ts
+++ b/packages/types/src/ports.ts
@@ -104,8 +104,8 @@
     readonly members: readonly LogMember[];
 }
 
-/** State of the data folder of a replica: it takes writes, or an error has ended all writes. */
-export type StorageState = "working" | "stopped";
+/** State of the data folder of a replica: it takes writes, a failed write is repeated, or an error has ended all writes. */
+export type StorageState = "working" | "failing" | "stopped";
 
 /** The data folder of a replica. */
 export interface StorageStatus {
