Name file and error of a repeated write without the remedy of a stopped replica

The line 'disk takes no writes' ended with 'then restart', which is the remedy for a replica that has stopped.

--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -1,5 +1,5 @@
 import { describeError } from "@chestnutspool/errors";
-import type { Logger } from "@chestnutspool/logger";
+import type { LogFields, Logger } from "@chestnutspool/logger";
 import {
     type ControlPeer,
     type Disk,
@@ -134,11 +134,18 @@
     return (min, max) => uniformInt(generator, Math.floor(min), Math.floor(Math.max(min, max)));
 }
 
+/** Fields of a write that is repeated. The remedy that `describeError` names, a restart, is not needed. */
+function describeWriteError(error: ErrorData): LogFields {
+    return error.kind === "storageFailed"
+        ? { file: error.file, detail: error.detail }
+        : { detail: describeError(error) };
+}
+
 function logStorageChange(logger: Logger, change: StorageChange, storedBytes: number): void {
     switch (change.kind) {
         case "failing":
             logger.warn("disk takes no writes; the write is repeated", {
-                detail: describeError(change.error),
+                ...describeWriteError(change.error),
                 storedBytes,
             });
             return;
