Sync the last log file when it is loaded

A replica could acknowledge entries, and a leader commit them, that a power loss then takes: after a process was killed during a sync, the restarted one read the record from the cache of the system and counted it as synced.

Evidence: 'records that a killed process did not sync count as synced after the restart only once they are on disk' failed (synced index 1, nothing on disk after a power loss) and passes. The disk in memory now tells the end of a process from a loss of power.

--- a/packages/replicated-log/src/fakes/memory-disk.ts
+++ b/packages/replicated-log/src/fakes/memory-disk.ts
@@ -6,6 +6,8 @@
     readonly disk: Disk;
     /** Loses all writes that were not synced; keeps the given share (0 to 1) of the bytes of each unsynced end. */
     readonly crash: (keptShare: number) => void;
+    /** Ends the process that uses the disk: all writes can be read again, but those that were not synced still may be lost. */
+    readonly endProcess: () => void;
     /** Inverts the bits of one byte, counted from the start or, when negative, from the end. */
     readonly flipByte: (name: string, offset: number) => void;
     /** Makes syncs fail from now on, or work again. */
@@ -125,6 +127,11 @@
                 files.set(name, { content, synced: content });
             }
         },
+        endProcess: () => {
+            for (const [name, { content, synced }] of files) {
+                files.set(name, { content, synced });
+            }
+        },
         flipByte: (name, offset) => {
             const file = getFile(name);
             const bytes = Buffer.from(file.content);
--- a/packages/replicated-log/src/full-disk.test.ts
+++ b/packages/replicated-log/src/full-disk.test.ts
@@ -187,3 +187,25 @@
         const { snapshot, window } = yield* loadStorage(memoryDisk.disk, "a");
         assert.deepEqual([snapshot?.index, window.lastIndex()], [4, 5]);
     })));
+
+// Guards against an acknowledgement of entries that only the cache of the system holds, which a power loss then takes.
+void test("records that a killed process did not sync count as synced after the restart only once they are on disk", () =>
+    runTest(Effect.gen(function*() {
+        const memoryDisk = createMemoryDisk();
+        yield* Effect.scoped(Effect.gen(function*() {
+            const { storage } = yield* openStorage(memoryDisk.disk, "a", () => undefined);
+            yield* Effect.forkScoped(Effect.ignore(storage.runWrites));
+            memoryDisk.setSyncDelay(1_000);
+            storage.appendEntries([{ kind: "noop", index: 1, term: 1 }]);
+            yield* TestClock.adjust(10);
+        }));
+        memoryDisk.endProcess();
+        memoryDisk.setSyncDelay(0);
+        const synced = yield* Effect.scoped(Effect.map(
+            openStorage(memoryDisk.disk, "a", () => undefined),
+            ({ storage }) => storage.syncedIndex(),
+        ));
+        memoryDisk.crash(0);
+        const { window } = yield* loadStorage(memoryDisk.disk, "a");
+        assert.equal(window.lastIndex(), synced);
+    })));
--- a/packages/replicated-log/src/log-writer.ts
+++ b/packages/replicated-log/src/log-writer.ts
@@ -103,6 +103,8 @@
 /** Opens the writer of a data folder that was loaded; its files are closed with the scope. */
 export const openLogWriter = Effect.fnUntraced(function*(disk: Disk, loaded: LoadedStorage) {
     const files = yield* openFiles(disk, loaded);
+    // A process that was killed may have left records that only the cache of the system holds.
+    yield* files.file.sync;
     yield* Effect.addFinalizer(() => Scope.close(files.fileScope, Exit.void));
     const writer: LogWriter = {
         writeHardState: state => failAs("write")(disk.replaceFile(hardStateFile, encodeFile(state))),
