Bound what waits for a disk that reports no error

The memory of a control process grew without bound while its disk answered nothing, because the limit held only while writes failed. A follower without room still commits what it has.

Evidence: 'a follower whose disk answers nothing takes a bounded number of entries' failed with 40 MiB waiting, and passes. The test of a full disk checks the limit now instead of any number below all entries.

--- a/packages/replicated-log/src/follow.ts
+++ b/packages/replicated-log/src/follow.ts
@@ -99,6 +99,7 @@
     }
     if (request.entries.length > 0 && !replica.storage.hasRoom()) {
         // The leader sends the entries again, at most once in a heartbeat interval.
+        commitUntil(replica, Math.min(request.commitIndex, request.prevIndex));
         yield* awaitHardState(replica);
         yield* Effect.sleep(replica.settings.heartbeatMs);
         return createAppendReply(request.term, true, request.prevIndex, 0);
--- a/packages/replicated-log/src/full-disk.test.ts
+++ b/packages/replicated-log/src/full-disk.test.ts
@@ -141,8 +141,9 @@
         const follower = followers[0] as TestReplica;
         follower.memoryDisk.setFreeBytes(0);
         yield* proposeAll(leader, largeCommands);
-        const taken = getLog(follower).readStatus().lastIndex;
-        assert.ok(taken < getLog(leader).readStatus().lastIndex, `${taken} entries wait for the disk`);
+        const written = getLog(leader).readStatus().lastIndex - largeCommands.length;
+        const waiting = getLog(follower).readStatus().lastIndex - written;
+        assert.ok(waiting <= 33, `${waiting} MiB wait for the disk`);
         follower.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
         yield* TestClock.adjust(10_000);
         assert.equal(follower.machine.listCommands().length, largeCommands.length);
@@ -209,3 +210,16 @@
         const { window } = yield* loadStorage(memoryDisk.disk, "a");
         assert.equal(window.lastIndex(), synced);
     })));
+
+// Guards against memory that grows with a disk that answers nothing, which reports no error.
+void test("a follower whose disk answers nothing takes a bounded number of entries", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader, followers } = splitRoles(cluster);
+        const follower = followers[0] as TestReplica;
+        follower.memoryDisk.setSyncDelay(600_000);
+        yield* proposeAll(leader, largeCommands);
+        const written = getLog(leader).readStatus().lastIndex - largeCommands.length;
+        const waiting = getLog(follower).readStatus().lastIndex - written;
+        assert.ok(waiting <= 33, `${waiting} MiB wait for the disk`);
+    })));
--- a/packages/replicated-log/src/storage.ts
+++ b/packages/replicated-log/src/storage.ts
@@ -7,8 +7,8 @@
 /** Pause before a failed write is repeated, in milliseconds. */
 const writeRetryMs = 200;
 /**
- * Size of the entries and snapshots that wait for a disk that takes no writes, in bytes, from which on the replica takes no
- * more; a tenth of the smallest memory limit of a control process.
+ * Size of the entries that wait for the disk, in bytes, from which on the replica takes no more; a tenth of the smallest memory
+ * limit of a control process.
  */
 const waitingLimitBytes = 32 * 1024 * 1024;
 /** Size from which on further entries go into another record, in bytes; a disk that was full finds many entries waiting. */
@@ -65,7 +65,7 @@
     /** Writes a snapshot and removes the log files that it covers; with `replacesLog` it replaces all entries. */
     readonly saveSnapshot: (snapshot: Snapshot, replacesLog: boolean) => SyncCompletion;
     readonly readStatus: () => StorageStatus;
-    /** Whether more entries may be requested: the disk takes writes, or little waits for it. */
+    /** Whether more entries may be requested: little waits for the disk, which may be full, slow or silent. */
     readonly hasRoom: () => boolean;
     /**
      * Performs the requested writes and repeats those that fail, as on a full disk. Ends with the first failed sync of a log
@@ -78,17 +78,6 @@
     return entries.reduce((sum, entry) => sum + (entry.kind === "command" ? entry.data.length : 0), 0);
 }
 
-function countItemBytes(item: WriteItem): number {
-    switch (item.kind) {
-        case "entries":
-            return countEntryBytes(item.entries);
-        case "snapshot":
-            return item.snapshot.data.length;
-        case "hardState":
-            return 0;
-    }
-}
-
 /**
  * Divides requests into writes. Term and vote go first: entries of a term on disk without the term itself would allow a
  * second vote in it. Consecutive entries share a record.
@@ -115,7 +104,7 @@
         }
         else {
             group.push(item);
-            groupBytes += countItemBytes(item);
+            groupBytes += countEntryBytes(item.entries);
         }
     }
     if (group.length > 0) {
@@ -166,7 +155,7 @@
             return item.done;
         }
         pendingItems.add(item);
-        pendingBytes += countItemBytes(item);
+        pendingBytes += item.kind === "entries" ? countEntryBytes(item.entries) : 0;
         Queue.offerUnsafe(items, item);
         return item.done;
     };
@@ -182,12 +171,12 @@
     const complete = (item: WriteItem): void => {
         if (item.kind === "entries") {
             syncedIndex = Math.max(syncedIndex, item.syncedIndex);
+            pendingBytes -= countEntryBytes(item.entries);
         }
         if (item.kind === "snapshot" && item.replacesLog) {
             syncedIndex = Math.max(syncedIndex, item.snapshot.index);
         }
         pendingItems.delete(item);
-        pendingBytes -= countItemBytes(item);
         Deferred.doneUnsafe(item.done, Effect.void);
     };
     const completeStep = (step: WriteStep): void => {
@@ -256,7 +245,7 @@
             return requestWrite({ kind: "snapshot", snapshot, replacesLog, done: Deferred.makeUnsafe() });
         },
         readStatus: () => ({ state: readState(), storedBytes: writer.countBytes() }),
-        hasRoom: () => failingSinceMs === undefined || pendingBytes < waitingLimitBytes,
+        hasRoom: () => pendingBytes < waitingLimitBytes,
         runWrites: Effect.gen(function*() {
             while (true) {
                 for (const step of listSteps(yield* Queue.takeAll(items))) {
