--- a/packages/replicated-log/src/fakes/memory-disk.ts
+++ b/packages/replicated-log/src/fakes/memory-disk.ts
@@ -8,6 +8,10 @@
     readonly crash: (keptShare: number) => void;
     /** Ends the process that uses the disk: all writes can be read again, but those that were not synced still may be lost. */
     readonly endProcess: () => void;
+    /** Makes removals of files fail after the file is gone, and openings after the file is open, or work again. */
+    readonly failFolderSync: (fails: boolean) => void;
+    /** Number of append files that are open. */
+    readonly countOpen: () => number;
     /** Inverts the bits of one byte, counted from the start or, when negative, from the end. */
     readonly flipByte: (name: string, offset: number) => void;
     /** Makes syncs fail from now on, or work again. */
@@ -36,6 +40,8 @@
     freeBytes: number;
     syncDelayMs: number;
     syncs: number;
+    folderSyncFails: boolean;
+    open: number;
 }
 
 function fail(file: string, detail: string): Effect.Effect<never, ErrorData> {
@@ -59,6 +65,10 @@
     );
 }
 
+function awaitFolderSync(faults: Faults, name: string): Effect.Effect<void, ErrorData> {
+    return Effect.suspend(() => faults.folderSyncFails ? fail(name, "sync of the folder failed") : Effect.void);
+}
+
 function createAppendFile(faults: Faults, name: string, file: MemoryFile): AppendFile {
     return {
         append: bytes =>
@@ -85,7 +95,14 @@
 /** Creates an empty disk without faults. */
 export function createMemoryDisk(): MemoryDisk {
     const files = new Map<string, MemoryFile>();
-    const faults: Faults = { syncFails: false, freeBytes: Number.POSITIVE_INFINITY, syncDelayMs: 0, syncs: 0 };
+    const faults: Faults = {
+        syncFails: false,
+        freeBytes: Number.POSITIVE_INFINITY,
+        syncDelayMs: 0,
+        syncs: 0,
+        folderSyncFails: false,
+        open: 0,
+    };
     const getFile = (name: string): MemoryFile => {
         const file = files.get(name);
         if (file === undefined) {
@@ -103,15 +120,26 @@
                 files.set(name, { content: copy, synced: copy });
             }),
         openAppend: name =>
-            Effect.sync(() => {
+            Effect.gen(function*() {
                 const file = files.get(name) ?? { content: Buffer.alloc(0), synced: Buffer.alloc(0) };
                 files.set(name, file);
+                yield* Effect.acquireRelease(
+                    Effect.sync(() => {
+                        faults.open += 1;
+                    }),
+                    () =>
+                        Effect.sync(() => {
+                            faults.open -= 1;
+                        }),
+                );
+                yield* awaitFolderSync(faults, name);
                 return createAppendFile(faults, name, file);
             }),
         listFiles: () => Effect.sync(() => [...files.keys()].sort()),
         removeFile: name =>
-            Effect.sync(() => {
+            Effect.suspend(() => {
                 files.delete(name);
+                return awaitFolderSync(faults, name);
             }),
     };
     return {
@@ -132,6 +160,10 @@
                 files.set(name, { content, synced });
             }
         },
+        failFolderSync: fails => {
+            faults.folderSyncFails = fails;
+        },
+        countOpen: () => faults.open,
         flipByte: (name, offset) => {
             const file = getFile(name);
             const bytes = Buffer.from(file.content);
--- a/packages/replicated-log/src/file-disk.ts
+++ b/packages/replicated-log/src/file-disk.ts
@@ -1,6 +1,6 @@
 import type { AppendFile, Disk, ErrorData } from "@chestnutspool/types";
 import { Effect } from "effect";
-import { type FileHandle, mkdir, open, readdir, readFile, rename, unlink } from "node:fs/promises";
+import { type FileHandle, mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
 import { dirname, join } from "node:path";
 
 const temporarySuffix = ".tmp";
@@ -55,6 +55,11 @@
         await writeAll(handle, bytes);
         await handle.sync();
     }
+    catch (cause) {
+        // On a full disk, other files need the space.
+        await handle.truncate(0).catch(() => undefined);
+        throw cause;
+    }
     finally {
         await handle.close();
     }
@@ -117,7 +122,8 @@
             Effect.andThen(
                 checkName(name),
                 attempt(name, async () => {
-                    await unlink(join(folder, name));
+                    // A removal whose sync failed is repeated, and then finds no file.
+                    await rm(join(folder, name), { force: true });
                     await syncFolder(folder);
                 }),
             ),
--- a/packages/replicated-log/src/full-disk.test.ts
+++ b/packages/replicated-log/src/full-disk.test.ts
@@ -34,18 +34,16 @@
 void test("replicas whose disks were full one after the other take part again", () =>
     runTest(Effect.gen(function*() {
         const cluster = yield* startCluster(size);
-        const acknowledged: string[] = [];
+        const commands: string[] = [];
         for (const replica of cluster.replicas) {
             const command = `while ${replica.id} is full`;
-            if (Exit.isSuccess(yield* fillDiskOnce(cluster, replica, command))) {
-                acknowledged.push(command);
-            }
+            const exit = yield* fillDiskOnce(cluster, replica, command);
+            assert.ok(Exit.isSuccess(exit), `${command}: ${String(exit)}`);
+            commands.push(command);
         }
         yield* proposeAll(splitRoles(cluster).leader, ["last"]);
         for (const replica of cluster.replicas) {
-            const commands = replica.machine.listCommands();
-            assert.equal(commands.at(-1), "last", `replica ${replica.id} does not follow`);
-            assert.deepEqual(acknowledged.filter(command => !commands.includes(command)), []);
+            assert.deepEqual(replica.machine.listCommands(), [...commands, "last"], `replica ${replica.id}`);
         }
     })));
 
@@ -116,15 +114,21 @@
     })));
 
 // Guards against a vote that is given without being on disk, and against a candidate that waits for its own disk for ever.
-void test("a replica whose disk is full gives no vote, and votes once the disk takes writes", () =>
+void test("a replica whose disk is full gives no vote and does not campaign until the disk takes writes", () =>
     runTest(Effect.gen(function*() {
         const cluster = yield* startCluster(3);
         const { leader, followers } = splitRoles(cluster);
-        followers.forEach(({ memoryDisk }) => memoryDisk.setFreeBytes(0));
+        const [full, other] = followers as [TestReplica, TestReplica];
+        full.memoryDisk.setFreeBytes(0);
+        yield* proposeAll(leader, ["zero"]);
         yield* cluster.crashReplica(leader.id, 0);
-        yield* TestClock.adjust(10_000);
-        assert.equal(cluster.findLeader(), undefined);
-        followers.forEach(({ memoryDisk }) => memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY));
+        for (let passedMs = 0; passedMs < 10_000; passedMs += 100) {
+            yield* TestClock.adjust(100);
+            assert.equal(cluster.findLeader(), undefined);
+            assert.equal(getLog(full).readStatus().role, "follower");
+        }
+        assert.equal(getLog(other).readStatus().role, "candidate");
+        full.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
         yield* TestClock.adjust(6_000);
         yield* proposeAll(splitRoles(cluster).leader, ["one"]);
     })));
@@ -189,6 +193,49 @@
         assert.deepEqual([snapshot?.index, window.lastIndex()], [4, 5]);
     })));
 
+// Guards against votes and entries that wait for ever behind a snapshot for which the disk has no room, although they fit.
+void test("a snapshot that does not fit holds up neither votes nor entries", () =>
+    runTest(Effect.gen(function*() {
+        const memoryDisk = createMemoryDisk();
+        const { loaded, storage } = yield* openStorage(memoryDisk.disk, "a", () => undefined);
+        yield* Effect.forkScoped(Effect.ignore(storage.runWrites));
+        yield* Deferred.await(storage.appendEntries([{ kind: "noop", index: 1, term: 1 }]));
+        memoryDisk.setFreeBytes(10_000);
+        storage.saveSnapshot({ index: 1, term: 1, members: [], data: new Uint8Array(20_000) }, false);
+        const vote = storage.saveHardState({ ...loaded.hardState, term: 2 });
+        const entries = storage.appendEntries([{ kind: "noop", index: 2, term: 2 }]);
+        yield* TestClock.adjust(1_000);
+        assert.ok(Deferred.isDoneUnsafe(vote) && Deferred.isDoneUnsafe(entries));
+        assert.equal(storage.syncedIndex(), 2);
+    })));
+
+// Guards against a snapshot that is written again and again, with another log file each time, because covered files could
+// not be removed.
+void test("a failed removal of covered log files holds up nothing and leaves no file open", () =>
+    runTest(Effect.gen(function*() {
+        const memoryDisk = createMemoryDisk();
+        yield* Effect.scoped(Effect.gen(function*() {
+            const { storage } = yield* openStorage(memoryDisk.disk, "a", () => undefined);
+            yield* Effect.forkScoped(Effect.ignore(storage.runWrites));
+            yield* Deferred.await(storage.appendEntries([{ kind: "noop", index: 1, term: 1 }]));
+            memoryDisk.failFolderSync(true);
+            storage.saveSnapshot({ index: 4, term: 2, members: [], data: new Uint8Array(100) }, true);
+            const entries = storage.appendEntries([{ kind: "noop", index: 5, term: 2 }]);
+            yield* TestClock.adjust(60_000);
+            assert.ok(Deferred.isDoneUnsafe(entries));
+            assert.ok(memoryDisk.listNames().filter(name => name.startsWith("log-")).length <= 2);
+            assert.equal(memoryDisk.countOpen(), 1);
+            memoryDisk.failFolderSync(false);
+            yield* Deferred.await(
+                storage.saveSnapshot({ index: 5, term: 2, members: [], data: new Uint8Array(100) }, false),
+            );
+            assert.equal(memoryDisk.listNames().filter(name => name.startsWith("log-")).length, 1);
+        }));
+        assert.equal(memoryDisk.countOpen(), 0);
+        const { snapshot, window } = yield* loadStorage(memoryDisk.disk, "a");
+        assert.deepEqual([snapshot?.index, window.lastIndex()], [5, 5]);
+    })));
+
 // Guards against an acknowledgement of entries that only the cache of the system holds, which a power loss then takes.
 void test("records that a killed process did not sync count as synced after the restart only once they are on disk", () =>
     runTest(Effect.gen(function*() {
--- a/packages/replicated-log/src/log-writer.ts
+++ b/packages/replicated-log/src/log-writer.ts
@@ -15,10 +15,11 @@
     readonly writeHardState: (state: HardState) => Effect.Effect<void, WriteFault>;
     /** Writes entries as one record with one sync. */
     readonly writeEntries: (entries: readonly LogEntry[]) => Effect.Effect<void, WriteFault>;
-    /** Writes a snapshot and removes the log files that it covers; with `replacesLog` it replaces all entries. */
-    readonly writeSnapshot: (snapshot: Snapshot, replacesLog: boolean) => Effect.Effect<void, WriteFault>;
+    readonly writeSnapshot: (snapshot: Snapshot) => Effect.Effect<void, WriteFault>;
     /** Writes the record that empties the log, which continues after the snapshot. */
     readonly writeReset: (snapshot: Snapshot) => Effect.Effect<void, WriteFault>;
+    /** Starts a new log file and removes the files whose entries the snapshot covers. */
+    readonly removeCovered: (snapshot: Snapshot) => Effect.Effect<void, WriteFault>;
     /** Size of the log files and the snapshot in bytes. */
     readonly countBytes: () => number;
 }
@@ -41,8 +42,12 @@
 
 const openSegment = Effect.fnUntraced(function*(disk: Disk, segment: Segment) {
     const fileScope = yield* Scope.make();
-    const file = yield* Scope.provide(disk.openAppend(segment.name), fileScope);
-    return { file, fileScope };
+    const opened = yield* Effect.exit(Scope.provide(disk.openAppend(segment.name), fileScope));
+    if (Exit.isFailure(opened)) {
+        yield* Scope.close(fileScope, Exit.void);
+        return yield* Effect.failCause(opened.cause);
+    }
+    return { file: opened.value, fileScope };
 });
 
 const openFiles = Effect.fnUntraced(function*(disk: Disk, loaded: LoadedStorage) {
@@ -70,7 +75,6 @@
 const writeReset = (files: Files, { index, term }: Snapshot) =>
     writeRecord(files, { kind: "reset", index, term }, index);
 
-/** Starts a new log file and removes the files whose entries the snapshot covers. */
 const rollSegment = Effect.fnUntraced(function*(files: Files, coveredIndex: number) {
     if (files.current.lastIndex > 0) {
         const next = createSegment(files.current.sequence + 1);
@@ -90,14 +94,10 @@
     }
 });
 
-const writeSnapshot = Effect.fnUntraced(function*(files: Files, snapshot: Snapshot, replacesLog: boolean) {
+const writeSnapshot = Effect.fnUntraced(function*(files: Files, snapshot: Snapshot) {
     const bytes = encodeFile(snapshot);
     yield* failAs("write")(files.disk.replaceFile(snapshotFile, bytes));
     files.snapshotBytes = bytes.length;
-    if (replacesLog) {
-        yield* writeReset(files, snapshot);
-    }
-    yield* failAs("write")(rollSegment(files, snapshot.index));
 });
 
 /** Opens the writer of a data folder that was loaded; its files are closed with the scope. */
@@ -112,8 +112,9 @@
             const highestIndex = entries.reduce((highest, entry) => Math.max(highest, entry.index), 0);
             return writeRecord(files, { kind: "entries", entries }, highestIndex);
         },
-        writeSnapshot: (snapshot, replacesLog) => writeSnapshot(files, snapshot, replacesLog),
+        writeSnapshot: snapshot => writeSnapshot(files, snapshot),
         writeReset: snapshot => writeReset(files, snapshot),
+        removeCovered: snapshot => failAs("write")(rollSegment(files, snapshot.index)),
         countBytes: () => files.segments.reduce((sum, segment) => sum + segment.bytes, files.snapshotBytes),
     };
     return writer;
--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -149,6 +149,13 @@
                 storedBytes,
             });
             return;
+        case "skipped":
+            logger.warn("work on the data folder was left out", {
+                work: change.work,
+                ...describeWriteError(change.error),
+                storedBytes,
+            });
+            return;
         case "working":
             logger.info("disk takes writes again", { failedForMs: change.failedForMs, storedBytes });
             return;
--- a/packages/replicated-log/src/storage.ts
+++ b/packages/replicated-log/src/storage.ts
@@ -1,7 +1,7 @@
 import { type Disk, type ErrorData, readMonotonicMs, type StorageStatus } from "@chestnutspool/types";
 import { Deferred, Effect, Queue } from "effect";
 import { loadStorage } from "./load-storage.js";
-import { type LogWriter, openLogWriter, type WriteFault } from "./log-writer.js";
+import { openLogWriter, type WriteFault } from "./log-writer.js";
 import type { HardState, LogEntry, Snapshot } from "./messages.js";
 
 /** Pause before a failed write is repeated, in milliseconds. */
@@ -40,16 +40,17 @@
 
 type WriteItem = EntriesItem | HardStateItem | SnapshotItem;
 
-/** A write of one file, and the requests that it completes. */
+/** Requests that are carried out together. */
 type WriteStep =
     | { readonly kind: "entries"; readonly items: readonly EntriesItem[]; }
     | { readonly kind: "hardState"; readonly state: HardState; readonly items: readonly HardStateItem[]; }
     | { readonly kind: "snapshot"; readonly items: readonly [SnapshotItem]; };
 
-/** A change of whether the disk takes writes. */
+/** What happens to the writes: the disk stops or starts to take them, or work that can wait is left out. */
 export type StorageChange =
     | { readonly kind: "failing"; readonly error: ErrorData; }
-    | { readonly kind: "working"; readonly failedForMs: number; };
+    | { readonly kind: "working"; readonly failedForMs: number; }
+    | { readonly kind: "skipped"; readonly work: "snapshot" | "removal of log files"; readonly error: ErrorData; };
 
 /** Storage of one replica. One fiber performs the writes in the order of the requests; only term and vote go first. */
 export interface LogStorage {
@@ -112,20 +113,14 @@
     }
 }
 
-function writeStep(writer: LogWriter, step: WriteStep): Effect.Effect<void, WriteFault> {
-    switch (step.kind) {
-        case "hardState":
-            return writer.writeHardState(step.state);
-        case "entries":
-            return writer.writeEntries(step.items.flatMap(item => item.entries));
-        case "snapshot":
-            return writer.writeSnapshot(step.items[0].snapshot, step.items[0].replacesLog);
-    }
+/** Performs a write; returns its fault, or undefined when it succeeded. */
+function findFault(write: Effect.Effect<void, WriteFault>): Effect.Effect<WriteFault | undefined> {
+    return Effect.match(write, { onFailure: fault => fault, onSuccess: () => undefined });
 }
 
 /**
  * Loads and opens the storage of a replica. `onSynced` is called after each sync of entries or a snapshot, `onChange` when
- * the disk stops or starts to take writes.
+ * the disk stops or starts to take writes and when work is left out.
  */
 export const openStorage = Effect.fnUntraced(function*(
     disk: Disk,
@@ -179,27 +174,17 @@
         pendingItems.delete(item);
         Deferred.doneUnsafe(item.done, Effect.void);
     };
-    const completeStep = (step: WriteStep): void => {
-        step.items.forEach(complete);
-        if (step.kind !== "hardState") {
-            onSynced();
-        }
-    };
-
-    /** Performs a step; repeats it while the disk takes no writes. */
-    const runStep = Effect.fnUntraced(function*(step: WriteStep) {
+    /** Performs a write; repeats it while the disk takes no writes. */
+    const repeatWrite = Effect.fnUntraced(function*(write: Effect.Effect<void, WriteFault>) {
         while (true) {
-            const fault = yield* Effect.match(writeStep(writer, step), {
-                onFailure: failed => failed,
-                onSuccess: () => undefined,
-            });
+            const fault = yield* findFault(write);
             const nowMs = yield* readMonotonicMs;
             if (fault === undefined) {
                 if (failingSinceMs !== undefined) {
                     onChange({ kind: "working", failedForMs: nowMs - failingSinceMs });
                     failingSinceMs = undefined;
                 }
-                return completeStep(step);
+                return;
             }
             // After a failed sync the kernel may drop the dirty pages and report success next time.
             if (fault.operation === "sync") {
@@ -213,6 +198,53 @@
         }
     });
 
+    /** Attempts work that later snapshots make up for; false when it failed. */
+    const attemptWork = Effect.fnUntraced(function*(
+        work: Extract<StorageChange, { kind: "skipped"; }>["work"],
+        write: Effect.Effect<void, WriteFault>,
+    ) {
+        const fault = yield* findFault(write);
+        if (fault !== undefined) {
+            onChange({ kind: "skipped", work, error: fault.error });
+        }
+        return fault === undefined;
+    });
+
+    /**
+     * Writes a snapshot. One that replaces the log is repeated like entries. One of the replica's own state is left out when it
+     * does not fit, because votes and entries wait behind it and the log still has all entries.
+     */
+    const writeSnapshot = Effect.fnUntraced(function*({ snapshot, replacesLog }: SnapshotItem) {
+        const write = writer.writeSnapshot(snapshot);
+        if (replacesLog) {
+            yield* repeatWrite(write);
+            yield* repeatWrite(writer.writeReset(snapshot));
+        }
+        else if (!(yield* attemptWork("snapshot", write))) {
+            return;
+        }
+        yield* attemptWork("removal of log files", writer.removeCovered(snapshot));
+    });
+
+    const writeStep = (step: WriteStep): Effect.Effect<void, ErrorData> => {
+        switch (step.kind) {
+            case "hardState":
+                return repeatWrite(writer.writeHardState(step.state));
+            case "entries":
+                return repeatWrite(writer.writeEntries(step.items.flatMap(item => item.entries)));
+            case "snapshot":
+                return writeSnapshot(step.items[0]);
+        }
+    };
+
+    const runStep = Effect.fnUntraced(function*(step: WriteStep) {
+        yield* writeStep(step);
+        step.items.forEach(complete);
+        if (step.kind !== "hardState") {
+            onSynced();
+        }
+    });
+
     const stopWrites = (error: ErrorData): void => {
         failure = error;
         for (const item of pendingItems) {
