Start the loops of a term again after an unexpected exception

What callers see: a leader went on accepting jobs and started none of them, because one exception had ended its planner; or a worker kept its recorded tasks and was not followed any more, because its session had ended. It lasted until the next term.

Cause: planner, pacing, recording of disturbances, load report, opening of sessions and the sessions of the workers were plain fibers of the term. They caught typed errors only; an exception ended the fiber without a line.

Change: all of these run through superviseLoop, which logs the loop, the term and the exception in one bounded line at level error, counts loops.failed and starts the loop again after 200 ms. A planner that starts treats recorded runs without a status (the exception came between commit and order) as starts without an answer. A session that resumes counts its worker as silent until the next report is applied, so that runs end with the lease if no report can be.

--- a/packages/lead-jobs/src/fakes/define-test.ts
+++ b/packages/lead-jobs/src/fakes/define-test.ts
@@ -13,3 +13,8 @@
             Effect.scoped(Effect.flatMap(startTestSystem, run)).pipe(Effect.provide(TestClock.layer())),
         ));
 }
+
+/** Defines a test in simulated time that starts its system itself. */
+export function testWithClock(name: string, run: Effect.Effect<void, never, Scope.Scope>): void {
+    test(name, () => Effect.runPromise(Effect.scoped(run).pipe(Effect.provide(TestClock.layer()))));
+}
--- a/packages/lead-jobs/src/fakes/index.ts
+++ b/packages/lead-jobs/src/fakes/index.ts
@@ -1,3 +1,4 @@
 export * from "./define-test.js";
 export * from "./fake-workers.js";
+export * from "./recording-logger.js";
 export * from "./test-system.js";
--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -1,11 +1,14 @@
 import { makeMachine, makeQueue, makeWorker, type TestMachine } from "@chestnutspool/job-state/fakes";
-import { silentLogger } from "@chestnutspool/logger";
-import { createMetrics } from "@chestnutspool/record-metrics";
+import { type Logger, silentLogger } from "@chestnutspool/logger";
+import { createMetrics, type Metrics } from "@chestnutspool/record-metrics";
 import {
+    type JobCommand,
     type JobDefinition,
     type JobReply,
     type JobRequest,
+    type JobResult,
     readMonotonicMs,
+    type ReplicatedLog,
     type WorkerInfo,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
@@ -48,9 +51,17 @@
     return result.value as Value;
 });
 
+/** Parts of a test system that a test replaces. */
+export interface TestParts {
+    readonly wrapLog?: (log: ReplicatedLog<JobCommand, JobResult>) => ReplicatedLog<JobCommand, JobResult>;
+    readonly logger?: Logger;
+    readonly metrics?: Metrics;
+}
+
 /** Starts a system without workers in which replica `a` leads; `wrapPort` may observe the calls to workers. */
 export const startTestSystemWith = Effect.fnUntraced(function*(
     wrapPort: (port: FakeWorkers["port"]) => FakeWorkers["port"],
+    { wrapLog = log => log, logger = silentLogger, metrics = createMetrics() }: TestParts = {},
 ) {
     const machine = makeMachine([], [makeQueue()]);
     const workers = yield* createFakeWorkers;
@@ -60,12 +71,12 @@
         leaderships.set(
             self,
             yield* startLeadership({
-                log: log.createReplica(self),
+                log: wrapLog(log.createReplica(self)),
                 machine,
                 workers: wrapPort(workers.port),
                 limits: { longestLeaseMs: testLeaseMs, stopMs: 200 },
-                logger: silentLogger,
-                metrics: createMetrics(),
+                logger,
+                metrics,
             }),
         );
     }
--- a/packages/lead-jobs/src/record-heartbeat.ts
+++ b/packages/lead-jobs/src/record-heartbeat.ts
@@ -7,15 +7,18 @@
     type WorkerInfo,
 } from "@chestnutspool/types";
 import { Effect, FiberMap } from "effect";
+import { superviseLoop } from "./supervise-loop.js";
 import { propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
-import { createSession, runSession } from "./worker-session.js";
+import { createSession, resumeSession, runSession } from "./worker-session.js";
 
 /** Opens the session of a worker and starts the fiber that renews its lease. */
 export const openSession = Effect.fnUntraced(function*(term: Term, info: WorkerInfo) {
     const nowMs = yield* readMonotonicMs;
     const session = yield* createSession(term, info, nowMs);
     term.sessions.set(info.id, session);
-    yield* FiberMap.run(term.sessionLoops, info.id, runSession(term, session));
+    const context = { term: term.number, worker: info.id };
+    const loop = superviseLoop(term, "session", context, runSession(term, session), resumeSession(term, session));
+    yield* FiberMap.run(term.sessionLoops, info.id, loop);
     return session;
 });
 
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -11,6 +11,7 @@
 import { type ErrorData, readMonotonicMs, type RunStart, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { adaptRatings } from "./adapt-ratings.js";
+import { addRecordedRuns } from "./add-recorded-runs.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
@@ -230,6 +231,9 @@
  */
 export const runPlanner = Effect.fnUntraced(function*(term: Term) {
     const planner = createPlannerState();
+    // An exception after a commit leaves recorded runs whose orders were not sent: starts without an answer.
+    const startedMs = yield* readMonotonicMs;
+    term.sessions.forEach(session => addRecordedRuns(term, session, "unanswered", startedMs));
     while (canSendOrders(term, yield* readMonotonicMs)) {
         const tookMs = yield* Effect.catch(
             runPass(term, planner),
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -18,6 +18,7 @@
 import { runPacing } from "./run-pacing.js";
 import { runPlanner } from "./run-planner.js";
 import { createSteadyClock } from "./steady-clock.js";
+import { superviseLoop } from "./supervise-loop.js";
 import { createTermLoad } from "./term-load.js";
 import { canSendOrders, type LeaderDependencies, type Term } from "./term.js";
 
@@ -108,11 +109,12 @@
         Effect.scoped(Effect.gen(function*() {
             const term = yield* openTerm(dependencies, number);
             current.term = term;
-            yield* Effect.forkScoped(openSessions(term));
-            yield* Effect.forkScoped(runPlanner(term));
-            yield* Effect.forkScoped(runPacing(term));
-            yield* Effect.forkScoped(runDisturbanceRecording(term));
-            yield* Effect.forkScoped(runLoadReport(term));
+            const context = { term: number };
+            yield* Effect.forkScoped(superviseLoop(term, "sessions", context, openSessions(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "planner", context, runPlanner(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "pacing", context, runPacing(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "disturbances", context, runDisturbanceRecording(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "loadReport", context, runLoadReport(term)));
             while (isLeaderOfTerm(dependencies.log.readStatus(), number)) {
                 yield* Queue.take(statusChanges);
             }
--- /dev/null
+++ b/packages/lead-jobs/src/supervise-loop.ts
@@ -0,0 +1,51 @@
+import { Cause, Effect } from "effect";
+import type { LeaderDependencies } from "./term.js";
+
+/** Pause before a loop that failed is started again, in milliseconds. */
+const restartPauseMs = 200;
+/** Longest description of an exception in a log line, in characters. */
+const maxDetailLength = 600;
+
+/** Loops of the leader. */
+export type LoopName = "disturbances" | "loadReport" | "pacing" | "planner" | "session" | "sessions";
+
+/** What the log lines about a failure name. */
+export interface FailureContext {
+    readonly term: number;
+    readonly worker?: string;
+}
+
+/** Where failures are reported. */
+export type FailureReporter = Pick<LeaderDependencies, "logger" | "metrics">;
+
+function describeCause(cause: Cause.Cause<unknown>): string {
+    return Cause.pretty(cause).replaceAll(/\s+/g, " ").slice(0, maxDetailLength);
+}
+
+/**
+ * Runs a loop and starts it again after each unexpected exception, because nothing else would for the rest of the term.
+ * `resume` runs instead of `loop` after an exception. An interruption of the fiber ends both without a line.
+ */
+export function superviseLoop<Requirements>(
+    { logger, metrics }: FailureReporter,
+    name: LoopName,
+    context: FailureContext,
+    loop: Effect.Effect<void, never, Requirements>,
+    resume: Effect.Effect<void, never, Requirements> = loop,
+): Effect.Effect<void, never, Requirements> {
+    const recordFailure = (cause: Cause.Cause<unknown>) =>
+        Effect.sync(() => {
+            metrics.countEvent("loops.failed", "", name);
+            logger.error("loop failed; it is started again", { loop: name, ...context, detail: describeCause(cause) });
+        });
+    return Effect.catchCause(
+        loop,
+        cause =>
+            recordFailure(cause).pipe(
+                // An exception while the line is written must not end the loop either.
+                Effect.ignoreCause,
+                Effect.andThen(Effect.sleep(restartPauseMs)),
+                Effect.andThen(Effect.suspend(() => superviseLoop({ logger, metrics }, name, context, resume))),
+            ),
+    );
+}
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -4,7 +4,6 @@
 import {
     applyReport,
     computeLeaseEndMs,
-    createRunStatus,
     createWorkerHealth,
     recordClock,
     renewLease,
@@ -12,6 +11,7 @@
 } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
 import { Effect, Option, Queue } from "effect";
+import { addRecordedRuns } from "./add-recorded-runs.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
@@ -71,17 +71,7 @@
         usage: createUsageHistory(),
         health: createWorkerHealth(),
     };
-    for (const [key, run] of term.machine.state.workers.get(info.id)?.runs ?? []) {
-        const { job, occurrence, step, task } = run;
-        const runKey = {
-            job: job.id,
-            occurrence: occurrence.number,
-            step: step.position,
-            position: task.position,
-            run: run.run,
-        };
-        session.runStatuses.set(key, createRunStatus(runKey, "excluded", nowMs));
-    }
+    addRecordedRuns(term, session, "excluded", nowMs);
     return session;
 });
 
@@ -315,3 +305,18 @@
         }
     }
 });
+
+/**
+ * Continues a session after an exception. The worker counts as silent until its next report is applied, so that its runs
+ * end with its lease if none of its reports can be.
+ */
+export const resumeSession = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    const answer: RenewAnswer = { kind: "unknown", detail: "the last report was not applied" };
+    const isKept = yield* Effect.catch(
+        applyRenewFailure(term, session, answer),
+        (error: ErrorData) => Effect.as(logStepError(term.logger, `worker ${session.info.id}`, error), true),
+    );
+    if (isKept) {
+        yield* runSession(term, session);
+    }
+});
