Treat an exception in an order to a worker as a lost answer

What callers see: a task stayed 'running' for the rest of the term although nothing ran, a run of a cancelled job kept its resources, or a run kept the pace that it had.

Cause: orders are fibers of the term on which nobody waits. An exception in one ended it without a line, and what it left has no way back: a start that stays 'ordered' never times out, a stop is requested only once, and a pace that was not ordered counts as the present one.

A stop is sent again by superviseLoop. A pace is restored to the last confirmed one. Each is logged at level error with order, term, worker and task and counted in orders.failed; so are the renewals to silent workers, which the session repeats anyway.

--- a/packages/lead-jobs/src/order-pace.test.ts
+++ b/packages/lead-jobs/src/order-pace.test.ts
@@ -113,6 +113,23 @@
         assert.equal(run.status.pacePercent, 80);
     }));
 
+// Guards against a run that keeps its old pace for good, because the status holds the one for the present pace whose order
+// ended with an exception.
+testPaces(
+    "a pace whose order ended with an exception is restored to the last confirmed one",
+    run =>
+        Effect.gen(function*() {
+            yield* run.order(80, 10, done);
+            yield* TestClock.adjust(100);
+            const failed = orderPace(run.status, 60, () => Effect.die(new Error("no link")), () => true);
+            assert.equal((yield* Effect.exit(failed))._tag, "Failure");
+            assert.equal(run.status.pacePercent, 80);
+            yield* run.order(60, 10, done);
+            yield* TestClock.adjust(100);
+            assert.equal(run.workerPercent, 60);
+        }),
+);
+
 // Guards against orders for a run that has ended meanwhile.
 testPaces("no later pace is sent for a run that has ended", run =>
     Effect.gen(function*() {
--- a/packages/lead-jobs/src/order-pace.ts
+++ b/packages/lead-jobs/src/order-pace.ts
@@ -49,7 +49,10 @@
         }
     });
     yield* Effect.ensuring(
-        sendUntilLatest,
+        Effect.onError(sendUntilLatest, () =>
+            Effect.sync(() => {
+                status.pacePercent = confirmed;
+            })),
         Effect.sync(() => {
             status.isPaceOrdered = false;
         }),
--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -5,6 +5,7 @@
 import { Effect } from "effect";
 import { orderPace, type SendPaceOrder } from "./order-pace.js";
 import { recordAnswer } from "./send-orders.js";
+import { superviseOrder } from "./supervise-loop.js";
 import { canSendOrders, type Term, type WorkerSession } from "./term.js";
 
 /** Timeout of an order to change a pace, in milliseconds; the next planning of paces repeats one that is lost. */
@@ -64,7 +65,9 @@
             }
             recordUsage(state, session.runStatuses, session.usage, yield* readMonotonicMs);
             for (const change of planPaces(state, session.runStatuses, term.interference)) {
-                yield* Effect.forkIn(changePace(term, session, change), term.scope);
+                const context = { term: term.number, worker: session.info.id };
+                const order = superviseOrder(term, "pace", context, changePace(term, session, change));
+                yield* Effect.forkIn(order, term.scope);
             }
             workersInTurn += 1;
             if (workersInTurn === workersPerTurn) {
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -15,8 +15,9 @@
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
-import { requestStop, sendStart } from "./send-orders.js";
+import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
+import { superviseOrder } from "./supervise-loop.js";
 import { recordPass } from "./term-load.js";
 import { canSendOrders, logStepError, propose, type Term, type WorkerSession } from "./term.js";
 
@@ -79,7 +80,14 @@
         if (!isCurrent) {
             continue;
         }
-        yield* Effect.forkIn(sendStart(term, session, run, status, undefined), term.scope);
+        const order = superviseOrder(
+            term,
+            "start",
+            { term: term.number, worker: session.info.id, task: formatTaskKey(status.key) },
+            sendStart(term, session, run, status, undefined),
+            recordLostStart(status),
+        );
+        yield* Effect.forkIn(order, term.scope);
         startsInTurn += 1;
         if (startsInTurn === startsPerTurn) {
             startsInTurn = 0;
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -3,6 +3,7 @@
 import { type OrderAnswer, readMonotonicMs, type RunEnd, type RunKey, type RunOutcome } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
+import { superviseLoop } from "./supervise-loop.js";
 import { canSendOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Timeout of an order, in milliseconds; far above a round trip, so that only a lost answer exceeds it. */
@@ -43,6 +44,18 @@
     wakePlanner(term);
 });
 
+function setStart(status: RunStatus, start: RunStatus["start"], nowMs: number): void {
+    if (status.start === "ordered") {
+        status.start = start;
+        status.startChangedAtMs = nowMs;
+    }
+}
+
+/** Records that the order to start a run ended without an answer; the worker may have carried it out. */
+export function recordLostStart(status: RunStatus): Effect.Effect<void> {
+    return Effect.map(readMonotonicMs, nowMs => setStart(status, "unanswered", nowMs));
+}
+
 /** Applies the answer to a start order. */
 const applyStartAnswer = Effect.fnUntraced(function*(
     term: Term,
@@ -51,24 +64,18 @@
     answer: OrderAnswer,
     nowMs: number,
 ) {
-    const setStart = (start: RunStatus["start"]): void => {
-        if (status.start === "ordered") {
-            status.start = start;
-            status.startChangedAtMs = nowMs;
-        }
-    };
     switch (answer.kind) {
         case "done":
-            setStart("confirmed");
+            setStart(status, "confirmed", nowMs);
             return;
         case "unknown":
-            setStart("unanswered");
+            setStart(status, "unanswered", nowMs);
             return;
         case "notSent":
             yield* recordEnd(term, session, status.key, "neverStarted", "");
             return;
         case "refused":
-            setStart("excluded");
+            setStart(status, "excluded", nowMs);
             // The next report may list the end of a stale run. No other refusal leaves a record on the worker.
             if (answer.reason !== "staleRun" && answer.reason !== "staleToken" && answer.reason !== "otherWorker") {
                 yield* recordEnd(term, session, status.key, "neverStarted", "");
@@ -162,5 +169,6 @@
         progressPercent: status.progressPercent,
         progressAgeMs: nowMs - status.readAtMs,
     });
-    return Effect.forkIn(sendStop(term, session, status.key), term.scope);
+    const context = { term: term.number, worker: session.info.id, task: formatTaskKey(status.key) };
+    return Effect.forkIn(superviseLoop(term, "stop", context, sendStop(term, session, status.key)), term.scope);
 }
--- a/packages/lead-jobs/src/supervise-loop.ts
+++ b/packages/lead-jobs/src/supervise-loop.ts
@@ -7,12 +7,16 @@
 const maxDetailLength = 600;
 
 /** Loops of the leader. */
-export type LoopName = "disturbances" | "loadReport" | "pacing" | "planner" | "session" | "sessions";
+export type LoopName = "disturbances" | "loadReport" | "pacing" | "planner" | "session" | "sessions" | "stop";
+
+/** Orders that no loop repeats. */
+export type OrderName = "pace" | "renewal" | "start" | "stop";
 
 /** What the log lines about a failure name. */
 export interface FailureContext {
     readonly term: number;
     readonly worker?: string;
+    readonly task?: string;
 }
 
 /** Where failures are reported. */
@@ -49,3 +53,21 @@
             ),
     );
 }
+
+/** Runs an order; an unexpected exception is logged, and `recover` applies it like the answer of a lost order. */
+export function superviseOrder<Requirements>(
+    { logger, metrics }: FailureReporter,
+    name: OrderName,
+    context: FailureContext,
+    order: Effect.Effect<void, never, Requirements>,
+    recover: Effect.Effect<void> = Effect.void,
+): Effect.Effect<void, never, Requirements> {
+    return Effect.catchCause(order, cause =>
+        Effect.andThen(
+            recover,
+            Effect.sync(() => {
+                metrics.countEvent("orders.failed", "", name);
+                logger.error("order failed", { order: name, ...context, detail: describeCause(cause) });
+            }),
+        ));
+}
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,4 +1,4 @@
-import { formatRunKey, type WorkerState } from "@chestnutspool/job-state";
+import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
 import {
@@ -15,6 +15,7 @@
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
+import { superviseOrder } from "./supervise-loop.js";
 import {
     canSendOrders,
     logStepError,
@@ -136,7 +137,9 @@
     yield* recordEnds(term, session, outcome);
     session.isReconciled ||= answer.isComplete;
     for (const orphan of outcome.orphanedRuns) {
-        yield* Effect.forkIn(sendStop(term, session, orphan), term.scope);
+        // The next report that lists the run repeats a stop that failed.
+        const context = { term: term.number, worker: session.info.id, task: formatTaskKey(orphan) };
+        yield* Effect.forkIn(superviseOrder(term, "stop", context, sendStop(term, session, orphan)), term.scope);
     }
     if (!wasUsable) {
         wakePlanner(term);
@@ -243,16 +246,15 @@
  */
 const renewSilentWorker = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     const renewal = sendRenewal(term, session, 0, term.limits.longestLeaseMs * slowAnswerShare);
-    yield* Effect.forkIn(
-        Effect.map(renewal, renewed => {
-            const isFailure = renewed.answer.kind === "unknown" || renewed.answer.kind === "notSent";
-            const isLatest = renewed.sentAtMs === session.renewalSentAtMs;
-            if (!session.isResponsive && (isLatest || !isFailure)) {
-                Queue.offerUnsafe(session.lateAnswers, renewed);
-            }
-        }),
-        term.scope,
-    );
+    const order = Effect.map(renewal, renewed => {
+        const isFailure = renewed.answer.kind === "unknown" || renewed.answer.kind === "notSent";
+        const isLatest = renewed.sentAtMs === session.renewalSentAtMs;
+        if (!session.isResponsive && (isLatest || !isFailure)) {
+            Queue.offerUnsafe(session.lateAnswers, renewed);
+        }
+    });
+    const context = { term: term.number, worker: session.info.id };
+    yield* Effect.forkIn(superviseOrder(term, "renewal", context, order), term.scope);
     const answered = yield* Effect.timeoutOption(Queue.take(session.lateAnswers), renewGraceMs);
     return Option.getOrElse(answered, (): RenewalAnswer => ({
         answer: { kind: "unknown", detail: `no answer within ${renewGraceMs} ms` },
