Settle a start that was not sent when its end cannot be recorded

What callers see: a task stayed 'running' for the rest of the term although it had not been started.

Cause: an order that certainly did not leave ends its run with a command. If the log refuses it, as for up to two seconds around a handover that fails, the error was only logged; the run stayed 'ordered', which no report and no timeout settles.

Change: the start then counts as one that can no longer take effect, so that the next report that does not list the run ends it.

Evidence: the second test of failed-orders.test.ts failed before ('running' instead of 'completed') and passes now.

--- a/packages/lead-jobs/src/failed-orders.test.ts
+++ b/packages/lead-jobs/src/failed-orders.test.ts
@@ -1,4 +1,5 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
+import type { ErrorData, OrderAnswer } from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
 import { createRecordingLogger, makeWorker, startTestSystemWith, testWithClock } from "./fakes/index.js";
@@ -30,6 +31,47 @@
     }),
 );
 
+// Guards against a run that stays recorded as ordered, because the log refused to record that its order was not sent.
+testWithClock(
+    "a task is started again when the end of a start that was not sent cannot be recorded",
+    Effect.gen(function*() {
+        let starts = 0;
+        let refusals = 0;
+        const system = yield* startTestSystemWith(
+            port => ({
+                ...port,
+                startRun: (worker, order, limitMs) =>
+                    Effect.suspend(() => {
+                        starts += 1;
+                        return starts === 1
+                            ? Effect.succeed<OrderAnswer>({ kind: "notSent", detail: "no connection" })
+                            : port.startRun(worker, order, limitMs);
+                    }),
+            }),
+            {
+                wrapLog: log => ({
+                    ...log,
+                    proposeCommand: command =>
+                        Effect.suspend(() => {
+                            if (command.kind !== "endRuns" || refusals > 0) {
+                                return log.proposeCommand(command);
+                            }
+                            refusals += 1;
+                            return Effect.fail<ErrorData>({ kind: "notLeader", leader: undefined });
+                        }),
+                }),
+            },
+        );
+        yield* system.addWorker(makeWorker("w1"));
+        yield* system.pass(200);
+        yield* system.submit(makeJob("a"));
+        yield* system.pass(5_000);
+        assert.equal(refusals, 1);
+        const reply = yield* system.ask({ kind: "readJob", job: "a", hostName: "jobs.example", path: "/main/a" });
+        assert.deepEqual(reply, { kind: "phase", phase: "completed" });
+    }),
+);
+
 // Guards against a run that keeps its resources although its job was cancelled: its stop is requested only once.
 testWithClock(
     "a run is stopped after an exception in its stop order",
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -72,7 +72,11 @@
             setStart(status, "unanswered", nowMs);
             return;
         case "notSent":
-            yield* recordEnd(term, session, status.key, "neverStarted", "");
+            // If the log refuses the end, the next report that does not list the run leads to it.
+            yield* Effect.onError(
+                recordEnd(term, session, status.key, "neverStarted", ""),
+                () => Effect.sync(() => setStart(status, "excluded", nowMs)),
+            );
             return;
         case "refused":
             setStart(status, "excluded", nowMs);
