Keep a process able to lead after an exception between or in its terms

What callers see: every request got notLeader, because the log of one process kept the leadership and the process never opened a term again.

Cause: the loop that opens the terms and waits for their end was a plain fiber; one exception ended it without a line.

Change: it runs through superviseLoop as 'leadership'. Waiting for the end of a term is a loop of its own ('term'), so that an exception there does not open the same term twice: the second opening would take its earlier orders, which carry the same fencing token, for those of an earlier leader.

Evidence: the three tests of failed-terms.test.ts failed before (notLeader instead of accepted) and pass now. lead-jobs and run-job-process: 66 passed, 0 failed.

--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -105,6 +105,12 @@
     const isLeaderOfTerm = (status: ReplicaStatus, number: number): boolean =>
         status.role === "leader" && status.term === number;
 
+    const awaitEnd = Effect.fnUntraced(function*(number: number) {
+        while (isLeaderOfTerm(dependencies.log.readStatus(), number)) {
+            yield* Queue.take(statusChanges);
+        }
+    });
+
     const leadTerm = (number: number) =>
         Effect.scoped(Effect.gen(function*() {
             const term = yield* openTerm(dependencies, number);
@@ -115,9 +121,8 @@
             yield* Effect.forkScoped(superviseLoop(term, "pacing", context, runPacing(term)));
             yield* Effect.forkScoped(superviseLoop(term, "disturbances", context, runDisturbanceRecording(term)));
             yield* Effect.forkScoped(superviseLoop(term, "loadReport", context, runLoadReport(term)));
-            while (isLeaderOfTerm(dependencies.log.readStatus(), number)) {
-                yield* Queue.take(statusChanges);
-            }
+            // An exception here must not open the term again, because its orders may still be under way.
+            yield* superviseLoop(dependencies, "term", context, awaitEnd(number));
             dependencies.logger.info("term closed", { term: number });
         })).pipe(
             Effect.ensuring(Effect.sync(() => {
@@ -136,7 +141,7 @@
             ),
         );
 
-    yield* Effect.forkScoped(Effect.forever(Effect.gen(function*() {
+    const leadTerms = Effect.forever(Effect.gen(function*() {
         const status = dependencies.log.readStatus();
         if (status.role === "leader") {
             yield* leadTerm(status.term);
@@ -144,7 +149,8 @@
         else {
             yield* Queue.take(statusChanges);
         }
-    })));
+    }));
+    yield* Effect.forkScoped(superviseLoop(dependencies, "leadership", { term: undefined }, leadTerms));
 
     const handleRequest = Effect.fnUntraced(function*(request: JobRequest) {
         const startedMs = yield* readMonotonicMs;
--- a/packages/lead-jobs/src/supervise-loop.ts
+++ b/packages/lead-jobs/src/supervise-loop.ts
@@ -7,14 +7,23 @@
 const maxDetailLength = 600;
 
 /** Loops of the leader. */
-export type LoopName = "disturbances" | "loadReport" | "pacing" | "planner" | "session" | "sessions" | "stop";
+export type LoopName =
+    | "disturbances"
+    | "leadership"
+    | "loadReport"
+    | "pacing"
+    | "planner"
+    | "session"
+    | "sessions"
+    | "stop"
+    | "term";
 
 /** Orders that no loop repeats. */
 export type OrderName = "pace" | "renewal" | "start" | "stop";
 
-/** What the log lines about a failure name. */
+/** What the log lines about a failure name; the loop over all terms names none. */
 export interface FailureContext {
-    readonly term: number;
+    readonly term: number | undefined;
     readonly worker?: string;
     readonly task?: string;
 }
