Give up the leadership of a term whose orders a worker refuses

What callers see: every request got notLeader for as long as the log of that replica kept the leadership, after one worker had refused an order as too old.

Cause: a fenced term gives no more orders and answers notLeader, rightly, but the replica went on leading its log, so that no later term followed.

Change: a loop of the term transfers the leadership when the term is fenced, and again after 2 s while the replica still leads that term. If the worker refuses the next term as well, that one does the same; each term has a higher fencing token. The test log carries transfers out: it refuses them on a replica that does not lead and without another replica, takes no commands meanwhile, and then starts the next term. Before, a transfer succeeded there without effect.

--- a/packages/lead-jobs/src/fakes/test-log.ts
+++ b/packages/lead-jobs/src/fakes/test-log.ts
@@ -4,6 +4,8 @@
 
 /** Time that a commit takes, in milliseconds. */
 const commitMs = 5;
+/** Time that a transfer of the leadership takes, in milliseconds. */
+const transferMs = 20;
 
 /** A replicated log with one shared state, whose leader the test sets. */
 export interface TestLog {
@@ -22,7 +24,16 @@
     /** A replica that still believes that it leads the term before. */
     let deposed: PeerId | undefined;
     let index = 0;
+    const replicas: PeerId[] = [];
+    /** Whether the leader hands over its leadership; it takes no commands meanwhile. */
+    let isTransferring = false;
     const listeners = new Set<() => void>();
+    const setLeader = (next: PeerId | undefined): void => {
+        deposed = undefined;
+        leader = next;
+        term += 1;
+        listeners.forEach(notify => notify());
+    };
     const createStatus = (self: PeerId): ReplicaStatus => ({
         self,
         identity: self,
@@ -40,10 +51,14 @@
             const checkLeader = Effect.suspend(() =>
                 leader === self ? Effect.void : Effect.fail<ErrorData>({ kind: "notLeader", leader })
             );
+            replicas.push(self);
             return {
                 proposeCommand: command =>
                     Effect.gen(function*() {
                         yield* checkLeader;
+                        if (isTransferring) {
+                            return yield* Effect.fail<ErrorData>({ kind: "notLeader", leader: undefined });
+                        }
                         const proposedIn = term;
                         yield* Effect.sleep(commitMs);
                         if (term !== proposedIn) {
@@ -66,16 +81,32 @@
                         listeners.delete(notify);
                     };
                 },
-                transferLeadership: Effect.void,
+                transferLeadership: Effect.gen(function*() {
+                    yield* checkLeader;
+                    const target = replicas.find(replica => replica !== self);
+                    if (target === undefined) {
+                        return yield* Effect.fail<ErrorData>({
+                            kind: "notFound",
+                            object: "other voting member",
+                            id: self,
+                        });
+                    }
+                    const startedIn = term;
+                    isTransferring = true;
+                    yield* Effect.ensuring(
+                        Effect.sleep(transferMs),
+                        Effect.sync(() => {
+                            isTransferring = false;
+                        }),
+                    );
+                    if (term === startedIn) {
+                        setLeader(target);
+                    }
+                }),
                 changeMembers: () => Effect.void,
             };
         },
-        setLeader: next => {
-            deposed = undefined;
-            leader = next;
-            term += 1;
-            listeners.forEach(notify => notify());
-        },
+        setLeader,
         setLeaderUnnoticed: next => {
             deposed = leader;
             leader = next;
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -6,7 +6,6 @@
     type JobRequest,
     readMonotonicMs,
     readWallMs,
-    type ReplicaStatus,
     type WorkerId,
 } from "@chestnutspool/types";
 import { Effect, FiberMap, Queue } from "effect";
@@ -18,9 +17,10 @@
 import { runPacing } from "./run-pacing.js";
 import { runPlanner } from "./run-planner.js";
 import { createSteadyClock } from "./steady-clock.js";
+import { runStepDown } from "./step-down.js";
 import { superviseLoop } from "./supervise-loop.js";
 import { createTermLoad } from "./term-load.js";
-import { canSendOrders, type LeaderDependencies, type Term } from "./term.js";
+import { canSendOrders, isLeaderOfTerm, type LeaderDependencies, type Term } from "./term.js";
 
 /** Pause before a failed opening of a term is retried, and between the checks of a waiting request, in milliseconds. */
 const openPauseMs = 20;
@@ -102,9 +102,6 @@
     const stopWatching = dependencies.log.watchStatus(() => Queue.offerUnsafe(statusChanges, undefined));
     yield* Effect.addFinalizer(() => Effect.sync(stopWatching));
 
-    const isLeaderOfTerm = (status: ReplicaStatus, number: number): boolean =>
-        status.role === "leader" && status.term === number;
-
     const awaitEnd = Effect.fnUntraced(function*(number: number) {
         while (isLeaderOfTerm(dependencies.log.readStatus(), number)) {
             yield* Queue.take(statusChanges);
@@ -121,6 +118,7 @@
             yield* Effect.forkScoped(superviseLoop(term, "pacing", context, runPacing(term)));
             yield* Effect.forkScoped(superviseLoop(term, "disturbances", context, runDisturbanceRecording(term)));
             yield* Effect.forkScoped(superviseLoop(term, "loadReport", context, runLoadReport(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "stepDown", context, runStepDown(term)));
             // An exception here must not open the term again, because its orders may still be under way.
             yield* superviseLoop(dependencies, "term", context, awaitEnd(number));
             dependencies.logger.info("term closed", { term: number });
--- a/packages/lead-jobs/src/supervise-loop.ts
+++ b/packages/lead-jobs/src/supervise-loop.ts
@@ -15,6 +15,7 @@
     | "planner"
     | "session"
     | "sessions"
+    | "stepDown"
     | "stop"
     | "term";
 
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -10,6 +10,7 @@
     type JobResult,
     readMonotonicMs,
     type RenewAnswer,
+    type ReplicaStatus,
     type ReplicatedLog,
     type WorkerId,
     type WorkerInfo,
@@ -104,6 +105,11 @@
     return !term.isFenced && term.log.isLeading(nowMs) && term.log.readStatus().term === term.number;
 }
 
+/** Whether a replica with this status leads the term. */
+export function isLeaderOfTerm(status: ReplicaStatus, number: number): boolean {
+    return status.role === "leader" && status.term === number;
+}
+
 /** Wakes the planner for another pass. */
 export function wakePlanner(term: Term): void {
     Queue.offerUnsafe(term.plannerWakeups, undefined);
