--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -11,11 +11,13 @@
 import { type ErrorData, readMonotonicMs, type RunStart, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { adaptRatings } from "./adapt-ratings.js";
+import { addRecordedRuns } from "./add-recorded-runs.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
-import { requestStop, sendStart } from "./send-orders.js";
+import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
+import { superviseOrder } from "./supervise-loop.js";
 import { recordPass } from "./term-load.js";
 import { canSendOrders, logStepError, propose, type Term, type WorkerSession } from "./term.js";
 
@@ -78,7 +80,14 @@
         if (!isCurrent) {
             continue;
         }
-        yield* Effect.forkIn(sendStart(term, session, run, status, undefined), term.scope);
+        const order = superviseOrder(
+            term,
+            "start",
+            { term: term.number, worker: session.info.id, task: formatTaskKey(status.key) },
+            sendStart(term, session, run, status, undefined),
+            recordLostStart(status),
+        );
+        yield* Effect.forkIn(order, term.scope);
         startsInTurn += 1;
         if (startsInTurn === startsPerTurn) {
             startsInTurn = 0;
@@ -230,6 +239,9 @@
  */
 export const runPlanner = Effect.fnUntraced(function*(term: Term) {
     const planner = createPlannerState();
+    // An exception after a commit leaves recorded runs whose orders were not sent: starts without an answer.
+    const startedMs = yield* readMonotonicMs;
+    term.sessions.forEach(session => addRecordedRuns(term, session, "unanswered", startedMs));
     while (canSendOrders(term, yield* readMonotonicMs)) {
         const tookMs = yield* Effect.catch(
             runPass(term, planner),
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -6,7 +6,6 @@
     type JobRequest,
     readMonotonicMs,
     readWallMs,
-    type ReplicaStatus,
     type WorkerId,
 } from "@chestnutspool/types";
 import { Effect, FiberMap, Queue } from "effect";
@@ -18,8 +17,10 @@
 import { runPacing } from "./run-pacing.js";
 import { runPlanner } from "./run-planner.js";
 import { createSteadyClock } from "./steady-clock.js";
+import { runStepDown } from "./step-down.js";
+import { superviseLoop } from "./supervise-loop.js";
 import { createTermLoad } from "./term-load.js";
-import { canSendOrders, type LeaderDependencies, type Term } from "./term.js";
+import { canSendOrders, isLeaderOfTerm, type LeaderDependencies, type Term } from "./term.js";
 
 /** Pause before a failed opening of a term is retried, and between the checks of a waiting request, in milliseconds. */
 const openPauseMs = 20;
@@ -101,21 +102,25 @@
     const stopWatching = dependencies.log.watchStatus(() => Queue.offerUnsafe(statusChanges, undefined));
     yield* Effect.addFinalizer(() => Effect.sync(stopWatching));
 
-    const isLeaderOfTerm = (status: ReplicaStatus, number: number): boolean =>
-        status.role === "leader" && status.term === number;
+    const awaitEnd = Effect.fnUntraced(function*(number: number) {
+        while (isLeaderOfTerm(dependencies.log.readStatus(), number)) {
+            yield* Queue.take(statusChanges);
+        }
+    });
 
     const leadTerm = (number: number) =>
         Effect.scoped(Effect.gen(function*() {
             const term = yield* openTerm(dependencies, number);
             current.term = term;
-            yield* Effect.forkScoped(openSessions(term));
-            yield* Effect.forkScoped(runPlanner(term));
-            yield* Effect.forkScoped(runPacing(term));
-            yield* Effect.forkScoped(runDisturbanceRecording(term));
-            yield* Effect.forkScoped(runLoadReport(term));
-            while (isLeaderOfTerm(dependencies.log.readStatus(), number)) {
-                yield* Queue.take(statusChanges);
-            }
+            const context = { term: number };
+            yield* Effect.forkScoped(superviseLoop(term, "sessions", context, openSessions(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "planner", context, runPlanner(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "pacing", context, runPacing(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "disturbances", context, runDisturbanceRecording(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "loadReport", context, runLoadReport(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "stepDown", context, runStepDown(term)));
+            // An exception here must not open the term again, because its orders may still be under way.
+            yield* superviseLoop(dependencies, "term", context, awaitEnd(number));
             dependencies.logger.info("term closed", { term: number });
         })).pipe(
             Effect.ensuring(Effect.sync(() => {
@@ -134,7 +139,7 @@
             ),
         );
 
-    yield* Effect.forkScoped(Effect.forever(Effect.gen(function*() {
+    const leadTerms = Effect.forever(Effect.gen(function*() {
         const status = dependencies.log.readStatus();
         if (status.role === "leader") {
             yield* leadTerm(status.term);
@@ -142,7 +147,8 @@
         else {
             yield* Queue.take(statusChanges);
         }
-    })));
+    }));
+    yield* Effect.forkScoped(superviseLoop(dependencies, "leadership", { term: undefined }, leadTerms));
 
     const handleRequest = Effect.fnUntraced(function*(request: JobRequest) {
         const startedMs = yield* readMonotonicMs;
--- /dev/null
+++ b/packages/lead-jobs/src/supervise-loop.ts
@@ -0,0 +1,83 @@
+import { Cause, Effect } from "effect";
+import type { LeaderDependencies } from "./term.js";
+
+/** Pause before a loop that failed is started again, in milliseconds. */
+const restartPauseMs = 200;
+/** Longest description of an exception in a log line, in characters. */
+const maxDetailLength = 600;
+
+/** Loops of the leader. */
+export type LoopName =
+    | "disturbances"
+    | "leadership"
+    | "loadReport"
+    | "pacing"
+    | "planner"
+    | "session"
+    | "sessions"
+    | "stepDown"
+    | "stop"
+    | "term";
+
+/** Orders that no loop repeats. */
+export type OrderName = "pace" | "renewal" | "start" | "stop";
+
+/** What the log lines about a failure name; the loop over all terms names none. */
+export interface FailureContext {
+    readonly term: number | undefined;
+    readonly worker?: string;
+    readonly task?: string;
+}
+
+/** Where failures are reported. */
+export type FailureReporter = Pick<LeaderDependencies, "logger" | "metrics">;
+
+function describeCause(cause: Cause.Cause<unknown>): string {
+    return Cause.pretty(cause).replaceAll(/\s+/g, " ").slice(0, maxDetailLength);
+}
+
+/**
+ * Runs a loop and starts it again after each unexpected exception, because nothing else would for the rest of the term.
+ * `resume` runs instead of `loop` after an exception. An interruption of the fiber ends both without a line.
+ */
+export function superviseLoop<Requirements>(
+    { logger, metrics }: FailureReporter,
+    name: LoopName,
+    context: FailureContext,
+    loop: Effect.Effect<void, never, Requirements>,
+    resume: Effect.Effect<void, never, Requirements> = loop,
+): Effect.Effect<void, never, Requirements> {
+    const recordFailure = (cause: Cause.Cause<unknown>) =>
+        Effect.sync(() => {
+            metrics.countEvent("loops.failed", "", name);
+            logger.error("loop failed; it is started again", { loop: name, ...context, detail: describeCause(cause) });
+        });
+    return Effect.catchCause(
+        loop,
+        cause =>
+            recordFailure(cause).pipe(
+                // An exception while the line is written must not end the loop either.
+                Effect.ignoreCause,
+                Effect.andThen(Effect.sleep(restartPauseMs)),
+                Effect.andThen(Effect.suspend(() => superviseLoop({ logger, metrics }, name, context, resume))),
+            ),
+    );
+}
+
+/** Runs an order; an unexpected exception is logged, and `recover` applies it like the answer of a lost order. */
+export function superviseOrder<Requirements>(
+    { logger, metrics }: FailureReporter,
+    name: OrderName,
+    context: FailureContext,
+    order: Effect.Effect<void, never, Requirements>,
+    recover: Effect.Effect<void> = Effect.void,
+): Effect.Effect<void, never, Requirements> {
+    return Effect.catchCause(order, cause =>
+        Effect.andThen(
+            recover,
+            Effect.sync(() => {
+                metrics.countEvent("orders.failed", "", name);
+                logger.error("order failed", { order: name, ...context, detail: describeCause(cause) });
+            }),
+        ));
+}
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,10 +1,9 @@
-import { formatRunKey, type WorkerState } from "@chestnutspool/job-state";
+import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
 import {
     applyReport,
     computeLeaseEndMs,
-    createRunStatus,
     createWorkerHealth,
     recordClock,
     renewLease,
@@ -12,9 +11,11 @@
 } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
 import { Effect, Option, Queue } from "effect";
+import { addRecordedRuns } from "./add-recorded-runs.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
+import { superviseOrder } from "./supervise-loop.js";
 import {
     canSendOrders,
     logStepError,
@@ -71,17 +72,7 @@
         usage: createUsageHistory(),
         health: createWorkerHealth(),
     };
-    for (const [key, run] of term.machine.state.workers.get(info.id)?.runs ?? []) {
-        const { job, occurrence, step, task } = run;
-        const runKey = {
-            job: job.id,
-            occurrence: occurrence.number,
-            step: step.position,
-            position: task.position,
-            run: run.run,
-        };
-        session.runStatuses.set(key, createRunStatus(runKey, "excluded", nowMs));
-    }
+    addRecordedRuns(term, session, "excluded", nowMs);
     return session;
 });
 
@@ -146,7 +137,9 @@
     yield* recordEnds(term, session, outcome);
     session.isReconciled ||= answer.isComplete;
     for (const orphan of outcome.orphanedRuns) {
-        yield* Effect.forkIn(sendStop(term, session, orphan), term.scope);
+        // The next report that lists the run repeats a stop that failed.
+        const context = { term: term.number, worker: session.info.id, task: formatTaskKey(orphan) };
+        yield* Effect.forkIn(superviseOrder(term, "stop", context, sendStop(term, session, orphan)), term.scope);
     }
     if (!wasUsable) {
         wakePlanner(term);
@@ -253,16 +246,15 @@
  */
 const renewSilentWorker = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     const renewal = sendRenewal(term, session, 0, term.limits.longestLeaseMs * slowAnswerShare);
-    yield* Effect.forkIn(
-        Effect.map(renewal, renewed => {
-            const isFailure = renewed.answer.kind === "unknown" || renewed.answer.kind === "notSent";
-            const isLatest = renewed.sentAtMs === session.renewalSentAtMs;
-            if (!session.isResponsive && (isLatest || !isFailure)) {
-                Queue.offerUnsafe(session.lateAnswers, renewed);
-            }
-        }),
-        term.scope,
-    );
+    const order = Effect.map(renewal, renewed => {
+        const isFailure = renewed.answer.kind === "unknown" || renewed.answer.kind === "notSent";
+        const isLatest = renewed.sentAtMs === session.renewalSentAtMs;
+        if (!session.isResponsive && (isLatest || !isFailure)) {
+            Queue.offerUnsafe(session.lateAnswers, renewed);
+        }
+    });
+    const context = { term: term.number, worker: session.info.id };
+    yield* Effect.forkIn(superviseOrder(term, "renewal", context, order), term.scope);
     const answered = yield* Effect.timeoutOption(Queue.take(session.lateAnswers), renewGraceMs);
     return Option.getOrElse(answered, (): RenewalAnswer => ({
         answer: { kind: "unknown", detail: `no answer within ${renewGraceMs} ms` },
@@ -315,3 +307,18 @@
         }
     }
 });
+
+/**
+ * Continues a session after an exception. The worker counts as silent until its next report is applied, so that its runs
+ * end with its lease if none of its reports can be.
+ */
+export const resumeSession = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    const answer: RenewAnswer = { kind: "unknown", detail: "the last report was not applied" };
+    const isKept = yield* Effect.catch(
+        applyRenewFailure(term, session, answer),
+        (error: ErrorData) => Effect.as(logStepError(term.logger, `worker ${session.info.id}`, error), true),
+    );
+    if (isKept) {
+        yield* runSession(term, session);
+    }
+});
