Admit a process again that was removed while it was cut off

Callers would see the control role stop for good after some such cases: each process that was cut off, frozen or down for more than 6 s while another one joined, for example one whose disk was lost, no longer counted for any majority, although it ran with its data.

Cause: the leader removes a silent member when another process joins. The removed process still finds its vote in its own log, so its role is 'candidate' and not 'learner', and a process asked to be admitted as 'learner' only. Nobody sends it anything, and its pre-votes are refused. Class of fault: a passing fault becomes permanent, because the way back needs an event that nobody triggers.

Change: a process asks to be admitted whenever it hears no leader, too. The leader does nothing if it is a voter, else it is admitted as a learner with its data and identity. Safe, because the list without it is in the logs of a majority of the voters, so that no majority of its own list elects it.

The tests run directories on replicas with memory disks and the memory network; replicated-log exports its fakes for that.

--- a/packages/join-cluster/src/serve-directory.ts
+++ b/packages/join-cluster/src/serve-directory.ts
@@ -87,7 +87,24 @@
     waiting.delete(request.member.id);
 }));
 
-/** Sends join requests to the leader while this process has no vote under its current replica identity; never ends. */
+/**
+ * Whether this process asks to be admitted. A process that was removed while it was cut off still finds its vote in its own
+ * log and hears no leader, because nobody sends anything to it; the leader knows whether it is a member.
+ */
+function needsAdmission(status: ReplicaStatus): boolean {
+    switch (status.role) {
+        case "learner":
+            return true;
+        case "candidate":
+        case "follower":
+            return status.leader === undefined;
+        case "leader":
+        case "stopped":
+            return false;
+    }
+}
+
+/** Sends join requests to the leader while this process has no vote there or hears no leader; never ends. */
 const keepJoining = Effect.fnUntraced(function*<Command, Result>(
     dependencies: DirectoryDependencies<Command, Result>,
     view: ControlView,
@@ -96,7 +113,7 @@
     const { link, log, logger } = dependencies;
     while (true) {
         const status = log.readStatus();
-        if (status.role === "learner") {
+        if (needsAdmission(status)) {
             recordDirectoryReply(view, link, { leader: undefined, members: listMembers(status) });
             const leader = yield* locateLeader(view, link, channel);
             if (leader !== undefined && leader.id !== link.self) {
--- a/packages/replicated-log/src/fakes/test-cluster.ts
+++ b/packages/replicated-log/src/fakes/test-cluster.ts
@@ -1,6 +1,14 @@
 import { type Logger, silentLogger } from "@chestnutspool/logger";
 import { createMemoryNetwork, type MemoryNetwork } from "@chestnutspool/peer-link";
-import type { ControlPeer, ErrorData, LogSection, PeerId, ReplicatedLog, StateMachine } from "@chestnutspool/types";
+import type {
+    ControlPeer,
+    ErrorData,
+    LogSection,
+    PeerId,
+    PeerLink,
+    ReplicatedLog,
+    StateMachine,
+} from "@chestnutspool/types";
 import { Effect, Exit, Fiber, Scope } from "effect";
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
@@ -56,6 +64,12 @@
     readonly findLeader: () => TestReplica | undefined;
 }
 
+/** Starts what runs beside the log in the process of a replica; it ends with the scope, like the replica. */
+export type StartServices = (
+    link: PeerLink,
+    log: ReplicatedLog<string, number>,
+) => Effect.Effect<unknown, ErrorData, Scope.Scope>;
+
 /** Names of the replicas of a test cluster. */
 export const replicaNames = ["a", "b", "c", "d", "e"] as const;
 
@@ -65,6 +79,7 @@
     seed: number,
     section: LogSection = testLogSection,
     logger: Logger = silentLogger,
+    startServices: StartServices = () => Effect.void,
 ) {
     const network = yield* createMemoryNetwork;
     const names: readonly PeerId[] = replicaNames.slice(0, size);
@@ -93,7 +108,9 @@
         const open = Effect.gen(function*() {
             const link = yield* network.createLink(id, logger);
             const options = { self: id, initialMembers, log: section, seed: seed + starts };
-            return yield* openReplicatedLog(options, { link, disk: replica.memoryDisk.disk, logger }, machine);
+            const log = yield* openReplicatedLog(options, { link, disk: replica.memoryDisk.disk, logger }, machine);
+            yield* startServices(link, log);
+            return log;
         });
         const exit = yield* Effect.exit(Scope.provide(open, scope));
         if (Exit.isFailure(exit)) {
