Admit processes without waiting for a learner that does not catch up

Callers would see the control role stop for good when disks are lost one at a time: a process whose disk was lost had no vote again for up to 60 s after it was back, so that the loss of further disks, each 4 s after the former process was back, took the majority.

Cause: the directory admitted one process at a time and waited up to 60 s for its promotion, and the log refused other changes during that wait. A learner that was gone, cut off or had lost its disk again held up everyone, itself under its new identity included.

Change: the log waits for the learner before the change begins, so that other changes can be made meanwhile, and ends the wait when the learner is removed or replaced. The directory makes removals and additions one after the other and promotes beside them. The change itself is still alone and is planned on the list in effect when it begins.

Evidence: these failed and pass: 'a process with an empty disk gets its vote although another one that joins does not catch up' (process c had no vote after 4 s), 'a learner that loses its disk again is replaced at once' (b had no vote after 4 s), and 'other members are changed while a learner catches up ...' (membershipChangeInProgress).

--- a/packages/join-cluster/src/membership.test.ts
+++ b/packages/join-cluster/src/membership.test.ts
@@ -3,7 +3,14 @@
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { listVoterIds, replaceDisk, setIsolated, startDirectoryCluster } from "./fakes/directory-cluster.js";
+import {
+    listLeaderMembers,
+    listVoterIds,
+    loseDisk,
+    replaceDisk,
+    setIsolated,
+    startDirectoryCluster,
+} from "./fakes/directory-cluster.js";
 import { replaceAfterNoContactMs } from "./plan-member-change.js";
 
 const everyone = ["a", "b", "c", "d", "e"];
@@ -47,3 +54,40 @@
         yield* TestClock.adjust(rejoinLimitMs);
         assert.deepEqual(listVoterIds(cluster), everyone);
     })));
+
+// Guards against a majority that is lost by disks lost one at a time, each after the former process has had 4 s, because
+// one admission waits for another.
+void test("a process with an empty disk gets its vote although another one that joins does not catch up", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startDirectoryCluster(5);
+        const { leader, followers } = splitRoles(cluster);
+        const [slow, emptied] = followers as [TestReplica, TestReplica];
+        yield* proposeAll(leader, ["one"]);
+        yield* loseDisk(cluster, slow);
+        yield* cluster.startReplica(slow.id);
+        // Its requests arrive at the leader, and nothing of the leader arrives at it.
+        cluster.network.setCut(leader.id, slow.id, true);
+        yield* TestClock.adjust(1_500);
+        yield* replaceDisk(cluster, emptied);
+        yield* TestClock.adjust(rejoinLimitMs);
+        assert.equal(listVoterIds(cluster).includes(emptied.id), true, JSON.stringify(listLeaderMembers(cluster)));
+    })));
+
+// Guards against a wait for the identity of a lost disk that holds up the admission of the same process.
+void test("a learner that loses its disk again is replaced at once", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startDirectoryCluster(5);
+        const { leader, followers } = splitRoles(cluster);
+        const emptied = followers[0] as TestReplica;
+        yield* proposeAll(leader, ["one"]);
+        yield* loseDisk(cluster, emptied);
+        yield* cluster.startReplica(emptied.id);
+        emptied.memoryDisk.setSyncDelay(60_000);
+        yield* TestClock.adjust(1_500);
+        const learner = listLeaderMembers(cluster).find(({ id }) => id === emptied.id);
+        assert.equal(learner?.votes, false, "the learner was admitted too early for this test");
+        emptied.memoryDisk.setSyncDelay(0);
+        yield* replaceDisk(cluster, emptied);
+        yield* TestClock.adjust(rejoinLimitMs);
+        assert.deepEqual(listVoterIds(cluster), everyone);
+    })));
--- a/packages/join-cluster/src/serve-directory.ts
+++ b/packages/join-cluster/src/serve-directory.ts
@@ -6,12 +6,13 @@
     type DirectoryReply,
     type DirectoryRequest,
     type ErrorData,
+    type MemberChange,
     type PeerLink,
     readMonotonicMs,
     type ReplicaStatus,
     type ReplicatedLog,
 } from "@chestnutspool/types";
-import { Effect, Queue } from "effect";
+import { Effect, FiberMap, Queue } from "effect";
 import { type ControlView, createControlView, locateLeader, recordDirectoryReply } from "./locate-leader.js";
 import { type JoinRequest, planMemberChange } from "./plan-member-change.js";
 
@@ -49,12 +50,48 @@
         : status.members.map(({ id, address }) => ({ id, address }));
 }
 
-/** Carries out the membership changes for one process that asks to join. */
+/** Makes one change for a process that joins, and logs it. */
+const changeMembersFor = Effect.fnUntraced(function*<Command, Result>(
+    { log, logger }: DirectoryDependencies<Command, Result>,
+    request: JoinRequest,
+    change: MemberChange,
+) {
+    yield* log.changeMembers(change);
+    logger.info("member list changed", { change: change.kind, member: change.id, for: request.member.id });
+});
+
+/** Logs that a process was not admitted; it asks again. */
+function logRejection<Command, Result, Failed>(
+    dependencies: DirectoryDependencies<Command, Result>,
+    request: JoinRequest,
+    admission: Effect.Effect<void, ErrorData, Failed>,
+): Effect.Effect<void, never, Failed> {
+    return Effect.catch(
+        admission,
+        (error: ErrorData) =>
+            Effect.sync(() =>
+                dependencies.logger.warn("member was not admitted", {
+                    member: request.member.id,
+                    identity: request.replicaIdentity,
+                    detail: describeError(error),
+                })
+            ),
+    );
+}
+
+/** Promotions in progress, by id and identity of the learner. */
+type Promotions = FiberMap.FiberMap<string>;
+
+/**
+ * Carries out the membership changes for one process that asks to join. Does not wait for the promotion, because a learner
+ * that is gone or slow must not hold up other processes, nor itself after it lost its disk again.
+ */
 const admitMember = Effect.fnUntraced(function*<Command, Result>(
     dependencies: DirectoryDependencies<Command, Result>,
+    promotions: Promotions,
     request: JoinRequest,
 ) {
-    const { log, logger } = dependencies;
+    const { log } = dependencies;
     for (let step = 0; step < maxChangesPerJoin; step += 1) {
         const status = log.readStatus();
         const nowMs = yield* readMonotonicMs;
@@ -62,28 +99,25 @@
         if (status.role !== "leader" || change === undefined) {
             return;
         }
-        yield* log.changeMembers(change);
-        logger.info("member list changed", { change: change.kind, member: change.id, for: request.member.id });
+        if (change.kind === "promoteLearner") {
+            const promotion = logRejection(dependencies, request, changeMembersFor(dependencies, request, change));
+            const key = `${change.id} ${request.replicaIdentity}`;
+            yield* FiberMap.run(promotions, key, promotion, { onlyIfMissing: true });
+            return;
+        }
+        yield* changeMembersFor(dependencies, request, change);
     }
 });
 
-/** Admits joining processes one at a time; `handleCall` drops requests of processes that are already waiting. */
+/** Admits joining processes; `handleCall` drops requests of processes that are already waiting. */
 const runAdmissions = <Command, Result>(
     dependencies: DirectoryDependencies<Command, Result>,
     requests: Queue.Dequeue<JoinRequest>,
     waiting: Set<string>,
+    promotions: Promotions,
 ) => Effect.forever(Effect.gen(function*() {
     const request = yield* Queue.take(requests);
-    yield* admitMember(dependencies, request).pipe(
-        Effect.catch((error: ErrorData) =>
-            Effect.sync(() =>
-                dependencies.logger.warn("member was not admitted", {
-                    member: request.member.id,
-                    detail: describeError(error),
-                })
-            )
-        ),
-    );
+    yield* logRejection(dependencies, request, admitMember(dependencies, promotions, request));
     waiting.delete(request.member.id);
 }));
 
@@ -140,6 +174,7 @@
         const { link, log, seeds } = dependencies;
         const requests = yield* Queue.unbounded<JoinRequest>();
         const waiting = new Set<string>();
+        const promotions: Promotions = yield* FiberMap.make<string>();
         const readReply = (): DirectoryReply => ({
             leader: findLeader(log.readStatus()),
             members: listMembers(log.readStatus()),
@@ -159,7 +194,7 @@
                     return readReply();
                 }),
         });
-        yield* Effect.forkScoped(runAdmissions(dependencies, requests, waiting));
+        yield* Effect.forkScoped(runAdmissions(dependencies, requests, waiting, promotions));
         yield* Effect.forkScoped(keepJoining(dependencies, createControlView(seeds), channel));
         const directory: Directory = {
             findLeader: () => findLeader(log.readStatus()),
--- a/packages/replicated-log/src/members.ts
+++ b/packages/replicated-log/src/members.ts
@@ -47,17 +47,28 @@
     return Right(remaining);
 }
 
+function findIdentity(replica: Replica, id: PeerId): string | undefined {
+    return listMembers(replica).find(member => member.id === id)?.replicaIdentity;
+}
+
+/** The error of a change that waits for a learner, once this replica no longer leads or the learner is no longer a member. */
+function findWaitError(replica: Replica, id: PeerId, identity: string, nowMs: number): ErrorData | undefined {
+    return findLeaderError(replica, nowMs)
+        ?? (findIdentity(replica, id) === identity ? undefined : { kind: "notFound", object: "learner", id });
+}
+
 /**
- * Waits until a round of replication to the learner takes less than the shortest election timeout. A round ends when the
- * learner has synced the entries that were in the log at its start.
+ * Waits until a round of replication to the learner takes less than the shortest election timeout and no other change is
+ * in progress. A round ends when the learner has synced the entries that were in the log at its start. Fails when the
+ * learner is removed or replaced.
  */
-const awaitCaughtUp = Effect.fnUntraced(function*(replica: Replica, id: PeerId) {
+const awaitCaughtUp = Effect.fnUntraced(function*(replica: Replica, id: PeerId, identity: string) {
     while (true) {
         const startMs = yield* readMonotonicMs;
         const target = replica.window.lastIndex();
-        while ((replica.peers.get(id)?.matchIndex ?? 0) < target) {
+        while ((replica.peers.get(id)?.matchIndex ?? 0) < target || isChangeInProgress(replica)) {
             yield* Effect.sleep(progressPollMs);
-            const error = findLeaderError(replica, yield* readMonotonicMs);
+            const error = findWaitError(replica, id, identity, yield* readMonotonicMs);
             if (error !== undefined) {
                 return yield* Effect.fail(error);
             }
@@ -83,39 +94,66 @@
     yield* Deferred.await(done);
 });
 
+function isChangeInProgress(replica: Replica): boolean {
+    return replica.changingMember !== undefined || replica.window.membersIndex() > replica.commitIndex;
+}
+
+/** Waits for a learner that is to be promoted. Other changes may be made meanwhile, because the learner may be gone. */
+const awaitLearner = Effect.fnUntraced(function*(replica: Replica, id: PeerId) {
+    const { term } = replica;
+    const known = listMembers(replica).find(member => member.id === id);
+    if (known === undefined || known.votes) {
+        return;
+    }
+    yield* Effect.timeoutOrElse(awaitCaughtUp(replica, id, known.replicaIdentity), {
+        duration: catchUpLimitMs,
+        orElse: () =>
+            Effect.fail<ErrorData>({
+                kind: "timeout",
+                operation: `catching up of learner ${id}`,
+                limitMs: catchUpLimitMs,
+            }),
+    });
+    const error = replica.term === term
+        ? findWaitError(replica, id, known.replicaIdentity, yield* readMonotonicMs)
+        : { kind: "notLeader" as const, leader: replica.leader };
+    if (error !== undefined) {
+        return yield* Effect.fail(error);
+    }
+});
+
 const runChange = Effect.fnUntraced(function*(replica: Replica, change: MemberChange) {
     const { term } = replica;
     const current = listMembers(replica);
     const planned = yield* convertEither(planMembers(current, change));
-    if (planned === current) {
-        return;
+    if (planned !== current) {
+        yield* appendMembers(replica, planned, term);
     }
-    if (change.kind === "promoteLearner") {
-        yield* Effect.timeoutOrElse(awaitCaughtUp(replica, change.id), {
-            duration: catchUpLimitMs,
-            orElse: () =>
-                Effect.fail<ErrorData>({
-                    kind: "timeout",
-                    operation: `catching up of learner ${change.id}`,
-                    limitMs: catchUpLimitMs,
-                }),
-        });
-    }
-    yield* appendMembers(replica, planned, term);
 });
 
+/** The error of a change that cannot begin now; undefined when it can. */
+function findChangeError(replica: Replica, change: MemberChange): ErrorData | undefined {
+    if (replica.role !== "leader" || replica.commitIndex < replica.termStartIndex) {
+        return { kind: "notLeader", leader: replica.leader };
+    }
+    return isChangeInProgress(replica)
+        ? { kind: "membershipChangeInProgress", member: replica.changingMember ?? change.id }
+        : undefined;
+}
+
 /**
  * Changes one member and waits until the new list is committed. The caller has confirmed the leadership, so an entry of
  * the current term is committed. Otherwise two member lists of different terms could have majorities that do not
  * overlap.
  */
 export const changeMembers = Effect.fnUntraced(function*(replica: Replica, change: MemberChange) {
-    if (replica.role !== "leader" || replica.commitIndex < replica.termStartIndex) {
-        return yield* Effect.fail<ErrorData>({ kind: "notLeader", leader: replica.leader });
+    let error = findChangeError(replica, change);
+    if (error === undefined && change.kind === "promoteLearner") {
+        yield* awaitLearner(replica, change.id);
+        error = findChangeError(replica, change);
     }
-    if (replica.changingMember !== undefined || replica.window.membersIndex() > replica.commitIndex) {
-        const member = replica.changingMember ?? change.id;
-        return yield* Effect.fail<ErrorData>({ kind: "membershipChangeInProgress", member });
+    if (error !== undefined) {
+        return yield* Effect.fail(error);
     }
     replica.changingMember = change.id;
     yield* Effect.ensuring(
--- a/packages/replicated-log/src/replicated-log.test.ts
+++ b/packages/replicated-log/src/replicated-log.test.ts
@@ -1,5 +1,5 @@
 import type { ErrorData, MemberChange } from "@chestnutspool/types";
-import { Clock, Effect, Exit } from "effect";
+import { Clock, Effect, Exit, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -235,3 +235,28 @@
         assert.equal(promotion.pollUnsafe(), undefined);
         assert.equal(getLog(leader).readStatus().members.find(member => member.id === "d")?.votes, false);
     })));
+
+// Guards against a learner that is gone and holds up the replacement of other replicas, or its own, for a minute.
+void test("other members are changed while a learner catches up, and its promotion ends when it is replaced", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const { leader } = splitRoles(cluster);
+        const gone = cluster.addReplica("d");
+        yield* cluster.startReplica("d");
+        const [addition, promotion] = planMemberAddition(gone) as [MemberChange, MemberChange];
+        yield* applyMemberChanges(cluster, [addition]);
+        yield* cluster.crashReplica("d", 0);
+        yield* proposeAll(leader, ["one"]);
+        const waiting = yield* Effect.forkChild(Effect.exit(getLog(leader).changeMembers(promotion)));
+        yield* TestClock.adjust(1_000);
+        const added = cluster.addReplica("e");
+        yield* cluster.startReplica("e");
+        yield* applyMemberChanges(cluster, planMemberAddition(added));
+        assert.equal(waiting.pollUnsafe(), undefined);
+        gone.memoryDisk.removeAll();
+        yield* cluster.startReplica("d");
+        yield* applyMemberChanges(cluster, [{ kind: "removeMember", id: "d" }, ...planMemberAddition(gone)]);
+        assert.equal(getError(yield* Fiber.join(waiting)).kind, "notFound");
+        const voters = getLog(leader).readStatus().members.filter(({ votes }) => votes).map(({ id }) => id);
+        assert.deepEqual(voters, ["a", "b", "c", "e", "d"]);
+    })));
