Remove a silent member after its successor has a vote, not before

Callers would see the control role of three processes stop for good: one is cut off, a new one joins, and another loses its disk before the new one has caught up. They would also see a list whose majority stays too large, when a replaced host fell silent only after its successor had joined.

Cause: a member that was silent for 6 s was removed when another process asked to join, before that one was added. Of three voters two were left, and the loss of one of their disks cannot be repaired, also not when the silent one returns with its data. And the removal needed a process that asks to join at the right time. Class of fault: the way back needs an event that nobody triggers.

Change: the leader looks for silent members every second. A silent voter is removed only from an even number of voters, which the successor has made even. The leader has a majority of that number, which is one vote more than the smaller list needs, so that another lost disk does not stop the cluster. A silent member without a vote is removed from any list.

--- a/packages/join-cluster/src/serve-directory.ts
+++ b/packages/join-cluster/src/serve-directory.ts
@@ -14,14 +14,16 @@
 } from "@chestnutspool/types";
 import { Effect, FiberMap, Queue } from "effect";
 import { type ControlView, createControlView, locateLeader, recordDirectoryReply } from "./locate-leader.js";
-import { type JoinRequest, planMemberChange } from "./plan-member-change.js";
+import { type JoinRequest, planMemberChange, planSilentRemoval } from "./plan-member-change.js";
 
 /** Pause between two join requests, in milliseconds. */
 const joinPauseMs = 400;
 /** Timeout of a join request, in milliseconds; the leader answers before the member list has changed. */
 const joinTimeoutMs = 500;
-/** Maximum number of changes for one join: removal of an old identity and of a silent member, addition, promotion. */
-const maxChangesPerJoin = 4;
+/** Maximum number of changes for one join: removal of an old identity, addition, promotion. */
+const maxChangesPerJoin = 3;
+/** Pause between two searches for silent members, in milliseconds. */
+const removalPauseMs = 1_000;
 
 /** Dependencies of the directory of a control process. */
 export interface DirectoryDependencies<Command, Result> {
@@ -50,14 +52,19 @@
         : status.members.map(({ id, address }) => ({ id, address }));
 }
 
-/** Makes one change for a process that joins, and logs it. */
-const changeMembersFor = Effect.fnUntraced(function*<Command, Result>(
+/** What the leader does about the member list, one at a time, so that each is planned on the list in effect. */
+type MembershipTask =
+    | { readonly kind: "admit"; readonly request: JoinRequest; }
+    | { readonly kind: "removeSilent"; };
+
+/** Changes one member, and logs it with the process for which it is changed. */
+const changeMember = Effect.fnUntraced(function*<Command, Result>(
     { log, logger }: DirectoryDependencies<Command, Result>,
-    request: JoinRequest,
     change: MemberChange,
+    reason: string,
 ) {
     yield* log.changeMembers(change);
-    logger.info("member list changed", { change: change.kind, member: change.id, for: request.member.id });
+    logger.info("member list changed", { change: change.kind, member: change.id, for: reason });
 });
 
 /** Logs that a process was not admitted; it asks again. */
@@ -94,31 +101,71 @@
     const { log } = dependencies;
     for (let step = 0; step < maxChangesPerJoin; step += 1) {
         const status = log.readStatus();
-        const nowMs = yield* readMonotonicMs;
-        const change = planMemberChange(status.members, request, member => log.readTimeSinceContactMs(member, nowMs));
+        const change = planMemberChange(status.members, request);
         if (status.role !== "leader" || change === undefined) {
             return;
         }
         if (change.kind === "promoteLearner") {
-            const promotion = logRejection(dependencies, request, changeMembersFor(dependencies, request, change));
+            const promotion = logRejection(
+                dependencies,
+                request,
+                changeMember(dependencies, change, request.member.id),
+            );
             const key = `${change.id} ${request.replicaIdentity}`;
             yield* FiberMap.run(promotions, key, promotion, { onlyIfMissing: true });
             return;
         }
-        yield* changeMembersFor(dependencies, request, change);
+        yield* changeMember(dependencies, change, request.member.id);
     }
 });
 
-/** Admits joining processes; `handleCall` drops requests of processes that are already waiting. */
-const runAdmissions = <Command, Result>(
+/** Removes a member that has been silent for long. */
+const removeSilentMember = Effect.fnUntraced(function*<Command, Result>(
+    dependencies: DirectoryDependencies<Command, Result>,
+) {
+    const { log, logger } = dependencies;
+    const nowMs = yield* readMonotonicMs;
+    const change = planSilentRemoval(log.readStatus().members, member => log.readTimeSinceContactMs(member, nowMs));
+    if (change === undefined) {
+        return;
+    }
+    yield* Effect.catch(
+        changeMember(dependencies, change, "silence"),
+        (error: ErrorData) =>
+            Effect.sync(() =>
+                logger.warn("silent member was not removed", { member: change.id, detail: describeError(error) })
+            ),
+    );
+});
+
+/** Admits joining processes and removes silent members; `handleCall` drops requests of processes that are already waiting. */
+const runTasks = <Command, Result>(
     dependencies: DirectoryDependencies<Command, Result>,
-    requests: Queue.Dequeue<JoinRequest>,
+    tasks: Queue.Dequeue<MembershipTask>,
     waiting: Set<string>,
     promotions: Promotions,
 ) => Effect.forever(Effect.gen(function*() {
-    const request = yield* Queue.take(requests);
-    yield* logRejection(dependencies, request, admitMember(dependencies, promotions, request));
-    waiting.delete(request.member.id);
+    const task = yield* Queue.take(tasks);
+    switch (task.kind) {
+        case "admit":
+            yield* logRejection(dependencies, task.request, admitMember(dependencies, promotions, task.request));
+            waiting.delete(task.request.member.id);
+            break;
+        case "removeSilent":
+            yield* removeSilentMember(dependencies);
+            break;
+    }
+}));
+
+/** Requests the removal of silent members while this process leads; never ends. */
+const keepRemoving = <Command, Result>(
+    { log }: DirectoryDependencies<Command, Result>,
+    tasks: Queue.Queue<MembershipTask>,
+) => Effect.forever(Effect.gen(function*() {
+    yield* Effect.sleep(removalPauseMs);
+    if (log.readStatus().role === "leader") {
+        Queue.offerUnsafe(tasks, { kind: "removeSilent" });
+    }
 }));
 
 /**
@@ -168,11 +215,14 @@
     }
 });
 
-/** Serves the directory of a control process, and joins the log when this process is not a voting member. */
+/**
+ * Serves the directory of a control process, joins the log when this process is not a voting member, and keeps the member
+ * list while this process leads.
+ */
 export const serveDirectory = Effect.fnUntraced(
     function*<Command, Result>(dependencies: DirectoryDependencies<Command, Result>) {
         const { link, log, seeds } = dependencies;
-        const requests = yield* Queue.unbounded<JoinRequest>();
+        const tasks = yield* Queue.unbounded<MembershipTask>();
         const waiting = new Set<string>();
         const promotions: Promotions = yield* FiberMap.make<string>();
         const readReply = (): DirectoryReply => ({
@@ -186,15 +236,14 @@
                         request.kind === "join" && log.readStatus().role === "leader" && !waiting.has(request.member.id)
                     ) {
                         waiting.add(request.member.id);
-                        Queue.offerUnsafe(requests, {
-                            member: request.member,
-                            replicaIdentity: request.replicaIdentity,
-                        });
+                        const { member, replicaIdentity } = request;
+                        Queue.offerUnsafe(tasks, { kind: "admit", request: { member, replicaIdentity } });
                     }
                     return readReply();
                 }),
         });
-        yield* Effect.forkScoped(runAdmissions(dependencies, requests, waiting, promotions));
+        yield* Effect.forkScoped(runTasks(dependencies, tasks, waiting, promotions));
+        yield* Effect.forkScoped(keepRemoving(dependencies, tasks));
         yield* Effect.forkScoped(keepJoining(dependencies, createControlView(seeds), channel));
         const directory: Directory = {
             findLeader: () => findLeader(log.readStatus()),
