--- a/packages/join-cluster/src/serve-directory.ts
+++ b/packages/join-cluster/src/serve-directory.ts
@@ -6,21 +6,24 @@
     type DirectoryReply,
     type DirectoryRequest,
     type ErrorData,
+    type MemberChange,
     type PeerLink,
     readMonotonicMs,
     type ReplicaStatus,
     type ReplicatedLog,
 } from "@chestnutspool/types";
-import { Effect, Queue } from "effect";
+import { Effect, FiberMap, Queue } from "effect";
 import { type ControlView, createControlView, locateLeader, recordDirectoryReply } from "./locate-leader.js";
-import { type JoinRequest, planMemberChange } from "./plan-member-change.js";
+import { type JoinRequest, planMemberChange, planSilentRemoval } from "./plan-member-change.js";
 
 /** Pause between two join requests, in milliseconds. */
 const joinPauseMs = 400;
 /** Timeout of a join request, in milliseconds; the leader answers before the member list has changed. */
 const joinTimeoutMs = 500;
-/** Maximum number of changes for one join: removal of an old identity and of a silent member, addition, promotion. */
-const maxChangesPerJoin = 4;
+/** Maximum number of changes for one join: removal of an old identity, addition, promotion. */
+const maxChangesPerJoin = 3;
+/** Pause between two searches for silent members, in milliseconds. */
+const removalPauseMs = 1_000;
 
 /** Dependencies of the directory of a control process. */
 export interface DirectoryDependencies<Command, Result> {
@@ -49,45 +52,140 @@
         : status.members.map(({ id, address }) => ({ id, address }));
 }
 
-/** Carries out the membership changes for one process that asks to join. */
+/** What the leader does about the member list, one at a time, so that each is planned on the list in effect. */
+type MembershipTask =
+    | { readonly kind: "admit"; readonly request: JoinRequest; }
+    | { readonly kind: "removeSilent"; };
+
+/** Changes one member, and logs it with the process for which it is changed. */
+const changeMember = Effect.fnUntraced(function*<Command, Result>(
+    { log, logger }: DirectoryDependencies<Command, Result>,
+    change: MemberChange,
+    reason: string,
+) {
+    yield* log.changeMembers(change);
+    logger.info("member list changed", { change: change.kind, member: change.id, for: reason });
+});
+
+/** Logs that a process was not admitted; it asks again. */
+function logRejection<Command, Result, Failed>(
+    dependencies: DirectoryDependencies<Command, Result>,
+    request: JoinRequest,
+    admission: Effect.Effect<void, ErrorData, Failed>,
+): Effect.Effect<void, never, Failed> {
+    return Effect.catch(
+        admission,
+        (error: ErrorData) =>
+            Effect.sync(() =>
+                dependencies.logger.warn("member was not admitted", {
+                    member: request.member.id,
+                    identity: request.replicaIdentity,
+                    detail: describeError(error),
+                })
+            ),
+    );
+}
+
+/** Promotions in progress, by id and identity of the learner. */
+type Promotions = FiberMap.FiberMap<string>;
+
+/**
+ * Carries out the membership changes for one process that asks to join. Does not wait for the promotion, because a learner
+ * that is gone or slow must not hold up other processes, nor itself after it lost its disk again.
+ */
 const admitMember = Effect.fnUntraced(function*<Command, Result>(
     dependencies: DirectoryDependencies<Command, Result>,
+    promotions: Promotions,
     request: JoinRequest,
 ) {
-    const { log, logger } = dependencies;
+    const { log } = dependencies;
     for (let step = 0; step < maxChangesPerJoin; step += 1) {
         const status = log.readStatus();
-        const nowMs = yield* readMonotonicMs;
-        const change = planMemberChange(status.members, request, member => log.readTimeSinceContactMs(member, nowMs));
+        const change = planMemberChange(status.members, request);
         if (status.role !== "leader" || change === undefined) {
             return;
         }
-        yield* log.changeMembers(change);
-        logger.info("member list changed", { change: change.kind, member: change.id, for: request.member.id });
+        if (change.kind === "promoteLearner") {
+            const promotion = logRejection(
+                dependencies,
+                request,
+                changeMember(dependencies, change, request.member.id),
+            );
+            const key = `${change.id} ${request.replicaIdentity}`;
+            yield* FiberMap.run(promotions, key, promotion, { onlyIfMissing: true });
+            return;
+        }
+        yield* changeMember(dependencies, change, request.member.id);
     }
 });
 
-/** Admits joining processes one at a time; `handleCall` drops requests of processes that are already waiting. */
-const runAdmissions = <Command, Result>(
+/** Removes a member that has been silent for long. */
+const removeSilentMember = Effect.fnUntraced(function*<Command, Result>(
     dependencies: DirectoryDependencies<Command, Result>,
-    requests: Queue.Dequeue<JoinRequest>,
-    waiting: Set<string>,
-) => Effect.forever(Effect.gen(function*() {
-    const request = yield* Queue.take(requests);
-    yield* admitMember(dependencies, request).pipe(
-        Effect.catch((error: ErrorData) =>
+) {
+    const { log, logger } = dependencies;
+    const nowMs = yield* readMonotonicMs;
+    const change = planSilentRemoval(log.readStatus().members, member => log.readTimeSinceContactMs(member, nowMs));
+    if (change === undefined) {
+        return;
+    }
+    yield* Effect.catch(
+        changeMember(dependencies, change, "silence"),
+        (error: ErrorData) =>
             Effect.sync(() =>
-                dependencies.logger.warn("member was not admitted", {
-                    member: request.member.id,
-                    detail: describeError(error),
-                })
-            )
-        ),
+                logger.warn("silent member was not removed", { member: change.id, detail: describeError(error) })
+            ),
     );
-    waiting.delete(request.member.id);
+});
+
+/** Admits joining processes and removes silent members; `handleCall` drops requests of processes that are already waiting. */
+const runTasks = <Command, Result>(
+    dependencies: DirectoryDependencies<Command, Result>,
+    tasks: Queue.Dequeue<MembershipTask>,
+    waiting: Set<string>,
+    promotions: Promotions,
+) => Effect.forever(Effect.gen(function*() {
+    const task = yield* Queue.take(tasks);
+    switch (task.kind) {
+        case "admit":
+            yield* logRejection(dependencies, task.request, admitMember(dependencies, promotions, task.request));
+            waiting.delete(task.request.member.id);
+            break;
+        case "removeSilent":
+            yield* removeSilentMember(dependencies);
+            break;
+    }
+}));
+
+/** Requests the removal of silent members while this process leads; never ends. */
+const keepRemoving = <Command, Result>(
+    { log }: DirectoryDependencies<Command, Result>,
+    tasks: Queue.Queue<MembershipTask>,
+) => Effect.forever(Effect.gen(function*() {
+    yield* Effect.sleep(removalPauseMs);
+    if (log.readStatus().role === "leader") {
+        Queue.offerUnsafe(tasks, { kind: "removeSilent" });
+    }
 }));
 
-/** Sends join requests to the leader while this process has no vote under its current replica identity; never ends. */
+/**
+ * Whether this process asks to be admitted. A process that was removed while it was cut off still finds its vote in its own
+ * log and hears no leader, because nobody sends anything to it; the leader knows whether it is a member.
+ */
+function needsAdmission(status: ReplicaStatus): boolean {
+    switch (status.role) {
+        case "learner":
+            return true;
+        case "candidate":
+        case "follower":
+            return status.leader === undefined;
+        case "leader":
+        case "stopped":
+            return false;
+    }
+}
+
+/** Sends join requests to the leader while this process has no vote there or hears no leader; never ends. */
 const keepJoining = Effect.fnUntraced(function*<Command, Result>(
     dependencies: DirectoryDependencies<Command, Result>,
     view: ControlView,
@@ -96,7 +194,7 @@
     const { link, log, logger } = dependencies;
     while (true) {
         const status = log.readStatus();
-        if (status.role === "learner") {
+        if (needsAdmission(status)) {
             recordDirectoryReply(view, link, { leader: undefined, members: listMembers(status) });
             const leader = yield* locateLeader(view, link, channel);
             if (leader !== undefined && leader.id !== link.self) {
@@ -117,12 +215,16 @@
     }
 });
 
-/** Serves the directory of a control process, and joins the log when this process is not a voting member. */
+/**
+ * Serves the directory of a control process, joins the log when this process is not a voting member, and keeps the member
+ * list while this process leads.
+ */
 export const serveDirectory = Effect.fnUntraced(
     function*<Command, Result>(dependencies: DirectoryDependencies<Command, Result>) {
         const { link, log, seeds } = dependencies;
-        const requests = yield* Queue.unbounded<JoinRequest>();
+        const tasks = yield* Queue.unbounded<MembershipTask>();
         const waiting = new Set<string>();
+        const promotions: Promotions = yield* FiberMap.make<string>();
         const readReply = (): DirectoryReply => ({
             leader: findLeader(log.readStatus()),
             members: listMembers(log.readStatus()),
@@ -134,15 +236,14 @@
                         request.kind === "join" && log.readStatus().role === "leader" && !waiting.has(request.member.id)
                     ) {
                         waiting.add(request.member.id);
-                        Queue.offerUnsafe(requests, {
-                            member: request.member,
-                            replicaIdentity: request.replicaIdentity,
-                        });
+                        const { member, replicaIdentity } = request;
+                        Queue.offerUnsafe(tasks, { kind: "admit", request: { member, replicaIdentity } });
                     }
                     return readReply();
                 }),
         });
-        yield* Effect.forkScoped(runAdmissions(dependencies, requests, waiting));
+        yield* Effect.forkScoped(runTasks(dependencies, tasks, waiting, promotions));
+        yield* Effect.forkScoped(keepRemoving(dependencies, tasks));
         yield* Effect.forkScoped(keepJoining(dependencies, createControlView(seeds), channel));
         const directory: Directory = {
             findLeader: () => findLeader(log.readStatus()),
