Move the serving of connections out of the channel hub

The part that serves the frames of an accepted connection moves to serve-connection.ts; no behaviour changes. The tests of peer-link pass.

--- a/packages/peer-link/src/channel-hub.ts
+++ b/packages/peer-link/src/channel-hub.ts
@@ -1,4 +1,3 @@
-import { describeError } from "@chestnutspool/errors";
 import type { Logger } from "@chestnutspool/logger";
 import {
     awaitSocketReads,
@@ -9,14 +8,9 @@
     type PeerId,
     readMonotonicMs,
 } from "@chestnutspool/types";
-import { Cause, Effect, Exit, Fiber, Queue, Scope } from "effect";
+import { Effect, Exit, Queue, Scope } from "effect";
 import type { Frame } from "./frame.js";
-
-/** Flow-control window: items of a streamed reply that may be sent before the receiver has handled one. */
-const streamWindowItems = 16;
-
-/** One direction of a link: sends frames to a peer; false when the link is down or its send buffer is full. */
-export type SendFrame = (frame: Frame) => boolean;
+import { type AnyHandler, createConnectionServer, type SendFrame } from "./serve-connection.js";
 
 type PendingEvent =
     | { readonly kind: "item"; readonly body: unknown; }
@@ -49,14 +43,6 @@
     | LateReply
     | { readonly kind: "streamed"; readonly peer: PeerId; readonly events: Queue.Queue<PendingEvent>; };
 
-interface ServedCall {
-    readonly fiber: Fiber.Fiber<void>;
-    /** Undefined for a call with one reply, which has no flow control. */
-    readonly credit: Queue.Queue<number> | undefined;
-}
-
-type AnyHandler = ChannelHandler<unknown, unknown>;
-
 /** Matches calls and replies of all channels of one process; the transports pass received frames to it. */
 export interface ChannelHub {
     readonly openChannel: <Request, Reply>(
@@ -299,115 +285,7 @@
         }
     };
 
-    const runHandler = (
-        handler: AnyHandler | undefined,
-        peer: PeerId,
-        frame: Extract<Frame, { kind: "call"; }>,
-        credit: Queue.Queue<number> | undefined,
-        sendFrame: SendFrame,
-    ): Effect.Effect<Frame, ErrorData> => {
-        if (credit !== undefined && handler?.handleStream !== undefined) {
-            let window = streamWindowItems;
-            const emit = (body: unknown) =>
-                Effect.gen(function*() {
-                    while (window <= 0) {
-                        window += yield* Queue.take(credit);
-                    }
-                    window -= 1;
-                    if (!sendFrame({ kind: "item", id: frame.id, body })) {
-                        return yield* Effect.fail<ErrorData>({ kind: "peerUnavailable", peer });
-                    }
-                });
-            return Effect.as(handler.handleStream(peer, frame.body, emit), { kind: "end" as const, id: frame.id });
-        }
-        if (credit === undefined && handler?.handleCall !== undefined) {
-            return Effect.map(
-                handler.handleCall(peer, frame.body),
-                body => ({ kind: "reply" as const, id: frame.id, body }),
-            );
-        }
-        return Effect.fail({
-            kind: "internal",
-            detail: `channel ${frame.channel} has no handler for this kind of call`,
-        });
-    };
-
-    const serveCall = (
-        peer: PeerId,
-        frame: Extract<Frame, { kind: "call"; }>,
-        credit: Queue.Queue<number> | undefined,
-        sendFrame: SendFrame,
-    ): Effect.Effect<void> =>
-        Effect.matchCause(
-            Effect.suspend(() => runHandler(handlers.get(frame.channel), peer, frame, credit, sendFrame)),
-            {
-                onSuccess: reply => {
-                    sendFrame(reply);
-                },
-                onFailure: cause => {
-                    const known = Cause.findErrorOption(cause);
-                    const error: ErrorData = known._tag === "Some"
-                        ? known.value
-                        : { kind: "internal", detail: Cause.pretty(cause) };
-                    if (known._tag === "None" && !Cause.hasInterruptsOnly(cause)) {
-                        logger.error("call handler failed", {
-                            peer,
-                            channel: frame.channel,
-                            detail: describeError(error),
-                        });
-                    }
-                    sendFrame({ kind: "failure", id: frame.id, error });
-                },
-            },
-        );
-
-    const serveConnection = Effect.fnUntraced(function*(
-        peer: PeerId,
-        frames: Queue.Dequeue<Frame>,
-        sendFrame: SendFrame,
-    ) {
-        const scope = yield* Effect.scope;
-        const served = new Map<number, ServedCall>();
-        while (true) {
-            const frame = yield* Queue.take(frames);
-            switch (frame.kind) {
-                case "message": {
-                    const handler = handlers.get(frame.channel)?.handleMessage;
-                    if (handler !== undefined) {
-                        yield* handler(peer, frame.body);
-                    }
-                    break;
-                }
-                case "call": {
-                    const credit = frame.streamed ? yield* Queue.unbounded<number>() : undefined;
-                    const call = serveCall(peer, frame, credit, sendFrame).pipe(
-                        Effect.ensuring(Effect.sync(() => served.delete(frame.id))),
-                    );
-                    const fiber = yield* Effect.forkIn(call, scope);
-                    served.set(frame.id, { fiber, credit });
-                    break;
-                }
-                case "credit": {
-                    const credit = served.get(frame.id)?.credit;
-                    if (credit !== undefined) {
-                        Queue.offerUnsafe(credit, frame.items);
-                    }
-                    break;
-                }
-                case "cancel":
-                    served.get(frame.id)?.fiber.interruptUnsafe();
-                    break;
-                case "hello":
-                case "welcome":
-                case "reply":
-                case "item":
-                case "end":
-                case "failure":
-                    logger.warn("unexpected frame dropped", { peer, frame: frame.kind });
-                    break;
-            }
-        }
-    });
+    const serveConnection = createConnectionServer(handlers, logger);
 
     yield* Effect.forkScoped(serveConnection(self, localFrames, frame => {
         handleReplyFrame(self, frame);
