Go on serving a connection after a message handler has failed

Seen by callers: after one exception in a message handler all calls on that connection, those of the log included, timed out while the connection stayed open and its queue grew. Cause: the loop that serves a connection ran the handler unguarded, so that the exception ended the loop; only a new connection started another one. Now the failure is logged (message handler failed: peer, channel, at most 1000 characters of the cause), and the next frame is served.

--- /dev/null
+++ b/packages/peer-link/src/failing-handlers.test.ts
@@ -0,0 +1,85 @@
+import { createLogger } from "@chestnutspool/logger";
+import type { ChannelHandler } from "@chestnutspool/types";
+import { Effect } from "effect";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { openWebSocketLink } from "./index.js";
+
+/** Time within which a reply over loopback arrives, in milliseconds. */
+const replyLimitMs = 5_000;
+
+/** A WebSocket link from "left" to "right", which handles the channel "entry"; keeps the log lines of "right". */
+const openPair = Effect.fnUntraced(function*<Request, Reply>(handler: ChannelHandler<Request, Reply>) {
+    const lines: string[] = [];
+    const logger = createLogger("link", { host: "h", availabilityZone: "z" }, "info", line => lines.push(line));
+    const options = { listenHost: "127.0.0.1", listenPort: 0 };
+    const left = yield* openWebSocketLink({ ...options, self: "left" }, logger);
+    const right = yield* openWebSocketLink({ ...options, self: "right" }, logger);
+    right.openChannel<Request, Reply>("entry", handler);
+    right.openChannel<number, number>("log", { handleCall: (from, request) => Effect.succeed(request * 2) });
+    const log = left.openChannel<number, number>("log", {});
+    left.setPeer("right", right.address);
+    while (!left.isConnected("right")) {
+        yield* Effect.sleep(5);
+    }
+    return { channel: left.openChannel<Request, Reply>("entry", {}), log, lines };
+});
+
+/** What a handler of another build returns for a request that it does not know. */
+const nothing = undefined as unknown as Effect.Effect<never>;
+
+// Guards against a connection that stays open and serves nothing any more, the calls of the log included.
+void test("a message handler that fails is logged, and the next frames of the connection are served", async () => {
+    await Effect.runPromise(Effect.scoped(Effect.gen(function*() {
+        const received: string[] = [];
+        const { channel, log, lines } = yield* openPair<string, never>({
+            handleMessage: (from, message) => {
+                received.push(message);
+                switch (message) {
+                    case "throw":
+                        throw new Error("a long reason ".repeat(1_000));
+                    case "die":
+                        return Effect.die("died");
+                    case "interrupt":
+                        return Effect.interrupt;
+                    case "nothing":
+                        return nothing;
+                    default:
+                        return Effect.void;
+                }
+            },
+        });
+        const messages = ["throw", "die", "interrupt", "nothing", "other"];
+        for (const message of messages) {
+            assert.ok(channel.sendMessage("right", message));
+            assert.equal(yield* log.callPeer("right", 1, replyLimitMs), 2);
+        }
+        assert.deepEqual(received, messages);
+        const failures = lines.filter(line => line.includes("\"message\":\"message handler failed\""));
+        assert.equal(failures.length, 4);
+        assert.ok(failures.every(line => line.includes("\"peer\":\"left\",\"channel\":\"entry\"")));
+        assert.ok(failures.every(line => line.length < 2_000));
+    })));
+});
+
+// Guards against a process that cannot end because a handler in progress outlives its connection.
+void test("a message handler in progress ends with the link and is not logged as failed", async () => {
+    let started = false;
+    let ended = false;
+    const lines = await Effect.runPromise(Effect.scoped(Effect.gen(function*() {
+        const { channel, log, lines } = yield* openPair<string, never>({
+            handleMessage: () => {
+                started = true;
+                return Effect.onInterrupt(Effect.never, () => Effect.sync(() => void (ended = true)));
+            },
+        });
+        assert.equal(yield* log.callPeer("right", 1, replyLimitMs), 2);
+        assert.ok(channel.sendMessage("right", "wait"));
+        while (!started) {
+            yield* Effect.sleep(5);
+        }
+        return lines;
+    })));
+    assert.equal(ended, true);
+    assert.ok(!lines.some(line => line.includes("handler failed")));
+});
--- a/packages/peer-link/src/serve-connection.ts
+++ b/packages/peer-link/src/serve-connection.ts
@@ -6,6 +6,8 @@
 
 /** Flow-control window: items of a streamed reply that may be sent before the receiver has handled one. */
 const streamWindowItems = 16;
+/** Longest description of a failure in a log line, in characters. */
+const detailLimitCharacters = 1_000;
 
 /** One direction of a link: sends frames to a peer; false when the link is down or its send buffer is full. */
 export type SendFrame = (frame: Frame) => boolean;
@@ -19,6 +21,10 @@
     readonly credit: Queue.Queue<number> | undefined;
 }
 
+function describeCause(cause: Cause.Cause<unknown>): string {
+    return Cause.pretty(cause).slice(0, detailLimitCharacters);
+}
+
 /** Creates the function that serves the frames of one accepted connection with `handlers` until the scope closes. */
 export function createConnectionServer(handlers: ReadonlyMap<ChannelName, AnyHandler>, logger: Logger) {
     const runHandler = (
@@ -83,6 +89,24 @@
             },
         );
 
+    /** Handles a message. A failure is only logged, because it must not end the serving of the whole connection. */
+    const forwardMessage = (
+        peer: PeerId,
+        { channel, body }: Extract<Frame, { kind: "message"; }>,
+    ): Effect.Effect<void> =>
+        Effect.catchCause(
+            Effect.gen(function*() {
+                const handler = handlers.get(channel)?.handleMessage;
+                if (handler !== undefined) {
+                    yield* handler(peer, body);
+                }
+            }),
+            cause =>
+                Effect.sync(() =>
+                    logger.error("message handler failed", { peer, channel, detail: describeCause(cause) })
+                ),
+        );
+
     return Effect.fnUntraced(function*(
         peer: PeerId,
         frames: Queue.Dequeue<Frame>,
@@ -93,13 +117,9 @@
         while (true) {
             const frame = yield* Queue.take(frames);
             switch (frame.kind) {
-                case "message": {
-                    const handler = handlers.get(frame.channel)?.handleMessage;
-                    if (handler !== undefined) {
-                        yield* handler(peer, frame.body);
-                    }
+                case "message":
+                    yield* forwardMessage(peer, frame);
                     break;
-                }
                 case "call": {
                     const credit = frame.streamed ? yield* Queue.unbounded<number>() : undefined;
                     const call = serveCall(peer, frame, credit, sendFrame).pipe(
