Answer a call whose handler returns nothing or whose reply cannot be encoded

Seen by callers: such a call failed with a timeout after its whole time limit, and no log line told why. Cause: a handler that returns no effect ended the fiber of the call past its error handling, and the reply was sent outside of it.

--- a/packages/peer-link/src/failing-handlers.test.ts
+++ b/packages/peer-link/src/failing-handlers.test.ts
@@ -83,3 +83,21 @@
     assert.equal(ended, true);
     assert.ok(!lines.some(line => line.includes("handler failed")));
 });
+
+// Guards against a caller that waits for its whole time limit, and against a failure that no log line tells.
+void test("a call whose handler returns nothing, or a reply that cannot be encoded, fails at once and is logged", async () => {
+    await Effect.runPromise(Effect.scoped(Effect.gen(function*() {
+        const { channel, log, lines } = yield* openPair<string, unknown>({
+            handleCall: (from, request) => request === "nothing" ? nothing : Effect.succeed(2n ** 80n),
+            handleStream: (from, request, emit) => request === "nothing" ? nothing : emit(2n ** 80n),
+        });
+        for (const request of ["nothing", "large"]) {
+            const failed = yield* Effect.flip(channel.callPeer("right", request, replyLimitMs));
+            assert.equal(failed.kind, "internal");
+            const stream = channel.callStream("right", request, replyLimitMs, () => Effect.void);
+            assert.equal((yield* Effect.flip(stream)).kind, "internal");
+        }
+        assert.equal(lines.filter(line => line.includes("\"message\":\"call handler failed\"")).length, 4);
+        assert.equal(yield* log.callPeer("right", 1, replyLimitMs), 2);
+    })));
+});
--- a/packages/peer-link/src/serve-connection.ts
+++ b/packages/peer-link/src/serve-connection.ts
@@ -27,13 +27,15 @@
 
 /** Creates the function that serves the frames of one accepted connection with `handlers` until the scope closes. */
 export function createConnectionServer(handlers: ReadonlyMap<ChannelName, AnyHandler>, logger: Logger) {
-    const runHandler = (
-        handler: AnyHandler | undefined,
+    /** Runs the handler of a call. It is run with `yield*`, which takes a handler that returns no effect for a failure. */
+    const runHandler = Effect.fnUntraced(function*(
         peer: PeerId,
         frame: Extract<Frame, { kind: "call"; }>,
         credit: Queue.Queue<number> | undefined,
         sendFrame: SendFrame,
-    ): Effect.Effect<Frame, ErrorData> => {
+    ) {
+        const { channel, id } = frame;
+        const handler = handlers.get(channel);
         if (credit !== undefined && handler?.handleStream !== undefined) {
             let window = streamWindowItems;
             const emit = (body: unknown) =>
@@ -42,23 +44,21 @@
                         window += yield* Queue.take(credit);
                     }
                     window -= 1;
-                    if (!sendFrame({ kind: "item", id: frame.id, body })) {
+                    if (!sendFrame({ kind: "item", id, body })) {
                         return yield* Effect.fail<ErrorData>({ kind: "peerUnavailable", peer });
                     }
                 });
-            return Effect.as(handler.handleStream(peer, frame.body, emit), { kind: "end" as const, id: frame.id });
+            yield* handler.handleStream(peer, frame.body, emit);
+            sendFrame({ kind: "end", id });
+            return;
         }
         if (credit === undefined && handler?.handleCall !== undefined) {
-            return Effect.map(
-                handler.handleCall(peer, frame.body),
-                body => ({ kind: "reply" as const, id: frame.id, body }),
-            );
+            sendFrame({ kind: "reply", id, body: yield* handler.handleCall(peer, frame.body) });
+            return;
         }
-        return Effect.fail({
-            kind: "internal",
-            detail: `channel ${frame.channel} has no handler for this kind of call`,
-        });
-    };
+        const detail = `channel ${channel} has no handler for this kind of call`;
+        return yield* Effect.fail<ErrorData>({ kind: "internal", detail });
+    });
 
     const serveCall = (
         peer: PeerId,
@@ -66,28 +66,23 @@
         credit: Queue.Queue<number> | undefined,
         sendFrame: SendFrame,
     ): Effect.Effect<void> =>
-        Effect.matchCause(
-            Effect.suspend(() => runHandler(handlers.get(frame.channel), peer, frame, credit, sendFrame)),
-            {
-                onSuccess: reply => {
-                    sendFrame(reply);
-                },
-                onFailure: cause => {
-                    const known = Cause.findErrorOption(cause);
-                    const error: ErrorData = known._tag === "Some"
-                        ? known.value
-                        : { kind: "internal", detail: Cause.pretty(cause) };
-                    if (known._tag === "None" && !Cause.hasInterruptsOnly(cause)) {
-                        logger.error("call handler failed", {
-                            peer,
-                            channel: frame.channel,
-                            detail: describeError(error),
-                        });
-                    }
-                    sendFrame({ kind: "failure", id: frame.id, error });
-                },
+        Effect.matchCause(runHandler(peer, frame, credit, sendFrame), {
+            onSuccess: () => undefined,
+            onFailure: cause => {
+                const known = Cause.findErrorOption(cause);
+                const error: ErrorData = known._tag === "Some"
+                    ? known.value
+                    : { kind: "internal", detail: describeCause(cause) };
+                if (known._tag === "None" && !Cause.hasInterruptsOnly(cause)) {
+                    logger.error("call handler failed", {
+                        peer,
+                        channel: frame.channel,
+                        detail: describeError(error),
+                    });
+                }
+                sendFrame({ kind: "failure", id: frame.id, error });
             },
-        );
+        });
 
     /** Handles a message. A failure is only logged, because it must not end the serving of the whole connection. */
     const forwardMessage = (
