Keep the process when the handler of a late reply fails

Seen by users: an exception in the handler of a late reply was thrown into the event of the socket that read it, and ended the process. Cause: the function was called unguarded; calls in progress and messages run in fibers, late replies do not.

--- a/packages/peer-link/src/channel-hub.ts
+++ b/packages/peer-link/src/channel-hub.ts
@@ -8,9 +8,9 @@
     type PeerId,
     readMonotonicMs,
 } from "@chestnutspool/types";
-import { Effect, Exit, Queue, Scope } from "effect";
+import { Cause, Effect, Exit, Queue, Scope } from "effect";
 import type { Frame } from "./frame.js";
-import { type AnyHandler, createConnectionServer, type SendFrame } from "./serve-connection.js";
+import { type AnyHandler, createConnectionServer, describeCause, type SendFrame } from "./serve-connection.js";
 
 type PendingEvent =
     | { readonly kind: "item"; readonly body: unknown; }
@@ -220,6 +220,16 @@
             return Effect.sync(() => cancelCall(id, peer));
         }));
 
+    /** Passes on a late reply. An exception is logged, because it would end the process from within a socket's event. */
+    const forwardLateReply = ({ peer, onLateReply }: LateReply, reply: unknown): void => {
+        try {
+            onLateReply(reply);
+        }
+        catch (cause) {
+            logger.error("handler of a late reply failed", { peer, detail: describeCause(Cause.die(cause)) });
+        }
+    };
+
     const forwardEvent = (id: number, event: PendingEvent): void => {
         const call = pending.get(id);
         if (call === undefined) {
@@ -232,7 +242,7 @@
         if (call.kind === "late") {
             pending.delete(id);
             if (event.kind === "item") {
-                call.onLateReply(event.body);
+                forwardLateReply(call, event.body);
             }
             return;
         }
--- a/packages/peer-link/src/serve-connection.ts
+++ b/packages/peer-link/src/serve-connection.ts
@@ -21,7 +21,8 @@
     readonly credit: Queue.Queue<number> | undefined;
 }
 
-function describeCause(cause: Cause.Cause<unknown>): string {
+/** Describes a failure for a log line, with bounded length. */
+export function describeCause(cause: Cause.Cause<unknown>): string {
     return Cause.pretty(cause).slice(0, detailLimitCharacters);
 }
 
