End a control process of jobs whose replica has stopped

Seen by users: after a failed sync of a log file, a failure of the state machine or an internal error the replica stops until the process restarts, but the process went on without it: it answered as a relay and forwarded requests, its vote was missing, and nobody restarts a process that runs. A stop on purpose is no failure.

The new test of job-processes.test.ts lets a state machine fail in one of three processes; only that one reports it.

--- a/packages/replicated-log/src/follow.ts
+++ b/packages/replicated-log/src/follow.ts
@@ -109,6 +109,7 @@
     }
     catch (cause) {
         const error = { kind: "internal" as const, detail: String(cause) };
+        replica.logger.error("replica stopped", { detail: error.detail });
         stopReplica(replica, error);
         return yield* Effect.fail(error);
     }
--- a/packages/run-job-process/src/create-job-process.ts
+++ b/packages/run-job-process/src/create-job-process.ts
@@ -9,6 +9,7 @@
 import { openWorkerCalls, type RelayedWorkerCalls } from "@chestnutspool/relay-worker-calls";
 import { openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
 import type {
+    ErrorData,
     JobCommand,
     JobReply,
     JobRequest,
@@ -160,3 +161,26 @@
     });
     return kernel;
 }
+
+/**
+ * Fails with `serviceFailed` once the replica of this process has stopped, because only a restart opens it again; never ends
+ * in an entry process. Closing the kernel stops the replica too, so that the wait is to end before that.
+ */
+export function awaitReplicaFailure(kernel: Kernel, settings: JobProcessSettings): Effect.Effect<never, ErrorData> {
+    if (settings.control === undefined) {
+        return Effect.never;
+    }
+    return Effect.callback<never, ErrorData>(resume => {
+        const error: ErrorData = {
+            kind: "serviceFailed",
+            service: logKey.name,
+            detail: "the replica has stopped; the line \"replica stopped\" tells the cause",
+        };
+        const stopWatching = kernel.findService(logKey).watchStatus(({ role }) => {
+            if (role === "stopped") {
+                resume(Effect.fail(error));
+            }
+        });
+        return Effect.sync(stopWatching);
+    });
+}
--- a/packages/run-job-process/src/job-processes.test.ts
+++ b/packages/run-job-process/src/job-processes.test.ts
@@ -3,15 +3,15 @@
 import { createFakeWorkers, type FakeWorkers } from "@chestnutspool/lead-jobs/fakes";
 import { silentLogger } from "@chestnutspool/logger";
 import { createMetrics } from "@chestnutspool/record-metrics";
-import type { JobRequest, QueueConfiguration, WorkerPort, WorkerRef } from "@chestnutspool/types";
-import { Effect, Scope } from "effect";
+import type { ErrorData, JobRequest, QueueConfiguration, WorkerPort, WorkerRef } from "@chestnutspool/types";
+import { Effect, Fiber, Scope } from "effect";
 import assert from "node:assert/strict";
 import { mkdtemp, rm } from "node:fs/promises";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
-import { createJobProcess, forwarderKey, logKey } from "./create-job-process.js";
+import { awaitReplicaFailure, createJobProcess, forwarderKey, logKey, machineKey } from "./create-job-process.js";
 import type { JobProcessSettings } from "./process-settings.js";
 
 /** Each process has its own loopback address, because its IP address is its identity. */
@@ -33,6 +33,8 @@
 
 interface Cluster {
     readonly start: (host: string, formsCluster: boolean) => Effect.Effect<Kernel>;
+    /** Fails once the replica of a running process has stopped. */
+    readonly awaitReplicaFailure: (host: string) => Effect.Effect<never, ErrorData>;
     readonly stop: (host: string) => Effect.Effect<void>;
     readonly workers: FakeWorkers;
     /** Number of starts that each process has carried out, by host. */
@@ -61,6 +63,19 @@
     const peerPort = yield* Effect.promise(reservePort);
     const workers = yield* createFakeWorkers;
     const running = new Map<string, Kernel>();
+    const makeSettings = (host: string, formsCluster: boolean): JobProcessSettings => ({
+        id: host,
+        hostName: host,
+        region: "r",
+        availabilityZone: "z",
+        peerHost: host,
+        peerPort,
+        seeds: controlHosts.map(id => ({ id, address: `${id}:${peerPort}` })),
+        control: host === entryHost
+            ? undefined
+            : { dataFolder: join(folder, host), formsCluster, longestLeaseMs: 6_000, stopMs: 200 },
+        logLevel: "info",
+    });
     const startsByHost = new Map<string, number>();
     const stop = (host: string): Effect.Effect<void> => {
         const kernel = running.get(host);
@@ -72,22 +87,13 @@
         workers,
         startsByHost,
         stop,
+        awaitReplicaFailure: host =>
+            Effect.suspend(() =>
+                awaitReplicaFailure(running.get(host) ?? assert.fail(`${host} does not run`), makeSettings(host, false))
+            ),
         start: (host, formsCluster) =>
             Effect.gen(function*() {
-                const settings: JobProcessSettings = {
-                    id: host,
-                    hostName: host,
-                    region: "r",
-                    availabilityZone: "z",
-                    peerHost: host,
-                    peerPort,
-                    seeds: controlHosts.map(id => ({ id, address: `${id}:${peerPort}` })),
-                    control: host === entryHost
-                        ? undefined
-                        : { dataFolder: join(folder, host), formsCluster, longestLeaseMs: 6_000, stopMs: 200 },
-                    logLevel: "info",
-                };
-                const kernel = createJobProcess(settings, {
+                const kernel = createJobProcess(makeSettings(host, formsCluster), {
                     workers: countStarts(workers.port, host, startsByHost),
                     logger: silentLogger,
                     metrics: createMetrics(),
@@ -206,3 +212,37 @@
             assert.ok(startsByLeader < starts / 2, `the leader carried out ${startsByLeader} of ${starts} starts`);
         }),
 );
+
+// Guards against a process that goes on without its replica, which nobody restarts (issue 25).
+testCluster(
+    "a process whose replica stops after a failure of its state machine reports it, and the other processes do not",
+    cluster =>
+        Effect.gen(function*() {
+            const kernels = new Map<string, Kernel>();
+            for (const host of controlHosts) {
+                kernels.set(host, yield* cluster.start(host, true));
+            }
+            const entry = yield* cluster.start(entryHost, false);
+            yield* ask(entry, { kind: "setConfiguration", configuration });
+            const [failing = "", ...others] = controlHosts;
+            const waits = new Map<string, Fiber.Fiber<never, ErrorData>>();
+            for (const host of [...controlHosts, entryHost]) {
+                waits.set(host, yield* Effect.forkScoped(cluster.awaitReplicaFailure(host)));
+            }
+            yield* Effect.yieldNow;
+            Object.assign(kernels.get(failing)?.findService(machineKey) ?? {}, {
+                applyCommand: () => {
+                    throw new Error("a command that cannot be applied");
+                },
+            });
+            yield* submit(entry, "a");
+            const wait = waits.get(failing) ?? assert.fail("the wait was not started");
+            const error = yield* Effect.flip(Fiber.join(wait));
+            assert.equal(error.kind === "serviceFailed" ? error.service : error.kind, "jobLog");
+            for (const host of [...others, entryHost]) {
+                assert.equal(waits.get(host)?.pollUnsafe(), undefined);
+            }
+            // A wait that begins after the failure reports it too.
+            assert.equal((yield* Effect.flip(cluster.awaitReplicaFailure(failing))).kind, "serviceFailed");
+        }),
+);
