Write log lines again after a write error that passes

Seen by operators: after one failed write, as with ENOSPC on a full disk, the process logged nothing more until it restarted. Cause: the sink took each error other than EAGAIN and EINTR for the end of its output. Now only EPIPE and EBADF end it. After another error the lines in flight are dropped and counted, and writing is tried again after 200 ms with the next lines; what waits meanwhile has the same limit as before. A line of which only a part was written is ended by a newline, and a report of dropped lines that was lost is made again.

--- a/packages/logger/src/line-sink.ts
+++ b/packages/logger/src/line-sink.ts
@@ -26,6 +26,9 @@
 
 /** Pause before the next write attempt when the output accepts no bytes, in milliseconds. */
 const retryPauseMs = 20;
+/** Pause before writing is tried again after a write has failed, as on a full disk, in milliseconds. */
+const failurePauseMs = 200;
+const newline = 0x0a;
 /** Share of the buffer that only warnings and errors may use. */
 const reservedShare = 0.25;
 /** Shortest interval between two reports of dropped lines, in milliseconds. */
@@ -37,8 +40,28 @@
     return (bytes, callback) => write(descriptor, bytes, (error, written) => callback(error ?? undefined, written));
 }
 
-function isTemporary(error: Error): boolean {
-    return "code" in error && (error.code === "EAGAIN" || error.code === "EINTR");
+/** What a write error means: the same bytes can be written soon, other bytes can be written later, or none ever. */
+type WriteFault = "busy" | "failing" | "closed";
+
+function findWriteFault(error: Error): WriteFault {
+    switch ("code" in error ? error.code : undefined) {
+        case "EAGAIN":
+        case "EINTR":
+            return "busy";
+        case "EPIPE":
+        case "EBADF":
+            return "closed";
+        default:
+            return "failing";
+    }
+}
+
+function countNewlines(bytes: Buffer): number {
+    let count = 0;
+    for (let at = bytes.indexOf(newline); at >= 0; at = bytes.indexOf(newline, at + 1)) {
+        count += 1;
+    }
+    return count;
 }
 
 /** Creates a sink in front of `writeBytes`. */
@@ -51,37 +74,80 @@
     let dropped = 0;
     let reportedDropped = 0;
     let reportedAtMs = Number.NEGATIVE_INFINITY;
+    /** Value of `reportedDropped` that the written reports have reached. */
+    let writtenReportedDropped = 0;
+    let inFlightReportedDropped = 0;
     let isClosed = false;
+    let isPaused = false;
+    /** The output ends with a part of a line whose rest was dropped. */
+    let endsWithin = false;
+    /** The bytes in flight begin with the newline after such a part. */
+    let beginsWithNewline = false;
+
+    /** Drops the bytes in flight, and counts their lines. */
+    const dropInFlight = (bytes: Buffer): void => {
+        dropped += countNewlines(bytes) - (beginsWithNewline ? 1 : 0);
+        // A report of dropped lines that was lost is made again.
+        reportedDropped = writtenReportedDropped;
+        inFlight = undefined;
+    };
+
+    const resume = (): void => {
+        isPaused = false;
+        sendNext();
+    };
 
     const sendNext = (): void => {
         if (inFlight === undefined) {
             if (buffered.length === 0) {
                 return;
             }
-            inFlight = Buffer.from(buffered.join(""), "utf8");
+            beginsWithNewline = endsWithin;
+            inFlight = Buffer.from((endsWithin ? "\n" : "") + buffered.join(""), "utf8");
+            inFlightReportedDropped = reportedDropped;
             buffered = [];
             bufferedBytes = 0;
         }
-        writeBytes(inFlight, (error, written) => {
-            if (error !== undefined && !isTemporary(error)) {
-                // A closed output cannot be logged; the count of dropped lines still shows it.
-                isClosed = true;
-                inFlight = undefined;
-                buffered = [];
+        const bytes = inFlight;
+        writeBytes(bytes, (error, written) => {
+            if (error !== undefined) {
+                handleFault(findWriteFault(error), bytes);
                 return;
             }
-            inFlight = inFlight?.subarray(error === undefined ? written : 0);
-            if (inFlight?.length === 0) {
-                inFlight = undefined;
+            if (written > 0) {
+                beginsWithNewline = false;
+                endsWithin = bytes[written - 1] !== newline;
             }
-            if (error !== undefined) {
-                setTimeout(sendNext, retryPauseMs).unref();
-                return;
+            if (written < bytes.length) {
+                inFlight = bytes.subarray(written);
+            }
+            else {
+                inFlight = undefined;
+                writtenReportedDropped = inFlightReportedDropped;
             }
             sendNext();
         });
     };
 
+    const handleFault = (fault: WriteFault, bytes: Buffer): void => {
+        switch (fault) {
+            case "busy":
+                setTimeout(sendNext, retryPauseMs).unref();
+                return;
+            case "failing":
+                dropInFlight(bytes);
+                isPaused = true;
+                setTimeout(resume, failurePauseMs).unref();
+                return;
+            case "closed":
+                // A closed output cannot be logged; the count of dropped lines still shows it.
+                isClosed = true;
+                inFlight = undefined;
+                buffered = [];
+                return;
+        }
+    };
+
     const takeToken = (level: LogLevel, nowMs: number): boolean => {
         const elapsedMs = Math.max(0, nowMs - (refilledAtMs ?? nowMs));
         refilledAtMs = nowMs;
@@ -104,7 +170,7 @@
     const append = (line: string): void => {
         buffered.push(line + "\n");
         bufferedBytes += line.length + 1;
-        if (inFlight === undefined && buffered.length === 1) {
+        if (inFlight === undefined && !isPaused && buffered.length === 1) {
             // Lines from one turn of the event loop are written together.
             setImmediate(sendNext);
         }
