End calls at their time limit also after an exception in the loop that does it

Seen by callers: after one exception while a call was ended, no call with one reply timed out any more in this process. The caller is also resumed before the peer gets its cancel frame, because otherwise the call whose frame failed was lost.

--- a/packages/peer-link/src/channel-hub.ts
+++ b/packages/peer-link/src/channel-hub.ts
@@ -4,13 +4,15 @@
     type Channel,
     type ChannelHandler,
     type ChannelName,
+    describeCause,
     type ErrorData,
+    keepRunning,
     type PeerId,
     readMonotonicMs,
 } from "@chestnutspool/types";
 import { Cause, Effect, Exit, Queue, Scope } from "effect";
 import type { Frame } from "./frame.js";
-import { type AnyHandler, createConnectionServer, describeCause, type SendFrame } from "./serve-connection.js";
+import { type AnyHandler, createConnectionServer, type SendFrame } from "./serve-connection.js";
 
 type PendingEvent =
     | { readonly kind: "item"; readonly body: unknown; }
@@ -154,13 +156,17 @@
             return;
         }
         const { peer, channel, limitMs, onLateReply, resume } = call;
+        const timeout = Effect.fail(createTimeout(channel, peer, limitMs));
         if (onLateReply === undefined) {
-            cancelCall(id, peer);
+            pending.delete(id);
+            // The caller comes first, because the peer may be unable to take a frame.
+            resume(timeout);
+            sendTo(peer, { kind: "cancel", id });
         }
         else {
             pending.set(id, { kind: "late", peer, deadlineMs: nowMs + limitMs, onLateReply });
+            resume(timeout);
         }
-        resume(Effect.fail(createTimeout(channel, peer, limitMs)));
     };
 
     /** Fails the calls whose time is over and returns the next deadline. */
@@ -309,7 +315,9 @@
             failCalls(call => call.kind === "single");
         })
     );
-    yield* Effect.forkScoped(runExpiry);
+    yield* Effect.forkScoped(
+        keepRunning(runExpiry, detail => logger.error("loop failed and starts again", { loop: "callExpiry", detail })),
+    );
 
     const hub: ChannelHub = {
         openChannel: <Request, Reply>(
--- a/packages/peer-link/src/serve-connection.ts
+++ b/packages/peer-link/src/serve-connection.ts
@@ -1,13 +1,17 @@
 import { describeError } from "@chestnutspool/errors";
 import type { Logger } from "@chestnutspool/logger";
-import type { ChannelHandler, ChannelName, ErrorData, PeerId } from "@chestnutspool/types";
+import {
+    type ChannelHandler,
+    type ChannelName,
+    describeCause,
+    type ErrorData,
+    type PeerId,
+} from "@chestnutspool/types";
 import { Cause, Effect, Fiber, Queue } from "effect";
 import type { Frame } from "./frame.js";
 
 /** Flow-control window: items of a streamed reply that may be sent before the receiver has handled one. */
 const streamWindowItems = 16;
-/** Longest description of a failure in a log line, in characters. */
-const detailLimitCharacters = 1_000;
 
 /** One direction of a link: sends frames to a peer; false when the link is down or its send buffer is full. */
 export type SendFrame = (frame: Frame) => boolean;
@@ -21,11 +25,6 @@
     readonly credit: Queue.Queue<number> | undefined;
 }
 
-/** Describes a failure for a log line, with bounded length. */
-export function describeCause(cause: Cause.Cause<unknown>): string {
-    return Cause.pretty(cause).slice(0, detailLimitCharacters);
-}
-
 /** Creates the function that serves the frames of one accepted connection with `handlers` until the scope closes. */
 export function createConnectionServer(handlers: ReadonlyMap<ChannelName, AnyHandler>, logger: Logger) {
     /** Runs the handler of a call. It is run with `yield*`, which takes a handler that returns no effect for a failure. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./domain.js";
 export * from "./error-data.js";
 export * from "./jobs.js";
+export * from "./keep-running.js";
 export * from "./keys.js";
 export * from "./messages.js";
 export * from "./ports.js";
