Connect to a peer again after an exception in the loop that does it

Seen by users: after one exception while a connection to a peer was opened, the peer was never connected again, and to set the same address once more has no effect. Cause: the loop of the connection was not restarted. It now runs under keepRunning.

Evidence: the second test of failing-loops.test.ts waited 10 s for the link in vain before, and passes now.

--- a/packages/peer-link/src/failing-loops.test.ts
+++ b/packages/peer-link/src/failing-loops.test.ts
@@ -1,9 +1,13 @@
-import { createLogger } from "@chestnutspool/logger";
+import { createLogger, silentLogger } from "@chestnutspool/logger";
 import { Effect, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createChannelHub } from "./channel-hub.js";
+import { openWebSocketLink } from "./index.js";
+
+/** Time within which a link over loopback is open, in milliseconds. */
+const openLimitMs = 10_000;
 
 // Guards against calls that never end, after an exception in the loop that ends those whose time is over.
 void test("calls still time out after an exception while one of them was ended", async () => {
@@ -40,3 +44,29 @@
         TestClock.layer(),
     ));
 });
+
+// Guards against a peer that is never connected again: to set the same address once more has no effect.
+void test("a link is opened again after an exception while it was opened", async () => {
+    await Effect.runPromise(Effect.scoped(Effect.gen(function*() {
+        let failures = 0;
+        const logger = {
+            ...silentLogger,
+            debug: (message: string) => {
+                if (message === "link open" && failures === 0) {
+                    failures += 1;
+                    throw new Error("unexpected");
+                }
+            },
+        };
+        const options = { listenHost: "127.0.0.1", listenPort: 0 };
+        const left = yield* openWebSocketLink({ ...options, self: "left" }, logger);
+        const right = yield* openWebSocketLink({ ...options, self: "right" }, silentLogger);
+        left.setPeer("right", right.address);
+        const awaitOpen = Effect.gen(function*() {
+            while (failures === 0 || !left.isConnected("right")) {
+                yield* Effect.sleep(5);
+            }
+        });
+        assert.equal((yield* Effect.timeoutOption(awaitOpen, openLimitMs))._tag, "Some");
+    })));
+});
--- a/packages/peer-link/src/web-socket-link.ts
+++ b/packages/peer-link/src/web-socket-link.ts
@@ -1,5 +1,12 @@
 import type { Logger } from "@chestnutspool/logger";
-import { type ErrorData, type PeerId, type PeerLink, peerProtocolVersion, readMonotonicMs } from "@chestnutspool/types";
+import {
+    type ErrorData,
+    keepRunning,
+    type PeerId,
+    type PeerLink,
+    peerProtocolVersion,
+    readMonotonicMs,
+} from "@chestnutspool/types";
 import { Effect, Exit, FiberMap, Queue } from "effect";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -257,7 +264,12 @@
     });
 
     const keepConnected = (peer: PeerId, address: string) =>
-        Effect.forever(Effect.andThen(Effect.scoped(attemptConnection(peer, address)), Effect.sleep(reconnectPauseMs)));
+        keepRunning(
+            Effect.forever(
+                Effect.andThen(Effect.scoped(attemptConnection(peer, address)), Effect.sleep(reconnectPauseMs)),
+            ),
+            detail => logger.error("loop failed and starts again", { loop: "connection", peer, detail }),
+        );
 
     const server = createServer((request, response) => {
         response.writeHead(426).end();
