Probe the relays again after an exception in the loop that does it

Seen by users: after one exception in the pass that probes the relays, a leader found no relays any more and pending calls were not settled by it. Cause: the loop was not restarted. It now runs under keepRunning.

Evidence: the new test of open-worker-calls.test.ts waited 10 s for a relay in vain before, and passes now.

--- a/packages/relay-worker-calls/src/open-worker-calls.test.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.test.ts
@@ -77,6 +77,8 @@
     readonly calls: RelayedWorkerCalls;
     readonly fake: FakePort;
     readonly setRole: (role: ReplicaRole) => void;
+    /** Makes the next read of the status throw. */
+    readonly failStatusOnce: () => void;
 }
 
 /** Opens the calls of a control process in a cluster of the given processes. */
@@ -104,11 +106,18 @@
         members,
     });
     let status = makeStatus(role);
+    let failsStatus = false;
     const listeners = new Set<(status: ReplicaStatus) => void>();
     const calls = yield* openWorkerCalls({
         link,
         log: {
-            readStatus: () => status,
+            readStatus: () => {
+                if (failsStatus) {
+                    failsStatus = false;
+                    throw new Error("the status cannot be read");
+                }
+                return status;
+            },
             watchStatus: listener => {
                 listeners.add(listener);
                 return () => listeners.delete(listener);
@@ -123,7 +132,10 @@
         status = makeStatus(next);
         listeners.forEach(listener => listener(status));
     };
-    return { calls, fake, setRole } satisfies Member;
+    const failStatusOnce = (): void => {
+        failsStatus = true;
+    };
+    return { calls, fake, setRole, failStatusOnce } satisfies Member;
 });
 
 const awaitRelays = (member: Member, count: number) =>
@@ -401,3 +413,17 @@
         assert.equal(relay.messages[0]?.[0]?.answer.kind, "unknown");
     }),
 );
+
+// Guards against a leader that finds no relays any more after one exception in the loop that probes them.
+testScoped(
+    "relays are still probed after an exception in the loop that does it",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const leader = yield* openMember(network, "a", ["a", "b"], "leader");
+        leader.failStatusOnce();
+        yield* Effect.sleep(500);
+        yield* openMember(network, "b", ["a", "b"], "follower");
+        const found = yield* Effect.timeoutOption(awaitRelays(leader, 1), 10_000);
+        assert.equal(found._tag, "Some");
+    }),
+);
--- a/packages/relay-worker-calls/src/open-worker-calls.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "@chestnutspool/logger";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import {
+    keepRunning,
     type OrderAnswer,
     type PeerLink,
     type RelayedAnswer,
@@ -171,7 +172,10 @@
         stopWatching => Effect.sync(stopWatching),
     );
     const advanceOnce = Effect.sync(() => advance(log.readStatus(), readNowMs()));
-    yield* Effect.forkScoped(Effect.forever(Effect.andThen(advanceOnce, Effect.sleep(probeIntervalMs))));
+    const probing = Effect.forever(Effect.andThen(advanceOnce, Effect.sleep(probeIntervalMs)));
+    yield* Effect.forkScoped(
+        keepRunning(probing, detail => logger.error("loop failed and starts again", { loop: "relayProbing", detail })),
+    );
     const calls: RelayedWorkerCalls = {
         port: createRelayedWorkerPort(pool, workers, metrics),
         countRelays: pool.countUsable,
