--- a/packages/peer-link/src/channel-hub.ts
+++ b/packages/peer-link/src/channel-hub.ts
@@ -316,7 +316,10 @@
         })
     );
     yield* Effect.forkScoped(
-        keepRunning(runExpiry, detail => logger.error("loop failed; it is started again", { loop: "callExpiry", detail })),
+        keepRunning(
+            runExpiry,
+            detail => logger.error("loop failed; it is started again", { loop: "callExpiry", detail }),
+        ),
     );
 
     const hub: ChannelHub = {
--- a/packages/peer-link/src/failing-loops.test.ts
+++ b/packages/peer-link/src/failing-loops.test.ts
@@ -39,7 +39,10 @@
                 "Success",
             ]);
             assert.equal((yield* Fiber.join(first)).kind, "timeout");
-            assert.equal(lines.filter(line => line.includes("\"message\":\"loop failed; it is started again\"")).length, 1);
+            assert.equal(
+                lines.filter(line => line.includes("\"message\":\"loop failed; it is started again\"")).length,
+                1,
+            );
         })),
         TestClock.layer(),
     ));
--- a/packages/relay-worker-calls/src/open-worker-calls.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.ts
@@ -174,7 +174,10 @@
     const advanceOnce = Effect.sync(() => advance(log.readStatus(), readNowMs()));
     const probing = Effect.forever(Effect.andThen(advanceOnce, Effect.sleep(probeIntervalMs)));
     yield* Effect.forkScoped(
-        keepRunning(probing, detail => logger.error("loop failed; it is started again", { loop: "relayProbing", detail })),
+        keepRunning(
+            probing,
+            detail => logger.error("loop failed; it is started again", { loop: "relayProbing", detail }),
+        ),
     );
     const calls: RelayedWorkerCalls = {
         port: createRelayedWorkerPort(pool, workers, metrics),
