Cut off a record whose sync failed before the replica stops

The cache of the system may then hold a record that the disk does not, and the sync at the next load reports success for it. The unsynced end is cut off first.

Evidence: 'a record whose sync failed is not read again after a restart of the process' failed (the command was read again) and passes.

--- a/packages/replicated-log/src/full-disk.test.ts
+++ b/packages/replicated-log/src/full-disk.test.ts
@@ -270,3 +270,20 @@
         const waiting = getLog(follower).readStatus().lastIndex - written;
         assert.ok(waiting <= 33, `${waiting} MiB wait for the disk`);
     })));
+
+// Guards against a restart that reads from the cache of the system what a failed sync left there, and syncs it with success.
+void test("a record whose sync failed is not read again after a restart of the process", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(1);
+        const replica = cluster.getReplica("a");
+        yield* proposeAll(replica, ["one"]);
+        replica.memoryDisk.failSync(true);
+        yield* settle(getLog(replica).proposeCommand("two"));
+        assert.equal(getLog(replica).readStatus().role, "stopped");
+        replica.memoryDisk.failSync(false);
+        // With the share 1 the end keeps what was written and not synced, as the end of a process does.
+        yield* cluster.crashReplica("a", 1);
+        yield* cluster.startReplica("a");
+        yield* TestClock.adjust(3_000);
+        assert.deepEqual(replica.machine.listCommands(), ["one"]);
+    })));
--- a/packages/replicated-log/src/log-writer.ts
+++ b/packages/replicated-log/src/log-writer.ts
@@ -67,7 +67,8 @@
     files.hasPartialRecord = true;
     yield* failAs("write")(file.append(encodeRecord(record)));
     files.hasPartialRecord = false;
-    yield* failAs("sync")(file.sync);
+    // After a failed sync the cache of the system may hold what the disk does not, and a restart would read it.
+    yield* failAs("sync")(Effect.onError(file.sync, () => Effect.ignore(file.truncate(current.bytes))));
     current.lastIndex = Math.max(current.lastIndex, highestIndex);
     current.bytes = file.lengthBytes();
 });
