--- a/packages/lead-jobs/src/failed-terms.test.ts
+++ b/packages/lead-jobs/src/failed-terms.test.ts
@@ -1,21 +1,22 @@
 import { makeJob } from "@chestnutspool/job-state/fakes";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
-import { createRecordingLogger, makeWorker, startTestSystemWith, testWithClock } from "./fakes/index.js";
+import { createRecordingLogger, failWhile, makeWorker, startTestSystemWith, testWithClock } from "./fakes/index.js";
 
 // Guards against a process that never opens a term again after one exception, while its log keeps the leadership.
 testWithClock(
     "a term is opened after an exception in its opening",
     Effect.gen(function*() {
         const { logger, lines } = createRecordingLogger();
-        let failures = 0;
+        let hasFailed = false;
         const system = yield* startTestSystemWith(port => port, {
             logger,
             wrapLog: log => ({
                 ...log,
                 confirmRead: Effect.suspend(() => {
-                    failures += 1;
-                    return failures === 1 ? Effect.die(new Error("no answer")) : log.confirmRead;
+                    const isFirst = !hasFailed;
+                    hasFailed = true;
+                    return isFirst ? Effect.die(new Error("no answer")) : log.confirmRead;
                 }),
             }),
         });
@@ -31,25 +32,20 @@
     "a process leads a later term after an exception at a change of the status",
     Effect.gen(function*() {
         const { logger, lines } = createRecordingLogger();
-        let isFailing = false;
+        const fault = { isFailing: false };
         const system = yield* startTestSystemWith(port => port, {
             logger,
             wrapLog: log => ({
                 ...log,
-                readStatus: () => {
-                    if (isFailing) {
-                        throw new Error("no status");
-                    }
-                    return log.readStatus();
-                },
+                readStatus: failWhile(fault, log.readStatus),
             }),
         });
         yield* system.addWorker(makeWorker("w1"));
         yield* system.pass(500);
-        isFailing = true;
+        fault.isFailing = true;
         system.log.setLeader("a");
         yield* system.pass(50);
-        isFailing = false;
+        fault.isFailing = false;
         yield* system.pass(1_000);
         assert.deepEqual(yield* system.submit(makeJob("a")), { kind: "accepted" });
         assert.equal(lines.filter(line => line.message === "term opened").at(-1)?.fields["term"], 2);
@@ -63,18 +59,13 @@
     "a term is not opened twice after an exception at a change of the status",
     Effect.gen(function*() {
         const { logger, lines } = createRecordingLogger();
-        let isFailing = false;
+        const fault = { isFailing: false };
         let notify: () => void = () => undefined;
         const system = yield* startTestSystemWith(port => port, {
             logger,
             wrapLog: log => ({
                 ...log,
-                readStatus: () => {
-                    if (isFailing) {
-                        throw new Error("no status");
-                    }
-                    return log.readStatus();
-                },
+                readStatus: failWhile(fault, log.readStatus),
                 watchStatus: listener => {
                     const first = notify;
                     notify = () => {
@@ -86,10 +77,10 @@
             }),
         });
         yield* system.pass(500);
-        isFailing = true;
+        fault.isFailing = true;
         notify();
         yield* system.pass(50);
-        isFailing = false;
+        fault.isFailing = false;
         yield* system.pass(1_000);
         assert.equal(lines.filter(line => line.message === "term opened").length, 1);
         assert.deepEqual(yield* system.submit(makeJob("a")), { kind: "accepted" });
--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -51,6 +51,24 @@
     return result.value as Value;
 });
 
+/** Lets a wrapped function throw while a test sets it so. */
+export interface FaultSwitch {
+    isFailing: boolean;
+}
+
+/** Wraps a function so that it throws while the switch is set. */
+export function failWhile<Parameters extends readonly unknown[], Result>(
+    fault: FaultSwitch,
+    call: (...parameters: Parameters) => Result,
+): (...parameters: Parameters) => Result {
+    return (...parameters) => {
+        if (fault.isFailing) {
+            throw new Error("no answer");
+        }
+        return call(...parameters);
+    };
+}
+
 /** Parts of a test system that a test replaces. */
 export interface TestParts {
     readonly wrapLog?: (log: ReplicatedLog<JobCommand, JobResult>) => ReplicatedLog<JobCommand, JobResult>;
--- a/packages/lead-jobs/src/term-loops.test.ts
+++ b/packages/lead-jobs/src/term-loops.test.ts
@@ -1,9 +1,12 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
 import { createMetrics } from "@chestnutspool/record-metrics";
+import type { WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
 import {
     createRecordingLogger,
+    failWhile,
+    type FakeWorkers,
     makeWorker,
     startTestSystemWith,
     testLeaseMs,
@@ -14,6 +17,20 @@
 const readPhase = (system: TestSystem, job: string) =>
     system.ask({ kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` });
 
+/** Lets the renewals of some workers end with an exception. */
+function failRenewals(
+    port: FakeWorkers["port"],
+    isFailing: (worker: Pick<WorkerInfo, "id">) => boolean,
+): FakeWorkers["port"] {
+    return {
+        ...port,
+        renewLease: (worker, order, limitMs) =>
+            Effect.suspend(() =>
+                isFailing(worker) ? Effect.die(new Error("malformed report")) : port.renewLease(worker, order, limitMs)
+            ),
+    };
+}
+
 // Guards against a leader that accepts jobs and starts nothing for the rest of its term after one exception in the planner,
 // and against a run that is recorded but never ordered because the exception came in between.
 testWithClock(
@@ -47,18 +64,13 @@
 testWithClock(
     "all loops of a term go on after exceptions",
     Effect.gen(function*() {
+        const fault = { isFailing: false };
         const { logger, lines } = createRecordingLogger();
-        let isFailing = false;
         const system = yield* startTestSystemWith(port => port, {
             logger,
             wrapLog: log => ({
                 ...log,
-                isLeading: nowMs => {
-                    if (isFailing) {
-                        throw new Error("no clock");
-                    }
-                    return log.isLeading(nowMs);
-                },
+                isLeading: failWhile(fault, log.isLeading),
             }),
         });
         system.workers.setBehaviour(({ job }) => ({ runMs: job === "lasting" ? 60_000 : 500, outcome: "succeeded" }));
@@ -66,9 +78,9 @@
         yield* system.pass(200);
         yield* system.submit(makeJob("lasting", [makeStep({ longRunning: true })]));
         yield* system.pass(500);
-        isFailing = true;
+        fault.isFailing = true;
         yield* system.pass(2_000);
-        isFailing = false;
+        fault.isFailing = false;
         yield* system.pass(1_000);
         const earlierLines = lines.length;
         assert.deepEqual(yield* system.submit(makeJob("a")), { kind: "accepted" });
@@ -88,13 +100,7 @@
     "the runs of a worker are followed after an exception in its session",
     Effect.gen(function*() {
         let isFailing = false;
-        const system = yield* startTestSystemWith(port => ({
-            ...port,
-            renewLease: (worker, order, limitMs) =>
-                Effect.suspend(() =>
-                    isFailing ? Effect.die(new Error("no link")) : port.renewLease(worker, order, limitMs)
-                ),
-        }));
+        const system = yield* startTestSystemWith(port => failRenewals(port, () => isFailing));
         yield* system.addWorker(makeWorker("w1"));
         yield* system.pass(200);
         yield* system.submit(makeJob("a"));
@@ -114,15 +120,7 @@
     "the tasks of a worker whose session keeps failing start elsewhere after its lease",
     Effect.gen(function*() {
         let isFailing = false;
-        const system = yield* startTestSystemWith(port => ({
-            ...port,
-            renewLease: (worker, order, limitMs) =>
-                Effect.suspend(() =>
-                    isFailing && worker.id === "w1"
-                        ? Effect.die(new Error("malformed report"))
-                        : port.renewLease(worker, order, limitMs)
-                ),
-        }));
+        const system = yield* startTestSystemWith(port => failRenewals(port, ({ id }) => isFailing && id === "w1"));
         system.workers.setBehaviour(() => ({ runMs: 30_000, outcome: "succeeded" }));
         yield* system.addWorker(makeWorker("w1"));
         yield* system.pass(200);
--- a/packages/replicated-log/src/full-disk.test.ts
+++ b/packages/replicated-log/src/full-disk.test.ts
@@ -1,13 +1,15 @@
+import type { Disk } from "@chestnutspool/types";
 import { Deferred, Effect, Exit, Fiber } from "effect";
 import { TestClock } from "effect/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createMemoryDisk } from "./fakes/memory-disk.js";
+import { createMemoryDisk, type MemoryDisk } from "./fakes/memory-disk.js";
 import {
     getLog,
     proposeAll,
     runTest,
     settle,
+    settleMs,
     splitRoles,
     startCluster,
     type TestCluster,
@@ -106,7 +108,7 @@
             replica.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
             yield* cluster.startReplica(replica.id);
         }
-        yield* TestClock.adjust(6_000);
+        yield* TestClock.adjust(settleMs);
         yield* proposeAll(splitRoles(cluster).leader, ["three"]);
         for (const replica of cluster.replicas) {
             assert.deepEqual(replica.machine.listCommands(), ["one", "two", "three"]);
@@ -129,7 +131,7 @@
         }
         assert.equal(getLog(other).readStatus().role, "candidate");
         full.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
-        yield* TestClock.adjust(6_000);
+        yield* TestClock.adjust(settleMs);
         yield* proposeAll(splitRoles(cluster).leader, ["one"]);
     })));
 
@@ -137,16 +139,21 @@
 /** Commands that together exceed what may wait for a disk. */
 const largeCommands = Array.from({ length: 40 }, (item, index) => `${index}`.padEnd(mebibyte, "."));
 
+/** Commits the large commands while the disk of a follower fails; returns how many entries of 1 MiB wait for it. */
+const countWaiting = Effect.fnUntraced(function*(cluster: TestCluster, failDisk: (disk: MemoryDisk) => void) {
+    const { leader, followers } = splitRoles(cluster);
+    const follower = followers[0] as TestReplica;
+    failDisk(follower.memoryDisk);
+    yield* proposeAll(leader, largeCommands);
+    const written = getLog(leader).readStatus().lastIndex - largeCommands.length;
+    return { follower, waiting: getLog(follower).readStatus().lastIndex - written };
+});
+
 // Guards against memory that grows until the process is ended while a disk stays full.
 void test("a follower whose disk stays full takes a bounded number of entries, and catches up afterwards", () =>
     runTest(Effect.gen(function*() {
         const cluster = yield* startCluster(3);
-        const { leader, followers } = splitRoles(cluster);
-        const follower = followers[0] as TestReplica;
-        follower.memoryDisk.setFreeBytes(0);
-        yield* proposeAll(leader, largeCommands);
-        const written = getLog(leader).readStatus().lastIndex - largeCommands.length;
-        const waiting = getLog(follower).readStatus().lastIndex - written;
+        const { follower, waiting } = yield* countWaiting(cluster, disk => disk.setFreeBytes(0));
         assert.ok(waiting <= 33, `${waiting} MiB wait for the disk`);
         follower.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
         yield* TestClock.adjust(10_000);
@@ -169,14 +176,20 @@
         assert.equal(leader.machine.listCommands().at(-1), "last");
     })));
 
+/** Opens the storage of a replica and syncs its first entry. */
+const openWithEntry = Effect.fnUntraced(function*(disk: Disk) {
+    const opened = yield* openStorage(disk, "a", () => undefined);
+    yield* Effect.forkScoped(Effect.ignore(opened.storage.runWrites));
+    yield* Deferred.await(opened.storage.appendEntries([{ kind: "noop", index: 1, term: 1 }]));
+    return opened;
+});
+
 // Guards against a snapshot that is written only in part, or whose log files are removed without it.
 void test("a snapshot that met a full disk is written once the disk takes writes", () =>
     runTest(Effect.gen(function*() {
         const memoryDisk = createMemoryDisk();
         yield* Effect.scoped(Effect.gen(function*() {
-            const { storage } = yield* openStorage(memoryDisk.disk, "a", () => undefined);
-            yield* Effect.forkScoped(Effect.ignore(storage.runWrites));
-            yield* Deferred.await(storage.appendEntries([{ kind: "noop", index: 1, term: 1 }]));
+            const { storage } = yield* openWithEntry(memoryDisk.disk);
             memoryDisk.setFreeBytes(0);
             const saved = storage.saveSnapshot({ index: 4, term: 2, members: [], data: new Uint8Array(100) }, true);
             const appended = storage.appendEntries([{ kind: "noop", index: 5, term: 2 }]);
@@ -197,9 +210,7 @@
 void test("a snapshot that does not fit holds up neither votes nor entries", () =>
     runTest(Effect.gen(function*() {
         const memoryDisk = createMemoryDisk();
-        const { loaded, storage } = yield* openStorage(memoryDisk.disk, "a", () => undefined);
-        yield* Effect.forkScoped(Effect.ignore(storage.runWrites));
-        yield* Deferred.await(storage.appendEntries([{ kind: "noop", index: 1, term: 1 }]));
+        const { loaded, storage } = yield* openWithEntry(memoryDisk.disk);
         memoryDisk.setFreeBytes(10_000);
         storage.saveSnapshot({ index: 1, term: 1, members: [], data: new Uint8Array(20_000) }, false);
         const vote = storage.saveHardState({ ...loaded.hardState, term: 2 });
@@ -215,9 +226,7 @@
     runTest(Effect.gen(function*() {
         const memoryDisk = createMemoryDisk();
         yield* Effect.scoped(Effect.gen(function*() {
-            const { storage } = yield* openStorage(memoryDisk.disk, "a", () => undefined);
-            yield* Effect.forkScoped(Effect.ignore(storage.runWrites));
-            yield* Deferred.await(storage.appendEntries([{ kind: "noop", index: 1, term: 1 }]));
+            const { storage } = yield* openWithEntry(memoryDisk.disk);
             memoryDisk.failFolderSync(true);
             storage.saveSnapshot({ index: 4, term: 2, members: [], data: new Uint8Array(100) }, true);
             const entries = storage.appendEntries([{ kind: "noop", index: 5, term: 2 }]);
@@ -262,12 +271,7 @@
 void test("a follower whose disk answers nothing takes a bounded number of entries", () =>
     runTest(Effect.gen(function*() {
         const cluster = yield* startCluster(3);
-        const { leader, followers } = splitRoles(cluster);
-        const follower = followers[0] as TestReplica;
-        follower.memoryDisk.setSyncDelay(600_000);
-        yield* proposeAll(leader, largeCommands);
-        const written = getLog(leader).readStatus().lastIndex - largeCommands.length;
-        const waiting = getLog(follower).readStatus().lastIndex - written;
+        const { waiting } = yield* countWaiting(cluster, disk => disk.setSyncDelay(600_000));
         assert.ok(waiting <= 33, `${waiting} MiB wait for the disk`);
     })));
 
