--- a/packages/replicated-log/src/storage.ts
+++ b/packages/replicated-log/src/storage.ts
@@ -174,6 +174,7 @@
         pendingItems.delete(item);
         Deferred.doneUnsafe(item.done, Effect.void);
     };
+
     /** Performs a write; repeats it while the disk takes no writes. */
     const repeatWrite = Effect.fnUntraced(function*(write: Effect.Effect<void, WriteFault>) {
         while (true) {
