Let the test of a drained relay wait for its calls instead of 30 ms

The calls leave in a setImmediate turn, so a test process that is held up for longer than the sleep counts them too early.

The test now waits until all 20 calls of a round have arrived, and the calls end when the test lets them, not after 300 ms. A failed test also kept its process until the limit of the runner, because the scope of the relay was never closed; it now ends with the scope of the test. The drain without a leader is run synchronously, which fails if it waits at all, instead of within 50 ms.

--- a/packages/relay-worker-calls/src/open-worker-calls.test.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.test.ts
@@ -11,7 +11,7 @@
     WorkerPort,
     WorkerRef,
 } from "@chestnutspool/types";
-import { Effect, Exit, Fiber, Scope } from "effect";
+import { Deferred, Effect, Exit, Fiber, Scope } from "effect";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { openWorkerCalls, type RelayedWorkerCalls, serveWorkerCalls } from "./index.js";
@@ -138,13 +138,15 @@
     return { calls, fake, setRole, failStatusOnce } satisfies Member;
 });
 
-const awaitRelays = (member: Member, count: number) =>
+const awaitCondition = (check: () => boolean) =>
     Effect.gen(function*() {
-        while (member.calls.countRelays() !== count) {
+        while (!check()) {
             yield* Effect.sleep(5);
         }
     });
 
+const awaitRelays = (member: Member, count: number) => awaitCondition(() => member.calls.countRelays() === count);
+
 function testScoped(name: string, body: Effect.Effect<void, never, Scope.Scope>): void {
     test(name, { timeout: 60_000 }, () => Effect.runPromise(Effect.scoped(body)));
 }
@@ -166,9 +168,7 @@
         const report = yield* port.renewLease(worker, renewal, 1_000);
         assert.deepEqual(report, { kind: "report", clockMs: 7, running: [], ended: [], isComplete: true });
         port.closeConnections(worker);
-        while (relay.fake.calls.length < 5) {
-            yield* Effect.sleep(5);
-        }
+        yield* awaitCondition(() => relay.fake.calls.length >= 5);
         const kinds = ["startRun", "stopRun", "paceRun", "renewLease", "closeConnections"];
         assert.deepEqual(relay.fake.calls, kinds.map(kind => `${kind} w w:80`));
         assert.deepEqual(leader.fake.calls, ["closeConnections w w:80"]);
@@ -209,8 +209,8 @@
     Effect.gen(function*() {
         const network = yield* createMemoryNetwork;
         const leader = yield* openMember(network, "a", ["a", "b"], "leader");
-        const scope = yield* Scope.make();
-        yield* Scope.provide(openMember(network, "b", ["a", "b"], "follower", Effect.never), scope);
+        const scope = yield* Scope.fork(yield* Effect.scope);
+        const relay = yield* Scope.provide(openMember(network, "b", ["a", "b"], "follower", Effect.never), scope);
         yield* awaitRelays(leader, 1);
         const startOne = leader.calls.port.startRun(makeWorker("w"), order, 60_000);
         const silent = yield* Effect.forkChild(startOne);
@@ -222,7 +222,7 @@
         network.setCut("b", "a", false);
         yield* awaitRelays(leader, 1);
         const ended = yield* Effect.forkChild(startOne);
-        yield* Effect.sleep(20);
+        yield* awaitCondition(() => relay.fake.calls.length === 2);
         yield* Scope.close(scope, Exit.void);
         assert.equal((yield* Fiber.join(ended)).kind, "unknown");
         assert.equal((yield* startOne).kind, "done");
@@ -239,18 +239,20 @@
     Effect.gen(function*() {
         const network = yield* createMemoryNetwork;
         const leader = yield* openMember(network, "a", ["a", "b", "c"], "leader");
-        const scope = yield* Scope.make();
-        const answer = Effect.as(Effect.sleep(300), { kind: "done", clockMs: 7 } as const);
+        const scope = yield* Scope.fork(yield* Effect.scope);
+        const isAnswering = yield* Deferred.make<void>();
+        const answer = Effect.as(Deferred.await(isAnswering), { kind: "done", clockMs: 7 } as const);
         const leaving = yield* Scope.provide(openMember(network, "b", ["a", "b", "c"], "follower", answer), scope);
         const other = yield* openMember(network, "c", ["a", "b", "c"], "follower", answer);
         yield* awaitRelays(leader, 2);
         const outcomes: string[] = [];
         const startSome = Effect.gen(function*() {
+            const expected = leaving.fake.calls.length + other.fake.calls.length + 20;
             for (let index = 0; index < 20; index += 1) {
                 const start = leader.calls.port.startRun(makeWorker(`w${index}`), order, 1_000);
                 yield* Effect.forkScoped(Effect.map(start, ({ kind }) => outcomes.push(kind)));
             }
-            yield* Effect.sleep(30);
+            yield* awaitCondition(() => leaving.fake.calls.length + other.fake.calls.length === expected);
         });
         yield* startSome;
         const before = leaving.fake.calls.length;
@@ -259,8 +261,9 @@
         yield* awaitRelays(leader, 1);
         assert.equal(drained.pollUnsafe(), undefined, "the leader learns of it only when the process has ended");
         yield* startSome;
+        yield* Deferred.succeed(isAnswering, undefined);
         yield* Fiber.join(drained);
-        yield* Effect.sleep(600);
+        yield* awaitCondition(() => outcomes.length === 40);
         assert.equal(leaving.fake.calls.length, before);
         assert.equal(other.fake.calls.length, 40 - before);
         assert.deepEqual(outcomes, Array.from({ length: 40 }, () => "done"));
@@ -275,15 +278,13 @@
     Effect.gen(function*() {
         const network = yield* createMemoryNetwork;
         const alone = yield* openMember(network, "x", ["x"], "follower");
-        const startedMs = performance.now();
-        yield* alone.calls.drain;
-        assert.ok(performance.now() - startedMs < 50);
+        // Fails if the drain waits for anything.
+        Effect.runSync(alone.calls.drain);
         const leader = yield* openMember(network, "a", ["a", "b"], "leader");
         const relay = yield* openMember(network, "b", ["a", "b"], "follower", Effect.never);
         yield* awaitRelays(leader, 1);
         yield* Effect.forkScoped(leader.calls.port.startRun(makeWorker("w"), order, 60_000));
-        yield* Effect.sleep(30);
-        assert.equal(relay.fake.calls.length, 1);
+        yield* awaitCondition(() => relay.fake.calls.length === 1);
         const drainedMs = performance.now();
         yield* relay.calls.drain;
         const tookMs = performance.now() - drainedMs;
