Let the tests of an entry host outlast pauses of the test process

The test of a drain began to drain before all requests had arrived, and refused those as draining; it now waits until the entry host counts them as in progress, which it also logs with `draining`. Tests in which nothing expires have sessions of 60 s, as the test of many callers had.

--- a/packages/entry/src/drain.ts
+++ b/packages/entry/src/drain.ts
@@ -11,7 +11,10 @@
 /** Graceful shutdown, which waits for requests in progress up to the drain limit, and the release of key shards. */
 export interface Drain {
     readonly isDraining: () => boolean;
+    /** Counts a request of a caller as in progress while it runs. */
     readonly runCounted: <Value>(effect: Effect.Effect<Value, ErrorData>) => Effect.Effect<Value, ErrorData>;
+    /** Number of requests of callers in progress. */
+    readonly countRequests: () => number;
     /**
      * Rejects queued requests of shards that have been releasing for too long, and renews the session when a further
      * item is released.
@@ -85,11 +88,12 @@
                         requestsInProgress -= 1;
                     }),
             ),
+        countRequests: () => requestsInProgress,
         advanceReleases: decideReleasing,
         run: stopAccepting =>
             Effect.gen(function*() {
                 draining = true;
-                context.logger.info("draining", { items: items.countItems() });
+                context.logger.info("draining", { items: items.countItems(), requests: requestsInProgress });
                 session.announceDraining();
                 stopAccepting();
                 const endsAtMs = context.readNowMs() + context.settings.requests.drainLimitMs;
--- a/packages/entry/src/fakes/test-cluster.ts
+++ b/packages/entry/src/fakes/test-cluster.ts
@@ -180,3 +180,9 @@
 
 /** Starts such a system with short leases and sessions. */
 export const createTestCluster = createTestClusterWith({});
+
+/**
+ * Starts such a system for tests in which nothing expires: sessions and silent minions outlast any pause of the test
+ * process, after which requests are rightly refused as not run.
+ */
+export const createLastingTestCluster = createTestClusterWith({ sessionTtlMs: 60_000, minionSilenceMs: 60_000 });
--- a/packages/entry/src/start-entry.ts
+++ b/packages/entry/src/start-entry.ts
@@ -30,6 +30,8 @@
     /** IP address and port of the RPC server. */
     readonly rpcAddress: string;
     readonly readHealth: () => EntryHealth;
+    /** Number of requests of callers in progress at this host. */
+    readonly countRequests: () => number;
     /**
      * Refuses new requests, finishes those in progress and hands all items over, at most for the drain limit. Then it
      * waits until all answers to callers are written, at most for the drain limit again.
@@ -194,6 +196,7 @@
     const api: EntryApi = {
         rpcAddress: server.address,
         readHealth,
+        countRequests: drain.countRequests,
         drain: Effect.andThen(drain.run(server.stopAccepting), server.awaitAnswers),
     };
     return api;
