Start starved best-effort steps although they disturb serving tasks

Cause: a best-effort task starts only where each serving task is predicted to keep its target. Smaller jobs go first at each chance, so nothing bounds the wait. A task with a large share and a strong disturbance is never suitable while serving tasks are on all workers.

The pace of the run is lowered as for each best-effort task, so that the serving tasks keep their targets.

--- a/packages/plan-jobs/src/describe-wait.ts
+++ b/packages/plan-jobs/src/describe-wait.ts
@@ -27,7 +27,11 @@
 ): WaitDescription {
     const { job, occurrence, step } = waiting;
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
-    const context = { interference: input.interference, tasksByRack: new Map<string, number>() };
+    const context = {
+        interference: input.interference,
+        tasksByRack: new Map<string, number>(),
+        acceptsDisturbance: false,
+    };
     const ofService = candidates.filter(candidate => candidate.state.info.service === job.queue.service);
     const withRoom = ofService.filter(candidate => hasCapacity(candidate, step.spec, stepKey));
     const suitable = withRoom.filter(candidate => rateWorker(candidate, step.spec, context) !== undefined);
--- a/packages/plan-jobs/src/list-stalled-runs.ts
+++ b/packages/plan-jobs/src/list-stalled-runs.ts
@@ -58,7 +58,11 @@
         return undefined;
     }
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
-    const context = { interference: input.interference, tasksByRack: new Map<string, number>() };
+    const context = {
+        interference: input.interference,
+        tasksByRack: new Map<string, number>(),
+        acceptsDisturbance: false,
+    };
     const isSuitable = (candidate: WorkerCandidate): boolean =>
         candidate.state.info.service === service && hasCapacity(candidate, step.spec, stepKey)
         && rateWorker(candidate, step.spec, context) !== undefined;
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -1,4 +1,5 @@
 import type { JobStep } from "@chestnutspool/job-state";
+import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
 
 /**
  * First limit of the ratings of workers in one pass, so that a long backlog does not block the process. At 1,300 workers
@@ -28,6 +29,7 @@
     passes: number;
     /** Whether there are waiting steps that were not reached yet, so that the next pass should follow soon. */
     hasStepsLeft: boolean;
+    readonly starvation: StarvationMemory;
 }
 
 /** Creates the memory of a planner that has made no pass. */
@@ -38,6 +40,7 @@
         unreachedSince: new WeakMap(),
         passes: 0,
         hasStepsLeft: false,
+        starvation: createStarvationMemory(),
     };
 }
 
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -7,6 +7,7 @@
 import { createPlanMemory, planWithinLimit } from "./plan-memory.js";
 import type { RatingContext } from "./rate-workers.js";
 import { createStart, listStartable } from "./startable-tasks.js";
+import { computeStarvedLimit, listStarvedSteps, recordStarvedStart, type StarvationMemory } from "./starved-steps.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
@@ -81,14 +82,18 @@
     return selectCandidates(pass.candidatesByService.get(waiting.job.queue.service) ?? [], pass.kept, waiting);
 }
 
-function createStepPlan(pass: PlanningPass, waiting: WaitingStep): StepPlan {
+function createStepPlan(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): StepPlan {
     const { job, occurrence, step } = waiting;
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
     const tasksByRack = new Map<string, number>();
     const countRating = (): void => {
         pass.ratings += 1;
     };
-    const context: RatingContext = { interference: pass.input.interference, tasksByRack };
+    const context: RatingContext = {
+        interference: pass.input.interference,
+        tasksByRack,
+        acceptsDisturbance: isStarved,
+    };
     const candidates = listStepCandidates(pass, waiting);
     return {
         waiting,
@@ -124,14 +129,14 @@
     return candidate;
 }
 
-/** Plans starts of the tasks of a step one by one until no worker is suitable. */
-function planTasks(pass: PlanningPass, waiting: WaitingStep): void {
+/** Plans starts of the tasks of a step one by one until no worker is suitable; only of one task if it is starved. */
+function planTasks(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
     const tasks = listStartable(waiting);
     if (tasks.length === 0 || pass.starts.length >= startsPerPass) {
         return;
     }
-    const plan = createStepPlan(pass, waiting);
-    for (const task of tasks.slice(0, startsPerPass - pass.starts.length)) {
+    const plan = createStepPlan(pass, waiting, isStarved);
+    for (const task of tasks.slice(0, isStarved ? 1 : startsPerPass - pass.starts.length)) {
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
             pass.unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting));
@@ -142,13 +147,13 @@
 }
 
 /** Plans starts of all tasks of a gang with the same run number, or of none. */
-function planGang(pass: PlanningPass, waiting: WaitingStep): void {
+function planGang(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
     const { job, step } = waiting;
     const tasks = listStartable(waiting);
     if (step.waiting.size < step.tasks.length || tasks.length < step.tasks.length) {
         return;
     }
-    const plan = createStepPlan(pass, waiting);
+    const plan = createStepPlan(pass, waiting, isStarved);
     const run = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
     const reserved: { readonly candidate: WorkerCandidate; readonly task: JobTask; }[] = [];
     for (const task of tasks) {
@@ -169,6 +174,43 @@
     pass.starts.push(...reserved.map(({ candidate, task }) => createStart(waiting, task, run, candidate)));
 }
 
+function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
+    if (waiting.step.spec.gang) {
+        planGang(pass, waiting, isStarved);
+    }
+    else {
+        planTasks(pass, waiting, isStarved);
+    }
+}
+
+/** Plans a start for the starved steps of jobs for which the pass has planned none. */
+function planStarvedSteps(
+    pass: PlanningPass,
+    waitingSteps: readonly WaitingStep[],
+    memory: StarvationMemory,
+    nowMs: number,
+): void {
+    const started = new Set(pass.starts.map(({ job }) => job));
+    const left = new Map<string, number>();
+    for (const waiting of listStarvedSteps(memory, waitingSteps, nowMs)) {
+        const { job } = waiting;
+        const { service } = job.queue;
+        const workers = pass.candidatesByService.get(service)?.length ?? 0;
+        const limit = left.get(service) ?? computeStarvedLimit(memory, service, workers, nowMs);
+        left.set(service, limit);
+        if (limit === 0 || started.has(job.id)) {
+            continue;
+        }
+        const startsBefore = pass.starts.length;
+        planStep(pass, waiting, true);
+        if (pass.starts.length > startsBefore) {
+            started.add(job.id);
+            left.set(service, limit - 1);
+            recordStarvedStart(memory, job, nowMs);
+        }
+    }
+}
+
 /** Holds workers for the tasks of an overdue long-running step that found no room in this pass. */
 function holdForUnplanned(pass: PlanningPass, waiting: WaitingStep, planned: number): void {
     const { job, occurrence, step, isOverdue } = waiting;
@@ -202,15 +244,11 @@
         const ratingsBefore = pass.ratings;
         const startsBefore = pass.starts.length;
         if (!pass.unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting))) {
-            if (waiting.step.spec.gang) {
-                planGang(pass, waiting);
-            }
-            else {
-                planTasks(pass, waiting);
-            }
+            planStep(pass, waiting);
         }
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
         return pass.ratings - ratingsBefore;
     });
+    planStarvedSteps(pass, waitingSteps, memory.starvation, nowMs);
     return pass.starts;
 }
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -27,6 +27,8 @@
     readonly interference: InterferenceModel;
     /** Number of tasks of the step that this pass has placed, by rack. */
     readonly tasksByRack: ReadonlyMap<string, number>;
+    /** Whether a best-effort task may start although it disturbs serving tasks or finds few idle processors. */
+    readonly acceptsDisturbance: boolean;
 }
 
 /** Pairs of one serving image, as estimated when a rating of the worker first needed them. */
@@ -64,19 +66,20 @@
 
 /**
  * Predicts by how much the margins of the serving tasks on a worker exceed their goals if tasks use a further share of
- * its processors. Returns the smallest difference; undefined if one is negative.
+ * its processors. Returns the smallest difference; undefined if one is below `leastExcess`.
  */
 function predictSpareMargin(
     candidate: WorkerCandidate,
     added: AddedShare,
     interference: InterferenceModel,
+    leastExcess: number,
 ): number | undefined {
     const usedShare = candidate.bestEffortShares.get(added.image) ?? 0;
     let smallestExcess = Number.POSITIVE_INFINITY;
     for (const serving of getServingMargins(candidate, interference)) {
         const pair = getPair(candidate, serving.image, added.image, interference);
         const excess = predictMarginWithShare(serving, pair, usedShare, added.share) - serving.goal;
-        if (excess < 0) {
+        if (excess < leastExcess) {
             return undefined;
         }
         smallestExcess = Math.min(smallestExcess, excess);
@@ -86,17 +89,26 @@
 
 /**
  * Prefers workers with many idle processors on which the task disturbs no serving task. Undefined if the task must not
- * start on this worker.
+ * start on this worker. If it accepts disturbance it may start on each, and runs at the pace that serving tasks allow.
  */
-function rateForBestEffortTask(candidate: WorkerCandidate, spec: StepSpec, context: RatingContext): number | undefined {
+function rateForBestEffortTask(
+    candidate: WorkerCandidate,
+    spec: StepSpec,
+    { interference, acceptsDisturbance }: RatingContext,
+): number | undefined {
     const { milliCpu } = spec.resources;
     const capacity = Math.max(1, candidate.state.info.capacity.milliCpu);
     const idleShare = milliCpu === 0 ? 1 : Math.min(1, candidate.idleMilliCpu / milliCpu);
-    if (candidate.isContended || idleShare < leastIdleShare) {
+    if (!acceptsDisturbance && (candidate.isContended || idleShare < leastIdleShare)) {
         return undefined;
     }
     const added = { image: spec.image ?? "", share: milliCpu / capacity };
-    const margin = predictSpareMargin(candidate, added, context.interference);
+    const margin = predictSpareMargin(
+        candidate,
+        added,
+        interference,
+        acceptsDisturbance ? Number.NEGATIVE_INFINITY : 0,
+    );
     if (margin === undefined) {
         return undefined;
     }
