Restart failed loops with one shared function

Cause: superviseLoop of lead-jobs and keepRunning of types both restarted a loop after an exception and described its cause, with different pauses, lengths and layouts.

Change: keepRunning takes these as a RestartPolicy and an effect to resume with; superviseLoop calls it. The pauses, lengths and layouts stay as they were (200 ms, 600 characters, one line; 1 s, 1,000 characters, with line breaks). One thing differs for the loops of peer-link and relay-worker-calls: an exception of the logger no longer ends them, as it was already in lead-jobs.

Result: the existing tests are unchanged.

--- a/packages/lead-jobs/src/supervise-loop.ts
+++ b/packages/lead-jobs/src/supervise-loop.ts
@@ -1,10 +1,8 @@
-import { Cause, Effect } from "effect";
+import { describeCause, keepRunning, type RestartPolicy } from "@chestnutspool/types";
+import { Effect } from "effect";
 import type { LeaderDependencies } from "./term.js";
 
-/** Pause before a loop that failed is started again, in milliseconds. */
-const restartPauseMs = 200;
-/** Longest description of an exception in a log line, in characters. */
-const maxDetailLength = 600;
+const restartPolicy: RestartPolicy = { pauseMs: 200, detailLimitCharacters: 600, detailLayout: "singleLine" };
 
 /** Loops of the leader. */
 export type LoopName =
@@ -32,10 +30,6 @@
 /** Where failures are reported. */
 export type FailureReporter = Pick<LeaderDependencies, "logger" | "metrics">;
 
-function describeCause(cause: Cause.Cause<unknown>): string {
-    return Cause.pretty(cause).replaceAll(/\s+/g, " ").slice(0, maxDetailLength);
-}
-
 /**
  * Runs a loop and starts it again after each unexpected exception, because nothing else would for the rest of the term.
  * `resume` runs instead of `loop` after an exception. An interruption of the fiber ends both without a line.
@@ -47,21 +41,11 @@
     loop: Effect.Effect<void, never, Requirements>,
     resume: Effect.Effect<void, never, Requirements> = loop,
 ): Effect.Effect<void, never, Requirements> {
-    const recordFailure = (cause: Cause.Cause<unknown>) =>
-        Effect.sync(() => {
-            metrics.countEvent("loops.failed", "", name);
-            logger.error("loop failed; it is started again", { loop: name, ...context, detail: describeCause(cause) });
-        });
-    return Effect.catchCause(
-        loop,
-        cause =>
-            recordFailure(cause).pipe(
-                // An exception while the line is written must not end the loop either.
-                Effect.ignoreCause,
-                Effect.andThen(Effect.sleep(restartPauseMs)),
-                Effect.andThen(Effect.suspend(() => superviseLoop({ logger, metrics }, name, context, resume))),
-            ),
-    );
+    const recordFailure = (detail: string): void => {
+        metrics.countEvent("loops.failed", "", name);
+        logger.error("loop failed; it is started again", { loop: name, ...context, detail });
+    };
+    return keepRunning(loop, recordFailure, restartPolicy, resume);
 }
 
 /** Runs an order; an unexpected exception is logged, and `recover` applies it like the answer of a lost order. */
@@ -77,7 +61,7 @@
             recover,
             Effect.sync(() => {
                 metrics.countEvent("orders.failed", "", name);
-                logger.error("order failed", { order: name, ...context, detail: describeCause(cause) });
+                logger.error("order failed", { order: name, ...context, detail: describeCause(cause, restartPolicy) });
             }),
         ));
 }
--- a/packages/types/src/keep-running.ts
+++ b/packages/types/src/keep-running.ts
@@ -1,20 +1,47 @@
 import { Cause, Effect } from "effect";
 
-/** Longest description of a failure in a log line, in characters. */
-const detailLimitCharacters = 1_000;
-/** Pause before a loop that has failed starts again, in milliseconds; bounds its log lines if it fails each time. */
-const restartPauseMs = 1_000;
+/** Layout of the description of a failure: `lines` keeps its line breaks, `singleLine` joins its lines. */
+export type DetailLayout = "lines" | "singleLine";
+
+/** How a loop that has failed is described and started again. */
+export interface RestartPolicy {
+    /** Pause before the next start, in milliseconds; bounds the log lines of a loop that fails each time. */
+    readonly pauseMs: number;
+    /** Longest description of a failure, in characters. */
+    readonly detailLimitCharacters: number;
+    readonly detailLayout: DetailLayout;
+}
+
+const defaultPolicy: RestartPolicy = { pauseMs: 1_000, detailLimitCharacters: 1_000, detailLayout: "lines" };
 
 /** Describes a failure for a log line, with bounded length. */
-export function describeCause(cause: Cause.Cause<unknown>): string {
-    return Cause.pretty(cause).slice(0, detailLimitCharacters);
+export function describeCause(
+    cause: Cause.Cause<unknown>,
+    { detailLimitCharacters, detailLayout }: Omit<RestartPolicy, "pauseMs"> = defaultPolicy,
+): string {
+    const lines = Cause.pretty(cause);
+    const detail = detailLayout === "singleLine" ? lines.replaceAll(/\s+/g, " ") : lines;
+    return detail.slice(0, detailLimitCharacters);
 }
 
 /**
- * Runs a loop that never ends by itself until the fiber is interrupted. After an unexpected failure it passes the description
- * to `logFailure` and starts the loop again after a pause.
+ * Runs a loop and starts it again after each unexpected failure, once `logFailure` has received the description and the
+ * pause is over. `resume` runs instead of `loop` after a failure. An interruption of the fiber ends both without a call.
  */
-export function keepRunning(loop: Effect.Effect<never>, logFailure: (detail: string) => void): Effect.Effect<never> {
-    const attempt = Effect.catchCause(loop, cause => Effect.sync(() => logFailure(describeCause(cause))));
-    return Effect.forever(Effect.andThen(attempt, Effect.sleep(restartPauseMs)));
+export function keepRunning<Value, Requirements>(
+    loop: Effect.Effect<Value, never, Requirements>,
+    logFailure: (detail: string) => void,
+    policy: RestartPolicy = defaultPolicy,
+    resume: Effect.Effect<Value, never, Requirements> = loop,
+): Effect.Effect<Value, never, Requirements> {
+    return Effect.catchCause(
+        loop,
+        cause =>
+            Effect.sync(() => logFailure(describeCause(cause, policy))).pipe(
+                // An exception while the line is written must not end the loop either.
+                Effect.ignoreCause,
+                Effect.andThen(Effect.sleep(policy.pauseMs)),
+                Effect.andThen(Effect.suspend(() => keepRunning(resume, logFailure, policy))),
+            ),
+    );
 }
