End serve with exit code 1 when its replica has stopped

Cause: a failed sync or an internal error stops the replica of a control process for good. serve waited for a signal only, so that the process went on without its replica and nobody restarted it.

Change: serve also waits for the failure of its replica, as the platform program does; it logs "process failed", drains as after SIGTERM and ends with exit code 1. The wait is now one function of replicated-log for both programs.

--- a/packages/cli/src/commands/serve/index.ts
+++ b/packages/cli/src/commands/serve/index.ts
@@ -1,3 +1,4 @@
+import { describeError } from "@chestnutspool/errors";
 import { loadSettings } from "@chestnutspool/settings";
 import type { ProcessSettings } from "@chestnutspool/types";
 import { Effect, Fiber } from "effect";
@@ -5,10 +6,10 @@
 import { exitCodes } from "../../exit-codes.js";
 import { type CliFailure, createUsageFailure, mapErrorToFailure } from "../../failure.js";
 import { awaitStopSignal } from "../../process/await-stop-signal.js";
-import { controlKey, createProcess, entryKey, linkKey } from "../../process/create-process.js";
+import { awaitReplicaFailure, controlKey, createProcess, entryKey, linkKey } from "../../process/create-process.js";
 import { readOption } from "../../read-options.js";
 
-/** Runs a process with the roles of its settings until SIGTERM or SIGINT. */
+/** Runs a process with the roles of its settings until SIGTERM or SIGINT, or until its replica has stopped. */
 export const serveCommand: CliCommand = {
     form: "serve",
     description: "Run a process; SIGTERM or SIGINT drains it and ends it with exit code 0",
@@ -41,7 +42,16 @@
             rpcAddress,
             replicaIdentity,
         });
-        const signal = yield* Fiber.join(stopSignal);
+        // A replica that has stopped works again only after a restart, which the service manager makes when the process has ended.
+        const signal = yield* Effect.raceFirst(Fiber.join(stopSignal), awaitReplicaFailure(kernel, settings)).pipe(
+            Effect.tapError(error =>
+                Effect.andThen(
+                    Effect.sync(() => logger.error("process failed", { detail: describeError(error) })),
+                    kernel.stopAll,
+                )
+            ),
+            Effect.mapError(mapErrorToFailure),
+        );
         logger.info("process draining", { signal });
         yield* kernel.stopAll;
         logger.info("process stopped");
--- a/packages/cli/src/process/create-process.ts
+++ b/packages/cli/src/process/create-process.ts
@@ -6,8 +6,15 @@
 import { openWebSocketLink } from "@chestnutspool/peer-link";
 import { createPlacer } from "@chestnutspool/place-tasks";
 import { createMetrics } from "@chestnutspool/record-metrics";
-import { openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
-import type { CommandResult, ControlCommand, PeerLink, ProcessSettings, ReplicatedLog } from "@chestnutspool/types";
+import { awaitReplicaFailure as awaitFailure, openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
+import type {
+    CommandResult,
+    ControlCommand,
+    ErrorData,
+    PeerLink,
+    ProcessSettings,
+    ReplicatedLog,
+} from "@chestnutspool/types";
 import { Effect } from "effect";
 
 /** Key of the peer link. */
@@ -98,3 +105,13 @@
     }
     return { kernel, logger };
 }
+
+/**
+ * Fails with `serviceFailed` once the replica of this process has stopped; never ends in a process without the control role.
+ * Closing the kernel stops the replica too, so that the wait is to end before that.
+ */
+export function awaitReplicaFailure(kernel: Kernel, settings: ProcessSettings): Effect.Effect<never, ErrorData> {
+    return settings.process.roles.includes("control")
+        ? awaitFailure(kernel.findService(logKey).log, logKey.name)
+        : Effect.never;
+}
--- a/packages/run-job-process/src/create-job-process.ts
+++ b/packages/run-job-process/src/create-job-process.ts
@@ -7,7 +7,7 @@
 import { openWebSocketLink } from "@chestnutspool/peer-link";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import { openWorkerCalls, type RelayedWorkerCalls } from "@chestnutspool/relay-worker-calls";
-import { openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
+import { awaitReplicaFailure as awaitFailure, openFileDisk, openReplicatedLog } from "@chestnutspool/replicated-log";
 import type {
     ErrorData,
     JobCommand,
@@ -167,20 +167,7 @@
  * in an entry process. Closing the kernel stops the replica too, so that the wait is to end before that.
  */
 export function awaitReplicaFailure(kernel: Kernel, settings: JobProcessSettings): Effect.Effect<never, ErrorData> {
-    if (settings.control === undefined) {
-        return Effect.never;
-    }
-    return Effect.callback<never, ErrorData>(resume => {
-        const error: ErrorData = {
-            kind: "serviceFailed",
-            service: logKey.name,
-            detail: "the replica has stopped; the line \"replica stopped\" tells the cause",
-        };
-        const stopWatching = kernel.findService(logKey).watchStatus(({ role }) => {
-            if (role === "stopped") {
-                resume(Effect.fail(error));
-            }
-        });
-        return Effect.sync(stopWatching);
-    });
+    return settings.control === undefined
+        ? Effect.never
+        : awaitFailure(kernel.findService(logKey), logKey.name);
 }
