Drop a requested transfer of leadership that cannot start at once

Cause: a replica kept the request while its disk failed, and campaigned when the disk took writes again, although the leader had given up the transfer. With a full disk to which nothing had been written yet it raised its term at once and asked for votes later.

Change: a request has a term and an end, after the shortest election timeout. The target writes its unchanged term and vote first, and drops the request when the disk takes no write, another term began or the time is over. A new log line tells it.

--- a/packages/replicated-log/src/elect.ts
+++ b/packages/replicated-log/src/elect.ts
@@ -1,6 +1,6 @@
 import type { LogMember } from "@chestnutspool/types";
 import { awaitSocketReads, readMonotonicMs } from "@chestnutspool/types";
-import { Effect, Option, Queue } from "effect";
+import { Deferred, Effect, Option, Queue } from "effect";
 import { logProtocolVersion, type LogReply, type VoteRequest } from "./messages.js";
 import {
     awaitHardState,
@@ -15,6 +15,7 @@
     setElectionDeadline,
     setFollower,
     setVote,
+    type TransferRequest,
 } from "./replica.js";
 import { startLeading } from "./replicate.js";
 
@@ -74,10 +75,8 @@
 }
 
 /** Campaigns for leadership: a pre-vote, which changes no term, then the vote. A requested transfer skips the pre-vote. */
-const campaign = Effect.fnUntraced(function*(replica: Replica) {
+const campaign = Effect.fnUntraced(function*(replica: Replica, transfer: boolean) {
     const { electionTimeoutMinMs, electionTimeoutMaxMs, heartbeatMs } = replica.settings;
-    const transfer = replica.transferRequested;
-    replica.transferRequested = false;
     setCandidate(replica);
     if (!transfer && !(yield* collectVotes(replica, replica.term + 1, true, false))) {
         // A pre-vote changes nothing at the other replicas, so it is retried sooner than an election.
@@ -102,6 +101,29 @@
     return isVoter(replica) && replica.storage.readStatus().state === "working";
 }
 
+/** Whether the disk takes a write of the unchanged term and vote within a time limit. */
+const canWriteHardState = Effect.fnUntraced(function*(replica: Replica, limitMs: number) {
+    const { self, identity, term, votedFor } = replica;
+    const stored = Deferred.await(replica.storage.saveHardState({ self, identity, term, votedFor }));
+    return Option.isSome(yield* Effect.timeoutOption(stored, limitMs));
+});
+
+/**
+ * Carries out a requested transfer, or drops it when it cannot start before its end: the leader has given it up by then, and a
+ * later election would only disrupt that leader. The disk is tested first, because a term that was raised cannot be lowered.
+ */
+const attemptTransfer = Effect.fnUntraced(function*(replica: Replica, { term, endsAtMs }: TransferRequest) {
+    const isDue = (nowMs: number): boolean =>
+        canCampaign(replica) && replica.role === "follower" && replica.term === term && nowMs < endsAtMs;
+    const nowMs = yield* readMonotonicMs;
+    if (isDue(nowMs) && (yield* canWriteHardState(replica, endsAtMs - nowMs)) && isDue(yield* readMonotonicMs)) {
+        yield* campaign(replica, true);
+    }
+    else {
+        replica.logger.warn("requested transfer of leadership was dropped", { term });
+    }
+});
+
 /** Runs the election timer; a leader without contact with a majority steps down here too. */
 export const runElectionTimer = Effect.fnUntraced(function*(replica: Replica) {
     while (replica.role !== "stopped") {
@@ -122,8 +144,13 @@
             continue;
         }
         const remainingMs = replica.electionDeadlineMs - nowMs;
-        if (canCampaign(replica) && (replica.transferRequested || remainingMs <= 0)) {
-            yield* campaign(replica);
+        const { transferRequest } = replica;
+        if (transferRequest !== undefined) {
+            replica.transferRequest = undefined;
+            yield* attemptTransfer(replica, transferRequest);
+        }
+        else if (canCampaign(replica) && remainingMs <= 0) {
+            yield* campaign(replica, false);
         }
         else {
             yield* awaitWake(replica.timerWake, remainingMs > 0 ? remainingMs : replica.settings.electionTimeoutMinMs);
--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -84,7 +84,8 @@
         case "campaign":
             return Effect.gen(function*() {
                 if (request.term === replica.term && replica.leader === from) {
-                    replica.transferRequested = true;
+                    const endsAtMs = (yield* readMonotonicMs) + replica.settings.electionTimeoutMinMs;
+                    replica.transferRequest = { term: request.term, endsAtMs };
                     Queue.offerUnsafe(replica.timerWake, undefined);
                 }
                 const { term } = replica;
@@ -218,7 +219,7 @@
         incoming: undefined,
         leaderContactMs: Number.NEGATIVE_INFINITY,
         electionDeadlineMs: 0,
-        transferRequested: false,
+        transferRequest: undefined,
         termStartIndex: 0,
         round: 0,
         peers: new Map(),
--- a/packages/replicated-log/src/protocol.test.ts
+++ b/packages/replicated-log/src/protocol.test.ts
@@ -197,3 +197,52 @@
         const exit = yield* settle(read, 4_000);
         assert.deepEqual(exit, Exit.succeed(1));
     })));
+
+/**
+ * Lets replica "b" follow the test as a leader that asks it for a transfer while its disk is full, and frees the disk 5 s later.
+ * Returns the status of "b" before the request, after the 5 s and 3 s later, and how many votes it asked for.
+ */
+const requestTransferOnFullDisk = Effect.fnUntraced(function*(entriesOnFullDisk: number) {
+    let votes = 0;
+    const { replica, first } = yield* startSingleReplica(request => {
+        votes += request.kind === "vote" ? 1 : 0;
+        return refuseVotes(request);
+    });
+    const before = getLog(replica).readStatus();
+    const term = before.term + 5;
+    yield* settle(sendEntries(first, replica, term, before.term, 1), 200);
+    votes = 0;
+    const keepLeading = Effect.fnUntraced(function*(durationMs: number) {
+        for (let passedMs = 0; passedMs < durationMs; passedMs += 200) {
+            const heartbeat = yield* Effect.forkChild(Effect.exit(sendEntries(first, replica, term, term, 0)));
+            yield* TestClock.adjust(200);
+            yield* Fiber.interrupt(heartbeat);
+        }
+        return getLog(replica).readStatus();
+    });
+    const requested = getLog(replica).readStatus();
+    replica.memoryDisk.setFreeBytes(0);
+    if (entriesOnFullDisk > 0) {
+        yield* settle(sendEntries(first, replica, term, term, entriesOnFullDisk), 200);
+    }
+    const request = { ...createHeader(replica, "first", term), kind: "campaign" as const };
+    yield* Effect.forkScoped(Effect.exit(first.callPeer("b", request, callLimitMs)));
+    const whileFull = yield* keepLeading(5_000);
+    replica.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
+    const afterwards = yield* keepLeading(3_000);
+    return { requested, whileFull, afterwards, votes };
+});
+
+// Guards against a change of leader minutes after a transfer was given up, when the disk of its target takes writes again.
+for (const [state, entriesOnFullDisk] of [["known to fail", 1], ["not written to since it was full", 0]] as const) {
+    void test(`a transfer that is asked of a replica whose disk is ${state} is dropped`, () =>
+        runTest(Effect.gen(function*() {
+            const { requested, whileFull, afterwards, votes } = yield* requestTransferOnFullDisk(entriesOnFullDisk);
+            assert.deepEqual([requested.role, requested.leader], ["follower", "a"]);
+            for (const [phase, { role, leader, term }] of Object.entries({ whileFull, afterwards })) {
+                const found = `${phase}: ${role} of term ${term}`;
+                assert.deepEqual([role, leader, term], ["follower", "a", requested.term], found);
+            }
+            assert.equal(votes, 0);
+        })));
+}
--- a/packages/replicated-log/src/replica.ts
+++ b/packages/replicated-log/src/replica.ts
@@ -56,6 +56,13 @@
     receivedBytes: number;
 }
 
+/** A transfer of leadership that the leader of a term requested. */
+export interface TransferRequest {
+    readonly term: number;
+    /** Time from which on the election may not start any more, in monotonic milliseconds. */
+    readonly endsAtMs: number;
+}
+
 /** State of one replica. A fiber makes related changes without a yield in between, so that no other fiber sees a part. */
 export interface Replica {
     readonly self: PeerId;
@@ -87,8 +94,8 @@
     leaderContactMs: number;
     /** When this replica starts an election unless it has contact with a leader, in monotonic milliseconds. */
     electionDeadlineMs: number;
-    /** The leader asked this replica to start an election at once. */
-    transferRequested: boolean;
+    /** Set when the leader asked this replica to start an election at once. */
+    transferRequest: TransferRequest | undefined;
     /** Leader only: first index of its own term. */
     termStartIndex: number;
     /** Leader only: number of the last round of requests that confirms leadership for reads. */
