Test that a conflict with a committed entry stops the replica

Cause: no test covered the line "replica stopped" in follow.ts.

Change: a test sends a replica an entry of another term at a committed index. It checks the answer, the line and its cause, that the replica has stopped, refuses later requests and keeps the applied entry. startCluster takes a logger.

--- a/packages/replicated-log/src/fakes/test-cluster.ts
+++ b/packages/replicated-log/src/fakes/test-cluster.ts
@@ -170,8 +170,12 @@
 }
 
 /** Creates a cluster, starts its replicas and waits for a leader. */
-export const startCluster = Effect.fnUntraced(function*(size: number, section: LogSection = testLogSection) {
-    const cluster = yield* createTestCluster(size, 1, section);
+export const startCluster = Effect.fnUntraced(function*(
+    size: number,
+    section: LogSection = testLogSection,
+    logger: Logger = silentLogger,
+) {
+    const cluster = yield* createTestCluster(size, 1, section, logger);
     for (const replica of cluster.replicas) {
         yield* cluster.startReplica(replica.id);
     }
--- a/packages/replicated-log/src/protocol.test.ts
+++ b/packages/replicated-log/src/protocol.test.ts
@@ -1,4 +1,4 @@
-import { silentLogger } from "@chestnutspool/logger";
+import { type Logger, silentLogger } from "@chestnutspool/logger";
 import type { Channel, ErrorData } from "@chestnutspool/types";
 import { Effect, Exit, Fiber } from "effect";
 import { TestClock } from "effect/testing";
@@ -6,6 +6,7 @@
 import { test } from "node:test";
 import { readIdentity } from "./fakes/log-model.js";
 import {
+    getError,
     getLog,
     proposeAll,
     runReady,
@@ -13,6 +14,7 @@
     settle,
     splitRoles,
     startCluster,
+    testLogSection,
     type TestReplica,
 } from "./fakes/test-cluster.js";
 import { type LogEntry, logProtocolVersion, type LogReply, type LogRequest } from "./messages.js";
@@ -24,8 +26,8 @@
 const refuseVotes: Answer = () => Effect.succeed({ kind: "vote", term: 0, granted: false });
 
 /** A cluster in which only replica "b" runs; the test sends and answers the messages of "a" and "c". */
-const startSingleReplica = Effect.fnUntraced(function*(answer: Answer = refuseVotes) {
-    const cluster = yield* startCluster(3);
+const startSingleReplica = Effect.fnUntraced(function*(answer: Answer = refuseVotes, logger: Logger = silentLogger) {
+    const cluster = yield* startCluster(3, testLogSection, logger);
     yield* proposeAll(splitRoles(cluster).leader, ["one"]);
     for (const id of ["a", "c"]) {
         yield* cluster.crashReplica(id, 0);
@@ -198,6 +200,38 @@
         assert.deepEqual(exit, Exit.succeed(1));
     })));
 
+// Guards against a replica that ends without a line about the cause, or that replaces an entry it has applied.
+void test("an entry that conflicts with a committed one stops the replica, with one line that names it", () =>
+    runTest(Effect.gen(function*() {
+        const lines: { readonly message: string; readonly detail: unknown; }[] = [];
+        const logger: Logger = {
+            ...silentLogger,
+            error: (message, fields) => lines.push({ message, detail: fields?.["detail"] }),
+            forService: () => logger,
+        };
+        const { replica, first } = yield* startSingleReplica(refuseVotes, logger);
+        const { term, commitIndex } = getLog(replica).readStatus();
+        assert.deepEqual(replica.machine.listCommands(), ["one"]);
+        const exit = yield* settle(
+            first.callPeer("b", {
+                ...createHeader(replica, "first", term + 5),
+                kind: "append",
+                prevIndex: commitIndex - 1,
+                prevTerm: term,
+                entries: [{ kind: "noop", index: commitIndex, term: term + 5 }],
+                commitIndex,
+            }, callLimitMs),
+            200,
+        );
+        const detail = `Error: entry ${commitIndex} of the leader conflicts with a committed entry`;
+        assert.deepEqual(getError(exit), { kind: "internal", detail });
+        assert.deepEqual(lines, [{ message: "replica stopped", detail }]);
+        assert.equal(getLog(replica).readStatus().role, "stopped");
+        assert.deepEqual(replica.machine.listCommands(), ["one"]);
+        const refused = yield* settle(sendEntries(first, replica, term + 5, term, 0), 200);
+        assert.deepEqual(getError(refused), { kind: "internal", detail });
+    })));
+
 /**
  * Lets replica "b" follow the test as a leader that asks it for a transfer while its disk is full, and frees the disk 5 s later.
  * Returns the status of "b" before the request, after the 5 s and 3 s later, and how many votes it asked for.
