--- a/packages/replicated-log/src/follow.ts
+++ b/packages/replicated-log/src/follow.ts
@@ -1,16 +1,9 @@
 import { type PeerId, readMonotonicMs } from "@chestnutspool/types";
 import { Deferred, Effect } from "effect";
 import { crc32 } from "node:zlib";
+import { commitUntil } from "./commit-entries.js";
 import type { AppendRequest, LogReply, Snapshot, SnapshotRequest } from "./messages.js";
-import {
-    awaitHardState,
-    commitUntil,
-    listMembers,
-    recordLeaderContact,
-    type Replica,
-    setFollower,
-    stopReplica,
-} from "./replica.js";
+import { awaitHardState, listMembers, recordLeaderContact, type Replica, setFollower, stopReplica } from "./replica.js";
 
 /** Follows the sender as leader of its term; false when this replica is in a higher term. */
 function followSender(replica: Replica, from: PeerId, term: number, nowMs: number): boolean {
--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -16,6 +16,7 @@
 import { crc32 } from "node:zlib";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { completeReads } from "./commit-entries.js";
 import { handleVote, runElectionTimer } from "./elect.js";
 import { handleAppend, handleSnapshot, setMemberLinks } from "./follow.js";
 import { formCluster } from "./form-cluster.js";
@@ -25,7 +26,6 @@
 import {
     awaitHardState,
     checkLeadership,
-    completeReads,
     listMembers,
     readStatus,
     recordLeaderContact,
--- a/packages/replicated-log/src/replicate.ts
+++ b/packages/replicated-log/src/replicate.ts
@@ -1,13 +1,12 @@
 import { type ErrorData, type PeerId, readMonotonicMs } from "@chestnutspool/types";
 import { Effect, Exit, FiberMap, Queue } from "effect";
 import { crc32 } from "node:zlib";
+import { commitUntil, completeReads } from "./commit-entries.js";
 import { type AppendRequest, type LogEntry, logProtocolVersion, type LogReply, type LogRequest } from "./messages.js";
 import {
     awaitWake,
     canReplicate,
     checkLeadership,
-    commitUntil,
-    completeReads,
     countMajority,
     listMembers,
     listVoters,
