--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -16,6 +16,7 @@
 import { crc32 } from "node:zlib";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { completeReads } from "./commit-entries.js";
 import { handleVote, runElectionTimer } from "./elect.js";
 import { handleAppend, handleSnapshot, setMemberLinks } from "./follow.js";
 import { formCluster } from "./form-cluster.js";
@@ -25,7 +26,6 @@
 import {
     awaitHardState,
     checkLeadership,
-    completeReads,
     listMembers,
     readStatus,
     recordLeaderContact,
@@ -84,7 +84,8 @@
         case "campaign":
             return Effect.gen(function*() {
                 if (request.term === replica.term && replica.leader === from) {
-                    replica.transferRequested = true;
+                    const endsAtMs = (yield* readMonotonicMs) + replica.settings.electionTimeoutMinMs;
+                    replica.transferRequest = { term: request.term, endsAtMs };
                     Queue.offerUnsafe(replica.timerWake, undefined);
                 }
                 const { term } = replica;
@@ -218,7 +219,7 @@
         incoming: undefined,
         leaderContactMs: Number.NEGATIVE_INFINITY,
         electionDeadlineMs: 0,
-        transferRequested: false,
+        transferRequest: undefined,
         termStartIndex: 0,
         round: 0,
         peers: new Map(),
