Log what keeps a waiting step from workers with room

The line `step waits` said `disturbs` whenever no worker was suitable, which has three causes: best-effort tasks there already lack processor time, too few processors are idle, or a serving task would miss its target. A review of the trace of the starved step found that the lines do not distinguish them. The line now has the number of workers for each, and the lateness of the job.

--- a/packages/plan-jobs/src/describe-wait.ts
+++ b/packages/plan-jobs/src/describe-wait.ts
@@ -1,10 +1,11 @@
 import { computeReservation, formatStepKey } from "@chestnutspool/job-state";
 import type { PlanInput } from "./plan-starts.js";
-import { rateWorker } from "./rate-workers.js";
+import type { Lateness } from "./predict-lateness.js";
+import { findObstacle, type Obstacle, rateWorker } from "./rate-workers.js";
 import type { WaitingStep } from "./waiting-steps.js";
 import { hasCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
-/** How many workers could run a task of a step. */
+/** How many workers could run a task of a step, and what keeps the others from it. */
 export interface WaitDescription {
     /** Usable workers of the service of its queue. */
     readonly workers: number;
@@ -17,6 +18,14 @@
     readonly withRoom: number;
     /** Workers with enough free resources on which the task would disturb no serving task and make progress. */
     readonly suitable: number;
+    /**
+     * Workers with enough free resources on which its best-effort tasks get too little processor time already, on which
+     * it would find too few idle processors, and on which a serving task would miss its target.
+     */
+    readonly contended: number;
+    readonly noIdleProcessors: number;
+    readonly disturbed: number;
+    readonly lateness: Lateness;
 }
 
 /** Counts the workers that could run a task of a waiting step. */
@@ -35,6 +44,8 @@
     const ofService = candidates.filter(candidate => candidate.state.info.service === job.queue.service);
     const withRoom = ofService.filter(candidate => hasCapacity(candidate, step.spec, stepKey));
     const suitable = withRoom.filter(candidate => rateWorker(candidate, step.spec, context) !== undefined);
+    const obstacles = withRoom.map(candidate => findObstacle(candidate, step.spec, input.interference));
+    const countObstacle = (obstacle: Obstacle): number => obstacles.filter(found => found === obstacle).length;
     const needed = computeReservation(step.spec);
     const count = (isIncluded: (candidate: WorkerCandidate) => boolean): number => ofService.filter(isIncluded).length;
     return {
@@ -44,5 +55,9 @@
         trusted: count(({ startsLeft }) => startsLeft !== 0),
         withRoom: withRoom.length,
         suitable: suitable.length,
+        contended: countObstacle("contended"),
+        noIdleProcessors: countObstacle("noIdleProcessors"),
+        disturbed: countObstacle("disturbs"),
+        lateness: waiting.lateness,
     };
 }
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -87,6 +87,40 @@
     return smallestExcess;
 }
 
+function computeIdleShare({ idleMilliCpu }: WorkerCandidate, { resources }: StepSpec): number {
+    return resources.milliCpu === 0 ? 1 : Math.min(1, idleMilliCpu / resources.milliCpu);
+}
+
+function getAddedShare({ state }: WorkerCandidate, { image, resources }: StepSpec): AddedShare {
+    return { image: image ?? "", share: resources.milliCpu / Math.max(1, state.info.capacity.milliCpu) };
+}
+
+/**
+ * Why a best-effort task does not start on a worker with room: the tasks there get less processor time than they could
+ * use, it would find too few idle processors, or a serving task would miss its target.
+ */
+export type Obstacle = "contended" | "noIdleProcessors" | "disturbs";
+
+/** Finds what keeps a task of a step from starting on a worker with room; undefined if nothing does. */
+export function findObstacle(
+    candidate: WorkerCandidate,
+    spec: StepSpec,
+    interference: InterferenceModel,
+): Obstacle | undefined {
+    if (!spec.usesIdleCpu) {
+        return undefined;
+    }
+    if (candidate.isContended) {
+        return "contended";
+    }
+    if (computeIdleShare(candidate, spec) < leastIdleShare) {
+        return "noIdleProcessors";
+    }
+    return predictSpareMargin(candidate, getAddedShare(candidate, spec), interference, 0) === undefined
+        ? "disturbs"
+        : undefined;
+}
+
 /**
  * Prefers workers with many idle processors on which the task disturbs no serving task. Undefined if the task must not
  * start on this worker. If it accepts disturbance it may start on each, and runs at the pace that serving tasks allow.
@@ -96,23 +130,17 @@
     spec: StepSpec,
     { interference, acceptsDisturbance }: RatingContext,
 ): number | undefined {
-    const { milliCpu } = spec.resources;
-    const capacity = Math.max(1, candidate.state.info.capacity.milliCpu);
-    const idleShare = milliCpu === 0 ? 1 : Math.min(1, candidate.idleMilliCpu / milliCpu);
+    const idleShare = computeIdleShare(candidate, spec);
     if (!acceptsDisturbance && (candidate.isContended || idleShare < leastIdleShare)) {
         return undefined;
     }
-    const added = { image: spec.image ?? "", share: milliCpu / capacity };
-    const margin = predictSpareMargin(
-        candidate,
-        added,
-        interference,
-        acceptsDisturbance ? Number.NEGATIVE_INFINITY : 0,
-    );
+    const leastExcess = acceptsDisturbance ? Number.NEGATIVE_INFINITY : 0;
+    const margin = predictSpareMargin(candidate, getAddedShare(candidate, spec), interference, leastExcess);
     if (margin === undefined) {
         return undefined;
     }
-    return idleShare + Math.min(margin, 1) / 2 + candidate.idleMilliCpu / capacity;
+    return idleShare + Math.min(margin, 1) / 2
+        + candidate.idleMilliCpu / Math.max(1, candidate.state.info.capacity.milliCpu);
 }
 
 /** Prefers workers with serving tasks of the same image, and without tasks that disturb this one. */
