Bound the wait and the cost of starved steps in all cases

Jobs in time are starved after 6 s now, late ones after 2 s as before. A job stays starved until a start that disturbs nothing, and is tried again after a second. Starved steps have their own limit of ratings, a quarter of that of the others, and what no worker can hold is compared once a pass. The starts of gangs count with their tasks.

Of the four new tests three fail on (no start of the job in time; 3 starts in 8 s instead of at least 4; no limit), and pass now.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -4,10 +4,10 @@
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
 import { holdWorkers } from "./hold-workers.js";
 import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
-import { createPlanMemory, planWithinLimit } from "./plan-memory.js";
+import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
 import type { RatingContext } from "./rate-workers.js";
 import { createStart, listStartable } from "./startable-tasks.js";
-import { computeStarvedLimit, listStarvedSteps, recordStarvedStart, type StarvationMemory } from "./starved-steps.js";
+import { computeStarvedLimit, forgetStarvation, listStarvedSteps, recordStarvedStarts } from "./starved-steps.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
@@ -24,6 +24,8 @@
  * limited.
  */
 const startsPerPass = 500;
+/** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
+const starvedRatingsShare = 0.25;
 
 /** Input of the planner. */
 export interface PlanInput {
@@ -183,30 +185,42 @@
     }
 }
 
-/** Plans a start for the starved steps of jobs for which the pass has planned none. */
+/** Plans starts of starved steps of jobs for which the pass has planned none, within their own limit of ratings. */
 function planStarvedSteps(
     pass: PlanningPass,
     waitingSteps: readonly WaitingStep[],
-    memory: StarvationMemory,
+    { starvation: memory, ratingsPerPass }: PlanMemory,
     nowMs: number,
 ): void {
     const started = new Set(pass.starts.map(({ job }) => job));
-    const left = new Map<string, number>();
-    for (const waiting of listStarvedSteps(memory, waitingSteps, nowMs)) {
-        const { job } = waiting;
+    for (const id of started) {
+        const job = pass.input.state.openJobs.get(id);
+        if (job !== undefined) {
+            forgetStarvation(memory, job);
+        }
+    }
+    // The requirements that are unmet in the pass may be met by disturbing serving tasks.
+    const starvedPass = { ...pass, unmet: createUnmetRequirements(), ratings: 0 };
+    for (const { waiting, starvation } of listStarvedSteps(memory, waitingSteps, nowMs)) {
+        if (starvedPass.ratings >= ratingsPerPass * starvedRatingsShare) {
+            break;
+        }
+        const { job, step } = waiting;
         const { service } = job.queue;
         const workers = pass.candidatesByService.get(service)?.length ?? 0;
-        const limit = left.get(service) ?? computeStarvedLimit(memory, service, workers, nowMs);
-        left.set(service, limit);
-        if (limit === 0 || started.has(job.id)) {
+        if (
+            started.has(job.id) || starvedPass.unmet.isUnmet(service, step.spec, isNewLongRunning(waiting))
+            || computeStarvedLimit(memory, service, workers, nowMs) === 0
+        ) {
             continue;
         }
+        // Also after an attempt without a start, so that others get their turn.
+        starvation.triedAtMs = nowMs;
         const startsBefore = pass.starts.length;
-        planStep(pass, waiting, true);
+        planStep(starvedPass, waiting, true);
         if (pass.starts.length > startsBefore) {
             started.add(job.id);
-            left.set(service, limit - 1);
-            recordStarvedStart(memory, job, nowMs);
+            recordStarvedStarts(memory, service, pass.starts.length - startsBefore, nowMs);
         }
     }
 }
@@ -249,6 +263,6 @@
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
         return pass.ratings - ratingsBefore;
     });
-    planStarvedSteps(pass, waitingSteps, memory.starvation, nowMs);
+    planStarvedSteps(pass, waitingSteps, memory, nowMs);
     return pass.starts;
 }
--- a/packages/plan-jobs/src/starved-steps.test.ts
+++ b/packages/plan-jobs/src/starved-steps.test.ts
@@ -1,6 +1,6 @@
 import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
 import { createInterferenceModel } from "@chestnutspool/learn-interference";
-import type { StepSpec } from "@chestnutspool/types";
+import type { RunEnd, StepSpec } from "@chestnutspool/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { makePlanInput } from "./fakes/make-plan-input.js";
@@ -10,7 +10,7 @@
 const passMs = 100;
 
 /** Workers that each run a serving task, which tasks of the image `forecast` disturb. */
-function setUp(workerCount: number) {
+function setUp(workerCount: number, ratingsPerPass?: number) {
     const workers = Array.from({ length: workerCount }, (item, number) => makeWorker(`w${number}`));
     const machine = makeMachine(workers, [makeQueue({ targetLatencyMs: 500 })]);
     const serving = makeStep({ longRunning: true, tailTargetMs: 20, image: "web" });
@@ -27,21 +27,25 @@
     const interference = createInterferenceModel();
     interference.addPairs([{ image: "web", other: "forecast", disturbance: 12, variance: 0.1 }]);
     const input = { ...makePlanInput(machine.state), interference };
-    const memory = createPlanMemory();
+    const memory = createPlanMemory(ratingsPerPass);
     const submitForecast = (job: string, changes: Partial<StepSpec>): void => {
         const resources = { milliCpu: 1_000, memoryMib: 10, accelerators: 0 };
         machine.submit(makeJob(job, [makeStep({ usesIdleCpu: true, image: "forecast", resources, ...changes })]));
     };
-    /** Plans until `untilMs` after the start; the started runs end before the next pass if `endsRuns` is set. */
-    const planUntil = (untilMs: number, endsRuns = false): { readonly job: string; readonly atMs: number; }[] => {
+    /** Plans until `untilMs` after the start; the runs that a pass starts end before the next one if an outcome is given. */
+    const planUntil = (
+        untilMs: number,
+        outcome?: RunEnd["outcome"],
+    ): { readonly job: string; readonly atMs: number; }[] => {
         const planned: { readonly job: string; readonly atMs: number; }[] = [];
         for (let atMs = 0; atMs <= untilMs; atMs += passMs) {
             const planStartsNow = planStarts(input, testStartMs + atMs, memory);
             machine.apply({ kind: "startRuns", starts: planStartsNow });
             planned.push(...planStartsNow.map(({ job }) => ({ job, atMs })));
-            for (const { worker, ...run } of endsRuns ? planStartsNow : []) {
-                const ends = [{ ...run, outcome: "succeeded", checkpoint: "" }] as const;
-                machine.apply({ kind: "endRuns", worker, ends });
+            if (outcome !== undefined) {
+                planStartsNow.forEach(({ worker, ...run }) => {
+                    machine.apply({ kind: "endRuns", worker, ends: [{ ...run, outcome, checkpoint: "" }] });
+                });
             }
         }
         return planned;
@@ -64,7 +68,7 @@
     const { submitForecast, planUntil } = setUp(4);
     const jobs = ["a", "b", "c", "d"];
     jobs.forEach(job => submitForecast(job, { count: 8, expectedRunMs: 1_000 }));
-    const planned = planUntil(12_000, true);
+    const planned = planUntil(12_000, "succeeded");
     for (const [index, { atMs }] of planned.entries()) {
         assert.ok(index === 0 || atMs - (planned[index - 1]?.atMs ?? 0) >= 1_000);
     }
@@ -78,6 +82,50 @@
     assert.deepEqual(planUntil(5_000), []);
 });
 
+// Guards against a job that waits without end because its declared run time is far too long, so that it counts as in time.
+test("a job in time gets a run too when it has had none for long", () => {
+    const { submitForecast, planUntil } = setUp(2);
+    submitForecast("overestimated", { count: 8, expectedRunMs: 60_000 });
+    const planned = planUntil(10_000);
+    assert.deepEqual(planned.map(({ job }) => job), ["overestimated"]);
+    assert.ok((planned[0]?.atMs ?? 0) >= 6_000);
+});
+
+// Guards against a job without a run for as long as workers refuse its starts.
+test("a start of a starved step that is refused is repeated after a second", () => {
+    const { submitForecast, planUntil } = setUp(2);
+    submitForecast("refused", { count: 8, expectedRunMs: 1_000 });
+    const planned = planUntil(8_000, "neverStarted");
+    assert.ok(planned.length >= 4, `${planned.length} starts in 8 s`);
+    for (const [index, { atMs }] of planned.entries()) {
+        assert.ok(index === 0 || atMs - (planned[index - 1]?.atMs ?? 0) === 1_000);
+    }
+});
+
+// Guards against starved steps without room that hide those that have room.
+test("a starved step starts although one that has waited longer finds no room", () => {
+    const { submitForecast, planUntil } = setUp(2);
+    submitForecast("huge", { expectedRunMs: 1_000, resources: { milliCpu: 1_000, memoryMib: 5_000, accelerators: 0 } });
+    submitForecast("small", { expectedRunMs: 1_000 });
+    assert.deepEqual(planUntil(10_000).map(({ job }) => job), ["small"]);
+});
+
+// Guards against a pass that compares each of thousands of starved steps without room with each worker.
+test("the ratings of starved steps in a pass are limited, and the next passes continue with the others", () => {
+    const workerCount = 10;
+    // A quarter of the limit, for starved steps, is reached with the first step.
+    const { submitForecast, planUntil } = setUp(workerCount, 4 * workerCount);
+    for (let number = 0; number < 9; number += 1) {
+        const resources = { milliCpu: 1_000, memoryMib: 5_000, accelerators: 0 };
+        submitForecast(`huge${number}`, { expectedRunMs: 1_000, image: `huge-${number}`, resources });
+    }
+    submitForecast("small", { expectedRunMs: 1_000 });
+    const planned = planUntil(10_000);
+    assert.deepEqual(planned.map(({ job }) => job), ["small"]);
+    const firstStarvedMs = 2_000;
+    assert.ok((planned[0]?.atMs ?? 0) >= firstStarvedMs + 9 * passMs, `started at ${planned[0]?.atMs} ms`);
+});
+
 // Guards against a gang that never starts because its members fit only beside serving tasks that they disturb.
 test("a starved gang starts with all its tasks", () => {
     const { submitForecast, planUntil } = setUp(2);
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -1,67 +1,102 @@
 import type { JobRecord } from "@chestnutspool/job-state";
+import type { Lateness } from "./predict-lateness.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
-/** Time for which a late job with a best-effort step has had no run until the step is starved, in milliseconds. */
-const starvedMs = 2_000;
-/** Least time between two starts of starved steps of a service, in milliseconds. */
-const starvedIntervalMs = 1_000;
 /**
- * Share of the workers of a service that may get a task of a starved step at once, so that the serving tasks of few of
- * them are disturbed. One may always.
+ * Time for which a job with a best-effort step has had no run until the step is starved, in milliseconds, by the lateness
+ * of its occurrence. Declared run times are often far off, so that a job in time is not left to wait without end either.
  */
-const starvedShare = 0.03;
+const starvedMs: Readonly<Record<Lateness, number>> = { inTime: 6_000, late: 2_000, tooLate: 2_000 };
+/** Least time between two attempts to start a starved step of a job, in milliseconds. */
+const retryMs = 1_000;
+/** Length of the intervals for which the starts of starved steps of a service are limited, in milliseconds. */
+const intervalMs = 1_000;
+/**
+ * Share of the workers of a service that may get a task of a starved step in an interval, so that the serving tasks of few
+ * of them are disturbed. One may always.
+ */
+const workerShare = 0.03;
+
+/** A job without a start that disturbs no serving task. */
+interface Starvation {
+    /** Wall-clock time at which a pass first found it without a run, in milliseconds since the epoch. */
+    readonly sinceMs: number;
+    /** Wall-clock time of the last attempt to start one of its steps although it disturbs. */
+    triedAtMs: number;
+}
+
+/** Starts of starved steps of a service in the present interval. */
+interface StartInterval {
+    readonly beganAtMs: number;
+    starts: number;
+}
 
 /** What the planner remembers of jobs without a run. */
 export interface StarvationMemory {
-    /** Wall-clock time at which a pass first found a job without a run, in milliseconds since the epoch. */
-    readonly idleSinceMs: WeakMap<JobRecord, number>;
-    /** Wall-clock time of the last starts of starved steps, by service. */
-    readonly startedAtMs: Map<string, number>;
+    readonly jobs: WeakMap<JobRecord, Starvation>;
+    readonly intervals: Map<string, StartInterval>;
 }
 
-/** Creates a memory without jobs. */
-export function createStarvationMemory(): StarvationMemory {
-    return { idleSinceMs: new WeakMap(), startedAtMs: new Map() };
+/** A step that may start although it disturbs serving tasks. */
+export interface StarvedStep {
+    readonly waiting: WaitingStep;
+    readonly starvation: Starvation;
 }
 
-function isBestEffort({ step }: WaitingStep): boolean {
-    return step.spec.usesIdleCpu;
+/** Creates a memory without jobs. */
+export function createStarvationMemory(): StarvationMemory {
+    return { jobs: new WeakMap(), intervals: new Map() };
 }
 
 /**
  * Lists the steps that are starved at `nowMs`, those of the jobs that have waited longest first: the best-effort steps
- * of late jobs that have had no run for some time. Without it a step whose tasks would disturb serving tasks on each
- * worker waits without end, because its jobs go behind smaller ones.
+ * of jobs that have had no run for some time. Without it a step whose tasks would disturb serving tasks on each worker
+ * waits without end, because its job goes behind smaller ones. A job stays starved until a start that disturbs nothing.
  */
 export function listStarvedSteps(
     memory: StarvationMemory,
     waitingSteps: readonly WaitingStep[],
     nowMs: number,
-): WaitingStep[] {
-    const starved: { readonly waiting: WaitingStep; readonly sinceMs: number; }[] = [];
-    for (const waiting of waitingSteps.filter(isBestEffort)) {
-        const { job, lateness } = waiting;
-        if (job.runsInProgress > 0) {
-            memory.idleSinceMs.delete(job);
+): StarvedStep[] {
+    const starved: StarvedStep[] = [];
+    for (const waiting of waitingSteps) {
+        const { job, step, lateness } = waiting;
+        if (!step.spec.usesIdleCpu || job.runsInProgress > 0) {
             continue;
         }
-        const sinceMs = memory.idleSinceMs.get(job) ?? nowMs;
-        memory.idleSinceMs.set(job, sinceMs);
-        if (lateness !== "inTime" && nowMs - sinceMs >= starvedMs) {
-            starved.push({ waiting, sinceMs });
+        const starvation = memory.jobs.get(job) ?? { sinceMs: nowMs, triedAtMs: Number.NEGATIVE_INFINITY };
+        memory.jobs.set(job, starvation);
+        if (nowMs - starvation.sinceMs >= starvedMs[lateness] && nowMs - starvation.triedAtMs >= retryMs) {
+            starved.push({ waiting, starvation });
         }
     }
-    return starved.sort((left, right) => left.sinceMs - right.sinceMs).map(({ waiting }) => waiting);
+    const computeTurnMs = ({ starvation }: StarvedStep): number => Math.max(starvation.sinceMs, starvation.triedAtMs);
+    return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
+}
+
+/** Forgets that a job has waited, because a task of it starts without disturbing serving tasks. */
+export function forgetStarvation(memory: StarvationMemory, job: JobRecord): void {
+    memory.jobs.delete(job);
 }
 
-/** Computes how many starved steps of a service with a number of workers may start at `nowMs`. */
+function findInterval(memory: StarvationMemory, service: string, nowMs: number): StartInterval | undefined {
+    const interval = memory.intervals.get(service);
+    return interval === undefined || nowMs - interval.beganAtMs >= intervalMs ? undefined : interval;
+}
+
+/** Computes how many tasks of starved steps of a service with a number of workers may still start at `nowMs`. */
 export function computeStarvedLimit(memory: StarvationMemory, service: string, workers: number, nowMs: number): number {
-    const startedAtMs = memory.startedAtMs.get(service) ?? Number.NEGATIVE_INFINITY;
-    return nowMs - startedAtMs < starvedIntervalMs ? 0 : Math.max(1, Math.floor(workers * starvedShare));
+    const used = findInterval(memory, service, nowMs)?.starts ?? 0;
+    return Math.max(0, Math.max(1, Math.floor(workers * workerShare)) - used);
 }
 
-/** Records that a starved step of a job starts at `nowMs`. */
-export function recordStarvedStart(memory: StarvationMemory, job: JobRecord, nowMs: number): void {
-    memory.idleSinceMs.set(job, nowMs);
-    memory.startedAtMs.set(job.queue.service, nowMs);
+/** Records that tasks of starved steps of a service start at `nowMs`. */
+export function recordStarvedStarts(memory: StarvationMemory, service: string, starts: number, nowMs: number): void {
+    const interval = findInterval(memory, service, nowMs);
+    if (interval === undefined) {
+        memory.intervals.set(service, { beganAtMs: nowMs, starts });
+    }
+    else {
+        interval.starts += starts;
+    }
 }
