Reserve ports below the range that the system hands out

Tests reserve the ports of their processes by binding port 0 and closing again. The system hands out the same ports to other listeners on port 0 until a process binds its own, at the first start and at each restart. Only the first start of a group retries with other ports; a restart fails with EADDRINUSE.

Ports are now drawn at random from 16384 to 32767, below the range of the system, and tried by binding. The test of job processes reserved its port on one loopback address and used it on four others; it now reserves a port that is free on all addresses.

--- a/packages/run-job-process/src/job-processes.test.ts
+++ b/packages/run-job-process/src/job-processes.test.ts
@@ -6,6 +6,7 @@
 import type { ErrorData, JobRequest, QueueConfiguration, WorkerPort, WorkerRef } from "@chestnutspool/types";
 import { Effect, Fiber, Scope } from "effect";
 import assert from "node:assert/strict";
+import { randomInt } from "node:crypto";
 import { mkdtemp, rm } from "node:fs/promises";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -20,15 +21,25 @@
 const entryHost = "127.0.0.21";
 const budgetMs = 20_000;
 
-function reservePort(): Promise<number> {
-    return new Promise((resolve, reject) => {
+/** Ports below those that Linux gives to listeners on port 0 and to outgoing connections. */
+const portRange = { first: 16_384, end: 32_768 } as const;
+
+/** Finds a port that is free on all addresses, because each process of the cluster listens on its own. */
+async function reservePort(): Promise<number> {
+    while (true) {
         const server = createServer();
-        server.once("error", reject);
-        server.listen(0, entryHost, () => {
-            const address = server.address();
-            server.close(() => resolve(typeof address === "object" && address !== null ? address.port : 0));
+        const port = randomInt(portRange.first, portRange.end);
+        const isFree = await new Promise<boolean>((resolve, reject) => {
+            server.once(
+                "error",
+                (error: NodeJS.ErrnoException) => error.code === "EADDRINUSE" ? resolve(false) : reject(error),
+            );
+            server.listen(port, "0.0.0.0", () => server.close(() => resolve(true)));
         });
-    });
+        if (isFree) {
+            return port;
+        }
+    }
 }
 
 interface Cluster {
