--- a/packages/cli/src/fakes/request-load.ts
+++ b/packages/cli/src/fakes/request-load.ts
@@ -22,15 +22,18 @@
 const bodySizes = [0, 1, 1_000, 70_000, 400_000];
 const answerSizes = [0, 1, 100, 65_536, 300_000];
 
-/** Makes requests of mixed sizes, the same ones on every run. Every third one is not idempotent. */
+/** Makes a request of a load; its size depends on the index, and every third one is not idempotent. */
+export function makeRequest(prefix: string, service: string, index: number): LoadRequest {
+    const id = `${prefix}-${index}`;
+    const padding = "x".repeat(bodySizes[index % bodySizes.length] ?? 0);
+    const answerBytes = answerSizes[Math.floor(index / bodySizes.length) % answerSizes.length] ?? 0;
+    const body = Buffer.from(JSON.stringify({ key: id, runMs, answerBytes, padding }));
+    return { id, service, idempotent: index % 3 !== 0, body };
+}
+
+/** Makes requests of mixed sizes, the same ones on every run. */
 export function makeRequests(prefix: string, service: string, count: number): readonly LoadRequest[] {
-    return Array.from({ length: count }, (unused, index) => {
-        const id = `${prefix}-${index}`;
-        const padding = "x".repeat(bodySizes[index % bodySizes.length] ?? 0);
-        const answerBytes = answerSizes[Math.floor(index / bodySizes.length) % answerSizes.length] ?? 0;
-        const body = Buffer.from(JSON.stringify({ key: id, runMs, answerBytes, padding }));
-        return { id, service, idempotent: index % 3 !== 0, body };
-    });
+    return Array.from({ length: count }, (unused, index) => makeRequest(prefix, service, index));
 }
 
 /** Sends a request once and returns the outcome as the caller knows it. */
