Let a request run under its id after a lost reply to its begin

A request that is not idempotent was refused with "the caller cancelled it before it was sent" at each resend. It was seen in the rolling restart with all processes stopped for 4 s every 10 s: the id stayed refused for 200 resends.

When the reply to beginRequest is lost, the entry host repeats the call and finds its own record. It then ended the request without beganIndex, and control lets a request that was not run begin again only with this index. So the id could never run, although docs/upgrade.md tells callers to resend with the same id.

The record already carries beganIndex between processes; it is now part of the type, and the entry host uses it. The new test fails with "cancelled" without the change and passes with it.

--- a/packages/cluster-state/src/model.ts
+++ b/packages/cluster-state/src/model.ts
@@ -41,8 +41,6 @@
 
 /** A request record with fields that only the state machine uses. */
 export interface ModelRequest extends RequestRecord {
-    /** Log index of the `beginRequest` command that began the request last. */
-    readonly beganIndex: number;
     /** Whether the request may begin again, because it certainly did not run. */
     readonly mayBeginAgain: boolean;
 }
--- a/packages/entry/src/recorded-requests.test.ts
+++ b/packages/entry/src/recorded-requests.test.ts
@@ -1,10 +1,11 @@
 import { buildAnswer, buildBody } from "@chestnutspool/stand-ins";
-import { Effect } from "effect";
+import { Effect, Fiber } from "effect";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
     awaitCondition,
     createTestCluster,
+    createTestClusterWith,
     describeOutcome,
     runScoped,
     submit,
@@ -114,6 +115,26 @@
         assert.equal(minion.listRuns().length, 1);
     })));
 
+// Guards against an id under which a request that was not run can never run.
+void test("a recorded request whose begin was answered too late is not run, and may run under its id afterwards", () =>
+    runScoped(Effect.gen(function*() {
+        const cluster = yield* createTestClusterWith({ sessionTtlMs: 10_000 });
+        const entry = yield* cluster.addEntry("entry-1");
+        const minion = yield* cluster.addMinion([entry], { minion: "minion-1" });
+        const request = buildRecordedRequest("booking", 5);
+        // The reply to the first call of control is lost; the call is repeated at the deadline.
+        cluster.network.setCut("control", "entry-1", true);
+        const first = yield* Effect.forkChild(submit(entry, { ...request, deadlineMs: 1_000 }));
+        yield* awaitCondition(() => cluster.state.requests.size > 0);
+        yield* Effect.sleep(50);
+        cluster.network.setCut("control", "entry-1", false);
+        const outcome = yield* Fiber.join(first);
+        assert.ok(outcome.kind === "failed" && outcome.detail?.notRun === true, JSON.stringify(outcome));
+        assert.equal(minion.listRuns().length, 0);
+        assert.equal(yield* resend(entry, request), "answered");
+        assert.equal(minion.listRuns().length, 1);
+    })));
+
 void test("without a leader a recorded request is not run, nor reported as not run: it may have run before", () =>
     runScoped(Effect.gen(function*() {
         const cluster = yield* createTestCluster;
--- a/packages/entry/src/request-records.ts
+++ b/packages/entry/src/request-records.ts
@@ -120,13 +120,15 @@
         });
 
     /**
-     * Whether a record was made by an earlier call of this host whose reply was lost. This host holds the key of a
-     * request until its outcome is recorded, so a record of this host in state "running" belongs to a request that has
-     * not been dispatched.
+     * Finds the begin of a record that was made by an earlier call of this host whose reply was lost. This host holds the
+     * key of a request until its outcome is recorded, so a record of this host in state "running" belongs to a request
+     * that has not been dispatched.
      */
-    const isOwnRecord = (result: BeginResult, epoch: number): boolean =>
+    const findOwnBegin = (result: BeginResult, epoch: number): BeginResult | undefined =>
         result.kind === "known" && result.record.outcome.kind === "running"
-        && result.record.entry === context.self && result.record.epoch === epoch;
+            && result.record.entry === context.self && result.record.epoch === epoch
+            ? { kind: "begun", beganIndex: result.record.beganIndex }
+            : undefined;
 
     const finishOnce = (
         envelope: RequestEnvelope,
@@ -169,9 +171,7 @@
             const call = callBegin(envelope, body, epoch, deadlineLeftMs);
             const result = yield* Effect.result(Effect.catchIf(call, isOutcomeUnknown, () => call));
             if (Result.isSuccess(result)) {
-                return isOwnRecord(result.success, epoch)
-                    ? { kind: "begun" as const, beganIndex: undefined }
-                    : result.success;
+                return findOwnBegin(result.success, epoch) ?? result.success;
             }
             const { failure } = result;
             // Without the record this host cannot know whether an earlier request with this id has run.
--- a/packages/types/src/commands.ts
+++ b/packages/types/src/commands.ts
@@ -98,7 +98,10 @@
             readonly epoch: number;
             readonly attempts: readonly AttemptRef[];
         }
-        | { readonly kind: "beginRequest"; readonly request: Omit<RequestRecord, "beganAtMs" | "outcome">; }
+        | {
+            readonly kind: "beginRequest";
+            readonly request: Omit<RequestRecord, "beganAtMs" | "beganIndex" | "outcome">;
+        }
         | FinishRequest
         | { readonly kind: "batch"; readonly commands: readonly ControlCommand[]; }
     );
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -41,7 +41,7 @@
     }
     | { readonly kind: "registerMinion"; readonly minion: MinionInfo; }
     | { readonly kind: "removeMinion"; readonly minion: MinionId; }
-    | { readonly kind: "beginRequest"; readonly request: Omit<RequestRecord, "beganAtMs" | "outcome">; }
+    | { readonly kind: "beginRequest"; readonly request: Omit<RequestRecord, "beganAtMs" | "beganIndex" | "outcome">; }
     | FinishRequest
     | {
         /** A call of OperatorService or WorkerService, forwarded with its message in binary form. */
--- a/packages/types/src/state.ts
+++ b/packages/types/src/state.ts
@@ -123,6 +123,8 @@
     readonly entry: EntryId;
     readonly epoch: number;
     readonly beganAtMs: number;
+    /** Log index of the `beginRequest` command that began the request last. */
+    readonly beganIndex: number;
     readonly outcome: RequestOutcome;
 }
 
