Wait for room when a replica starts with an empty folder on a full disk

Writes after the start are repeated since; the first ones were not.

Other failures, such as a folder without permission, still end the start.

The new test fails before (the start ends with the error) and passes now.

--- a/packages/replicated-log/src/fakes/memory-disk.ts
+++ b/packages/replicated-log/src/fakes/memory-disk.ts
@@ -51,7 +51,8 @@
 function takeSpace(faults: Faults, name: string, bytes: number): Effect.Effect<void, ErrorData> {
     return Effect.suspend(() => {
         if (bytes > faults.freeBytes) {
-            return fail(name, "no space left on device");
+            const detail = "no space left on device";
+            return Effect.fail<ErrorData>({ kind: "storageFailed", file: name, detail, isFull: true });
         }
         faults.freeBytes -= bytes;
         return Effect.void;
--- a/packages/replicated-log/src/file-disk.ts
+++ b/packages/replicated-log/src/file-disk.ts
@@ -11,6 +11,13 @@
     return cause instanceof Error && "code" in cause && cause.code === "ENOENT";
 }
 
+/** Errors of writes that succeed once there is room: full disk, used quota, limit of the file size. */
+const fullCodes = new Set<unknown>(["ENOSPC", "EDQUOT", "EFBIG"]);
+
+function isFull(cause: unknown): boolean {
+    return cause instanceof Error && "code" in cause && fullCodes.has(cause.code);
+}
+
 function attempt<Value>(file: string, run: () => Promise<Value>): Effect.Effect<Value, ErrorData> {
     return Effect.tryPromise({
         try: run,
@@ -18,6 +25,7 @@
             kind: "storageFailed",
             file,
             detail: cause instanceof Error ? cause.message : String(cause),
+            ...(isFull(cause) ? { isFull: true } : {}),
         }),
     });
 }
--- a/packages/replicated-log/src/full-disk.test.ts
+++ b/packages/replicated-log/src/full-disk.test.ts
@@ -49,6 +49,23 @@
         }
     })));
 
+// Guards against a process that ends again and again because its disk, which was replaced, is full at the start.
+void test("a replica that starts with an empty folder on a full disk takes part once there is room", () =>
+    runTest(Effect.gen(function*() {
+        const cluster = yield* startCluster(3);
+        const replica = cluster.getReplica("a");
+        yield* cluster.crashReplica("a", 0);
+        replica.memoryDisk.removeAll();
+        replica.memoryDisk.setFreeBytes(partOfRecordBytes);
+        const start = yield* Effect.forkChild(Effect.exit(cluster.startReplica("a")));
+        yield* TestClock.adjust(5_000);
+        assert.equal(start.pollUnsafe(), undefined);
+        replica.memoryDisk.setFreeBytes(Number.POSITIVE_INFINITY);
+        yield* TestClock.adjust(1_000);
+        assert.ok(Exit.isSuccess(yield* Fiber.join(start)));
+        assert.notEqual(getLog(replica).readStatus().role, "stopped");
+    })));
+
 // Guards against an answer before the command is on disk, and against a part of a failed write before or behind its record.
 void test("a command that met a full disk is answered once it is on disk, and is read again after a crash", () =>
     runTest(Effect.gen(function*() {
--- a/packages/replicated-log/src/load-storage.ts
+++ b/packages/replicated-log/src/load-storage.ts
@@ -31,6 +31,9 @@
     readonly needsReset: boolean;
 }
 
+/** Performs a write, again and again if it is to be repeated after a failure. */
+export type RepeatWrite = (write: Effect.Effect<void, ErrorData>) => Effect.Effect<void, ErrorData>;
+
 /** Creates the description of an empty log file. */
 export function createSegment(sequence: number): Segment {
     return { name: segmentPrefix + String(sequence).padStart(segmentDigits, "0"), sequence, lastIndex: 0, bytes: 0 };
@@ -51,8 +54,13 @@
     );
 }
 
-/** Reads the hard state, or writes one with a new identity into an empty folder. */
-const loadHardState = Effect.fnUntraced(function*(disk: Disk, self: PeerId, names: readonly string[]) {
+/** Reads the hard state, or writes one with a new identity into an empty folder by `repeatWrite`. */
+const loadHardState = Effect.fnUntraced(function*(
+    disk: Disk,
+    self: PeerId,
+    names: readonly string[],
+    repeatWrite: RepeatWrite,
+) {
     const loaded = (yield* loadFile(disk, hardStateFile)) as HardState | undefined;
     if (loaded !== undefined) {
         return loaded.self === self
@@ -68,7 +76,7 @@
         return yield* failCorruptRecord(hardStateFile, 0, `the file is missing although ${other} exists`);
     }
     const fresh: HardState = { self, identity: randomUUID(), term: 0, votedFor: undefined };
-    yield* disk.replaceFile(hardStateFile, encodeFile(fresh));
+    yield* repeatWrite(disk.replaceFile(hardStateFile, encodeFile(fresh)));
     return fresh;
 });
 
@@ -159,9 +167,13 @@
  * Reads the data folder. Writes a new hard state into an empty folder and truncates an interrupted write. Fails with
  * `corruptRecord` when synced data is damaged, and with `storageFailed` when the folder cannot be read or written.
  */
-export const loadStorage = Effect.fnUntraced(function*(disk: Disk, self: PeerId) {
+export const loadStorage = Effect.fnUntraced(function*(
+    disk: Disk,
+    self: PeerId,
+    repeatWrite: RepeatWrite = write => write,
+) {
     const names = yield* disk.listFiles();
-    const hardState = yield* loadHardState(disk, self, names);
+    const hardState = yield* loadHardState(disk, self, names, repeatWrite);
     const snapshot = (yield* loadFile(disk, snapshotFile)) as Snapshot | undefined;
     const window = createLogWindow();
     const segments = yield* loadSegments(disk, names, window);
--- a/packages/replicated-log/src/open-log.ts
+++ b/packages/replicated-log/src/open-log.ts
@@ -179,7 +179,7 @@
                 commitSynced(holder.replica);
             }
         },
-        change => logStorageChange(logger, change, storage.readStatus().storedBytes),
+        change => logStorageChange(logger, change, holder.replica?.storage.readStatus().storedBytes ?? 0),
     );
     const { hardState, snapshot, window } = loaded;
     if (snapshot !== undefined) {
--- a/packages/replicated-log/src/storage.ts
+++ b/packages/replicated-log/src/storage.ts
@@ -1,6 +1,6 @@
 import { type Disk, type ErrorData, readMonotonicMs, type StorageStatus } from "@chestnutspool/types";
 import { Deferred, Effect, Queue } from "effect";
-import { loadStorage } from "./load-storage.js";
+import { loadStorage, type RepeatWrite } from "./load-storage.js";
 import { openLogWriter, type WriteFault } from "./log-writer.js";
 import type { HardState, LogEntry, Snapshot } from "./messages.js";
 
@@ -118,6 +118,30 @@
     return Effect.match(write, { onFailure: fault => fault, onSuccess: () => undefined });
 }
 
+/** Repeats a write of the start while the disk is full. Other failures, such as a folder without permission, end the start. */
+const repeatWhileFull = (onChange: (change: StorageChange) => void): RepeatWrite =>
+    Effect.fnUntraced(function*(write) {
+        let failingSinceMs: number | undefined;
+        while (true) {
+            const error = yield* Effect.match(write, { onFailure: failed => failed, onSuccess: () => undefined });
+            const nowMs = yield* readMonotonicMs;
+            if (error === undefined) {
+                if (failingSinceMs !== undefined) {
+                    onChange({ kind: "working", failedForMs: nowMs - failingSinceMs });
+                }
+                return;
+            }
+            if (error.kind !== "storageFailed" || error.isFull !== true) {
+                return yield* Effect.fail(error);
+            }
+            if (failingSinceMs === undefined) {
+                failingSinceMs = nowMs;
+                onChange({ kind: "failing", error });
+            }
+            yield* Effect.sleep(writeRetryMs);
+        }
+    });
+
 /**
  * Loads and opens the storage of a replica. `onSynced` is called after each sync of entries or a snapshot, `onChange` when
  * the disk stops or starts to take writes and when work is left out.
@@ -128,10 +152,11 @@
     onSynced: () => void,
     onChange: (change: StorageChange) => void = () => undefined,
 ) {
-    const loaded = yield* loadStorage(disk, self);
+    const repeatAtStart = repeatWhileFull(onChange);
+    const loaded = yield* loadStorage(disk, self, repeatAtStart);
     const writer = yield* openLogWriter(disk, loaded);
     if (loaded.needsReset) {
-        yield* Effect.mapError(writer.writeReset(loaded.snapshot as Snapshot), fault => fault.error);
+        yield* repeatAtStart(Effect.mapError(writer.writeReset(loaded.snapshot as Snapshot), fault => fault.error));
     }
     const items = yield* Queue.unbounded<WriteItem>();
     const pendingItems = new Set<WriteItem>();
--- a/packages/types/src/error-data.ts
+++ b/packages/types/src/error-data.ts
@@ -38,7 +38,13 @@
     | { readonly kind: "timeout"; readonly operation: string; readonly limitMs: number; }
     | { readonly kind: "frameTooLarge"; readonly bytes: number; readonly limitBytes: number; }
     | { readonly kind: "sessionExpired"; readonly entry: string; }
-    | { readonly kind: "storageFailed"; readonly file: string; readonly detail: string; }
+    | {
+        readonly kind: "storageFailed";
+        readonly file: string;
+        readonly detail: string;
+        /** Set when the disk or a quota is full, so that the same write may succeed later. */
+        readonly isFull?: true;
+    }
     | { readonly kind: "corruptRecord"; readonly file: string; readonly offset: number; readonly detail: string; }
     | { readonly kind: "membershipChangeInProgress"; readonly member: PeerId; }
     | { readonly kind: "replicaNotMember"; readonly replica: PeerId; }
