--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -176,6 +176,7 @@
     pass.starts.push(...reserved.map(({ candidate, task }) => createStart(waiting, task, run, candidate)));
 }
 
+/** Plans starts of a step; a starved one may disturb serving tasks. */
 function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
     if (waiting.step.spec.gang) {
         planGang(pass, waiting, isStarved);
