--- a/packages/replicated-log/src/storage.ts
+++ b/packages/replicated-log/src/storage.ts
@@ -118,7 +118,10 @@
     return Effect.match(write, { onFailure: fault => fault, onSuccess: () => undefined });
 }
 
-/** Repeats a write of the start while the disk is full. Other failures, such as a folder without permission, end the start. */
+/**
+ * Repeats the write of a whole file at the start while the disk is full. Other failures, such as a folder without permission,
+ * end the start.
+ */
 const repeatWhileFull = (onChange: (change: StorageChange) => void): RepeatWrite =>
     Effect.fnUntraced(function*(write) {
         let failingSinceMs: number | undefined;
@@ -152,11 +155,10 @@
     onSynced: () => void,
     onChange: (change: StorageChange) => void = () => undefined,
 ) {
-    const repeatAtStart = repeatWhileFull(onChange);
-    const loaded = yield* loadStorage(disk, self, repeatAtStart);
+    const loaded = yield* loadStorage(disk, self, repeatWhileFull(onChange));
     const writer = yield* openLogWriter(disk, loaded);
     if (loaded.needsReset) {
-        yield* repeatAtStart(Effect.mapError(writer.writeReset(loaded.snapshot as Snapshot), fault => fault.error));
+        yield* Effect.mapError(writer.writeReset(loaded.snapshot as Snapshot), fault => fault.error);
     }
     const items = yield* Queue.unbounded<WriteItem>();
     const pendingItems = new Set<WriteItem>();
