Ask one function whether a task may start beside others

describe-wait.ts and list-stalled-runs.ts rated workers with a context of their own only to learn whether a rating exists, beside findObstacle, which answers just that. Both call findObstacle now; a rating is undefined exactly when it finds an obstacle.

--- a/packages/plan-jobs/src/describe-wait.ts
+++ b/packages/plan-jobs/src/describe-wait.ts
@@ -1,7 +1,7 @@
 import { computeReservation, formatStepKey } from "@chestnutspool/job-state";
 import type { PlanInput } from "./plan-starts.js";
 import type { Lateness } from "./predict-lateness.js";
-import { findObstacle, type Obstacle, rateWorker } from "./rate-workers.js";
+import { findObstacle, type Obstacle } from "./rate-workers.js";
 import type { WaitingStep } from "./waiting-steps.js";
 import { hasCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
@@ -36,16 +36,11 @@
 ): WaitDescription {
     const { job, occurrence, step } = waiting;
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
-    const context = {
-        interference: input.interference,
-        tasksByRack: new Map<string, number>(),
-        acceptsDisturbance: false,
-    };
     const ofService = candidates.filter(candidate => candidate.state.info.service === job.queue.service);
     const withRoom = ofService.filter(candidate => hasCapacity(candidate, step.spec, stepKey));
-    const suitable = withRoom.filter(candidate => rateWorker(candidate, step.spec, context) !== undefined);
     const obstacles = withRoom.map(candidate => findObstacle(candidate, step.spec, input.interference));
-    const countObstacle = (obstacle: Obstacle): number => obstacles.filter(found => found === obstacle).length;
+    const countObstacle = (obstacle: Obstacle | undefined): number =>
+        obstacles.filter(found => found === obstacle).length;
     const needed = computeReservation(step.spec);
     const count = (isIncluded: (candidate: WorkerCandidate) => boolean): number => ofService.filter(isIncluded).length;
     return {
@@ -54,7 +49,7 @@
         withMemory: count(({ free }) => free.memoryMib >= needed.memoryMib),
         trusted: count(({ startsLeft }) => startsLeft !== 0),
         withRoom: withRoom.length,
-        suitable: suitable.length,
+        suitable: countObstacle(undefined),
         contended: countObstacle("contended"),
         noIdleProcessors: countObstacle("noIdleProcessors"),
         disturbed: countObstacle("disturbs"),
--- a/packages/plan-jobs/src/list-stalled-runs.ts
+++ b/packages/plan-jobs/src/list-stalled-runs.ts
@@ -2,7 +2,7 @@
 import type { RunStatus } from "@chestnutspool/track-workers";
 import type { WorkerId } from "@chestnutspool/types";
 import { listCandidates, type PlanInput } from "./plan-starts.js";
-import { rateWorker } from "./rate-workers.js";
+import { findObstacle } from "./rate-workers.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { hasCapacity, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
@@ -58,14 +58,9 @@
         return undefined;
     }
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
-    const context = {
-        interference: input.interference,
-        tasksByRack: new Map<string, number>(),
-        acceptsDisturbance: false,
-    };
     const isSuitable = (candidate: WorkerCandidate): boolean =>
         candidate.state.info.service === service && hasCapacity(candidate, step.spec, stepKey)
-        && rateWorker(candidate, step.spec, context) !== undefined;
+        && findObstacle(candidate, step.spec, input.interference) === undefined;
     const found = candidates.find(candidate => candidate.state.info.id !== worker && isSuitable(candidate));
     if (found !== undefined) {
         reserveCapacity(found, job.id, step.spec, stepKey);
