--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -53,6 +53,13 @@
     readonly outcome: RunOutcome;
 }
 
+/** How the machine of a worker that crashed starts the next worker. */
+export interface RestartPlan {
+    /** Time until the next worker listens at the address, in milliseconds. */
+    readonly afterMs: number;
+    readonly nextInfo: (crashed: WorkerInfo, nowMs: number) => WorkerInfo;
+}
+
 interface FakeWorker {
     readonly info: WorkerInfo;
     readonly clockRate: number;
@@ -76,6 +83,17 @@
     readonly addWorker: (info: WorkerInfo, clockRate?: number) => void;
     readonly removeWorker: (id: string, nowMs: number) => void;
     readonly setFault: (id: string, fault: WorkerFault) => void;
+    /**
+     * Makes the start of some runs crash their worker; the next worker starts at its address as planned, and is announced
+     * by `announce`.
+     */
+    readonly setCrashingRuns: (
+        isCrashing: (run: RunKey) => boolean,
+        restart: RestartPlan,
+        announce: (worker: WorkerInfo) => Effect.Effect<void>,
+    ) => void;
+    /** Ends a worker without notice; it is replaced as planned by `setCrashingRuns`. */
+    readonly crashWorker: (id: string, nowMs: number) => void;
     /** Sets how long runs take and how they end; by default they succeed after one second. */
     readonly setBehaviour: (
         decide: (run: RunKey, worker: string) => { readonly runMs: number; readonly outcome: RunOutcome; },
@@ -93,8 +111,14 @@
 /** Creates fake workers. Late orders are carried out by fibers of the scope. */
 export const createFakeWorkers: Effect.Effect<FakeWorkers, never, Scope.Scope> = Effect.gen(function*() {
     const scope = yield* Effect.scope;
+    const runInBackground = Effect.runForkWith(yield* Effect.context<never>());
     const workers = new Map<string, FakeWorker>();
     const startedRuns: StartedRun[] = [];
+    /** Ids of the workers at whose address the next worker listens. */
+    const replacedIds = new Set<string>();
+    let isCrashing: (run: RunKey) => boolean = () => false;
+    let restart: RestartPlan | undefined;
+    let announce: (worker: WorkerInfo) => Effect.Effect<void> = () => Effect.void;
     let decide: (run: RunKey, worker: string) => { readonly runMs: number; readonly outcome: RunOutcome; } = () => ({
         runMs: 1_000,
         outcome: "succeeded",
@@ -136,6 +160,48 @@
         return true;
     };
 
+    const addWorker = (info: WorkerInfo, clockRate = 1): void => {
+        workers.set(info.id, {
+            info,
+            clockRate,
+            fault: "none",
+            token: 0,
+            leaseUntilMs: 0,
+            running: new Map(),
+            highestPastRuns: new Map(),
+            ended: [],
+            nextSequence: 1,
+        });
+    };
+
+    const removeWorker = (id: string, nowMs: number): void => {
+        const worker = workers.get(id);
+        if (worker !== undefined) {
+            advance(worker, nowMs);
+            [...worker.running.keys()].forEach(key => endRun(worker, key, "lapsed", nowMs));
+            workers.delete(id);
+        }
+    };
+
+    const crashWorker = (id: string, nowMs: number): void => {
+        const crashed = workers.get(id)?.info;
+        removeWorker(id, nowMs);
+        if (crashed === undefined || restart === undefined) {
+            return;
+        }
+        const { afterMs, nextInfo } = restart;
+        runInBackground(Effect.forkIn(
+            Effect.gen(function*() {
+                yield* Effect.sleep(afterMs);
+                const next = nextInfo(crashed, yield* readMonotonicMs);
+                addWorker(next);
+                replacedIds.add(id);
+                yield* announce(next);
+            }),
+            scope,
+        ));
+    };
+
     const refuse = (worker: FakeWorker, reason: Extract<OrderAnswer, { kind: "refused"; }>["reason"], nowMs: number) =>
         ({ kind: "refused", reason, clockMs: readClock(worker, nowMs) }) as const;
 
@@ -166,6 +232,11 @@
             outcome: undefined,
         };
         startedRuns.push(record);
+        if (isCrashing(order)) {
+            record.endedAtMs = nowMs;
+            crashWorker(worker.info.id, nowMs);
+            return { kind: "unknown", detail: "socket hang up" };
+        }
         worker.running.set(key, {
             key: { job, occurrence, step, position, run },
             record,
@@ -198,7 +269,9 @@
         yield* Effect.sleep(1);
         const worker = workers.get(info.id);
         if (worker === undefined) {
-            return { kind: "notSent", detail: "connection refused" } satisfies OrderAnswer;
+            return replacedIds.has(info.id)
+                ? { kind: "refused", reason: "otherWorker", clockMs: undefined } satisfies OrderAnswer
+                : { kind: "notSent", detail: "connection refused" } satisfies OrderAnswer;
         }
         const fault = isStart || !isStartFault(worker.fault) ? worker.fault : "none";
         switch (fault) {
@@ -290,26 +363,13 @@
             renewLease,
             closeConnections: () => undefined,
         },
-        addWorker: (info, clockRate = 1) => {
-            workers.set(info.id, {
-                info,
-                clockRate,
-                fault: "none",
-                token: 0,
-                leaseUntilMs: 0,
-                running: new Map(),
-                highestPastRuns: new Map(),
-                ended: [],
-                nextSequence: 1,
-            });
-        },
-        removeWorker: (id, nowMs) => {
-            const worker = workers.get(id);
-            if (worker !== undefined) {
-                advance(worker, nowMs);
-                [...worker.running.keys()].forEach(key => endRun(worker, key, "lapsed", nowMs));
-                workers.delete(id);
-            }
+        addWorker,
+        removeWorker,
+        crashWorker,
+        setCrashingRuns: (crashing, plan, announceWorker) => {
+            isCrashing = crashing;
+            restart = plan;
+            announce = announceWorker;
         },
         setFault: (id, fault) => {
             const worker = workers.get(id);
--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -22,6 +22,9 @@
 /** Step by which simulated time advances, in milliseconds. */
 const stepMs = 10;
 
+/** Pause before a heartbeat that no leader received is sent again, in milliseconds. */
+const heartbeatRetryMs = 200;
+
 /** Two replicas, one of which leads, and fake workers in simulated time. */
 export interface TestSystem {
     readonly machine: TestMachine;
@@ -33,6 +36,8 @@
     readonly submit: (definition: JobDefinition) => Effect.Effect<JobReply>;
     readonly addWorker: (info: WorkerInfo, clockRate?: number) => Effect.Effect<void>;
     readonly heartbeat: (info: WorkerInfo, draining?: boolean) => Effect.Effect<JobReply>;
+    /** Sends heartbeats of a worker until the leader has received one; others advance the time meanwhile. */
+    readonly announce: (info: WorkerInfo) => Effect.Effect<void>;
     /** Advances simulated time in small steps. */
     readonly pass: (milliseconds: number) => Effect.Effect<void>;
     readonly readStartedRuns: Effect.Effect<readonly StartedRun[]>;
@@ -118,6 +123,20 @@
             heartbeat: { worker, draining, remainingMs: undefined, sequence, clockMs: undefined },
         });
     };
+    const announce = Effect.fnUntraced(function*(worker: WorkerInfo) {
+        for (let sequence = 1;; sequence += 1) {
+            for (const leadership of leaderships.values()) {
+                const reply = yield* leadership.handleRequest({
+                    kind: "recordHeartbeat",
+                    heartbeat: { worker, draining: false, remainingMs: undefined, sequence, clockMs: undefined },
+                });
+                if (reply.kind === "done") {
+                    return;
+                }
+            }
+            yield* Effect.sleep(heartbeatRetryMs);
+        }
+    });
     const pass = Effect.fnUntraced(function*(milliseconds: number) {
         for (let passedMs = 0; passedMs < milliseconds; passedMs += stepMs) {
             yield* TestClock.adjust(stepMs);
@@ -137,6 +156,7 @@
                 return heartbeat(info);
             })),
         heartbeat,
+        announce,
         pass,
         readStartedRuns: Effect.map(readMonotonicMs, nowMs => workers.readStartedRuns(nowMs)),
     };
