Give up a task that crashes the workers that start it

What callers saw: one task took worker after worker away, each with all that ran on it, until its job was cancelled.

Cause: the end of a run by the crash of its worker counts as lapsed, and only failed ends count as attempts. Class: a retry without a limit. The crash was also not told apart from the end of a lease.

Change: a worker has crashed if another one answers at its address, or if nothing listens there when its lease ends, and it neither left nor drained. The command that ends its runs carries the runs that may be the cause: those that started last and have not worked for a while, of these the ones with the most earlier suspicions, so that neighbours are not blamed. A suspected task starts on the worker with the least to lose, which gets no other run until the task has proved itself, on a tenth of the workers of a service at most. The sole suspect of a second crash fails its job; the status and the log tell reason and task. The job is ended with the command for cancelling, so that replicas of an earlier build end it too.

--- a/packages/job-state/src/change-jobs.ts
+++ b/packages/job-state/src/change-jobs.ts
@@ -62,14 +62,15 @@
     return { kind: "accepted", isRepeat: false };
 }
 
-/** Ends a job as cancelled; the leader stops its runs. A job that has already ended is not changed. */
+/** Ends a job as cancelled, or as failed if it is given up; the leader stops its runs. A job that has already ended is not changed. */
 export function cancelJob(state: JobState, command: CommandOf<"cancelJob">): JobResult {
     const job = state.jobs.get(command.job);
     if (job === undefined) {
         return { kind: "noJob" };
     }
     if (!isJobEnded(job)) {
-        job.phase = "cancelled";
+        job.phase = command.failure === undefined ? "cancelled" : "failed";
+        job.failure = command.failure;
         job.endedAtMs = state.clockMs;
         closeEndedJob(state, job);
     }
--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -6,10 +6,11 @@
     type RunEnd,
     type RunStart,
     subtractResources,
+    type WorkerCrash,
 } from "@chestnutspool/types";
 import type { JobOccurrence, JobRecord, JobState, JobStep, JobTask, WorkerRun, WorkerState } from "./job-state.js";
 import { computeReservation, createEmptyDefinition, isJobEnded, isStepReady } from "./job-state.js";
-import { formatRunKey } from "./run-keys.js";
+import { formatRunKey, formatTaskKey } from "./run-keys.js";
 
 type CommandOf<Kind extends JobCommand["kind"]> = Extract<JobCommand, { readonly kind: Kind; }>;
 
@@ -56,9 +57,10 @@
     }
     worker.used = used;
     task.lastRun = start.run;
-    task.runs = [...task.runs, { run: start.run, worker: start.worker }];
+    const startedAtMs = state.clockMs;
+    task.runs = [...task.runs, { run: start.run, worker: start.worker, startedAtMs }];
     step.waiting.delete(task.position);
-    worker.runs.set(formatRunKey(start), { job, occurrence, step, task, run: start.run });
+    worker.runs.set(formatRunKey(start), { job, occurrence, step, task, run: start.run, startedAtMs });
     job.runsInProgress += 1;
     if (job.phase === "queued") {
         job.phase = "running";
@@ -113,7 +115,7 @@
     return step.spec.gang ? step.gangFailures : task.failures;
 }
 
-function recordFailure(state: JobState, { job, step, task, run }: WorkerRun): void {
+function recordFailure(state: JobState, { job, occurrence, step, task, run }: WorkerRun): void {
     task.failures += 1;
     if (step.spec.gang && run > step.lastFailedGangRun) {
         step.lastFailedGangRun = run;
@@ -122,6 +124,43 @@
     if (!step.spec.longRunning && !isJobEnded(job) && countFailures(step, task) >= job.queue.maxAttempts) {
         job.phase = "failed";
         job.endedAtMs = state.clockMs;
+        job.failure = {
+            reason: "attemptsExhausted",
+            task: formatTaskKey({
+                job: job.id,
+                occurrence: occurrence.number,
+                step: step.position,
+                position: task.position,
+            }),
+        };
+    }
+}
+
+/**
+ * Age of a run from which the crash of its worker says nothing about it, in milliseconds. Long-running tasks meet a crash now
+ * and then.
+ */
+const suspectedAgeLimitMs = 30_000;
+
+function recordCrash(state: JobState, { task, startedAtMs }: WorkerRun, isSuspected: boolean, isSole: boolean): void {
+    if (state.clockMs - startedAtMs >= suspectedAgeLimitMs) {
+        task.crashes = undefined;
+        return;
+    }
+    const { crashes, suspicions, isSoleSuspect } = task.crashes
+        ?? { crashes: 0, suspicions: 0, isSoleSuspect: false };
+    task.crashes = {
+        crashes: crashes + 1,
+        suspicions: suspicions + (isSuspected ? 1 : 0),
+        isSoleSuspect: isSuspected ? isSole : isSoleSuspect,
+    };
+}
+
+/** Counts the crash of a worker for the runs on it. */
+function recordCrashes(state: JobState, worker: WorkerState, { suspectedRuns }: WorkerCrash): void {
+    const suspected = new Set(suspectedRuns.map(formatRunKey));
+    for (const [key, run] of worker.runs) {
+        recordCrash(state, run, suspected.has(key), suspected.size === 1);
     }
 }
 
@@ -135,9 +174,11 @@
     }
     switch (end.outcome) {
         case "succeeded":
+            task.crashes = undefined;
             completeTasks(state, run);
             break;
         case "failed":
+            task.crashes = undefined;
             recordFailure(state, run);
             break;
         case "stopped":
@@ -170,15 +211,20 @@
     applyRunEnd(state, run, end);
 }
 
-/** Ends all runs of a worker whose lease has expired and keeps the checkpoints that it reported last. */
+/**
+ * Ends all runs of a worker that has crashed or whose lease has expired, and keeps the checkpoints that it reported last.
+ */
 export function expireRuns(state: JobState, command: CommandOf<"expireWorker">): void {
-    for (const end of command.checkpoints) {
-        endRun(state, command.worker, end);
-    }
     const worker = state.workers.get(command.worker);
     if (worker === undefined) {
         return;
     }
+    if (command.crash !== undefined) {
+        recordCrashes(state, worker, command.crash);
+    }
+    for (const end of command.checkpoints) {
+        endRun(state, command.worker, end);
+    }
     for (const [key, run] of [...worker.runs]) {
         removeRun(worker, key, run);
         applyRunEnd(state, run, {
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -12,6 +12,7 @@
     type JobStep,
     type JobTask,
     type RunInProgress,
+    type TaskCrashes,
     type WorkerRun,
     type WorkerState,
 } from "./job-state.js";
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -1,6 +1,7 @@
 import type {
     DisturbanceEstimate,
     JobDefinition,
+    JobFailure,
     JobId,
     JobPhase,
     MaintenanceWave,
@@ -16,6 +17,18 @@
 export interface RunInProgress {
     readonly run: number;
     readonly worker: WorkerId;
+    /** Wall-clock time of the command that started it, in milliseconds since the epoch; 0 if an earlier build did. */
+    readonly startedAtMs: number;
+}
+
+/** Crashes of workers under the latest runs of a task; a run that ends by itself clears them. */
+export interface TaskCrashes {
+    /** Runs in succession whose worker crashed soon after their start. */
+    readonly crashes: number;
+    /** Number of these crashes for which the task is suspected. */
+    readonly suspicions: number;
+    /** Whether only this task is suspected for the last one. */
+    readonly isSoleSuspect: boolean;
 }
 
 /** State of one task of a step. */
@@ -26,6 +39,8 @@
     lastRun: number;
     /** Number of runs that ended as failed. */
     failures: number;
+    /** Undefined unless a worker crashed under the last run. */
+    crashes: TaskCrashes | undefined;
     /** Checkpoint from which the next run resumes; empty when there is none. */
     checkpoint: string;
     /** Runs in progress; more than one only for speculative steps. */
@@ -66,6 +81,8 @@
     phase: JobPhase;
     readonly acceptedAtMs: number;
     endedAtMs: number | undefined;
+    /** Why the job has failed; undefined unless it has. */
+    failure: JobFailure | undefined;
     /** Occurrences that are not complete; emptied when the job ends and its last run has ended. */
     readonly occurrences: Map<number, JobOccurrence>;
     /** Number of runs in progress. */
@@ -89,6 +106,8 @@
     readonly step: JobStep;
     readonly task: JobTask;
     readonly run: number;
+    /** As in `RunInProgress`. */
+    readonly startedAtMs: number;
 }
 
 /** A maintenance wave and the hosts on which maintenance has begun. */
@@ -150,7 +169,15 @@
     const tasks: JobTask[] = [];
     const waiting = new Set<number>();
     for (let index = 0; index < spec.count; index += 1) {
-        tasks.push({ position: index, isDone: false, lastRun: 0, failures: 0, checkpoint: "", runs: [] });
+        tasks.push({
+            position: index,
+            isDone: false,
+            lastRun: 0,
+            failures: 0,
+            crashes: undefined,
+            checkpoint: "",
+            runs: [],
+        });
         waiting.add(index);
     }
     return { spec, position, tasks, tasksLeft: spec.count, waiting, gangFailures: 0, lastFailedGangRun: 0 };
@@ -185,6 +212,7 @@
         phase: "queued",
         acceptedAtMs,
         endedAtMs: undefined,
+        failure: undefined,
         occurrences,
         runsInProgress: 0,
     };
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -2,6 +2,7 @@
     addResources,
     type DisturbanceEstimate,
     type JobDefinition,
+    type JobFailure,
     type JobPhase,
     type MaintenanceWave,
     noResources,
@@ -24,8 +25,17 @@
 
 const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: false });
 
-/** Position, last run, failures, checkpoint and runs of a task that is no longer in its initial state. */
-type SavedTask = readonly [number, number, number, string, readonly (readonly [number, string])[]];
+/** Run and worker of a run in progress, and the time of its start, which earlier builds do not write. */
+type SavedRun = readonly [run: number, worker: string, startedAtMs?: number];
+
+/** Crashes, suspicions and whether the task is the sole suspect of the last one. */
+type SavedCrashes = readonly [number, number, boolean];
+
+/**
+ * Position, last run, failures, checkpoint, runs and crashes of a task that is no longer in its initial state. Tasks without
+ * crashes, and those that earlier builds write, end with the runs.
+ */
+type SavedTask = readonly [number, number, number, string, readonly SavedRun[], SavedCrashes?];
 
 interface SavedStep {
     /** Positions of the tasks that are done. */
@@ -46,6 +56,8 @@
     readonly phase: JobPhase;
     readonly acceptedAtMs: number;
     readonly endedAtMs: number | undefined;
+    /** Earlier builds do not write it. */
+    readonly failure?: JobFailure;
     /** Undefined for a closed job, whose steps are no longer needed. */
     readonly definition: JobDefinition | undefined;
     readonly occurrences: readonly SavedOccurrence[];
@@ -72,8 +84,13 @@
 }
 
 function saveTask(task: JobTask): SavedTask {
-    const runs = task.runs.map(({ run, worker }) => [run, worker] as const);
-    return [task.position, task.lastRun, task.failures, task.checkpoint, runs];
+    const runs = task.runs.map(({ run, worker, startedAtMs }) => [run, worker, startedAtMs] as const);
+    const saved = [task.position, task.lastRun, task.failures, task.checkpoint, runs] as const;
+    if (task.crashes === undefined) {
+        return saved;
+    }
+    const { crashes, suspicions, isSoleSuspect } = task.crashes;
+    return [...saved, [crashes, suspicions, isSoleSuspect]];
 }
 
 function saveStep(step: JobStep): SavedStep {
@@ -92,6 +109,7 @@
         phase: job.phase,
         acceptedAtMs: job.acceptedAtMs,
         endedAtMs: job.endedAtMs,
+        ...(job.failure === undefined ? {} : { failure: job.failure }),
         definition: isOpen ? job.definition : undefined,
         occurrences: isOpen
             ? [...job.occurrences.values()].map(({ number, steps }) => ({ number, steps: steps.map(saveStep) }))
@@ -159,15 +177,19 @@
 function restoreTask(
     state: JobState,
     owner: { readonly job: JobRecord; readonly occurrence: JobOccurrence; readonly step: JobStep; },
-    [position, lastRun, failures, checkpoint, runs]: SavedTask,
+    [position, lastRun, failures, checkpoint, runs, saved]: SavedTask,
 ): void {
     const task = owner.step.tasks[position];
     if (task === undefined) {
         return;
     }
     Object.assign(task, { lastRun, failures, checkpoint });
-    task.runs = runs.map(([run, worker]) => ({ run, worker }));
-    for (const { run, worker } of task.runs) {
+    if (saved !== undefined) {
+        const [crashes, suspicions, isSoleSuspect] = saved;
+        task.crashes = { crashes, suspicions, isSoleSuspect };
+    }
+    task.runs = runs.map(([run, worker, startedAtMs = 0]) => ({ run, worker, startedAtMs }));
+    for (const { run, worker, startedAtMs } of task.runs) {
         owner.step.waiting.delete(position);
         owner.job.runsInProgress += 1;
         const key = formatRunKey({
@@ -179,7 +201,7 @@
         });
         const workerState = state.workers.get(worker);
         if (workerState !== undefined) {
-            workerState.runs.set(key, { ...owner, task, run });
+            workerState.runs.set(key, { ...owner, task, run, startedAtMs });
             workerState.used = addResources(workerState.used, computeReservation(owner.step.spec));
         }
     }
@@ -210,6 +232,7 @@
     const job = createJob(saved.definition ?? createEmptyDefinition(id), queue, acceptedAtMs);
     job.phase = saved.phase;
     job.endedAtMs = saved.endedAtMs;
+    job.failure = saved.failure;
     const savedByNumber = new Map(saved.occurrences.map(occurrence => [occurrence.number, occurrence]));
     for (const occurrence of [...job.occurrences.values()]) {
         const found = savedByNumber.get(occurrence.number);
--- /dev/null
+++ b/packages/job-state/src/worker-crashes.test.ts
@@ -0,0 +1,90 @@
+import type { RunKey } from "@chestnutspool/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { makeJob, makeMachine, makeStep, makeWorker, type TestMachine, testStartMs } from "./fakes/index.js";
+import { createJobMachine } from "./job-machine.js";
+
+function makeKey(position: number, run = 1): RunKey {
+    return { job: "a", occurrence: 0, step: 0, position, run };
+}
+
+function start(machine: TestMachine, position: number, run = 1): void {
+    machine.apply({ kind: "startRuns", starts: [{ ...makeKey(position, run), worker: "w1" }] });
+}
+
+function crash(machine: TestMachine, suspectedRuns: readonly RunKey[], nowMs = testStartMs): void {
+    machine.apply(
+        { kind: "expireWorker", worker: "w1", isGone: false, checkpoints: [], crash: { suspectedRuns } },
+        nowMs,
+    );
+}
+
+function listCrashes(machine: Pick<TestMachine, "state">) {
+    const tasks = machine.state.jobs.get("a")?.occurrences.get(0)?.steps[0]?.tasks ?? [];
+    return tasks.map(({ crashes }) => crashes);
+}
+
+function setUp(): TestMachine {
+    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    machine.submit(makeJob("a", [makeStep({ count: 2 })]));
+    start(machine, 0);
+    start(machine, 1);
+    return machine;
+}
+
+test("a crash counts for all runs on the worker, a suspicion for the suspected ones", () => {
+    const machine = setUp();
+    crash(machine, [makeKey(0)]);
+    assert.deepEqual(listCrashes(machine), [
+        { crashes: 1, suspicions: 1, isSoleSuspect: true },
+        { crashes: 1, suspicions: 0, isSoleSuspect: false },
+    ]);
+    start(machine, 0, 2);
+    crash(machine, [makeKey(0, 2)]);
+    assert.deepEqual(listCrashes(machine)[0], { crashes: 2, suspicions: 2, isSoleSuspect: true });
+});
+
+test("a run that ends by itself clears the crashes of its task", () => {
+    const machine = setUp();
+    crash(machine, [makeKey(0), makeKey(1)]);
+    [0, 1].forEach(position => start(machine, position, 2));
+    machine.apply({
+        kind: "endRuns",
+        worker: "w1",
+        ends: [
+            { ...makeKey(0, 2), outcome: "failed", checkpoint: "" },
+            { ...makeKey(1, 2), outcome: "stopped", checkpoint: "" },
+        ],
+    });
+    assert.deepEqual(listCrashes(machine), [undefined, { crashes: 1, suspicions: 1, isSoleSuspect: false }]);
+});
+
+test("the crash of a worker does not count for a run that has worked for a long time", () => {
+    const machine = setUp();
+    crash(machine, [makeKey(0)], testStartMs + 30_000);
+    assert.deepEqual(listCrashes(machine), [undefined, undefined]);
+});
+
+test("an expiry that an earlier build recorded counts no crash", () => {
+    const machine = setUp();
+    machine.apply({ kind: "expireWorker", worker: "w1", isGone: true, checkpoints: [] });
+    assert.deepEqual(listCrashes(machine), [undefined, undefined]);
+});
+
+test("crashes, times of starts and the reason of a failure are kept in a snapshot", () => {
+    const machine = setUp();
+    crash(machine, [makeKey(0)]);
+    start(machine, 1, 2);
+    machine.submit(makeJob("b"));
+    const failure = { reason: "workerCrashes", task: "b.0.0.0" } as const;
+    machine.apply({ kind: "cancelJob", job: "b", failure });
+    const restored = createJobMachine();
+    restored.restoreSnapshot(machine.takeSnapshot());
+    assert.deepEqual(listCrashes(restored), listCrashes(machine));
+    assert.deepEqual(
+        [...restored.state.workers.get("w1")?.runs.values() ?? []].map(({ startedAtMs }) => startedAtMs),
+        [testStartMs],
+    );
+    assert.equal(restored.state.jobs.get("b")?.phase, "failed");
+    assert.deepEqual(restored.state.jobs.get("b")?.failure, failure);
+});
--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -271,7 +271,7 @@
         if (worker === undefined) {
             return replacedIds.has(info.id)
                 ? { kind: "refused", reason: "otherWorker", clockMs: undefined } satisfies OrderAnswer
-                : { kind: "notSent", detail: "connection refused" } satisfies OrderAnswer;
+                : { kind: "notSent", detail: "connection refused", isRefused: true } satisfies OrderAnswer;
         }
         const fault = isStart || !isStartFault(worker.fault) ? worker.fault : "none";
         switch (fault) {
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -120,7 +120,8 @@
 function readJob(term: Term, request: RequestOf<"readJob">): JobReply {
     const job = findJob(term, request);
     if (job !== undefined) {
-        return { kind: "phase", phase: job.phase };
+        const { phase, failure } = job;
+        return failure === undefined ? { kind: "phase", phase } : { kind: "phase", phase, failure };
     }
     return hasQueue(term, request) ? { kind: "noJob" } : { kind: "noQueue" };
 }
--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -5,6 +5,7 @@
     isJobEnded,
     type JobRecord,
     type WorkerRun,
+    type WorkerState,
 } from "@chestnutspool/job-state";
 import {
     describeWait,
@@ -14,7 +15,8 @@
     type PlanInput,
     type WaitingStep,
 } from "@chestnutspool/plan-jobs";
-import type { JobPhase, RunEnd, RunKey, RunStart } from "@chestnutspool/types";
+import { countUnprovedRuns } from "@chestnutspool/track-workers";
+import type { JobPhase, RunEnd, RunKey, RunStart, WorkerCrash } from "@chestnutspool/types";
 import type { Term, WorkerSession } from "./term.js";
 
 /**
@@ -104,10 +106,32 @@
         const tookMs = (job.endedAtMs ?? job.acceptedAtMs) - job.acceptedAtMs;
         term.metrics.countEvent(`jobs.${job.phase}`, job.queue.name, job.queue.service);
         term.metrics.recordDuration("jobMs", job.queue.name, job.queue.service, tookMs);
-        term.logger.info("job ended", { job: job.id, queue: job.queue.name, phase: job.phase, tookMs });
+        const { id, queue, failure } = job;
+        term.logger.info("job ended", { job: id, queue: queue.name, phase: job.phase, ...failure, tookMs });
     }
 }
 
+/** Logs the crash of a worker and the runs that are suspected of it, each with its number of earlier suspicions. */
+export function logWorkerCrash(
+    term: Term,
+    { info, runStatuses, answeredAtMs }: WorkerSession,
+    state: WorkerState,
+    { suspectedRuns }: WorkerCrash,
+    nowMs: number,
+): void {
+    term.metrics.countEvent("workers.crashed", "", info.service);
+    term.logger.warn("worker has crashed", {
+        worker: info.id,
+        runs: state.runs.size,
+        unprovedRuns: countUnprovedRuns(state, runStatuses),
+        suspects: suspectedRuns.map(key => {
+            const suspicions = state.runs.get(formatRunKey(key))?.task.crashes?.suspicions ?? 0;
+            return `${formatRunKey(key)}(${suspicions})`;
+        }).join(" "),
+        answerAgeMs: answeredAtMs === undefined ? undefined : Math.round(nowMs - answeredAtMs),
+    });
+}
+
 /** Time below full pace from which the end of a successful run is logged at level info, in milliseconds. */
 const loggedSlowedMs = 1_000;
 
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -12,6 +12,7 @@
 import { Effect, Queue } from "effect";
 import { adaptRatings } from "./adapt-ratings.js";
 import { addRecordedRuns } from "./add-recorded-runs.js";
+import { giveUpDeadlyJobs } from "./give-up-jobs.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
@@ -242,6 +243,8 @@
     // An exception after a commit leaves recorded runs whose orders were not sent: starts without an answer.
     const startedMs = yield* readMonotonicMs;
     term.sessions.forEach(session => addRecordedRuns(term, session, "unanswered", startedMs));
+    // An earlier leader may have ended before it gave them up.
+    yield* Effect.catch(giveUpDeadlyJobs(term), error => logStepError(term.logger, "give up", error));
     while (canSendOrders(term, yield* readMonotonicMs)) {
         const tookMs = yield* Effect.catch(
             runPass(term, planner),
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -59,6 +59,8 @@
     isResponsive: boolean;
     /** Whether the runs on the worker have been compared with the recorded ones in this term. */
     isReconciled: boolean;
+    /** Whether nothing listened at its address when it was last called. */
+    isRefusing: boolean;
     /** Answers to renewals that were sent since the worker missed one, and are not applied yet. */
     readonly lateAnswers: Queue.Queue<RenewalAnswer>;
     /** When the latest renewal was sent, in monotonic milliseconds. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -5,6 +5,7 @@
     applyReport,
     computeLeaseEndMs,
     createWorkerHealth,
+    listSuspectedRuns,
     recordClock,
     renewLease,
     type ReportOutcome,
@@ -12,7 +13,8 @@
 import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
 import { Effect, Option, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
-import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
+import { giveUpDeadlyJobs } from "./give-up-jobs.js";
+import { logEndedJobs, logRunEnded, logWorkerCrash, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
 import { superviseOrder } from "./supervise-loop.js";
@@ -64,6 +66,7 @@
         answeredAtMs: undefined,
         isResponsive: false,
         isReconciled: false,
+        isRefusing: false,
         lateAnswers: yield* Queue.sliding<RenewalAnswer>(lateAnswerLimit),
         renewalSentAtMs: Number.NEGATIVE_INFINITY,
         heartbeatAtMs: nowMs,
@@ -122,6 +125,7 @@
         term.logger.info("worker answers", { worker: session.info.id, term: term.number });
     }
     session.isResponsive = true;
+    session.isRefusing = false;
     yield* Queue.clear(session.lateAnswers);
     if (findWorkerState(term, session) === undefined) {
         // A worker is recorded only once it has answered, so that a false announcement is never recorded.
@@ -146,8 +150,21 @@
     }
 });
 
+/** Why the runs of a worker have ended with it. */
+interface WorkerEnd {
+    readonly reason: string;
+    /** Whether the worker will not come back under its identity. */
+    readonly isGone: boolean;
+    /** Whether it has certainly crashed. */
+    readonly isCrash: boolean;
+}
+
 /** Records the end of all runs of a worker that is gone or whose lease has certainly expired. */
-const expireWorker = Effect.fnUntraced(function*(term: Term, session: WorkerSession, isGone: boolean, reason: string) {
+const expireWorker = Effect.fnUntraced(function*(
+    term: Term,
+    session: WorkerSession,
+    { reason, isGone, isCrash }: WorkerEnd,
+) {
     const state = findWorkerState(term, session);
     if (state === undefined || (state.runs.size === 0 && !isGone)) {
         return;
@@ -164,25 +181,53 @@
         checkpoint,
     }));
     const checkpoints = lapsed.filter(end => end.checkpoint !== "");
-    yield* propose(term, { kind: "expireWorker", worker: session.info.id, isGone, checkpoints });
+    const crash = isCrash ? { suspectedRuns: listSuspectedRuns(state, session.runStatuses) } : undefined;
+    if (crash !== undefined) {
+        logWorkerCrash(term, session, state, crash, yield* readMonotonicMs);
+    }
+    yield* propose(term, {
+        kind: "expireWorker",
+        worker: session.info.id,
+        isGone,
+        checkpoints,
+        ...(crash === undefined ? {} : { crash }),
+    });
     lapsed.forEach(end => logRunEnded(term, session, end));
     session.runStatuses.clear();
     wakePlanner(term);
+    if (crash !== undefined) {
+        yield* giveUpDeadlyJobs(term);
+    }
 });
 
 /**
- * Finds the reason why a worker has ended permanently: another one answers at its address, it announced that it leaves,
- * or it has been silent for too long. Undefined if it may come back.
+ * Finds out whether a worker has ended: another one answers at its address, it announced that it leaves, its lease is over, or
+ * it has been silent for too long. A worker whose lease is over may come back. It has crashed if it has ended, as the answers
+ * show, and neither left nor drained.
  */
-function findEndReason(session: WorkerSession, answer: RenewAnswer, leaseEndMs: number, nowMs: number) {
+function findWorkerEnd(
+    term: Term,
+    session: WorkerSession,
+    answer: RenewAnswer,
+    nowMs: number,
+): WorkerEnd | undefined {
+    const isExpected = session.leftAtMs !== undefined || findWorkerState(term, session)?.isDraining === true;
     if (answer.kind === "refused" && answer.reason === "otherWorker") {
-        return "another worker answers at the address";
+        return { reason: "another worker answers at the address", isGone: true, isCrash: !isExpected };
     }
     if (session.leftAtMs !== undefined && nowMs - session.leftAtMs >= leaveGraceMs) {
-        return "the worker has left";
+        return { reason: "the worker has left", isGone: true, isCrash: false };
+    }
+    if (nowMs <= computeLeaseEndMs(session.lease, term.openedAtMs, term.limits.longestLeaseMs)) {
+        return undefined;
     }
     const lastContactAtMs = Math.max(session.heartbeatAtMs, session.answeredAtMs ?? 0);
-    return nowMs > leaseEndMs && nowMs - lastContactAtMs > removeAfterSilenceMs ? "the worker is silent" : undefined;
+    const isGone = nowMs - lastContactAtMs > removeAfterSilenceMs;
+    return {
+        reason: isGone ? "the worker is silent" : "the lease is over",
+        isGone,
+        isCrash: session.isRefusing && !isExpected,
+    };
 }
 
 const applyRenewFailure = Effect.fnUntraced(function*(term: Term, session: WorkerSession, answer: RenewAnswer) {
@@ -198,16 +243,17 @@
         // Not again while it is silent: the renewals that are still in progress would be broken off.
         term.workers.closeConnections(session.info);
     }
-    const leaseEndMs = computeLeaseEndMs(session.lease, term.openedAtMs, term.limits.longestLeaseMs);
-    const endReason = findEndReason(session, answer, leaseEndMs, nowMs);
-    if (endReason !== undefined) {
-        yield* expireWorker(term, session, true, endReason);
+    if (answer.kind === "notSent") {
+        session.isRefusing = answer.isRefused === true;
+    }
+    const end = findWorkerEnd(term, session, answer, nowMs);
+    if (end !== undefined) {
+        yield* expireWorker(term, session, end);
+    }
+    if (end?.isGone === true) {
         term.sessions.delete(session.info.id);
         return false;
     }
-    if (nowMs > leaseEndMs) {
-        yield* expireWorker(term, session, false, "the lease is over");
-    }
     return true;
 });
 
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,6 +1,6 @@
 import { formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
-import type { RunStatuses } from "@chestnutspool/track-workers";
+import { hasTrial, needsTrial, type RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
 import { holdWorkers } from "./hold-workers.js";
 import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
@@ -24,6 +24,11 @@
  * limited.
  */
 const startsPerPass = 500;
+/**
+ * Largest share of the workers of a service on which tasks are on trial at the same time, so that tasks that crash their
+ * workers do not take a service down. One worker may always be.
+ */
+const trialShare = 0.1;
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
@@ -49,6 +54,8 @@
     readonly kept: ReadonlySet<WorkerCandidate>;
     readonly unmet: UnmetRequirements;
     readonly starts: RunStart[];
+    /** Number of tasks that may still be put on trial, by service. */
+    readonly trialsLeft: Map<string, number>;
     /** Number of ratings of workers. */
     ratings: number;
 }
@@ -105,15 +112,59 @@
     };
 }
 
+/** Counts the tasks of each service that may be put on trial besides those that are, or whose workers are silent. */
+function countTrialsLeft({ state, findRunStatuses }: PlanInput): Map<string, number> {
+    const workersByService = new Map<string, number>();
+    const trialsByService = new Map<string, number>();
+    for (const worker of state.workers.values()) {
+        const { id, service } = worker.info;
+        workersByService.set(service, (workersByService.get(service) ?? 0) + 1);
+        if (hasTrial(worker, findRunStatuses(id))) {
+            trialsByService.set(service, (trialsByService.get(service) ?? 0) + 1);
+        }
+    }
+    const trialsLeft = new Map<string, number>();
+    for (const [service, workers] of workersByService) {
+        const limit = Math.max(1, Math.floor(workers * trialShare));
+        trialsLeft.set(service, limit - (trialsByService.get(service) ?? 0));
+    }
+    return trialsLeft;
+}
+
+/** Reserves a worker for a task that may crash it; no other task starts there meanwhile. */
+function reserveTrialWorker(
+    pass: PlanningPass,
+    { waiting, stepKey, ratings }: StepPlan,
+): WorkerCandidate | undefined {
+    const { job, step } = waiting;
+    const candidate = ratings.chooseTrialWorker();
+    if (candidate !== undefined) {
+        pass.trialsLeft.set(job.queue.service, (pass.trialsLeft.get(job.queue.service) ?? 0) - 1);
+        reserveCapacity(candidate, job.id, step.spec, stepKey);
+        candidate.isOnTrial = true;
+        ratings.updateAfterStart(candidate);
+    }
+    return candidate;
+}
+
+/** Whether another task of a service may be put on trial in this pass. */
+function canTry(pass: PlanningPass, { job }: WaitingStep): boolean {
+    return (pass.trialsLeft.get(job.queue.service) ?? 0) > 0;
+}
+
 /**
  * Reserves capacity for a task on the most suitable worker; on the worker of its last failed run only if no other one
  * is suitable.
  */
 function reserveWorker(
     pass: PlanningPass,
-    { waiting, stepKey, ratings, tasksByRack }: StepPlan,
+    plan: StepPlan,
     task: JobTask,
 ): WorkerCandidate | undefined {
+    if (needsTrial(task)) {
+        return reserveTrialWorker(pass, plan);
+    }
+    const { waiting, stepKey, ratings, tasksByRack } = plan;
     const { job, occurrence, step } = waiting;
     const failedOn = task.failures === 0 ? undefined : pass.input.findFailedWorker({
         job: job.id,
@@ -138,7 +189,12 @@
         return;
     }
     const plan = createStepPlan(pass, waiting, isStarved);
+    // Tasks on trial go last, because the first task without a worker ends the step.
+    tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
     for (const task of tasks.slice(0, isStarved ? 1 : startsPerPass - pass.starts.length)) {
+        if (needsTrial(task) && !canTry(pass, waiting)) {
+            return;
+        }
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
             pass.unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting));
@@ -155,6 +211,10 @@
     if (step.waiting.size < step.tasks.length || tasks.length < step.tasks.length) {
         return;
     }
+    // All members that need a trial get theirs at once, because the gang only starts as a whole.
+    if (tasks.some(needsTrial) && !canTry(pass, waiting)) {
+        return;
+    }
     const plan = createStepPlan(pass, waiting, isStarved);
     const run = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
     const reserved: { readonly candidate: WorkerCandidate; readonly task: JobTask; }[] = [];
@@ -170,7 +230,13 @@
         return;
     }
     if (reserved.length < step.tasks.length) {
-        reserved.forEach(({ candidate }) => releaseCapacity(candidate, job.id, step.spec, plan.stepKey));
+        reserved.forEach(({ candidate, task }) => {
+            releaseCapacity(candidate, job.id, step.spec, plan.stepKey);
+            if (needsTrial(task)) {
+                candidate.isOnTrial = false;
+                pass.trialsLeft.set(job.queue.service, (pass.trialsLeft.get(job.queue.service) ?? 0) + 1);
+            }
+        });
         return;
     }
     pass.starts.push(...reserved.map(({ candidate, task }) => createStart(waiting, task, run, candidate)));
@@ -253,6 +319,7 @@
         kept: listKeptWorkers(input.state, candidates),
         unmet: createUnmetRequirements(),
         starts: [],
+        trialsLeft: countTrialsLeft(input),
         ratings: 0,
     };
     planWithinLimit(memory, waitingSteps, waiting => {
--- a/packages/plan-jobs/src/startable-tasks.ts
+++ b/packages/plan-jobs/src/startable-tasks.ts
@@ -1,4 +1,5 @@
 import { countFailures, type JobTask } from "@chestnutspool/job-state";
+import { isDeadly } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import type { WaitingStep } from "./waiting-steps.js";
 import type { WorkerCandidate } from "./worker-candidate.js";
@@ -15,12 +16,15 @@
     };
 }
 
-/** Lists the tasks of a step that wait and have not failed too often. */
+/** Lists the tasks of a step that wait, have not failed too often and do not crash their workers. */
 export function listStartable({ job, step }: WaitingStep): JobTask[] {
     const tasks: JobTask[] = [];
     for (const position of step.waiting) {
         const task = step.tasks[position];
-        if (task !== undefined && (step.spec.longRunning || countFailures(step, task) < job.queue.maxAttempts)) {
+        if (task === undefined || isDeadly(task)) {
+            continue;
+        }
+        if (step.spec.longRunning || countFailures(step, task) < job.queue.maxAttempts) {
             tasks.push(task);
         }
     }
--- a/packages/plan-jobs/src/step-ratings.ts
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -6,10 +6,19 @@
 export interface StepRatings {
     /** Chooses the worker with the highest rating; the excluded one only if no other is suitable. */
     readonly chooseWorker: (excluded: WorkerId | undefined) => WorkerCandidate | undefined;
+    /**
+     * Chooses the worker on which a task that may crash it does the least harm: with the fewest runs that have not proved
+     * themselves, then with the fewest runs.
+     */
+    readonly chooseTrialWorker: () => WorkerCandidate | undefined;
     /** Updates the ratings after a task was planned on a worker. */
     readonly updateAfterStart: (started: WorkerCandidate) => void;
 }
 
+function compareHarm(left: WorkerCandidate, right: WorkerCandidate): number {
+    return left.unprovedRuns - right.unprovedRuns || left.state.runs.size - right.state.runs.size;
+}
+
 /**
  * Rates the workers for a step once. A start changes only the rating of its worker, or of all workers of its rack if
  * the step prefers one rack. `countRating` is called for each rating.
@@ -48,6 +57,15 @@
             }
             return best ?? excludedCandidate;
         },
+        chooseTrialWorker: () => {
+            let best: WorkerCandidate | undefined;
+            for (const { candidate } of suitable) {
+                if (best === undefined || compareHarm(candidate, best) < 0) {
+                    best = candidate;
+                }
+            }
+            return best;
+        },
         updateAfterStart: started => {
             const rack = findRack(started.state.info);
             // A worker that is no longer suitable does not become suitable again within a step.
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -1,6 +1,6 @@
 import { computeReservation, formatStepKey, type WorkerState } from "@chestnutspool/job-state";
 import type { PairEstimate } from "@chestnutspool/learn-interference";
-import type { RunStatus, RunStatuses } from "@chestnutspool/track-workers";
+import { countUnprovedRuns, hasTrial, type RunStatus, type RunStatuses } from "@chestnutspool/track-workers";
 import {
     addResources,
     findShortage,
@@ -44,6 +44,10 @@
     startsLeft: number | undefined;
     /** Whether a long-running task waits for room here, so that no other task may start in this pass. */
     isHeld: boolean;
+    /** Whether a task that may crash the worker is on trial here, so that no other task may start. */
+    isOnTrial: boolean;
+    /** Runs that have not proved yet that they do not crash the worker, with those that the pass plans. */
+    unprovedRuns: number;
     /**
      * Whether best-effort tasks here get less processor time than they could use, so that another one would slow them
      * down further.
@@ -187,6 +191,8 @@
         free: subtractResources(state.info.capacity, state.used),
         startsLeft: startLimit,
         isHeld: false,
+        isOnTrial: hasTrial(state, statuses),
+        unprovedRuns: countUnprovedRuns(state, statuses),
         tasksByStep,
         idleMilliCpu,
         lastingMilliCpu,
@@ -219,7 +225,7 @@
 
 /** Whether the limits, labels and free resources of a worker allow a task of a step to start there. */
 export function hasCapacity(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
-    if (candidate.startsLeft === 0 || (candidate.isHeld && !spec.longRunning)) {
+    if (candidate.isOnTrial || candidate.startsLeft === 0 || (candidate.isHeld && !spec.longRunning)) {
         return false;
     }
     if (spec.requiredLabel !== undefined && !candidate.state.info.labels.includes(spec.requiredLabel)) {
@@ -235,6 +241,7 @@
 export function reserveCapacity(candidate: WorkerCandidate, job: string, spec: StepSpec, stepKey: string): void {
     candidate.free = subtractResources(candidate.free, computeReservation(spec));
     candidate.startsLeft = candidate.startsLeft === undefined ? undefined : candidate.startsLeft - 1;
+    candidate.unprovedRuns += 1;
     addPlannedTask(candidate, job, spec, stepKey, 1);
 }
 
@@ -242,5 +249,6 @@
 export function releaseCapacity(candidate: WorkerCandidate, job: string, spec: StepSpec, stepKey: string): void {
     candidate.free = addResources(candidate.free, computeReservation(spec));
     candidate.startsLeft = candidate.startsLeft === undefined ? undefined : candidate.startsLeft + 1;
+    candidate.unprovedRuns -= 1;
     addPlannedTask(candidate, job, spec, stepKey, -1);
 }
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -174,9 +174,25 @@
     readonly worker: WorkerId;
 }
 
+/** Crash of a worker. */
+export interface WorkerCrash {
+    /** Runs of which one may have caused the crash; empty if none is suspected. */
+    readonly suspectedRuns: readonly RunKey[];
+}
+
 /** State of a job as callers see it. */
 export type JobPhase = "queued" | "running" | "completed" | "failed" | "cancelled";
 
+/** Why a job has failed, and the task, by its text form, that failed it. */
+export interface JobFailure {
+    readonly reason:
+        /** A task, or a gang, has failed as often as its queue allows. */
+        | "attemptsExhausted"
+        /** Workers crashed whenever they started the task. */
+        | "workerCrashes";
+    readonly task: string;
+}
+
 /** A command of the replicated log of jobs; `nowMs` is the leader's wall-clock time in milliseconds since the epoch. */
 export type JobCommand =
     & { readonly nowMs: number; }
@@ -187,7 +203,15 @@
             readonly hostName: string;
             readonly path: string;
         }
-        | { readonly kind: "cancelJob"; readonly job: JobId; }
+        | {
+            readonly kind: "cancelJob";
+            readonly job: JobId;
+            /**
+             * Set if the scheduler gives the job up, so that it ends as failed. A replica of an earlier build ends it as
+             * cancelled.
+             */
+            readonly failure?: JobFailure;
+        }
         | { readonly kind: "startRuns"; readonly starts: readonly RunStart[]; }
         | { readonly kind: "endRuns"; readonly worker: WorkerId; readonly ends: readonly RunEnd[]; }
         | { readonly kind: "registerWorker"; readonly worker: WorkerInfo; }
@@ -200,6 +224,8 @@
             readonly isGone: boolean;
             /** Last progress that was reported for its runs. */
             readonly checkpoints: readonly RunEnd[];
+            /** Set if the worker has certainly crashed. Records of earlier builds do not have it. */
+            readonly crash?: WorkerCrash;
         }
         | { readonly kind: "setConfiguration"; readonly configuration: QueueConfiguration; }
         | { readonly kind: "startWave"; readonly wave: MaintenanceWave; }
@@ -276,7 +302,8 @@
     /** There is no configuration yet, so that the queue may exist soon; nothing was changed. */
     | { readonly kind: "notConfigured"; }
     | { readonly kind: "noJob"; }
-    | { readonly kind: "phase"; readonly phase: JobPhase; }
+    /** `failure` tells why a job has failed; absent in replies of earlier builds. */
+    | { readonly kind: "phase"; readonly phase: JobPhase; readonly failure?: JobFailure; }
     | { readonly kind: "pending"; readonly count: number; }
     | { readonly kind: "configuration"; readonly document: Uint8Array | undefined; readonly version: number; }
     | { readonly kind: "done"; }
--- a/packages/types/src/worker-port.ts
+++ b/packages/types/src/worker-port.ts
@@ -35,8 +35,11 @@
 export type OrderAnswer =
     | { readonly kind: "done"; readonly clockMs: number; }
     | { readonly kind: "refused"; readonly reason: OrderRefusal; readonly clockMs: number | undefined; }
-    /** The order was certainly not carried out, because no connection could be opened. */
-    | { readonly kind: "notSent"; readonly detail: string; }
+    /**
+     * The order was certainly not carried out, because no connection could be opened. `isRefused`: the host answered that
+     * nothing listens at the address, so that the worker has ended.
+     */
+    | { readonly kind: "notSent"; readonly detail: string; readonly isRefused?: boolean; }
     /** The order may have been carried out, or may yet be. */
     | { readonly kind: "unknown"; readonly detail: string; };
 
