Clear the neighbours of a crash sooner

Cause: the neighbours of a task that crashed a worker waited for their own trial behind each other: a run was suspected if it started within 300 ms of the last one, and a trial took a second or more, because reports come every 900 ms.

Change: 100 ms, 400 ms, and a report every 200 ms while a run is on trial. A crash is counted and logged once for a worker without runs left.

--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -5,6 +5,7 @@
     applyReport,
     computeLeaseEndMs,
     createWorkerHealth,
+    hasTrial,
     listSuspectedRuns,
     recordClock,
     renewLease,
@@ -36,6 +37,8 @@
 const reportIntervalMs = 900;
 /** Longest such delay while the worker runs tasks whose interference is not known yet, in milliseconds. */
 const learningIntervalMs = 300;
+/** Longest such delay while a run is on trial, so that others may soon start on the worker, in milliseconds. */
+const trialIntervalMs = 200;
 /** Time beyond this delay after which a renewal counts as lost, in milliseconds. */
 const renewGraceMs = 600;
 /**
@@ -183,7 +186,9 @@
         checkpoint,
     }));
     const checkpoints = lapsed.filter(end => end.checkpoint !== "");
-    const crash = isCrash ? { suspectedRuns: listSuspectedRuns(state, session.runStatuses) } : undefined;
+    const crash = isCrash && state.runs.size > 0
+        ? { suspectedRuns: listSuspectedRuns(state, session.runStatuses) }
+        : undefined;
     if (crash !== undefined) {
         logWorkerCrash(term, session, state, crash, yield* readMonotonicMs);
     }
@@ -261,6 +266,9 @@
 
 function chooseWaitMs(term: Term, session: WorkerSession): number {
     const state = findWorkerState(term, session);
+    if (state !== undefined && hasTrial(state, session.runStatuses)) {
+        return trialIntervalMs;
+    }
     const isLearning = state !== undefined && hasUncertainPairs(state, session.runStatuses, term.interference);
     return isLearning ? learningIntervalMs : reportIntervalMs;
 }
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -3,9 +3,9 @@
 import type { RunStatus, RunStatuses } from "./run-statuses.js";
 
 /** Time for which a run has worked until it is no longer suspected of a crash, in milliseconds. */
-const workedMs = 300;
+const workedMs = 100;
 /** The same for a run on trial. */
-const trialMs = 1_000;
+const trialMs = 400;
 /** The same after two crashes that nothing else explains, because some tasks crash their worker only after a while. */
 const longTrialMs = 3_000;
 /** Crashes under a task in succession from which it is on trial even if others were suspected of them. */
