Log the start of a worker and the acknowledged end when it answers

The lines could not tell whether a session that goes on after a restart of its worker keeps the cursor of the earlier start. No decision reads it yet.

--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -127,7 +127,14 @@
     session.lease = recordClock(session.lease, answer.clockMs, nowMs);
     session.answeredAtMs = nowMs;
     if (!session.isResponsive) {
-        term.logger.info("worker answers", { worker: session.info.id, term: term.number });
+        term.logger.info("worker answers", {
+            worker: session.info.id,
+            bornAtMs: answer.bornAtMs,
+            bornBeforeMs: session.info.bornAtMs,
+            acknowledgedSequence: session.acknowledgedSequence,
+            lastSequence: answer.ended.at(-1)?.sequence,
+            term: term.number,
+        });
     }
     session.isResponsive = true;
     session.isRefusing = false;
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -110,6 +110,11 @@
 /** Description of a worker, as it reports it. */
 export interface WorkerInfo {
     readonly id: WorkerId;
+    /**
+     * Wall-clock time of its start in milliseconds since the epoch, which tells apart the starts under one id; undefined if it
+     * does not say.
+     */
+    readonly bornAtMs?: number | undefined;
     /** IP address and port on which it accepts orders. */
     readonly address: string;
     readonly service: string;
--- a/packages/types/src/worker-port.ts
+++ b/packages/types/src/worker-port.ts
@@ -76,6 +76,8 @@
 export type RenewAnswer =
     | {
         readonly kind: "report";
+        /** As in `WorkerInfo`. */
+        readonly bornAtMs?: number | undefined;
         readonly clockMs: number;
         readonly running: readonly RunProgress[];
         readonly ended: readonly UnacknowledgedEnd[];
