--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -63,6 +63,8 @@
 interface FakeWorker {
     readonly info: WorkerInfo;
     readonly clockRate: number;
+    /** When its clock showed 0, in monotonic milliseconds. */
+    readonly clockStartMs: number;
     fault: WorkerFault;
     token: number;
     /** End of the lease, as a reading of the worker's clock. */
@@ -71,6 +73,8 @@
     /** Highest run number of each task that was stopped or has ended, by task key. */
     readonly highestPastRuns: Map<string, number>;
     ended: UnacknowledgedEnd[];
+    /** Highest sequence number that was acknowledged; ends up to it are not listed. */
+    acknowledged: number;
     nextSequence: number;
 }
 
@@ -124,7 +128,8 @@
         outcome: "succeeded",
     });
 
-    const readClock = (worker: FakeWorker, nowMs: number): number => Math.floor(nowMs * worker.clockRate);
+    const readClock = (worker: FakeWorker, nowMs: number): number =>
+        Math.floor((nowMs - worker.clockStartMs) * worker.clockRate);
 
     const endRun = (worker: FakeWorker, key: string, outcome: RunOutcome, atMs: number): void => {
         const running = worker.running.get(key);
@@ -135,13 +140,15 @@
         worker.highestPastRuns.set(key, Math.max(worker.highestPastRuns.get(key) ?? 0, running.key.run));
         running.record.endedAtMs = atMs;
         running.record.outcome = outcome;
-        worker.ended.push({ ...running.key, outcome, checkpoint: "", sequence: worker.nextSequence });
+        if (worker.nextSequence > worker.acknowledged) {
+            worker.ended.push({ ...running.key, outcome, checkpoint: "", sequence: worker.nextSequence });
+        }
         worker.nextSequence += 1;
     };
 
     /** Advances a worker to `nowMs`: runs that are due end, and all others end if the lease has expired. */
     const advance = (worker: FakeWorker, nowMs: number): void => {
-        const leaseEndMs = worker.leaseUntilMs / worker.clockRate;
+        const leaseEndMs = worker.clockStartMs + worker.leaseUntilMs / worker.clockRate;
         for (const [key, run] of [...worker.running].sort((left, right) => left[1].endsAtMs - right[1].endsAtMs)) {
             if (run.endsAtMs <= Math.min(nowMs, leaseEndMs)) {
                 endRun(worker, key, run.outcome, run.endsAtMs);
@@ -160,16 +167,18 @@
         return true;
     };
 
-    const addWorker = (info: WorkerInfo, clockRate = 1): void => {
+    const addWorker = (info: WorkerInfo, clockRate = 1, clockStartMs = 0): void => {
         workers.set(info.id, {
             info,
             clockRate,
+            clockStartMs,
             fault: "none",
             token: 0,
             leaseUntilMs: 0,
             running: new Map(),
             highestPastRuns: new Map(),
             ended: [],
+            acknowledged: 0,
             nextSequence: 1,
         });
     };
@@ -193,9 +202,12 @@
         runInBackground(Effect.forkIn(
             Effect.gen(function*() {
                 yield* Effect.sleep(afterMs);
-                const next = nextInfo(crashed, yield* readMonotonicMs);
-                addWorker(next);
-                replacedIds.add(id);
+                const restartedAtMs = yield* readMonotonicMs;
+                const next = nextInfo(crashed, restartedAtMs);
+                addWorker(next, 1, restartedAtMs);
+                if (next.id !== id) {
+                    replacedIds.add(id);
+                }
                 yield* announce(next);
             }),
             scope,
@@ -316,12 +328,14 @@
         if (order.leaseUntilMs !== undefined) {
             worker.leaseUntilMs = Math.max(worker.leaseUntilMs, order.leaseUntilMs);
         }
+        worker.acknowledged = Math.max(worker.acknowledged, order.acknowledgedSequence);
         worker.ended = worker.ended.filter(end => end.sequence > order.acknowledgedSequence);
         return { kind: "done", clockMs: readClock(worker, nowMs) };
     };
 
     const createReport = (worker: FakeWorker, nowMs: number): RenewAnswer => ({
         kind: "report",
+        bornAtMs: worker.info.bornAtMs,
         clockMs: readClock(worker, nowMs),
         running: [...worker.running.values()].map(({ key, record, endsAtMs }) => ({
             ...key,
--- /dev/null
+++ b/packages/lead-jobs/src/restarted-worker.test.ts
@@ -0,0 +1,133 @@
+import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
+import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
+import { Effect } from "effect";
+import assert from "node:assert/strict";
+import { makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
+
+/** Time until a worker that crashed starts again under its id, in milliseconds; its lease is not over by then. */
+const restartMs = 500;
+
+const readPhase = (system: TestSystem, job: string) =>
+    system.ask({ kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` });
+
+/** Workers that start again under their ids, `w1` after it has run and reported eight tasks. */
+const setUpWorkers = Effect.fnUntraced(function*(system: TestSystem, count: number) {
+    system.workers.setCrashingRuns(
+        () => false,
+        { afterMs: restartMs, nextInfo: (crashed, nowMs) => ({ ...crashed, bornAtMs: nowMs }) },
+        system.announce,
+    );
+    for (let number = 1; number <= count; number += 1) {
+        yield* system.addWorker(makeWorker(`w${number}`, { bornAtMs: 1, labels: [`kind-${number}`, "r0"] }));
+    }
+    yield* system.submit(makeJob("first", [makeStep({ count: 8, requiredLabel: "kind-1" })]));
+    yield* system.pass(4_000);
+    assert.deepEqual(yield* readPhase(system, "first"), { kind: "phase", phase: "completed" });
+});
+
+const crashWorker = (system: TestSystem, id: string) =>
+    Effect.map(readMonotonicMs, nowMs => system.workers.crashWorker(id, nowMs));
+
+/** Lists the tasks that started again after they had ended as succeeded. */
+const listRepeated = (system: TestSystem) =>
+    Effect.map(
+        system.readStartedRuns,
+        runs =>
+            runs.filter(run =>
+                runs.some(other =>
+                    other.task === run.task && other.outcome === "succeeded"
+                    && (other.endedAtMs ?? 0) <= run.startedAtMs
+                )
+            ).map(({ task, run }) => `${task}#${run}`),
+    );
+
+const findWorker = (system: TestSystem, id: string): WorkerInfo => {
+    const info = system.machine.state.workers.get(id)?.info;
+    assert.ok(info !== undefined);
+    return info;
+};
+
+// Guards against acknowledging the ends of a worker that started again under its id with the cursor of its earlier start: it
+// forgot them before they were recorded, and the tasks ran again.
+testSystem("the ends of a worker that started again under its id are recorded", system =>
+    Effect.gen(function*() {
+        yield* setUpWorkers(system, 1);
+        yield* crashWorker(system, "w1");
+        yield* system.pass(restartMs + 1_000);
+        yield* system.submit(makeJob("second", [makeStep({ count: 4, requiredLabel: "kind-1" })]));
+        yield* system.pass(5_000);
+        assert.deepEqual(yield* listRepeated(system), []);
+        assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
+    }));
+
+testSystem("the runs of an earlier start end with it and start again", system =>
+    Effect.gen(function*() {
+        yield* setUpWorkers(system, 1);
+        yield* system.submit(makeJob("second", [makeStep({ count: 2, requiredLabel: "kind-1" })]));
+        yield* system.pass(500);
+        yield* crashWorker(system, "w1");
+        yield* system.pass(restartMs + 4_000);
+        assert.deepEqual(yield* listRepeated(system), []);
+        assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
+    }));
+
+testSystem("a new leader tells the starts of a worker apart", system =>
+    Effect.gen(function*() {
+        yield* setUpWorkers(system, 1);
+        yield* system.submit(makeJob("second", [makeStep({ count: 2, requiredLabel: "kind-1" })]));
+        yield* system.pass(500);
+        yield* crashWorker(system, "w1");
+        system.log.setLeader("b");
+        yield* system.pass(restartMs + 4_000);
+        assert.deepEqual(yield* listRepeated(system), []);
+        assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
+        assert.ok((findWorker(system, "w1").bornAtMs ?? 0) > 1);
+    }));
+
+const sendHeartbeat = (system: TestSystem, worker: WorkerInfo, sequence: number, draining = false) =>
+    system.ask({
+        kind: "recordHeartbeat",
+        heartbeat: { worker, draining, remainingMs: undefined, sequence, clockMs: undefined },
+    });
+
+testSystem(
+    "a heartbeat of an earlier start changes nothing, one of a later start counts from its first on",
+    system =>
+        Effect.gen(function*() {
+            yield* setUpWorkers(system, 1);
+            yield* sendHeartbeat(system, findWorker(system, "w1"), 50);
+            yield* crashWorker(system, "w1");
+            yield* system.pass(restartMs + 1_000);
+            const born = findWorker(system, "w1");
+            const small = { milliCpu: 2_000, memoryMib: 500, accelerators: 0 };
+            yield* sendHeartbeat(system, { ...born, bornAtMs: 1, capacity: small }, 60, true);
+            yield* system.pass(500);
+            assert.equal(system.machine.state.workers.get("w1")?.isDraining, false);
+            assert.deepEqual(findWorker(system, "w1"), born);
+            yield* sendHeartbeat(system, { ...born, capacity: small }, 2);
+            assert.deepEqual(findWorker(system, "w1").capacity, small);
+        }),
+);
+
+testSystem("a worker that drained and starts again under its id gets runs", system =>
+    Effect.gen(function*() {
+        yield* setUpWorkers(system, 1);
+        yield* sendHeartbeat(system, findWorker(system, "w1"), 50, true);
+        assert.equal(system.machine.state.workers.get("w1")?.isDraining, true);
+        yield* crashWorker(system, "w1");
+        yield* system.pass(restartMs + 1_000);
+        yield* system.submit(makeJob("second", [makeStep({ count: 2, requiredLabel: "kind-1" })]));
+        yield* system.pass(3_000);
+        assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
+    }));
+
+testSystem("the announcement that an earlier start leaves does not end a later one", system =>
+    Effect.gen(function*() {
+        yield* setUpWorkers(system, 1);
+        yield* system.ask({ kind: "removeWorker", worker: "w1" });
+        yield* crashWorker(system, "w1");
+        yield* system.pass(restartMs + 3_000);
+        yield* system.submit(makeJob("second", [makeStep({ count: 2, requiredLabel: "kind-1" })]));
+        yield* system.pass(3_000);
+        assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
+    }));
