Give each start of a worker a session of its own

What callers saw: tasks that had succeeded ran a second time (TWICE), after their worker had started again under its id.

Cause: the session of a worker was kept under its id alone. After a restart its cursor acknowledged the first ends of the new start before they were recorded, so that their runs counted as lapsed; its heartbeats were ignored for their low numbers; its clock, lease, draining and health were those of the earlier start. Class: state that outlives what it describes, because the key does not name it.

A heartbeat or report of a later start ends the session, counts as a crash unless the worker drained or left, and opens a new one; one of an earlier start is acknowledged and ignored. If only a report has told of the restart, the worker gets no runs before its heartbeat says what it is now. Starts without an answer stay recorded and are stopped on the later start first, because it would carry out a delayed order. Nothing is acknowledged to a worker that has missed a renewal. An announcement that a worker leaves is dropped if the worker answers later.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -225,7 +225,8 @@
     for (const end of command.checkpoints) {
         endRun(state, command.worker, end);
     }
-    for (const [key, run] of [...worker.runs]) {
+    const kept = new Set((command.kept ?? []).map(formatRunKey));
+    for (const [key, run] of [...worker.runs].filter(([runKey]) => !kept.has(runKey))) {
         removeRun(worker, key, run);
         applyRunEnd(state, run, {
             job: run.job.id,
--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -1,4 +1,11 @@
-import { computeLargest, type JobCommand, type JobResult, noResources, type StateMachine } from "@chestnutspool/types";
+import {
+    compareStarts,
+    computeLargest,
+    type JobCommand,
+    type JobResult,
+    noResources,
+    type StateMachine,
+} from "@chestnutspool/types";
 import { cancelJob, setConfiguration, submitJob } from "./change-jobs.js";
 import { endRun, expireRuns, startRuns } from "./change-runs.js";
 import { createJobState, type JobState, type WorkerRun } from "./job-state.js";
@@ -16,13 +23,15 @@
 }
 
 function registerWorker(state: JobState, command: Extract<JobCommand, { kind: "registerWorker"; }>): void {
-    const { worker, sequence } = command;
+    const { worker, sequence = 0 } = command;
     const known = state.workers.get(worker.id);
+    // Of an earlier start only those runs are left whose start may yet be carried out.
+    const same = known !== undefined && compareStarts(worker, known.info) === "same" ? known : undefined;
     state.workers.set(worker.id, {
         info: worker,
-        largestCapacity: computeLargest(worker.capacity, known?.largestCapacity ?? noResources),
-        sequence: sequence ?? known?.sequence ?? 0,
-        isDraining: known?.isDraining ?? false,
+        largestCapacity: computeLargest(worker.capacity, same?.largestCapacity ?? noResources),
+        sequence: Math.max(sequence, same?.sequence ?? 0),
+        isDraining: same?.isDraining ?? false,
         used: known?.used ?? noResources,
         runs: known?.runs ?? new Map<string, WorkerRun>(),
     });
--- a/packages/lead-jobs/src/deadly-task.test.ts
+++ b/packages/lead-jobs/src/deadly-task.test.ts
@@ -19,22 +19,22 @@
 const countStarts = (system: TestSystem, task: string) =>
     Effect.map(system.readStartedRuns, runs => runs.filter(run => run.task === task).length);
 
-/** Workers that crash under task 1 of the job `deadly` and are back under a new id. */
-const setUpWorkers = Effect.fnUntraced(function*(system: TestSystem, count = workerCount) {
+/** Workers that crash under task 1 of the job `deadly` and are back, under a new id unless `keepsId`. */
+const setUpWorkers = Effect.fnUntraced(function*(system: TestSystem, count = workerCount, keepsId = false) {
     let restarts = 0;
     system.workers.setCrashingRuns(
         ({ job, position }) => job === "deadly" && position === 1,
         {
             afterMs: restartMs,
-            nextInfo: crashed => {
+            nextInfo: (crashed, nowMs) => {
                 restarts += 1;
-                return { ...crashed, id: `${crashed.id}-${restarts}` };
+                return { ...crashed, bornAtMs: nowMs, id: keepsId ? crashed.id : `${crashed.id}-${restarts}` };
             },
         },
         system.announce,
     );
     for (let number = 1; number <= count; number += 1) {
-        yield* system.addWorker(makeWorker(`w${number}`));
+        yield* system.addWorker(makeWorker(`w${number}`, { bornAtMs: 1 }));
     }
 });
 
@@ -63,18 +63,22 @@
 
 // Guards against a task that crashes each worker that starts it and was started without end, because the end of a run by a
 // crash counted as no attempt.
-testSystem(
-    "a task that crashes its workers is started a few times, and its job ends as failed",
-    system =>
-        Effect.gen(function*() {
-            yield* setUpWorkers(system);
-            yield* system.submit(makeJob("deadly", [makeStep({ count: 3 })]));
-            yield* submitNeighbours(system, "n", 120);
-            const starts = yield* countStarts(system, "deadly.0.0.1");
-            assert.ok(starts <= startLimit, `${starts} starts`);
-            assert.equal(yield* readPhase(system, "deadly"), "failed");
-        }),
-);
+for (const [name, keepsId] of [["", false], [", also if they are back under their ids", true]] as const) {
+    testSystem(
+        `a task that crashes its workers is started a few times, and its job ends as failed${name}`,
+        system =>
+            Effect.gen(function*() {
+                yield* setUpWorkers(system, workerCount, keepsId);
+                yield* system.submit(makeJob("deadly", [makeStep({ count: 3 })]));
+                const neighbours = yield* submitNeighbours(system, "n", 120);
+                const starts = yield* countStarts(system, "deadly.0.0.1");
+                assert.ok(starts <= startLimit, `${starts} starts`);
+                assert.equal(yield* readPhase(system, "deadly"), "failed");
+                yield* system.pass(10_000);
+                assert.deepEqual(yield* readPhases(system, neighbours), { completed: neighbours.length });
+            }),
+    );
+}
 
 testSystem("the count of crashes outlives the leader", system =>
     Effect.gen(function*() {
--- /dev/null
+++ b/packages/lead-jobs/src/expire-worker.ts
@@ -0,0 +1,112 @@
+import { formatRunKey, type WorkerState } from "@chestnutspool/job-state";
+import { computeLeaseEndMs, listSuspectedRuns } from "@chestnutspool/track-workers";
+import { readMonotonicMs, type RenewAnswer, type RunEnd, type RunKey } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { giveUpDeadlyJobs } from "./give-up-jobs.js";
+import { logRunEnded, logWorkerCrash } from "./log-decisions.js";
+import { propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
+
+/**
+ * Time after a worker announced that it leaves until its runs count as ended, in milliseconds; the worker ends right
+ * after the announcement.
+ */
+export const leaveGraceMs = 1_000;
+/** Silence after which a worker whose lease has expired is removed, in milliseconds. */
+const removeAfterSilenceMs = 15_000;
+
+/** Finds the recorded state of the worker of a session. */
+export function findWorkerState(term: Term, session: WorkerSession): WorkerState | undefined {
+    return term.machine.state.workers.get(session.info.id);
+}
+
+/** Whether the recorded state of a worker is of the start that a session is for. */
+export function isStartRecorded(term: Term, session: WorkerSession): boolean {
+    const state = findWorkerState(term, session);
+    return state !== undefined && state.info.bornAtMs === session.info.bornAtMs;
+}
+
+/** Why the runs of a worker have ended with it. */
+export interface WorkerEnd {
+    readonly reason: string;
+    /** Whether the worker will not come back under its identity. */
+    readonly isGone: boolean;
+    /** Whether it has certainly crashed. */
+    readonly isCrash: boolean;
+}
+
+/**
+ * Records the end of the runs of a worker that is gone or whose lease has certainly expired. Those in `kept` go on: their start
+ * may yet be carried out.
+ */
+export const expireWorker = Effect.fnUntraced(function*(
+    term: Term,
+    session: WorkerSession,
+    { reason, isGone, isCrash }: WorkerEnd,
+    kept: readonly RunKey[] = [],
+) {
+    const state = findWorkerState(term, session);
+    if (state === undefined || (state.runs.size === 0 && !isGone)) {
+        return;
+    }
+    term.logger.warn("runs of a worker have ended with its lease", {
+        worker: session.info.id,
+        runs: state.runs.size,
+        isGone,
+        reason,
+    });
+    const keptKeys = new Set(kept.map(formatRunKey));
+    const lapsed = [...session.runStatuses].filter(([key]) => !keptKeys.has(key)).map(
+        ([, { key, checkpoint }]): RunEnd => ({ ...key, outcome: "lapsed", checkpoint }),
+    );
+    const checkpoints = lapsed.filter(end => end.checkpoint !== "");
+    const crash = isCrash && state.runs.size > 0
+        ? { suspectedRuns: listSuspectedRuns(state, session.runStatuses) }
+        : undefined;
+    if (crash !== undefined) {
+        logWorkerCrash(term, session, state, crash, yield* readMonotonicMs);
+    }
+    yield* propose(term, {
+        kind: "expireWorker",
+        worker: session.info.id,
+        isGone,
+        checkpoints,
+        ...(crash === undefined ? {} : { crash }),
+        ...(kept.length === 0 ? {} : { kept }),
+    });
+    lapsed.forEach(end => logRunEnded(term, session, end));
+    session.runStatuses.clear();
+    wakePlanner(term);
+    if (crash !== undefined) {
+        yield* giveUpDeadlyJobs(term);
+    }
+});
+
+/**
+ * Finds out whether a worker has ended: another one answers at its address, it announced that it leaves, its lease is over, or
+ * it has been silent for too long. A worker whose lease is over may come back. It has crashed if it has ended, as the answers
+ * show, and neither left nor drained.
+ */
+export function findWorkerEnd(
+    term: Term,
+    session: WorkerSession,
+    answer: RenewAnswer,
+    nowMs: number,
+): WorkerEnd | undefined {
+    const isExpected = session.leftAtMs !== undefined || findWorkerState(term, session)?.isDraining === true;
+    if (answer.kind === "refused" && answer.reason === "otherWorker") {
+        return { reason: "another worker answers at the address", isGone: true, isCrash: !isExpected };
+    }
+    if (session.leftAtMs !== undefined && nowMs - session.leftAtMs >= leaveGraceMs) {
+        return { reason: "the worker has left", isGone: true, isCrash: false };
+    }
+    if (nowMs <= computeLeaseEndMs(session.lease, term.openedAtMs, term.limits.longestLeaseMs)) {
+        return undefined;
+    }
+    const lastContactAtMs = Math.max(session.heartbeatAtMs, session.answeredAtMs ?? 0);
+    const isGone = nowMs - lastContactAtMs > removeAfterSilenceMs;
+    return {
+        reason: isGone ? "the worker is silent" : "the lease is over",
+        isGone,
+        isCrash: session.isRefusing && !isExpected,
+    };
+}
--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -44,6 +44,14 @@
     readonly startedAtMs: number;
     endedAtMs: number | undefined;
     outcome: RunOutcome | undefined;
+    /** Whether the number that the leader acknowledged has reached the end. */
+    isAcknowledged: boolean;
+}
+
+/** An end that a worker lists, and the run that it is of. */
+interface ListedEnd {
+    readonly end: UnacknowledgedEnd;
+    readonly record: StartedRun;
 }
 
 interface RunInProgress {
@@ -72,7 +80,7 @@
     readonly running: Map<string, RunInProgress>;
     /** Highest run number of each task that was stopped or has ended, by task key. */
     readonly highestPastRuns: Map<string, number>;
-    ended: UnacknowledgedEnd[];
+    ended: ListedEnd[];
     /** Highest sequence number that was acknowledged; ends up to it are not listed. */
     acknowledged: number;
     nextSequence: number;
@@ -140,8 +148,11 @@
         worker.highestPastRuns.set(key, Math.max(worker.highestPastRuns.get(key) ?? 0, running.key.run));
         running.record.endedAtMs = atMs;
         running.record.outcome = outcome;
-        if (worker.nextSequence > worker.acknowledged) {
-            worker.ended.push({ ...running.key, outcome, checkpoint: "", sequence: worker.nextSequence });
+        const { record } = running;
+        record.isAcknowledged = worker.nextSequence <= worker.acknowledged;
+        if (!record.isAcknowledged) {
+            const end = { ...running.key, outcome, checkpoint: "", sequence: worker.nextSequence };
+            worker.ended.push({ end, record });
         }
         worker.nextSequence += 1;
     };
@@ -242,6 +253,7 @@
             startedAtMs: nowMs,
             endedAtMs: undefined,
             outcome: undefined,
+            isAcknowledged: false,
         };
         startedRuns.push(record);
         if (isCrashing(order)) {
@@ -311,7 +323,8 @@
                 yield* Effect.forkIn(
                     Effect.gen(function*() {
                         yield* Effect.sleep(lateOrderMs);
-                        carryOut(worker, yield* readMonotonicMs);
+                        // The worker may have started again under its id.
+                        carryOut(workers.get(info.id) ?? worker, yield* readMonotonicMs);
                     }),
                     scope,
                 );
@@ -329,7 +342,11 @@
             worker.leaseUntilMs = Math.max(worker.leaseUntilMs, order.leaseUntilMs);
         }
         worker.acknowledged = Math.max(worker.acknowledged, order.acknowledgedSequence);
-        worker.ended = worker.ended.filter(end => end.sequence > order.acknowledgedSequence);
+        const isListed = ({ end }: ListedEnd): boolean => end.sequence > order.acknowledgedSequence;
+        worker.ended.filter(listed => !isListed(listed)).forEach(({ record }) => {
+            record.isAcknowledged = true;
+        });
+        worker.ended = worker.ended.filter(isListed);
         return { kind: "done", clockMs: readClock(worker, nowMs) };
     };
 
@@ -343,7 +360,7 @@
             progressPercent: Math.floor(100 * (nowMs - record.startedAtMs) / (endsAtMs - record.startedAtMs)),
             lastReading: undefined,
         })),
-        ended: [...worker.ended],
+        ended: worker.ended.map(({ end }) => end),
         isComplete: true,
     });
 
--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -181,4 +181,14 @@
     return overlaps;
 }
 
+/** Lists the runs that started after a run of their task had succeeded and this end was acknowledged. */
+export function listRepeated(runs: readonly StartedRun[]): string[] {
+    return runs.filter(run =>
+        runs.some(other =>
+            other.task === run.task && other.outcome === "succeeded" && other.isAcknowledged
+            && (other.endedAtMs ?? Number.POSITIVE_INFINITY) <= run.startedAtMs
+        )
+    ).map(({ task, run, worker }) => `${task}: run ${run} on ${worker}`);
+}
+
 export { makeWorker };
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -198,7 +198,7 @@
         case "recordHeartbeat":
             return recordHeartbeat(term, request.heartbeat);
         case "removeWorker":
-            return removeWorker(term, request.worker);
+            return removeWorker(term, request);
         case "startWave":
             return Effect.map(propose(term, { kind: "startWave", wave: request.wave }), convertResult);
         case "readWave":
--- /dev/null
+++ b/packages/lead-jobs/src/open-session.ts
@@ -0,0 +1,110 @@
+import { formatRunKey } from "@chestnutspool/job-state";
+import { createRunStatus } from "@chestnutspool/track-workers";
+import { type ErrorData, readMonotonicMs, type RunKey, type WorkerInfo } from "@chestnutspool/types";
+import { Effect, FiberMap } from "effect";
+import { expireWorker, findWorkerState } from "./expire-worker.js";
+import { requestStop } from "./send-orders.js";
+import { superviseLoop } from "./supervise-loop.js";
+import { logStepError, type Term, type WorkerSession } from "./term.js";
+import { createSession, resumeSession, runSession } from "./worker-session.js";
+
+/** Pause before a restart of a worker that could not be recorded is recorded again, in milliseconds. */
+const retryPauseMs = 200;
+
+/** What is known of the start of a worker when its session opens. */
+interface SessionStart {
+    /** As in `WorkerSession`. */
+    readonly isAnnounced: boolean;
+    /** Runs whose start may yet be carried out, by a delayed order to an earlier start. */
+    readonly openStarts: readonly RunKey[];
+}
+
+/** Runs a session, and records the restart when a report shows that the worker has started again. */
+const superviseSession = (
+    term: Term,
+    session: WorkerSession,
+    run: Effect.Effect<WorkerInfo | undefined>,
+): Effect.Effect<void> => {
+    const runAgain = Effect.andThen(
+        Effect.sleep(retryPauseMs),
+        Effect.suspend(() => superviseSession(term, session, runSession(term, session))),
+    );
+    return Effect.flatMap(run, info => {
+        if (info === undefined) {
+            return Effect.void;
+        }
+        if (session.isSuperseded) {
+            // A heartbeat has told it first; its session interrupts this one.
+            return runAgain;
+        }
+        return Effect.catch(
+            Effect.asVoid(restartSession(term, session, info, false)),
+            (error: ErrorData) =>
+                Effect.andThen(logStepError(term.logger, `restart of worker ${info.id}`, error), runAgain),
+        );
+    });
+};
+
+/** Opens the session of a worker and starts the fiber that renews its lease, in place of that of an earlier start. */
+export const openSession = Effect.fnUntraced(function*(
+    term: Term,
+    info: WorkerInfo,
+    { isAnnounced, openStarts }: SessionStart = { isAnnounced: true, openStarts: [] },
+) {
+    const nowMs = yield* readMonotonicMs;
+    const session = yield* createSession(term, info, nowMs);
+    session.isAnnounced = isAnnounced;
+    term.sessions.set(info.id, session);
+    for (const key of openStarts) {
+        const runKey = formatRunKey(key);
+        session.runStatuses.set(runKey, createRunStatus(key, "unanswered", nowMs));
+        yield* requestStop(term, session, runKey, "startUnanswered", nowMs);
+    }
+    const loop = superviseLoop(
+        term,
+        "session",
+        { term: term.number, worker: info.id },
+        superviseSession(term, session, runSession(term, session)),
+        superviseSession(term, session, resumeSession(term, session)),
+    );
+    // Last, because it interrupts the loop of the earlier start, which may be the caller.
+    yield* FiberMap.run(term.sessionLoops, info.id, loop);
+    return session;
+});
+
+/** Lists the runs of a worker whose start may yet be carried out. */
+function listOpenStarts({ runStatuses }: WorkerSession): RunKey[] {
+    return [...runStatuses.values()]
+        .filter(({ start, stoppedAtMs }) => start !== "confirmed" && stoppedAtMs === undefined)
+        .map(({ key }) => key);
+}
+
+/**
+ * Replaces the session of a worker that has started again under its id. The runs of the earlier start have ended with it, but
+ * for those whose start got no answer: they are stopped first, because the later start would carry out a delayed order.
+ */
+export const restartSession = Effect.fnUntraced(function*(
+    term: Term,
+    earlier: WorkerSession,
+    info: WorkerInfo,
+    isAnnounced: boolean,
+) {
+    earlier.isSuperseded = true;
+    const openStarts = listOpenStarts(earlier);
+    term.logger.warn("worker has started again", {
+        worker: info.id,
+        bornAtMs: info.bornAtMs,
+        bornBeforeMs: earlier.info.bornAtMs,
+        acknowledgedSequence: earlier.acknowledgedSequence,
+        heartbeatSequence: earlier.heartbeatSequence,
+        openStarts: openStarts.length,
+    });
+    term.workers.closeConnections(earlier.info);
+    const isExpected = earlier.leftAtMs !== undefined || findWorkerState(term, earlier)?.isDraining === true;
+    const end = { reason: "the worker has started again", isGone: openStarts.length === 0, isCrash: !isExpected };
+    yield* Effect.onError(expireWorker(term, earlier, end, openStarts), () =>
+        Effect.sync(() => {
+            earlier.isSuperseded = false;
+        }));
+    return yield* openSession(term, info, { isAnnounced, openStarts });
+});
--- a/packages/lead-jobs/src/random-faults.test.ts
+++ b/packages/lead-jobs/src/random-faults.test.ts
@@ -1,16 +1,18 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
+import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { listOverlaps, makeWorker, startTestSystem, type WorkerFault } from "./fakes/index.js";
+import { listOverlaps, listRepeated, makeWorker, startTestSystem, type WorkerFault } from "./fakes/index.js";
 
 const workerIds = ["w1", "w2", "w3"];
 const faults: readonly WorkerFault[] = ["none", "cut", "answersLost", "late", "startsLate"];
 
 type Event =
     | { readonly kind: "fault"; readonly worker: number; readonly fault: number; }
+    | { readonly kind: "restart"; readonly worker: number; }
     | { readonly kind: "leader"; }
     | { readonly kind: "submit"; }
     | { readonly kind: "cancel"; readonly job: number; };
@@ -25,23 +27,43 @@
     fc.record({ kind: fc.constant("submit" as const) }),
     fc.record({ kind: fc.constant("cancel" as const), job: fc.nat(5) }),
 );
-const timedEvents = fc.array(fc.record({ afterMs: fc.integer({ min: 10, max: 2_000 }), event: events }), {
-    minLength: 5,
-    maxLength: 20,
-});
+const eventsWithRestarts: fc.Arbitrary<Event> = fc.oneof(
+    events,
+    fc.record({ kind: fc.constant("restart" as const), worker: fc.nat(workerIds.length - 1) }),
+);
+
+function makeTimedEvents(event: fc.Arbitrary<Event>) {
+    return fc.array(fc.record({ afterMs: fc.integer({ min: 10, max: 2_000 }), event }), {
+        minLength: 5,
+        maxLength: 20,
+    });
+}
 
+/** Time until a worker that crashed starts again, in milliseconds. */
+const restartMs = 300;
 /** Time in which all jobs end once the faults are over, in milliseconds. */
 const settleMs = 30_000;
 
-function playEvents(list: readonly { readonly afterMs: number; readonly event: Event; }[]): Promise<void> {
+interface TimedEvent {
+    readonly afterMs: number;
+    readonly event: Event;
+}
+
+/** Plays events; `failingRun` tells which runs of the second task of a step fail. */
+function playEvents(list: readonly TimedEvent[], failingRun: (run: number) => boolean): Promise<void> {
     const play = Effect.gen(function*() {
         const system = yield* startTestSystem;
         system.workers.setBehaviour(run => ({
             runMs: 400 + 2_500 * run.position,
-            outcome: run.run % 4 === 1 && run.position === 1 ? "failed" : "succeeded",
+            outcome: run.position === 1 && failingRun(run.run) ? "failed" : "succeeded",
         }));
+        const restart = {
+            afterMs: restartMs,
+            nextInfo: (crashed: WorkerInfo, nowMs: number) => ({ ...crashed, bornAtMs: nowMs }),
+        };
+        system.workers.setCrashingRuns(() => false, restart, system.announce);
         for (const [position, id] of workerIds.entries()) {
-            yield* system.addWorker(makeWorker(id), [0.98, 1, 1.02][position]);
+            yield* system.addWorker(makeWorker(id, { bornAtMs: 1 }), [0.98, 1, 1.02][position]);
         }
         let jobs = 0;
         let leader = "a";
@@ -51,6 +73,9 @@
                 case "fault":
                     system.workers.setFault(workerIds[event.worker] ?? "", faults[event.fault] ?? "none");
                     break;
+                case "restart":
+                    system.workers.crashWorker(workerIds[event.worker] ?? "", yield* readMonotonicMs);
+                    break;
                 case "leader":
                     leader = leader === "a" ? "b" : "a";
                     system.log.setLeader(leader);
@@ -73,6 +98,7 @@
         yield* system.pass(settleMs);
         const runs = yield* system.readStartedRuns;
         assert.deepEqual(listOverlaps(runs), [], "overlapping runs of a task");
+        assert.deepEqual(listRepeated(runs), [], "runs after an acknowledged success");
         assert.deepEqual(runs.filter(run => run.endedAtMs === undefined), [], "a run has not ended");
         for (const job of system.machine.state.jobs.values()) {
             assert.ok(["completed", "cancelled"].includes(job.phase), `job ${job.id} is ${job.phase}`);
@@ -82,4 +108,14 @@
 }
 
 test("with lost and late orders, lost answers and leader changes no runs of a task overlap and every job ends", () =>
-    fc.assert(fc.asyncProperty(timedEvents, playEvents), { seed: 20_261_203, numRuns: 15 }));
+    fc.assert(fc.asyncProperty(makeTimedEvents(events), list => playEvents(list, run => run % 4 === 1)), {
+        seed: 20_261_203,
+        numRuns: 15,
+    }));
+
+test("with workers that start again under their ids besides, no success that was acknowledged is repeated", () =>
+    // Restarts raise the run numbers, so that only the first run fails: two failures would end a job.
+    fc.assert(fc.asyncProperty(makeTimedEvents(eventsWithRestarts), list => playEvents(list, run => run === 1)), {
+        seed: 20_261_204,
+        numRuns: 30,
+    }));
--- a/packages/lead-jobs/src/record-heartbeat.ts
+++ b/packages/lead-jobs/src/record-heartbeat.ts
@@ -1,34 +1,25 @@
 import { recordClock } from "@chestnutspool/track-workers";
 import {
+    compareStarts,
     isSameAmount,
     type JobReply,
+    type JobRequest,
     readMonotonicMs,
     type WorkerHeartbeat,
     type WorkerId,
     type WorkerInfo,
 } from "@chestnutspool/types";
-import { Effect, FiberMap } from "effect";
-import { superviseLoop } from "./supervise-loop.js";
+import { Effect } from "effect";
+import { isStartRecorded } from "./expire-worker.js";
+import { openSession, restartSession } from "./open-session.js";
 import { propose, registerWorker, type Term, wakePlanner, type WorkerSession } from "./term.js";
-import { createSession, resumeSession, runSession } from "./worker-session.js";
-
-/** Opens the session of a worker and starts the fiber that renews its lease. */
-export const openSession = Effect.fnUntraced(function*(term: Term, info: WorkerInfo) {
-    const nowMs = yield* readMonotonicMs;
-    const session = yield* createSession(term, info, nowMs);
-    term.sessions.set(info.id, session);
-    const context = { term: term.number, worker: info.id };
-    const loop = superviseLoop(term, "session", context, runSession(term, session), resumeSession(term, session));
-    yield* FiberMap.run(term.sessionLoops, info.id, loop);
-    return session;
-});
 
 const recordDraining = Effect.fnUntraced(function*(term: Term, session: WorkerSession, heartbeat: WorkerHeartbeat) {
     const state = term.machine.state.workers.get(session.info.id);
-    if (!heartbeat.draining || state?.isDraining === true) {
+    if (!heartbeat.draining || (state?.isDraining === true && isStartRecorded(term, session))) {
         return;
     }
-    if (state === undefined) {
+    if (!isStartRecorded(term, session)) {
         yield* registerWorker(term, session);
     }
     // Draining is recorded before it is acknowledged, so that the next leader starts no runs on the worker either.
@@ -64,23 +55,37 @@
     wakePlanner(term);
 });
 
-/** Records a heartbeat of a worker. A delayed heartbeat with an older sequence number is acknowledged and ignored. */
-export const recordHeartbeat = Effect.fnUntraced(function*(term: Term, heartbeat: WorkerHeartbeat) {
-    const nowMs = yield* readMonotonicMs;
+/** Finds the session of a worker; a recorded worker gets one before its heartbeat is compared with what is recorded. */
+const findSession = Effect.fnUntraced(function*(term: Term, worker: WorkerId) {
+    const recorded = term.machine.state.workers.get(worker);
+    return term.sessions.get(worker) ?? (recorded === undefined ? undefined : yield* openSession(term, recorded.info));
+});
+
+/** Opens the session of a worker that is not known yet. */
+const openNewSession = Effect.fnUntraced(function*(term: Term, { worker, sequence }: WorkerHeartbeat) {
+    term.logger.info("worker announced itself", {
+        worker: worker.id,
+        bornAtMs: worker.bornAtMs,
+        address: worker.address,
+        pool: worker.service,
+        milliCpu: worker.capacity.milliCpu,
+        sequence,
+    });
+    return yield* openSession(term, worker);
+});
+
+/** Applies a heartbeat of the start that a session is for. */
+const applyHeartbeat = Effect.fnUntraced(function*(
+    term: Term,
+    session: WorkerSession,
+    heartbeat: WorkerHeartbeat,
+    nowMs: number,
+) {
     const { worker, sequence, clockMs } = heartbeat;
-    const known = term.sessions.get(worker.id);
-    if (known !== undefined && sequence <= known.heartbeatSequence) {
-        return { kind: "done" } satisfies JobReply;
-    }
-    const session = known ?? (yield* openSession(term, worker));
-    if (known === undefined) {
-        term.logger.info("worker announced itself", {
-            worker: worker.id,
-            address: worker.address,
-            pool: worker.service,
-            milliCpu: worker.capacity.milliCpu,
-            sequence,
-        });
+    if (!session.isAnnounced) {
+        session.info = worker;
+        session.isAnnounced = true;
+        wakePlanner(term);
     }
     session.heartbeatSequence = sequence;
     session.heartbeatAtMs = nowMs;
@@ -89,13 +94,55 @@
     }
     yield* recordCapacity(term, session, worker);
     yield* recordDraining(term, session, heartbeat);
+});
+
+/**
+ * Records a heartbeat of a worker. A delayed heartbeat with an older sequence number, or of an earlier start of the worker, is
+ * acknowledged and ignored.
+ */
+export const recordHeartbeat = Effect.fnUntraced(function*(term: Term, heartbeat: WorkerHeartbeat) {
+    const nowMs = yield* readMonotonicMs;
+    const { worker, sequence } = heartbeat;
+    const known = yield* findSession(term, worker.id);
+    if (known === undefined) {
+        yield* applyHeartbeat(term, yield* openNewSession(term, heartbeat), heartbeat, nowMs);
+        return { kind: "done" } satisfies JobReply;
+    }
+    if (known.isSuperseded) {
+        // The next heartbeat finds the session of the later start.
+        return { kind: "outcomeUnknown" } satisfies JobReply;
+    }
+    switch (compareStarts(worker, known.info)) {
+        case "earlier":
+            term.logger.debug("heartbeat of an earlier start", {
+                worker: worker.id,
+                bornAtMs: worker.bornAtMs,
+                sequence,
+            });
+            break;
+        case "later":
+            yield* applyHeartbeat(term, yield* restartSession(term, known, worker, true), heartbeat, nowMs);
+            break;
+        case "same":
+            if (sequence > known.heartbeatSequence) {
+                yield* applyHeartbeat(term, known, heartbeat, nowMs);
+            }
+            break;
+    }
     return { kind: "done" } satisfies JobReply;
 });
 
-/** Records the announcement of a worker that it leaves; the worker ends right after it. */
-export const removeWorker = Effect.fnUntraced(function*(term: Term, worker: WorkerId) {
+/**
+ * Records the announcement of a worker that it leaves; the worker ends right after it. The announcement of an earlier start
+ * changes nothing.
+ */
+export const removeWorker = Effect.fnUntraced(function*(
+    term: Term,
+    { worker, bornAtMs }: Extract<JobRequest, { readonly kind: "removeWorker"; }>,
+) {
     const session = term.sessions.get(worker);
-    if (session !== undefined && session.leftAtMs === undefined) {
+    const isEarlier = session !== undefined && compareStarts({ bornAtMs }, session.info) === "earlier";
+    if (session !== undefined && session.leftAtMs === undefined && !isEarlier) {
         session.leftAtMs = yield* readMonotonicMs;
         term.logger.info("worker leaves", { worker });
     }
--- a/packages/lead-jobs/src/restarted-worker.test.ts
+++ b/packages/lead-jobs/src/restarted-worker.test.ts
@@ -2,7 +2,7 @@
 import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
-import { makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
+import { listOverlaps, listRepeated, makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
 
 /** Time until a worker that crashed starts again under its id, in milliseconds; its lease is not over by then. */
 const restartMs = 500;
@@ -28,19 +28,6 @@
 const crashWorker = (system: TestSystem, id: string) =>
     Effect.map(readMonotonicMs, nowMs => system.workers.crashWorker(id, nowMs));
 
-/** Lists the tasks that started again after they had ended as succeeded. */
-const listRepeated = (system: TestSystem) =>
-    Effect.map(
-        system.readStartedRuns,
-        runs =>
-            runs.filter(run =>
-                runs.some(other =>
-                    other.task === run.task && other.outcome === "succeeded"
-                    && (other.endedAtMs ?? 0) <= run.startedAtMs
-                )
-            ).map(({ task, run }) => `${task}#${run}`),
-    );
-
 const findWorker = (system: TestSystem, id: string): WorkerInfo => {
     const info = system.machine.state.workers.get(id)?.info;
     assert.ok(info !== undefined);
@@ -56,7 +43,7 @@
         yield* system.pass(restartMs + 1_000);
         yield* system.submit(makeJob("second", [makeStep({ count: 4, requiredLabel: "kind-1" })]));
         yield* system.pass(5_000);
-        assert.deepEqual(yield* listRepeated(system), []);
+        assert.deepEqual(listRepeated(yield* system.readStartedRuns), []);
         assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
     }));
 
@@ -67,7 +54,7 @@
         yield* system.pass(500);
         yield* crashWorker(system, "w1");
         yield* system.pass(restartMs + 4_000);
-        assert.deepEqual(yield* listRepeated(system), []);
+        assert.deepEqual(listRepeated(yield* system.readStartedRuns), []);
         assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
     }));
 
@@ -79,7 +66,7 @@
         yield* crashWorker(system, "w1");
         system.log.setLeader("b");
         yield* system.pass(restartMs + 4_000);
-        assert.deepEqual(yield* listRepeated(system), []);
+        assert.deepEqual(listRepeated(yield* system.readStartedRuns), []);
         assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
         assert.ok((findWorker(system, "w1").bornAtMs ?? 0) > 1);
     }));
@@ -131,3 +118,24 @@
         yield* system.pass(3_000);
         assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
     }));
+
+// Guards against a delayed order to an earlier start that the later one carries out while the task runs elsewhere.
+testSystem(
+    "a start without an answer is stopped on the later start before the task starts elsewhere",
+    system =>
+        Effect.gen(function*() {
+            yield* setUpWorkers(system, 1);
+            yield* system.addWorker(makeWorker("w2", { bornAtMs: 1, labels: ["kind-1", "r0"] }));
+            system.workers.setBehaviour(() => ({ runMs: 3_000, outcome: "succeeded" }));
+            yield* system.pass(500);
+            system.workers.setFault("w1", "startsLate");
+            system.workers.setFault("w2", "startsLate");
+            yield* system.submit(makeJob("second", [makeStep({ count: 4, requiredLabel: "kind-1" })]));
+            yield* system.pass(200);
+            yield* crashWorker(system, "w1");
+            system.workers.setFault("w2", "none");
+            yield* system.pass(20_000);
+            assert.deepEqual(listOverlaps(yield* system.readStartedRuns), []);
+            assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
+        }),
+);
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -42,8 +42,8 @@
 
 function isUsable(term: Term, worker: WorkerId): boolean {
     const session = term.sessions.get(worker);
-    return session !== undefined && session.isResponsive && session.isReconciled && session.lease !== undefined
-        && session.leftAtMs === undefined;
+    return session !== undefined && session.isAnnounced && !session.isSuperseded && session.isResponsive
+        && session.isReconciled && session.lease !== undefined && session.leftAtMs === undefined;
 }
 
 /** Creates the statuses of recorded runs at once, so that a report that arrives before an order is sent knows its run. */
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -41,6 +41,8 @@
     yield* propose(term, { kind: "endRuns", worker: session.info.id, ends: [end] });
     logRunEnded(term, session, end);
     session.runStatuses.delete(formatRunKey(run));
+    // The worker may have started again meanwhile.
+    term.sessions.get(session.info.id)?.runStatuses.delete(formatRunKey(run));
     wakePlanner(term);
 });
 
@@ -97,7 +99,7 @@
     ticket: string | undefined,
 ) {
     const sentAtMs = yield* readMonotonicMs;
-    if (session.lease === undefined || !canSendOrders(term, sentAtMs)) {
+    if (session.lease === undefined || session.isSuperseded || !canSendOrders(term, sentAtMs)) {
         return;
     }
     session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -11,8 +11,8 @@
 import { Effect, FiberMap, Queue } from "effect";
 import { createAdmission } from "./admission.js";
 import { handleInTerm } from "./handle-request.js";
+import { openSession } from "./open-session.js";
 import { runDisturbanceRecording } from "./record-disturbances.js";
-import { openSession } from "./record-heartbeat.js";
 import { runLoadReport } from "./report-load.js";
 import { runPacing } from "./run-pacing.js";
 import { runPlanner } from "./run-planner.js";
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -48,8 +48,12 @@
 
 /** State of one worker in the term of a leader. */
 export interface WorkerSession {
-    /** What the worker last said of itself. */
+    /** What the worker last said of itself; a session is for one start of a worker. */
     info: WorkerInfo;
+    /** Whether `info` is of this start; if not, a heartbeat will tell what the worker is now. */
+    isAnnounced: boolean;
+    /** Whether the worker has started again, so that another session takes the place of this one. */
+    isSuperseded: boolean;
     lease: WorkerLease | undefined;
     readonly runStatuses: RunStatuses;
     /** Sequence number up to which the ends of runs are recorded. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,21 +1,26 @@
-import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
+import { formatRunKey, formatTaskKey } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
 import {
     applyReport,
-    computeLeaseEndMs,
     createWorkerHealth,
     hasTrial,
-    listSuspectedRuns,
     recordClock,
     renewLease,
     type ReportOutcome,
 } from "@chestnutspool/track-workers";
-import { type ErrorData, readMonotonicMs, type RenewAnswer, type RunEnd, type WorkerInfo } from "@chestnutspool/types";
+import {
+    compareStarts,
+    type ErrorData,
+    readMonotonicMs,
+    type RenewAnswer,
+    type RunEnd,
+    type WorkerInfo,
+} from "@chestnutspool/types";
 import { Effect, Option, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
-import { giveUpDeadlyJobs } from "./give-up-jobs.js";
-import { logEndedJobs, logRunEnded, logWorkerCrash, readPhases } from "./log-decisions.js";
+import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
+import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
 import { superviseOrder } from "./supervise-loop.js";
@@ -52,18 +57,14 @@
 const renewPauseMs = 30;
 /** Pause after a renewal that was not answered or whose answer could not be applied, in milliseconds. */
 const retryPauseMs = 200;
-/**
- * Time after a worker announced that it leaves until its runs count as ended, in milliseconds; the worker ends right
- * after the announcement.
- */
-const leaveGraceMs = 1_000;
-/** Silence after which a worker whose lease has expired is removed, in milliseconds. */
-const removeAfterSilenceMs = 15_000;
 
 /** Creates the session of a worker. The first report shows which runs that an earlier leader recorded have started. */
 export const createSession = Effect.fnUntraced(function*(term: Term, info: WorkerInfo, nowMs: number) {
+    const recorded = term.machine.state.workers.get(info.id);
     const session: WorkerSession = {
         info,
+        isAnnounced: true,
+        isSuperseded: false,
         lease: undefined,
         runStatuses: new Map(),
         acknowledgedSequence: 0,
@@ -75,7 +76,9 @@
         renewalSentAtMs: Number.NEGATIVE_INFINITY,
         heartbeatAtMs: nowMs,
         // A delayed heartbeat from before the last change must not undo it.
-        heartbeatSequence: term.machine.state.workers.get(info.id)?.sequence ?? 0,
+        heartbeatSequence: recorded !== undefined && compareStarts(info, recorded.info) === "same"
+            ? recorded.sequence
+            : 0,
         leftAtMs: undefined,
         usage: createUsageHistory(),
         health: createWorkerHealth(),
@@ -84,10 +87,6 @@
     return session;
 });
 
-function findWorkerState(term: Term, session: WorkerSession): WorkerState | undefined {
-    return term.machine.state.workers.get(session.info.id);
-}
-
 /** Records the ends of runs in a report, then allows them to be acknowledged. */
 const recordEnds = Effect.fnUntraced(function*(term: Term, session: WorkerSession, outcome: ReportOutcome) {
     if (outcome.ends.length > 0) {
@@ -124,22 +123,26 @@
 ) {
     const nowMs = yield* readMonotonicMs;
     const wasUsable = session.isResponsive && session.isReconciled;
+    session.info = { ...session.info, bornAtMs: session.info.bornAtMs ?? answer.bornAtMs };
     session.lease = recordClock(session.lease, answer.clockMs, nowMs);
     session.answeredAtMs = nowMs;
     if (!session.isResponsive) {
         term.logger.info("worker answers", {
             worker: session.info.id,
             bornAtMs: answer.bornAtMs,
-            bornBeforeMs: session.info.bornAtMs,
             acknowledgedSequence: session.acknowledgedSequence,
             lastSequence: answer.ended.at(-1)?.sequence,
             term: term.number,
         });
     }
+    if (session.leftAtMs !== undefined && sentAtMs - session.leftAtMs > leaveGraceMs) {
+        session.leftAtMs = undefined;
+        term.logger.info("worker has not left", { worker: session.info.id });
+    }
     session.isResponsive = true;
     session.isRefusing = false;
     yield* Queue.clear(session.lateAnswers);
-    if (findWorkerState(term, session) === undefined) {
+    if (session.isAnnounced && !isStartRecorded(term, session)) {
         // A worker is recorded only once it has answered, so that a false announcement is never recorded.
         yield* registerWorker(term, session);
     }
@@ -162,88 +165,6 @@
     }
 });
 
-/** Why the runs of a worker have ended with it. */
-interface WorkerEnd {
-    readonly reason: string;
-    /** Whether the worker will not come back under its identity. */
-    readonly isGone: boolean;
-    /** Whether it has certainly crashed. */
-    readonly isCrash: boolean;
-}
-
-/** Records the end of all runs of a worker that is gone or whose lease has certainly expired. */
-const expireWorker = Effect.fnUntraced(function*(
-    term: Term,
-    session: WorkerSession,
-    { reason, isGone, isCrash }: WorkerEnd,
-) {
-    const state = findWorkerState(term, session);
-    if (state === undefined || (state.runs.size === 0 && !isGone)) {
-        return;
-    }
-    term.logger.warn("runs of a worker have ended with its lease", {
-        worker: session.info.id,
-        runs: state.runs.size,
-        isGone,
-        reason,
-    });
-    const lapsed = [...session.runStatuses.values()].map(({ key, checkpoint }): RunEnd => ({
-        ...key,
-        outcome: "lapsed",
-        checkpoint,
-    }));
-    const checkpoints = lapsed.filter(end => end.checkpoint !== "");
-    const crash = isCrash && state.runs.size > 0
-        ? { suspectedRuns: listSuspectedRuns(state, session.runStatuses) }
-        : undefined;
-    if (crash !== undefined) {
-        logWorkerCrash(term, session, state, crash, yield* readMonotonicMs);
-    }
-    yield* propose(term, {
-        kind: "expireWorker",
-        worker: session.info.id,
-        isGone,
-        checkpoints,
-        ...(crash === undefined ? {} : { crash }),
-    });
-    lapsed.forEach(end => logRunEnded(term, session, end));
-    session.runStatuses.clear();
-    wakePlanner(term);
-    if (crash !== undefined) {
-        yield* giveUpDeadlyJobs(term);
-    }
-});
-
-/**
- * Finds out whether a worker has ended: another one answers at its address, it announced that it leaves, its lease is over, or
- * it has been silent for too long. A worker whose lease is over may come back. It has crashed if it has ended, as the answers
- * show, and neither left nor drained.
- */
-function findWorkerEnd(
-    term: Term,
-    session: WorkerSession,
-    answer: RenewAnswer,
-    nowMs: number,
-): WorkerEnd | undefined {
-    const isExpected = session.leftAtMs !== undefined || findWorkerState(term, session)?.isDraining === true;
-    if (answer.kind === "refused" && answer.reason === "otherWorker") {
-        return { reason: "another worker answers at the address", isGone: true, isCrash: !isExpected };
-    }
-    if (session.leftAtMs !== undefined && nowMs - session.leftAtMs >= leaveGraceMs) {
-        return { reason: "the worker has left", isGone: true, isCrash: false };
-    }
-    if (nowMs <= computeLeaseEndMs(session.lease, term.openedAtMs, term.limits.longestLeaseMs)) {
-        return undefined;
-    }
-    const lastContactAtMs = Math.max(session.heartbeatAtMs, session.answeredAtMs ?? 0);
-    const isGone = nowMs - lastContactAtMs > removeAfterSilenceMs;
-    return {
-        reason: isGone ? "the worker is silent" : "the lease is over",
-        isGone,
-        isCrash: session.isRefusing && !isExpected,
-    };
-}
-
 const applyRenewFailure = Effect.fnUntraced(function*(term: Term, session: WorkerSession, answer: RenewAnswer) {
     const nowMs = yield* readMonotonicMs;
     if (session.isResponsive) {
@@ -297,7 +218,8 @@
     const answer = yield* term.workers.renewLease(session.info, {
         leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
         fencingToken: term.number,
-        acknowledgedSequence: session.acknowledgedSequence,
+        // Nothing is acknowledged to a worker that has missed a renewal: it may have started again.
+        acknowledgedSequence: session.isResponsive ? session.acknowledgedSequence : 0,
         waitMs,
     }, limitMs);
     return { answer, sentAtMs } satisfies RenewalAnswer;
@@ -325,7 +247,10 @@
     }));
 });
 
-/** Renews the lease of a worker once and applies its report; false if the session ends. */
+/**
+ * Renews the lease of a worker once and applies its report. Returns "startedAgain" and the time of the start if the report is from
+ * a later start of the worker.
+ */
 const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     const waitMs = session.isResponsive ? chooseWaitMs(term, session) : 0;
     const { answer, sentAtMs } = session.isResponsive
@@ -333,9 +258,19 @@
         : yield* renewSilentWorker(term, session);
     term.load.renewals += 1;
     if (answer.kind === "report") {
+        switch (compareStarts(answer, session.info)) {
+            case "earlier":
+                // Delayed until after the restart.
+                yield* Effect.sleep(renewPauseMs);
+                return { kind: "kept" } as const;
+            case "later":
+                return { kind: "startedAgain", bornAtMs: answer.bornAtMs } as const;
+            case "same":
+                break;
+        }
         yield* applyRenewAnswer(term, session, answer, sentAtMs);
         yield* Effect.sleep(renewPauseMs);
-        return true;
+        return { kind: "kept" } as const;
     }
     term.load.failedRenewals += 1;
     const nowMs = yield* readMonotonicMs;
@@ -345,30 +280,44 @@
             worker: session.info.id,
             nowMs,
         });
-        return false;
+        return { kind: "ended" } as const;
     }
     const isKept = yield* applyRenewFailure(term, session, answer);
     yield* Effect.sleep(retryPauseMs);
-    return isKept;
+    return { kind: isKept ? "kept" : "ended" } as const;
 });
 
-/** Renews the lease of one worker until the term ends or the worker is gone. */
+/**
+ * Renews the lease of one worker until the term ends or the worker is gone. Returns what is known of a later start if the worker
+ * has started again.
+ */
 export const runSession = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     while (canSendOrders(term, yield* readMonotonicMs)) {
-        const isKept = yield* Effect.catch(
+        if (session.isSuperseded) {
+            // Until the next session interrupts this one, or the restart could not be recorded.
+            yield* Effect.sleep(retryPauseMs);
+            continue;
+        }
+        const outcome = yield* Effect.catch(
             renewOnce(term, session),
             // The log refuses commands while it hands over its leadership, and a worker with an end that is not recorded
             // answers at once.
             (error: ErrorData) =>
                 logStepError(term.logger, `worker ${session.info.id}`, error).pipe(
                     Effect.andThen(Effect.sleep(retryPauseMs)),
-                    Effect.as(true),
+                    Effect.as({ kind: "kept" } as const),
                 ),
         );
-        if (!isKept) {
-            return;
+        switch (outcome.kind) {
+            case "kept":
+                break;
+            case "ended":
+                return undefined;
+            case "startedAgain":
+                return { ...session.info, bornAtMs: outcome.bornAtMs } satisfies WorkerInfo;
         }
     }
+    return undefined;
 });
 
 /**
@@ -381,7 +330,5 @@
         applyRenewFailure(term, session, answer),
         (error: ErrorData) => Effect.as(logStepError(term.logger, `worker ${session.info.id}`, error), true),
     );
-    if (isKept) {
-        yield* runSession(term, session);
-    }
+    return isKept ? yield* runSession(term, session) : undefined;
 });
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./commands.js";
+export * from "./compare-starts.js";
 export * from "./describe-job-request.js";
 export * from "./domain.js";
 export * from "./error-data.js";
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -236,6 +236,8 @@
             readonly isGone: boolean;
             /** Last progress that was reported for its runs. */
             readonly checkpoints: readonly RunEnd[];
+            /** Runs that go on; absent if none does. Replicas of earlier builds end them too. */
+            readonly kept?: readonly RunKey[];
             /** Set if the worker has certainly crashed. Records of earlier builds do not have it. */
             readonly crash?: WorkerCrash;
         }
@@ -295,7 +297,8 @@
     | { readonly kind: "setConfiguration"; readonly configuration: QueueConfiguration; }
     | { readonly kind: "readConfiguration"; }
     | { readonly kind: "recordHeartbeat"; readonly heartbeat: WorkerHeartbeat; }
-    | { readonly kind: "removeWorker"; readonly worker: WorkerId; }
+    /** `bornAtMs` as in `WorkerInfo`. */
+    | { readonly kind: "removeWorker"; readonly worker: WorkerId; readonly bornAtMs?: number | undefined; }
     | { readonly kind: "startWave"; readonly wave: MaintenanceWave; }
     | { readonly kind: "readWave"; readonly wave: number; };
 
