Count a run for one crash of its worker only

A start without an answer stays recorded when its worker starts again; when the worker crashed once more under another task, the same run was counted again, and its task given up.

Change: the count names the run that it is for, and a run that was counted is not suspected of the next crash. The job is also given up by one of several calls at a time only, so that one line tells it.

Test: "a run counts for one crash of its worker only" fails before (three crashes counted).

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -142,7 +142,15 @@
  */
 const suspectedAgeLimitMs = 30_000;
 
-function recordCrash(state: JobState, { task, startedAtMs }: WorkerRun, isSuspected: boolean, isSole: boolean): void {
+function recordCrash(
+    state: JobState,
+    { task, run, startedAtMs }: WorkerRun,
+    isSuspected: boolean,
+    isSole: boolean,
+): void {
+    if (task.crashes?.run === run) {
+        return;
+    }
     if (state.clockMs - startedAtMs >= suspectedAgeLimitMs) {
         task.crashes = undefined;
         return;
@@ -153,6 +161,7 @@
         crashes: crashes + 1,
         suspicions: suspicions + (isSuspected ? 1 : 0),
         isSoleSuspect: isSuspected ? isSole : isSoleSuspect,
+        run,
     };
 }
 
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -29,6 +29,11 @@
     readonly suspicions: number;
     /** Whether only this task is suspected for the last one. */
     readonly isSoleSuspect: boolean;
+    /**
+     * The last run that was counted. It may outlast the crash, because its start may yet be carried out, and then says nothing
+     * about the next one.
+     */
+    readonly run: number;
 }
 
 /** State of one task of a step. */
--- a/packages/job-state/src/worker-crashes.test.ts
+++ b/packages/job-state/src/worker-crashes.test.ts
@@ -36,12 +36,29 @@
     const machine = setUp();
     crash(machine, [makeKey(0)]);
     assert.deepEqual(listCrashes(machine), [
-        { crashes: 1, suspicions: 1, isSoleSuspect: true },
-        { crashes: 1, suspicions: 0, isSoleSuspect: false },
+        { crashes: 1, suspicions: 1, isSoleSuspect: true, run: 1 },
+        { crashes: 1, suspicions: 0, isSoleSuspect: false, run: 1 },
     ]);
     start(machine, 0, 2);
     crash(machine, [makeKey(0, 2)]);
-    assert.deepEqual(listCrashes(machine)[0], { crashes: 2, suspicions: 2, isSoleSuspect: true });
+    assert.deepEqual(listCrashes(machine)[0], { crashes: 2, suspicions: 2, isSoleSuspect: true, run: 2 });
+});
+
+// Guards against a run that goes on because its start may yet be carried out, and was blamed for the next crash as well.
+test("a run counts for one crash of its worker only", () => {
+    const machine = setUp();
+    for (let crashes = 0; crashes < 3; crashes += 1) {
+        machine.apply({
+            kind: "expireWorker",
+            worker: "w1",
+            isGone: false,
+            checkpoints: [],
+            kept: [makeKey(0)],
+            crash: { suspectedRuns: [makeKey(0)] },
+        });
+    }
+    assert.deepEqual(listCrashes(machine)[0], { crashes: 1, suspicions: 1, isSoleSuspect: true, run: 1 });
+    assert.deepEqual([...machine.state.workers.get("w1")?.runs.keys() ?? []], ["a.0.0.0#1"]);
 });
 
 test("a run that ends by itself clears the crashes of its task", () => {
@@ -56,7 +73,7 @@
             { ...makeKey(1, 2), outcome: "stopped", checkpoint: "" },
         ],
     });
-    assert.deepEqual(listCrashes(machine), [undefined, { crashes: 1, suspicions: 1, isSoleSuspect: false }]);
+    assert.deepEqual(listCrashes(machine), [undefined, { crashes: 1, suspicions: 1, isSoleSuspect: false, run: 1 }]);
 });
 
 test("the crash of a worker does not count for a run that has worked for a long time", () => {
--- a/packages/lead-jobs/src/give-up-jobs.ts
+++ b/packages/lead-jobs/src/give-up-jobs.ts
@@ -36,8 +36,15 @@
 /** Gives up the jobs with a task that crashes the workers that start it: they end as failed. */
 export const giveUpDeadlyJobs = Effect.fnUntraced(function*(term: Term) {
     for (const { job, task, crashes } of listDeadlyJobs(term.machine.state)) {
+        if (term.givenUpJobs.has(job.id)) {
+            continue;
+        }
+        term.givenUpJobs.add(job.id);
         const failure = { reason: "workerCrashes", task: formatTaskKey(task) } as const;
-        yield* propose(term, { kind: "cancelJob", job: job.id, failure });
+        yield* Effect.ensuring(
+            propose(term, { kind: "cancelJob", job: job.id, failure }),
+            Effect.sync(() => term.givenUpJobs.delete(job.id)),
+        );
         term.metrics.countEvent("jobs.failed", job.queue.name, job.queue.service);
         term.logger.warn("job is given up", {
             job: job.id,
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -73,6 +73,7 @@
         sessionLoops: yield* FiberMap.make<WorkerId>(),
         failedWorkerByTask: new Map(),
         runTimesByStep: new Map(),
+        givenUpJobs: new Set(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
         load: createTermLoad(),
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -7,6 +7,7 @@
 import {
     type ErrorData,
     type JobCommand,
+    type JobId,
     type JobResult,
     readMonotonicMs,
     type RenewAnswer,
@@ -96,6 +97,8 @@
     readonly failedWorkerByTask: Map<string, WorkerId>;
     /** Run times of the successful runs of each step, by step key; only the latest steps are kept. */
     readonly runTimesByStep: Map<string, { readonly runs: number; readonly totalMs: number; }>;
+    /** Jobs that are being given up, so that this happens once. */
+    readonly givenUpJobs: Set<JobId>;
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -77,7 +77,8 @@
     for (const { job, occurrence, step, task, run, startedAtMs } of runs) {
         const key = { job: job.id, occurrence: occurrence.number, step: step.position, position: task.position, run };
         const startedLast = needsTrial(task) || startedAtMs >= lastStartMs - workedMs;
-        if (!startedLast || hasProvedItself(task, statuses.get(formatRunKey(key)))) {
+        const isCounted = task.crashes?.run === run;
+        if (!startedLast || isCounted || hasProvedItself(task, statuses.get(formatRunKey(key)))) {
             continue;
         }
         const order = compareCrashes(task.crashes, most);
