Pass a heartbeat on if the worker has sent another one elsewhere

Found by reading, in the search for other places where something earlier counts for something later. A control process answers a heartbeat that repeats one which the leader acknowledged to it.

Change: only the heartbeat right after the last one that this process answered is a repetition.

Test: "a heartbeat after one that was sent to another process reaches the leader" fails without the check.

--- a/packages/forward-jobs/src/forwarder.test.ts
+++ b/packages/forward-jobs/src/forwarder.test.ts
@@ -298,6 +298,18 @@
         assert.equal(yield* send(makeHeartbeat(10, false, "w1:2")), 1);
     })));
 
+// Guards against a leader that keeps a capacity which another process told it meanwhile, because this one takes the heartbeat for
+// a repetition.
+test("a heartbeat after one that was sent to another process reaches the leader", () =>
+    runSimulated(Effect.gen(function*() {
+        const { state, forwarder } = yield* openSystem(() => Effect.succeed({ kind: "done" }));
+        for (const [sequence, asked] of [[1, 1], [2, 1], [4, 2], [5, 2]] as const) {
+            yield* Effect.forkScoped(forwarder.forwardRequest(makeHeartbeat(sequence), 900));
+            yield* pass(200);
+            assert.equal(state.asked.length, asked, `heartbeat ${sequence}`);
+        }
+    })));
+
 for (const [named, suffix] of [[undefined, ""], ["a", " although its followers still name it"]] as const) {
     // Guards against an election in which each held request calls the deposed leader again every 40 ms: that process is a
     // voter and was deposed because it had too much work.
--- a/packages/forward-jobs/src/forwarder.ts
+++ b/packages/forward-jobs/src/forwarder.ts
@@ -14,7 +14,7 @@
     readMonotonicMs,
 } from "@chestnutspool/types";
 import { Cause, Deferred, Effect, Exit, Queue } from "effect";
-import { type HeartbeatFilter, isRepeatedHeartbeat, recordAcknowledged } from "./heartbeat-filter.js";
+import { acceptRepeatedHeartbeat, type HeartbeatFilter, recordAcknowledged } from "./heartbeat-filter.js";
 import {
     computeRetryMs,
     createLeaderContact,
@@ -304,7 +304,7 @@
         // The process that leads handles a heartbeat itself at no cost.
         if (
             request.kind === "recordHeartbeat" && known !== link.self
-            && isRepeatedHeartbeat(heartbeats, request.heartbeat, known, startedMs)
+            && acceptRepeatedHeartbeat(heartbeats, request.heartbeat, known, startedMs)
         ) {
             dependencies.metrics.countEvent("heartbeats.repeated", "", request.kind);
             return { kind: "done" } satisfies ForwardReply;
--- a/packages/forward-jobs/src/heartbeat-filter.ts
+++ b/packages/forward-jobs/src/heartbeat-filter.ts
@@ -12,6 +12,8 @@
     readonly content: string;
     readonly leader: PeerId;
     readonly atMs: number;
+    /** Number of the last heartbeat that this process has answered. */
+    sequence: number;
 }
 
 /** The last heartbeat of each worker that a leader has acknowledged to this process. */
@@ -23,18 +25,24 @@
 }
 
 /**
- * Whether the leader has just acknowledged a heartbeat that says the same, so that this one need not reach it. A heartbeat
- * that announces draining always reaches the leader before it is acknowledged, and so does each one to a new leader.
+ * Accepts a heartbeat in place of the leader, which has just acknowledged one that says the same. Returns false if it must reach the
+ * leader: if it announces draining, if another process leads, or if the worker has sent another one meanwhile elsewhere, which
+ * may have told the leader of a change.
  */
-export function isRepeatedHeartbeat(
+export function acceptRepeatedHeartbeat(
     filter: HeartbeatFilter,
     heartbeat: WorkerHeartbeat,
     leader: PeerId | undefined,
     nowMs: number,
 ): boolean {
     const known = filter.get(heartbeat.worker.id);
-    return known !== undefined && !heartbeat.draining && known.leader === leader
-        && nowMs - known.atMs < repeatIntervalMs && known.content === formatContent(heartbeat);
+    const isRepeated = known !== undefined && !heartbeat.draining && known.leader === leader
+        && nowMs - known.atMs < repeatIntervalMs && heartbeat.sequence === known.sequence + 1
+        && known.content === formatContent(heartbeat);
+    if (isRepeated) {
+        known.sequence = heartbeat.sequence;
+    }
+    return isRepeated;
 }
 
 /** Records that a leader has acknowledged a heartbeat that was sent at `sentAtMs`. */
@@ -51,5 +59,6 @@
     if (filter.size >= recordLimit) {
         [...filter].filter(([, { atMs }]) => sentAtMs - atMs >= repeatIntervalMs).forEach(([id]) => filter.delete(id));
     }
-    filter.set(heartbeat.worker.id, { content: formatContent(heartbeat), leader, atMs: sentAtMs });
+    const { worker, sequence } = heartbeat;
+    filter.set(worker.id, { content: formatContent(heartbeat), leader, atMs: sentAtMs, sequence });
 }
