Follow a worker that starts again with an earlier wall clock

Found by reading: a later start whose host has set its clock back says an earlier `born`. All its reports were taken for delayed ones of the earlier start and ignored for good, and its runs were neither renewed nor ended.

Change: a report of an "earlier" start counts as a restart once the session has been open for 3 s, longer than any call. The fake workers break off a renewal in progress when they crash.

Test: "a worker that starts again with an earlier wall clock gets runs".

--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -375,6 +375,9 @@
         for (let nowMs = yield* readMonotonicMs; worker.ended.length === 0 && nowMs < endMs;) {
             yield* Effect.sleep(Math.min(20, endMs - nowMs));
             nowMs = yield* readMonotonicMs;
+            if (workers.get(info.id) !== worker) {
+                return { kind: "unknown", detail: "socket hang up" } as const;
+            }
             advance(worker, nowMs);
         }
         const isInTime = (yield* readMonotonicMs) - sentAtMs < limitMs;
--- a/packages/lead-jobs/src/restarted-worker.test.ts
+++ b/packages/lead-jobs/src/restarted-worker.test.ts
@@ -139,3 +139,23 @@
             assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
         }),
 );
+
+// Guards against a worker that is ignored for good, because its wall clock was set back before it started again.
+testSystem("a worker that starts again with an earlier wall clock gets runs", system =>
+    Effect.gen(function*() {
+        system.workers.setCrashingRuns(
+            () => false,
+            { afterMs: restartMs, nextInfo: crashed => ({ ...crashed, bornAtMs: (crashed.bornAtMs ?? 0) - 5_000 }) },
+            system.announce,
+        );
+        yield* system.addWorker(makeWorker("w1", { bornAtMs: 100_000 }));
+        yield* system.submit(makeJob("first", [makeStep({ count: 4 })]));
+        yield* system.pass(4_000);
+        yield* crashWorker(system, "w1");
+        yield* system.pass(restartMs + 5_000);
+        yield* system.heartbeat(makeWorker("w1", { bornAtMs: 95_000 }));
+        yield* system.submit(makeJob("second", [makeStep({ count: 4 })]));
+        yield* system.pass(5_000);
+        assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
+        assert.deepEqual(listRepeated(yield* system.readStartedRuns), []);
+    }));
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -51,6 +51,8 @@
 export interface WorkerSession {
     /** What the worker last said of itself; a session is for one start of a worker. */
     info: WorkerInfo;
+    /** When the session was opened, in monotonic milliseconds. */
+    readonly openedAtMs: number;
     /** Whether `info` is of this start; if not, a heartbeat will tell what the worker is now. */
     isAnnounced: boolean;
     /** Whether the worker has started again, so that another session takes the place of this one. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -53,6 +53,8 @@
 const slowAnswerShare = 0.5;
 /** Answers of a silent worker that are kept until they are applied; more renewals than this are never in progress. */
 const lateAnswerLimit = 8;
+/** Time after the opening of a session in which answers of an earlier start of the worker arrive, in milliseconds. */
+const delayedAnswerMs = 3_000;
 /** Pause between two renewals, in milliseconds, so that ends of runs in quick succession share one report. */
 const renewPauseMs = 30;
 /** Pause after a renewal that was not answered or whose answer could not be applied, in milliseconds. */
@@ -63,6 +65,7 @@
     const recorded = term.machine.state.workers.get(info.id);
     const session: WorkerSession = {
         info,
+        openedAtMs: nowMs,
         isAnnounced: true,
         isSuperseded: false,
         lease: undefined,
@@ -258,15 +261,15 @@
         : yield* renewSilentWorker(term, session);
     term.load.renewals += 1;
     if (answer.kind === "report") {
-        switch (compareStarts(answer, session.info)) {
-            case "earlier":
-                // Delayed until after the restart.
-                yield* Effect.sleep(renewPauseMs);
-                return { kind: "kept" } as const;
-            case "later":
-                return { kind: "startedAgain", bornAtMs: answer.bornAtMs } as const;
-            case "same":
-                break;
+        const comparison = compareStarts(answer, session.info);
+        // An answer of an earlier start may be delayed until after the restart, but not for long: then the wall clock of the
+        // worker was set back before it started again.
+        if (comparison === "later" || (comparison === "earlier" && sentAtMs - session.openedAtMs > delayedAnswerMs)) {
+            return { kind: "startedAgain", bornAtMs: answer.bornAtMs } as const;
+        }
+        if (comparison === "earlier") {
+            yield* Effect.sleep(retryPauseMs);
+            return { kind: "kept" } as const;
         }
         yield* applyRenewAnswer(term, session, answer, sentAtMs);
         yield* Effect.sleep(renewPauseMs);
