End a recorded run whose order was never sent

Found by reading: a start that was recorded while the session of its worker was replaced is not sent, because the new session has no lease yet. Its status stayed "ordered", which no report and no time limit ends.

Change: such a start counts as excluded, so that the next report without the run ends it.

--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -100,6 +100,8 @@
 ) {
     const sentAtMs = yield* readMonotonicMs;
     if (session.lease === undefined || session.isSuperseded || !canSendOrders(term, sentAtMs)) {
+        // Never sent: the next report that does not list the run ends it.
+        setStart(status, "excluded", sentAtMs);
         return;
     }
     session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
