Give a task up only on crashes that it must have caused

Causes: of several starts on a worker that were sent at the same time, all counted, although the first one crashed it and the others never began. A leader that knew nothing of a run, or that had been suspended, blamed it for a crash long after its end. One trial at a time on eight workers.

Change: a crash is certain for a task only if it is the only suspect and no other start on the worker is without an answer; two certain crashes, or four crashes in succession of whatever kind, give a task up. Only a run that this leader ordered shortly before the worker fell silent is suspected. Starts of which the worker may have carried out none do not count. A run that has passed its trial clears its task. A quarter of the workers may be on trial. The planner repeats once a second what a leader could not give up at once.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -8,7 +8,16 @@
     subtractResources,
     type WorkerCrash,
 } from "@chestnutspool/types";
-import type { JobOccurrence, JobRecord, JobState, JobStep, JobTask, WorkerRun, WorkerState } from "./job-state.js";
+import type {
+    JobOccurrence,
+    JobRecord,
+    JobState,
+    JobStep,
+    JobTask,
+    TaskCrashes,
+    WorkerRun,
+    WorkerState,
+} from "./job-state.js";
 import { computeReservation, createEmptyDefinition, isJobEnded, isStepReady } from "./job-state.js";
 import { formatRunKey, formatTaskKey } from "./run-keys.js";
 
@@ -145,8 +154,7 @@
 function recordCrash(
     state: JobState,
     { task, run, startedAtMs }: WorkerRun,
-    isSuspected: boolean,
-    isSole: boolean,
+    added: Omit<TaskCrashes, "run">,
 ): void {
     if (task.crashes?.run === run) {
         return;
@@ -155,21 +163,36 @@
         task.crashes = undefined;
         return;
     }
-    const { crashes, suspicions, isSoleSuspect } = task.crashes
-        ?? { crashes: 0, suspicions: 0, isSoleSuspect: false };
+    const { crashes, suspicions, certain } = task.crashes ?? { crashes: 0, suspicions: 0, certain: 0 };
     task.crashes = {
-        crashes: crashes + 1,
-        suspicions: suspicions + (isSuspected ? 1 : 0),
-        isSoleSuspect: isSuspected ? isSole : isSoleSuspect,
+        crashes: crashes + added.crashes,
+        suspicions: suspicions + added.suspicions,
+        certain: certain + added.certain,
         run,
     };
 }
 
 /** Counts the crash of a worker for the runs on it. */
-function recordCrashes(state: JobState, worker: WorkerState, { suspectedRuns }: WorkerCrash): void {
+function recordCrashes(
+    state: JobState,
+    worker: WorkerState,
+    { suspectedRuns, isCertain, uncertainRuns, clearedRuns }: WorkerCrash,
+): void {
     const suspected = new Set(suspectedRuns.map(formatRunKey));
+    const uncertain = new Set(uncertainRuns.map(formatRunKey));
+    const cleared = new Set(clearedRuns.map(formatRunKey));
     for (const [key, run] of worker.runs) {
-        recordCrash(state, run, suspected.has(key), suspected.size === 1);
+        if (cleared.has(key)) {
+            run.task.crashes = undefined;
+        }
+        else {
+            const isSuspected = suspected.has(key);
+            recordCrash(state, run, {
+                crashes: uncertain.has(key) ? 0 : 1,
+                suspicions: isSuspected ? 1 : 0,
+                certain: isSuspected && isCertain ? 1 : 0,
+            });
+        }
     }
 }
 
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -27,8 +27,8 @@
     readonly crashes: number;
     /** Number of these crashes for which the task is suspected. */
     readonly suspicions: number;
-    /** Whether only this task is suspected for the last one. */
-    readonly isSoleSuspect: boolean;
+    /** Number of these for which no other task is suspected and its run had certainly started. */
+    readonly certain: number;
     /**
      * The last run that was counted. It may outlast the crash, because its start may yet be carried out, and then says nothing
      * about the next one.
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -29,8 +29,8 @@
 /** Run and worker of a run in progress, and the time of its start, which earlier builds do not write. */
 type SavedRun = readonly [run: number, worker: string, startedAtMs?: number];
 
-/** Crashes, suspicions, whether the task is the sole suspect of the last one, and the run that was counted last. */
-type SavedCrashes = readonly [number, number, boolean, number];
+/** Crashes, suspicions, certain ones, and the run that was counted last. */
+type SavedCrashes = readonly [number, number, number, number];
 
 /**
  * Position, last run, failures, checkpoint, runs and crashes of a task that is no longer in its initial state. Tasks without
@@ -98,8 +98,8 @@
     if (task.crashes === undefined) {
         return saved;
     }
-    const { crashes, suspicions, isSoleSuspect, run } = task.crashes;
-    return [...saved, [crashes, suspicions, isSoleSuspect, run]];
+    const { crashes, suspicions, certain, run } = task.crashes;
+    return [...saved, [crashes, suspicions, certain, run]];
 }
 
 function saveStep(step: JobStep): SavedStep {
@@ -199,8 +199,8 @@
     }
     Object.assign(task, { lastRun, failures, checkpoint });
     if (saved !== undefined) {
-        const [crashes, suspicions, isSoleSuspect, run] = saved;
-        task.crashes = { crashes, suspicions, isSoleSuspect, run };
+        const [crashes, suspicions, certain, run] = saved;
+        task.crashes = { crashes, suspicions, certain, run };
     }
     task.runs = runs.map(([run, worker, startedAtMs = 0]) => ({ run, worker, startedAtMs }));
     for (const { run, worker, startedAtMs } of task.runs) {
--- a/packages/lead-jobs/src/expire-worker.ts
+++ b/packages/lead-jobs/src/expire-worker.ts
@@ -1,5 +1,5 @@
 import { formatRunKey, type WorkerState } from "@chestnutspool/job-state";
-import { computeLeaseEndMs, listSuspectedRuns } from "@chestnutspool/track-workers";
+import { computeLeaseEndMs, findCrashSuspects } from "@chestnutspool/track-workers";
 import { readMonotonicMs, type RenewAnswer, type RunEnd, type RunKey } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
@@ -59,11 +59,12 @@
         ([, { key, checkpoint }]): RunEnd => ({ ...key, outcome: "lapsed", checkpoint }),
     );
     const checkpoints = lapsed.filter(end => end.checkpoint !== "");
+    const nowMs = yield* readMonotonicMs;
     const crash = isCrash && state.runs.size > 0
-        ? { suspectedRuns: listSuspectedRuns(state, session.runStatuses) }
+        ? findCrashSuspects(state, session.runStatuses, session.silentSinceMs ?? nowMs)
         : undefined;
     if (crash !== undefined) {
-        logWorkerCrash(term, session, state, crash, yield* readMonotonicMs);
+        logWorkerCrash(term, session, state, crash, nowMs);
     }
     yield* propose(term, {
         kind: "expireWorker",
--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -44,6 +44,8 @@
     readonly startedAtMs: number;
     endedAtMs: number | undefined;
     outcome: RunOutcome | undefined;
+    /** Whether the run was in progress when its worker crashed. */
+    hasCrashed: boolean;
     /** Whether the number that the leader acknowledged has reached the end. */
     isAcknowledged: boolean;
 }
@@ -204,7 +206,14 @@
     };
 
     const crashWorker = (id: string, nowMs: number): void => {
-        const crashed = workers.get(id)?.info;
+        const worker = workers.get(id);
+        const crashed = worker?.info;
+        if (worker !== undefined) {
+            advance(worker, nowMs);
+            worker.running.forEach(({ record }) => {
+                record.hasCrashed = true;
+            });
+        }
         removeWorker(id, nowMs);
         if (crashed === undefined || restart === undefined) {
             return;
@@ -253,6 +262,7 @@
             startedAtMs: nowMs,
             endedAtMs: undefined,
             outcome: undefined,
+            hasCrashed: false,
             isAcknowledged: false,
         };
         startedRuns.push(record);
--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -116,7 +116,7 @@
     term: Term,
     { info, runStatuses, answeredAtMs }: WorkerSession,
     state: WorkerState,
-    { suspectedRuns }: WorkerCrash,
+    { suspectedRuns, isCertain }: WorkerCrash,
     nowMs: number,
 ): void {
     term.metrics.countEvent("workers.crashed", "", info.service);
@@ -128,6 +128,7 @@
             const suspicions = state.runs.get(formatRunKey(key))?.task.crashes?.suspicions ?? 0;
             return `${formatRunKey(key)}(${suspicions})`;
         }).join(" "),
+        isCertain,
         answerAgeMs: answeredAtMs === undefined ? undefined : Math.round(nowMs - answeredAtMs),
     });
 }
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -229,6 +229,8 @@
     yield* carryOutStarts(term, starts);
     if (nowMs - planner.reasonsCheckedAtMs >= waitCheckIntervalMs) {
         planner.reasonsCheckedAtMs = nowMs;
+        // Those that this or an earlier leader could not give up at once.
+        yield* giveUpDeadlyJobs(term);
         logWaitingSteps(term, input, planner.loggedReasons, wallMs);
     }
     return tookMs;
@@ -243,8 +245,6 @@
     // An exception after a commit leaves recorded runs whose orders were not sent: starts without an answer.
     const startedMs = yield* readMonotonicMs;
     term.sessions.forEach(session => addRecordedRuns(term, session, "unanswered", startedMs));
-    // An earlier leader may have ended before it gave them up.
-    yield* Effect.catch(giveUpDeadlyJobs(term), error => logStepError(term.logger, "give up", error));
     while (canSendOrders(term, yield* readMonotonicMs)) {
         const tookMs = yield* Effect.catch(
             runPass(term, planner),
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -67,6 +67,8 @@
     isResponsive: boolean;
     /** Whether the runs on the worker have been compared with the recorded ones in this term. */
     isReconciled: boolean;
+    /** When it missed the first renewal since its last answer, in monotonic milliseconds; undefined if it has missed none. */
+    silentSinceMs: number | undefined;
     /** Whether nothing listened at its address when it was last called. */
     isRefusing: boolean;
     /** Answers to renewals that were sent since the worker missed one, and are not applied yet. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -74,6 +74,7 @@
         answeredAtMs: undefined,
         isResponsive: false,
         isReconciled: false,
+        silentSinceMs: undefined,
         isRefusing: false,
         lateAnswers: yield* Queue.sliding<RenewalAnswer>(lateAnswerLimit),
         renewalSentAtMs: Number.NEGATIVE_INFINITY,
@@ -143,6 +144,7 @@
         term.logger.info("worker has not left", { worker: session.info.id });
     }
     session.isResponsive = true;
+    session.silentSinceMs = undefined;
     session.isRefusing = false;
     yield* Queue.clear(session.lateAnswers);
     if (session.isAnnounced && !isStartRecorded(term, session)) {
@@ -172,6 +174,7 @@
     const nowMs = yield* readMonotonicMs;
     if (session.isResponsive) {
         session.isResponsive = false;
+        session.silentSinceMs = nowMs;
         term.logger.warn("worker does not answer", {
             worker: session.info.id,
             answer: answer.kind,
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -28,7 +28,7 @@
  * Largest share of the workers of a service on which tasks are on trial at the same time, so that tasks that crash their
  * workers do not take a service down. One worker may always be.
  */
-const trialShare = 0.1;
+const trialShare = 0.25;
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
@@ -189,8 +189,10 @@
         return;
     }
     const plan = createStepPlan(pass, waiting, isStarved);
-    // Tasks on trial go last, because the first task without a worker ends the step.
-    tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
+    if (tasks.some(needsTrial)) {
+        // They go last, because the first task without a worker ends the step.
+        tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
+    }
     for (const task of tasks.slice(0, isStarved ? 1 : startsPerPass - pass.starts.length)) {
         if (needsTrial(task) && !canTry(pass, waiting)) {
             return;
--- a/packages/plan-jobs/src/step-ratings.ts
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -1,3 +1,4 @@
+import { countUnprovedRuns } from "@chestnutspool/track-workers";
 import type { StepSpec, WorkerId } from "@chestnutspool/types";
 import { rateWorker, type RatingContext } from "./rate-workers.js";
 import { findRack, hasCapacity, type WorkerCandidate } from "./worker-candidate.js";
@@ -15,8 +16,22 @@
     readonly updateAfterStart: (started: WorkerCandidate) => void;
 }
 
-function compareHarm(left: WorkerCandidate, right: WorkerCandidate): number {
-    return left.unprovedRuns - right.unprovedRuns || left.state.runs.size - right.state.runs.size;
+/** What a crash of a worker would cost. */
+interface Harm {
+    /** Runs that would be suspected as well. */
+    readonly unprovedRuns: number;
+    readonly runs: number;
+}
+
+function estimateHarm({ state, statuses, plannedRuns }: WorkerCandidate): Harm {
+    return {
+        unprovedRuns: countUnprovedRuns(state, statuses) + plannedRuns,
+        runs: state.runs.size + plannedRuns,
+    };
+}
+
+function compareHarm(left: Harm, right: Harm): number {
+    return left.unprovedRuns - right.unprovedRuns || left.runs - right.runs;
 }
 
 /**
@@ -59,9 +74,12 @@
         },
         chooseTrialWorker: () => {
             let best: WorkerCandidate | undefined;
+            let leastHarm: Harm | undefined;
             for (const { candidate } of suitable) {
-                if (best === undefined || compareHarm(candidate, best) < 0) {
+                const harm = estimateHarm(candidate);
+                if (leastHarm === undefined || compareHarm(harm, leastHarm) < 0) {
                     best = candidate;
+                    leastHarm = harm;
                 }
             }
             return best;
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -1,6 +1,6 @@
 import { computeReservation, formatStepKey, type WorkerState } from "@chestnutspool/job-state";
 import type { PairEstimate } from "@chestnutspool/learn-interference";
-import { countUnprovedRuns, hasTrial, type RunStatus, type RunStatuses } from "@chestnutspool/track-workers";
+import { hasTrial, type RunStatus, type RunStatuses } from "@chestnutspool/track-workers";
 import {
     addResources,
     findShortage,
@@ -46,8 +46,10 @@
     isHeld: boolean;
     /** Whether a task that may crash the worker is on trial here, so that no other task may start. */
     isOnTrial: boolean;
-    /** Runs that have not proved yet that they do not crash the worker, with those that the pass plans. */
-    unprovedRuns: number;
+    /** State of the runs on the worker, by its reports. */
+    readonly statuses: RunStatuses | undefined;
+    /** Number of runs that the pass plans here. */
+    plannedRuns: number;
     /**
      * Whether best-effort tasks here get less processor time than they could use, so that another one would slow them
      * down further.
@@ -192,7 +194,8 @@
         startsLeft: startLimit,
         isHeld: false,
         isOnTrial: hasTrial(state, statuses),
-        unprovedRuns: countUnprovedRuns(state, statuses),
+        statuses,
+        plannedRuns: 0,
         tasksByStep,
         idleMilliCpu,
         lastingMilliCpu,
@@ -241,7 +244,7 @@
 export function reserveCapacity(candidate: WorkerCandidate, job: string, spec: StepSpec, stepKey: string): void {
     candidate.free = subtractResources(candidate.free, computeReservation(spec));
     candidate.startsLeft = candidate.startsLeft === undefined ? undefined : candidate.startsLeft - 1;
-    candidate.unprovedRuns += 1;
+    candidate.plannedRuns += 1;
     addPlannedTask(candidate, job, spec, stepKey, 1);
 }
 
@@ -249,6 +252,6 @@
 export function releaseCapacity(candidate: WorkerCandidate, job: string, spec: StepSpec, stepKey: string): void {
     candidate.free = addResources(candidate.free, computeReservation(spec));
     candidate.startsLeft = candidate.startsLeft === undefined ? undefined : candidate.startsLeft + 1;
-    candidate.unprovedRuns -= 1;
+    candidate.plannedRuns -= 1;
     addPlannedTask(candidate, job, spec, stepKey, -1);
 }
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -16,7 +16,7 @@
     type RunStatuses,
     type StartState,
 } from "./run-statuses.js";
-export { countUnprovedRuns, hasTrial, isDeadly, listSuspectedRuns, needsTrial } from "./worker-crashes.js";
+export { countUnprovedRuns, findCrashSuspects, hasTrial, isDeadly, needsTrial } from "./worker-crashes.js";
 export {
     countAllowedStarts,
     createWorkerHealth,
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -1,5 +1,5 @@
-import { formatRunKey, type JobTask, type TaskCrashes, type WorkerState } from "@chestnutspool/job-state";
-import type { RunKey } from "@chestnutspool/types";
+import type { JobTask, TaskCrashes, WorkerRun, WorkerState } from "@chestnutspool/job-state";
+import type { WorkerCrash } from "@chestnutspool/types";
 import type { RunStatus, RunStatuses } from "./run-statuses.js";
 
 /** Time for which a run has worked until it is no longer suspected of a crash, in milliseconds. */
@@ -10,10 +10,15 @@
 const longTrialMs = 3_000;
 /** Crashes under a task in succession from which it is on trial even if others were suspected of them. */
 const crashesForTrial = 2;
-/** Suspicions from which a task is given up if it is the sole suspect of the last crash. */
-const suspicionsToGiveUp = 2;
-/** The same if others are suspected as well. */
-const sharedSuspicionsToGiveUp = 4;
+/** Certain crashes from which a task is given up. */
+const certainCrashesToGiveUp = 2;
+/** Crashes in succession from which a task is given up although others may have caused them, or nothing is known of their time. */
+const crashesToGiveUp = 4;
+/**
+ * Longest time from the end of the time in which a run proves itself until its worker falls silent, in milliseconds; if it takes
+ * longer, the leader was held up and the run may have ended before the crash.
+ */
+const silenceDelayMs = 1_000;
 
 /** Whether the next runs of a task are on trial: each on a worker that gets no other runs meanwhile. */
 export function needsTrial({ crashes }: JobTask): boolean {
@@ -25,8 +30,7 @@
     if (crashes === undefined) {
         return false;
     }
-    const { suspicions, isSoleSuspect } = crashes;
-    return (isSoleSuspect && suspicions >= suspicionsToGiveUp) || suspicions >= sharedSuspicionsToGiveUp;
+    return crashes.certain >= certainCrashesToGiveUp || crashes.crashes >= crashesToGiveUp;
 }
 
 function computeProvingMs(task: JobTask): number {
@@ -64,31 +68,59 @@
     return (left?.suspicions ?? 0) - (right?.suspicions ?? 0) || (left?.crashes ?? 0) - (right?.crashes ?? 0);
 }
 
+function isStartOpen({ start }: RunStatus): boolean {
+    return start === "ordered" || start === "unanswered";
+}
+
+/**
+ * Whether a run may have caused the crash of its worker, which fell silent at `silentSinceMs`, monotonic time in milliseconds: this
+ * leader knows when it started, that was shortly before, and it has not proved itself.
+ */
+function canBeCause({ task, run }: WorkerRun, status: RunStatus, silentSinceMs: number): boolean {
+    if (status.start === "excluded" || task.crashes?.run === run) {
+        return false;
+    }
+    return !hasProvedItself(task, status)
+        && silentSinceMs - status.orderedAtMs <= computeProvingMs(task) + silenceDelayMs;
+}
+
 /**
- * Lists the runs on a worker that has crashed of which one may be the cause: those on trial, and those that started last
- * and have not proved themselves. Of these only the ones with the most suspicions, so that neighbours are not blamed for
- * a task that has crashed other workers before.
+ * Finds the runs on a worker that has crashed of which one may be the cause: those on trial, and those that started last. Of these
+ * only the ones with the most suspicions, so that neighbours are not blamed for a task that has crashed other workers before.
  */
-export function listSuspectedRuns(state: WorkerState, statuses: RunStatuses): RunKey[] {
-    const runs = [...state.runs.values()];
-    const lastStartMs = Math.max(...runs.map(({ startedAtMs }) => startedAtMs));
-    let suspects: RunKey[] = [];
+export function findCrashSuspects(state: WorkerState, statuses: RunStatuses, silentSinceMs: number): WorkerCrash {
+    const runs = [...state.runs];
+    const lastStartMs = Math.max(...runs.map(([, { startedAtMs }]) => startedAtMs));
+    let suspects: RunStatus[] = [];
     let most: TaskCrashes | undefined;
-    for (const { job, occurrence, step, task, run, startedAtMs } of runs) {
-        const key = { job: job.id, occurrence: occurrence.number, step: step.position, position: task.position, run };
-        const startedLast = needsTrial(task) || startedAtMs >= lastStartMs - workedMs;
-        const isCounted = task.crashes?.run === run;
-        if (!startedLast || isCounted || hasProvedItself(task, statuses.get(formatRunKey(key)))) {
+    for (const [key, run] of runs) {
+        const status = statuses.get(key);
+        const hasStartedLast = needsTrial(run.task) || run.startedAtMs >= lastStartMs - workedMs;
+        if (status === undefined || !hasStartedLast || !canBeCause(run, status, silentSinceMs)) {
             continue;
         }
-        const order = compareCrashes(task.crashes, most);
+        const order = compareCrashes(run.task.crashes, most);
         if (order > 0) {
             suspects = [];
         }
         if (order >= 0) {
-            suspects.push(key);
-            most = task.crashes;
+            suspects.push(status);
+            most = run.task.crashes;
         }
     }
-    return suspects;
+    // Of several starts without an answer, the worker may have carried out only the one that crashed it.
+    const clearedRuns = runs.flatMap(([key, { task }]) => {
+        const status = statuses.get(key);
+        return status !== undefined && needsTrial(task) && hasProvedItself(task, status) ? [status.key] : [];
+    });
+    const openStarts = runs.flatMap(([key]) => {
+        const status = statuses.get(key);
+        return status !== undefined && isStartOpen(status) ? [status] : [];
+    });
+    return {
+        suspectedRuns: suspects.map(({ key }) => key),
+        isCertain: suspects.length === 1 && openStarts.every(status => suspects.includes(status)),
+        uncertainRuns: openStarts.length > 1 ? openStarts.map(({ key }) => key) : [],
+        clearedRuns,
+    };
 }
