--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -190,9 +190,9 @@
             leaseUntilMs: 0,
             running: new Map(),
             highestPastRuns: new Map(),
+            nextSequence: 1,
             ended: [],
             acknowledged: 0,
-            nextSequence: 1,
         });
     };
 
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -127,7 +127,9 @@
 ) {
     const nowMs = yield* readMonotonicMs;
     const wasUsable = session.isResponsive && session.isReconciled;
-    session.info = { ...session.info, bornAtMs: session.info.bornAtMs ?? answer.bornAtMs };
+    if (session.info.bornAtMs === undefined && answer.bornAtMs !== undefined) {
+        session.info = { ...session.info, bornAtMs: answer.bornAtMs };
+    }
     session.lease = recordClock(session.lease, answer.clockMs, nowMs);
     session.answeredAtMs = nowMs;
     if (!session.isResponsive) {
@@ -254,8 +256,8 @@
 });
 
 /**
- * Renews the lease of a worker once and applies its report. Returns "startedAgain" and the time of the start if the report is from
- * a later start of the worker.
+ * Renews the lease of a worker once and applies its report. Tells whether the session is kept or has ended, or that the worker has
+ * started again.
  */
 const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     const waitMs = session.isResponsive ? chooseWaitMs(term, session) : 0;
@@ -294,8 +296,8 @@
 });
 
 /**
- * Renews the lease of one worker until the term ends or the worker is gone. Returns what is known of a later start if the worker
- * has started again.
+ * Renews the lease of one worker until the term ends or the worker is gone. If the worker has started again, returns what is known
+ * of it: the earlier start and the time of the later one.
  */
 export const runSession = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     while (canSendOrders(term, yield* readMonotonicMs)) {
--- a/packages/track-workers/src/worker-crashes.test.ts
+++ b/packages/track-workers/src/worker-crashes.test.ts
@@ -1,47 +1,41 @@
 import { formatRunKey } from "@chestnutspool/job-state";
-import {
-    makeJob,
-    makeMachine,
-    makeStep,
-    makeWorker,
-    type TestMachine,
-    testStartMs,
-} from "@chestnutspool/job-state/fakes";
+import { makeJob, makeMachine, makeStep, type TestMachine, testStartMs } from "@chestnutspool/job-state/fakes";
 import type { RunKey } from "@chestnutspool/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createRunStatus, type RunStatus, type RunStatuses } from "./run-statuses.js";
 import { countUnprovedRuns, findCrashSuspects, hasTrial, isDeadly } from "./worker-crashes.js";
 
+const worker = "w1";
 const resources = { milliCpu: 100, memoryMib: 10, accelerators: 0 };
 
 function makeKey(position: number, run = 1): RunKey {
     return { job: "a", occurrence: 0, step: 0, position, run };
 }
 
-/** A machine with a job of ten tasks and two workers. */
+/** A machine with a job of ten tasks and the worker `w1`. */
 function setUp(): TestMachine {
-    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    const machine = makeMachine();
     machine.submit(makeJob("a", [makeStep({ count: 10, resources })]));
     return machine;
 }
 
-function start(machine: TestMachine, positions: readonly number[], nowMs: number, run = 1, worker = "w1"): void {
+function start(machine: TestMachine, positions: readonly number[], nowMs: number, run = 1): void {
     machine.apply(
         { kind: "startRuns", starts: positions.map(position => ({ ...makeKey(position, run), worker })) },
         nowMs,
     );
 }
 
-function getWorker(machine: TestMachine, id = "w1") {
-    const state = machine.state.workers.get(id);
+function getWorker(machine: TestMachine) {
+    const state = machine.state.workers.get(worker);
     assert.ok(state !== undefined);
     return state;
 }
 
 /** Statuses of the runs on a worker whose starts were just confirmed. */
-function makeStatuses(machine: TestMachine, worker = "w1"): RunStatuses {
-    return new Map([...getWorker(machine, worker).runs].map(([key, { task, run }]) => [
+function makeStatuses(machine: TestMachine): RunStatuses {
+    return new Map([...getWorker(machine).runs].map(([key, { task, run }]) => [
         key,
         createRunStatus(makeKey(task.position, run), "confirmed", 0),
     ]));
@@ -59,9 +53,8 @@
     nowMs: number,
     statuses = makeStatuses(machine),
     silentSinceMs = 20,
-    worker = "w1",
 ): number[] {
-    const found = findCrashSuspects(getWorker(machine, worker), statuses, silentSinceMs);
+    const found = findCrashSuspects(getWorker(machine), statuses, silentSinceMs);
     machine.apply({ kind: "expireWorker", worker, isGone: false, checkpoints: [], crash: found }, nowMs);
     return found.suspectedRuns.map(({ position }) => position);
 }
@@ -191,8 +184,8 @@
     crash(machine, testStartMs + 100);
     start(machine, [0], testStartMs + 4_000, 2);
     const statuses = makeStatuses(machine);
-    const worker = getWorker(machine);
-    assert.deepEqual([hasTrial(worker, statuses), countUnprovedRuns(worker, statuses)], [true, 1]);
+    const state = getWorker(machine);
+    assert.deepEqual([hasTrial(state, statuses), countUnprovedRuns(state, statuses)], [true, 1]);
     getStatus(statuses, 0, 2).readAtMs = 500;
-    assert.deepEqual([hasTrial(worker, statuses), countUnprovedRuns(worker, statuses)], [false, 0]);
+    assert.deepEqual([hasTrial(state, statuses), countUnprovedRuns(state, statuses)], [false, 0]);
 });
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -108,11 +108,11 @@
             most = run.task.crashes;
         }
     }
-    // Of several starts without an answer, the worker may have carried out only the one that crashed it.
     const clearedRuns = runs.flatMap(([key, { task }]) => {
         const status = statuses.get(key);
         return status !== undefined && needsTrial(task) && hasProvedItself(task, status) ? [status.key] : [];
     });
+    // Of several starts without an answer, the worker may have carried out only the one that crashed it.
     const openStarts = runs.flatMap(([key]) => {
         const status = statuses.get(key);
         return status !== undefined && isStartOpen(status) ? [status] : [];
