Let suspected tasks go before those that have certainly crashed a worker

Cause: one queue for all suspects. A trial that ends in a crash holds its place for as long as the worker is gone.

Change: half of the workers may be on trial, but only a quarter while the next task has certainly crashed a worker.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -28,7 +28,9 @@
  * Largest share of the workers of a service on which tasks are on trial at the same time, so that tasks that crash their
  * workers do not take a service down. One worker may always be.
  */
-const trialShare = 0.25;
+const trialShare = 0.5;
+/** The same while the task that is to follow has certainly crashed a worker: others do not wait behind such tasks. */
+const certainTrialShare = 0.25;
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
@@ -46,6 +48,13 @@
     readonly findRunStatuses: (worker: WorkerId) => RunStatuses | undefined;
 }
 
+/** Trials of the tasks of a service. */
+interface ServiceTrials {
+    workers: number;
+    /** Tasks on trial, also on workers that are silent. */
+    onTrial: number;
+}
+
 /** State of one planning pass. */
 interface PlanningPass {
     readonly input: PlanInput;
@@ -54,8 +63,8 @@
     readonly kept: ReadonlySet<WorkerCandidate>;
     readonly unmet: UnmetRequirements;
     readonly starts: RunStart[];
-    /** Number of tasks that may still be put on trial, by service. */
-    readonly trialsLeft: Map<string, number>;
+    /** Workers and tasks on trial, by service. */
+    readonly trials: ReadonlyMap<string, ServiceTrials>;
     /** Number of ratings of workers. */
     ratings: number;
 }
@@ -112,23 +121,31 @@
     };
 }
 
-/** Counts the tasks of each service that may be put on trial besides those that are, or whose workers are silent. */
-function countTrialsLeft({ state, findRunStatuses }: PlanInput): Map<string, number> {
-    const workersByService = new Map<string, number>();
-    const trialsByService = new Map<string, number>();
+function countTrials({ state, findRunStatuses }: PlanInput): ReadonlyMap<string, ServiceTrials> {
+    const trials = new Map<string, ServiceTrials>();
     for (const worker of state.workers.values()) {
         const { id, service } = worker.info;
-        workersByService.set(service, (workersByService.get(service) ?? 0) + 1);
-        if (hasTrial(worker, findRunStatuses(id))) {
-            trialsByService.set(service, (trialsByService.get(service) ?? 0) + 1);
-        }
+        const ofService = trials.get(service) ?? { workers: 0, onTrial: 0 };
+        trials.set(service, ofService);
+        ofService.workers += 1;
+        ofService.onTrial += hasTrial(worker, findRunStatuses(id)) ? 1 : 0;
     }
-    const trialsLeft = new Map<string, number>();
-    for (const [service, workers] of workersByService) {
-        const limit = Math.max(1, Math.floor(workers * trialShare));
-        trialsLeft.set(service, limit - (trialsByService.get(service) ?? 0));
+    return trials;
+}
+
+/** Counts a task that the pass puts on trial, or takes off it. */
+function addTrial(pass: PlanningPass, { job }: WaitingStep, change: 1 | -1): void {
+    const ofService = pass.trials.get(job.queue.service);
+    if (ofService !== undefined) {
+        ofService.onTrial += change;
     }
-    return trialsLeft;
+}
+
+/** Whether a task may be put on trial in this pass. */
+function canTry(pass: PlanningPass, { job }: WaitingStep, { crashes }: JobTask): boolean {
+    const { workers, onTrial } = pass.trials.get(job.queue.service) ?? { workers: 0, onTrial: 0 };
+    const share = (crashes?.certain ?? 0) > 0 ? certainTrialShare : trialShare;
+    return onTrial < Math.max(1, Math.floor(workers * share));
 }
 
 /** Reserves a worker for a task that may crash it; no other task starts there meanwhile. */
@@ -139,7 +156,7 @@
     const { job, step } = waiting;
     const candidate = ratings.chooseTrialWorker();
     if (candidate !== undefined) {
-        pass.trialsLeft.set(job.queue.service, (pass.trialsLeft.get(job.queue.service) ?? 0) - 1);
+        addTrial(pass, waiting, 1);
         reserveCapacity(candidate, job.id, step.spec, stepKey);
         candidate.isOnTrial = true;
         ratings.updateAfterStart(candidate);
@@ -147,11 +164,6 @@
     return candidate;
 }
 
-/** Whether another task of a service may be put on trial in this pass. */
-function canTry(pass: PlanningPass, { job }: WaitingStep): boolean {
-    return (pass.trialsLeft.get(job.queue.service) ?? 0) > 0;
-}
-
 /**
  * Reserves capacity for a task on the most suitable worker; on the worker of its last failed run only if no other one
  * is suitable.
@@ -194,7 +206,7 @@
         tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
     }
     for (const task of tasks.slice(0, isStarved ? 1 : startsPerPass - pass.starts.length)) {
-        if (needsTrial(task) && !canTry(pass, waiting)) {
+        if (needsTrial(task) && !canTry(pass, waiting, task)) {
             return;
         }
         const candidate = reserveWorker(pass, plan, task);
@@ -214,7 +226,8 @@
         return;
     }
     // All members that need a trial get theirs at once, because the gang only starts as a whole.
-    if (tasks.some(needsTrial) && !canTry(pass, waiting)) {
+    const suspect = tasks.find(needsTrial);
+    if (suspect !== undefined && !canTry(pass, waiting, suspect)) {
         return;
     }
     const plan = createStepPlan(pass, waiting, isStarved);
@@ -236,7 +249,7 @@
             releaseCapacity(candidate, job.id, step.spec, plan.stepKey);
             if (needsTrial(task)) {
                 candidate.isOnTrial = false;
-                pass.trialsLeft.set(job.queue.service, (pass.trialsLeft.get(job.queue.service) ?? 0) + 1);
+                addTrial(pass, waiting, -1);
             }
         });
         return;
@@ -321,7 +334,7 @@
         kept: listKeptWorkers(input.state, candidates),
         unmet: createUnmetRequirements(),
         starts: [],
-        trialsLeft: countTrialsLeft(input),
+        trials: countTrials(input),
         ratings: 0,
     };
     planWithinLimit(memory, waitingSteps, waiting => {
