Count every crash under a task, and give it up sooner if one is certain

Three crashes of a deadly task went uncounted, and it was started six times, though by processes that were not in touch.

Change: each crash counts. Four in succession give a task up, three if one of them is certain, two that are certain. One certain crash alone does not, because the platform asks for two.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -176,10 +176,9 @@
 function recordCrashes(
     state: JobState,
     worker: WorkerState,
-    { suspectedRuns, isCertain, uncertainRuns, clearedRuns }: WorkerCrash,
+    { suspectedRuns, isCertain, clearedRuns }: WorkerCrash,
 ): void {
     const suspected = new Set(suspectedRuns.map(formatRunKey));
-    const uncertain = new Set(uncertainRuns.map(formatRunKey));
     const cleared = new Set(clearedRuns.map(formatRunKey));
     for (const [key, run] of worker.runs) {
         if (cleared.has(key)) {
@@ -188,7 +187,7 @@
         else {
             const isSuspected = suspected.has(key);
             recordCrash(state, run, {
-                crashes: uncertain.has(key) ? 0 : 1,
+                crashes: 1,
                 suspicions: isSuspected ? 1 : 0,
                 certain: isSuspected && isCertain ? 1 : 0,
             });
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -10,10 +10,8 @@
 const longTrialMs = 3_000;
 /** Crashes under a task in succession from which it is on trial even if others were suspected of them. */
 const crashesForTrial = 2;
-/** Certain crashes from which a task is given up. */
-const certainCrashesToGiveUp = 2;
-/** Crashes in succession from which a task is given up although others may have caused them, or nothing is known of their time. */
-const crashesToGiveUp = 4;
+/** Crashes in succession from which a task is given up, by the number of those that are certain. */
+const crashesToGiveUp = [4, 3, 2] as const;
 /**
  * Longest time from the end of the time in which a run proves itself until its worker falls silent, in milliseconds; if it takes
  * longer, the leader was held up and the run may have ended before the crash.
@@ -30,7 +28,9 @@
     if (crashes === undefined) {
         return false;
     }
-    return crashes.certain >= certainCrashesToGiveUp || crashes.crashes >= crashesToGiveUp;
+    const [withoutCertain, withOneCertain, withTwoCertain] = crashesToGiveUp;
+    const needed = crashes.certain === 0 ? withoutCertain : crashes.certain === 1 ? withOneCertain : withTwoCertain;
+    return crashes.crashes >= needed;
 }
 
 function computeProvingMs(task: JobTask): number {
@@ -120,7 +120,6 @@
     return {
         suspectedRuns: suspects.map(({ key }) => key),
         isCertain: suspects.length === 1 && openStarts.every(status => suspects.includes(status)),
-        uncertainRuns: openStarts.length > 1 ? openStarts.map(({ key }) => key) : [],
         clearedRuns,
     };
 }
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -186,8 +186,6 @@
     readonly suspectedRuns: readonly RunKey[];
     /** Whether one run only is suspected and had certainly started. */
     readonly isCertain: boolean;
-    /** Runs that may not have started: starts without an answer, unless there is one only. */
-    readonly uncertainRuns: readonly RunKey[];
     /** Runs of tasks that had been suspected before and have proved that they do not crash their worker. */
     readonly clearedRuns: readonly RunKey[];
 }
