Ask one function whether a worker has announced its end

The same condition, that a worker has left or drains, decided in two places whether its end is a crash. No behaviour changes; compiler, linter, formatter and the tests of lead-jobs pass.

--- a/packages/lead-jobs/src/expire-worker.ts
+++ b/packages/lead-jobs/src/expire-worker.ts
@@ -25,6 +25,11 @@
     return state !== undefined && state.info.bornAtMs === session.info.bornAtMs;
 }
 
+/** Whether a worker has said that it will end, so that its end is no crash. */
+export function hasAnnouncedEnd(term: Term, session: WorkerSession): boolean {
+    return session.leftAtMs !== undefined || findWorkerState(term, session)?.isDraining === true;
+}
+
 /** Why the runs of a worker have ended with it. */
 export interface WorkerEnd {
     readonly reason: string;
@@ -93,7 +98,7 @@
     answer: RenewAnswer,
     nowMs: number,
 ): WorkerEnd | undefined {
-    const isExpected = session.leftAtMs !== undefined || findWorkerState(term, session)?.isDraining === true;
+    const isExpected = hasAnnouncedEnd(term, session);
     if (answer.kind === "refused" && answer.reason === "otherWorker") {
         return { reason: "another worker answers at the address", isGone: true, isCrash: !isExpected };
     }
--- a/packages/lead-jobs/src/open-session.ts
+++ b/packages/lead-jobs/src/open-session.ts
@@ -2,7 +2,7 @@
 import { createRunStatus } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RunKey, type WorkerInfo } from "@chestnutspool/types";
 import { Effect, FiberMap } from "effect";
-import { expireWorker, findWorkerState } from "./expire-worker.js";
+import { expireWorker, hasAnnouncedEnd } from "./expire-worker.js";
 import { requestStop } from "./send-orders.js";
 import { superviseLoop } from "./supervise-loop.js";
 import { logStepError, type Term, type WorkerSession } from "./term.js";
@@ -100,8 +100,11 @@
         openStarts: openStarts.length,
     });
     term.workers.closeConnections(earlier.info);
-    const isExpected = earlier.leftAtMs !== undefined || findWorkerState(term, earlier)?.isDraining === true;
-    const end = { reason: "the worker has started again", isGone: openStarts.length === 0, isCrash: !isExpected };
+    const end = {
+        reason: "the worker has started again",
+        isGone: openStarts.length === 0,
+        isCrash: !hasAnnouncedEnd(term, earlier),
+    };
     yield* Effect.onError(expireWorker(term, earlier, end, openStarts), () =>
         Effect.sync(() => {
             earlier.isSuperseded = false;
