Let operators evacuate an availability zone

Cause: POST and DELETE /api/evacuate/ZONE were unknown calls and answered 404, so that an evacuation was neither carried out nor acknowledged. Change: the order is a command of the log of jobs. Starts in an evacuated zone are refused by the state machine, left out by the planner and not sent if they were committed before. Admission counts the workers that take starts.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -18,7 +18,7 @@
     WorkerRun,
     WorkerState,
 } from "./job-state.js";
-import { computeReservation, createEmptyDefinition, isJobEnded, isStepReady } from "./job-state.js";
+import { acceptsStarts, computeReservation, createEmptyDefinition, isJobEnded, isStepReady } from "./job-state.js";
 import { formatRunKey, formatTaskKey } from "./run-keys.js";
 
 type CommandOf<Kind extends JobCommand["kind"]> = Extract<JobCommand, { readonly kind: Kind; }>;
@@ -53,7 +53,7 @@
 function startRun(state: JobState, start: RunStart): boolean {
     const found = findTask(state, start);
     const worker = state.workers.get(start.worker);
-    if (found === undefined || worker === undefined || worker.isDraining) {
+    if (found === undefined || worker === undefined || !acceptsStarts(state, worker)) {
         return false;
     }
     const { job, occurrence, step, task } = found;
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -2,6 +2,7 @@
 export { countFailures } from "./change-runs.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
 export {
+    acceptsStarts,
     computeReservation,
     createJob,
     isJobEnded,
--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -5,6 +5,7 @@
     type JobResult,
     noResources,
     type StateMachine,
+    type ZoneAdmission,
 } from "@chestnutspool/types";
 import { cancelJob, setConfiguration, submitJob } from "./change-jobs.js";
 import { endRun, expireRuns, startRuns } from "./change-runs.js";
@@ -51,6 +52,15 @@
     }
 }
 
+function setZoneAdmission(state: JobState, { availabilityZone, isEvacuated }: ZoneAdmission): void {
+    if (isEvacuated) {
+        state.evacuatedZones.add(availabilityZone);
+    }
+    else {
+        state.evacuatedZones.delete(availabilityZone);
+    }
+}
+
 /** Adds a maintenance wave. A known wave is not changed, so that a repeated request has no effect. */
 function startWave(state: JobState, command: Extract<JobCommand, { kind: "startWave"; }>): void {
     if (!state.waves.has(command.wave.wave)) {
@@ -102,6 +112,9 @@
         case "startWave":
             startWave(state, command);
             return { kind: "done" };
+        case "setZoneAdmission":
+            setZoneAdmission(state, command);
+            return { kind: "done" };
         case "recordUpkeep":
             state.waves.get(command.wave)?.begun.add(command.host);
             return { kind: "done" };
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -137,6 +137,8 @@
     /** Closed jobs, which have ended and have no run in progress, in the order in which they closed. */
     readonly closedJobs: Set<JobId>;
     readonly workers: Map<WorkerId, WorkerState>;
+    /** Availability zones in which no run starts. */
+    readonly evacuatedZones: Set<string>;
     readonly waves: Map<number, WaveState>;
     /** Interference estimates for pairs of images, by both image names, least recently recorded first. */
     readonly disturbances: Map<string, DisturbanceEstimate>;
@@ -153,6 +155,7 @@
         openJobs: new Map(),
         closedJobs: new Set(),
         workers: new Map(),
+        evacuatedZones: new Set(),
         waves: new Map(),
         disturbances: new Map(),
         servicesByQueue: new Map(),
@@ -164,6 +167,11 @@
     return spec.usesIdleCpu ? { ...spec.resources, milliCpu: 0 } : spec.resources;
 }
 
+/** Whether the scheduler may start runs on a worker, by the recorded state. */
+export function acceptsStarts({ evacuatedZones }: JobState, { info, isDraining }: WorkerState): boolean {
+    return !isDraining && !evacuatedZones.has(info.availabilityZone);
+}
+
 /** Whether a job has ended, so that no further run starts. */
 export function isJobEnded(job: JobRecord): boolean {
     return job.phase === "completed" || job.phase === "failed" || job.phase === "cancelled";
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -79,6 +79,8 @@
     /** Ids of the closed jobs, in the order in which they closed. */
     readonly closed: readonly string[];
     readonly workers: readonly SavedWorker[];
+    /** Earlier builds do not write it. */
+    readonly evacuatedZones?: readonly string[];
     readonly waves: readonly {
         readonly wave: MaintenanceWave;
         readonly requestedAtMs: number;
@@ -168,6 +170,7 @@
             largestCapacity,
             sequence,
         })),
+        evacuatedZones: [...state.evacuatedZones],
         waves: [...state.waves.values()].map(({ wave, requestedAtMs, begun }) => ({
             wave,
             requestedAtMs,
@@ -277,6 +280,7 @@
             state.openJobs,
             state.closedJobs,
             state.workers,
+            state.evacuatedZones,
             state.waves,
             state.disturbances,
             state.servicesByQueue,
@@ -290,6 +294,7 @@
         const used = noResources;
         state.workers.set(info.id, { info, isDraining, largestCapacity, sequence, used, runs: new Map() });
     }
+    saved.evacuatedZones?.forEach(zone => state.evacuatedZones.add(zone));
     saved.jobs.forEach(job => restoreJob(state, job));
     saved.closed.forEach(id => state.closedJobs.add(id));
     for (const { wave, requestedAtMs, begun } of saved.waves) {
--- a/packages/lead-jobs/src/admission.ts
+++ b/packages/lead-jobs/src/admission.ts
@@ -12,7 +12,7 @@
     recordStarted,
     type Throughput,
 } from "@chestnutspool/admit-jobs";
-import type { JobState } from "@chestnutspool/job-state";
+import { acceptsStarts, type JobState } from "@chestnutspool/job-state";
 import {
     addResources,
     type JobCommand,
@@ -128,16 +128,21 @@
     coresInUse: number;
 }
 
-/** Sums for each pool what its workers have and what their runs use; best-effort runs count with their processors. */
+/**
+ * Sums for each pool what the workers that take starts have and what their runs use; best-effort runs count with their
+ * processors.
+ */
 function sumPools(state: JobState): Map<string, PoolUse> {
     const none: Resources = { milliCpu: 0, memoryMib: 0, accelerators: 0 };
     const pools = new Map<string, PoolUse>();
-    for (const { info, runs } of state.workers.values()) {
+    for (const worker of state.workers.values()) {
+        const { info, runs } = worker;
         const pool = pools.get(info.service) ?? { capacity: none, used: none, coresInUse: 0 };
         pools.set(info.service, pool);
-        pool.capacity = addResources(pool.capacity, info.capacity);
+        const isInUse = acceptsStarts(state, worker);
+        pool.capacity = isInUse ? addResources(pool.capacity, info.capacity) : pool.capacity;
         for (const { step: { spec } } of runs.values()) {
-            pool.used = addResources(pool.used, spec.resources);
+            pool.used = isInUse ? addResources(pool.used, spec.resources) : pool.used;
             pool.coresInUse += spec.longRunning ? 0 : spec.resources.milliCpu / milliCpuPerCore;
         }
     }
--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -97,7 +97,7 @@
                 log: wrapLog(log.createReplica(self)),
                 machine,
                 workers: wrapPort(workers.port),
-                limits: { longestLeaseMs: testLeaseMs, stopMs: 200 },
+                limits: { longestLeaseMs: testLeaseMs, stopMs: 200, availabilityZones: ["z", "z2"] },
                 logger,
                 metrics,
             }),
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -173,6 +173,40 @@
     } satisfies JobReply;
 });
 
+function isKnownZone({ machine, limits }: Term, availabilityZone: string): boolean {
+    if (limits.availabilityZones.includes(availabilityZone) || machine.state.evacuatedZones.has(availabilityZone)) {
+        return true;
+    }
+    for (const { info } of machine.state.workers.values()) {
+        if (info.availabilityZone === availabilityZone) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const setZoneAdmission = Effect.fnUntraced(function*(term: Term, request: RequestOf<"setZoneAdmission">) {
+    const { availabilityZone, isEvacuated } = request;
+    if (!isKnownZone(term, availabilityZone)) {
+        term.logger.warn("order for an unknown availability zone", { zone: availabilityZone, isEvacuated });
+        return { kind: "invalid", detail: `there is no availability zone "${availabilityZone}"` } satisfies JobReply;
+    }
+    const wasEvacuated = term.machine.state.evacuatedZones.has(availabilityZone);
+    // A repeated order is committed too, because the opposite order may be proposed and not committed yet.
+    yield* propose(term, request);
+    const workers = [...term.machine.state.workers.values()].filter(({ info }) =>
+        info.availabilityZone === availabilityZone
+    );
+    term.logger.info(isEvacuated ? "availability zone is evacuated" : "availability zone is in use again", {
+        zone: availabilityZone,
+        wasEvacuated,
+        workers: workers.length,
+        runs: workers.reduce((sum, { runs }) => sum + runs.size, 0),
+    });
+    wakePlanner(term);
+    return { kind: "done" } satisfies JobReply;
+});
+
 /** Whether the reply depends on the queues of the configuration. */
 function needsQueue({ kind }: JobRequest): boolean {
     return kind === "submitJob" || kind === "readJob" || kind === "cancelJob" || kind === "countPending";
@@ -201,6 +235,8 @@
             return removeWorker(term, request);
         case "startWave":
             return Effect.map(propose(term, { kind: "startWave", wave: request.wave }), convertResult);
+        case "setZoneAdmission":
+            return setZoneAdmission(term, request);
         case "readWave":
             return Effect.sync(() => readWave(term, request));
     }
--- a/packages/lead-jobs/src/log-handover.test.ts
+++ b/packages/lead-jobs/src/log-handover.test.ts
@@ -46,7 +46,7 @@
                             return Effect.delay(workers.port.renewLease(worker, order, limitMs), roundTripMs);
                         }),
                 },
-                limits: { longestLeaseMs: 6_000, stopMs: 200 },
+                limits: { longestLeaseMs: 6_000, stopMs: 200, availabilityZones: [] },
                 logger: silentLogger,
                 metrics: createMetrics(),
             });
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -99,7 +99,8 @@
     ticket: string | undefined,
 ) {
     const sentAtMs = yield* readMonotonicMs;
-    if (session.lease === undefined || session.isSuperseded || !canSendOrders(term, sentAtMs)) {
+    const isEvacuated = term.machine.state.evacuatedZones.has(session.info.availabilityZone);
+    if (session.lease === undefined || session.isSuperseded || isEvacuated || !canSendOrders(term, sentAtMs)) {
         // Never sent: the next report that does not list the run ends it.
         setStart(status, "excluded", sentAtMs);
         return;
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -22,12 +22,14 @@
 import { readTermMs, type SteadyClock } from "./steady-clock.js";
 import { recordCommit, type TermLoad } from "./term-load.js";
 
-/** Durations that the deployment sets, in milliseconds. */
+/** What the deployment sets. */
 export interface LeaderLimits {
-    /** Longest lease that a worker takes. */
+    /** Longest lease that a worker takes, in milliseconds. */
     readonly longestLeaseMs: number;
-    /** Longest time that a worker needs to stop a run. */
+    /** Longest time that a worker needs to stop a run, in milliseconds. */
     readonly stopMs: number;
+    /** Availability zones of the deployment; workers may be in others. */
+    readonly availabilityZones: readonly string[];
 }
 
 /** Dependencies of the leader. */
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,4 +1,4 @@
-import { formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
+import { acceptsStarts, formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import { hasTrial, needsTrial, type RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
@@ -81,7 +81,7 @@
 /** Lists the workers on which tasks may start. */
 export function listCandidates({ state, isUsable, findStartLimit, findRunStatuses }: PlanInput): WorkerCandidate[] {
     return [...state.workers.values()]
-        .filter(worker => !worker.isDraining && isUsable(worker.info.id))
+        .filter(worker => acceptsStarts(state, worker) && isUsable(worker.info.id))
         .map(worker => createWorkerCandidate(worker, findRunStatuses(worker.info.id), findStartLimit(worker.info.id)));
 }
 
--- a/packages/run-job-process/src/create-job-process.ts
+++ b/packages/run-job-process/src/create-job-process.ts
@@ -101,7 +101,7 @@
                 log: kernel.findService(logKey),
                 machine: kernel.findService(machineKey),
                 workers: kernel.findService(workerCallsKey).port,
-                limits: { longestLeaseMs: control.longestLeaseMs, stopMs: control.stopMs },
+                limits: control,
                 logger: logger.forService("leader"),
                 metrics,
             });
--- a/packages/run-job-process/src/job-processes.test.ts
+++ b/packages/run-job-process/src/job-processes.test.ts
@@ -84,7 +84,13 @@
         seeds: controlHosts.map(id => ({ id, address: `${id}:${peerPort}` })),
         control: host === entryHost
             ? undefined
-            : { dataFolder: join(folder, host), formsCluster, longestLeaseMs: 6_000, stopMs: 200 },
+            : {
+                dataFolder: join(folder, host),
+                formsCluster,
+                longestLeaseMs: 6_000,
+                stopMs: 200,
+                availabilityZones: [],
+            },
         logLevel: "info",
     });
     const startsByHost = new Map<string, number>();
--- a/packages/run-job-process/src/process-settings.ts
+++ b/packages/run-job-process/src/process-settings.ts
@@ -1,14 +1,11 @@
+import type { LeaderLimits } from "@chestnutspool/lead-jobs";
 import type { ControlAddress, LogSection } from "@chestnutspool/types";
 
 /** Settings that only a control process has. */
-export interface ControlSettings {
+export interface ControlSettings extends LeaderLimits {
     readonly dataFolder: string;
     /** Whether the process forms a new cluster; true only at the first start of the whole system. */
     readonly formsCluster: boolean;
-    /** Longest lease that a worker accepts, in milliseconds. */
-    readonly longestLeaseMs: number;
-    /** Longest time that a worker needs to stop a run, in milliseconds. */
-    readonly stopMs: number;
 }
 
 /** Settings of a process that takes part in scheduling jobs. */
--- a/packages/run-job-process/src/read-gauges.ts
+++ b/packages/run-job-process/src/read-gauges.ts
@@ -16,6 +16,7 @@
     const { state } = kernel.findService(machineKey);
     yield { name: "jobs_open", value: state.openJobs.size };
     yield { name: "workers", value: state.workers.size };
+    yield { name: "zones_evacuated", value: state.evacuatedZones.size };
     yield { name: "worker_call_relays", value: kernel.findService(workerCallsKey).countRelays() };
     yield { name: "configuration_version", value: state.configuration?.version ?? 0 };
     let runs = 0;
--- a/packages/types/src/describe-job-request.ts
+++ b/packages/types/src/describe-job-request.ts
@@ -23,6 +23,12 @@
             return { request: request.kind, worker: request.worker };
         case "startWave":
             return { request: request.kind, wave: request.wave.wave };
+        case "setZoneAdmission":
+            return {
+                request: request.kind,
+                zone: request.availabilityZone,
+                isEvacuated: request.isEvacuated ? "true" : "false",
+            };
         case "readWave":
             return { request: request.kind, wave: request.wave };
     }
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -203,6 +203,14 @@
     readonly task: string;
 }
 
+/** Whether runs may start on the workers of an availability zone. */
+export interface ZoneAdmission {
+    readonly kind: "setZoneAdmission";
+    readonly availabilityZone: string;
+    /** No run starts in the zone until it is set to false; what runs there goes on. */
+    readonly isEvacuated: boolean;
+}
+
 /** A command of the replicated log of jobs; `nowMs` is the leader's wall-clock time in milliseconds since the epoch. */
 export type JobCommand =
     & { readonly nowMs: number; }
@@ -247,6 +255,8 @@
         }
         | { readonly kind: "setConfiguration"; readonly configuration: QueueConfiguration; }
         | { readonly kind: "startWave"; readonly wave: MaintenanceWave; }
+        /** Replicas of earlier builds do not know it, so that a zone is to be evacuated only once all are upgraded. */
+        | ZoneAdmission
         | { readonly kind: "recordUpkeep"; readonly wave: number; readonly host: string; }
         /** Estimates that the leader has learnt since it last recorded any, so that the next leader has them. */
         | { readonly kind: "recordDisturbances"; readonly pairs: readonly DisturbanceEstimate[]; }
@@ -304,6 +314,7 @@
     /** `bornAtMs` as in `WorkerInfo`. */
     | { readonly kind: "removeWorker"; readonly worker: WorkerId; readonly bornAtMs?: number | undefined; }
     | { readonly kind: "startWave"; readonly wave: MaintenanceWave; }
+    | ZoneAdmission
     | { readonly kind: "readWave"; readonly wave: number; };
 
 /** Why a job was not accepted; it certainly does not run. */
