Let operators evacuate a zone through the product's own interface

Cause: only the platform's adapter had the order; operators of the product's own interface had to drain worker by worker. Change: change setZoneAdmission with RPC and command line; placeTask refuses workers of an evacuated zone, the placer leaves them out, workers lists the zones. Result: tests of cluster-state, place-tasks and cli pass; the random commands include the order.

--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -18,6 +18,7 @@
 import { tenantsCommand } from "./tenants/index.js";
 import { workerCommand } from "./worker/index.js";
 import { workersCommand } from "./workers/index.js";
+import { zoneCommand } from "./zone/index.js";
 
 /** All commands, in the order of the help text. */
 export const commands: readonly CliCommand[] = [
@@ -34,6 +35,7 @@
     configCommand,
     workersCommand,
     workerCommand,
+    zoneCommand,
     minionsCommand,
     membersCommand,
     drainCommand,
--- a/packages/cli/src/list-tables.ts
+++ b/packages/cli/src/list-tables.ts
@@ -95,7 +95,13 @@
     }];
 }
 
-/** Tables of workers. */
+function listEvacuatedZones({ evacuatedZones }: ListWorkersResponse): readonly Table[] {
+    return evacuatedZones.length === 0
+        ? []
+        : [{ header: ["EVACUATED ZONE"], rows: evacuatedZones.map(zone => [zone]) }];
+}
+
+/** Tables of workers, and of the evacuated zones if there are any. */
 export function listWorkersTables(response: ListWorkersResponse): readonly Table[] {
     return [{
         header: ["WORKER", "ZONE", "RACK", "ADMISSION", "CAPACITY", "USED", "FAILURES", "LAST SYNC MS"],
@@ -109,7 +115,7 @@
             worker.failuresInRow,
             worker.lastSyncMs,
         ]),
-    }];
+    }, ...listEvacuatedZones(response)];
 }
 
 /** Tables of minions. */
--- a/packages/cluster-state/src/check-operator-change.ts
+++ b/packages/cluster-state/src/check-operator-change.ts
@@ -170,6 +170,10 @@
             return change.admission === "open" || change.admission === "draining"
                 ? undefined
                 : createFieldError("admission", change.admission, "open or draining");
+        case "setZoneAdmission":
+            return change.admission === "open" || change.admission === "evacuated"
+                ? undefined
+                : createFieldError("admission", change.admission, "open or evacuated");
         case "drainEntry":
             return undefined;
     }
--- a/packages/cluster-state/src/fakes/random-commands.ts
+++ b/packages/cluster-state/src/fakes/random-commands.ts
@@ -93,7 +93,13 @@
                 admission: second % 2 === 0 ? "open" : "draining",
             };
         case 3:
-            return { kind: "drainEntry", entry: `entry-${second % 4}` };
+            return second % 2 === 0
+                ? { kind: "drainEntry", entry: `entry-${second % 4}` }
+                : {
+                    kind: "setZoneAdmission",
+                    availabilityZone: "a",
+                    admission: second % 4 === 1 ? "evacuated" : "open",
+                };
         default: {
             const revision = state.works.get(name)?.revision ?? 0;
             const expectedRevision = first % 8 === 4 ? Math.max(0, revision - 1) : revision;
--- a/packages/cluster-state/src/model.ts
+++ b/packages/cluster-state/src/model.ts
@@ -76,6 +76,7 @@
     /** Times at which the last open task of a work ended or a work without one was cancelled, by name, oldest first. */
     readonly finishedWorks: Map<string, number>;
     readonly workers: Map<WorkerId, ModelWorker>;
+    readonly evacuatedZones: Set<string>;
     readonly tenants: Map<TenantId, TenantRecord>;
     readonly entries: Map<EntryId, EntrySessionRecord>;
     readonly minions: Map<string, MinionInfo>;
@@ -110,6 +111,7 @@
         openTasksByWork: new Map(),
         finishedWorks: new Map(),
         workers: new Map(),
+        evacuatedZones: new Set(),
         tenants: new Map(),
         entries: new Map(),
         minions: new Map(),
--- a/packages/cluster-state/src/operator-changes.ts
+++ b/packages/cluster-state/src/operator-changes.ts
@@ -6,7 +6,7 @@
 import type { Model } from "./model.js";
 import { drainEntry } from "./session-commands.js";
 import { applyTenant, applyWork, cancelWorks, forgetFinishedWorks } from "./work-changes.js";
-import { setWorkerAdmission } from "./worker-commands.js";
+import { setWorkerAdmission, setZoneAdmission } from "./worker-commands.js";
 
 /** Number of operator request ids that are kept regardless of their age. */
 const requestIdLimit = 10_000;
@@ -41,6 +41,8 @@
             return change.admission === "setAside"
                 ? Right(0)
                 : setWorkerAdmission(model, change.worker, change.admission);
+        case "setZoneAdmission":
+            return setZoneAdmission(model, change.availabilityZone, change.admission);
         case "drainEntry":
             return drainEntry(model, change.entry);
     }
--- a/packages/cluster-state/src/snapshot.ts
+++ b/packages/cluster-state/src/snapshot.ts
@@ -43,6 +43,8 @@
 /** The first value of a snapshot; the records of the maps follow as pairs of key and record. */
 interface SnapshotHead extends Pick<Model, (typeof storedValues)[number] | (typeof storedLists)[number]> {
     readonly version: number;
+    /** Earlier builds do not write it. */
+    readonly evacuatedZones?: readonly string[];
     /** Number of records of each map, in the order of `recordMaps`. */
     readonly counts: readonly number[];
     readonly times: Readonly<Record<(typeof timeMaps)[number], readonly (readonly [string, number])[]>>;
@@ -69,6 +71,7 @@
     return packr.pack({
         version: snapshotVersion,
         ...Object.fromEntries([...storedValues, ...storedLists].map(name => [name, model[name]])),
+        evacuatedZones: [...model.evacuatedZones],
         counts: recordMaps.map(name => model[name].size),
         times: Object.fromEntries(timeMaps.map(name => [name, [...model[name]]])),
         finishedRequests: byTenant.flatMap(requests => [...requests.finished]),
@@ -133,6 +136,8 @@
     for (const name of storedLists) {
         model[name].splice(0, model[name].length, ...(head[name] as never[]));
     }
+    model.evacuatedZones.clear();
+    head.evacuatedZones?.forEach(zone => model.evacuatedZones.add(zone));
     for (const name of timeMaps) {
         for (const [key, timeMs] of head.times[name]) {
             model[name].set(key, timeMs);
--- a/packages/cluster-state/src/task-commands.test.ts
+++ b/packages/cluster-state/src/task-commands.test.ts
@@ -92,3 +92,19 @@
     registerWorker(driver, "worker-1", "first");
     assert.ok(driver.state.pendingTasks.has("watch-a/0"));
 });
+
+// Guards against a placement that was decided before the zone was evacuated and is applied after it.
+void test("workers of an evacuated zone get no task until the zone is restored", () => {
+    const driver = makeDriver();
+    registerWorker(driver, "worker-0", "first");
+    driver.change("s", makeApplyWork("service-a", 2, 0));
+    const place = (task: string) => driver.apply({ kind: "placeTask", task, worker: "worker-0", previousToken: 0 });
+    const setZone = (id: string, availabilityZone: string, admission: "open" | "evacuated") =>
+        driver.change(id, { kind: "setZoneAdmission", availabilityZone, admission });
+    assert.equal(getRefusal(setZone("e0", "elsewhere", "evacuated")).kind, "notFound");
+    assert.equal(setZone("e1", "a", "evacuated").kind, "done");
+    assert.equal(setZone("e1", "a", "evacuated").kind, "done");
+    assert.equal(getRefusal(place("service-a/0")).kind, "invalidArgument");
+    assert.equal(setZone("e2", "a", "open").kind, "done");
+    assert.equal(place("service-a/0").kind, "done");
+});
--- a/packages/cluster-state/src/task-commands.ts
+++ b/packages/cluster-state/src/task-commands.ts
@@ -42,12 +42,13 @@
     const held = model.tasksByWorker.get(worker)?.size ?? 0;
     // A worker that is set aside gets one task at a time as a probe of whether it works again.
     const isAdmitted = record.admission === "open" || (record.admission === "setAside" && held === 0);
-    return isAdmitted
+    const isEvacuated = model.evacuatedZones.has(record.availabilityZone);
+    return isAdmitted && !isEvacuated
         ? undefined
         : {
             kind: "invalidArgument",
             field: "worker",
-            seen: record.admission,
+            seen: isEvacuated ? "evacuated" : record.admission,
             allowed: "a worker that takes new tasks",
         };
 }
--- a/packages/cluster-state/src/worker-commands.ts
+++ b/packages/cluster-state/src/worker-commands.ts
@@ -7,6 +7,7 @@
     subtractResources,
     type TaskRecord,
     type WorkerId,
+    type ZoneAdmission,
 } from "@chestnutspool/types";
 import { type Either, Left, Right } from "purify-ts";
 import { checkResources } from "./check-operator-change.js";
@@ -166,3 +167,36 @@
     addEvent(model, "workerSetAside", id, `admission ${admission}`);
     return Right(0);
 }
+
+function isKnownZone(model: Model, zone: string): boolean {
+    if (model.evacuatedZones.has(zone)) {
+        return true;
+    }
+    for (const records of [model.workers, model.entries, model.minions]) {
+        for (const { availabilityZone } of records.values()) {
+            if (availabilityZone === zone) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/** Sets whether the workers of an availability zone take new tasks; the tasks that run there go on. */
+export function setZoneAdmission(
+    model: Model,
+    zone: string,
+    admission: ZoneAdmission,
+): Either<ErrorData, number> {
+    if (!isKnownZone(model, zone)) {
+        return Left({ kind: "notFound", object: "availability zone", id: zone });
+    }
+    if (admission === "evacuated") {
+        model.evacuatedZones.add(zone);
+    }
+    else {
+        model.evacuatedZones.delete(zone);
+    }
+    addEvent(model, "zoneChanged", zone, `admission ${admission}`);
+    return Right(0);
+}
--- a/packages/control/src/operator/changes.ts
+++ b/packages/control/src/operator/changes.ts
@@ -10,6 +10,7 @@
     type DrainEntryRequest,
     type SetConfigurationRequest,
     type SetWorkerAdmissionRequest,
+    type SetZoneAdmissionRequest,
 } from "@chestnutspool/schema";
 import type {
     CommandResult,
@@ -18,6 +19,7 @@
     OperatorChange,
     WorkerAdmission,
     WorkSpec,
+    ZoneAdmission,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { type ControlContext, propose } from "../control-context.js";
@@ -92,6 +94,16 @@
     });
 }
 
+/** Sets the admission of an availability zone to open or evacuated; other values are refused when the change is applied. */
+export function setZoneAdmission(context: ControlContext, request: SetZoneAdmissionRequest) {
+    const admission = request.admission as ZoneAdmission;
+    return applyChange(context, request.operatorRequestId, {
+        kind: "setZoneAdmission",
+        availabilityZone: request.availabilityZone,
+        admission,
+    });
+}
+
 /** Drains an entry host, so that it hands over the items that it owns. */
 export function drainEntry(context: ControlContext, request: DrainEntryRequest) {
     return applyChange(context, request.operatorRequestId, { kind: "drainEntry", entry: request.entry });
--- a/packages/control/src/operator/handle-operator-call.ts
+++ b/packages/control/src/operator/handle-operator-call.ts
@@ -56,6 +56,11 @@
         schema.ChangeResponseSchema,
         changes.setWorkerAdmission,
     ),
+    SetZoneAdmission: defineChange(
+        schema.SetZoneAdmissionRequestSchema,
+        schema.ChangeResponseSchema,
+        changes.setZoneAdmission,
+    ),
     DrainEntry: defineChange(schema.DrainEntryRequestSchema, schema.ChangeResponseSchema, changes.drainEntry),
     ChangeMembers: defineChange(
         schema.ChangeMembersRequestSchema,
--- a/packages/control/src/operator/reads.ts
+++ b/packages/control/src/operator/reads.ts
@@ -140,7 +140,7 @@
         used: createResourceMessage(worker.used),
         lastSyncMs: Math.max(0, nowMs - (memory.workers.get(worker.id)?.syncedAtMs ?? memory.termBeganAtMs)),
     }));
-    return create(ListWorkersResponseSchema, { workers });
+    return create(ListWorkersResponseSchema, { workers, evacuatedZones: [...context.machine.state.evacuatedZones] });
 });
 
 /** The minions of a service, or all, with their owners. */
--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -4,8 +4,8 @@
     type JobCommand,
     type JobResult,
     noResources,
+    type SetZoneAdmission,
     type StateMachine,
-    type ZoneAdmission,
 } from "@chestnutspool/types";
 import { cancelJob, setConfiguration, submitJob } from "./change-jobs.js";
 import { endRun, expireRuns, startRuns } from "./change-runs.js";
@@ -52,7 +52,7 @@
     }
 }
 
-function setZoneAdmission(state: JobState, { availabilityZone, isEvacuated }: ZoneAdmission): void {
+function setZoneAdmission(state: JobState, { availabilityZone, isEvacuated }: SetZoneAdmission): void {
     if (isEvacuated) {
         state.evacuatedZones.add(availabilityZone);
     }
--- a/packages/place-tasks/src/fakes/build-state.ts
+++ b/packages/place-tasks/src/fakes/build-state.ts
@@ -77,6 +77,7 @@
 /** The parts of a state that placement does not read. */
 export function buildEmptyRegistry() {
     return {
+        evacuatedZones: new Set<string>(),
         entries: new Map(),
         minions: new Map(),
         ownership: new Map(),
--- a/packages/place-tasks/src/placer.test.ts
+++ b/packages/place-tasks/src/placer.test.ts
@@ -100,3 +100,18 @@
     assert.deepEqual(plan("open", 0, 93_000).map(({ kind }) => kind), ["placeTask"], "on probation");
     assert.deepEqual(plan("open", 0, 152_000).map(({ kind }) => kind), ["placeTask", "placeTask"]);
 });
+
+// Guards against proposing placements that the state machine refuses, again and again.
+void test("a worker of an evacuated zone gets no task", () => {
+    const state = buildState({
+        works: [job],
+        tasks: [0, 1, 2].map(ordinal => buildTask(job, ordinal)),
+        workers: [
+            buildWorker("w1", capacity, { availabilityZone: "a" }),
+            buildWorker("w2", capacity, { availabilityZone: "b" }),
+        ],
+    });
+    const evacuated = { ...state, evacuatedZones: new Set(["a"]) };
+    const decisions = createPlacer(settings).planPlacements(evacuated, 1000);
+    assert.deepEqual(decisions.map(decision => "worker" in decision ? decision.worker : ""), ["w2", "w2"]);
+});
--- a/packages/place-tasks/src/placer.ts
+++ b/packages/place-tasks/src/placer.ts
@@ -90,7 +90,8 @@
             const setAsideDecisions = memory.setAside.planSetAside(state, memory.inFlight, nowMs);
             setAsideDecisions.forEach(pass.addDecision);
             const usable = memory.views.listViews().filter(view =>
-                memory.setAside.isUsable(view) && !memory.inFlight.hasWorker(view.record.id)
+                memory.setAside.isUsable(view) && !state.evacuatedZones.has(view.record.availabilityZone)
+                && !memory.inFlight.hasWorker(view.record.id)
             );
             const probation = new Set(usable.filter(memory.setAside.isOnProbation));
             const works = rejectImpossibleTasks(pass, listPendingWorks(state, memory.inFlight, nowMs));
--- a/packages/types/src/commands.ts
+++ b/packages/types/src/commands.ts
@@ -12,7 +12,7 @@
     WorkSpec,
 } from "./domain.js";
 import type { ErrorData } from "./error-data.js";
-import type { EntrySessionRecord, RequestOutcome, RequestRecord, WorkerAdmission } from "./state.js";
+import type { EntrySessionRecord, RequestOutcome, RequestRecord, WorkerAdmission, ZoneAdmission } from "./state.js";
 
 /** Records the outcome of a request that an entry host dispatched. */
 export interface FinishRequest {
@@ -44,7 +44,9 @@
         readonly expectedRevision: number;
     }
     | { readonly kind: "setWorkerAdmission"; readonly worker: WorkerId; readonly admission: WorkerAdmission; }
-    | { readonly kind: "drainEntry"; readonly entry: EntryId; };
+    | { readonly kind: "drainEntry"; readonly entry: EntryId; }
+    /** Replicas of earlier builds do not know it, so that a zone is to be evacuated only once all are upgraded. */
+    | { readonly kind: "setZoneAdmission"; readonly availabilityZone: string; readonly admission: ZoneAdmission; };
 
 /** A command of the replicated log; `nowMs` is the leader's wall-clock time in milliseconds since the epoch. */
 export type ControlCommand =
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -204,7 +204,7 @@
 }
 
 /** Whether runs may start on the workers of an availability zone. */
-export interface ZoneAdmission {
+export interface SetZoneAdmission {
     readonly kind: "setZoneAdmission";
     readonly availabilityZone: string;
     /** No run starts in the zone until it is set to false; what runs there goes on. */
@@ -256,7 +256,7 @@
         | { readonly kind: "setConfiguration"; readonly configuration: QueueConfiguration; }
         | { readonly kind: "startWave"; readonly wave: MaintenanceWave; }
         /** Replicas of earlier builds do not know it, so that a zone is to be evacuated only once all are upgraded. */
-        | ZoneAdmission
+        | SetZoneAdmission
         | { readonly kind: "recordUpkeep"; readonly wave: number; readonly host: string; }
         /** Estimates that the leader has learnt since it last recorded any, so that the next leader has them. */
         | { readonly kind: "recordDisturbances"; readonly pairs: readonly DisturbanceEstimate[]; }
@@ -314,7 +314,7 @@
     /** `bornAtMs` as in `WorkerInfo`. */
     | { readonly kind: "removeWorker"; readonly worker: WorkerId; readonly bornAtMs?: number | undefined; }
     | { readonly kind: "startWave"; readonly wave: MaintenanceWave; }
-    | ZoneAdmission
+    | SetZoneAdmission
     | { readonly kind: "readWave"; readonly wave: number; };
 
 /** Why a job was not accepted; it certainly does not run. */
--- a/packages/types/src/state.ts
+++ b/packages/types/src/state.ts
@@ -54,6 +54,9 @@
 /** Whether a worker takes new tasks. */
 export type WorkerAdmission = "open" | "draining" | "setAside";
 
+/** Whether the workers of an availability zone take new tasks. */
+export type ZoneAdmission = "open" | "evacuated";
+
 /** A worker and the resources charged to it. */
 export interface WorkerRecord {
     readonly id: WorkerId;
@@ -165,6 +168,7 @@
     | "workerJoined"
     | "workerExpired"
     | "workerSetAside"
+    | "zoneChanged"
     | "entryJoined"
     | "entryExpired"
     | "ownershipMoved"
@@ -186,6 +190,8 @@
     /** Resources charged to the tasks of a tenant; derived from `tasks`. */
     readonly usedByTenant: ReadonlyMap<TenantId, Resources>;
     readonly workers: ReadonlyMap<WorkerId, WorkerRecord>;
+    /** Availability zones whose workers take no new tasks. */
+    readonly evacuatedZones: ReadonlySet<string>;
     readonly tenants: ReadonlyMap<TenantId, TenantRecord>;
     readonly entries: ReadonlyMap<EntryId, EntrySessionRecord>;
     readonly minions: ReadonlyMap<string, MinionInfo>;
