--- a/packages/job-state/src/snapshot.test.ts
+++ b/packages/job-state/src/snapshot.test.ts
@@ -24,7 +24,7 @@
 
 const jobNumber = fc.integer({ min: 0, max: 3 });
 const actions: fc.Arbitrary<Action> = fc.oneof(
-    fc.record({ kind: fc.constant("submit" as const), job: jobNumber, shape: fc.integer({ min: 0, max: 3 }) }),
+    fc.record({ kind: fc.constant("submit" as const), job: jobNumber, shape: fc.integer({ min: 0, max: 4 }) }),
     fc.record({ kind: fc.constant("cancel" as const), job: jobNumber }),
     fc.record({
         kind: fc.constant("start" as const),
@@ -48,6 +48,7 @@
     [makeStep({ count: 2 }), makeStep({ dependsOn: [0], checkpointing: true })],
     [makeStep({ count: 2, gang: true })],
     [makeStep({ longRunning: true }), makeStep({ speculative: true })],
+    [makeStep({ speculative: true, count: 2 })],
 ];
 
 function performAction(machine: TestMachine, action: Action): void {
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -62,6 +62,11 @@
     /** Undefined for a closed job, whose steps are no longer needed. */
     readonly definition: JobDefinition | undefined;
     readonly occurrences: readonly SavedOccurrence[];
+    /**
+     * Completed occurrences with a run that is not needed any more but still in progress. Absent without such runs; earlier
+     * builds neither write nor read it.
+     */
+    readonly completedOccurrences?: readonly SavedOccurrence[];
 }
 
 interface SavedWorker {
@@ -113,7 +118,28 @@
     };
 }
 
-function saveJob(job: JobRecord, isOpen: boolean): SavedJob {
+function saveOccurrence({ number, steps }: JobOccurrence): SavedOccurrence {
+    return { number, steps: steps.map(saveStep) };
+}
+
+/** Completed occurrences that still have a run in progress, by job. */
+type CompletedOccurrences = ReadonlyMap<JobRecord, ReadonlySet<JobOccurrence>>;
+
+/** Lists the completed occurrences that the jobs no longer hold but whose runs still take up capacity. */
+function listCompletedOccurrences(state: JobState): CompletedOccurrences {
+    const completed = new Map<JobRecord, Set<JobOccurrence>>();
+    for (const { runs } of state.workers.values()) {
+        for (const { job, occurrence } of runs.values()) {
+            if (!job.occurrences.has(occurrence.number)) {
+                const ofJob = completed.get(job) ?? new Set<JobOccurrence>();
+                completed.set(job, ofJob.add(occurrence));
+            }
+        }
+    }
+    return completed;
+}
+
+function saveJob(job: JobRecord, isOpen: boolean, completed: ReadonlySet<JobOccurrence> | undefined): SavedJob {
     return {
         id: job.id,
         queue: job.queue,
@@ -122,25 +148,30 @@
         endedAtMs: job.endedAtMs,
         ...(job.failure === undefined ? {} : { failure: job.failure }),
         definition: isOpen ? job.definition : undefined,
-        occurrences: isOpen
-            ? [...job.occurrences.values()].map(({ number, steps }) => ({ number, steps: steps.map(saveStep) }))
-            : [],
+        occurrences: isOpen ? [...job.occurrences.values()].map(saveOccurrence) : [],
+        ...(completed === undefined
+            ? {}
+            // In the order of their numbers, so that equal states give equal bytes.
+            : {
+                completedOccurrences: [...completed].sort((left, right) => left.number - right.number)
+                    .map(saveOccurrence),
+            }),
     };
 }
 
 /** Encoded closed jobs, which no longer change; they are most of the state, and encoding them blocks the process. */
 const encodedClosedJobs = new WeakMap<JobRecord, Uint8Array>();
 
-function encodeJob(job: JobRecord, isOpen: boolean): Uint8Array {
+function encodeJob(job: JobRecord, isOpen: boolean, completed: CompletedOccurrences): Uint8Array {
     if (isOpen) {
-        return packr.pack(saveJob(job, true));
+        return packr.pack(saveJob(job, true, completed.get(job)));
     }
     const known = encodedClosedJobs.get(job);
     if (known !== undefined) {
         return known;
     }
     // A copy, because the encoder returns a part of a larger buffer, which would stay in memory as a whole.
-    const encoded = new Uint8Array(packr.pack(saveJob(job, false)));
+    const encoded = new Uint8Array(packr.pack(saveJob(job, false, undefined)));
     encodedClosedJobs.set(job, encoded);
     return encoded;
 }
@@ -185,8 +216,9 @@
         parts.push(packr.pack(key), packr.pack(value));
     }
     parts.push(packr.pack("jobs" satisfies keyof SavedModel), encodeArrayHeader(state.jobs.size));
+    const completed = listCompletedOccurrences(state);
     for (const job of state.jobs.values()) {
-        parts.push(encodeJob(job, state.openJobs.has(job.id)));
+        parts.push(encodeJob(job, state.openJobs.has(job.id), completed));
     }
     return Buffer.concat(parts);
 }
@@ -251,8 +283,9 @@
     job.endedAtMs = saved.endedAtMs;
     job.failure = saved.failure;
     const savedByNumber = new Map(saved.occurrences.map(occurrence => [occurrence.number, occurrence]));
+    const completedByNumber = new Map(saved.completedOccurrences?.map(occurrence => [occurrence.number, occurrence]));
     for (const occurrence of [...job.occurrences.values()]) {
-        const found = savedByNumber.get(occurrence.number);
+        const found = savedByNumber.get(occurrence.number) ?? completedByNumber.get(occurrence.number);
         if (found === undefined) {
             job.occurrences.delete(occurrence.number);
             continue;
@@ -264,6 +297,10 @@
             }
         });
         occurrence.stepsLeft = occurrence.steps.filter(step => step.tasksLeft > 0).length;
+        if (completedByNumber.has(occurrence.number)) {
+            // Only its runs refer to it.
+            job.occurrences.delete(occurrence.number);
+        }
     }
     state.jobs.set(id, job);
     if (saved.definition !== undefined) {
