Bound the two runs of a speculative task by the limit of attempts

Cause: the state machine accepted a copy beside the last attempt of a task, for members of gangs and for long-running tasks; and a failure that was reported after the other run had succeeded counted against the task. Change: a copy starts only while one failure more does not fail the job, and not in gangs or long-running steps; a failure of a task that is done changes nothing. No build has planned copies, so that replicas of both builds agree.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -44,8 +44,18 @@
     return { job, occurrence, step, task };
 }
 
+/**
+ * Whether a task with one run in progress may get a second one: only while the job does not fail by the failure of the first
+ * one, so that both failures together do not exceed the limit. No build plans any other copy, so that replicas of
+ * earlier builds, which do not check this, have the same state.
+ */
+export function canCopyRun({ queue }: JobRecord, { spec }: JobStep, task: JobTask): boolean {
+    return spec.speculative && !spec.gang && !spec.longRunning && task.runs.length === 1
+        && task.failures + 1 < queue.maxAttempts;
+}
+
 function canStart(job: JobRecord, occurrence: JobOccurrence, step: JobStep, task: JobTask, run: number): boolean {
-    const canAddRun = task.runs.length === 0 || (step.spec.speculative && task.runs.length === 1);
+    const canAddRun = task.runs.length === 0 || canCopyRun(job, step, task);
     return !isJobEnded(job) && !task.isDone && canAddRun && run > task.lastRun && isStepReady(occurrence, step)
         && (step.spec.longRunning || countFailures(step, task) < job.queue.maxAttempts);
 }
@@ -125,6 +135,10 @@
 }
 
 function recordFailure(state: JobState, { job, occurrence, step, task, run }: WorkerRun): void {
+    if (task.isDone && !step.spec.gang) {
+        // Another run of the task has succeeded.
+        return;
+    }
     task.failures += 1;
     if (step.spec.gang && run > step.lastFailedGangRun) {
         step.lastFailedGangRun = run;
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -1,5 +1,5 @@
 export { findQueue, formatQueueKey } from "./change-jobs.js";
-export { countFailures } from "./change-runs.js";
+export { canCopyRun, countFailures } from "./change-runs.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
 export {
     acceptsStarts,
