Plan copies of tasks that are far slower than their siblings

Change: package plan-copies finds stragglers by their progress and the run times of their siblings, and plans a copy on a healthy worker with idle capacity for which no step waits. The leader commits the copies behind the normal starts of a pass and logs what came of each.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -1,4 +1,5 @@
 import { formatRunKey, formatTaskKey, isJobEnded } from "@chestnutspool/job-state";
+import { planCopies } from "@chestnutspool/plan-copies";
 import {
     createPlanMemory,
     listObsoleteRuns,
@@ -13,6 +14,7 @@
 import { adaptRatings } from "./adapt-ratings.js";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
+import { logCopies, logCopyOutcomes } from "./log-copies.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
@@ -72,7 +74,9 @@
     term.load.refusedStarts += refused.size;
     const recorded = starts.filter((start, position) => !refused.has(position));
     logStarts(term, recorded);
-    const ordered = createRunStatuses(term, recorded, yield* readMonotonicMs);
+    const recordedMs = yield* readMonotonicMs;
+    logCopies(term, recorded, recordedMs);
+    const ordered = createRunStatuses(term, recorded, recordedMs);
     let startsInTurn = 0;
     for (const { session, run, status } of ordered) {
         // The run or the worker may have gone while other work had the thread.
@@ -223,10 +227,15 @@
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
     const starts = yield* measureStep(planner, () => planStarts(input, wallMs, planner.memory));
+    logCopyOutcomes(term, nowMs);
+    const copies = yield* measureStep(
+        planner,
+        () => planCopies({ ...input, starts, wallMs, memory: term.copies }, nowMs),
+    );
     const tookMs = planner.passMs;
     planner.memory.ratingsPerPass = adaptRatings(planner.memory.ratingsPerPass, tookMs, planner.memory.hasStepsLeft);
     recordPass(term.load, tookMs);
-    yield* carryOutStarts(term, starts);
+    yield* carryOutStarts(term, [...starts, ...copies]);
     if (nowMs - planner.reasonsCheckedAtMs >= waitCheckIntervalMs) {
         planner.reasonsCheckedAtMs = nowMs;
         // Those that this or an earlier leader could not give up at once.
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -1,5 +1,6 @@
 import { describeError } from "@chestnutspool/errors";
 import { createInterferenceModel } from "@chestnutspool/learn-interference";
+import { createCopyMemory } from "@chestnutspool/plan-copies";
 import {
     type ErrorData,
     type JobReply,
@@ -73,6 +74,7 @@
         sessionLoops: yield* FiberMap.make<WorkerId>(),
         failedWorkerByTask: new Map(),
         runTimesByStep: new Map(),
+        copies: createCopyMemory(),
         givenUpJobs: new Set(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -2,6 +2,7 @@
 import type { JobMachine } from "@chestnutspool/job-state";
 import type { InterferenceModel, UsageHistory } from "@chestnutspool/learn-interference";
 import type { Logger } from "@chestnutspool/logger";
+import type { CopyMemory } from "@chestnutspool/plan-copies";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import type { RunStatuses, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
 import {
@@ -103,6 +104,8 @@
     readonly failedWorkerByTask: Map<string, WorkerId>;
     /** Run times of the successful runs of each step, by step key; only the latest steps are kept. */
     readonly runTimesByStep: Map<string, { readonly runs: number; readonly totalMs: number; }>;
+    /** Copies of slow tasks, and the run times that they are decided by. */
+    readonly copies: CopyMemory;
     /** Jobs that are being given up, so that this happens once. */
     readonly givenUpJobs: Set<JobId>;
     /** Queue whose items wake the planner. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,5 +1,6 @@
 import { formatRunKey, formatTaskKey } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
+import { observeRunEnd } from "@chestnutspool/plan-copies";
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
 import {
     applyReport,
@@ -23,6 +24,7 @@
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
+import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
 import {
     canSendOrders,
@@ -106,7 +108,13 @@
             checkpoint,
         }));
         const nowMs = yield* readMonotonicMs;
-        ends.forEach(end => rateRunEnd(term, session, end, nowMs));
+        const wallMs = yield* readTermMs(term);
+        for (const end of ends) {
+            rateRunEnd(term, session, end, nowMs);
+            const run = findWorkerState(term, session)?.runs.get(formatRunKey(end));
+            const status = session.runStatuses.get(formatRunKey(end));
+            observeRunEnd(term.copies, session.info, run, status, end, nowMs, wallMs);
+        }
         const phases = readPhases(term, ends);
         yield* propose(term, { kind: "endRuns", worker: session.info.id, ends });
         for (const end of ends) {
--- /dev/null
+++ b/packages/plan-copies/src/copy-memory.ts
@@ -0,0 +1,206 @@
+import { formatRunKey, formatStepKey, type JobRecord, type JobTask, type WorkerRun } from "@chestnutspool/job-state";
+import { findRack } from "@chestnutspool/plan-jobs";
+import type { RunStatus } from "@chestnutspool/track-workers";
+import type { RunEnd, RunKey, RunStart, WorkerId, WorkerInfo } from "@chestnutspool/types";
+import { computeElapsedMs, type RunTime } from "./estimate-runs.js";
+
+/** Limit of the steps whose run times are kept; each has at most a run time for each of its tasks. */
+const stepLimit = 2_000;
+/** Number of latest outcomes of the copies of a pool by which further copies are judged. */
+const outcomeLimit = 20;
+
+/** What a copy was decided by. Times are in milliseconds, those of ends counted from the decision. */
+export interface CopyEstimate {
+    readonly progressPercent: number;
+    readonly elapsedMs: number;
+    /** Run time of the siblings. */
+    readonly typicalMs: number;
+    /** Number of siblings that it is from. */
+    readonly samples: number;
+    readonly firstRunEndsInMs: number;
+    readonly copyEndsInMs: number;
+}
+
+/** A run of a task with two runs. Times are monotonic, in milliseconds. */
+interface CopiedRun {
+    readonly run: number;
+    readonly worker: WorkerId;
+    readonly startedAtMs: number;
+    endedAtMs: number | undefined;
+}
+
+/** A task with two runs, followed until both have ended. */
+export interface TaskCopy {
+    readonly job: JobRecord;
+    readonly task: JobTask;
+    readonly key: Omit<RunKey, "run">;
+    readonly milliCpu: number;
+    readonly firstRun: CopiedRun;
+    readonly copy: CopiedRun;
+}
+
+/** Which run ended first; "both" if both ended since the pass before. */
+export type EndedFirst = "firstRun" | "copy" | "both";
+
+/** What came of a copy. */
+export interface CopyOutcome {
+    readonly taskCopy: TaskCopy;
+    readonly endedFirst: EndedFirst;
+    /** Whether the task was done when the first of both runs had ended. */
+    readonly isDone: boolean;
+    /** Processor time that each run reserved, in core-milliseconds. */
+    readonly firstRunCoreMs: number;
+    readonly copyCoreMs: number;
+}
+
+/** Soft state about copies of one leader. Times are monotonic, in milliseconds. */
+export interface CopyMemory {
+    /** When stragglers were last looked for. */
+    checkedAtMs: number;
+    /** Run times of the successful runs of each step, by step key; only the latest steps are kept. */
+    readonly runTimesByStep: Map<string, RunTime[]>;
+    /** Estimates of the copies that were planned last, by run key. */
+    readonly estimates: Map<string, CopyEstimate>;
+    /** Tasks with two runs. */
+    readonly copies: Map<JobTask, TaskCopy & { isDoneFirst: boolean; }>;
+    /** Tasks that have had a copy, so that each gets one at most. */
+    readonly copied: WeakSet<JobTask>;
+    /** Whether the copy ended first, for the latest copies of each pool. */
+    readonly winsByService: Map<string, boolean[]>;
+}
+
+/** Creates the memory of a leader that has planned no copies. */
+export function createCopyMemory(): CopyMemory {
+    return {
+        checkedAtMs: Number.NEGATIVE_INFINITY,
+        runTimesByStep: new Map(),
+        estimates: new Map(),
+        copies: new Map(),
+        copied: new WeakSet(),
+        winsByService: new Map(),
+    };
+}
+
+/** Whether the tasks of a step may get copies: their run times are comparable, and each runs for itself. */
+export function canCopyTasks({ step: { spec } }: Pick<WorkerRun, "step">): boolean {
+    // The run time of a best-effort task depends on the processors that others leave idle.
+    return spec.speculative && !spec.gang && !spec.longRunning && !spec.usesIdleCpu && spec.count > 1;
+}
+
+/**
+ * Records the run time of a run that ends; `wallMs` is wall-clock time in milliseconds since the epoch. Must be called before
+ * the end is recorded.
+ */
+export function observeRunEnd(
+    memory: CopyMemory,
+    info: WorkerInfo,
+    run: WorkerRun | undefined,
+    status: RunStatus | undefined,
+    end: RunEnd,
+    nowMs: number,
+    wallMs: number,
+): void {
+    if (run === undefined || status === undefined || end.outcome !== "succeeded" || !canCopyTasks(run)) {
+        return;
+    }
+    const key = formatStepKey(end);
+    const runTimes = memory.runTimesByStep.get(key) ?? [];
+    runTimes.push({ tookMs: computeElapsedMs(run, status, nowMs, wallMs), rack: findRack(info) });
+    memory.runTimesByStep.delete(key);
+    memory.runTimesByStep.set(key, runTimes);
+    const [oldest] = memory.runTimesByStep.keys();
+    if (memory.runTimesByStep.size > stepLimit && oldest !== undefined) {
+        memory.runTimesByStep.delete(oldest);
+    }
+}
+
+/** Follows a task with two runs until both have ended; those that the memory follows already are left as they are. */
+export function followCopy(memory: CopyMemory, run: Omit<WorkerRun, "run" | "startedAtMs">, nowMs: number): void {
+    const { job, occurrence, step, task } = run;
+    const [first, second] = [...task.runs].sort((left, right) => left.run - right.run);
+    if (memory.copies.has(task) || first === undefined || second === undefined) {
+        return;
+    }
+    const createRun = ({ run: number, worker }: typeof first, startedAtMs: number): CopiedRun => ({
+        run: number,
+        worker,
+        startedAtMs,
+        endedAtMs: undefined,
+    });
+    // The times between the starts are those in the log, so that a later leader knows them too.
+    const headStartMs = first.startedAtMs === 0 ? 0 : Math.max(0, second.startedAtMs - first.startedAtMs);
+    memory.copied.add(task);
+    memory.copies.set(task, {
+        job,
+        task,
+        key: { job: job.id, occurrence: occurrence.number, step: step.position, position: task.position },
+        milliCpu: step.spec.resources.milliCpu,
+        firstRun: createRun(first, nowMs - headStartMs),
+        copy: createRun(second, nowMs),
+        isDoneFirst: false,
+    });
+}
+
+/** Follows the copies among starts that were recorded; returns them with their estimates. */
+export function followStartedCopies(
+    memory: CopyMemory,
+    findRun: (start: RunStart) => WorkerRun | undefined,
+    starts: readonly RunStart[],
+    nowMs: number,
+): readonly { readonly taskCopy: TaskCopy; readonly estimate: CopyEstimate; }[] {
+    return starts.flatMap(start => {
+        const estimate = memory.estimates.get(formatRunKey(start));
+        const run = estimate === undefined ? undefined : findRun(start);
+        if (estimate === undefined || run === undefined) {
+            return [];
+        }
+        followCopy(memory, run, nowMs);
+        const taskCopy = memory.copies.get(run.task);
+        // The first run may have ended before the start was recorded, which is then a start like any other.
+        return taskCopy === undefined ? [] : [{ taskCopy, estimate }];
+    });
+}
+
+function computeCoreMs({ milliCpu }: TaskCopy, { startedAtMs, endedAtMs = startedAtMs }: CopiedRun): number {
+    return Math.round((endedAtMs - startedAtMs) * milliCpu / 1_000);
+}
+
+function decideEndedFirst({ firstRun, copy }: TaskCopy): EndedFirst {
+    const firstMs = firstRun.endedAtMs ?? Number.POSITIVE_INFINITY;
+    const copyMs = copy.endedAtMs ?? Number.POSITIVE_INFINITY;
+    return firstMs === copyMs ? "both" : firstMs < copyMs ? "firstRun" : "copy";
+}
+
+/** Lists what came of the copies whose runs have both ended by `nowMs`, and follows these no longer. */
+export function takeCopyOutcomes(memory: CopyMemory, nowMs: number): CopyOutcome[] {
+    const outcomes: CopyOutcome[] = [];
+    for (const [task, taskCopy] of memory.copies) {
+        const { firstRun, copy } = taskCopy;
+        for (const run of [firstRun, copy]) {
+            if (run.endedAtMs === undefined && !task.runs.some(placed => placed.run === run.run)) {
+                run.endedAtMs = nowMs;
+                taskCopy.isDoneFirst ||= task.isDone
+                    && (firstRun.endedAtMs === undefined || copy.endedAtMs === undefined);
+            }
+        }
+        if (firstRun.endedAtMs === undefined || copy.endedAtMs === undefined) {
+            continue;
+        }
+        memory.copies.delete(task);
+        const endedFirst = decideEndedFirst(taskCopy);
+        const isDone = taskCopy.isDoneFirst || (endedFirst === "both" && task.isDone);
+        if (isDone) {
+            const { service } = taskCopy.job.queue;
+            const wins = memory.winsByService.get(service) ?? [];
+            memory.winsByService.set(service, [...wins, endedFirst === "copy"].slice(-outcomeLimit));
+        }
+        outcomes.push({
+            taskCopy,
+            endedFirst,
+            isDone,
+            firstRunCoreMs: computeCoreMs(taskCopy, firstRun),
+            copyCoreMs: computeCoreMs(taskCopy, copy),
+        });
+    }
+    return outcomes;
+}
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -13,5 +13,6 @@
     type Lateness,
     predictLateness,
 } from "./predict-lateness.js";
+export { findObstacle } from "./rate-workers.js";
 export { listWaitingSteps, type WaitingStep } from "./waiting-steps.js";
-export { findRack } from "./worker-candidate.js";
+export { findRack, hasCapacity, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
