Replay slow runs, with and without copies of them

Cause: no replayed load had runs that are far slower than their siblings. Random values of runs in these loads are those of the run alone, so that a copy changes nothing else. Stragglers are looked for worker by worker, without formatting keys.

--- a/packages/plan-copies/src/copy-memory.ts
+++ b/packages/plan-copies/src/copy-memory.ts
@@ -1,11 +1,9 @@
-import { formatRunKey, formatStepKey, type JobRecord, type JobTask, type WorkerRun } from "@chestnutspool/job-state";
+import { formatRunKey, type JobRecord, type JobStep, type JobTask, type WorkerRun } from "@chestnutspool/job-state";
 import { findRack } from "@chestnutspool/plan-jobs";
 import type { RunStatus } from "@chestnutspool/track-workers";
 import type { RunEnd, RunKey, RunStart, WorkerId, WorkerInfo } from "@chestnutspool/types";
 import { computeElapsedMs, type RunTime } from "./estimate-runs.js";
 
-/** Limit of the steps whose run times are kept; each has at most a run time for each of its tasks. */
-const stepLimit = 2_000;
 /** Number of latest outcomes of the copies of a pool by which further copies are judged. */
 const outcomeLimit = 20;
 
@@ -57,8 +55,8 @@
 export interface CopyMemory {
     /** When stragglers were last looked for. */
     checkedAtMs: number;
-    /** Run times of the successful runs of each step, by step key; only the latest steps are kept. */
-    readonly runTimesByStep: Map<string, RunTime[]>;
+    /** Run times of the successful runs of each step. */
+    readonly runTimesByStep: WeakMap<JobStep, RunTime[]>;
     /** Estimates of the copies that were planned last, by run key. */
     readonly estimates: Map<string, CopyEstimate>;
     /** Tasks with two runs. */
@@ -73,7 +71,7 @@
 export function createCopyMemory(): CopyMemory {
     return {
         checkedAtMs: Number.NEGATIVE_INFINITY,
-        runTimesByStep: new Map(),
+        runTimesByStep: new WeakMap(),
         estimates: new Map(),
         copies: new Map(),
         copied: new WeakSet(),
@@ -103,15 +101,9 @@
     if (run === undefined || status === undefined || end.outcome !== "succeeded" || !canCopyTasks(run)) {
         return;
     }
-    const key = formatStepKey(end);
-    const runTimes = memory.runTimesByStep.get(key) ?? [];
+    const runTimes = memory.runTimesByStep.get(run.step) ?? [];
     runTimes.push({ tookMs: computeElapsedMs(run, status, nowMs, wallMs), rack: findRack(info) });
-    memory.runTimesByStep.delete(key);
-    memory.runTimesByStep.set(key, runTimes);
-    const [oldest] = memory.runTimesByStep.keys();
-    if (memory.runTimesByStep.size > stepLimit && oldest !== undefined) {
-        memory.runTimesByStep.delete(oldest);
-    }
+    memory.runTimesByStep.set(run.step, runTimes);
 }
 
 /** Follows a task with two runs until both have ended; those that the memory follows already are left as they are. */
--- a/packages/plan-copies/src/estimate-runs.ts
+++ b/packages/plan-copies/src/estimate-runs.ts
@@ -48,9 +48,3 @@
     const totalMs = Math.max(elapsedMs, workedMs * 100 / Math.min(100, progressPercent + 1));
     return { elapsedMs, totalMs, leftMs: totalMs - elapsedMs };
 }
-
-/** Computes the median of at least one value. */
-export function computeMedian(values: readonly number[]): number {
-    const sorted = [...values].sort((left, right) => left - right);
-    return sorted[Math.floor((sorted.length - 1) / 2)] ?? Number.NaN;
-}
--- a/packages/plan-copies/src/find-stragglers.ts
+++ b/packages/plan-copies/src/find-stragglers.ts
@@ -1,20 +1,9 @@
-import {
-    canCopyRun,
-    formatRunKey,
-    formatStepKey,
-    isJobEnded,
-    type JobOccurrence,
-    type JobRecord,
-    type JobState,
-    type JobStep,
-    type JobTask,
-    type WorkerRun,
-} from "@chestnutspool/job-state";
+import { canCopyRun, isJobEnded, type JobStep, type WorkerRun } from "@chestnutspool/job-state";
 import { findRack, type PlanInput } from "@chestnutspool/plan-jobs";
 import type { RunStatus } from "@chestnutspool/track-workers";
 import type { WorkerId } from "@chestnutspool/types";
 import { canCopyTasks, type CopyMemory, followCopy } from "./copy-memory.js";
-import { computeElapsedMs, computeMedian, estimateRun, type RunEstimate, type RunTime } from "./estimate-runs.js";
+import { computeElapsedMs, estimateRun, type RunEstimate, type RunTime } from "./estimate-runs.js";
 
 /** A run that is far slower than its siblings. */
 export interface Straggler {
@@ -64,49 +53,60 @@
     readonly rack: string;
 }
 
-type StepOwner = Pick<WorkerRun, "job" | "occurrence" | "step">;
-
-function observeRuns(input: PlanInput, { occurrence, step, job }: StepOwner, nowMs: number, wallMs: number) {
-    const observed: ObservedRun[] = [];
-    for (const task of step.tasks) {
-        for (const { run, worker } of task.runs) {
-            const key = formatRunKey({
-                job: job.id,
-                occurrence: occurrence.number,
-                step: step.position,
-                position: task.position,
-                run,
-            });
-            const state = input.state.workers.get(worker);
-            const recorded = state?.runs.get(key);
-            const status = input.findRunStatuses(worker)?.get(key);
-            if (state === undefined || recorded === undefined || status === undefined) {
+/** Lists the runs in progress of each step that allows copies, unless its job has ended. */
+function listObservedRuns(input: PlanInput, nowMs: number, wallMs: number): ReadonlyMap<JobStep, ObservedRun[]> {
+    const observed = new Map<JobStep, ObservedRun[]>();
+    for (const [worker, state] of input.state.workers) {
+        const statuses = input.findRunStatuses(worker);
+        for (const [key, run] of state.runs) {
+            const status = canCopyTasks(run) && !isJobEnded(run.job) && !run.task.isDone
+                ? statuses?.get(key)
+                : undefined;
+            if (status === undefined) {
                 continue;
             }
-            const estimate = estimateRun(status, computeElapsedMs(recorded, status, nowMs, wallMs), nowMs);
-            observed.push({ run: recorded, worker, status, estimate, rack: findRack(state.info) });
+            const estimate = estimateRun(status, computeElapsedMs(run, status, nowMs, wallMs), nowMs);
+            const ofStep = observed.get(run.step) ?? [];
+            ofStep.push({ run, worker, status, estimate, rack: findRack(state.info) });
+            observed.set(run.step, ofStep);
         }
     }
     return observed;
 }
 
-/** Lists the run times of the siblings of a task: those that have ended, and those in progress that can be told. */
+/** Run times of the tasks of a step in ascending order, and the runs in progress whose expected ones are among them. */
+interface StepSamples {
+    readonly sortedMs: readonly number[];
+    readonly included: ReadonlySet<ObservedRun>;
+}
+
+/** Lists the run times of a step: of the tasks that have ended, and of those in progress that can be told. */
 function listSamples(
+    { spec: { rackOfData } }: JobStep,
     finished: readonly RunTime[],
     observed: readonly ObservedRun[],
-    task: JobTask,
-    rackOfData: string | undefined,
-): number[] {
+): StepSamples {
     // Far from its data a task takes longer, and a copy is started near them.
     const isComparable = ({ rack }: { readonly rack: string; }): boolean =>
         rackOfData === undefined || rack === rackOfData;
-    const running = observed.filter(({ run, status }) =>
-        run.task !== task && status.progressPercent >= sampleProgressPercent && status.stopWantedAtMs === undefined
+    const included = observed.filter(run =>
+        isComparable(run) && run.status.progressPercent >= sampleProgressPercent
+        && run.status.stopWantedAtMs === undefined
     );
-    return [
+    const runTimes = [
         ...finished.filter(isComparable).map(({ tookMs }) => tookMs),
-        ...running.filter(isComparable).map(({ estimate }) => estimate.totalMs),
+        ...included.map(({ estimate }) => estimate.totalMs),
     ];
+    return { sortedMs: runTimes.sort((left, right) => left - right), included: new Set(included) };
+}
+
+/**
+ * Computes the median run time of the siblings of a run. If the run is among the samples it counts as one of those above the
+ * median; otherwise it is no straggler.
+ */
+function computeTypical(observed: ObservedRun, { sortedMs, included }: StepSamples) {
+    const samples = sortedMs.length - (included.has(observed) ? 1 : 0);
+    return { samples, typicalMs: sortedMs[Math.floor((samples - 1) / 2)] };
 }
 
 /** Whether a run has run for long enough to be judged. */
@@ -116,81 +116,46 @@
     return status.progressPercent > 0 ? estimate.elapsedMs >= leastMs : estimate.elapsedMs > factor * typicalMs;
 }
 
-function findStraggler(
-    observed: ObservedRun,
-    samples: readonly number[],
-    { step }: StepOwner,
-    nowMs: number,
-): Straggler | undefined {
+function findStraggler(observed: ObservedRun, stepSamples: StepSamples, nowMs: number): Straggler | undefined {
     const { run, worker, status, estimate } = observed;
     const { stopWantedAtMs, progressPercent } = status;
-    if (samples.length === 0 || (stopWantedAtMs !== undefined && nowMs - stopWantedAtMs < stopGraceMs)) {
+    const { samples, typicalMs } = computeTypical(observed, stepSamples);
+    if (typicalMs === undefined || (stopWantedAtMs !== undefined && nowMs - stopWantedAtMs < stopGraceMs)) {
         return undefined;
     }
-    const typicalMs = computeMedian(samples);
-    const factor = samples.length >= confidentSamples ? stragglerFactor : doubtfulStragglerFactor;
+    const factor = samples >= confidentSamples ? stragglerFactor : doubtfulStragglerFactor;
     if (!isJudged(observed, typicalMs, factor) || estimate.totalMs <= factor * typicalMs) {
         return undefined;
     }
-    const isOfLastTasks = step.tasksLeft <= Math.max(1, step.tasks.length * lastTasksShare);
+    const { tasksLeft, tasks } = run.step;
+    const isOfLastTasks = tasksLeft <= Math.max(1, tasks.length * lastTasksShare);
     return {
         run,
         worker,
         progressPercent,
         estimate,
         typicalMs,
-        samples: samples.length,
+        samples,
         leastGain: isOfLastTasks ? leastGainOfLastTasks : leastGain,
     };
 }
 
-function listOfStep(
-    input: PlanInput,
-    memory: CopyMemory,
-    owner: StepOwner,
-    nowMs: number,
-    wallMs: number,
-): Straggler[] {
-    const { job, occurrence, step } = owner;
-    const observed = observeRuns(input, owner, nowMs, wallMs);
-    const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
-    const finished = memory.runTimesByStep.get(stepKey) ?? [];
-    return observed.flatMap(run => {
-        const { task } = run.run;
-        if (!canCopyRun(job, step, task) || task.crashes !== undefined || memory.copied.has(task)) {
-            return [];
-        }
-        const samples = listSamples(finished, observed, task, step.spec.rackOfData);
-        return findStraggler(run, samples, owner, nowMs) ?? [];
-    });
-}
-
-function listCopyableSteps(job: JobRecord, occurrence: JobOccurrence): readonly JobStep[] {
-    return isJobEnded(job)
-        ? []
-        : occurrence.steps.filter(step =>
-            step.tasksLeft > 0 && step.waiting.size < step.tasksLeft && canCopyTasks({ step })
-        );
-}
-
 /**
  * Lists the runs that are far slower than their siblings, and follows tasks that have two runs already: a leader may find some
  * of an earlier one.
  */
 export function listStragglers(input: PlanInput, memory: CopyMemory, nowMs: number, wallMs: number): Straggler[] {
     const stragglers: Straggler[] = [];
-    const state: JobState = input.state;
-    for (const job of state.openJobs.values()) {
-        for (const occurrence of job.occurrences.values()) {
-            for (const step of listCopyableSteps(job, occurrence)) {
-                for (const task of step.tasks) {
-                    if (task.runs.length > 1) {
-                        followCopy(memory, { job, occurrence, step, task }, nowMs);
-                    }
-                }
-                stragglers.push(...listOfStep(input, memory, { job, occurrence, step }, nowMs, wallMs));
-            }
+    for (const [step, observed] of listObservedRuns(input, nowMs, wallMs)) {
+        observed.filter(({ run }) => run.task.runs.length > 1).forEach(({ run }) => followCopy(memory, run, nowMs));
+        const candidates = observed.filter(({ run: { job, task } }) =>
+            canCopyRun(job, step, task) && task.crashes === undefined && !memory.copied.has(task)
+        );
+        if (candidates.length === 0) {
+            continue;
         }
+        const samples = listSamples(step, memory.runTimesByStep.get(step) ?? [], observed);
+        stragglers.push(...candidates.flatMap(run => findStraggler(run, samples, nowMs) ?? []));
     }
     return stragglers;
 }
--- a/packages/replay-jobs/src/generate-jobs.ts
+++ b/packages/replay-jobs/src/generate-jobs.ts
@@ -29,6 +29,7 @@
     random: Random,
     workMs: number,
     perWorkerLimit: number | undefined,
+    speculative: boolean,
 ): StepSpec {
     const { execution } = kind;
     const image = execution.kind === "reserved"
@@ -54,7 +55,7 @@
         requiredLabel: undefined,
         rackOfData: undefined,
         perWorkerLimit,
-        speculative: false,
+        speculative,
         longRunning: execution.kind === "serving",
         image,
         tailTargetMs: execution.kind === "serving" ? execution.targetMs : undefined,
@@ -70,9 +71,11 @@
     const stepCount = Math.max(1, Math.round(random.drawSize(kind.steps.mean, kind.steps.spread, kind.steps.largest)));
     const steps: StepSpec[] = [];
     const workMs: number[][] = [];
+    // Without a random number for the other loads, so that they stay as they are.
+    const speculative = kind.speculativeShare !== undefined && random.drawShare() < kind.speculativeShare;
     for (let position = 0; position < stepCount; position += 1) {
         const meanMs = random.drawSize(kind.workMs.mean, kind.workMs.spread, kind.workMs.largest);
-        const step = createStep(kind, position, random, meanMs, choosePerWorkerLimit(kind, number));
+        const step = createStep(kind, position, random, meanMs, choosePerWorkerLimit(kind, number), speculative);
         steps.push(step);
         workMs.push(Array.from({ length: step.count }, () => random.drawSize(meanMs, runTimeSpread, meanMs * 3)));
     }
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -24,6 +24,10 @@
     readonly failureShare: number;
     /** Whether every second job limits the tasks of a step on one worker, to one, two or three. */
     readonly limitsTasksPerWorker: boolean;
+    /** Share of the jobs whose steps allow copies of their tasks; by default none do. */
+    readonly speculativeShare?: number;
+    /** Runs that take longer than usual by a factor, which the planner does not know; by default none do. */
+    readonly slowRuns?: { readonly share: number; readonly factor: number; };
     /** Value of a job that ends in time; for a serving job, the value of each measured interval. */
     readonly value: number;
     /** Value of a job that ends late. */
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -5,6 +5,7 @@
     type InterferenceModel,
     type UsageHistory,
 } from "@chestnutspool/learn-interference";
+import type { CopyOutcome } from "@chestnutspool/plan-copies";
 import {
     createPlanMemory,
     hasUncertainPairs,
@@ -22,6 +23,7 @@
 import type { JobKind, Load } from "./load.js";
 import { createRandom, type Random } from "./random.js";
 import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
+import { createSimulatedCopies, drawWorkMs, getRunRandom, type SimulatedCopies } from "./simulated-copies.js";
 import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
 import { createTally, type Tally, type TallyRow } from "./tally.js";
 
@@ -47,7 +49,7 @@
 const epochMs = 1_000_000;
 
 /** Part of the planner that a replay calls. */
-export type PlannerPart = "planStarts" | "listStalledRuns" | "planPaces";
+export type PlannerPart = "planStarts" | "planCopies" | "listStalledRuns" | "planPaces";
 
 /** Runs one call of a part of the planner, so that a tool can measure it. */
 export type PlannerCallRunner = <Result>(part: PlannerPart, call: () => Result) => Result;
@@ -64,6 +66,7 @@
     readonly runCall: PlannerCallRunner;
     readonly machine: JobMachine;
     readonly interference: InterferenceModel;
+    readonly seed: number;
     readonly random: Random;
     readonly runsByWorker: Map<string, Map<string, SimulatedRun>>;
     readonly runStatusesByWorker: Map<string, RunStatuses>;
@@ -72,6 +75,8 @@
     readonly jobs: Map<string, SimulatedJob>;
     readonly findDisturbance: (image: string, other: string) => number;
     readonly planMemory: PlanMemory;
+    /** Undefined if no copies are planned. */
+    readonly copies: SimulatedCopies | undefined;
     readonly tally: Tally;
     /** Decides about new jobs; undefined if all are accepted. */
     readonly admission: SimulatedAdmission | undefined;
@@ -108,7 +113,11 @@
     };
 }
 
-function createSimulation(load: Load, seed: number, { hasAdmission, runCall }: Required<ReplayOptions>): Simulation {
+function createSimulation(
+    load: Load,
+    seed: number,
+    { hasAdmission, runCall, hasCopies, observeCopy }: Required<ReplayOptions>,
+): Simulation {
     const random = createRandom(seed);
     const machine = createJobMachine();
     const simulation: Simulation = {
@@ -124,6 +133,8 @@
         jobs: new Map(),
         findDisturbance: drawDisturbances(load, random),
         planMemory: createPlanMemory(),
+        copies: hasCopies ? createSimulatedCopies(machine.state, epochMs, observeCopy) : undefined,
+        seed,
         tally: createTally(load),
         admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
         startAllowance: 0,
@@ -163,6 +174,7 @@
     if (outcome === "succeeded") {
         simulation.admission?.recordEnd(run.run.step.spec, nowMs);
     }
+    simulation.copies?.observeEnd(worker, simulation.runStatusesByWorker.get(worker), end, nowMs);
     simulation.runsByWorker.get(worker)?.delete(formatRunKey(key));
     simulation.runStatusesByWorker.get(worker)?.delete(formatRunKey(key));
     simulation.commandIndex += 1;
@@ -252,17 +264,18 @@
     if (run === undefined || job === undefined) {
         return;
     }
-    const willFail = simulation.random.drawShare() < job.kind.failureShare;
+    const random = getRunRandom(simulation.random, simulation.seed, job, run);
+    const willFail = random.drawShare() < job.kind.failureShare;
     simulation.runsByWorker.get(start.worker)?.set(key, {
         run,
         job,
         startedAtMs: nowMs,
-        workMs: job.workMs[start.step]?.[start.position] ?? job.kind.workMs.mean,
+        workMs: drawWorkMs(random, job, run),
         doneMs: 0,
-        useShare: simulation.random.drawShare() < partialUseTaskShare ? partialUse : 1,
-        failsAfterShare: willFail && job.kind.execution.kind !== "serving" ? simulation.random.drawShare() : undefined,
+        useShare: random.drawShare() < partialUseTaskShare ? partialUse : 1,
+        failsAfterShare: willFail && job.kind.execution.kind !== "serving" ? random.drawShare() : undefined,
         percent: 100,
-        disturbancePhase: simulation.random.drawShare(),
+        disturbancePhase: random.drawShare(),
         milliCpu: 0,
         tailMs: 0,
         isOverTarget: false,
@@ -273,6 +286,8 @@
 }
 
 function performSchedulingPass(simulation: Simulation, nowMs: number): void {
+    // Before the other runs of their tasks are stopped, which takes no time here.
+    simulation.copies?.takeOutcomes(nowMs);
     for (const [worker, runs] of simulation.runsByWorker) {
         const state = simulation.machine.state.workers.get(worker);
         for (const key of state === undefined ? [] : listObsoleteRuns(state)) {
@@ -304,6 +319,8 @@
         "planStarts",
         () => planStarts(input, epochMs + nowMs, simulation.planMemory),
     );
+    const copies = simulation.runCall("planCopies", () => simulation.copies?.planCopies(input, planned, nowMs) ?? []);
+    planned.push(...copies);
     const starts = planned.slice(0, Math.floor(simulation.startAllowance));
     simulation.startAllowance -= starts.length;
     simulation.admission?.observe(simulation.machine.state, starts.length < planned.length, epochMs, nowMs);
@@ -363,6 +380,10 @@
     readonly hasAdmission?: boolean;
     /** Runs the calls of the planner; by default it only makes them. */
     readonly runCall?: PlannerCallRunner;
+    /** Whether slow tasks of steps that allow it get copies; by default they do. */
+    readonly hasCopies?: boolean;
+    /** Is told what came of each copy; by default nothing is done. */
+    readonly observeCopy?: (outcome: CopyOutcome) => void;
 }
 
 /** Replays a load for `lengthMs`, then for `finishMs` without new jobs. The same seed gives the same result. */
@@ -371,9 +392,14 @@
     lengthMs: number,
     finishMs: number,
     seed: number,
-    { hasAdmission = false, runCall = (part, call) => call() }: ReplayOptions = {},
+    {
+        hasAdmission = false,
+        runCall = (part, call) => call(),
+        hasCopies = true,
+        observeCopy = () => undefined,
+    }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed, { hasAdmission, runCall });
+    const simulation = createSimulation(load, seed, { hasAdmission, runCall, hasCopies, observeCopy });
     const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
         job,
         attempt: 0,
