--- a/packages/lead-jobs/src/log-copies.ts
+++ b/packages/lead-jobs/src/log-copies.ts
@@ -23,7 +23,7 @@
 }
 
 /** Name of the counter for an outcome. */
-function nameOutcome({ endedFirst, isDone }: CopyOutcome): string {
+function formatOutcomeName({ endedFirst, isDone }: CopyOutcome): string {
     return isDone ? `copies.${endedFirst}` : "copies.notDone";
 }
 
@@ -32,7 +32,7 @@
     for (const outcome of takeCopyOutcomes(term.copies, nowMs)) {
         const { taskCopy: { job, key, firstRun, copy }, endedFirst, isDone, firstRunCoreMs, copyCoreMs } = outcome;
         const { name, service } = job.queue;
-        term.metrics.countEvent(nameOutcome(outcome), name, service);
+        term.metrics.countEvent(formatOutcomeName(outcome), name, service);
         term.metrics.countEvent("copies.coreMs", name, service, copyCoreMs);
         term.logger.info("copy of a slow task has ended", {
             job: job.id,
--- a/packages/plan-copies/src/copy-memory.ts
+++ b/packages/plan-copies/src/copy-memory.ts
@@ -6,6 +6,8 @@
 
 /** Number of latest outcomes of the copies of a pool by which further copies are judged. */
 const outcomeLimit = 20;
+/** Factor by which a copy that pays takes less time than its first run was expected to need. */
+const paidFactor = 1.5;
 
 /** What a copy was decided by. Times are in milliseconds, those of ends counted from the decision. */
 export interface CopyEstimate {
@@ -35,6 +37,8 @@
     readonly milliCpu: number;
     readonly firstRun: CopiedRun;
     readonly copy: CopiedRun;
+    /** What the copy was decided by; undefined if an earlier leader decided it. */
+    readonly estimate: CopyEstimate | undefined;
 }
 
 /** Which run ended first; "both" if both ended since the pass before. */
@@ -63,8 +67,8 @@
     readonly copies: Map<JobTask, TaskCopy & { isDoneFirst: boolean; }>;
     /** Tasks that have had a copy, so that each gets one at most. */
     readonly copied: WeakSet<JobTask>;
-    /** Whether the copy ended first, for the latest copies of each pool. */
-    readonly winsByService: Map<string, boolean[]>;
+    /** Whether the copy paid, for the latest copies of each pool. */
+    readonly payoffsByService: Map<string, boolean[]>;
 }
 
 /** Creates the memory of a leader that has planned no copies. */
@@ -75,7 +79,7 @@
         estimates: new Map(),
         copies: new Map(),
         copied: new WeakSet(),
-        winsByService: new Map(),
+        payoffsByService: new Map(),
     };
 }
 
@@ -107,7 +111,12 @@
 }
 
 /** Follows a task with two runs until both have ended; those that the memory follows already are left as they are. */
-export function followCopy(memory: CopyMemory, run: Omit<WorkerRun, "run" | "startedAtMs">, nowMs: number): void {
+export function followCopy(
+    memory: CopyMemory,
+    run: Omit<WorkerRun, "run" | "startedAtMs">,
+    nowMs: number,
+    estimate?: CopyEstimate,
+): void {
     const { job, occurrence, step, task } = run;
     const [first, second] = [...task.runs].sort((left, right) => left.run - right.run);
     if (memory.copies.has(task) || first === undefined || second === undefined) {
@@ -129,6 +138,7 @@
         milliCpu: step.spec.resources.milliCpu,
         firstRun: createRun(first, nowMs - headStartMs),
         copy: createRun(second, nowMs),
+        estimate,
         isDoneFirst: false,
     });
 }
@@ -146,7 +156,7 @@
         if (estimate === undefined || run === undefined) {
             return [];
         }
-        followCopy(memory, run, nowMs);
+        followCopy(memory, run, nowMs, estimate);
         const taskCopy = memory.copies.get(run.task);
         // The first run may have ended before the start was recorded, which is then a start like any other.
         return taskCopy === undefined ? [] : [{ taskCopy, estimate }];
@@ -163,6 +173,15 @@
     return firstMs === copyMs ? "both" : firstMs < copyMs ? "firstRun" : "copy";
 }
 
+/**
+ * Whether a copy that completed its task saved clearly more time than it would by chance if the task were slow on any worker,
+ * such as by the size of its data.
+ */
+function hasPaid({ copy, estimate }: TaskCopy, endedFirst: EndedFirst): boolean {
+    const tookMs = (copy.endedAtMs ?? copy.startedAtMs) - copy.startedAtMs;
+    return endedFirst === "copy" && (estimate === undefined || tookMs * paidFactor <= estimate.firstRunEndsInMs);
+}
+
 /** Lists what came of the copies whose runs have both ended by `nowMs`, and follows these no longer. */
 export function takeCopyOutcomes(memory: CopyMemory, nowMs: number): CopyOutcome[] {
     const outcomes: CopyOutcome[] = [];
@@ -183,8 +202,8 @@
         const isDone = taskCopy.isDoneFirst || (endedFirst === "both" && task.isDone);
         if (isDone) {
             const { service } = taskCopy.job.queue;
-            const wins = memory.winsByService.get(service) ?? [];
-            memory.winsByService.set(service, [...wins, endedFirst === "copy"].slice(-outcomeLimit));
+            const payoffs = memory.payoffsByService.get(service) ?? [];
+            memory.payoffsByService.set(service, [...payoffs, hasPaid(taskCopy, endedFirst)].slice(-outcomeLimit));
         }
         outcomes.push({
             taskCopy,
--- a/packages/plan-copies/src/copy-outcomes.test.ts
+++ b/packages/plan-copies/src/copy-outcomes.test.ts
@@ -1,6 +1,7 @@
+import type { RunStart } from "@chestnutspool/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { takeCopyOutcomes } from "./copy-memory.js";
+import { followStartedCopies, takeCopyOutcomes } from "./copy-memory.js";
 import { makeRunningStep, makeStart, type RunningStep, startedMs } from "./fakes/make-running-step.js";
 
 const firstRun = makeStart(9);
@@ -50,12 +51,30 @@
     assert.match(describeOutcomes(cancelled, 910)[0] ?? "", /^copy false/);
 });
 
-// Guards against copies of tasks that are slow by themselves, so that no copy ever ends first.
+// Guards against copies of tasks that are slow on any worker: some of these end a little before their first run.
+test("a copy pays only if it takes clearly less time than its first run was expected to need", () => {
+    for (const [copyMs, expected] of [[900, true], [5_000, false]] as const) {
+        const running = makeRunningStep();
+        running.report(900, 90, { 9: 13 });
+        const starts = running.plan(910);
+        running.start(starts, 910);
+        const findRun = ({ worker }: RunStart) => running.machine.state.workers.get(worker)?.runs.get("a.0.0.9#2");
+        const [followed] = followStartedCopies(running.memory, findRun, starts, startedMs + 910);
+        assert.equal(followed?.estimate.progressPercent, 13);
+        starts.forEach(start => running.endRun(start, "succeeded", 910 + copyMs));
+        takeCopyOutcomes(running.memory, startedMs + 910 + copyMs);
+        running.endFirst(9, 6_000, "stopped");
+        assert.equal(takeCopyOutcomes(running.memory, startedMs + 6_000).length, 1);
+        assert.deepEqual(running.memory.payoffsByService.get("pool"), [expected]);
+    }
+});
+
+// Guards against copies of tasks that are slow by themselves, so that no copy pays.
 test("while copies do not pay, a pool has one at a time", () => {
     const running = makeRunningStep();
-    running.memory.winsByService.set("pool", Array.from({ length: 8 }, () => false));
+    running.memory.payoffsByService.set("pool", Array.from({ length: 8 }, () => false));
     running.report(900, 90, { 7: 13, 8: 13, 9: 13 });
     assert.equal(running.plan(910).length, 1);
-    running.memory.winsByService.set("pool", [true, true, ...Array.from({ length: 6 }, () => false)]);
+    running.memory.payoffsByService.set("pool", [true, true, ...Array.from({ length: 6 }, () => false)]);
     assert.equal(running.plan(1_010).length, 2);
 });
--- a/packages/plan-copies/src/find-copy-worker.ts
+++ b/packages/plan-copies/src/find-copy-worker.ts
@@ -47,7 +47,7 @@
  * Whether a step waits for capacity of a worker: a task of it could run there if the worker were empty. One that waits because
  * it would disturb the serving tasks there does not wait for capacity.
  */
-function waitsFor(waiting: WaitingStep, candidate: WorkerCandidate, input: PlanInput): boolean {
+function isWaitingFor(waiting: WaitingStep, candidate: WorkerCandidate, input: PlanInput): boolean {
     const { spec } = waiting.step;
     const { info } = candidate.state;
     const isAllowed = (spec.requiredLabel === undefined || info.labels.includes(spec.requiredLabel))
@@ -58,7 +58,7 @@
 }
 
 /** Whether a copy may run in a rack: near its data, and without spreading the step over more racks. */
-function suitsRack({ step }: Straggler["run"], rack: string, state: JobState): boolean {
+function isSuitableRack({ step }: Straggler["run"], rack: string, state: JobState): boolean {
     const { rackOfData, prefersOneRack } = step.spec;
     if (rackOfData !== undefined && rack !== rackOfData) {
         return false;
@@ -109,12 +109,12 @@
         const { info } = candidate.state;
         return info.service === service && info.id !== worker && info.id !== failedOn
             && isHealthy(candidate, input, slowWorkers) && predictSpeed(info.id) >= leastSpeed
-            && suitsRack(run, findRack(info), input.state) && hasRoom(candidate, step.spec, formatKey(run), input);
+            && isSuitableRack(run, findRack(info), input.state) && hasRoom(candidate, step.spec, formatKey(run), input);
     });
     const waiting = unserved.get(service) ?? [];
     const computeSpeed = ({ state }: WorkerCandidate): number => Math.min(1, predictSpeed(state.info.id));
     return suitable
         .sort((left, right) => computeSpeed(right) - computeSpeed(left) || right.free.milliCpu - left.free.milliCpu)
         .slice(0, comparedWorkers)
-        .find(candidate => !waiting.some(other => waitsFor(other, candidate, input)));
+        .find(candidate => !waiting.some(other => isWaitingFor(other, candidate, input)));
 }
--- a/packages/plan-copies/src/plan-copies.ts
+++ b/packages/plan-copies/src/plan-copies.ts
@@ -14,8 +14,8 @@
 /** Largest share of the idle processors of a pool that copies take, those in progress included. */
 const idleShare = 0.25;
 const leastCopies = 2;
-/** Share of copies that must have ended first for more than one copy of a pool at a time. */
-const leastWinShare = 0.25;
+/** Share of copies that must have paid for more than one copy of a pool at a time. */
+const leastPaidShare = 0.25;
 /** Number of outcomes from which the share counts. */
 const judgedOutcomes = 8;
 
@@ -71,8 +71,9 @@
         (sum, { state, free }) => sum + (state.info.service === service ? Math.max(0, free.milliCpu) : 0),
         0,
     );
-    const wins = input.memory.winsByService.get(service) ?? [];
-    const areUseless = wins.length >= judgedOutcomes && wins.filter(Boolean).length < wins.length * leastWinShare;
+    const payoffs = input.memory.payoffsByService.get(service) ?? [];
+    const areUseless = payoffs.length >= judgedOutcomes
+        && payoffs.filter(Boolean).length < payoffs.length * leastPaidShare;
     const limit = areUseless ? 1 : Math.max(leastCopies, Math.floor(running * runningShare));
     return {
         copies: limit - copies,
@@ -81,7 +82,7 @@
 }
 
 /** Whether a copy of a straggler on a normal worker would end clearly earlier. */
-function gainsByCopy({ estimate, typicalMs, leastGain }: Straggler): boolean {
+function hasGain({ estimate, typicalMs, leastGain }: Straggler): boolean {
     return estimate.leftMs > leastGain * (typicalMs + orderingMs);
 }
 
@@ -134,7 +135,7 @@
         return [];
     }
     memory.checkedAtMs = nowMs;
-    const stragglers = listStragglers(input, memory, nowMs, wallMs).filter(gainsByCopy);
+    const stragglers = listStragglers(input, memory, nowMs, wallMs).filter(hasGain);
     if (stragglers.length === 0) {
         return [];
     }
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -328,6 +328,7 @@
         simulation.commandIndex += 1;
         simulation.machine.applyCommand(simulation.commandIndex, { kind: "startRuns", nowMs: epochMs + nowMs, starts });
         starts.forEach(start => startRun(simulation, start, nowMs));
+        simulation.copies?.followStarts(starts, nowMs);
     }
 }
 
--- a/packages/replay-jobs/src/simulated-copies.ts
+++ b/packages/replay-jobs/src/simulated-copies.ts
@@ -2,6 +2,7 @@
 import {
     type CopyOutcome,
     createCopyMemory,
+    followStartedCopies,
     observeRunEnd,
     planCopies,
     takeCopyOutcomes,
@@ -18,6 +19,8 @@
     readonly observeEnd: (worker: string, statuses: RunStatuses | undefined, end: RunEnd, nowMs: number) => void;
     /** Passes on what came of copies whose runs have both ended. */
     readonly takeOutcomes: (nowMs: number) => void;
+    /** Must be called once the starts are recorded. */
+    readonly followStarts: (starts: readonly RunStart[], nowMs: number) => void;
     readonly planCopies: (input: PlanInput, starts: readonly RunStart[], nowMs: number) => RunStart[];
 }
 
@@ -38,6 +41,14 @@
             }
         },
         takeOutcomes: nowMs => takeCopyOutcomes(memory, nowMs).forEach(observeCopy),
+        followStarts: (starts, nowMs) => {
+            followStartedCopies(
+                memory,
+                start => state.workers.get(start.worker)?.runs.get(formatRunKey(start)),
+                starts,
+                nowMs,
+            );
+        },
         planCopies: (input, starts, nowMs) => planCopies({ ...input, starts, wallMs: epochMs + nowMs, memory }, nowMs),
     };
 }
