Learn the speed of workers and the share of their runs that fail

Cause: some workers are five times slower for seconds, and some fail part of what they start; nothing compared a worker with others before a run had ended, and a declared run time is no measure. Change: the package learn-worker-speed compares the progress of a run with that of its siblings on other workers, per worker and, as weaker evidence, per rack and zone. The log of jobs can hold a summary with the time of its command (recordWorkerSpeeds); nothing uses either yet.

--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -12,6 +12,7 @@
     type JobState,
     type JobStep,
     type JobTask,
+    type RecordedSpeed,
     type RunInProgress,
     type TaskCrashes,
     type WorkerRun,
--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -42,6 +42,7 @@
     expireRuns(state, command);
     if (command.isGone) {
         state.workers.delete(command.worker);
+        state.workerSpeeds.delete(command.worker);
     }
 }
 
@@ -86,6 +87,15 @@
     }
 }
 
+function recordWorkerSpeeds(state: JobState, command: Extract<JobCommand, { kind: "recordWorkerSpeeds"; }>): void {
+    for (const estimate of command.estimates) {
+        // Each entry belongs to a known worker, so that there are never more of them than workers.
+        if (state.workers.has(estimate.worker)) {
+            state.workerSpeeds.set(estimate.worker, { estimate, recordedAtMs: command.nowMs });
+        }
+    }
+}
+
 function applyCommand(state: JobState, command: JobCommand): JobResult {
     state.clockMs = Math.max(state.clockMs, command.nowMs);
     switch (command.kind) {
@@ -121,6 +131,9 @@
         case "recordDisturbances":
             recordDisturbances(state, command);
             return { kind: "done" };
+        case "recordWorkerSpeeds":
+            recordWorkerSpeeds(state, command);
+            return { kind: "done" };
     }
 }
 
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -11,6 +11,7 @@
     StepSpec,
     WorkerId,
     WorkerInfo,
+    WorkerSpeedEstimate,
 } from "@chestnutspool/types";
 
 /** A run that may be executing on a worker: its start is recorded and its end is not. */
@@ -126,6 +127,12 @@
     readonly begun: Set<string>;
 }
 
+/** Speed of a worker and when a leader recorded it, in milliseconds of wall-clock time since the epoch. */
+export interface RecordedSpeed {
+    readonly estimate: WorkerSpeedEstimate;
+    readonly recordedAtMs: number;
+}
+
 /** The whole state of jobs; only the state machine changes it. */
 export interface JobState {
     /** Highest wall-clock time seen in a command, in milliseconds since the epoch. */
@@ -142,6 +149,8 @@
     readonly waves: Map<number, WaveState>;
     /** Interference estimates for pairs of images, by both image names, least recently recorded first. */
     readonly disturbances: Map<string, DisturbanceEstimate>;
+    /** Speeds of workers as the last leaders recorded them, by worker. */
+    readonly workerSpeeds: Map<WorkerId, RecordedSpeed>;
     /** All services that a queue has ever been configured with, by `formatQueueKey`. */
     readonly servicesByQueue: Map<string, Set<string>>;
 }
@@ -158,6 +167,7 @@
         evacuatedZones: new Set(),
         waves: new Map(),
         disturbances: new Map(),
+        workerSpeeds: new Map(),
         servicesByQueue: new Map(),
     };
 }
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -21,6 +21,7 @@
     type JobState,
     type JobStep,
     type JobTask,
+    type RecordedSpeed,
 } from "./job-state.js";
 import { formatRunKey } from "./run-keys.js";
 
@@ -87,6 +88,8 @@
         readonly begun: readonly string[];
     }[];
     readonly disturbances: readonly DisturbanceEstimate[];
+    /** Earlier builds do not write it. */
+    readonly workerSpeeds?: readonly RecordedSpeed[];
     readonly services: readonly (readonly [string, readonly string[]])[];
 }
 
@@ -177,6 +180,7 @@
             begun: [...begun],
         })),
         disturbances: [...state.disturbances.values()],
+        workerSpeeds: [...state.workerSpeeds.values()],
         services: [...state.servicesByQueue].map(([queue, services]) => [queue, [...services]]),
     };
     const fields = Object.entries(saved);
@@ -283,6 +287,7 @@
             state.evacuatedZones,
             state.waves,
             state.disturbances,
+            state.workerSpeeds,
             state.servicesByQueue,
         ]
     ) {
@@ -303,6 +308,7 @@
     for (const pair of saved.disturbances) {
         state.disturbances.set(`${pair.image} ${pair.other}`, pair);
     }
+    saved.workerSpeeds?.forEach(recorded => state.workerSpeeds.set(recorded.estimate.worker, recorded));
     for (const [queue, services] of saved.services) {
         state.servicesByQueue.set(queue, new Set(services));
     }
--- /dev/null
+++ b/packages/learn-worker-speed/src/index.ts
@@ -0,0 +1,21 @@
+export type { WorkerPlace } from "./grouped-sums.js";
+export {
+    addEstimate,
+    countSlowWorkers,
+    createSpeedModel,
+    estimateWorker,
+    forgetRun,
+    forgetWorker,
+    listEstimates,
+    type ObservedRun,
+    observeEnd,
+    observeProgress,
+    predictFailureShare,
+    predictSpeed,
+    predictUsefulSpeed,
+    recordCold,
+    type SpeedChange,
+    type SpeedEstimate,
+    type SpeedModel,
+    takeSpeedChanges,
+} from "./speed-model.js";
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -135,6 +135,8 @@
     readonly sequence: number;
     /** Reading of the worker's own clock, in milliseconds. */
     readonly clockMs: number | undefined;
+    /** How much longer the worker is slow because it has just started, in milliseconds; undefined if it does not say. */
+    readonly coldRemainingMs?: number | undefined;
 }
 
 /** Identifies one task: job, occurrence, step and position within the step. */
@@ -260,8 +262,23 @@
         | { readonly kind: "recordUpkeep"; readonly wave: number; readonly host: string; }
         /** Estimates that the leader has learnt since it last recorded any, so that the next leader has them. */
         | { readonly kind: "recordDisturbances"; readonly pairs: readonly DisturbanceEstimate[]; }
+        /** What the leader has learnt of the speeds of workers. Replicas of earlier builds ignore it. */
+        | { readonly kind: "recordWorkerSpeeds"; readonly estimates: readonly WorkerSpeedEstimate[]; }
     );
 
+/** Evidence of the leader about the speed of a worker. */
+export interface WorkerSpeedEstimate {
+    readonly worker: WorkerId;
+    /** Speed compared with other workers; 1 is normal, 0.2 is five times slower. */
+    readonly speed: number;
+    /** Weight of the evidence, in runs. */
+    readonly speedWeight: number;
+    /** Share of its runs that failed. */
+    readonly failureShare: number;
+    /** Weight of the evidence about failures, in runs. */
+    readonly failureWeight: number;
+}
+
 /** Estimated interference between the tasks of one image and the serving tasks of another. */
 export interface DisturbanceEstimate {
     readonly image: string;
