Avoid slow and failing workers in the planner

Cause: the planner rated workers by room, racks and images alone, so that a worker five times slower than the others, or one that fails part of its work, got as many tasks as any other. Change: PlanInput.predictSpeed, absent by default. A worker below 0.75 of the usual speed is rated lower, by the same scale as a place away from the data, and one below 0.5 gets two tasks at a time. At most a third of a pool is avoided or suspected. The replay has a load with uneven workers.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -18,6 +18,7 @@
     reserveCapacity,
     type WorkerCandidate,
 } from "./worker-candidate.js";
+import { applySpeeds } from "./worker-speeds.js";
 
 /**
  * Limit of starts per pass, so that a burst of tasks does not block the process. The starts of gangs count, but are not
@@ -46,6 +47,11 @@
     readonly interference: InterferenceModel;
     /** State of the runs on a worker, by its reports. */
     readonly findRunStatuses: (worker: WorkerId) => RunStatuses | undefined;
+    /**
+     * Useful speed of a worker: 1 for a normal one, 0.2 for one that takes five times as long. Absent if speeds are not
+     * learnt, so that all workers count as normal.
+     */
+    readonly predictSpeed?: ((worker: WorkerId) => number) | undefined;
 }
 
 /** Trials of the tasks of a service. */
@@ -79,10 +85,15 @@
 }
 
 /** Lists the workers on which tasks may start. */
-export function listCandidates({ state, isUsable, findStartLimit, findRunStatuses }: PlanInput): WorkerCandidate[] {
-    return [...state.workers.values()]
+export function listCandidates(input: PlanInput): WorkerCandidate[] {
+    const { state, isUsable, findStartLimit, findRunStatuses } = input;
+    const candidates = [...state.workers.values()]
         .filter(worker => acceptsStarts(state, worker) && isUsable(worker.info.id))
         .map(worker => createWorkerCandidate(worker, findRunStatuses(worker.info.id), findStartLimit(worker.info.id)));
+    if (input.predictSpeed !== undefined) {
+        applySpeeds(candidates, input.predictSpeed);
+    }
+    return candidates;
 }
 
 function groupByService(candidates: readonly WorkerCandidate[]): ReadonlyMap<string, readonly WorkerCandidate[]> {
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -22,6 +22,17 @@
  */
 const leastIdleShare = 0.5;
 
+/**
+ * Factor on the run time away from the rack of the data that is worth `rackBonus`, so that a worker that is slower than
+ * this is avoided even if it is in the rack.
+ */
+const farFactor = 3;
+
+/** Computes by how much the rating of a worker with a speed below 1 falls. */
+function computeSpeedPenalty(speed: number): number {
+    return rackBonus * Math.log(1 / speed) / Math.log(farFactor);
+}
+
 /** Inputs of a rating besides the worker and the step. */
 export interface RatingContext {
     readonly interference: InterferenceModel;
@@ -164,6 +175,7 @@
 export function rateWorker(candidate: WorkerCandidate, spec: StepSpec, context: RatingContext): number | undefined {
     const rack = findRack(candidate.state.info);
     let rating = spec.rackOfData !== undefined && spec.rackOfData === rack ? rackBonus : 0;
+    rating -= candidate.speed < 1 ? computeSpeedPenalty(candidate.speed) : 0;
     rating += spec.prefersOneRack ? (context.tasksByRack.get(rack) ?? 0) * rackBonus : 0;
     if (spec.usesIdleCpu) {
         const bestEffortRating = rateForBestEffortTask(candidate, spec, context);
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -42,6 +42,8 @@
     free: Resources;
     /** Runs that may still start here; undefined: no limit. */
     startsLeft: number | undefined;
+    /** Speed of the worker compared with others, as far as the planner avoids slow ones; 1 is normal. */
+    speed: number;
     /** Whether a long-running task waits for room here, so that no other task may start in this pass. */
     isHeld: boolean;
     /** Whether a task that may crash the worker is on trial here, so that no other task may start. */
@@ -192,6 +194,7 @@
         state,
         free: subtractResources(state.info.capacity, state.used),
         startsLeft: startLimit,
+        speed: 1,
         isHeld: false,
         isOnTrial: hasTrial(state, statuses),
         statuses,
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -72,6 +72,23 @@
     readonly contendingShare: number;
     /** Number of starts that the leader can order in one second; undefined if only the workers limit them. */
     readonly startsPerSecond: number | undefined;
+    /** How the workers differ for some time; by default they are all alike. */
+    readonly unevenness?: Unevenness;
+}
+
+/** Workers that are slow, and a zone that fails part of its work, for some seconds in each period. */
+export interface Unevenness {
+    readonly periodMs: number;
+    /** Share of the workers that are slow in each period; others each time. */
+    readonly slowShare: number;
+    /** Speed of these workers. */
+    readonly slowSpeed: number;
+    /** Time for which they are slow, and for which the zone fails work, in milliseconds. */
+    readonly slowMs: number;
+    readonly failingMs: number;
+    /** Number of zones; one of them fails this share of what starts there, another one in each period. */
+    readonly zones: number;
+    readonly failingShare: number;
 }
 
 /** Load of the ash advisory service: short checks, long forecasts on idle processors, and watches. */
@@ -278,3 +295,48 @@
     ...wholesaleLoad,
     startsPerSecond: 80,
 };
+
+/**
+ * Load of a third of a pool of 245 workers on which a sixth of the workers are five times slower for 6.5 s, and a zone fails
+ * 45% of its work.
+ */
+export const unevenLoad: Load & { readonly unevenness: Unevenness; } = {
+    ...wholesaleLoad,
+    workers: 82,
+    milliCpu: 64_000,
+    memoryMib: 250_000,
+    workersPerRack: 12,
+    kinds: [
+        createKindVariant(check, {
+            jobsPerSecond: 2.2,
+            maxAttempts: 3,
+            targetLatencyMs: 300,
+            tasksPerStep: { mean: 10, spread: 0.8, largest: 60 },
+            workMs: { mean: 850, spread: 0.5, largest: 2_100 },
+            milliCpu: { mean: 8_100, spread: 0.45, largest: 24_000 },
+            estimateSpread: 1,
+        }),
+        createKindVariant(forecast, {
+            jobsPerSecond: 2.55,
+            maxAttempts: 3,
+            tasksPerStep: { mean: 20, spread: 0.6, largest: 80 },
+            workMs: { mean: 2_300, spread: 0.5, largest: 5_800 },
+            milliCpu: { mean: 7_000, spread: 0.3, largest: 14_000 },
+            estimateSpread: 1,
+        }),
+        createKindVariant(watch, {
+            jobsPerSecond: 0.134,
+            initialJobs: 20,
+            tasksPerStep: { mean: 14, spread: 0.4, largest: 28 },
+        }),
+    ],
+    unevenness: {
+        periodMs: 13_000,
+        slowShare: 0.16,
+        slowSpeed: 0.2,
+        slowMs: 6_500,
+        failingMs: 6_500,
+        zones: 3,
+        failingShare: 0.45,
+    },
+};
--- a/packages/replay-jobs/src/print-replay.ts
+++ b/packages/replay-jobs/src/print-replay.ts
@@ -5,12 +5,14 @@
     type Load,
     overloadedLoad,
     sustainedOverload,
+    unevenLoad,
     wholesaleLoad,
 } from "./load.js";
 import { replayLoad } from "./replay.js";
 
 const lengthMs = 40_000;
 const finishMs = 20_000;
+const { unevenness } = unevenLoad;
 
 interface Total {
     earned: number;
@@ -22,12 +24,12 @@
 }
 
 /** Prints the results of a load as means over replays with seeds from 1 to `seeds`. */
-function printReplay(name: string, load: Load, seeds: number, hasAdmission: boolean): void {
+function printReplay(name: string, load: Load, seeds: number, hasAdmission: boolean, learnsSpeeds = false): void {
     const totals = new Map<string, Total>();
     let earnedValue = 0;
     let attainableValue = 0;
     for (let seed = 1; seed <= seeds; seed += 1) {
-        for (const row of replayLoad(load, lengthMs, finishMs, seed, { hasAdmission })) {
+        for (const row of replayLoad(load, lengthMs, finishMs, seed, { hasAdmission, learnsSpeeds })) {
             const total = totals.get(row.kind)
                 ?? { earned: 0, inTime: 0, overTarget: 0, paceChanges: 0, refusals: 0, starts: 0 };
             total.earned += row.earnedShare / seeds;
@@ -42,7 +44,9 @@
         }
     }
     console.log(
-        `${name}, admission ${hasAdmission ? "on" : "off"}: worth ${(earnedValue / attainableValue).toFixed(3)}`,
+        `${name}, admission ${hasAdmission ? "on" : "off"}, speeds ${learnsSpeeds ? "learnt" : "unknown"}: worth ${
+            (earnedValue / attainableValue).toFixed(3)
+        }`,
     );
     for (const [kind, { earned: share, inTime, overTarget, paceChanges, refusals, starts }] of totals) {
         const figures = [share, inTime, overTarget].map(figure => figure.toFixed(3)).join("  ");
@@ -67,6 +71,18 @@
             printReplay(name, load, seeds, true);
         }
     }
+    const unevenLoads = {
+        uneven: unevenLoad,
+        slowWorkers: { ...unevenLoad, unevenness: { ...unevenness, failingMs: 0 } },
+        failingZone: { ...unevenLoad, unevenness: { ...unevenness, slowMs: 0 } },
+        evenWorkers: { ...unevenLoad, unevenness: { ...unevenness, slowMs: 0, failingMs: 0 } },
+    };
+    for (const [name, load] of Object.entries(unevenLoads)) {
+        if (only === undefined || only === name) {
+            printReplay(name, load, seeds, false);
+            printReplay(name, load, seeds, false, true);
+        }
+    }
 }
 
 printReplays(Number(process.argv[2] ?? 3), process.argv[3]);
--- a/packages/replay-jobs/src/replay.test.ts
+++ b/packages/replay-jobs/src/replay.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { lastingOverload, type Load, sustainedOverload, wholesaleLoad } from "./load.js";
+import { lastingOverload, type Load, sustainedOverload, unevenLoad, wholesaleLoad } from "./load.js";
 import { replayLoad } from "./replay.js";
 
 const lengthMs = 12_000;
@@ -31,3 +31,16 @@
         assert.ok(earnedShare >= 0.71, `${kind} earns ${earnedShare}`);
     }
 });
+
+// Load: a sixth of the workers are five times slower for 6.5 s of each 13 s, and one zone of three fails 45% of its work.
+// Guards against estimates of speed that do not help the callers, or cost one kind of job what another gains.
+test("each kind of job earns at least as much on uneven workers while their speeds are learnt", () => {
+    const [without, learnt] = [false, true].map(learnsSpeeds =>
+        new Map(replayLoad(unevenLoad, 26_000, 8_000, 1, { learnsSpeeds }).map(row => [row.kind, row.earnedShare]))
+    );
+    for (const [kind, share] of learnt ?? []) {
+        assert.ok(share >= (without?.get(kind) ?? 1), `${kind} earns ${share}, before ${without?.get(kind)}`);
+    }
+    const gain = (learnt?.get("check") ?? 0) - (without?.get("check") ?? 1);
+    assert.ok(gain >= 0.05, `urgent checks gain ${gain}`);
+});
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -22,8 +22,10 @@
 import type { JobKind, Load } from "./load.js";
 import { createRandom, type Random } from "./random.js";
 import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
+import { createSimulatedSpeeds, type SimulatedSpeeds, speedReportIntervalMs } from "./simulated-speeds.js";
 import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
 import { createTally, type Tally, type TallyRow } from "./tally.js";
+import { createUnevenWorkers, type UnevenWorkers } from "./uneven-workers.js";
 
 /** Length of one simulation step, in milliseconds. */
 const stepMs = 20;
@@ -72,6 +74,9 @@
     readonly jobs: Map<string, SimulatedJob>;
     readonly findDisturbance: (image: string, other: string) => number;
     readonly planMemory: PlanMemory;
+    readonly uneven: UnevenWorkers;
+    /** Learnt speeds of the workers; undefined if none are learnt. */
+    readonly speeds: SimulatedSpeeds | undefined;
     readonly tally: Tally;
     /** Decides about new jobs; undefined if all are accepted. */
     readonly admission: SimulatedAdmission | undefined;
@@ -96,19 +101,24 @@
     };
 }
 
-function createWorkerInfo(load: Load, number: number): WorkerInfo {
+function createWorkerInfo(load: Load, uneven: UnevenWorkers, number: number): WorkerInfo {
     const size = load.sizeFactors[number % load.sizeFactors.length] ?? 1;
+    const rack = Math.floor(number / load.workersPerRack);
     return {
         id: `w${String(number).padStart(4, "0")}`,
         address: "127.0.0.1:1",
         service,
-        availabilityZone: "z",
+        availabilityZone: uneven.findZone(rack),
         capacity: { milliCpu: load.milliCpu * size, memoryMib: load.memoryMib * size, accelerators: 0 },
-        labels: ["a", `r${Math.floor(number / load.workersPerRack)}`],
+        labels: ["a", `r${rack}`],
     };
 }
 
-function createSimulation(load: Load, seed: number, { hasAdmission, runCall }: Required<ReplayOptions>): Simulation {
+function createSimulation(
+    load: Load,
+    seed: number,
+    { hasAdmission, runCall, learnsSpeeds }: Required<ReplayOptions>,
+): Simulation {
     const random = createRandom(seed);
     const machine = createJobMachine();
     const simulation: Simulation = {
@@ -124,6 +134,8 @@
         jobs: new Map(),
         findDisturbance: drawDisturbances(load, random),
         planMemory: createPlanMemory(),
+        uneven: createUnevenWorkers(load.unevenness, load.workersPerRack, seed),
+        speeds: learnsSpeeds ? createSimulatedSpeeds() : undefined,
         tally: createTally(load),
         admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
         startAllowance: 0,
@@ -142,7 +154,7 @@
         },
     });
     for (let number = 0; number < load.workers; number += 1) {
-        const worker = createWorkerInfo(load, number);
+        const worker = createWorkerInfo(load, simulation.uneven, number);
         simulation.commandIndex += 1;
         machine.applyCommand(simulation.commandIndex, { kind: "registerWorker", nowMs: epochMs, worker });
         simulation.runsByWorker.set(worker.id, new Map());
@@ -163,8 +175,10 @@
     if (outcome === "succeeded") {
         simulation.admission?.recordEnd(run.run.step.spec, nowMs);
     }
+    const statuses = simulation.runStatusesByWorker.get(worker);
+    simulation.speeds?.observeEnd(simulation.machine.state, worker, run.run, statuses, end, nowMs);
     simulation.runsByWorker.get(worker)?.delete(formatRunKey(key));
-    simulation.runStatusesByWorker.get(worker)?.delete(formatRunKey(key));
+    statuses?.delete(formatRunKey(key));
     simulation.commandIndex += 1;
     simulation.machine.applyCommand(simulation.commandIndex, {
         kind: "endRuns",
@@ -188,6 +202,10 @@
     }
 }
 
+function chooseReportIntervalMs({ speeds }: Simulation, hasPairsToLearn: boolean): number {
+    return hasPairsToLearn ? learningReportIntervalMs : speeds === undefined ? reportIntervalMs : speedReportIntervalMs;
+}
+
 function reportWorkers(simulation: Simulation, nowMs: number): void {
     for (const [worker, lastMs] of simulation.reportedAtMs) {
         const state = simulation.machine.state.workers.get(worker);
@@ -196,7 +214,7 @@
         const hasPairsToLearn = state !== undefined && statuses !== undefined
             && hasUncertainPairs(state, statuses, simulation.interference);
         if (
-            nowMs - lastMs < (hasPairsToLearn ? learningReportIntervalMs : reportIntervalMs) || state === undefined
+            nowMs - lastMs < chooseReportIntervalMs(simulation, hasPairsToLearn) || state === undefined
             || statuses === undefined
             || history === undefined
         ) {
@@ -220,6 +238,7 @@
         }
         recordUsage(state, statuses, history, nowMs);
         observeMargins(state, statuses, simulation.interference, history, nowMs);
+        simulation.speeds?.observeReport(simulation.machine.state, worker, statuses, nowMs);
     }
 }
 
@@ -252,7 +271,8 @@
     if (run === undefined || job === undefined) {
         return;
     }
-    const willFail = simulation.random.drawShare() < job.kind.failureShare;
+    const failingShare = simulation.uneven.findFailingShare(Number(start.worker.slice(1)), nowMs);
+    const willFail = simulation.random.drawShare() < Math.max(job.kind.failureShare, failingShare);
     simulation.runsByWorker.get(start.worker)?.set(key, {
         run,
         job,
@@ -282,6 +302,7 @@
             }
         }
     }
+    const { speeds } = simulation;
     const input = {
         state: simulation.machine.state,
         isUsable: () => true,
@@ -289,6 +310,9 @@
         findFailedWorker: () => undefined,
         interference: simulation.interference,
         findRunStatuses: (worker: string) => simulation.runStatusesByWorker.get(worker),
+        predictSpeed: speeds === undefined
+            ? undefined
+            : (worker: string) => speeds.predictSpeed(worker, nowMs),
     };
     for (const { worker, runKey } of simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs))) {
         const run = simulation.runsByWorker.get(worker)?.get(runKey);
@@ -363,6 +387,8 @@
     readonly hasAdmission?: boolean;
     /** Runs the calls of the planner; by default it only makes them. */
     readonly runCall?: PlannerCallRunner;
+    /** Whether the speeds of workers are learnt and used; by default they are not. */
+    readonly learnsSpeeds?: boolean;
 }
 
 /** Replays a load for `lengthMs`, then for `finishMs` without new jobs. The same seed gives the same result. */
@@ -371,9 +397,9 @@
     lengthMs: number,
     finishMs: number,
     seed: number,
-    { hasAdmission = false, runCall = (part, call) => call() }: ReplayOptions = {},
+    { hasAdmission = false, runCall = (part, call) => call(), learnsSpeeds = false }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed, { hasAdmission, runCall });
+    const simulation = createSimulation(load, seed, { hasAdmission, runCall, learnsSpeeds });
     const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
         job,
         attempt: 0,
@@ -384,7 +410,8 @@
         for (const [worker, runs] of simulation.runsByWorker) {
             const state = simulation.machine.state.workers.get(worker);
             if (state !== undefined) {
-                advanceWorker(state, [...runs.values()], simulation.findDisturbance, nowMs, stepMs);
+                const speed = simulation.uneven.findSpeed(Number(worker.slice(1)), nowMs);
+                advanceWorker(state, [...runs.values()], simulation.findDisturbance, nowMs, stepMs, speed);
             }
         }
         endFinishedRuns(simulation, nowMs);
--- a/packages/replay-jobs/src/simulated-workers.ts
+++ b/packages/replay-jobs/src/simulated-workers.ts
@@ -79,13 +79,14 @@
     return load * (1 + loadAmplitude * Math.sin(2 * Math.PI * (nowMs / loadPeriodMs + phase)));
 }
 
-/** Advances the runs of one worker by a time step. */
+/** Advances the runs of one worker by a time step; `speed` is that of the worker, 1 is normal. */
 export function advanceWorker(
     state: WorkerState,
     runs: readonly SimulatedRun[],
     findDisturbance: (image: string, other: string) => number,
     nowMs: number,
     stepMs: number,
+    speed: number,
 ): void {
     const capacity = state.info.capacity.milliCpu;
     let idle = capacity;
@@ -109,10 +110,10 @@
                 spec.image ?? "",
                 (cpuShareByImage.get(spec.image ?? "") ?? 0) + run.milliCpu * oscillation / capacity,
             );
-            run.doneMs += stepMs * run.milliCpu / (spec.resources.milliCpu * run.useShare);
+            run.doneMs += speed * stepMs * run.milliCpu / (spec.resources.milliCpu * run.useShare);
         }
         else {
-            run.doneMs += stepMs;
+            run.doneMs += speed * stepMs;
         }
     }
     for (const run of runs) {
