--- a/packages/forward-jobs/src/heartbeat-filter.ts
+++ b/packages/forward-jobs/src/heartbeat-filter.ts
@@ -20,8 +20,8 @@
 export type HeartbeatFilter = Map<WorkerId, Acknowledged>;
 
 /** Formats what a heartbeat tells besides its number and clock. */
-function formatContent({ worker }: WorkerHeartbeat): string {
-    return JSON.stringify(worker);
+function formatContent({ worker, coldRemainingMs = 0 }: WorkerHeartbeat): string {
+    return JSON.stringify([worker, coldRemainingMs > 0]);
 }
 
 /**
