Let the leader learn the speed of workers where the settings ask for it

Cause: the model of speeds was fed by nothing, and a new leader would have had to learn all speeds anew.

--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -1,6 +1,7 @@
 import { formatRunKey, formatStepKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
 import { countAllowedStarts, recordRunQuality, type RunQuality, type RunStatus } from "@chestnutspool/track-workers";
 import type { RunEnd, WorkerId } from "@chestnutspool/types";
+import { observeRunEnd } from "./learn-speeds.js";
 import type { Term, WorkerSession } from "./term.js";
 
 /**
@@ -86,6 +87,9 @@
     const run = term.machine.state.workers.get(session.info.id)?.runs.get(key);
     const status = session.runStatuses.get(key);
     const quality = run === undefined || status === undefined ? undefined : rateRun(term, run, status, end, nowMs);
+    if (run !== undefined && status !== undefined) {
+        observeRunEnd(term, session, key, run, status, end, nowMs);
+    }
     if (end.outcome === "failed") {
         setLatest(term.failedWorkerByTask, formatTaskKey(end), session.info.id, failedTaskLimit);
     }
--- a/packages/lead-jobs/src/record-heartbeat.ts
+++ b/packages/lead-jobs/src/record-heartbeat.ts
@@ -11,6 +11,7 @@
 } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { isStartRecorded } from "./expire-worker.js";
+import { recordColdWorker } from "./learn-speeds.js";
 import { openSession, restartSession } from "./open-session.js";
 import { propose, registerWorker, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
@@ -89,6 +90,7 @@
     }
     session.heartbeatSequence = sequence;
     session.heartbeatAtMs = nowMs;
+    recordColdWorker(term, heartbeat, nowMs);
     if (clockMs !== undefined && session.lease !== undefined) {
         session.lease = recordClock(session.lease, clockMs, nowMs);
     }
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -13,6 +13,7 @@
 import { adaptRatings } from "./adapt-ratings.js";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
+import { createSpeedReader } from "./learn-speeds.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
@@ -219,6 +220,7 @@
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         interference: term.interference,
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
+        predictSpeed: createSpeedReader(term, nowMs),
     };
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -11,6 +11,7 @@
 import { Effect, FiberMap, Queue } from "effect";
 import { createAdmission } from "./admission.js";
 import { handleInTerm } from "./handle-request.js";
+import { createSpeedLearning, runSpeedRecording } from "./learn-speeds.js";
 import { openSession } from "./open-session.js";
 import { runDisturbanceRecording } from "./record-disturbances.js";
 import { runLoadReport } from "./report-load.js";
@@ -63,11 +64,12 @@
     yield* dependencies.log.confirmRead;
     const scope = yield* Effect.scope;
     const openedAtMs = yield* readMonotonicMs;
+    const wallMs = yield* readWallMs;
     const term: Term = {
         ...dependencies,
         number,
         openedAtMs,
-        clock: createSteadyClock(openedAtMs, yield* readWallMs),
+        clock: createSteadyClock(openedAtMs, wallMs),
         scope,
         sessions: new Map(),
         sessionLoops: yield* FiberMap.make<WorkerId>(),
@@ -76,6 +78,7 @@
         givenUpJobs: new Set(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
+        speeds: createSpeedLearning(dependencies, wallMs, openedAtMs),
         load: createTermLoad(),
         admission: createAdmission(),
         isFenced: false,
@@ -118,6 +121,7 @@
             yield* Effect.forkScoped(superviseLoop(term, "planner", context, runPlanner(term)));
             yield* Effect.forkScoped(superviseLoop(term, "pacing", context, runPacing(term)));
             yield* Effect.forkScoped(superviseLoop(term, "disturbances", context, runDisturbanceRecording(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "speeds", context, runSpeedRecording(term)));
             yield* Effect.forkScoped(superviseLoop(term, "loadReport", context, runLoadReport(term)));
             yield* Effect.forkScoped(superviseLoop(term, "stepDown", context, runStepDown(term)));
             // An exception here must not open the term again, because its orders may still be under way.
--- a/packages/lead-jobs/src/supervise-loop.ts
+++ b/packages/lead-jobs/src/supervise-loop.ts
@@ -13,6 +13,7 @@
     | "planner"
     | "session"
     | "sessions"
+    | "speeds"
     | "stepDown"
     | "stop"
     | "term";
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -1,6 +1,7 @@
 import { describeError } from "@chestnutspool/errors";
 import type { JobMachine } from "@chestnutspool/job-state";
 import type { InterferenceModel, UsageHistory } from "@chestnutspool/learn-interference";
+import type { SpeedModel } from "@chestnutspool/learn-worker-speed";
 import type { Logger } from "@chestnutspool/logger";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import type { RunStatuses, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
@@ -30,6 +31,8 @@
     readonly stopMs: number;
     /** Availability zones of the deployment; workers may be in others. */
     readonly availabilityZones: readonly string[];
+    /** Whether the leader learns the speeds of workers and avoids slow ones; it does not by default. */
+    readonly learnsWorkerSpeed?: boolean;
 }
 
 /** Dependencies of the leader. */
@@ -89,6 +92,13 @@
     readonly health: WorkerHealth;
 }
 
+/** Speeds of the workers as a term has learnt them. */
+export interface SpeedLearning {
+    readonly model: SpeedModel;
+    /** Time of the log from which on this leader has ordered the starts, in milliseconds since the epoch. */
+    readonly sinceMs: number;
+}
+
 /** One term of this replica as leader. */
 export interface Term extends LeaderDependencies {
     readonly number: number;
@@ -108,6 +118,8 @@
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
+    /** Undefined if speeds are not learnt. */
+    readonly speeds: SpeedLearning | undefined;
     /** Work since the last line about the load of the leader. */
     readonly load: TermLoad;
     /** What the decision about new jobs needs. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,4 +1,4 @@
-import { formatRunKey, formatTaskKey } from "@chestnutspool/job-state";
+import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
 import {
@@ -20,6 +20,7 @@
 import { Effect, Option, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
+import { hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
@@ -40,8 +41,13 @@
  * reports.
  */
 const reportIntervalMs = 900;
-/** Longest such delay while the worker runs tasks whose interference is not known yet, in milliseconds. */
+/**
+ * Longest such delay while the worker runs tasks whose interference is not known yet, or that show its speed, in
+ * milliseconds. A worker whose tasks end as usual answers as often without it.
+ */
 const learningIntervalMs = 300;
+/** Number of workers up to which those with such tasks report as often; the answers of more cost the leader too much. */
+const observedWorkerLimit = 600;
 /** Longest such delay while a run is on trial, so that others may soon start on the worker, in milliseconds. */
 const trialIntervalMs = 200;
 /** Time beyond this delay after which a renewal counts as lost, in milliseconds. */
@@ -160,6 +166,7 @@
     const outcome = applyReport(state, session.runStatuses, answer, sentAtMs, nowMs);
     recordUsage(state, session.runStatuses, session.usage, nowMs);
     observeMargins(state, session.runStatuses, term.interference, session.usage, nowMs);
+    observeReportedRuns(term, session, state, nowMs);
     yield* recordEnds(term, session, outcome);
     session.isReconciled ||= answer.isComplete;
     for (const orphan of outcome.orphanedRuns) {
@@ -200,13 +207,19 @@
     return true;
 });
 
+/** Whether reports on the progress of the runs on a worker are wanted soon, to learn its speed. */
+function isSpeedObserved(term: Term, state: WorkerState | undefined): boolean {
+    return term.speeds !== undefined && state !== undefined && term.sessions.size <= observedWorkerLimit
+        && hasComparableRuns(state);
+}
+
 function chooseWaitMs(term: Term, session: WorkerSession): number {
     const state = findWorkerState(term, session);
     if (state !== undefined && hasTrial(state, session.runStatuses)) {
         return trialIntervalMs;
     }
     const isLearning = state !== undefined && hasUncertainPairs(state, session.runStatuses, term.interference);
-    return isLearning ? learningIntervalMs : reportIntervalMs;
+    return isLearning || isSpeedObserved(term, state) ? learningIntervalMs : reportIntervalMs;
 }
 
 /** Sends one renewal; the answer carries the time at which it was sent. */
--- a/packages/learn-worker-speed/src/step-rates.ts
+++ b/packages/learn-worker-speed/src/step-rates.ts
@@ -25,8 +25,10 @@
 const queueLimit = 200;
 /** Runs of a step whose rates are kept; the oldest are dropped first. The median of 24 is stable enough. */
 const ratesPerStep = 24;
-/** Least number of siblings on other workers for a comparison with them. */
-const minSiblings = 3;
+/**
+ * Evidence of a comparison with one, two, or more siblings on other workers. With fewer than three, one long task decides.
+ */
+const siblingConfidences = [0.3, 0.6, 1] as const;
 /** Least number of rates of a queue before its mean stands in for that of siblings. */
 const minQueueRates = 20;
 /**
@@ -34,9 +36,12 @@
  * factor, and eight of them must not outweigh one comparison with siblings.
  */
 const queueConfidence = 0.15;
+const highestQueueConfidence = 0.4;
+/** Largest difference from the mean that counts in the variance, so that the runs on slow workers do not decide it. */
+const countedDifference = 1;
 /**
- * Variance of the logarithm of the rates in a queue up to which its mean has this confidence; the steps then differ by a
- * factor of 1.6. With a larger variance it has less.
+ * Variance of the logarithm of the rates in a queue with which its mean has this confidence; the steps then differ by a
+ * factor of 1.6. With a larger variance it has less, with a smaller one more.
  */
 const usualVariance = 0.25;
 /** Share by which a rate moves the mean of its queue. */
@@ -93,7 +98,7 @@
             const gain = Math.max(queueGain, 1 / ofQueue.rates);
             const difference = logRate - ofQueue.meanLogRate;
             ofQueue.meanLogRate += difference * gain;
-            ofQueue.variance += (difference ** 2 - ofQueue.variance) * gain;
+            ofQueue.variance += (Math.min(Math.abs(difference), countedDifference) ** 2 - ofQueue.variance) * gain;
             setLatest(queues, queue, ofQueue, queueLimit);
         },
         findTypical: (step, queue, worker) => {
@@ -103,15 +108,16 @@
                     siblings.push(rate.logRate);
                 }
             }
-            if (siblings.length >= minSiblings) {
-                return { logRate: computeMedian(siblings), confidence: 1 };
+            const confidence = siblingConfidences[Math.min(siblings.length, siblingConfidences.length) - 1];
+            if (confidence !== undefined) {
+                return { logRate: computeMedian(siblings), confidence };
             }
             const ofQueue = queues.get(queue);
             if (ofQueue === undefined || ofQueue.rates < minQueueRates) {
                 return undefined;
             }
-            const confidence = queueConfidence * usualVariance / Math.max(usualVariance, ofQueue.variance);
-            return { logRate: ofQueue.meanLogRate, confidence };
+            const ofVariance = queueConfidence * usualVariance / Math.max(0.001, ofQueue.variance);
+            return { logRate: ofQueue.meanLogRate, confidence: Math.min(highestQueueConfidence, ofVariance) };
         },
         recordEnd: (step, worker, isFailed) => {
             const { endsByWorker } = getStep(step);
