--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -14,6 +14,7 @@
 import { adaptRatings } from "./adapt-ratings.js";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
+import { createSpeedReader } from "./learn-speeds.js";
 import { logCopies, logCopyOutcomes } from "./log-copies.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
@@ -223,6 +224,7 @@
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         interference: term.interference,
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
+        predictSpeed: createSpeedReader(term, nowMs),
     };
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
--- a/packages/plan-copies/src/plan-copies.ts
+++ b/packages/plan-copies/src/plan-copies.ts
@@ -1,6 +1,6 @@
 import { computeReservation, formatRunKey, formatStepKey } from "@chestnutspool/job-state";
 import { listCandidates, type PlanInput, reserveCapacity, type WorkerCandidate } from "@chestnutspool/plan-jobs";
-import type { RunStart, WorkerId } from "@chestnutspool/types";
+import type { RunStart } from "@chestnutspool/types";
 import type { CopyMemory } from "./copy-memory.js";
 import { findCopyWorker, listUnservedSteps, type WorkerSearch } from "./find-copy-worker.js";
 import { listStragglers, type Straggler } from "./find-stragglers.js";
@@ -26,8 +26,6 @@
     /** Wall-clock time in milliseconds since the epoch, by which the log dates the starts of runs. */
     readonly wallMs: number;
     readonly memory: CopyMemory;
-    /** Speed of a worker; 1 for a normal one. By default all are normal. */
-    readonly predictSpeed?: (worker: WorkerId) => number;
 }
 
 /** What the copies of a pool may still take. */
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -24,8 +24,10 @@
 import { createRandom, type Random } from "./random.js";
 import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
 import { createSimulatedCopies, drawWorkMs, getRunRandom, type SimulatedCopies } from "./simulated-copies.js";
+import { createSimulatedSpeeds, type SimulatedSpeeds, speedReportIntervalMs } from "./simulated-speeds.js";
 import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
 import { createTally, type Tally, type TallyRow } from "./tally.js";
+import { createUnevenWorkers, type UnevenWorkers } from "./uneven-workers.js";
 
 /** Length of one simulation step, in milliseconds. */
 const stepMs = 20;
@@ -77,6 +79,9 @@
     readonly planMemory: PlanMemory;
     /** Undefined if no copies are planned. */
     readonly copies: SimulatedCopies | undefined;
+    readonly uneven: UnevenWorkers;
+    /** Learnt speeds of the workers; undefined if none are learnt. */
+    readonly speeds: SimulatedSpeeds | undefined;
     readonly tally: Tally;
     /** Decides about new jobs; undefined if all are accepted. */
     readonly admission: SimulatedAdmission | undefined;
@@ -101,22 +106,23 @@
     };
 }
 
-function createWorkerInfo(load: Load, number: number): WorkerInfo {
+function createWorkerInfo(load: Load, uneven: UnevenWorkers, number: number): WorkerInfo {
     const size = load.sizeFactors[number % load.sizeFactors.length] ?? 1;
+    const rack = Math.floor(number / load.workersPerRack);
     return {
         id: `w${String(number).padStart(4, "0")}`,
         address: "127.0.0.1:1",
         service,
-        availabilityZone: "z",
+        availabilityZone: uneven.findZone(rack),
         capacity: { milliCpu: load.milliCpu * size, memoryMib: load.memoryMib * size, accelerators: 0 },
-        labels: ["a", `r${Math.floor(number / load.workersPerRack)}`],
+        labels: ["a", `r${rack}`],
     };
 }
 
 function createSimulation(
     load: Load,
     seed: number,
-    { hasAdmission, runCall, hasCopies, observeCopy }: Required<ReplayOptions>,
+    { hasAdmission, runCall, hasCopies, observeCopy, learnsSpeeds }: Required<ReplayOptions>,
 ): Simulation {
     const random = createRandom(seed);
     const machine = createJobMachine();
@@ -135,6 +141,8 @@
         planMemory: createPlanMemory(),
         copies: hasCopies ? createSimulatedCopies(machine.state, epochMs, observeCopy) : undefined,
         seed,
+        uneven: createUnevenWorkers(load.unevenness, load.workersPerRack, seed),
+        speeds: learnsSpeeds ? createSimulatedSpeeds() : undefined,
         tally: createTally(load),
         admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
         startAllowance: 0,
@@ -153,7 +161,7 @@
         },
     });
     for (let number = 0; number < load.workers; number += 1) {
-        const worker = createWorkerInfo(load, number);
+        const worker = createWorkerInfo(load, simulation.uneven, number);
         simulation.commandIndex += 1;
         machine.applyCommand(simulation.commandIndex, { kind: "registerWorker", nowMs: epochMs, worker });
         simulation.runsByWorker.set(worker.id, new Map());
@@ -174,9 +182,11 @@
     if (outcome === "succeeded") {
         simulation.admission?.recordEnd(run.run.step.spec, nowMs);
     }
-    simulation.copies?.observeEnd(worker, simulation.runStatusesByWorker.get(worker), end, nowMs);
+    const statuses = simulation.runStatusesByWorker.get(worker);
+    simulation.copies?.observeEnd(worker, statuses, end, nowMs);
+    simulation.speeds?.observeEnd(simulation.machine.state, worker, run.run, statuses, end, nowMs);
     simulation.runsByWorker.get(worker)?.delete(formatRunKey(key));
-    simulation.runStatusesByWorker.get(worker)?.delete(formatRunKey(key));
+    statuses?.delete(formatRunKey(key));
     simulation.commandIndex += 1;
     simulation.machine.applyCommand(simulation.commandIndex, {
         kind: "endRuns",
@@ -200,6 +210,10 @@
     }
 }
 
+function chooseReportIntervalMs({ speeds }: Simulation, hasPairsToLearn: boolean): number {
+    return hasPairsToLearn ? learningReportIntervalMs : speeds === undefined ? reportIntervalMs : speedReportIntervalMs;
+}
+
 function reportWorkers(simulation: Simulation, nowMs: number): void {
     for (const [worker, lastMs] of simulation.reportedAtMs) {
         const state = simulation.machine.state.workers.get(worker);
@@ -208,7 +222,7 @@
         const hasPairsToLearn = state !== undefined && statuses !== undefined
             && hasUncertainPairs(state, statuses, simulation.interference);
         if (
-            nowMs - lastMs < (hasPairsToLearn ? learningReportIntervalMs : reportIntervalMs) || state === undefined
+            nowMs - lastMs < chooseReportIntervalMs(simulation, hasPairsToLearn) || state === undefined
             || statuses === undefined
             || history === undefined
         ) {
@@ -232,6 +246,7 @@
         }
         recordUsage(state, statuses, history, nowMs);
         observeMargins(state, statuses, simulation.interference, history, nowMs);
+        simulation.speeds?.observeReport(simulation.machine.state, worker, statuses, nowMs);
     }
 }
 
@@ -265,7 +280,8 @@
         return;
     }
     const random = getRunRandom(simulation.random, simulation.seed, job, run);
-    const willFail = random.drawShare() < job.kind.failureShare;
+    const failingShare = simulation.uneven.findFailingShare(Number(start.worker.slice(1)), nowMs);
+    const willFail = random.drawShare() < Math.max(job.kind.failureShare, failingShare);
     simulation.runsByWorker.get(start.worker)?.set(key, {
         run,
         job,
@@ -297,6 +313,7 @@
             }
         }
     }
+    const { speeds } = simulation;
     const input = {
         state: simulation.machine.state,
         isUsable: () => true,
@@ -304,6 +321,9 @@
         findFailedWorker: () => undefined,
         interference: simulation.interference,
         findRunStatuses: (worker: string) => simulation.runStatusesByWorker.get(worker),
+        predictSpeed: speeds === undefined
+            ? undefined
+            : (worker: string) => speeds.predictSpeed(worker, nowMs),
     };
     for (const { worker, runKey } of simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs))) {
         const run = simulation.runsByWorker.get(worker)?.get(runKey);
@@ -385,6 +405,8 @@
     readonly hasCopies?: boolean;
     /** Is told what came of each copy; by default nothing is done. */
     readonly observeCopy?: (outcome: CopyOutcome) => void;
+    /** Whether the speeds of workers are learnt and used; by default they are not. */
+    readonly learnsSpeeds?: boolean;
 }
 
 /** Replays a load for `lengthMs`, then for `finishMs` without new jobs. The same seed gives the same result. */
@@ -398,9 +420,11 @@
         runCall = (part, call) => call(),
         hasCopies = true,
         observeCopy = () => undefined,
+        learnsSpeeds = false,
     }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed, { hasAdmission, runCall, hasCopies, observeCopy });
+    const options = { hasAdmission, runCall, hasCopies, observeCopy, learnsSpeeds };
+    const simulation = createSimulation(load, seed, options);
     const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
         job,
         attempt: 0,
@@ -411,7 +435,8 @@
         for (const [worker, runs] of simulation.runsByWorker) {
             const state = simulation.machine.state.workers.get(worker);
             if (state !== undefined) {
-                advanceWorker(state, [...runs.values()], simulation.findDisturbance, nowMs, stepMs);
+                const speed = simulation.uneven.findSpeed(Number(worker.slice(1)), nowMs);
+                advanceWorker(state, [...runs.values()], simulation.findDisturbance, nowMs, stepMs, speed);
             }
         }
         endFinishedRuns(simulation, nowMs);
