Reserve capacity of a worker for the next task of a step

Cause: the planner gave each part of a worker's memory that became free to the first task that fitted, so that a task that needs the memory of several runs never got it. Change: planStarts takes reservations; only a task of the step of a reservation gets that capacity, also on a worker that is held, and also when an equal step found no room before it. listWaitingSteps can be limited to some jobs. Nothing creates reservations yet.

--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -1,4 +1,5 @@
 export { describeWait } from "./describe-wait.js";
+export { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 export { listObsoleteRuns } from "./list-obsolete-runs.js";
 export { listStalledRuns } from "./list-stalled-runs.js";
 export { hasUncertainPairs, observeMargins, recordUsage } from "./observe-report.js";
@@ -13,5 +14,13 @@
     type Lateness,
     predictLateness,
 } from "./predict-lateness.js";
-export { listWaitingSteps, type WaitingStep } from "./waiting-steps.js";
-export { findRack } from "./worker-candidate.js";
+export { listStartable } from "./startable-tasks.js";
+export { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
+export {
+    type CapacityReservation,
+    findRack,
+    hasCapacity,
+    isEligible,
+    reserveCapacity,
+    type WorkerCandidate,
+} from "./worker-candidate.js";
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -12,8 +12,10 @@
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import {
+    type CapacityReservation,
     createWorkerCandidate,
     findRack,
+    hasReservation,
     releaseCapacity,
     reserveCapacity,
     type WorkerCandidate,
@@ -46,6 +48,8 @@
     readonly interference: InterferenceModel;
     /** State of the runs on a worker, by its reports. */
     readonly findRunStatuses: (worker: WorkerId) => RunStatuses | undefined;
+    /** Capacity that only tasks of certain steps may take. */
+    readonly reservations?: readonly CapacityReservation[];
 }
 
 /** Trials of the tasks of a service. */
@@ -79,10 +83,18 @@
 }
 
 /** Lists the workers on which tasks may start. */
-export function listCandidates({ state, isUsable, findStartLimit, findRunStatuses }: PlanInput): WorkerCandidate[] {
-    return [...state.workers.values()]
+export function listCandidates(input: PlanInput): WorkerCandidate[] {
+    const { state, isUsable, findStartLimit, findRunStatuses, reservations = [] } = input;
+    const candidates = [...state.workers.values()]
         .filter(worker => acceptsStarts(state, worker) && isUsable(worker.info.id))
         .map(worker => createWorkerCandidate(worker, findRunStatuses(worker.info.id), findStartLimit(worker.info.id)));
+    for (const reservation of reservations) {
+        const candidate = candidates.find(({ state: { info } }) => info.id === reservation.worker);
+        if (candidate !== undefined) {
+            candidate.reservations = [...candidate.reservations, reservation];
+        }
+    }
+    return candidates;
 }
 
 function groupByService(candidates: readonly WorkerCandidate[]): ReadonlyMap<string, readonly WorkerCandidate[]> {
@@ -257,6 +269,16 @@
     pass.starts.push(...reserved.map(({ candidate, task }) => createStart(waiting, task, run, candidate)));
 }
 
+/** Whether no worker has room for a step, because none had for another one that requires no more. */
+function hasNoRoom({ input, unmet }: PlanningPass, waiting: WaitingStep): boolean {
+    const { job, occurrence, step } = waiting;
+    return unmet.isUnmet(job.queue.service, step.spec, isNewLongRunning(waiting))
+        && !hasReservation(
+            input.reservations ?? [],
+            formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position }),
+        );
+}
+
 /** Plans starts of a step; a starved one may disturb serving tasks. */
 function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
     if (waiting.step.spec.gang) {
@@ -340,7 +362,7 @@
     planWithinLimit(memory, waitingSteps, waiting => {
         const ratingsBefore = pass.ratings;
         const startsBefore = pass.starts.length;
-        if (!pass.unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting))) {
+        if (!hasNoRoom(pass, waiting)) {
             planStep(pass, waiting);
         }
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
--- a/packages/plan-jobs/src/waiting-steps.ts
+++ b/packages/plan-jobs/src/waiting-steps.ts
@@ -38,11 +38,18 @@
     return false;
 }
 
-/** Lists the steps with tasks that may start at `nowMs`, wall-clock time in milliseconds since the epoch. */
-export function listWaitingSteps(state: JobState, nowMs: number): WaitingStep[] {
+/**
+ * Lists the steps with tasks that may start at `nowMs`, wall-clock time in milliseconds since the epoch; by default those of
+ * all jobs.
+ */
+export function listWaitingSteps(
+    state: JobState,
+    nowMs: number,
+    isIncluded: (job: JobRecord) => boolean = () => true,
+): WaitingStep[] {
     const waiting: WaitingStep[] = [];
     for (const job of state.openJobs.values()) {
-        if (isJobEnded(job)) {
+        if (isJobEnded(job) || !isIncluded(job)) {
             continue;
         }
         for (const occurrence of job.occurrences.values()) {
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -7,6 +7,7 @@
     type Resources,
     type StepSpec,
     subtractResources,
+    type WorkerId,
     type WorkerInfo,
 } from "@chestnutspool/types";
 
@@ -16,6 +17,14 @@
  */
 const servingUseShare = 0.35;
 
+/** Capacity of a worker that is reserved for the next task of a step, such as one for which other runs were preempted. */
+export interface CapacityReservation {
+    readonly worker: WorkerId;
+    /** Step as written by `formatStepKey`. */
+    readonly stepKey: string;
+    readonly resources: Resources;
+}
+
 /** What the runs on a worker add up to. */
 interface RunSums {
     /**
@@ -40,6 +49,8 @@
     readonly state: WorkerState;
     /** Resources that are not reserved; each start that the pass plans lowers them. */
     free: Resources;
+    /** Parts of `free` for tasks of certain steps. They may exceed it while the runs before them are being stopped. */
+    reservations: readonly CapacityReservation[];
     /** Runs that may still start here; undefined: no limit. */
     startsLeft: number | undefined;
     /** Whether a long-running task waits for room here, so that no other task may start in this pass. */
@@ -191,6 +202,7 @@
     return {
         state,
         free: subtractResources(state.info.capacity, state.used),
+        reservations: [],
         startsLeft: startLimit,
         isHeld: false,
         isOnTrial: hasTrial(state, statuses),
@@ -226,23 +238,49 @@
     addTask(candidate, job, spec, stepKey, change);
 }
 
-/** Whether the limits, labels and free resources of a worker allow a task of a step to start there. */
-export function hasCapacity(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
-    if (candidate.isOnTrial || candidate.startsLeft === 0 || (candidate.isHeld && !spec.longRunning)) {
+/** Whether the limits and labels of a worker allow a task of a step to start there if its resources suffice. */
+export function isEligible(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
+    if (candidate.isOnTrial || candidate.startsLeft === 0) {
         return false;
     }
-    if (spec.requiredLabel !== undefined && !candidate.state.info.labels.includes(spec.requiredLabel)) {
+    if (candidate.isHeld && !spec.longRunning && !hasReservation(candidate.reservations, stepKey)) {
         return false;
     }
-    if (spec.perWorkerLimit !== undefined && (candidate.tasksByStep.get(stepKey) ?? 0) >= spec.perWorkerLimit) {
+    if (spec.requiredLabel !== undefined && !candidate.state.info.labels.includes(spec.requiredLabel)) {
         return false;
     }
-    return findShortage(computeReservation(spec), candidate.free) === undefined;
+    return spec.perWorkerLimit === undefined || (candidate.tasksByStep.get(stepKey) ?? 0) < spec.perWorkerLimit;
+}
+
+/** Whether capacity is reserved for a task of a step. */
+export function hasReservation(reservations: readonly CapacityReservation[], stepKey: string): boolean {
+    return reservations.some(reservation => reservation.stepKey === stepKey);
+}
+
+/** Computes the free resources of a worker that are not reserved for tasks of other steps. */
+function computeUnreserved({ free, reservations }: WorkerCandidate, stepKey: string): Resources {
+    let unreserved = free;
+    for (const reservation of reservations) {
+        if (reservation.stepKey !== stepKey) {
+            unreserved = subtractResources(unreserved, reservation.resources);
+        }
+    }
+    return unreserved;
+}
+
+/** Whether the limits, labels and free resources of a worker allow a task of a step to start there. */
+export function hasCapacity(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
+    return isEligible(candidate, spec, stepKey)
+        && findShortage(computeReservation(spec), computeUnreserved(candidate, stepKey)) === undefined;
 }
 
 /** Reserves the capacity for one more task of a step. */
 export function reserveCapacity(candidate: WorkerCandidate, job: string, spec: StepSpec, stepKey: string): void {
     candidate.free = subtractResources(candidate.free, computeReservation(spec));
+    if (hasReservation(candidate.reservations, stepKey)) {
+        const used = candidate.reservations.findIndex(reservation => reservation.stepKey === stepKey);
+        candidate.reservations = candidate.reservations.filter((reservation, position) => position !== used);
+    }
     candidate.startsLeft = candidate.startsLeft === undefined ? undefined : candidate.startsLeft - 1;
     candidate.plannedRuns += 1;
     addPlannedTask(candidate, job, spec, stepKey, 1);
