Preempt batch runs for urgent tasks that find no room

Cause: an urgent task that needs the memory of several batch runs waited until it was late, because others took each part that became free. Change: plan-preemption chooses the runs of lower-priority queues whose stop loses least on one worker, within a budget of lost work, and reserves the room for the task; runs that end about as soon as a stop would are awaited instead. The leader sends the stops after the starts of the pass are committed. The status of a run tells when its checkpoint was saved at a guess. Replays model how long a stop takes, checkpoints and resuming, with two loads of the certification deployment. Active only where the queues of a service have different priorities.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -7,6 +7,12 @@
     type PlanMemory,
     planStarts,
 } from "@chestnutspool/plan-jobs";
+import {
+    createPreemptionMemory,
+    listReservations,
+    planPreemptions,
+    type PreemptionMemory,
+} from "@chestnutspool/plan-preemption";
 import { createRunStatus, isStartTimedOut } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RunStart, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
@@ -15,6 +21,7 @@
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
+import { carryOutPreemptions } from "./preempt-runs.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
@@ -172,6 +179,7 @@
 /** What the planner of a term keeps from one pass to the next. Times are monotonic, in milliseconds. */
 interface PlannerState {
     readonly memory: PlanMemory;
+    readonly preemption: PreemptionMemory;
     /** Last logged reason why each step waits, by its key. */
     readonly loggedReasons: Map<string, string>;
     /** When the reasons were last checked. */
@@ -197,6 +205,7 @@
 function createPlannerState(): PlannerState {
     return {
         memory: createPlanMemory(),
+        preemption: createPreemptionMemory(),
         loggedReasons: new Map(),
         reasonsCheckedAtMs: Number.NEGATIVE_INFINITY,
         scannedAtMs: Number.NEGATIVE_INFINITY,
@@ -210,6 +219,7 @@
  */
 const runPass = Effect.fnUntraced(function*(term: Term, planner: PlannerState) {
     const nowMs = yield* readMonotonicMs;
+    const { stopMs } = term.limits;
     planner.passMs = 0;
     const startLimits = yield* measureStep(planner, () => listStartLimits(term, nowMs));
     const input: PlanInput = {
@@ -219,14 +229,21 @@
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         interference: term.interference,
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
+        reservations: listReservations(planner.preemption, term.machine.state, stopMs, nowMs),
     };
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
     const starts = yield* measureStep(planner, () => planStarts(input, wallMs, planner.memory));
+    const preemptionPlan = yield* measureStep(
+        planner,
+        () => planPreemptions({ ...input, starts, wallMs, stopMs }, planner.preemption, nowMs),
+    );
     const tookMs = planner.passMs;
     planner.memory.ratingsPerPass = adaptRatings(planner.memory.ratingsPerPass, tookMs, planner.memory.hasStepsLeft);
     recordPass(term.load, tookMs);
     yield* carryOutStarts(term, starts);
+    // A leader that could not commit its starts has failed before this and stops nothing.
+    yield* carryOutPreemptions(term, preemptionPlan, nowMs);
     if (nowMs - planner.reasonsCheckedAtMs >= waitCheckIntervalMs) {
         planner.reasonsCheckedAtMs = nowMs;
         // Those that this or an earlier leader could not give up at once.
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -72,6 +72,14 @@
     readonly contendingShare: number;
     /** Number of starts that the leader can order in one second; undefined if only the workers limit them. */
     readonly startsPerSecond: number | undefined;
+    /** How runs are stopped and resumed, in milliseconds; undefined: stops take no time and lose all work. */
+    readonly stops?: {
+        readonly stopMs: number;
+        /** Interval at which a checkpointing task saves its progress. */
+        readonly checkpointMs: number;
+        /** Time that a run takes to resume from a checkpoint. */
+        readonly restoreMs: number;
+    };
 }
 
 /** Load of the ash advisory service: short checks, long forecasts on idle processors, and watches. */
--- a/packages/replay-jobs/src/print-replay.ts
+++ b/packages/replay-jobs/src/print-replay.ts
@@ -1,3 +1,4 @@
+import { certificationLoad, contendedMemoryLoad } from "./contended-loads.js";
 import {
     advisoryLoad,
     busyLeaderOverload,
@@ -19,40 +20,44 @@
     paceChanges: number;
     refusals: number;
     starts: number;
+    preemptions: number;
 }
 
 /** Prints the results of a load as means over replays with seeds from 1 to `seeds`. */
-function printReplay(name: string, load: Load, seeds: number, hasAdmission: boolean): void {
+function printReplay(name: string, load: Load, seeds: number, hasAdmission: boolean, hasPreemption: boolean): void {
     const totals = new Map<string, Total>();
     let earnedValue = 0;
     let attainableValue = 0;
     for (let seed = 1; seed <= seeds; seed += 1) {
-        for (const row of replayLoad(load, lengthMs, finishMs, seed, { hasAdmission })) {
+        for (const row of replayLoad(load, lengthMs, finishMs, seed, { hasAdmission, hasPreemption })) {
             const total = totals.get(row.kind)
-                ?? { earned: 0, inTime: 0, overTarget: 0, paceChanges: 0, refusals: 0, starts: 0 };
+                ?? { earned: 0, inTime: 0, overTarget: 0, paceChanges: 0, refusals: 0, starts: 0, preemptions: 0 };
             total.earned += row.earnedShare / seeds;
             total.inTime += row.inTimeShare / seeds;
             total.overTarget += row.overTargetShare / seeds;
             total.paceChanges += row.paceChanges / seeds;
             total.refusals += row.refusals / seeds;
             total.starts += row.starts / seeds;
+            total.preemptions += row.preemptions / seeds;
             totals.set(row.kind, total);
             earnedValue += row.earnedShare * row.attainableValue;
             attainableValue += row.attainableValue;
         }
     }
-    console.log(
-        `${name}, admission ${hasAdmission ? "on" : "off"}: worth ${(earnedValue / attainableValue).toFixed(3)}`,
-    );
-    for (const [kind, { earned: share, inTime, overTarget, paceChanges, refusals, starts }] of totals) {
-        const figures = [share, inTime, overTarget].map(figure => figure.toFixed(3)).join("  ");
+    const parts = `admission ${hasAdmission ? "on" : "off"}, preemption ${hasPreemption ? "on" : "off"}`;
+    console.log(`${name}, ${parts}: worth ${(earnedValue / attainableValue).toFixed(3)}`);
+    for (const [kind, total] of totals) {
+        const figures = [total.earned, total.inTime, total.overTarget].map(figure => figure.toFixed(3)).join("  ");
+        const { paceChanges, refusals, starts, preemptions } = total;
         const counts = `paces ${paceChanges.toFixed(0)}  refusals ${refusals.toFixed(0)}  starts ${starts.toFixed(0)}`;
-        console.log(`  ${kind.padEnd(10)} worth, in time, harmed: ${figures}  ${counts}`);
+        console.log(
+            `  ${kind.padEnd(10)} worth, in time, harmed: ${figures}  ${counts}  preempted ${preemptions.toFixed(1)}`,
+        );
     }
 }
 
-/** Prints the loads, or only the named one, with admission off and on. */
-function printReplays(seeds: number, only: string | undefined): void {
+/** Prints the loads, or only the named one, with admission off and on, and with the chosen preemption. */
+function printReplays(seeds: number, only: string | undefined, preemption: string | undefined): void {
     const loads = {
         advisory: advisoryLoad,
         wholesale: wholesaleLoad,
@@ -60,13 +65,15 @@
         lasting: lastingOverload,
         sustained: sustainedOverload,
         busyLeader: busyLeaderOverload,
+        certification: certificationLoad,
+        contendedMemory: contendedMemoryLoad,
     };
     for (const [name, load] of Object.entries(loads)) {
         if (only === undefined || only === name) {
-            printReplay(name, load, seeds, false);
-            printReplay(name, load, seeds, true);
+            printReplay(name, load, seeds, false, preemption !== "off");
+            printReplay(name, load, seeds, true, preemption !== "off");
         }
     }
 }
 
-printReplays(Number(process.argv[2] ?? 3), process.argv[3]);
+printReplays(Number(process.argv[2] ?? 3), process.argv[3], process.argv[4]);
--- a/packages/replay-jobs/src/replay.test.ts
+++ b/packages/replay-jobs/src/replay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { contendedMemoryLoad } from "./contended-loads.js";
 import { lastingOverload, type Load, sustainedOverload, wholesaleLoad } from "./load.js";
 import { replayLoad } from "./replay.js";
 
@@ -31,3 +32,25 @@
         assert.ok(earnedShare >= 0.71, `${kind} earns ${earnedShare}`);
     }
 });
+
+// Guards against urgent jobs that wait behind batch runs while the memory of the pool is held.
+test("more urgent jobs end in time with preemption while batch runs hold the memory", () => {
+    const [without = 0, withPreemption = 0] = [false, true].map(hasPreemption =>
+        [1, 2].reduce((sum, seed) => {
+            const rows = replayLoad(contendedMemoryLoad, 20_000, 8_000, seed, { hasPreemption });
+            return sum + (rows.find(({ kind }) => kind === "check")?.inTimeShare ?? 0);
+        }, 0)
+    );
+    assert.ok(withPreemption > without, `${withPreemption} and ${without}`);
+});
+
+// Guards the loads without contended memory: what preemption does not help must be served as before.
+test("the normal load of the wholesaler loses nothing of note with preemption", () => {
+    const computeWorth = (hasPreemption: boolean): number => {
+        const rows = replayLoad(wholesaleLoad, lengthMs, finishMs, 1, { hasPreemption });
+        const attainable = rows.reduce((sum, { attainableValue }) => sum + attainableValue, 0);
+        return rows.reduce((sum, { earnedShare, attainableValue }) => sum + earnedShare * attainableValue, 0)
+            / attainable;
+    };
+    assert.ok(computeWorth(true) >= computeWorth(false) - 0.03);
+});
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -11,17 +11,27 @@
     listObsoleteRuns,
     listStalledRuns,
     observeMargins,
+    type PlanInput,
     type PlanMemory,
     planPaces,
     planStarts,
     recordUsage,
 } from "@chestnutspool/plan-jobs";
+import {
+    createPreemptionMemory,
+    listReservations,
+    planPreemptions,
+    type PreemptionInput,
+    type PreemptionMemory,
+} from "@chestnutspool/plan-preemption";
 import { createRunStatus, type RunStatuses } from "@chestnutspool/track-workers";
-import type { QueueSettings, RunEnd, RunKey, RunOutcome, RunStart, WorkerInfo } from "@chestnutspool/types";
+import type { RunEnd, RunKey, RunOutcome, RunStart } from "@chestnutspool/types";
 import { generateJobs, type SimulatedJob, warmUpMs } from "./generate-jobs.js";
-import type { JobKind, Load } from "./load.js";
+import type { Load } from "./load.js";
 import { createRandom, type Random } from "./random.js";
 import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
+import { createQueue, createWorkerInfo, service } from "./simulated-pool.js";
+import { computeResumedMs, formatCheckpoint, isStopped } from "./simulated-stops.js";
 import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
 import { createTally, type Tally, type TallyRow } from "./tally.js";
 
@@ -33,7 +43,6 @@
 const learningReportIntervalMs = 300;
 /** Interval at which paces are planned, in milliseconds. */
 const paceIntervalMs = 160;
-const service = "pool";
 /** Number of times that a refused caller comes back. */
 const retryLimit = 4;
 const millisecondsPerSecond = 1_000;
@@ -47,7 +56,7 @@
 const epochMs = 1_000_000;
 
 /** Part of the planner that a replay calls. */
-export type PlannerPart = "planStarts" | "listStalledRuns" | "planPaces";
+export type PlannerPart = "planStarts" | "listStalledRuns" | "planPaces" | "planPreemptions";
 
 /** Runs one call of a part of the planner, so that a tool can measure it. */
 export type PlannerCallRunner = <Result>(part: PlannerPart, call: () => Result) => Result;
@@ -75,40 +84,18 @@
     readonly tally: Tally;
     /** Decides about new jobs; undefined if all are accepted. */
     readonly admission: SimulatedAdmission | undefined;
+    /** Memory of the planner of preemptions; undefined if nothing is preempted. */
+    readonly preemption: PreemptionMemory | undefined;
     /** Starts that the leader can still order at this moment. */
     startAllowance: number;
     commandIndex: number;
 }
 
-function createQueue(kind: JobKind): QueueSettings {
-    const { name, priority, maxAttempts, slackFactor, targetLatencyMs } = kind;
-    return {
-        name,
-        hostName: "host",
-        path: `/${name}/`,
-        service,
-        priority,
-        maxAttempts,
-        slackFactor,
-        targetLatencyMs,
-        timeoutMs: 3_000,
-        advice: undefined,
-    };
-}
-
-function createWorkerInfo(load: Load, number: number): WorkerInfo {
-    const size = load.sizeFactors[number % load.sizeFactors.length] ?? 1;
-    return {
-        id: `w${String(number).padStart(4, "0")}`,
-        address: "127.0.0.1:1",
-        service,
-        availabilityZone: "z",
-        capacity: { milliCpu: load.milliCpu * size, memoryMib: load.memoryMib * size, accelerators: 0 },
-        labels: ["a", `r${Math.floor(number / load.workersPerRack)}`],
-    };
-}
-
-function createSimulation(load: Load, seed: number, { hasAdmission, runCall }: Required<ReplayOptions>): Simulation {
+function createSimulation(
+    load: Load,
+    seed: number,
+    { hasAdmission, hasPreemption, runCall }: Required<ReplayOptions>,
+): Simulation {
     const random = createRandom(seed);
     const machine = createJobMachine();
     const simulation: Simulation = {
@@ -126,6 +113,7 @@
         planMemory: createPlanMemory(),
         tally: createTally(load),
         admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
+        preemption: hasPreemption ? createPreemptionMemory() : undefined,
         startAllowance: 0,
         commandIndex: 0,
     };
@@ -159,7 +147,7 @@
 
 function endRun(simulation: Simulation, worker: string, run: SimulatedRun, outcome: RunOutcome, nowMs: number): void {
     const key = createRunKey(run.run);
-    const end: RunEnd = { ...key, outcome, checkpoint: "" };
+    const end: RunEnd = { ...key, outcome, checkpoint: formatCheckpoint(run, simulation.load) };
     if (outcome === "succeeded") {
         simulation.admission?.recordEnd(run.run.step.spec, nowMs);
     }
@@ -174,6 +162,20 @@
     });
 }
 
+/** Orders the stop of a run, which then takes `stopMs` of the load. */
+function stopRun(simulation: Simulation, worker: string, runKey: string, nowMs: number): void {
+    const run = simulation.runsByWorker.get(worker)?.get(runKey);
+    const status = simulation.runStatusesByWorker.get(worker)?.get(runKey);
+    if (run === undefined || status === undefined || status.stopWantedAtMs !== undefined) {
+        return;
+    }
+    status.stopWantedAtMs = nowMs;
+    run.stopOrderedAtMs = nowMs;
+    if (isStopped(run, simulation.load, nowMs)) {
+        endRun(simulation, worker, run, "stopped", nowMs);
+    }
+}
+
 function endFinishedRuns(simulation: Simulation, nowMs: number): void {
     for (const [worker, runs] of simulation.runsByWorker) {
         for (const run of [...runs.values()]) {
@@ -184,6 +186,9 @@
             else if (!isServing && run.doneMs >= run.workMs) {
                 endRun(simulation, worker, run, "succeeded", nowMs);
             }
+            else if (isStopped(run, simulation.load, nowMs)) {
+                endRun(simulation, worker, run, "stopped", nowMs);
+            }
         }
     }
 }
@@ -215,6 +220,11 @@
                         ? run.tailMs * (1 + tailReadingErrorShare * (2 * simulation.random.drawShare() - 1))
                         : run.milliCpu,
                 );
+                const checkpoint = formatCheckpoint(run, simulation.load);
+                if (checkpoint !== status.checkpoint) {
+                    status.checkpoint = checkpoint;
+                    status.checkpointAtMs = (status.readAtMs + nowMs) / 2;
+                }
                 status.readAtMs = nowMs;
             }
         }
@@ -258,7 +268,8 @@
         job,
         startedAtMs: nowMs,
         workMs: job.workMs[start.step]?.[start.position] ?? job.kind.workMs.mean,
-        doneMs: 0,
+        doneMs: computeResumedMs(run.task.checkpoint, simulation.load),
+        stopOrderedAtMs: undefined,
         useShare: simulation.random.drawShare() < partialUseTaskShare ? partialUse : 1,
         failsAfterShare: willFail && job.kind.execution.kind !== "serving" ? simulation.random.drawShare() : undefined,
         percent: 100,
@@ -272,18 +283,30 @@
     simulation.tally.countStart();
 }
 
+function preemptRuns(simulation: Simulation, input: PreemptionInput, nowMs: number): void {
+    const { preemption, runCall, tally } = simulation;
+    if (preemption === undefined) {
+        return;
+    }
+    const { preemptions } = runCall("planPreemptions", () => planPreemptions(input, preemption, nowMs));
+    for (const { worker, victims } of preemptions) {
+        victims.forEach(({ runKey }) => stopRun(simulation, worker, runKey, nowMs));
+        tally.countPreemptions(victims.length);
+    }
+}
+
 function performSchedulingPass(simulation: Simulation, nowMs: number): void {
-    for (const [worker, runs] of simulation.runsByWorker) {
-        const state = simulation.machine.state.workers.get(worker);
-        for (const key of state === undefined ? [] : listObsoleteRuns(state)) {
-            const run = runs.get(key);
-            if (run !== undefined) {
-                endRun(simulation, worker, run, "stopped", nowMs);
-            }
-        }
+    const { state } = simulation.machine;
+    for (const worker of state.workers.values()) {
+        listObsoleteRuns(worker).forEach(key => stopRun(simulation, worker.info.id, key, nowMs));
     }
-    const input = {
-        state: simulation.machine.state,
+    const { stopMs } = simulation.load.stops ?? { stopMs: 0 };
+    const reservations = simulation.preemption === undefined
+        ? []
+        : listReservations(simulation.preemption, state, stopMs, nowMs);
+    const input: PlanInput = {
+        state,
+        reservations,
         isUsable: () => true,
         findStartLimit: () => undefined,
         findFailedWorker: () => undefined,
@@ -291,10 +314,7 @@
         findRunStatuses: (worker: string) => simulation.runStatusesByWorker.get(worker),
     };
     for (const { worker, runKey } of simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs))) {
-        const run = simulation.runsByWorker.get(worker)?.get(runKey);
-        if (run !== undefined) {
-            endRun(simulation, worker, run, "stopped", nowMs);
-        }
+        stopRun(simulation, worker, runKey, nowMs);
     }
     const { startsPerSecond } = simulation.load;
     simulation.startAllowance = startsPerSecond === undefined
@@ -306,6 +326,7 @@
     );
     const starts = planned.slice(0, Math.floor(simulation.startAllowance));
     simulation.startAllowance -= starts.length;
+    preemptRuns(simulation, { ...input, starts, wallMs: epochMs + nowMs, stopMs }, nowMs);
     simulation.admission?.observe(simulation.machine.state, starts.length < planned.length, epochMs, nowMs);
     if (starts.length > 0) {
         simulation.commandIndex += 1;
@@ -361,6 +382,8 @@
 export interface ReplayOptions {
     /** Whether jobs that would end too late are refused and their callers come back; by default all are accepted. */
     readonly hasAdmission?: boolean;
+    /** Whether runs are preempted; by default they are, as under a leader. */
+    readonly hasPreemption?: boolean;
     /** Runs the calls of the planner; by default it only makes them. */
     readonly runCall?: PlannerCallRunner;
 }
@@ -371,9 +394,9 @@
     lengthMs: number,
     finishMs: number,
     seed: number,
-    { hasAdmission = false, runCall = (part, call) => call() }: ReplayOptions = {},
+    { hasAdmission = false, hasPreemption = true, runCall = (part, call) => call() }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed, { hasAdmission, runCall });
+    const simulation = createSimulation(load, seed, { hasAdmission, hasPreemption, runCall });
     const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
         job,
         attempt: 0,
--- a/packages/replay-jobs/src/simulated-workers.ts
+++ b/packages/replay-jobs/src/simulated-workers.ts
@@ -10,6 +10,8 @@
     readonly startedAtMs: number;
     readonly workMs: number;
     doneMs: number;
+    /** When its stop was ordered; undefined before. */
+    stopOrderedAtMs: number | undefined;
     /** Share of the declared processors that a run on idle processors uses at full pace when enough are idle. */
     readonly useShare: number;
     /** Share of the work after which the run fails; undefined when it does not fail. */
--- a/packages/replay-jobs/src/tally.ts
+++ b/packages/replay-jobs/src/tally.ts
@@ -23,12 +23,15 @@
     readonly refusals: number;
     /** Starts of runs in the whole replay; the same in each row. */
     readonly starts: number;
+    /** Runs that were preempted in the whole replay; the same in each row. */
+    readonly preemptions: number;
 }
 
 /** Collects the results of a replay. */
 export interface Tally {
     readonly countPaceChange: () => void;
     readonly countStart: () => void;
+    readonly countPreemptions: (runs: number) => void;
     readonly countRefusal: (kind: string) => void;
     readonly observe: (
         state: JobState,
@@ -113,7 +116,11 @@
     const refusals = new Map<string, number>();
     let paceChanges = 0;
     let starts = 0;
+    let preemptions = 0;
     return {
+        countPreemptions: runs => {
+            preemptions += runs;
+        },
         countStart: () => {
             starts += 1;
         },
@@ -172,6 +179,7 @@
                         paceChanges,
                         refusals: refusals.get(kind.name) ?? 0,
                         starts,
+                        preemptions,
                     };
                 }
                 const { attainableValue, earnedValue, inTimeShare } = summarizeJobs(kind, jobsOfKind, state, epochMs);
@@ -185,6 +193,7 @@
                     paceChanges,
                     refusals: refusals.get(kind.name) ?? 0,
                     starts,
+                    preemptions,
                 };
             }),
     };
--- a/packages/track-workers/src/run-statuses.ts
+++ b/packages/track-workers/src/run-statuses.ts
@@ -27,6 +27,8 @@
     /** When the progress last changed. */
     progressAtMs: number;
     checkpoint: string;
+    /** When the checkpoint was saved at a guess: half way between the last two reports with different checkpoints. */
+    checkpointAtMs: number;
     /**
      * Last reported tail latency of a serving task in milliseconds, or processor time in use by another task in
      * thousandths of a core.
@@ -61,6 +63,7 @@
         progressPercent: 0,
         progressAtMs: nowMs,
         checkpoint: "",
+        checkpointAtMs: nowMs,
         lastReading: undefined,
         readAtMs: nowMs,
         pacePercent: 100,
@@ -113,7 +116,10 @@
         status.progressPercent = progress.progressPercent;
         status.progressAtMs = nowMs;
     }
-    status.checkpoint = progress.checkpoint;
+    if (status.checkpoint !== progress.checkpoint) {
+        status.checkpoint = progress.checkpoint;
+        status.checkpointAtMs = (status.readAtMs + nowMs) / 2;
+    }
     status.lastReading = progress.lastReading;
     status.readAtMs = nowMs;
 }
