--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -12,8 +12,10 @@
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import {
+    type CapacityReservation,
     createWorkerCandidate,
     findRack,
+    hasReservation,
     releaseCapacity,
     reserveCapacity,
     type WorkerCandidate,
@@ -52,6 +54,8 @@
      * learnt, so that all workers count as normal.
      */
     readonly predictSpeed?: ((worker: WorkerId) => number) | undefined;
+    /** Capacity that only tasks of certain steps may take. */
+    readonly reservations?: readonly CapacityReservation[];
 }
 
 /** Trials of the tasks of a service. */
@@ -86,10 +90,16 @@
 
 /** Lists the workers on which tasks may start. */
 export function listCandidates(input: PlanInput): WorkerCandidate[] {
-    const { state, isUsable, findStartLimit, findRunStatuses } = input;
+    const { state, isUsable, findStartLimit, findRunStatuses, reservations = [] } = input;
     const candidates = [...state.workers.values()]
         .filter(worker => acceptsStarts(state, worker) && isUsable(worker.info.id))
         .map(worker => createWorkerCandidate(worker, findRunStatuses(worker.info.id), findStartLimit(worker.info.id)));
+    for (const reservation of reservations) {
+        const candidate = candidates.find(({ state: { info } }) => info.id === reservation.worker);
+        if (candidate !== undefined) {
+            candidate.reservations = [...candidate.reservations, reservation];
+        }
+    }
     if (input.predictSpeed !== undefined) {
         applySpeeds(candidates, input.predictSpeed);
     }
@@ -268,6 +278,16 @@
     pass.starts.push(...reserved.map(({ candidate, task }) => createStart(waiting, task, run, candidate)));
 }
 
+/** Whether no worker has room for a step, because none had for another one that requires no more. */
+function hasNoRoom({ input, unmet }: PlanningPass, waiting: WaitingStep): boolean {
+    const { job, occurrence, step } = waiting;
+    return unmet.isUnmet(job.queue.service, step.spec, isNewLongRunning(waiting))
+        && !hasReservation(
+            input.reservations ?? [],
+            formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position }),
+        );
+}
+
 /** Plans starts of a step; a starved one may disturb serving tasks. */
 function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
     if (waiting.step.spec.gang) {
@@ -351,7 +371,7 @@
     planWithinLimit(memory, waitingSteps, waiting => {
         const ratingsBefore = pass.ratings;
         const startsBefore = pass.starts.length;
-        if (!pass.unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting))) {
+        if (!hasNoRoom(pass, waiting)) {
             planStep(pass, waiting);
         }
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
