Let copies use idle processors while long-running tasks wait for others to end

Cause: a copy was planned only on workers on which no waiting task could ever run. Change: a step waits for a worker if its task has room there now or once the short tasks have ended; new long-running tasks do not wait for the workers kept from them. A copy needs processors that no best-effort task uses.

--- a/packages/plan-copies/src/find-copy-worker.ts
+++ b/packages/plan-copies/src/find-copy-worker.ts
@@ -1,8 +1,10 @@
-import { formatStepKey, type JobState } from "@chestnutspool/job-state";
+import { computeReservation, formatStepKey, type JobState } from "@chestnutspool/job-state";
 import {
+    computeFreeLater,
     findObstacle,
     findRack,
     hasCapacity,
+    isNewLongRunning,
     listWaitingSteps,
     type PlanInput,
     type WaitingStep,
@@ -44,17 +46,18 @@
 }
 
 /**
- * Whether a step waits for capacity of a worker: a task of it could run there if the worker were empty. One that waits because
- * it would disturb the serving tasks there does not wait for capacity.
+ * Whether a step waits for capacity of a worker: a task of it has room there now, or will have once the short tasks there have
+ * ended. A best-effort task that finds an obstacle there waits for something else, and long-running tasks that fit nowhere
+ * wait for others of their kind to end.
  */
-function isWaitingFor(waiting: WaitingStep, candidate: WorkerCandidate, input: PlanInput): boolean {
+function isWaitingFor(waiting: WaitingStep, candidate: WorkerCandidate, search: WorkerSearch): boolean {
     const { spec } = waiting.step;
-    const { info } = candidate.state;
-    const isAllowed = (spec.requiredLabel === undefined || info.labels.includes(spec.requiredLabel))
+    const isAllowed = (spec.requiredLabel === undefined || candidate.state.info.labels.includes(spec.requiredLabel))
         && (spec.perWorkerLimit === undefined
-            || (candidate.tasksByStep.get(formatKey(waiting)) ?? 0) < spec.perWorkerLimit);
-    return isAllowed && findShortage(spec.resources, info.capacity) === undefined
-        && findObstacle(candidate, spec, input.interference) !== "disturbs";
+            || (candidate.tasksByStep.get(formatKey(waiting)) ?? 0) < spec.perWorkerLimit)
+        && !(search.kept.has(candidate) && isNewLongRunning(waiting));
+    return isAllowed && findShortage(computeReservation(spec), computeFreeLater(candidate)) === undefined
+        && findObstacle(candidate, spec, search.input.interference) === undefined;
 }
 
 /** Whether a copy may run in a rack: near its data, and without spreading the step over more racks. */
@@ -81,13 +84,17 @@
     readonly input: PlanInput;
     readonly candidates: readonly WorkerCandidate[];
     readonly unserved: ReadonlyMap<string, readonly WaitingStep[]>;
+    /** Workers on which no new long-running task starts. */
+    readonly kept: ReadonlySet<WorkerCandidate>;
     /** Workers with a straggler. */
     readonly slowWorkers: ReadonlySet<WorkerId>;
     readonly predictSpeed: (worker: WorkerId) => number;
 }
 
 function hasRoom(candidate: WorkerCandidate, spec: StepSpec, stepKey: string, input: PlanInput): boolean {
-    return hasCapacity(candidate, spec, stepKey) && findObstacle(candidate, spec, input.interference) === undefined;
+    // Best-effort tasks that already use the free processors would be slowed down.
+    return hasCapacity(candidate, spec, stepKey) && candidate.idleMilliCpu >= spec.resources.milliCpu
+        && findObstacle(candidate, spec, input.interference) === undefined;
 }
 
 /**
@@ -116,5 +123,5 @@
     return suitable
         .sort((left, right) => computeSpeed(right) - computeSpeed(left) || right.free.milliCpu - left.free.milliCpu)
         .slice(0, comparedWorkers)
-        .find(candidate => !waiting.some(other => isWaitingFor(other, candidate, input)));
+        .find(candidate => !waiting.some(other => isWaitingFor(other, candidate, search)));
 }
--- a/packages/plan-copies/src/plan-copies.test.ts
+++ b/packages/plan-copies/src/plan-copies.test.ts
@@ -201,6 +201,24 @@
     return running;
 }
 
+// Load: a pool whose processors long-running tasks reserve while more of them wait for some to end. Guards against a pool that
+// never copies because such a step always waits.
+test("a long-running step that fits on no worker does not keep a copy from idle processors", () => {
+    const running = makeSlow();
+    const reserved = { milliCpu: 1_500, memoryMib: 100, accelerators: 0 };
+    running.machine.submit(makeJob("b", [makeStep({ count: 14, longRunning: true, resources: reserved })]));
+    const starts = [...Array(14).keys()].map(number => ({ ...makeStart(number), job: "b" }));
+    running.start(starts, 0);
+    running.machine.submit(
+        makeJob("c", [makeStep({ longRunning: true, resources: { ...reserved, milliCpu: 3_500 } })]),
+    );
+    assert.deepEqual(describe(running, 1_010), ["9#2"]);
+    // It fits once the short task on a worker has ended.
+    const soon = makeSlow();
+    soon.machine.submit(makeJob("c", [makeStep({ longRunning: true, resources: { ...reserved, milliCpu: 3_500 } })]));
+    assert.deepEqual(describe(soon, 1_010), []);
+});
+
 test("a step that waits for workers with another label does not keep a copy from idle ones", () => {
     const running = makeSlow();
     running.machine.submit(makeJob("b", [makeStep({ requiredLabel: "other" })]));
--- a/packages/plan-copies/src/plan-copies.ts
+++ b/packages/plan-copies/src/plan-copies.ts
@@ -1,5 +1,11 @@
 import { computeReservation, formatRunKey, formatStepKey } from "@chestnutspool/job-state";
-import { listCandidates, type PlanInput, reserveCapacity, type WorkerCandidate } from "@chestnutspool/plan-jobs";
+import {
+    listCandidates,
+    listKeptWorkers,
+    type PlanInput,
+    reserveCapacity,
+    type WorkerCandidate,
+} from "@chestnutspool/plan-jobs";
 import type { RunStart } from "@chestnutspool/types";
 import type { CopyMemory } from "./copy-memory.js";
 import { findCopyWorker, listUnservedSteps, type WorkerSearch } from "./find-copy-worker.js";
@@ -142,6 +148,7 @@
         input,
         candidates,
         unserved: listUnservedSteps(state, starts, wallMs),
+        kept: listKeptWorkers(state, candidates),
         slowWorkers: new Set(stragglers.map(({ worker }) => worker)),
         predictSpeed,
     };
--- a/packages/plan-jobs/src/hold-workers.ts
+++ b/packages/plan-jobs/src/hold-workers.ts
@@ -9,7 +9,7 @@
 const heldShare = 0.1;
 
 /** Computes what a worker has left once its tasks that end by themselves have ended. */
-function computeFreeLater({ state, free }: WorkerCandidate): Resources {
+export function computeFreeLater({ state, free }: WorkerCandidate): Resources {
     let freeLater = free;
     for (const { step } of state.runs.values()) {
         if (!step.spec.longRunning) {
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -1,4 +1,5 @@
 export { describeWait } from "./describe-wait.js";
+export { computeFreeLater } from "./hold-workers.js";
 export { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 export { listObsoleteRuns } from "./list-obsolete-runs.js";
 export { listStalledRuns } from "./list-stalled-runs.js";
