Prefer no worker outside the rack of the data when room is made

Cause: a worker was taken to be in the rack of the data if any of its labels had that name. Neither the rack nor the limit of tasks per worker was tested.

--- a/packages/plan-preemption/src/fakes/test-pool.ts
+++ b/packages/plan-preemption/src/fakes/test-pool.ts
@@ -57,11 +57,14 @@
 /** Step of an urgent task that needs the memory of half a worker. */
 export const urgentStep: Partial<StepSpec> = { resources: { milliCpu: 1_000, memoryMib: 500, accelerators: 0 } };
 
-/** Creates a pool of workers `w0`, `w1` and so on. */
+/** Creates a pool of workers `w0`, `w1` and so on, each in a rack of its own. */
 export function createTestPool(workers = 2, queues: readonly QueueSettings[] = testQueues): TestPool {
     const capacity = { milliCpu: 64_000, memoryMib: 1_000, accelerators: 0 };
     const machine = makeMachine(
-        Array.from({ length: workers }, (item, number) => makeWorker(`w${number}`, { capacity })),
+        Array.from(
+            { length: workers },
+            (item, number) => makeWorker(`w${number}`, { capacity, labels: ["a", `r${number}`] }),
+        ),
         queues,
     );
     let statuses = new Map<string, RunStatuses>();
--- a/packages/plan-preemption/src/plan-preemptions.test.ts
+++ b/packages/plan-preemption/src/plan-preemptions.test.ts
@@ -239,6 +239,27 @@
     assert.deepEqual(plan?.preemptions.map(({ worker, victims }) => [worker, victims.length]), [["w0", 0]]);
 });
 
+// Guards against work lost for room in which the task would run several times as long as near its data.
+test("room for a task is made in the rack of its data, although others lose less there", () => {
+    const pool = createFullPool();
+    pool.submit("u", filledMs, { ...urgentStep, rackOfData: "r0" });
+    assert.deepEqual(listStopped(passUntilPreempted(pool, filledMs)), ["middle.0.0.0#1"]);
+});
+
+test("no more tasks of a step get room on a worker than its limit allows", () => {
+    for (const [perWorkerLimit, expected] of [[undefined, ["w1", "w1"]], [1, ["w1", "w0"]]] as const) {
+        const pool = createTestPool(8);
+        pool.pass(0);
+        for (const worker of ["w0", "w2", "w3", "w4", "w5", "w6", "w7"]) {
+            pool.startBatch(`old-${worker}`, 9_000, { count: 2 }, worker);
+        }
+        pool.startBatch("new", 9_900, { count: 2 }, "w1");
+        pool.submit("u", filledMs, { ...urgentStep, count: 2, perWorkerLimit });
+        const plan = passUntilPreempted(pool, filledMs);
+        assert.deepEqual(plan?.preemptions.map(({ worker }) => worker), expected);
+    }
+});
+
 test("a batch task with processors of its own frees them too", () => {
     const pool = createTestPool(1);
     pool.pass(0);
--- a/packages/plan-preemption/src/plan-preemptions.ts
+++ b/packages/plan-preemption/src/plan-preemptions.ts
@@ -1,5 +1,6 @@
 import { computeReservation, formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
 import {
+    findRack,
     hasCapacity,
     isEligible,
     listCandidates,
@@ -191,7 +192,7 @@
     const selected = selectCandidates(ofService, pass.kept, waiting);
     const { rackOfData } = step.spec;
     const nearData = selected.filter(({ state: { info } }) =>
-        rackOfData !== undefined && info.labels.includes(rackOfData)
+        rackOfData !== undefined && findRack(info) === rackOfData
     );
     return (nearData.length > 0 ? nearData : selected)
         .map(candidate => getWorker(pass, candidate, job.queue.priority));
