Lose late orders to a fake worker that has crashed

Cause: an order that a worker carries out seconds late was carried out on the record of a crashed worker if no other had started at its address yet. Change: without a worker at the address the order is lost.

--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -333,8 +333,11 @@
                 yield* Effect.forkIn(
                     Effect.gen(function*() {
                         yield* Effect.sleep(lateOrderMs);
-                        // The worker may have started again under its id.
-                        carryOut(workers.get(info.id) ?? worker, yield* readMonotonicMs);
+                        // The worker may have started again under its id. While none runs at its address, the order is lost.
+                        const current = workers.get(info.id);
+                        if (current !== undefined) {
+                            carryOut(current, yield* readMonotonicMs);
+                        }
                     }),
                     scope,
                 );
