Record when a step of a job is done

A new leader has to know how long a step has been ready, so that what it decides by waiting time does not begin from zero. The state held the time of acceptance only.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -98,6 +98,7 @@
     if (step.tasksLeft > 0) {
         return;
     }
+    step.doneAtMs = state.clockMs;
     occurrence.stepsLeft -= 1;
     if (occurrence.stepsLeft === 0) {
         job.occurrences.delete(occurrence.number);
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -5,6 +5,7 @@
     acceptsStarts,
     computeReservation,
     createJob,
+    findReadyAtMs,
     isJobEnded,
     isStepReady,
     type JobOccurrence,
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -64,6 +64,11 @@
     /** Number of runs of a gang that ended because a member failed, and the number of the last such run. */
     gangFailures: number;
     lastFailedGangRun: number;
+    /**
+     * Wall-clock time at which its last task was done, in milliseconds since the epoch; undefined while one is not, and if an
+     * earlier build recorded it.
+     */
+    doneAtMs: number | undefined;
 }
 
 /** State of one occurrence of a job, which runs all its steps once. */
@@ -197,7 +202,25 @@
         });
         waiting.add(index);
     }
-    return { spec, position, tasks, tasksLeft: spec.count, waiting, gangFailures: 0, lastFailedGangRun: 0 };
+    return {
+        spec,
+        position,
+        tasks,
+        tasksLeft: spec.count,
+        waiting,
+        gangFailures: 0,
+        lastFailedGangRun: 0,
+        doneAtMs: undefined,
+    };
+}
+
+/**
+ * Finds when a step could first start, in milliseconds since the epoch: when its occurrence was due, or when the last of
+ * the steps on which it depends was done. A step that an earlier build recorded as done counts as done at acceptance.
+ */
+export function findReadyAtMs(job: JobRecord, occurrence: JobOccurrence, step: JobStep): number {
+    const dueAtMs = occurrence.dueAtMs ?? job.acceptedAtMs;
+    return Math.max(dueAtMs, ...step.spec.dependsOn.map(position => occurrence.steps[position]?.doneAtMs ?? dueAtMs));
 }
 
 /** Creates an occurrence none of whose tasks has run. */
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -44,6 +44,8 @@
     readonly tasks: readonly SavedTask[];
     readonly gangFailures: number;
     readonly lastFailedGangRun: number;
+    /** Absent unless the step is done; earlier builds never write it. */
+    readonly doneAtMs?: number;
 }
 
 interface SavedOccurrence {
@@ -110,6 +112,7 @@
         tasks: step.tasks.filter(isChanged).map(saveTask),
         gangFailures: step.gangFailures,
         lastFailedGangRun: step.lastFailedGangRun,
+        ...(step.doneAtMs === undefined ? {} : { doneAtMs: step.doneAtMs }),
     };
 }
 
@@ -233,6 +236,7 @@
 ): void {
     step.gangFailures = saved.gangFailures;
     step.lastFailedGangRun = saved.lastFailedGangRun;
+    step.doneAtMs = saved.doneAtMs;
     for (const position of saved.done) {
         const task = step.tasks[position];
         if (task !== undefined) {
