Decide how long tasks wait for a place in the rack that they prefer

A task away from the rack of its data runs farFactor times longer, and the planner knows no wait: it takes a worker in the rack if one is free at that moment. plan-placement-waits compares, for each step, the expected end in the rack (expected ends of the runs there, promised places, learned run times) with the expected end elsewhere, and lets it wait while that pays off, while its objective allows it, and while the prediction holds. Waits that fail shorten later ones.

Pure; not used yet.

--- /dev/null
+++ b/packages/plan-placement-waits/src/plan-placement-waits.test.ts
@@ -0,0 +1,136 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { makeRacks, makeRackWorker, makeWant, startMs } from "./fakes/make-wants.js";
+import { takeEndedWaits } from "./placement-memory.js";
+
+/** A job of one step of one second that is in time only in its rack. */
+const decisive = { objectiveAtMs: startMs + 2_000 } as const;
+
+// Guards against waits and kept racks without need.
+test("idle rack: tasks that find room there start at once, and nobody stays away from it", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 8)] });
+    const { placements, keptWorkers } = racks.plan([makeWant("a", { tasks: 4 }), makeWant("b", { tasks: 4 })]);
+    assert.deepEqual(placements.get("a"), { kind: "wait", rack: "r1", startable: 4 });
+    assert.deepEqual(placements.get("b"), { kind: "wait", rack: "r1", startable: 4 });
+    assert.equal(keptWorkers.size, 0);
+    racks.plan([], 20);
+    assert.deepEqual(takeEndedWaits(racks.memory), []);
+});
+
+// Guards against a hot rack that is shared out among all jobs that want it, so that none of them is in time.
+test("hot rack: the jobs that gain most wait for it, and what cannot fit is spread at once", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [200, 200, 200, 200, 200])] });
+    const wants = ["a", "b", "c"].map(key => makeWant(key, { ...decisive, tasks: 4 }));
+    const late = makeWant("late", { objectiveAtMs: startMs + 500, readyAtMs: startMs - 900 });
+    const small = makeWant("small", { ...decisive, tasks: 1, workLeft: 500 });
+    const { placements, keptWorkers } = racks.plan([late, ...wants, small]);
+    const waiting = [...placements].filter(([, { kind }]) => kind === "wait").map(([key]) => key);
+    // The small one and the first of the others take the five places; the next ones would come too late.
+    assert.deepEqual(waiting.sort(), ["a", "small"]);
+    assert.deepEqual([...keptWorkers], ["w1"]);
+    assert.equal(racks.memory.wakeAtMs !== undefined && racks.memory.wakeAtMs <= startMs + 400, true);
+});
+
+test("hot rack: a promise holds when smaller jobs come later", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [400, 400])] });
+    const first = makeWant("first", { ...decisive, tasks: 2 });
+    racks.plan([first]);
+    const second = makeWant("second", { ...decisive, workLeft: 1, readyAtMs: startMs + 100 });
+    const { placements } = racks.plan([first, second], 100);
+    assert.equal(placements.get("first")?.kind, "wait");
+    assert.equal(placements.get("second")?.kind, "start");
+});
+
+test("tasks take the free places at once while the others of their step wait", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 2, [300])] });
+    const { placements } = racks.plan([makeWant("a", { tasks: 3 })]);
+    assert.deepEqual(placements.get("a"), { kind: "wait", rack: "r1", startable: 2 });
+});
+
+// Guards against tasks that wait for a rack which is lost, drained or evacuated: it has no worker that takes starts.
+test("a wait ends when the rack is lost", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [500])] });
+    const want = makeWant("a");
+    assert.equal(racks.plan([want]).placements.get("a")?.kind, "wait");
+    racks.racks = {};
+    assert.equal(racks.plan([want], 100).placements.get("a")?.kind, "start");
+    assert.deepEqual(takeEndedWaits(racks.memory).map(({ outcome }) => outcome), ["rackLost"]);
+    // A lost rack is no fault of the estimates.
+    assert.equal(racks.memory.records.get("pool")?.metShare, 1);
+});
+
+test("a wait ends when the place has not come by the predicted time, and the step does not wait again", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [400])] });
+    const want = makeWant("a");
+    racks.plan([want]);
+    assert.equal(racks.plan([want], 500).placements.get("a")?.kind, "wait");
+    assert.equal(racks.plan([want], 560).placements.get("a")?.kind, "start");
+    assert.equal(racks.plan([want], 580).placements.get("a")?.kind, "start");
+    const [ended] = takeEndedWaits(racks.memory);
+    assert.equal(ended?.outcome, "late");
+    assert.equal(ended.expectedGainMs, 1_600);
+    assert.equal(ended.gainMs, -560);
+});
+
+test("a wait ends early when the place is no longer expected in time", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [400])] });
+    const want = makeWant("a");
+    racks.plan([want]);
+    racks.racks = { r1: [makeRackWorker("w1", 0, [1_500])] };
+    assert.equal(racks.plan([want], 100).placements.get("a")?.kind, "start");
+});
+
+test("the gain of a wait is counted by the time that it took", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [400])] });
+    const want = makeWant("a");
+    racks.plan([want]);
+    racks.racks = { r1: [makeRackWorker("w1", 1)] };
+    assert.deepEqual(racks.plan([want], 300).placements.get("a"), { kind: "wait", rack: "r1", startable: 1 });
+    racks.plan([], 320);
+    const [ended] = takeEndedWaits(racks.memory);
+    assert.deepEqual([ended?.outcome, ended?.expectedGainMs, ended?.gainMs], ["placed", 1_600, 1_700]);
+});
+
+// Guards against estimates ten times off: runs that were expected to end after 150 ms take 1,500 ms.
+test("after ten waits that failed only shorter ones are tried, and after some time long ones again", () => {
+    const racks = makeRacks({ r1: [] });
+    const planFresh = (key: string, atMs: number, expectedMs: number): string | undefined => {
+        racks.racks = { r1: [makeRackWorker("w1", 0, [atMs + expectedMs])] };
+        const [readyAtMs, objectiveAtMs] = [startMs + atMs, startMs + atMs + 60_000];
+        return racks.plan([makeWant(key, { readyAtMs, objectiveAtMs })], atMs).placements.get(key)?.kind;
+    };
+    assert.equal(planFresh("first", 0, 900), "wait");
+    for (let round = 0; round < 10; round += 1) {
+        const [key, atMs] = [`a${round}`, round * 300];
+        assert.equal(planFresh(key, atMs, 150), "wait");
+        racks.racks = { r1: [makeRackWorker("w1", 0, [atMs + 1_500])] };
+        assert.equal(racks.plan([makeWant(key)], atMs + 290).placements.get(key)?.kind, "start");
+    }
+    assert.equal(planFresh("long", 3_000, 900), "start");
+    assert.equal(planFresh("short", 3_000, 100), "wait");
+    assert.equal(planFresh("later", 60_000, 900), "wait");
+});
+
+// Guards against a group that waits for a rack which can never hold it, and against one that starts in parts.
+test("a gang starts whole in the rack, waits for it, or is spread", () => {
+    const gang = (key: string, tasks: number) => {
+        const want = makeWant(key, { tasks, racks: ["r1", "r2"] });
+        return { ...want, spec: { ...want.spec, gang: true, prefersOneRack: true, rackOfData: undefined } };
+    };
+    const racks = makeRacks({
+        r1: [makeRackWorker("w1", 2, [900])],
+        r2: [makeRackWorker("w2", 1, [400, 400])],
+    });
+    const { placements, keptWorkers } = racks.plan([gang("fits", 2), gang("waits", 3), gang("large", 4)]);
+    assert.deepEqual(placements.get("fits"), { kind: "wait", rack: "r1", startable: 2 });
+    assert.deepEqual(placements.get("waits"), { kind: "wait", rack: "r2", startable: 0 });
+    assert.deepEqual(placements.get("large"), { kind: "start" });
+    assert.deepEqual([...keptWorkers], ["w2"]);
+});
+
+// Guards against a pass that compares hundreds of steps with a forecast.
+test("of very many steps that want a rack, a bounded number is compared with it and the others are spread", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 500)] });
+    const { placements } = racks.plan(Array.from({ length: 100 }, (none, index) => makeWant(`a${index}`)));
+    assert.equal([...placements.values()].filter(({ kind }) => kind === "wait").length, 40);
+});
