Let tasks wait for the rack that they prefer, and keep others away from it

planStarts gave a worker in the rack of a task's data a higher rating, so that a task started elsewhere at once if the rack was full for a moment. With PlanInput.placementWaits it asks plan-placement-waits before each pass where the tasks of each step may start. Without that input it plans as before. The planner estimates the end of runs from their progress and from learned run times; the time that a step has been ready comes from the recorded state, so that a new leader does not begin from zero.

Tests: wait and start in the rack, rack evacuated, drained or lost in mid-wait, declared run times ten times off either way, leader changes in mid-wait, a step that prefers one rack, and the bound on the wait of other queues.

--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -13,5 +13,6 @@
     type Lateness,
     predictLateness,
 } from "./predict-lateness.js";
+export { isOutsideRack, type PlacementWaits } from "./rack-wants.js";
 export { listWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 export { findRack } from "./worker-candidate.js";
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -5,9 +5,11 @@
 import { holdWorkers } from "./hold-workers.js";
 import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
+import type { PlacementWaits } from "./rack-wants.js";
 import type { RatingContext } from "./rate-workers.js";
 import { createStart, listStartable } from "./startable-tasks.js";
 import { computeStarvedLimit, forgetStarvation, listStarvedSteps, recordStarvedStarts } from "./starved-steps.js";
+import { planStepPlacements, type StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
@@ -46,6 +48,8 @@
     readonly interference: InterferenceModel;
     /** State of the runs on a worker, by its reports. */
     readonly findRunStatuses: (worker: WorkerId) => RunStatuses | undefined;
+    /** Lets tasks wait for the rack that they prefer; without it they start wherever there is room. */
+    readonly placementWaits?: PlacementWaits | undefined;
 }
 
 /** Trials of the tasks of a service. */
@@ -62,6 +66,7 @@
     /** Workers on which no new long-running task starts. */
     readonly kept: ReadonlySet<WorkerCandidate>;
     readonly unmet: UnmetRequirements;
+    readonly placements: StepPlacements;
     readonly starts: RunStart[];
     /** Workers and tasks on trial, by service. */
     readonly trials: ReadonlyMap<string, ServiceTrials>;
@@ -97,7 +102,8 @@
 }
 
 function listStepCandidates(pass: PlanningPass, waiting: WaitingStep): readonly WorkerCandidate[] {
-    return selectCandidates(pass.candidatesByService.get(waiting.job.queue.service) ?? [], pass.kept, waiting);
+    const ofService = pass.candidatesByService.get(waiting.job.queue.service) ?? [];
+    return pass.placements.selectWorkers(waiting, selectCandidates(ofService, pass.kept, waiting));
 }
 
 function createStepPlan(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): StepPlan {
@@ -194,6 +200,17 @@
     return candidate;
 }
 
+function recordUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): void {
+    if (!placements.hasOwnWorkers(waiting)) {
+        unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting));
+    }
+}
+
+function isUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): boolean {
+    return !placements.hasOwnWorkers(waiting)
+        && unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting));
+}
+
 /** Plans starts of the tasks of a step one by one until no worker is suitable; only of one task if it is starved. */
 function planTasks(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
     const tasks = listStartable(waiting);
@@ -205,13 +222,14 @@
         // They go last, because the first task without a worker ends the step.
         tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
     }
-    for (const task of tasks.slice(0, isStarved ? 1 : startsPerPass - pass.starts.length)) {
+    const limit = Math.min(isStarved ? 1 : startsPerPass - pass.starts.length, pass.placements.countStartable(waiting));
+    for (const task of tasks.slice(0, limit)) {
         if (needsTrial(task) && !canTry(pass, waiting, task)) {
             return;
         }
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
-            pass.unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting));
+            recordUnmet(pass, waiting);
             return;
         }
         pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
@@ -241,7 +259,7 @@
         reserved.push({ candidate, task });
     }
     if (reserved.length === 0) {
-        pass.unmet.recordUnmet(job.queue.service, step.spec, isNewLongRunning(waiting));
+        recordUnmet(pass, waiting);
         return;
     }
     if (reserved.length < step.tasks.length) {
@@ -259,6 +277,9 @@
 
 /** Plans starts of a step; a starved one may disturb serving tasks. */
 function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
+    if (pass.placements.countStartable(waiting) === 0) {
+        return;
+    }
     if (waiting.step.spec.gang) {
         planGang(pass, waiting, isStarved);
     }
@@ -287,11 +308,11 @@
         if (starvedPass.ratings >= ratingsPerPass * starvedRatingsShare) {
             break;
         }
-        const { job, step } = waiting;
+        const { job } = waiting;
         const { service } = job.queue;
         const workers = pass.candidatesByService.get(service)?.length ?? 0;
         if (
-            started.has(job.id) || starvedPass.unmet.isUnmet(service, step.spec, isNewLongRunning(waiting))
+            started.has(job.id) || isUnmet(starvedPass, waiting)
             || computeStarvedLimit(memory, service, workers, nowMs) === 0
         ) {
             continue;
@@ -323,16 +344,18 @@
  */
 export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
     const waitingSteps = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
-    if (waitingSteps.length === 0) {
+    if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
         memory.hasStepsLeft = false;
         return [];
     }
     const candidates = listCandidates(input);
+    const candidatesByService = groupByService(candidates);
     const pass: PlanningPass = {
         input,
-        candidatesByService: groupByService(candidates),
+        candidatesByService,
         kept: listKeptWorkers(input.state, candidates),
         unmet: createUnmetRequirements(),
+        placements: planStepPlacements(input, candidatesByService, waitingSteps, nowMs),
         starts: [],
         trials: countTrials(input),
         ratings: 0,
@@ -340,7 +363,7 @@
     planWithinLimit(memory, waitingSteps, waiting => {
         const ratingsBefore = pass.ratings;
         const startsBefore = pass.starts.length;
-        if (!pass.unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting))) {
+        if (!isUnmet(pass, waiting)) {
             planStep(pass, waiting);
         }
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
--- a/packages/plan-jobs/src/predict-lateness.ts
+++ b/packages/plan-jobs/src/predict-lateness.ts
@@ -46,13 +46,20 @@
     return computeChainMs(job, () => true) * job.queue.slackFactor + job.queue.targetLatencyMs;
 }
 
-/** Computes the longest chain of declared run times through the steps that `isIncluded` selects, in milliseconds. */
-export function computeChainMs(job: JobRecord, isIncluded: (step: number) => boolean): number {
+/**
+ * Computes the longest chain of run times through the steps that `isIncluded` selects, in milliseconds; of the declared
+ * ones unless `readRunMs` returns others.
+ */
+export function computeChainMs(
+    job: JobRecord,
+    isIncluded: (step: number) => boolean,
+    readRunMs = (step: number): number => job.definition.steps[step]?.expectedRunMs ?? 0,
+): number {
     const { steps } = job.definition;
     const chains: number[] = [];
     steps.forEach((step, position) => {
         const precedingMs = Math.max(0, ...step.dependsOn.map(earlier => chains[earlier] ?? 0));
-        chains[position] = precedingMs + (isIncluded(position) ? step.expectedRunMs : 0);
+        chains[position] = precedingMs + (isIncluded(position) ? readRunMs(position) : 0);
     });
     return Math.max(0, ...chains);
 }
