Let tasks wait for their rack where the settings give a factor for runs elsewhere

The leader learns run times from the ends of runs, wakes the planner when a wait ends, and writes one line 'task waits for a place' for each step whose wait has ended, with the expected and the actual gain; metrics compare both.

--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -14,6 +14,7 @@
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
 import { type Leadership, startLeadership } from "../start-leadership.js";
+import type { LeaderLimits } from "../term.js";
 import { createFakeWorkers, type FakeWorkers, type StartedRun } from "./fake-workers.js";
 import { createTestLog, type TestLog } from "./test-log.js";
 
@@ -79,12 +80,13 @@
     readonly wrapLog?: (log: ReplicatedLog<JobCommand, JobResult>) => ReplicatedLog<JobCommand, JobResult>;
     readonly logger?: Logger;
     readonly metrics?: Metrics;
+    readonly limits?: Partial<LeaderLimits>;
 }
 
 /** Starts a system without workers in which replica `a` leads; `wrapPort` may observe the calls to workers. */
 export const startTestSystemWith = Effect.fnUntraced(function*(
     wrapPort: (port: FakeWorkers["port"]) => FakeWorkers["port"],
-    { wrapLog = log => log, logger = silentLogger, metrics = createMetrics() }: TestParts = {},
+    { wrapLog = log => log, logger = silentLogger, metrics = createMetrics(), limits = {} }: TestParts = {},
 ) {
     const machine = makeMachine([], [makeQueue()]);
     const workers = yield* createFakeWorkers;
@@ -97,7 +99,7 @@
                 log: wrapLog(log.createReplica(self)),
                 machine,
                 workers: wrapPort(workers.port),
-                limits: { longestLeaseMs: testLeaseMs, stopMs: 200, availabilityZones: ["z", "z2"] },
+                limits: { longestLeaseMs: testLeaseMs, stopMs: 200, availabilityZones: ["z", "z2"], ...limits },
                 logger,
                 metrics,
             }),
--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -1,6 +1,7 @@
 import { formatRunKey, formatStepKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
 import { countAllowedStarts, recordRunQuality, type RunQuality, type RunStatus } from "@chestnutspool/track-workers";
 import type { RunEnd, WorkerId } from "@chestnutspool/types";
+import { recordPlacementRun } from "./placement-waits.js";
 import type { Term, WorkerSession } from "./term.js";
 
 /**
@@ -89,6 +90,9 @@
     if (end.outcome === "failed") {
         setLatest(term.failedWorkerByTask, formatTaskKey(end), session.info.id, failedTaskLimit);
     }
+    if (run !== undefined && status !== undefined && end.outcome === "succeeded") {
+        recordPlacementRun(term, session.info, run, status, nowMs);
+    }
     if (quality !== undefined) {
         recordQuality(term, session, end.job, quality, nowMs);
     }
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -15,6 +15,7 @@
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
+import { computeIdlePauseMs, logEndedWaits } from "./placement-waits.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
@@ -219,6 +220,7 @@
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         interference: term.interference,
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
+        placementWaits: term.placementWaits,
     };
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
@@ -226,6 +228,7 @@
     const tookMs = planner.passMs;
     planner.memory.ratingsPerPass = adaptRatings(planner.memory.ratingsPerPass, tookMs, planner.memory.hasStepsLeft);
     recordPass(term.load, tookMs);
+    logEndedWaits(term);
     yield* carryOutStarts(term, starts);
     if (nowMs - planner.reasonsCheckedAtMs >= waitCheckIntervalMs) {
         planner.reasonsCheckedAtMs = nowMs;
@@ -256,7 +259,8 @@
         }
         const endedMs = yield* readMonotonicMs;
         if (!planner.memory.hasStepsLeft) {
-            yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), idlePauseMs);
+            const pauseMs = computeIdlePauseMs(term, idlePauseMs, yield* readTermMs(term));
+            yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), pauseMs);
         }
         yield* Effect.sleep(computePassPauseMs(tookMs, (yield* readMonotonicMs) - endedMs));
     }
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -12,6 +12,7 @@
 import { createAdmission } from "./admission.js";
 import { handleInTerm } from "./handle-request.js";
 import { openSession } from "./open-session.js";
+import { createPlacementWaits } from "./placement-waits.js";
 import { runDisturbanceRecording } from "./record-disturbances.js";
 import { runLoadReport } from "./report-load.js";
 import { runPacing } from "./run-pacing.js";
@@ -76,6 +77,7 @@
         givenUpJobs: new Set(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
+        placementWaits: createPlacementWaits(dependencies.limits),
         load: createTermLoad(),
         admission: createAdmission(),
         isFenced: false,
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -2,6 +2,7 @@
 import type { JobMachine } from "@chestnutspool/job-state";
 import type { InterferenceModel, UsageHistory } from "@chestnutspool/learn-interference";
 import type { Logger } from "@chestnutspool/logger";
+import type { PlacementWaits } from "@chestnutspool/plan-jobs";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import type { RunStatuses, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
 import {
@@ -30,6 +31,11 @@
     readonly stopMs: number;
     /** Availability zones of the deployment; workers may be in others. */
     readonly availabilityZones: readonly string[];
+    /**
+     * How many times longer a task runs outside of the rack that it prefers. Tasks wait for that rack only if this is above 1;
+     * undefined: 1.
+     */
+    readonly remoteRunFactor?: number | undefined;
 }
 
 /** Dependencies of the leader. */
@@ -108,6 +114,8 @@
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
+    /** Waits of tasks for the rack that they prefer; undefined if none does. */
+    readonly placementWaits: PlacementWaits | undefined;
     /** Work since the last line about the load of the leader. */
     readonly load: TermLoad;
     /** What the decision about new jobs needs. */
