--- a/packages/replay-jobs/src/generate-jobs.ts
+++ b/packages/replay-jobs/src/generate-jobs.ts
@@ -1,5 +1,5 @@
 import type { JobDefinition, StepSpec } from "@chestnutspool/types";
-import type { JobKind, Load } from "./load.js";
+import type { HotRack, JobKind, Load } from "./load.js";
 import type { Random } from "./random.js";
 
 /** A job of the replay, including the true figures that the planner does not see. */
@@ -66,7 +66,21 @@
 /** Standard deviation of the run times within one step, as a share of their mean. */
 const runTimeSpread = 0.2;
 
-function createJob(kind: JobKind, number: number, arrivesAtMs: number, random: Random): SimulatedJob {
+/** Draws whether a job wants the hot rack. */
+function drawWantsRack(kind: JobKind, arrivesAtMs: number, hotRack: HotRack | undefined, random: Random): boolean {
+    const atMs = arrivesAtMs - warmUpMs;
+    return hotRack !== undefined && hotRack.kind === kind.name
+        && hotRack.periods.some(({ fromMs, untilMs }) => atMs >= fromMs && atMs < untilMs)
+        && random.drawShare() < hotRack.share;
+}
+
+function createJob(
+    kind: JobKind,
+    number: number,
+    arrivesAtMs: number,
+    random: Random,
+    hotRack: HotRack | undefined,
+): SimulatedJob {
     const stepCount = Math.max(1, Math.round(random.drawSize(kind.steps.mean, kind.steps.spread, kind.steps.largest)));
     const steps: StepSpec[] = [];
     const workMs: number[][] = [];
@@ -77,12 +91,15 @@
         workMs.push(Array.from({ length: step.count }, () => random.drawSize(meanMs, runTimeSpread, meanMs * 3)));
     }
     const { execution } = kind;
+    const wantsRack = drawWantsRack(kind, arrivesAtMs, hotRack, random);
+    const rackOfData = wantsRack && hotRack?.isNamed === true ? hotRack.rack : undefined;
+    const prefersOneRack = wantsRack && hotRack?.isNamed === false;
     return {
         kind,
         definition: {
             id: `${kind.name}${number}`,
             payload: "",
-            steps,
+            steps: wantsRack ? steps.map(step => ({ ...step, rackOfData, prefersOneRack })) : steps,
             occurrences: 1,
             firstAtMs: undefined,
             intervalMs: 0,
@@ -105,11 +122,11 @@
     for (const kind of load.kinds) {
         let number = 0;
         for (; number < kind.initialJobs; number += 1) {
-            jobs.push(createJob(kind, number, random.drawShare() * warmUpMs, random));
+            jobs.push(createJob(kind, number, random.drawShare() * warmUpMs, random, undefined));
         }
         const gapMs = 1000 / kind.jobsPerSecond;
         for (let atMs = warmUpMs + random.drawGap(gapMs); atMs < warmUpMs + lengthMs; atMs += random.drawGap(gapMs)) {
-            jobs.push(createJob(kind, number, atMs, random));
+            jobs.push(createJob(kind, number, atMs, random, load.hotRack));
             number += 1;
         }
     }
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -51,6 +51,17 @@
         };
 }
 
+/** Jobs of one kind that want the same rack for some seconds. Times are in milliseconds since the start of the traffic. */
+export interface HotRack {
+    readonly kind: string;
+    readonly rack: string;
+    /** Share of the jobs that want it. */
+    readonly share: number;
+    readonly periods: readonly { readonly fromMs: number; readonly untilMs: number; }[];
+    /** Whether the jobs name the rack, as that of their data, or only want any one rack for each step. */
+    readonly isNamed: boolean;
+}
+
 /** The workers of a replay and the jobs that arrive at them. */
 export interface Load {
     readonly workers: number;
@@ -72,6 +83,10 @@
     readonly contendingShare: number;
     /** Number of starts that the leader can order in one second; undefined if only the workers limit them. */
     readonly startsPerSecond: number | undefined;
+    /** How many times longer a task runs outside of the rack that it prefers. */
+    readonly farFactor: number;
+    /** Undefined if no job prefers a rack. */
+    readonly hotRack: HotRack | undefined;
 }
 
 /** Load of the ash advisory service: short checks, long forecasts on idle processors, and watches. */
@@ -85,6 +100,8 @@
     otherDisturbance: 0.25,
     contendingShare: 0.65,
     startsPerSecond: undefined,
+    farFactor: 1,
+    hotRack: undefined,
     kinds: [
         {
             name: "check",
--- a/packages/replay-jobs/src/replay.test.ts
+++ b/packages/replay-jobs/src/replay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { hotRackOfEight } from "./hot-rack-loads.js";
 import { lastingOverload, type Load, sustainedOverload, wholesaleLoad } from "./load.js";
 import { replayLoad } from "./replay.js";
 
@@ -31,3 +32,20 @@
         assert.ok(earnedShare >= 0.71, `${kind} earns ${earnedShare}`);
     }
 });
+
+// Guards against a hot rack that is shared out among all jobs that want it, so that most of their tasks run three times as
+// long, and against waits of the urgent jobs that the other queues pay for.
+test("hot rack: with waits more urgent jobs are in time, fewer tasks run away from their data, and no queue loses", () => {
+    const [without, withWaits] = [false, true].map(hasWaits =>
+        replayLoad(hotRackOfEight, lengthMs, finishMs, 1, { hasWaits })
+    );
+    assert.ok(without !== undefined && withWaits !== undefined);
+    const [before, after] = [without[0], withWaits[0]];
+    assert.ok(before !== undefined && after !== undefined && after.waits.placed > 0);
+    assert.ok(after.inTimeShare > before.inTimeShare, `${after.inTimeShare} after ${before.inTimeShare}`);
+    assert.ok(after.farStarts < before.farStarts, `${after.farStarts} after ${before.farStarts}`);
+    for (const [position, { kind, earnedShare }] of without.entries()) {
+        // The most that a deployment may lose by new behaviour, as its users state it.
+        assert.ok((withWaits[position]?.earnedShare ?? 0) >= earnedShare - 0.03, kind);
+    }
+});
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -11,17 +11,20 @@
     listObsoleteRuns,
     listStalledRuns,
     observeMargins,
+    type PlacementWaits,
     type PlanMemory,
     planPaces,
     planStarts,
     recordUsage,
 } from "@chestnutspool/plan-jobs";
+import { takeEndedWaits } from "@chestnutspool/plan-placement-waits";
 import { createRunStatus, type RunStatuses } from "@chestnutspool/track-workers";
 import type { QueueSettings, RunEnd, RunKey, RunOutcome, RunStart, WorkerInfo } from "@chestnutspool/types";
 import { generateJobs, type SimulatedJob, warmUpMs } from "./generate-jobs.js";
 import type { JobKind, Load } from "./load.js";
 import { createRandom, type Random } from "./random.js";
 import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
+import { createSimulatedWaits, findDistance, recordRunTime } from "./simulated-racks.js";
 import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
 import { createTally, type Tally, type TallyRow } from "./tally.js";
 
@@ -72,6 +75,7 @@
     readonly jobs: Map<string, SimulatedJob>;
     readonly findDisturbance: (image: string, other: string) => number;
     readonly planMemory: PlanMemory;
+    readonly placementWaits: PlacementWaits | undefined;
     readonly tally: Tally;
     /** Decides about new jobs; undefined if all are accepted. */
     readonly admission: SimulatedAdmission | undefined;
@@ -108,7 +112,8 @@
     };
 }
 
-function createSimulation(load: Load, seed: number, { hasAdmission, runCall }: Required<ReplayOptions>): Simulation {
+function createSimulation(load: Load, seed: number, options: Required<ReplayOptions>): Simulation {
+    const { hasAdmission, hasWaits, runCall } = options;
     const random = createRandom(seed);
     const machine = createJobMachine();
     const simulation: Simulation = {
@@ -124,6 +129,7 @@
         jobs: new Map(),
         findDisturbance: drawDisturbances(load, random),
         planMemory: createPlanMemory(),
+        placementWaits: createSimulatedWaits(load, hasWaits),
         tally: createTally(load),
         admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
         startAllowance: 0,
@@ -161,6 +167,7 @@
     const key = createRunKey(run.run);
     const end: RunEnd = { ...key, outcome, checkpoint: "" };
     if (outcome === "succeeded") {
+        recordRunTime(simulation.placementWaits, run.run, run.distance === "far", nowMs - run.startedAtMs);
         simulation.admission?.recordEnd(run.run.step.spec, nowMs);
     }
     simulation.runsByWorker.get(worker)?.delete(formatRunKey(key));
@@ -252,12 +259,17 @@
     if (run === undefined || job === undefined) {
         return;
     }
+    const { state } = simulation.machine;
+    const info = state.workers.get(start.worker)?.info;
+    const distance = info === undefined ? "none" : findDistance(run, state, info);
     const willFail = simulation.random.drawShare() < job.kind.failureShare;
     simulation.runsByWorker.get(start.worker)?.set(key, {
         run,
         job,
         startedAtMs: nowMs,
-        workMs: job.workMs[start.step]?.[start.position] ?? job.kind.workMs.mean,
+        distance,
+        workMs: (job.workMs[start.step]?.[start.position] ?? job.kind.workMs.mean)
+            * (distance === "far" ? simulation.load.farFactor : 1),
         doneMs: 0,
         useShare: simulation.random.drawShare() < partialUseTaskShare ? partialUse : 1,
         failsAfterShare: willFail && job.kind.execution.kind !== "serving" ? simulation.random.drawShare() : undefined,
@@ -269,7 +281,7 @@
     });
     simulation.runStatusesByWorker.get(start.worker)?.set(key, createRunStatus(createRunKey(run), "confirmed", nowMs));
     simulation.admission?.recordStart(run.step.spec, nowMs);
-    simulation.tally.countStart();
+    simulation.tally.countStart(distance);
 }
 
 function performSchedulingPass(simulation: Simulation, nowMs: number): void {
@@ -289,6 +301,7 @@
         findFailedWorker: () => undefined,
         interference: simulation.interference,
         findRunStatuses: (worker: string) => simulation.runStatusesByWorker.get(worker),
+        placementWaits: simulation.placementWaits,
     };
     for (const { worker, runKey } of simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs))) {
         const run = simulation.runsByWorker.get(worker)?.get(runKey);
@@ -304,6 +317,9 @@
         "planStarts",
         () => planStarts(input, epochMs + nowMs, simulation.planMemory),
     );
+    if (simulation.placementWaits !== undefined) {
+        simulation.tally.recordWaits(takeEndedWaits(simulation.placementWaits.memory));
+    }
     const starts = planned.slice(0, Math.floor(simulation.startAllowance));
     simulation.startAllowance -= starts.length;
     simulation.admission?.observe(simulation.machine.state, starts.length < planned.length, epochMs, nowMs);
@@ -361,6 +377,8 @@
 export interface ReplayOptions {
     /** Whether jobs that would end too late are refused and their callers come back; by default all are accepted. */
     readonly hasAdmission?: boolean;
+    /** Whether tasks wait for the rack that they prefer if that pays off; by default they do not. */
+    readonly hasWaits?: boolean;
     /** Runs the calls of the planner; by default it only makes them. */
     readonly runCall?: PlannerCallRunner;
 }
@@ -371,9 +389,9 @@
     lengthMs: number,
     finishMs: number,
     seed: number,
-    { hasAdmission = false, runCall = (part, call) => call() }: ReplayOptions = {},
+    { hasAdmission = false, hasWaits = false, runCall = (part, call) => call() }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed, { hasAdmission, runCall });
+    const simulation = createSimulation(load, seed, { hasAdmission, hasWaits, runCall });
     const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
         job,
         attempt: 0,
--- a/packages/replay-jobs/src/simulated-workers.ts
+++ b/packages/replay-jobs/src/simulated-workers.ts
@@ -2,12 +2,14 @@
 import type { SimulatedJob } from "./generate-jobs.js";
 import type { JobKind, Load } from "./load.js";
 import type { Random } from "./random.js";
+import type { RunDistance } from "./simulated-racks.js";
 
 /** A run on a simulated worker. */
 export interface SimulatedRun {
     readonly run: WorkerRun;
     readonly job: SimulatedJob;
     readonly startedAtMs: number;
+    readonly distance: RunDistance;
     readonly workMs: number;
     doneMs: number;
     /** Share of the declared processors that a run on idle processors uses at full pace when enough are idle. */
--- a/packages/replay-jobs/src/tally.ts
+++ b/packages/replay-jobs/src/tally.ts
@@ -1,6 +1,8 @@
 import type { JobState } from "@chestnutspool/job-state";
+import type { EndedWait } from "@chestnutspool/plan-placement-waits";
 import { type SimulatedJob, warmUpMs } from "./generate-jobs.js";
 import type { JobKind, Load } from "./load.js";
+import { addEndedWaits, type RunDistance, type WaitCounts } from "./simulated-racks.js";
 import type { SimulatedRun } from "./simulated-workers.js";
 
 /** Results of one kind of job. */
@@ -23,12 +25,17 @@
     readonly refusals: number;
     /** Starts of runs in the whole replay; the same in each row. */
     readonly starts: number;
+    /** Starts in and outside of the rack that the step prefers; the same in each row, as the waits. */
+    readonly nearStarts: number;
+    readonly farStarts: number;
+    readonly waits: Readonly<WaitCounts>;
 }
 
 /** Collects the results of a replay. */
 export interface Tally {
     readonly countPaceChange: () => void;
-    readonly countStart: () => void;
+    readonly countStart: (distance: RunDistance) => void;
+    readonly recordWaits: (ended: readonly EndedWait[]) => void;
     readonly countRefusal: (kind: string) => void;
     readonly observe: (
         state: JobState,
@@ -112,11 +119,13 @@
     const servingTotals = new Map<string, ServingTotals>();
     const refusals = new Map<string, number>();
     let paceChanges = 0;
-    let starts = 0;
+    const waits: WaitCounts = { waits: 0, placed: 0, waitedMs: 0, expectedGainMs: 0, gainMs: 0 };
+    const starts: Record<RunDistance, number> = { none: 0, near: 0, far: 0 };
     return {
-        countStart: () => {
-            starts += 1;
+        countStart: distance => {
+            starts[distance] += 1;
         },
+        recordWaits: ended => addEndedWaits(waits, ended),
         countRefusal: kind => {
             refusals.set(kind, (refusals.get(kind) ?? 0) + 1);
         },
@@ -159,6 +168,14 @@
         },
         summarize: (state, jobs, epochMs) =>
             load.kinds.map(kind => {
+                const counts = {
+                    paceChanges,
+                    refusals: refusals.get(kind.name) ?? 0,
+                    starts: starts.none + starts.near + starts.far,
+                    nearStarts: starts.near,
+                    farStarts: starts.far,
+                    waits,
+                };
                 const jobsOfKind = [...jobs.values()].filter(job => job.kind.name === kind.name);
                 const totals = servingTotals.get(kind.name);
                 if (kind.execution.kind === "serving" && totals !== undefined) {
@@ -169,9 +186,7 @@
                         earnedShare: totals.earnedValue / totals.attainableValue,
                         inTimeShare: totals.servingSamples / totals.taskSamples,
                         overTargetShare: totals.overTargetSamples / totals.taskSamples,
-                        paceChanges,
-                        refusals: refusals.get(kind.name) ?? 0,
-                        starts,
+                        ...counts,
                     };
                 }
                 const { attainableValue, earnedValue, inTimeShare } = summarizeJobs(kind, jobsOfKind, state, epochMs);
@@ -182,9 +197,7 @@
                     earnedShare: earnedValue / attainableValue,
                     inTimeShare,
                     overTargetShare: 0,
-                    paceChanges,
-                    refusals: refusals.get(kind.name) ?? 0,
-                    starts,
+                    ...counts,
                 };
             }),
     };
