Put the hot rack of the replays where long-running tasks leave room

Long-running tasks fill the workers with the lowest numbers, so that the rack r3 of the loads had room for a sixth of what it should run, and neither waits nor their absence could change much. The rack is now r15, or r10 with racks of 12, in the middle of the pool.

--- a/packages/replay-jobs/src/hot-rack-loads.ts
+++ b/packages/replay-jobs/src/hot-rack-loads.ts
@@ -1,7 +1,16 @@
-import { grownWholesaleLoad, type JobKind, type Load } from "./load.js";
+import { grownWholesaleLoad, type HotRack, type JobKind, type Load } from "./load.js";
 
 const [check, rebuild, watch] = grownWholesaleLoad.kinds as readonly [JobKind, JobKind, JobKind];
 
+const hotRack: HotRack = {
+    kind: "check",
+    // Workers 120 to 127: long-running tasks fill the first ones.
+    rack: "r15",
+    share: 2 / 3,
+    periods: [{ fromMs: 4_000, untilMs: 10_000 }, { fromMs: 16_000, untilMs: 22_000 }],
+    isNamed: true,
+};
+
 /**
  * Hot rack of the certification service: for six seconds at a time, two thirds of its urgent jobs want one rack of eight
  * hosts, which could run about half of them. Declared run times are wrong by up to ten times.
@@ -13,13 +22,7 @@
     memoryMib: 250_000,
     workersPerRack: 8,
     farFactor: 3,
-    hotRack: {
-        kind: "check",
-        rack: "r3",
-        share: 2 / 3,
-        periods: [{ fromMs: 4_000, untilMs: 10_000 }, { fromMs: 16_000, untilMs: 22_000 }],
-        isNamed: true,
-    },
+    hotRack,
     kinds: [
         { ...check, jobsPerSecond: 8.26, milliCpu: { ...check.milliCpu, mean: 7_300 }, estimateSpread: 1 },
         {
@@ -45,6 +48,7 @@
 export const hotRackOfTwelve: Load = {
     ...hotRackOfEight,
     workersPerRack: 12,
+    hotRack: { ...hotRack, rack: "r10" },
     kinds: [
         {
             ...check,
@@ -68,5 +72,5 @@
 /** The same jobs, which name no rack but want one rack for the tasks of each step. */
 export const anyOneRackOfEight: Load = {
     ...hotRackOfEight,
-    hotRack: hotRackOfEight.hotRack === undefined ? undefined : { ...hotRackOfEight.hotRack, isNamed: false },
+    hotRack: { ...hotRack, isNamed: false },
 };
