Decide about all steps of a job that follow in the same rack

Two thirds of the places in a hot rack went to jobs that were late anyway: a first step ran near its data and the next one found no room, or a step that was spread still took places which became free. A step now waits only if the steps that follow it in the rack find their places too, the places for the next step of a job that has begun are not promised to others, and a step that is spread leaves the rack to those that wait.

--- a/packages/plan-jobs/src/rack-wants.ts
+++ b/packages/plan-jobs/src/rack-wants.ts
@@ -1,17 +1,23 @@
 import {
     computeReservation,
     findReadyAtMs,
+    formatRunKey,
     formatStepKey,
+    isJobEnded,
+    isStepReady,
     type JobOccurrence,
     type JobState,
+    type JobStep,
     type WorkerRun,
 } from "@chestnutspool/job-state";
 import {
     estimateRunMs,
+    type LaterStep,
     type PlacementMemory,
     predictRunEndMs,
     type RackWorker,
     type StepWant,
+    type TaskNeed,
 } from "@chestnutspool/plan-placement-waits";
 import { needsTrial } from "@chestnutspool/track-workers";
 import type { StepSpec, WorkerId, WorkerInfo } from "@chestnutspool/types";
@@ -48,7 +54,7 @@
 }
 
 /** Whether tasks of a step run longer outside of a rack and end by themselves, so that a wait can be predicted. */
-function wantsRack({ rackOfData, prefersOneRack, usesIdleCpu, longRunning }: StepSpec): boolean {
+function hasRackPreference({ rackOfData, prefersOneRack, usesIdleCpu, longRunning }: StepSpec): boolean {
     return (rackOfData !== undefined || prefersOneRack) && !usesIdleCpu && !longRunning;
 }
 
@@ -112,7 +118,7 @@
 }
 
 /** Racks in which runs of a step are, or were placed by earlier passes. */
-function listRunRacks({ step }: WaitingStep, input: PlanInput): ReadonlySet<string> {
+function listRunRacks(step: JobStep, input: PlanInput): ReadonlySet<string> {
     const racks = new Set<string>();
     for (const { runs } of step.tasks) {
         for (const { worker } of runs) {
@@ -150,32 +156,55 @@
     let work = 0;
     for (const { spec, position, tasksLeft } of steps) {
         const { milliCpu } = spec.resources;
-        work += wantsRack(spec) ? tasksLeft * estimateStep(position) * milliCpu / milliCpuPerCore : 0;
+        work += hasRackPreference(spec) ? tasksLeft * estimateStep(position) * milliCpu / milliCpuPerCore : 0;
     }
     return work;
 }
 
-/** What a step wants, if its tasks would rather run in one rack and none of them is to be tried out on a worker of its own. */
+/** A step of an occurrence. */
+type StepOfJob = Pick<WaitingStep, "job" | "occurrence" | "step">;
+
+/** Steps of an occurrence that follow a step and have their data in the same rack. */
+function listLaterSteps(
+    { occurrence, step }: StepOfJob,
+    createNeed: (step: JobStep) => TaskNeed,
+): LaterStep[] {
+    const { rackOfData } = step.spec;
+    return rackOfData === undefined ? [] : occurrence.steps
+        .filter(({ position, tasksLeft, spec }) =>
+            position > step.position && tasksLeft > 0 && spec.rackOfData === rackOfData && hasRackPreference(spec)
+        )
+        .map(later => ({ tasks: later.tasksLeft, isGang: later.spec.gang, need: createNeed(later) }));
+}
+
+/** Creates what `tasks` of a step want that may start at `startsAtMs`, in milliseconds since the epoch. */
 function createWant(
-    waiting: WaitingStep,
+    waiting: StepOfJob,
+    tasks: number,
+    startsAtMs: number,
     input: PlanInput,
     { memory }: PlacementWaits,
     { getRacks, findCandidate, predictEnd }: RackContext,
-): StepWant | undefined {
+): StepWant {
     const { job, occurrence, step } = waiting;
     const { spec, position } = step;
-    const tasks = listStartable(waiting);
-    // A task that may crash its worker chooses the worker on which it does the least harm.
-    if (!wantsRack(spec) || tasks.length === 0 || tasks.some(needsTrial)) {
-        return undefined;
-    }
     const estimateStep = (number: number): number =>
         estimateRunMs(memory.runTimes, {
             queue: job.queue.name,
             step: formatStepKey({ job: job.id, occurrence: occurrence.number, step: number }),
             declaredMs: job.definition.steps[number]?.expectedRunMs ?? 0,
         });
-    const runRacks = listRunRacks(waiting, input);
+    const createNeed = (other: JobStep): TaskNeed => ({
+        resources: computeReservation(other.spec),
+        runMs: estimateStep(other.position),
+        perWorkerLimit: other.spec.perWorkerLimit,
+        canRunOn: worker =>
+            other.spec.requiredLabel === undefined
+            || findCandidate(worker)?.state.info.labels.includes(other.spec.requiredLabel) === true,
+        listOwnEnds: worker =>
+            [...findCandidate(worker)?.state.runs.values() ?? []].filter(run => run.step === other).map(predictEnd),
+    });
+    const runRacks = listRunRacks(step, input);
     const racks = listRacks(spec, runRacks, getRacks(job.queue.service));
     const objectiveMs = computeChainMs(job, () => true, estimateStep) * job.queue.slackFactor
         + job.queue.targetLatencyMs;
@@ -186,19 +215,12 @@
         service: job.queue.service,
         priority: job.queue.priority,
         spec,
-        tasks: tasks.length,
+        tasks,
+        startsAtMs,
+        later: listLaterSteps(waiting, createNeed),
         racks,
         isBegun: runRacks.size === 1 && racks.length === 1 && runRacks.has(racks[0] ?? ""),
-        need: {
-            resources: computeReservation(spec),
-            runMs: estimateStep(position),
-            perWorkerLimit: spec.perWorkerLimit,
-            canRunOn: worker =>
-                spec.requiredLabel === undefined
-                || findCandidate(worker)?.state.info.labels.includes(spec.requiredLabel) === true,
-            listOwnEnds: worker =>
-                [...findCandidate(worker)?.state.runs.values() ?? []].filter(run => run.step === step).map(predictEnd),
-        },
+        need: createNeed(step),
         readyAtMs: findReadyAtMs(job, occurrence, step),
         objectiveAtMs: (occurrence.dueAtMs ?? job.acceptedAtMs) + objectiveMs,
         laterMs: computeChainMs(
@@ -210,6 +232,50 @@
     };
 }
 
+/** Lists the runs in progress of a step. */
+function listRuns({ job, occurrence, step }: StepOfJob, { workers }: JobState): readonly WorkerRun[] {
+    return step.tasks.flatMap(({ position, runs }) =>
+        runs.flatMap(({ run, worker }) => {
+            const key = { job: job.id, occurrence: occurrence.number, step: step.position, position, run };
+            return workers.get(worker)?.runs.get(formatRunKey(key)) ?? [];
+        })
+    );
+}
+
+/**
+ * Predicts when a step that is not ready can start, in milliseconds since the epoch: undefined if a task before it waits
+ * itself.
+ */
+function predictReadyMs(next: StepOfJob, state: JobState, { predictEnd }: RackContext): number | undefined {
+    const { job, occurrence, step } = next;
+    const before = step.spec.dependsOn.flatMap(position => occurrence.steps[position] ?? []);
+    if (before.some(({ waiting, tasksLeft, spec }) => (tasksLeft > 0 && waiting.size > 0) || spec.longRunning)) {
+        return undefined;
+    }
+    const ends = before.flatMap(earlier => listRuns({ job, occurrence, step: earlier }, state)).map(predictEnd);
+    return ends.length === 0 ? undefined : Math.max(...ends);
+}
+
+/** Lists what the steps want that follow runs in progress, so that their places are kept for them. */
+function listNextWants(input: PlanInput, waits: PlacementWaits, context: RackContext): StepWant[] {
+    const wants: StepWant[] = [];
+    for (const id of waits.memory.begunJobs) {
+        const job = input.state.openJobs.get(id);
+        for (const occurrence of job === undefined || isJobEnded(job) ? [] : job.occurrences.values()) {
+            const step = occurrence.steps.find(known => known.tasksLeft > 0 && !isStepReady(occurrence, known));
+            if (job === undefined || step?.spec.rackOfData === undefined || !hasRackPreference(step.spec)) {
+                continue;
+            }
+            const next = { job, occurrence, step };
+            const startsAtMs = predictReadyMs(next, input.state, context);
+            if (startsAtMs !== undefined) {
+                wants.push(createWant(next, step.tasksLeft, startsAtMs, input, waits, context));
+            }
+        }
+    }
+    return wants;
+}
+
 /** Creates the context of one pass at `nowMs`, wall-clock time in milliseconds. */
 export function createRackContext(
     input: PlanInput,
@@ -237,14 +303,22 @@
     };
 }
 
-/** Lists the steps whose tasks would rather run in one rack. */
+/** Lists the steps whose tasks would rather run in one rack, and those that follow them; `nowMs` is wall-clock time. */
 export function listWants(
     waitingSteps: readonly WaitingStep[],
     input: PlanInput,
     waits: PlacementWaits,
     context: RackContext,
+    nowMs: number,
 ): StepWant[] {
-    return waitingSteps.flatMap(waiting => createWant(waiting, input, waits, context) ?? []);
+    const wants = waitingSteps.flatMap(waiting => {
+        const tasks = hasRackPreference(waiting.step.spec) ? listStartable(waiting) : [];
+        // A task that may crash its worker chooses the worker on which it does the least harm.
+        return tasks.length === 0 || tasks.some(needsTrial)
+            ? []
+            : createWant(waiting, tasks.length, nowMs, input, waits, context);
+    });
+    return [...wants, ...listNextWants(input, waits, context)];
 }
 
 /** Lists the workers of a rack on which tasks may start, with what is expected to become free there. */
--- a/packages/plan-jobs/src/step-placements.ts
+++ b/packages/plan-jobs/src/step-placements.ts
@@ -61,6 +61,10 @@
             if (placement?.kind === "wait") {
                 return candidates.filter(({ state }) => findRack(state.info) === placement.rack);
             }
+            if (placement?.avoidedRack !== undefined) {
+                const outside = candidates.filter(({ state }) => findRack(state.info) !== placement.avoidedRack);
+                return canEverRun(outside, spec) ? outside : candidates;
+            }
             if (keptWorkers.size === 0 || (placement === undefined && spec.rackOfData !== undefined)) {
                 return candidates;
             }
@@ -92,7 +96,7 @@
     const context = createRackContext(input, waits, candidatesByService, nowMs);
     const plan = planPlacementWaits(
         {
-            wants: listWants(waitingSteps, input, waits, context),
+            wants: listWants(waitingSteps, input, waits, context, nowMs),
             farFactor: waits.farFactor,
             listRackWorkers: (service, rack) => listRackWorkers(context, service, rack),
             summarizeService: service => {
--- a/packages/plan-placement-waits/src/fakes/make-wants.ts
+++ b/packages/plan-placement-waits/src/fakes/make-wants.ts
@@ -36,6 +36,8 @@
         service: "pool",
         priority: 0,
         tasks,
+        startsAtMs: startMs,
+        later: [],
         racks: ["r1"],
         isBegun: false,
         need: {
--- a/packages/plan-placement-waits/src/index.ts
+++ b/packages/plan-placement-waits/src/index.ts
@@ -10,6 +10,7 @@
     type WaitOutcome,
 } from "./placement-memory.js";
 export {
+    type LaterStep,
     type PlacementPlan,
     planPlacementWaits,
     type StepPlacement,
--- a/packages/plan-placement-waits/src/placement-memory.ts
+++ b/packages/plan-placement-waits/src/placement-memory.ts
@@ -57,6 +57,8 @@
     readonly failed: Set<string>;
     /** How long the steps waited whose wait brought a place, by step key; only the latest are kept. */
     readonly placedAfterMs: Map<string, number>;
+    /** Jobs of which a step has got its places; only the latest are kept. */
+    readonly begunJobs: Set<JobId>;
     readonly records: Map<string, WaitRecord>;
     readonly kept: KeptRacks;
     /** Waits that have ended since they were last taken. */
@@ -75,6 +77,7 @@
         waits: new Map(),
         failed: new Set(),
         placedAfterMs: new Map(),
+        begunJobs: new Set(),
         records: new Map(),
         kept: createKeptRacks(),
         ended: [],
@@ -103,6 +106,13 @@
     const waitedMs = nowMs - decidedAtMs;
     const predictedMs = expectedAtMs - decidedAtMs;
     const isPlaced = outcome === "placed";
+    if (isPlaced) {
+        memory.begunJobs.add(wait.job);
+        dropOldest(memory.begunJobs);
+    }
+    else {
+        memory.begunJobs.delete(wait.job);
+    }
     if (isPlaced && predictedMs === 0) {
         // It found its place at once, so that nothing was predicted.
         return;
--- a/packages/plan-placement-waits/src/plan-placement-waits.test.ts
+++ b/packages/plan-placement-waits/src/plan-placement-waits.test.ts
@@ -31,6 +31,41 @@
     assert.equal(racks.memory.wakeAtMs !== undefined && racks.memory.wakeAtMs <= startMs + 400, true);
 });
 
+// Guards against jobs whose first step takes places in the rack although the next one finds none, so that they are late.
+test("hot rack: a job whose next step would come too late is spread from the start", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 2)] });
+    const needOfTwo = { ...makeWant("").need, resources: { milliCpu: 2_000, memoryMib: 1, accelerators: 0 } };
+    const next = [{ tasks: 3, isGang: false, need: needOfTwo }];
+    // Its steps end after 1 s and 4 s in the rack.
+    const chain = makeWant("chain", { later: next, laterMs: 1_000, objectiveAtMs: startMs + 3_500 });
+    assert.equal(racks.plan([chain]).placements.get("chain")?.kind, "start");
+    const relaxed = { ...chain, key: "relaxed", objectiveAtMs: startMs + 4_500 };
+    assert.equal(racks.plan([relaxed], 20).placements.get("relaxed")?.kind, "wait");
+});
+
+test("hot rack: the places for the next step of a job that has begun there are not promised to others", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 1)] });
+    const first = makeWant("first", { ...decisive, job: "begun" });
+    racks.plan([first]);
+    racks.racks = { r1: [makeRackWorker("w1", 0, [900])] };
+    const next = makeWant("next", { job: "begun", startsAtMs: startMs + 900, objectiveAtMs: startMs + 2_500 });
+    const other = makeWant("other", { ...decisive, workLeft: 1 });
+    assert.equal(racks.plan([other, next], 100).placements.get("other")?.kind, "start");
+    assert.equal(racks.plan([{ ...other, key: "alone" }], 120).placements.get("alone")?.kind, "wait");
+});
+
+test("hot rack: a step that is spread leaves the places to those that wait, until its own wait would have ended", () => {
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [400])] });
+    const [first, second] = [
+        makeWant("first", decisive),
+        makeWant("second", { ...decisive, tasks: 2, workLeft: 9_000 }),
+    ];
+    const { placements } = racks.plan([first, second]);
+    assert.deepEqual(placements.get("second"), { kind: "start", avoidedRack: "r1" });
+    const old = { ...second, key: "old", readyAtMs: startMs - 2_000 };
+    assert.deepEqual(racks.plan([first, old], 20).placements.get("old"), { kind: "start" });
+});
+
 test("hot rack: a promise holds when smaller jobs come later", () => {
     const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [400, 400])] });
     const first = makeWant("first", { ...decisive, tasks: 2 });
--- a/packages/plan-placement-waits/src/plan-placement-waits.ts
+++ b/packages/plan-placement-waits/src/plan-placement-waits.ts
@@ -12,6 +12,13 @@
 } from "./rack-forecast.js";
 import { computeWaitTrust } from "./wait-record.js";
 
+/** A step of a job that follows another one in the same rack. */
+export interface LaterStep {
+    readonly tasks: number;
+    readonly isGang: boolean;
+    readonly need: TaskNeed;
+}
+
 /** A step with tasks that would run longer outside of a rack. Times are in milliseconds since the epoch. */
 export interface StepWant {
     /** Result of `formatStepKey`. */
@@ -21,8 +28,12 @@
     readonly service: string;
     readonly priority: number;
     readonly spec: StepSpec;
-    /** Tasks that may start now. */
+    /** Tasks that may start. */
     readonly tasks: number;
+    /** When they may start; later than now for a step whose places are only to be kept from others. */
+    readonly startsAtMs: number;
+    /** Steps of its job that follow and want the same rack. */
+    readonly later: readonly LaterStep[];
     /** Racks that would do: that of its data, or one for all its tasks. */
     readonly racks: readonly string[];
     /** Whether it has runs in the rack, which lose their worth for the step if the other tasks go elsewhere. */
@@ -50,8 +61,11 @@
 
 /** Where the tasks of a step may start in this pass. */
 export type StepPlacement =
-    /** Anywhere; away from the kept workers if there are any. */
-    | { readonly kind: "start"; }
+    /**
+     * Anywhere, but not on the kept workers, nor in a rack in which all places are promised to others; undefined if there is
+     * no such rack.
+     */
+    | { readonly kind: "start"; readonly avoidedRack?: string | undefined; }
     /** Only in the rack, and only `startable` of them in this pass, because the other places there are promised. */
     | { readonly kind: "wait"; readonly rack: string; readonly startable: number; };
 
@@ -92,14 +106,41 @@
 interface RackOffer extends PlacedTasks {
     readonly rack: string;
     readonly lastMs: number;
+    /** Time by which the steps of the job end later there than they would without other tasks, in milliseconds. */
+    readonly delayMs: number;
 }
 
+function findLastMs({ places }: PlacedTasks): number {
+    return Math.max(...places.map(({ atMs }) => atMs));
+}
+
+/** Sums the expected run times of a step and of those that follow it in the rack, in milliseconds. */
+function sumRunMs({ need, later }: StepWant): number {
+    return later.reduce((sum, step) => sum + step.need.runMs, need.runMs);
+}
+
+/**
+ * Finds the places of a step in a rack and takes those of the steps that follow too: a job gains nothing if its next step
+ * finds no room.
+ */
 function findRackOffer(pass: WaitPass, want: StepWant, rack: string): RackOffer | undefined {
-    const forecast = getForecast(pass, want.service, rack);
-    const placed = placeTasks(forecast, want.need, want.tasks, want.spec.gang, pass.nowMs);
-    return placed === undefined
-        ? undefined
-        : { ...placed, rack, lastMs: Math.max(...placed.places.map(({ atMs }) => atMs)) };
+    const fromMs = Math.max(pass.nowMs, want.startsAtMs);
+    const placed = placeTasks(getForecast(pass, want.service, rack), want.need, want.tasks, want.spec.gang, fromMs);
+    if (placed === undefined) {
+        return undefined;
+    }
+    const lastMs = findLastMs(placed);
+    let endMs = lastMs + want.need.runMs;
+    let { forecast } = placed;
+    for (const { tasks, isGang, need } of want.later) {
+        const next = placeTasks(forecast, need, tasks, isGang, endMs);
+        if (next === undefined) {
+            return undefined;
+        }
+        endMs = findLastMs(next) + need.runMs;
+        ({ forecast } = next);
+    }
+    return { places: placed.places, forecast, rack, lastMs, delayMs: endMs - fromMs - sumRunMs(want) };
 }
 
 /** Finds the rack in which the last task of a step is expected to start first. */
@@ -113,7 +154,7 @@
         }
         pass.compared.set(key, compared + 1);
         const offer = findRackOffer(pass, want, rack);
-        if (offer !== undefined && (best === undefined || offer.lastMs < best.lastMs)) {
+        if (offer !== undefined && (best === undefined || offer.delayMs < best.delayMs)) {
             best = offer;
         }
     }
@@ -135,7 +176,8 @@
 }
 
 /** Records that a step found no room in the racks that it wants. */
-function refuseRacks(pass: WaitPass, { service, spec: { rackOfData } }: StepWant): StepPlacement {
+function refuseRacks(pass: WaitPass, want: StepWant): StepPlacement {
+    const { service, spec: { rackOfData } } = want;
     // A step that prefers any one rack makes none of them hot.
     if (rackOfData !== undefined) {
         pass.contended.add(formatRackKey(service, rackOfData));
@@ -150,7 +192,7 @@
 };
 
 /** Continues a wait while its place is still expected in time. */
-function continueWait(pass: WaitPass, want: StepWant, wait: StepWait): StepPlacement {
+function updateWait(pass: WaitPass, want: StepWant, wait: StepWait): StepPlacement {
     const { memory, nowMs } = pass;
     if (getForecast(pass, want.service, wait.rack).workers.length === 0) {
         endWait(memory, wait, "rackLost", nowMs);
@@ -177,10 +219,10 @@
     if (offer === undefined) {
         return refuseRacks(pass, want);
     }
-    const { rack, lastMs } = offer;
+    const { rack, lastMs, delayMs } = offer;
     const wait = { key, job, queue, service, rack, tasks, decidedAtMs: nowMs, expectedAtMs: lastMs };
     const savedMs = runMs * (farFactor - 1);
-    if (lastMs <= nowMs) {
+    if (lastMs <= nowMs && delayMs <= latenessMs) {
         // Should the planner not find the room that the forecast sees, the step does not wait for it.
         const untilMs = nowMs + latenessMs;
         memory.waits.set(key, { ...wait, savedMs, untilMs, limit: "prediction", placesAtMs: undefined });
@@ -188,8 +230,10 @@
     }
     const { loadShare } = summarizeService(service);
     const trust = computeWaitTrust(getWaitRecord(memory, service, nowMs), nowMs);
+    const chainMs = sumRunMs(want);
+    const laterMs = Math.max(0, want.laterMs - (chainMs - runMs));
     const decision = decidePlacementWait(
-        { ...want, runMs, placeAtMs: lastMs, farFactor, loadShare, ...trust },
+        { ...want, laterMs, runMs: chainMs, placeAtMs: nowMs + delayMs, farFactor, loadShare, ...trust },
         nowMs,
     );
     switch (decision.kind) {
@@ -207,27 +251,42 @@
     }
 }
 
-/** Whether the job of a step can only be in time in the rack. */
-function needsRack({ objectiveAtMs, laterMs, need: { runMs } }: StepWant, farFactor: number, nowMs: number): boolean {
-    const leftMs = objectiveAtMs - laterMs - nowMs;
-    return runMs <= leftMs && leftMs < runMs * farFactor;
+/** What the rack does for the objective of the job of a step. */
+type RackNeed =
+    /** The job is in time there only. */
+    | "needed"
+    /** It is in time elsewhere too. */
+    | "optional"
+    /** It is late everywhere. */
+    | "late";
+
+function rateNeed(want: StepWant, farFactor: number, nowMs: number): RackNeed {
+    const chainMs = sumRunMs(want);
+    const laterMs = Math.max(0, want.laterMs - (chainMs - want.need.runMs));
+    const leftMs = want.objectiveAtMs - laterMs - Math.max(nowMs, want.startsAtMs);
+    return leftMs < chainMs ? "late" : leftMs < chainMs * farFactor ? "needed" : "optional";
 }
 
+const needRanks: Readonly<Record<RackNeed, number>> = { needed: 2, optional: 3, late: 4 };
+
 /**
- * Sorts by what a place in the rack gains: steps to which places were promised, then by priority, then those that are in
- * time only there. Among these the jobs with the least work left gain most for each place: all tasks save the same share
- * of their run time, and a job gains nothing unless its last task is in time.
+ * Sorts by what a place in the rack gains: the steps of jobs that have begun there and are not late, then those to which
+ * places were promised, then by priority, then those that are in time only there. Among these the jobs with the least work
+ * left gain most for each place: all tasks save the same share of their run time, and a job gains nothing unless its last
+ * task is in time.
  */
 function sortWants({ input: { wants, farFactor }, memory, nowMs }: WaitPass): StepWant[] {
     const ranked = wants.map(want => {
         const wait = memory.waits.get(want.key);
-        const rank = wait !== undefined || want.isBegun ? 0 : needsRack(want, farFactor, nowMs) ? 1 : 2;
-        const sinceMs = wait?.decidedAtMs ?? want.readyAtMs;
-        return { want, rank, order: rank === 0 ? sinceMs : want.workLeft };
+        const need = rateNeed(want, farFactor, nowMs);
+        const isBegun = (want.isBegun || memory.begunJobs.has(want.job)) && need !== "late";
+        const rank = isBegun ? 0 : wait !== undefined ? 1 : needRanks[need];
+        const order = isBegun ? want.readyAtMs : wait?.decidedAtMs ?? want.workLeft;
+        return { want, rank, order };
     });
     return ranked
         .sort((left, right) =>
-            Number(left.rank > 0) - Number(right.rank > 0)
+            Math.min(left.rank, 2) - Math.min(right.rank, 2)
             || left.want.priority - right.want.priority
             || left.rank - right.rank
             || left.order - right.order
@@ -235,6 +294,29 @@
         .map(({ want }) => want);
 }
 
+/** Takes the places of a step that is not ready yet, if its job has begun in the rack. */
+function reservePlaces(pass: WaitPass, want: StepWant): void {
+    const offer = pass.memory.begunJobs.has(want.job) ? findBestOffer(pass, want) : undefined;
+    if (offer !== undefined && rateNeed(want, pass.input.farFactor, pass.nowMs) !== "late") {
+        pass.forecasts.set(formatRackKey(want.service, offer.rack), offer.forecast);
+    }
+}
+
+/**
+ * Keeps the steps that got no place away from a rack for which others wait: a job gains nothing from a part of its tasks in
+ * the rack. A step that would have stopped waiting by now takes any place.
+ */
+function avoidPromisedRack(
+    { input, contended, nowMs }: WaitPass,
+    want: StepWant,
+    placement: StepPlacement,
+): StepPlacement {
+    const { service, spec: { rackOfData }, readyAtMs, need: { runMs } } = want;
+    const isAvoided = placement.kind === "start" && rackOfData !== undefined
+        && contended.has(formatRackKey(service, rackOfData)) && nowMs < readyAtMs + runMs * (input.farFactor - 1);
+    return isAvoided ? { kind: "start", avoidedRack: rackOfData } : placement;
+}
+
 /** Ends the waits of steps whose tasks have all started, or whose job has ended. */
 function endFinishedWaits({ input, memory, nowMs }: WaitPass): void {
     const wanting = new Set(input.wants.map(({ key }) => key));
@@ -263,8 +345,18 @@
     endFinishedWaits(pass);
     const placements = new Map<string, StepPlacement>();
     for (const want of sortWants(pass)) {
+        if (want.startsAtMs > nowMs) {
+            reservePlaces(pass, want);
+            continue;
+        }
         const wait = memory.waits.get(want.key);
-        placements.set(want.key, wait === undefined ? decideStep(pass, want) : continueWait(pass, want, wait));
+        placements.set(want.key, wait === undefined ? decideStep(pass, want) : updateWait(pass, want, wait));
+    }
+    for (const want of input.wants) {
+        const placement = placements.get(want.key);
+        if (placement !== undefined) {
+            placements.set(want.key, avoidPromisedRack(pass, want, placement));
+        }
     }
     const untilMs = [...memory.waits.values()].map(wait => wait.untilMs);
     memory.wakeAtMs = untilMs.length === 0 ? undefined : Math.min(...untilMs);
--- a/packages/plan-placement-waits/src/rack-forecast.ts
+++ b/packages/plan-placement-waits/src/rack-forecast.ts
@@ -98,7 +98,7 @@
     }
 }
 
-function copyForecast({ workers }: RackForecast): RackForecast {
+function createForecastCopy({ workers }: RackForecast): RackForecast {
     return {
         workers: workers.map(({ id, segments }) => ({ id, segments: segments.map(segment => ({ ...segment })) })),
     };
@@ -117,7 +117,7 @@
     tasks: number,
     fromMs: number,
 ): PlacedTasks | undefined {
-    const after = copyForecast(forecast);
+    const after = createForecastCopy(forecast);
     const suitable = after.workers.filter(({ id }) => need.canRunOn(id));
     const places: ExpectedPlace[] = [];
     const slots = new Map<WorkerId, number[]>();
@@ -151,7 +151,7 @@
 const gangTimesTried = 40;
 
 /**
- * Places the tasks of a step at their expected times: one by one, or all at the same time if it is a gang. Undefined if
+ * Places the tasks of a step at their expected times from `fromMs` on: one by one, or all at the same time if it is a gang. Undefined if
  * the rack can't hold them, which for a gang means all at once.
  */
 export function placeTasks(
@@ -159,18 +159,22 @@
     need: TaskNeed,
     tasks: number,
     isGang: boolean,
-    nowMs: number,
+    fromMs: number,
 ): PlacedTasks | undefined {
     if (!isGang) {
-        return placeTasksFrom(forecast, need, tasks, nowMs);
+        return placeTasksFrom(forecast, need, tasks, fromMs);
     }
-    const times = new Set(forecast.workers.flatMap(({ segments }) => segments.map(({ atMs }) => atMs)));
-    for (const fromMs of [...times].sort((left, right) => left - right).slice(0, gangTimesTried)) {
-        const placed = placeTasksFrom(forecast, need, tasks, fromMs);
+    const times = new Set([fromMs, ...forecast.workers.flatMap(({ segments }) => segments.map(({ atMs }) => atMs))]);
+    const tried = [...times].filter(atMs => atMs >= fromMs).sort((left, right) => left - right).slice(
+        0,
+        gangTimesTried,
+    );
+    for (const triedMs of tried) {
+        const placed = placeTasksFrom(forecast, need, tasks, triedMs);
         if (placed === undefined) {
             return undefined;
         }
-        if (placed.places.every(({ atMs }) => atMs <= fromMs)) {
+        if (placed.places.every(({ atMs }) => atMs <= triedMs)) {
             return placed;
         }
     }
