--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -2,6 +2,7 @@
 import { countAllowedStarts, recordRunQuality, type RunQuality, type RunStatus } from "@chestnutspool/track-workers";
 import type { RunEnd, WorkerId } from "@chestnutspool/types";
 import { observeRunEnd } from "./learn-speeds.js";
+import { recordPlacementRun } from "./placement-waits.js";
 import type { Term, WorkerSession } from "./term.js";
 
 /**
@@ -93,6 +94,9 @@
     if (end.outcome === "failed") {
         setLatest(term.failedWorkerByTask, formatTaskKey(end), session.info.id, failedTaskLimit);
     }
+    if (run !== undefined && status !== undefined && end.outcome === "succeeded") {
+        recordPlacementRun(term, session.info, run, status, nowMs);
+    }
     if (quality !== undefined) {
         recordQuality(term, session, end.job, quality, nowMs);
     }
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -24,6 +24,7 @@
 import { logCopies, logCopyOutcomes } from "./log-copies.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
 import { computePassPauseMs } from "./pass-pause.js";
+import { computeIdlePauseMs, logEndedWaits } from "./placement-waits.js";
 import { carryOutPreemptions } from "./preempt-runs.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
@@ -236,6 +237,7 @@
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
         predictSpeed: createSpeedReader(term, nowMs),
         reservations: listReservations(planner.preemption, term.machine.state, stopMs, nowMs),
+        placementWaits: term.placementWaits,
     };
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
@@ -252,6 +254,7 @@
     const tookMs = planner.passMs;
     planner.memory.ratingsPerPass = adaptRatings(planner.memory.ratingsPerPass, tookMs, planner.memory.hasStepsLeft);
     recordPass(term.load, tookMs);
+    logEndedWaits(term);
     yield* carryOutStarts(term, [...starts, ...copies]);
     // A leader that could not commit its starts has failed before this and stops nothing.
     yield* carryOutPreemptions(term, preemptionPlan, nowMs);
@@ -284,7 +287,8 @@
         }
         const endedMs = yield* readMonotonicMs;
         if (!planner.memory.hasStepsLeft) {
-            yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), idlePauseMs);
+            const pauseMs = computeIdlePauseMs(term, idlePauseMs, yield* readTermMs(term));
+            yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), pauseMs);
         }
         yield* Effect.sleep(computePassPauseMs(tookMs, (yield* readMonotonicMs) - endedMs));
     }
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -14,6 +14,7 @@
 import { handleInTerm } from "./handle-request.js";
 import { createSpeedLearning, runSpeedRecording } from "./learn-speeds.js";
 import { openSession } from "./open-session.js";
+import { createPlacementWaits } from "./placement-waits.js";
 import { runDisturbanceRecording } from "./record-disturbances.js";
 import { runLoadReport } from "./report-load.js";
 import { runPacing } from "./run-pacing.js";
@@ -81,6 +82,7 @@
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
         speeds: createSpeedLearning(dependencies, wallMs, openedAtMs),
+        placementWaits: createPlacementWaits(dependencies.limits),
         load: createTermLoad(),
         admission: createAdmission(),
         isFenced: false,
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -4,6 +4,7 @@
 import type { SpeedModel } from "@chestnutspool/learn-worker-speed";
 import type { Logger } from "@chestnutspool/logger";
 import type { CopyMemory } from "@chestnutspool/plan-copies";
+import type { PlacementWaits } from "@chestnutspool/plan-jobs";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import type { RunStatuses, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
 import {
@@ -34,6 +35,11 @@
     readonly availabilityZones: readonly string[];
     /** Whether the leader learns the speeds of workers and avoids slow ones; it does not by default. */
     readonly learnsWorkerSpeed?: boolean;
+    /**
+     * How many times longer a task runs outside of the rack that it prefers. Tasks wait for that rack only if this is above 1;
+     * undefined: 1.
+     */
+    readonly remoteRunFactor?: number | undefined;
 }
 
 /** Dependencies of the leader. */
@@ -126,6 +132,8 @@
     readonly interference: InterferenceModel;
     /** Undefined if speeds are not learnt. */
     readonly speeds: SpeedLearning | undefined;
+    /** Waits of tasks for the rack that they prefer; undefined if none does. */
+    readonly placementWaits: PlacementWaits | undefined;
     /** Work since the last line about the load of the leader. */
     readonly load: TermLoad;
     /** What the decision about new jobs needs. */
--- a/packages/lead-jobs/src/worker-speeds.test.ts
+++ b/packages/lead-jobs/src/worker-speeds.test.ts
@@ -64,7 +64,7 @@
     Effect.gen(function*() {
         const { logger, lines } = createRecordingLogger();
         const metrics = createMetrics();
-        const { system } = yield* startSystem({ logger, metrics, learnsWorkerSpeed: true });
+        const { system } = yield* startSystem({ logger, metrics, limits: { learnsWorkerSpeed: true } });
         setFirstWorker(system, 1);
         yield* submitJobs(system, "usual", 2_000);
         setFirstWorker(system, 5);
@@ -97,7 +97,7 @@
     Effect.gen(function*() {
         const starts: number[] = [];
         for (const learnsWorkerSpeed of [false, true]) {
-            const { system } = yield* startSystem({ learnsWorkerSpeed });
+            const { system } = yield* startSystem({ limits: { learnsWorkerSpeed } });
             system.workers.setBehaviour(({ position }, worker) => ({
                 runMs: usualRunMs,
                 outcome: worker === "w1" && position % 2 === 0 ? "failed" : "succeeded",
@@ -132,7 +132,7 @@
 testWithClock(
     "the next leader avoids a worker from its first pass on that the one before found slow",
     Effect.gen(function*() {
-        const { system, commands } = yield* startSystem({ learnsWorkerSpeed: true });
+        const { system, commands } = yield* startSystem({ limits: { learnsWorkerSpeed: true } });
         setFirstWorker(system, 5);
         yield* submitJobs(system, "slow", 4_000);
         const records = commands.flatMap(command => command.kind === "recordWorkerSpeeds" ? [command] : []);
@@ -151,7 +151,7 @@
 testWithClock(
     "a cold worker gets few tasks for the time that its heartbeat says",
     Effect.gen(function*() {
-        const { system } = yield* startSystem({ learnsWorkerSpeed: true });
+        const { system } = yield* startSystem({ limits: { learnsWorkerSpeed: true } });
         setFirstWorker(system, 1);
         yield* system.heartbeat(makeWorker("w1"), false, 2_000);
         const coldMs = yield* readNowMs;
@@ -168,7 +168,7 @@
 testWithClock(
     "a heartbeat that says that the worker is warm ends its time as a cold one",
     Effect.gen(function*() {
-        const { system } = yield* startSystem({ learnsWorkerSpeed: true });
+        const { system } = yield* startSystem({ limits: { learnsWorkerSpeed: true } });
         setFirstWorker(system, 1);
         yield* system.heartbeat(makeWorker("w1"), false, 60_000);
         yield* system.heartbeat(makeWorker("w1"), false, 0);
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -16,6 +16,7 @@
     type Lateness,
     predictLateness,
 } from "./predict-lateness.js";
+export { isOutsideRack, type PlacementWaits } from "./rack-wants.js";
 export { findObstacle } from "./rate-workers.js";
 export { listStartable } from "./startable-tasks.js";
 export { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -55,6 +55,17 @@
         };
 }
 
+/** Jobs of one kind that want the same rack for some seconds. Times are in milliseconds since the start of the traffic. */
+export interface HotRack {
+    readonly kind: string;
+    readonly rack: string;
+    /** Share of the jobs that want it. */
+    readonly share: number;
+    readonly periods: readonly { readonly fromMs: number; readonly untilMs: number; }[];
+    /** Whether the jobs name the rack, as that of their data, or only want any one rack for each step. */
+    readonly isNamed: boolean;
+}
+
 /** The workers of a replay and the jobs that arrive at them. */
 export interface Load {
     readonly workers: number;
@@ -86,6 +97,10 @@
     };
     /** How the workers differ for some time; by default they are all alike. */
     readonly unevenness?: Unevenness;
+    /** How many times longer a task runs outside of the rack that it prefers. */
+    readonly farFactor: number;
+    /** Undefined if no job prefers a rack. */
+    readonly hotRack: HotRack | undefined;
 }
 
 /** Workers that are slow, and a zone that fails part of its work, for some seconds in each period. */
@@ -114,6 +129,8 @@
     otherDisturbance: 0.25,
     contendingShare: 0.65,
     startsPerSecond: undefined,
+    farFactor: 1,
+    hotRack: undefined,
     kinds: [
         {
             name: "check",
--- a/packages/replay-jobs/src/print-replay.ts
+++ b/packages/replay-jobs/src/print-replay.ts
@@ -1,4 +1,5 @@
 import { certificationLoad, contendedMemoryLoad } from "./contended-loads.js";
+import { anyOneRackOfEight, busyHotRack, hotRackOfEight, hotRackOfTwelve } from "./hot-rack-loads.js";
 import {
     advisoryLoad,
     busyLeaderOverload,
@@ -9,7 +10,9 @@
     unevenLoad,
     wholesaleLoad,
 } from "./load.js";
-import { replayLoad, type ReplayOptions } from "./replay.js";
+import { replayLoad } from "./replay.js";
+import type { ReplayOptions } from "./simulation.js";
+import type { TallyRow } from "./tally.js";
 
 const lengthMs = 40_000;
 const finishMs = 20_000;
@@ -25,22 +28,63 @@
     preemptions: number;
 }
 
-/** What a replay is played with. */
-type Parts = Pick<ReplayOptions, "hasAdmission" | "hasPreemption" | "learnsSpeeds">;
+function describeParts(options: ReplayOptions): string {
+    const { hasAdmission = false, hasPreemption = true, learnsSpeeds = false, hasWaits = false } = options;
+    const parts = { admission: hasAdmission, preemption: hasPreemption, speeds: learnsSpeeds, waits: hasWaits };
+    return Object.entries(parts).map(([part, isOn]) => `${part} ${isOn ? "on" : "off"}`).join(", ");
+}
+
+/** Lists what a load is replayed without and with. */
+function listVariants(load: Load): readonly ReplayOptions[] {
+    if (load.hotRack !== undefined) {
+        return [{ hasWaits: false }, { hasWaits: true }];
+    }
+    return load.unevenness === undefined
+        ? [{ hasAdmission: false }, { hasAdmission: true }]
+        : [{ learnsSpeeds: false }, { learnsSpeeds: true }];
+}
+
+/** Means over the seeds. */
+interface RackTotal {
+    near: number;
+    far: number;
+    waits: number;
+    placed: number;
+    waitedMs: number;
+    expectedGainMs: number;
+    gainMs: number;
+}
+
+function addRackCounts(total: RackTotal, { nearStarts, farStarts, waits }: TallyRow, seeds: number): void {
+    total.near += nearStarts / seeds;
+    total.far += farStarts / seeds;
+    total.waits += waits.waits / seeds;
+    total.placed += waits.placed / seeds;
+    total.waitedMs += waits.waitedMs / seeds;
+    total.expectedGainMs += waits.expectedGainMs / seeds;
+    total.gainMs += waits.gainMs / seeds;
+}
 
-function describeParts({ hasAdmission = false, hasPreemption = true, learnsSpeeds = false }: Parts): string {
-    return `admission ${hasAdmission ? "on" : "off"}, preemption ${hasPreemption ? "on" : "off"}, speeds ${
-        learnsSpeeds ? "learnt" : "unknown"
-    }`;
+function describeRackTotal({ near, far, waits, placed, waitedMs, expectedGainMs, gainMs }: RackTotal): string {
+    const [waited, expected, gained] = [waitedMs, expectedGainMs, gainMs].map(sum =>
+        (sum / Math.max(1, waits)).toFixed(0)
+    );
+    return `  starts near ${near.toFixed(0)}, far ${far.toFixed(0)}; waits ${waits.toFixed(0)}, placed ${
+        placed.toFixed(0)
+    }; `
+        + `mean of a wait ${waited} ms, expected gain ${expected} ms, gain ${gained} ms`;
 }
 
 /** Prints the results of a load as means over replays with seeds from 1 to `seeds`. */
-function printReplay(name: string, load: Load, seeds: number, parts: Parts): void {
+function printReplay(name: string, load: Load, seeds: number, options: ReplayOptions): void {
     const totals = new Map<string, Total>();
+    const racks = { near: 0, far: 0, waits: 0, placed: 0, waitedMs: 0, expectedGainMs: 0, gainMs: 0 };
     let earnedValue = 0;
     let attainableValue = 0;
     for (let seed = 1; seed <= seeds; seed += 1) {
-        for (const row of replayLoad(load, lengthMs, finishMs, seed, parts)) {
+        const rows = replayLoad(load, lengthMs, finishMs, seed, options);
+        rows.slice(0, 1).forEach(row => addRackCounts(racks, row, seeds));
+        for (const row of rows) {
             const total = totals.get(row.kind)
                 ?? { earned: 0, inTime: 0, overTarget: 0, paceChanges: 0, refusals: 0, starts: 0, preemptions: 0 };
             total.earned += row.earnedShare / seeds;
@@ -55,7 +99,10 @@
             attainableValue += row.attainableValue;
         }
     }
-    console.log(`${name}, ${describeParts(parts)}: worth ${(earnedValue / attainableValue).toFixed(3)}`);
+    console.log(`${name}, ${describeParts(options)}: worth ${(earnedValue / attainableValue).toFixed(3)}`);
+    if (load.hotRack !== undefined) {
+        console.log(describeRackTotal(racks));
+    }
     for (const [kind, total] of totals) {
         const figures = [total.earned, total.inTime, total.overTarget].map(figure => figure.toFixed(3)).join("  ");
         const { paceChanges, refusals, starts, preemptions } = total;
@@ -66,7 +113,7 @@
     }
 }
 
-/** Prints the loads, or only the named one, with admission off and on, and with the chosen preemption. */
+/** Prints the loads, or only the named one, with admission off and on, with learnt speeds or waits for racks off and on, and with the chosen preemption. */
 function printReplays(seeds: number, only: string | undefined, preemption: string | undefined): void {
     const loads = {
         advisory: advisoryLoad,
@@ -77,23 +124,19 @@
         busyLeader: busyLeaderOverload,
         certification: certificationLoad,
         contendedMemory: contendedMemoryLoad,
-    };
-    for (const [name, load] of Object.entries(loads)) {
-        if (only === undefined || only === name) {
-            printReplay(name, load, seeds, { hasAdmission: false, hasPreemption: preemption !== "off" });
-            printReplay(name, load, seeds, { hasAdmission: true, hasPreemption: preemption !== "off" });
-        }
-    }
-    const unevenLoads = {
         uneven: unevenLoad,
         slowWorkers: { ...unevenLoad, unevenness: { ...unevenness, failingMs: 0 } },
         failingZone: { ...unevenLoad, unevenness: { ...unevenness, slowMs: 0 } },
         evenWorkers: { ...unevenLoad, unevenness: { ...unevenness, slowMs: 0, failingMs: 0 } },
+        hotRackOfEight,
+        hotRackOfTwelve,
+        anyOneRackOfEight,
+        busyHotRack,
     };
-    for (const [name, load] of Object.entries(unevenLoads)) {
+    for (const [name, load] of Object.entries(loads)) {
         if (only === undefined || only === name) {
-            printReplay(name, load, seeds, { learnsSpeeds: false });
-            printReplay(name, load, seeds, { learnsSpeeds: true });
+            const hasPreemption = preemption !== "off";
+            listVariants(load).forEach(variant => printReplay(name, load, seeds, { ...variant, hasPreemption }));
         }
     }
 }
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -1,48 +1,31 @@
-import { createJobMachine, formatRunKey, type JobMachine, type WorkerRun } from "@chestnutspool/job-state";
+import { formatRunKey, type WorkerRun } from "@chestnutspool/job-state";
 import {
-    createInterferenceModel,
-    createUsageHistory,
-    type InterferenceModel,
-    type UsageHistory,
-} from "@chestnutspool/learn-interference";
-import type { CopyOutcome } from "@chestnutspool/plan-copies";
-import {
-    createPlanMemory,
     hasUncertainPairs,
     listObsoleteRuns,
     listStalledRuns,
     observeMargins,
     type PlanInput,
-    type PlanMemory,
     planPaces,
     planStarts,
     recordUsage,
 } from "@chestnutspool/plan-jobs";
-import {
-    createPreemptionMemory,
-    listReservations,
-    planPreemptions,
-    type PreemptionInput,
-    type PreemptionMemory,
-} from "@chestnutspool/plan-preemption";
-import { createRunStatus, type RunStatuses } from "@chestnutspool/track-workers";
+import { takeEndedWaits } from "@chestnutspool/plan-placement-waits";
+import { listReservations, planPreemptions, type PreemptionInput } from "@chestnutspool/plan-preemption";
+import { createRunStatus } from "@chestnutspool/track-workers";
 import type { RunEnd, RunKey, RunOutcome, RunStart } from "@chestnutspool/types";
 import { generateJobs, type SimulatedJob, warmUpMs } from "./generate-jobs.js";
 import type { Load } from "./load.js";
-import { createRandom, type Random } from "./random.js";
-import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
-import { createSimulatedCopies, drawWorkMs, getRunRandom, type SimulatedCopies } from "./simulated-copies.js";
-import { createQueue, createWorkerInfo, service } from "./simulated-pool.js";
-import { createSimulatedSpeeds, type SimulatedSpeeds, speedReportIntervalMs } from "./simulated-speeds.js";
+import { drawWorkMs, getRunRandom } from "./simulated-copies.js";
+import { createQueue } from "./simulated-pool.js";
+import { findDistance, recordRunTime } from "./simulated-racks.js";
+import { speedReportIntervalMs } from "./simulated-speeds.js";
 import { computeResumedMs, formatCheckpoint, isStopped } from "./simulated-stops.js";
-import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
-import { createTally, type Tally, type TallyRow } from "./tally.js";
-import { createUnevenWorkers, type UnevenWorkers } from "./uneven-workers.js";
+import { advanceWorker, type SimulatedRun } from "./simulated-workers.js";
+import { createSimulation, epochMs, type ReplayOptions, reportIntervalMs, type Simulation } from "./simulation.js";
+import type { TallyRow } from "./tally.js";
 
 /** Length of one simulation step, in milliseconds. */
 const stepMs = 20;
-/** Interval at which a worker reports while none of its runs ends, in milliseconds. */
-const reportIntervalMs = 900;
 /** Report interval of a worker that runs pairs of images with unknown interference, in milliseconds. */
 const learningReportIntervalMs = 300;
 /** Interval at which paces are planned, in milliseconds. */
@@ -56,14 +39,6 @@
 const partialUse = 0.68;
 /** Largest error of a tail latency reading, as a share of the true value. */
 const tailReadingErrorShare = 0.15;
-/** Start of the simulated wall clock; above 0, so that no timestamp is 0. */
-const epochMs = 1_000_000;
-
-/** Part of the planner that a replay calls. */
-export type PlannerPart = "planStarts" | "planCopies" | "listStalledRuns" | "planPaces" | "planPreemptions";
-
-/** Runs one call of a part of the planner, so that a tool can measure it. */
-export type PlannerCallRunner = <Result>(part: PlannerPart, call: () => Result) => Result;
 
 /** A caller's attempt to submit a job. */
 interface Attempt {
@@ -72,89 +47,6 @@
     readonly atMs: number;
 }
 
-interface Simulation {
-    readonly load: Load;
-    readonly runCall: PlannerCallRunner;
-    readonly machine: JobMachine;
-    readonly interference: InterferenceModel;
-    readonly seed: number;
-    readonly random: Random;
-    readonly runsByWorker: Map<string, Map<string, SimulatedRun>>;
-    readonly runStatusesByWorker: Map<string, RunStatuses>;
-    readonly reportedAtMs: Map<string, number>;
-    readonly usageByWorker: Map<string, UsageHistory>;
-    readonly jobs: Map<string, SimulatedJob>;
-    readonly findDisturbance: (image: string, other: string) => number;
-    readonly planMemory: PlanMemory;
-    /** Undefined if no copies are planned. */
-    readonly copies: SimulatedCopies | undefined;
-    readonly uneven: UnevenWorkers;
-    /** Learnt speeds of the workers; undefined if none are learnt. */
-    readonly speeds: SimulatedSpeeds | undefined;
-    readonly tally: Tally;
-    /** Decides about new jobs; undefined if all are accepted. */
-    readonly admission: SimulatedAdmission | undefined;
-    /** Memory of the planner of preemptions; undefined if nothing is preempted. */
-    readonly preemption: PreemptionMemory | undefined;
-    /** Starts that the leader can still order at this moment. */
-    startAllowance: number;
-    commandIndex: number;
-}
-
-function createSimulation(
-    load: Load,
-    seed: number,
-    { hasAdmission, hasPreemption, runCall, hasCopies, observeCopy, learnsSpeeds }: Required<ReplayOptions>,
-): Simulation {
-    const random = createRandom(seed);
-    const machine = createJobMachine();
-    const simulation: Simulation = {
-        load,
-        runCall,
-        machine,
-        interference: createInterferenceModel(),
-        random,
-        runsByWorker: new Map(),
-        runStatusesByWorker: new Map(),
-        reportedAtMs: new Map(),
-        usageByWorker: new Map(),
-        jobs: new Map(),
-        findDisturbance: drawDisturbances(load, random),
-        planMemory: createPlanMemory(),
-        copies: hasCopies ? createSimulatedCopies(machine.state, epochMs, observeCopy) : undefined,
-        seed,
-        uneven: createUnevenWorkers(load.unevenness, load.workersPerRack, seed),
-        speeds: learnsSpeeds ? createSimulatedSpeeds() : undefined,
-        tally: createTally(load),
-        admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
-        preemption: hasPreemption ? createPreemptionMemory() : undefined,
-        startAllowance: 0,
-        commandIndex: 0,
-    };
-    simulation.commandIndex += 1;
-    machine.applyCommand(simulation.commandIndex, {
-        kind: "setConfiguration",
-        nowMs: epochMs,
-        configuration: {
-            version: 1,
-            queues: load.kinds.map(createQueue),
-            pools: [{ name: service, healthPath: "/health", guardsCapacity: false, isStandby: false }],
-            bodyLimitBytes: 1,
-            document: new Uint8Array(0),
-        },
-    });
-    for (let number = 0; number < load.workers; number += 1) {
-        const worker = createWorkerInfo(load, simulation.uneven, number);
-        simulation.commandIndex += 1;
-        machine.applyCommand(simulation.commandIndex, { kind: "registerWorker", nowMs: epochMs, worker });
-        simulation.runsByWorker.set(worker.id, new Map());
-        simulation.runStatusesByWorker.set(worker.id, new Map());
-        simulation.usageByWorker.set(worker.id, createUsageHistory());
-        simulation.reportedAtMs.set(worker.id, simulation.random.drawShare() * reportIntervalMs);
-    }
-    return simulation;
-}
-
 function createRunKey({ job, occurrence, step, task, run }: WorkerRun): RunKey {
     return { job: job.id, occurrence: occurrence.number, step: step.position, position: task.position, run };
 }
@@ -163,6 +55,7 @@
     const key = createRunKey(run.run);
     const end: RunEnd = { ...key, outcome, checkpoint: formatCheckpoint(run, simulation.load) };
     if (outcome === "succeeded") {
+        recordRunTime(simulation.placementWaits, run.run, run.distance === "far", nowMs - run.startedAtMs);
         simulation.admission?.recordEnd(run.run.step.spec, nowMs);
     }
     const statuses = simulation.runStatusesByWorker.get(worker);
@@ -284,6 +177,9 @@
     if (run === undefined || job === undefined) {
         return;
     }
+    const { state } = simulation.machine;
+    const info = state.workers.get(start.worker)?.info;
+    const distance = info === undefined ? "none" : findDistance(run, state, info);
     const random = getRunRandom(simulation.random, simulation.seed, job, run);
     const failingShare = simulation.uneven.findFailingShare(Number(start.worker.slice(1)), nowMs);
     const willFail = random.drawShare() < Math.max(job.kind.failureShare, failingShare);
@@ -291,7 +187,8 @@
         run,
         job,
         startedAtMs: nowMs,
-        workMs: drawWorkMs(random, job, run),
+        distance,
+        workMs: drawWorkMs(random, job, run) * (distance === "far" ? simulation.load.farFactor : 1),
         doneMs: computeResumedMs(run.task.checkpoint, simulation.load),
         stopOrderedAtMs: undefined,
         useShare: random.drawShare() < partialUseTaskShare ? partialUse : 1,
@@ -304,7 +201,7 @@
     });
     simulation.runStatusesByWorker.get(start.worker)?.set(key, createRunStatus(createRunKey(run), "confirmed", nowMs));
     simulation.admission?.recordStart(run.step.spec, nowMs);
-    simulation.tally.countStart();
+    simulation.tally.countStart(distance);
 }
 
 function preemptRuns(simulation: Simulation, input: PreemptionInput, nowMs: number): void {
@@ -342,6 +239,7 @@
         predictSpeed: speeds === undefined
             ? undefined
             : (worker: string) => speeds.predictSpeed(worker, nowMs),
+        placementWaits: simulation.placementWaits,
     };
     for (const { worker, runKey } of simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs))) {
         stopRun(simulation, worker, runKey, nowMs);
@@ -356,6 +254,9 @@
     );
     const copies = simulation.runCall("planCopies", () => simulation.copies?.planCopies(input, planned, nowMs) ?? []);
     planned.push(...copies);
+    if (simulation.placementWaits !== undefined) {
+        simulation.tally.recordWaits(takeEndedWaits(simulation.placementWaits.memory));
+    }
     const starts = planned.slice(0, Math.floor(simulation.startAllowance));
     simulation.startAllowance -= starts.length;
     preemptRuns(simulation, { ...input, starts, wallMs: epochMs + nowMs, stopMs }, nowMs);
@@ -411,22 +312,6 @@
     }
 }
 
-/** Parts of a replay that may differ. */
-export interface ReplayOptions {
-    /** Whether jobs that would end too late are refused and their callers come back; by default all are accepted. */
-    readonly hasAdmission?: boolean;
-    /** Whether runs are preempted; by default they are, as under a leader. */
-    readonly hasPreemption?: boolean;
-    /** Runs the calls of the planner; by default it only makes them. */
-    readonly runCall?: PlannerCallRunner;
-    /** Whether slow tasks of steps that allow it get copies; by default they do. */
-    readonly hasCopies?: boolean;
-    /** Is told what came of each copy; by default nothing is done. */
-    readonly observeCopy?: (outcome: CopyOutcome) => void;
-    /** Whether the speeds of workers are learnt and used; by default they are not. */
-    readonly learnsSpeeds?: boolean;
-}
-
 /** Replays a load for `lengthMs`, then for `finishMs` without new jobs. The same seed gives the same result. */
 export function replayLoad(
     load: Load,
@@ -436,13 +321,14 @@
     {
         hasAdmission = false,
         hasPreemption = true,
+        hasWaits = false,
         runCall = (part, call) => call(),
         hasCopies = true,
         observeCopy = () => undefined,
         learnsSpeeds = false,
     }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const options = { hasAdmission, hasPreemption, runCall, hasCopies, observeCopy, learnsSpeeds };
+    const options = { hasAdmission, hasPreemption, hasWaits, runCall, hasCopies, observeCopy, learnsSpeeds };
     const simulation = createSimulation(load, seed, options);
     const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
         job,
