--- a/packages/plan-placement-waits/src/kept-racks.test.ts
+++ b/packages/plan-placement-waits/src/kept-racks.test.ts
@@ -1,7 +1,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createKeptRacks, keptWorkersShare, listKeptWorkers, longestKeptMs } from "./kept-racks.js";
+import { createKeptRacks, keptWorkersShare, listKeptRackWorkers, longestKeptMs } from "./kept-racks.js";
 
 const passMs = 100;
 
@@ -12,7 +12,7 @@
         const wanted = new Set([0, 1, 2].filter(rack => isWanted(pass, rack)).map(rack => `pool r${rack}`));
         const listWorkers = (key: string): string[] => Array.from({ length: 8 }, (no, index) => `${key}-${index}`);
         const countWorkers = () => ({ service: "pool", workers: 100 });
-        return listKeptWorkers(kept, wanted, listWorkers, countWorkers, pass * passMs).size;
+        return listKeptRackWorkers(kept, wanted, listWorkers, countWorkers, pass * passMs).size;
     });
 }
 
--- a/packages/plan-placement-waits/src/kept-racks.ts
+++ b/packages/plan-placement-waits/src/kept-racks.ts
@@ -48,7 +48,7 @@
  * then left to all for at least as long as it was kept; at most `keptWorkersShare` of the workers of a service are kept.
  * `listWorkers` returns the workers of a rack, `countWorkers` those of its service.
  */
-export function listKeptWorkers(
+export function listKeptRackWorkers(
     kept: KeptRacks,
     wanted: ReadonlySet<string>,
     listWorkers: (rackKey: string) => readonly WorkerId[],
--- a/packages/plan-placement-waits/src/plan-placement-waits.ts
+++ b/packages/plan-placement-waits/src/plan-placement-waits.ts
@@ -1,6 +1,6 @@
 import type { JobId, StepSpec, WorkerId } from "@chestnutspool/types";
 import { decidePlacementWait, latenessMs, latenessShare, type WaitLimit } from "./decide-placement-wait.js";
-import { listKeptWorkers } from "./kept-racks.js";
+import { listKeptRackWorkers } from "./kept-racks.js";
 import { endWait, getWaitRecord, type PlacementMemory, type StepWait, type WaitOutcome } from "./placement-memory.js";
 import {
     createRackForecast,
@@ -364,7 +364,7 @@
         const split = key.lastIndexOf(" ");
         return [key.slice(0, split), key.slice(split + 1)];
     };
-    const keptWorkers = listKeptWorkers(
+    const keptWorkers = listKeptRackWorkers(
         memory.kept,
         pass.contended,
         key => input.listRackWorkers(...parseKey(key)).map(({ id }) => id),
