--- a/packages/plan-placement-waits/src/plan-placement-waits.ts
+++ b/packages/plan-placement-waits/src/plan-placement-waits.ts
@@ -306,7 +306,7 @@
  * Keeps the steps that got no place away from a rack for which others wait: a job gains nothing from a part of its tasks in
  * the rack. A step that would have stopped waiting by now takes any place.
  */
-function avoidPromisedRack(
+function decideAvoidedRack(
     { input, contended, nowMs }: WaitPass,
     want: StepWant,
     placement: StepPlacement,
@@ -355,7 +355,7 @@
     for (const want of input.wants) {
         const placement = placements.get(want.key);
         if (placement !== undefined) {
-            placements.set(want.key, avoidPromisedRack(pass, want, placement));
+            placements.set(want.key, decideAvoidedRack(pass, want, placement));
         }
     }
     const untilMs = [...memory.waits.values()].map(wait => wait.untilMs);
