Replay a contended pool with bursts, and report how the largest jobs fare

Cause: no load of the replay had bursts of one queue beside widely varying sizes, and its rows did not show which sizes end in time.

--- a/packages/replay-jobs/src/generate-jobs.ts
+++ b/packages/replay-jobs/src/generate-jobs.ts
@@ -99,6 +99,16 @@
 /** Time before the measured traffic in which the initial jobs arrive, in milliseconds. */
 export const warmUpMs = 6_000;
 
+/** Mean time between two jobs that arrive at `atMs`. A burst ends each period. */
+function computeGapMs({ jobsPerSecond, bursts }: JobKind, atMs: number): number {
+    const gapMs = 1000 / jobsPerSecond;
+    if (bursts === undefined) {
+        return gapMs;
+    }
+    const isBurst = (atMs - warmUpMs) % bursts.periodMs >= bursts.periodMs - bursts.lengthMs;
+    return isBurst ? gapMs / bursts.factor : gapMs;
+}
+
 /** Generates the jobs of a load over `lengthMs` of traffic, in order of arrival. */
 export function generateJobs(load: Load, lengthMs: number, random: Random): SimulatedJob[] {
     const jobs: SimulatedJob[] = [];
@@ -107,8 +117,8 @@
         for (; number < kind.initialJobs; number += 1) {
             jobs.push(createJob(kind, number, random.drawShare() * warmUpMs, random));
         }
-        const gapMs = 1000 / kind.jobsPerSecond;
-        for (let atMs = warmUpMs + random.drawGap(gapMs); atMs < warmUpMs + lengthMs; atMs += random.drawGap(gapMs)) {
+        const drawNextMs = (fromMs: number): number => fromMs + random.drawGap(computeGapMs(kind, fromMs));
+        for (let atMs = drawNextMs(warmUpMs); atMs < warmUpMs + lengthMs; atMs = drawNextMs(atMs)) {
             jobs.push(createJob(kind, number, atMs, random));
             number += 1;
         }
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -10,6 +10,8 @@
     readonly targetLatencyMs: number;
     /** Mean arrival rate. */
     readonly jobsPerSecond: number;
+    /** Times in which jobs arrive `factor` times as often; undefined if the rate is constant. */
+    readonly bursts?: { readonly factor: number; readonly lengthMs: number; readonly periodMs: number; } | undefined;
     /** Jobs that have arrived when the traffic starts. */
     readonly initialJobs: number;
     readonly steps: { readonly mean: number; readonly spread: number; readonly largest: number; };
@@ -158,7 +160,8 @@
     ],
 };
 
-function createKindVariant(kind: JobKind, changes: Partial<JobKind>): JobKind {
+/** Creates a kind of job that differs from another one. */
+export function createKindVariant(kind: JobKind, changes: Partial<JobKind>): JobKind {
     return { ...kind, ...changes };
 }
 
--- a/packages/replay-jobs/src/print-replay.ts
+++ b/packages/replay-jobs/src/print-replay.ts
@@ -1,3 +1,4 @@
+import { contendedRoomLoad } from "./contended-load.js";
 import {
     advisoryLoad,
     busyLeaderOverload,
@@ -15,6 +16,8 @@
 interface Total {
     earned: number;
     inTime: number;
+    largest: number;
+    nextLargest: number;
     overTarget: number;
     paceChanges: number;
     refusals: number;
@@ -29,9 +32,20 @@
     for (let seed = 1; seed <= seeds; seed += 1) {
         for (const row of replayLoad(load, lengthMs, finishMs, seed, { hasAdmission })) {
             const total = totals.get(row.kind)
-                ?? { earned: 0, inTime: 0, overTarget: 0, paceChanges: 0, refusals: 0, starts: 0 };
+                ?? {
+                    earned: 0,
+                    inTime: 0,
+                    largest: 0,
+                    nextLargest: 0,
+                    overTarget: 0,
+                    paceChanges: 0,
+                    refusals: 0,
+                    starts: 0,
+                };
             total.earned += row.earnedShare / seeds;
             total.inTime += row.inTimeShare / seeds;
+            total.largest += row.largestInTimeShare / seeds;
+            total.nextLargest += row.nextLargestInTimeShare / seeds;
             total.overTarget += row.overTargetShare / seeds;
             total.paceChanges += row.paceChanges / seeds;
             total.refusals += row.refusals / seeds;
@@ -44,15 +58,16 @@
     console.log(
         `${name}, admission ${hasAdmission ? "on" : "off"}: worth ${(earnedValue / attainableValue).toFixed(3)}`,
     );
-    for (const [kind, { earned: share, inTime, overTarget, paceChanges, refusals, starts }] of totals) {
-        const figures = [share, inTime, overTarget].map(figure => figure.toFixed(3)).join("  ");
+    for (const [kind, { earned: share, inTime, largest, nextLargest, overTarget, ...total }] of totals) {
+        const { paceChanges, refusals, starts } = total;
+        const figures = [share, inTime, largest, nextLargest, overTarget].map(figure => figure.toFixed(3)).join("  ");
         const counts = `paces ${paceChanges.toFixed(0)}  refusals ${refusals.toFixed(0)}  starts ${starts.toFixed(0)}`;
-        console.log(`  ${kind.padEnd(10)} worth, in time, harmed: ${figures}  ${counts}`);
+        console.log(`  ${kind.padEnd(10)} worth, in time (all, largest, next), harmed: ${figures}  ${counts}`);
     }
 }
 
-/** Prints the loads, or only the named one, with admission off and on. */
-function printReplays(seeds: number, only: string | undefined): void {
+/** Prints the loads, or only the named one, with admission off and on, or only one of these. */
+function printReplays(seeds: number, only: string | undefined, admission: string | undefined): void {
     const loads = {
         advisory: advisoryLoad,
         wholesale: wholesaleLoad,
@@ -60,13 +75,17 @@
         lasting: lastingOverload,
         sustained: sustainedOverload,
         busyLeader: busyLeaderOverload,
+        contendedRoom: contendedRoomLoad,
     };
     for (const [name, load] of Object.entries(loads)) {
         if (only === undefined || only === name) {
-            printReplay(name, load, seeds, false);
-            printReplay(name, load, seeds, true);
+            for (const hasAdmission of [false, true]) {
+                if (admission === undefined || (admission === "on") === hasAdmission) {
+                    printReplay(name, load, seeds, hasAdmission);
+                }
+            }
         }
     }
 }
 
-printReplays(Number(process.argv[2] ?? 3), process.argv[3]);
+printReplays(Number(process.argv[2] ?? 3), process.argv[3], process.argv[4]);
--- a/packages/replay-jobs/src/tally.ts
+++ b/packages/replay-jobs/src/tally.ts
@@ -15,6 +15,9 @@
      * jobs, the share of the time that their tasks were serving.
      */
     readonly inTimeShare: number;
+    /** The same of the largest tenth of the jobs by their work, and of the next largest fifth; 0 for serving jobs. */
+    readonly largestInTimeShare: number;
+    readonly nextLargestInTimeShare: number;
     /** Share of the time that serving tasks were over their target because of other tasks. */
     readonly overTargetShare: number;
     /** Pace changes of the whole replay; the same in each row. */
@@ -79,12 +82,26 @@
     return job.workMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0);
 }
 
+/** Share of the jobs that counts as the largest ones, and the same with the next largest ones. */
+const largestShare = 0.1;
+const nextLargestShare = 0.3;
+
+interface CountedJob {
+    readonly work: number;
+    readonly isInTime: boolean;
+}
+
+/** Computes the share of the jobs that ended in time among those from one rank by size to another, as shares of all. */
+function computeInTimeShare(bySize: readonly CountedJob[], from: number, to: number): number {
+    const jobs = bySize.slice(Math.round(from * bySize.length), Math.round(to * bySize.length));
+    return jobs.filter(({ isInTime }) => isInTime).length / Math.max(1, jobs.length);
+}
+
 function summarizeJobs(kind: JobKind, jobs: readonly SimulatedJob[], state: JobState, epochMs: number) {
     const meanWork = jobs.reduce((sum, job) => sum + computeWork(job), 0) / Math.max(1, jobs.length);
     let attainableValue = 0;
     let earnedValue = 0;
-    let inTime = 0;
-    let countedJobs = 0;
+    const counted: CountedJob[] = [];
     for (const job of jobs.filter(arrived => arrived.arrivesAtMs >= warmUpMs)) {
         const record = state.jobs.get(job.definition.id);
         if (record?.phase === "failed") {
@@ -101,10 +118,16 @@
             : record.endedAtMs - epochMs - job.arrivesAtMs;
         earnedValue += factor
             * (tookMs <= allowedMs ? kind.value : tookMs <= lateFactor * allowedMs ? kind.lateValue : 0);
-        inTime += tookMs <= allowedMs ? 1 : 0;
-        countedJobs += 1;
+        counted.push({ work: computeWork(job), isInTime: tookMs <= allowedMs });
     }
-    return { attainableValue, earnedValue, inTimeShare: inTime / Math.max(1, countedJobs) };
+    const bySize = counted.sort((left, right) => right.work - left.work);
+    return {
+        attainableValue,
+        earnedValue,
+        inTimeShare: computeInTimeShare(bySize, 0, 1),
+        largestInTimeShare: computeInTimeShare(bySize, 0, largestShare),
+        nextLargestInTimeShare: computeInTimeShare(bySize, largestShare, nextLargestShare),
+    };
 }
 
 /** Creates an empty tally. */
@@ -168,19 +191,26 @@
                         attainableValue: totals.attainableValue,
                         earnedShare: totals.earnedValue / totals.attainableValue,
                         inTimeShare: totals.servingSamples / totals.taskSamples,
+                        largestInTimeShare: 0,
+                        nextLargestInTimeShare: 0,
                         overTargetShare: totals.overTargetSamples / totals.taskSamples,
                         paceChanges,
                         refusals: refusals.get(kind.name) ?? 0,
                         starts,
                     };
                 }
-                const { attainableValue, earnedValue, inTimeShare } = summarizeJobs(kind, jobsOfKind, state, epochMs);
+                const { attainableValue, earnedValue, ...inTimeShares } = summarizeJobs(
+                    kind,
+                    jobsOfKind,
+                    state,
+                    epochMs,
+                );
                 return {
                     kind: kind.name,
                     jobs: jobsOfKind.length,
                     attainableValue,
                     earnedShare: earnedValue / attainableValue,
-                    inTimeShare,
+                    ...inTimeShares,
                     overTargetShare: 0,
                     paceChanges,
                     refusals: refusals.get(kind.name) ?? 0,
