Order contended work by value, with turns for size groups

Cause: in a contended pool the order by lateness and size passes over jobs that have begun and lets the largest ones of a queue wait longest, although a core-second of theirs earns as much.

In pools with queues of several priorities, and only while the work that waits at a priority needs more than 2 s of the processors, jobs go by the work left to start for each unit of expected value. The size groups of a queue get turns by deficit round robin, so that none is passed over beyond a stated bound of work. The reference planner of plan-starts-choices.test.ts uses the same order, because the test compares the choice of workers.

The property test found that a turn was kept for 10 s after its job had started all its tasks, and that credit below 0 broke the bound; both are corrected.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -14,6 +14,7 @@
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
+import { logGivenTurns } from "./log-shares.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
@@ -231,6 +232,7 @@
         planner.reasonsCheckedAtMs = nowMs;
         // Those that this or an earlier leader could not give up at once.
         yield* giveUpDeadlyJobs(term);
+        logGivenTurns(term, planner.memory.contention);
         logWaitingSteps(term, input, planner.loggedReasons, wallMs);
     }
     return tookMs;
--- a/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
+++ b/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
@@ -6,6 +6,7 @@
 import { formatStepKey, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStart, StepSpec } from "@chestnutspool/types";
+import { createContentionMemory, orderContended } from "../contended-pools.js";
 import { holdWorkers } from "../hold-workers.js";
 import { listKeptWorkers, selectCandidates } from "../keep-workers.js";
 import { listCandidates, type PlanInput } from "../plan-starts.js";
@@ -229,7 +230,8 @@
 export function planStartsPlainly(input: PlanInput, nowMs: number): RunStart[] {
     const candidates = listCandidates(input);
     const pass: PlanningPass = { input, candidates, kept: listKeptWorkers(input.state, candidates), starts: [] };
-    for (const waiting of sortWaitingSteps(listWaitingSteps(input.state, nowMs))) {
+    const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
+    for (const waiting of orderContended(createContentionMemory(), input.state, sorted, nowMs)) {
         const { job, occurrence, step } = waiting;
         const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
         if (step.spec.gang) {
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -1,3 +1,4 @@
+export type { ContentionMemory } from "./contended-pools.js";
 export { describeWait } from "./describe-wait.js";
 export { listObsoleteRuns } from "./list-obsolete-runs.js";
 export { listStalledRuns } from "./list-stalled-runs.js";
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -1,4 +1,5 @@
 import type { JobStep } from "@chestnutspool/job-state";
+import { type ContentionMemory, createContentionMemory } from "./contended-pools.js";
 import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
 
 /**
@@ -30,6 +31,7 @@
     /** Whether there are waiting steps that were not reached yet, so that the next pass should follow soon. */
     hasStepsLeft: boolean;
     readonly starvation: StarvationMemory;
+    readonly contention: ContentionMemory;
 }
 
 /** Creates the memory of a planner that has made no pass. */
@@ -41,6 +43,7 @@
         passes: 0,
         hasStepsLeft: false,
         starvation: createStarvationMemory(),
+        contention: createContentionMemory(),
     };
 }
 
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -2,6 +2,7 @@
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import { hasTrial, needsTrial, type RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
+import { orderContended, recordContendedStarts } from "./contended-pools.js";
 import { holdWorkers } from "./hold-workers.js";
 import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
@@ -322,7 +323,8 @@
  * earlier passes; by default there are none.
  */
 export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
-    const waitingSteps = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
+    const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
+    const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0) {
         memory.hasStepsLeft = false;
         return [];
@@ -347,5 +349,6 @@
         return pass.ratings - ratingsBefore;
     });
     planStarvedSteps(pass, waitingSteps, memory, nowMs);
+    recordContendedStarts(memory.contention, input.state, pass.starts);
     return pass.starts;
 }
--- a/packages/plan-jobs/src/predict-lateness.ts
+++ b/packages/plan-jobs/src/predict-lateness.ts
@@ -69,6 +69,15 @@
     return Math.sqrt(work) * getChainTimes(job, occurrence).objectiveMs;
 }
 
+/**
+ * Predicts when an occurrence completes if its tasks start at `nowMs`, wall-clock time in milliseconds, as a share of its
+ * objective.
+ */
+export function predictCompletion(job: JobRecord, occurrence: JobOccurrence, nowMs: number): number {
+    const { objectiveMs, remainingMs } = getChainTimes(job, occurrence);
+    return (nowMs + remainingMs - (occurrence.dueAtMs ?? job.acceptedAtMs)) / Math.max(1, objectiveMs);
+}
+
 /** Predicts the lateness of an occurrence if its tasks start at `nowMs`, wall-clock time in milliseconds. */
 export function predictLateness(job: JobRecord, occurrence: JobOccurrence, nowMs: number): Lateness {
     const { objectiveMs, remainingMs } = getChainTimes(job, occurrence);
--- a/packages/replay-jobs/src/replay.test.ts
+++ b/packages/replay-jobs/src/replay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { contendedRoomLoad } from "./contended-load.js";
 import { lastingOverload, type Load, sustainedOverload, wholesaleLoad } from "./load.js";
 import { replayLoad } from "./replay.js";
 
@@ -31,3 +32,23 @@
         assert.ok(earnedShare >= 0.71, `${kind} earns ${earnedShare}`);
     }
 });
+
+// Guards against an order that serves only small jobs while a pool is contended. The bounds are those of the users' terms: the largest
+// tenth of the jobs of a queue, and the next largest fifth, are each served at least half as often as the queue as a whole.
+test("under overload of the batch queue the next largest fifth is served half as often as all", () => {
+    const batch = replayLoad(contendedRoomLoad, 40_000, 20_000, 2).find(({ kind }) => kind === "batch");
+    assert.ok(batch !== undefined);
+    assert.ok(
+        batch.nextLargestInTimeShare >= batch.inTimeShare / 2,
+        `next largest ${batch.nextLargestInTimeShare}, all ${batch.inTimeShare}`,
+    );
+});
+
+test("under overload of the batch queue the largest tenth is served half as often as all", () => {
+    const batch = replayLoad(contendedRoomLoad, 40_000, 20_000, 2).find(({ kind }) => kind === "batch");
+    assert.ok(batch !== undefined);
+    assert.ok(
+        batch.largestInTimeShare >= batch.inTimeShare / 2,
+        `largest ${batch.largestInTimeShare}, all ${batch.inTimeShare}`,
+    );
+});
