Refuse only what certainly ends too late in pools with several priorities, and sooner

Cause: the prediction of admission followed the order by size and counted later arrivals. With the order of contended pools it refused jobs that the planner would have served, and nothing before the pool had been full for 5 s.

Change: in pools with queues of several priorities a job is refused once the pool has been full for 1.5 s, if the work that certainly goes first keeps it beyond three objectives; rates are those of declared work while the pool is full. Other pools keep the former rule. The replay counts wrong refusals: jobs refused that ended in time without admission.

--- a/packages/admit-jobs/src/backlog.ts
+++ b/packages/admit-jobs/src/backlog.ts
@@ -91,3 +91,12 @@
         || (entry.priority === priority
             && (entry.lateness === "inTime" || (entry.lateness === "late" && entry.size <= size)));
 }
+
+/**
+ * Whether waiting work goes before new work in a contended pool. Of jobs that have not begun, those with less work go first in the
+ * order by value; those that have begun with the same work left go before them.
+ */
+export function isBeforeContended(entry: BacklogEntry, { priority, coreMs }: BacklogEntry): boolean {
+    return entry.lateness === "inTime"
+        && (entry.priority < priority || (entry.priority === priority && entry.coreMs <= coreMs));
+}
--- a/packages/admit-jobs/src/decide-admission.test.ts
+++ b/packages/admit-jobs/src/decide-admission.test.ts
@@ -130,3 +130,38 @@
         assert.equal(decide(makeInputs({ backlog, busyness }), 1, definition).cause, "leaderBusy");
     }
 });
+
+/** A pool that has been full for two seconds, in which it started ten cores' worth of work, declared `factor` times too long. */
+function makeBurst(factor = 1) {
+    const throughput = createThroughput();
+    for (let atMs = nowMs - 2_000; atMs < nowMs; atMs += 100) {
+        recordPoolState(throughput, 10, 1, false, 10, atMs);
+        recordStarted(throughput, 1_000 * factor, atMs);
+    }
+    return throughput;
+}
+
+// Guards against accepting hopeless jobs for the first seconds of a burst of the batch queue; the result has no value after 7.5 s.
+test("early in a burst a job of a shared pool is refused that cannot end before three objectives", () => {
+    const makeBurstInputs = (seconds: number, factor = 1) => {
+        const backlog = [...Array(seconds * 10).keys()].map(() => makeEntry(1, { tasks: 1, coreMs: 1_000 * factor }));
+        return makeInputs({ backlog, throughput: makeBurst(factor), isShared: true });
+    };
+    const definition = (factor: number) => makeJob("a", [makeStep({ expectedRunMs: 1_000 * factor })]);
+    assert.equal(decide(makeBurstInputs(5)).cause, undefined);
+    assert.equal(decide(makeBurstInputs(12)).cause, "tooLate");
+    // A caller that comes back too early meets the same backlog and is refused again.
+    assert.equal(decide(makeBurstInputs(12)).cause, "tooLate");
+    assert.equal(decide({ ...makeBurstInputs(12), isShared: false }).cause, undefined);
+    // Run times declared ten times too long do not refuse what would be served: its objective is 20.5 s then.
+    assert.equal(decide(makeBurstInputs(5, 10), 1, definition(10)).cause, undefined);
+});
+
+// Guards against refusing work that the planner would serve: in a contended pool larger waiting jobs, and those that are late, do not
+// go first. Under sustained overload 25 jobs were refused that ended in time without admission.
+test("in a shared pool only work that certainly goes first counts, also after seconds of overload", () => {
+    const larger = [...Array(20).keys()].map(() => makeEntry(10));
+    const late = [...Array(200).keys()].map(() => makeEntry(1, { coreMs: 1_000, lateness: "late" }));
+    assert.equal(decide(makeInputs({ backlog: [...larger, ...late], isShared: true })).cause, undefined);
+    assert.equal(decide(makeInputs({ backlog: [...larger, ...late], isShared: false })).cause, "tooLate");
+});
--- a/packages/admit-jobs/src/decide-admission.ts
+++ b/packages/admit-jobs/src/decide-admission.ts
@@ -5,13 +5,22 @@
     type Backlog,
     type BacklogEntry,
     createBacklogEntry,
+    isBeforeContended,
     isBeforeInTime,
     isBeforeLate,
     sumWork,
     type WorkSum,
 } from "./backlog.js";
 import type { LeaderBusyness } from "./leader-busyness.js";
-import { isSaturated, type PoolRates, readAcceptedRates, readRates, type Throughput } from "./throughput.js";
+import {
+    hasBeenFull,
+    isSaturated,
+    type PoolRates,
+    readAcceptedRates,
+    readRates,
+    readRatesWhileFull,
+    type Throughput,
+} from "./throughput.js";
 
 /**
  * Smoothed delay of timers from which the leader accepts nothing, in milliseconds. A renewal counts as lost when its answer
@@ -20,6 +29,8 @@
 const busyDelayMs = 500;
 /** Commands waiting to be committed, beyond one of each worker, from which the leader accepts nothing. */
 const busyCommits = 1_000;
+/** Time for which a pool has to be full before early refusal, in milliseconds, so that its rate is known. */
+const earlyFullMs = 1_500;
 /** Wait below which nothing is refused, in milliseconds, because declared run times are off by up to ten times. */
 const acceptedWaitMs = 3_000;
 /**
@@ -48,6 +59,8 @@
     readonly busyness: LeaderBusyness;
     /** Priorities of all queues. */
     readonly priorities: readonly number[];
+    /** Whether the pool has queues of several priorities, so that the planner orders contended work by value; by default it has not. */
+    readonly isShared?: boolean;
     /** Number of workers; each may have one command in progress, such as the ends of its latest report. */
     readonly workers: number;
 }
@@ -108,6 +121,34 @@
     return whileInTime.waitMs <= latestInTimeMs ? whileInTime : predict(isBeforeLate);
 }
 
+/**
+ * Decides about a job in a full pool with queues of several priorities. It is refused if the work that goes first there, without what
+ * others send later, keeps it waiting beyond the time after which its result has no value: the planner may yet serve any other.
+ */
+function decideContended(
+    entry: BacklogEntry,
+    { backlog, throughput }: AdmissionInputs,
+    id: string,
+    objectiveMs: number,
+    remainingMs: number,
+    nowMs: number,
+): Partial<AdmissionDecision> {
+    const ofPool = backlog.filter(({ service }) => service === entry.service);
+    const ahead = sumWork(ofPool, other => isBeforeContended(other, entry));
+    const { tasksPerSecond, cores } = readRatesWhileFull(throughput, nowMs) ?? { tasksPerSecond: 0, cores: 0 };
+    const waitMs = cores === 0 ? 0 : ahead.coreMs / cores;
+    const isTooLate = waitMs > acceptedWaitMs && waitMs + remainingMs > lateFactor * objectiveMs;
+    return {
+        cause: isTooLate ? "tooLate" : undefined,
+        retryAfterMs: isTooLate ? computeRetryMs(id, waitMs + remainingMs - objectiveMs) : 0,
+        waitMs,
+        aheadTasks: ahead.tasks,
+        aheadCoreMs: ahead.coreMs,
+        tasksPerSecond,
+        cores,
+    };
+}
+
 function isDeferred(job: JobRecord, nowMs: number): boolean {
     const { definition } = job;
     return (definition.firstAtMs ?? nowMs) > nowMs || definition.steps.some(step => step.longRunning);
@@ -115,7 +156,8 @@
 
 /**
  * Decides whether a new job is accepted. `nowMs` is monotonic time, `wallMs` wall-clock time, both in milliseconds. Nothing
- * is refused for work that waits unless the pool has been saturated for some seconds.
+ * is refused for work that waits unless the pool has been saturated for some seconds, or full for `earlyFullMs` if it has queues of
+ * several priorities.
  */
 export function decideAdmission(
     definition: JobDefinition,
@@ -124,7 +166,7 @@
     nowMs: number,
     wallMs: number,
 ): AdmissionDecision {
-    const { throughput, priorities } = inputs;
+    const { throughput, priorities, isShared = false } = inputs;
     const accepted: AdmissionDecision = {
         cause: undefined,
         retryAfterMs: 0,
@@ -137,7 +179,8 @@
     if (isLeaderBusy(inputs, computeLimitShare(queue.priority, priorities))) {
         return { ...accepted, cause: "leaderBusy", retryAfterMs: computeRetryMs(definition.id, busyRetryMs) };
     }
-    if (!isSaturated(throughput, nowMs)) {
+    const isContended = isShared && hasBeenFull(throughput, earlyFullMs, nowMs);
+    if (isShared ? !isContended : !isSaturated(throughput, nowMs)) {
         return accepted;
     }
     const job = createJob({ ...definition, occurrences: 1 }, queue, wallMs);
@@ -148,6 +191,9 @@
     const objectiveMs = computeObjectiveMs(job);
     const remainingMs = computeChainMs(job, () => true);
     const entry = createBacklogEntry(job, occurrence, wallMs);
+    if (isContended) {
+        return { ...accepted, ...decideContended(entry, inputs, definition.id, objectiveMs, remainingMs, nowMs) };
+    }
     const { ahead, rates, waitMs } = predictWait(entry, inputs, objectiveMs - remainingMs, nowMs);
     const isTooLate = waitMs > acceptedWaitMs && waitMs + remainingMs > predictionTolerance * lateFactor * objectiveMs;
     return {
--- a/packages/admit-jobs/src/throughput.ts
+++ b/packages/admit-jobs/src/throughput.ts
@@ -106,9 +106,14 @@
     throughput.coresInUse = coresInUse;
 }
 
+/** Whether a pool has been full, with tasks waiting, for `forMs` without interruption. */
+export function hasBeenFull({ saturatedSinceMs }: Throughput, forMs: number, nowMs: number): boolean {
+    return saturatedSinceMs !== undefined && nowMs - saturatedSinceMs >= forMs;
+}
+
 /** Whether a pool has taken all the work it can for the whole window, so that its rates show its limit. */
 export function isSaturated(throughput: Throughput, nowMs: number): boolean {
-    return throughput.saturatedSinceMs !== undefined && nowMs - throughput.saturatedSinceMs >= windowMs;
+    return hasBeenFull(throughput, windowMs, nowMs);
 }
 
 /** Computes the rates of the window. The higher one of starts and ends counts, so that work is not refused too early. */
@@ -122,3 +127,21 @@
         cores: endedTasks < fewEnds ? Math.max(cores, throughput.coresInUse) : cores,
     };
 }
+
+/**
+ * Computes the rates since a pool has been full, in declared work, so that run times declared wrongly by the same factor cancel out;
+ * undefined if it is not full.
+ */
+export function readRatesWhileFull(throughput: Throughput, nowMs: number): PoolRates | undefined {
+    const { saturatedSinceMs } = throughput;
+    if (saturatedSinceMs === undefined || nowMs <= saturatedSinceMs) {
+        return undefined;
+    }
+    const fromMs = Math.max(saturatedSinceMs, nowMs - windowMs);
+    // A count that began before is read as a whole: the rate is then a little higher, which refuses less.
+    const counts = throughput.counts.filter(count => count.startedAtMs + countIntervalMs > fromMs);
+    const sum = (select: (count: Count) => number): number => counts.reduce((total, count) => total + select(count), 0);
+    const tasks = Math.max(sum(count => count.startedTasks), sum(count => count.endedTasks));
+    const coreMs = Math.max(sum(count => count.startedCoreMs), sum(count => count.endedCoreMs));
+    return { tasksPerSecond: tasks * millisecondsPerSecond / (nowMs - fromMs), cores: coreMs / (nowMs - fromMs) };
+}
--- a/packages/lead-jobs/src/admission.ts
+++ b/packages/lead-jobs/src/admission.ts
@@ -191,6 +191,12 @@
     return machine.state.jobs.has(job) || admission.proposedJobs.has(job);
 }
 
+/** Whether a pool has queues of several priorities, so that early refusal applies. */
+function hasSeveralPriorities({ configuration }: JobState, service: string): boolean {
+    const ofPool = configuration?.queues.filter(queue => queue.service === service) ?? [];
+    return new Set(ofPool.map(({ priority }) => priority)).size > 1;
+}
+
 /** Decides about a job that is certainly not recorded; returns the reply that refuses it, undefined if it is accepted. */
 export function refuseJob(
     term: Term,
@@ -207,6 +213,7 @@
         busyness: admission.busyness,
         priorities: machine.state.configuration?.queues.map(({ priority }) => priority) ?? [],
         workers: machine.state.workers.size,
+        isShared: hasSeveralPriorities(machine.state, queue.service),
     };
     const decision = decideAdmission(definition, queue, inputs, nowMs, wallMs);
     if (decision.cause === undefined) {
@@ -226,6 +233,7 @@
         cores: Math.round(decision.cores),
         delayMs: Math.round(admission.busyness.delayMs),
         waitingCommits: admission.busyness.waitingCommits,
+        sharedPool: inputs.isShared,
         backlogAgeMs: Math.round(nowMs - admission.observedAtMs),
     });
     return { kind: "rejected", reason: "overloaded", retryAfterMs: decision.retryAfterMs };
--- a/packages/replay-jobs/src/replay.test.ts
+++ b/packages/replay-jobs/src/replay.test.ts
@@ -52,3 +52,13 @@
         `largest ${batch.largestInTimeShare}, all ${batch.inTimeShare}`,
     );
 });
+
+// Guards against refusing work that would have been served: bursts of the batch queue of the certification service.
+test("under bursts of the batch queue no job is refused that would have ended in time", () => {
+    const [without, withAdmission] = [false, true].map(hasAdmission =>
+        replayLoad(contendedRoomLoad, 40_000, 20_000, 1, { hasAdmission }).find(({ kind }) => kind === "batch")
+    );
+    assert.ok(without !== undefined && withAdmission !== undefined);
+    const wrong = [...withAdmission.refusedJobs].filter(id => without.jobsInTime.has(id));
+    assert.deepEqual(wrong, []);
+});
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -325,7 +325,7 @@
     simulation.jobs.set(job.definition.id, job);
     const retryAfterMs = simulation.admission?.refuse(job, createQueue(job.kind), epochMs, nowMs);
     if (retryAfterMs !== undefined) {
-        simulation.tally.countRefusal(job.kind.name);
+        simulation.tally.countRefusal(job);
         if (attempt < retryLimit) {
             attempts.push({ job, attempt: attempt + 1, atMs: nowMs + retryAfterMs });
         }
--- a/packages/replay-jobs/src/simulated-admission.ts
+++ b/packages/replay-jobs/src/simulated-admission.ts
@@ -36,6 +36,7 @@
 export function createSimulatedAdmission(load: Load): SimulatedAdmission {
     const throughput = createThroughput();
     const priorities = load.kinds.map(({ priority }) => priority);
+    const isShared = new Set(priorities).size > 1;
     let backlog: Backlog = [];
     let workers = 0;
     let observedAtMs = Number.NEGATIVE_INFINITY;
@@ -69,7 +70,14 @@
             recordPoolState(throughput, waitingTasks, used / capacity, isLeaderBusy, coresInUse, nowMs);
         },
         refuse: ({ definition }, queue, epochMs, nowMs) => {
-            const inputs = { backlog, throughput, busyness: createLeaderBusyness(), priorities, workers };
+            const inputs = {
+                backlog,
+                throughput,
+                busyness: createLeaderBusyness(),
+                priorities,
+                workers,
+                isShared,
+            };
             const decision = decideAdmission(definition, queue, inputs, nowMs, epochMs + nowMs);
             if (decision.cause !== undefined) {
                 return decision.retryAfterMs;
--- a/packages/replay-jobs/src/tally.ts
+++ b/packages/replay-jobs/src/tally.ts
@@ -24,6 +24,9 @@
     readonly paceChanges: number;
     /** Refusals of jobs of this kind, each time that a caller was refused. */
     readonly refusals: number;
+    /** Jobs of this kind that were refused at least once, and those that ended in time. */
+    readonly refusedJobs: ReadonlySet<string>;
+    readonly jobsInTime: ReadonlySet<string>;
     /** Starts of runs in the whole replay; the same in each row. */
     readonly starts: number;
 }
@@ -32,7 +35,7 @@
 export interface Tally {
     readonly countPaceChange: () => void;
     readonly countStart: () => void;
-    readonly countRefusal: (kind: string) => void;
+    readonly countRefusal: (job: SimulatedJob) => void;
     readonly observe: (
         state: JobState,
         jobs: ReadonlyMap<string, SimulatedJob>,
@@ -87,6 +90,7 @@
 const nextLargestShare = 0.3;
 
 interface CountedJob {
+    readonly id: string;
     readonly work: number;
     readonly isInTime: boolean;
 }
@@ -118,12 +122,13 @@
             : record.endedAtMs - epochMs - job.arrivesAtMs;
         earnedValue += factor
             * (tookMs <= allowedMs ? kind.value : tookMs <= lateFactor * allowedMs ? kind.lateValue : 0);
-        counted.push({ work: computeWork(job), isInTime: tookMs <= allowedMs });
+        counted.push({ id: job.definition.id, work: computeWork(job), isInTime: tookMs <= allowedMs });
     }
     const bySize = counted.sort((left, right) => right.work - left.work);
     return {
         attainableValue,
         earnedValue,
+        jobsInTime: new Set(counted.filter(({ isInTime }) => isInTime).map(({ id }) => id)),
         inTimeShare: computeInTimeShare(bySize, 0, 1),
         largestInTimeShare: computeInTimeShare(bySize, 0, largestShare),
         nextLargestInTimeShare: computeInTimeShare(bySize, largestShare, nextLargestShare),
@@ -134,14 +139,16 @@
 export function createTally(load: Load): Tally {
     const servingTotals = new Map<string, ServingTotals>();
     const refusals = new Map<string, number>();
+    const refusedJobs = new Map<string, Set<string>>();
     let paceChanges = 0;
     let starts = 0;
     return {
         countStart: () => {
             starts += 1;
         },
-        countRefusal: kind => {
-            refusals.set(kind, (refusals.get(kind) ?? 0) + 1);
+        countRefusal: ({ kind: { name }, definition: { id } }) => {
+            refusals.set(name, (refusals.get(name) ?? 0) + 1);
+            refusedJobs.set(name, (refusedJobs.get(name) ?? new Set()).add(id));
         },
         countPaceChange: () => {
             paceChanges += 1;
@@ -196,6 +203,8 @@
                         overTargetShare: totals.overTargetSamples / totals.taskSamples,
                         paceChanges,
                         refusals: refusals.get(kind.name) ?? 0,
+                        refusedJobs: refusedJobs.get(kind.name) ?? new Set(),
+                        jobsInTime: new Set<string>(),
                         starts,
                     };
                 }
@@ -214,6 +223,7 @@
                     overTargetShare: 0,
                     paceChanges,
                     refusals: refusals.get(kind.name) ?? 0,
+                    refusedJobs: refusedJobs.get(kind.name) ?? new Set(),
                     starts,
                 };
             }),
