--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -23,6 +23,7 @@
 import { createSpeedReader } from "./learn-speeds.js";
 import { logCopies, logCopyOutcomes } from "./log-copies.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
+import { logGivenTurns } from "./log-shares.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { computeIdlePauseMs, logEndedWaits } from "./placement-waits.js";
 import { carryOutPreemptions } from "./preempt-runs.js";
@@ -262,6 +263,7 @@
         planner.reasonsCheckedAtMs = nowMs;
         // Those that this or an earlier leader could not give up at once.
         yield* giveUpDeadlyJobs(term);
+        logGivenTurns(term, planner.memory.contention);
         logWaitingSteps(term, input, planner.loggedReasons, wallMs);
     }
     return tookMs;
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -1,3 +1,4 @@
+export type { ContentionMemory } from "./contended-pools.js";
 export { describeWait } from "./describe-wait.js";
 export { computeFreeLater } from "./hold-workers.js";
 export { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
--- a/packages/replay-jobs/src/print-replay.ts
+++ b/packages/replay-jobs/src/print-replay.ts
@@ -1,3 +1,4 @@
+import { contendedRoomLoad } from "./contended-load.js";
 import { certificationLoad, contendedMemoryLoad } from "./contended-loads.js";
 import { anyOneRackOfEight, busyHotRack, hotRackOfEight, hotRackOfTwelve } from "./hot-rack-loads.js";
 import {
@@ -21,9 +22,12 @@
 interface Total {
     earned: number;
     inTime: number;
+    largest: number;
+    nextLargest: number;
     overTarget: number;
     paceChanges: number;
     refusals: number;
+    wrongRefusals: number;
     starts: number;
     preemptions: number;
 }
@@ -75,8 +79,17 @@
         + `mean of a wait ${waited} ms, expected gain ${expected} ms, gain ${gained} ms`;
 }
 
-/** Prints the results of a load as means over replays with seeds from 1 to `seeds`. */
-function printReplay(name: string, load: Load, seeds: number, options: ReplayOptions): void {
+/**
+ * Prints the results of a load as means over replays with seeds from 1 to `seeds`. A refusal is wrong if the job ended in time in the
+ * same replay without admission, and not in this one; 0 if that replay was not printed before.
+ */
+function printReplay(
+    name: string,
+    load: Load,
+    seeds: number,
+    options: ReplayOptions,
+    inTimeWithoutAdmission: Map<string, ReadonlySet<string>>,
+): void {
     const totals = new Map<string, Total>();
     const racks = { near: 0, far: 0, waits: 0, placed: 0, waitedMs: 0, expectedGainMs: 0, gainMs: 0 };
     let earnedValue = 0;
@@ -86,12 +99,33 @@
         rows.slice(0, 1).forEach(row => addRackCounts(racks, row, seeds));
         for (const row of rows) {
             const total = totals.get(row.kind)
-                ?? { earned: 0, inTime: 0, overTarget: 0, paceChanges: 0, refusals: 0, starts: 0, preemptions: 0 };
+                ?? {
+                    earned: 0,
+                    inTime: 0,
+                    largest: 0,
+                    nextLargest: 0,
+                    overTarget: 0,
+                    paceChanges: 0,
+                    refusals: 0,
+                    wrongRefusals: 0,
+                    starts: 0,
+                    preemptions: 0,
+                };
             total.earned += row.earnedShare / seeds;
             total.inTime += row.inTimeShare / seeds;
+            total.largest += row.largestInTimeShare / seeds;
+            total.nextLargest += row.nextLargestInTimeShare / seeds;
             total.overTarget += row.overTargetShare / seeds;
             total.paceChanges += row.paceChanges / seeds;
             total.refusals += row.refusals / seeds;
+            const key = `${seed}/${row.kind}`;
+            const withoutAdmission = inTimeWithoutAdmission.get(key);
+            for (const id of row.refusedJobs) {
+                total.wrongRefusals += withoutAdmission?.has(id) === true && !row.jobsInTime.has(id) ? 1 / seeds : 0;
+            }
+            if (options.hasAdmission !== true) {
+                inTimeWithoutAdmission.set(key, row.jobsInTime);
+            }
             total.starts += row.starts / seeds;
             total.preemptions += row.preemptions / seeds;
             totals.set(row.kind, total);
@@ -103,17 +137,17 @@
     if (load.hotRack !== undefined) {
         console.log(describeRackTotal(racks));
     }
-    for (const [kind, total] of totals) {
-        const figures = [total.earned, total.inTime, total.overTarget].map(figure => figure.toFixed(3)).join("  ");
-        const { paceChanges, refusals, starts, preemptions } = total;
-        const counts = `paces ${paceChanges.toFixed(0)}  refusals ${refusals.toFixed(0)}  starts ${starts.toFixed(0)}`;
-        console.log(
-            `  ${kind.padEnd(10)} worth, in time, harmed: ${figures}  ${counts}  preempted ${preemptions.toFixed(1)}`,
-        );
+    for (const [kind, { earned: share, inTime, largest, nextLargest, overTarget, ...total }] of totals) {
+        const { paceChanges, refusals, wrongRefusals, starts, preemptions } = total;
+        const figures = [share, inTime, largest, nextLargest, overTarget].map(figure => figure.toFixed(3)).join("  ");
+        const counts = `paces ${paceChanges.toFixed(0)}  refusals ${refusals.toFixed(1)}, wrong ${
+            wrongRefusals.toFixed(1)
+        }  starts ${starts.toFixed(0)}  preempted ${preemptions.toFixed(1)}`;
+        console.log(`  ${kind.padEnd(10)} worth, in time (all, largest, next), harmed: ${figures}  ${counts}`);
     }
 }
 
-/** Prints the loads, or only the named one, with admission off and on, with learnt speeds or waits for racks off and on, and with the chosen preemption. */
+/** Prints the loads, or only the named one, without and with the part that it is for; preemption may be switched off. */
 function printReplays(seeds: number, only: string | undefined, preemption: string | undefined): void {
     const loads = {
         advisory: advisoryLoad,
@@ -122,6 +156,7 @@
         lasting: lastingOverload,
         sustained: sustainedOverload,
         busyLeader: busyLeaderOverload,
+        contendedRoom: contendedRoomLoad,
         certification: certificationLoad,
         contendedMemory: contendedMemoryLoad,
         uneven: unevenLoad,
@@ -136,7 +171,10 @@
     for (const [name, load] of Object.entries(loads)) {
         if (only === undefined || only === name) {
             const hasPreemption = preemption !== "off";
-            listVariants(load).forEach(variant => printReplay(name, load, seeds, { ...variant, hasPreemption }));
+            const inTime = new Map<string, ReadonlySet<string>>();
+            for (const variant of listVariants(load)) {
+                printReplay(name, load, seeds, { ...variant, hasPreemption }, inTime);
+            }
         }
     }
 }
--- a/packages/replay-jobs/src/replay.test.ts
+++ b/packages/replay-jobs/src/replay.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { contendedRoomLoad } from "./contended-load.js";
 import { contendedMemoryLoad } from "./contended-loads.js";
 import { hotRackOfEight } from "./hot-rack-loads.js";
 import { lastingOverload, type Load, sustainedOverload, unevenLoad, wholesaleLoad } from "./load.js";
@@ -100,3 +101,33 @@
         assert.ok((withWaits[position]?.earnedShare ?? 0) >= earnedShare - 0.03, kind);
     }
 });
+
+// Guards against an order that serves only small jobs while a pool is contended. The bounds are those of the users' terms: the largest
+// tenth of the jobs of a queue, and the next largest fifth, are each served at least half as often as the queue as a whole.
+test("under overload of the batch queue the next largest fifth is served half as often as all", () => {
+    const batch = replayLoad(contendedRoomLoad, 40_000, 20_000, 2).find(({ kind }) => kind === "batch");
+    assert.ok(batch !== undefined);
+    assert.ok(
+        batch.nextLargestInTimeShare >= batch.inTimeShare / 2,
+        `next largest ${batch.nextLargestInTimeShare}, all ${batch.inTimeShare}`,
+    );
+});
+
+test("under overload of the batch queue the largest tenth is served half as often as all", () => {
+    const batch = replayLoad(contendedRoomLoad, 40_000, 20_000, 2).find(({ kind }) => kind === "batch");
+    assert.ok(batch !== undefined);
+    assert.ok(
+        batch.largestInTimeShare >= batch.inTimeShare / 2,
+        `largest ${batch.largestInTimeShare}, all ${batch.inTimeShare}`,
+    );
+});
+
+// Guards against refusing work that would have been served: bursts of the batch queue of the certification service.
+test("under bursts of the batch queue no job is refused that would have ended in time", () => {
+    const [without, withAdmission] = [false, true].map(hasAdmission =>
+        replayLoad(contendedRoomLoad, 40_000, 20_000, 1, { hasAdmission }).find(({ kind }) => kind === "batch")
+    );
+    assert.ok(without !== undefined && withAdmission !== undefined);
+    const wrong = [...withAdmission.refusedJobs].filter(id => without.jobsInTime.has(id));
+    assert.deepEqual(wrong, []);
+});
--- a/packages/replay-jobs/src/tally.ts
+++ b/packages/replay-jobs/src/tally.ts
@@ -17,12 +17,18 @@
      * jobs, the share of the time that their tasks were serving.
      */
     readonly inTimeShare: number;
+    /** The same of the largest tenth of the jobs by their work, and of the next largest fifth; 0 for serving jobs. */
+    readonly largestInTimeShare: number;
+    readonly nextLargestInTimeShare: number;
     /** Share of the time that serving tasks were over their target because of other tasks. */
     readonly overTargetShare: number;
     /** Pace changes of the whole replay; the same in each row. */
     readonly paceChanges: number;
     /** Refusals of jobs of this kind, each time that a caller was refused. */
     readonly refusals: number;
+    /** Jobs of this kind that were refused at least once, and those that ended in time. */
+    readonly refusedJobs: ReadonlySet<string>;
+    readonly jobsInTime: ReadonlySet<string>;
     /** Starts of runs in the whole replay; the same in each row. */
     readonly starts: number;
     /** Runs that were preempted in the whole replay; the same in each row. */
@@ -39,7 +45,7 @@
     readonly countPreemptions: (runs: number) => void;
     readonly countStart: (distance: RunDistance) => void;
     readonly recordWaits: (ended: readonly EndedWait[]) => void;
-    readonly countRefusal: (kind: string) => void;
+    readonly countRefusal: (job: SimulatedJob) => void;
     readonly observe: (
         state: JobState,
         jobs: ReadonlyMap<string, SimulatedJob>,
@@ -89,12 +95,27 @@
     return job.workMs.reduce((sum, tasks) => sum + Math.max(...tasks), 0);
 }
 
+/** Share of the jobs that counts as the largest ones, and the same with the next largest ones. */
+const largestShare = 0.1;
+const nextLargestShare = 0.3;
+
+interface CountedJob {
+    readonly id: string;
+    readonly work: number;
+    readonly isInTime: boolean;
+}
+
+/** Computes the share of the jobs that ended in time among those from one rank by size to another, as shares of all. */
+function computeInTimeShare(bySize: readonly CountedJob[], from: number, to: number): number {
+    const jobs = bySize.slice(Math.round(from * bySize.length), Math.round(to * bySize.length));
+    return jobs.filter(({ isInTime }) => isInTime).length / Math.max(1, jobs.length);
+}
+
 function summarizeJobs(kind: JobKind, jobs: readonly SimulatedJob[], state: JobState, epochMs: number) {
     const meanWork = jobs.reduce((sum, job) => sum + computeWork(job), 0) / Math.max(1, jobs.length);
     let attainableValue = 0;
     let earnedValue = 0;
-    let inTime = 0;
-    let countedJobs = 0;
+    const counted: CountedJob[] = [];
     for (const job of jobs.filter(arrived => arrived.arrivesAtMs >= warmUpMs)) {
         const record = state.jobs.get(job.definition.id);
         if (record?.phase === "failed") {
@@ -111,16 +132,24 @@
             : record.endedAtMs - epochMs - job.arrivesAtMs;
         earnedValue += factor
             * (tookMs <= allowedMs ? kind.value : tookMs <= lateFactor * allowedMs ? kind.lateValue : 0);
-        inTime += tookMs <= allowedMs ? 1 : 0;
-        countedJobs += 1;
+        counted.push({ id: job.definition.id, work: computeWork(job), isInTime: tookMs <= allowedMs });
     }
-    return { attainableValue, earnedValue, inTimeShare: inTime / Math.max(1, countedJobs) };
+    const bySize = counted.sort((left, right) => right.work - left.work);
+    return {
+        attainableValue,
+        earnedValue,
+        jobsInTime: new Set(counted.filter(({ isInTime }) => isInTime).map(({ id }) => id)),
+        inTimeShare: computeInTimeShare(bySize, 0, 1),
+        largestInTimeShare: computeInTimeShare(bySize, 0, largestShare),
+        nextLargestInTimeShare: computeInTimeShare(bySize, largestShare, nextLargestShare),
+    };
 }
 
 /** Creates an empty tally. */
 export function createTally(load: Load): Tally {
     const servingTotals = new Map<string, ServingTotals>();
     const refusals = new Map<string, number>();
+    const refusedJobs = new Map<string, Set<string>>();
     let paceChanges = 0;
     let preemptions = 0;
     const waits: WaitCounts = { waits: 0, placed: 0, waitedMs: 0, expectedGainMs: 0, gainMs: 0 };
@@ -133,8 +162,9 @@
             starts[distance] += 1;
         },
         recordWaits: ended => addEndedWaits(waits, ended),
-        countRefusal: kind => {
-            refusals.set(kind, (refusals.get(kind) ?? 0) + 1);
+        countRefusal: ({ kind: { name }, definition: { id } }) => {
+            refusals.set(name, (refusals.get(name) ?? 0) + 1);
+            refusedJobs.set(name, (refusedJobs.get(name) ?? new Set()).add(id));
         },
         countPaceChange: () => {
             paceChanges += 1;
@@ -178,6 +208,7 @@
                 const counts = {
                     paceChanges,
                     refusals: refusals.get(kind.name) ?? 0,
+                    refusedJobs: refusedJobs.get(kind.name) ?? new Set<string>(),
                     starts: starts.none + starts.near + starts.far,
                     nearStarts: starts.near,
                     farStarts: starts.far,
@@ -193,17 +224,25 @@
                         attainableValue: totals.attainableValue,
                         earnedShare: totals.earnedValue / totals.attainableValue,
                         inTimeShare: totals.servingSamples / totals.taskSamples,
+                        largestInTimeShare: 0,
+                        nextLargestInTimeShare: 0,
                         overTargetShare: totals.overTargetSamples / totals.taskSamples,
                         ...counts,
+                        jobsInTime: new Set<string>(),
                     };
                 }
-                const { attainableValue, earnedValue, inTimeShare } = summarizeJobs(kind, jobsOfKind, state, epochMs);
+                const { attainableValue, earnedValue, ...inTimeShares } = summarizeJobs(
+                    kind,
+                    jobsOfKind,
+                    state,
+                    epochMs,
+                );
                 return {
                     kind: kind.name,
                     jobs: jobsOfKind.length,
                     attainableValue,
                     earnedShare: earnedValue / attainableValue,
-                    inTimeShare,
+                    ...inTimeShares,
                     overTargetShare: 0,
                     ...counts,
                 };
