--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -21,7 +21,7 @@
 import { Effect, Option, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
-import { hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
+import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
@@ -44,12 +44,11 @@
  */
 const reportIntervalMs = 900;
 /**
- * Longest such delay while the worker runs tasks whose interference is not known yet, or that show its speed, in
- * milliseconds. A worker whose tasks end as usual answers as often without it.
+ * Longest such delay while the worker runs tasks whose interference is not known yet, or while it seems slow, in milliseconds.
  */
 const learningIntervalMs = 300;
-/** Number of workers up to which those with such tasks report as often; the answers of more cost the leader too much. */
-const observedWorkerLimit = 600;
+/** Speed below which a worker counts as doubtful, so that its recovery is seen soon. Reports of all workers are not worth their price. */
+const doubtfulSpeed = 0.9;
 /** Longest such delay while a run is on trial, so that others may soon start on the worker, in milliseconds. */
 const trialIntervalMs = 200;
 /** Time beyond this delay after which a renewal counts as lost, in milliseconds. */
@@ -215,19 +214,19 @@
     return true;
 });
 
-/** Whether reports on the progress of the runs on a worker are wanted soon, to learn its speed. */
-function isSpeedObserved(term: Term, state: WorkerState | undefined): boolean {
-    return term.speeds !== undefined && state !== undefined && term.sessions.size <= observedWorkerLimit
-        && hasComparableRuns(state);
+/** Whether a worker seems slow and runs tasks whose progress shows its speed. */
+function isSpeedDoubtful(term: Term, state: WorkerState | undefined, nowMs: number): boolean {
+    return state !== undefined && hasComparableRuns(state)
+        && (createSpeedReader(term, nowMs)?.(state.info.id) ?? 1) < doubtfulSpeed;
 }
 
-function chooseWaitMs(term: Term, session: WorkerSession): number {
+function chooseWaitMs(term: Term, session: WorkerSession, nowMs: number): number {
     const state = findWorkerState(term, session);
     if (state !== undefined && hasTrial(state, session.runStatuses)) {
         return trialIntervalMs;
     }
     const isLearning = state !== undefined && hasUncertainPairs(state, session.runStatuses, term.interference);
-    return isLearning || isSpeedObserved(term, state) ? learningIntervalMs : reportIntervalMs;
+    return isLearning || isSpeedDoubtful(term, state, nowMs) ? learningIntervalMs : reportIntervalMs;
 }
 
 /** Sends one renewal; the answer carries the time at which it was sent. */
@@ -281,7 +280,7 @@
  * started again.
  */
 const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
-    const waitMs = session.isResponsive ? chooseWaitMs(term, session) : 0;
+    const waitMs = session.isResponsive ? chooseWaitMs(term, session, yield* readMonotonicMs) : 0;
     const { answer, sentAtMs } = session.isResponsive
         ? yield* sendRenewal(term, session, waitMs, waitMs + renewGraceMs)
         : yield* renewSilentWorker(term, session);
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -18,7 +18,7 @@
 import { drawWorkMs, getRunRandom } from "./simulated-copies.js";
 import { createQueue } from "./simulated-pool.js";
 import { findDistance, recordRunTime } from "./simulated-racks.js";
-import { speedReportIntervalMs } from "./simulated-speeds.js";
+import { doubtfulSpeed } from "./simulated-speeds.js";
 import { computeResumedMs, formatCheckpoint, isStopped } from "./simulated-stops.js";
 import { advanceWorker, type SimulatedRun } from "./simulated-workers.js";
 import { createSimulation, epochMs, type ReplayOptions, reportIntervalMs, type Simulation } from "./simulation.js";
@@ -26,7 +26,7 @@
 
 /** Length of one simulation step, in milliseconds. */
 const stepMs = 20;
-/** Report interval of a worker that runs pairs of images with unknown interference, in milliseconds. */
+/** Report interval of a worker that runs pairs of images with unknown interference or seems slow, in milliseconds. */
 const learningReportIntervalMs = 300;
 /** Interval at which paces are planned, in milliseconds. */
 const paceIntervalMs = 160;
@@ -103,8 +103,14 @@
     }
 }
 
-function chooseReportIntervalMs({ speeds }: Simulation, hasPairsToLearn: boolean): number {
-    return hasPairsToLearn ? learningReportIntervalMs : speeds === undefined ? reportIntervalMs : speedReportIntervalMs;
+function chooseReportIntervalMs(
+    { speeds }: Simulation,
+    worker: string,
+    hasPairsToLearn: boolean,
+    nowMs: number,
+): number {
+    const isDoubtful = speeds !== undefined && speeds.predictSpeed(worker, nowMs) < doubtfulSpeed;
+    return hasPairsToLearn || isDoubtful ? learningReportIntervalMs : reportIntervalMs;
 }
 
 function reportWorkers(simulation: Simulation, nowMs: number): void {
@@ -115,7 +121,7 @@
         const hasPairsToLearn = state !== undefined && statuses !== undefined
             && hasUncertainPairs(state, statuses, simulation.interference);
         if (
-            nowMs - lastMs < chooseReportIntervalMs(simulation, hasPairsToLearn) || state === undefined
+            nowMs - lastMs < chooseReportIntervalMs(simulation, worker, hasPairsToLearn, nowMs) || state === undefined
             || statuses === undefined
             || history === undefined
         ) {
--- a/packages/replay-jobs/src/simulated-speeds.ts
+++ b/packages/replay-jobs/src/simulated-speeds.ts
@@ -4,8 +4,8 @@
 import type { RunStatuses } from "@chestnutspool/track-workers";
 import type { RunEnd } from "@chestnutspool/types";
 
-/** Longest report interval while speeds are learnt, in milliseconds; the same as that of the leader. */
-export const speedReportIntervalMs = 300;
+/** Speed below which a worker reports more often; the same as that of the leader. */
+export const doubtfulSpeed = 0.9;
 
 /** Learns the speeds of the workers of a replay as the leader does. */
 export interface SimulatedSpeeds {
