Merge the parts for contended and uneven load

Change: evacuation of zones, speculative copies, worker speeds, preemption, fair sharing, early refusal, waits for a better placement.

--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -1,10 +1,11 @@
 export { findQueue, formatQueueKey } from "./change-jobs.js";
-export { countFailures } from "./change-runs.js";
+export { canCopyRun, countFailures } from "./change-runs.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
 export {
     acceptsStarts,
     computeReservation,
     createJob,
+    findReadyAtMs,
     isJobEnded,
     isStepReady,
     type JobOccurrence,
@@ -12,6 +13,7 @@
     type JobState,
     type JobStep,
     type JobTask,
+    type RecordedSpeed,
     type RunInProgress,
     type TaskCrashes,
     type WorkerRun,
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -11,6 +11,7 @@
     StepSpec,
     WorkerId,
     WorkerInfo,
+    WorkerSpeedEstimate,
 } from "@chestnutspool/types";
 
 /** A run that may be executing on a worker: its start is recorded and its end is not. */
@@ -64,6 +65,11 @@
     /** Number of runs of a gang that ended because a member failed, and the number of the last such run. */
     gangFailures: number;
     lastFailedGangRun: number;
+    /**
+     * Wall-clock time at which its last task was done, in milliseconds since the epoch; undefined while one is not, and if an
+     * earlier build recorded it.
+     */
+    doneAtMs: number | undefined;
 }
 
 /** State of one occurrence of a job, which runs all its steps once. */
@@ -126,6 +132,12 @@
     readonly begun: Set<string>;
 }
 
+/** Speed of a worker and when a leader recorded it, in milliseconds of wall-clock time since the epoch. */
+export interface RecordedSpeed {
+    readonly estimate: WorkerSpeedEstimate;
+    readonly recordedAtMs: number;
+}
+
 /** The whole state of jobs; only the state machine changes it. */
 export interface JobState {
     /** Highest wall-clock time seen in a command, in milliseconds since the epoch. */
@@ -142,6 +154,8 @@
     readonly waves: Map<number, WaveState>;
     /** Interference estimates for pairs of images, by both image names, least recently recorded first. */
     readonly disturbances: Map<string, DisturbanceEstimate>;
+    /** Speeds of workers as the last leaders recorded them, by worker. */
+    readonly workerSpeeds: Map<WorkerId, RecordedSpeed>;
     /** All services that a queue has ever been configured with, by `formatQueueKey`. */
     readonly servicesByQueue: Map<string, Set<string>>;
 }
@@ -158,6 +172,7 @@
         evacuatedZones: new Set(),
         waves: new Map(),
         disturbances: new Map(),
+        workerSpeeds: new Map(),
         servicesByQueue: new Map(),
     };
 }
@@ -197,7 +212,25 @@
         });
         waiting.add(index);
     }
-    return { spec, position, tasks, tasksLeft: spec.count, waiting, gangFailures: 0, lastFailedGangRun: 0 };
+    return {
+        spec,
+        position,
+        tasks,
+        tasksLeft: spec.count,
+        waiting,
+        gangFailures: 0,
+        lastFailedGangRun: 0,
+        doneAtMs: undefined,
+    };
+}
+
+/**
+ * Finds when a step could first start, in milliseconds since the epoch: when its occurrence was due, or when the last of
+ * the steps on which it depends was done. A step that an earlier build recorded as done counts as done at acceptance.
+ */
+export function findReadyAtMs(job: JobRecord, occurrence: JobOccurrence, step: JobStep): number {
+    const dueAtMs = occurrence.dueAtMs ?? job.acceptedAtMs;
+    return Math.max(dueAtMs, ...step.spec.dependsOn.map(position => occurrence.steps[position]?.doneAtMs ?? dueAtMs));
 }
 
 /** Creates an occurrence none of whose tasks has run. */
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -1,4 +1,5 @@
 import { formatRunKey, formatTaskKey, isJobEnded } from "@chestnutspool/job-state";
+import { planCopies } from "@chestnutspool/plan-copies";
 import {
     createPlanMemory,
     listObsoleteRuns,
@@ -7,14 +8,25 @@
     type PlanMemory,
     planStarts,
 } from "@chestnutspool/plan-jobs";
+import {
+    createPreemptionMemory,
+    listReservations,
+    planPreemptions,
+    type PreemptionMemory,
+} from "@chestnutspool/plan-preemption";
 import { createRunStatus, isStartTimedOut } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RunStart, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
 import { adaptRatings } from "./adapt-ratings.js";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
+import { createSpeedReader } from "./learn-speeds.js";
+import { logCopies, logCopyOutcomes } from "./log-copies.js";
 import { logStarts, logWaitingSteps } from "./log-decisions.js";
+import { logGivenTurns } from "./log-shares.js";
 import { computePassPauseMs } from "./pass-pause.js";
+import { computeIdlePauseMs, logEndedWaits } from "./placement-waits.js";
+import { carryOutPreemptions } from "./preempt-runs.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
@@ -72,7 +84,9 @@
     term.load.refusedStarts += refused.size;
     const recorded = starts.filter((start, position) => !refused.has(position));
     logStarts(term, recorded);
-    const ordered = createRunStatuses(term, recorded, yield* readMonotonicMs);
+    const recordedMs = yield* readMonotonicMs;
+    logCopies(term, recorded, recordedMs);
+    const ordered = createRunStatuses(term, recorded, recordedMs);
     let startsInTurn = 0;
     for (const { session, run, status } of ordered) {
         // The run or the worker may have gone while other work had the thread.
@@ -172,6 +186,7 @@
 /** What the planner of a term keeps from one pass to the next. Times are monotonic, in milliseconds. */
 interface PlannerState {
     readonly memory: PlanMemory;
+    readonly preemption: PreemptionMemory;
     /** Last logged reason why each step waits, by its key. */
     readonly loggedReasons: Map<string, string>;
     /** When the reasons were last checked. */
@@ -197,6 +212,7 @@
 function createPlannerState(): PlannerState {
     return {
         memory: createPlanMemory(),
+        preemption: createPreemptionMemory(),
         loggedReasons: new Map(),
         reasonsCheckedAtMs: Number.NEGATIVE_INFINITY,
         scannedAtMs: Number.NEGATIVE_INFINITY,
@@ -210,6 +226,7 @@
  */
 const runPass = Effect.fnUntraced(function*(term: Term, planner: PlannerState) {
     const nowMs = yield* readMonotonicMs;
+    const { stopMs } = term.limits;
     planner.passMs = 0;
     const startLimits = yield* measureStep(planner, () => listStartLimits(term, nowMs));
     const input: PlanInput = {
@@ -219,18 +236,34 @@
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         interference: term.interference,
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
+        predictSpeed: createSpeedReader(term, nowMs),
+        reservations: listReservations(planner.preemption, term.machine.state, stopMs, nowMs),
+        placementWaits: term.placementWaits,
     };
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
     const starts = yield* measureStep(planner, () => planStarts(input, wallMs, planner.memory));
+    const preemptionPlan = yield* measureStep(
+        planner,
+        () => planPreemptions({ ...input, starts, wallMs, stopMs }, planner.preemption, nowMs),
+    );
+    logCopyOutcomes(term, nowMs);
+    const copies = yield* measureStep(
+        planner,
+        () => planCopies({ ...input, starts, wallMs, memory: term.copies }, nowMs),
+    );
     const tookMs = planner.passMs;
     planner.memory.ratingsPerPass = adaptRatings(planner.memory.ratingsPerPass, tookMs, planner.memory.hasStepsLeft);
     recordPass(term.load, tookMs);
-    yield* carryOutStarts(term, starts);
+    logEndedWaits(term);
+    yield* carryOutStarts(term, [...starts, ...copies]);
+    // A leader that could not commit its starts has failed before this and stops nothing.
+    yield* carryOutPreemptions(term, preemptionPlan, nowMs);
     if (nowMs - planner.reasonsCheckedAtMs >= waitCheckIntervalMs) {
         planner.reasonsCheckedAtMs = nowMs;
         // Those that this or an earlier leader could not give up at once.
         yield* giveUpDeadlyJobs(term);
+        logGivenTurns(term, planner.memory.contention);
         logWaitingSteps(term, input, planner.loggedReasons, wallMs);
     }
     return tookMs;
@@ -256,7 +289,8 @@
         }
         const endedMs = yield* readMonotonicMs;
         if (!planner.memory.hasStepsLeft) {
-            yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), idlePauseMs);
+            const pauseMs = computeIdlePauseMs(term, idlePauseMs, yield* readTermMs(term));
+            yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), pauseMs);
         }
         yield* Effect.sleep(computePassPauseMs(tookMs, (yield* readMonotonicMs) - endedMs));
     }
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -1,5 +1,6 @@
 import { describeError } from "@chestnutspool/errors";
 import { createInterferenceModel } from "@chestnutspool/learn-interference";
+import { createCopyMemory } from "@chestnutspool/plan-copies";
 import {
     type ErrorData,
     type JobReply,
@@ -11,7 +12,9 @@
 import { Effect, FiberMap, Queue } from "effect";
 import { createAdmission } from "./admission.js";
 import { handleInTerm } from "./handle-request.js";
+import { createSpeedLearning, runSpeedRecording } from "./learn-speeds.js";
 import { openSession } from "./open-session.js";
+import { createPlacementWaits } from "./placement-waits.js";
 import { runDisturbanceRecording } from "./record-disturbances.js";
 import { runLoadReport } from "./report-load.js";
 import { runPacing } from "./run-pacing.js";
@@ -63,19 +66,23 @@
     yield* dependencies.log.confirmRead;
     const scope = yield* Effect.scope;
     const openedAtMs = yield* readMonotonicMs;
+    const wallMs = yield* readWallMs;
     const term: Term = {
         ...dependencies,
         number,
         openedAtMs,
-        clock: createSteadyClock(openedAtMs, yield* readWallMs),
+        clock: createSteadyClock(openedAtMs, wallMs),
         scope,
         sessions: new Map(),
         sessionLoops: yield* FiberMap.make<WorkerId>(),
         failedWorkerByTask: new Map(),
         runTimesByStep: new Map(),
+        copies: createCopyMemory(),
         givenUpJobs: new Set(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
+        speeds: createSpeedLearning(dependencies, wallMs, openedAtMs),
+        placementWaits: createPlacementWaits(dependencies.limits),
         load: createTermLoad(),
         admission: createAdmission(),
         isFenced: false,
@@ -118,6 +125,7 @@
             yield* Effect.forkScoped(superviseLoop(term, "planner", context, runPlanner(term)));
             yield* Effect.forkScoped(superviseLoop(term, "pacing", context, runPacing(term)));
             yield* Effect.forkScoped(superviseLoop(term, "disturbances", context, runDisturbanceRecording(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "speeds", context, runSpeedRecording(term)));
             yield* Effect.forkScoped(superviseLoop(term, "loadReport", context, runLoadReport(term)));
             yield* Effect.forkScoped(superviseLoop(term, "stepDown", context, runStepDown(term)));
             // An exception here must not open the term again, because its orders may still be under way.
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -1,7 +1,10 @@
 import { describeError } from "@chestnutspool/errors";
 import type { JobMachine } from "@chestnutspool/job-state";
 import type { InterferenceModel, UsageHistory } from "@chestnutspool/learn-interference";
+import type { SpeedModel } from "@chestnutspool/learn-worker-speed";
 import type { Logger } from "@chestnutspool/logger";
+import type { CopyMemory } from "@chestnutspool/plan-copies";
+import type { PlacementWaits } from "@chestnutspool/plan-jobs";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import type { RunStatuses, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
 import {
@@ -30,6 +33,13 @@
     readonly stopMs: number;
     /** Availability zones of the deployment; workers may be in others. */
     readonly availabilityZones: readonly string[];
+    /** Whether the leader learns the speeds of workers and avoids slow ones; it does not by default. */
+    readonly learnsWorkerSpeed?: boolean;
+    /**
+     * How many times longer a task runs outside of the rack that it prefers. Tasks wait for that rack only if this is above 1;
+     * undefined: 1.
+     */
+    readonly remoteRunFactor?: number | undefined;
 }
 
 /** Dependencies of the leader. */
@@ -89,6 +99,16 @@
     readonly health: WorkerHealth;
 }
 
+/** Speeds of the workers as a term has learnt them. */
+export interface SpeedLearning {
+    readonly model: SpeedModel;
+    /** Time of the log from which on this leader has ordered the starts, in milliseconds since the epoch. */
+    readonly sinceMs: number;
+    /** Useful speeds that the planner has asked for since `predictedAtMs`, in monotonic milliseconds. */
+    readonly predicted: Map<WorkerId, number>;
+    predictedAtMs: number;
+}
+
 /** One term of this replica as leader. */
 export interface Term extends LeaderDependencies {
     readonly number: number;
@@ -103,11 +123,17 @@
     readonly failedWorkerByTask: Map<string, WorkerId>;
     /** Run times of the successful runs of each step, by step key; only the latest steps are kept. */
     readonly runTimesByStep: Map<string, { readonly runs: number; readonly totalMs: number; }>;
+    /** Copies of slow tasks, and the run times that they are decided by. */
+    readonly copies: CopyMemory;
     /** Jobs that are being given up, so that this happens once. */
     readonly givenUpJobs: Set<JobId>;
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
+    /** Undefined if speeds are not learnt. */
+    readonly speeds: SpeedLearning | undefined;
+    /** Waits of tasks for the rack that they prefer; undefined if none does. */
+    readonly placementWaits: PlacementWaits | undefined;
     /** Work since the last line about the load of the leader. */
     readonly load: TermLoad;
     /** What the decision about new jobs needs. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,5 +1,6 @@
-import { formatRunKey, formatTaskKey } from "@chestnutspool/job-state";
+import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
+import { observeRunEnd } from "@chestnutspool/plan-copies";
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
 import {
     applyReport,
@@ -20,9 +21,11 @@
 import { Effect, Option, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
+import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { sendStop } from "./send-orders.js";
+import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
 import {
     canSendOrders,
@@ -40,8 +43,12 @@
  * reports.
  */
 const reportIntervalMs = 900;
-/** Longest such delay while the worker runs tasks whose interference is not known yet, in milliseconds. */
+/**
+ * Longest such delay while the worker runs tasks whose interference is not known yet, or while it seems slow, in milliseconds.
+ */
 const learningIntervalMs = 300;
+/** Speed below which a worker counts as doubtful, so that its recovery is seen soon. Reports of all workers are not worth their price. */
+const doubtfulSpeed = 0.9;
 /** Longest such delay while a run is on trial, so that others may soon start on the worker, in milliseconds. */
 const trialIntervalMs = 200;
 /** Time beyond this delay after which a renewal counts as lost, in milliseconds. */
@@ -106,7 +113,13 @@
             checkpoint,
         }));
         const nowMs = yield* readMonotonicMs;
-        ends.forEach(end => rateRunEnd(term, session, end, nowMs));
+        const wallMs = yield* readTermMs(term);
+        for (const end of ends) {
+            rateRunEnd(term, session, end, nowMs);
+            const run = findWorkerState(term, session)?.runs.get(formatRunKey(end));
+            const status = session.runStatuses.get(formatRunKey(end));
+            observeRunEnd(term.copies, session.info, run, status, end, nowMs, wallMs);
+        }
         const phases = readPhases(term, ends);
         yield* propose(term, { kind: "endRuns", worker: session.info.id, ends });
         for (const end of ends) {
@@ -160,6 +173,7 @@
     const outcome = applyReport(state, session.runStatuses, answer, sentAtMs, nowMs);
     recordUsage(state, session.runStatuses, session.usage, nowMs);
     observeMargins(state, session.runStatuses, term.interference, session.usage, nowMs);
+    observeReportedRuns(term, session, state, nowMs);
     yield* recordEnds(term, session, outcome);
     session.isReconciled ||= answer.isComplete;
     for (const orphan of outcome.orphanedRuns) {
@@ -200,13 +214,19 @@
     return true;
 });
 
-function chooseWaitMs(term: Term, session: WorkerSession): number {
+/** Whether a worker seems slow and runs tasks whose progress shows its speed. */
+function isSpeedDoubtful(term: Term, state: WorkerState | undefined, nowMs: number): boolean {
+    return state !== undefined && hasComparableRuns(state)
+        && (createSpeedReader(term, nowMs)?.(state.info.id) ?? 1) < doubtfulSpeed;
+}
+
+function chooseWaitMs(term: Term, session: WorkerSession, nowMs: number): number {
     const state = findWorkerState(term, session);
     if (state !== undefined && hasTrial(state, session.runStatuses)) {
         return trialIntervalMs;
     }
     const isLearning = state !== undefined && hasUncertainPairs(state, session.runStatuses, term.interference);
-    return isLearning ? learningIntervalMs : reportIntervalMs;
+    return isLearning || isSpeedDoubtful(term, state, nowMs) ? learningIntervalMs : reportIntervalMs;
 }
 
 /** Sends one renewal; the answer carries the time at which it was sent. */
@@ -260,7 +280,7 @@
  * started again.
  */
 const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
-    const waitMs = session.isResponsive ? chooseWaitMs(term, session) : 0;
+    const waitMs = session.isResponsive ? chooseWaitMs(term, session, yield* readMonotonicMs) : 0;
     const { answer, sentAtMs } = session.isResponsive
         ? yield* sendRenewal(term, session, waitMs, waitMs + renewGraceMs)
         : yield* renewSilentWorker(term, session);
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -1,7 +1,11 @@
+export type { ContentionMemory } from "./contended-pools.js";
 export { describeWait } from "./describe-wait.js";
+export { computeFreeLater } from "./hold-workers.js";
+export { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 export { listObsoleteRuns } from "./list-obsolete-runs.js";
 export { listStalledRuns } from "./list-stalled-runs.js";
 export { hasUncertainPairs, observeMargins, recordUsage } from "./observe-report.js";
+export { describeObservedRun, getWorkerPlace, observeSpeeds } from "./observe-speeds.js";
 export { createPlanMemory, type PlanMemory } from "./plan-memory.js";
 export { type PaceChange, planPaces } from "./plan-paces.js";
 export { listCandidates, type PlanInput, planStarts } from "./plan-starts.js";
@@ -13,5 +17,15 @@
     type Lateness,
     predictLateness,
 } from "./predict-lateness.js";
-export { listWaitingSteps, type WaitingStep } from "./waiting-steps.js";
-export { findRack } from "./worker-candidate.js";
+export { isOutsideRack, type PlacementWaits } from "./rack-wants.js";
+export { findObstacle } from "./rate-workers.js";
+export { listStartable } from "./startable-tasks.js";
+export { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
+export {
+    type CapacityReservation,
+    findRack,
+    hasCapacity,
+    isEligible,
+    reserveCapacity,
+    type WorkerCandidate,
+} from "./worker-candidate.js";
--- a/packages/replay-jobs/src/generate-jobs.ts
+++ b/packages/replay-jobs/src/generate-jobs.ts
@@ -1,5 +1,5 @@
 import type { JobDefinition, StepSpec } from "@chestnutspool/types";
-import type { JobKind, Load } from "./load.js";
+import type { HotRack, JobKind, Load } from "./load.js";
 import type { Random } from "./random.js";
 
 /** A job of the replay, including the true figures that the planner does not see. */
@@ -29,6 +29,7 @@
     random: Random,
     workMs: number,
     perWorkerLimit: number | undefined,
+    speculative: boolean,
 ): StepSpec {
     const { execution } = kind;
     const image = execution.kind === "reserved"
@@ -54,7 +55,7 @@
         requiredLabel: undefined,
         rackOfData: undefined,
         perWorkerLimit,
-        speculative: false,
+        speculative,
         longRunning: execution.kind === "serving",
         image,
         tailTargetMs: execution.kind === "serving" ? execution.targetMs : undefined,
@@ -66,23 +67,42 @@
 /** Standard deviation of the run times within one step, as a share of their mean. */
 const runTimeSpread = 0.2;
 
-function createJob(kind: JobKind, number: number, arrivesAtMs: number, random: Random): SimulatedJob {
+/** Draws whether a job wants the hot rack. */
+function drawWantsRack(kind: JobKind, arrivesAtMs: number, hotRack: HotRack | undefined, random: Random): boolean {
+    const atMs = arrivesAtMs - warmUpMs;
+    return hotRack !== undefined && hotRack.kind === kind.name
+        && hotRack.periods.some(({ fromMs, untilMs }) => atMs >= fromMs && atMs < untilMs)
+        && random.drawShare() < hotRack.share;
+}
+
+function createJob(
+    kind: JobKind,
+    number: number,
+    arrivesAtMs: number,
+    random: Random,
+    hotRack: HotRack | undefined,
+): SimulatedJob {
     const stepCount = Math.max(1, Math.round(random.drawSize(kind.steps.mean, kind.steps.spread, kind.steps.largest)));
     const steps: StepSpec[] = [];
     const workMs: number[][] = [];
+    // Without a random number for the other loads, so that they stay as they are.
+    const speculative = kind.speculativeShare !== undefined && random.drawShare() < kind.speculativeShare;
     for (let position = 0; position < stepCount; position += 1) {
         const meanMs = random.drawSize(kind.workMs.mean, kind.workMs.spread, kind.workMs.largest);
-        const step = createStep(kind, position, random, meanMs, choosePerWorkerLimit(kind, number));
+        const step = createStep(kind, position, random, meanMs, choosePerWorkerLimit(kind, number), speculative);
         steps.push(step);
         workMs.push(Array.from({ length: step.count }, () => random.drawSize(meanMs, runTimeSpread, meanMs * 3)));
     }
     const { execution } = kind;
+    const wantsRack = drawWantsRack(kind, arrivesAtMs, hotRack, random);
+    const rackOfData = wantsRack && hotRack?.isNamed === true ? hotRack.rack : undefined;
+    const prefersOneRack = wantsRack && hotRack?.isNamed === false;
     return {
         kind,
         definition: {
             id: `${kind.name}${number}`,
             payload: "",
-            steps,
+            steps: wantsRack ? steps.map(step => ({ ...step, rackOfData, prefersOneRack })) : steps,
             occurrences: 1,
             firstAtMs: undefined,
             intervalMs: 0,
@@ -99,17 +119,27 @@
 /** Time before the measured traffic in which the initial jobs arrive, in milliseconds. */
 export const warmUpMs = 6_000;
 
+/** Mean time between two jobs that arrive at `atMs`. A burst ends each period. */
+function computeGapMs({ jobsPerSecond, bursts }: JobKind, atMs: number): number {
+    const gapMs = 1000 / jobsPerSecond;
+    if (bursts === undefined) {
+        return gapMs;
+    }
+    const isBurst = (atMs - warmUpMs) % bursts.periodMs >= bursts.periodMs - bursts.lengthMs;
+    return isBurst ? gapMs / bursts.factor : gapMs;
+}
+
 /** Generates the jobs of a load over `lengthMs` of traffic, in order of arrival. */
 export function generateJobs(load: Load, lengthMs: number, random: Random): SimulatedJob[] {
     const jobs: SimulatedJob[] = [];
     for (const kind of load.kinds) {
         let number = 0;
         for (; number < kind.initialJobs; number += 1) {
-            jobs.push(createJob(kind, number, random.drawShare() * warmUpMs, random));
+            jobs.push(createJob(kind, number, random.drawShare() * warmUpMs, random, undefined));
         }
-        const gapMs = 1000 / kind.jobsPerSecond;
-        for (let atMs = warmUpMs + random.drawGap(gapMs); atMs < warmUpMs + lengthMs; atMs += random.drawGap(gapMs)) {
-            jobs.push(createJob(kind, number, atMs, random));
+        const drawNextMs = (fromMs: number): number => fromMs + random.drawGap(computeGapMs(kind, fromMs));
+        for (let atMs = drawNextMs(warmUpMs); atMs < warmUpMs + lengthMs; atMs = drawNextMs(atMs)) {
+            jobs.push(createJob(kind, number, atMs, random, load.hotRack));
             number += 1;
         }
     }
--- a/packages/replay-jobs/src/load.ts
+++ b/packages/replay-jobs/src/load.ts
@@ -10,6 +10,8 @@
     readonly targetLatencyMs: number;
     /** Mean arrival rate. */
     readonly jobsPerSecond: number;
+    /** Times in which jobs arrive `factor` times as often; undefined if the rate is constant. */
+    readonly bursts?: { readonly factor: number; readonly lengthMs: number; readonly periodMs: number; } | undefined;
     /** Jobs that have arrived when the traffic starts. */
     readonly initialJobs: number;
     readonly steps: { readonly mean: number; readonly spread: number; readonly largest: number; };
@@ -24,6 +26,10 @@
     readonly failureShare: number;
     /** Whether every second job limits the tasks of a step on one worker, to one, two or three. */
     readonly limitsTasksPerWorker: boolean;
+    /** Share of the jobs whose steps allow copies of their tasks; by default none do. */
+    readonly speculativeShare?: number;
+    /** Runs that take longer than usual by a factor, which the planner does not know; by default none do. */
+    readonly slowRuns?: { readonly share: number; readonly factor: number; };
     /** Value of a job that ends in time; for a serving job, the value of each measured interval. */
     readonly value: number;
     /** Value of a job that ends late. */
@@ -51,6 +57,17 @@
         };
 }
 
+/** Jobs of one kind that want the same rack for some seconds. Times are in milliseconds since the start of the traffic. */
+export interface HotRack {
+    readonly kind: string;
+    readonly rack: string;
+    /** Share of the jobs that want it. */
+    readonly share: number;
+    readonly periods: readonly { readonly fromMs: number; readonly untilMs: number; }[];
+    /** Whether the jobs name the rack, as that of their data, or only want any one rack for each step. */
+    readonly isNamed: boolean;
+}
+
 /** The workers of a replay and the jobs that arrive at them. */
 export interface Load {
     readonly workers: number;
@@ -72,6 +89,35 @@
     readonly contendingShare: number;
     /** Number of starts that the leader can order in one second; undefined if only the workers limit them. */
     readonly startsPerSecond: number | undefined;
+    /** How runs are stopped and resumed, in milliseconds; undefined: stops take no time and lose all work. */
+    readonly stops?: {
+        readonly stopMs: number;
+        /** Interval at which a checkpointing task saves its progress. */
+        readonly checkpointMs: number;
+        /** Time that a run takes to resume from a checkpoint. */
+        readonly restoreMs: number;
+    };
+    /** How the workers differ for some time; by default they are all alike. */
+    readonly unevenness?: Unevenness;
+    /** How many times longer a task runs outside of the rack that it prefers. */
+    readonly farFactor: number;
+    /** Undefined if no job prefers a rack. */
+    readonly hotRack: HotRack | undefined;
+}
+
+/** Workers that are slow, and a zone that fails part of its work, for some seconds in each period. */
+export interface Unevenness {
+    readonly periodMs: number;
+    /** Share of the workers that are slow in each period; others each time. */
+    readonly slowShare: number;
+    /** Speed of these workers. */
+    readonly slowSpeed: number;
+    /** Time for which they are slow, and for which the zone fails work, in milliseconds. */
+    readonly slowMs: number;
+    readonly failingMs: number;
+    /** Number of zones; one of them fails this share of what starts there, another one in each period. */
+    readonly zones: number;
+    readonly failingShare: number;
 }
 
 /** Load of the ash advisory service: short checks, long forecasts on idle processors, and watches. */
@@ -85,6 +131,8 @@
     otherDisturbance: 0.25,
     contendingShare: 0.65,
     startsPerSecond: undefined,
+    farFactor: 1,
+    hotRack: undefined,
     kinds: [
         {
             name: "check",
@@ -158,7 +206,8 @@
     ],
 };
 
-function createKindVariant(kind: JobKind, changes: Partial<JobKind>): JobKind {
+/** Creates a kind of job that differs from another one. */
+export function createKindVariant(kind: JobKind, changes: Partial<JobKind>): JobKind {
     return { ...kind, ...changes };
 }
 
@@ -278,3 +327,48 @@
     ...wholesaleLoad,
     startsPerSecond: 80,
 };
+
+/**
+ * Load of a third of a pool of 245 workers on which a sixth of the workers are five times slower for 6.5 s, and a zone fails
+ * 45% of its work.
+ */
+export const unevenLoad: Load & { readonly unevenness: Unevenness; } = {
+    ...wholesaleLoad,
+    workers: 82,
+    milliCpu: 64_000,
+    memoryMib: 250_000,
+    workersPerRack: 12,
+    kinds: [
+        createKindVariant(check, {
+            jobsPerSecond: 2.2,
+            maxAttempts: 3,
+            targetLatencyMs: 300,
+            tasksPerStep: { mean: 10, spread: 0.8, largest: 60 },
+            workMs: { mean: 850, spread: 0.5, largest: 2_100 },
+            milliCpu: { mean: 8_100, spread: 0.45, largest: 24_000 },
+            estimateSpread: 1,
+        }),
+        createKindVariant(forecast, {
+            jobsPerSecond: 2.55,
+            maxAttempts: 3,
+            tasksPerStep: { mean: 20, spread: 0.6, largest: 80 },
+            workMs: { mean: 2_300, spread: 0.5, largest: 5_800 },
+            milliCpu: { mean: 7_000, spread: 0.3, largest: 14_000 },
+            estimateSpread: 1,
+        }),
+        createKindVariant(watch, {
+            jobsPerSecond: 0.134,
+            initialJobs: 20,
+            tasksPerStep: { mean: 14, spread: 0.4, largest: 28 },
+        }),
+    ],
+    unevenness: {
+        periodMs: 13_000,
+        slowShare: 0.16,
+        slowSpeed: 0.2,
+        slowMs: 6_500,
+        failingMs: 6_500,
+        zones: 3,
+        failingShare: 0.45,
+    },
+};
--- a/packages/replay-jobs/src/measure/measure-planning.ts
+++ b/packages/replay-jobs/src/measure/measure-planning.ts
@@ -1,7 +1,8 @@
 // Measures the processor time that the planner takes in replays: node packages/replay-jobs/dist/measure/measure-planning.js
 // [LOAD,...] [SEED] [LENGTH_MS]
 import { grownWholesaleLoad, type Load, overloadedLoad, wholesaleLoad } from "../load.js";
-import { type PlannerPart, replayLoad } from "../replay.js";
+import { replayLoad } from "../replay.js";
+import type { PlannerPart } from "../simulation.js";
 
 const loads: Readonly<Record<string, Load>> = {
     wholesale: wholesaleLoad,
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -1,39 +1,35 @@
-import { createJobMachine, formatRunKey, type JobMachine, type WorkerRun } from "@chestnutspool/job-state";
+import { formatRunKey, type WorkerRun } from "@chestnutspool/job-state";
 import {
-    createInterferenceModel,
-    createUsageHistory,
-    type InterferenceModel,
-    type UsageHistory,
-} from "@chestnutspool/learn-interference";
-import {
-    createPlanMemory,
     hasUncertainPairs,
     listObsoleteRuns,
     listStalledRuns,
     observeMargins,
-    type PlanMemory,
+    type PlanInput,
     planPaces,
     planStarts,
     recordUsage,
 } from "@chestnutspool/plan-jobs";
-import { createRunStatus, type RunStatuses } from "@chestnutspool/track-workers";
-import type { QueueSettings, RunEnd, RunKey, RunOutcome, RunStart, WorkerInfo } from "@chestnutspool/types";
+import { takeEndedWaits } from "@chestnutspool/plan-placement-waits";
+import { listReservations, planPreemptions, type PreemptionInput } from "@chestnutspool/plan-preemption";
+import { createRunStatus } from "@chestnutspool/track-workers";
+import type { RunEnd, RunKey, RunOutcome, RunStart } from "@chestnutspool/types";
 import { generateJobs, type SimulatedJob, warmUpMs } from "./generate-jobs.js";
-import type { JobKind, Load } from "./load.js";
-import { createRandom, type Random } from "./random.js";
-import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
-import { advanceWorker, drawDisturbances, type SimulatedRun } from "./simulated-workers.js";
-import { createTally, type Tally, type TallyRow } from "./tally.js";
+import type { Load } from "./load.js";
+import { drawWorkMs, getRunRandom } from "./simulated-copies.js";
+import { createQueue } from "./simulated-pool.js";
+import { findDistance, recordRunTime } from "./simulated-racks.js";
+import { doubtfulSpeed } from "./simulated-speeds.js";
+import { computeResumedMs, formatCheckpoint, isStopped } from "./simulated-stops.js";
+import { advanceWorker, type SimulatedRun } from "./simulated-workers.js";
+import { createSimulation, epochMs, type ReplayOptions, reportIntervalMs, type Simulation } from "./simulation.js";
+import type { TallyRow } from "./tally.js";
 
 /** Length of one simulation step, in milliseconds. */
 const stepMs = 20;
-/** Interval at which a worker reports while none of its runs ends, in milliseconds. */
-const reportIntervalMs = 900;
-/** Report interval of a worker that runs pairs of images with unknown interference, in milliseconds. */
+/** Report interval of a worker that runs pairs of images with unknown interference or seems slow, in milliseconds. */
 const learningReportIntervalMs = 300;
 /** Interval at which paces are planned, in milliseconds. */
 const paceIntervalMs = 160;
-const service = "pool";
 /** Number of times that a refused caller comes back. */
 const retryLimit = 4;
 const millisecondsPerSecond = 1_000;
@@ -43,14 +39,6 @@
 const partialUse = 0.68;
 /** Largest error of a tail latency reading, as a share of the true value. */
 const tailReadingErrorShare = 0.15;
-/** Start of the simulated wall clock; above 0, so that no timestamp is 0. */
-const epochMs = 1_000_000;
-
-/** Part of the planner that a replay calls. */
-export type PlannerPart = "planStarts" | "listStalledRuns" | "planPaces";
-
-/** Runs one call of a part of the planner, so that a tool can measure it. */
-export type PlannerCallRunner = <Result>(part: PlannerPart, call: () => Result) => Result;
 
 /** A caller's attempt to submit a job. */
 interface Attempt {
@@ -59,112 +47,22 @@
     readonly atMs: number;
 }
 
-interface Simulation {
-    readonly load: Load;
-    readonly runCall: PlannerCallRunner;
-    readonly machine: JobMachine;
-    readonly interference: InterferenceModel;
-    readonly random: Random;
-    readonly runsByWorker: Map<string, Map<string, SimulatedRun>>;
-    readonly runStatusesByWorker: Map<string, RunStatuses>;
-    readonly reportedAtMs: Map<string, number>;
-    readonly usageByWorker: Map<string, UsageHistory>;
-    readonly jobs: Map<string, SimulatedJob>;
-    readonly findDisturbance: (image: string, other: string) => number;
-    readonly planMemory: PlanMemory;
-    readonly tally: Tally;
-    /** Decides about new jobs; undefined if all are accepted. */
-    readonly admission: SimulatedAdmission | undefined;
-    /** Starts that the leader can still order at this moment. */
-    startAllowance: number;
-    commandIndex: number;
-}
-
-function createQueue(kind: JobKind): QueueSettings {
-    const { name, priority, maxAttempts, slackFactor, targetLatencyMs } = kind;
-    return {
-        name,
-        hostName: "host",
-        path: `/${name}/`,
-        service,
-        priority,
-        maxAttempts,
-        slackFactor,
-        targetLatencyMs,
-        timeoutMs: 3_000,
-        advice: undefined,
-    };
-}
-
-function createWorkerInfo(load: Load, number: number): WorkerInfo {
-    const size = load.sizeFactors[number % load.sizeFactors.length] ?? 1;
-    return {
-        id: `w${String(number).padStart(4, "0")}`,
-        address: "127.0.0.1:1",
-        service,
-        availabilityZone: "z",
-        capacity: { milliCpu: load.milliCpu * size, memoryMib: load.memoryMib * size, accelerators: 0 },
-        labels: ["a", `r${Math.floor(number / load.workersPerRack)}`],
-    };
-}
-
-function createSimulation(load: Load, seed: number, { hasAdmission, runCall }: Required<ReplayOptions>): Simulation {
-    const random = createRandom(seed);
-    const machine = createJobMachine();
-    const simulation: Simulation = {
-        load,
-        runCall,
-        machine,
-        interference: createInterferenceModel(),
-        random,
-        runsByWorker: new Map(),
-        runStatusesByWorker: new Map(),
-        reportedAtMs: new Map(),
-        usageByWorker: new Map(),
-        jobs: new Map(),
-        findDisturbance: drawDisturbances(load, random),
-        planMemory: createPlanMemory(),
-        tally: createTally(load),
-        admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
-        startAllowance: 0,
-        commandIndex: 0,
-    };
-    simulation.commandIndex += 1;
-    machine.applyCommand(simulation.commandIndex, {
-        kind: "setConfiguration",
-        nowMs: epochMs,
-        configuration: {
-            version: 1,
-            queues: load.kinds.map(createQueue),
-            pools: [{ name: service, healthPath: "/health", guardsCapacity: false, isStandby: false }],
-            bodyLimitBytes: 1,
-            document: new Uint8Array(0),
-        },
-    });
-    for (let number = 0; number < load.workers; number += 1) {
-        const worker = createWorkerInfo(load, number);
-        simulation.commandIndex += 1;
-        machine.applyCommand(simulation.commandIndex, { kind: "registerWorker", nowMs: epochMs, worker });
-        simulation.runsByWorker.set(worker.id, new Map());
-        simulation.runStatusesByWorker.set(worker.id, new Map());
-        simulation.usageByWorker.set(worker.id, createUsageHistory());
-        simulation.reportedAtMs.set(worker.id, simulation.random.drawShare() * reportIntervalMs);
-    }
-    return simulation;
-}
-
 function createRunKey({ job, occurrence, step, task, run }: WorkerRun): RunKey {
     return { job: job.id, occurrence: occurrence.number, step: step.position, position: task.position, run };
 }
 
 function endRun(simulation: Simulation, worker: string, run: SimulatedRun, outcome: RunOutcome, nowMs: number): void {
     const key = createRunKey(run.run);
-    const end: RunEnd = { ...key, outcome, checkpoint: "" };
+    const end: RunEnd = { ...key, outcome, checkpoint: formatCheckpoint(run, simulation.load) };
     if (outcome === "succeeded") {
+        recordRunTime(simulation.placementWaits, run.run, run.distance === "far", nowMs - run.startedAtMs);
         simulation.admission?.recordEnd(run.run.step.spec, nowMs);
     }
+    const statuses = simulation.runStatusesByWorker.get(worker);
+    simulation.copies?.observeEnd(worker, statuses, end, nowMs);
+    simulation.speeds?.observeEnd(simulation.machine.state, worker, run.run, statuses, end, nowMs);
     simulation.runsByWorker.get(worker)?.delete(formatRunKey(key));
-    simulation.runStatusesByWorker.get(worker)?.delete(formatRunKey(key));
+    statuses?.delete(formatRunKey(key));
     simulation.commandIndex += 1;
     simulation.machine.applyCommand(simulation.commandIndex, {
         kind: "endRuns",
@@ -174,6 +72,20 @@
     });
 }
 
+/** Orders the stop of a run, which then takes `stopMs` of the load. */
+function stopRun(simulation: Simulation, worker: string, runKey: string, nowMs: number): void {
+    const run = simulation.runsByWorker.get(worker)?.get(runKey);
+    const status = simulation.runStatusesByWorker.get(worker)?.get(runKey);
+    if (run === undefined || status === undefined || status.stopWantedAtMs !== undefined) {
+        return;
+    }
+    status.stopWantedAtMs = nowMs;
+    run.stopOrderedAtMs = nowMs;
+    if (isStopped(run, simulation.load, nowMs)) {
+        endRun(simulation, worker, run, "stopped", nowMs);
+    }
+}
+
 function endFinishedRuns(simulation: Simulation, nowMs: number): void {
     for (const [worker, runs] of simulation.runsByWorker) {
         for (const run of [...runs.values()]) {
@@ -184,10 +96,23 @@
             else if (!isServing && run.doneMs >= run.workMs) {
                 endRun(simulation, worker, run, "succeeded", nowMs);
             }
+            else if (isStopped(run, simulation.load, nowMs)) {
+                endRun(simulation, worker, run, "stopped", nowMs);
+            }
         }
     }
 }
 
+function chooseReportIntervalMs(
+    { speeds }: Simulation,
+    worker: string,
+    hasPairsToLearn: boolean,
+    nowMs: number,
+): number {
+    const isDoubtful = speeds !== undefined && speeds.predictSpeed(worker, nowMs) < doubtfulSpeed;
+    return hasPairsToLearn || isDoubtful ? learningReportIntervalMs : reportIntervalMs;
+}
+
 function reportWorkers(simulation: Simulation, nowMs: number): void {
     for (const [worker, lastMs] of simulation.reportedAtMs) {
         const state = simulation.machine.state.workers.get(worker);
@@ -196,7 +121,7 @@
         const hasPairsToLearn = state !== undefined && statuses !== undefined
             && hasUncertainPairs(state, statuses, simulation.interference);
         if (
-            nowMs - lastMs < (hasPairsToLearn ? learningReportIntervalMs : reportIntervalMs) || state === undefined
+            nowMs - lastMs < chooseReportIntervalMs(simulation, worker, hasPairsToLearn, nowMs) || state === undefined
             || statuses === undefined
             || history === undefined
         ) {
@@ -215,11 +140,17 @@
                         ? run.tailMs * (1 + tailReadingErrorShare * (2 * simulation.random.drawShare() - 1))
                         : run.milliCpu,
                 );
+                const checkpoint = formatCheckpoint(run, simulation.load);
+                if (checkpoint !== status.checkpoint) {
+                    status.checkpoint = checkpoint;
+                    status.checkpointAtMs = (status.readAtMs + nowMs) / 2;
+                }
                 status.readAtMs = nowMs;
             }
         }
         recordUsage(state, statuses, history, nowMs);
         observeMargins(state, statuses, simulation.interference, history, nowMs);
+        simulation.speeds?.observeReport(simulation.machine.state, worker, statuses, nowMs);
     }
 }
 
@@ -252,49 +183,72 @@
     if (run === undefined || job === undefined) {
         return;
     }
-    const willFail = simulation.random.drawShare() < job.kind.failureShare;
+    const { state } = simulation.machine;
+    const info = state.workers.get(start.worker)?.info;
+    const distance = info === undefined ? "none" : findDistance(run, state, info);
+    const random = getRunRandom(simulation.random, simulation.seed, job, run);
+    const failingShare = simulation.uneven.findFailingShare(Number(start.worker.slice(1)), nowMs);
+    const willFail = random.drawShare() < Math.max(job.kind.failureShare, failingShare);
     simulation.runsByWorker.get(start.worker)?.set(key, {
         run,
         job,
         startedAtMs: nowMs,
-        workMs: job.workMs[start.step]?.[start.position] ?? job.kind.workMs.mean,
-        doneMs: 0,
-        useShare: simulation.random.drawShare() < partialUseTaskShare ? partialUse : 1,
-        failsAfterShare: willFail && job.kind.execution.kind !== "serving" ? simulation.random.drawShare() : undefined,
+        distance,
+        workMs: drawWorkMs(random, job, run) * (distance === "far" ? simulation.load.farFactor : 1),
+        doneMs: computeResumedMs(run.task.checkpoint, simulation.load),
+        stopOrderedAtMs: undefined,
+        useShare: random.drawShare() < partialUseTaskShare ? partialUse : 1,
+        failsAfterShare: willFail && job.kind.execution.kind !== "serving" ? random.drawShare() : undefined,
         percent: 100,
-        disturbancePhase: simulation.random.drawShare(),
+        disturbancePhase: random.drawShare(),
         milliCpu: 0,
         tailMs: 0,
         isOverTarget: false,
     });
     simulation.runStatusesByWorker.get(start.worker)?.set(key, createRunStatus(createRunKey(run), "confirmed", nowMs));
     simulation.admission?.recordStart(run.step.spec, nowMs);
-    simulation.tally.countStart();
+    simulation.tally.countStart(distance);
+}
+
+function preemptRuns(simulation: Simulation, input: PreemptionInput, nowMs: number): void {
+    const { preemption, runCall, tally } = simulation;
+    if (preemption === undefined) {
+        return;
+    }
+    const { preemptions } = runCall("planPreemptions", () => planPreemptions(input, preemption, nowMs));
+    for (const { worker, victims } of preemptions) {
+        victims.forEach(({ runKey }) => stopRun(simulation, worker, runKey, nowMs));
+        tally.countPreemptions(victims.length);
+    }
 }
 
 function performSchedulingPass(simulation: Simulation, nowMs: number): void {
-    for (const [worker, runs] of simulation.runsByWorker) {
-        const state = simulation.machine.state.workers.get(worker);
-        for (const key of state === undefined ? [] : listObsoleteRuns(state)) {
-            const run = runs.get(key);
-            if (run !== undefined) {
-                endRun(simulation, worker, run, "stopped", nowMs);
-            }
-        }
+    // Before the other runs of their tasks are stopped.
+    simulation.copies?.takeOutcomes(nowMs);
+    const { speeds } = simulation;
+    const { state } = simulation.machine;
+    for (const worker of state.workers.values()) {
+        listObsoleteRuns(worker).forEach(key => stopRun(simulation, worker.info.id, key, nowMs));
     }
-    const input = {
-        state: simulation.machine.state,
+    const { stopMs } = simulation.load.stops ?? { stopMs: 0 };
+    const reservations = simulation.preemption === undefined
+        ? []
+        : listReservations(simulation.preemption, state, stopMs, nowMs);
+    const input: PlanInput = {
+        state,
+        reservations,
         isUsable: () => true,
         findStartLimit: () => undefined,
         findFailedWorker: () => undefined,
         interference: simulation.interference,
         findRunStatuses: (worker: string) => simulation.runStatusesByWorker.get(worker),
+        predictSpeed: speeds === undefined
+            ? undefined
+            : (worker: string) => speeds.predictSpeed(worker, nowMs),
+        placementWaits: simulation.placementWaits,
     };
     for (const { worker, runKey } of simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs))) {
-        const run = simulation.runsByWorker.get(worker)?.get(runKey);
-        if (run !== undefined) {
-            endRun(simulation, worker, run, "stopped", nowMs);
-        }
+        stopRun(simulation, worker, runKey, nowMs);
     }
     const { startsPerSecond } = simulation.load;
     simulation.startAllowance = startsPerSecond === undefined
@@ -304,13 +258,20 @@
         "planStarts",
         () => planStarts(input, epochMs + nowMs, simulation.planMemory),
     );
+    const copies = simulation.runCall("planCopies", () => simulation.copies?.planCopies(input, planned, nowMs) ?? []);
+    planned.push(...copies);
+    if (simulation.placementWaits !== undefined) {
+        simulation.tally.recordWaits(takeEndedWaits(simulation.placementWaits.memory));
+    }
     const starts = planned.slice(0, Math.floor(simulation.startAllowance));
     simulation.startAllowance -= starts.length;
+    preemptRuns(simulation, { ...input, starts, wallMs: epochMs + nowMs, stopMs }, nowMs);
     simulation.admission?.observe(simulation.machine.state, starts.length < planned.length, epochMs, nowMs);
     if (starts.length > 0) {
         simulation.commandIndex += 1;
         simulation.machine.applyCommand(simulation.commandIndex, { kind: "startRuns", nowMs: epochMs + nowMs, starts });
         starts.forEach(start => startRun(simulation, start, nowMs));
+        simulation.copies?.followStarts(starts, nowMs);
     }
 }
 
@@ -325,7 +286,7 @@
     simulation.jobs.set(job.definition.id, job);
     const retryAfterMs = simulation.admission?.refuse(job, createQueue(job.kind), epochMs, nowMs);
     if (retryAfterMs !== undefined) {
-        simulation.tally.countRefusal(job.kind.name);
+        simulation.tally.countRefusal(job);
         if (attempt < retryLimit) {
             attempts.push({ job, attempt: attempt + 1, atMs: nowMs + retryAfterMs });
         }
@@ -357,23 +318,24 @@
     }
 }
 
-/** Parts of a replay that may differ. */
-export interface ReplayOptions {
-    /** Whether jobs that would end too late are refused and their callers come back; by default all are accepted. */
-    readonly hasAdmission?: boolean;
-    /** Runs the calls of the planner; by default it only makes them. */
-    readonly runCall?: PlannerCallRunner;
-}
-
 /** Replays a load for `lengthMs`, then for `finishMs` without new jobs. The same seed gives the same result. */
 export function replayLoad(
     load: Load,
     lengthMs: number,
     finishMs: number,
     seed: number,
-    { hasAdmission = false, runCall = (part, call) => call() }: ReplayOptions = {},
+    {
+        hasAdmission = false,
+        hasPreemption = true,
+        hasWaits = false,
+        runCall = (part, call) => call(),
+        hasCopies = true,
+        observeCopy = () => undefined,
+        learnsSpeeds = false,
+    }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const simulation = createSimulation(load, seed, { hasAdmission, runCall });
+    const options = { hasAdmission, hasPreemption, hasWaits, runCall, hasCopies, observeCopy, learnsSpeeds };
+    const simulation = createSimulation(load, seed, options);
     const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
         job,
         attempt: 0,
@@ -384,7 +346,8 @@
         for (const [worker, runs] of simulation.runsByWorker) {
             const state = simulation.machine.state.workers.get(worker);
             if (state !== undefined) {
-                advanceWorker(state, [...runs.values()], simulation.findDisturbance, nowMs, stepMs);
+                const speed = simulation.uneven.findSpeed(Number(worker.slice(1)), nowMs);
+                advanceWorker(state, [...runs.values()], simulation.findDisturbance, nowMs, stepMs, speed);
             }
         }
         endFinishedRuns(simulation, nowMs);
--- a/packages/replay-jobs/src/simulated-workers.ts
+++ b/packages/replay-jobs/src/simulated-workers.ts
@@ -2,14 +2,18 @@
 import type { SimulatedJob } from "./generate-jobs.js";
 import type { JobKind, Load } from "./load.js";
 import type { Random } from "./random.js";
+import type { RunDistance } from "./simulated-racks.js";
 
 /** A run on a simulated worker. */
 export interface SimulatedRun {
     readonly run: WorkerRun;
     readonly job: SimulatedJob;
     readonly startedAtMs: number;
+    readonly distance: RunDistance;
     readonly workMs: number;
     doneMs: number;
+    /** When its stop was ordered; undefined before. */
+    stopOrderedAtMs: number | undefined;
     /** Share of the declared processors that a run on idle processors uses at full pace when enough are idle. */
     readonly useShare: number;
     /** Share of the work after which the run fails; undefined when it does not fail. */
@@ -79,13 +83,14 @@
     return load * (1 + loadAmplitude * Math.sin(2 * Math.PI * (nowMs / loadPeriodMs + phase)));
 }
 
-/** Advances the runs of one worker by a time step. */
+/** Advances the runs of one worker by a time step; `speed` is that of the worker, 1 is normal. */
 export function advanceWorker(
     state: WorkerState,
     runs: readonly SimulatedRun[],
     findDisturbance: (image: string, other: string) => number,
     nowMs: number,
     stepMs: number,
+    speed: number,
 ): void {
     const capacity = state.info.capacity.milliCpu;
     let idle = capacity;
@@ -109,10 +114,10 @@
                 spec.image ?? "",
                 (cpuShareByImage.get(spec.image ?? "") ?? 0) + run.milliCpu * oscillation / capacity,
             );
-            run.doneMs += stepMs * run.milliCpu / (spec.resources.milliCpu * run.useShare);
+            run.doneMs += speed * stepMs * run.milliCpu / (spec.resources.milliCpu * run.useShare);
         }
         else {
-            run.doneMs += stepMs;
+            run.doneMs += speed * stepMs;
         }
     }
     for (const run of runs) {
