Share the player of random events and the step of tests

Cause: two tests of random faults played the same events, and a fake repeated the step of job-state's fakes. Change: fakes/event-player.ts; make-wants.ts uses makeStep. The checks of the tests are as before.

--- a/packages/lead-jobs/src/fakes/index.ts
+++ b/packages/lead-jobs/src/fakes/index.ts
@@ -1,4 +1,5 @@
 export * from "./define-test.js";
+export * from "./event-player.js";
 export * from "./fake-workers.js";
 export * from "./recording-logger.js";
 export * from "./test-system.js";
--- a/packages/lead-jobs/src/random-faults.test.ts
+++ b/packages/lead-jobs/src/random-faults.test.ts
@@ -1,45 +1,39 @@
-import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
-import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
+import { makeStep } from "@chestnutspool/job-state/fakes";
+import type { WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+    createEventPlayer,
     listOverlaps,
     listRepeated,
     makeWorker,
     type StartedRun,
     startTestSystem,
-    type WorkerFault,
+    type SystemEvent,
+    workerFaults,
 } from "./fakes/index.js";
 
 const workerIds = ["w1", "w2", "w3"];
-const faults: readonly WorkerFault[] = ["none", "cut", "answersLost", "late", "startsLate"];
 
-type Event =
-    | { readonly kind: "fault"; readonly worker: number; readonly fault: number; }
-    | { readonly kind: "restart"; readonly worker: number; }
-    | { readonly kind: "leader"; }
-    | { readonly kind: "submit"; }
-    | { readonly kind: "cancel"; readonly job: number; };
-
-const events: fc.Arbitrary<Event> = fc.oneof(
+const events: fc.Arbitrary<SystemEvent> = fc.oneof(
     fc.record({
         kind: fc.constant("fault" as const),
         worker: fc.nat(workerIds.length - 1),
-        fault: fc.nat(faults.length - 1),
+        fault: fc.nat(workerFaults.length - 1),
     }),
     fc.record({ kind: fc.constant("leader" as const) }),
     fc.record({ kind: fc.constant("submit" as const) }),
     fc.record({ kind: fc.constant("cancel" as const), job: fc.nat(5) }),
 );
-const eventsWithRestarts: fc.Arbitrary<Event> = fc.oneof(
+const eventsWithRestarts: fc.Arbitrary<SystemEvent> = fc.oneof(
     events,
     fc.record({ kind: fc.constant("restart" as const), worker: fc.nat(workerIds.length - 1) }),
 );
 
-function makeTimedEvents(event: fc.Arbitrary<Event>) {
+function makeTimedEvents(event: fc.Arbitrary<SystemEvent>) {
     return fc.array(fc.record({ afterMs: fc.integer({ min: 10, max: 2_000 }), event }), {
         minLength: 5,
         maxLength: 20,
@@ -61,7 +55,7 @@
 
 interface TimedEvent {
     readonly afterMs: number;
-    readonly event: Event;
+    readonly event: SystemEvent;
 }
 
 /** Plays events; `failingRun` tells which runs of the second task of a step fail. */
@@ -80,34 +74,11 @@
         for (const [position, id] of workerIds.entries()) {
             yield* system.addWorker(makeWorker(id, { bornAtMs: 1 }), [0.98, 1, 1.02][position]);
         }
-        let jobs = 0;
-        let leader = "a";
+        const steps = [makeStep({ count: 3 }), makeStep({ dependsOn: [0] })];
+        const playEvent = createEventPlayer(system, workerIds, steps);
         for (const { afterMs, event } of list) {
             yield* system.pass(afterMs);
-            switch (event.kind) {
-                case "fault":
-                    system.workers.setFault(workerIds[event.worker] ?? "", faults[event.fault] ?? "none");
-                    break;
-                case "restart":
-                    system.workers.crashWorker(workerIds[event.worker] ?? "", yield* readMonotonicMs);
-                    break;
-                case "leader":
-                    leader = leader === "a" ? "b" : "a";
-                    system.log.setLeader(leader);
-                    break;
-                case "submit":
-                    yield* system.submit(makeJob(`j${jobs}`, [makeStep({ count: 3 }), makeStep({ dependsOn: [0] })]));
-                    jobs += 1;
-                    break;
-                case "cancel":
-                    yield* system.ask({
-                        kind: "cancelJob",
-                        job: `j${event.job}`,
-                        hostName: "jobs.example",
-                        path: `/main/j${event.job}`,
-                    });
-                    break;
-            }
+            yield* playEvent(event);
         }
         workerIds.forEach(id => system.workers.setFault(id, "none"));
         yield* system.pass(settleMs);
--- a/packages/lead-jobs/src/task-copies-faults.test.ts
+++ b/packages/lead-jobs/src/task-copies-faults.test.ts
@@ -1,14 +1,20 @@
-import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
-import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
+import { makeStep } from "@chestnutspool/job-state/fakes";
+import type { WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { makeWorker, type StartedRun, startTestSystem, type WorkerFault } from "./fakes/index.js";
+import {
+    createEventPlayer,
+    makeWorker,
+    type StartedRun,
+    startTestSystem,
+    type SystemEvent,
+    workerFaults,
+} from "./fakes/index.js";
 
 const workerIds = ["w1", "w2", "w3", "w4", "w5"];
-const faults: readonly WorkerFault[] = ["none", "cut", "answersLost", "late", "startsLate"];
 /** Attempts of a task in the queue of the test system. */
 const maxAttempts = 2;
 /** Time until a worker that crashed starts again, in milliseconds. */
@@ -16,16 +22,9 @@
 /** Time in which all jobs end once the faults are over, in milliseconds. */
 const settleMs = 40_000;
 
-type Event =
-    | { readonly kind: "fault"; readonly worker: number; readonly fault: number; }
-    | { readonly kind: "restart"; readonly worker: number; }
-    | { readonly kind: "leader"; }
-    | { readonly kind: "submit"; }
-    | { readonly kind: "cancel"; readonly job: number; };
-
 const worker = fc.nat(workerIds.length - 1);
-const events: fc.Arbitrary<Event> = fc.oneof(
-    fc.record({ kind: fc.constant("fault" as const), worker, fault: fc.nat(faults.length - 1) }),
+const events: fc.Arbitrary<SystemEvent> = fc.oneof(
+    fc.record({ kind: fc.constant("fault" as const), worker, fault: fc.nat(workerFaults.length - 1) }),
     fc.record({ kind: fc.constant("restart" as const), worker }),
     fc.record({ kind: fc.constant("leader" as const) }),
     fc.record({ kind: fc.constant("submit" as const) }),
@@ -47,7 +46,10 @@
 }
 
 const playEvents = Effect.fnUntraced(
-    function*(list: readonly { readonly afterMs: number; readonly event: Event; }[], counts: { copies: number; }) {
+    function*(
+        list: readonly { readonly afterMs: number; readonly event: SystemEvent; }[],
+        counts: { copies: number; },
+    ) {
         const system = yield* startTestSystem;
         // Task 3 is slow in its first run, and the second run of task 2 fails.
         system.workers.setBehaviour(({ position, run }) => ({
@@ -59,37 +61,12 @@
         for (const id of workerIds) {
             yield* system.addWorker(makeWorker(id, { bornAtMs: 1 }));
         }
-        let jobs = 0;
-        let leader = "a";
-        const submit = Effect.fnUntraced(function*() {
-            yield* system.submit(
-                makeJob(`j${jobs}`, [makeStep({ count: 4, speculative: true }), makeStep({ dependsOn: [0] })]),
-            );
-            jobs += 1;
-        });
-        yield* submit();
+        const steps = [makeStep({ count: 4, speculative: true }), makeStep({ dependsOn: [0] })];
+        const playEvent = createEventPlayer(system, workerIds, steps);
+        yield* playEvent({ kind: "submit" });
         for (const { afterMs, event } of list) {
             yield* system.pass(afterMs);
-            switch (event.kind) {
-                case "fault":
-                    system.workers.setFault(workerIds[event.worker] ?? "", faults[event.fault] ?? "none");
-                    break;
-                case "restart":
-                    system.workers.crashWorker(workerIds[event.worker] ?? "", yield* readMonotonicMs);
-                    break;
-                case "leader":
-                    leader = leader === "a" ? "b" : "a";
-                    system.log.setLeader(leader);
-                    break;
-                case "submit":
-                    yield* submit();
-                    break;
-                case "cancel": {
-                    const job = `j${event.job}`;
-                    yield* system.ask({ kind: "cancelJob", job, hostName: "jobs.example", path: `/main/${job}` });
-                    break;
-                }
-            }
+            yield* playEvent(event);
         }
         workerIds.forEach(id => system.workers.setFault(id, "none"));
         yield* system.pass(settleMs);
--- a/packages/plan-placement-waits/src/fakes/make-wants.ts
+++ b/packages/plan-placement-waits/src/fakes/make-wants.ts
@@ -1,4 +1,4 @@
-import type { StepSpec } from "@chestnutspool/types";
+import { makeStep } from "@chestnutspool/job-state/fakes";
 import { createPlacementMemory, type PlacementMemory } from "../placement-memory.js";
 import { type PlacementPlan, planPlacementWaits, type StepWant, type WaitPassInput } from "../plan-placement-waits.js";
 import type { RackWorker } from "../rack-forecast.js";
@@ -6,24 +6,7 @@
 /** Wall-clock time at which tests start, in milliseconds since the epoch. */
 export const startMs = 1_000_000;
 
-const spec: StepSpec = {
-    count: 1,
-    resources: { milliCpu: 1_000, memoryMib: 100, accelerators: 0 },
-    expectedRunMs: 1_000,
-    dependsOn: [],
-    checkpointing: false,
-    gang: false,
-    prefersOneRack: false,
-    requiredLabel: undefined,
-    rackOfData: "r1",
-    perWorkerLimit: undefined,
-    speculative: false,
-    longRunning: false,
-    image: undefined,
-    tailTargetMs: undefined,
-    usesIdleCpu: false,
-    awayLimit: undefined,
-};
+const spec = makeStep({ rackOfData: "r1" });
 
 /** A step with one task of one core and one second that wants rack `r1`, with an objective far away. */
 export function makeWant(key: string, changes: Partial<StepWant> = {}): StepWant {
