Play random events to the end in one place, and import types apart

Cause: the end of two tests of random faults and three lists of imports were the same lines. Change: playTimedEvents plays and settles; types are imported apart. The checks are as before.

--- a/packages/lead-jobs/src/fakes/event-player.ts
+++ b/packages/lead-jobs/src/fakes/event-player.ts
@@ -15,8 +15,13 @@
     | { readonly kind: "submit"; }
     | { readonly kind: "cancel"; readonly job: number; };
 
-/** Creates a function that plays one event; each submitted job has the same steps. Replica `a` leads at first. */
-export function createEventPlayer(system: TestSystem, workerIds: readonly string[], steps: readonly StepSpec[]) {
+/** An event and the time after the one before, in milliseconds. */
+export interface TimedEvent {
+    readonly afterMs: number;
+    readonly event: SystemEvent;
+}
+
+function createEventPlayer(system: TestSystem, workerIds: readonly string[], steps: readonly StepSpec[]) {
     let jobs = 0;
     let leader = "a";
     return Effect.fnUntraced(function*(event: SystemEvent) {
@@ -43,3 +48,23 @@
         }
     });
 }
+
+/**
+ * Plays events in a system in which replica `a` leads, then ends the faults and lets `settleMs` pass. Each submitted job has the
+ * same steps.
+ */
+export const playTimedEvents = Effect.fnUntraced(function*(
+    system: TestSystem,
+    workerIds: readonly string[],
+    steps: readonly StepSpec[],
+    events: readonly TimedEvent[],
+    settleMs: number,
+) {
+    const playEvent = createEventPlayer(system, workerIds, steps);
+    for (const { afterMs, event } of events) {
+        yield* system.pass(afterMs);
+        yield* playEvent(event);
+    }
+    workerIds.forEach(id => system.workers.setFault(id, "none"));
+    yield* system.pass(settleMs);
+});
--- a/packages/lead-jobs/src/random-faults.test.ts
+++ b/packages/lead-jobs/src/random-faults.test.ts
@@ -6,13 +6,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
-    createEventPlayer,
     listOverlaps,
     listRepeated,
     makeWorker,
+    playTimedEvents,
     type StartedRun,
     startTestSystem,
     type SystemEvent,
+    type TimedEvent,
     workerFaults,
 } from "./fakes/index.js";
 
@@ -53,11 +54,6 @@
 /** Time in which all jobs end once the faults are over, in milliseconds. */
 const settleMs = 30_000;
 
-interface TimedEvent {
-    readonly afterMs: number;
-    readonly event: SystemEvent;
-}
-
 /** Plays events; `failingRun` tells which runs of the second task of a step fail. */
 function playEvents(list: readonly TimedEvent[], failingRun: (run: number) => boolean): Promise<void> {
     const play = Effect.gen(function*() {
@@ -75,13 +71,7 @@
             yield* system.addWorker(makeWorker(id, { bornAtMs: 1 }), [0.98, 1, 1.02][position]);
         }
         const steps = [makeStep({ count: 3 }), makeStep({ dependsOn: [0] })];
-        const playEvent = createEventPlayer(system, workerIds, steps);
-        for (const { afterMs, event } of list) {
-            yield* system.pass(afterMs);
-            yield* playEvent(event);
-        }
-        workerIds.forEach(id => system.workers.setFault(id, "none"));
-        yield* system.pass(settleMs);
+        yield* playTimedEvents(system, workerIds, steps, list, settleMs);
         const runs = yield* system.readStartedRuns;
         assert.deepEqual(listOverlaps(runs), [], "overlapping runs of a task");
         assert.deepEqual(listRepeated(runs), [], "runs after an acknowledged success");
--- a/packages/lead-jobs/src/task-copies-faults.test.ts
+++ b/packages/lead-jobs/src/task-copies-faults.test.ts
@@ -6,11 +6,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
-    createEventPlayer,
     makeWorker,
+    playTimedEvents,
     type StartedRun,
     startTestSystem,
     type SystemEvent,
+    type TimedEvent,
     workerFaults,
 } from "./fakes/index.js";
 
@@ -47,7 +48,7 @@
 
 const playEvents = Effect.fnUntraced(
     function*(
-        list: readonly { readonly afterMs: number; readonly event: SystemEvent; }[],
+        list: readonly TimedEvent[],
         counts: { copies: number; },
     ) {
         const system = yield* startTestSystem;
@@ -62,14 +63,8 @@
             yield* system.addWorker(makeWorker(id, { bornAtMs: 1 }));
         }
         const steps = [makeStep({ count: 4, speculative: true }), makeStep({ dependsOn: [0] })];
-        const playEvent = createEventPlayer(system, workerIds, steps);
-        yield* playEvent({ kind: "submit" });
-        for (const { afterMs, event } of list) {
-            yield* system.pass(afterMs);
-            yield* playEvent(event);
-        }
-        workerIds.forEach(id => system.workers.setFault(id, "none"));
-        yield* system.pass(settleMs);
+        const first: TimedEvent = { afterMs: 0, event: { kind: "submit" } };
+        yield* playTimedEvents(system, workerIds, steps, [first, ...list], settleMs);
         const runs = yield* system.readStartedRuns;
         assert.deepEqual(listThirdRuns(runs), [], "three runs of a task at once");
         assert.deepEqual(runs.filter(run => run.endedAtMs === undefined), [], "a run has not ended");
--- a/packages/learn-worker-speed/src/index.ts
+++ b/packages/learn-worker-speed/src/index.ts
@@ -7,15 +7,12 @@
     forgetRun,
     forgetWorker,
     listEstimates,
-    type ObservedRun,
     observeEnd,
     observeProgress,
     predictFailureShare,
     predictSpeed,
     predictUsefulSpeed,
     recordCold,
-    type SpeedChange,
-    type SpeedEstimate,
-    type SpeedModel,
     takeSpeedChanges,
 } from "./speed-model.js";
+export type { ObservedRun, SpeedChange, SpeedEstimate, SpeedModel } from "./speed-model.js";
--- a/packages/plan-copies/src/fakes/make-running-step.ts
+++ b/packages/plan-copies/src/fakes/make-running-step.ts
@@ -1,13 +1,6 @@
 import { formatRunKey } from "@chestnutspool/job-state";
-import {
-    makeJob,
-    makeMachine,
-    makeQueue,
-    makeStep,
-    makeWorker,
-    type TestMachine,
-    testStartMs,
-} from "@chestnutspool/job-state/fakes";
+import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
+import type { TestMachine } from "@chestnutspool/job-state/fakes";
 import { createInterferenceModel } from "@chestnutspool/learn-interference";
 import { createRunStatus, type RunStatus, type RunStatuses } from "@chestnutspool/track-workers";
 import type { QueueSettings, RunKey, RunOutcome, RunStart, StepSpec, WorkerInfo } from "@chestnutspool/types";
--- a/packages/plan-jobs/src/step-placements.test.ts
+++ b/packages/plan-jobs/src/step-placements.test.ts
@@ -1,13 +1,6 @@
 import { createJobMachine } from "@chestnutspool/job-state";
-import {
-    makeJob,
-    makeMachine,
-    makeQueue,
-    makeStep,
-    makeWorker,
-    type TestMachine,
-    testStartMs,
-} from "@chestnutspool/job-state/fakes";
+import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
+import type { TestMachine } from "@chestnutspool/job-state/fakes";
 import { createPlacementMemory, keptWorkersShare, longestKeptMs } from "@chestnutspool/plan-placement-waits";
 import type { RunStart, StepSpec } from "@chestnutspool/types";
 import assert from "node:assert/strict";
