--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -245,7 +245,10 @@
     const starts = yield* measureStep(planner, () => planStarts(input, wallMs, planner.memory));
     const preemptionPlan = yield* measureStep(
         planner,
-        () => planPreemptions({ ...input, starts, wallMs, stopMs }, planner.preemption, nowMs),
+        () =>
+            term.limits.preemptsRuns === false
+                ? { preemptions: [], endedReservations: [] }
+                : planPreemptions({ ...input, starts, wallMs, stopMs }, planner.preemption, nowMs),
     );
     logCopyOutcomes(term, nowMs);
     const copies = yield* measureStep(
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -33,6 +33,8 @@
     readonly stopMs: number;
     /** Availability zones of the deployment; workers may be in others. */
     readonly availabilityZones: readonly string[];
+    /** Whether runs of queues with a lower priority are preempted; they are by default. */
+    readonly preemptsRuns?: boolean;
     /** Whether the leader learns the speeds of workers and avoids slow ones; it does not by default. */
     readonly learnsWorkerSpeed?: boolean;
     /**
