Export only what others use of the speed model

Cause: four functions were exported from the package that only its own tests call, by their module. Change: they are left out of the index. Result: compiler, formatter and linter pass, and the 14 tests of the package.

--- a/packages/learn-worker-speed/src/index.ts
+++ b/packages/learn-worker-speed/src/index.ts
@@ -1,15 +1,11 @@
 export type { WorkerPlace } from "./grouped-sums.js";
 export {
     addEstimate,
-    countSlowWorkers,
     createSpeedModel,
-    estimateWorker,
     forgetRun,
-    forgetWorker,
     listEstimates,
     observeEnd,
     observeProgress,
-    predictFailureShare,
     predictSpeed,
     predictUsefulSpeed,
     recordCold,
