Log the time of each part of the leader's work

Cause: the line 'leader load' told the passes as a whole only, so that planning, copies, reports and paces of a busy leader could not be told apart, and no gauge told the processor time of the processes that do not lead. Change: stopsMs, startsMs, preemptionsMs, copiesMs, reportsMs and pacesMs in that line; gauge processor_seconds of each process.

--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -6,6 +6,7 @@
 import { orderPace, type SendPaceOrder } from "./order-pace.js";
 import { recordAnswer } from "./send-orders.js";
 import { superviseOrder } from "./supervise-loop.js";
+import { measurePart } from "./term-load.js";
 import { canSendOrders, type Term, type WorkerSession } from "./term.js";
 
 /** Timeout of an order to change a pace, in milliseconds; the next planning of paces repeats one that is lost. */
@@ -63,8 +64,12 @@
             if (state === undefined || !session.isResponsive) {
                 continue;
             }
-            recordUsage(state, session.runStatuses, session.usage, yield* readMonotonicMs);
-            for (const change of planPaces(state, session.runStatuses, term.interference)) {
+            const nowMs = yield* readMonotonicMs;
+            const { value: changes } = yield* measurePart(term.load, "paces", () => {
+                recordUsage(state, session.runStatuses, session.usage, nowMs);
+                return planPaces(state, session.runStatuses, term.interference);
+            });
+            for (const change of changes) {
                 const context = { term: term.number, worker: session.info.id };
                 const order = superviseOrder(term, "pace", context, changePace(term, session, change));
                 yield* Effect.forkIn(order, term.scope);
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -31,7 +31,7 @@
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
-import { recordPass } from "./term-load.js";
+import { type LoadPart, measurePart, recordPass } from "./term-load.js";
 import { canSendOrders, logStepError, propose, type Term, type WorkerSession } from "./term.js";
 
 /** Longest pause between two passes, in milliseconds, because some decisions depend on time alone. */
@@ -50,7 +50,6 @@
  * answers.
  */
 const startsPerTurn = 50;
-const nanosecondsPerMillisecond = 1_000_000;
 
 function isUsable(term: Term, worker: WorkerId): boolean {
     const session = term.sessions.get(worker);
@@ -117,7 +116,7 @@
 }
 
 const stopObsoleteRuns = Effect.fnUntraced(function*(term: Term, planner: PlannerState, nowMs: number) {
-    const listed = yield* measureStep(planner, () =>
+    const listed = yield* measureStep(term, planner, "stops", () =>
         listRuns(term, ({ info }) => {
             const state = term.machine.state.workers.get(info.id);
             return state === undefined ? [] : listObsoleteRuns(state);
@@ -129,7 +128,9 @@
 
 const stopUnansweredStarts = Effect.fnUntraced(function*(term: Term, planner: PlannerState, nowMs: number) {
     const listed = yield* measureStep(
+        term,
         planner,
+        "stops",
         () =>
             listRuns(
                 term,
@@ -148,7 +149,14 @@
     input: PlanInput,
     nowMs: number,
 ) {
-    for (const { worker, runKey, reason } of yield* measureStep(planner, () => listStalledRuns(input, nowMs))) {
+    for (
+        const { worker, runKey, reason } of yield* measureStep(
+            term,
+            planner,
+            "stops",
+            () => listStalledRuns(input, nowMs),
+        )
+    ) {
         const session = term.sessions.get(worker);
         const status = session?.runStatuses.get(runKey);
         if (session !== undefined && status !== undefined) {
@@ -198,15 +206,16 @@
 }
 
 /** Runs a step of a pass without giving up the thread, and adds the time that it took to that of the pass. */
-function measureStep<Value>(planner: PlannerState, runStep: () => Value): Effect.Effect<Value> {
-    return Effect.clockWith(clock =>
-        Effect.sync(() => {
-            const startedNanos = clock.monotonicTimeNanosUnsafe();
-            const value = runStep();
-            planner.passMs += Number(clock.monotonicTimeNanosUnsafe() - startedNanos) / nanosecondsPerMillisecond;
-            return value;
-        })
-    );
+function measureStep<Value>(
+    term: Term,
+    planner: PlannerState,
+    part: LoadPart,
+    runStep: () => Value,
+): Effect.Effect<Value> {
+    return Effect.map(measurePart(term.load, part, runStep), ({ value, tookMs }) => {
+        planner.passMs += tookMs;
+        return value;
+    });
 }
 
 function createPlannerState(): PlannerState {
@@ -228,7 +237,7 @@
     const nowMs = yield* readMonotonicMs;
     const { stopMs } = term.limits;
     planner.passMs = 0;
-    const startLimits = yield* measureStep(planner, () => listStartLimits(term, nowMs));
+    const startLimits = yield* measureStep(term, planner, "starts", () => listStartLimits(term, nowMs));
     const input: PlanInput = {
         state: term.machine.state,
         isUsable: (worker: WorkerId) => isUsable(term, worker),
@@ -242,9 +251,11 @@
     };
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
-    const starts = yield* measureStep(planner, () => planStarts(input, wallMs, planner.memory));
+    const starts = yield* measureStep(term, planner, "starts", () => planStarts(input, wallMs, planner.memory));
     const preemptionPlan = yield* measureStep(
+        term,
         planner,
+        "preemptions",
         () =>
             term.limits.preemptsRuns === false
                 ? { preemptions: [], endedReservations: [] }
@@ -252,7 +263,9 @@
     );
     logCopyOutcomes(term, nowMs);
     const copies = yield* measureStep(
+        term,
         planner,
+        "copies",
         () => planCopies({ ...input, starts, wallMs, memory: term.copies }, nowMs),
     );
     const tookMs = planner.passMs;
--- a/packages/lead-jobs/src/term-load.ts
+++ b/packages/lead-jobs/src/term-load.ts
@@ -1,3 +1,8 @@
+import { Effect } from "effect";
+
+/** Work of the leader whose time is measured apart: parts of a pass of the planner, reports of workers, and paces. */
+export type LoadPart = "stops" | "starts" | "preemptions" | "copies" | "reports" | "paces";
+
 /** Work of a leader since its last line about it. Durations are in milliseconds. */
 export interface TermLoad {
     passes: number;
@@ -13,6 +18,8 @@
     renewals: number;
     failedRenewals: number;
     paces: number;
+    /** Time for which each part has kept the thread. */
+    readonly partMs: Record<LoadPart, number>;
     /** Longest time by which a timer fired late; the event loop was busy for at least this time. */
     longestDelayMs: number;
 }
@@ -32,10 +39,30 @@
         renewals: 0,
         failedRenewals: 0,
         paces: 0,
+        partMs: { stops: 0, starts: 0, preemptions: 0, copies: 0, reports: 0, paces: 0 },
         longestDelayMs: 0,
     };
 }
 
+const nanosecondsPerMillisecond = 1_000_000;
+
+/** Runs work of a part without giving up the thread, and records the time that it took; returns both. */
+export function measurePart<Value>(
+    load: TermLoad,
+    part: LoadPart,
+    runPart: () => Value,
+): Effect.Effect<{ readonly value: Value; readonly tookMs: number; }> {
+    return Effect.clockWith(clock =>
+        Effect.sync(() => {
+            const startedNanos = clock.monotonicTimeNanosUnsafe();
+            const value = runPart();
+            const tookMs = Number(clock.monotonicTimeNanosUnsafe() - startedNanos) / nanosecondsPerMillisecond;
+            load.partMs[part] += tookMs;
+            return { value, tookMs };
+        })
+    );
+}
+
 /** Records a pass that planned for `tookMs`. */
 export function recordPass(load: TermLoad, tookMs: number): void {
     load.passes += 1;
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -27,6 +27,7 @@
 import { sendStop } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
+import { measurePart } from "./term-load.js";
 import {
     canSendOrders,
     logStepError,
@@ -170,10 +171,13 @@
     if (state === undefined) {
         return;
     }
-    const outcome = applyReport(state, session.runStatuses, answer, sentAtMs, nowMs);
-    recordUsage(state, session.runStatuses, session.usage, nowMs);
-    observeMargins(state, session.runStatuses, term.interference, session.usage, nowMs);
-    observeReportedRuns(term, session, state, nowMs);
+    const { value: outcome } = yield* measurePart(term.load, "reports", () => {
+        const applied = applyReport(state, session.runStatuses, answer, sentAtMs, nowMs);
+        recordUsage(state, session.runStatuses, session.usage, nowMs);
+        observeMargins(state, session.runStatuses, term.interference, session.usage, nowMs);
+        observeReportedRuns(term, session, state, nowMs);
+        return applied;
+    });
     yield* recordEnds(term, session, outcome);
     session.isReconciled ||= answer.isComplete;
     for (const orphan of outcome.orphanedRuns) {
--- a/packages/run-job-process/src/read-gauges.ts
+++ b/packages/run-job-process/src/read-gauges.ts
@@ -3,6 +3,8 @@
 import { forwarderKey, logKey, machineKey, workerCallsKey } from "./create-job-process.js";
 import type { JobProcessSettings } from "./process-settings.js";
 
+const microsecondsPerSecond = 1e6;
+
 function* listControlGauges(kernel: Kernel): Generator<Gauge> {
     const status = kernel.findService(logKey).readStatus();
     yield { name: "log_is_leader", value: status.role === "leader" ? 1 : 0 };
@@ -29,11 +31,13 @@
 /** Reads the current gauges of a process; those of the log, jobs and workers exist only in a control process. */
 export function readGauges(kernel: Kernel, settings: JobProcessSettings): Gauge[] {
     const memory = process.memoryUsage();
+    const { user, system } = process.cpuUsage();
     const gauges: Gauge[] = [
         { name: "has_leader", value: kernel.findService(forwarderKey).hasLeader() ? 1 : 0 },
         { name: "memory_resident_bytes", value: memory.rss },
         { name: "memory_heap_bytes", value: memory.heapUsed },
         { name: "uptime_seconds", value: process.uptime() },
+        { name: "processor_seconds", value: (user + system) / microsecondsPerSecond },
     ];
     return settings.control === undefined ? gauges : [...gauges, ...listControlGauges(kernel)];
 }
