Hold workers for long-running steps from sums that passes share

What callers saw: on grown deployments tasks waited while workers were idle, because the leader made few and long passes. Cause: for each long-running step that waits, each pass listed the workers that are not kept and read all runs of each of them. Change: the workers are listed once a pass, and what the runs that end by themselves reserve is summed when a worker's runs change.

--- a/packages/plan-jobs/src/hold-workers.ts
+++ b/packages/plan-jobs/src/hold-workers.ts
@@ -9,14 +9,8 @@
 const heldShare = 0.1;
 
 /** Computes what a worker has left once its tasks that end by themselves have ended. */
-export function computeFreeLater({ state, free }: WorkerCandidate): Resources {
-    let freeLater = free;
-    for (const { step } of state.runs.values()) {
-        if (!step.spec.longRunning) {
-            freeLater = addResources(freeLater, computeReservation(step.spec));
-        }
-    }
-    return freeLater;
+export function computeFreeLater({ free, ending }: WorkerCandidate): Resources {
+    return addResources(free, ending);
 }
 
 function canHold(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
--- a/packages/plan-jobs/src/keep-workers.ts
+++ b/packages/plan-jobs/src/keep-workers.ts
@@ -43,6 +43,19 @@
     return true;
 }
 
+type Candidates = readonly WorkerCandidate[];
+
+/** Workers that are not kept, by the kept ones and the workers of a service; all long-running steps of a pass share them. */
+const othersByKept = new WeakMap<ReadonlySet<WorkerCandidate>, Map<Candidates, Candidates>>();
+
+function listOthers(candidates: Candidates, kept: ReadonlySet<WorkerCandidate>): Candidates {
+    const ofKept = othersByKept.get(kept) ?? new Map<Candidates, Candidates>();
+    othersByKept.set(kept, ofKept);
+    const others = ofKept.get(candidates) ?? candidates.filter(candidate => !kept.has(candidate));
+    ofKept.set(candidates, others);
+    return others;
+}
+
 /**
  * Selects the workers for a step. A new long-running task may use the kept ones only if none of the others could ever run
  * it, such as one that needs a rare label.
@@ -57,7 +70,7 @@
     }
     const { spec } = waiting.step;
     const needed = computeReservation(spec);
-    const others = candidates.filter(candidate => !kept.has(candidate));
+    const others = listOthers(candidates, kept);
     const canEverRun = others.some(({ state: { info } }) =>
         (spec.requiredLabel === undefined || info.labels.includes(spec.requiredLabel))
         && findShortage(needed, info.capacity) === undefined
--- a/packages/plan-jobs/src/planning-work.test.ts
+++ b/packages/plan-jobs/src/planning-work.test.ts
@@ -4,6 +4,7 @@
 import { createRunStatus, type RunStatuses } from "@chestnutspool/track-workers";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { makePlanInput } from "./fakes/make-plan-input.js";
 import { listStalledRuns } from "./list-stalled-runs.js";
 import { createPlanMemory } from "./plan-memory.js";
 import { type PlanInput, planStarts } from "./plan-starts.js";
@@ -193,3 +194,57 @@
     assert.deepEqual(listStalledRuns(input, 5_000), []);
     assert.ok(readEstimates() <= workerCount, `${readEstimates()} pairs were estimated`);
 });
+
+/** Counts how often the runs of the workers are read from now on. */
+function countRunReads(machine: ReturnType<typeof makeMachine>): () => number {
+    let reads = 0;
+    for (const { runs } of machine.state.workers.values()) {
+        const readValues = runs.values.bind(runs);
+        const readEntries = runs.entries.bind(runs);
+        runs.values = () => {
+            reads += 1;
+            return readValues();
+        };
+        runs[Symbol.iterator] = () => {
+            reads += 1;
+            return readEntries();
+        };
+    }
+    return () => reads;
+}
+
+/** Workers full of short tasks, and long-running steps that have waited for long enough to have workers held for them. */
+function setUpOverdueSteps(count: number) {
+    const workers = [...Array(workerCount).keys()].map(number => makeWorker(`w${number}`));
+    const machine = makeMachine(workers);
+    const capacity = makeWorker("w").capacity;
+    machine.submit(makeJob("short", [makeStep({ count: workerCount, resources: capacity })]));
+    const keys = workers.map(({ id }, position) => ({
+        job: "short",
+        occurrence: 0,
+        step: 0,
+        position,
+        run: 1,
+        worker: id,
+    }));
+    machine.apply({ kind: "startRuns", starts: keys });
+    for (let number = 0; number < count; number += 1) {
+        machine.submit(makeJob(`lasting${number}`, [makeStep({ longRunning: true, resources: capacity })]));
+    }
+    return machine;
+}
+
+// Guards against a leader without processor time while long-running steps wait: passes whose cost is the number of these steps
+// times the number of runs on all workers.
+test("the runs of the workers are not read again for each long-running step that waits for one to be held", () => {
+    const countReads = (steps: number): number => {
+        const machine = setUpOverdueSteps(steps);
+        const readCount = countRunReads(machine);
+        const input = makePlanInput(machine.state);
+        assert.deepEqual(planStarts(input, testStartMs + 10_000), []);
+        return readCount();
+    };
+    const ofOne = countReads(1);
+    const ofMany = countReads(20);
+    assert.ok(ofMany <= ofOne + workerCount, `${ofOne} reads for one step, ${ofMany} for 20`);
+});
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -4,6 +4,7 @@
 import {
     addResources,
     findShortage,
+    noResources,
     type Resources,
     type StepSpec,
     subtractResources,
@@ -38,6 +39,8 @@
     idleMilliCpu: number;
     /** Processors that long-running tasks reserve, in thousandths of a core. */
     lastingMilliCpu: number;
+    /** What the recorded runs reserve that end by themselves; planned ones do not count. */
+    readonly ending: Resources;
     /** Serving tasks on the worker, grouped by job and image. */
     servingGroups: ServingGroup[];
     /** Processor time that best-effort tasks are expected to use, by image, as a share of the worker's capacity. */
@@ -159,9 +162,20 @@
     return false;
 }
 
+function sumEnding(state: WorkerState): Resources {
+    let ending = noResources;
+    for (const { step } of state.runs.values()) {
+        if (!step.spec.longRunning) {
+            ending = addResources(ending, computeReservation(step.spec));
+        }
+    }
+    return ending;
+}
+
 function sumRuns(state: WorkerState): RunSums {
     const sums = {
         state,
+        ending: sumEnding(state),
         tasksByStep: new Map<string, number>(),
         idleMilliCpu: state.info.capacity.milliCpu,
         lastingMilliCpu: 0,
@@ -200,7 +214,7 @@
     statuses: RunStatuses | undefined,
     startLimit?: number,
 ): WorkerCandidate {
-    const { tasksByStep, idleMilliCpu, lastingMilliCpu, servingGroups, bestEffortShares } = getRunSums(state);
+    const { tasksByStep, idleMilliCpu, lastingMilliCpu, ending, servingGroups, bestEffortShares } = getRunSums(state);
     return {
         state,
         free: subtractResources(state.info.capacity, state.used),
@@ -214,6 +228,7 @@
         tasksByStep,
         idleMilliCpu,
         lastingMilliCpu,
+        ending,
         servingGroups,
         bestEffortShares,
         sharesSums: true,
