Describe only runs that tell something about the speed of their worker

What callers saw: as before. Cause: each report described each of its runs with a key in text form, also those of long-running and paced tasks, of which nothing is learnt. Change: confidence and the time since the last observation are checked first.

--- a/packages/learn-worker-speed/src/index.ts
+++ b/packages/learn-worker-speed/src/index.ts
@@ -3,6 +3,7 @@
     addEstimate,
     createSpeedModel,
     forgetRun,
+    isProgressDue,
     listEstimates,
     observeEnd,
     observeProgress,
--- a/packages/learn-worker-speed/src/speed-model.ts
+++ b/packages/learn-worker-speed/src/speed-model.ts
@@ -195,16 +195,23 @@
     getWorker(model, run, nowMs).observedAtMs = nowMs;
 }
 
+/** Whether a run was not observed for long enough that its progress tells something. */
+export function isProgressDue(
+    model: SpeedModel,
+    { run, startedAtMs }: Pick<ObservedRun, "run" | "startedAtMs">,
+    nowMs: number,
+): boolean {
+    const observedAtMs = model.runs.get(run)?.atMs ?? startedAtMs;
+    return observedAtMs === undefined || nowMs - observedAtMs >= minWindowMs;
+}
+
 /** Observes the progress of a run that a report lists. */
 export function observeProgress(model: SpeedModel, run: ObservedRun, progressPercent: number, nowMs: number): void {
-    if (run.confidence <= 0) {
+    if (run.confidence <= 0 || !isProgressDue(model, run, nowMs)) {
         return;
     }
     const known = model.runs.get(run.run)
         ?? (run.startedAtMs === undefined ? undefined : { progressPercent: 0, atMs: run.startedAtMs });
-    if (known !== undefined && nowMs - known.atMs < minWindowMs) {
-        return;
-    }
     if (known !== undefined && progressPercent >= known.progressPercent) {
         addWindow(model, run, progressPercent - known.progressPercent, nowMs - known.atMs, nowMs);
     }
--- a/packages/plan-jobs/src/observe-speeds.ts
+++ b/packages/plan-jobs/src/observe-speeds.ts
@@ -1,5 +1,6 @@
 import { formatStepKey, type WorkerRun, type WorkerState } from "@chestnutspool/job-state";
 import {
+    isProgressDue,
     type ObservedRun,
     observeProgress,
     type SpeedModel,
@@ -50,14 +51,30 @@
     status: RunStatus,
     sinceMs: number,
 ): ObservedRun {
-    const { job, occurrence, step, task } = run;
+    return createObservedRun(info, runKey, run, computeConfidence(info, run, status), findStart(run, status, sinceMs));
+}
+
+/** Monotonic time of the start of a run in milliseconds; undefined if its progress counts from its first report only. */
+function findStart({ task, startedAtMs }: WorkerRun, { orderedAtMs }: RunStatus, sinceMs: number): number | undefined {
+    return task.checkpoint === "" && startedAtMs >= sinceMs ? orderedAtMs : undefined;
+}
+
+function createObservedRun(
+    info: WorkerInfo,
+    runKey: string,
+    { job, occurrence, step }: WorkerRun,
+    confidence: number,
+    startedAtMs: number | undefined,
+): ObservedRun {
     return {
-        ...getWorkerPlace(info),
+        worker: info.id,
+        rack: findRack(info),
+        availabilityZone: info.availabilityZone,
         run: runKey,
         step: formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position }),
         queue: job.queue.name,
-        confidence: computeConfidence(info, run, status),
-        startedAtMs: task.checkpoint === "" && run.startedAtMs >= sinceMs ? status.orderedAtMs : undefined,
+        confidence,
+        startedAtMs,
     };
 }
 
@@ -71,13 +88,15 @@
 ): void {
     for (const [key, run] of state.runs) {
         const status = statuses.get(key);
-        if (status !== undefined && status.start === "confirmed" && status.readAtMs === nowMs) {
-            observeProgress(
-                model,
-                describeObservedRun(state.info, key, run, status, sinceMs),
-                status.progressPercent,
-                nowMs,
-            );
+        if (status === undefined || status.start !== "confirmed" || status.readAtMs !== nowMs) {
+            continue;
+        }
+        // Most runs of a report say nothing, so that they are not described.
+        const confidence = computeConfidence(state.info, run, status);
+        const startedAtMs = findStart(run, status, sinceMs);
+        if (confidence > 0 && isProgressDue(model, { run: key, startedAtMs }, nowMs)) {
+            const observed = createObservedRun(state.info, key, run, confidence, startedAtMs);
+            observeProgress(model, observed, status.progressPercent, nowMs);
         }
     }
 }
