Prepare a call of the leader itself only if no relay carries it out

What callers saw: as before. Cause: each call that a relay carries out was also encoded for a call by the leader, and thrown away. Change: the local call is created when it is needed.

--- a/packages/relay-worker-calls/src/fakes/fake-port.ts
+++ b/packages/relay-worker-calls/src/fakes/fake-port.ts
@@ -33,21 +33,27 @@
     /** Calls that were carried out, as KIND ID ADDRESS. */
     readonly calls: string[];
     readonly limitsMs: number[];
+    /** Kinds of the calls that were prepared, whether they were carried out or not. */
+    readonly prepared: string[];
 }
 
 /** Creates a port whose calls all end with the given answer; a renewal that is done answers with an empty report. */
 export function createFakePort(answer: Effect.Effect<OrderAnswer>): FakePort {
     const calls: string[] = [];
     const limitsMs: number[] = [];
-    const perform = (kind: string, { id, address }: WorkerRef, limitMs: number) =>
-        Effect.suspend(() => {
+    const prepared: string[] = [];
+    const perform = (kind: string, { id, address }: WorkerRef, limitMs: number) => {
+        prepared.push(kind);
+        return Effect.suspend(() => {
             calls.push(`${kind} ${id} ${address}`);
             limitsMs.push(limitMs);
             return answer;
         });
+    };
     return {
         calls,
         limitsMs,
+        prepared,
         port: {
             startRun: (worker, sent, limitMs) => perform("startRun", worker, limitMs),
             stopRun: (worker, sent, token, limitMs) => perform("stopRun", worker, limitMs),
--- a/packages/relay-worker-calls/src/open-worker-calls.test.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.test.ts
@@ -110,6 +110,25 @@
     }),
 );
 
+// Guards against a leader that spends its processor time on encoding calls which a relay encodes again.
+testScoped(
+    "a call that a relay carries out is not prepared by the leader",
+    Effect.gen(function*() {
+        const network = yield* createMemoryNetwork;
+        const leader = yield* openMember(network, "a", ["a", "b"], "leader");
+        yield* openMember(network, "b", ["a", "b"], "follower");
+        yield* awaitRelays(leader, 1);
+        const { port } = leader.calls;
+        const worker = makeWorker("w");
+        yield* port.startRun(worker, order, 1_000);
+        yield* port.stopRun(worker, run, 3, 1_000);
+        yield* port.paceRun(worker, run, 40, 3, 1_000);
+        const renewal = { leaseUntilMs: undefined, fencingToken: 3, acknowledgedSequence: 0, waitMs: 0 };
+        yield* port.renewLease(worker, renewal, 1_000);
+        assert.deepEqual(leader.fake.prepared, []);
+    }),
+);
+
 // Guards against a single control process that waits for relays.
 testScoped(
     "a leader without a usable relay carries out its calls itself",
--- a/packages/relay-worker-calls/src/open-worker-calls.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.ts
@@ -41,13 +41,13 @@
         call: WorkerCall,
         limitMs: number,
         convert: (answer: RelayedAnswer["answer"]) => Answer,
-        callLocally: Effect.Effect<Answer>,
+        callLocally: () => Effect.Effect<Answer>,
     ): Effect.Effect<Answer> =>
         Effect.suspend(() => {
             const relay = pool.findRelay(worker);
             if (relay === undefined) {
                 metrics.countEvent("workerCalls.local", "", "");
-                return callLocally;
+                return callLocally();
             }
             return Effect.callback<Answer>(resume => {
                 const cancel = pool.startCall(relay, worker, call, limitMs, answer =>
@@ -62,7 +62,7 @@
                 { kind: "startRun", order },
                 limitMs,
                 convertOrderAnswer,
-                local.startRun(worker, order, limitMs),
+                () => local.startRun(worker, order, limitMs),
             ),
         stopRun: (worker, run, fencingToken, limitMs) =>
             relayCall(
@@ -70,7 +70,7 @@
                 { kind: "stopRun", run: convertToRunKey(run), fencingToken },
                 limitMs,
                 convertOrderAnswer,
-                local.stopRun(worker, run, fencingToken, limitMs),
+                () => local.stopRun(worker, run, fencingToken, limitMs),
             ),
         paceRun: (worker, run, percent, fencingToken, limitMs) =>
             relayCall(
@@ -78,7 +78,7 @@
                 { kind: "paceRun", run: convertToRunKey(run), percent, fencingToken },
                 limitMs,
                 convertOrderAnswer,
-                local.paceRun(worker, run, percent, fencingToken, limitMs),
+                () => local.paceRun(worker, run, percent, fencingToken, limitMs),
             ),
         renewLease: (worker, order, limitMs) =>
             relayCall(
@@ -86,7 +86,7 @@
                 { kind: "renewLease", order },
                 limitMs,
                 convertRenewAnswer,
-                local.renewLease(worker, order, limitMs),
+                () => local.renewLease(worker, order, limitMs),
             ),
         closeConnections: worker => {
             pool.closeConnections(worker);
