Compare waiting steps with a worker once in the planning of copies

What callers saw: passes of 40 to 90 ms with two to four a second while tasks waited. Cause: for each task that is slow, the waiting steps were compared with up to eight workers. Change: whether a step waits for a worker is found out once a pass of copies; copies that it plans only take capacity, so that the answer stays on the safe side.

--- a/packages/plan-copies/src/find-copy-worker.ts
+++ b/packages/plan-copies/src/find-copy-worker.ts
@@ -89,6 +89,15 @@
     /** Workers with a straggler. */
     readonly slowWorkers: ReadonlySet<WorkerId>;
     readonly predictSpeed: (worker: WorkerId) => number;
+    /** Whether a step waits for capacity of a worker, for the workers that were compared with the waiting steps. */
+    readonly waitedFor: Map<WorkerCandidate, boolean>;
+}
+
+/** Whether any step waits for capacity of a worker. A planned copy takes capacity, so that the answer stays on the safe side. */
+function isWaitedFor(candidate: WorkerCandidate, waiting: readonly WaitingStep[], search: WorkerSearch): boolean {
+    const known = search.waitedFor.get(candidate) ?? waiting.some(other => isWaitingFor(other, candidate, search));
+    search.waitedFor.set(candidate, known);
+    return known;
 }
 
 function hasRoom(candidate: WorkerCandidate, spec: StepSpec, stepKey: string, input: PlanInput): boolean {
@@ -123,5 +132,5 @@
     return suitable
         .sort((left, right) => computeSpeed(right) - computeSpeed(left) || right.free.milliCpu - left.free.milliCpu)
         .slice(0, comparedWorkers)
-        .find(candidate => !waiting.some(other => isWaitingFor(other, candidate, search)));
+        .find(candidate => !isWaitedFor(candidate, waiting, search));
 }
--- a/packages/plan-copies/src/plan-copies.test.ts
+++ b/packages/plan-copies/src/plan-copies.test.ts
@@ -272,3 +272,33 @@
     running.report(900, 90, { 0: 13, 1: 13, 2: 13, 3: 13, 4: 13, 5: 13, 6: 13, 7: 13 });
     assert.equal(running.plan(910).length, 4);
 });
+
+/** Counts how often the labels of workers are compared while copies of the last tasks are planned; a step with a label waits. */
+function countComparisons(slowTasks: number): number {
+    let comparisons = 0;
+    const workers = [...Array(14).keys()].map(number => {
+        const labels = ["a", "counted"];
+        labels.includes = label => {
+            comparisons += 1;
+            return labels.indexOf(label) >= 0;
+        };
+        return makeWorker(`w${number}`, { labels });
+    });
+    const running = makeRunningStep({ workers });
+    const slow = [...Array(slowTasks).keys()].map(number => 9 - number);
+    running.report(900, 90, Object.fromEntries(slow.map(position => [position, 13])));
+    for (let position = 0; position < 10 - slowTasks; position += 1) {
+        running.endFirst(position, 1_000);
+    }
+    running.machine.submit(makeJob("b", [makeStep({ requiredLabel: "counted" })]));
+    comparisons = 0;
+    assert.deepEqual(describe(running, 1_010), []);
+    return comparisons;
+}
+
+// Guards against passes that take tens of milliseconds while steps wait: each slow task was compared with all that waits.
+test("the waiting steps are compared with a worker once, however many tasks are slow", () => {
+    const ofOne = countComparisons(1);
+    assert.ok(ofOne > 0);
+    assert.ok(countComparisons(4) <= ofOne + 4, `${countComparisons(4)} comparisons, ${ofOne} for one slow task`);
+});
--- a/packages/plan-copies/src/plan-copies.ts
+++ b/packages/plan-copies/src/plan-copies.ts
@@ -151,6 +151,7 @@
         kept: listKeptWorkers(state, candidates),
         slowWorkers: new Set(stragglers.map(({ worker }) => worker)),
         predictSpeed,
+        waitedFor: new Map(),
     };
     const budgets = new Map<string, PoolBudget>();
     return stragglers
