Look up the oldest entry of a map only above its limit

What callers saw: as before; reports took a tenth of the leader's time. Cause: maps in which the latest entries are set again looked up their oldest entry each time, and the iterator passes all entries that were deleted before it; one such map has an entry for each run. Class: work for each event that grows with what is kept.

--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -1,6 +1,6 @@
 import { formatRunKey, formatStepKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
 import { countAllowedStarts, recordRunQuality, type RunQuality, type RunStatus } from "@chestnutspool/track-workers";
-import type { RunEnd, WorkerId } from "@chestnutspool/types";
+import { type RunEnd, setLatest, type WorkerId } from "@chestnutspool/types";
 import { observeRunEnd } from "./learn-speeds.js";
 import { recordPlacementRun } from "./placement-waits.js";
 import type { Term, WorkerSession } from "./term.js";
@@ -23,16 +23,6 @@
  */
 const maxSuspectedShare = 0.34;
 
-/** Sets an entry of a map as its latest, and deletes the oldest one above the limit. */
-function setLatest<Value>(map: Map<string, Value>, key: string, value: Value, limit: number): void {
-    map.delete(key);
-    map.set(key, value);
-    const [oldest] = map.keys();
-    if (map.size > limit && oldest !== undefined) {
-        map.delete(oldest);
-    }
-}
-
 /** Records the run time of a successful run; true if it took far longer than earlier runs of its step. */
 function observeRunTime(term: Term, end: RunEnd, tookMs: number): boolean {
     const key = formatStepKey(end);
--- a/packages/learn-interference/src/interference-model.ts
+++ b/packages/learn-interference/src/interference-model.ts
@@ -10,7 +10,7 @@
  * independent.
  */
 
-import type { DisturbanceEstimate } from "@chestnutspool/types";
+import { type DisturbanceEstimate, dropOldest } from "@chestnutspool/types";
 
 /** Processor time in use by the tasks of one image on a worker, as a share of the worker's processors. */
 export interface ImageUsage {
@@ -102,13 +102,6 @@
     readonly addPairs: (pairs: readonly DisturbanceEstimate[]) => void;
 }
 
-function dropOldest(map: Map<string, unknown>, limit: number): void {
-    const oldest = map.keys().next();
-    if (map.size > limit && oldest.done !== true) {
-        map.delete(oldest.value);
-    }
-}
-
 /** Creates a model without observations. */
 export function createInterferenceModel(): InterferenceModel {
     const pairs = new Set<MutablePair>();
--- a/packages/learn-worker-speed/src/speed-model.ts
+++ b/packages/learn-worker-speed/src/speed-model.ts
@@ -9,7 +9,7 @@
  * halves within less than a second, so that a worker that has recovered is trusted again.
  */
 
-import type { WorkerId, WorkerSpeedEstimate } from "@chestnutspool/types";
+import { setLatest, type WorkerId, type WorkerSpeedEstimate } from "@chestnutspool/types";
 import { computeRemainingShare } from "./decaying-sums.js";
 import { createGroupedSums, type GroupedSums, type WorkerPlace } from "./grouped-sums.js";
 import { createStepRates, type StepRates } from "./step-rates.js";
@@ -215,12 +215,7 @@
     if (known !== undefined && progressPercent >= known.progressPercent) {
         addWindow(model, run, progressPercent - known.progressPercent, nowMs - known.atMs, nowMs);
     }
-    model.runs.delete(run.run);
-    model.runs.set(run.run, { progressPercent, atMs: nowMs });
-    const [oldest] = model.runs.keys();
-    if (model.runs.size > runLimit && oldest !== undefined) {
-        model.runs.delete(oldest);
-    }
+    setLatest(model.runs, run.run, { progressPercent, atMs: nowMs }, runLimit);
 }
 
 /** Forgets a run that was stopped or lost; its end says nothing about its worker. */
--- a/packages/learn-worker-speed/src/step-rates.ts
+++ b/packages/learn-worker-speed/src/step-rates.ts
@@ -1,4 +1,4 @@
-import type { WorkerId } from "@chestnutspool/types";
+import { setLatest, type WorkerId } from "@chestnutspool/types";
 
 /** Rate of a run and how much a comparison with it says about a worker. */
 export interface TypicalRate {
@@ -62,16 +62,6 @@
     rates: number;
 }
 
-/** Sets an entry as the latest of a map, and deletes the oldest one above the limit. */
-function setLatest<Value>(map: Map<string, Value>, key: string, value: Value, limit: number): void {
-    map.delete(key);
-    map.set(key, value);
-    if (map.size > limit) {
-        const [oldest] = map.keys();
-        map.delete(oldest ?? key);
-    }
-}
-
 function computeMedian(values: readonly number[]): number {
     const sorted = [...values].sort((left, right) => left - right);
     const middle = Math.floor(sorted.length / 2);
--- a/packages/plan-placement-waits/src/placement-memory.ts
+++ b/packages/plan-placement-waits/src/placement-memory.ts
@@ -1,4 +1,4 @@
-import type { JobId } from "@chestnutspool/types";
+import { dropOldest, type JobId } from "@chestnutspool/types";
 import type { WaitLimit } from "./decide-placement-wait.js";
 import { createKeptRacks, type KeptRacks } from "./kept-racks.js";
 import { createRunTimeModel, observeRunTime, type RunTimeKey, type RunTimeModel } from "./run-times.js";
@@ -92,13 +92,6 @@
     return known;
 }
 
-function dropOldest(collection: Map<string, unknown> | Set<string>): void {
-    const [oldest] = collection.keys();
-    if (collection.size > endedStepLimit && oldest !== undefined) {
-        collection.delete(oldest);
-    }
-}
-
 /** Ends a wait, and learns from it how good the predictions of its service are. */
 export function endWait(memory: PlacementMemory, wait: StepWait, outcome: WaitOutcome, nowMs: number): void {
     const { key, service, decidedAtMs, expectedAtMs, savedMs } = wait;
@@ -108,7 +101,7 @@
     const isPlaced = outcome === "placed";
     if (isPlaced) {
         memory.begunJobs.add(wait.job);
-        dropOldest(memory.begunJobs);
+        dropOldest(memory.begunJobs, endedStepLimit);
     }
     else {
         memory.begunJobs.delete(wait.job);
@@ -123,11 +116,11 @@
     }
     if (isPlaced) {
         memory.placedAfterMs.set(key, waitedMs);
-        dropOldest(memory.placedAfterMs);
+        dropOldest(memory.placedAfterMs, endedStepLimit);
     }
     else if (outcome !== "jobEnded") {
         memory.failed.add(key);
-        dropOldest(memory.failed);
+        dropOldest(memory.failed, endedStepLimit);
     }
     memory.ended.push({
         wait,
--- a/packages/plan-placement-waits/src/run-times.ts
+++ b/packages/plan-placement-waits/src/run-times.ts
@@ -1,3 +1,5 @@
+import { setLatest } from "@chestnutspool/types";
+
 /** Identifies the runs whose times resemble each other: the tasks of one step, and those of one queue. */
 export interface RunTimeKey {
     readonly queue: string;
@@ -49,13 +51,7 @@
 /** Records that a run succeeded after `tookMs` milliseconds, or would have in the rack that it prefers. */
 export function observeRunTime(model: RunTimeModel, { queue, step, declaredMs }: RunTimeKey, tookMs: number): void {
     const known = model.steps.get(step) ?? { runs: 0, totalMs: 0 };
-    // The latest step is the last entry of the map.
-    model.steps.delete(step);
-    model.steps.set(step, { runs: known.runs + 1, totalMs: known.totalMs + tookMs });
-    const [oldest] = model.steps.keys();
-    if (model.steps.size > stepLimit && oldest !== undefined) {
-        model.steps.delete(oldest);
-    }
+    setLatest(model.steps, step, { runs: known.runs + 1, totalMs: known.totalMs + tookMs }, stepLimit);
     const value = Math.log(Math.max(leastRunMs, tookMs));
     const error = value - Math.log(Math.max(leastRunMs, declaredMs));
     const ofQueue = model.queues.get(queue)
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./jobs.js";
 export * from "./keep-running.js";
 export * from "./keys.js";
+export * from "./latest-entries.js";
 export * from "./messages.js";
 export * from "./ports.js";
 export * from "./resources.js";
