--- a/packages/lead-jobs/src/task-copies-faults.test.ts
+++ b/packages/lead-jobs/src/task-copies-faults.test.ts
@@ -5,15 +5,8 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-    makeWorker,
-    playTimedEvents,
-    type StartedRun,
-    startTestSystem,
-    type SystemEvent,
-    type TimedEvent,
-    workerFaults,
-} from "./fakes/index.js";
+import { makeWorker, playTimedEvents, startTestSystem, workerFaults } from "./fakes/index.js";
+import type { StartedRun, SystemEvent, TimedEvent } from "./fakes/index.js";
 
 const workerIds = ["w1", "w2", "w3", "w4", "w5"];
 /** Attempts of a task in the queue of the test system. */
