--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -17,7 +17,7 @@
     return task.startsWith(gangId) ? { ms: gangMs, gang: members } : { ms: shortMs };
 }
 
-await runCase(import.meta.dirname, {}, async (system, note) => {
+await runCase(`${import.meta.dirname}/record.txt`, {}, async (system, note) => {
     const minions = await startMinions(system, minionCount, { plan: planTask });
     const countMembers = () =>
         minions.reduce(
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -12,7 +12,7 @@
     return isUpperCase ? id.toUpperCase() : id;
 }
 
-await runCase(import.meta.dirname, { entries: 2 }, async (system, note) => {
+await runCase(`${import.meta.dirname}/record.txt`, { entries: 2 }, async (system, note) => {
     const minions = await startMinions(system, 4, { plan: () => ({ ms: runMs }) });
     const accepted = [];
     for (let index = 0; index < count; index += 1) {
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -13,7 +13,7 @@
 const crashesUntilLimit = 3;
 const startsToBreak = 3;
 
-await runCase(import.meta.dirname, {}, async (system, note) => {
+await runCase(`${import.meta.dirname}/record.txt`, {}, async (system, note) => {
     const minions = await startMinions(system, 8, { plan: () => ({ ms: runMs }) });
     const { status } = await ask(system, "POST", `/q/${deadlyId}`, {
         spec: "text",
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -7,7 +7,7 @@
 const rareLabel = "b";
 const count = 8;
 
-await runCase(import.meta.dirname, {}, async (system, note) => {
+await runCase(`${import.meta.dirname}/record.txt`, {}, async (system, note) => {
     const minions = await startMinions(system, minionCount - 1, { plan: () => ({ ms: runMs }) });
     const [rare] = await startMinions(system, 1, {
         first: minionCount,
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -1,5 +1,4 @@
 import { writeFileSync } from "node:fs";
-import { join } from "node:path";
 import { makeManifest, sendManifest } from "./calls.mjs";
 import { Minion } from "./minion.mjs";
 import { sleep, startSystem } from "./system.mjs";
@@ -11,10 +10,10 @@
 export class NotRun extends Error {}
 
 /**
- * Starts a small deployment, runs a case on it, writes `record.txt` into the folder of the case and exits: 1 if `run`
+ * Starts a small deployment, runs a case on it, writes its record to a file and exits: 1 if `run`
  * returns findings, 0 if it returns none, 2 if the case could not run.
  */
-export async function runCase(folder, { controls = 3, entries = 1, maxAttempts = 3, prefixes = ["/q/"] }, run) {
+export async function runCase(recordFile, { controls = 3, entries = 1, maxAttempts = 3, prefixes = ["/q/"] }, run) {
     const startedMs = performance.now();
     const lines = [];
     const note = text => lines.push(`${((performance.now() - startedMs) / 1_000).toFixed(3).padStart(8)} ${text}`);
@@ -25,7 +24,7 @@
         clearTimeout(watchdog);
         note(text);
         system?.close();
-        writeFileSync(join(folder, "record.txt"), `${lines.join("\n")}\n`);
+        writeFileSync(recordFile, `${lines.join("\n")}\n`);
         console.log(text);
         process.exit(status);
     };
