Log best-effort jobs without a run, their starts, and stops of only runs

The line leader load has them now. Test: the summary tells the jobs without a run, the longest wait and the starts (the function is new).

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -7,6 +7,7 @@
     type PlanInput,
     type PlanMemory,
     planStarts,
+    takeStarvationSummary,
 } from "@chestnutspool/plan-jobs";
 import {
     createPreemptionMemory,
@@ -31,7 +32,7 @@
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
-import { type LoadPart, measurePart, recordPass } from "./term-load.js";
+import { type LoadPart, measurePart, recordPass, recordStalledStop, recordStarvation } from "./term-load.js";
 import { canSendOrders, logStepError, propose, type Term, type WorkerSession } from "./term.js";
 
 /** Longest pause between two passes, in milliseconds, because some decisions depend on time alone. */
@@ -163,6 +164,7 @@
             if (reason === "standsStill") {
                 recordStalledRun(term, session, status.key.job, nowMs);
             }
+            recordStalledStop(term.load, term.machine.state.jobs.get(status.key.job)?.runsInProgress ?? 0);
             yield* requestStop(term, session, runKey, reason, nowMs);
         }
     }
@@ -271,6 +273,7 @@
     const tookMs = planner.passMs;
     planner.memory.ratingsPerPass = adaptRatings(planner.memory.ratingsPerPass, tookMs, planner.memory.hasStepsLeft);
     recordPass(term.load, tookMs);
+    recordStarvation(term.load, takeStarvationSummary(planner.memory.starvation));
     logEndedWaits(term);
     yield* carryOutStarts(term, [...starts, ...copies]);
     // A leader that could not commit its starts has failed before this and stops nothing.
--- a/packages/lead-jobs/src/term-load.ts
+++ b/packages/lead-jobs/src/term-load.ts
@@ -1,3 +1,4 @@
+import type { StarvationSummary } from "@chestnutspool/plan-jobs";
 import { Effect } from "effect";
 
 /** Work of the leader whose time is measured apart: parts of a pass of the planner, reports of workers, and paces. */
@@ -18,6 +19,15 @@
     renewals: number;
     failedRenewals: number;
     paces: number;
+    /** Best-effort jobs without a run, as the last pass found them. */
+    jobsWithoutRun: number;
+    /** Longest time for which such a job has had no run. */
+    longestWithoutRunMs: number;
+    /** Tasks that were started although they disturb serving tasks, because their jobs had no run. */
+    starvedStarts: number;
+    /** Runs that were stopped because they made no progress, and those among them that were the only run of their job. */
+    stalledStops: number;
+    onlyRunsStopped: number;
     /** Time for which each part has kept the thread. */
     readonly partMs: Record<LoadPart, number>;
     /** Longest time by which a timer fired late; the event loop was busy for at least this time. */
@@ -39,6 +49,11 @@
         renewals: 0,
         failedRenewals: 0,
         paces: 0,
+        jobsWithoutRun: 0,
+        longestWithoutRunMs: 0,
+        starvedStarts: 0,
+        stalledStops: 0,
+        onlyRunsStopped: 0,
         partMs: { stops: 0, starts: 0, preemptions: 0, copies: 0, reports: 0, paces: 0 },
         longestDelayMs: 0,
     };
@@ -70,6 +85,19 @@
     load.longestPassMs = Math.max(load.longestPassMs, tookMs);
 }
 
+/** Records the best-effort jobs that a pass found without a run. */
+export function recordStarvation(load: TermLoad, { jobs, longestMs, starts }: StarvationSummary): void {
+    load.jobsWithoutRun = jobs;
+    load.longestWithoutRunMs = Math.max(load.longestWithoutRunMs, longestMs);
+    load.starvedStarts += starts;
+}
+
+/** Records that a run without progress is stopped; `runsOfJob` counts the runs of its job until then. */
+export function recordStalledStop(load: TermLoad, runsOfJob: number): void {
+    load.stalledStops += 1;
+    load.onlyRunsStopped += runsOfJob === 1 ? 1 : 0;
+}
+
 /** Records a command that was committed `tookMs` after it was proposed. */
 export function recordCommit(load: TermLoad, tookMs: number): void {
     load.commits += 1;
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -379,6 +379,7 @@
     const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
         memory.hasStepsLeft = false;
+        listStarvedSteps(memory.starvation, [], nowMs);
         return [];
     }
     const candidates = listCandidates(input);
--- a/packages/plan-jobs/src/starved-steps.test.ts
+++ b/packages/plan-jobs/src/starved-steps.test.ts
@@ -6,6 +6,7 @@
 import { makePlanInput } from "./fakes/make-plan-input.js";
 import { createPlanMemory } from "./plan-memory.js";
 import { planStarts } from "./plan-starts.js";
+import { takeStarvationSummary } from "./starved-steps.js";
 
 const passMs = 100;
 
@@ -50,7 +51,7 @@
         }
         return planned;
     };
-    return { submitForecast, planUntil };
+    return { submitForecast, planUntil, memory };
 }
 
 // Guards against an accepted job of which nothing ever runs, although all workers have room: it would disturb the serving
@@ -91,6 +92,15 @@
     assert.ok((planned[0]?.atMs ?? 0) >= 6_000);
 });
 
+// Guards against jobs that wait for long without a line that tells how many they are and how often one of them starts.
+test("the summary tells the jobs without a run, the longest wait and the starts", () => {
+    const { submitForecast, planUntil, memory } = setUp(2);
+    ["a", "b", "c"].forEach(job => submitForecast(job, { count: 8, expectedRunMs: 1_000 }));
+    planUntil(3_000);
+    assert.deepEqual(takeStarvationSummary(memory.starvation), { jobs: 2, longestMs: 3_000, starts: 1 });
+    assert.equal(takeStarvationSummary(memory.starvation).starts, 0);
+});
+
 // Guards against a job without a run for as long as workers refuse its starts.
 test("a start of a starved step that is refused is repeated after a second", () => {
     const { submitForecast, planUntil } = setUp(2);
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -23,6 +23,20 @@
     readonly sinceMs: number;
     /** Wall-clock time of the last attempt to start one of its steps although it disturbs. */
     triedAtMs: number;
+    /** Wall-clock time since which each pass has found it without a run. */
+    withoutRunSinceMs: number;
+    /** Wall-clock time of the last pass that found it without a run. */
+    foundAtMs: number;
+}
+
+/** Best-effort jobs without a run, for the log. */
+export interface StarvationSummary {
+    /** Jobs without a run whose turn has come in the last pass, also those that are not starved yet. */
+    readonly jobs: number;
+    /** Longest time for which one of them has had no run, in milliseconds. */
+    readonly longestMs: number;
+    /** Tasks of starved steps that were started since the summary was last taken. */
+    readonly starts: number;
 }
 
 /** Starts of starved steps of a service in the present interval. */
@@ -35,6 +49,9 @@
 export interface StarvationMemory {
     readonly jobs: WeakMap<JobRecord, Starvation>;
     readonly intervals: Map<string, StartInterval>;
+    /** Wall-clock time of the last pass, in milliseconds since the epoch. */
+    passedAtMs: number;
+    summary: StarvationSummary;
 }
 
 /** A step that may start although it disturbs serving tasks. */
@@ -45,7 +62,36 @@
 
 /** Creates a memory without jobs. */
 export function createStarvationMemory(): StarvationMemory {
-    return { jobs: new WeakMap(), intervals: new Map() };
+    return {
+        jobs: new WeakMap(),
+        intervals: new Map(),
+        passedAtMs: Number.NEGATIVE_INFINITY,
+        summary: { jobs: 0, longestMs: 0, starts: 0 },
+    };
+}
+
+/** Returns what there is to log about jobs without a run, and counts starts anew. */
+export function takeStarvationSummary(memory: StarvationMemory): StarvationSummary {
+    const { summary } = memory;
+    memory.summary = { ...summary, starts: 0 };
+    return summary;
+}
+
+/** Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. */
+function observeWithoutRun({ jobs, passedAtMs }: StarvationMemory, job: JobRecord, nowMs: number): Starvation {
+    const starvation = jobs.get(job)
+        ?? {
+            sinceMs: nowMs,
+            triedAtMs: Number.NEGATIVE_INFINITY,
+            withoutRunSinceMs: nowMs,
+            foundAtMs: nowMs,
+        };
+    jobs.set(job, starvation);
+    if (starvation.foundAtMs !== nowMs && starvation.foundAtMs !== passedAtMs) {
+        starvation.withoutRunSinceMs = nowMs;
+    }
+    starvation.foundAtMs = nowMs;
+    return starvation;
 }
 
 /**
@@ -59,17 +105,21 @@
     nowMs: number,
 ): StarvedStep[] {
     const starved: StarvedStep[] = [];
+    const withoutRun = new Map<JobRecord, number>();
     for (const waiting of waitingSteps) {
         const { job, step, lateness } = waiting;
         if (!step.spec.usesIdleCpu || job.runsInProgress > 0) {
             continue;
         }
-        const starvation = memory.jobs.get(job) ?? { sinceMs: nowMs, triedAtMs: Number.NEGATIVE_INFINITY };
-        memory.jobs.set(job, starvation);
+        const starvation = observeWithoutRun(memory, job, nowMs);
+        withoutRun.set(job, nowMs - starvation.withoutRunSinceMs);
         if (nowMs - starvation.sinceMs >= starvedMs[lateness] && nowMs - starvation.triedAtMs >= retryMs) {
             starved.push({ waiting, starvation });
         }
     }
+    memory.passedAtMs = nowMs;
+    const longestMs = Math.max(0, ...withoutRun.values());
+    memory.summary = { jobs: withoutRun.size, longestMs, starts: memory.summary.starts };
     const computeTurnMs = ({ starvation }: StarvedStep): number => Math.max(starvation.sinceMs, starvation.triedAtMs);
     return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
 }
@@ -92,6 +142,7 @@
 
 /** Records that tasks of starved steps of a service start at `nowMs`. */
 export function recordStarvedStarts(memory: StarvationMemory, service: string, starts: number, nowMs: number): void {
+    memory.summary = { ...memory.summary, starts: memory.summary.starts + starts };
     const interval = findInterval(memory, service, nowMs);
     if (interval === undefined) {
         memory.intervals.set(service, { beganAtMs: nowMs, starts });
