--- /dev/null
+++ b/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
@@ -0,0 +1,68 @@
+import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
+import { createInterferenceModel } from "@chestnutspool/learn-interference";
+import type { RunEnd, RunStart, StepSpec } from "@chestnutspool/types";
+import { createPlanMemory } from "../plan-memory.js";
+import { planStarts } from "../plan-starts.js";
+import { makePlanInput } from "./make-plan-input.js";
+
+/** Time between two passes of a disturbed pool, in milliseconds. */
+export const passMs = 100;
+
+/** How the runs of a disturbed pool end; by default they do not. */
+export interface RunEnding {
+    readonly outcome: RunEnd["outcome"];
+    /** Run time, in milliseconds; a run that ends before the next pass has 0. */
+    readonly afterMs: number;
+}
+
+/** Workers of four cores that each run a serving task of one core, which tasks of the image `forecast` disturb. */
+export function makeDisturbedPool(workerCount: number, ratingsPerPass?: number) {
+    const workers = Array.from({ length: workerCount }, (item, number) => makeWorker(`w${number}`));
+    const machine = makeMachine(workers, [makeQueue({ targetLatencyMs: 500 })]);
+    const serving = makeStep({ longRunning: true, tailTargetMs: 20, image: "web" });
+    machine.submit(makeJob("web", workers.map(() => serving)));
+    const servingStarts = workers.map(({ id }, step) => ({
+        job: "web",
+        occurrence: 0,
+        step,
+        position: 0,
+        run: 1,
+        worker: id,
+    }));
+    machine.apply({ kind: "startRuns", starts: servingStarts });
+    const interference = createInterferenceModel();
+    interference.addPairs([{ image: "web", other: "forecast", disturbance: 12, variance: 0.1 }]);
+    const input = { ...makePlanInput(machine.state), interference };
+    const memory = createPlanMemory(ratingsPerPass);
+    const submitForecast = (job: string, changes: Partial<StepSpec>): void => {
+        const resources = { milliCpu: 1_000, memoryMib: 10, accelerators: 0 };
+        machine.submit(makeJob(job, [makeStep({ usesIdleCpu: true, image: "forecast", resources, ...changes })]));
+    };
+    /** Plans until `untilMs` after the start; `observePass` is called after each pass. */
+    const planUntil = (
+        untilMs: number,
+        ending?: RunEnding,
+        observePass: (atMs: number) => void = () => undefined,
+    ): { readonly job: string; readonly atMs: number; }[] => {
+        const planned: { readonly job: string; readonly atMs: number; }[] = [];
+        let running: { readonly start: RunStart; readonly endsAtMs: number; }[] = [];
+        const endRuns = (outcome: RunEnd["outcome"], atMs: number): void => {
+            for (const { start: { worker, ...run } } of running.filter(({ endsAtMs }) => endsAtMs <= atMs)) {
+                machine.apply({ kind: "endRuns", worker, ends: [{ ...run, outcome, checkpoint: "" }] });
+            }
+            running = running.filter(({ endsAtMs }) => endsAtMs > atMs);
+        };
+        for (let atMs = 0; atMs <= untilMs; atMs += passMs) {
+            const starts = planStarts(input, testStartMs + atMs, memory);
+            machine.apply({ kind: "startRuns", starts });
+            planned.push(...starts.map(({ job }) => ({ job, atMs })));
+            observePass(atMs);
+            if (ending !== undefined) {
+                running.push(...starts.map(start => ({ start, endsAtMs: atMs + ending.afterMs })));
+                endRuns(ending.outcome, atMs);
+            }
+        }
+        return planned;
+    };
+    return { machine, submitForecast, planUntil, memory };
+}
--- a/packages/plan-jobs/src/starved-steps.test.ts
+++ b/packages/plan-jobs/src/starved-steps.test.ts
@@ -1,63 +1,12 @@
-import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
-import { createInterferenceModel } from "@chestnutspool/learn-interference";
-import type { RunEnd, StepSpec } from "@chestnutspool/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { makePlanInput } from "./fakes/make-plan-input.js";
-import { createPlanMemory } from "./plan-memory.js";
-import { planStarts } from "./plan-starts.js";
+import { makeDisturbedPool, passMs } from "./fakes/make-disturbed-pool.js";
 import { takeStarvationSummary } from "./starved-steps.js";
 
-const passMs = 100;
-
-/** Workers that each run a serving task, which tasks of the image `forecast` disturb. */
-function setUp(workerCount: number, ratingsPerPass?: number) {
-    const workers = Array.from({ length: workerCount }, (item, number) => makeWorker(`w${number}`));
-    const machine = makeMachine(workers, [makeQueue({ targetLatencyMs: 500 })]);
-    const serving = makeStep({ longRunning: true, tailTargetMs: 20, image: "web" });
-    machine.submit(makeJob("web", workers.map(() => serving)));
-    const starts = workers.map(({ id }, step) => ({
-        job: "web",
-        occurrence: 0,
-        step,
-        position: 0,
-        run: 1,
-        worker: id,
-    }));
-    machine.apply({ kind: "startRuns", starts });
-    const interference = createInterferenceModel();
-    interference.addPairs([{ image: "web", other: "forecast", disturbance: 12, variance: 0.1 }]);
-    const input = { ...makePlanInput(machine.state), interference };
-    const memory = createPlanMemory(ratingsPerPass);
-    const submitForecast = (job: string, changes: Partial<StepSpec>): void => {
-        const resources = { milliCpu: 1_000, memoryMib: 10, accelerators: 0 };
-        machine.submit(makeJob(job, [makeStep({ usesIdleCpu: true, image: "forecast", resources, ...changes })]));
-    };
-    /** Plans until `untilMs` after the start; the runs that a pass starts end before the next one if an outcome is given. */
-    const planUntil = (
-        untilMs: number,
-        outcome?: RunEnd["outcome"],
-    ): { readonly job: string; readonly atMs: number; }[] => {
-        const planned: { readonly job: string; readonly atMs: number; }[] = [];
-        for (let atMs = 0; atMs <= untilMs; atMs += passMs) {
-            const planStartsNow = planStarts(input, testStartMs + atMs, memory);
-            machine.apply({ kind: "startRuns", starts: planStartsNow });
-            planned.push(...planStartsNow.map(({ job }) => ({ job, atMs })));
-            if (outcome !== undefined) {
-                planStartsNow.forEach(({ worker, ...run }) => {
-                    machine.apply({ kind: "endRuns", worker, ends: [{ ...run, outcome, checkpoint: "" }] });
-                });
-            }
-        }
-        return planned;
-    };
-    return { submitForecast, planUntil, memory };
-}
-
 // Guards against an accepted job of which nothing ever runs, although all workers have room: it would disturb the serving
 // tasks of each of them (LOST on moreno-vaac, trouble-2 seed 387181395012).
 test("a late job whose tasks would disturb serving tasks on each worker gets a run", () => {
-    const { submitForecast, planUntil } = setUp(2);
+    const { submitForecast, planUntil } = makeDisturbedPool(2);
     submitForecast("large", { count: 8, expectedRunMs: 1_000 });
     const planned = planUntil(10_000);
     assert.deepEqual(planned.map(({ job }) => job), ["large"]);
@@ -66,10 +15,10 @@
 
 // Guards against a burst of late jobs that disturbs the serving tasks of all workers at once.
 test("starved steps start one after the other, each in its turn", () => {
-    const { submitForecast, planUntil } = setUp(4);
+    const { submitForecast, planUntil } = makeDisturbedPool(4);
     const jobs = ["a", "b", "c", "d"];
     jobs.forEach(job => submitForecast(job, { count: 8, expectedRunMs: 1_000 }));
-    const planned = planUntil(12_000, "succeeded");
+    const planned = planUntil(12_000, { outcome: "succeeded", afterMs: 0 });
     for (const [index, { atMs }] of planned.entries()) {
         assert.ok(index === 0 || atMs - (planned[index - 1]?.atMs ?? 0) >= 1_000);
     }
@@ -78,14 +27,14 @@
 
 // Guards against serving tasks that are disturbed for a job that can still meet its objective.
 test("a job in time does not start where it disturbs serving tasks", () => {
-    const { submitForecast, planUntil } = setUp(2);
+    const { submitForecast, planUntil } = makeDisturbedPool(2);
     submitForecast("early", { count: 8, expectedRunMs: 20_000 });
     assert.deepEqual(planUntil(5_000), []);
 });
 
 // Guards against a job that waits without end because its declared run time is far too long, so that it counts as in time.
 test("a job in time gets a run too when it has had none for long", () => {
-    const { submitForecast, planUntil } = setUp(2);
+    const { submitForecast, planUntil } = makeDisturbedPool(2);
     submitForecast("overestimated", { count: 8, expectedRunMs: 60_000 });
     const planned = planUntil(10_000);
     assert.deepEqual(planned.map(({ job }) => job), ["overestimated"]);
@@ -94,7 +43,7 @@
 
 // Guards against jobs that wait for long without a line that tells how many they are and how often one of them starts.
 test("the summary tells the jobs without a run, the longest wait and the starts", () => {
-    const { submitForecast, planUntil, memory } = setUp(2);
+    const { submitForecast, planUntil, memory } = makeDisturbedPool(2);
     ["a", "b", "c"].forEach(job => submitForecast(job, { count: 8, expectedRunMs: 1_000 }));
     planUntil(3_000);
     assert.deepEqual(takeStarvationSummary(memory.starvation), { jobs: 2, longestMs: 3_000, starts: 1 });
@@ -103,9 +52,9 @@
 
 // Guards against a job without a run for as long as workers refuse its starts.
 test("a start of a starved step that is refused is repeated after a second", () => {
-    const { submitForecast, planUntil } = setUp(2);
+    const { submitForecast, planUntil } = makeDisturbedPool(2);
     submitForecast("refused", { count: 8, expectedRunMs: 1_000 });
-    const planned = planUntil(8_000, "neverStarted");
+    const planned = planUntil(8_000, { outcome: "neverStarted", afterMs: 0 });
     assert.ok(planned.length >= 4, `${planned.length} starts in 8 s`);
     for (const [index, { atMs }] of planned.entries()) {
         assert.ok(index === 0 || atMs - (planned[index - 1]?.atMs ?? 0) === 1_000);
@@ -114,7 +63,7 @@
 
 // Guards against starved steps without room that hide those that have room.
 test("a starved step starts although one that has waited longer finds no room", () => {
-    const { submitForecast, planUntil } = setUp(2);
+    const { submitForecast, planUntil } = makeDisturbedPool(2);
     submitForecast("huge", { expectedRunMs: 1_000, resources: { milliCpu: 1_000, memoryMib: 5_000, accelerators: 0 } });
     submitForecast("small", { expectedRunMs: 1_000 });
     assert.deepEqual(planUntil(10_000).map(({ job }) => job), ["small"]);
@@ -124,7 +73,7 @@
 test("the ratings of starved steps in a pass are limited, and the next passes continue with the others", () => {
     const workerCount = 10;
     // A quarter of the limit, for starved steps, is reached with the first step.
-    const { submitForecast, planUntil } = setUp(workerCount, 4 * workerCount);
+    const { submitForecast, planUntil } = makeDisturbedPool(workerCount, 4 * workerCount);
     for (let number = 0; number < 9; number += 1) {
         const resources = { milliCpu: 1_000, memoryMib: 5_000, accelerators: 0 };
         submitForecast(`huge${number}`, { expectedRunMs: 1_000, image: `huge-${number}`, resources });
@@ -138,7 +87,7 @@
 
 // Guards against a gang that never starts because its members fit only beside serving tasks that they disturb.
 test("a starved gang starts with all its tasks", () => {
-    const { submitForecast, planUntil } = setUp(2);
+    const { submitForecast, planUntil } = makeDisturbedPool(2);
     submitForecast("gang", { count: 4, gang: true, expectedRunMs: 1_000 });
     assert.equal(planUntil(10_000).length, 4);
 });
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -332,9 +332,19 @@
         hasCopies = true,
         observeCopy = () => undefined,
         learnsSpeeds = false,
+        observeState = () => undefined,
     }: ReplayOptions = {},
 ): readonly TallyRow[] {
-    const options = { hasAdmission, hasPreemption, hasWaits, runCall, hasCopies, observeCopy, learnsSpeeds };
+    const options = {
+        hasAdmission,
+        hasPreemption,
+        hasWaits,
+        runCall,
+        hasCopies,
+        observeCopy,
+        learnsSpeeds,
+        observeState,
+    };
     const simulation = createSimulation(load, seed, options);
     const attempts = generateJobs(load, lengthMs, simulation.random).map((job): Attempt => ({
         job,
@@ -356,6 +366,7 @@
             runCall("planPaces", () => planWorkerPaces(simulation, nowMs));
         }
         performSchedulingPass(simulation, nowMs);
+        observeState(simulation.machine.state, nowMs);
         simulation.tally.observe(
             simulation.machine.state,
             simulation.jobs,
--- a/packages/replay-jobs/src/simulation.ts
+++ b/packages/replay-jobs/src/simulation.ts
@@ -1,4 +1,4 @@
-import { createJobMachine, type JobMachine } from "@chestnutspool/job-state";
+import { createJobMachine, type JobMachine, type JobState } from "@chestnutspool/job-state";
 import {
     createInterferenceModel,
     createUsageHistory,
@@ -48,6 +48,8 @@
     readonly observeCopy?: (outcome: CopyOutcome) => void;
     /** Whether the speeds of workers are learnt and used; by default they are not. */
     readonly learnsSpeeds?: boolean;
+    /** Is shown the state after each step of the replay, at a time in milliseconds since its start; by default nothing is done. */
+    readonly observeState?: (state: JobState, nowMs: number) => void;
 }
 
 /** State of a replay. */
