Start a task of each job that has had no run for 2 s while most of the pool is free

Cause: one task a second started for all jobs that disturb serving tasks, however many there were, so that with 20 to 40 of them each had a run every 20 to 40 s; jobs in time waited for 6 s even alone. Class: a limit that is constant while what waits for it grows. Change: a job that has had no run for 2 s while most of the pool was free is overdue; the rate of starts of overdue jobs grows with them, so that each gets one within 0.6 s. The limit of one a second stays for all others. Results that have lost their value start where they keep the fewest others from starting. Four tests of starved-steps.test.ts asked for a wait of more than 3 s, or one start a second for four jobs, in a pool of which three quarters are free, which contradicts the users' bound; they now have the same bounds in a pool that is in use, and a new test bounds the starts of a pass in a mostly free one.

--- a/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
+++ b/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
@@ -1,6 +1,6 @@
 import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
 import { createInterferenceModel } from "@chestnutspool/learn-interference";
-import type { RunEnd, RunStart, StepSpec } from "@chestnutspool/types";
+import type { Resources, RunEnd, RunStart, StepSpec } from "@chestnutspool/types";
 import { createPlanMemory } from "../plan-memory.js";
 import { planStarts } from "../plan-starts.js";
 import { makePlanInput } from "./make-plan-input.js";
@@ -15,11 +15,22 @@
     readonly afterMs: number;
 }
 
-/** Workers of four cores that each run a serving task of one core, which tasks of the image `forecast` disturb. */
-export function makeDisturbedPool(workerCount: number, ratingsPerPass?: number) {
+/** How much of a disturbed pool its serving tasks reserve: a quarter of the processors, or over half of all. */
+export type PoolUse = "mostlyFree" | "inUse";
+
+const servingResources: Readonly<Record<PoolUse, Resources>> = {
+    mostlyFree: { milliCpu: 1_000, memoryMib: 100, accelerators: 0 },
+    inUse: { milliCpu: 2_400, memoryMib: 600, accelerators: 0 },
+};
+
+/**
+ * Workers of four cores and 1,000 MiB that each run a serving task, which tasks of the image `forecast` disturb on each worker. They
+ * leave room for the forecasts also if the pool is in use.
+ */
+export function makeDisturbedPool(workerCount: number, ratingsPerPass?: number, use: PoolUse = "mostlyFree") {
     const workers = Array.from({ length: workerCount }, (item, number) => makeWorker(`w${number}`));
     const machine = makeMachine(workers, [makeQueue({ targetLatencyMs: 500 })]);
-    const serving = makeStep({ longRunning: true, tailTargetMs: 20, image: "web" });
+    const serving = makeStep({ longRunning: true, tailTargetMs: 20, image: "web", resources: servingResources[use] });
     machine.submit(makeJob("web", workers.map(() => serving)));
     const servingStarts = workers.map(({ id }, step) => ({
         job: "web",
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -6,10 +6,12 @@
 import { holdWorkers } from "./hold-workers.js";
 import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
+import { planStarvedSteps, type StarvedAttempt } from "./plan-starved-steps.js";
+import type { Lateness } from "./predict-lateness.js";
 import type { PlacementWaits } from "./rack-wants.js";
-import type { RatingContext } from "./rate-workers.js";
+import type { DisturbancePolicy, RatingContext } from "./rate-workers.js";
 import { createStart, listStartable } from "./startable-tasks.js";
-import { computeStarvedLimit, forgetStarvation, listStarvedSteps, recordStarvedStarts } from "./starved-steps.js";
+import { observeNoWaitingSteps } from "./starved-steps.js";
 import { planStepPlacements, type StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
@@ -37,6 +39,12 @@
 const trialShare = 0.5;
 /** The same while the task that is to follow has certainly crashed a worker: others do not wait behind such tasks. */
 const certainTrialShare = 0.25;
+/** Where starved steps start: a result that has lost its value must not keep the work of others from starting. */
+const starvedPolicies: Readonly<Record<Lateness, DisturbancePolicy>> = {
+    inTime: "accept",
+    late: "accept",
+    tooLate: "concentrate",
+};
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
@@ -138,7 +146,7 @@
     const context: RatingContext = {
         interference: pass.input.interference,
         tasksByRack,
-        acceptsDisturbance: isStarved,
+        disturbance: isStarved ? starvedPolicies[waiting.lateness] : "avoid",
     };
     const candidates = listStepCandidates(pass, waiting);
     return {
@@ -321,43 +329,33 @@
 }
 
 /** Plans starts of starved steps of jobs for which the pass has planned none, within their own limit of ratings. */
-function planStarvedSteps(
+function planStarved(
     pass: PlanningPass,
     waitingSteps: readonly WaitingStep[],
-    { starvation: memory, ratingsPerPass }: PlanMemory,
+    memory: PlanMemory,
     nowMs: number,
 ): void {
-    const started = new Set(pass.starts.map(({ job }) => job));
-    for (const id of started) {
-        const job = pass.input.state.openJobs.get(id);
-        if (job !== undefined) {
-            forgetStarvation(memory, job);
-        }
-    }
+    const { state } = pass.input;
+    const startedJobs = new Set(pass.starts.map(({ job }) => state.openJobs.get(job)).filter(job => job !== undefined));
     // The requirements that are unmet in the pass may be met by disturbing serving tasks.
     const starvedPass = { ...pass, unmet: createUnmetRequirements(), ratings: 0 };
-    for (const { waiting, starvation } of listStarvedSteps(memory, waitingSteps, nowMs)) {
-        if (starvedPass.ratings >= ratingsPerPass * starvedRatingsShare) {
-            break;
-        }
-        const { job } = waiting;
-        const { service } = job.queue;
-        const workers = pass.candidatesByService.get(service)?.length ?? 0;
-        if (
-            started.has(job.id) || isUnmet(starvedPass, waiting)
-            || computeStarvedLimit(memory, service, workers, nowMs) === 0
-        ) {
-            continue;
-        }
-        // Also after an attempt without a start, so that others get their turn.
-        starvation.triedAtMs = nowMs;
+    const attempt = (waiting: WaitingStep): StarvedAttempt => {
         const startsBefore = pass.starts.length;
         planStep(starvedPass, waiting, true);
-        if (pass.starts.length > startsBefore) {
-            started.add(job.id);
-            recordStarvedStarts(memory, service, pass.starts.length - startsBefore, nowMs);
-        }
-    }
+        return { tasks: pass.starts.length - startsBefore, ratings: starvedPass.ratings };
+    };
+    planStarvedSteps(
+        memory.starvation,
+        waitingSteps,
+        {
+            candidatesByService: pass.candidatesByService,
+            startedJobs,
+            ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
+            isUnmet: waiting => isUnmet(starvedPass, waiting),
+            attempt,
+        },
+        nowMs,
+    );
 }
 
 /** Holds workers for the tasks of an overdue long-running step that found no room in this pass. */
@@ -379,7 +377,7 @@
     const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
         memory.hasStepsLeft = false;
-        listStarvedSteps(memory.starvation, [], nowMs);
+        observeNoWaitingSteps(memory.starvation, nowMs);
         return [];
     }
     const candidates = listCandidates(input);
@@ -403,7 +401,7 @@
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
         return pass.ratings - ratingsBefore;
     });
-    planStarvedSteps(pass, waitingSteps, memory, nowMs);
+    planStarved(pass, waitingSteps, memory, nowMs);
     recordContendedStarts(memory.contention, input.state, pass.starts);
     return pass.starts;
 }
--- a/packages/plan-jobs/src/starved-steps.test.ts
+++ b/packages/plan-jobs/src/starved-steps.test.ts
@@ -14,8 +14,8 @@
 });
 
 // Guards against a burst of late jobs that disturbs the serving tasks of all workers at once.
-test("starved steps start one after the other, each in its turn", () => {
-    const { submitForecast, planUntil } = makeDisturbedPool(4);
+test("starved steps of a pool in use start one after the other, each in its turn", () => {
+    const { submitForecast, planUntil } = makeDisturbedPool(4, undefined, "inUse");
     const jobs = ["a", "b", "c", "d"];
     jobs.forEach(job => submitForecast(job, { count: 8, expectedRunMs: 1_000 }));
     const planned = planUntil(12_000, { outcome: "succeeded", afterMs: 0 });
@@ -26,15 +26,30 @@
 });
 
 // Guards against serving tasks that are disturbed for a job that can still meet its objective.
-test("a job in time does not start where it disturbs serving tasks", () => {
-    const { submitForecast, planUntil } = makeDisturbedPool(2);
+test("a job in time does not start where it disturbs serving tasks of a pool in use", () => {
+    const { submitForecast, planUntil } = makeDisturbedPool(2, undefined, "inUse");
     submitForecast("early", { count: 8, expectedRunMs: 20_000 });
     assert.deepEqual(planUntil(5_000), []);
 });
 
+// Guards against a burst of starved jobs that disturbs the serving tasks of all workers of a mostly free pool in one pass.
+test("starved steps of a mostly free pool start spread over most of a second, not before they have waited", () => {
+    const { submitForecast, planUntil } = makeDisturbedPool(8);
+    for (let number = 0; number < 24; number += 1) {
+        submitForecast(`forecast${number}`, { count: 8, expectedRunMs: 60_000 });
+    }
+    const planned = planUntil(3_000);
+    assert.equal(new Set(planned.map(({ job }) => job)).size, 24);
+    const startsByPass = new Map<number, number>();
+    planned.forEach(({ atMs }) => startsByPass.set(atMs, (startsByPass.get(atMs) ?? 0) + 1));
+    assert.ok(Math.min(...startsByPass.keys()) >= 2_000);
+    // Twice the share of a pass in half a second.
+    assert.ok(Math.max(...startsByPass.values()) <= 2 * 24 * passMs / 500, [...startsByPass].join(" "));
+});
+
 // Guards against a job that waits without end because its declared run time is far too long, so that it counts as in time.
 test("a job in time gets a run too when it has had none for long", () => {
-    const { submitForecast, planUntil } = makeDisturbedPool(2);
+    const { submitForecast, planUntil } = makeDisturbedPool(2, undefined, "inUse");
     submitForecast("overestimated", { count: 8, expectedRunMs: 60_000 });
     const planned = planUntil(10_000);
     assert.deepEqual(planned.map(({ job }) => job), ["overestimated"]);
@@ -43,7 +58,7 @@
 
 // Guards against jobs that wait for long without a line that tells how many they are and how often one of them starts.
 test("the summary tells the jobs without a run, the longest wait and the starts", () => {
-    const { submitForecast, planUntil, memory } = makeDisturbedPool(2);
+    const { submitForecast, planUntil, memory } = makeDisturbedPool(2, undefined, "inUse");
     ["a", "b", "c"].forEach(job => submitForecast(job, { count: 8, expectedRunMs: 1_000 }));
     planUntil(3_000);
     assert.deepEqual(takeStarvationSummary(memory.starvation), { jobs: 2, longestMs: 3_000, starts: 1 });
