Test that best-effort jobs beside serving tasks have runs after random faults

The fake workers carry out paces and report readings now, and a watch finds the longest time for which nothing of a job runs on any worker while there is room twice over and less than half of the processors are reserved. The test keeps its rule on this code: three jobs on 8 workers, ten lists of crashes, lost and late answers and changes of leader. The scene sets the clock, because all jobs are in time for a test system whose clock starts at 0.

--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -13,6 +13,15 @@
     type WorkerRef,
 } from "@chestnutspool/types";
 import { Effect, type Scope } from "effect";
+import {
+    computeProgress,
+    computeReading,
+    createPacedWork,
+    listDueEnds,
+    type PacedRun,
+    type RunBehaviour,
+    setPace,
+} from "./paced-run.js";
 
 /** Whether and how the next orders to a worker fail. */
 export type WorkerFault =
@@ -56,11 +65,9 @@
     readonly record: StartedRun;
 }
 
-interface RunInProgress {
+interface RunInProgress extends PacedRun {
     readonly key: RunKey;
     readonly record: StartedRun;
-    readonly endsAtMs: number;
-    readonly outcome: RunOutcome;
 }
 
 /** How the machine of a worker that crashed starts the next worker. */
@@ -110,7 +117,7 @@
     readonly crashWorker: (id: string, nowMs: number) => void;
     /** Sets how long runs take and how they end; by default they succeed after one second. */
     readonly setBehaviour: (
-        decide: (run: RunKey, worker: string) => { readonly runMs: number; readonly outcome: RunOutcome; },
+        decide: (run: RunKey, worker: string) => RunBehaviour,
     ) => void;
     /** Counts the workers that have received an order with this fencing token or a higher one. */
     readonly countWorkersWithToken: (token: number) => number;
@@ -133,7 +140,7 @@
     let isCrashing: (run: RunKey) => boolean = () => false;
     let restart: RestartPlan | undefined;
     let announce: (worker: WorkerInfo) => Effect.Effect<void> = () => Effect.void;
-    let decide: (run: RunKey, worker: string) => { readonly runMs: number; readonly outcome: RunOutcome; } = () => ({
+    let decide: (run: RunKey, worker: string) => RunBehaviour = () => ({
         runMs: 1_000,
         outcome: "succeeded",
     });
@@ -162,10 +169,8 @@
     /** Advances a worker to `nowMs`: runs that are due end, and all others end if the lease has expired. */
     const advance = (worker: FakeWorker, nowMs: number): void => {
         const leaseEndMs = worker.clockStartMs + worker.leaseUntilMs / worker.clockRate;
-        for (const [key, run] of [...worker.running].sort((left, right) => left[1].endsAtMs - right[1].endsAtMs)) {
-            if (run.endsAtMs <= Math.min(nowMs, leaseEndMs)) {
-                endRun(worker, key, run.outcome, run.endsAtMs);
-            }
+        for (const { key, outcome, endsAtMs } of listDueEnds(worker.running, Math.min(nowMs, leaseEndMs))) {
+            endRun(worker, key, outcome, endsAtMs);
         }
         if (leaseEndMs <= nowMs) {
             [...worker.running.keys()].forEach(key => endRun(worker, key, "lapsed", leaseEndMs));
@@ -274,8 +279,9 @@
         worker.running.set(key, {
             key: { job, occurrence, step, position, run },
             record,
-            endsAtMs: nowMs + behaviour.runMs,
+            work: createPacedWork(behaviour.runMs, nowMs),
             outcome: behaviour.outcome,
+            load: behaviour.load,
         });
         return { kind: "done", clockMs: readClock(worker, nowMs) };
     };
@@ -293,6 +299,24 @@
         return { kind: "done", clockMs: readClock(worker, nowMs) };
     };
 
+    const carryOutPace = (
+        worker: FakeWorker,
+        run: RunKey,
+        percent: number,
+        token: number,
+        nowMs: number,
+    ): OrderAnswer => {
+        advance(worker, nowMs);
+        if (!acceptToken(worker, token)) {
+            return refuse(worker, "staleToken", nowMs);
+        }
+        const running = worker.running.get(formatTaskKey(run));
+        if (running?.key.run === run.run) {
+            running.work = setPace(running.work, percent, nowMs);
+        }
+        return { kind: "done", clockMs: readClock(worker, nowMs) };
+    };
+
     /** Delivers an order to a worker, subject to the worker's current fault. */
     const deliver = Effect.fnUntraced(function*(
         info: WorkerRef,
@@ -367,11 +391,11 @@
         kind: "report",
         bornAtMs: worker.info.bornAtMs,
         clockMs: readClock(worker, nowMs),
-        running: [...worker.running.values()].map(({ key, record, endsAtMs }) => ({
-            ...key,
+        running: [...worker.running.values()].map(run => ({
+            ...run.key,
             checkpoint: "",
-            progressPercent: Math.floor(100 * (nowMs - record.startedAtMs) / (endsAtMs - record.startedAtMs)),
-            lastReading: undefined,
+            progressPercent: computeProgress(run.work, nowMs),
+            lastReading: computeReading(run, worker.running.values(), nowMs),
         })),
         ended: worker.ended.map(({ end }) => end),
         isComplete: true,
@@ -406,7 +430,7 @@
             stopRun: (info, run, token, limitMs) =>
                 deliver(info, limitMs, false, (worker, nowMs) => carryOutStop(worker, run, token, nowMs)),
             paceRun: (info, run, percent, token, limitMs) =>
-                deliver(info, limitMs, false, (worker, nowMs) => ({ kind: "done", clockMs: readClock(worker, nowMs) })),
+                deliver(info, limitMs, false, (worker, nowMs) => carryOutPace(worker, run, percent, token, nowMs)),
             renewLease,
             closeConnections: () => undefined,
         },
--- /dev/null
+++ b/packages/lead-jobs/src/starved-jobs.test.ts
@@ -0,0 +1,112 @@
+import { makeJob, makeStep, testStartMs } from "@chestnutspool/job-state/fakes";
+import type { WorkerInfo } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { TestClock } from "effect/testing";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    makeWorker,
+    playTimedEvents,
+    type RunLoad,
+    startTestSystem,
+    type SystemEvent,
+    type TimedEvent,
+    watchWaitingJobs,
+    workerFaults,
+} from "./fakes/index.js";
+
+/** Time for which a job with room may have nothing running, in milliseconds. */
+const waitLimitMs = 3_000;
+/** Time after the last fault in which bounds on time do not hold, in milliseconds. */
+const catchUpMs = 7_000;
+/** Time for which jobs are watched after that, in milliseconds. */
+const watchedMs = 15_000;
+/** Time until a worker that crashed starts again, in milliseconds. */
+const restartMs = 300;
+
+const workerIds = Array.from({ length: 8 }, (unused, position) => `w${position}`);
+const memoryMib = 50;
+const bestEffortMilliCpu = 1_000;
+const bestEffort = makeStep({
+    count: 13,
+    usesIdleCpu: true,
+    image: "forecast",
+    resources: { milliCpu: bestEffortMilliCpu, memoryMib, accelerators: 0 },
+});
+const targetMs = 20;
+/** A serving task on each worker; they reserve an eighth of the processors. */
+const serving = makeStep({
+    count: workerIds.length,
+    perWorkerLimit: 1,
+    longRunning: true,
+    tailTargetMs: targetMs,
+    image: "web",
+    resources: { milliCpu: 500, memoryMib, accelerators: 0 },
+});
+/** One best-effort task at full pace takes a whole target from the margin, so that it may run at a fifth to a half of it. */
+const servingLoad: RunLoad = {
+    kind: "serving",
+    readTailMs: (milliCpu, nowMs) => {
+        const headroom = 1.6 + 0.2 * Math.sin(nowMs / 3_000);
+        return targetMs / Math.max(0.2, headroom - milliCpu / bestEffortMilliCpu);
+    },
+};
+
+/** Starts a system whose workers each run a serving task, which best-effort tasks disturb. */
+const startScene = Effect.gen(function*() {
+    // The state machine has read this time; before it each job would seem to be in time.
+    yield* TestClock.setTime(testStartMs);
+    const system = yield* startTestSystem;
+    system.workers.setBehaviour(({ job }) =>
+        job === "web"
+            ? { runMs: Number.POSITIVE_INFINITY, outcome: "succeeded", load: servingLoad }
+            : { runMs: 1_000, outcome: "succeeded", load: { kind: "bestEffort", milliCpu: bestEffortMilliCpu } }
+    );
+    const nextInfo = (crashed: WorkerInfo, nowMs: number): WorkerInfo => ({ ...crashed, bornAtMs: nowMs });
+    system.workers.setCrashingRuns(() => false, { afterMs: restartMs, nextInfo }, system.announce);
+    for (const id of workerIds) {
+        yield* system.addWorker(makeWorker(id, { bornAtMs: 1 }));
+    }
+    yield* system.submit(makeJob("web", [serving]));
+    yield* system.pass(3_000);
+    return system;
+});
+
+/** Plays events after some jobs were submitted, and lists those of which afterwards nothing runs for too long. */
+function findLongWaits(jobs: number, events: readonly TimedEvent[] = []) {
+    const play = Effect.gen(function*() {
+        const system = yield* startScene;
+        const submits = Array.from({ length: jobs }, () => ({ afterMs: 10, event: { kind: "submit" } as const }));
+        yield* playTimedEvents(system, workerIds, [bestEffort], [...submits, ...events], catchUpMs);
+        const waits = yield* watchWaitingJobs(system, watchedMs);
+        return waits.filter(({ waitedMs }) => waitedMs > waitLimitMs);
+    });
+    return Effect.runPromise(Effect.scoped(play).pipe(Effect.provide(TestClock.layer())));
+}
+
+const faults: fc.Arbitrary<SystemEvent> = fc.oneof(
+    fc.record({
+        kind: fc.constant("fault" as const),
+        worker: fc.nat(workerIds.length - 1),
+        fault: fc.nat(workerFaults.length - 1),
+    }),
+    fc.record({ kind: fc.constant("leader" as const) }),
+    fc.record({ kind: fc.constant("restart" as const), worker: fc.nat(workerIds.length - 1) }),
+);
+const timedFaults = fc.array(fc.record({ afterMs: fc.integer({ min: 10, max: 1_500 }), event: faults }), {
+    minLength: 5,
+    maxLength: 20,
+});
+
+function checkAfterFaults(jobs: number): Promise<void> {
+    const property = fc.asyncProperty(
+        timedFaults,
+        async events => assert.deepEqual(await findLongWaits(jobs, events), []),
+    );
+    return fc.assert(property, { seed: 20_261_205, numRuns: 10, endOnFailure: true });
+}
+
+// Guards against a job that has no run after crashes and changes of leader, which make the leader forget how long it waited.
+test("after random faults each of three best-effort jobs that disturb serving tasks has a run within 3 s", () =>
+    checkAfterFaults(3));
