Test that each of twelve best-effort jobs has a run within 3 s; it fails

In the 15 s that are watched, seven of them have nothing running for 3.6 to 7.8 s, though memory for hundreds of tasks and seven eighths of the processors are free. One starved task starts each second, whatever the number of starved jobs.

--- a/packages/lead-jobs/src/starved-jobs.test.ts
+++ b/packages/lead-jobs/src/starved-jobs.test.ts
@@ -110,3 +110,7 @@
 // Guards against a job that has no run after crashes and changes of leader, which make the leader forget how long it waited.
 test("after random faults each of three best-effort jobs that disturb serving tasks has a run within 3 s", () =>
     checkAfterFaults(3));
+
+// Guards against starts of starved jobs that do not grow with the number of these jobs (issue 42).
+test("each of twelve best-effort jobs that disturb serving tasks has a run within 3 s", async () =>
+    assert.deepEqual(await findLongWaits(12), []));
