--- a/packages/lead-jobs/src/starved-jobs.test.ts
+++ b/packages/lead-jobs/src/starved-jobs.test.ts
@@ -114,3 +114,7 @@
 // Guards against starts of starved jobs that do not grow with the number of these jobs (issue 42).
 test("each of twelve best-effort jobs that disturb serving tasks has a run within 3 s", async () =>
     assert.deepEqual(await findLongWaits(12), []));
+
+// Guards against the same wait beside crashes, changes of leader and lost answers, after which all jobs are starved at once.
+test("after random faults each of twelve best-effort jobs that disturb serving tasks has a run within 3 s", () =>
+    checkAfterFaults(12));
