Test that a best-effort job in time has its first run within 3 s; it fails

A step of a job in time counts as starved after 6 s only (starvedMs), so that a single job that disturbs the serving tasks of all workers has nothing running for 6.0 s, though all workers have room. The users' rule makes no exception for jobs in time.

--- a/packages/lead-jobs/src/starved-jobs.test.ts
+++ b/packages/lead-jobs/src/starved-jobs.test.ts
@@ -118,3 +118,14 @@
 // Guards against the same wait beside crashes, changes of leader and lost answers, after which all jobs are starved at once.
 test("after random faults each of twelve best-effort jobs that disturb serving tasks has a run within 3 s", () =>
     checkAfterFaults(12));
+
+// Guards against a job without a run for longer than users are promised, because its declared run time makes it seem in time.
+test("a best-effort job in time that disturbs serving tasks has its first run within 3 s", async () => {
+    const play = Effect.gen(function*() {
+        const system = yield* startScene;
+        yield* system.submit(makeJob("long", [{ ...bestEffort, expectedRunMs: 60_000 }]));
+        const waits = yield* watchWaitingJobs(system, watchedMs);
+        assert.deepEqual(waits.filter(({ waitedMs }) => waitedMs > waitLimitMs), []);
+    });
+    await Effect.runPromise(Effect.scoped(play).pipe(Effect.provide(TestClock.layer())));
+});
