Test how long jobs wait for their trial after crashes

Fails: of 16 small jobs that were on two crashed workers, 14 wait longer than 3,000 ms for a run beside four idle workers, up to 21,700 ms of simulated time. canTry limits the trials by the number of workers, and each trial after two crashes lasts 3 s.

--- /dev/null
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -0,0 +1,51 @@
+import { makeJob, makeMachine, makeStep, makeWorker, type TestMachine } from "@chestnutspool/job-state/fakes";
+import type { RunStart, StepSpec } from "@chestnutspool/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { simulatePasses } from "./fakes/simulate-passes.js";
+
+/**
+ * Longest time without a run of a job that could run while workers are trusted and idle and less than half of the pool is in use, in
+ * milliseconds.
+ */
+const longestDelayMs = 3_000;
+
+/**
+ * Starts all tasks on a worker, which then crashes; none of them is suspected. After two such crashes each needs a trial.
+ */
+function crashUnderAll(machine: TestMachine, worker: string): void {
+    const starts: RunStart[] = [];
+    for (const job of machine.state.openJobs.values()) {
+        for (const { position: step, tasks } of job.occurrences.get(0)?.steps ?? []) {
+            starts.push(...tasks.map(({ position, lastRun }) => ({
+                job: job.id,
+                occurrence: 0,
+                step,
+                position,
+                run: lastRun + 1,
+                worker,
+            })));
+        }
+    }
+    machine.apply({ kind: "startRuns", starts });
+    const crash = { suspectedRuns: [], isCertain: false, clearedRuns: [] };
+    machine.apply({ kind: "expireWorker", worker, isGone: false, checkpoints: [], crash });
+}
+
+function makeSmallStep(changes: Partial<StepSpec> = {}): StepSpec {
+    return makeStep({ resources: { milliCpu: 100, memoryMib: 10, accelerators: 0 }, ...changes });
+}
+
+// Guards against jobs that wait in a line for their trial after crashes of their workers: the number of trials at a time depends on
+// the workers only, each lasts 3 s, and the jobs that wait for one may be any number.
+test("no job waits longer than the bound for its trial after two crashes under many jobs", () => {
+    const machine = makeMachine(["w1", "w2", "w3", "w4"].map(id => makeWorker(id)));
+    const jobs = Array.from({ length: 16 }, (item, number) => `suspect${number}`);
+    jobs.forEach(job => machine.submit(makeJob(job, [makeSmallStep({ expectedRunMs: 10_000 })])));
+    crashUnderAll(machine, "w1");
+    crashUnderAll(machine, "w2");
+    const planned = simulatePasses(machine, 40_000);
+    const delays = jobs.map(job => planned.find(start => start.job === job)?.atMs ?? Number.POSITIVE_INFINITY);
+    const late = delays.filter(delayMs => delayMs > longestDelayMs);
+    assert.equal(late.length, 0, `${late.length} of ${jobs.length} jobs wait longer, up to ${Math.max(...late)} ms`);
+});
