Test that trials of long-running tasks do not hold up other jobs

Fails: a job without a crash waits for 34,100 ms of simulated time beside two idle workers. One has a trial; holdForUnplanned holds the other for overdue long-running tasks that were not started, also if they wait for a trial and not for room.

--- a/packages/plan-jobs/src/delayed-steps.test.ts
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -49,3 +49,15 @@
     const late = delays.filter(delayMs => delayMs > longestDelayMs);
     assert.equal(late.length, 0, `${late.length} of ${jobs.length} jobs wait longer, up to ${Math.max(...late)} ms`);
 });
+
+// Guards against jobs without a crash that get no run because workers with room are held for long-running tasks that wait for a trial.
+test("a job without a crash does not wait for the trials of long-running tasks", () => {
+    const machine = makeMachine(["w1", "w2"].map(id => makeWorker(id)));
+    machine.submit(makeJob("lasting", [makeSmallStep({ longRunning: true, count: 12 })]));
+    crashUnderAll(machine, "w1");
+    crashUnderAll(machine, "w2");
+    machine.submit(makeJob("short", [makeSmallStep()]));
+    const planned = simulatePasses(machine, 60_000);
+    const delayMs = planned.find(({ job }) => job === "short")?.atMs ?? Number.POSITIVE_INFINITY;
+    assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
+});
