Test that a long-running job gets a kept worker if no other has room

Fails: a long-running job has no run within 60 s of simulated time although a worker with its label is idle. selectCandidates withholds the kept workers as long as another worker could ever run the task, and compares capacity, not room. Nothing ends the wait but the end of another task.

--- a/packages/plan-jobs/src/delayed-steps.test.ts
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -1,4 +1,11 @@
-import { makeJob, makeMachine, makeStep, makeWorker, type TestMachine } from "@chestnutspool/job-state/fakes";
+import {
+    makeJob,
+    makeMachine,
+    makeQueue,
+    makeStep,
+    makeWorker,
+    type TestMachine,
+} from "@chestnutspool/job-state/fakes";
 import type { RunStart, StepSpec } from "@chestnutspool/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -61,3 +68,23 @@
     const delayMs = planned.find(({ job }) => job === "short")?.atMs ?? Number.POSITIVE_INFINITY;
     assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
 });
+
+// Guards against a long-running job that never gets a run because the only worker with room is kept for short tasks: that another
+// worker with its label could run it when empty keeps it away from the idle one without a limit of time.
+test("a new long-running job starts on a worker that is kept for short tasks if no other has room", () => {
+    const queues = [makeQueue(), makeQueue({ name: "urgent", path: "/urgent/", priority: 0 })];
+    const others = Array.from({ length: 14 }, (item, number) => makeWorker(`w${number}`));
+    const labelled = ["a1", "a2"].map(id => makeWorker(id, { labels: ["a", "r0", "ssd"] }));
+    const machine = makeMachine([...others, ...labelled], queues);
+    const makeLasting = (milliCpu: number): StepSpec =>
+        makeStep({ longRunning: true, requiredLabel: "ssd", resources: { milliCpu, memoryMib: 10, accelerators: 0 } });
+    machine.submit(makeJob("first", [makeLasting(3_000)]));
+    machine.apply({
+        kind: "startRuns",
+        starts: [{ job: "first", occurrence: 0, step: 0, position: 0, run: 1, worker: "a2" }],
+    });
+    machine.submit(makeJob("second", [makeLasting(2_000)]));
+    const planned = simulatePasses(machine, 60_000);
+    const delayMs = planned.find(({ job }) => job === "second")?.atMs ?? Number.POSITIVE_INFINITY;
+    assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
+});
