Test that the wait for a rack of a job without a run is bounded

Fails: a job of one task of 20 s waits for 30,000 ms of simulated time for a place in its full rack while 80% of the pool is idle. The break-even of decidePlacementWait grows with the run time.

--- a/packages/plan-placement-waits/src/fakes/make-wants.ts
+++ b/packages/plan-placement-waits/src/fakes/make-wants.ts
@@ -59,8 +59,11 @@
     readonly plan: (wants: readonly StepWant[], afterMs?: number) => PlacementPlan;
 }
 
-/** Creates racks by name; tasks run three times longer outside of the one that they want. */
-export function makeRacks(racks: Readonly<Record<string, readonly RackWorker[]>>): TestRacks {
+/**
+ * Creates racks by name; tasks run three times longer outside of the one that they want. `loadShare` of the processors of the service
+ * are in use.
+ */
+export function makeRacks(racks: Readonly<Record<string, readonly RackWorker[]>>, loadShare = 0.5): TestRacks {
     const memory = createPlacementMemory();
     const test: TestRacks = {
         racks,
@@ -71,7 +74,7 @@
                 wants,
                 farFactor: 3,
                 listRackWorkers: (service, rack) => test.racks[rack] ?? [],
-                summarizeService: () => ({ workers: 100, loadShare: 0.5 }),
+                summarizeService: () => ({ workers: 100, loadShare }),
                 isJobOpen: job => !test.closedJobs.has(job),
             };
             return planPlacementWaits(input, memory, startMs + afterMs);
--- a/packages/plan-placement-waits/src/plan-placement-waits.test.ts
+++ b/packages/plan-placement-waits/src/plan-placement-waits.test.ts
@@ -169,3 +169,22 @@
     const { placements } = racks.plan(Array.from({ length: 100 }, (none, index) => makeWant(`a${index}`)));
     assert.equal([...placements.values()].filter(({ kind }) => kind === "wait").length, 40);
 });
+
+// Guards against a job without a run that waits for a full rack while the others are idle: the wait is limited by what a place there
+// saves, which grows with the run time.
+test("a job without a run waits for its rack no longer than the bound while most of the pool is idle", () => {
+    const longestDelayMs = 3_000;
+    const endsAfterMs = 30_000;
+    const want = makeWant("a", { objectiveAtMs: startMs + 600_000 });
+    const long = { ...want, need: { ...want.need, runMs: 20_000 } };
+    const racks = makeRacks({ r1: [makeRackWorker("w1", 0, [endsAfterMs])] }, 0.2);
+    let startedAtMs = 0;
+    while (startedAtMs < endsAfterMs) {
+        const placement = racks.plan([long], startedAtMs).placements.get("a");
+        if (placement?.kind !== "wait" || placement.startable > 0) {
+            break;
+        }
+        startedAtMs += 100;
+    }
+    assert.ok(startedAtMs <= longestDelayMs, `the job may start after ${startedAtMs} ms`);
+});
