--- /dev/null
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -0,0 +1,90 @@
+import {
+    makeJob,
+    makeMachine,
+    makeQueue,
+    makeStep,
+    makeWorker,
+    type TestMachine,
+} from "@chestnutspool/job-state/fakes";
+import type { RunStart, StepSpec } from "@chestnutspool/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { simulatePasses } from "./fakes/simulate-passes.js";
+
+/**
+ * Longest time without a run of a job that could run while workers are trusted and idle and less than half of the pool is in use, in
+ * milliseconds.
+ */
+const longestDelayMs = 3_000;
+
+/**
+ * Starts all tasks on a worker, which then crashes; none of them is suspected. After two such crashes each needs a trial.
+ */
+function crashUnderAll(machine: TestMachine, worker: string): void {
+    const starts: RunStart[] = [];
+    for (const job of machine.state.openJobs.values()) {
+        for (const { position: step, tasks } of job.occurrences.get(0)?.steps ?? []) {
+            starts.push(...tasks.map(({ position, lastRun }) => ({
+                job: job.id,
+                occurrence: 0,
+                step,
+                position,
+                run: lastRun + 1,
+                worker,
+            })));
+        }
+    }
+    machine.apply({ kind: "startRuns", starts });
+    const crash = { suspectedRuns: [], isCertain: false, clearedRuns: [] };
+    machine.apply({ kind: "expireWorker", worker, isGone: false, checkpoints: [], crash });
+}
+
+function makeSmallStep(changes: Partial<StepSpec> = {}): StepSpec {
+    return makeStep({ resources: { milliCpu: 100, memoryMib: 10, accelerators: 0 }, ...changes });
+}
+
+// Guards against jobs that wait in a line for their trial after crashes of their workers: the number of trials at a time depends on
+// the workers only, each lasts 3 s, and the jobs that wait for one may be any number.
+test("no job waits longer than the bound for its trial after two crashes under many jobs", () => {
+    const machine = makeMachine(["w1", "w2", "w3", "w4"].map(id => makeWorker(id)));
+    const jobs = Array.from({ length: 16 }, (item, number) => `suspect${number}`);
+    jobs.forEach(job => machine.submit(makeJob(job, [makeSmallStep({ expectedRunMs: 10_000 })])));
+    crashUnderAll(machine, "w1");
+    crashUnderAll(machine, "w2");
+    const planned = simulatePasses(machine, 40_000);
+    const delays = jobs.map(job => planned.find(start => start.job === job)?.atMs ?? Number.POSITIVE_INFINITY);
+    const late = delays.filter(delayMs => delayMs > longestDelayMs);
+    assert.equal(late.length, 0, `${late.length} of ${jobs.length} jobs wait longer, up to ${Math.max(...late)} ms`);
+});
+
+// Guards against jobs without a crash that get no run because workers with room are held for long-running tasks that wait for a trial.
+test("a job without a crash does not wait for the trials of long-running tasks", () => {
+    const machine = makeMachine(["w1", "w2"].map(id => makeWorker(id)));
+    machine.submit(makeJob("lasting", [makeSmallStep({ longRunning: true, count: 12 })]));
+    crashUnderAll(machine, "w1");
+    crashUnderAll(machine, "w2");
+    machine.submit(makeJob("short", [makeSmallStep()]));
+    const planned = simulatePasses(machine, 60_000);
+    const delayMs = planned.find(({ job }) => job === "short")?.atMs ?? Number.POSITIVE_INFINITY;
+    assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
+});
+
+// Guards against a long-running job that never gets a run because the only worker with room is kept for short tasks: that another
+// worker with its label could run it when empty keeps it away from the idle one without a limit of time.
+test("a new long-running job starts on a worker that is kept for short tasks if no other has room", () => {
+    const queues = [makeQueue(), makeQueue({ name: "urgent", path: "/urgent/", priority: 0 })];
+    const others = Array.from({ length: 14 }, (item, number) => makeWorker(`w${number}`));
+    const labelled = ["a1", "a2"].map(id => makeWorker(id, { labels: ["a", "r0", "ssd"] }));
+    const machine = makeMachine([...others, ...labelled], queues);
+    const makeLasting = (milliCpu: number): StepSpec =>
+        makeStep({ longRunning: true, requiredLabel: "ssd", resources: { milliCpu, memoryMib: 10, accelerators: 0 } });
+    machine.submit(makeJob("first", [makeLasting(3_000)]));
+    machine.apply({
+        kind: "startRuns",
+        starts: [{ job: "first", occurrence: 0, step: 0, position: 0, run: 1, worker: "a2" }],
+    });
+    machine.submit(makeJob("second", [makeLasting(2_000)]));
+    const planned = simulatePasses(machine, 60_000);
+    const delayMs = planned.find(({ job }) => job === "second")?.atMs ?? Number.POSITIVE_INFINITY;
+    assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
+});
