Refuse a job whose id another queue has used, instead of acknowledging it

Names of tasks on the wire do not name the queue, so that two such jobs cannot be kept apart. The state machine now accepts a repetition only if the request names the recorded job, by host name, prefix and id, and returns otherQueue if not. The client gets 429 with the reason and no Retry-After; GET and DELETE in that queue are answered with 410 as before. A resent job is still the existing one after its queue was changed or removed. The reply is the existing rejected, so that entry processes of the earlier build answer 429 too.

The state does not change in either build, so that replicas of both agree. A leader of the earlier build still acknowledges such a job; the guarantee holds once all control processes are upgraded. The leader also keyed its proposals of uncertain outcome by the id alone, so that a job of another queue skipped all checks while one was under way; the key has the queue now.

--- a/packages/job-state/src/change-jobs.test.ts
+++ b/packages/job-state/src/change-jobs.test.ts
@@ -17,6 +17,36 @@
     assert.equal(machine.state.jobs.get("a")?.phase, "cancelled");
 });
 
+// Guards against a submission that is acknowledged because another queue has a job with its id, and is not stored.
+test("a job whose id belongs to a job of another queue is refused, also after that job has ended", () => {
+    const queues = [
+        makeQueue(),
+        makeQueue({ name: "inner", path: "/main/inner/" }),
+        makeQueue({ name: "other", hostName: "other.example" }),
+    ];
+    const machine = makeMachine([], queues);
+    machine.submit(makeJob("a"));
+    const submitToOthers = () => [
+        machine.submit({ ...makeJob("a"), payload: "other" }, "/main/inner/"),
+        machine.apply({ kind: "submitJob", spec: makeJob("a"), hostName: "other.example", path: "/main/a" }),
+    ];
+    assert.deepEqual(submitToOthers(), [{ kind: "otherQueue" }, { kind: "otherQueue" }]);
+    assert.equal(machine.state.jobs.get("a")?.definition.payload, "work of a");
+    machine.apply({ kind: "cancelJob", job: "a" });
+    assert.deepEqual(submitToOthers(), [{ kind: "otherQueue" }, { kind: "otherQueue" }]);
+    assert.equal(machine.state.jobs.get("a")?.queue.name, "main");
+});
+
+// Guards against the refusal of a resent job because the configuration changed after the job was accepted.
+test("a job that is submitted again after its queue was changed or removed is the existing job", () => {
+    const machine = makeMachine();
+    machine.submit(makeJob("a"));
+    for (const [version, queues] of [[2, [makeQueue({ service: "pool-2" })]], [3, []]] as const) {
+        machine.apply({ kind: "setConfiguration", configuration: makeConfiguration(version, queues) });
+        assert.deepEqual(machine.submit(makeJob("a")), { kind: "accepted", isRepeat: true });
+    }
+});
+
 test("a job for a queue that was removed is rejected", () => {
     const machine = makeMachine();
     machine.apply({ kind: "setConfiguration", configuration: makeConfiguration(2, []) });
--- a/packages/job-state/src/change-jobs.ts
+++ b/packages/job-state/src/change-jobs.ts
@@ -1,6 +1,6 @@
-import type { JobCommand, JobResult, QueueConfiguration, QueueSettings } from "@chestnutspool/types";
+import type { JobCommand, JobId, JobResult, QueueConfiguration, QueueSettings } from "@chestnutspool/types";
 import { closeEndedJob } from "./change-runs.js";
-import { createJob, isJobEnded, type JobState } from "./job-state.js";
+import { createJob, isJobEnded, type JobRecord, type JobState } from "./job-state.js";
 
 type CommandOf<Kind extends JobCommand["kind"]> = Extract<JobCommand, { readonly kind: Kind; }>;
 
@@ -33,6 +33,19 @@
     return `${queue.hostName} ${queue.path}`;
 }
 
+/** Host name and path of a request. */
+type RequestTarget = Pick<QueueSettings, "hostName" | "path">;
+
+/** Whether a path is that of the job with this id in a queue: the prefix of the queue, which may lack its last slash, and the id. */
+function isJobPath(queue: RequestTarget, path: string, id: JobId): boolean {
+    return path === `${queue.path}${queue.path.endsWith("/") ? "" : "/"}${id}`;
+}
+
+/** Whether a request names this job and not one with the same id in another queue. */
+export function isJobOfRequest(job: JobRecord, { hostName, path }: RequestTarget): boolean {
+    return job.queue.hostName === hostName && isJobPath(job.queue, path, job.id);
+}
+
 function forgetOldJobs(state: JobState): void {
     for (const id of state.closedJobs) {
         const endedAtMs = state.jobs.get(id)?.endedAtMs ?? 0;
@@ -45,11 +58,15 @@
     }
 }
 
-/** Adds a job under its id. Submitting a known id again changes nothing. */
+/**
+ * Adds a job under its id. Submitting a known job again changes nothing. Names of tasks do not name the queue, so that a job is
+ * refused while another queue has one with its id. Replicas of earlier builds do not change their state in this case either.
+ */
 export function submitJob(state: JobState, command: CommandOf<"submitJob">): JobResult {
     const { spec } = command;
-    if (state.jobs.has(spec.id)) {
-        return { kind: "accepted", isRepeat: true };
+    const known = state.jobs.get(spec.id);
+    if (known !== undefined) {
+        return isJobOfRequest(known, command) ? { kind: "accepted", isRepeat: true } : { kind: "otherQueue" };
     }
     const queue = findQueue(state.configuration, command.hostName, command.path);
     if (queue === undefined) {
--- a/packages/lead-jobs/src/admission.test.ts
+++ b/packages/lead-jobs/src/admission.test.ts
@@ -1,18 +1,41 @@
 import { makeJob, makeMachine } from "@chestnutspool/job-state/fakes";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { canBeRecorded, createAdmission, listCommandWork, recordProposal, recordWork } from "./admission.js";
+import {
+    canBeRecorded,
+    createAdmission,
+    forgetProposal,
+    listCommandWork,
+    recordProposal,
+    recordWork,
+} from "./admission.js";
+
+function makeSubmission(path: string) {
+    return { spec: makeJob("a"), hostName: "jobs.example", path };
+}
 
 // Guards against refusing a job, as one that never runs, while its proposal can still be committed.
 test("a job that was proposed and whose outcome is not known counts as possibly recorded", () => {
     const machine = makeMachine();
     const admission = createAdmission();
-    assert.ok(!canBeRecorded({ admission, machine }, "a"));
-    recordProposal({ admission, machine }, "a");
-    assert.ok(canBeRecorded({ admission, machine }, "a"));
+    const submission = makeSubmission("/main/a");
+    assert.ok(!canBeRecorded({ admission, machine }, submission));
+    recordProposal({ admission, machine }, submission);
+    assert.ok(canBeRecorded({ admission, machine }, submission));
+    machine.submit(makeJob("a"));
+    forgetProposal({ admission }, submission);
+    assert.ok(canBeRecorded({ admission, machine }, submission));
+});
+
+// Guards against a job that is stored without any check, because another queue may have a job with its id.
+test("a job does not count as possibly recorded because of a job of another queue with the same id", () => {
+    const machine = makeMachine();
+    const admission = createAdmission();
+    const other = makeSubmission("/other/a");
+    recordProposal({ admission, machine }, makeSubmission("/main/a"));
+    assert.ok(!canBeRecorded({ admission, machine }, other));
     machine.submit(makeJob("a"));
-    admission.proposedJobs.delete("a");
-    assert.ok(canBeRecorded({ admission, machine }, "a"));
+    assert.ok(!canBeRecorded({ admission, machine }, other));
 });
 
 // Guards against a throughput of zero: a job that closes with its last run no longer has a definition.
--- a/packages/lead-jobs/src/admission.ts
+++ b/packages/lead-jobs/src/admission.ts
@@ -12,13 +12,14 @@
     recordStarted,
     type Throughput,
 } from "@chestnutspool/admit-jobs";
-import { acceptsStarts, type JobState } from "@chestnutspool/job-state";
+import { acceptsStarts, isJobOfRequest, type JobState } from "@chestnutspool/job-state";
 import {
     addResources,
     type JobCommand,
     type JobDefinition,
     type JobId,
     type JobReply,
+    type JobRequest,
     type JobResult,
     type QueueSettings,
     type Resources,
@@ -41,8 +42,8 @@
     observedAtMs: number;
     readonly throughputs: Map<string, Throughput>;
     readonly busyness: LeaderBusyness;
-    /** Jobs that this leader proposed and that may still be committed; they are not refused. */
-    readonly proposedJobs: Set<JobId>;
+    /** Ids of the jobs that this leader proposed and that may still be committed, by `formatJobKey`; they are not refused. */
+    readonly proposedJobs: Map<string, JobId>;
 }
 
 /** Creates the record of a term that has just opened. */
@@ -52,7 +53,7 @@
         observedAtMs: Number.NEGATIVE_INFINITY,
         throughputs: new Map(),
         busyness: createLeaderBusyness(),
-        proposedJobs: new Set(),
+        proposedJobs: new Map(),
     };
 }
 
@@ -182,13 +183,23 @@
     }
 }
 
+type JobSources = Pick<Term, "admission" | "machine">;
+type Submission = Omit<Extract<JobRequest, { readonly kind: "submitJob"; }>, "kind">;
+
+/** Key of a job by its queue and id, which are in the path. */
+function formatJobKey({ hostName, path }: Submission): string {
+    return `${hostName} ${path}`;
+}
+
 /**
  * Whether a job is recorded or may still be: this leader proposed it and does not know the outcome. Such a job is never
  * refused, because it may run. Jobs that earlier leaders proposed are recorded by now or can no longer be committed,
  * because a term opens only after a commit of its own.
  */
-export function canBeRecorded({ admission, machine }: Pick<Term, "admission" | "machine">, job: JobId): boolean {
-    return machine.state.jobs.has(job) || admission.proposedJobs.has(job);
+export function canBeRecorded({ admission, machine }: JobSources, submission: Submission): boolean {
+    const recorded = machine.state.jobs.get(submission.spec.id);
+    return recorded !== undefined && isJobOfRequest(recorded, submission)
+        || admission.proposedJobs.has(formatJobKey(submission));
 }
 
 /** Whether a pool has queues of several priorities, so that early refusal applies. */
@@ -240,12 +251,17 @@
 }
 
 /** Records that a job is proposed, before its command may be appended to the log. */
-export function recordProposal(term: Pick<Term, "admission" | "machine">, job: JobId): void {
-    const { proposedJobs } = term.admission;
+export function recordProposal({ admission, machine }: JobSources, submission: Submission): void {
+    const { proposedJobs } = admission;
     if (proposedJobs.size >= uncertainJobsLimit) {
-        [...proposedJobs].filter(id => term.machine.state.jobs.has(id)).forEach(id => proposedJobs.delete(id));
+        [...proposedJobs].filter(([, id]) => machine.state.jobs.has(id)).forEach(([key]) => proposedJobs.delete(key));
     }
-    proposedJobs.add(job);
+    proposedJobs.set(formatJobKey(submission), submission.spec.id);
+}
+
+/** Removes the record of a proposal whose outcome is known. */
+export function forgetProposal({ admission }: Pick<Term, "admission">, submission: Submission): void {
+    admission.proposedJobs.delete(formatJobKey(submission));
 }
 
 /** Adds the tasks of a job that was just accepted to the waiting work. */
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -1,4 +1,4 @@
-import { findQueue, formatQueueKey, type JobRecord } from "@chestnutspool/job-state";
+import { findQueue, formatQueueKey, isJobOfRequest, type JobRecord } from "@chestnutspool/job-state";
 import {
     describeJobRequest,
     type ErrorData,
@@ -8,7 +8,7 @@
     readMonotonicMs,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
-import { canBeRecorded, recordAcceptance, recordProposal, refuseJob } from "./admission.js";
+import { canBeRecorded, forgetProposal, recordAcceptance, recordProposal, refuseJob } from "./admission.js";
 import { checkConfiguration } from "./check-configuration.js";
 import { checkJob } from "./check-job.js";
 import { recordHeartbeat, removeWorker } from "./record-heartbeat.js";
@@ -20,10 +20,7 @@
 /** Finds the job of a request; undefined if the queue of the request does not exist or has no job with this id. */
 function findJob(term: Term, request: RequestOf<"readJob"> | RequestOf<"cancelJob">): JobRecord | undefined {
     const job = term.machine.state.jobs.get(request.job);
-    const queue = findQueue(term.machine.state.configuration, request.hostName, request.path);
-    return job !== undefined && queue !== undefined && formatQueueKey(job.queue) === formatQueueKey(queue)
-        ? job
-        : undefined;
+    return job !== undefined && hasQueue(term, request) && isJobOfRequest(job, request) ? job : undefined;
 }
 
 function hasQueue(term: Term, request: { readonly hostName: string; readonly path: string; }): boolean {
@@ -34,6 +31,8 @@
     switch (result.kind) {
         case "accepted":
             return { kind: "accepted" };
+        case "otherQueue":
+            return { kind: "rejected", reason: result.kind, retryAfterMs: undefined };
         case "noQueue":
         case "noJob":
             return { kind: result.kind };
@@ -48,7 +47,7 @@
 const submitJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"submitJob">) {
     const { spec, hostName, path } = request;
     const { state } = term.machine;
-    if (!canBeRecorded(term, spec.id)) {
+    if (!canBeRecorded(term, request)) {
         const queue = findQueue(state.configuration, hostName, path);
         if (queue === undefined) {
             term.logger.info("job has no queue", {
@@ -78,9 +77,9 @@
             return overload;
         }
     }
-    recordProposal(term, spec.id);
+    recordProposal(term, request);
     const result = yield* propose(term, { kind: "submitJob", spec, hostName, path });
-    term.admission.proposedJobs.delete(spec.id);
+    forgetProposal(term, request);
     if (result.kind === "accepted" && !result.isRepeat) {
         recordAcceptance(term, spec.id, yield* readMonotonicMs, yield* readTermMs(term));
         const queue = state.jobs.get(spec.id)?.queue;
@@ -96,6 +95,12 @@
             term: term.number,
         });
     }
+    if (result.kind === "otherQueue") {
+        const owner = state.jobs.get(spec.id)?.queue.name;
+        const queue = findQueue(state.configuration, hostName, path);
+        term.metrics.countEvent("jobs.refused", queue?.name ?? "", queue?.service ?? "");
+        term.logger.info("job refused", { job: spec.id, queue: queue?.name, refusal: result.kind, owner });
+    }
     wakePlanner(term);
     return convertResult(result);
 });
--- /dev/null
+++ b/packages/lead-jobs/src/job-identity.test.ts
@@ -0,0 +1,55 @@
+import { makeJob, makeQueue } from "@chestnutspool/job-state/fakes";
+import type { JobRequest } from "@chestnutspool/types";
+import { Effect } from "effect";
+import assert from "node:assert/strict";
+import { makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
+
+/** Starts a worker and configures the queues under `/main/` and `/other/`. */
+const startQueues = Effect.fnUntraced(function*(system: TestSystem) {
+    yield* system.addWorker(makeWorker("w1"));
+    const configuration = {
+        version: 2,
+        queues: [makeQueue(), makeQueue({ name: "other", path: "/other/" })],
+        pools: [{ name: "pool", healthPath: "/health", guardsCapacity: false, isStandby: false }],
+        bodyLimitBytes: 1_000,
+        document: new Uint8Array(0),
+    };
+    assert.deepEqual((yield* system.ask({ kind: "setConfiguration", configuration })).kind, "configuration");
+    yield* system.pass(100);
+});
+
+function makeRequest(kind: "submitJob" | "readJob" | "cancelJob", path: string): JobRequest {
+    const target = { hostName: "jobs.example", path };
+    switch (kind) {
+        case "submitJob":
+            return { kind, spec: makeJob("a"), ...target };
+        case "readJob":
+        case "cancelJob":
+            return { kind, job: "a", ...target };
+    }
+}
+
+// Guards against a submission that is acknowledged, after which a read tells that there is no such job.
+testSystem(
+    "a job whose id another queue has used is refused, and neither read nor cancelled as that job",
+    system =>
+        Effect.gen(function*() {
+            yield* startQueues(system);
+            assert.deepEqual(yield* system.ask(makeRequest("submitJob", "/main/a")), { kind: "accepted" });
+            const refusal = { kind: "rejected", reason: "otherQueue", retryAfterMs: undefined };
+            for (const self of ["a", "b"]) {
+                system.log.setLeader(self);
+                yield* system.pass(500);
+                assert.deepEqual(yield* system.ask(makeRequest("submitJob", "/other/a")), refusal);
+                assert.deepEqual(yield* system.ask(makeRequest("readJob", "/other/a")), { kind: "noJob" });
+                assert.deepEqual(yield* system.ask(makeRequest("cancelJob", "/other/a")), { kind: "noJob" });
+                assert.deepEqual(yield* system.ask(makeRequest("submitJob", "/main/a")), { kind: "accepted" });
+            }
+            yield* system.pass(3_000);
+            assert.deepEqual(yield* system.ask(makeRequest("readJob", "/main/a")), {
+                kind: "phase",
+                phase: "completed",
+            });
+            assert.equal((yield* system.readStartedRuns).length, 1);
+        }),
+);
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -1,6 +1,6 @@
 import type { Resources, WorkerId } from "./domain.js";
 
-/** Identity of a submitted job, chosen by the caller and unique among all jobs. */
+/** Id of a job, chosen by the caller. A job is identified by its queue and its id; at most one queue has a job with an id. */
 export type JobId = string;
 
 /** A step of a job: a number of equal tasks. */
@@ -301,6 +301,8 @@
     | { readonly kind: "done"; }
     /** The job is stored, by this command or by an earlier one. */
     | { readonly kind: "accepted"; readonly isRepeat: boolean; }
+    /** The job is not stored, because another queue has a job with its id. */
+    | { readonly kind: "otherQueue"; }
     | { readonly kind: "noQueue"; }
     | { readonly kind: "noJob"; }
     /** Version of the configuration in force after the command. */
@@ -339,7 +341,9 @@
     /** No worker of the service can ever run one of its tasks. */
     | "impossible"
     /** The job would have to wait too long. */
-    | "overloaded";
+    | "overloaded"
+    /** Another queue has a job with the id. */
+    | "otherQueue";
 
 /** Reply of a process of the control role to a `JobRequest`. */
 export type JobReply =
