Answer POST and DELETE of a path that is no job with 404, and count only for a prefix

So was GET of any path below a prefix, and a job was found under any path between prefix and id, such as /main/more/ID for /main/ID. The leader, which knows the prefixes, answers noQueue (404) unless the path is a prefix, or a prefix and the id; a prefix may lack its last slash, as before. The state machine is not changed, so that replicas of earlier builds agree. A leader of the earlier build still counts for any path.

--- a/packages/job-state/src/change-jobs.ts
+++ b/packages/job-state/src/change-jobs.ts
@@ -36,9 +36,19 @@
 /** Host name and path of a request. */
 type RequestTarget = Pick<QueueSettings, "hostName" | "path">;
 
-/** Whether a path is that of the job with this id in a queue: the prefix of the queue, which may lack its last slash, and the id. */
-function isJobPath(queue: RequestTarget, path: string, id: JobId): boolean {
-    return path === `${queue.path}${queue.path.endsWith("/") ? "" : "/"}${id}`;
+/** Prefix of the paths of a queue's jobs: the path of the queue, which may lack its last slash. */
+function formatPrefix({ path }: RequestTarget): string {
+    return path.endsWith("/") ? path : `${path}/`;
+}
+
+/** Whether a path is that of a queue, and not one below it. */
+export function isQueuePath(queue: RequestTarget, path: string): boolean {
+    return path === queue.path || path === formatPrefix(queue);
+}
+
+/** Whether a path is that of the job with this id in a queue: the prefix of the queue and the id. */
+export function isJobPath(queue: RequestTarget, path: string, id: JobId): boolean {
+    return path === `${formatPrefix(queue)}${id}`;
 }
 
 /** Whether a request names this job and not one with the same id in another queue. */
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -1,4 +1,4 @@
-export { findQueue, formatQueueKey, isJobOfRequest } from "./change-jobs.js";
+export { findQueue, formatQueueKey, isJobOfRequest, isJobPath, isQueuePath } from "./change-jobs.js";
 export { canCopyRun, countFailures } from "./change-runs.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
 export {
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -1,10 +1,19 @@
-import { findQueue, formatQueueKey, isJobOfRequest, type JobRecord } from "@chestnutspool/job-state";
+import {
+    findQueue,
+    formatQueueKey,
+    isJobOfRequest,
+    isJobPath,
+    isQueuePath,
+    type JobRecord,
+} from "@chestnutspool/job-state";
 import {
     describeJobRequest,
     type ErrorData,
+    type JobId,
     type JobReply,
     type JobRequest,
     type JobResult,
+    type QueueSettings,
     readMonotonicMs,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
@@ -17,14 +26,24 @@
 
 type RequestOf<Kind extends JobRequest["kind"]> = Extract<JobRequest, { readonly kind: Kind; }>;
 
+/** Finds the queue of a request for a job; undefined unless the path is the prefix of a queue and the id. */
+function findJobQueue(
+    term: Term,
+    { hostName, path }: RequestOf<"submitJob" | "readJob" | "cancelJob">,
+    id: JobId,
+): QueueSettings | undefined {
+    const queue = findQueue(term.machine.state.configuration, hostName, path);
+    return queue !== undefined && isJobPath(queue, path, id) ? queue : undefined;
+}
+
 /** Finds the job of a request; undefined if the queue of the request does not exist or has no job with this id. */
-function findJob(term: Term, request: RequestOf<"readJob"> | RequestOf<"cancelJob">): JobRecord | undefined {
+function findJob(term: Term, request: RequestOf<"readJob" | "cancelJob">): JobRecord | undefined {
     const job = term.machine.state.jobs.get(request.job);
     return job !== undefined && hasQueue(term, request) && isJobOfRequest(job, request) ? job : undefined;
 }
 
-function hasQueue(term: Term, request: { readonly hostName: string; readonly path: string; }): boolean {
-    return findQueue(term.machine.state.configuration, request.hostName, request.path) !== undefined;
+function hasQueue(term: Term, request: RequestOf<"readJob" | "cancelJob">): boolean {
+    return findJobQueue(term, request, request.job) !== undefined;
 }
 
 function convertResult(result: JobResult): JobReply {
@@ -48,7 +67,7 @@
     const { spec, hostName, path } = request;
     const { state } = term.machine;
     if (!canBeRecorded(term, request)) {
-        const queue = findQueue(state.configuration, hostName, path);
+        const queue = findJobQueue(term, request, spec.id);
         if (queue === undefined) {
             term.logger.info("job has no queue", {
                 job: spec.id,
@@ -133,7 +152,7 @@
 
 function countPending(term: Term, request: RequestOf<"countPending">): JobReply {
     const queue = findQueue(term.machine.state.configuration, request.hostName, request.path);
-    if (queue === undefined) {
+    if (queue === undefined || !isQueuePath(queue, request.path)) {
         return { kind: "noQueue" };
     }
     const key = formatQueueKey(queue);
--- a/packages/lead-jobs/src/job-identity.test.ts
+++ b/packages/lead-jobs/src/job-identity.test.ts
@@ -18,11 +18,13 @@
     yield* system.pass(100);
 });
 
-function makeRequest(kind: "submitJob" | "readJob" | "cancelJob", path: string): JobRequest {
+function makeRequest(kind: "submitJob" | "readJob" | "cancelJob" | "countPending", path: string): JobRequest {
     const target = { hostName: "jobs.example", path };
     switch (kind) {
         case "submitJob":
             return { kind, spec: makeJob("a"), ...target };
+        case "countPending":
+            return { kind, ...target };
         case "readJob":
         case "cancelJob":
             return { kind, job: "a", ...target };
@@ -53,3 +55,18 @@
             assert.equal((yield* system.readStartedRuns).length, 1);
         }),
 );
+
+// Guards against one job under several paths, and against the count of a queue for any path below it.
+testSystem(
+    "only the prefix itself names a queue, and only the prefix with the id names a job",
+    system =>
+        Effect.gen(function*() {
+            yield* startQueues(system);
+            for (const kind of ["submitJob", "readJob", "cancelJob"] as const) {
+                assert.deepEqual(yield* system.ask(makeRequest(kind, "/main/more/a")), { kind: "noQueue" }, kind);
+            }
+            assert.equal(system.machine.state.jobs.size, 0);
+            assert.deepEqual(yield* system.ask(makeRequest("countPending", "/main/more")), { kind: "noQueue" });
+            assert.deepEqual(yield* system.ask(makeRequest("countPending", "/main/")), { kind: "pending", count: 0 });
+        }),
+);
