Cancel a job that has ended without a command that names only its id

The command that cancels a job names its id and not its queue. For a job that had ended, the leader proposed it although it changes nothing; had the job been forgotten and its id used by another queue before the command was applied, that queue's job would have been cancelled. The leader now answers such a request from the recorded end, which is final. An open job is not forgotten.

Test: before, one command was applied.

Every other call that takes an id was looked at, by reading: - Status and pending: findJob and findJobQueue compare host name, prefix and id with the recorded job; a count is given for a prefix only. - Giving up a job, starts and ends of runs: made from the recorded jobs; at most one queue has a job with an id, and a job is forgotten only once it is closed, that is, has no run. - Reports of workers: names of tasks are compared as they were sent; numbers in them have one spelling (parseTaskKey). - Orders of operators: the id of a worker is any text without a slash, the zone is decoded from the path, a wave is a whole number. A wave with a known number and another content is acknowledged and not stored (startWave); left, because waves are not carried out yet. - The product's own interface: request ids are kept apart by tenant, compared as they were sent, and refused with another body (requestIdReused), operator request ids with another change; work names have lowercase letters only. The service of a request is not compared, neither in findKnownResult nor in registerRequest: a request to another service with the same tenant, id and body gets the record of the first one. Left, because the records of the log do not have the service.

--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -1,6 +1,7 @@
 import {
     findQueue,
     formatQueueKey,
+    isJobEnded,
     isJobOfRequest,
     isJobPath,
     isQueuePath,
@@ -135,6 +136,10 @@
         return hasQueue(term, request) ? { kind: "noJob" } as const : { kind: "noQueue" } as const;
     }
     const before = found.phase;
+    // An ended job may be forgotten, and its id used by another queue, before a command that names only the id is applied.
+    if (isJobEnded(found)) {
+        return { kind: "done" } as const;
+    }
     const result = yield* propose(term, { kind: "cancelJob", job: request.job });
     term.logger.info("job cancelled", { job: request.job, before, runs: found.runsInProgress });
     wakePlanner(term);
--- a/packages/lead-jobs/src/job-identity.test.ts
+++ b/packages/lead-jobs/src/job-identity.test.ts
@@ -70,3 +70,16 @@
             assert.deepEqual(yield* system.ask(makeRequest("countPending", "/main/")), { kind: "pending", count: 0 });
         }),
 );
+
+// Guards against the cancellation of a job of another queue: a command names only the id, which is free again once an ended
+// job is forgotten.
+testSystem("a job that has ended is cancelled without a command", system =>
+    Effect.gen(function*() {
+        yield* startQueues(system);
+        yield* system.ask(makeRequest("submitJob", "/main/a"));
+        yield* system.pass(3_000);
+        const changes = system.machine.countChanges();
+        assert.deepEqual(yield* system.ask(makeRequest("cancelJob", "/main/a")), { kind: "done" });
+        assert.equal(system.machine.countChanges(), changes);
+        assert.deepEqual(yield* system.ask(makeRequest("readJob", "/main/a")), { kind: "phase", phase: "completed" });
+    }));
