Stop no run on a sound worker without need, and count the tasks of a long-running step that are away

Review: long-running best-effort tasks were moved every two seconds, because progress of 100% never changes, and tasks with reserved processors that take over two seconds for a percent counted as stalled. awayLimit was decoded and read by nothing. A long-running task at work counts as starved only while its pace is 0; a reserved one counts as stalled after three times the time that a percent has taken it. The moves of a step leave at most awayLimit of its tasks away.

--- a/packages/plan-jobs/src/list-stalled-runs.ts
+++ b/packages/plan-jobs/src/list-stalled-runs.ts
@@ -1,4 +1,4 @@
-import { formatStepKey, type WorkerRun } from "@chestnutspool/job-state";
+import { formatStepKey, type JobStep, type WorkerRun } from "@chestnutspool/job-state";
 import type { RunStatus } from "@chestnutspool/track-workers";
 import type { WorkerId } from "@chestnutspool/types";
 import { listCandidates, type PlanInput } from "./plan-starts.js";
@@ -13,6 +13,10 @@
  * reports.
  */
 const stalledAfterMs = 2_000;
+/** Time without progress after which such a task counts as stalled, as a multiple of the time that a percent has taken it. */
+const stalledAfterPercents = 3;
+/** Progress of a long-running task that is at work, in percent. */
+const atWorkPercent = 100;
 /** Progress from which a task without checkpoints is not moved, in percent, because it would lose that progress. */
 const keptProgressPercent = 40;
 /** Limit of moves per pass. */
@@ -25,23 +29,75 @@
     readonly reason: "standsStill" | "noIdleProcessors";
 }
 
+/**
+ * Computes the time without progress after which a task with reserved processors counts as stalled, in milliseconds. Progress is
+ * reported in whole percents, which take a run of minutes longer than a report.
+ */
+function computeStalledAfterMs(
+    { progressPercent, firstPercent = progressPercent, progressAtMs, orderedAtMs }: RunStatus,
+) {
+    const percents = progressPercent - firstPercent;
+    const percentMs = percents > 0 ? (progressAtMs - orderedAtMs) / percents : 0;
+    return Math.max(stalledAfterMs, stalledAfterPercents * percentMs);
+}
+
 /**
  * Whether a task with reserved processors makes no progress although its worker sends reports, so that it may restart
- * on another worker. A run that works shows progress in each report.
+ * on another worker.
  */
 function isStalled({ step }: WorkerRun, status: RunStatus, nowMs: number): boolean {
     return !step.spec.usesIdleCpu && !step.spec.longRunning && status.start === "confirmed"
-        && status.stopWantedAtMs === undefined && status.readAtMs - status.progressAtMs > stalledAfterMs
+        && status.stopWantedAtMs === undefined && status.readAtMs - status.progressAtMs > computeStalledAfterMs(status)
         && nowMs - status.readAtMs < stalledAfterMs && nowMs - status.orderedAtMs > 2 * step.spec.expectedRunMs;
 }
 
+/** Since when a best-effort task makes no progress, in milliseconds. The progress of a long-running one at work does not change. */
+function findStandstillMs({ step }: WorkerRun, status: RunStatus): number {
+    if (!step.spec.longRunning || status.progressPercent < atWorkPercent) {
+        return status.progressAtMs;
+    }
+    return status.pacePercent === 0 ? status.paceChangedAtMs : Number.POSITIVE_INFINITY;
+}
+
 /**
  * Whether a best-effort task has made no progress for some time, because it is slowed down or gets no idle processors.
  */
-function isStarved({ step }: WorkerRun, status: RunStatus, nowMs: number): boolean {
+function isStarved(run: WorkerRun, status: RunStatus, nowMs: number): boolean {
+    const { step } = run;
     const mayMove = step.spec.checkpointing || status.progressPercent < keptProgressPercent;
     return step.spec.usesIdleCpu && mayMove && status.start === "confirmed" && status.stopWantedAtMs === undefined
-        && nowMs - status.progressAtMs > starvedAfterMs && nowMs - status.orderedAtMs > starvedAfterMs;
+        && nowMs - findStandstillMs(run, status) > starvedAfterMs && nowMs - status.orderedAtMs > starvedAfterMs;
+}
+
+/** Counts the tasks of a step that have no run, whose run is being stopped, or that are not at work yet. */
+function countAwayTasks({ job, occurrence, step }: WorkerRun, input: PlanInput): number {
+    let away = step.waiting.size;
+    for (const [worker, { runs }] of input.state.workers) {
+        for (const [key, other] of runs) {
+            if (other.step !== step || other.occurrence !== occurrence || other.job !== job) {
+                continue;
+            }
+            const status = input.findRunStatuses(worker)?.get(key);
+            const isAtWork = status?.stopWantedAtMs === undefined && (status?.progressPercent ?? 0) >= atWorkPercent;
+            away += isAtWork ? 0 : 1;
+        }
+    }
+    return away;
+}
+
+/** Creates the check whether a task may be interrupted without exceeding the limit of its step; it counts those that it allows. */
+function createAwayCheck(input: PlanInput): (run: WorkerRun) => boolean {
+    const awayByStep = new Map<JobStep, number>();
+    return run => {
+        const { step } = run;
+        if (!step.spec.longRunning || step.spec.awayLimit === undefined) {
+            return true;
+        }
+        const away = awayByStep.get(step) ?? countAwayTasks(run, input);
+        const isAllowed = away < step.spec.awayLimit;
+        awayByStep.set(step, isAllowed ? away + 1 : away);
+        return isAllowed;
+    };
 }
 
 /** Finds another worker that could run a best-effort task, and reserves the capacity for it there. */
@@ -83,6 +139,7 @@
     const stalled: StalledRun[] = [];
     let candidates: readonly WorkerCandidate[] | undefined;
     const unmet = createUnmetRequirements();
+    const mayInterrupt = createAwayCheck(input);
     for (const [worker, { runs }] of input.state.workers) {
         const statuses = input.findRunStatuses(worker);
         for (const [runKey, run] of runs) {
@@ -103,7 +160,7 @@
                 continue;
             }
             candidates ??= listCandidates(input);
-            if (findOtherWorker(candidates, unmet, worker, run, input) !== undefined) {
+            if (findOtherWorker(candidates, unmet, worker, run, input) !== undefined && mayInterrupt(run)) {
                 stalled.push({ worker, runKey, reason: "noIdleProcessors" });
             }
         }
--- a/packages/track-workers/src/run-statuses.ts
+++ b/packages/track-workers/src/run-statuses.ts
@@ -24,6 +24,8 @@
     /** When the worker confirmed the order to stop the run. */
     stoppedAtMs: number | undefined;
     progressPercent: number;
+    /** Progress that the first report showed, such as that of a checkpoint; undefined before. */
+    firstPercent?: number | undefined;
     /** When the progress last changed. */
     progressAtMs: number;
     checkpoint: string;
@@ -112,6 +114,7 @@
         status.start = "confirmed";
         status.startChangedAtMs = nowMs;
     }
+    status.firstPercent ??= progress.progressPercent;
     if (status.progressPercent !== progress.progressPercent) {
         status.progressPercent = progress.progressPercent;
         status.progressAtMs = nowMs;
