Give all members of a gang one checkpoint

Members without a run now share the checkpoint that one of them saved last, members in progress keep the one of their start, and a start takes one checkpoint for all members, because an earlier build may have recorded several. A member that returns the checkpoint of its start replaces no newer one.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -8,6 +8,7 @@
     subtractResources,
     type WorkerCrash,
 } from "@chestnutspool/types";
+import { recordCheckpoint, unifyCheckpoint } from "./gang-checkpoints.js";
 import type {
     JobOccurrence,
     JobRecord,
@@ -76,6 +77,7 @@
     }
     worker.used = used;
     task.lastRun = start.run;
+    unifyCheckpoint(step, task);
     const startedAtMs = state.clockMs;
     task.runs = [...task.runs, { run: start.run, worker: start.worker, startedAtMs }];
     step.waiting.delete(task.position);
@@ -215,9 +217,7 @@
     const { job, step, task } = run;
     task.runs = task.runs.filter(placed => placed.run !== run.run);
     job.runsInProgress -= 1;
-    if (end.checkpoint !== "") {
-        task.checkpoint = end.checkpoint;
-    }
+    recordCheckpoint(step, task, end.checkpoint);
     switch (end.outcome) {
         case "succeeded":
             task.crashes = undefined;
