Let the members of a gang share the workers of their trial

After a crash each suspected member of a gang needed a worker without another trial. The members of one gang now share the workers of their trial, as few as have room, alone with each other; members that are not suspected may join them. The counting of trials moves into a file of its own.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,6 +1,6 @@
 import { acceptsStarts, formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
-import { hasTrial, needsTrial, type RunStatuses } from "@chestnutspool/track-workers";
+import { needsTrial, type RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
 import { holdWorkers } from "./hold-workers.js";
@@ -12,6 +12,7 @@
 import { computeStarvedLimit, forgetStarvation, listStarvedSteps, recordStarvedStarts } from "./starved-steps.js";
 import { planStepPlacements, type StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
+import { cancelGangTrial, canTry, countTrials, startTrial, type TrialCounts } from "./trials.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import {
@@ -30,13 +31,6 @@
  * limited.
  */
 const startsPerPass = 500;
-/**
- * Largest share of the workers of a service on which tasks are on trial at the same time, so that tasks that crash their
- * workers do not take a service down. One worker may always be.
- */
-const trialShare = 0.5;
-/** The same while the task that is to follow has certainly crashed a worker: others do not wait behind such tasks. */
-const certainTrialShare = 0.25;
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
@@ -63,13 +57,6 @@
     readonly placementWaits?: PlacementWaits | undefined;
 }
 
-/** Trials of the tasks of a service. */
-interface ServiceTrials {
-    workers: number;
-    /** Tasks on trial, also on workers that are silent. */
-    onTrial: number;
-}
-
 /** State of one planning pass. */
 interface PlanningPass {
     readonly input: PlanInput;
@@ -79,8 +66,8 @@
     readonly unmet: UnmetRequirements;
     readonly placements: StepPlacements;
     readonly starts: RunStart[];
-    /** Workers and tasks on trial, by service. */
-    readonly trials: ReadonlyMap<string, ServiceTrials>;
+    /** Workers, and those on trial, by service. */
+    readonly trials: TrialCounts;
     /** Number of ratings of workers. */
     ratings: number;
 }
@@ -149,34 +136,10 @@
     };
 }
 
-function countTrials({ state, findRunStatuses }: PlanInput): ReadonlyMap<string, ServiceTrials> {
-    const trials = new Map<string, ServiceTrials>();
-    for (const worker of state.workers.values()) {
-        const { id, service } = worker.info;
-        const ofService = trials.get(service) ?? { workers: 0, onTrial: 0 };
-        trials.set(service, ofService);
-        ofService.workers += 1;
-        ofService.onTrial += hasTrial(worker, findRunStatuses(id)) ? 1 : 0;
-    }
-    return trials;
-}
-
-/** Counts a task that the pass puts on trial, or takes off it. */
-function addTrial(pass: PlanningPass, { job }: WaitingStep, change: 1 | -1): void {
-    const ofService = pass.trials.get(job.queue.service);
-    if (ofService !== undefined) {
-        ofService.onTrial += change;
-    }
-}
-
-/** Whether a task may be put on trial in this pass. */
-function canTry(pass: PlanningPass, { job }: WaitingStep, { crashes }: JobTask): boolean {
-    const { workers, onTrial } = pass.trials.get(job.queue.service) ?? { workers: 0, onTrial: 0 };
-    const share = (crashes?.certain ?? 0) > 0 ? certainTrialShare : trialShare;
-    return onTrial < Math.max(1, Math.floor(workers * share));
-}
-
-/** Reserves a worker for a task that may crash it; no other task starts there meanwhile. */
+/**
+ * Reserves capacity for a task that may crash its worker. No other task starts there meanwhile, except that the members of a
+ * gang share the workers of their trial.
+ */
 function reserveTrialWorker(
     pass: PlanningPass,
     { waiting, stepKey, ratings }: StepPlan,
@@ -184,9 +147,8 @@
     const { job, step } = waiting;
     const candidate = ratings.chooseTrialWorker();
     if (candidate !== undefined) {
-        addTrial(pass, waiting, 1);
+        startTrial(pass.trials, candidate, step.spec.gang ? stepKey : undefined);
         reserveCapacity(candidate, job.id, step.spec, stepKey);
-        candidate.isOnTrial = true;
         ratings.updateAfterStart(candidate);
     }
     return candidate;
@@ -246,7 +208,7 @@
     }
     const limit = Math.min(isStarved ? 1 : startsPerPass - pass.starts.length, pass.placements.countStartable(waiting));
     for (const task of tasks.slice(0, limit)) {
-        if (needsTrial(task) && !canTry(pass, waiting, task)) {
+        if (needsTrial(task) && !canTry(pass.trials, waiting.job.queue.service, task)) {
             return;
         }
         const candidate = reserveWorker(pass, plan, task);
@@ -265,15 +227,17 @@
     if (step.waiting.size < step.tasks.length || tasks.length < step.tasks.length) {
         return;
     }
-    // All members that need a trial get theirs at once, because the gang only starts as a whole.
-    const suspect = tasks.find(needsTrial);
-    if (suspect !== undefined && !canTry(pass, waiting, suspect)) {
+    const suspected = tasks.filter(needsTrial);
+    const [suspect] = suspected;
+    if (suspect !== undefined && !canTry(pass.trials, job.queue.service, suspect)) {
         return;
     }
+    // The suspected members go first, so that they are together on as few workers as possible.
+    const members = suspect === undefined ? tasks : [...suspected, ...tasks.filter(task => !needsTrial(task))];
     const plan = createStepPlan(pass, waiting, isStarved);
     const run = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
     const reserved: { readonly candidate: WorkerCandidate; readonly task: JobTask; }[] = [];
-    for (const task of tasks) {
+    for (const task of members) {
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
             break;
@@ -285,12 +249,9 @@
         return;
     }
     if (reserved.length < step.tasks.length) {
-        reserved.forEach(({ candidate, task }) => {
+        reserved.forEach(({ candidate }) => {
             releaseCapacity(candidate, job.id, step.spec, plan.stepKey);
-            if (needsTrial(task)) {
-                candidate.isOnTrial = false;
-                addTrial(pass, waiting, -1);
-            }
+            cancelGangTrial(pass.trials, candidate, plan.stepKey);
         });
         return;
     }
@@ -391,7 +352,7 @@
         unmet: createUnmetRequirements(),
         placements: planStepPlacements(input, candidatesByService, waitingSteps, nowMs),
         starts: [],
-        trials: countTrials(input),
+        trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
     planWithinLimit(memory, waitingSteps, waiting => {
--- a/packages/plan-jobs/src/step-ratings.ts
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -9,7 +9,7 @@
     readonly chooseWorker: (excluded: WorkerId | undefined) => WorkerCandidate | undefined;
     /**
      * Chooses the worker on which a task that may crash it does the least harm: with the fewest runs that have not proved
-     * themselves, then with the fewest runs.
+     * themselves, then with the fewest runs. Members of a gang join those that are on trial already.
      */
     readonly chooseTrialWorker: () => WorkerCandidate | undefined;
     /** Updates the ratings after a task was planned on a worker. */
@@ -76,6 +76,9 @@
             let best: WorkerCandidate | undefined;
             let leastHarm: Harm | undefined;
             for (const { candidate } of suitable) {
+                if (candidate.trialGang === stepKey) {
+                    return candidate;
+                }
                 const harm = estimateHarm(candidate);
                 if (leastHarm === undefined || compareHarm(harm, leastHarm) < 0) {
                     best = candidate;
--- /dev/null
+++ b/packages/plan-jobs/src/trials.ts
@@ -0,0 +1,70 @@
+import type { JobState, JobTask } from "@chestnutspool/job-state";
+import { hasTrial, type RunStatuses } from "@chestnutspool/track-workers";
+import type { WorkerId } from "@chestnutspool/types";
+import type { WorkerCandidate } from "./worker-candidate.js";
+
+/**
+ * Largest share of the workers of a service that are on trial at the same time, so that tasks that crash their workers do not
+ * take a service down. One worker may always be.
+ */
+const trialShare = 0.5;
+/** The same while the task that is to follow has certainly crashed a worker: others do not wait behind such tasks. */
+const certainTrialShare = 0.25;
+
+/** Trials on the workers of a service. */
+interface ServiceTrials {
+    workers: number;
+    /** Workers on trial, silent ones included. */
+    onTrial: number;
+}
+
+/** Trials of a planning pass, by service. */
+export type TrialCounts = ReadonlyMap<string, ServiceTrials>;
+
+/** Counts the workers on which recorded runs are on trial. */
+export function countTrials(
+    state: JobState,
+    findRunStatuses: (worker: WorkerId) => RunStatuses | undefined,
+): TrialCounts {
+    const trials = new Map<string, ServiceTrials>();
+    for (const worker of state.workers.values()) {
+        const { id, service } = worker.info;
+        const ofService = trials.get(service) ?? { workers: 0, onTrial: 0 };
+        trials.set(service, ofService);
+        ofService.workers += 1;
+        ofService.onTrial += hasTrial(worker, findRunStatuses(id)) ? 1 : 0;
+    }
+    return trials;
+}
+
+function addTrial(trials: TrialCounts, { state }: WorkerCandidate, change: 1 | -1): void {
+    const ofService = trials.get(state.info.service);
+    if (ofService !== undefined) {
+        ofService.onTrial += change;
+    }
+}
+
+/** Whether a task may be put on trial now. A gang may then take as many workers as it needs, because it starts as a whole. */
+export function canTry(trials: TrialCounts, service: string, { crashes }: JobTask): boolean {
+    const { workers, onTrial } = trials.get(service) ?? { workers: 0, onTrial: 0 };
+    const share = (crashes?.certain ?? 0) > 0 ? certainTrialShare : trialShare;
+    return onTrial < Math.max(1, Math.floor(workers * share));
+}
+
+/** Puts a worker on trial; the members of the gang of the step `gangKey` may join it. */
+export function startTrial(trials: TrialCounts, candidate: WorkerCandidate, gangKey: string | undefined): void {
+    if (!candidate.isOnTrial) {
+        candidate.isOnTrial = true;
+        candidate.trialGang = gangKey;
+        addTrial(trials, candidate, 1);
+    }
+}
+
+/** Takes a worker off the trial that the pass has planned for the members of a gang. */
+export function cancelGangTrial(trials: TrialCounts, candidate: WorkerCandidate, gangKey: string): void {
+    if (candidate.trialGang === gangKey) {
+        candidate.isOnTrial = false;
+        candidate.trialGang = undefined;
+        addTrial(trials, candidate, -1);
+    }
+}
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -62,6 +62,8 @@
     isHeld: boolean;
     /** Whether a task that may crash the worker is on trial here, so that no other task may start. */
     isOnTrial: boolean;
+    /** Step of the gang whose members share the trial that the pass plans here, as written by `formatStepKey`. */
+    trialGang: string | undefined;
     /** State of the runs on the worker, by its reports. */
     readonly statuses: RunStatuses | undefined;
     /** Number of runs that the pass plans here. */
@@ -223,6 +225,7 @@
         speed: 1,
         isHeld: false,
         isOnTrial: hasTrial(state, statuses),
+        trialGang: undefined,
         statuses,
         plannedRuns: 0,
         tasksByStep,
@@ -258,7 +261,7 @@
 
 /** Whether the limits and labels of a worker allow a task of a step to start there if its resources suffice. */
 export function isEligible(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
-    if (candidate.isOnTrial || candidate.startsLeft === 0) {
+    if ((candidate.isOnTrial && candidate.trialGang !== stepKey) || candidate.startsLeft === 0) {
         return false;
     }
     if (candidate.isHeld && !spec.longRunning && !hasReservation(candidate.reservations, stepKey)) {
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -84,6 +84,11 @@
         && silentSinceMs - status.orderedAtMs <= computeProvingMs(task) + silenceDelayMs;
 }
 
+/** Whether two runs are blamed as one: the members of a gang only run together, and are given up together. */
+function isSameSuspect(left: WorkerRun, right: WorkerRun): boolean {
+    return left === right || (left.step === right.step && left.step.spec.gang);
+}
+
 /**
  * Finds the runs on a worker that has crashed of which one may be the cause: those on trial, and those that started last. Of these
  * only the ones with the most suspicions, so that neighbours are not blamed for a task that has crashed other workers before.
@@ -91,7 +96,7 @@
 export function findCrashSuspects(state: WorkerState, statuses: RunStatuses, silentSinceMs: number): WorkerCrash {
     const runs = [...state.runs];
     const lastStartMs = Math.max(...runs.map(([, { startedAtMs }]) => startedAtMs));
-    let suspects: RunStatus[] = [];
+    let suspects: { readonly run: WorkerRun; readonly status: RunStatus; }[] = [];
     let most: TaskCrashes | undefined;
     for (const [key, run] of runs) {
         const status = statuses.get(key);
@@ -104,7 +109,7 @@
             suspects = [];
         }
         if (order >= 0) {
-            suspects.push(status);
+            suspects.push({ run, status });
             most = run.task.crashes;
         }
     }
@@ -113,13 +118,15 @@
         return status !== undefined && needsTrial(task) && hasProvedItself(task, status) ? [status.key] : [];
     });
     // Of several starts without an answer, the worker may have carried out only the one that crashed it.
-    const openStarts = runs.flatMap(([key]) => {
+    const openStarts = runs.flatMap(([key, run]) => {
         const status = statuses.get(key);
-        return status !== undefined && isStartOpen(status) ? [status] : [];
+        return status !== undefined && isStartOpen(status) ? [run] : [];
     });
+    const [suspect] = suspects;
     return {
-        suspectedRuns: suspects.map(({ key }) => key),
-        isCertain: suspects.length === 1 && openStarts.every(status => suspects.includes(status)),
+        suspectedRuns: suspects.map(({ status }) => status.key),
+        isCertain: suspect !== undefined
+            && [...suspects.map(({ run }) => run), ...openStarts].every(run => isSameSuspect(run, suspect.run)),
         clearedRuns,
     };
 }
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -186,7 +186,7 @@
 export interface WorkerCrash {
     /** Runs of which one may have caused the crash; empty if none is suspected. */
     readonly suspectedRuns: readonly RunKey[];
-    /** Whether one run only is suspected and had certainly started. */
+    /** Whether one run only, or members of one gang only, are suspected and had certainly started. */
     readonly isCertain: boolean;
     /** Runs of tasks that had been suspected before and have proved that they do not crash their worker. */
     readonly clearedRuns: readonly RunKey[];
