Count the crashes under a task for its lifetime, weighed by likelihood

The state now keeps a history of the crashes of each task until a run of it ends by itself. A crash multiplies the odds that the task is the cause by the inverse of the probability of the crash without it: from the age of the run, the other tasks on the worker, and the crashes of other workers. After three crashes the trial lasts longer than the runs that crashed; after four or five the odds decide. The leader tells for how long the worker had been silent.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -8,6 +8,7 @@
     subtractResources,
     type WorkerCrash,
 } from "@chestnutspool/types";
+import { recordCrashHistory } from "./crash-history.js";
 import { recordCheckpoint, unifyCheckpoint } from "./gang-checkpoints.js";
 import type {
     JobOccurrence,
@@ -189,12 +190,20 @@
     };
 }
 
-/** Counts the crash of a worker for the runs on it. */
+/** A run that ends by itself shows that its task does not crash its workers. */
+function clearCrashes(task: JobTask): void {
+    task.crashes = undefined;
+    task.crashHistory = undefined;
+}
+
+/** Counts the crash of a worker for the runs on it. Passed trials do not clear the histories. */
 function recordCrashes(
     state: JobState,
     worker: WorkerState,
-    { suspectedRuns, isCertain, clearedRuns }: WorkerCrash,
+    crash: WorkerCrash,
 ): void {
+    recordCrashHistory(state, worker, crash);
+    const { suspectedRuns, isCertain, clearedRuns } = crash;
     const suspected = new Set(suspectedRuns.map(formatRunKey));
     const cleared = new Set(clearedRuns.map(formatRunKey));
     for (const [key, run] of worker.runs) {
@@ -220,11 +229,11 @@
     recordCheckpoint(step, task, end.checkpoint);
     switch (end.outcome) {
         case "succeeded":
-            task.crashes = undefined;
+            clearCrashes(task);
             completeTasks(state, run);
             break;
         case "failed":
-            task.crashes = undefined;
+            clearCrashes(task);
             recordFailure(state, run);
             break;
         case "stopped":
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -1,9 +1,11 @@
 export { findQueue, formatQueueKey } from "./change-jobs.js";
 export { canCopyRun, countFailures } from "./change-runs.js";
+export { computeCrashOdds } from "./crash-history.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
 export {
     acceptsStarts,
     computeReservation,
+    type CrashHistory,
     createJob,
     findReadyAtMs,
     isJobEnded,
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -22,7 +22,7 @@
     readonly startedAtMs: number;
 }
 
-/** Crashes of workers under the latest runs of a task; a run that ends by itself clears them. */
+/** Crashes of workers under the latest runs of a task; a run that passes its trial or ends by itself clears them. */
 export interface TaskCrashes {
     /** Runs in succession whose worker crashed soon after their start. */
     readonly crashes: number;
@@ -37,6 +37,26 @@
     readonly run: number;
 }
 
+/** Crashes of workers under a task in its life, weighed by likelihood; a run that ends by itself clears them. */
+export interface CrashHistory {
+    readonly crashes: number;
+    /** How far they speak for the task as their cause: decimal logarithm of the factor on the odds, in hundredths; above 0. */
+    readonly evidence: number;
+    /** Longest time from a start until the worker fell silent, in milliseconds, up to a minute. */
+    readonly ageMs: number;
+    /** The last run that was counted. */
+    readonly run: number;
+}
+
+/** Crash of a worker with runs. */
+export interface RecentCrash {
+    /** Wall-clock time at which it was recorded, in milliseconds since the epoch. */
+    readonly atMs: number;
+    readonly service: string;
+    /** Probability that one of its tasks was the cause, in percent. */
+    readonly explainedPercent: number;
+}
+
 /** State of one task of a step. */
 export interface JobTask {
     readonly position: number;
@@ -47,6 +67,8 @@
     failures: number;
     /** Undefined unless a worker crashed under the last run. */
     crashes: TaskCrashes | undefined;
+    /** Undefined unless a worker crashed under a run; earlier builds do not record it. */
+    crashHistory: CrashHistory | undefined;
     /** Checkpoint from which the next run resumes; empty when there is none. */
     checkpoint: string;
     /** Runs in progress; more than one only for speculative steps. */
@@ -156,6 +178,8 @@
     readonly disturbances: Map<string, DisturbanceEstimate>;
     /** Speeds of workers as the last leaders recorded them, by worker. */
     readonly workerSpeeds: Map<WorkerId, RecordedSpeed>;
+    /** Crashes of the last minute; earlier builds do not record them. */
+    recentCrashes: readonly RecentCrash[];
     /** All services that a queue has ever been configured with, by `formatQueueKey`. */
     readonly servicesByQueue: Map<string, Set<string>>;
 }
@@ -173,6 +197,7 @@
         waves: new Map(),
         disturbances: new Map(),
         workerSpeeds: new Map(),
+        recentCrashes: [],
         servicesByQueue: new Map(),
     };
 }
@@ -207,6 +232,7 @@
             lastRun: 0,
             failures: 0,
             crashes: undefined,
+            crashHistory: undefined,
             checkpoint: "",
             runs: [],
         });
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -21,6 +21,7 @@
     type JobState,
     type JobStep,
     type JobTask,
+    type RecentCrash,
     type RecordedSpeed,
 } from "./job-state.js";
 import { formatRunKey } from "./run-keys.js";
@@ -33,11 +34,22 @@
 /** Crashes, suspicions, certain ones, and the run that was counted last. */
 type SavedCrashes = readonly [number, number, number, number];
 
+/** Crashes, evidence, age, and the run that was counted last. */
+type SavedHistory = readonly [number, number, number, number];
+
 /**
- * Position, last run, failures, checkpoint, runs and crashes of a task that is no longer in its initial state. Tasks without
- * crashes, and those that earlier builds write, end with the runs.
+ * Position, last run, failures, checkpoint, runs, crashes and their history of a task that is no longer in its initial state. Tasks
+ * without crashes and those that earlier builds write end with the runs, or with the crashes.
  */
-type SavedTask = readonly [number, number, number, string, readonly SavedRun[], SavedCrashes?];
+type SavedTask = readonly [
+    number,
+    number,
+    number,
+    string,
+    readonly SavedRun[],
+    (SavedCrashes | undefined)?,
+    SavedHistory?,
+];
 
 interface SavedStep {
     /** Positions of the tasks that are done. */
@@ -97,6 +109,8 @@
     readonly disturbances: readonly DisturbanceEstimate[];
     /** Earlier builds do not write it. */
     readonly workerSpeeds?: readonly RecordedSpeed[];
+    /** Earlier builds do not write it. */
+    readonly recentCrashes?: readonly RecentCrash[];
     readonly services: readonly (readonly [string, readonly string[]])[];
 }
 
@@ -104,14 +118,19 @@
     return task.lastRun > 0 || task.failures > 0 || task.checkpoint !== "";
 }
 
+function saveCrashes({ crashes }: JobTask): SavedCrashes | undefined {
+    return crashes === undefined ? undefined : [crashes.crashes, crashes.suspicions, crashes.certain, crashes.run];
+}
+
 function saveTask(task: JobTask): SavedTask {
     const runs = task.runs.map(({ run, worker, startedAtMs }) => [run, worker, startedAtMs] as const);
     const saved = [task.position, task.lastRun, task.failures, task.checkpoint, runs] as const;
-    if (task.crashes === undefined) {
-        return saved;
+    const crashes = saveCrashes(task);
+    if (task.crashHistory !== undefined) {
+        const { crashes: count, evidence, ageMs, run } = task.crashHistory;
+        return [...saved, crashes, [count, evidence, ageMs, run]];
     }
-    const { crashes, suspicions, certain, run } = task.crashes;
-    return [...saved, [crashes, suspicions, certain, run]];
+    return crashes === undefined ? saved : [...saved, crashes];
 }
 
 function saveStep(step: JobStep): SavedStep {
@@ -215,6 +234,7 @@
         })),
         disturbances: [...state.disturbances.values()],
         workerSpeeds: [...state.workerSpeeds.values()],
+        recentCrashes: state.recentCrashes,
         services: [...state.servicesByQueue].map(([queue, services]) => [queue, [...services]]),
     };
     const fields = Object.entries(saved);
@@ -233,7 +253,7 @@
 function restoreTask(
     state: JobState,
     owner: { readonly job: JobRecord; readonly occurrence: JobOccurrence; readonly step: JobStep; },
-    [position, lastRun, failures, checkpoint, runs, saved]: SavedTask,
+    [position, lastRun, failures, checkpoint, runs, saved, history]: SavedTask,
 ): void {
     const task = owner.step.tasks[position];
     if (task === undefined) {
@@ -244,6 +264,10 @@
         const [crashes, suspicions, certain, run] = saved;
         task.crashes = { crashes, suspicions, certain, run };
     }
+    if (history !== undefined) {
+        const [crashes, evidence, ageMs, run] = history;
+        task.crashHistory = { crashes, evidence, ageMs, run };
+    }
     task.runs = runs.map(([run, worker, startedAtMs = 0]) => ({ run, worker, startedAtMs }));
     for (const { run, worker, startedAtMs } of task.runs) {
         owner.step.waiting.delete(position);
@@ -336,6 +360,7 @@
     }
     state.clockMs = saved.clockMs;
     state.configuration = saved.configuration ?? undefined;
+    state.recentCrashes = saved.recentCrashes ?? [];
     for (const { info, isDraining, largestCapacity = info.capacity, sequence = 0 } of saved.workers) {
         const used = noResources;
         state.workers.set(info.id, { info, isDraining, largestCapacity, sequence, used, runs: new Map() });
--- a/packages/lead-jobs/src/deadly-task.test.ts
+++ b/packages/lead-jobs/src/deadly-task.test.ts
@@ -80,6 +80,26 @@
     );
 }
 
+// Guards against a gang that is started without end or waits without end, because its members share the workers of their trial.
+for (const count of [2, workerCount]) {
+    testSystem(
+        `a gang with a member that crashes its workers is given up after a few starts on ${count} workers`,
+        system =>
+            Effect.gen(function*() {
+                yield* setUpWorkers(system, count);
+                // The members fit one worker, because the fake workers do not end a gang whose member on another one is gone.
+                const resources = { milliCpu: 100, memoryMib: 10, accelerators: 0 };
+                yield* system.submit(makeJob("deadly", [makeStep({ count: 10, gang: true, resources })]));
+                const neighbours = yield* submitNeighbours(system, "n", 80);
+                const starts = yield* countStarts(system, "deadly.0.0.1");
+                assert.ok(starts <= startLimit, `${starts} starts`);
+                assert.equal(yield* readPhase(system, "deadly"), "failed");
+                yield* system.pass(30_000);
+                assert.deepEqual(yield* readPhases(system, neighbours), { completed: neighbours.length });
+            }),
+    );
+}
+
 testSystem("the count of crashes outlives the leader", system =>
     Effect.gen(function*() {
         yield* setUpWorkers(system);
--- a/packages/lead-jobs/src/expire-worker.ts
+++ b/packages/lead-jobs/src/expire-worker.ts
@@ -65,8 +65,12 @@
     );
     const checkpoints = lapsed.filter(end => end.checkpoint !== "");
     const nowMs = yield* readMonotonicMs;
+    const silentSinceMs = session.silentSinceMs ?? nowMs;
     const crash = isCrash && state.runs.size > 0
-        ? findCrashSuspects(state, session.runStatuses, session.silentSinceMs ?? nowMs)
+        ? {
+            ...findCrashSuspects(state, session.runStatuses, silentSinceMs),
+            silentMs: Math.round(nowMs - silentSinceMs),
+        }
         : undefined;
     if (crash !== undefined) {
         logWorkerCrash(term, session, state, crash, nowMs);
--- a/packages/lead-jobs/src/give-up-jobs.ts
+++ b/packages/lead-jobs/src/give-up-jobs.ts
@@ -22,7 +22,11 @@
                     step: step.position,
                     position: task.position,
                 };
-                return { job, task: key, crashes: task.crashes?.crashes ?? 0 };
+                return {
+                    job,
+                    task: key,
+                    crashes: Math.max(task.crashes?.crashes ?? 0, task.crashHistory?.crashes ?? 0),
+                };
             }
         }
     }
--- /dev/null
+++ b/packages/lead-jobs/src/late-crashes.test.ts
@@ -0,0 +1,111 @@
+import { makeJob, makeStep, testStartMs } from "@chestnutspool/job-state/fakes";
+import { readMonotonicMs } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { TestClock } from "effect/testing";
+import assert from "node:assert/strict";
+import { makeWorker, startTestSystem, type TestSystem, testWithClock } from "./fakes/index.js";
+
+/** Time until a worker that crashed is back under a new id, in milliseconds. */
+const restartMs = 2_000;
+/** Crashes of workers under a task from which it may be started only a few times more. */
+const crashLimit = 3;
+/** Starts of a task after its third crash, at most. */
+const startsAfterLimit = 2;
+const stepMs = 50;
+
+const readPhase = (system: TestSystem, job: string) =>
+    Effect.map(
+        system.ask({ kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` }),
+        reply => reply.kind === "phase" ? reply.phase : reply.kind,
+    );
+
+const findRunMs = (job: string): number => job.startsWith("deadly") ? 60_000 : job.startsWith("long") ? 30_000 : 3_000;
+
+const isDeadlyTask = (task: string): boolean => task.startsWith("deadly");
+
+/** Workers that crash under the jobs whose ids begin with `deadly`, `crashAfterMs` after each start. */
+const setUpWorkers = Effect.fnUntraced(function*(system: TestSystem, count: number) {
+    let restarts = 0;
+    const nextInfo = (crashed: ReturnType<typeof makeWorker>, nowMs: number) => {
+        restarts += 1;
+        return { ...crashed, bornAtMs: nowMs, id: `${crashed.id.split("-")[0]}-${restarts}` };
+    };
+    system.workers.setCrashingRuns(() => false, { afterMs: restartMs, nextInfo }, system.announce);
+    system.workers.setBehaviour(({ job }) => ({
+        runMs: findRunMs(job),
+        outcome: "succeeded",
+    }));
+    for (let number = 1; number <= count; number += 1) {
+        yield* system.addWorker(makeWorker(`w${number}`, { bornAtMs: 1 }));
+    }
+});
+
+/** Lets time pass, and crashes each worker that has run a deadly task for `crashAfterMs`. */
+const passWithCrashes = Effect.fnUntraced(function*(system: TestSystem, crashAfterMs: number, forMs: number) {
+    for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
+        yield* system.pass(stepMs);
+        const nowMs = yield* readMonotonicMs;
+        const runs = yield* system.readStartedRuns;
+        const crashing = new Set(
+            runs.filter(({ task, endedAtMs, startedAtMs }) =>
+                isDeadlyTask(task) && endedAtMs === undefined && nowMs - startedAtMs >= crashAfterMs
+            ).map(({ worker }) => worker),
+        );
+        crashing.forEach(worker => system.workers.crashWorker(worker, nowMs));
+    }
+});
+
+/** Counts the starts of a task after the third crash of a worker under it. */
+const countLateStarts = Effect.fnUntraced(function*(system: TestSystem, task: string) {
+    const runs = (yield* system.readStartedRuns).filter(run => run.task === task);
+    const third = runs.filter(({ hasCrashed }) => hasCrashed)[crashLimit - 1];
+    return third === undefined ? 0 : runs.filter(({ run }) => run > third.run).length;
+});
+
+// Guards against a task that crashes its worker some seconds after each start and is started without end, because a trial that it
+// passed cleared its crashes; and against blaming the tasks that run beside it.
+for (const workerCount of [4, 8]) {
+    for (const crashAfterMs of [1_000, 4_000, 8_000, 20_000]) {
+        testWithClock(
+            `two tasks that crash their worker after ${crashAfterMs} ms are given up, none beside them is, on ${workerCount} workers`,
+            Effect.gen(function*() {
+                // The ages of runs are taken from the clock of the state, which begins there.
+                yield* TestClock.setTime(testStartMs);
+                const system = yield* startTestSystem;
+                yield* setUpWorkers(system, workerCount);
+                const innocents: string[] = [];
+                const submit = Effect.fnUntraced(function*(id: string, count: number) {
+                    const step = makeStep({ count, expectedRunMs: findRunMs(id) });
+                    const reply = yield* system.submit(makeJob(id, [step]));
+                    assert.equal(reply.kind, "accepted");
+                    if (!isDeadlyTask(id)) {
+                        innocents.push(id);
+                    }
+                });
+                yield* submit("long0", 2);
+                yield* submit("deadly0", 1);
+                yield* submit("deadly1", 1);
+                yield* submit("long1", 4);
+                // A crash is recorded a few seconds after it.
+                const rounds = Math.ceil((crashLimit + startsAfterLimit) * (crashAfterMs + 5_000) / 1_000);
+                for (let round = 0; round < rounds; round += 1) {
+                    if (round < 40) {
+                        yield* submit(`n${round}`, 2);
+                    }
+                    yield* passWithCrashes(system, crashAfterMs, 1_000);
+                }
+                yield* passWithCrashes(system, crashAfterMs, 40_000);
+                for (const job of ["deadly0", "deadly1"]) {
+                    const late = yield* countLateStarts(system, `${job}.0.0.0`);
+                    assert.ok(late <= startsAfterLimit, `${job} started ${late} times after the third crash`);
+                    assert.equal(yield* readPhase(system, job), "failed");
+                }
+                const phases: string[] = [];
+                for (const job of innocents) {
+                    phases.push(yield* readPhase(system, job));
+                }
+                assert.deepEqual(phases, innocents.map(() => "completed"));
+            }),
+        );
+    }
+}
--- a/packages/plan-copies/src/find-stragglers.ts
+++ b/packages/plan-copies/src/find-stragglers.ts
@@ -149,7 +149,8 @@
     for (const [step, observed] of listObservedRuns(input, nowMs, wallMs)) {
         observed.filter(({ run }) => run.task.runs.length > 1).forEach(({ run }) => followCopy(memory, run, nowMs));
         const candidates = observed.filter(({ run: { job, task } }) =>
-            canCopyRun(job, step, task) && task.crashes === undefined && !memory.copied.has(task)
+            canCopyRun(job, step, task) && task.crashes === undefined && task.crashHistory === undefined
+            && !memory.copied.has(task)
         );
         if (candidates.length === 0) {
             continue;
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -1,4 +1,10 @@
-import type { JobTask, TaskCrashes, WorkerRun, WorkerState } from "@chestnutspool/job-state";
+import {
+    computeCrashOdds,
+    type JobTask,
+    type TaskCrashes,
+    type WorkerRun,
+    type WorkerState,
+} from "@chestnutspool/job-state";
 import type { WorkerCrash } from "@chestnutspool/types";
 import type { RunStatus, RunStatuses } from "./run-statuses.js";
 
@@ -10,34 +16,63 @@
 const longTrialMs = 3_000;
 /** Crashes under a task in succession from which it is on trial even if others were suspected of them. */
 const crashesForTrial = 2;
-/** Crashes in succession from which a task is given up, by the number of those that are certain. */
-const crashesToGiveUp = [4, 3, 2] as const;
+/** Certain crashes of a task in succession from which it is given up. */
+const certainCrashesToGiveUp = 2;
+/** Crashes in succession from which it is given up if one of them is certain, and odds that it is the cause. */
+const oneCertainLimit = { crashes: 3, odds: 10 } as const;
 /**
  * Longest time from the end of the time in which a run proves itself until its worker falls silent, in milliseconds; if it takes
  * longer, the leader was held up and the run may have ended before the crash.
  */
 const silenceDelayMs = 1_000;
 
+/**
+ * Crashes in the life of a task, and odds that it is their cause, from which it is on trial for longer than the runs under which
+ * its workers crashed. The odds are low, because many tasks that are always together share one cause.
+ */
+const lifeTrialLimit = { crashes: 3, odds: 0.03 } as const;
+/** Length of such a trial, as a factor on the time until a worker fell silent; 1 s is added, as reports take a while. */
+const lifeTrialFactor = 1.25;
+/**
+ * Crashes in the life of a task, and odds that it is their cause, from which it is given up. It may start twice after three
+ * crashes, and is alone then, so that less is asked of the fifth.
+ */
+const lifeLimits = [{ crashes: 4, odds: 1 }, { crashes: 5, odds: 0.3 }] as const;
+
+function exceedsLifeLimit(
+    task: JobTask,
+    { crashes, odds }: { readonly crashes: number; readonly odds: number; },
+): boolean {
+    return task.crashHistory !== undefined && task.crashHistory.crashes >= crashes && computeCrashOdds(task) >= odds;
+}
+
 /** Whether the next runs of a task are on trial: each on a worker that gets no other runs meanwhile. */
-export function needsTrial({ crashes }: JobTask): boolean {
-    return crashes !== undefined && (crashes.suspicions > 0 || crashes.crashes >= crashesForTrial);
+export function needsTrial(task: JobTask): boolean {
+    const { crashes } = task;
+    return (crashes !== undefined && (crashes.suspicions > 0 || crashes.crashes >= crashesForTrial))
+        || exceedsLifeLimit(task, lifeTrialLimit);
+}
+
+function hasLatelyCrashed(task: JobTask): boolean {
+    const { crashes = 0, certain = 0 } = task.crashes ?? {};
+    return certain >= certainCrashesToGiveUp
+        || (certain > 0 && crashes >= oneCertainLimit.crashes && computeCrashOdds(task) >= oneCertainLimit.odds);
 }
 
 /** Whether a task crashes the workers that start it, so that its job is given up. */
-export function isDeadly({ crashes }: JobTask): boolean {
-    if (crashes === undefined) {
-        return false;
-    }
-    const [withoutCertain, withOneCertain, withTwoCertain] = crashesToGiveUp;
-    const needed = crashes.certain === 0 ? withoutCertain : crashes.certain === 1 ? withOneCertain : withTwoCertain;
-    return crashes.crashes >= needed;
+export function isDeadly(task: JobTask): boolean {
+    return hasLatelyCrashed(task) || lifeLimits.some(limit => exceedsLifeLimit(task, limit));
 }
 
 function computeProvingMs(task: JobTask): number {
     if (!needsTrial(task)) {
         return workedMs;
     }
-    return (task.crashes?.crashes ?? 0) >= crashesForTrial ? longTrialMs : trialMs;
+    const { crashes, crashHistory } = task;
+    if (exceedsLifeLimit(task, lifeTrialLimit)) {
+        return Math.max(longTrialMs, (crashHistory?.ageMs ?? 0) * lifeTrialFactor + 1_000);
+    }
+    return (crashes?.crashes ?? 0) >= crashesForTrial ? longTrialMs : trialMs;
 }
 
 /** Whether the worker has reported a run for so long that the run does not crash it. */
@@ -48,7 +83,7 @@
 /** Whether a worker has a run on trial, so that no other run may start on it. */
 export function hasTrial({ runs }: WorkerState, statuses: RunStatuses | undefined): boolean {
     for (const [key, { task }] of runs) {
-        if (task.crashes !== undefined && needsTrial(task) && !hasProvedItself(task, statuses?.get(key))) {
+        if (needsTrial(task) && !hasProvedItself(task, statuses?.get(key))) {
             return true;
         }
     }
@@ -89,6 +124,11 @@
     return left === right || (left.step === right.step && left.step.spec.gang);
 }
 
+/** Whether the crashes in the lives of two tasks speak less for the first one. */
+function isLessLikely(left: WorkerRun, right: WorkerRun): boolean {
+    return computeCrashOdds(left.task) < computeCrashOdds(right.task);
+}
+
 /**
  * Finds the runs on a worker that has crashed of which one may be the cause: those on trial, and those that started last. Of these
  * only the ones with the most suspicions, so that neighbours are not blamed for a task that has crashed other workers before.
@@ -122,11 +162,13 @@
         const status = statuses.get(key);
         return status !== undefined && isStartOpen(status) ? [run] : [];
     });
+    const rivals = runs.flatMap(([, run]) => run.task.crashHistory === undefined ? [] : [run]);
     const [suspect] = suspects;
     return {
         suspectedRuns: suspects.map(({ status }) => status.key),
         isCertain: suspect !== undefined
-            && [...suspects.map(({ run }) => run), ...openStarts].every(run => isSameSuspect(run, suspect.run)),
+            && [...suspects.map(({ run }) => run), ...openStarts].every(run => isSameSuspect(run, suspect.run))
+            && rivals.every(run => isSameSuspect(run, suspect.run) || isLessLikely(run, suspect.run)),
         clearedRuns,
     };
 }
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -190,6 +190,8 @@
     readonly isCertain: boolean;
     /** Runs of tasks that had been suspected before and have proved that they do not crash their worker. */
     readonly clearedRuns: readonly RunKey[];
+    /** Time for which the worker had been silent, in milliseconds; earlier builds do not tell it. */
+    readonly silentMs?: number | undefined;
 }
 
 /** State of a job as callers see it. */
