Put jobs without a run on trial first, and test all delays of steps

It found a job that waited for 3.1 s behind the trials of all suspected tasks of two other jobs on two workers.

--- /dev/null
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -0,0 +1,94 @@
+import { makeStep } from "@chestnutspool/job-state/fakes";
+import type { StepSpec } from "@chestnutspool/types";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Scenario, type SimulatedJob, simulatePool } from "./fakes/simulated-pool.js";
+
+/** Longest time for which a feasible step may have no run while workers are trusted and idle, by the users' terms. */
+const longestDelayMs = 3_000;
+const seed = 39;
+
+const anySpec: fc.Arbitrary<StepSpec> = fc.record({
+    gang: fc.boolean(),
+    count: fc.integer({ min: 1, max: 36 }),
+    longRunning: fc.boolean(),
+    perWorkerLimit: fc.option(fc.integer({ min: 1, max: 8 }), { nil: undefined }),
+    requiredLabel: fc.constantFrom(undefined, undefined, "a", "r0", "r1"),
+    rackOfData: fc.constantFrom(undefined, undefined, "r0", "r1"),
+    prefersOneRack: fc.boolean(),
+    usesIdleCpu: fc.boolean(),
+    speculative: fc.boolean(),
+    milliCpu: fc.constantFrom(50, 100, 400),
+    expectedRunMs: fc.constantFrom(200, 1_000, 10_000),
+}).map(({ milliCpu, ...changes }) => makeStep({ ...changes, resources: { milliCpu, memoryMib: 5, accelerators: 0 } }));
+
+const anyJob = fc.record({
+    spec: anySpec,
+    queue: fc.constantFrom("main", "urgent"),
+    submittedAtMs: fc.integer({ min: 0, max: 60 }).map(number => number * 100),
+    runMs: fc.constantFrom(200, 900, 3_000, 8_000),
+}) satisfies fc.Arbitrary<Omit<SimulatedJob, "id">>;
+
+/** Crashes follow soon after the submission of a job, because a crash says most about runs that have just started. */
+const anyScenario: fc.Arbitrary<Scenario> = fc.record({
+    workers: fc.array(fc.constantFrom("r0", "r1", "r2"), { minLength: 2, maxLength: 12 })
+        .map(racks => racks.map(rack => ({ labels: ["a", rack] }))),
+    jobs: fc.array(anyJob, { minLength: 1, maxLength: 8 })
+        .map(jobs => jobs.map((job, number) => ({ ...job, id: `job${number}` }))),
+    crashes: fc.array(
+        fc.record({
+            job: fc.integer({ min: 0, max: 7 }),
+            afterMs: fc.constantFrom(100, 200, 400, 1_000, 4_000),
+            victim: fc.integer({ min: 0, max: 2 }),
+        }),
+        { minLength: 1, maxLength: 3 },
+    ),
+    leaderChangeAtMs: fc.integer({ min: 10, max: 90 }).map(number => number * 100),
+    probation: fc.integer({ min: 0, max: 30 }),
+    waitsForRacks: fc.boolean(),
+}).map(({ crashes, ...scenario }) => ({
+    ...scenario,
+    crashes: crashes.map(({ job, afterMs, victim }) => {
+        const submittedAtMs = scenario.jobs[job % scenario.jobs.length]?.submittedAtMs ?? 0;
+        return { atMs: submittedAtMs + afterMs, victim };
+    }),
+}));
+
+// Guards against accepted jobs that wait without end for an event that their own state prevents, like a gang whose trial needed more workers
+// than there are (case 1 of the review).
+test("no feasible step is delayed for more than 3 s while workers are trusted and idle", () => {
+    fc.assert(
+        fc.property(anyScenario, scenario => {
+            assert.deepEqual(simulatePool(scenario, 25_000, longestDelayMs), []);
+        }),
+        { seed, numRuns: 500 },
+    );
+});
+
+// Guards against a job that waits for its trial behind the trials of all tasks of other jobs; found by the property above with seed 777.
+test("jobs whose tasks are all suspected of crashes on two workers do not wait behind each other for more than 3 s", () => {
+    const makeLasting = (id: string, count: number, submittedAtMs: number): SimulatedJob => {
+        const resources = { milliCpu: 50, memoryMib: 5, accelerators: 0 };
+        const spec = makeStep({ count, longRunning: true, expectedRunMs: 200, resources });
+        return { id, queue: "main", submittedAtMs, spec, runMs: 200 };
+    };
+    const first = makeLasting("job0", 1, 0);
+    const delayed = simulatePool(
+        {
+            workers: [{ labels: ["a", "r0"] }, { labels: ["a", "r0"] }],
+            jobs: [
+                { ...first, spec: { ...first.spec, longRunning: false } },
+                makeLasting("job1", 2, 0),
+                makeLasting("job2", 7, 500),
+            ],
+            crashes: [{ atMs: 600, victim: 0 }, { atMs: 100, victim: 0 }],
+            leaderChangeAtMs: 2_600,
+            probation: 2,
+            waitsForRacks: false,
+        },
+        25_000,
+        longestDelayMs,
+    );
+    assert.deepEqual(delayed, []);
+});
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -12,7 +12,7 @@
 import { computeStarvedLimit, forgetStarvation, listStarvedSteps, recordStarvedStarts } from "./starved-steps.js";
 import { planStepPlacements, type StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
-import { cancelGangTrial, canTry, countTrials, startTrial, type TrialCounts } from "./trials.js";
+import { cancelGangTrial, canTry, countTrials, hasRun, startTrial, type TrialCounts } from "./trials.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import {
@@ -66,6 +66,8 @@
     readonly unmet: UnmetRequirements;
     readonly placements: StepPlacements;
     readonly starts: RunStart[];
+    /** Tasks whose trials go after the first ones of jobs without a run. */
+    readonly deferredTrials: { readonly waiting: WaitingStep; readonly tasks: readonly JobTask[]; }[];
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
@@ -207,9 +209,20 @@
         tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
     }
     const limit = Math.min(isStarved ? 1 : startsPerPass - pass.starts.length, pass.placements.countStartable(waiting));
-    for (const task of tasks.slice(0, limit)) {
-        if (needsTrial(task) && !canTry(pass.trials, waiting.job.queue.service, task)) {
-            return;
+    planTaskStarts(pass, plan, tasks.slice(0, limit), true);
+}
+
+function planTaskStarts(pass: PlanningPass, plan: StepPlan, tasks: readonly JobTask[], defersTrials: boolean): void {
+    const { waiting } = plan;
+    for (const [position, task] of tasks.entries()) {
+        if (needsTrial(task)) {
+            if (!canTry(pass.trials, waiting.job.queue.service, task)) {
+                return;
+            }
+            if (defersTrials && hasRun(waiting.job, pass.starts)) {
+                pass.deferredTrials.push({ waiting, tasks: tasks.slice(position) });
+                return;
+            }
         }
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
@@ -220,6 +233,18 @@
     }
 }
 
+/** Plans the trials that other steps have left workers for. */
+function planDeferredTrials(pass: PlanningPass): void {
+    for (const { waiting, tasks } of pass.deferredTrials) {
+        const [first] = tasks;
+        if (
+            first !== undefined && canTry(pass.trials, waiting.job.queue.service, first) && !isUnmet(pass, waiting)
+        ) {
+            planTaskStarts(pass, createStepPlan(pass, waiting, false), tasks, false);
+        }
+    }
+}
+
 /** Plans starts of all tasks of a gang with the same run number, or of none. */
 function planGang(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
     const { job, step } = waiting;
@@ -352,6 +377,7 @@
         unmet: createUnmetRequirements(),
         placements: planStepPlacements(input, candidatesByService, waitingSteps, nowMs),
         starts: [],
+        deferredTrials: [],
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
@@ -364,6 +390,7 @@
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
         return pass.ratings - ratingsBefore;
     });
+    planDeferredTrials(pass);
     planStarvedSteps(pass, waitingSteps, memory, nowMs);
     recordContendedStarts(memory.contention, input.state, pass.starts);
     return pass.starts;
--- a/packages/plan-jobs/src/trials.ts
+++ b/packages/plan-jobs/src/trials.ts
@@ -1,6 +1,6 @@
-import type { JobState, JobTask } from "@chestnutspool/job-state";
+import type { JobRecord, JobState, JobTask } from "@chestnutspool/job-state";
 import { hasTrial, type RunStatuses } from "@chestnutspool/track-workers";
-import type { WorkerId } from "@chestnutspool/types";
+import type { RunStart, WorkerId } from "@chestnutspool/types";
 import type { WorkerCandidate } from "./worker-candidate.js";
 
 /**
@@ -51,6 +51,11 @@
     return onTrial < Math.max(1, Math.floor(workers * share));
 }
 
+/** Whether a job has a run, planned ones included. Its trials go after the first ones of jobs without a run. */
+export function hasRun({ id, runsInProgress }: JobRecord, starts: readonly RunStart[]): boolean {
+    return runsInProgress > 0 || starts.some(({ job }) => job === id);
+}
+
 /** Puts a worker on trial; the members of the gang of the step `gangKey` may join it. */
 export function startTrial(trials: TrialCounts, candidate: WorkerCandidate, gangKey: string | undefined): void {
     if (!candidate.isOnTrial) {
