--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -8,6 +8,8 @@
     subtractResources,
     type WorkerCrash,
 } from "@chestnutspool/types";
+import { recordCrashHistory } from "./crash-history.js";
+import { recordCheckpoint, unifyCheckpoint } from "./gang-checkpoints.js";
 import type {
     JobOccurrence,
     JobRecord,
@@ -76,6 +78,7 @@
     }
     worker.used = used;
     task.lastRun = start.run;
+    unifyCheckpoint(step, task);
     const startedAtMs = state.clockMs;
     task.runs = [...task.runs, { run: start.run, worker: start.worker, startedAtMs }];
     step.waiting.delete(task.position);
@@ -187,12 +190,20 @@
     };
 }
 
-/** Counts the crash of a worker for the runs on it. */
+/** A run that ends by itself shows that its task does not crash its workers. */
+function clearCrashes(task: JobTask): void {
+    task.crashes = undefined;
+    task.crashHistory = undefined;
+}
+
+/** Counts the crash of a worker for the runs on it. Passed trials do not clear the histories. */
 function recordCrashes(
     state: JobState,
     worker: WorkerState,
-    { suspectedRuns, isCertain, clearedRuns }: WorkerCrash,
+    crash: WorkerCrash,
 ): void {
+    recordCrashHistory(state, worker, crash);
+    const { suspectedRuns, isCertain, clearedRuns } = crash;
     const suspected = new Set(suspectedRuns.map(formatRunKey));
     const cleared = new Set(clearedRuns.map(formatRunKey));
     for (const [key, run] of worker.runs) {
@@ -215,16 +226,14 @@
     const { job, step, task } = run;
     task.runs = task.runs.filter(placed => placed.run !== run.run);
     job.runsInProgress -= 1;
-    if (end.checkpoint !== "") {
-        task.checkpoint = end.checkpoint;
-    }
+    recordCheckpoint(step, task, end.checkpoint);
     switch (end.outcome) {
         case "succeeded":
-            task.crashes = undefined;
+            clearCrashes(task);
             completeTasks(state, run);
             break;
         case "failed":
-            task.crashes = undefined;
+            clearCrashes(task);
             recordFailure(state, run);
             break;
         case "stopped":
