Show a job as queued until a worker has listed or confirmed a run

Cause: a job became "running" when its first start was recorded, before the order was sent, and stayed so when the worker rejected the start. countPending counted queued jobs only.

Change: a job record has `hasBegun`, set by the new command `beginJobs` and by ends that a worker has listed. The internal phase is unchanged, so that replicas of both builds agree on it.

The list of loops that fail in term-loops.test gains the new loop, since the test lists all loops.

Measured in simulated time: with eight jobs whose starts are all rejected, `pending` was 0 before and is 8 now, also after a change of leader.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -240,6 +240,33 @@
     closeEndedJob(state, job);
 }
 
+/** Whether the end of a run shows that a worker has listed or confirmed it. */
+function showsBegin({ outcome, checkpoint }: RunEnd): boolean {
+    switch (outcome) {
+        case "succeeded":
+        case "failed":
+        case "stopped":
+        case "gangBroken":
+        case "gangIncomplete":
+            return true;
+        case "lapsed":
+            // Also recorded for runs that ended with their worker before any report listed them.
+            return checkpoint !== "";
+        case "neverStarted":
+            return false;
+    }
+}
+
+/** Records that jobs have begun; jobs that are not known change nothing. */
+export function beginJobs(state: JobState, command: CommandOf<"beginJobs">): void {
+    for (const id of command.jobs) {
+        const job = state.jobs.get(id);
+        if (job !== undefined) {
+            job.hasBegun = true;
+        }
+    }
+}
+
 function removeRun(worker: WorkerState, key: string, run: WorkerRun): void {
     worker.runs.delete(key);
     worker.used = subtractResources(worker.used, computeReservation(run.step.spec));
@@ -253,6 +280,7 @@
     if (worker === undefined || run === undefined) {
         return;
     }
+    run.job.hasBegun ||= showsBegin(end);
     removeRun(worker, key, run);
     applyRunEnd(state, run, end);
 }
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -6,6 +6,7 @@
     computeReservation,
     createJob,
     findReadyAtMs,
+    findShownPhase,
     isJobEnded,
     isStepReady,
     type JobOccurrence,
--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -8,7 +8,7 @@
     type StateMachine,
 } from "@chestnutspool/types";
 import { cancelJob, setConfiguration, submitJob } from "./change-jobs.js";
-import { endRun, expireRuns, startRuns } from "./change-runs.js";
+import { beginJobs, endRun, expireRuns, startRuns } from "./change-runs.js";
 import { createJobState, type JobState, type WorkerRun } from "./job-state.js";
 import { encodeSnapshot, restoreSnapshot } from "./snapshot.js";
 
@@ -105,6 +105,9 @@
             return cancelJob(state, command);
         case "startRuns":
             return startRuns(state, command);
+        case "beginJobs":
+            beginJobs(state, command);
+            return { kind: "done" };
         case "endRuns":
             command.ends.forEach(end => endRun(state, command.worker, end));
             return { kind: "done" };
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -89,7 +89,10 @@
     definition: JobDefinition;
     /** Settings of the queue at the time when the job was accepted. */
     readonly queue: QueueSettings;
+    /** "running" from its first recorded start on; `findShownPhase` tells what callers see. */
     phase: JobPhase;
+    /** Whether a worker is known to have listed or confirmed one of its runs. */
+    hasBegun: boolean;
     readonly acceptedAtMs: number;
     endedAtMs: number | undefined;
     /** Why the job has failed; undefined unless it has. */
@@ -192,6 +195,11 @@
     return job.phase === "completed" || job.phase === "failed" || job.phase === "cancelled";
 }
 
+/** Finds the phase that callers see: a job whose starts were only recorded, or rejected by workers, is still queued. */
+export function findShownPhase({ phase, hasBegun }: JobRecord): JobPhase {
+    return phase === "running" && !hasBegun ? "queued" : phase;
+}
+
 /** Whether all steps on which a step depends are done. */
 export function isStepReady(occurrence: JobOccurrence, step: JobStep): boolean {
     return step.spec.dependsOn.every(position => occurrence.steps[position]?.tasksLeft === 0);
@@ -260,6 +268,7 @@
         definition,
         queue,
         phase: "queued",
+        hasBegun: false,
         acceptedAtMs,
         endedAtMs: undefined,
         failure: undefined,
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -58,6 +58,11 @@
     readonly id: string;
     readonly queue: QueueSettings;
     readonly phase: JobPhase;
+    /**
+     * Present for a running job of which no worker has listed or confirmed a run. Earlier builds do not write it; their running
+     * jobs count as begun, so that none is shown as queued again.
+     */
+    readonly hasBegun?: false;
     readonly acceptedAtMs: number;
     readonly endedAtMs: number | undefined;
     /** Earlier builds do not write it. */
@@ -150,6 +155,7 @@
         id: job.id,
         queue: job.queue,
         phase: job.phase,
+        ...(job.phase === "running" && !job.hasBegun ? { hasBegun: false as const } : {}),
         acceptedAtMs: job.acceptedAtMs,
         endedAtMs: job.endedAtMs,
         ...(job.failure === undefined ? {} : { failure: job.failure }),
@@ -288,6 +294,7 @@
     const { id, queue, acceptedAtMs } = saved;
     const job = createJob(saved.definition ?? createEmptyDefinition(id), queue, acceptedAtMs);
     job.phase = saved.phase;
+    job.hasBegun = saved.phase !== "queued" && saved.hasBegun !== false;
     job.endedAtMs = saved.endedAtMs;
     job.failure = saved.failure;
     const savedByNumber = new Map(saved.occurrences.map(occurrence => [occurrence.number, occurrence]));
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -11,6 +11,7 @@
 import { canBeRecorded, recordAcceptance, recordProposal, refuseJob } from "./admission.js";
 import { checkConfiguration } from "./check-configuration.js";
 import { checkJob } from "./check-job.js";
+import { readShownPhase } from "./record-begun-jobs.js";
 import { recordHeartbeat, removeWorker } from "./record-heartbeat.js";
 import { readTermMs } from "./steady-clock.js";
 import { propose, type Term, wakePlanner } from "./term.js";
@@ -120,7 +121,8 @@
 function readJob(term: Term, request: RequestOf<"readJob">): JobReply {
     const job = findJob(term, request);
     if (job !== undefined) {
-        const { phase, failure } = job;
+        const { failure } = job;
+        const phase = readShownPhase(term, job);
         return failure === undefined ? { kind: "phase", phase } : { kind: "phase", phase, failure };
     }
     return hasQueue(term, request) ? { kind: "noJob" } : { kind: "noQueue" };
@@ -134,7 +136,7 @@
     const key = formatQueueKey(queue);
     let count = 0;
     for (const job of term.machine.state.openJobs.values()) {
-        count += job.phase === "queued" && formatQueueKey(job.queue) === key ? 1 : 0;
+        count += readShownPhase(term, job) === "queued" && formatQueueKey(job.queue) === key ? 1 : 0;
     }
     return { kind: "pending", count };
 }
--- /dev/null
+++ b/packages/lead-jobs/src/rejected-starts.test.ts
@@ -0,0 +1,110 @@
+import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
+import type { JobCommand, OrderAnswer, WorkerInfo } from "@chestnutspool/types";
+import { Effect } from "effect";
+import assert from "node:assert/strict";
+import { makeWorker, startTestSystemWith, type TestSystem, testWithClock } from "./fakes/index.js";
+
+const rejecting: WorkerInfo = makeWorker("w1", {
+    labels: ["b", "r0"],
+    capacity: { milliCpu: 16_000, memoryMib: 4_000, accelerators: 0 },
+});
+const jobs = ["1", "2", "3", "4", "5", "6", "7", "8"];
+
+const countPending = (system: TestSystem) =>
+    system.ask({ kind: "countPending", hostName: "jobs.example", path: "/main/" });
+
+const readPhase = (system: TestSystem, job: string) =>
+    system.ask({ kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` });
+
+/** A system whose worker `w1` answers starts with 503 while `isRejecting` returns true. */
+const startRejectingSystem = Effect.fnUntraced(function*(isRejecting: () => boolean, commits: JobCommand[] = []) {
+    const system = yield* startTestSystemWith(
+        port => ({
+            ...port,
+            startRun: (worker, order, limitMs) =>
+                worker.id === rejecting.id && isRejecting()
+                    ? Effect.as(
+                        Effect.sleep(1),
+                        { kind: "refused", reason: "unhealthy", clockMs: undefined } satisfies OrderAnswer,
+                    )
+                    : port.startRun(worker, order, limitMs),
+        }),
+        {
+            wrapLog: log => ({
+                ...log,
+                proposeCommand: command =>
+                    Effect.suspend(() => {
+                        commits.push(command);
+                        return log.proposeCommand(command);
+                    }),
+            }),
+        },
+    );
+    yield* system.addWorker(rejecting);
+    yield* system.pass(500);
+    return system;
+});
+
+/** Submits eight jobs of one task that only `w1` can run. */
+const submitJobs = (system: TestSystem) =>
+    Effect.forEach(jobs, id => system.submit(makeJob(id, [makeStep({ requiredLabel: "b" })])));
+
+// Guards against jobs that are shown as running, and not counted as pending, while a worker rejects each of their starts.
+testWithClock(
+    "jobs whose starts are rejected are pending and queued, under a later leader too",
+    Effect.gen(function*() {
+        let isRejecting = true;
+        const system = yield* startRejectingSystem(() => isRejecting);
+        yield* submitJobs(system);
+        yield* system.pass(5_500);
+        assert.deepEqual(yield* countPending(system), { kind: "pending", count: 8 });
+        assert.deepEqual(yield* readPhase(system, "1"), { kind: "phase", phase: "queued" });
+        system.log.setLeader("b");
+        yield* system.pass(3_000);
+        assert.deepEqual(yield* countPending(system), { kind: "pending", count: 8 });
+        isRejecting = false;
+        yield* system.pass(12_000);
+        assert.deepEqual(yield* countPending(system), { kind: "pending", count: 0 });
+        assert.deepEqual(yield* readPhase(system, "8"), { kind: "phase", phase: "completed" });
+    }),
+);
+
+// Guards against jobs that are shown as queued again, because a later leader does not know that they have begun.
+testWithClock(
+    "a job that has begun is running at once, and still under a later leader that no worker has reported to",
+    Effect.gen(function*() {
+        const system = yield* startRejectingSystem(() => false);
+        system.workers.setBehaviour(() => ({ runMs: 30_000, outcome: "succeeded" }));
+        yield* system.submit(makeJob("1"));
+        yield* system.pass(200);
+        assert.deepEqual(yield* readPhase(system, "1"), { kind: "phase", phase: "running" });
+        yield* system.pass(500);
+        system.workers.setFault("w1", "cut");
+        system.log.setLeader("b");
+        yield* system.pass(2_000);
+        assert.deepEqual(yield* readPhase(system, "1"), { kind: "phase", phase: "running" });
+        assert.deepEqual(yield* countPending(system), { kind: "pending", count: 0 });
+    }),
+);
+
+// Guards against a job that stays queued, because the answer to its start was lost and only reports list its run.
+testWithClock(
+    "a job whose run is listed by a report has begun",
+    Effect.gen(function*() {
+        const system = yield* startTestSystemWith(port => ({
+            ...port,
+            startRun: (worker, order, limitMs) =>
+                Effect.as(
+                    port.startRun(worker, order, limitMs),
+                    { kind: "unknown", detail: "no answer" } satisfies OrderAnswer,
+                ),
+        }));
+        yield* system.addWorker(makeWorker("w1"));
+        system.workers.setBehaviour(() => ({ runMs: 30_000, outcome: "succeeded" }));
+        yield* system.pass(500);
+        yield* system.submit(makeJob("1"));
+        yield* system.pass(2_000);
+        assert.deepEqual(yield* readPhase(system, "1"), { kind: "phase", phase: "running" });
+        assert.deepEqual(yield* countPending(system), { kind: "pending", count: 0 });
+    }),
+);
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -3,6 +3,7 @@
 import { type OrderAnswer, readMonotonicMs, type RunEnd, type RunKey, type RunOutcome } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
+import { observeBegunJob } from "./record-begun-jobs.js";
 import { superviseLoop } from "./supervise-loop.js";
 import { canSendOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
@@ -118,7 +119,10 @@
     const nowMs = yield* readMonotonicMs;
     recordAnswer(term, session, answer, nowMs);
     term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
-    if (answer.kind !== "done") {
+    if (answer.kind === "done") {
+        observeBegunJob(term, run.job);
+    }
+    else {
         term.load.unconfirmedStarts += 1;
         term.logger.info("start was not confirmed", {
             job: status.key.job,
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -15,6 +15,7 @@
 import { createSpeedLearning, runSpeedRecording } from "./learn-speeds.js";
 import { openSession } from "./open-session.js";
 import { createPlacementWaits } from "./placement-waits.js";
+import { runBegunJobRecording } from "./record-begun-jobs.js";
 import { runDisturbanceRecording } from "./record-disturbances.js";
 import { runLoadReport } from "./report-load.js";
 import { runPacing } from "./run-pacing.js";
@@ -79,6 +80,7 @@
         runTimesByStep: new Map(),
         copies: createCopyMemory(),
         givenUpJobs: new Set(),
+        begunJobs: new Set(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
         speeds: createSpeedLearning(dependencies, wallMs, openedAtMs),
@@ -125,6 +127,7 @@
             yield* Effect.forkScoped(superviseLoop(term, "planner", context, runPlanner(term)));
             yield* Effect.forkScoped(superviseLoop(term, "pacing", context, runPacing(term)));
             yield* Effect.forkScoped(superviseLoop(term, "disturbances", context, runDisturbanceRecording(term)));
+            yield* Effect.forkScoped(superviseLoop(term, "begunJobs", context, runBegunJobRecording(term)));
             yield* Effect.forkScoped(superviseLoop(term, "speeds", context, runSpeedRecording(term)));
             yield* Effect.forkScoped(superviseLoop(term, "loadReport", context, runLoadReport(term)));
             yield* Effect.forkScoped(superviseLoop(term, "stepDown", context, runStepDown(term)));
--- a/packages/lead-jobs/src/supervise-loop.ts
+++ b/packages/lead-jobs/src/supervise-loop.ts
@@ -6,6 +6,7 @@
 
 /** Loops of the leader. */
 export type LoopName =
+    | "begunJobs"
     | "disturbances"
     | "leadership"
     | "loadReport"
--- a/packages/lead-jobs/src/term-loops.test.ts
+++ b/packages/lead-jobs/src/term-loops.test.ts
@@ -91,7 +91,14 @@
         const failed = new Set(
             lines.filter(line => line.message === "loop failed; it is started again").map(line => line.fields["loop"]),
         );
-        assert.deepEqual([...failed].sort(), ["disturbances", "loadReport", "pacing", "planner", "session"]);
+        assert.deepEqual([...failed].sort(), [
+            "begunJobs",
+            "disturbances",
+            "loadReport",
+            "pacing",
+            "planner",
+            "session",
+        ]);
     }),
 );
 
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -129,6 +129,8 @@
     readonly copies: CopyMemory;
     /** Jobs that are being given up, so that this happens once. */
     readonly givenUpJobs: Set<JobId>;
+    /** Jobs that have begun, as this leader has learnt since it last recorded them. */
+    readonly begunJobs: Set<JobId>;
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -24,6 +24,7 @@
 import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
+import { observeBegunJobs } from "./record-begun-jobs.js";
 import { sendStop } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
@@ -174,6 +175,7 @@
     const { value: outcome } = yield* measurePart(term.load, "reports", () => {
         const applied = applyReport(state, session.runStatuses, answer, sentAtMs, nowMs);
         recordUsage(state, session.runStatuses, session.usage, nowMs);
+        observeBegunJobs(term, state, session.runStatuses);
         observeMargins(state, session.runStatuses, term.interference, session.usage, nowMs);
         observeReportedRuns(term, session, state, nowMs);
         return applied;
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -233,6 +233,8 @@
             readonly failure?: JobFailure;
         }
         | { readonly kind: "startRuns"; readonly starts: readonly RunStart[]; }
+        /** Jobs of which a worker has listed or confirmed a run. Replicas of earlier builds ignore it. */
+        | { readonly kind: "beginJobs"; readonly jobs: readonly JobId[]; }
         | { readonly kind: "endRuns"; readonly worker: WorkerId; readonly ends: readonly RunEnd[]; }
         | {
             /** Records a worker, or what has changed of it. */
