Delay starts on a worker that has rejected one

Cause: a rejected start ended as never started, and the next pass of the planner chose the same worker again.

Change: the leader keeps per session how often the worker has rejected starts since it last confirmed one. The worker then gets no starts for 0.5, 1 and at most 2 s, and after that one at a time for 0.5 s, so that a gang with several members there can start too. A confirmed start that was ordered after the rejection ends the delay. This is soft state; a new leader begins anew. Refusals for health, room or an expired lease count, those that concern the task do not.

--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -1,5 +1,11 @@
 import { formatRunKey, formatStepKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
-import { countAllowedStarts, recordRunQuality, type RunQuality, type RunStatus } from "@chestnutspool/track-workers";
+import {
+    countAllowedStarts,
+    countStartsAfterRejection,
+    recordRunQuality,
+    type RunQuality,
+    type RunStatus,
+} from "@chestnutspool/track-workers";
 import { type RunEnd, setLatest, type WorkerId } from "@chestnutspool/types";
 import { observeRunEnd } from "./learn-speeds.js";
 import { recordPlacementRun } from "./placement-waits.js";
@@ -119,7 +125,7 @@
  * Lists the number of runs that may start on each suspected worker at `nowMs`, monotonic time in milliseconds. Empty if
  * too many workers are suspected.
  */
-export function listStartLimits(term: Term, nowMs: number): ReadonlyMap<WorkerId, number> {
+function listSuspectedLimits(term: Term, nowMs: number): Map<WorkerId, number> {
     const limits = new Map<WorkerId, number>();
     for (const session of term.sessions.values()) {
         const { info, health } = session;
@@ -131,5 +137,29 @@
             limits.set(info.id, limit);
         }
     }
-    return limits.size > term.sessions.size * maxSuspectedShare ? new Map() : limits;
+    return limits.size > term.sessions.size * maxSuspectedShare ? new Map<WorkerId, number>() : limits;
+}
+
+function countStartsSince({ runStatuses }: WorkerSession, sinceMs: number): number {
+    let count = 0;
+    for (const { orderedAtMs } of runStatuses.values()) {
+        count += orderedAtMs >= sinceMs ? 1 : 0;
+    }
+    return count;
+}
+
+/**
+ * Lists the number of runs that may start at `nowMs`, monotonic time in milliseconds, on each worker that is suspected or has
+ * rejected starts. All workers may reject starts at the same time.
+ */
+export function listStartLimits(term: Term, nowMs: number): ReadonlyMap<WorkerId, number> {
+    const limits = listSuspectedLimits(term, nowMs);
+    for (const session of term.sessions.values()) {
+        const { info, startRejections } = session;
+        const limit = countStartsAfterRejection(startRejections, sinceMs => countStartsSince(session, sinceMs), nowMs);
+        if (limit !== undefined) {
+            limits.set(info.id, Math.min(limit, limits.get(info.id) ?? limit));
+        }
+    }
+    return limits;
 }
--- a/packages/lead-jobs/src/rejected-starts.test.ts
+++ b/packages/lead-jobs/src/rejected-starts.test.ts
@@ -1,5 +1,5 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
-import type { JobCommand, OrderAnswer, WorkerInfo } from "@chestnutspool/types";
+import { type JobCommand, type OrderAnswer, readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
 import { makeWorker, startTestSystemWith, type TestSystem, testWithClock } from "./fakes/index.js";
@@ -8,6 +8,9 @@
     labels: ["b", "r0"],
     capacity: { milliCpu: 16_000, memoryMib: 4_000, accelerators: 0 },
 });
+/** A proposed command and when it was proposed, in monotonic milliseconds. */
+type TimedCommit = JobCommand & { readonly atMs: number; };
+
 const jobs = ["1", "2", "3", "4", "5", "6", "7", "8"];
 
 const countPending = (system: TestSystem) =>
@@ -17,7 +20,7 @@
     system.ask({ kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` });
 
 /** A system whose worker `w1` answers starts with 503 while `isRejecting` returns true. */
-const startRejectingSystem = Effect.fnUntraced(function*(isRejecting: () => boolean, commits: JobCommand[] = []) {
+const startRejectingSystem = Effect.fnUntraced(function*(isRejecting: () => boolean, commits: TimedCommit[] = []) {
     const system = yield* startTestSystemWith(
         port => ({
             ...port,
@@ -33,8 +36,8 @@
             wrapLog: log => ({
                 ...log,
                 proposeCommand: command =>
-                    Effect.suspend(() => {
-                        commits.push(command);
+                    Effect.flatMap(readMonotonicMs, atMs => {
+                        commits.push({ ...command, atMs });
                         return log.proposeCommand(command);
                     }),
             }),
@@ -108,3 +111,68 @@
         assert.deepEqual(yield* countPending(system), { kind: "pending", count: 0 });
     }),
 );
+
+/** Largest number of commits in any second. */
+function countMostPerSecond(times: readonly number[]): number {
+    return Math.max(0, ...times.map(fromMs => times.filter(atMs => atMs >= fromMs && atMs < fromMs + 1_000).length));
+}
+
+// Guards against a leader that commits a start, and its end, again as soon as a worker has rejected it: 200 commits a second.
+testWithClock(
+    "rejected starts cost fewer than 5 commits in each second, and succeed within 3 s once the worker is healthy",
+    Effect.gen(function*() {
+        let isRejecting = true;
+        const commits: TimedCommit[] = [];
+        const system = yield* startRejectingSystem(() => isRejecting, commits);
+        yield* submitJobs(system);
+        yield* system.pass(5_500);
+        const times = commits.filter(({ kind }) => kind === "startRuns" || kind === "endRuns").map(({ atMs }) => atMs);
+        assert.ok(times.length >= 4, "starts are tried again");
+        assert.ok(countMostPerSecond(times) < 5, `${countMostPerSecond(times)} commits in a second`);
+        isRejecting = false;
+        const healthyAtMs = yield* readMonotonicMs;
+        yield* system.pass(5_000);
+        const delays = (yield* system.readStartedRuns).map(({ startedAtMs }) => startedAtMs - healthyAtMs);
+        assert.equal(delays.length, 8);
+        assert.ok(Math.max(...delays) < 3_000, `delays of ${delays.join(", ")} ms`);
+        assert.ok(
+            Math.max(...delays) - Math.min(...delays) < 300,
+            "the first confirmed start ends the delay of the others",
+        );
+    }),
+);
+
+// Guards against starts that go to the worker that rejects them although another one is suitable.
+testWithClock(
+    "a rejected start is tried on another worker first, without a delay",
+    Effect.gen(function*() {
+        const commits: TimedCommit[] = [];
+        const system = yield* startRejectingSystem(() => true, commits);
+        yield* system.addWorker({ ...rejecting, id: "w2" });
+        yield* system.pass(500);
+        const submittedAtMs = yield* readMonotonicMs;
+        yield* submitJobs(system);
+        yield* system.pass(400);
+        const runs = yield* system.readStartedRuns;
+        assert.deepEqual(runs.map(({ worker }) => worker), jobs.map(() => "w2"));
+        assert.ok(runs.every(({ startedAtMs }) => startedAtMs - submittedAtMs < 400));
+        const rejected = commits.flatMap(commit =>
+            commit.kind === "startRuns" ? commit.starts.filter(({ worker }) => worker === "w1") : []
+        );
+        assert.ok(rejected.length <= 1, `${rejected.length} starts on the worker that rejects them`);
+    }),
+);
+
+// Guards against members of a gang that never start, because a worker that has rejected a start gets one at a time.
+testWithClock(
+    "a gang starts on a worker that has rejected it before",
+    Effect.gen(function*() {
+        let isRejecting = true;
+        const system = yield* startRejectingSystem(() => isRejecting);
+        yield* system.submit(makeJob("gang", [makeStep({ requiredLabel: "b", gang: true, count: 4 })]));
+        yield* system.pass(4_000);
+        isRejecting = false;
+        yield* system.pass(5_000);
+        assert.deepEqual(yield* readPhase(system, "gang"), { kind: "phase", phase: "completed" });
+    }),
+);
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -1,6 +1,19 @@
 import { formatRunKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
-import { recordClock, renewLease, type RunStatus } from "@chestnutspool/track-workers";
-import { type OrderAnswer, readMonotonicMs, type RunEnd, type RunKey, type RunOutcome } from "@chestnutspool/types";
+import {
+    recordClock,
+    recordConfirmedStart,
+    recordStartRejection,
+    renewLease,
+    type RunStatus,
+} from "@chestnutspool/track-workers";
+import {
+    type OrderAnswer,
+    type OrderRefusal,
+    readMonotonicMs,
+    type RunEnd,
+    type RunKey,
+    type RunOutcome,
+} from "@chestnutspool/types";
 import { Effect } from "effect";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
 import { observeBegunJob } from "./record-begun-jobs.js";
@@ -59,6 +72,51 @@
     return Effect.map(readMonotonicMs, nowMs => setStart(status, "unanswered", nowMs));
 }
 
+/** Whether a refusal says that the worker takes no starts now, whatever the task is. */
+function concernsWorker(reason: OrderRefusal): boolean {
+    switch (reason) {
+        case "unhealthy":
+        case "noRoom":
+        case "leaseOver":
+            return true;
+        case "staleToken":
+        case "staleRun":
+        case "ticketInvalid":
+        case "otherWorker":
+        case "invalid":
+            return false;
+    }
+}
+
+/** Records whether a worker takes starts, so that the planner delays further ones if it does not. */
+function observeStartAnswer(
+    term: Term,
+    { info, startRejections }: WorkerSession,
+    status: RunStatus,
+    answer: OrderAnswer,
+    nowMs: number,
+): void {
+    if (answer.kind === "done") {
+        if (recordConfirmedStart(startRejections, status.orderedAtMs)) {
+            term.logger.info("worker takes starts again", { worker: info.id });
+            wakePlanner(term);
+        }
+        return;
+    }
+    if (answer.kind === "refused" && concernsWorker(answer.reason)) {
+        const { inRow } = startRejections;
+        recordStartRejection(startRejections, status.orderedAtMs, nowMs);
+        if (startRejections.inRow > inRow) {
+            term.logger.info("worker rejects starts", {
+                worker: info.id,
+                reason: answer.reason,
+                inRow: startRejections.inRow,
+                delayMs: Math.round(startRejections.pausedUntilMs - nowMs),
+            });
+        }
+    }
+}
+
 /** Applies the answer to a start order. */
 const applyStartAnswer = Effect.fnUntraced(function*(
     term: Term,
@@ -119,6 +177,7 @@
     const nowMs = yield* readMonotonicMs;
     recordAnswer(term, session, answer, nowMs);
     term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
+    observeStartAnswer(term, session, status, answer, nowMs);
     if (answer.kind === "done") {
         observeBegunJob(term, run.job);
     }
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -6,7 +6,7 @@
 import type { CopyMemory } from "@chestnutspool/plan-copies";
 import type { PlacementWaits } from "@chestnutspool/plan-jobs";
 import type { Metrics } from "@chestnutspool/record-metrics";
-import type { RunStatuses, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
+import type { RunStatuses, StartRejections, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
 import {
     type ErrorData,
     type JobCommand,
@@ -99,6 +99,8 @@
     readonly usage: UsageHistory;
     /** Health of the worker by the ends of its runs. */
     readonly health: WorkerHealth;
+    /** Starts that the worker has rejected since it last confirmed one. */
+    readonly startRejections: StartRejections;
 }
 
 /** Speeds of the workers as a term has learnt them. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -4,6 +4,7 @@
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
 import {
     applyReport,
+    createStartRejections,
     createWorkerHealth,
     hasTrial,
     recordClock,
@@ -95,6 +96,7 @@
         leftAtMs: undefined,
         usage: createUsageHistory(),
         health: createWorkerHealth(),
+        startRejections: createStartRejections(),
     };
     addRecordedRuns(term, session, "excluded", nowMs);
     return session;
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -16,6 +16,13 @@
     type RunStatuses,
     type StartState,
 } from "./run-statuses.js";
+export {
+    countStartsAfterRejection,
+    createStartRejections,
+    recordConfirmedStart,
+    recordStartRejection,
+    type StartRejections,
+} from "./start-rejections.js";
 export { countUnprovedRuns, findCrashSuspects, hasTrial, isDeadly, needsTrial } from "./worker-crashes.js";
 export {
     countAllowedStarts,
