Repeat the stops of unanswered starts when a worker has started again

Cause: a start without an answer is stopped before its task starts elsewhere. A worker that restarts under its id forgets the stop, and listOpenStarts leaves such starts out, because their stop was confirmed. A delayed start then ran while the task ran on another worker.

Soft state; a later leader's token fences the orders of this one.

A start that is delivered between the restart and the repeated stop is still carried out.

--- a/packages/lead-jobs/src/expire-worker.ts
+++ b/packages/lead-jobs/src/expire-worker.ts
@@ -4,6 +4,7 @@
 import { Effect } from "effect";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
 import { logRunEnded, logWorkerCrash } from "./log-decisions.js";
+import { recordOpenOrder } from "./open-orders.js";
 import { propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /**
@@ -80,6 +81,11 @@
         ...(kept.length === 0 ? {} : { kept }),
     });
     lapsed.forEach(end => logRunEnded(term, session, end));
+    for (const [key, status] of session.runStatuses) {
+        if (!keptKeys.has(key)) {
+            recordOpenOrder(term.openOrders, session.info.id, status, nowMs);
+        }
+    }
     session.runStatuses.clear();
     wakePlanner(term);
     if (crash !== undefined) {
--- a/packages/lead-jobs/src/open-session.ts
+++ b/packages/lead-jobs/src/open-session.ts
@@ -3,7 +3,7 @@
 import { type ErrorData, readMonotonicMs, type RunKey, type WorkerInfo } from "@chestnutspool/types";
 import { Effect, FiberMap } from "effect";
 import { expireWorker, hasAnnouncedEnd } from "./expire-worker.js";
-import { requestStop } from "./send-orders.js";
+import { requestStop, stopOpenOrders } from "./send-orders.js";
 import { superviseLoop } from "./supervise-loop.js";
 import { logStepError, type Term, type WorkerSession } from "./term.js";
 import { createSession, resumeSession, runSession } from "./worker-session.js";
@@ -60,6 +60,7 @@
         session.runStatuses.set(runKey, createRunStatus(key, "unanswered", nowMs));
         yield* requestStop(term, session, runKey, "startUnanswered", nowMs);
     }
+    yield* stopOpenOrders(term, session);
     const loop = superviseLoop(
         term,
         "session",
--- a/packages/lead-jobs/src/restarted-worker.test.ts
+++ b/packages/lead-jobs/src/restarted-worker.test.ts
@@ -140,6 +140,27 @@
         }),
 );
 
+// Guards against a delayed order that a later start carries out although its stop was confirmed, because the worker forgot the
+// stop when it crashed. The task already runs elsewhere.
+testSystem(
+    "a start whose stop was confirmed before a restart is not carried out after it",
+    system =>
+        Effect.gen(function*() {
+            yield* setUpWorkers(system, 1);
+            system.workers.setBehaviour(() => ({ runMs: 3_000, outcome: "succeeded" }));
+            system.workers.setFault("w1", "startsLate");
+            yield* system.submit(makeJob("second", [makeStep({ requiredLabel: "kind-1" })]));
+            yield* system.addWorker(makeWorker("w2", { bornAtMs: 1, labels: ["kind-1", "r0"] }));
+            yield* system.pass(2_700);
+            yield* crashWorker(system, "w1");
+            yield* system.pass(10_000);
+            const runs = (yield* system.readStartedRuns).filter(({ task }) => task.startsWith("second"));
+            assert.deepEqual(listOverlaps(runs), []);
+            assert.deepEqual(runs.map(({ worker }) => worker), ["w2"]);
+            assert.deepEqual(yield* readPhase(system, "second"), { kind: "phase", phase: "completed" });
+        }),
+);
+
 // Guards against a worker that is ignored for good, because its wall clock was set back before it started again.
 testSystem("a worker that starts again with an earlier wall clock gets runs", system =>
     Effect.gen(function*() {
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -16,8 +16,9 @@
 } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
+import { listOpenOrders, recordOpenOrder } from "./open-orders.js";
 import { observeBegunJob } from "./record-begun-jobs.js";
-import { superviseLoop } from "./supervise-loop.js";
+import { superviseLoop, superviseOrder } from "./supervise-loop.js";
 import { canSendOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Timeout of an order, in milliseconds; far above a round trip, so that only a lost answer exceeds it. */
@@ -214,6 +215,7 @@
         if (answer.kind === "done" || (answer.kind === "refused" && answer.reason === "staleRun")) {
             const status = session.runStatuses.get(key);
             if (status !== undefined) {
+                recordOpenOrder(term.openOrders, session.info.id, status, nowMs);
                 status.stoppedAtMs = nowMs;
             }
             return;
@@ -244,3 +246,29 @@
     const context = { term: term.number, worker: session.info.id, task: formatTaskKey(status.key) };
     return Effect.forkIn(superviseLoop(term, "stop", context, sendStop(term, session, status.key)), term.scope);
 }
+
+const stopOpenOrder = Effect.fnUntraced(function*(term: Term, session: WorkerSession, run: RunKey) {
+    while (canSendOrders(term, yield* readMonotonicMs) && term.sessions.get(session.info.id) === session) {
+        const answer = yield* term.workers.stopRun(session.info, run, term.number, orderTimeoutMs);
+        recordAnswer(term, session, answer, yield* readMonotonicMs);
+        if (answer.kind === "done" || (answer.kind === "refused" && answer.reason === "staleRun")) {
+            return;
+        }
+        yield* Effect.sleep(retryPauseMs);
+    }
+});
+
+/**
+ * Stops the runs of an earlier start of a worker whose orders may yet arrive, so that the later start rejects them. The runs are
+ * not recorded any more; recorded ones are stopped by `requestStop`.
+ */
+export const stopOpenOrders = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    const worker = session.info.id;
+    for (const key of listOpenOrders(term.openOrders, worker, yield* readMonotonicMs)) {
+        if (!session.runStatuses.has(formatRunKey(key))) {
+            const context = { term: term.number, worker, task: formatTaskKey(key) };
+            const order = superviseOrder(term, "stop", context, stopOpenOrder(term, session, key));
+            yield* Effect.forkIn(order, term.scope);
+        }
+    }
+});
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -81,6 +81,7 @@
         copies: createCopyMemory(),
         givenUpJobs: new Set(),
         begunJobs: new Set(),
+        openOrders: new Map(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
         speeds: createSpeedLearning(dependencies, wallMs, openedAtMs),
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -22,6 +22,7 @@
 } from "@chestnutspool/types";
 import { Effect, type FiberMap, Queue, type Scope } from "effect";
 import { type Admission, listCommandWork, recordWork } from "./admission.js";
+import type { OpenOrders } from "./open-orders.js";
 import { readTermMs, type SteadyClock } from "./steady-clock.js";
 import { recordCommit, type TermLoad } from "./term-load.js";
 
@@ -133,6 +134,8 @@
     readonly givenUpJobs: Set<JobId>;
     /** Jobs that have begun, as this leader has learnt since it last recorded them. */
     readonly begunJobs: Set<JobId>;
+    /** Starts whose run has ended and that may yet arrive at their worker. */
+    readonly openOrders: OpenOrders;
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
