--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -8,6 +8,7 @@
     type CrashHistory,
     createJob,
     findReadyAtMs,
+    findShownPhase,
     isJobEnded,
     isStepReady,
     type JobOccurrence,
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -1,9 +1,24 @@
 import { formatRunKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
-import { recordClock, renewLease, type RunStatus } from "@chestnutspool/track-workers";
-import { type OrderAnswer, readMonotonicMs, type RunEnd, type RunKey, type RunOutcome } from "@chestnutspool/types";
+import {
+    recordClock,
+    recordConfirmedStart,
+    recordStartRejection,
+    renewLease,
+    type RunStatus,
+} from "@chestnutspool/track-workers";
+import {
+    type OrderAnswer,
+    type OrderRefusal,
+    readMonotonicMs,
+    type RunEnd,
+    type RunKey,
+    type RunOutcome,
+} from "@chestnutspool/types";
 import { Effect } from "effect";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
-import { superviseLoop } from "./supervise-loop.js";
+import { listOpenOrders, recordOpenOrder } from "./open-orders.js";
+import { observeBegunJob } from "./record-begun-jobs.js";
+import { superviseLoop, superviseOrder } from "./supervise-loop.js";
 import { canSendOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Timeout of an order, in milliseconds; far above a round trip, so that only a lost answer exceeds it. */
@@ -58,6 +73,51 @@
     return Effect.map(readMonotonicMs, nowMs => setStart(status, "unanswered", nowMs));
 }
 
+/** Whether a refusal says that the worker takes no starts now, whatever the task is. */
+function concernsWorker(reason: OrderRefusal): boolean {
+    switch (reason) {
+        case "unhealthy":
+        case "noRoom":
+        case "leaseOver":
+            return true;
+        case "staleToken":
+        case "staleRun":
+        case "ticketInvalid":
+        case "otherWorker":
+        case "invalid":
+            return false;
+    }
+}
+
+/** Records whether a worker takes starts, so that the planner delays further ones if it does not. */
+function observeStartAnswer(
+    term: Term,
+    { info, startRejections }: WorkerSession,
+    status: RunStatus,
+    answer: OrderAnswer,
+    nowMs: number,
+): void {
+    if (answer.kind === "done") {
+        if (recordConfirmedStart(startRejections, status.orderedAtMs)) {
+            term.logger.info("worker takes starts again", { worker: info.id });
+            wakePlanner(term);
+        }
+        return;
+    }
+    if (answer.kind === "refused" && concernsWorker(answer.reason)) {
+        const { inRow } = startRejections;
+        recordStartRejection(startRejections, status.orderedAtMs, nowMs);
+        if (startRejections.inRow > inRow) {
+            term.logger.info("worker rejects starts", {
+                worker: info.id,
+                reason: answer.reason,
+                inRow: startRejections.inRow,
+                delayMs: Math.round(startRejections.pausedUntilMs - nowMs),
+            });
+        }
+    }
+}
+
 /** Applies the answer to a start order. */
 const applyStartAnswer = Effect.fnUntraced(function*(
     term: Term,
@@ -118,7 +178,11 @@
     const nowMs = yield* readMonotonicMs;
     recordAnswer(term, session, answer, nowMs);
     term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
-    if (answer.kind !== "done") {
+    observeStartAnswer(term, session, status, answer, nowMs);
+    if (answer.kind === "done") {
+        observeBegunJob(term, run.job);
+    }
+    else {
         term.load.unconfirmedStarts += 1;
         term.logger.info("start was not confirmed", {
             job: status.key.job,
@@ -151,6 +215,7 @@
         if (answer.kind === "done" || (answer.kind === "refused" && answer.reason === "staleRun")) {
             const status = session.runStatuses.get(key);
             if (status !== undefined) {
+                recordOpenOrder(term.openOrders, session.info.id, status, nowMs);
                 status.stoppedAtMs = nowMs;
             }
             return;
@@ -181,3 +246,29 @@
     const context = { term: term.number, worker: session.info.id, task: formatTaskKey(status.key) };
     return Effect.forkIn(superviseLoop(term, "stop", context, sendStop(term, session, status.key)), term.scope);
 }
+
+const stopOpenOrder = Effect.fnUntraced(function*(term: Term, session: WorkerSession, run: RunKey) {
+    while (canSendOrders(term, yield* readMonotonicMs) && term.sessions.get(session.info.id) === session) {
+        const answer = yield* term.workers.stopRun(session.info, run, term.number, orderTimeoutMs);
+        recordAnswer(term, session, answer, yield* readMonotonicMs);
+        if (answer.kind === "done" || (answer.kind === "refused" && answer.reason === "staleRun")) {
+            return;
+        }
+        yield* Effect.sleep(retryPauseMs);
+    }
+});
+
+/**
+ * Stops the runs of an earlier start of a worker whose orders may yet arrive, so that the later start rejects them. The runs are
+ * not recorded any more; recorded ones are stopped by `requestStop`.
+ */
+export const stopOpenOrders = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    const worker = session.info.id;
+    for (const key of listOpenOrders(term.openOrders, worker, yield* readMonotonicMs)) {
+        if (!session.runStatuses.has(formatRunKey(key))) {
+            const context = { term: term.number, worker, task: formatTaskKey(key) };
+            const order = superviseOrder(term, "stop", context, stopOpenOrder(term, session, key));
+            yield* Effect.forkIn(order, term.scope);
+        }
+    }
+});
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -6,7 +6,7 @@
 import type { CopyMemory } from "@chestnutspool/plan-copies";
 import type { PlacementWaits } from "@chestnutspool/plan-jobs";
 import type { Metrics } from "@chestnutspool/record-metrics";
-import type { RunStatuses, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
+import type { RunStatuses, StartRejections, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
 import {
     type ErrorData,
     type JobCommand,
@@ -22,6 +22,7 @@
 } from "@chestnutspool/types";
 import { Effect, type FiberMap, Queue, type Scope } from "effect";
 import { type Admission, listCommandWork, recordWork } from "./admission.js";
+import type { OpenOrders } from "./open-orders.js";
 import { readTermMs, type SteadyClock } from "./steady-clock.js";
 import { recordCommit, type TermLoad } from "./term-load.js";
 
@@ -99,6 +100,8 @@
     readonly usage: UsageHistory;
     /** Health of the worker by the ends of its runs. */
     readonly health: WorkerHealth;
+    /** Starts that the worker has rejected since it last confirmed one. */
+    readonly startRejections: StartRejections;
 }
 
 /** Speeds of the workers as a term has learnt them. */
@@ -129,6 +132,10 @@
     readonly copies: CopyMemory;
     /** Jobs that are being given up, so that this happens once. */
     readonly givenUpJobs: Set<JobId>;
+    /** Jobs that have begun, as this leader has learnt since it last recorded them. */
+    readonly begunJobs: Set<JobId>;
+    /** Starts whose run has ended and that may yet arrive at their worker. */
+    readonly openOrders: OpenOrders;
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -4,6 +4,7 @@
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
 import {
     applyReport,
+    createStartRejections,
     createWorkerHealth,
     hasTrial,
     recordClock,
@@ -24,6 +25,7 @@
 import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
+import { observeBegunJobs } from "./record-begun-jobs.js";
 import { sendStop } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
@@ -94,6 +96,7 @@
         leftAtMs: undefined,
         usage: createUsageHistory(),
         health: createWorkerHealth(),
+        startRejections: createStartRejections(),
     };
     addRecordedRuns(term, session, "excluded", nowMs);
     return session;
@@ -174,6 +177,7 @@
     const { value: outcome } = yield* measurePart(term.load, "reports", () => {
         const applied = applyReport(state, session.runStatuses, answer, sentAtMs, nowMs);
         recordUsage(state, session.runStatuses, session.usage, nowMs);
+        observeBegunJobs(term, state, session.runStatuses);
         observeMargins(state, session.runStatuses, term.interference, session.usage, nowMs);
         observeReportedRuns(term, session, state, nowMs);
         return applied;
