Show a gang that waits for a rack after a crash by a failing test

Callers may see a gang without a run for more than 3 s although all workers are idle: it waits for the rack of its data.

--- a/packages/plan-jobs/src/step-delays.test.ts
+++ b/packages/plan-jobs/src/step-delays.test.ts
@@ -92,3 +92,34 @@
     );
     assert.deepEqual(delayed, []);
 });
+
+// Guards against a gang that waits for the rack of its data although workers outside of it are idle; found by the property above with
+// seed 1234.
+test("a gang that resumes after a crash does not wait for the rack of its data for more than 3 s", () => {
+    const resources = { milliCpu: 50, memoryMib: 5, accelerators: 0 };
+    const gang = makeStep({
+        count: 5,
+        gang: true,
+        rackOfData: "r0",
+        perWorkerLimit: 4,
+        expectedRunMs: 10_000,
+        resources,
+    });
+    const single = makeStep({ expectedRunMs: 200, resources });
+    const delayed = simulatePool(
+        {
+            workers: ["r0", "r1", "r0"].map(rack => ({ labels: ["a", rack] })),
+            jobs: [
+                { id: "job0", queue: "main", submittedAtMs: 0, spec: gang, runMs: 3_000 },
+                { id: "job1", queue: "main", submittedAtMs: 0, spec: single, runMs: 200 },
+            ],
+            crashes: [{ atMs: 100, victim: 0 }],
+            leaderChangeAtMs: 1_000,
+            probation: 3,
+            waitsForRacks: true,
+        },
+        25_000,
+        longestDelayMs,
+    );
+    assert.deepEqual(delayed, []);
+});
