Show a job that never runs because its first step takes the ratings of starved steps

Cause: triedAtMs is one time per job, and the steps of a job are tried in a fixed order. If the first one fits nowhere and takes the limit of ratings, the next attempt a second later begins with it again. No logic changes.

--- a/packages/plan-jobs/src/overdue-jobs.test.ts
+++ b/packages/plan-jobs/src/overdue-jobs.test.ts
@@ -1,4 +1,4 @@
-import { makeWorker } from "@chestnutspool/job-state/fakes";
+import { makeJob, makeStep, makeWorker } from "@chestnutspool/job-state/fakes";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { makeDisturbedPool } from "./fakes/make-disturbed-pool.js";
@@ -43,3 +43,17 @@
     const longestMs = measureLongestWait(pool, () => refuseStarts(pool, "refusing"));
     assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
 });
+
+// Guards against a job that never runs because the first of its steps fits nowhere and takes all ratings of starved steps: the attempt
+// counts for the whole job, so that each further one begins with the same step.
+test("a job without a run starts the step that fits although an earlier one takes the ratings of a pass", () => {
+    const workerCount = 10;
+    // A quarter of the limit, for starved steps, is reached with the first step, as with the least limit at 1,300 workers.
+    const pool = makeDisturbedPool(workerCount, 4 * workerCount);
+    const bestEffort = { usesIdleCpu: true, image: "forecast" };
+    const huge = makeStep({ ...bestEffort, resources: { milliCpu: 1_000, memoryMib: 5_000, accelerators: 0 } });
+    const small = makeStep({ ...bestEffort, resources: { milliCpu: 1_000, memoryMib: 10, accelerators: 0 } });
+    pool.machine.submit(makeJob("mixed", [huge, small]));
+    const longestMs = measureLongestWait(pool);
+    assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
+});
