Show jobs that wait for 25 s while a zone is evacuated and most of the pool is free

Cause: describeStarvedPool adds up the workers that take starts only, so that the pool seems to be in use and one task a second starts. Evidence: 24 jobs, one without a run for 25.5 s, bound 3 s, two fifths of the pool reserved. No logic changes.

--- a/packages/plan-jobs/src/overdue-jobs.test.ts
+++ b/packages/plan-jobs/src/overdue-jobs.test.ts
@@ -57,3 +57,20 @@
     const longestMs = measureLongestWait(pool);
     assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
 });
+
+// Guards against jobs that get one start a second because the pool counts as in use: the capacity of the workers that take no starts is
+// left out, so that the others seem to be all there is.
+test("none of many jobs is without a run for 3 s while a zone is evacuated and most of the pool is free", () => {
+    const pool = makeDisturbedPool(8, undefined, "inUse");
+    for (let number = 0; number < 4; number += 1) {
+        const worker = makeWorker(`evacuated${number}`, { availabilityZone: "evacuated" });
+        pool.machine.apply({ kind: "registerWorker", worker });
+    }
+    pool.machine.apply({ kind: "setZoneAdmission", availabilityZone: "evacuated", isEvacuated: true });
+    for (let number = 0; number < 24; number += 1) {
+        pool.submitForecast(`forecast${number}`, { expectedRunMs: 1_000 });
+    }
+    // The serving tasks reserve two fifths of the processors and of the memory of the pool.
+    const longestMs = measureLongestWait(pool);
+    assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
+});
