--- /dev/null
+++ b/packages/plan-jobs/src/overdue-jobs.test.ts
@@ -0,0 +1,76 @@
+import { makeJob, makeStep, makeWorker } from "@chestnutspool/job-state/fakes";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { makeDisturbedPool } from "./fakes/make-disturbed-pool.js";
+
+/** Longest time for which an accepted job may have no run while most of the pool is free, by the users' terms. */
+const longestWithoutRunMs = 3_000;
+/** Simulated time for which jobs are watched, in milliseconds. */
+const watchedMs = 60_000;
+
+type DisturbedPool = ReturnType<typeof makeDisturbedPool>;
+
+/** Ends all runs on a worker that refuses each start. */
+function refuseStarts({ machine }: DisturbedPool, worker: string): void {
+    for (const { job, occurrence, step, task, run } of [...machine.state.workers.get(worker)?.runs.values() ?? []]) {
+        const key = { job: job.id, occurrence: occurrence.number, step: step.position, position: task.position, run };
+        machine.apply({ kind: "endRuns", worker, ends: [{ ...key, outcome: "neverStarted", checkpoint: "" }] });
+    }
+}
+
+/** Plans the pool and returns the longest time for which a job has had no run; `observePass` is called after each pass. */
+function measureLongestWait(pool: DisturbedPool, observePass: () => void = () => undefined): number {
+    const sinceMs = new Map<string, number>();
+    let longestMs = 0;
+    pool.planUntil(watchedMs, undefined, atMs => {
+        observePass();
+        for (const { id, runsInProgress } of pool.machine.state.openJobs.values()) {
+            if (runsInProgress > 0) {
+                sinceMs.set(id, atMs);
+            }
+            longestMs = Math.max(longestMs, atMs - (sinceMs.get(id) ?? 0));
+        }
+    });
+    return longestMs;
+}
+
+// Guards against a job that never runs because the only worker on which it disturbs nothing refuses its starts: each planned start makes
+// the planner forget how long the job has waited, and the next one goes to the same worker.
+test("a job without a run starts on another worker if the only undisturbed one refuses its starts", () => {
+    const pool = makeDisturbedPool(8);
+    pool.machine.apply({ kind: "registerWorker", worker: makeWorker("refusing") });
+    pool.submitForecast("forecast", { expectedRunMs: 1_000 });
+    const longestMs = measureLongestWait(pool, () => refuseStarts(pool, "refusing"));
+    assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
+});
+
+// Guards against a job that never runs because the first of its steps fits nowhere and takes all ratings of starved steps: the attempt
+// counts for the whole job, so that each further one begins with the same step.
+test("a job without a run starts the step that fits although an earlier one takes the ratings of a pass", () => {
+    const workerCount = 10;
+    // A quarter of the limit, for starved steps, is reached with the first step, as with the least limit at 1,300 workers.
+    const pool = makeDisturbedPool(workerCount, 4 * workerCount);
+    const bestEffort = { usesIdleCpu: true, image: "forecast" };
+    const huge = makeStep({ ...bestEffort, resources: { milliCpu: 1_000, memoryMib: 5_000, accelerators: 0 } });
+    const small = makeStep({ ...bestEffort, resources: { milliCpu: 1_000, memoryMib: 10, accelerators: 0 } });
+    pool.machine.submit(makeJob("mixed", [huge, small]));
+    const longestMs = measureLongestWait(pool);
+    assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
+});
+
+// Guards against jobs that get one start a second because the pool counts as in use: the capacity of the workers that take no starts is
+// left out, so that the others seem to be all there is.
+test("none of many jobs is without a run for 3 s while a zone is evacuated and most of the pool is free", () => {
+    const pool = makeDisturbedPool(8, undefined, "inUse");
+    for (let number = 0; number < 4; number += 1) {
+        const worker = makeWorker(`evacuated${number}`, { availabilityZone: "evacuated" });
+        pool.machine.apply({ kind: "registerWorker", worker });
+    }
+    pool.machine.apply({ kind: "setZoneAdmission", availabilityZone: "evacuated", isEvacuated: true });
+    for (let number = 0; number < 24; number += 1) {
+        pool.submitForecast(`forecast${number}`, { expectedRunMs: 1_000 });
+    }
+    // The serving tasks reserve two fifths of the processors and of the memory of the pool.
+    const longestMs = measureLongestWait(pool);
+    assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
+});
