--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -7,11 +7,10 @@
 import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
 import { planStarvedSteps, type StarvedAttempt } from "./plan-starved-steps.js";
-import type { Lateness } from "./predict-lateness.js";
 import type { PlacementWaits } from "./rack-wants.js";
-import type { DisturbancePolicy, RatingContext } from "./rate-workers.js";
+import type { RatingContext } from "./rate-workers.js";
 import { createStart, listStartable } from "./startable-tasks.js";
-import { observeNoWaitingSteps } from "./starved-steps.js";
+import { listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements, type StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { cancelGangTrial, canTry, countTrials, hasRun, startTrial, type TrialCounts } from "./trials.js";
@@ -33,12 +32,6 @@
  * limited.
  */
 const startsPerPass = 500;
-/** Where starved steps start: a result that has lost its value must not keep the work of others from starting. */
-const starvedPolicies: Readonly<Record<Lateness, DisturbancePolicy>> = {
-    inTime: "accept",
-    late: "accept",
-    tooLate: "concentrate",
-};
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
@@ -135,7 +128,7 @@
     const context: RatingContext = {
         interference: pass.input.interference,
         tasksByRack,
-        disturbance: isStarved ? starvedPolicies[waiting.lateness] : "avoid",
+        acceptsDisturbance: isStarved,
     };
     const candidates = listStepCandidates(pass, waiting);
     return {
@@ -334,7 +327,7 @@
         memory.starvation,
         waitingSteps,
         {
-            candidatesByService: pass.candidatesByService,
+            pools: summarizePools(state),
             startedJobs,
             ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
             isUnmet: waiting => isUnmet(starvedPass, waiting),
@@ -363,7 +356,7 @@
     const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
         memory.hasStepsLeft = false;
-        observeNoWaitingSteps(memory.starvation, nowMs);
+        listStarvedSteps(memory.starvation, [], new Map(), nowMs);
         return [];
     }
     const candidates = listCandidates(input);
--- a/packages/plan-jobs/src/plan-starved-steps.ts
+++ b/packages/plan-jobs/src/plan-starved-steps.ts
@@ -1,16 +1,14 @@
 import type { JobRecord } from "@chestnutspool/job-state";
 import {
     canStartStarved,
-    countOverdueJobs,
-    describeStarvedPool,
+    countExpeditedJobs,
     forgetStarvation,
     listStarvedSteps,
+    type PoolUse,
     recordStarvedStart,
     type StarvationMemory,
-    type StarvedPool,
 } from "./starved-steps.js";
 import type { WaitingStep } from "./waiting-steps.js";
-import type { WorkerCandidate } from "./worker-candidate.js";
 
 /** What came of planning a starved step. */
 export interface StarvedAttempt {
@@ -22,7 +20,8 @@
 
 /** What the planning of starved steps takes from its pass. */
 export interface StarvedPass {
-    readonly candidatesByService: ReadonlyMap<string, readonly WorkerCandidate[]>;
+    /** Use of the pools, by service. */
+    readonly pools: ReadonlyMap<string, PoolUse>;
     /** Jobs of which the pass starts tasks that disturb nothing. */
     readonly startedJobs: ReadonlySet<JobRecord>;
     /** Ratings of workers from which no further step is planned. */
@@ -33,17 +32,6 @@
     readonly attempt: (waiting: WaitingStep) => StarvedAttempt;
 }
 
-/** Describes the pool of each service once, when it is first needed. */
-function createPoolReader({ candidatesByService }: StarvedPass): (service: string) => StarvedPool {
-    const pools = new Map<string, StarvedPool>();
-    return service => {
-        const pool = pools.get(service)
-            ?? describeStarvedPool((candidatesByService.get(service) ?? []).map(({ state }) => state));
-        pools.set(service, pool);
-        return pool;
-    };
-}
-
 /** Plans starts of starved steps at `nowMs`, wall-clock time in milliseconds: of each job one task or one gang. */
 export function planStarvedSteps(
     memory: StarvationMemory,
@@ -53,9 +41,8 @@
 ): void {
     const started = new Set(pass.startedJobs);
     started.forEach(job => forgetStarvation(memory, job));
-    const findPool = createPoolReader(pass);
-    const starved = listStarvedSteps(memory, waitingSteps, findPool, nowMs);
-    const overdueJobs = countOverdueJobs(starved);
+    const starved = listStarvedSteps(memory, waitingSteps, pass.pools, nowMs);
+    const expeditedJobs = countExpeditedJobs(starved);
     let ratings = 0;
     for (const step of starved) {
         if (ratings >= pass.ratingsLimit) {
@@ -63,7 +50,9 @@
         }
         const { waiting, starvation } = step;
         const { job } = waiting;
-        if (started.has(job) || pass.isUnmet(waiting) || !canStartStarved(memory, step, nowMs)) {
+        const { service } = job.queue;
+        const workers = pass.pools.get(service)?.workers ?? 0;
+        if (started.has(job) || pass.isUnmet(waiting) || !canStartStarved(memory, step, workers, nowMs)) {
             continue;
         }
         // Also after an attempt without a start, so that others get their turn.
@@ -72,9 +61,7 @@
         ratings = attempt.ratings;
         if (attempt.tasks > 0) {
             started.add(job);
-            const { service } = job.queue;
-            const { workers } = findPool(service);
-            recordStarvedStart(memory, step, workers, overdueJobs.get(service) ?? 0, attempt.tasks, nowMs);
+            recordStarvedStart(memory, step, attempt.tasks, expeditedJobs.get(service) ?? 0, nowMs);
         }
     }
 }
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -33,18 +33,13 @@
     return rackBonus * Math.log(1 / speed) / Math.log(farFactor);
 }
 
-/**
- * Whether a best-effort task may start although it disturbs serving tasks or finds few idle processors: not at all, on the worker
- * where it gets most processor time, or where it keeps the fewest others from starting.
- */
-export type DisturbancePolicy = "avoid" | "accept" | "concentrate";
-
 /** Inputs of a rating besides the worker and the step. */
 export interface RatingContext {
     readonly interference: InterferenceModel;
     /** Number of tasks of the step that this pass has placed, by rack. */
     readonly tasksByRack: ReadonlyMap<string, number>;
-    readonly disturbance: DisturbancePolicy;
+    /** Whether a best-effort task may start although it disturbs serving tasks or finds few idle processors. */
+    readonly acceptsDisturbance: boolean;
 }
 
 /** Pairs of one serving image, as estimated when a rating of the worker first needed them. */
@@ -139,26 +134,24 @@
 
 /**
  * Prefers workers with many idle processors on which the task disturbs no serving task. Undefined if the task must not
- * start on this worker. If it accepts disturbance it may start on each, and runs at the pace that serving tasks allow; if it is to
- * be concentrated it goes where others would not start anyway.
+ * start on this worker. If it accepts disturbance it may start on each, and runs at the pace that serving tasks allow.
  */
 function rateForBestEffortTask(
     candidate: WorkerCandidate,
     spec: StepSpec,
-    { interference, disturbance }: RatingContext,
+    { interference, acceptsDisturbance }: RatingContext,
 ): number | undefined {
     const idleShare = computeIdleShare(candidate, spec);
-    if (disturbance === "avoid" && (candidate.isContended || idleShare < leastIdleShare)) {
+    if (!acceptsDisturbance && (candidate.isContended || idleShare < leastIdleShare)) {
         return undefined;
     }
-    const leastExcess = disturbance === "avoid" ? 0 : Number.NEGATIVE_INFINITY;
+    const leastExcess = acceptsDisturbance ? Number.NEGATIVE_INFINITY : 0;
     const margin = predictSpareMargin(candidate, getAddedShare(candidate, spec), interference, leastExcess);
     if (margin === undefined) {
         return undefined;
     }
-    const rating = idleShare + Math.min(margin, 1) / 2
+    return idleShare + Math.min(margin, 1) / 2
         + candidate.idleMilliCpu / Math.max(1, candidate.state.info.capacity.milliCpu);
-    return disturbance === "concentrate" ? -rating : rating;
 }
 
 /** Prefers workers with serving tasks of the same image, and without tasks that disturb this one. */
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -1,5 +1,4 @@
-import type { JobRecord, WorkerState } from "@chestnutspool/job-state";
-import { addResources, noResources } from "@chestnutspool/types";
+import type { JobRecord, JobState } from "@chestnutspool/job-state";
 import type { Lateness } from "./predict-lateness.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
@@ -9,25 +8,26 @@
  */
 const starvedMs: Readonly<Record<Lateness, number>> = { inTime: 6_000, late: 2_000, tooLate: 2_000 };
 /**
- * Time for which a job has had no run, and most of its pool was free, until it is overdue, in milliseconds. With the time of a
- * round it stays below the 3 s for which users allow a job to have no run in such a pool.
+ * Time for which a job has had no run, and most of its pool was free, until its start is expedited, in milliseconds. With the time
+ * of a round it stays below the 3 s for which users allow a job to have no run in such a pool.
  */
-const overdueMs = 2_000;
-/** Time in which each overdue job gets a start, in milliseconds. */
+const expeditedMs = 2_000;
+/** Time in which each job whose start is expedited gets one, in milliseconds. */
 const roundMs = 600;
-/** Share of the processors and of the memory of a pool that is reserved at most while most of it is free. */
+/** Share of the processors of a pool that is reserved at most while most of it is free. */
 const freeShare = 0.5;
-/** Least time between two attempts to start a starved step of a job, in milliseconds. */
+/**
+ * Least time between two attempts to start a starved step of a job, in milliseconds. A run of a shorter time, such as a start that
+ * the worker refuses, does not end the wait of the job.
+ */
 const retryMs = 1_000;
-/** Time for which the starts of starved steps of a service are limited, in milliseconds. */
+/** Length of the intervals for which the starts of starved steps of a service are limited, in milliseconds. */
 const intervalMs = 1_000;
 /**
  * Share of the workers of a service that may get a task of a starved step in an interval, so that the serving tasks of few
- * of them are disturbed. One may always, and so may those of overdue jobs.
+ * of them are disturbed. One may always. Expedited starts are not limited by it.
  */
 const workerShare = 0.03;
-/** Time for which starts that were due may be made up for, in milliseconds: the longest pause between two passes. */
-const longestCatchUpMs = 100;
 
 /** A job without a start that disturbs no serving task. */
 interface Starvation {
@@ -35,7 +35,7 @@
     readonly sinceMs: number;
     /** Wall-clock time of the last attempt to start one of its steps although it disturbs. */
     triedAtMs: number;
-    /** Wall-clock time since which each pass has found it without a run. */
+    /** Wall-clock time since which it has had no run, but for short ones. */
     withoutRunSinceMs: number;
     /** Wall-clock time of the last pass that found it without a run. */
     foundAtMs: number;
@@ -51,24 +51,27 @@
     readonly starts: number;
 }
 
-/** Starts of starved steps of a service, and its pool. Times are wall-clock times in milliseconds since the epoch. */
+/** Starts of starved steps of a service in the present interval. */
+interface StartInterval {
+    readonly beganAtMs: number;
+    starts: number;
+}
+
+/** Starved steps of a service. Times are wall-clock times in milliseconds since the epoch. */
 interface ServiceStarvation {
-    /** When the next start of a starved job is due. */
-    dueAtMs: number;
-    /** When the next start of an overdue job is due. */
-    overdueStartAtMs: number;
-    /** When overdue jobs got their last starts, for the length of a round. */
-    overdueStartsMs: readonly number[];
+    interval: StartInterval;
+    /** When the next expedited start is due. */
+    expeditedAtMs: number;
+    /** Times of the last expedited starts, for the length of a round. */
+    expeditedStartsMs: readonly number[];
     /** Since when each pass has found most of the pool free; undefined if the last one did not. */
     freeSinceMs: number | undefined;
-    /** When a pass last looked at the pool. */
-    checkedAtMs: number;
 }
 
 /** The pool of a service, as far as the starts of starved steps depend on it. */
-export interface StarvedPool {
+export interface PoolUse {
     readonly workers: number;
-    /** Whether most of its processors and of its memory are not reserved. */
+    /** Whether most of its processors are not reserved. */
     readonly isMostlyFree: boolean;
 }
 
@@ -76,8 +79,6 @@
 export interface StarvationMemory {
     readonly jobs: WeakMap<JobRecord, Starvation>;
     readonly services: Map<string, ServiceStarvation>;
-    /** Wall-clock time of the last pass, in milliseconds since the epoch. */
-    passedAtMs: number;
     summary: StarvationSummary;
 }
 
@@ -86,17 +87,12 @@
     readonly waiting: WaitingStep;
     readonly starvation: Starvation;
     /** Whether the job has had no run for too long in a pool of which most is free. */
-    readonly isOverdue: boolean;
+    readonly isExpedited: boolean;
 }
 
 /** Creates a memory without jobs. */
 export function createStarvationMemory(): StarvationMemory {
-    return {
-        jobs: new WeakMap(),
-        services: new Map(),
-        passedAtMs: Number.NEGATIVE_INFINITY,
-        summary: { jobs: 0, longestMs: 0, starts: 0 },
-    };
+    return { jobs: new WeakMap(), services: new Map(), summary: { jobs: 0, longestMs: 0, starts: 0 } };
 }
 
 /** Returns what there is to log about jobs without a run, and counts starts anew. */
@@ -106,62 +102,51 @@
     return summary;
 }
 
-/** Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. */
-function observeWithoutRun({ jobs, passedAtMs }: StarvationMemory, job: JobRecord, nowMs: number): Starvation {
-    const starvation = jobs.get(job)
-        ?? {
-            sinceMs: nowMs,
-            triedAtMs: Number.NEGATIVE_INFINITY,
-            withoutRunSinceMs: nowMs,
-            foundAtMs: nowMs,
-        };
-    jobs.set(job, starvation);
-    if (starvation.foundAtMs !== nowMs && starvation.foundAtMs !== passedAtMs) {
-        starvation.withoutRunSinceMs = nowMs;
-    }
-    starvation.foundAtMs = nowMs;
-    return starvation;
-}
-
-/** Describes the pool that the given workers form. */
-export function describeStarvedPool(workers: readonly WorkerState[]): StarvedPool {
-    let capacity = noResources;
-    let used = noResources;
-    for (const worker of workers) {
-        capacity = addResources(capacity, worker.info.capacity);
-        used = addResources(used, worker.used);
+/** Sums up the use of the pool of each service, by all its workers: those of an evacuated zone count as well. */
+export function summarizePools({ workers }: JobState): ReadonlyMap<string, PoolUse> {
+    const sums = new Map<string, { workers: number; milliCpu: number; usedMilliCpu: number; }>();
+    for (const { info, used } of workers.values()) {
+        const sum = sums.get(info.service) ?? { workers: 0, milliCpu: 0, usedMilliCpu: 0 };
+        sums.set(info.service, sum);
+        sum.workers += 1;
+        sum.milliCpu += info.capacity.milliCpu;
+        sum.usedMilliCpu += used.milliCpu;
     }
-    const isMostlyFree = used.milliCpu < capacity.milliCpu * freeShare
-        && used.memoryMib < capacity.memoryMib * freeShare;
-    return { workers: workers.length, isMostlyFree };
+    return new Map([...sums].map(([service, { workers: count, milliCpu, usedMilliCpu }]) => [
+        service,
+        { workers: count, isMostlyFree: usedMilliCpu < milliCpu * freeShare },
+    ]));
 }
 
 function getServiceStarvation({ services }: StarvationMemory, service: string): ServiceStarvation {
     const known = services.get(service) ?? {
-        dueAtMs: Number.NEGATIVE_INFINITY,
-        overdueStartAtMs: Number.NEGATIVE_INFINITY,
-        overdueStartsMs: [],
+        interval: { beganAtMs: Number.NEGATIVE_INFINITY, starts: 0 },
+        expeditedAtMs: Number.NEGATIVE_INFINITY,
+        expeditedStartsMs: [],
         freeSinceMs: undefined,
-        checkedAtMs: Number.NEGATIVE_INFINITY,
     };
     services.set(service, known);
     return known;
 }
 
-/** Notes whether most of the pool of a service is free in the pass at `nowMs`. */
-function observePool(
-    memory: StarvationMemory,
-    service: string,
-    findPool: (service: string) => StarvedPool,
-    nowMs: number,
-): ServiceStarvation {
-    const ofService = getServiceStarvation(memory, service);
-    if (ofService.checkedAtMs !== nowMs) {
-        const wasFreeSinceMs = ofService.checkedAtMs === memory.passedAtMs ? ofService.freeSinceMs : undefined;
-        ofService.freeSinceMs = findPool(service).isMostlyFree ? wasFreeSinceMs ?? nowMs : undefined;
-        ofService.checkedAtMs = nowMs;
+/** Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. */
+function observeWithoutRun({ jobs }: StarvationMemory, job: JobRecord, nowMs: number): Starvation {
+    const known = jobs.get(job);
+    if (known === undefined) {
+        const starvation = {
+            sinceMs: nowMs,
+            triedAtMs: Number.NEGATIVE_INFINITY,
+            withoutRunSinceMs: nowMs,
+            foundAtMs: nowMs,
+        };
+        jobs.set(job, starvation);
+        return starvation;
+    }
+    if (nowMs - known.foundAtMs > retryMs) {
+        known.withoutRunSinceMs = nowMs;
     }
-    return ofService;
+    known.foundAtMs = nowMs;
+    return known;
 }
 
 /**
@@ -172,9 +157,13 @@
 export function listStarvedSteps(
     memory: StarvationMemory,
     waitingSteps: readonly WaitingStep[],
-    findPool: (service: string) => StarvedPool,
+    pools: ReadonlyMap<string, PoolUse>,
     nowMs: number,
 ): StarvedStep[] {
+    for (const [service, { isMostlyFree }] of pools) {
+        const ofService = getServiceStarvation(memory, service);
+        ofService.freeSinceMs = isMostlyFree ? ofService.freeSinceMs ?? nowMs : undefined;
+    }
     const starved: StarvedStep[] = [];
     const withoutRun = new Map<JobRecord, number>();
     for (const waiting of waitingSteps) {
@@ -184,68 +173,74 @@
         }
         const starvation = observeWithoutRun(memory, job, nowMs);
         withoutRun.set(job, nowMs - starvation.withoutRunSinceMs);
-        const { freeSinceMs = nowMs } = observePool(memory, job.queue.service, findPool, nowMs);
-        const isOverdue = nowMs - Math.max(starvation.withoutRunSinceMs, freeSinceMs) >= overdueMs;
-        const isStarvedByLateness = nowMs - starvation.sinceMs >= starvedMs[lateness];
-        if ((isOverdue || isStarvedByLateness) && nowMs - starvation.triedAtMs >= retryMs) {
-            starved.push({ waiting, starvation, isOverdue });
+        const { freeSinceMs = nowMs } = getServiceStarvation(memory, job.queue.service);
+        const isExpedited = nowMs - Math.max(starvation.withoutRunSinceMs, freeSinceMs) >= expeditedMs;
+        const isLongWithoutStart = nowMs - starvation.sinceMs >= starvedMs[lateness];
+        if ((isExpedited || isLongWithoutStart) && nowMs - starvation.triedAtMs >= retryMs) {
+            starved.push({ waiting, starvation, isExpedited });
         }
     }
-    memory.passedAtMs = nowMs;
     const longestMs = Math.max(0, ...withoutRun.values());
     memory.summary = { jobs: withoutRun.size, longestMs, starts: memory.summary.starts };
     const computeTurnMs = ({ starvation }: StarvedStep): number => Math.max(starvation.sinceMs, starvation.triedAtMs);
     return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
 }
 
-/** Records that a pass at `nowMs` found no step that waits. */
-export function observeNoWaitingSteps(memory: StarvationMemory, nowMs: number): void {
-    listStarvedSteps(memory, [], () => describeStarvedPool([]), nowMs);
-}
-
 /** Forgets that a job has waited, because a task of it starts without disturbing serving tasks. */
 export function forgetStarvation(memory: StarvationMemory, job: JobRecord): void {
     memory.jobs.delete(job);
 }
 
-/** Counts the overdue jobs of each service among starved steps. */
-export function countOverdueJobs(starved: readonly StarvedStep[]): ReadonlyMap<string, number> {
+/** Counts the jobs of each service whose starts are expedited. */
+export function countExpeditedJobs(starved: readonly StarvedStep[]): ReadonlyMap<string, number> {
     const jobs = new Map<string, Set<JobRecord>>();
-    for (const { waiting: { job } } of starved.filter(({ isOverdue }) => isOverdue)) {
+    for (const { waiting: { job } } of starved.filter(({ isExpedited }) => isExpedited)) {
         jobs.set(job.queue.service, (jobs.get(job.queue.service) ?? new Set()).add(job));
     }
     return new Map([...jobs].map(([service, ofService]) => [service, ofService.size]));
 }
 
-/** Whether a task or a gang of a starved step may start at `nowMs`. */
-export function canStartStarved(memory: StarvationMemory, { waiting, isOverdue }: StarvedStep, nowMs: number): boolean {
-    const { dueAtMs, overdueStartAtMs } = getServiceStarvation(memory, waiting.job.queue.service);
-    return dueAtMs <= nowMs || (isOverdue && overdueStartAtMs <= nowMs);
+function hasLimitLeft({ interval }: ServiceStarvation, workers: number, nowMs: number): boolean {
+    const used = nowMs - interval.beganAtMs >= intervalMs ? 0 : interval.starts;
+    return used < Math.max(1, Math.floor(workers * workerShare));
+}
+
+/** Whether a task or a gang of a starved step may start at `nowMs` in a pool of a number of workers. */
+export function canStartStarved(
+    memory: StarvationMemory,
+    { waiting, isExpedited }: StarvedStep,
+    workers: number,
+    nowMs: number,
+): boolean {
+    const ofService = getServiceStarvation(memory, waiting.job.queue.service);
+    return hasLimitLeft(ofService, workers, nowMs) || (isExpedited && ofService.expeditedAtMs <= nowMs);
 }
 
 /**
- * Records that a number of tasks of a starved step start at `nowMs`. `overdueJobs` counts the overdue jobs of the service in the
- * pass: the rate of their starts grows with them, so that each gets one in a round.
+ * Records that a number of tasks of a starved step start at `nowMs`. `expeditedJobs` counts the jobs of the service whose starts
+ * the pass expedites: the rate of these starts grows with them, so that each job gets one in a round.
  */
 export function recordStarvedStart(
     memory: StarvationMemory,
-    { waiting: { job }, isOverdue }: StarvedStep,
-    workers: number,
-    overdueJobs: number,
+    { waiting: { job }, isExpedited }: StarvedStep,
     tasks: number,
+    expeditedJobs: number,
     nowMs: number,
 ): void {
     memory.summary = { ...memory.summary, starts: memory.summary.starts + tasks };
     const ofService = getServiceStarvation(memory, job.queue.service);
-    if (ofService.dueAtMs <= nowMs) {
-        ofService.dueAtMs = nowMs + intervalMs / Math.max(1, Math.floor(workers * workerShare));
+    if (nowMs - ofService.interval.beganAtMs >= intervalMs) {
+        ofService.interval = { beganAtMs: nowMs, starts: 0 };
     }
-    if (isOverdue) {
-        const earlierMs = ofService.overdueStartsMs.filter(atMs => nowMs - atMs < roundMs);
-        // Those of this pass are still among the overdue jobs.
-        const jobsInRound = overdueJobs + earlierMs.filter(atMs => atMs !== nowMs).length;
-        ofService.overdueStartsMs = [...earlierMs, nowMs];
-        ofService.overdueStartAtMs = Math.max(ofService.overdueStartAtMs, nowMs - longestCatchUpMs)
-            + roundMs / Math.max(1, jobsInRound);
+    ofService.interval.starts += tasks;
+    if (!isExpedited) {
+        return;
     }
+    const earlierMs = ofService.expeditedStartsMs.filter(atMs => nowMs - atMs < roundMs);
+    // Those of this pass are still among the expedited jobs.
+    const jobsInRound = expeditedJobs + earlierMs.filter(atMs => atMs !== nowMs).length;
+    // Within a round, passes that come late make up for the starts that were due.
+    const dueAtMs = earlierMs.length === 0 ? nowMs : ofService.expeditedAtMs;
+    ofService.expeditedAtMs = dueAtMs + roundMs / jobsInRound;
+    ofService.expeditedStartsMs = [...earlierMs, nowMs];
 }
