--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -12,6 +12,8 @@
  * of a round it stays below the 3 s for which users allow a job to have no run in such a pool.
  */
 const expeditedMs = 2_000;
+/** The same for a job that has had runs: the end of its last one was reported up to a second late. */
+const expeditedAfterRunMs = 1_200;
 /** Time in which each job whose start is expedited gets one, in milliseconds. */
 const roundMs = 600;
 /** Share of the processors of a pool that is reserved at most while most of it is free. */
@@ -174,7 +176,8 @@
         const starvation = observeWithoutRun(memory, job, nowMs);
         withoutRun.set(job, nowMs - starvation.withoutRunSinceMs);
         const { freeSinceMs = nowMs } = getServiceStarvation(memory, job.queue.service);
-        const isExpedited = nowMs - Math.max(starvation.withoutRunSinceMs, freeSinceMs) >= expeditedMs;
+        const expeditedAfterMs = job.phase === "queued" ? expeditedMs : expeditedAfterRunMs;
+        const isExpedited = nowMs - Math.max(starvation.withoutRunSinceMs, freeSinceMs) >= expeditedAfterMs;
         const isLongWithoutStart = nowMs - starvation.sinceMs >= starvedMs[lateness];
         if ((isExpedited || isLongWithoutStart) && nowMs - starvation.triedAtMs >= retryMs) {
             starved.push({ waiting, starvation, isExpedited });
