--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -1,14 +1,24 @@
-import { findQueue, formatQueueKey, type JobRecord } from "@chestnutspool/job-state";
+import {
+    findQueue,
+    formatQueueKey,
+    isJobEnded,
+    isJobOfRequest,
+    isJobPath,
+    isQueuePath,
+    type JobRecord,
+} from "@chestnutspool/job-state";
 import {
     describeJobRequest,
     type ErrorData,
+    type JobId,
     type JobReply,
     type JobRequest,
     type JobResult,
+    type QueueSettings,
     readMonotonicMs,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
-import { canBeRecorded, recordAcceptance, recordProposal, refuseJob } from "./admission.js";
+import { canBeRecorded, forgetProposal, recordAcceptance, recordProposal, refuseJob } from "./admission.js";
 import { checkConfiguration } from "./check-configuration.js";
 import { checkJob } from "./check-job.js";
 import { recordHeartbeat, removeWorker } from "./record-heartbeat.js";
@@ -17,23 +27,32 @@
 
 type RequestOf<Kind extends JobRequest["kind"]> = Extract<JobRequest, { readonly kind: Kind; }>;
 
+/** Finds the queue of a request for a job; undefined unless the path is the prefix of a queue and the id. */
+function findJobQueue(
+    term: Term,
+    { hostName, path }: RequestOf<"submitJob" | "readJob" | "cancelJob">,
+    id: JobId,
+): QueueSettings | undefined {
+    const queue = findQueue(term.machine.state.configuration, hostName, path);
+    return queue !== undefined && isJobPath(queue, path, id) ? queue : undefined;
+}
+
 /** Finds the job of a request; undefined if the queue of the request does not exist or has no job with this id. */
-function findJob(term: Term, request: RequestOf<"readJob"> | RequestOf<"cancelJob">): JobRecord | undefined {
+function findJob(term: Term, request: RequestOf<"readJob" | "cancelJob">): JobRecord | undefined {
     const job = term.machine.state.jobs.get(request.job);
-    const queue = findQueue(term.machine.state.configuration, request.hostName, request.path);
-    return job !== undefined && queue !== undefined && formatQueueKey(job.queue) === formatQueueKey(queue)
-        ? job
-        : undefined;
+    return job !== undefined && hasQueue(term, request) && isJobOfRequest(job, request) ? job : undefined;
 }
 
-function hasQueue(term: Term, request: { readonly hostName: string; readonly path: string; }): boolean {
-    return findQueue(term.machine.state.configuration, request.hostName, request.path) !== undefined;
+function hasQueue(term: Term, request: RequestOf<"readJob" | "cancelJob">): boolean {
+    return findJobQueue(term, request, request.job) !== undefined;
 }
 
 function convertResult(result: JobResult): JobReply {
     switch (result.kind) {
         case "accepted":
             return { kind: "accepted" };
+        case "otherQueue":
+            return { kind: "rejected", reason: result.kind, retryAfterMs: undefined };
         case "noQueue":
         case "noJob":
             return { kind: result.kind };
@@ -48,8 +67,8 @@
 const submitJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"submitJob">) {
     const { spec, hostName, path } = request;
     const { state } = term.machine;
-    if (!canBeRecorded(term, spec.id)) {
-        const queue = findQueue(state.configuration, hostName, path);
+    if (!canBeRecorded(term, request)) {
+        const queue = findJobQueue(term, request, spec.id);
         if (queue === undefined) {
             term.logger.info("job has no queue", {
                 job: spec.id,
@@ -78,9 +97,9 @@
             return overload;
         }
     }
-    recordProposal(term, spec.id);
+    recordProposal(term, request);
     const result = yield* propose(term, { kind: "submitJob", spec, hostName, path });
-    term.admission.proposedJobs.delete(spec.id);
+    forgetProposal(term, request);
     if (result.kind === "accepted" && !result.isRepeat) {
         recordAcceptance(term, spec.id, yield* readMonotonicMs, yield* readTermMs(term));
         const queue = state.jobs.get(spec.id)?.queue;
@@ -96,6 +115,12 @@
             term: term.number,
         });
     }
+    if (result.kind === "otherQueue") {
+        const owner = state.jobs.get(spec.id)?.queue.name;
+        const queue = findQueue(state.configuration, hostName, path);
+        term.metrics.countEvent("jobs.refused", queue?.name ?? "", queue?.service ?? "");
+        term.logger.info("job refused", { job: spec.id, queue: queue?.name, refusal: result.kind, owner });
+    }
     wakePlanner(term);
     return convertResult(result);
 });
@@ -111,6 +136,10 @@
         return hasQueue(term, request) ? { kind: "noJob" } as const : { kind: "noQueue" } as const;
     }
     const before = found.phase;
+    // An ended job may be forgotten, and its id used by another queue, before a command that names only the id is applied.
+    if (isJobEnded(found)) {
+        return { kind: "done" } as const;
+    }
     const result = yield* propose(term, { kind: "cancelJob", job: request.job });
     term.logger.info("job cancelled", { job: request.job, before, runs: found.runsInProgress });
     wakePlanner(term);
@@ -128,7 +157,7 @@
 
 function countPending(term: Term, request: RequestOf<"countPending">): JobReply {
     const queue = findQueue(term.machine.state.configuration, request.hostName, request.path);
-    if (queue === undefined) {
+    if (queue === undefined || !isQueuePath(queue, request.path)) {
         return { kind: "noQueue" };
     }
     const key = formatQueueKey(queue);
