--- a/packages/lead-jobs/src/fakes/event-player.ts
+++ b/packages/lead-jobs/src/fakes/event-player.ts
@@ -1,8 +1,8 @@
 import { makeJob } from "@chestnutspool/job-state/fakes";
 import { readMonotonicMs, type StepSpec } from "@chestnutspool/types";
 import { Effect } from "effect";
-import type { WorkerFault } from "./fake-workers.js";
 import type { TestSystem } from "./test-system.js";
+import type { WorkerFault } from "./worker-types.js";
 
 /** Faults of a worker, by number. */
 export const workerFaults: readonly WorkerFault[] = ["none", "cut", "answersLost", "late", "startsLate"];
--- a/packages/lead-jobs/src/fakes/index.ts
+++ b/packages/lead-jobs/src/fakes/index.ts
@@ -5,3 +5,4 @@
 export * from "./recording-logger.js";
 export * from "./test-system.js";
 export * from "./watch-waiting-jobs.js";
+export * from "./worker-types.js";
--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -15,8 +15,9 @@
 import { TestClock } from "effect/testing";
 import { type Leadership, startLeadership } from "../start-leadership.js";
 import type { LeaderLimits } from "../term.js";
-import { createFakeWorkers, type FakeWorkers, type StartedRun } from "./fake-workers.js";
+import { createFakeWorkers } from "./fake-workers.js";
 import { createTestLog, type TestLog } from "./test-log.js";
+import type { FakeWorkers, StartedRun } from "./worker-types.js";
 
 /** Longest lease of the fake workers, in milliseconds. */
 export const testLeaseMs = 6_000;
