Tell in one place when a long-running task is at work, and count away tasks by the runs of their step

list-stalled-runs and the probation of workers each had the limit of 100%; isAtWork of track-workers serves both. The away count compared every run of every worker with the step, while the tasks of the step list their own runs.

--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -2,6 +2,7 @@
 import {
     countAllowedStarts,
     countStartsAfterRejection,
+    isAtWork,
     recordRunQuality,
     type RunQuality,
     type RunStatus,
@@ -103,9 +104,6 @@
     recordQuality(term, session, job, { kind: "stoodStill" }, nowMs);
 }
 
-/** Progress from which a long-running task is at work, in percent. */
-const atWorkPercent = 100;
-
 /**
  * Counts the runs that a suspected worker got since its pause ended. A long-running task that is at work does not count,
  * because it does not end.
@@ -114,9 +112,9 @@
     const runs = term.machine.state.workers.get(info.id)?.runs;
     const sinceMs = health.suspectedUntilMs ?? Number.POSITIVE_INFINITY;
     let count = 0;
-    for (const [key, { orderedAtMs, progressPercent }] of runStatuses) {
-        const isAtWork = runs?.get(key)?.step.spec.longRunning === true && progressPercent >= atWorkPercent;
-        count += orderedAtMs >= sinceMs && !isAtWork ? 1 : 0;
+    for (const [key, status] of runStatuses) {
+        const isLasting = runs?.get(key)?.step.spec.longRunning === true && isAtWork(status);
+        count += status.orderedAtMs >= sinceMs && !isLasting ? 1 : 0;
     }
     return count;
 }
--- a/packages/plan-jobs/src/list-stalled-runs.ts
+++ b/packages/plan-jobs/src/list-stalled-runs.ts
@@ -1,5 +1,5 @@
-import { formatStepKey, type JobStep, type WorkerRun } from "@chestnutspool/job-state";
-import type { RunStatus } from "@chestnutspool/track-workers";
+import { formatRunKey, formatStepKey, type JobStep, type WorkerRun } from "@chestnutspool/job-state";
+import { isAtWork, type RunStatus } from "@chestnutspool/track-workers";
 import type { WorkerId } from "@chestnutspool/types";
 import { listCandidates, type PlanInput } from "./plan-starts.js";
 import { findObstacle } from "./rate-workers.js";
@@ -15,8 +15,6 @@
 const stalledAfterMs = 2_000;
 /** Time without progress after which such a task counts as stalled, as a multiple of the time that a percent has taken it. */
 const stalledAfterPercents = 3;
-/** Progress of a long-running task that is at work, in percent. */
-const atWorkPercent = 100;
 /** Progress from which a task without checkpoints is not moved, in percent, because it would lose that progress. */
 const keptProgressPercent = 40;
 /** Limit of moves per pass. */
@@ -35,7 +33,7 @@
  */
 function computeStalledAfterMs(
     { progressPercent, firstPercent = progressPercent, progressAtMs, orderedAtMs }: RunStatus,
-) {
+): number {
     const percents = progressPercent - firstPercent;
     const percentMs = percents > 0 ? (progressAtMs - orderedAtMs) / percents : 0;
     return Math.max(stalledAfterMs, stalledAfterPercents * percentMs);
@@ -53,7 +51,7 @@
 
 /** Since when a best-effort task makes no progress, in milliseconds. The progress of a long-running one at work does not change. */
 function findStandstillMs({ step }: WorkerRun, status: RunStatus): number {
-    if (!step.spec.longRunning || status.progressPercent < atWorkPercent) {
+    if (!step.spec.longRunning || !isAtWork(status)) {
         return status.progressAtMs;
     }
     return status.pacePercent === 0 ? status.paceChangedAtMs : Number.POSITIVE_INFINITY;
@@ -71,18 +69,13 @@
 
 /** Counts the tasks of a step that have no run, whose run is being stopped, or that are not at work yet. */
 function countAwayTasks({ job, occurrence, step }: WorkerRun, input: PlanInput): number {
-    let away = step.waiting.size;
-    for (const [worker, { runs }] of input.state.workers) {
-        for (const [key, other] of runs) {
-            if (other.step !== step || other.occurrence !== occurrence || other.job !== job) {
-                continue;
-            }
-            const status = input.findRunStatuses(worker)?.get(key);
-            const isAtWork = status?.stopWantedAtMs === undefined && (status?.progressPercent ?? 0) >= atWorkPercent;
-            away += isAtWork ? 0 : 1;
-        }
-    }
-    return away;
+    const stepOfRun = { job: job.id, occurrence: occurrence.number, step: step.position };
+    return step.tasks.filter(({ position, runs }) =>
+        !runs.some(({ run, worker }) => {
+            const status = input.findRunStatuses(worker)?.get(formatRunKey({ ...stepOfRun, position, run }));
+            return status !== undefined && status.stopWantedAtMs === undefined && isAtWork(status);
+        })
+    ).length;
 }
 
 /** Creates the check whether a task may be interrupted without exceeding the limit of its step; it counts those that it allows. */
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -9,6 +9,7 @@
 export {
     applyReport,
     createRunStatus,
+    isAtWork,
     isStartTimedOut,
     type ReportOutcome,
     type RunReport,
--- a/packages/track-workers/src/run-statuses.ts
+++ b/packages/track-workers/src/run-statuses.ts
@@ -76,6 +76,14 @@
     };
 }
 
+/** Progress of a long-running task that is at work, in percent. */
+const atWorkPercent = 100;
+
+/** Whether a run of a long-running task is at work, by the last report; a task that is still starting is not. */
+export function isAtWork({ progressPercent }: RunStatus): boolean {
+    return progressPercent >= atWorkPercent;
+}
+
 /**
  * Time after which a start without an answer is given up, in milliseconds. Reports come at least once a second, so that
  * they list a run that has started by then.
