--- a/packages/plan-jobs/src/overdue-jobs.test.ts
+++ b/packages/plan-jobs/src/expedited-jobs.test.ts
@@ -1,15 +1,13 @@
 import { makeJob, makeStep, makeWorker } from "@chestnutspool/job-state/fakes";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { makeDisturbedPool } from "./fakes/make-disturbed-pool.js";
+import { type DisturbedPool, makeDisturbedPool, measureLongestWait } from "./fakes/make-disturbed-pool.js";
 
 /** Longest time for which an accepted job may have no run while most of the pool is free, by the users' terms. */
 const longestWithoutRunMs = 3_000;
 /** Simulated time for which jobs are watched, in milliseconds. */
 const watchedMs = 60_000;
 
-type DisturbedPool = ReturnType<typeof makeDisturbedPool>;
-
 /** Ends all runs on a worker that refuses each start. */
 function refuseStarts({ machine }: DisturbedPool, worker: string): void {
     for (const { job, occurrence, step, task, run } of [...machine.state.workers.get(worker)?.runs.values() ?? []]) {
@@ -18,29 +16,13 @@
     }
 }
 
-/** Plans the pool and returns the longest time for which a job has had no run; `observePass` is called after each pass. */
-function measureLongestWait(pool: DisturbedPool, observePass: () => void = () => undefined): number {
-    const sinceMs = new Map<string, number>();
-    let longestMs = 0;
-    pool.planUntil(watchedMs, undefined, atMs => {
-        observePass();
-        for (const { id, runsInProgress } of pool.machine.state.openJobs.values()) {
-            if (runsInProgress > 0) {
-                sinceMs.set(id, atMs);
-            }
-            longestMs = Math.max(longestMs, atMs - (sinceMs.get(id) ?? 0));
-        }
-    });
-    return longestMs;
-}
-
 // Guards against a job that never runs because the only worker on which it disturbs nothing refuses its starts: each planned start makes
 // the planner forget how long the job has waited, and the next one goes to the same worker.
 test("a job without a run starts on another worker if the only undisturbed one refuses its starts", () => {
     const pool = makeDisturbedPool(8);
     pool.machine.apply({ kind: "registerWorker", worker: makeWorker("refusing") });
     pool.submitForecast("forecast", { expectedRunMs: 1_000 });
-    const longestMs = measureLongestWait(pool, () => refuseStarts(pool, "refusing"));
+    const longestMs = measureLongestWait(pool, watchedMs, undefined, () => refuseStarts(pool, "refusing"));
     assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
 });
 
@@ -54,7 +36,7 @@
     const huge = makeStep({ ...bestEffort, resources: { milliCpu: 1_000, memoryMib: 5_000, accelerators: 0 } });
     const small = makeStep({ ...bestEffort, resources: { milliCpu: 1_000, memoryMib: 10, accelerators: 0 } });
     pool.machine.submit(makeJob("mixed", [huge, small]));
-    const longestMs = measureLongestWait(pool);
+    const longestMs = measureLongestWait(pool, watchedMs);
     assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
 });
 
@@ -71,6 +53,6 @@
         pool.submitForecast(`forecast${number}`, { expectedRunMs: 1_000 });
     }
     // The serving tasks reserve two fifths of the processors and of the memory of the pool.
-    const longestMs = measureLongestWait(pool);
+    const longestMs = measureLongestWait(pool, watchedMs);
     assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
 });
--- a/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
+++ b/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
@@ -77,3 +77,30 @@
     };
     return { machine, submitForecast, planUntil, memory };
 }
+
+/** A pool of `makeDisturbedPool`. */
+export type DisturbedPool = ReturnType<typeof makeDisturbedPool>;
+
+/**
+ * Plans a pool until `untilMs` and returns the longest time for which one of its jobs had no run, in milliseconds; `observePass` is
+ * called after each pass.
+ */
+export function measureLongestWait(
+    { machine, planUntil }: DisturbedPool,
+    untilMs: number,
+    ending?: RunEnding,
+    observePass: () => void = () => undefined,
+): number {
+    const sinceMs = new Map<string, number>();
+    let longestMs = 0;
+    planUntil(untilMs, ending, atMs => {
+        observePass();
+        for (const { id, runsInProgress } of machine.state.openJobs.values()) {
+            if (runsInProgress > 0) {
+                sinceMs.set(id, atMs);
+            }
+            longestMs = Math.max(longestMs, atMs - (sinceMs.get(id) ?? 0));
+        }
+    });
+    return longestMs;
+}
