Refuse a wave whose number another wave has, instead of acknowledging it

An operator who started a wave with the number of an earlier one, and other hosts, was answered with 200; the state machine keeps the first wave, so that nothing was stored. After the commit the leader now compares the recorded wave with the request and answers invalid (400) if they differ; the same wave sent again is acknowledged as before. The state machine is not changed, so that replicas of earlier builds agree.

Test: job-identity.test.ts, the new test was answered with done before and passes.

--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -14,6 +14,7 @@
     type JobReply,
     type JobRequest,
     type JobResult,
+    type MaintenanceWave,
     type QueueSettings,
     readMonotonicMs,
 } from "@chestnutspool/types";
@@ -204,6 +205,26 @@
     } satisfies JobReply;
 });
 
+function isSameWave(left: MaintenanceWave, right: MaintenanceWave): boolean {
+    return left.durationMs === right.durationMs && left.hostsAtOnce === right.hostsAtOnce
+        && left.hosts.length === right.hosts.length
+        && left.hosts.every((host, position) => host === right.hosts[position]);
+}
+
+const startWave = Effect.fnUntraced(function*(term: Term, { wave }: RequestOf<"startWave">) {
+    const result = yield* propose(term, { kind: "startWave", wave });
+    const recorded = term.machine.state.waves.get(wave.wave)?.wave;
+    if (recorded !== undefined && !isSameWave(recorded, wave)) {
+        term.logger.warn("wave refused", {
+            wave: wave.wave,
+            hosts: wave.hosts.length,
+            recorded: recorded.hosts.length,
+        });
+        return { kind: "invalid", detail: `wave ${wave.wave} was started with other content` } satisfies JobReply;
+    }
+    return convertResult(result);
+});
+
 function isKnownZone({ machine, limits }: Term, availabilityZone: string): boolean {
     if (limits.availabilityZones.includes(availabilityZone) || machine.state.evacuatedZones.has(availabilityZone)) {
         return true;
@@ -265,7 +286,7 @@
         case "removeWorker":
             return removeWorker(term, request);
         case "startWave":
-            return Effect.map(propose(term, { kind: "startWave", wave: request.wave }), convertResult);
+            return startWave(term, request);
         case "setZoneAdmission":
             return setZoneAdmission(term, request);
         case "readWave":
--- a/packages/lead-jobs/src/job-identity.test.ts
+++ b/packages/lead-jobs/src/job-identity.test.ts
@@ -83,3 +83,21 @@
         assert.equal(system.machine.countChanges(), changes);
         assert.deepEqual(yield* system.ask(makeRequest("readJob", "/main/a")), { kind: "phase", phase: "completed" });
     }));
+
+// Guards against a wave that is acknowledged and not stored, because an earlier one with other hosts has its number.
+testSystem(
+    "a wave with the number of another one is refused, and a repeated one is acknowledged",
+    system =>
+        Effect.gen(function*() {
+            const wave = { wave: 1, hosts: ["a", "b"], durationMs: 1_000, hostsAtOnce: 1 };
+            assert.deepEqual(yield* system.ask({ kind: "startWave", wave }), { kind: "done" });
+            assert.deepEqual(yield* system.ask({ kind: "startWave", wave }), { kind: "done" });
+            for (const changes of [{ hosts: ["c"] }, { hosts: ["a"] }, { durationMs: 2_000 }, { hostsAtOnce: 2 }]) {
+                assert.deepEqual(yield* system.ask({ kind: "startWave", wave: { ...wave, ...changes } }), {
+                    kind: "invalid",
+                    detail: "wave 1 was started with other content",
+                });
+            }
+            assert.deepEqual(system.machine.state.waves.get(1)?.wave, wave);
+        }),
+);
