Hold workers only for long-running tasks that could use the room

A job without a crash waited for 34.1 s beside an idle worker: after two crashes twelve long-running tasks waited for their trials, one at a time, and the idle worker was held for all of them although it had room and they waited for something else. A worker is now held only for tasks without a trial, and for the next task whose trial could start.

Test: delayed-steps.test.ts, a job without a crash does not wait for the trials of long-running tasks.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -337,11 +337,24 @@
     );
 }
 
+/** Counts the tasks of a step that could use room after `planned` starts; those that wait for other trials could not. */
+function countWithoutRoom(pass: PlanningPass, waiting: WaitingStep, planned: number): number {
+    const tasks = listStartable(waiting);
+    const suspected = tasks.filter(needsTrial);
+    const trusted = tasks.length - suspected.length;
+    const next = suspected[Math.max(0, planned - trusted)];
+    const canTryNext = next !== undefined && canTry(pass.trials, waiting.job.queue.service, next);
+    return Math.max(0, trusted - planned) + (canTryNext ? 1 : 0);
+}
+
 /** Holds workers for the tasks of an overdue long-running step that found no room in this pass. */
 function holdForUnplanned(pass: PlanningPass, waiting: WaitingStep, planned: number): void {
     const { job, occurrence, step, isOverdue } = waiting;
-    const unplanned = step.waiting.size - planned;
-    if (isOverdue && !step.spec.gang && unplanned > 0) {
+    if (!isOverdue || step.spec.gang) {
+        return;
+    }
+    const unplanned = countWithoutRoom(pass, waiting, planned);
+    if (unplanned > 0) {
         const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
         holdWorkers(listStepCandidates(pass, waiting), step.spec, stepKey, unplanned);
     }
