Let an overdue long-running task use a kept worker with room to spare

A new long-running job never started although a worker was idle: 7% of the workers of a service with several queues are kept for short tasks, and whether another worker could run the task was asked of empty workers, so that one that is full for good kept the task away without a limit of time. An overdue task, after 2 s, may now start on a kept worker that has room for another one like it; with less room the worker stays with the short tasks. Unmet requirements are recorded for each of the three choices of workers.

--- a/packages/plan-jobs/src/keep-workers.test.ts
+++ b/packages/plan-jobs/src/keep-workers.test.ts
@@ -12,6 +12,9 @@
 const wholeWorker = { milliCpu: 4_000, memoryMib: 10, accelerators: 0 };
 const lastingStep = makeStep({ longRunning: true, resources: wholeWorker });
 
+/** Age from which a long-running job without a run is overdue, in milliseconds. */
+const overdueMs = 2_000;
+
 function plan(machine: Machine): RunStart[] {
     const starts = planStarts(makePlanInput(machine.state), testStartMs);
     machine.apply({ kind: "startRuns", starts });
@@ -51,7 +54,10 @@
         [makeQueue(), urgentQueue],
     );
     machine.submit(makeJob("rare", [{ ...lastingStep, requiredLabel: "rare" }]));
-    assert.deepEqual(plan(machine).map(({ worker }) => worker), ["w0"]);
+    for (const atMs of [0, overdueMs]) {
+        const starts = planStarts(makePlanInput(machine.state), testStartMs + atMs);
+        assert.deepEqual(starts.map(({ worker }) => worker), ["w0"], `after ${atMs} ms`);
+    }
 });
 
 // Guards against idle workers where nothing but long-running tasks can arrive.
@@ -60,3 +66,11 @@
     machine.submit(makeJob("lasting", [{ ...lastingStep, count: 40 }]));
     assert.equal(plan(machine).length, 30);
 });
+
+// Guards against short tasks without room, because long-running ones that are overdue take the last workers that are kept for them.
+test("an overdue long-running task leaves a kept worker that has no room for another one to short tasks", () => {
+    const machine = setUp();
+    machine.submit(makeJob("lasting", [{ ...lastingStep, count: 40 }]));
+    assert.equal(plan(machine).length, 28);
+    assert.deepEqual(planStarts(makePlanInput(machine.state), testStartMs + overdueMs), []);
+});
--- a/packages/plan-jobs/src/keep-workers.ts
+++ b/packages/plan-jobs/src/keep-workers.ts
@@ -1,5 +1,6 @@
 import { computeReservation, type JobState } from "@chestnutspool/job-state";
-import { findShortage } from "@chestnutspool/types";
+import { addResources, findShortage } from "@chestnutspool/types";
+import type { WorkerChoice } from "./unmet-requirements.js";
 import type { WaitingStep } from "./waiting-steps.js";
 import type { WorkerCandidate } from "./worker-candidate.js";
 
@@ -43,6 +44,14 @@
     return true;
 }
 
+/**
+ * Chooses the workers for a step. A new long-running task leaves the kept ones to short tasks, but does not wait without end:
+ * once it is overdue, it may start on one that keeps room for another task like it.
+ */
+export function chooseWorkers(waiting: WaitingStep): WorkerChoice {
+    return !isNewLongRunning(waiting) ? "all" : waiting.isOverdue ? "spare" : "notKept";
+}
+
 type Candidates = readonly WorkerCandidate[];
 
 /** Workers that are not kept, by the kept ones and the workers of a service; all long-running steps of a pass share them. */
@@ -57,7 +66,7 @@
 }
 
 /**
- * Selects the workers for a step. A new long-running task may use the kept ones only if none of the others could ever run
+ * Selects the workers for a step. A new long-running task may use all kept ones only if none of the others could ever run
  * it, such as one that needs a rare label.
  */
 export function selectCandidates(
@@ -65,7 +74,8 @@
     kept: ReadonlySet<WorkerCandidate>,
     waiting: WaitingStep,
 ): readonly WorkerCandidate[] {
-    if (kept.size === 0 || !isNewLongRunning(waiting)) {
+    const choice = kept.size === 0 ? "all" : chooseWorkers(waiting);
+    if (choice === "all") {
         return candidates;
     }
     const { spec } = waiting.step;
@@ -75,5 +85,13 @@
         (spec.requiredLabel === undefined || info.labels.includes(spec.requiredLabel))
         && findShortage(needed, info.capacity) === undefined
     );
-    return canEverRun ? others : candidates;
+    if (!canEverRun) {
+        return candidates;
+    }
+    const neededTwice = addResources(needed, needed);
+    return choice === "notKept"
+        ? others
+        : candidates.filter(candidate =>
+            !kept.has(candidate) || findShortage(neededTwice, candidate.free) === undefined
+        );
 }
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -4,7 +4,7 @@
 import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
 import { holdWorkers } from "./hold-workers.js";
-import { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
+import { chooseWorkers, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
 import { planStarvedSteps, type StarvedAttempt } from "./plan-starved-steps.js";
 import type { PlacementWaits } from "./rack-wants.js";
@@ -189,13 +189,13 @@
 
 function recordUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): void {
     if (!placements.hasOwnWorkers(waiting)) {
-        unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting));
+        unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, chooseWorkers(waiting));
     }
 }
 
 function isUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): boolean {
     return !placements.hasOwnWorkers(waiting)
-        && unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, isNewLongRunning(waiting));
+        && unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, chooseWorkers(waiting));
 }
 
 /** Plans starts of the tasks of a step one by one until no worker is suitable; only of one task if it is starved. */
--- a/packages/plan-jobs/src/unmet-requirements.ts
+++ b/packages/plan-jobs/src/unmet-requirements.ts
@@ -1,17 +1,22 @@
 import type { Resources, StepSpec } from "@chestnutspool/types";
 
+/**
+ * Workers that a step is compared with: all, all but the kept ones without room to spare, or all but the kept ones. Each
+ * choice has no worker that the ones before it lack.
+ */
+export type WorkerChoice = "all" | "spare" | "notKept";
+
+const workerChoices: readonly WorkerChoice[] = ["all", "spare", "notKept"];
+
 /**
  * Requirements that no worker meets in one planning pass. Starts only lower what workers have left, so that a step that
  * requires at least as much finds no worker either.
  */
 export interface UnmetRequirements {
-    /**
-     * Records that no worker is suitable for a task of a step in a queue of the service. A restricted step was compared
-     * only with the workers that are not kept for short tasks.
-     */
-    readonly recordUnmet: (service: string, spec: StepSpec, isRestricted?: boolean) => void;
+    /** Records that no worker of a choice is suitable for a task of a step in a queue of the service. */
+    readonly recordUnmet: (service: string, spec: StepSpec, choice?: WorkerChoice) => void;
     /** Whether a step requires at least as much as one for which no worker was suitable. */
-    readonly isUnmet: (service: string, spec: StepSpec, isRestricted?: boolean) => boolean;
+    readonly isUnmet: (service: string, spec: StepSpec, choice?: WorkerChoice) => boolean;
 }
 
 function isCovered(needed: Resources, unmet: Resources): boolean {
@@ -20,33 +25,34 @@
 }
 
 /** Formats what must be equal so that two steps can be compared by their resources alone. */
-function formatRequirementKind(service: string, spec: StepSpec, isRestricted: boolean): string {
+function formatRequirementKind(service: string, spec: StepSpec, choice: WorkerChoice): string {
     // The image decides which serving tasks a best-effort task disturbs; the other ratings exclude no worker.
     return JSON.stringify([
         service,
         spec.requiredLabel ?? null,
         spec.usesIdleCpu ? spec.image ?? "" : null,
-        isRestricted,
+        choice,
     ]);
 }
 
 /** Creates an empty record. */
 export function createUnmetRequirements(): UnmetRequirements {
     const unmetByKind = new Map<string, Resources[]>();
-    const isCoveredByKind = (service: string, spec: StepSpec, isRestricted: boolean): boolean =>
-        unmetByKind.get(formatRequirementKind(service, spec, isRestricted))
+    const isCoveredByKind = (service: string, spec: StepSpec, choice: WorkerChoice): boolean =>
+        unmetByKind.get(formatRequirementKind(service, spec, choice))
             ?.some(unmet => isCovered(spec.resources, unmet)) ?? false;
     return {
-        recordUnmet: (service, spec, isRestricted = false) => {
+        recordUnmet: (service, spec, choice = "all") => {
             // A step with a limit per worker may lack a worker only because of its own tasks.
             if (spec.perWorkerLimit !== undefined) {
                 return;
             }
-            const kind = formatRequirementKind(service, spec, isRestricted);
+            const kind = formatRequirementKind(service, spec, choice);
             const others = (unmetByKind.get(kind) ?? []).filter(unmet => !isCovered(unmet, spec.resources));
             unmetByKind.set(kind, [...others, spec.resources]);
         },
-        isUnmet: (service, spec, isRestricted = false) =>
-            isCoveredByKind(service, spec, false) || (isRestricted && isCoveredByKind(service, spec, true)),
+        isUnmet: (service, spec, choice = "all") =>
+            workerChoices.slice(0, workerChoices.indexOf(choice) + 1)
+                .some(wider => isCoveredByKind(service, spec, wider)),
     };
 }
