Limit the wait of a job without a run for its rack while most of the service is free

A job whose rack was full waited for 30 s with 80% of the service idle, because the limit of a wait is what a place in the rack saves, which grows with the run time; a gang that resumed after a crash waited for 3.1 s. Users take an accepted job for lost that has nothing running for 3 s although there is room. A wait of a job without a run now ends 2.5 s after its step was ready while less than half of the processors of the service are in use, also if that comes about during the wait, and such a job then takes any place in the rack that it wants or outside. The outcome is withoutRun in the log and the metrics. Jobs with a run and services in use wait as before.

The property of decide-placement-wait.test.ts also checks the bound of 3 s.

--- a/packages/plan-jobs/src/rack-wants.ts
+++ b/packages/plan-jobs/src/rack-wants.ts
@@ -220,6 +220,7 @@
         later: listLaterSteps(waiting, createNeed),
         racks,
         isBegun: runRacks.size === 1 && racks.length === 1 && runRacks.has(racks[0] ?? ""),
+        hasRun: job.runsInProgress > 0,
         need: createNeed(step),
         readyAtMs: findReadyAtMs(job, occurrence, step),
         objectiveAtMs: (occurrence.dueAtMs ?? job.acceptedAtMs) + objectiveMs,
--- a/packages/plan-placement-waits/src/decide-placement-wait.test.ts
+++ b/packages/plan-placement-waits/src/decide-placement-wait.test.ts
@@ -15,6 +15,7 @@
         objectiveAtMs: nowMs + 60_000,
         laterMs: 0,
         loadShare: 0.5,
+        hasRun: false,
         metShare: 1,
         waitFactor: 1,
         ...changes,
@@ -74,6 +75,7 @@
         objectiveAtMs: fc.integer({ min: nowMs - 5_000, max: nowMs + 40_000 }),
         laterMs: fc.integer({ min: 0, max: 10_000 }),
         loadShare: fc.double({ min: 0, max: 1, noNaN: true }),
+        hasRun: fc.boolean(),
         metShare: fc.double({ min: 0, max: 1, noNaN: true }),
         waitFactor: fc.double({ min: 1, max: 4, noNaN: true }),
     });
@@ -84,6 +86,8 @@
                 assert.ok(decision.untilMs - offer.readyAtMs <= 2 * offer.runMs * (offer.farFactor - 1) + 1e-6);
                 assert.ok(decision.untilMs + offer.runMs + offer.laterMs <= offer.objectiveAtMs);
                 assert.ok(decision.untilMs > nowMs);
+                // The users' bound for an accepted job without a run while most of the service is free.
+                assert.ok(offer.hasRun || offer.loadShare >= 0.5 || decision.untilMs - offer.readyAtMs <= 3_000);
             }
         }),
         { seed: 20_261_204, numRuns: 2_000 },
--- a/packages/plan-placement-waits/src/decide-placement-wait.ts
+++ b/packages/plan-placement-waits/src/decide-placement-wait.ts
@@ -14,6 +14,8 @@
     readonly laterMs: number;
     /** Share of the processors of the service that is in use. */
     readonly loadShare: number;
+    /** Whether its job has a run. */
+    readonly hasRun: boolean;
     /** Share of the latest waits whose places came in time. */
     readonly metShare: number;
     /** Latest waits divided by their predictions. */
@@ -27,7 +29,9 @@
     /** A longer wait can't pay off. */
     | "breakEven"
     /** The objective is near. */
-    | "objective";
+    | "objective"
+    /** The job has had no run for as long as users allow in a pool of which most is free. */
+    | "withoutRun";
 
 /** Decision about the tasks of a step that find no place in the rack that it prefers. */
 export type WaitDecision =
@@ -49,6 +53,24 @@
 /** The same in milliseconds: the time of a pass and of the commit of a start. */
 export const latenessMs = 60;
 
+/** Load of a service below which most of it is free. */
+const mostlyFreeShare = 0.5;
+/**
+ * Longest wait of a job without a run while most of its service is free, in milliseconds; the start follows within the 3 s that users
+ * allow.
+ */
+const longestWithoutRunMs = 2_500;
+
+/**
+ * Finds when a job has to get a run whatever a place in the rack saves, in milliseconds since the epoch: users take an accepted job
+ * for lost that has none although most of the service is free.
+ */
+export function findRunLimitMs(
+    { readyAtMs, hasRun, loadShare }: Pick<WaitOffer, "readyAtMs" | "hasRun" | "loadShare">,
+): number {
+    return hasRun || loadShare >= mostlyFreeShare ? Number.POSITIVE_INFINITY : readyAtMs + longestWithoutRunMs;
+}
+
 /** Computes how much of a core-second more is taken from other tasks at a load, from 0 to 1. */
 function computeOthersShare(loadShare: number): number {
     return Math.min(1, Math.max(0, (loadShare - freeLoadShare) / (1 - freeLoadShare)));
@@ -78,6 +100,7 @@
         { limit: "prediction", atMs: nowMs + predictedMs * (1 + latenessShare) + latenessMs },
         { limit: "breakEven", atMs: readyAtMs + breakEvenMs * metShare },
         { limit: "objective", atMs: findObjectiveLimitMs(offer, nowMs) },
+        { limit: "withoutRun", atMs: findRunLimitMs(offer) },
     ];
     let untilMs = Number.POSITIVE_INFINITY;
     let earliest: WaitLimit = "prediction";
--- a/packages/plan-placement-waits/src/fakes/make-wants.ts
+++ b/packages/plan-placement-waits/src/fakes/make-wants.ts
@@ -23,6 +23,7 @@
         later: [],
         racks: ["r1"],
         isBegun: false,
+        hasRun: false,
         need: {
             resources: ofStep.resources,
             runMs: 1_000,
--- a/packages/plan-placement-waits/src/placement-memory.ts
+++ b/packages/plan-placement-waits/src/placement-memory.ts
@@ -13,6 +13,8 @@
     /** A longer wait could not pay off. */
     | "notWorthIt"
     | "objectiveNear"
+    /** The job had no run for as long as users allow in a service of which most is free. */
+    | "withoutRun"
     /** No worker of the rack takes starts any more. */
     | "rackLost"
     | "jobEnded";
--- a/packages/plan-placement-waits/src/plan-placement-waits.ts
+++ b/packages/plan-placement-waits/src/plan-placement-waits.ts
@@ -1,5 +1,11 @@
 import type { JobId, StepSpec, WorkerId } from "@chestnutspool/types";
-import { decidePlacementWait, latenessMs, latenessShare, type WaitLimit } from "./decide-placement-wait.js";
+import {
+    decidePlacementWait,
+    findRunLimitMs,
+    latenessMs,
+    latenessShare,
+    type WaitLimit,
+} from "./decide-placement-wait.js";
 import { listKeptRackWorkers } from "./kept-racks.js";
 import { endWait, getWaitRecord, type PlacementMemory, type StepWait, type WaitOutcome } from "./placement-memory.js";
 import {
@@ -38,6 +44,8 @@
     readonly racks: readonly string[];
     /** Whether it has runs in the rack, which lose their worth for the step if the other tasks go elsewhere. */
     readonly isBegun: boolean;
+    /** Whether its job has a run anywhere. */
+    readonly hasRun: boolean;
     readonly need: TaskNeed;
     readonly readyAtMs: number;
     readonly objectiveAtMs: number;
@@ -189,8 +197,15 @@
     prediction: "late",
     breakEven: "notWorthIt",
     objective: "objectiveNear",
+    withoutRun: "withoutRun",
 };
 
+/** Whether the job of a step needs a run now, wherever there is room. */
+function mustStart({ input, nowMs }: WaitPass, want: StepWant): boolean {
+    const { loadShare } = input.summarizeService(want.service);
+    return nowMs >= findRunLimitMs({ ...want, loadShare });
+}
+
 /** Continues a wait while its place is still expected in time. */
 function updateWait(pass: WaitPass, want: StepWant, wait: StepWait): StepPlacement {
     const { memory, nowMs } = pass;
@@ -202,6 +217,10 @@
         endWait(memory, wait, outcomeByLimit[wait.limit], nowMs);
         return refuseRacks(pass, want);
     }
+    if (mustStart(pass, want)) {
+        endWait(memory, wait, outcomeByLimit.withoutRun, nowMs);
+        return refuseRacks(pass, want);
+    }
     const offer = findRackOffer(pass, want, wait.rack);
     const toleratedMs = latenessMs + (wait.untilMs - nowMs) * latenessShare;
     if (offer === undefined || offer.lastMs > wait.untilMs + toleratedMs) {
@@ -306,14 +325,12 @@
  * Keeps the steps that got no place away from a rack for which others wait: a job gains nothing from a part of its tasks in
  * the rack. A step that would have stopped waiting by now takes any place.
  */
-function decideAvoidedRack(
-    { input, contended, nowMs }: WaitPass,
-    want: StepWant,
-    placement: StepPlacement,
-): StepPlacement {
+function decideAvoidedRack(pass: WaitPass, want: StepWant, placement: StepPlacement): StepPlacement {
+    const { input, contended, nowMs } = pass;
     const { service, spec: { rackOfData }, readyAtMs, need: { runMs } } = want;
     const isAvoided = placement.kind === "start" && rackOfData !== undefined
-        && contended.has(formatRackKey(service, rackOfData)) && nowMs < readyAtMs + runMs * (input.farFactor - 1);
+        && contended.has(formatRackKey(service, rackOfData)) && nowMs < readyAtMs + runMs * (input.farFactor - 1)
+        && !mustStart(pass, want);
     return isAvoided ? { kind: "start", avoidedRack: rackOfData } : placement;
 }
 
