--- a/packages/plan-jobs/src/describe-wait.ts
+++ b/packages/plan-jobs/src/describe-wait.ts
@@ -1,5 +1,5 @@
 import { computeReservation, formatStepKey } from "@chestnutspool/job-state";
-import type { PlanInput } from "./plan-starts.js";
+import type { PlanInput } from "./plan-input.js";
 import type { Lateness } from "./predict-lateness.js";
 import { findObstacle, type Obstacle } from "./rate-workers.js";
 import type { WaitingStep } from "./waiting-steps.js";
--- a/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
+++ b/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
@@ -9,7 +9,7 @@
 import { createContentionMemory, orderContended } from "../contended-pools.js";
 import { holdWorkers } from "../hold-workers.js";
 import { listKeptWorkers, selectCandidates } from "../keep-workers.js";
-import { listCandidates, type PlanInput } from "../plan-starts.js";
+import { listCandidates, type PlanInput } from "../plan-input.js";
 import { createStart, listStartable } from "../startable-tasks.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "../waiting-steps.js";
 import { findRack, hasCapacity, releaseCapacity, reserveCapacity, type WorkerCandidate } from "../worker-candidate.js";
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -6,9 +6,10 @@
 export { listStalledRuns } from "./list-stalled-runs.js";
 export { hasUncertainPairs, observeMargins, recordUsage } from "./observe-report.js";
 export { describeObservedRun, getWorkerPlace, observeSpeeds } from "./observe-speeds.js";
+export { listCandidates, type PlanInput } from "./plan-input.js";
 export { createPlanMemory, type PlanMemory } from "./plan-memory.js";
 export { type PaceChange, planPaces } from "./plan-paces.js";
-export { listCandidates, type PlanInput, planStarts } from "./plan-starts.js";
+export { planStarts } from "./plan-starts.js";
 export {
     computeChainMs,
     computeObjectiveMs,
--- a/packages/plan-jobs/src/list-stalled-runs.ts
+++ b/packages/plan-jobs/src/list-stalled-runs.ts
@@ -1,7 +1,7 @@
 import { formatRunKey, formatStepKey, type JobStep, type WorkerRun } from "@chestnutspool/job-state";
 import { isAtWork, type RunStatus } from "@chestnutspool/track-workers";
 import type { WorkerId } from "@chestnutspool/types";
-import { listCandidates, type PlanInput } from "./plan-starts.js";
+import { listCandidates, type PlanInput } from "./plan-input.js";
 import { findObstacle } from "./rate-workers.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { hasCapacity, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,13 +1,12 @@
-import { acceptsStarts, formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
-import type { InterferenceModel } from "@chestnutspool/learn-interference";
-import { needsTrial, type RunStatuses } from "@chestnutspool/track-workers";
-import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
+import { formatStepKey, type JobTask } from "@chestnutspool/job-state";
+import { needsTrial } from "@chestnutspool/track-workers";
+import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
 import { holdWorkers } from "./hold-workers.js";
 import { chooseWorkers, listKeptWorkers, selectCandidates } from "./keep-workers.js";
+import { groupByService, listCandidates, type PlanInput } from "./plan-input.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
 import { planStarvedSteps, type StarvedAttempt } from "./plan-starved-steps.js";
-import type { PlacementWaits } from "./rack-wants.js";
 import type { RatingContext } from "./rate-workers.js";
 import { createStart, listStartable } from "./startable-tasks.js";
 import { listStarvedSteps, summarizePools } from "./starved-steps.js";
@@ -17,15 +16,12 @@
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import {
-    type CapacityReservation,
-    createWorkerCandidate,
     findRack,
     hasReservation,
     releaseCapacity,
     reserveCapacity,
     type WorkerCandidate,
 } from "./worker-candidate.js";
-import { applySpeeds } from "./worker-speeds.js";
 
 /**
  * Limit of starts per pass, so that a burst of tasks does not block the process. The starts of gangs count, but are not
@@ -35,29 +31,6 @@
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
-/** Input of the planner. */
-export interface PlanInput {
-    readonly state: JobState;
-    /** Whether tasks may start on a worker now. */
-    readonly isUsable: (worker: WorkerId) => boolean;
-    /** Number of runs that may start on a worker now; undefined if only its capacity limits them. */
-    readonly findStartLimit: (worker: WorkerId) => number | undefined;
-    /** Worker of the last failed run of a task; undefined if unknown. */
-    readonly findFailedWorker: (task: TaskKey) => WorkerId | undefined;
-    readonly interference: InterferenceModel;
-    /** State of the runs on a worker, by its reports. */
-    readonly findRunStatuses: (worker: WorkerId) => RunStatuses | undefined;
-    /**
-     * Useful speed of a worker: 1 for a normal one, 0.2 for one that takes five times as long. Absent if speeds are not
-     * learnt, so that all workers count as normal.
-     */
-    readonly predictSpeed?: ((worker: WorkerId) => number) | undefined;
-    /** Capacity that only tasks of certain steps may take. */
-    readonly reservations?: readonly CapacityReservation[];
-    /** Lets tasks wait for the rack that they prefer; without it they start wherever there is room. */
-    readonly placementWaits?: PlacementWaits | undefined;
-}
-
 /** State of one planning pass. */
 interface PlanningPass {
     readonly input: PlanInput;
@@ -84,35 +57,6 @@
     readonly tasksByRack: Map<string, number>;
 }
 
-/** Lists the workers on which tasks may start. */
-export function listCandidates(input: PlanInput): WorkerCandidate[] {
-    const { state, isUsable, findStartLimit, findRunStatuses, reservations = [] } = input;
-    const candidates = [...state.workers.values()]
-        .filter(worker => acceptsStarts(state, worker) && isUsable(worker.info.id))
-        .map(worker => createWorkerCandidate(worker, findRunStatuses(worker.info.id), findStartLimit(worker.info.id)));
-    for (const reservation of reservations) {
-        const candidate = candidates.find(({ state: { info } }) => info.id === reservation.worker);
-        if (candidate !== undefined) {
-            candidate.reservations = [...candidate.reservations, reservation];
-        }
-    }
-    if (input.predictSpeed !== undefined) {
-        applySpeeds(candidates, input.predictSpeed);
-    }
-    return candidates;
-}
-
-function groupByService(candidates: readonly WorkerCandidate[]): ReadonlyMap<string, readonly WorkerCandidate[]> {
-    const candidatesByService = new Map<string, WorkerCandidate[]>();
-    for (const candidate of candidates) {
-        const { service } = candidate.state.info;
-        const ofService = candidatesByService.get(service) ?? [];
-        ofService.push(candidate);
-        candidatesByService.set(service, ofService);
-    }
-    return candidatesByService;
-}
-
 function listStepCandidates(pass: PlanningPass, waiting: WaitingStep): readonly WorkerCandidate[] {
     const ofService = pass.candidatesByService.get(waiting.job.queue.service) ?? [];
     return pass.placements.selectWorkers(waiting, selectCandidates(ofService, pass.kept, waiting));
--- a/packages/plan-jobs/src/planning-work.test.ts
+++ b/packages/plan-jobs/src/planning-work.test.ts
@@ -6,8 +6,9 @@
 import { test } from "node:test";
 import { makePlanInput } from "./fakes/make-plan-input.js";
 import { listStalledRuns } from "./list-stalled-runs.js";
+import type { PlanInput } from "./plan-input.js";
 import { createPlanMemory } from "./plan-memory.js";
-import { type PlanInput, planStarts } from "./plan-starts.js";
+import { planStarts } from "./plan-starts.js";
 
 const workerCount = 320;
 
--- a/packages/plan-jobs/src/rack-wants.ts
+++ b/packages/plan-jobs/src/rack-wants.ts
@@ -21,7 +21,7 @@
 } from "@chestnutspool/plan-placement-waits";
 import { needsTrial } from "@chestnutspool/track-workers";
 import type { StepSpec, WorkerId, WorkerInfo } from "@chestnutspool/types";
-import type { PlanInput } from "./plan-starts.js";
+import type { PlanInput } from "./plan-input.js";
 import { computeChainMs } from "./predict-lateness.js";
 import { listStartable } from "./startable-tasks.js";
 import type { WaitingStep } from "./waiting-steps.js";
--- a/packages/plan-jobs/src/step-placements.ts
+++ b/packages/plan-jobs/src/step-placements.ts
@@ -1,7 +1,7 @@
 import { computeReservation, isJobEnded } from "@chestnutspool/job-state";
 import { type PlacementPlan, planPlacementWaits, type StepPlacement } from "@chestnutspool/plan-placement-waits";
 import { findShortage, type StepSpec } from "@chestnutspool/types";
-import type { PlanInput } from "./plan-starts.js";
+import type { PlanInput } from "./plan-input.js";
 import { createRackContext, formatWaitingKey, listRackWorkers, listWants } from "./rack-wants.js";
 import type { WaitingStep } from "./waiting-steps.js";
 import { findRack, type WorkerCandidate } from "./worker-candidate.js";
