Let tasks that have waited for a trial join the trial of others

After two crashes under 16 small jobs, 14 of them waited longer than 3 s on four workers, up to 21.7 s: each suspected task had a worker of its own for 3 s, on half of the workers at most, whatever the number that waited. A task of a job without a run, or a long-running one, that has waited 1 s for a trial now joins one that is under way. A task that has certainly crashed a worker, or under which three workers have crashed, and the members of a gang are never put together with others, so that a deadly task is alone from its third crash on. None joins while a gang waits for the end of these trials.

Test: delayed-steps.test.ts, no job waits longer than the bound for its trial after two crashes under many jobs. New in late-crashes.test.ts: one deadly task among 16 on four workers, with crashes 0.2 and 2 s after the start, starts at most twice after its third crash, and none of the others is given up.

--- a/packages/lead-jobs/src/late-crashes.test.ts
+++ b/packages/lead-jobs/src/late-crashes.test.ts
@@ -109,3 +109,28 @@
         );
     }
 }
+
+// Guards against a task that is started without end, or neighbours that are given up for it, because many suspected tasks share a trial.
+for (const crashAfterMs of [200, 2_000]) {
+    testWithClock(
+        `a task that crashes its worker after ${crashAfterMs} ms is found among many that share its trials`,
+        Effect.gen(function*() {
+            yield* TestClock.setTime(testStartMs);
+            const system = yield* startTestSystem;
+            yield* setUpWorkers(system, 4);
+            const jobs = Array.from({ length: 16 }, (none, number) => number === 7 ? "deadly" : `n${number}`);
+            for (const job of jobs) {
+                const resources = { milliCpu: 100, memoryMib: 10, accelerators: 0 };
+                yield* system.submit(makeJob(job, [makeStep({ resources, expectedRunMs: findRunMs(job) })]));
+            }
+            yield* passWithCrashes(system, crashAfterMs, 90_000);
+            const late = yield* countLateStarts(system, "deadly.0.0.0");
+            assert.ok(late <= startsAfterLimit, `started ${late} times after the third crash`);
+            const phases: string[] = [];
+            for (const job of jobs) {
+                phases.push(yield* readPhase(system, job));
+            }
+            assert.deepEqual(phases, jobs.map(job => isDeadlyTask(job) ? "failed" : "completed"));
+        }),
+    );
+}
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -1,6 +1,7 @@
 import type { JobStep } from "@chestnutspool/job-state";
 import { type ContentionMemory, createContentionMemory } from "./contended-pools.js";
 import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
+import type { TrialWaits } from "./trial-waits.js";
 
 /**
  * First limit of the ratings of workers in one pass, so that a long backlog does not block the process. At 1,300 workers
@@ -32,6 +33,7 @@
     hasStepsLeft: boolean;
     readonly starvation: StarvationMemory;
     readonly contention: ContentionMemory;
+    readonly trialWaits: TrialWaits;
 }
 
 /** Creates the memory of a planner that has made no pass. */
@@ -44,6 +46,7 @@
         hasStepsLeft: false,
         starvation: createStarvationMemory(),
         contention: createContentionMemory(),
+        trialWaits: new WeakMap(),
     };
 }
 
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,5 +1,5 @@
 import { formatStepKey, type JobTask } from "@chestnutspool/job-state";
-import { needsTrial } from "@chestnutspool/track-workers";
+import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
 import { holdWorkers } from "./hold-workers.js";
@@ -12,6 +12,7 @@
 import { listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements, type StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
+import { observeTrialWait } from "./trial-waits.js";
 import { cancelGangTrial, canTry, countTrials, hasRun, startTrial, type TrialCounts } from "./trials.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
@@ -41,13 +42,23 @@
     readonly placements: StepPlacements;
     readonly starts: RunStart[];
     /** Tasks whose trials go after the first ones of jobs without a run. */
-    readonly deferredTrials: { readonly waiting: WaitingStep; readonly tasks: readonly JobTask[]; }[];
+    readonly deferredTrials: TrialsOfStep[];
+    /** Tasks for whose trials there is no worker. */
+    readonly blockedTrials: TrialsOfStep[];
+    /** Services with a gang for whose trial there is no worker. */
+    readonly blockedGangs: Set<string>;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
     ratings: number;
 }
 
+/** Tasks of a step that need a trial. */
+interface TrialsOfStep {
+    readonly waiting: WaitingStep;
+    readonly tasks: readonly JobTask[];
+}
+
 /** A step whose tasks are planned in a pass. */
 interface StepPlan {
     readonly waiting: WaitingStep;
@@ -62,7 +73,12 @@
     return pass.placements.selectWorkers(waiting, selectCandidates(ofService, pass.kept, waiting));
 }
 
-function createStepPlan(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): StepPlan {
+function createStepPlan(
+    pass: PlanningPass,
+    waiting: WaitingStep,
+    isStarved: boolean,
+    joinsTrial = false,
+): StepPlan {
     const { job, occurrence, step } = waiting;
     const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
     const tasksByRack = new Map<string, number>();
@@ -73,6 +89,7 @@
         interference: pass.input.interference,
         tasksByRack,
         acceptsDisturbance: isStarved,
+        joinsTrial,
     };
     const candidates = listStepCandidates(pass, waiting);
     return {
@@ -90,11 +107,12 @@
 function reserveTrialWorker(
     pass: PlanningPass,
     { waiting, stepKey, ratings }: StepPlan,
+    task: JobTask,
 ): WorkerCandidate | undefined {
     const { job, step } = waiting;
     const candidate = ratings.chooseTrialWorker();
     if (candidate !== undefined) {
-        startTrial(pass.trials, candidate, step.spec.gang ? stepKey : undefined);
+        startTrial(pass.trials, candidate, task, step.spec.gang ? stepKey : undefined);
         reserveCapacity(candidate, job.id, step.spec, stepKey);
         ratings.updateAfterStart(candidate);
     }
@@ -111,7 +129,7 @@
     task: JobTask,
 ): WorkerCandidate | undefined {
     if (needsTrial(task)) {
-        return reserveTrialWorker(pass, plan);
+        return reserveTrialWorker(pass, plan, task);
     }
     const { waiting, stepKey, ratings, tasksByRack } = plan;
     const { job, occurrence, step } = waiting;
@@ -162,6 +180,7 @@
     for (const [position, task] of tasks.entries()) {
         if (needsTrial(task)) {
             if (!canTry(pass.trials, waiting.job.queue.service, task)) {
+                pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
                 return;
             }
             if (defersTrials && hasRun(waiting.job, pass.starts)) {
@@ -172,6 +191,9 @@
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
             recordUnmet(pass, waiting);
+            if (needsTrial(task)) {
+                pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
+            }
             return;
         }
         pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
@@ -190,6 +212,32 @@
     }
 }
 
+/**
+ * Plans trials of tasks that have waited for long: they join those of others, because the number of trials at a time depends on the
+ * workers, and the number of tasks that wait does not. Of a job that ends by itself only one task does, and none does while a gang waits
+ * for the end of these trials.
+ */
+function planSharedTrials(pass: PlanningPass, { trialWaits }: PlanMemory, nowMs: number): void {
+    for (const { waiting, tasks } of pass.blockedTrials) {
+        const { job, step } = waiting;
+        if (!step.spec.longRunning && hasRun(job, pass.starts)) {
+            continue;
+        }
+        const mayShare = observeTrialWait(trialWaits, step, nowMs);
+        if (!mayShare || pass.blockedGangs.has(job.queue.service)) {
+            continue;
+        }
+        const plan = createStepPlan(pass, waiting, false, true);
+        for (const task of tasks.filter(canShareTrial).slice(0, step.spec.longRunning ? tasks.length : 1)) {
+            const candidate = reserveTrialWorker(pass, plan, task);
+            if (candidate === undefined) {
+                break;
+            }
+            pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
+        }
+    }
+}
+
 /** Plans starts of all tasks of a gang with the same run number, or of none. */
 function planGang(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
     const { job, step } = waiting;
@@ -200,6 +248,7 @@
     const suspected = tasks.filter(needsTrial);
     const [suspect] = suspected;
     if (suspect !== undefined && !canTry(pass.trials, job.queue.service, suspect)) {
+        pass.blockedGangs.add(job.queue.service);
         return;
     }
     // The suspected members go first, so that they are together on as few workers as possible.
@@ -326,6 +375,8 @@
         placements: planStepPlacements(input, candidatesByService, waitingSteps, nowMs),
         starts: [],
         deferredTrials: [],
+        blockedTrials: [],
+        blockedGangs: new Set(),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
@@ -339,6 +390,7 @@
         return pass.ratings - ratingsBefore;
     });
     planDeferredTrials(pass);
+    planSharedTrials(pass, memory, nowMs);
     planStarved(pass, waitingSteps, memory, nowMs);
     recordContendedStarts(memory.contention, input.state, pass.starts);
     return pass.starts;
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -40,6 +40,8 @@
     readonly tasksByRack: ReadonlyMap<string, number>;
     /** Whether a best-effort task may start although it disturbs serving tasks or finds few idle processors. */
     readonly acceptsDisturbance: boolean;
+    /** Whether a task that needs a trial joins one that other tasks have begun. */
+    readonly joinsTrial: boolean;
 }
 
 /** Pairs of one serving image, as estimated when a rating of the worker first needed them. */
--- a/packages/plan-jobs/src/step-ratings.ts
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -47,7 +47,9 @@
 ): StepRatings {
     const rate = (candidate: WorkerCandidate): number | undefined => {
         countRating();
-        return hasCapacity(candidate, spec, stepKey) ? rateWorker(candidate, spec, context) : undefined;
+        return hasCapacity(candidate, spec, stepKey, context.joinsTrial)
+            ? rateWorker(candidate, spec, context)
+            : undefined;
     };
     const suitable: { readonly candidate: WorkerCandidate; rating: number; }[] = [];
     for (const candidate of candidates) {
--- a/packages/plan-jobs/src/trials.ts
+++ b/packages/plan-jobs/src/trials.ts
@@ -1,5 +1,5 @@
 import type { JobRecord, JobState, JobTask } from "@chestnutspool/job-state";
-import { hasTrial, type RunStatuses } from "@chestnutspool/track-workers";
+import { canShareTrial, hasTrial, type RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
 import type { WorkerCandidate } from "./worker-candidate.js";
 
@@ -56,9 +56,15 @@
     return runsInProgress > 0 || starts.some(({ job }) => job === id);
 }
 
-/** Puts a worker on trial; the members of the gang of the step `gangKey` may join it. */
-export function startTrial(trials: TrialCounts, candidate: WorkerCandidate, gangKey: string | undefined): void {
+/** Puts a worker on the trial of a task; the members of the gang of the step `gangKey` may join it. */
+export function startTrial(
+    trials: TrialCounts,
+    candidate: WorkerCandidate,
+    task: JobTask,
+    gangKey: string | undefined,
+): void {
     if (!candidate.isOnTrial) {
+        candidate.sharesTrial = gangKey === undefined && canShareTrial(task);
         candidate.isOnTrial = true;
         candidate.trialGang = gangKey;
         addTrial(trials, candidate, 1);
@@ -69,6 +75,7 @@
 export function cancelGangTrial(trials: TrialCounts, candidate: WorkerCandidate, gangKey: string): void {
     if (candidate.trialGang === gangKey) {
         candidate.isOnTrial = false;
+        candidate.sharesTrial = false;
         candidate.trialGang = undefined;
         addTrial(trials, candidate, -1);
     }
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -1,6 +1,6 @@
 import { computeReservation, formatStepKey, type WorkerState } from "@chestnutspool/job-state";
 import type { PairEstimate } from "@chestnutspool/learn-interference";
-import { hasTrial, type RunStatus, type RunStatuses } from "@chestnutspool/track-workers";
+import { hasSharedTrial, hasTrial, type RunStatus, type RunStatuses } from "@chestnutspool/track-workers";
 import {
     addResources,
     findShortage,
@@ -62,6 +62,8 @@
     isHeld: boolean;
     /** Whether a task that may crash the worker is on trial here, so that no other task may start. */
     isOnTrial: boolean;
+    /** Whether tasks that have waited for a trial may join the one here. */
+    sharesTrial: boolean;
     /** Step of the gang whose members share the trial that the pass plans here, as written by `formatStepKey`. */
     trialGang: string | undefined;
     /** State of the runs on the worker, by its reports. */
@@ -217,6 +219,7 @@
     startLimit?: number,
 ): WorkerCandidate {
     const { tasksByStep, idleMilliCpu, lastingMilliCpu, ending, servingGroups, bestEffortShares } = getRunSums(state);
+    const isOnTrial = hasTrial(state, statuses);
     return {
         state,
         free: subtractResources(state.info.capacity, state.used),
@@ -224,7 +227,8 @@
         startsLeft: startLimit,
         speed: 1,
         isHeld: false,
-        isOnTrial: hasTrial(state, statuses),
+        isOnTrial,
+        sharesTrial: isOnTrial && hasSharedTrial(state, statuses),
         trialGang: undefined,
         statuses,
         plannedRuns: 0,
@@ -259,9 +263,17 @@
     addTask(candidate, job, spec, stepKey, change);
 }
 
-/** Whether the limits and labels of a worker allow a task of a step to start there if its resources suffice. */
-export function isEligible(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
-    if ((candidate.isOnTrial && candidate.trialGang !== stepKey) || candidate.startsLeft === 0) {
+/** Whether a worker is free of trials, or takes a task of a step into the one that it has. */
+function allowsTrial(candidate: WorkerCandidate, stepKey: string, joinsTrial: boolean): boolean {
+    return joinsTrial ? candidate.sharesTrial : !candidate.isOnTrial || candidate.trialGang === stepKey;
+}
+
+/**
+ * Whether the limits and labels of a worker allow a task of a step to start there if its resources suffice. A task that joins a trial
+ * starts only where there is one that it may share.
+ */
+export function isEligible(candidate: WorkerCandidate, spec: StepSpec, stepKey: string, joinsTrial = false): boolean {
+    if (!allowsTrial(candidate, stepKey, joinsTrial) || candidate.startsLeft === 0) {
         return false;
     }
     if (candidate.isHeld && !spec.longRunning && !hasReservation(candidate.reservations, stepKey)) {
@@ -290,8 +302,8 @@
 }
 
 /** Whether the limits, labels and free resources of a worker allow a task of a step to start there. */
-export function hasCapacity(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
-    return isEligible(candidate, spec, stepKey)
+export function hasCapacity(candidate: WorkerCandidate, spec: StepSpec, stepKey: string, joinsTrial = false): boolean {
+    return isEligible(candidate, spec, stepKey, joinsTrial)
         && findShortage(computeReservation(spec), computeUnreserved(candidate, stepKey)) === undefined;
 }
 
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -24,7 +24,15 @@
     recordStartRejection,
     type StartRejections,
 } from "./start-rejections.js";
-export { countUnprovedRuns, findCrashSuspects, hasTrial, isDeadly, needsTrial } from "./worker-crashes.js";
+export {
+    canShareTrial,
+    countUnprovedRuns,
+    findCrashSuspects,
+    hasSharedTrial,
+    hasTrial,
+    isDeadly,
+    needsTrial,
+} from "./worker-crashes.js";
 export {
     countAllowedStarts,
     createWorkerHealth,
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -53,6 +53,18 @@
         || exceedsLifeLimit(task, lifeTrialLimit);
 }
 
+/** Number of crashes in the life of a task from which it shares its trials with no other task. */
+const crashesForOwnTrial = 3;
+
+/**
+ * Whether a task may be on trial together with others: nothing tells it apart from tasks that shared its crashes, and so few workers have
+ * crashed under it that it cannot crash too many before it is alone.
+ */
+export function canShareTrial({ crashes, crashHistory }: JobTask): boolean {
+    return (crashes?.certain ?? 0) === 0
+        && Math.max(crashes?.crashes ?? 0, crashHistory?.crashes ?? 0) < crashesForOwnTrial;
+}
+
 function hasLatelyCrashed(task: JobTask): boolean {
     const { crashes = 0, certain = 0 } = task.crashes ?? {};
     return certain >= certainCrashesToGiveUp
@@ -90,6 +102,17 @@
     return false;
 }
 
+/** Whether all runs that are on trial on a worker may share it with further ones. The members of a gang share it with each other only. */
+export function hasSharedTrial({ runs }: WorkerState, statuses: RunStatuses | undefined): boolean {
+    for (const [key, { task, step }] of runs) {
+        const isOnTrial = needsTrial(task) && !hasProvedItself(task, statuses?.get(key));
+        if (isOnTrial && (step.spec.gang || !canShareTrial(task))) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /** Counts the runs of a worker that have not proved themselves yet. */
 export function countUnprovedRuns({ runs }: WorkerState, statuses: RunStatuses | undefined): number {
     let count = 0;
