Delay the starts of a step that workers refuse for its own sake

A start that a worker answers with 400, or with 409 for its ticket, ended as never started and was planned again in the next pass: 252 commits of starts and their ends in a second, without an end, for a job of three tasks. Such a refusal now delays the starts of the step by 0.5, 1 and at most 2 s; then one task is tried at a time, on another worker first, until one is confirmed. The delay is kept by step and not by worker, so that other jobs start on the same worker at once, and no worker is held for a step that is refused.

Tests, new in rejected-starts.test.ts; the three failed before (252 commits in a second for each reason; the task never went to the other worker) and pass: fewer than 5 commits in each second after the first starts, completion once starts are accepted, and another job that starts at once.

--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -7,7 +7,7 @@
     type RunQuality,
     type RunStatus,
 } from "@chestnutspool/track-workers";
-import { type RunEnd, setLatest, type WorkerId } from "@chestnutspool/types";
+import { type RunEnd, setLatest, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { observeRunEnd } from "./learn-speeds.js";
 import { recordPlacementRun } from "./placement-waits.js";
 import type { Term, WorkerSession } from "./term.js";
@@ -79,6 +79,11 @@
     }
 }
 
+/** Records that a run of a task failed or was refused on a worker, so that the task starts there only if no other one is suitable. */
+export function recordFailedWorker(term: Term, { info }: WorkerSession, task: TaskKey): void {
+    setLatest(term.failedWorkerByTask, formatTaskKey(task), info.id, failedTaskLimit);
+}
+
 /** Updates the health of a worker by the end of a run. Must be called before the end is recorded. */
 export function rateRunEnd(term: Term, session: WorkerSession, end: RunEnd, nowMs: number): void {
     const key = formatRunKey(end);
@@ -89,7 +94,7 @@
         observeRunEnd(term, session, key, run, status, end, nowMs);
     }
     if (end.outcome === "failed") {
-        setLatest(term.failedWorkerByTask, formatTaskKey(end), session.info.id, failedTaskLimit);
+        recordFailedWorker(term, session, end);
     }
     if (run !== undefined && status !== undefined && end.outcome === "succeeded") {
         recordPlacementRun(term, session.info, run, status, nowMs);
--- a/packages/lead-jobs/src/rejected-starts.test.ts
+++ b/packages/lead-jobs/src/rejected-starts.test.ts
@@ -1,5 +1,11 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
-import { type JobCommand, type OrderAnswer, readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
+import {
+    type JobCommand,
+    type OrderAnswer,
+    type OrderRefusal,
+    readMonotonicMs,
+    type WorkerInfo,
+} from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
 import { makeWorker, startTestSystemWith, type TestSystem, testWithClock } from "./fakes/index.js";
@@ -19,8 +25,12 @@
 const readPhase = (system: TestSystem, job: string) =>
     system.ask({ kind: "readJob", job, hostName: "jobs.example", path: `/main/${job}` });
 
-/** A system whose worker `w1` answers starts with 503 while `isRejecting` returns true. */
-const startRejectingSystem = Effect.fnUntraced(function*(isRejecting: () => boolean, commits: TimedCommit[] = []) {
+/** A system whose worker `w1` answers starts with 503, or another refusal, while `isRejecting` returns true. */
+const startRejectingSystem = Effect.fnUntraced(function*(
+    isRejecting: () => boolean,
+    commits: TimedCommit[] = [],
+    reason: OrderRefusal = "unhealthy",
+) {
     const system = yield* startTestSystemWith(
         port => ({
             ...port,
@@ -28,7 +38,7 @@
                 worker.id === rejecting.id && isRejecting()
                     ? Effect.as(
                         Effect.sleep(1),
-                        { kind: "refused", reason: "unhealthy", clockMs: undefined } satisfies OrderAnswer,
+                        { kind: "refused", reason, clockMs: undefined } satisfies OrderAnswer,
                     )
                     : port.startRun(worker, order, limitMs),
         }),
@@ -176,3 +186,52 @@
         assert.deepEqual(yield* readPhase(system, "gang"), { kind: "phase", phase: "completed" });
     }),
 );
+
+/** Refusals that concern the task and not the worker. */
+for (const reason of ["invalid", "ticketInvalid"] as const) {
+    // Guards against a leader that commits a start that no worker accepts, and its end, in each pass.
+    testWithClock(
+        `starts of a step that are refused as ${reason} cost fewer than 5 commits in each second, and delay no other step`,
+        Effect.gen(function*() {
+            let isRejecting = true;
+            const commits: TimedCommit[] = [];
+            const system = yield* startRejectingSystem(() => isRejecting, commits, reason);
+            const fromMs = yield* readMonotonicMs;
+            yield* system.submit(makeJob("1", [makeStep({ requiredLabel: "b", count: 3 })]));
+            yield* system.pass(5_500);
+            // The first starts of the step are ordered together.
+            const times = commits.filter(({ kind, atMs }) =>
+                (kind === "startRuns" || kind === "endRuns") && atMs >= fromMs + 100
+            ).map(({ atMs }) => atMs);
+            assert.ok(times.length >= 4, "starts are tried again");
+            assert.ok(countMostPerSecond(times) < 5, `${countMostPerSecond(times)} commits in a second`);
+            isRejecting = false;
+            yield* system.pass(5_000);
+            assert.deepEqual(yield* readPhase(system, "1"), { kind: "phase", phase: "completed" });
+        }),
+    );
+}
+
+// Guards against other jobs that wait because a worker refuses the starts of one step.
+testWithClock(
+    "a job starts at once on a worker that refuses the starts of another one, which goes to another worker",
+    Effect.gen(function*() {
+        const system = yield* startTestSystemWith(port => ({
+            ...port,
+            startRun: (worker, order, limitMs) =>
+                worker.id === "w1" && order.job === "refused"
+                    ? Effect.succeed({ kind: "refused", reason: "invalid", clockMs: undefined } satisfies OrderAnswer)
+                    : port.startRun(worker, order, limitMs),
+        }));
+        yield* system.addWorker(rejecting);
+        yield* system.pass(500);
+        yield* system.submit(makeJob("refused", [makeStep({ requiredLabel: "b" })]));
+        yield* system.pass(100);
+        yield* system.submit(makeJob("other", [makeStep({ requiredLabel: "b" })]));
+        yield* system.pass(100);
+        assert.deepEqual((yield* system.readStartedRuns).map(({ task }) => task), ["other.0.0.0"]);
+        yield* system.addWorker({ ...rejecting, id: "w2" });
+        yield* system.pass(3_000);
+        assert.deepEqual(yield* readPhase(system, "refused"), { kind: "phase", phase: "completed" });
+    }),
+);
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -29,6 +29,7 @@
 import { computeIdlePauseMs, logEndedWaits } from "./placement-waits.js";
 import { carryOutPreemptions } from "./preempt-runs.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
+import { countStepStarts } from "./refused-steps.js";
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
@@ -245,6 +246,9 @@
         isUsable: (worker: WorkerId) => isUsable(term, worker),
         findFailedWorker: (task: TaskKey) => term.failedWorkerByTask.get(formatTaskKey(task)),
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
+        countStepStarts: term.refusedSteps.size === 0
+            ? undefined
+            : (stepKey: string) => countStepStarts(term, stepKey, nowMs),
         interference: term.interference,
         findRunStatuses: (worker: WorkerId) => term.sessions.get(worker)?.runStatuses,
         predictSpeed: createSpeedReader(term, nowMs),
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -17,7 +17,9 @@
 import { Effect } from "effect";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
 import { listOpenOrders, recordOpenOrder } from "./open-orders.js";
+import { recordFailedWorker } from "./rate-run-ends.js";
 import { observeBegunJob } from "./record-begun-jobs.js";
+import { recordConfirmedStep, recordRefusedStep } from "./refused-steps.js";
 import { superviseLoop, superviseOrder } from "./supervise-loop.js";
 import { canSendOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
@@ -73,38 +75,52 @@
     return Effect.map(readMonotonicMs, nowMs => setStart(status, "unanswered", nowMs));
 }
 
-/** Whether a refusal says that the worker takes no starts now, whatever the task is. */
-function concernsWorker(reason: OrderRefusal): boolean {
+/**
+ * What a refusal of a start concerns: the worker, which takes no starts now whatever the task is, the task wherever it starts, or only
+ * this order.
+ */
+function rateRefusal(reason: OrderRefusal): "worker" | "task" | "order" {
     switch (reason) {
         case "unhealthy":
         case "noRoom":
         case "leaseOver":
-            return true;
+            return "worker";
+        case "ticketInvalid":
+        case "invalid":
+            return "task";
         case "staleToken":
         case "staleRun":
-        case "ticketInvalid":
         case "otherWorker":
-        case "invalid":
-            return false;
+            return "order";
     }
 }
 
-/** Records whether a worker takes starts, so that the planner delays further ones if it does not. */
+/** Records whether a worker takes starts, or those of a step, so that the planner delays further ones if it does not. */
 function observeStartAnswer(
     term: Term,
-    { info, startRejections }: WorkerSession,
+    session: WorkerSession,
     status: RunStatus,
     answer: OrderAnswer,
     nowMs: number,
 ): void {
+    const { info, startRejections } = session;
     if (answer.kind === "done") {
+        recordConfirmedStep(term, status);
         if (recordConfirmedStart(startRejections, status.orderedAtMs)) {
             term.logger.info("worker takes starts again", { worker: info.id });
             wakePlanner(term);
         }
         return;
     }
-    if (answer.kind === "refused" && concernsWorker(answer.reason)) {
+    if (answer.kind !== "refused") {
+        return;
+    }
+    const concern = rateRefusal(answer.reason);
+    if (concern === "task") {
+        recordRefusedStep(term, status, answer.reason, nowMs);
+        recordFailedWorker(term, session, status.key);
+    }
+    if (concern === "worker") {
         const { inRow } = startRejections;
         recordStartRejection(startRejections, status.orderedAtMs, nowMs);
         if (startRejections.inRow > inRow) {
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -82,6 +82,7 @@
         givenUpJobs: new Set(),
         begunJobs: new Set(),
         openOrders: new Map(),
+        refusedSteps: new Map(),
         plannerWakeups: yield* Queue.sliding<void>(1),
         interference: createInterferenceModel(),
         speeds: createSpeedLearning(dependencies, wallMs, openedAtMs),
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -23,6 +23,7 @@
 import { Effect, type FiberMap, Queue, type Scope } from "effect";
 import { type Admission, listCommandWork, recordWork } from "./admission.js";
 import type { OpenOrders } from "./open-orders.js";
+import type { RefusedSteps } from "./refused-steps.js";
 import { readTermMs, type SteadyClock } from "./steady-clock.js";
 import { recordCommit, type TermLoad } from "./term-load.js";
 
@@ -136,6 +137,8 @@
     readonly begunJobs: Set<JobId>;
     /** Starts whose run has ended and that may yet arrive at their worker. */
     readonly openOrders: OpenOrders;
+    /** Steps of which workers refuse the starts. */
+    readonly refusedSteps: RefusedSteps;
     /** Queue whose items wake the planner. */
     readonly plannerWakeups: Queue.Queue<void>;
     readonly interference: InterferenceModel;
--- a/packages/plan-jobs/src/plan-input.ts
+++ b/packages/plan-jobs/src/plan-input.ts
@@ -13,7 +13,9 @@
     readonly isUsable: (worker: WorkerId) => boolean;
     /** Number of runs that may start on a worker now; undefined if only its capacity limits them. */
     readonly findStartLimit: (worker: WorkerId) => number | undefined;
-    /** Worker of the last failed run of a task; undefined if unknown. */
+    /** Number of tasks of a step that may start now, by step key; absent or undefined if workers refuse none of its starts. */
+    readonly countStepStarts?: ((stepKey: string) => number | undefined) | undefined;
+    /** Worker of the last run of a task that failed or was refused; undefined if unknown. */
     readonly findFailedWorker: (task: TaskKey) => WorkerId | undefined;
     readonly interference: InterferenceModel;
     /** State of the runs on a worker, by its reports. */
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,4 +1,4 @@
-import { formatStepKey, type JobTask } from "@chestnutspool/job-state";
+import type { JobTask } from "@chestnutspool/job-state";
 import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
@@ -7,6 +7,7 @@
 import { groupByService, listCandidates, type PlanInput } from "./plan-input.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
 import { planStarvedSteps, type StarvedAttempt } from "./plan-starved-steps.js";
+import { formatWaitingKey } from "./rack-wants.js";
 import type { RatingContext } from "./rate-workers.js";
 import { createStart, listStartable } from "./startable-tasks.js";
 import { listStarvedSteps, summarizePools } from "./starved-steps.js";
@@ -79,8 +80,8 @@
     isStarved: boolean,
     joinsTrial = false,
 ): StepPlan {
-    const { job, occurrence, step } = waiting;
-    const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
+    const { step } = waiting;
+    const stepKey = formatWaitingKey(waiting);
     const tasksByRack = new Map<string, number>();
     const countRating = (): void => {
         pass.ratings += 1;
@@ -120,8 +121,8 @@
 }
 
 /**
- * Reserves capacity for a task on the most suitable worker; on the worker of its last failed run only if no other one
- * is suitable.
+ * Reserves capacity for a task on the most suitable worker; on the worker on which its last run failed or was refused only if
+ * no other one is suitable.
  */
 function reserveWorker(
     pass: PlanningPass,
@@ -133,7 +134,7 @@
     }
     const { waiting, stepKey, ratings, tasksByRack } = plan;
     const { job, occurrence, step } = waiting;
-    const failedOn = task.failures === 0 ? undefined : pass.input.findFailedWorker({
+    const failedOn = task.lastRun === 0 ? undefined : pass.input.findFailedWorker({
         job: job.id,
         occurrence: occurrence.number,
         step: step.position,
@@ -160,6 +161,17 @@
         && unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, chooseWorkers(waiting));
 }
 
+/** Counts the tasks of a step that may start if workers refuse its starts; undefined if they refuse none. */
+function countAfterRefusal({ input }: PlanningPass, waiting: WaitingStep): number | undefined {
+    return input.countStepStarts?.(formatWaitingKey(waiting));
+}
+
+/** Counts the tasks of a step that may start, however much room there is. */
+function countStartable(pass: PlanningPass, waiting: WaitingStep): number {
+    const afterRefusal = countAfterRefusal(pass, waiting) ?? Number.POSITIVE_INFINITY;
+    return Math.min(pass.placements.countStartable(waiting), afterRefusal);
+}
+
 /** Plans starts of the tasks of a step one by one until no worker is suitable; only of one task if it is starved. */
 function planTasks(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
     const tasks = listStartable(waiting);
@@ -171,7 +183,7 @@
         // They go last, because the first task without a worker ends the step.
         tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
     }
-    const limit = Math.min(isStarved ? 1 : startsPerPass - pass.starts.length, pass.placements.countStartable(waiting));
+    const limit = Math.min(isStarved ? 1 : startsPerPass - pass.starts.length, countStartable(pass, waiting));
     planTaskStarts(pass, plan, tasks.slice(0, limit), true);
 }
 
@@ -279,17 +291,12 @@
 
 /** Whether no worker has room for a step, because none had for another one that requires no more. */
 function hasNoRoom(pass: PlanningPass, waiting: WaitingStep): boolean {
-    const { job, occurrence, step } = waiting;
-    return isUnmet(pass, waiting)
-        && !hasReservation(
-            pass.input.reservations ?? [],
-            formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position }),
-        );
+    return isUnmet(pass, waiting) && !hasReservation(pass.input.reservations ?? [], formatWaitingKey(waiting));
 }
 
 /** Plans starts of a step; a starved one may disturb serving tasks. */
 function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
-    if (pass.placements.countStartable(waiting) === 0) {
+    if (countStartable(pass, waiting) === 0) {
         return;
     }
     if (waiting.step.spec.gang) {
@@ -342,13 +349,13 @@
 
 /** Holds workers for the tasks of an overdue long-running step that found no room in this pass. */
 function holdForUnplanned(pass: PlanningPass, waiting: WaitingStep, planned: number): void {
-    const { job, occurrence, step, isOverdue } = waiting;
-    if (!isOverdue || step.spec.gang) {
+    const { step, isOverdue } = waiting;
+    if (!isOverdue || step.spec.gang || countAfterRefusal(pass, waiting) !== undefined) {
         return;
     }
     const unplanned = countWithoutRoom(pass, waiting, planned);
     if (unplanned > 0) {
-        const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
+        const stepKey = formatWaitingKey(waiting);
         holdWorkers(listStepCandidates(pass, waiting), step.spec, stepKey, unplanned);
     }
 }
