Keep the place of a move until the task has started there

Class: a decision from a view that leaves out what earlier decisions have promised.

If the place is gone and the job has no other run, the task starts at once where it may disturb, as it did before it was stopped. The planning pass moves into a file of its own.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -156,7 +156,7 @@
             term,
             planner,
             "stops",
-            () => listStalledRuns(input, nowMs),
+            () => listStalledRuns(input, nowMs, planner.memory.moves),
         )
     ) {
         const session = term.sessions.get(worker);
--- a/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
+++ b/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
@@ -75,7 +75,7 @@
         }
         return planned;
     };
-    return { machine, submitForecast, planUntil, memory };
+    return { machine, interference, submitForecast, planUntil, memory };
 }
 
 /** A pool of `makeDisturbedPool`. */
--- a/packages/plan-jobs/src/list-stalled-runs.ts
+++ b/packages/plan-jobs/src/list-stalled-runs.ts
@@ -1,6 +1,7 @@
 import { formatRunKey, formatStepKey, type JobStep, type WorkerRun } from "@chestnutspool/job-state";
 import { isAtWork, type RunStatus } from "@chestnutspool/track-workers";
 import type { WorkerId } from "@chestnutspool/types";
+import { addMove, type PendingMoves, reserveMove } from "./pending-moves.js";
 import { listCandidates, type PlanInput } from "./plan-input.js";
 import { findObstacle } from "./rate-workers.js";
 import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
@@ -123,12 +124,20 @@
     return undefined;
 }
 
+/** Lists the workers with the capacity that moves in progress leave. */
+function listFreeCandidates(input: PlanInput, moves: PendingMoves): readonly WorkerCandidate[] {
+    const candidates = listCandidates(input);
+    moves.forEach(move => reserveMove(move, candidates));
+    return candidates;
+}
+
 /**
  * Lists runs that are to be stopped and restarted elsewhere: stalled runs with reserved processors, and best-effort
  * runs that make no progress and that another worker could run. A best-effort run makes none if its worker has no idle
- * processors left or if it was slowed down for a serving task. `nowMs` is monotonic time in milliseconds.
+ * processors left or if it was slowed down for a serving task. The places of moves in progress are not given to others; new moves are
+ * added to them. `nowMs` is monotonic time in milliseconds.
  */
-export function listStalledRuns(input: PlanInput, nowMs: number): StalledRun[] {
+export function listStalledRuns(input: PlanInput, nowMs: number, moves: PendingMoves = new Map()): StalledRun[] {
     const stalled: StalledRun[] = [];
     let candidates: readonly WorkerCandidate[] | undefined;
     const unmet = createUnmetRequirements();
@@ -149,11 +158,13 @@
                 stalled.push({ worker, runKey, reason: "standsStill" });
                 continue;
             }
-            if (!isStarved(run, status, nowMs)) {
+            if (moves.has(run.task) || !isStarved(run, status, nowMs)) {
                 continue;
             }
-            candidates ??= listCandidates(input);
-            if (findOtherWorker(candidates, unmet, worker, run, input) !== undefined && mayInterrupt(run)) {
+            candidates ??= listFreeCandidates(input, moves);
+            const target = findOtherWorker(candidates, unmet, worker, run, input);
+            if (target !== undefined && mayInterrupt(run)) {
+                addMove(moves, run, target.state.info.id);
                 stalled.push({ worker, runKey, reason: "noIdleProcessors" });
             }
         }
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -1,5 +1,6 @@
 import type { JobStep } from "@chestnutspool/job-state";
 import { type ContentionMemory, createContentionMemory } from "./contended-pools.js";
+import type { PendingMoves } from "./pending-moves.js";
 import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
 import type { TrialWaits } from "./trial-waits.js";
 
@@ -34,6 +35,7 @@
     readonly starvation: StarvationMemory;
     readonly contention: ContentionMemory;
     readonly trialWaits: TrialWaits;
+    readonly moves: PendingMoves;
 }
 
 /** Creates the memory of a planner that has made no pass. */
@@ -47,6 +49,7 @@
         starvation: createStarvationMemory(),
         contention: createContentionMemory(),
         trialWaits: new WeakMap(),
+        moves: new Map(),
     };
 }
 
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -3,27 +3,32 @@
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
 import { holdWorkers } from "./hold-workers.js";
-import { chooseWorkers, listKeptWorkers, selectCandidates } from "./keep-workers.js";
+import { listKeptWorkers } from "./keep-workers.js";
+import { expireMoves, type PendingMove, type PendingMoves, reserveMove } from "./pending-moves.js";
 import { groupByService, listCandidates, type PlanInput } from "./plan-input.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
 import { planStarvedSteps, type StarvedAttempt } from "./plan-starved-steps.js";
+import {
+    countAfterRefusal,
+    countStartable,
+    createStepPlan,
+    isUnmet,
+    listStepCandidates,
+    type PlanningPass,
+    recordUnmet,
+    reserveTrialWorker,
+    reserveWorker,
+    type StepPlan,
+} from "./planning-pass.js";
 import { formatWaitingKey } from "./rack-wants.js";
-import type { RatingContext } from "./rate-workers.js";
 import { createStart, listStartable } from "./startable-tasks.js";
 import { listStarvedSteps, summarizePools } from "./starved-steps.js";
-import { planStepPlacements, type StepPlacements } from "./step-placements.js";
-import { createStepRatings, type StepRatings } from "./step-ratings.js";
+import { planStepPlacements } from "./step-placements.js";
 import { observeTrialWait } from "./trial-waits.js";
-import { cancelGangTrial, canTry, countTrials, hasRun, startTrial, type TrialCounts } from "./trials.js";
-import { createUnmetRequirements, type UnmetRequirements } from "./unmet-requirements.js";
+import { cancelGangTrial, canTry, countTrials, hasRun } from "./trials.js";
+import { createUnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
-import {
-    findRack,
-    hasReservation,
-    releaseCapacity,
-    reserveCapacity,
-    type WorkerCandidate,
-} from "./worker-candidate.js";
+import { hasReservation, releaseCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
 /**
  * Limit of starts per pass, so that a burst of tasks does not block the process. The starts of gangs count, but are not
@@ -33,148 +38,9 @@
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
-/** State of one planning pass. */
-interface PlanningPass {
-    readonly input: PlanInput;
-    readonly candidatesByService: ReadonlyMap<string, readonly WorkerCandidate[]>;
-    /** Workers on which no new long-running task starts. */
-    readonly kept: ReadonlySet<WorkerCandidate>;
-    readonly unmet: UnmetRequirements;
-    readonly placements: StepPlacements;
-    readonly starts: RunStart[];
-    /** Tasks whose trials go after the first ones of jobs without a run. */
-    readonly deferredTrials: TrialsOfStep[];
-    /** Tasks for whose trials there is no worker. */
-    readonly blockedTrials: TrialsOfStep[];
-    /** Services with a gang for whose trial there is no worker. */
-    readonly blockedGangs: Set<string>;
-    /** Workers, and those on trial, by service. */
-    readonly trials: TrialCounts;
-    /** Number of ratings of workers. */
-    ratings: number;
-}
-
-/** Tasks of a step that need a trial. */
-interface TrialsOfStep {
-    readonly waiting: WaitingStep;
-    readonly tasks: readonly JobTask[];
-}
-
-/** A step whose tasks are planned in a pass. */
-interface StepPlan {
-    readonly waiting: WaitingStep;
-    readonly stepKey: string;
-    readonly ratings: StepRatings;
-    /** Number of tasks of the step that this pass has placed, by rack. */
-    readonly tasksByRack: Map<string, number>;
-}
-
-function listStepCandidates(pass: PlanningPass, waiting: WaitingStep): readonly WorkerCandidate[] {
-    const ofService = pass.candidatesByService.get(waiting.job.queue.service) ?? [];
-    return pass.placements.selectWorkers(waiting, selectCandidates(ofService, pass.kept, waiting));
-}
-
-function createStepPlan(
-    pass: PlanningPass,
-    waiting: WaitingStep,
-    isStarved: boolean,
-    joinsTrial = false,
-): StepPlan {
-    const { step } = waiting;
-    const stepKey = formatWaitingKey(waiting);
-    const tasksByRack = new Map<string, number>();
-    const countRating = (): void => {
-        pass.ratings += 1;
-    };
-    const context: RatingContext = {
-        interference: pass.input.interference,
-        tasksByRack,
-        acceptsDisturbance: isStarved,
-        joinsTrial,
-    };
-    const candidates = listStepCandidates(pass, waiting);
-    return {
-        waiting,
-        stepKey,
-        ratings: createStepRatings(candidates, step.spec, stepKey, context, countRating),
-        tasksByRack,
-    };
-}
-
-/**
- * Reserves capacity for a task that may crash its worker. No other task starts there meanwhile, except that the members of a
- * gang share the workers of their trial.
- */
-function reserveTrialWorker(
-    pass: PlanningPass,
-    { waiting, stepKey, ratings }: StepPlan,
-    task: JobTask,
-): WorkerCandidate | undefined {
-    const { job, step } = waiting;
-    const candidate = ratings.chooseTrialWorker();
-    if (candidate !== undefined) {
-        startTrial(pass.trials, candidate, task, step.spec.gang ? stepKey : undefined);
-        reserveCapacity(candidate, job.id, step.spec, stepKey);
-        ratings.updateAfterStart(candidate);
-    }
-    return candidate;
-}
-
-/**
- * Reserves capacity for a task on the most suitable worker; on the worker on which its last run failed or was refused only if
- * no other one is suitable.
- */
-function reserveWorker(
-    pass: PlanningPass,
-    plan: StepPlan,
-    task: JobTask,
-): WorkerCandidate | undefined {
-    if (needsTrial(task)) {
-        return reserveTrialWorker(pass, plan, task);
-    }
-    const { waiting, stepKey, ratings, tasksByRack } = plan;
-    const { job, occurrence, step } = waiting;
-    const failedOn = task.lastRun === 0 ? undefined : pass.input.findFailedWorker({
-        job: job.id,
-        occurrence: occurrence.number,
-        step: step.position,
-        position: task.position,
-    });
-    const candidate = ratings.chooseWorker(failedOn);
-    if (candidate !== undefined) {
-        reserveCapacity(candidate, job.id, step.spec, stepKey);
-        const rack = findRack(candidate.state.info);
-        tasksByRack.set(rack, (tasksByRack.get(rack) ?? 0) + 1);
-        ratings.updateAfterStart(candidate);
-    }
-    return candidate;
-}
-
-function recordUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): void {
-    if (!placements.hasOwnWorkers(waiting)) {
-        unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, chooseWorkers(waiting));
-    }
-}
-
-function isUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): boolean {
-    return !placements.hasOwnWorkers(waiting)
-        && unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, chooseWorkers(waiting));
-}
-
-/** Counts the tasks of a step that may start if workers refuse its starts; undefined if they refuse none. */
-function countAfterRefusal({ input }: PlanningPass, waiting: WaitingStep): number | undefined {
-    return input.countStepStarts?.(formatWaitingKey(waiting));
-}
-
-/** Counts the tasks of a step that may start, however much room there is. */
-function countStartable(pass: PlanningPass, waiting: WaitingStep): number {
-    const afterRefusal = countAfterRefusal(pass, waiting) ?? Number.POSITIVE_INFINITY;
-    return Math.min(pass.placements.countStartable(waiting), afterRefusal);
-}
-
 /** Plans starts of the tasks of a step one by one until no worker is suitable; only of one task if it is starved. */
 function planTasks(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
-    const tasks = listStartable(waiting);
+    const tasks = listStartable(waiting).filter(task => !pass.movedTasks.has(task));
     if (tasks.length === 0 || pass.starts.length >= startsPerPass) {
         return;
     }
@@ -212,6 +78,45 @@
     }
 }
 
+/**
+ * Plans the start of a task that was stopped for a move: on the worker that kept a place for it, or, if its job has no other run, wherever
+ * there is room now, because it ran until the planner stopped it.
+ */
+function planMovedTask(pass: PlanningPass, waiting: WaitingStep, { run: { task }, target }: PendingMove): void {
+    const { job } = waiting;
+    if (needsTrial(task) || !listStartable(waiting).includes(task) || countStartable(pass, waiting) === 0) {
+        return;
+    }
+    const kept = createStepPlan(pass, waiting, false, false, ({ state }) => state.info.id === target);
+    const candidate = reserveWorker(pass, kept, task)
+        ?? (hasRun(job, pass.starts) ? undefined : reserveWorker(pass, createStepPlan(pass, waiting, true), task));
+    if (candidate !== undefined) {
+        pass.movedTasks.add(task);
+        pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
+    }
+}
+
+/** Keeps the places of moves in progress, and plans the starts of the tasks whose runs have ended. */
+function planMoves(
+    pass: PlanningPass,
+    moves: PendingMoves,
+    candidates: readonly WorkerCandidate[],
+    waitingSteps: readonly WaitingStep[],
+): void {
+    for (const [task, move] of moves) {
+        const isWaiting = move.run.step.waiting.has(task.position);
+        if (!isWaiting) {
+            reserveMove(move, candidates);
+            continue;
+        }
+        moves.delete(task);
+        const waiting = waitingSteps.find(({ step }) => step === move.run.step);
+        if (waiting !== undefined) {
+            planMovedTask(pass, waiting, move);
+        }
+    }
+}
+
 /** Plans the trials that other steps have left workers for. */
 function planDeferredTrials(pass: PlanningPass): void {
     for (const { waiting, tasks } of pass.deferredTrials) {
@@ -365,6 +270,7 @@
  * earlier passes; by default there are none.
  */
 export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
+    expireMoves(memory.moves, nowMs);
     const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
     const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
@@ -384,9 +290,11 @@
         deferredTrials: [],
         blockedTrials: [],
         blockedGangs: new Set(),
+        movedTasks: new Set(),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
+    planMoves(pass, memory.moves, candidates, waitingSteps);
     planWithinLimit(memory, waitingSteps, waiting => {
         const ratingsBefore = pass.ratings;
         const startsBefore = pass.starts.length;
--- /dev/null
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -0,0 +1,159 @@
+import type { JobTask } from "@chestnutspool/job-state";
+import { needsTrial } from "@chestnutspool/track-workers";
+import type { RunStart } from "@chestnutspool/types";
+import { chooseWorkers, selectCandidates } from "./keep-workers.js";
+import type { PlanInput } from "./plan-input.js";
+import { formatWaitingKey } from "./rack-wants.js";
+import type { RatingContext } from "./rate-workers.js";
+import type { StepPlacements } from "./step-placements.js";
+import { createStepRatings, type StepRatings } from "./step-ratings.js";
+import { startTrial, type TrialCounts } from "./trials.js";
+import type { UnmetRequirements } from "./unmet-requirements.js";
+import type { WaitingStep } from "./waiting-steps.js";
+import { findRack, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
+
+/** State of one planning pass. */
+export interface PlanningPass {
+    readonly input: PlanInput;
+    readonly candidatesByService: ReadonlyMap<string, readonly WorkerCandidate[]>;
+    /** Workers on which no new long-running task starts. */
+    readonly kept: ReadonlySet<WorkerCandidate>;
+    readonly unmet: UnmetRequirements;
+    readonly placements: StepPlacements;
+    readonly starts: RunStart[];
+    /** Tasks whose trials go after the first ones of jobs without a run. */
+    readonly deferredTrials: TrialsOfStep[];
+    /** Tasks for whose trials there is no worker. */
+    readonly blockedTrials: TrialsOfStep[];
+    /** Services with a gang for whose trial there is no worker. */
+    readonly blockedGangs: Set<string>;
+    /** Tasks that the pass starts where a place was kept for them. */
+    readonly movedTasks: Set<JobTask>;
+    /** Workers, and those on trial, by service. */
+    readonly trials: TrialCounts;
+    /** Number of ratings of workers. */
+    ratings: number;
+}
+
+/** Tasks of a step that need a trial. */
+export interface TrialsOfStep {
+    readonly waiting: WaitingStep;
+    readonly tasks: readonly JobTask[];
+}
+
+/** A step whose tasks are planned in a pass. */
+export interface StepPlan {
+    readonly waiting: WaitingStep;
+    readonly stepKey: string;
+    readonly ratings: StepRatings;
+    /** Number of tasks of the step that this pass has placed, by rack. */
+    readonly tasksByRack: Map<string, number>;
+}
+
+/** Lists the workers on which tasks of a step may start. */
+export function listStepCandidates(pass: PlanningPass, waiting: WaitingStep): readonly WorkerCandidate[] {
+    const ofService = pass.candidatesByService.get(waiting.job.queue.service) ?? [];
+    return pass.placements.selectWorkers(waiting, selectCandidates(ofService, pass.kept, waiting));
+}
+
+/** Creates the plan of a step, with the ratings of its workers. */
+export function createStepPlan(
+    pass: PlanningPass,
+    waiting: WaitingStep,
+    isStarved: boolean,
+    joinsTrial = false,
+    isIncluded: (candidate: WorkerCandidate) => boolean = () => true,
+): StepPlan {
+    const { step } = waiting;
+    const stepKey = formatWaitingKey(waiting);
+    const tasksByRack = new Map<string, number>();
+    const countRating = (): void => {
+        pass.ratings += 1;
+    };
+    const context: RatingContext = {
+        interference: pass.input.interference,
+        tasksByRack,
+        acceptsDisturbance: isStarved,
+        joinsTrial,
+    };
+    const candidates = listStepCandidates(pass, waiting).filter(isIncluded);
+    return {
+        waiting,
+        stepKey,
+        ratings: createStepRatings(candidates, step.spec, stepKey, context, countRating),
+        tasksByRack,
+    };
+}
+
+/**
+ * Reserves capacity for a task that may crash its worker. No other task starts there meanwhile, except that the members of a
+ * gang share the workers of their trial.
+ */
+export function reserveTrialWorker(
+    pass: PlanningPass,
+    { waiting, stepKey, ratings }: StepPlan,
+    task: JobTask,
+): WorkerCandidate | undefined {
+    const { job, step } = waiting;
+    const candidate = ratings.chooseTrialWorker();
+    if (candidate !== undefined) {
+        startTrial(pass.trials, candidate, task, step.spec.gang ? stepKey : undefined);
+        reserveCapacity(candidate, job.id, step.spec, stepKey);
+        ratings.updateAfterStart(candidate);
+    }
+    return candidate;
+}
+
+/**
+ * Reserves capacity for a task on the most suitable worker; on the worker on which its last run failed or was refused only if
+ * no other one is suitable.
+ */
+export function reserveWorker(
+    pass: PlanningPass,
+    plan: StepPlan,
+    task: JobTask,
+): WorkerCandidate | undefined {
+    if (needsTrial(task)) {
+        return reserveTrialWorker(pass, plan, task);
+    }
+    const { waiting, stepKey, ratings, tasksByRack } = plan;
+    const { job, occurrence, step } = waiting;
+    const failedOn = task.lastRun === 0 ? undefined : pass.input.findFailedWorker({
+        job: job.id,
+        occurrence: occurrence.number,
+        step: step.position,
+        position: task.position,
+    });
+    const candidate = ratings.chooseWorker(failedOn);
+    if (candidate !== undefined) {
+        reserveCapacity(candidate, job.id, step.spec, stepKey);
+        const rack = findRack(candidate.state.info);
+        tasksByRack.set(rack, (tasksByRack.get(rack) ?? 0) + 1);
+        ratings.updateAfterStart(candidate);
+    }
+    return candidate;
+}
+
+/** Records that no worker has room for a task of a step. */
+export function recordUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): void {
+    if (!placements.hasOwnWorkers(waiting)) {
+        unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, chooseWorkers(waiting));
+    }
+}
+
+/** Whether no worker has room for a step, because none had for another one that requires no more. */
+export function isUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): boolean {
+    return !placements.hasOwnWorkers(waiting)
+        && unmet.isUnmet(waiting.job.queue.service, waiting.step.spec, chooseWorkers(waiting));
+}
+
+/** Counts the tasks of a step that may start if workers refuse its starts; undefined if they refuse none. */
+export function countAfterRefusal({ input }: PlanningPass, waiting: WaitingStep): number | undefined {
+    return input.countStepStarts?.(formatWaitingKey(waiting));
+}
+
+/** Counts the tasks of a step that may start, however much room there is. */
+export function countStartable(pass: PlanningPass, waiting: WaitingStep): number {
+    const afterRefusal = countAfterRefusal(pass, waiting) ?? Number.POSITIVE_INFINITY;
+    return Math.min(pass.placements.countStartable(waiting), afterRefusal);
+}
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -247,7 +247,9 @@
             : (worker: string) => speeds.predictSpeed(worker, nowMs),
         placementWaits: simulation.placementWaits,
     };
-    for (const { worker, runKey } of simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs))) {
+    const { moves } = simulation.planMemory;
+    const stalled = simulation.runCall("listStalledRuns", () => listStalledRuns(input, nowMs, moves));
+    for (const { worker, runKey } of stalled) {
         stopRun(simulation, worker, runKey, nowMs);
     }
     const { startsPerSecond } = simulation.load;
