Leave kept workers to short tasks while the service is in use, also for overdue tasks

Users expect a job without a run to start for sure only while less than half of the service is in use, so that the exception is limited to this state.

--- a/packages/plan-jobs/src/keep-workers.test.ts
+++ b/packages/plan-jobs/src/keep-workers.test.ts
@@ -67,6 +67,15 @@
     assert.equal(plan(machine).length, 30);
 });
 
+// Guards against urgent tasks without room, because long-running ones that need more than all processors are overdue without end.
+test("overdue long-running tasks leave the kept workers of a service in use to short tasks", () => {
+    const machine = setUp();
+    const quarter = { ...wholeWorker, milliCpu: 1_000 };
+    machine.submit(makeJob("lasting", [{ ...lastingStep, count: 160, resources: quarter }]));
+    assert.equal(plan(machine).length, 112);
+    assert.deepEqual(planStarts(makePlanInput(machine.state), testStartMs + overdueMs), []);
+});
+
 // Guards against short tasks without room, because long-running ones that are overdue take the last workers that are kept for them.
 test("an overdue long-running task leaves a kept worker that has no room for another one to short tasks", () => {
     const machine = setUp();
--- a/packages/plan-jobs/src/keep-workers.ts
+++ b/packages/plan-jobs/src/keep-workers.ts
@@ -46,7 +46,7 @@
 
 /**
  * Chooses the workers for a step. A new long-running task leaves the kept ones to short tasks, but does not wait without end:
- * once it is overdue, it may start on one that keeps room for another task like it.
+ * once it is overdue, and most of the service is free, it may start on one that keeps room for another task like it.
  */
 export function chooseWorkers(waiting: WaitingStep): WorkerChoice {
     return !isNewLongRunning(waiting) ? "all" : waiting.isOverdue ? "spare" : "notKept";
@@ -65,6 +65,19 @@
     return others;
 }
 
+/** Share of the processors of a service that is reserved at most while most of it is free. */
+const freeShare = 0.5;
+
+function isMostlyFree(candidates: Candidates): boolean {
+    let used = 0;
+    let capacity = 0;
+    for (const { state } of candidates) {
+        used += state.used.milliCpu;
+        capacity += state.info.capacity.milliCpu;
+    }
+    return used < capacity * freeShare;
+}
+
 /**
  * Selects the workers for a step. A new long-running task may use all kept ones only if none of the others could ever run
  * it, such as one that needs a rare label.
@@ -89,7 +102,7 @@
         return candidates;
     }
     const neededTwice = addResources(needed, needed);
-    return choice === "notKept"
+    return choice === "notKept" || !isMostlyFree(candidates)
         ? others
         : candidates.filter(candidate =>
             !kept.has(candidate) || findShortage(neededTwice, candidate.free) === undefined
