Count an attempt to start a starved step for that step only

A job of two ready steps never ran: the first one fits nowhere and takes a quarter of the ratings of a pass, as with the least limit at 1,300 workers, and the attempt counted for the whole job, so that each further one began with the same step. An attempt without a start now counts for its step, and the other steps of the job have their turn in the next passes; a start still counts for the job.

--- a/packages/plan-jobs/src/plan-starved-steps.ts
+++ b/packages/plan-jobs/src/plan-starved-steps.ts
@@ -5,6 +5,7 @@
     forgetStarvation,
     listStarvedSteps,
     type PoolUse,
+    recordStarvedAttempt,
     recordStarvedStart,
     type StarvationMemory,
 } from "./starved-steps.js";
@@ -48,7 +49,7 @@
         if (ratings >= pass.ratingsLimit) {
             return;
         }
-        const { waiting, starvation } = step;
+        const { waiting } = step;
         const { job } = waiting;
         const { service } = job.queue;
         const workers = pass.pools.get(service)?.workers ?? 0;
@@ -56,7 +57,7 @@
             continue;
         }
         // Also after an attempt without a start, so that others get their turn.
-        starvation.triedAtMs = nowMs;
+        recordStarvedAttempt(step, nowMs);
         const attempt = pass.attempt(waiting);
         ratings = attempt.ratings;
         if (attempt.tasks > 0) {
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, JobState } from "@chestnutspool/job-state";
+import type { JobRecord, JobState, JobStep } from "@chestnutspool/job-state";
 import type { Lateness } from "./predict-lateness.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
@@ -35,8 +35,10 @@
 interface Starvation {
     /** Wall-clock time at which a pass first found it without a run, in milliseconds since the epoch. */
     readonly sinceMs: number;
-    /** Wall-clock time of the last attempt to start one of its steps although it disturbs. */
-    triedAtMs: number;
+    /** Wall-clock time of the last start of one of its steps although it disturbs. */
+    startedAtMs: number;
+    /** Wall-clock time of the last attempt to start a step although it disturbs, by step. */
+    readonly triedAtMs: WeakMap<JobStep, number>;
     /** Wall-clock time since which it has had no run, but for short ones. */
     withoutRunSinceMs: number;
     /** Wall-clock time of the last pass that found it without a run. */
@@ -137,7 +139,8 @@
     if (known === undefined) {
         const starvation = {
             sinceMs: nowMs,
-            triedAtMs: Number.NEGATIVE_INFINITY,
+            startedAtMs: Number.NEGATIVE_INFINITY,
+            triedAtMs: new WeakMap(),
             withoutRunSinceMs: nowMs,
             foundAtMs: nowMs,
         };
@@ -151,6 +154,19 @@
     return known;
 }
 
+/**
+ * Finds when an attempt to start a step was last made, wall-clock time in milliseconds. An attempt without a start counts for its step
+ * only, so that the other steps of the job get their turn.
+ */
+function findTriedMs({ startedAtMs, triedAtMs }: Starvation, step: JobStep): number {
+    return Math.max(startedAtMs, triedAtMs.get(step) ?? Number.NEGATIVE_INFINITY);
+}
+
+/** Records that an attempt to start a step is made at `nowMs`. */
+export function recordStarvedAttempt({ waiting, starvation }: StarvedStep, nowMs: number): void {
+    starvation.triedAtMs.set(waiting.step, nowMs);
+}
+
 /**
  * Lists the steps that are starved at `nowMs`, those of the jobs that have waited longest first: the best-effort steps
  * of jobs that have had no run for some time. Without it a step whose tasks would disturb serving tasks on each worker
@@ -179,13 +195,14 @@
         const expeditedAfterMs = job.phase === "queued" ? expeditedMs : expeditedAfterRunMs;
         const isExpedited = nowMs - Math.max(starvation.withoutRunSinceMs, freeSinceMs) >= expeditedAfterMs;
         const isLongWithoutStart = nowMs - starvation.sinceMs >= starvedMs[lateness];
-        if ((isExpedited || isLongWithoutStart) && nowMs - starvation.triedAtMs >= retryMs) {
+        if ((isExpedited || isLongWithoutStart) && nowMs - findTriedMs(starvation, step) >= retryMs) {
             starved.push({ waiting, starvation, isExpedited });
         }
     }
     const longestMs = Math.max(0, ...withoutRun.values());
     memory.summary = { jobs: withoutRun.size, longestMs, starts: memory.summary.starts };
-    const computeTurnMs = ({ starvation }: StarvedStep): number => Math.max(starvation.sinceMs, starvation.triedAtMs);
+    const computeTurnMs = ({ waiting, starvation }: StarvedStep): number =>
+        Math.max(starvation.sinceMs, findTriedMs(starvation, waiting.step));
     return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
 }
 
@@ -225,11 +242,12 @@
  */
 export function recordStarvedStart(
     memory: StarvationMemory,
-    { waiting: { job }, isExpedited }: StarvedStep,
+    { waiting: { job }, starvation, isExpedited }: StarvedStep,
     tasks: number,
     expeditedJobs: number,
     nowMs: number,
 ): void {
+    starvation.startedAtMs = nowMs;
     memory.summary = { ...memory.summary, starts: memory.summary.starts + tasks };
     const ofService = getServiceStarvation(memory, job.queue.service);
     if (nowMs - ofService.interval.beganAtMs >= intervalMs) {
