Let a job do without a worker that keeps refusing its starts

A job never ran beside eight workers with room: the only worker on which it disturbs nothing refuses its starts, each pass plans the next one there, and a planned start made the planner forget how long the job had waited. The pauses after rejected starts do not end this in the product either, since they last 2 s, as long as the wait after which a job may start where it disturbs. A start that disturbs nothing now ends the wait of a job only if it lasts for 1 s or its task is done, and a job without a lasting run for 2 s does without the worker that has just refused it.

--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -22,7 +22,7 @@
 } from "./planning-pass.js";
 import { formatWaitingKey } from "./rack-wants.js";
 import { createStart, listStartable } from "./startable-tasks.js";
-import { listStarvedSteps, summarizePools } from "./starved-steps.js";
+import { findRefusingWorker, listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
 import { observeTrialWait } from "./trial-waits.js";
 import { cancelGangTrial, canTry, countTrials, hasRun } from "./trials.js";
@@ -68,7 +68,10 @@
         }
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
-            recordUnmet(pass, waiting);
+            // A step that does without a worker says nothing about the room for others.
+            if (plan.excluded === undefined) {
+                recordUnmet(pass, waiting);
+            }
             if (needsTrial(task)) {
                 pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
             }
@@ -87,7 +90,7 @@
     if (needsTrial(task) || !listStartable(waiting).includes(task) || countStartable(pass, waiting) === 0) {
         return;
     }
-    const kept = createStepPlan(pass, waiting, false, false, ({ state }) => state.info.id === target);
+    const kept = createStepPlan(pass, waiting, false, false, target);
     const candidate = reserveWorker(pass, kept, task)
         ?? (hasRun(job, pass.starts) ? undefined : reserveWorker(pass, createStepPlan(pass, waiting, true), task));
     if (candidate !== undefined) {
@@ -220,7 +223,10 @@
     nowMs: number,
 ): void {
     const { state } = pass.input;
-    const startedJobs = new Set(pass.starts.map(({ job }) => state.openJobs.get(job)).filter(job => job !== undefined));
+    const started = new Map(pass.starts.flatMap(start => {
+        const job = state.openJobs.get(start.job);
+        return job === undefined ? [] : [[job, start] as const];
+    }));
     // The requirements that are unmet in the pass may be met by disturbing serving tasks.
     const starvedPass = { ...pass, unmet: createUnmetRequirements(), ratings: 0 };
     const attempt = (waiting: WaitingStep): StarvedAttempt => {
@@ -233,7 +239,7 @@
         waitingSteps,
         {
             pools: summarizePools(state),
-            startedJobs,
+            started,
             ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
             isUnmet: waiting => isUnmet(starvedPass, waiting),
             attempt,
@@ -291,6 +297,7 @@
         blockedTrials: [],
         blockedGangs: new Set(),
         movedTasks: new Set(),
+        findRefusingWorker: job => findRefusingWorker(memory.starvation, job, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -1,6 +1,6 @@
-import type { JobTask } from "@chestnutspool/job-state";
+import type { JobRecord, JobTask } from "@chestnutspool/job-state";
 import { needsTrial } from "@chestnutspool/track-workers";
-import type { RunStart } from "@chestnutspool/types";
+import type { RunStart, WorkerId } from "@chestnutspool/types";
 import { chooseWorkers, selectCandidates } from "./keep-workers.js";
 import type { PlanInput } from "./plan-input.js";
 import { formatWaitingKey } from "./rack-wants.js";
@@ -29,6 +29,8 @@
     readonly blockedGangs: Set<string>;
     /** Tasks that the pass starts where a place was kept for them. */
     readonly movedTasks: Set<JobTask>;
+    /** Finds the worker without which a job has to do, because it has just refused a start and the job must not wait any longer. */
+    readonly findRefusingWorker: (job: JobRecord) => WorkerId | undefined;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
@@ -46,6 +48,8 @@
     readonly waiting: WaitingStep;
     readonly stepKey: string;
     readonly ratings: StepRatings;
+    /** Worker that the step does without; undefined if there is none. */
+    readonly excluded: WorkerId | undefined;
     /** Number of tasks of the step that this pass has placed, by rack. */
     readonly tasksByRack: Map<string, number>;
 }
@@ -56,13 +60,13 @@
     return pass.placements.selectWorkers(waiting, selectCandidates(ofService, pass.kept, waiting));
 }
 
-/** Creates the plan of a step, with the ratings of its workers. */
+/** Creates the plan of a step, with the ratings of its workers, or only of the worker `target`. */
 export function createStepPlan(
     pass: PlanningPass,
     waiting: WaitingStep,
     isStarved: boolean,
     joinsTrial = false,
-    isIncluded: (candidate: WorkerCandidate) => boolean = () => true,
+    target?: WorkerId,
 ): StepPlan {
     const { step } = waiting;
     const stepKey = formatWaitingKey(waiting);
@@ -76,12 +80,17 @@
         acceptsDisturbance: isStarved,
         joinsTrial,
     };
-    const candidates = listStepCandidates(pass, waiting).filter(isIncluded);
+    const excluded = pass.findRefusingWorker(waiting.job);
+    const listed = listStepCandidates(pass, waiting);
+    const candidates = excluded === undefined && target === undefined
+        ? listed
+        : listed.filter(({ state: { info } }) => info.id !== excluded && (target === undefined || info.id === target));
     return {
         waiting,
         stepKey,
         ratings: createStepRatings(candidates, step.spec, stepKey, context, countRating),
         tasksByRack,
+        excluded,
     };
 }
 
