Show a task that is lost with worker after worker by a failing test

The new test of task-commands.test.ts fails: after three lost workers in a row the next start has no delay.

--- a/packages/cluster-state/src/task-commands.test.ts
+++ b/packages/cluster-state/src/task-commands.test.ts
@@ -108,3 +108,20 @@
     assert.equal(setZone("e2", "a", "open").kind, "done");
     assert.equal(place("service-a/0").kind, "done");
 });
+
+// Guards against a task that takes worker after worker down, because a start that is lost with its worker is repeated at once without a
+// limit (the class of case 3 of the review).
+void test("a task that was lost with three workers in a row is not placed again at once", () => {
+    const driver = makeDriver();
+    driver.change("j", makeApplyWork("job-a", 1, 0));
+    const task = "job-a/0";
+    for (const worker of ["worker-0", "worker-1", "worker-2"]) {
+        registerWorker(driver, worker, "first");
+        const token = placeTask(driver, task, worker);
+        driver.apply({ kind: "confirmStart", task, token });
+        driver.apply({ kind: "expireWorker", worker, incarnation: "first" });
+    }
+    const { phase, notBeforeMs = 0, endedAtMs = 0 } = driver.state.tasks.get(task) ?? {};
+    assert.equal(phase, "pending");
+    assert.ok(notBeforeMs > endedAtMs, "the next start has no delay");
+});
