Leave half of the trials to tasks without a second crash

The quarter of the workers that held for tasks that have certainly crashed a worker now holds for tasks after two crashes as well, so that the other quarter is free for short trials.

--- a/packages/plan-jobs/src/delayed-steps.test.ts
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -88,3 +88,28 @@
     const delayMs = planned.find(({ job }) => job === "second")?.atMs ?? Number.POSITIVE_INFINITY;
     assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
 });
+
+// Guards against a gang without a run because tasks under which several workers have crashed take all trials, one after the other (soak,
+// load crashing, seed 102).
+test("a gang after its first crash does not wait behind the trials of tasks after two crashes", () => {
+    const machine = makeMachine(Array.from({ length: 8 }, (item, number) => makeWorker(`w${number}`)));
+    Array.from({ length: 24 }, (item, number) => `suspect${number}`)
+        .forEach(job => machine.submit(makeJob(job, [makeSmallStep({ expectedRunMs: 10_000 })])));
+    crashUnderAll(machine, "w1");
+    crashUnderAll(machine, "w2");
+    machine.submit(makeJob("gang", [makeSmallStep({ gang: true, count: 12, expectedRunMs: 60_000 })]));
+    const starts = Array.from({ length: 12 }, (item, position): RunStart => ({
+        job: "gang",
+        occurrence: 0,
+        step: 0,
+        position,
+        run: 1,
+        worker: "w3",
+    }));
+    machine.apply({ kind: "startRuns", starts });
+    const crash = { suspectedRuns: starts, isCertain: false, clearedRuns: [] };
+    machine.apply({ kind: "expireWorker", worker: "w3", isGone: false, checkpoints: [], crash });
+    const planned = simulatePasses(machine, 40_000);
+    const delayMs = planned.find(({ job }) => job === "gang")?.atMs ?? Number.POSITIVE_INFINITY;
+    assert.ok(delayMs <= longestDelayMs, `the gang waits for ${delayMs} ms`);
+});
--- a/packages/plan-jobs/src/trials.ts
+++ b/packages/plan-jobs/src/trials.ts
@@ -8,8 +8,13 @@
  * take a service down. One worker may always be.
  */
 const trialShare = 0.5;
-/** The same while the task that is to follow has certainly crashed a worker: others do not wait behind such tasks. */
-const certainTrialShare = 0.25;
+/**
+ * The same while the task that is to follow has certainly crashed a worker, or two workers have crashed under it: others do not wait
+ * behind such tasks, whose trials are long and whose jobs may be given up.
+ */
+const repeatedTrialShare = 0.25;
+/** Crashes under a task from which it counts as such. */
+const repeatedCrashes = 2;
 
 /** Trials on the workers of a service. */
 interface ServiceTrials {
@@ -47,7 +52,8 @@
 /** Whether a task may be put on trial now. A gang may then take as many workers as it needs, because it starts as a whole. */
 export function canTry(trials: TrialCounts, service: string, { crashes }: JobTask): boolean {
     const { workers, onTrial } = trials.get(service) ?? { workers: 0, onTrial: 0 };
-    const share = (crashes?.certain ?? 0) > 0 ? certainTrialShare : trialShare;
+    const isRepeated = crashes !== undefined && (crashes.certain > 0 || crashes.crashes >= repeatedCrashes);
+    const share = isRepeated ? repeatedTrialShare : trialShare;
     return onTrial < Math.max(1, Math.floor(workers * share));
 }
 
