Compute once a pass whether most of a service is free

Each overdue long-running step summed up all workers of its service. The sum does not change within a pass; all steps share it now, so that decisions are the same.

--- a/packages/plan-jobs/src/keep-workers.ts
+++ b/packages/plan-jobs/src/keep-workers.ts
@@ -68,7 +68,10 @@
 /** Share of the processors of a service that is reserved at most while most of it is free. */
 const freeShare = 0.5;
 
-function isMostlyFree(candidates: Candidates): boolean {
+/** Whether most of a service is free, by its workers; all long-running steps of a pass share it. */
+const freeByCandidates = new WeakMap<Candidates, boolean>();
+
+function hasHalfFree(candidates: Candidates): boolean {
     let used = 0;
     let capacity = 0;
     for (const { state } of candidates) {
@@ -78,6 +81,12 @@
     return used < capacity * freeShare;
 }
 
+function isMostlyFree(candidates: Candidates): boolean {
+    const isFree = freeByCandidates.get(candidates) ?? hasHalfFree(candidates);
+    freeByCandidates.set(candidates, isFree);
+    return isFree;
+}
+
 /**
  * Selects the workers for a step. A new long-running task may use all kept ones only if none of the others could ever run
  * it, such as one that needs a rare label.
