--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -22,7 +22,7 @@
 } from "./planning-pass.js";
 import { formatWaitingKey } from "./rack-wants.js";
 import { createStart, listStartable } from "./startable-tasks.js";
-import { findRefusingWorker, listStarvedSteps, summarizePools } from "./starved-steps.js";
+import { listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
 import { observeTrialWait } from "./trial-waits.js";
 import { cancelGangTrial, canTry, countTrials, hasRun } from "./trials.js";
@@ -68,10 +68,7 @@
         }
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
-            // A step that does without a worker says nothing about the room for others.
-            if (plan.excluded === undefined) {
-                recordUnmet(pass, waiting);
-            }
+            recordUnmet(pass, waiting);
             if (needsTrial(task)) {
                 pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
             }
@@ -223,10 +220,7 @@
     nowMs: number,
 ): void {
     const { state } = pass.input;
-    const started = new Map(pass.starts.flatMap(start => {
-        const job = state.openJobs.get(start.job);
-        return job === undefined ? [] : [[job, start] as const];
-    }));
+    const startedJobs = new Set(pass.starts.map(({ job }) => state.openJobs.get(job)).filter(job => job !== undefined));
     // The requirements that are unmet in the pass may be met by disturbing serving tasks.
     const starvedPass = { ...pass, unmet: createUnmetRequirements(), ratings: 0 };
     const attempt = (waiting: WaitingStep): StarvedAttempt => {
@@ -239,7 +233,7 @@
         waitingSteps,
         {
             pools: summarizePools(state),
-            started,
+            startedJobs,
             ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
             isUnmet: waiting => isUnmet(starvedPass, waiting),
             attempt,
@@ -297,7 +291,6 @@
         blockedTrials: [],
         blockedGangs: new Set(),
         movedTasks: new Set(),
-        findRefusingWorker: job => findRefusingWorker(memory.starvation, job, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
--- a/packages/plan-jobs/src/plan-starved-steps.ts
+++ b/packages/plan-jobs/src/plan-starved-steps.ts
@@ -1,13 +1,12 @@
 import type { JobRecord } from "@chestnutspool/job-state";
-import type { RunStart } from "@chestnutspool/types";
 import {
     canStartStarved,
     countExpeditedJobs,
+    forgetStarvation,
     listStarvedSteps,
     type PoolUse,
     recordStarvedAttempt,
     recordStarvedStart,
-    recordUndisturbedStart,
     type StarvationMemory,
 } from "./starved-steps.js";
 import type { WaitingStep } from "./waiting-steps.js";
@@ -24,8 +23,8 @@
 export interface StarvedPass {
     /** Use of the pools, by service. */
     readonly pools: ReadonlyMap<string, PoolUse>;
-    /** Jobs of which the pass starts tasks that disturb nothing, each with one of these starts. */
-    readonly started: ReadonlyMap<JobRecord, RunStart>;
+    /** Jobs of which the pass starts tasks that disturb nothing. */
+    readonly startedJobs: ReadonlySet<JobRecord>;
     /** Ratings of workers from which no further step is planned. */
     readonly ratingsLimit: number;
     /** Whether no worker has room for a step. */
@@ -41,8 +40,8 @@
     pass: StarvedPass,
     nowMs: number,
 ): void {
-    const started = new Set(pass.started.keys());
-    pass.started.forEach((start, job) => recordUndisturbedStart(memory, job, start, nowMs));
+    const started = new Set(pass.startedJobs);
+    started.forEach(job => forgetStarvation(memory, job));
     const starved = listStarvedSteps(memory, waitingSteps, pass.pools, nowMs);
     const expeditedJobs = countExpeditedJobs(starved);
     let ratings = 0;
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, JobTask } from "@chestnutspool/job-state";
+import type { JobTask } from "@chestnutspool/job-state";
 import { needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
 import { chooseWorkers, selectCandidates } from "./keep-workers.js";
@@ -29,8 +29,6 @@
     readonly blockedGangs: Set<string>;
     /** Tasks that the pass starts where a place was kept for them. */
     readonly movedTasks: Set<JobTask>;
-    /** Finds the worker without which a job has to do, because it has just refused a start and the job must not wait any longer. */
-    readonly findRefusingWorker: (job: JobRecord) => WorkerId | undefined;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
@@ -48,8 +46,6 @@
     readonly waiting: WaitingStep;
     readonly stepKey: string;
     readonly ratings: StepRatings;
-    /** Worker that the step does without; undefined if there is none. */
-    readonly excluded: WorkerId | undefined;
     /** Number of tasks of the step that this pass has placed, by rack. */
     readonly tasksByRack: Map<string, number>;
 }
@@ -80,17 +76,13 @@
         acceptsDisturbance: isStarved,
         joinsTrial,
     };
-    const excluded = pass.findRefusingWorker(waiting.job);
     const listed = listStepCandidates(pass, waiting);
-    const candidates = excluded === undefined && target === undefined
-        ? listed
-        : listed.filter(({ state: { info } }) => info.id !== excluded && (target === undefined || info.id === target));
+    const candidates = target === undefined ? listed : listed.filter(({ state }) => state.info.id === target);
     return {
         waiting,
         stepKey,
         ratings: createStepRatings(candidates, step.spec, stepKey, context, countRating),
         tasksByRack,
-        excluded,
     };
 }
 
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -1,5 +1,4 @@
 import type { JobRecord, JobState, JobStep } from "@chestnutspool/job-state";
-import type { RunStart, WorkerId } from "@chestnutspool/types";
 import type { Lateness } from "./predict-lateness.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
@@ -44,22 +43,6 @@
     withoutRunSinceMs: number;
     /** Wall-clock time of the last pass that found it without a run. */
     foundAtMs: number;
-    /** Its last start that disturbs nothing; undefined if it has had none. */
-    undisturbed: UndisturbedStart | undefined;
-}
-
-/** A start that disturbs nothing. */
-interface UndisturbedStart {
-    readonly atMs: number;
-    readonly worker: WorkerId;
-    readonly step: JobStep;
-    /** Position of the task in its step. */
-    readonly position: number;
-}
-
-/** Whether the task of a start waits again: its run was refused, failed or stopped. */
-function isWaitingAgain({ step, position }: UndisturbedStart): boolean {
-    return step.waiting.has(position);
 }
 
 /** Best-effort jobs without a run, for the log. */
@@ -151,8 +134,7 @@
 }
 
 /** Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. */
-function observeWithoutRun(memory: StarvationMemory, job: JobRecord, nowMs: number): Starvation {
-    const { jobs } = memory;
+function observeWithoutRun({ jobs }: StarvationMemory, job: JobRecord, nowMs: number): Starvation {
     const known = jobs.get(job);
     if (known === undefined) {
         const starvation = {
@@ -161,17 +143,11 @@
             triedAtMs: new WeakMap(),
             withoutRunSinceMs: nowMs,
             foundAtMs: nowMs,
-            undisturbed: undefined,
         };
         jobs.set(job, starvation);
         return starvation;
     }
-    const hadRun = nowMs - known.foundAtMs > retryMs;
-    if (known.undisturbed !== undefined && (hadRun || !isWaitingAgain(known.undisturbed))) {
-        jobs.delete(job);
-        return observeWithoutRun(memory, job, nowMs);
-    }
-    if (hadRun) {
+    if (nowMs - known.foundAtMs > retryMs) {
         known.withoutRunSinceMs = nowMs;
     }
     known.foundAtMs = nowMs;
@@ -230,34 +206,9 @@
     return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
 }
 
-/**
- * Records that a task of a job starts on a worker at `nowMs` without disturbing serving tasks. The job begins a new wait when it is next
- * without a run, unless that run was as short as a start that the worker refuses.
- */
-export function recordUndisturbedStart(
-    memory: StarvationMemory,
-    job: JobRecord,
-    { worker, occurrence, step: stepPosition, position }: RunStart,
-    nowMs: number,
-): void {
-    const step = job.occurrences.get(occurrence)?.steps[stepPosition];
-    if (job.runsInProgress > 0 || step === undefined) {
-        memory.jobs.delete(job);
-        return;
-    }
-    observeWithoutRun(memory, job, nowMs).undisturbed = { atMs: nowMs, worker, step, position };
-}
-
-/**
- * Finds the worker that has just refused a start of a job which must not wait any longer: the job had no run but short ones for too long
- * at `nowMs`, so that it does without this worker.
- */
-export function findRefusingWorker({ jobs }: StarvationMemory, job: JobRecord, nowMs: number): WorkerId | undefined {
-    const { undisturbed, withoutRunSinceMs = nowMs } = jobs.get(job) ?? {};
-    return undisturbed !== undefined && job.runsInProgress === 0 && nowMs - undisturbed.atMs <= retryMs
-            && nowMs - withoutRunSinceMs >= expeditedMs
-        ? undisturbed.worker
-        : undefined;
+/** Forgets that a job has waited, because a task of it starts without disturbing serving tasks. */
+export function forgetStarvation(memory: StarvationMemory, job: JobRecord): void {
+    memory.jobs.delete(job);
 }
 
 /** Counts the jobs of each service whose starts are expedited. */
