--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -44,7 +44,7 @@
     if (tasks.length === 0 || pass.starts.length >= startsPerPass) {
         return;
     }
-    const plan = createStepPlan(pass, waiting, isStarved);
+    const plan = createStepPlan(pass, waiting, { acceptsDisturbance: isStarved });
     if (tasks.some(needsTrial)) {
         // They go last, because the first task without a worker ends the step.
         tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
@@ -87,9 +87,11 @@
     if (needsTrial(task) || !listStartable(waiting).includes(task) || countStartable(pass, waiting) === 0) {
         return;
     }
-    const kept = createStepPlan(pass, waiting, false, false, target);
+    const kept = createStepPlan(pass, waiting, { target });
     const candidate = reserveWorker(pass, kept, task)
-        ?? (hasRun(job, pass.starts) ? undefined : reserveWorker(pass, createStepPlan(pass, waiting, true), task));
+        ?? (hasRun(job, pass.starts)
+            ? undefined
+            : reserveWorker(pass, createStepPlan(pass, waiting, { acceptsDisturbance: true }), task));
     if (candidate !== undefined) {
         pass.movedTasks.add(task);
         pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
@@ -124,7 +126,7 @@
         if (
             first !== undefined && canTry(pass.trials, waiting.job.queue.service, first) && !isUnmet(pass, waiting)
         ) {
-            planTaskStarts(pass, createStepPlan(pass, waiting, false), tasks, false);
+            planTaskStarts(pass, createStepPlan(pass, waiting), tasks, false);
         }
     }
 }
@@ -144,7 +146,7 @@
         if (!mayShare || pass.blockedGangs.has(job.queue.service)) {
             continue;
         }
-        const plan = createStepPlan(pass, waiting, false, true);
+        const plan = createStepPlan(pass, waiting, { joinsTrial: true });
         for (const task of tasks.filter(canShareTrial).slice(0, step.spec.longRunning ? tasks.length : 1)) {
             const candidate = reserveTrialWorker(pass, plan, task);
             if (candidate === undefined) {
@@ -170,7 +172,7 @@
     }
     // The suspected members go first, so that they are together on as few workers as possible.
     const members = suspect === undefined ? tasks : [...suspected, ...tasks.filter(task => !needsTrial(task))];
-    const plan = createStepPlan(pass, waiting, isStarved);
+    const plan = createStepPlan(pass, waiting, { acceptsDisturbance: isStarved });
     const run = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
     const reserved: { readonly candidate: WorkerCandidate; readonly task: JobTask; }[] = [];
     for (const task of members) {
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -56,13 +56,20 @@
     return pass.placements.selectWorkers(waiting, selectCandidates(ofService, pass.kept, waiting));
 }
 
-/** Creates the plan of a step, with the ratings of its workers, or only of the worker `target`. */
+/** How a step is planned; by default its tasks disturb no serving task, join no trial and start on any worker. */
+export interface StepPlanOptions {
+    readonly acceptsDisturbance?: boolean;
+    /** Whether tasks that need a trial join one that others have begun. */
+    readonly joinsTrial?: boolean;
+    /** The only worker on which they may start. */
+    readonly target?: WorkerId;
+}
+
+/** Creates the plan of a step, with the ratings of its workers. */
 export function createStepPlan(
     pass: PlanningPass,
     waiting: WaitingStep,
-    isStarved: boolean,
-    joinsTrial = false,
-    target?: WorkerId,
+    { acceptsDisturbance = false, joinsTrial = false, target }: StepPlanOptions = {},
 ): StepPlan {
     const { step } = waiting;
     const stepKey = formatWaitingKey(waiting);
@@ -73,7 +80,7 @@
     const context: RatingContext = {
         interference: pass.input.interference,
         tasksByRack,
-        acceptsDisturbance: isStarved,
+        acceptsDisturbance,
         joinsTrial,
     };
     const listed = listStepCandidates(pass, waiting);
