Keep the wait of a job that has not begun while workers refuse its starts

A job never ran beside eight workers with room: the only worker on which it disturbs nothing refuses its starts, each pass plans the next one there, and a planned start made the planner forget how long the job had waited. Now the planner keeps the last starts that disturb nothing of a job that has not begun. If all of them were recorded and have ended within 1 s, and no worker has confirmed one, the wait goes on; once the job is overdue in a mostly free pool, the workers that refused are left out for its best-effort steps for 1 s, and such a step tells nothing of the room for others.

Two new tests of starved-jobs.test.ts play the case in the product.

--- a/packages/lead-jobs/src/starved-jobs.test.ts
+++ b/packages/lead-jobs/src/starved-jobs.test.ts
@@ -1,5 +1,5 @@
 import { makeJob, makeStep, testStartMs } from "@chestnutspool/job-state/fakes";
-import type { WorkerInfo } from "@chestnutspool/types";
+import type { OrderAnswer, WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { TestClock } from "effect/testing";
 import fc from "fast-check";
@@ -9,7 +9,7 @@
     makeWorker,
     playTimedEvents,
     type RunLoad,
-    startTestSystem,
+    startTestSystemWith,
     type SystemEvent,
     type TimedEvent,
     watchWaitingJobs,
@@ -53,11 +53,24 @@
     },
 };
 
-/** Starts a system whose workers each run a serving task, which best-effort tasks disturb. */
-const startScene = Effect.gen(function*() {
+/** A worker without a serving task that answers each start with 503. */
+const refusing: WorkerInfo = makeWorker("refusing", { bornAtMs: 1 });
+
+/** Starts a system whose workers each run a serving task, which best-effort tasks disturb; `onRefusal` is called for each refused start. */
+const startSceneWith = Effect.fnUntraced(function*(onRefusal: (job: string) => void) {
     // The state machine has read this time; before it each job would seem to be in time.
     yield* TestClock.setTime(testStartMs);
-    const system = yield* startTestSystem;
+    const system = yield* startTestSystemWith(port => ({
+        ...port,
+        startRun: (worker, order, limitMs) => {
+            if (worker.id !== refusing.id) {
+                return port.startRun(worker, order, limitMs);
+            }
+            onRefusal(order.job);
+            const refusal: OrderAnswer = { kind: "refused", reason: "unhealthy", clockMs: undefined };
+            return Effect.as(Effect.sleep(1), refusal);
+        },
+    }));
     system.workers.setBehaviour(({ job }) =>
         job === "web"
             ? { runMs: Number.POSITIVE_INFINITY, outcome: "succeeded", load: servingLoad }
@@ -73,6 +86,8 @@
     return system;
 });
 
+const startScene = startSceneWith(() => undefined);
+
 /** Plays events after some jobs were submitted, and lists those of which afterwards nothing runs for too long. */
 function findLongWaits(jobs: number, events: readonly TimedEvent[] = []) {
     const play = Effect.gen(function*() {
@@ -129,3 +144,28 @@
     });
     await Effect.runPromise(Effect.scoped(play).pipe(Effect.provide(TestClock.layer())));
 });
+
+const forecast = { ...bestEffort, count: 1, expectedRunMs: 60_000 };
+const preparation = makeStep({ count: 1 });
+
+/** Jobs of which the next step disturbs serving tasks, without and with a step before it that has run. */
+for (const [name, steps] of [["first", [forecast]], ["second", [preparation, forecast]]] as const) {
+    // Guards against a job that never runs because the only worker on which it disturbs nothing refuses its starts.
+    test(`the ${name} step of a job starts elsewhere within 3 s if the only undisturbed worker refuses its starts`, async () => {
+        const play = Effect.gen(function*() {
+            let refusals = 0;
+            const system = yield* startSceneWith(() => {
+                refusals += 1;
+            });
+            yield* system.addWorker(refusing);
+            yield* system.pass(500);
+            yield* system.submit(makeJob("forecast", steps));
+            const waits = yield* watchWaitingJobs(system, watchedMs);
+            const runs = yield* system.readStartedRuns;
+            assert.ok(refusals > 0);
+            assert.ok(runs.some(({ task }) => task.startsWith(`forecast.0.${steps.length - 1}.`)));
+            assert.deepEqual(waits.filter(({ waitedMs }) => waitedMs > waitLimitMs), []);
+        });
+        await Effect.runPromise(Effect.scoped(play).pipe(Effect.provide(TestClock.layer())));
+    });
+}
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,4 +1,4 @@
-import type { JobTask } from "@chestnutspool/job-state";
+import type { JobRecord, JobState, JobTask } from "@chestnutspool/job-state";
 import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
@@ -22,7 +22,7 @@
 } from "./planning-pass.js";
 import { formatWaitingKey } from "./rack-wants.js";
 import { createStart, listStartable } from "./startable-tasks.js";
-import { listStarvedSteps, summarizePools } from "./starved-steps.js";
+import { listRefusingWorkers, listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
 import { observeTrialWait } from "./trial-waits.js";
 import { cancelGangTrial, canTry, countTrials, hasRun } from "./trials.js";
@@ -68,7 +68,7 @@
         }
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
-            recordUnmet(pass, waiting);
+            recordUnmet(pass, plan);
             if (needsTrial(task)) {
                 pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
             }
@@ -183,7 +183,7 @@
         reserved.push({ candidate, task });
     }
     if (reserved.length === 0) {
-        recordUnmet(pass, waiting);
+        recordUnmet(pass, plan);
         return;
     }
     if (reserved.length < step.tasks.length) {
@@ -214,6 +214,20 @@
     }
 }
 
+/** Groups starts by their job. */
+function groupByJob({ openJobs }: JobState, starts: readonly RunStart[]): ReadonlyMap<JobRecord, readonly RunStart[]> {
+    const startsByJob = new Map<JobRecord, RunStart[]>();
+    for (const start of starts) {
+        const job = openJobs.get(start.job);
+        if (job !== undefined) {
+            const ofJob = startsByJob.get(job) ?? [];
+            ofJob.push(start);
+            startsByJob.set(job, ofJob);
+        }
+    }
+    return startsByJob;
+}
+
 /** Plans starts of starved steps of jobs for which the pass has planned none, within their own limit of ratings. */
 function planStarved(
     pass: PlanningPass,
@@ -222,7 +236,6 @@
     nowMs: number,
 ): void {
     const { state } = pass.input;
-    const startedJobs = new Set(pass.starts.map(({ job }) => state.openJobs.get(job)).filter(job => job !== undefined));
     // The requirements that are unmet in the pass may be met by disturbing serving tasks.
     const starvedPass = { ...pass, unmet: createUnmetRequirements(), ratings: 0 };
     const attempt = (waiting: WaitingStep): StarvedAttempt => {
@@ -235,7 +248,7 @@
         waitingSteps,
         {
             pools: summarizePools(state),
-            startedJobs,
+            startsByJob: groupByJob(state, pass.starts),
             ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
             isUnmet: waiting => isUnmet(starvedPass, waiting),
             attempt,
@@ -293,6 +306,7 @@
         blockedTrials: [],
         blockedGangs: new Set(),
         movedTasks: new Set(),
+        listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
--- a/packages/plan-jobs/src/plan-starved-steps.ts
+++ b/packages/plan-jobs/src/plan-starved-steps.ts
@@ -1,12 +1,13 @@
 import type { JobRecord } from "@chestnutspool/job-state";
+import type { RunStart } from "@chestnutspool/types";
 import {
     canStartStarved,
     countExpeditedJobs,
-    forgetStarvation,
     listStarvedSteps,
     type PoolUse,
     recordStarvedAttempt,
     recordStarvedStart,
+    recordUndisturbedStarts,
     type StarvationMemory,
 } from "./starved-steps.js";
 import type { WaitingStep } from "./waiting-steps.js";
@@ -23,8 +24,8 @@
 export interface StarvedPass {
     /** Use of the pools, by service. */
     readonly pools: ReadonlyMap<string, PoolUse>;
-    /** Jobs of which the pass starts tasks that disturb nothing. */
-    readonly startedJobs: ReadonlySet<JobRecord>;
+    /** Jobs of which the pass starts tasks that disturb nothing, with these starts. */
+    readonly startsByJob: ReadonlyMap<JobRecord, readonly RunStart[]>;
     /** Ratings of workers from which no further step is planned. */
     readonly ratingsLimit: number;
     /** Whether no worker has room for a step. */
@@ -40,8 +41,8 @@
     pass: StarvedPass,
     nowMs: number,
 ): void {
-    const started = new Set(pass.startedJobs);
-    started.forEach(job => forgetStarvation(memory, job));
+    const started = new Set(pass.startsByJob.keys());
+    pass.startsByJob.forEach((starts, job) => recordUndisturbedStarts(memory, job, starts, nowMs));
     const starved = listStarvedSteps(memory, waitingSteps, pass.pools, nowMs);
     const expeditedJobs = countExpeditedJobs(starved);
     let ratings = 0;
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -29,6 +29,8 @@
     readonly blockedGangs: Set<string>;
     /** Tasks that the pass starts where a place was kept for them. */
     readonly movedTasks: Set<JobTask>;
+    /** Lists the workers that are left out for a step, because they have just refused the starts of its job, which has waited for long. */
+    readonly listRefusingWorkers: (waiting: WaitingStep) => readonly WorkerId[];
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
@@ -46,6 +48,8 @@
     readonly waiting: WaitingStep;
     readonly stepKey: string;
     readonly ratings: StepRatings;
+    /** Whether workers are left out because they have refused its starts. */
+    readonly leavesOutWorkers: boolean;
     /** Number of tasks of the step that this pass has placed, by rack. */
     readonly tasksByRack: Map<string, number>;
 }
@@ -84,11 +88,18 @@
         joinsTrial,
     };
     const listed = listStepCandidates(pass, waiting);
-    const candidates = target === undefined ? listed : listed.filter(({ state }) => state.info.id === target);
+    const refusing = pass.listRefusingWorkers(waiting);
+    const leavesOutWorkers = refusing.length > 0;
+    const candidates = target === undefined && !leavesOutWorkers
+        ? listed
+        : listed.filter(({ state: { info } }) =>
+            (target === undefined || info.id === target) && !refusing.includes(info.id)
+        );
     return {
         waiting,
         stepKey,
         ratings: createStepRatings(candidates, step.spec, stepKey, context, countRating),
+        leavesOutWorkers,
         tasksByRack,
     };
 }
@@ -142,9 +153,9 @@
     return candidate;
 }
 
-/** Records that no worker has room for a task of a step. */
-export function recordUnmet({ unmet, placements }: PlanningPass, waiting: WaitingStep): void {
-    if (!placements.hasOwnWorkers(waiting)) {
+/** Records that no worker has room for a task of a step; a step that leaves out workers tells nothing of the room for others. */
+export function recordUnmet({ unmet, placements }: PlanningPass, { waiting, leavesOutWorkers }: StepPlan): void {
+    if (!leavesOutWorkers && !placements.hasOwnWorkers(waiting)) {
         unmet.recordUnmet(waiting.job.queue.service, waiting.step.spec, chooseWorkers(waiting));
     }
 }
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -1,4 +1,5 @@
-import type { JobRecord, JobState, JobStep } from "@chestnutspool/job-state";
+import type { JobRecord, JobState, JobStep, JobTask } from "@chestnutspool/job-state";
+import type { RunStart, WorkerId } from "@chestnutspool/types";
 import type { Lateness } from "./predict-lateness.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
@@ -45,6 +46,14 @@
     foundAtMs: number;
 }
 
+/** Starts of a job that has not begun; no worker has confirmed one of its runs. */
+interface UnconfirmedStarts {
+    readonly atMs: number;
+    readonly starts: readonly { readonly worker: WorkerId; readonly task: JobTask; readonly run: number; }[];
+    /** The wait that the starts end if a worker confirms one of them. */
+    readonly starvation: Starvation;
+}
+
 /** Best-effort jobs without a run, for the log. */
 export interface StarvationSummary {
     /** Jobs without a run whose turn has come in the last pass, also those that are not starved yet. */
@@ -82,6 +91,8 @@
 /** What the planner remembers of jobs without a run. */
 export interface StarvationMemory {
     readonly jobs: WeakMap<JobRecord, Starvation>;
+    /** The last starts of jobs that disturb nothing and may be refused. */
+    readonly unconfirmed: WeakMap<JobRecord, UnconfirmedStarts>;
     readonly services: Map<string, ServiceStarvation>;
     summary: StarvationSummary;
 }
@@ -96,7 +107,12 @@
 
 /** Creates a memory without jobs. */
 export function createStarvationMemory(): StarvationMemory {
-    return { jobs: new WeakMap(), services: new Map(), summary: { jobs: 0, longestMs: 0, starts: 0 } };
+    return {
+        jobs: new WeakMap(),
+        unconfirmed: new WeakMap(),
+        services: new Map(),
+        summary: { jobs: 0, longestMs: 0, starts: 0 },
+    };
 }
 
 /** Returns what there is to log about jobs without a run, and counts starts anew. */
@@ -133,9 +149,29 @@
     return known;
 }
 
-/** Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. */
-function observeWithoutRun({ jobs }: StarvationMemory, job: JobRecord, nowMs: number): Starvation {
-    const known = jobs.get(job);
+/**
+ * Finds the last starts of a job without a run if all of them have ended and no worker has confirmed one, within `retryMs` before
+ * `nowMs`: workers have refused them. A start that was planned and not recorded is none of them.
+ */
+function findRefusedStarts(
+    { unconfirmed }: StarvationMemory,
+    job: JobRecord,
+    nowMs: number,
+): UnconfirmedStarts | undefined {
+    const last = job.hasBegun || job.runsInProgress > 0 ? undefined : unconfirmed.get(job);
+    return last !== undefined && nowMs - last.atMs <= retryMs
+            && last.starts.every(({ task, run }) => task.lastRun === run)
+        ? last
+        : undefined;
+}
+
+/**
+ * Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. Starts that workers have refused do not end
+ * its wait.
+ */
+function observeWithoutRun(memory: StarvationMemory, job: JobRecord, nowMs: number): Starvation {
+    const { jobs } = memory;
+    const known = findRefusedStarts(memory, job, nowMs)?.starvation ?? jobs.get(job);
     if (known === undefined) {
         const starvation = {
             sinceMs: nowMs,
@@ -151,9 +187,22 @@
         known.withoutRunSinceMs = nowMs;
     }
     known.foundAtMs = nowMs;
+    jobs.set(job, known);
     return known;
 }
 
+/** Whether a job without a run has waited for too long at `nowMs` in a pool of which most is free. */
+function isOverdueInFreePool(
+    memory: StarvationMemory,
+    { queue, phase }: JobRecord,
+    { withoutRunSinceMs }: Starvation,
+    nowMs: number,
+): boolean {
+    const { freeSinceMs = nowMs } = getServiceStarvation(memory, queue.service);
+    const expeditedAfterMs = phase === "queued" ? expeditedMs : expeditedAfterRunMs;
+    return nowMs - Math.max(withoutRunSinceMs, freeSinceMs) >= expeditedAfterMs;
+}
+
 /**
  * Finds when an attempt to start a step was last made, wall-clock time in milliseconds. An attempt without a start counts for its step
  * only, so that the other steps of the job get their turn.
@@ -191,9 +240,7 @@
         }
         const starvation = observeWithoutRun(memory, job, nowMs);
         withoutRun.set(job, nowMs - starvation.withoutRunSinceMs);
-        const { freeSinceMs = nowMs } = getServiceStarvation(memory, job.queue.service);
-        const expeditedAfterMs = job.phase === "queued" ? expeditedMs : expeditedAfterRunMs;
-        const isExpedited = nowMs - Math.max(starvation.withoutRunSinceMs, freeSinceMs) >= expeditedAfterMs;
+        const isExpedited = isOverdueInFreePool(memory, job, starvation, nowMs);
         const isLongWithoutStart = nowMs - starvation.sinceMs >= starvedMs[lateness];
         if ((isExpedited || isLongWithoutStart) && nowMs - findTriedMs(starvation, step) >= retryMs) {
             starved.push({ waiting, starvation, isExpedited });
@@ -206,11 +253,45 @@
     return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
 }
 
-/** Forgets that a job has waited, because a task of it starts without disturbing serving tasks. */
-export function forgetStarvation(memory: StarvationMemory, job: JobRecord): void {
+/**
+ * Forgets that a job has waited, because tasks of it start at `nowMs` without disturbing serving tasks. The wait of a job that has not
+ * begun goes on if workers refuse these starts.
+ */
+export function recordUndisturbedStarts(
+    memory: StarvationMemory,
+    job: JobRecord,
+    starts: readonly RunStart[],
+    nowMs: number,
+): void {
+    if (job.hasBegun || job.runsInProgress > 0) {
+        memory.unconfirmed.delete(job);
+    }
+    else {
+        const tasks = starts.flatMap(({ worker, occurrence, step, position, run }) => {
+            const task = job.occurrences.get(occurrence)?.steps[step]?.tasks[position];
+            return task === undefined ? [] : [{ worker, task, run }];
+        });
+        const starvation = observeWithoutRun(memory, job, nowMs);
+        memory.unconfirmed.set(job, { atMs: nowMs, starts: tasks, starvation });
+    }
     memory.jobs.delete(job);
 }
 
+/**
+ * Lists the workers that are left out for a best-effort step at `nowMs`: they have just refused the starts of its job, which has waited
+ * for too long in a pool of which most is free. Otherwise the only worker on which it disturbs nothing is chosen each time.
+ */
+export function listRefusingWorkers(
+    memory: StarvationMemory,
+    { job, step }: WaitingStep,
+    nowMs: number,
+): readonly WorkerId[] {
+    const refused = step.spec.usesIdleCpu ? findRefusedStarts(memory, job, nowMs) : undefined;
+    return refused !== undefined && isOverdueInFreePool(memory, job, refused.starvation, nowMs)
+        ? refused.starts.map(({ worker }) => worker)
+        : [];
+}
+
 /** Counts the jobs of each service whose starts are expedited. */
 export function countExpeditedJobs(starved: readonly StarvedStep[]): ReadonlyMap<string, number> {
     const jobs = new Map<string, Set<JobRecord>>();
