Give a trial to gangs and to tasks that may share one, after they have waited for long

Among many crashing jobs, jobs that could complete had nothing running for up to 57.6 s while six of eight workers were idle. Tasks that need a trial of their own, because three workers have crashed under them or a crash was certain, come first in order and take each trial of the quarter of the workers that ends. A gang under which two workers have crashed never finds a free one, and while it waits, no task joins a trial; tasks that could share one have none to join. A gang, or the first task of a shared trial, that has waited 1 s now takes one of the half of the workers that may be on trial. Tasks that need a trial of their own keep the quarter, so that the limits of starts after crashes do not change.

Tests: delayed-steps.test.ts, two new ones: a gang, and a task that may share its trial, behind 12 tasks that need one of their own.

--- a/packages/plan-jobs/src/delayed-steps.test.ts
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -113,3 +113,26 @@
     const delayMs = planned.find(({ job }) => job === "gang")?.atMs ?? Number.POSITIVE_INFINITY;
     assert.ok(delayMs <= longestDelayMs, `the gang waits for ${delayMs} ms`);
 });
+
+/** Tasks that need a trial of their own: three workers have crashed under them, under the tasks of the other steps two. */
+const crowdSize = 12;
+
+for (
+    const [name, changes] of [["a gang", { gang: true, count: 10 }], ["a task that may share its trial", {}]] as const
+) {
+    // Guards against jobs that wait, though most workers are idle, because tasks that need a trial of their own take each one that ends.
+    test(`${name} does not wait behind the trials of many tasks that need one of their own`, () => {
+        const workers = Array.from({ length: 8 }, (item, number) => `w${number}`);
+        const machine = makeMachine(workers.map(id => makeWorker(id)));
+        for (let number = 0; number < crowdSize; number += 1) {
+            machine.submit(makeJob(`alone${number}`, [makeSmallStep({ expectedRunMs: 10_000 })]));
+        }
+        crashUnderAll(machine, "w0");
+        machine.submit(makeJob("waiting", [makeSmallStep({ expectedRunMs: 10_000, ...changes })]));
+        crashUnderAll(machine, "w1");
+        crashUnderAll(machine, "w2");
+        const planned = simulatePasses(machine, 60_000);
+        const delayMs = planned.find(({ job }) => job === "waiting")?.atMs ?? Number.POSITIVE_INFINITY;
+        assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
+    });
+}
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -25,7 +25,7 @@
 import { listRefusingWorkers, listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
 import { observeTrialWait } from "./trial-waits.js";
-import { cancelGangTrial, canTry, countTrials, hasRun } from "./trials.js";
+import { cancelGangTrial, canTry, canTryAfterWait, countTrials, hasRun } from "./trials.js";
 import { createUnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import { hasReservation, releaseCapacity, type WorkerCandidate } from "./worker-candidate.js";
@@ -131,24 +131,31 @@
     }
 }
 
+/** Reserves a worker for a trial that others may join, if the number of trials at a time allows one. */
+function reserveFirstOfShared(pass: PlanningPass, waiting: WaitingStep, task: JobTask): WorkerCandidate | undefined {
+    return canTryAfterWait(pass.trials, waiting.job.queue.service)
+        ? reserveTrialWorker(pass, createStepPlan(pass, waiting), task)
+        : undefined;
+}
+
 /**
  * Plans trials of tasks that have waited for long: they join those of others, because the number of trials at a time depends on the
  * workers, and the number of tasks that wait does not. Of a job that ends by itself only one task does, and none does while a gang waits
  * for the end of these trials.
  */
-function planSharedTrials(pass: PlanningPass, { trialWaits }: PlanMemory, nowMs: number): void {
+function planSharedTrials(pass: PlanningPass): void {
     for (const { waiting, tasks } of pass.blockedTrials) {
         const { job, step } = waiting;
         if (!step.spec.longRunning && hasRun(job, pass.starts)) {
             continue;
         }
-        const mayShare = observeTrialWait(trialWaits, step, nowMs);
+        const mayShare = pass.observeTrialWait(step);
         if (!mayShare || pass.blockedGangs.has(job.queue.service)) {
             continue;
         }
         const plan = createStepPlan(pass, waiting, { joinsTrial: true });
         for (const task of tasks.filter(canShareTrial).slice(0, step.spec.longRunning ? tasks.length : 1)) {
-            const candidate = reserveTrialWorker(pass, plan, task);
+            const candidate = reserveTrialWorker(pass, plan, task) ?? reserveFirstOfShared(pass, waiting, task);
             if (candidate === undefined) {
                 break;
             }
@@ -166,9 +173,13 @@
     }
     const suspected = tasks.filter(needsTrial);
     const [suspect] = suspected;
-    if (suspect !== undefined && !canTry(pass.trials, job.queue.service, suspect)) {
-        pass.blockedGangs.add(job.queue.service);
-        return;
+    const { service } = job.queue;
+    if (suspect !== undefined && !canTry(pass.trials, service, suspect)) {
+        const hasWaited = pass.observeTrialWait(step);
+        if (!hasWaited || !canTryAfterWait(pass.trials, service)) {
+            pass.blockedGangs.add(service);
+            return;
+        }
     }
     // The suspected members go first, so that they are together on as few workers as possible.
     const members = suspect === undefined ? tasks : [...suspected, ...tasks.filter(task => !needsTrial(task))];
@@ -307,6 +318,7 @@
         blockedGangs: new Set(),
         movedTasks: new Set(),
         listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, nowMs),
+        observeTrialWait: step => observeTrialWait(memory.trialWaits, step, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
@@ -321,7 +333,7 @@
         return pass.ratings - ratingsBefore;
     });
     planDeferredTrials(pass);
-    planSharedTrials(pass, memory, nowMs);
+    planSharedTrials(pass);
     planStarved(pass, waitingSteps, memory, nowMs);
     recordContendedStarts(memory.contention, input.state, pass.starts);
     return pass.starts;
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -1,4 +1,4 @@
-import type { JobTask } from "@chestnutspool/job-state";
+import type { JobStep, JobTask } from "@chestnutspool/job-state";
 import { needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
 import { chooseWorkers, selectCandidates } from "./keep-workers.js";
@@ -31,6 +31,8 @@
     readonly movedTasks: Set<JobTask>;
     /** Lists the workers that are left out for a step, because they have just refused the starts of its job, which has waited for long. */
     readonly listRefusingWorkers: (waiting: WaitingStep) => readonly WorkerId[];
+    /** Records that no trial is free for a step; returns whether it has waited for long. */
+    readonly observeTrialWait: (step: JobStep) => boolean;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
--- a/packages/plan-jobs/src/trials.ts
+++ b/packages/plan-jobs/src/trials.ts
@@ -49,12 +49,23 @@
     }
 }
 
+function hasFreeTrial(trials: TrialCounts, service: string, share: number): boolean {
+    const { workers, onTrial } = trials.get(service) ?? { workers: 0, onTrial: 0 };
+    return onTrial < Math.max(1, Math.floor(workers * share));
+}
+
 /** Whether a task may be put on trial now. A gang may then take as many workers as it needs, because it starts as a whole. */
 export function canTry(trials: TrialCounts, service: string, { crashes }: JobTask): boolean {
-    const { workers, onTrial } = trials.get(service) ?? { workers: 0, onTrial: 0 };
     const isRepeated = crashes !== undefined && (crashes.certain > 0 || crashes.crashes >= repeatedCrashes);
-    const share = isRepeated ? repeatedTrialShare : trialShare;
-    return onTrial < Math.max(1, Math.floor(workers * share));
+    return hasFreeTrial(trials, service, isRepeated ? repeatedTrialShare : trialShare);
+}
+
+/**
+ * Whether a gang, or a task that may share its trial, is put on trial now after it has waited for long, however many workers have crashed
+ * under it. Otherwise tasks that need a trial of their own take each one of the smaller share that ends.
+ */
+export function canTryAfterWait(trials: TrialCounts, service: string): boolean {
+    return hasFreeTrial(trials, service, trialShare);
 }
 
 /** Whether a job has a run, planned ones included. Its trials go after the first ones of jobs without a run. */
