Play jobs whose starts three workers refuse in turn

With pauses after rejected starts that end at different times, a refused start follows before the wait of the job is over.

--- a/packages/lead-jobs/src/starved-jobs.test.ts
+++ b/packages/lead-jobs/src/starved-jobs.test.ts
@@ -53,7 +53,7 @@
     },
 };
 
-/** A worker without a serving task that answers each start with 503. */
+/** A worker without a serving task that answers each start with 503, as do those whose ids begin with its id. */
 const refusing: WorkerInfo = makeWorker("refusing", { bornAtMs: 1 });
 
 /** Starts a system whose workers each run a serving task, which best-effort tasks disturb; `onRefusal` is called for each refused start. */
@@ -63,7 +63,7 @@
     const system = yield* startTestSystemWith(port => ({
         ...port,
         startRun: (worker, order, limitMs) => {
-            if (worker.id !== refusing.id) {
+            if (!worker.id.startsWith(refusing.id)) {
                 return port.startRun(worker, order, limitMs);
             }
             onRefusal(order.job);
@@ -147,6 +147,7 @@
 
 const forecast = { ...bestEffort, count: 1, expectedRunMs: 60_000 };
 const preparation = makeStep({ count: 1 });
+const refusingCount = 3;
 
 /** Jobs of which the next step disturbs serving tasks, without and with a step before it that has run. */
 for (const [name, steps] of [["first", [forecast]], ["second", [preparation, forecast]]] as const) {
@@ -169,3 +170,23 @@
         await Effect.runPromise(Effect.scoped(play).pipe(Effect.provide(TestClock.layer())));
     });
 }
+
+for (const [name, steps] of [["first", [forecast]], ["second", [preparation, forecast]]] as const) {
+    // Guards against a job that never goes on, because refused starts end its wait and the pauses of several refusing workers end at different
+    // times.
+    test(`the ${name} step of a job starts elsewhere within 3 s if three undisturbed workers refuse its starts in turn`, async () => {
+        const play = Effect.gen(function*() {
+            const system = yield* startSceneWith(() => undefined);
+            yield* system.submit(makeJob("forecast", steps));
+            yield* system.pass(100);
+            for (let number = 0; number < refusingCount; number += 1) {
+                yield* system.addWorker({ ...refusing, id: `${refusing.id}${number}` });
+                yield* system.pass(500);
+                yield* system.submit(makeJob(`other${number}`, [preparation]));
+            }
+            const waits = yield* watchWaitingJobs(system, watchedMs);
+            assert.deepEqual(waits.filter(({ waitedMs }) => waitedMs > waitLimitMs), []);
+        });
+        await Effect.runPromise(Effect.scoped(play).pipe(Effect.provide(TestClock.layer())));
+    });
+}
