Show a job that waits without end for a worker that is held

The list of delays marks the hold for overdue long-running tasks as longer than the users' bound, and no test showed it. A job whose only worker is held, beside a run that lasts and a long-running task that needs the whole worker, has no start in 60 s of simulated time although a thirty-second part of the processors is reserved. No logic changes.

--- a/packages/plan-jobs/src/delayed-steps.test.ts
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -136,3 +136,23 @@
         assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
     });
 }
+
+// Guards against a job without a run because the only worker for it is held for an overdue long-running task that waits there for the end of
+// a run that lasts.
+test("a job does not wait for the run on a worker that is held for an overdue long-running task", () => {
+    const workers = Array.from({ length: 8 }, (item, number) => `w${number}`);
+    const machine = makeMachine(workers.map(id => makeWorker(id, id === "w0" ? { labels: ["rare"] } : {})));
+    const start = (job: string): RunStart => ({ job, occurrence: 0, step: 0, position: 0, run: 1, worker: "w0" });
+    const whole = { milliCpu: 4_000, memoryMib: 10, accelerators: 0 };
+    const quarter = { milliCpu: 1_000, memoryMib: 10, accelerators: 0 };
+    machine.submit(makeJob("serving", [makeStep({ longRunning: true, requiredLabel: "rare", resources: whole })]));
+    machine.apply({ kind: "startRuns", starts: [start("serving")] });
+    const { worker, ...run } = start("serving");
+    machine.apply({ kind: "endRuns", worker, ends: [{ ...run, outcome: "stopped", checkpoint: "" }] });
+    machine.submit(makeJob("lasting", [makeStep({ requiredLabel: "rare", resources: quarter })]));
+    machine.apply({ kind: "startRuns", starts: [start("lasting")] });
+    machine.submit(makeJob("small", [makeSmallStep({ requiredLabel: "rare" })]));
+    const planned = simulatePasses(machine, 60_000);
+    const delayMs = planned.find(({ job }) => job === "small")?.atMs ?? Number.POSITIVE_INFINITY;
+    assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
+});
