--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,4 +1,4 @@
-import type { JobTask } from "@chestnutspool/job-state";
+import type { JobRecord, JobState, JobTask } from "@chestnutspool/job-state";
 import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
@@ -22,10 +22,10 @@
 } from "./planning-pass.js";
 import { formatWaitingKey } from "./rack-wants.js";
 import { createStart, listStartable } from "./startable-tasks.js";
-import { listStarvedSteps, summarizePools } from "./starved-steps.js";
+import { listRefusingWorkers, listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
 import { observeTrialWait } from "./trial-waits.js";
-import { cancelGangTrial, canTry, countTrials, hasRun } from "./trials.js";
+import { cancelGangTrial, canTry, canTryAfterWait, countTrials, hasRun } from "./trials.js";
 import { createUnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 import { hasReservation, releaseCapacity, type WorkerCandidate } from "./worker-candidate.js";
@@ -68,7 +68,7 @@
         }
         const candidate = reserveWorker(pass, plan, task);
         if (candidate === undefined) {
-            recordUnmet(pass, waiting);
+            recordUnmet(pass, plan);
             if (needsTrial(task)) {
                 pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
             }
@@ -131,24 +131,31 @@
     }
 }
 
+/** Reserves a worker for a trial that others may join, if the number of trials at a time allows one. */
+function reserveFirstOfShared(pass: PlanningPass, waiting: WaitingStep, task: JobTask): WorkerCandidate | undefined {
+    return canTryAfterWait(pass.trials, waiting.job.queue.service)
+        ? reserveTrialWorker(pass, createStepPlan(pass, waiting), task)
+        : undefined;
+}
+
 /**
  * Plans trials of tasks that have waited for long: they join those of others, because the number of trials at a time depends on the
  * workers, and the number of tasks that wait does not. Of a job that ends by itself only one task does, and none does while a gang waits
  * for the end of these trials.
  */
-function planSharedTrials(pass: PlanningPass, { trialWaits }: PlanMemory, nowMs: number): void {
+function planSharedTrials(pass: PlanningPass): void {
     for (const { waiting, tasks } of pass.blockedTrials) {
         const { job, step } = waiting;
         if (!step.spec.longRunning && hasRun(job, pass.starts)) {
             continue;
         }
-        const mayShare = observeTrialWait(trialWaits, step, nowMs);
+        const mayShare = pass.observeTrialWait(step);
         if (!mayShare || pass.blockedGangs.has(job.queue.service)) {
             continue;
         }
         const plan = createStepPlan(pass, waiting, { joinsTrial: true });
         for (const task of tasks.filter(canShareTrial).slice(0, step.spec.longRunning ? tasks.length : 1)) {
-            const candidate = reserveTrialWorker(pass, plan, task);
+            const candidate = reserveTrialWorker(pass, plan, task) ?? reserveFirstOfShared(pass, waiting, task);
             if (candidate === undefined) {
                 break;
             }
@@ -166,9 +173,13 @@
     }
     const suspected = tasks.filter(needsTrial);
     const [suspect] = suspected;
-    if (suspect !== undefined && !canTry(pass.trials, job.queue.service, suspect)) {
-        pass.blockedGangs.add(job.queue.service);
-        return;
+    const { service } = job.queue;
+    if (suspect !== undefined && !canTry(pass.trials, service, suspect)) {
+        const hasWaited = pass.observeTrialWait(step);
+        if (!hasWaited || !canTryAfterWait(pass.trials, service)) {
+            pass.blockedGangs.add(service);
+            return;
+        }
     }
     // The suspected members go first, so that they are together on as few workers as possible.
     const members = suspect === undefined ? tasks : [...suspected, ...tasks.filter(task => !needsTrial(task))];
@@ -183,7 +194,7 @@
         reserved.push({ candidate, task });
     }
     if (reserved.length === 0) {
-        recordUnmet(pass, waiting);
+        recordUnmet(pass, plan);
         return;
     }
     if (reserved.length < step.tasks.length) {
@@ -214,6 +225,20 @@
     }
 }
 
+/** Groups starts by their job. */
+function groupByJob({ openJobs }: JobState, starts: readonly RunStart[]): ReadonlyMap<JobRecord, readonly RunStart[]> {
+    const startsByJob = new Map<JobRecord, RunStart[]>();
+    for (const start of starts) {
+        const job = openJobs.get(start.job);
+        if (job !== undefined) {
+            const ofJob = startsByJob.get(job) ?? [];
+            ofJob.push(start);
+            startsByJob.set(job, ofJob);
+        }
+    }
+    return startsByJob;
+}
+
 /** Plans starts of starved steps of jobs for which the pass has planned none, within their own limit of ratings. */
 function planStarved(
     pass: PlanningPass,
@@ -222,7 +247,6 @@
     nowMs: number,
 ): void {
     const { state } = pass.input;
-    const startedJobs = new Set(pass.starts.map(({ job }) => state.openJobs.get(job)).filter(job => job !== undefined));
     // The requirements that are unmet in the pass may be met by disturbing serving tasks.
     const starvedPass = { ...pass, unmet: createUnmetRequirements(), ratings: 0 };
     const attempt = (waiting: WaitingStep): StarvedAttempt => {
@@ -235,7 +259,7 @@
         waitingSteps,
         {
             pools: summarizePools(state),
-            startedJobs,
+            startsByJob: groupByJob(state, pass.starts),
             ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
             isUnmet: waiting => isUnmet(starvedPass, waiting),
             attempt,
@@ -293,6 +317,8 @@
         blockedTrials: [],
         blockedGangs: new Set(),
         movedTasks: new Set(),
+        listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, nowMs),
+        observeTrialWait: step => observeTrialWait(memory.trialWaits, step, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
@@ -307,7 +333,7 @@
         return pass.ratings - ratingsBefore;
     });
     planDeferredTrials(pass);
-    planSharedTrials(pass, memory, nowMs);
+    planSharedTrials(pass);
     planStarved(pass, waitingSteps, memory, nowMs);
     recordContendedStarts(memory.contention, input.state, pass.starts);
     return pass.starts;
