--- a/packages/plan-jobs/src/fakes/simulated-pool.ts
+++ b/packages/plan-jobs/src/fakes/simulated-pool.ts
@@ -1,4 +1,11 @@
-import { computeReservation, formatRunKey, isJobEnded, type JobRecord, type JobStep } from "@chestnutspool/job-state";
+import {
+    computeReservation,
+    formatRunKey,
+    isJobEnded,
+    type JobRecord,
+    type JobStep,
+    type JobTask,
+} from "@chestnutspool/job-state";
 import { makeJob, makeMachine, makeQueue, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
 import { createPlacementMemory } from "@chestnutspool/plan-placement-waits";
 import {
@@ -9,7 +16,7 @@
     type RunStatus,
     type RunStatuses,
 } from "@chestnutspool/track-workers";
-import type { RunEnd, RunStart, StepSpec, WorkerInfo } from "@chestnutspool/types";
+import { type RunEnd, type RunStart, type StepSpec, subtractResources, type WorkerInfo } from "@chestnutspool/types";
 import { createPlanMemory } from "../plan-memory.js";
 import { planStarts } from "../plan-starts.js";
 import { makePlanInput } from "./make-plan-input.js";
@@ -41,9 +48,11 @@
     readonly waitsForRacks: boolean;
 }
 
-/** A step without a run for longer than allowed. */
+/** A step without a run, or a long-running task that was not started again, for longer than allowed. */
 export interface DelayedStep {
     readonly job: string;
+    /** Position of the long-running task; undefined for a step. */
+    readonly position?: number;
     readonly atMs: number;
     readonly waitedMs: number;
 }
@@ -65,6 +74,9 @@
     return spec.requiredLabel === undefined || info.labels.includes(spec.requiredLabel) ? Math.max(0, fits) : 0;
 }
 
+/** Time without a crash after which the limit of the restart of a long-running task holds, in milliseconds. */
+const faultFreeMs = 7_000;
+
 /** Crashes of workers under a task from which its job may be given up, so that its waits do not count as delays. */
 const exemptCrashes = 2;
 /** Factor on the allowed time for such jobs, which must not wait without end either. */
@@ -74,8 +86,16 @@
     return Math.max(0, ...tasks.map(({ crashHistory, crashes }) => crashHistory?.crashes ?? crashes?.crashes ?? 0));
 }
 
-/** Runs a pool in simulated time, with the rules by which crashes are judged; no job causes a crash. */
-export function simulatePool(scenario: Scenario, untilMs: number, allowedMs: number): DelayedStep[] {
+/**
+ * Runs a pool in simulated time, with the rules by which crashes are judged; no job causes a crash. A long-running task may wait for
+ * `restartLimitMs` after its last run; by default this is not judged.
+ */
+export function simulatePool(
+    scenario: Scenario,
+    untilMs: number,
+    allowedMs: number,
+    restartLimitMs = Number.POSITIVE_INFINITY,
+): DelayedStep[] {
     const workers = scenario.workers.map((changes, number) => makeWorker(`w${number}`, changes));
     const machine = makeMachine(workers, [
         makeQueue(),
@@ -86,6 +106,8 @@
     const silent = new Map<string, number>();
     const jobs = new Map(scenario.jobs.map(job => [job.id, job]));
     const withoutRunSince = new Map<JobStep, number>();
+    const interruptedSince = new Map<JobTask, number>();
+    let lastCrashMs = Number.NEGATIVE_INFINITY;
     const delayed: DelayedStep[] = [];
     let memory = createPlanMemory();
     let placements = createPlacementMemory();
@@ -109,6 +131,7 @@
         const crashed = busy[victim % Math.max(1, busy.length)];
         if (crashed !== undefined) {
             silent.set(crashed.info.id, atMs);
+            lastCrashMs = atMs;
         }
     };
     const replaceWorker = (worker: string, sinceMs: number, atMs: number): void => {
@@ -200,6 +223,27 @@
             delayed.push({ job: job.id, atMs, waitedMs: atMs - sinceMs });
         }
     };
+    /** Whether a worker has room for a task of a step twice over, whatever else the planner keeps from starting there. */
+    const hasRoomTwice = ({ spec }: JobStep): boolean =>
+        [...state.workers.values()].some(({ info, used }) =>
+            !silent.has(info.id)
+            && countRoom(spec, { info, free: subtractResources(info.capacity, used) }, undefined) >= 2
+        );
+    /** Finds long-running tasks that do not run again in time. They count one by one, and also if the planner suspects them of crashes. */
+    const observeLastingTasks = (job: JobRecord, step: JobStep, atMs: number): void => {
+        for (const task of step.tasks) {
+            const isInterrupted = step.spec.longRunning && task.lastRun > 0 && step.waiting.has(task.position);
+            if (!isInterrupted || isJobEnded(job) || step.tasks.some(isDeadly) || !hasRoomTwice(step)) {
+                interruptedSince.delete(task);
+                continue;
+            }
+            const sinceMs = interruptedSince.get(task) ?? atMs;
+            interruptedSince.set(task, sinceMs);
+            if (atMs - sinceMs > restartLimitMs && atMs - lastCrashMs > faultFreeMs) {
+                delayed.push({ job: job.id, position: task.position, atMs, waitedMs: atMs - sinceMs });
+            }
+        }
+    };
     for (let atMs = 0; atMs <= untilMs && delayed.length === 0; atMs += passMs) {
         scenario.jobs.filter(({ submittedAtMs }) => submittedAtMs === atMs).forEach(({ id, queue, spec }) => {
             const command = { kind: "submitJob", spec: makeJob(id, [spec]), hostName: "jobs.example" } as const;
@@ -221,7 +265,12 @@
         };
         recordStarts(planStarts(input, testStartMs + atMs, memory), atMs);
         for (const job of state.openJobs.values()) {
-            job.occurrences.forEach(({ steps }) => steps.forEach(step => observeStep(job, step, atMs)));
+            job.occurrences.forEach(({ steps }) =>
+                steps.forEach(step => {
+                    observeStep(job, step, atMs);
+                    observeLastingTasks(job, step, atMs);
+                })
+            );
         }
     }
     return delayed;
--- a/packages/plan-jobs/src/step-delays.test.ts
+++ b/packages/plan-jobs/src/step-delays.test.ts
@@ -7,6 +7,8 @@
 
 /** Longest time for which a feasible step may have no run while workers are trusted and idle, by the users' terms. */
 const longestDelayMs = 3_000;
+/** Time after its last run within which a long-running task has to run again, by the users' terms, if there was no fault lately. */
+const longestRestartMs = 6_000;
 const seed = 39;
 
 const anySpec: fc.Arbitrary<StepSpec> = fc.record({
@@ -123,3 +125,54 @@
     );
     assert.deepEqual(delayed, []);
 });
+
+/** A day of crashes under long-running tasks that cause none of them, and short tasks beside them. */
+const anyLongDay: fc.Arbitrary<Scenario> = fc.record({
+    workers: fc.integer({ min: 6, max: 16 }),
+    lasting: fc.array(fc.integer({ min: 1, max: 6 }), { minLength: 1, maxLength: 8 }),
+    short: fc.array(fc.integer({ min: 0, max: 700 }), { maxLength: 20 }),
+    crashes: fc.array(
+        fc.record({ afterMs: fc.integer({ min: 1, max: 120 }), victim: fc.integer({ min: 0, max: 15 }) }),
+        { minLength: 3, maxLength: 30 },
+    ),
+    leaderChangeAt: fc.integer({ min: 10, max: 700 }),
+}).map(({ workers, lasting, short, crashes, leaderChangeAt }) => {
+    const resources = { milliCpu: 50, memoryMib: 5, accelerators: 0 };
+    let atMs = 2_000;
+    return {
+        workers: Array.from({ length: workers }, () => ({ labels: ["a", "r0"] })),
+        jobs: [
+            ...lasting.map((count, number): SimulatedJob => ({
+                id: `lasting${number}`,
+                queue: "main",
+                submittedAtMs: 0,
+                spec: makeStep({ count, longRunning: true, resources }),
+                runMs: 1_000,
+            })),
+            ...short.map((at, number): SimulatedJob => ({
+                id: `short${number}`,
+                queue: "urgent",
+                submittedAtMs: at * 100,
+                spec: makeStep({ count: 4, expectedRunMs: 1_000, resources }),
+                runMs: 1_000,
+            })),
+        ],
+        crashes: crashes.map(({ afterMs, victim }) => {
+            atMs = Math.min(70_000, atMs + afterMs * 100);
+            return { atMs, victim };
+        }),
+        leaderChangeAtMs: leaderChangeAt * 100,
+        probation: workers,
+        waitsForRacks: false,
+    };
+});
+
+// Guards against long-running tasks that wait for trials which last as long as the runs before the crashes in their lives.
+test("after a day of crashes each long-running task runs again within 6 s", () => {
+    fc.assert(
+        fc.property(anyLongDay, scenario => {
+            assert.deepEqual(simulatePool(scenario, 90_000, longestDelayMs, longestRestartMs), []);
+        }),
+        { seed, numRuns: 100 },
+    );
+});
