--- a/packages/lead-jobs/src/late-crashes.test.ts
+++ b/packages/lead-jobs/src/late-crashes.test.ts
@@ -134,3 +134,45 @@
         }),
     );
 }
+
+/** Crashes half of the workers with runs, for a reason outside of the tasks. */
+const crashHalf = Effect.fnUntraced(function*(system: TestSystem, workerCount: number) {
+    const nowMs = yield* readMonotonicMs;
+    const runs = yield* system.readStartedRuns;
+    const busy = new Set(runs.filter(({ endedAtMs }) => endedAtMs === undefined).map(({ worker }) => worker));
+    [...busy].slice(0, workerCount / 2).forEach(worker => system.workers.crashWorker(worker, nowMs));
+});
+
+// Guards against trials that are too short, or shared by too many, to tell a deadly task from long-running ones that have met as many
+// crashes.
+for (const workerCount of [4, 8]) {
+    testWithClock(
+        `a task that crashes its worker after 20 s is found among long-running tasks after other crashes, on ${workerCount} workers`,
+        Effect.gen(function*() {
+            yield* TestClock.setTime(testStartMs);
+            const system = yield* startTestSystem;
+            yield* setUpWorkers(system, workerCount);
+            system.workers.setBehaviour(({ job }) => ({
+                runMs: isDeadlyTask(job) ? findRunMs(job) : Number.POSITIVE_INFINITY,
+                outcome: "succeeded",
+            }));
+            const crashAfterMs = 20_000;
+            const resources = { milliCpu: 100, memoryMib: 10, accelerators: 0 };
+            for (let number = 0; number < workerCount; number += 1) {
+                yield* system.submit(
+                    makeJob(`lasting${number}`, [makeStep({ count: 3, longRunning: true, resources })]),
+                );
+            }
+            yield* system.submit(makeJob("deadly", [makeStep({ resources })]));
+            yield* passWithCrashes(system, crashAfterMs, 3_000);
+            for (let round = 0; round < 3; round += 1) {
+                yield* passWithCrashes(system, crashAfterMs, 4_000);
+                yield* crashHalf(system, workerCount);
+            }
+            yield* passWithCrashes(system, crashAfterMs, 7 * (crashAfterMs + 5_000) + 20_000);
+            const late = yield* countLateStarts(system, "deadly.0.0.0");
+            assert.ok(late <= startsAfterLimit, `started ${late} times after the third crash`);
+            assert.equal(yield* readPhase(system, "deadly"), "failed");
+        }),
+    );
+}
