--- a/packages/job-state/src/run-keys.ts
+++ b/packages/job-state/src/run-keys.ts
@@ -19,15 +19,11 @@
 
 /** Parses the text form of a task; undefined when the text is not one. */
 export function parseTaskKey(text: string): TaskKey | undefined {
-    const parts = text.split(".");
-    const job = parts[0] ?? "";
-    const occurrence = parts[1] ?? "";
-    const step = parts[2] ?? "";
-    const position = parts[3] ?? "";
-    if (
-        parts.length !== 4 || !numberPattern.test(occurrence) || !numberPattern.test(step)
-        || !numberPattern.test(position)
-    ) {
+    const [job, occurrence, step, position, ...rest] = text.split(".");
+    if (job === undefined || occurrence === undefined || step === undefined || position === undefined) {
+        return undefined;
+    }
+    if (rest.length > 0 || ![occurrence, step, position].every(part => numberPattern.test(part))) {
         return undefined;
     }
     return { job, occurrence: Number(occurrence), step: Number(step), position: Number(position) };
