--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -67,7 +67,7 @@
             const nowMs = yield* readMonotonicMs;
             const { value: changes } = yield* measurePart(term.load, "paces", () => {
                 recordUsage(state, session.runStatuses, session.usage, nowMs);
-                return planPaces(state, session.runStatuses, term.interference, nowMs);
+                return planPaces(state, session.runStatuses, term.interference);
             });
             for (const change of changes) {
                 const context = { term: term.number, worker: session.info.id };
--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -9,11 +9,6 @@
 const wantedMargin = 1.1;
 /** How far ahead the headroom is predicted, in milliseconds, because readings lag and a change of pace takes time. */
 const lookAheadMs = 800;
-/**
- * Time after a change of a run's pace in which it is not raised, in milliseconds. Until the next report shows the effect of a
- * change, a rise is often taken back, and each change is an order through the leader and a relay.
- */
-const raisePauseMs = 300;
 /** Smallest change of a pace, in percent. */
 const paceStepPercent = 20;
 const fullPacePercent = 100;
@@ -128,10 +123,9 @@
 }
 
 /** Raises the pace of slowed neighbours as long as every serving task is expected to stay above its target. */
-function raisePace(servingImages: readonly ServingImage[], bestEffort: BestEffortRuns, nowMs: number): void {
+function raisePace(servingImages: readonly ServingImage[], bestEffort: BestEffortRuns): void {
     const goals = servingImages.map(({ headroom }) => computeMarginGoal(headroom, wantedMargin));
-    const canRaise = ({ status }: BestEffortRun): boolean => nowMs - status.paceChangedAtMs >= raisePauseMs;
-    for (const run of bestEffort.runs.filter(canRaise)) {
+    for (const run of bestEffort.runs) {
         while (run.percent < fullPacePercent) {
             const before = run.percent;
             run.percent = Math.min(fullPacePercent, before + paceStepPercent);
@@ -149,14 +143,9 @@
 
 /**
  * Plans the paces of the best-effort tasks on a worker. Those that disturb a serving task most are slowed down before
- * it exceeds its target, and are sped up again once its margin allows it and their pace has not just changed. `nowMs` is monotonic.
+ * it exceeds its target, and are sped up again once its margin allows it.
  */
-export function planPaces(
-    state: WorkerState,
-    statuses: RunStatuses,
-    interference: InterferenceModel,
-    nowMs: number,
-): PaceChange[] {
+export function planPaces(state: WorkerState, statuses: RunStatuses, interference: InterferenceModel): PaceChange[] {
     const bestEffort = listBestEffortRuns(state, statuses);
     const { runs } = bestEffort;
     if (runs.length === 0) {
@@ -165,7 +154,7 @@
     const servingImages = listServingImages(state, bestEffort.images, interference);
     slowNeighbours(servingImages, bestEffort);
     if (runs.every(run => run.percent === run.status.pacePercent)) {
-        raisePace(servingImages, bestEffort, nowMs);
+        raisePace(servingImages, bestEffort);
     }
     return runs
         .filter(run => run.percent !== run.status.pacePercent)
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -163,7 +163,7 @@
             continue;
         }
         recordUsage(state, statuses, history, nowMs);
-        for (const change of planPaces(state, statuses, simulation.interference, nowMs)) {
+        for (const change of planPaces(state, statuses, simulation.interference)) {
             const status = statuses.get(change.runKey);
             const run = runs.get(change.runKey);
             if (status !== undefined && run !== undefined) {
