--- a/packages/plan-jobs/src/expedited-jobs.test.ts
+++ b/packages/plan-jobs/src/expedited-jobs.test.ts
@@ -26,6 +26,21 @@
     assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
 });
 
+// Guards against a job that never runs because only the last worker that has refused it is left out, and the first is chosen again.
+test("a job without a run starts on another worker if the only two undisturbed ones refuse its starts", () => {
+    const pool = makeDisturbedPool(8);
+    const refusing = ["refusing1", "refusing2"];
+    refusing.forEach(id => pool.machine.apply({ kind: "registerWorker", worker: makeWorker(id) }));
+    pool.submitForecast("forecast", { expectedRunMs: 1_000 });
+    const longestMs = measureLongestWait(
+        pool,
+        watchedMs,
+        undefined,
+        () => refusing.forEach(id => refuseStarts(pool, id)),
+    );
+    assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
+});
+
 // Guards against a job that never runs because the first of its steps fits nowhere and takes all ratings of starved steps: the attempt
 // counts for the whole job, so that each further one begins with the same step.
 test("a job without a run starts the step that fits although an earlier one takes the ratings of a pass", () => {
