Create the key of a recorded run in one place, and list the step cases of a test once

The same fields were written out by the leader, by a fake of the planner and by the replay. createRunKey stands in job-state now. Behaviour is unchanged; the tests of job-state, and starved-jobs, lead-jobs, trial-runs and delayed-steps pass. The replay was compiled, not run.

--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -22,4 +22,4 @@
     type WorkerRun,
     type WorkerState,
 } from "./job-state.js";
-export { formatRunKey, formatStepKey, formatTaskKey, parseTaskKey } from "./run-keys.js";
+export { createRunKey, formatRunKey, formatStepKey, formatTaskKey, parseTaskKey } from "./run-keys.js";
--- a/packages/job-state/src/run-keys.ts
+++ b/packages/job-state/src/run-keys.ts
@@ -1,4 +1,10 @@
 import type { RunKey, TaskKey } from "@chestnutspool/types";
+import type { WorkerRun } from "./job-state.js";
+
+/** Creates the key of a recorded run. */
+export function createRunKey({ job, occurrence, step, task, run }: WorkerRun): RunKey {
+    return { job: job.id, occurrence: occurrence.number, step: step.position, position: task.position, run };
+}
 
 /** Text form of a step of one occurrence: job, occurrence and step, joined by dots. */
 export function formatStepKey({ job, occurrence, step }: Omit<TaskKey, "position">): string {
--- a/packages/lead-jobs/src/add-recorded-runs.ts
+++ b/packages/lead-jobs/src/add-recorded-runs.ts
@@ -1,3 +1,4 @@
+import { createRunKey } from "@chestnutspool/job-state";
 import { createRunStatus, type StartState } from "@chestnutspool/track-workers";
 import type { Term, WorkerSession } from "./term.js";
 
@@ -5,15 +6,7 @@
 export function addRecordedRuns(term: Term, session: WorkerSession, start: StartState, nowMs: number): void {
     for (const [key, recorded] of term.machine.state.workers.get(session.info.id)?.runs ?? []) {
         if (!session.runStatuses.has(key)) {
-            const { job, occurrence, step, task, run } = recorded;
-            const runKey = {
-                job: job.id,
-                occurrence: occurrence.number,
-                step: step.position,
-                position: task.position,
-                run,
-            };
-            session.runStatuses.set(key, createRunStatus(runKey, start, nowMs));
+            session.runStatuses.set(key, createRunStatus(createRunKey(recorded), start, nowMs));
         }
     }
 }
--- a/packages/lead-jobs/src/starved-jobs.test.ts
+++ b/packages/lead-jobs/src/starved-jobs.test.ts
@@ -148,9 +148,10 @@
 const forecast = { ...bestEffort, count: 1, expectedRunMs: 60_000 };
 const preparation = makeStep({ count: 1 });
 const refusingCount = 3;
-
 /** Jobs of which the next step disturbs serving tasks, without and with a step before it that has run. */
-for (const [name, steps] of [["first", [forecast]], ["second", [preparation, forecast]]] as const) {
+const stepCases = [["first", [forecast]], ["second", [preparation, forecast]]] as const;
+
+for (const [name, steps] of stepCases) {
     // Guards against a job that never runs because the only worker on which it disturbs nothing refuses its starts.
     test(`the ${name} step of a job starts elsewhere within 3 s if the only undisturbed worker refuses its starts`, async () => {
         const play = Effect.gen(function*() {
@@ -171,7 +172,7 @@
     });
 }
 
-for (const [name, steps] of [["first", [forecast]], ["second", [preparation, forecast]]] as const) {
+for (const [name, steps] of stepCases) {
     // Guards against a job that never goes on, because refused starts end its wait and the pauses of several refusing workers end at different
     // times.
     test(`the ${name} step of a job starts elsewhere within 3 s if three undisturbed workers refuse its starts in turn`, async () => {
--- a/packages/plan-jobs/src/fakes/simulate-passes.ts
+++ b/packages/plan-jobs/src/fakes/simulate-passes.ts
@@ -1,4 +1,4 @@
-import { formatRunKey } from "@chestnutspool/job-state";
+import { createRunKey, formatRunKey } from "@chestnutspool/job-state";
 import { type TestMachine, testStartMs } from "@chestnutspool/job-state/fakes";
 import { createRunStatus, type RunStatus, type RunStatuses } from "@chestnutspool/track-workers";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
@@ -30,14 +30,8 @@
         for (const [worker, { runs }] of machine.state.workers) {
             const known: RunStatuses = statusesByWorker.get(worker) ?? new Map<string, RunStatus>();
             const statuses: RunStatuses = new Map<string, RunStatus>();
-            for (const [key, { job, occurrence, step, task, run }] of runs) {
-                const runKey = {
-                    job: job.id,
-                    occurrence: occurrence.number,
-                    step: step.position,
-                    position: task.position,
-                    run,
-                };
+            for (const [key, recorded] of runs) {
+                const runKey = createRunKey(recorded);
                 const status = known.get(key) ?? createRunStatus(runKey, "confirmed", nowMs);
                 status.readAtMs = nowMs;
                 statuses.set(formatRunKey(runKey), status);
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -1,4 +1,4 @@
-import { formatRunKey, type WorkerRun } from "@chestnutspool/job-state";
+import { createRunKey, formatRunKey } from "@chestnutspool/job-state";
 import {
     hasUncertainPairs,
     listObsoleteRuns,
@@ -12,7 +12,7 @@
 import { takeEndedWaits } from "@chestnutspool/plan-placement-waits";
 import { listReservations, planPreemptions, type PreemptionInput } from "@chestnutspool/plan-preemption";
 import { createRunStatus } from "@chestnutspool/track-workers";
-import type { RunEnd, RunKey, RunOutcome, RunStart } from "@chestnutspool/types";
+import type { RunEnd, RunOutcome, RunStart } from "@chestnutspool/types";
 import { generateJobs, type SimulatedJob, warmUpMs } from "./generate-jobs.js";
 import type { Load } from "./load.js";
 import { drawWorkMs, getRunRandom } from "./simulated-copies.js";
@@ -47,10 +47,6 @@
     readonly atMs: number;
 }
 
-function createRunKey({ job, occurrence, step, task, run }: WorkerRun): RunKey {
-    return { job: job.id, occurrence: occurrence.number, step: step.position, position: task.position, run };
-}
-
 function endRun(simulation: Simulation, worker: string, run: SimulatedRun, outcome: RunOutcome, nowMs: number): void {
     const key = createRunKey(run.run);
     const end: RunEnd = { ...key, outcome, checkpoint: formatCheckpoint(run, simulation.load) };
