Move open jobs with their queue to another service

Cause: a job keeps the settings that its queue has at its acceptance, the service among them, and the planner looks for workers of that service only. The services of a queue were recorded and never read.

The state machine now moves the open jobs of a queue to the service that it was last configured with, once a worker of it takes starts and can run each step that is left: after a configuration, the registration of a worker, the return of a zone, and the end of a step. Other settings stay those of the acceptance, and runs in progress go on. The leader logs how many queues have moved and how many jobs cannot follow yet.

--- a/packages/job-state/src/change-jobs.ts
+++ b/packages/job-state/src/change-jobs.ts
@@ -1,6 +1,7 @@
 import type { JobCommand, JobId, JobResult, QueueConfiguration, QueueSettings } from "@chestnutspool/types";
 import { closeEndedJob } from "./change-runs.js";
 import { createJob, isJobEnded, type JobRecord, type JobState } from "./job-state.js";
+import { moveJobs, recordServices } from "./queue-services.js";
 
 type CommandOf<Kind extends JobCommand["kind"]> = Extract<JobCommand, { readonly kind: Kind; }>;
 
@@ -28,11 +29,6 @@
     return best;
 }
 
-/** Key of a queue in `servicesByQueue`. */
-export function formatQueueKey(queue: Pick<QueueSettings, "hostName" | "path">): string {
-    return `${queue.hostName} ${queue.path}`;
-}
-
 /** Host name and path of a request. */
 type RequestTarget = Pick<QueueSettings, "hostName" | "path">;
 
@@ -104,21 +100,16 @@
     return { kind: "done" };
 }
 
-/** Installs a configuration if its version is higher than the current one; returns the version that is then current. */
+/**
+ * Installs a configuration if its version is higher than the current one; returns the version that is then current. Open jobs of a
+ * queue with another service move to it.
+ */
 export function setConfiguration(state: JobState, configuration: QueueConfiguration): JobResult {
     const currentVersion = state.configuration?.version;
     if (currentVersion === undefined || configuration.version > currentVersion) {
         state.configuration = configuration;
         recordServices(state, configuration);
+        moveJobs(state);
     }
     return { kind: "configuration", version: state.configuration?.version ?? configuration.version };
 }
-
-function recordServices(state: JobState, configuration: QueueConfiguration): void {
-    for (const queue of configuration.queues) {
-        const key = formatQueueKey(queue);
-        const services = state.servicesByQueue.get(key) ?? new Set();
-        services.add(queue.service);
-        state.servicesByQueue.set(key, services);
-    }
-}
--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -21,6 +21,7 @@
     WorkerState,
 } from "./job-state.js";
 import { acceptsStarts, computeReservation, createEmptyDefinition, isJobEnded, isStepReady } from "./job-state.js";
+import { moveJob } from "./queue-services.js";
 import { formatRunKey, formatTaskKey } from "./run-keys.js";
 
 type CommandOf<Kind extends JobCommand["kind"]> = Extract<JobCommand, { readonly kind: Kind; }>;
@@ -112,6 +113,8 @@
         return;
     }
     step.doneAtMs = state.clockMs;
+    // The last step that no worker of the latest service could run may have been this one.
+    moveJob(state, job);
     occurrence.stepsLeft -= 1;
     if (occurrence.stepsLeft === 0) {
         job.occurrences.delete(occurrence.number);
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -1,4 +1,4 @@
-export { findQueue, formatQueueKey, isJobOfRequest, isJobPath, isQueuePath } from "./change-jobs.js";
+export { findQueue, isJobOfRequest, isJobPath, isQueuePath } from "./change-jobs.js";
 export { canCopyRun, countFailures } from "./change-runs.js";
 export { computeCrashOdds } from "./crash-history.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
@@ -22,4 +22,5 @@
     type WorkerRun,
     type WorkerState,
 } from "./job-state.js";
+export { canWorkerRun, countJobsToMove, formatQueueKey } from "./queue-services.js";
 export { createRunKey, formatRunKey, formatStepKey, formatTaskKey, parseTaskKey } from "./run-keys.js";
--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -10,6 +10,7 @@
 import { cancelJob, setConfiguration, submitJob } from "./change-jobs.js";
 import { beginJobs, endRun, expireRuns, startRuns } from "./change-runs.js";
 import { createJobState, type JobState, type WorkerRun } from "./job-state.js";
+import { moveJobs } from "./queue-services.js";
 import { encodeSnapshot, restoreSnapshot } from "./snapshot.js";
 
 /** Maximum number of image pairs whose interference estimates are kept. */
@@ -113,6 +114,7 @@
             return { kind: "done" };
         case "registerWorker":
             registerWorker(state, command);
+            moveJobs(state);
             return { kind: "done" };
         case "drainWorker":
             drainWorker(state, command);
@@ -127,6 +129,7 @@
             return { kind: "done" };
         case "setZoneAdmission":
             setZoneAdmission(state, command);
+            moveJobs(state);
             return { kind: "done" };
         case "recordUpkeep":
             state.waves.get(command.wave)?.begun.add(command.host);
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -109,8 +109,8 @@
     readonly id: JobId;
     /** Replaced by an empty definition when the job closes, because only its phase is read after that. */
     definition: JobDefinition;
-    /** Settings of the queue at the time when the job was accepted. */
-    readonly queue: QueueSettings;
+    /** Settings of the queue at the time when the job was accepted; only the service follows the queue, see `moveJobs`. */
+    queue: QueueSettings;
     /** "running" from its first recorded start on; `findShownPhase` tells what callers see. */
     phase: JobPhase;
     /** Whether a worker is known to have listed or confirmed one of its runs. */
@@ -183,7 +183,7 @@
     readonly workerSpeeds: Map<WorkerId, RecordedSpeed>;
     /** Crashes of the last minute; earlier builds do not record them. */
     recentCrashes: readonly RecentCrash[];
-    /** All services that a queue has ever been configured with, by `formatQueueKey`. */
+    /** All services that a queue has ever been configured with, the latest one last, by `formatQueueKey`. */
     readonly servicesByQueue: Map<string, Set<string>>;
 }
 
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -24,6 +24,7 @@
     type RecentCrash,
     type RecordedSpeed,
 } from "./job-state.js";
+import { moveJobs, recordServices } from "./queue-services.js";
 import { formatRunKey } from "./run-keys.js";
 
 const packr = new Packr({ useRecords: false, moreTypes: false, encodeUndefinedAsNil: false });
@@ -385,4 +386,9 @@
     for (const [queue, services] of saved.services) {
         state.servicesByQueue.set(queue, new Set(services));
     }
+    if (state.configuration !== undefined) {
+        // Earlier builds write the services in the order of their first configuration, and do not move jobs.
+        recordServices(state, state.configuration);
+        moveJobs(state);
+    }
 }
--- a/packages/lead-jobs/src/check-job.ts
+++ b/packages/lead-jobs/src/check-job.ts
@@ -1,11 +1,5 @@
-import { computeReservation, type JobState } from "@chestnutspool/job-state";
-import {
-    findShortage,
-    type JobDefinition,
-    type JobReply,
-    type QueueSettings,
-    type StepSpec,
-} from "@chestnutspool/types";
+import { canWorkerRun, type JobState } from "@chestnutspool/job-state";
+import type { JobDefinition, JobReply, QueueSettings, StepSpec } from "@chestnutspool/types";
 
 /** Limit of the tasks of one job over all steps and occurrences; far above the largest job of the deployments. */
 const taskLimit = 20_000;
@@ -32,18 +26,8 @@
  * has had; true if there are no workers.
  */
 function canEverRun(state: JobState, spec: StepSpec, service: string): boolean {
-    let hasWorkers = false;
-    for (const { info, largestCapacity } of state.workers.values()) {
-        if (info.service !== service) {
-            continue;
-        }
-        hasWorkers = true;
-        const hasLabel = spec.requiredLabel === undefined || info.labels.includes(spec.requiredLabel);
-        if (hasLabel && findShortage(computeReservation(spec), largestCapacity) === undefined) {
-            return true;
-        }
-    }
-    return !hasWorkers;
+    const workers = [...state.workers.values()].filter(({ info }) => info.service === service);
+    return workers.length === 0 || workers.some(worker => canWorkerRun(worker, spec));
 }
 
 /** Checks a new job; returns the reply that refuses it, undefined if it is acceptable. */
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -1,4 +1,5 @@
 import {
+    countJobsToMove,
     findQueue,
     formatQueueKey,
     isJobEnded,
@@ -15,6 +16,7 @@
     type JobRequest,
     type JobResult,
     type MaintenanceWave,
+    type QueueConfiguration,
     type QueueSettings,
     readMonotonicMs,
 } from "@chestnutspool/types";
@@ -171,6 +173,12 @@
     return { kind: "pending", count };
 }
 
+/** Lists the queues of a configuration that had another service in the earlier one. */
+function listMovedQueues(earlier: QueueConfiguration | undefined, { queues }: QueueConfiguration): QueueSettings[] {
+    const services = new Map(earlier?.queues.map(queue => [formatQueueKey(queue), queue.service]));
+    return queues.filter(queue => (services.get(formatQueueKey(queue)) ?? queue.service) !== queue.service);
+}
+
 const setConfiguration = Effect.fnUntraced(function*(term: Term, request: RequestOf<"setConfiguration">) {
     const { configuration } = request;
     // Checked before the version, because an invalid configuration must not be acknowledged even if it is outdated.
@@ -179,7 +187,8 @@
         term.logger.warn("configuration refused", { version: configuration.version, fault });
         return { kind: "invalid", detail: fault } satisfies JobReply;
     }
-    const currentVersion = term.machine.state.configuration?.version;
+    const earlier = term.machine.state.configuration;
+    const currentVersion = earlier?.version;
     if (currentVersion !== undefined && configuration.version <= currentVersion) {
         // The reply waits until a quorum confirms this leader, because only then is the version certainly committed.
         yield* term.log.confirmRead;
@@ -191,6 +200,15 @@
         sent: configuration.version,
         queues: configuration.queues.length,
     });
+    const moved = listMovedQueues(earlier, configuration);
+    if (moved.length > 0) {
+        term.logger.info("queues have another service", {
+            queues: moved.length,
+            first: moved[0]?.name,
+            service: moved[0]?.service,
+            jobsToMove: countJobsToMove(term.machine.state),
+        });
+    }
     wakePlanner(term);
     return convertResult(result);
 });
