Record the cancellation of a job that is not known

Cause: the cancellation of a job that the leader does not know left no record, so that a submission that arrives after it is new. A cancellation that overtakes its submission inside the leader had the same effect for the time of a commit.

A submission that is ahead in the log is found and cancelled.

--- a/packages/job-state/src/change-jobs.ts
+++ b/packages/job-state/src/change-jobs.ts
@@ -12,6 +12,13 @@
 const closedJobRetentionMs = 600_000;
 /** Maximum number of closed jobs that are kept, so that a burst of short jobs does not exhaust the memory. */
 const closedJobLimit = 50_000;
+/**
+ * Time for which a submission is refused after its job was cancelled, in milliseconds; as long as the record of a job that was
+ * accepted first and then cancelled is kept.
+ */
+const cancelledRetentionMs = closedJobRetentionMs;
+/** Maximum number of such cancellations, so that clients that cancel unknown jobs do not exhaust the memory. */
+const cancelledLimit = 50_000;
 
 /** Finds the queue of the host name with the longest path that is a prefix of `path`; undefined when there is none. */
 export function findQueue(
@@ -52,6 +59,26 @@
     return job.queue.hostName === hostName && isJobPath(job.queue, path, job.id);
 }
 
+/** Key of a request in `cancelledSubmissions`; the path of a job names its queue and its id. */
+function formatJobTarget({ hostName, path }: RequestTarget): string {
+    return `${hostName} ${path}`;
+}
+
+/** Whether the job of a submission was cancelled before the submission arrived. */
+export function isSubmissionCancelled(state: JobState, submission: RequestTarget): boolean {
+    const cancelledAtMs = state.cancelledSubmissions.get(formatJobTarget(submission));
+    return cancelledAtMs !== undefined && state.clockMs - cancelledAtMs <= cancelledRetentionMs;
+}
+
+function forgetOldCancellations({ cancelledSubmissions, clockMs }: JobState): void {
+    for (const [target, cancelledAtMs] of cancelledSubmissions) {
+        if (clockMs - cancelledAtMs <= cancelledRetentionMs && cancelledSubmissions.size <= cancelledLimit) {
+            return;
+        }
+        cancelledSubmissions.delete(target);
+    }
+}
+
 function forgetOldJobs(state: JobState): void {
     for (const id of state.closedJobs) {
         const endedAtMs = state.jobs.get(id)?.endedAtMs ?? 0;
@@ -74,6 +101,9 @@
     if (known !== undefined) {
         return isJobOfRequest(known, command) ? { kind: "accepted", isRepeat: true } : { kind: "otherQueue" };
     }
+    if (isSubmissionCancelled(state, command)) {
+        return { kind: "cancelled" };
+    }
     const queue = findQueue(state.configuration, command.hostName, command.path);
     if (queue === undefined) {
         return { kind: "noQueue" };
@@ -100,6 +130,20 @@
     return { kind: "done" };
 }
 
+/** Records that a job was cancelled that is not known. A job whose submission was applied first is left to `cancelJob`. */
+export function cancelSubmission(state: JobState, command: CommandOf<"cancelSubmission">): JobResult {
+    const known = state.jobs.get(command.job);
+    if (known !== undefined && isJobOfRequest(known, command)) {
+        return { kind: "done" };
+    }
+    const target = formatJobTarget(command);
+    // Removed first, so that the latest cancellation is the last one.
+    state.cancelledSubmissions.delete(target);
+    state.cancelledSubmissions.set(target, state.clockMs);
+    forgetOldCancellations(state);
+    return { kind: "noJob" };
+}
+
 /**
  * Installs a configuration if its version is higher than the current one; returns the version that is then current. Open jobs of a
  * queue with another service move to it.
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -1,4 +1,4 @@
-export { findQueue, isJobOfRequest, isJobPath, isQueuePath } from "./change-jobs.js";
+export { findQueue, isJobOfRequest, isJobPath, isQueuePath, isSubmissionCancelled } from "./change-jobs.js";
 export { canCopyRun, countFailures } from "./change-runs.js";
 export { computeCrashOdds } from "./crash-history.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -7,7 +7,7 @@
     type SetZoneAdmission,
     type StateMachine,
 } from "@chestnutspool/types";
-import { cancelJob, setConfiguration, submitJob } from "./change-jobs.js";
+import { cancelJob, cancelSubmission, setConfiguration, submitJob } from "./change-jobs.js";
 import { beginJobs, endRun, expireRuns, startRuns } from "./change-runs.js";
 import { createJobState, type JobState, type WorkerRun } from "./job-state.js";
 import { moveJobs } from "./queue-services.js";
@@ -104,6 +104,8 @@
             return submitJob(state, command);
         case "cancelJob":
             return cancelJob(state, command);
+        case "cancelSubmission":
+            return cancelSubmission(state, command);
         case "startRuns":
             return startRuns(state, command);
         case "beginJobs":
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -185,6 +185,11 @@
     recentCrashes: readonly RecentCrash[];
     /** All services that a queue has ever been configured with, the latest one last, by `formatQueueKey`. */
     readonly servicesByQueue: Map<string, Set<string>>;
+    /**
+     * Wall-clock time at which jobs were cancelled that were not known, in milliseconds since the epoch, by `formatJobTarget`, the
+     * earliest first; earlier builds do not record them.
+     */
+    readonly cancelledSubmissions: Map<string, number>;
 }
 
 /** Creates the empty state. */
@@ -202,6 +207,7 @@
         workerSpeeds: new Map(),
         recentCrashes: [],
         servicesByQueue: new Map(),
+        cancelledSubmissions: new Map(),
     };
 }
 
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -118,6 +118,8 @@
     /** Earlier builds do not write it. */
     readonly recentCrashes?: readonly RecentCrash[];
     readonly services: readonly (readonly [string, readonly string[]])[];
+    /** Earlier builds do not write it. */
+    readonly cancelledSubmissions?: readonly (readonly [string, number])[];
 }
 
 function isChanged(task: JobTask): boolean {
@@ -243,6 +245,7 @@
         workerSpeeds: [...state.workerSpeeds.values()],
         recentCrashes: state.recentCrashes,
         services: [...state.servicesByQueue].map(([queue, services]) => [queue, [...services]]),
+        cancelledSubmissions: [...state.cancelledSubmissions],
     };
     const fields = Object.entries(saved);
     const parts: Uint8Array[] = [encodeMapHeader(fields.length + 1)];
@@ -362,6 +365,7 @@
             state.disturbances,
             state.workerSpeeds,
             state.servicesByQueue,
+            state.cancelledSubmissions,
         ]
     ) {
         collection.clear();
@@ -386,6 +390,7 @@
     for (const [queue, services] of saved.services) {
         state.servicesByQueue.set(queue, new Set(services));
     }
+    saved.cancelledSubmissions?.forEach(([target, atMs]) => state.cancelledSubmissions.set(target, atMs));
     if (state.configuration !== undefined) {
         // Earlier builds write the services in the order of their first configuration, and do not move jobs.
         recordServices(state, state.configuration);
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -6,6 +6,7 @@
     isJobOfRequest,
     isJobPath,
     isQueuePath,
+    isSubmissionCancelled,
     type JobRecord,
 } from "@chestnutspool/job-state";
 import {
@@ -56,6 +57,7 @@
         case "accepted":
             return { kind: "accepted" };
         case "otherQueue":
+        case "cancelled":
             return { kind: "rejected", reason: result.kind, retryAfterMs: undefined };
         case "noQueue":
         case "noJob":
@@ -68,6 +70,18 @@
     }
 }
 
+function logRefusedJob(
+    term: Term,
+    { spec, hostName, path }: RequestOf<"submitJob">,
+    refusal: "otherQueue" | "cancelled",
+): void {
+    const { state } = term.machine;
+    const queue = findQueue(state.configuration, hostName, path);
+    const owner = state.jobs.get(spec.id)?.queue.name;
+    term.metrics.countEvent("jobs.refused", queue?.name ?? "", queue?.service ?? "");
+    term.logger.info("job refused", { job: spec.id, queue: queue?.name, refusal, owner });
+}
+
 const submitJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"submitJob">) {
     const { spec, hostName, path } = request;
     const { state } = term.machine;
@@ -82,6 +96,10 @@
             });
             return { kind: "noQueue" } satisfies JobReply;
         }
+        if (!state.jobs.has(spec.id) && isSubmissionCancelled(state, request)) {
+            logRefusedJob(term, request, "cancelled");
+            return convertResult({ kind: "cancelled" });
+        }
         const refusal = checkJob(state, spec, queue);
         if (refusal !== undefined) {
             term.metrics.countEvent("jobs.refused", queue.name, queue.service);
@@ -119,25 +137,38 @@
             term: term.number,
         });
     }
-    if (result.kind === "otherQueue") {
-        const owner = state.jobs.get(spec.id)?.queue.name;
-        const queue = findQueue(state.configuration, hostName, path);
-        term.metrics.countEvent("jobs.refused", queue?.name ?? "", queue?.service ?? "");
-        term.logger.info("job refused", { job: spec.id, queue: queue?.name, refusal: result.kind, owner });
+    if (result.kind === "otherQueue" || result.kind === "cancelled") {
+        logRefusedJob(term, request, result.kind);
     }
     wakePlanner(term);
     return convertResult(result);
 });
 
-const cancelJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"cancelJob">) {
+/**
+ * Finds the job to cancel. If there is none, the cancellation is recorded, because the submission may still be on its way to the
+ * leader, or proposed and not committed yet.
+ */
+const findJobToCancel = Effect.fnUntraced(function*(term: Term, request: RequestOf<"cancelJob">) {
+    const { job, hostName, path } = request;
     const found = findJob(term, request);
+    if (found !== undefined || !hasQueue(term, request)) {
+        return found;
+    }
+    yield* propose(term, { kind: "cancelSubmission", job, hostName, path });
+    return findJob(term, request);
+});
+
+const cancelJob = Effect.fnUntraced(function*(term: Term, request: RequestOf<"cancelJob">) {
+    const found = yield* findJobToCancel(term, request);
     if (found === undefined) {
+        const isKnownQueue = hasQueue(term, request);
         term.logger.info("job to cancel is not known", {
             job: request.job,
             host: request.hostName,
             path: request.path,
+            isKnownQueue,
         });
-        return hasQueue(term, request) ? { kind: "noJob" } as const : { kind: "noQueue" } as const;
+        return isKnownQueue ? { kind: "noJob" } as const : { kind: "noQueue" } as const;
     }
     const before = found.phase;
     // An ended job may be forgotten, and its id used by another queue, before a command that names only the id is applied.
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -234,6 +234,16 @@
              */
             readonly failure?: JobFailure;
         }
+        /**
+         * Cancels a job that is not known, so that a submission of it that arrives later is refused. Replicas of earlier builds
+         * ignore it.
+         */
+        | {
+            readonly kind: "cancelSubmission";
+            readonly job: JobId;
+            readonly hostName: string;
+            readonly path: string;
+        }
         | { readonly kind: "startRuns"; readonly starts: readonly RunStart[]; }
         /** Jobs of which a worker has listed or confirmed a run. Replicas of earlier builds ignore it. */
         | { readonly kind: "beginJobs"; readonly jobs: readonly JobId[]; }
@@ -307,6 +317,8 @@
     | { readonly kind: "accepted"; readonly isRepeat: boolean; }
     /** The job is not stored, because another queue has a job with its id. */
     | { readonly kind: "otherQueue"; }
+    /** The job is not stored, because it was cancelled before its submission arrived. */
+    | { readonly kind: "cancelled"; }
     | { readonly kind: "noQueue"; }
     | { readonly kind: "noJob"; }
     /** Version of the configuration in force after the command. */
@@ -347,7 +359,9 @@
     /** The job would have to wait too long. */
     | "overloaded"
     /** Another queue has a job with the id. */
-    | "otherQueue";
+    | "otherQueue"
+    /** It was cancelled before this submission arrived. */
+    | "cancelled";
 
 /** Reply of a process of the control role to a `JobRequest`. */
 export type JobReply =
