Acknowledge the number of an end once

Cause: each renewal repeats the number of the last recorded end. A renewal for the earlier start of a worker that hangs reaches the later one, which may forget its own ends up to that number, so that they are never listed and their runs count as lapsed.

A number is sent now only until a renewal that carried it has been answered. What is left is a number that is new when the worker crashes.

The test in silent-restart.test.ts fails without the change: the number is in each renewal.

--- a/packages/lead-jobs/src/silent-restart.test.ts
+++ b/packages/lead-jobs/src/silent-restart.test.ts
@@ -2,7 +2,14 @@
 import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
-import { listOverlaps, makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
+import {
+    listOverlaps,
+    makeWorker,
+    startTestSystemWith,
+    type TestSystem,
+    testSystem,
+    testWithClock,
+} from "./fakes/index.js";
 
 /** Time for which a worker that crashed is silent until it starts again, in milliseconds. */
 const silentMs = 600;
@@ -114,3 +121,26 @@
         yield* system.pass(settleMs);
         yield* assertRunsOnce(system);
     }));
+
+// Guards against a renewal for the earlier start that hangs and has the later one forget its first ends, whose numbers begin anew:
+// tasks that had succeeded ran again.
+testWithClock(
+    "the number of an end is acknowledged until the worker has answered, and not again",
+    Effect.gen(function*() {
+        const acknowledged: number[] = [];
+        const system = yield* startTestSystemWith(port => ({
+            ...port,
+            renewLease: (worker, order, limitMs) => {
+                acknowledged.push(order.acknowledgedSequence);
+                return port.renewLease(worker, order, limitMs);
+            },
+        }));
+        yield* system.addWorker(first);
+        yield* system.submit(makeJob("a"));
+        yield* system.pass(5_000);
+        yield* system.submit(makeJob("b"));
+        yield* system.pass(5_000);
+        assert.deepEqual(acknowledged.filter(sequence => sequence > 0), [1, 2]);
+        assert.ok(acknowledged.length > 4);
+    }),
+);
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -61,6 +61,8 @@
     readonly answer: RenewAnswer;
     /** When the renewal was sent, in monotonic milliseconds. */
     readonly sentAtMs: number;
+    /** Sequence number that it acknowledged; 0 for none. */
+    readonly acknowledgedSequence: number;
 }
 
 /** State of one worker in the term of a leader. */
@@ -83,6 +85,8 @@
     readonly runStatuses: RunStatuses;
     /** Sequence number up to which the ends of runs are recorded. */
     acknowledgedSequence: number;
+    /** Sequence number whose acknowledgement has certainly arrived, because the worker has answered it. */
+    confirmedSequence: number;
     /** When the worker last answered an order, in monotonic milliseconds; undefined before the first answer. */
     answeredAtMs: number | undefined;
     /** Whether the worker answered the last renewal of its lease. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -88,6 +88,7 @@
         foreignOrdersUntilMs,
         runStatuses: new Map(),
         acknowledgedSequence: 0,
+        confirmedSequence: 0,
         answeredAtMs: undefined,
         isResponsive: false,
         isReconciled: false,
@@ -244,7 +245,17 @@
     return isLearning || isSpeedDoubtful(term, state, nowMs) ? learningIntervalMs : reportIntervalMs;
 }
 
-/** Sends one renewal; the answer carries the time at which it was sent. */
+/**
+ * Finds the sequence number that the next renewal acknowledges; 0 for none. The worker may have started again, and would forget
+ * its first ends, so that nothing is acknowledged to one that has missed a renewal, and nothing twice.
+ */
+function findSequenceToAcknowledge(
+    { isResponsive, acknowledgedSequence, confirmedSequence }: WorkerSession,
+): number {
+    return isResponsive && acknowledgedSequence > confirmedSequence ? acknowledgedSequence : 0;
+}
+
+/** Sends one renewal; the answer carries the time at which it was sent and what it acknowledged. */
 const sendRenewal = Effect.fnUntraced(function*(
     term: Term,
     session: WorkerSession,
@@ -259,14 +270,14 @@
         session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
         session.leaseOrderSentAtMs = sentAtMs;
     }
+    const acknowledgedSequence = findSequenceToAcknowledge(session);
     const answer = yield* term.workers.renewLease(session.info, {
         leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
         fencingToken: term.number,
-        // Nothing is acknowledged to a worker that has missed a renewal: it may have started again.
-        acknowledgedSequence: session.isResponsive ? session.acknowledgedSequence : 0,
+        acknowledgedSequence,
         waitMs,
     }, limitMs);
-    return { answer, sentAtMs } satisfies RenewalAnswer;
+    return { answer, sentAtMs, acknowledgedSequence } satisfies RenewalAnswer;
 });
 
 /**
@@ -288,6 +299,7 @@
     return Option.getOrElse(answered, (): RenewalAnswer => ({
         answer: { kind: "unknown", detail: `no answer within ${renewGraceMs} ms` },
         sentAtMs: session.renewalSentAtMs,
+        acknowledgedSequence: 0,
     }));
 });
 
@@ -297,7 +309,7 @@
  */
 const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     const waitMs = session.isResponsive ? chooseWaitMs(term, session, yield* readMonotonicMs) : 0;
-    const { answer, sentAtMs } = session.isResponsive
+    const { answer, sentAtMs, acknowledgedSequence } = session.isResponsive
         ? yield* sendRenewal(term, session, waitMs, waitMs + renewGraceMs)
         : yield* renewSilentWorker(term, session);
     term.load.renewals += 1;
@@ -312,6 +324,7 @@
             yield* Effect.sleep(retryPauseMs);
             return { kind: "kept" } as const;
         }
+        session.confirmedSequence = Math.max(session.confirmedSequence, acknowledgedSequence);
         yield* applyRenewAnswer(term, session, answer, sentAtMs);
         yield* Effect.sleep(renewPauseMs);
         return { kind: "kept" } as const;
