Do not count a crash for runs that were ordered after it

After two such crashes a task waits for a trial, or fails its job, though its starts never were on a worker that crashed.

The start of the worker that follows says when it was born. Runs that were ordered later are no suspects and keep their tasks' counts (laterRuns of the crash; "worker has crashed" tells their number). Runs that were ordered in the silence before the birth still count: nothing tells them from a run that crashes its worker at once.

Regression tests: silent-restart.test.ts, "a crash does not count for runs that were ordered after it", counted one crash for each task before; two tests of worker-crashes.test.ts cover the parts.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -199,17 +199,22 @@
     task.crashHistory = undefined;
 }
 
-/** Counts the crash of a worker for the runs on it. Passed trials do not clear the histories. */
+/** Counts the crash of a worker for the runs that were on it. Passed trials do not clear the histories. */
 function recordCrashes(
     state: JobState,
     worker: WorkerState,
     crash: WorkerCrash,
 ): void {
-    recordCrashHistory(state, worker, crash);
-    const { suspectedRuns, isCertain, clearedRuns } = crash;
+    const { suspectedRuns, isCertain, clearedRuns, laterRuns = [] } = crash;
+    const later = new Set(laterRuns.map(formatRunKey));
+    const runs = [...worker.runs].filter(([key]) => !later.has(key));
+    if (runs.length === 0) {
+        return;
+    }
+    recordCrashHistory(state, worker.info.service, runs.map(([, run]) => run), crash);
     const suspected = new Set(suspectedRuns.map(formatRunKey));
     const cleared = new Set(clearedRuns.map(formatRunKey));
-    for (const [key, run] of worker.runs) {
+    for (const [key, run] of runs) {
         if (cleared.has(key)) {
             run.task.crashes = undefined;
         }
--- a/packages/job-state/src/crash-history.ts
+++ b/packages/job-state/src/crash-history.ts
@@ -1,5 +1,5 @@
 import type { WorkerCrash } from "@chestnutspool/types";
-import type { CrashHistory, JobState, JobStep, JobTask, WorkerRun, WorkerState } from "./job-state.js";
+import type { CrashHistory, JobState, JobStep, JobTask, WorkerRun } from "./job-state.js";
 
 /** Odds that a task of which nothing is known crashes its workers; far above its share, so that few crashes suffice. */
 const priorOdds = 0.01;
@@ -40,9 +40,9 @@
     probability: number;
 }
 
-function listSuspects(worker: WorkerState): readonly Suspect[] {
+function listSuspects(runs: readonly WorkerRun[]): readonly Suspect[] {
     const suspects = new Map<JobStep | JobTask, Suspect>();
-    for (const run of worker.runs.values()) {
+    for (const run of runs) {
         const { step, task } = run;
         // Earlier builds record no time of a start. A run that outlasts a crash has been counted for it.
         if (run.startedAtMs === 0 || task.crashHistory?.run === run.run) {
@@ -91,17 +91,21 @@
 }
 
 /**
- * Counts the crash of a worker in the histories of the tasks on it, weighed by likelihood: each gains as much evidence as the
+ * Counts the crash of a worker of a service in the histories of the tasks of `runs`, weighed by likelihood: each gains as much evidence as the
  * crash would be unlikely without it, given the age of its run, the crashes of other workers and the other tasks on the
  * worker. A crash after a long time is likely without it and lowers the evidence.
  */
-export function recordCrashHistory(state: JobState, worker: WorkerState, { silentMs = 0 }: WorkerCrash): void {
-    const { service } = worker.info;
+export function recordCrashHistory(
+    state: JobState,
+    service: string,
+    runs: readonly WorkerRun[],
+    { silentMs = 0 }: WorkerCrash,
+): void {
     state.recentCrashes = state.recentCrashes.filter(({ atMs }) => state.clockMs - atMs < recentMs);
-    const suspects = listSuspects(worker);
+    const suspects = listSuspects(runs);
     const total = suspects.reduce((sum, { probability }) => sum + probability, 0);
-    const counted = suspects.flatMap(({ runs, probability }) =>
-        runs.map(run => ({
+    const counted = suspects.flatMap(({ runs: ofSuspect, probability }) =>
+        ofSuspect.map(run => ({
             run,
             history: addCrash(state, service, run, { byOtherTasks: total - probability, silentMs }),
         }))
@@ -109,7 +113,7 @@
     for (const { run, history } of counted) {
         run.task.crashHistory = history;
     }
-    const explained = Math.max(0, ...[...worker.runs.values()].map(({ task }) => computeProbability(task)));
+    const explained = Math.max(0, ...runs.map(({ task }) => computeProbability(task)));
     const crash = { atMs: state.clockMs, service, explainedPercent: Math.round(100 * explained) };
     state.recentCrashes = [...state.recentCrashes, crash].slice(-recentLimit);
 }
--- a/packages/lead-jobs/src/expire-worker.ts
+++ b/packages/lead-jobs/src/expire-worker.ts
@@ -38,6 +38,8 @@
     readonly isGone: boolean;
     /** Whether it has certainly crashed. */
     readonly isCrash: boolean;
+    /** When it had certainly crashed, in monotonic milliseconds; undefined if that is not known. */
+    readonly crashedBeforeMs?: number;
 }
 
 /**
@@ -47,7 +49,7 @@
 export const expireWorker = Effect.fnUntraced(function*(
     term: Term,
     session: WorkerSession,
-    { reason, isGone, isCrash }: WorkerEnd,
+    { reason, isGone, isCrash, crashedBeforeMs }: WorkerEnd,
     kept: readonly RunKey[] = [],
 ) {
     const state = findWorkerState(term, session);
@@ -69,7 +71,7 @@
     const silentSinceMs = session.silentSinceMs ?? nowMs;
     const crash = isCrash && state.runs.size > 0
         ? {
-            ...findCrashSuspects(state, session.runStatuses, silentSinceMs),
+            ...findCrashSuspects(state, session.runStatuses, silentSinceMs, crashedBeforeMs),
             silentMs: Math.round(nowMs - silentSinceMs),
         }
         : undefined;
--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -116,7 +116,7 @@
     term: Term,
     { info, runStatuses, answeredAtMs }: WorkerSession,
     state: WorkerState,
-    { suspectedRuns, isCertain }: WorkerCrash,
+    { suspectedRuns, isCertain, laterRuns = [] }: WorkerCrash,
     nowMs: number,
 ): void {
     term.metrics.countEvent("workers.crashed", "", info.service);
@@ -129,6 +129,7 @@
             return `${formatRunKey(key)}(${suspicions})`;
         }).join(" "),
         isCertain,
+        laterRuns: laterRuns.length,
         answerAgeMs: answeredAtMs === undefined ? undefined : Math.round(nowMs - answeredAtMs),
     });
 }
--- a/packages/lead-jobs/src/open-session.ts
+++ b/packages/lead-jobs/src/open-session.ts
@@ -1,6 +1,6 @@
 import { formatRunKey } from "@chestnutspool/job-state";
 import { createRunStatus, isStartOpen, type RunStatus } from "@chestnutspool/track-workers";
-import { type ErrorData, readMonotonicMs, type RunKey, type WorkerInfo } from "@chestnutspool/types";
+import { type ErrorData, readMonotonicMs, readWallMs, type RunKey, type WorkerInfo } from "@chestnutspool/types";
 import { Effect, FiberMap } from "effect";
 import { expireWorker, hasAnnouncedEnd } from "./expire-worker.js";
 import { requestStop, stopOpenOrders } from "./send-orders.js";
@@ -96,6 +96,11 @@
     return Math.max(nowMs, earlier.foreignOrdersUntilMs, lastSentAtMs + orderDelayLimitMs);
 }
 
+/** Finds when the later start of a worker was born, in monotonic milliseconds; undefined if it does not say so. */
+const findBirthMs = Effect.fnUntraced(function*({ bornAtMs }: WorkerInfo, nowMs: number) {
+    return bornAtMs === undefined ? undefined : nowMs - Math.max(0, (yield* readWallMs) - bornAtMs);
+});
+
 /**
  * Replaces the session of a worker that has started again under its id. The runs of the earlier start have ended with it, but for
  * those that no report has listed: the later start may have carried out the orders to the earlier one, so that its first
@@ -111,6 +116,7 @@
     const nowMs = yield* readMonotonicMs;
     const uncertain = listUncertainRuns(earlier);
     const openStarts = uncertain.filter(isStartOpen).map(({ key }) => key);
+    const crashedBeforeMs = yield* findBirthMs(info, nowMs);
     const foreignOrdersUntilMs = findForeignOrdersEnd(term, earlier, nowMs);
     term.logger.warn("worker has started again", {
         worker: info.id,
@@ -127,6 +133,7 @@
         reason: "the worker has started again",
         isGone: uncertain.length === 0,
         isCrash: !hasAnnouncedEnd(term, earlier),
+        ...(crashedBeforeMs === undefined ? {} : { crashedBeforeMs }),
     };
     const kept = uncertain.map(({ key }) => key);
     yield* Effect.onError(expireWorker(term, earlier, end, kept), () =>
--- a/packages/lead-jobs/src/silent-restart.test.ts
+++ b/packages/lead-jobs/src/silent-restart.test.ts
@@ -144,3 +144,32 @@
         assert.ok(acknowledged.length > 4);
     }),
 );
+
+const readTasks = (
+    system: TestSystem,
+) => [...system.machine.state.jobs.get("a")?.occurrences.get(0)?.steps[0]?.tasks ?? []];
+
+// Guards against a task that counts as one that crashes its workers, and waits for a trial or fails its job, because its start
+// was ordered on a worker that had crashed before.
+testSystem("a crash does not count for runs that were ordered after it", system =>
+    Effect.gen(function*() {
+        yield* setUpWorker(system);
+        yield* crash(system);
+        yield* system.pass(silentMs + 50);
+        yield* submit(system);
+        yield* system.pass(announceMs + 500);
+        const tasks = readTasks(system);
+        assert.equal(tasks.length, 2);
+        assert.deepEqual(tasks.filter(({ crashes, crashHistory }) => crashes ?? crashHistory), []);
+        yield* assertRunsOnce(system);
+    }));
+
+testSystem("a crash counts for runs that were ordered right before it", system =>
+    Effect.gen(function*() {
+        yield* setUpWorker(system);
+        yield* submit(system);
+        yield* system.pass(100);
+        yield* crash(system);
+        yield* system.pass(silentMs + announceMs + 100);
+        assert.deepEqual(readTasks(system).map(({ crashes }) => crashes?.crashes), [1, 1]);
+    }));
--- a/packages/track-workers/src/worker-crashes.test.ts
+++ b/packages/track-workers/src/worker-crashes.test.ts
@@ -193,3 +193,32 @@
     getStatus(statuses, 0, 2).readAtMs = 500;
     assert.deepEqual([hasTrial(state, statuses), countUnprovedRuns(state, statuses)], [false, 0]);
 });
+
+// Guards against a task that is blamed for the crash of a worker on which its start was ordered later.
+test("a run that was ordered after the crash is not suspected, and the crash does not count for it", () => {
+    const machine = setUp();
+    start(machine, [0], testStartMs);
+    start(machine, [1], testStartMs + 50);
+    const statuses: RunStatuses = new Map([[0, 0], [1, 50]].map(([position = 0, orderedAtMs = 0]) => {
+        const key = makeKey(position);
+        return [formatRunKey(key), createRunStatus(key, "unanswered", orderedAtMs)];
+    }));
+    const found = findCrashSuspects(getWorker(machine), statuses, 20, 50);
+    assert.deepEqual(found.suspectedRuns, [makeKey(0)]);
+    assert.deepEqual(found.laterRuns, [makeKey(1)]);
+    assert.equal(found.isCertain, true);
+    machine.apply({ kind: "expireWorker", worker, isGone: false, checkpoints: [], crash: found });
+    const tasks = machine.state.jobs.get("a")?.occurrences.get(0)?.steps[0]?.tasks;
+    assert.deepEqual([0, 1].map(position => tasks?.[position]?.crashes?.crashes), [1, undefined]);
+    assert.deepEqual([0, 1].map(position => tasks?.[position]?.crashHistory?.crashes), [1, undefined]);
+});
+
+test("a crash before which no run on the worker was ordered counts for none", () => {
+    const machine = setUp();
+    start(machine, [0], testStartMs);
+    const found = findCrashSuspects(getWorker(machine), makeStatuses(machine), 20, 0);
+    assert.deepEqual(found.suspectedRuns, []);
+    assert.equal(found.isCertain, false);
+    machine.apply({ kind: "expireWorker", worker, isGone: false, checkpoints: [], crash: found });
+    assert.deepEqual(machine.state.recentCrashes, []);
+});
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -148,12 +148,24 @@
     return computeCrashOdds(left.task) < computeCrashOdds(right.task);
 }
 
+/** Whether the start of a run was ordered after its worker had crashed. */
+function isOrderedAfter(status: RunStatus | undefined, crashedBeforeMs: number): boolean {
+    return status !== undefined && status.start !== "excluded" && status.orderedAtMs >= crashedBeforeMs;
+}
+
 /**
  * Finds the runs on a worker that has crashed of which one may be the cause: those on trial, and those that started last. Of these
  * only the ones with the most suspicions, so that neighbours are not blamed for a task that has crashed other workers before.
+ * The worker fell silent at `silentSinceMs`, and had crashed before `crashedBeforeMs`; both are monotonic, in milliseconds.
  */
-export function findCrashSuspects(state: WorkerState, statuses: RunStatuses, silentSinceMs: number): WorkerCrash {
-    const runs = [...state.runs];
+export function findCrashSuspects(
+    state: WorkerState,
+    statuses: RunStatuses,
+    silentSinceMs: number,
+    crashedBeforeMs = Number.POSITIVE_INFINITY,
+): WorkerCrash {
+    const runs = [...state.runs].filter(([key]) => !isOrderedAfter(statuses.get(key), crashedBeforeMs));
+    const laterRuns = [...statuses.values()].filter(status => isOrderedAfter(status, crashedBeforeMs));
     const lastStartMs = Math.max(...runs.map(([, { startedAtMs }]) => startedAtMs));
     let suspects: { readonly run: WorkerRun; readonly status: RunStatus; }[] = [];
     let most: TaskCrashes | undefined;
@@ -189,5 +201,6 @@
             && [...suspects.map(({ run }) => run), ...openStarts].every(run => isSameSuspect(run, suspect.run))
             && rivals.every(run => isSameSuspect(run, suspect.run) || isLessLikely(run, suspect.run)),
         clearedRuns,
+        ...(laterRuns.length === 0 ? {} : { laterRuns: laterRuns.map(({ key }) => key) }),
     };
 }
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -190,6 +190,11 @@
     readonly isCertain: boolean;
     /** Runs of tasks that had been suspected before and have proved that they do not crash their worker. */
     readonly clearedRuns: readonly RunKey[];
+    /**
+     * Runs that were ordered after the crash, so that it says nothing about them; absent if there are none. Replicas of earlier
+     * builds count it for them too.
+     */
+    readonly laterRuns?: readonly RunKey[];
     /** Time for which the worker had been silent, in milliseconds; earlier builds do not tell it. */
     readonly silentMs?: number | undefined;
 }
