Take a crash for certain only if the worker has received the start

Cause: a start that is ordered while its worker is silent, before the leader knows, has no answer. Without other suspects the crash counted as certain for it, as for a task that crashes its worker at once; two such crashes end a job.

A crash is certain now for a run whose start was confirmed, or whose order was broken off within 0.5 s. Others stay suspected, and count for trials and in the history of the task.

worker-crashes.test.ts: two of four cases fail without the change. Tests of track-workers, job-state, lead-jobs, plan-jobs and replay-jobs: 387 passed, no further known red.

--- a/packages/track-workers/src/worker-crashes.test.ts
+++ b/packages/track-workers/src/worker-crashes.test.ts
@@ -222,3 +222,22 @@
     machine.apply({ kind: "expireWorker", worker, isGone: false, checkpoints: [], crash: found });
     assert.deepEqual(machine.state.recentCrashes, []);
 });
+
+// Guards against a job that is given up because its starts were ordered on workers that had fallen silent before.
+test("a crash is certain for a run without an answer only if the order was broken off", () => {
+    for (
+        const [state, changedAtMs, isCertain] of [
+            ["confirmed", 1, true],
+            ["unanswered", 10, true],
+            ["unanswered", 1_000, false],
+            ["ordered", 0, false],
+        ] as const
+    ) {
+        const machine = setUp();
+        start(machine, [0], testStartMs);
+        const status = { ...createRunStatus(makeKey(0), state, 0), startChangedAtMs: changedAtMs };
+        const found = findCrashSuspects(getWorker(machine), new Map([[formatRunKey(makeKey(0)), status]]), 20);
+        assert.deepEqual(found.suspectedRuns, [makeKey(0)]);
+        assert.equal(found.isCertain, isCertain, `${state} after ${changedAtMs} ms`);
+    }
+});
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -138,6 +138,17 @@
         && silentSinceMs - status.orderedAtMs <= computeProvingMs(task) + silenceDelayMs;
 }
 
+/** Time after which the connection of an order is no longer broken off by a crash that its run has caused, in milliseconds. */
+const breakOffMs = 500;
+
+/**
+ * Whether the worker gave no sign that it received the order to start a run. It may have been silent before: one that crashes at
+ * the start of a run has confirmed the start, or its end breaks the connection off.
+ */
+function isStartSilent({ start, startChangedAtMs, orderedAtMs }: RunStatus): boolean {
+    return start === "ordered" || (start === "unanswered" && startChangedAtMs - orderedAtMs >= breakOffMs);
+}
+
 /** Whether two runs are blamed as one: the members of a gang only run together, and are given up together. */
 function isSameSuspect(left: WorkerRun, right: WorkerRun): boolean {
     return left === right || (left.step === right.step && left.step.spec.gang);
@@ -197,7 +208,7 @@
     const [suspect] = suspects;
     return {
         suspectedRuns: suspects.map(({ status }) => status.key),
-        isCertain: suspect !== undefined
+        isCertain: suspect !== undefined && !suspects.every(({ status }) => isStartSilent(status))
             && [...suspects.map(({ run }) => run), ...openStarts].every(run => isSameSuspect(run, suspect.run))
             && rivals.every(run => isSameSuspect(run, suspect.run) || isLessLikely(run, suspect.run)),
         clearedRuns,
