--- a/packages/lead-jobs/src/silent-restart.test.ts
+++ b/packages/lead-jobs/src/silent-restart.test.ts
@@ -173,3 +173,26 @@
         yield* system.pass(silentMs + announceMs + 100);
         assert.deepEqual(readTasks(system).map(({ crashes }) => crashes?.crashes), [1, 1]);
     }));
+
+// Guards against a start that the third start of a worker carries out before the leader can stop it there, while its task runs elsewhere.
+testSystem(
+    "an order that is delayed over two restarts of its worker is not carried out while its task runs elsewhere",
+    system =>
+        Effect.gen(function*() {
+            yield* setUpWorker(system);
+            system.workers.setFault("w1", "startsVeryLate");
+            yield* submit(system);
+            yield* system.pass(60);
+            yield* system.addWorker(second);
+            yield* system.pass(1_440);
+            yield* crash(system);
+            yield* system.pass(silentMs + announceMs + 50);
+            const restarted = system.machine.state.workers.get("w1")?.info;
+            assert.ok(restarted !== undefined);
+            yield* system.heartbeat(restarted, true);
+            yield* system.pass(5_880 - silentMs - announceMs - 50);
+            yield* crash(system);
+            yield* system.pass(settleMs);
+            yield* assertRunsOnce(system);
+        }),
+);
