--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -7,21 +7,20 @@
     type RunKey,
     type RunOutcome,
     type StartOrder,
-    type UnacknowledgedEnd,
     type WorkerInfo,
     type WorkerRef,
 } from "@chestnutspool/types";
 import { Effect, type Scope } from "effect";
+import { createFakeWorker, type FakeWorker, isStartFault, type ListedEnd } from "./fake-worker.js";
 import {
     computeProgress,
     computeReading,
     createPacedWork,
     listDueEnds,
-    type PacedRun,
     type RunBehaviour,
     setPace,
 } from "./paced-run.js";
-import { type FakeWorkers, type RestartPlan, type StartedRun, testLeaseMs, type WorkerFault } from "./worker-types.js";
+import { type FakeWorkers, type RestartPlan, type StartedRun, testLeaseMs } from "./worker-types.js";
 
 /** Delay after which a late order is carried out, in milliseconds. */
 export const lateOrderMs = 4_000;
@@ -32,39 +31,6 @@
 /** Interval at which a call that hangs looks for the next worker, in milliseconds. */
 const hangingPollMs = 10;
 
-/** An end that a worker lists, and the run that it is of. */
-interface ListedEnd {
-    readonly end: UnacknowledgedEnd;
-    readonly record: StartedRun;
-}
-
-interface RunInProgress extends PacedRun {
-    readonly key: RunKey;
-    readonly record: StartedRun;
-}
-
-interface FakeWorker {
-    readonly info: WorkerInfo;
-    readonly clockRate: number;
-    /** When its clock showed 0, in monotonic milliseconds. */
-    readonly clockStartMs: number;
-    fault: WorkerFault;
-    token: number;
-    /** End of the lease, as a reading of the worker's clock. */
-    leaseUntilMs: number;
-    readonly running: Map<string, RunInProgress>;
-    /** Highest run number of each task that was stopped or has ended, by task key. */
-    readonly highestPastRuns: Map<string, number>;
-    ended: ListedEnd[];
-    /** Highest sequence number that was acknowledged; ends up to it are not listed. */
-    acknowledged: number;
-    nextSequence: number;
-}
-
-function isStartFault(fault: WorkerFault): boolean {
-    return fault === "startsLate" || fault === "startsVeryLate" || fault === "startsLost";
-}
-
 /** Creates fake workers. Late orders are carried out by fibers of the scope. */
 export const createFakeWorkers: Effect.Effect<FakeWorkers, never, Scope.Scope> = Effect.gen(function*() {
     const scope = yield* Effect.scope;
@@ -125,19 +91,7 @@
 
     const addWorker = (info: WorkerInfo, clockRate = 1, clockStartMs = 0): void => {
         silentIds.delete(info.id);
-        workers.set(info.id, {
-            info,
-            clockRate,
-            clockStartMs,
-            fault: "none",
-            token: 0,
-            leaseUntilMs: 0,
-            running: new Map(),
-            highestPastRuns: new Map(),
-            nextSequence: 1,
-            ended: [],
-            acknowledged: 0,
-        });
+        workers.set(info.id, createFakeWorker(info, clockRate, clockStartMs));
     };
 
     const removeWorker = (id: string, nowMs: number): void => {
--- a/packages/types/src/describe-job-request.ts
+++ b/packages/types/src/describe-job-request.ts
@@ -1,4 +1,4 @@
-import type { JobRequest } from "./jobs.js";
+import type { JobRequest } from "./job-requests.js";
 
 /** Log fields of a request; never its payload. */
 export type JobRequestFields = Readonly<Record<string, string | number | undefined>>;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./describe-job-request.js";
 export * from "./domain.js";
 export * from "./error-data.js";
+export * from "./job-requests.js";
 export * from "./jobs.js";
 export * from "./keep-running.js";
 export * from "./keys.js";
