Use one key for a job of a request, and look for a worker without listing them all

The key of cancelled submissions was that of proposed jobs, written again: formatJobKey of job-state serves both. The move of a job listed all workers of the service that take starts, for each job; it looks now for the first worker that could run a step. A comment claimed that delays of 12 s have been seen: the platform names them. A doc comment is wrapped.

Behaviour and tests are unchanged.

--- a/packages/job-state/src/change-jobs.ts
+++ b/packages/job-state/src/change-jobs.ts
@@ -59,14 +59,14 @@
     return job.queue.hostName === hostName && isJobPath(job.queue, path, job.id);
 }
 
-/** Key of a request in `cancelledSubmissions`; the path of a job names its queue and its id. */
-function formatJobTarget({ hostName, path }: RequestTarget): string {
+/** Key of the job of a request, known or not: the path of a job names its queue and its id. */
+export function formatJobKey({ hostName, path }: RequestTarget): string {
     return `${hostName} ${path}`;
 }
 
 /** Whether the job of a submission was cancelled before the submission arrived. */
 export function isSubmissionCancelled(state: JobState, submission: RequestTarget): boolean {
-    const cancelledAtMs = state.cancelledSubmissions.get(formatJobTarget(submission));
+    const cancelledAtMs = state.cancelledSubmissions.get(formatJobKey(submission));
     return cancelledAtMs !== undefined && state.clockMs - cancelledAtMs <= cancelledRetentionMs;
 }
 
@@ -136,7 +136,7 @@
     if (known !== undefined && isJobOfRequest(known, command)) {
         return { kind: "done" };
     }
-    const target = formatJobTarget(command);
+    const target = formatJobKey(command);
     // Removed first, so that the latest cancellation is the last one.
     state.cancelledSubmissions.delete(target);
     state.cancelledSubmissions.set(target, state.clockMs);
--- a/packages/job-state/src/crash-history.ts
+++ b/packages/job-state/src/crash-history.ts
@@ -91,9 +91,9 @@
 }
 
 /**
- * Counts the crash of a worker of a service in the histories of the tasks of `runs`, weighed by likelihood: each gains as much evidence as the
- * crash would be unlikely without it, given the age of its run, the crashes of other workers and the other tasks on the
- * worker. A crash after a long time is likely without it and lowers the evidence.
+ * Counts the crash of a worker of a service in the histories of the tasks of `runs`, weighed by likelihood: each gains as much
+ * evidence as the crash would be unlikely without it, given the age of its run, the crashes of other workers and the other tasks
+ * on the worker. A crash after a long time is likely without it and lowers the evidence.
  */
 export function recordCrashHistory(
     state: JobState,
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -1,4 +1,11 @@
-export { findQueue, isJobOfRequest, isJobPath, isQueuePath, isSubmissionCancelled } from "./change-jobs.js";
+export {
+    findQueue,
+    formatJobKey,
+    isJobOfRequest,
+    isJobPath,
+    isQueuePath,
+    isSubmissionCancelled,
+} from "./change-jobs.js";
 export { canCopyRun, countFailures } from "./change-runs.js";
 export { computeCrashOdds } from "./crash-history.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -186,7 +186,7 @@
     /** All services that a queue has ever been configured with, the latest one last, by `formatQueueKey`. */
     readonly servicesByQueue: Map<string, Set<string>>;
     /**
-     * Wall-clock time at which jobs were cancelled that were not known, in milliseconds since the epoch, by `formatJobTarget`, the
+     * Wall-clock time at which jobs were cancelled that were not known, in milliseconds since the epoch, by `formatJobKey`, the
      * earliest first; earlier builds do not record them.
      */
     readonly cancelledSubmissions: Map<string, number>;
--- a/packages/job-state/src/queue-services.ts
+++ b/packages/job-state/src/queue-services.ts
@@ -37,16 +37,21 @@
     return services === undefined || services.size < 2 ? undefined : [...services].at(-1);
 }
 
-/** Whether each step that is left has a worker of the service that takes starts and could run it. */
+/** Whether a worker of the service takes starts and could run a task of the step. */
+function hasWorkerFor(state: JobState, service: string, spec: StepSpec): boolean {
+    for (const worker of state.workers.values()) {
+        if (worker.info.service === service && acceptsStarts(state, worker) && canWorkerRun(worker, spec)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Whether the service has a worker for each step that is left. */
 function canServiceRun(state: JobState, service: string, { definition, occurrences }: JobRecord): boolean {
-    const workers = [...state.workers.values()].filter(worker =>
-        worker.info.service === service && acceptsStarts(state, worker)
-    );
     const isLeft = (position: number): boolean =>
         [...occurrences.values()].some(({ steps }) => (steps[position]?.tasksLeft ?? 0) > 0);
-    return definition.steps.every((spec, position) =>
-        !isLeft(position) || workers.some(worker => canWorkerRun(worker, spec))
-    );
+    return definition.steps.every((spec, position) => !isLeft(position) || hasWorkerFor(state, service, spec));
 }
 
 /**
--- a/packages/lead-jobs/src/admission.ts
+++ b/packages/lead-jobs/src/admission.ts
@@ -12,7 +12,7 @@
     recordStarted,
     type Throughput,
 } from "@chestnutspool/admit-jobs";
-import { acceptsStarts, isJobOfRequest, type JobState } from "@chestnutspool/job-state";
+import { acceptsStarts, formatJobKey, isJobOfRequest, type JobState } from "@chestnutspool/job-state";
 import {
     addResources,
     type JobCommand,
@@ -186,11 +186,6 @@
 type JobSources = Pick<Term, "admission" | "machine">;
 type Submission = Omit<Extract<JobRequest, { readonly kind: "submitJob"; }>, "kind">;
 
-/** Key of a job by its queue and id, which are in the path. */
-function formatJobKey({ hostName, path }: Submission): string {
-    return `${hostName} ${path}`;
-}
-
 /**
  * Whether a job is recorded or may still be: this leader proposed it and does not know the outcome. Such a job is never
  * refused, because it may run. Jobs that earlier leaders proposed are recorded by now or can no longer be committed,
--- a/packages/lead-jobs/src/open-session.ts
+++ b/packages/lead-jobs/src/open-session.ts
@@ -10,7 +10,7 @@
 
 /** Pause before a restart of a worker that could not be recorded is recorded again, in milliseconds. */
 const retryPauseMs = 200;
-/** Longest time after which a worker carries out an order that it does not answer, in milliseconds; 12 s have been seen. */
+/** Longest time after which a worker carries out an order that it does not answer, in milliseconds, by the disruptions of the platform. */
 const orderDelayLimitMs = 12_000;
 
 /** What is known of the start of a worker when its session opens. */
