Let refused starts not end the wait of a job that has begun

What callers saw: the next step of a job has no run for as long as several workers, on which alone it disturbs no serving task, refuse its starts in turn; with three of them none in the 15 s that the test watches, although eight other workers have room.

Cause: each planned start ended the wait of a job that has begun, because the state does not tell a refused run from one that was stopped. The pauses of the refusing workers end at different times, so that one of them got a start, and the wait began anew, before it was long enough.

Change: the leader remembers which run of a task ended without having started, and the planner asks for it (findUnstartedRun). The wait goes on if this holds for all of the last starts, as it did already for jobs that have not begun. Nothing new is recorded in the log.

--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -7,7 +7,7 @@
     type RunQuality,
     type RunStatus,
 } from "@chestnutspool/track-workers";
-import { type RunEnd, setLatest, type TaskKey, type WorkerId } from "@chestnutspool/types";
+import { type RunEnd, type RunKey, setLatest, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { observeRunEnd } from "./learn-speeds.js";
 import { recordPlacementRun } from "./placement-waits.js";
 import type { Term, WorkerSession } from "./term.js";
@@ -25,6 +25,8 @@
 const runTimeStepLimit = 2_000;
 /** Limit of the failed tasks whose worker is kept; with free capacity a task waits only seconds for its next run. */
 const failedTaskLimit = 10_000;
+/** Limit of the tasks whose last run without a start is kept; the planner asks for those of the last second. */
+const unstartedTaskLimit = 10_000;
 /**
  * Largest share of the workers that may be suspected. Above it the cause is not a single worker, so that all are used.
  */
@@ -84,6 +86,11 @@
     setLatest(term.failedWorkerByTask, formatTaskKey(task), info.id, failedTaskLimit);
 }
 
+/** Records that a run of a task has ended without having started. */
+export function recordUnstartedRun(term: Term, run: RunKey): void {
+    setLatest(term.unstartedRunByTask, formatTaskKey(run), run.run, unstartedTaskLimit);
+}
+
 /** Updates the health of a worker by the end of a run. Must be called before the end is recorded. */
 export function rateRunEnd(term: Term, session: WorkerSession, end: RunEnd, nowMs: number): void {
     const key = formatRunKey(end);
@@ -96,6 +103,9 @@
     if (end.outcome === "failed") {
         recordFailedWorker(term, session, end);
     }
+    if (end.outcome === "neverStarted") {
+        recordUnstartedRun(term, end);
+    }
     if (run !== undefined && status !== undefined && end.outcome === "succeeded") {
         recordPlacementRun(term, session.info, run, status, nowMs);
     }
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -245,6 +245,7 @@
         state: term.machine.state,
         isUsable: (worker: WorkerId) => isUsable(term, worker),
         findFailedWorker: (task: TaskKey) => term.failedWorkerByTask.get(formatTaskKey(task)),
+        findUnstartedRun: (task: TaskKey) => term.unstartedRunByTask.get(formatTaskKey(task)),
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         countStepStarts: term.refusedSteps.size === 0
             ? undefined
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -17,7 +17,7 @@
 import { Effect } from "effect";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
 import { listOpenOrders, recordOpenOrder } from "./open-orders.js";
-import { recordFailedWorker } from "./rate-run-ends.js";
+import { recordFailedWorker, recordUnstartedRun } from "./rate-run-ends.js";
 import { observeBegunJob } from "./record-begun-jobs.js";
 import { recordConfirmedStep, recordRefusedStep } from "./refused-steps.js";
 import { superviseLoop, superviseOrder } from "./supervise-loop.js";
@@ -55,6 +55,10 @@
 ) {
     const { job, occurrence, step, position, run: number } = run;
     const end: RunEnd = { job, occurrence, step, position, run: number, outcome, checkpoint };
+    if (outcome === "neverStarted") {
+        // Before the end is applied, so that no pass takes the run for one that was stopped.
+        recordUnstartedRun(term, run);
+    }
     yield* propose(term, { kind: "endRuns", worker: session.info.id, ends: [end] });
     logRunEnded(term, session, end);
     session.runStatuses.delete(formatRunKey(run));
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -77,6 +77,7 @@
         sessions: new Map(),
         sessionLoops: yield* FiberMap.make<WorkerId>(),
         failedWorkerByTask: new Map(),
+        unstartedRunByTask: new Map(),
         runTimesByStep: new Map(),
         copies: createCopyMemory(),
         givenUpJobs: new Set(),
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -137,6 +137,8 @@
     readonly sessionLoops: FiberMap.FiberMap<WorkerId>;
     /** Worker of the last failed run of each task, by task key; only the latest failures are kept. */
     readonly failedWorkerByTask: Map<string, WorkerId>;
+    /** Number of the last run of each task that ended without having started, by task key; only the latest are kept. */
+    readonly unstartedRunByTask: Map<string, number>;
     /** Run times of the successful runs of each step, by step key; only the latest steps are kept. */
     readonly runTimesByStep: Map<string, { readonly runs: number; readonly totalMs: number; }>;
     /** Copies of slow tasks, and the run times that they are decided by. */
--- a/packages/plan-jobs/src/plan-input.ts
+++ b/packages/plan-jobs/src/plan-input.ts
@@ -17,6 +17,8 @@
     readonly countStepStarts?: ((stepKey: string) => number | undefined) | undefined;
     /** Worker of the last run of a task that failed or was refused; undefined if unknown. */
     readonly findFailedWorker: (task: TaskKey) => WorkerId | undefined;
+    /** Number of the last run of a task that ended without having started; absent or undefined if none is known. */
+    readonly findUnstartedRun?: ((task: TaskKey) => number | undefined) | undefined;
     readonly interference: InterferenceModel;
     /** State of the runs on a worker, by its reports. */
     readonly findRunStatuses: (worker: WorkerId) => RunStatuses | undefined;
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -259,6 +259,7 @@
         waitingSteps,
         {
             pools: summarizePools(state),
+            findUnstartedRun: pass.input.findUnstartedRun,
             startsByJob: groupByJob(state, pass.starts),
             ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
             isUnmet: waiting => isUnmet(starvedPass, waiting),
@@ -296,12 +297,13 @@
  * earlier passes; by default there are none.
  */
 export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
+    const { findUnstartedRun } = input;
     expireMoves(memory.moves, nowMs);
     const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
     const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
         memory.hasStepsLeft = false;
-        listStarvedSteps(memory.starvation, [], new Map(), nowMs);
+        listStarvedSteps(memory.starvation, [], { pools: new Map(), findUnstartedRun }, nowMs);
         return [];
     }
     const candidates = listCandidates(input);
@@ -317,7 +319,7 @@
         blockedTrials: [],
         blockedGangs: new Set(),
         movedTasks: new Set(),
-        listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, nowMs),
+        listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, findUnstartedRun, nowMs),
         observeTrialWait: step => observeTrialWait(memory.trialWaits, step, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
--- a/packages/plan-jobs/src/plan-starved-steps.ts
+++ b/packages/plan-jobs/src/plan-starved-steps.ts
@@ -4,10 +4,10 @@
     canStartStarved,
     countExpeditedJobs,
     listStarvedSteps,
-    type PoolUse,
     recordStarvedAttempt,
     recordStarvedStart,
     recordUndisturbedStarts,
+    type StarvationInput,
     type StarvationMemory,
 } from "./starved-steps.js";
 import type { WaitingStep } from "./waiting-steps.js";
@@ -21,9 +21,7 @@
 }
 
 /** What the planning of starved steps takes from its pass. */
-export interface StarvedPass {
-    /** Use of the pools, by service. */
-    readonly pools: ReadonlyMap<string, PoolUse>;
+export interface StarvedPass extends StarvationInput {
     /** Jobs of which the pass starts tasks that disturb nothing, with these starts. */
     readonly startsByJob: ReadonlyMap<JobRecord, readonly RunStart[]>;
     /** Ratings of workers from which no further step is planned. */
@@ -42,8 +40,10 @@
     nowMs: number,
 ): void {
     const started = new Set(pass.startsByJob.keys());
-    pass.startsByJob.forEach((starts, job) => recordUndisturbedStarts(memory, job, starts, nowMs));
-    const starved = listStarvedSteps(memory, waitingSteps, pass.pools, nowMs);
+    pass.startsByJob.forEach((starts, job) =>
+        recordUndisturbedStarts(memory, job, starts, pass.findUnstartedRun, nowMs)
+    );
+    const starved = listStarvedSteps(memory, waitingSteps, pass, nowMs);
     const expeditedJobs = countExpeditedJobs(starved);
     let ratings = 0;
     for (const step of starved) {
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -1,5 +1,5 @@
 import type { JobRecord, JobState, JobStep, JobTask } from "@chestnutspool/job-state";
-import type { RunStart, WorkerId } from "@chestnutspool/types";
+import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
 import type { Lateness } from "./predict-lateness.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
@@ -46,11 +46,11 @@
     foundAtMs: number;
 }
 
-/** Starts of a job that has not begun; no worker has confirmed one of its runs. */
+/** The last starts of a job; workers may refuse all of them. */
 interface UnconfirmedStarts {
     readonly atMs: number;
-    readonly starts: readonly { readonly worker: WorkerId; readonly task: JobTask; readonly run: number; }[];
-    /** The wait that the starts end if a worker confirms one of them. */
+    readonly starts: readonly { readonly start: RunStart; readonly task: JobTask; }[];
+    /** The wait that the starts end unless workers refuse all of them. */
     readonly starvation: Starvation;
 }
 
@@ -88,10 +88,18 @@
     readonly isMostlyFree: boolean;
 }
 
+/** What tells jobs without a run in a pass. */
+export interface StarvationInput {
+    /** Use of the pools, by service. */
+    readonly pools: ReadonlyMap<string, PoolUse>;
+    /** Number of the last run of a task that ended without having started; absent or undefined if none is known. */
+    readonly findUnstartedRun: ((task: TaskKey) => number | undefined) | undefined;
+}
+
 /** What the planner remembers of jobs without a run. */
 export interface StarvationMemory {
     readonly jobs: WeakMap<JobRecord, Starvation>;
-    /** The last starts of jobs that disturb nothing and may be refused. */
+    /** The last starts that disturb nothing of jobs without a run. */
     readonly unconfirmed: WeakMap<JobRecord, UnconfirmedStarts>;
     readonly services: Map<string, ServiceStarvation>;
     summary: StarvationSummary;
@@ -150,17 +158,20 @@
 }
 
 /**
- * Finds the last starts of a job without a run if all of them have ended and no worker has confirmed one, within `retryMs` before
- * `nowMs`: workers have refused them. A start that was planned and not recorded is none of them.
+ * Finds the last starts of a job without a run if all of them have ended and none of them has started, within `retryMs` before
+ * `nowMs`: workers have refused them. A start that was planned and not recorded is none of them. No run of a job that has not begun
+ * has started; for the others the state does not tell a refused run from one that was stopped.
  */
 function findRefusedStarts(
     { unconfirmed }: StarvationMemory,
     job: JobRecord,
+    findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): UnconfirmedStarts | undefined {
-    const last = job.hasBegun || job.runsInProgress > 0 ? undefined : unconfirmed.get(job);
+    const last = job.runsInProgress > 0 ? undefined : unconfirmed.get(job);
+    const isRefused = (start: RunStart): boolean => !job.hasBegun || findUnstartedRun?.(start) === start.run;
     return last !== undefined && nowMs - last.atMs <= retryMs
-            && last.starts.every(({ task, run }) => task.lastRun === run)
+            && last.starts.every(({ task, start }) => task.lastRun === start.run && isRefused(start))
         ? last
         : undefined;
 }
@@ -169,9 +180,14 @@
  * Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. Starts that workers have refused do not end
  * its wait.
  */
-function observeWithoutRun(memory: StarvationMemory, job: JobRecord, nowMs: number): Starvation {
+function observeWithoutRun(
+    memory: StarvationMemory,
+    job: JobRecord,
+    findUnstartedRun: StarvationInput["findUnstartedRun"],
+    nowMs: number,
+): Starvation {
     const { jobs } = memory;
-    const known = findRefusedStarts(memory, job, nowMs)?.starvation ?? jobs.get(job);
+    const known = findRefusedStarts(memory, job, findUnstartedRun, nowMs)?.starvation ?? jobs.get(job);
     if (known === undefined) {
         const starvation = {
             sinceMs: nowMs,
@@ -224,7 +240,7 @@
 export function listStarvedSteps(
     memory: StarvationMemory,
     waitingSteps: readonly WaitingStep[],
-    pools: ReadonlyMap<string, PoolUse>,
+    { pools, findUnstartedRun }: StarvationInput,
     nowMs: number,
 ): StarvedStep[] {
     for (const [service, { isMostlyFree }] of pools) {
@@ -238,7 +254,7 @@
         if (!step.spec.usesIdleCpu || job.runsInProgress > 0) {
             continue;
         }
-        const starvation = observeWithoutRun(memory, job, nowMs);
+        const starvation = observeWithoutRun(memory, job, findUnstartedRun, nowMs);
         withoutRun.set(job, nowMs - starvation.withoutRunSinceMs);
         const isExpedited = isOverdueInFreePool(memory, job, starvation, nowMs);
         const isLongWithoutStart = nowMs - starvation.sinceMs >= starvedMs[lateness];
@@ -254,24 +270,25 @@
 }
 
 /**
- * Forgets that a job has waited, because tasks of it start at `nowMs` without disturbing serving tasks. The wait of a job that has not
- * begun goes on if workers refuse these starts.
+ * Forgets that a job has waited, because tasks of it start at `nowMs` without disturbing serving tasks. The wait of a job without a run
+ * goes on if workers refuse these starts.
  */
 export function recordUndisturbedStarts(
     memory: StarvationMemory,
     job: JobRecord,
     starts: readonly RunStart[],
+    findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): void {
-    if (job.hasBegun || job.runsInProgress > 0) {
+    if (job.runsInProgress > 0) {
         memory.unconfirmed.delete(job);
     }
     else {
-        const tasks = starts.flatMap(({ worker, occurrence, step, position, run }) => {
-            const task = job.occurrences.get(occurrence)?.steps[step]?.tasks[position];
-            return task === undefined ? [] : [{ worker, task, run }];
+        const tasks = starts.flatMap(start => {
+            const task = job.occurrences.get(start.occurrence)?.steps[start.step]?.tasks[start.position];
+            return task === undefined ? [] : [{ start, task }];
         });
-        const starvation = observeWithoutRun(memory, job, nowMs);
+        const starvation = observeWithoutRun(memory, job, findUnstartedRun, nowMs);
         memory.unconfirmed.set(job, { atMs: nowMs, starts: tasks, starvation });
     }
     memory.jobs.delete(job);
@@ -284,11 +301,12 @@
 export function listRefusingWorkers(
     memory: StarvationMemory,
     { job, step }: WaitingStep,
+    findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): readonly WorkerId[] {
-    const refused = step.spec.usesIdleCpu ? findRefusedStarts(memory, job, nowMs) : undefined;
+    const refused = step.spec.usesIdleCpu ? findRefusedStarts(memory, job, findUnstartedRun, nowMs) : undefined;
     return refused !== undefined && isOverdueInFreePool(memory, job, refused.starvation, nowMs)
-        ? refused.starts.map(({ worker }) => worker)
+        ? refused.starts.map(({ start }) => start.worker)
         : [];
 }
 
