Leave out all workers that have refused a job since it has had no run

Cause: only the workers of the last refused starts were left out, so that the two were chosen in turn, and each planned start kept the planner from starting the job elsewhere.

Change: the wait of a job holds all workers that have refused its starts since it has had no run; the starts that disturb serving tasks count as well. They are left out once the job is overdue in a mostly free pool. If no other worker has room, the attempt that is made each second takes one of them all the same, so that a worker that takes starts again is found.

The new test for workers that recover passes, and fails without the second attempt.

--- a/packages/plan-jobs/src/expedited-jobs.test.ts
+++ b/packages/plan-jobs/src/expedited-jobs.test.ts
@@ -41,6 +41,28 @@
     assert.ok(longestMs <= longestWithoutRunMs, `${longestMs} ms`);
 });
 
+// Guards against a job that never runs on a worker that takes starts again, because it has refused one and is left out until the job has a
+// run.
+test("a job without a run starts within 3 s after the only workers that can run it take starts again", () => {
+    const recoveryMs = 10_000;
+    const pool = makeDisturbedPool(8);
+    const refusing = ["refusing1", "refusing2"];
+    refusing.forEach(id =>
+        pool.machine.apply({ kind: "registerWorker", worker: makeWorker(id, { labels: ["rare"] }) })
+    );
+    pool.submitForecast("forecast", { expectedRunMs: 1_000, requiredLabel: "rare" });
+    let startedAtMs = Number.POSITIVE_INFINITY;
+    pool.planUntil(watchedMs, undefined, atMs => {
+        if (atMs < recoveryMs) {
+            refusing.forEach(id => refuseStarts(pool, id));
+        }
+        else if ((pool.machine.state.openJobs.get("forecast")?.runsInProgress ?? 0) > 0) {
+            startedAtMs = Math.min(startedAtMs, atMs);
+        }
+    });
+    assert.ok(startedAtMs <= recoveryMs + longestWithoutRunMs, `${startedAtMs} ms`);
+});
+
 // Guards against a job that never runs because the first of its steps fits nowhere and takes all ratings of starved steps: the attempt
 // counts for the whole job, so that each further one begins with the same step.
 test("a job without a run starts the step that fits although an earlier one takes the ratings of a pass", () => {
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -252,7 +252,13 @@
     const attempt = (waiting: WaitingStep): StarvedAttempt => {
         const startsBefore = pass.starts.length;
         planStep(starvedPass, waiting, true);
-        return { tasks: pass.starts.length - startsBefore, ratings: starvedPass.ratings };
+        if (pass.starts.length === startsBefore && pass.listRefusingWorkers(waiting).length > 0) {
+            // No other worker has room, and those that have refused a start may have recovered.
+            const refusingPass = { ...starvedPass, listRefusingWorkers: () => [] };
+            planStep(refusingPass, waiting, true);
+            starvedPass.ratings = refusingPass.ratings;
+        }
+        return { starts: pass.starts.slice(startsBefore), ratings: starvedPass.ratings };
     };
     planStarvedSteps(
         memory.starvation,
--- a/packages/plan-jobs/src/plan-starved-steps.ts
+++ b/packages/plan-jobs/src/plan-starved-steps.ts
@@ -14,8 +14,8 @@
 
 /** What came of planning a starved step. */
 export interface StarvedAttempt {
-    /** Tasks that start. */
-    readonly tasks: number;
+    /** Starts of its tasks. */
+    readonly starts: readonly RunStart[];
     /** Ratings of workers that the pass has made for starved steps until then. */
     readonly ratings: number;
 }
@@ -61,9 +61,9 @@
         recordStarvedAttempt(step, nowMs);
         const attempt = pass.attempt(waiting);
         ratings = attempt.ratings;
-        if (attempt.tasks > 0) {
+        if (attempt.starts.length > 0) {
             started.add(job);
-            recordStarvedStart(memory, step, attempt.tasks, expeditedJobs.get(service) ?? 0, nowMs);
+            recordStarvedStart(memory, step, attempt.starts, expeditedJobs.get(service) ?? 0, nowMs);
         }
     }
 }
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -29,7 +29,7 @@
     readonly blockedGangs: Set<string>;
     /** Tasks that the pass starts where a place was kept for them. */
     readonly movedTasks: Set<JobTask>;
-    /** Lists the workers that are left out for a step, because they have just refused the starts of its job, which has waited for long. */
+    /** Lists the workers that are left out for a step, because they have refused the starts of its job, which has waited for long. */
     readonly listRefusingWorkers: (waiting: WaitingStep) => readonly WorkerId[];
     /** Records that no trial is free for a step; returns whether it has waited for long. */
     readonly observeTrialWait: (step: JobStep) => boolean;
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -44,6 +44,8 @@
     withoutRunSinceMs: number;
     /** Wall-clock time of the last pass that found it without a run. */
     foundAtMs: number;
+    /** Workers that have refused its starts since then; a worker that is tried again although it has refused begins a new set. */
+    readonly refusedBy: Set<WorkerId>;
 }
 
 /** The last starts of a job; workers may refuse all of them. */
@@ -99,7 +101,7 @@
 /** What the planner remembers of jobs without a run. */
 export interface StarvationMemory {
     readonly jobs: WeakMap<JobRecord, Starvation>;
-    /** The last starts that disturb nothing of jobs without a run. */
+    /** The last starts of jobs without a run. */
     readonly unconfirmed: WeakMap<JobRecord, UnconfirmedStarts>;
     readonly services: Map<string, ServiceStarvation>;
     summary: StarvationSummary;
@@ -176,6 +178,27 @@
         : undefined;
 }
 
+/** Records the workers that have refused the last starts of a job without a run; returns its wait, if one is known. */
+function observeWait(
+    memory: StarvationMemory,
+    job: JobRecord,
+    findUnstartedRun: StarvationInput["findUnstartedRun"],
+    nowMs: number,
+): Starvation | undefined {
+    const refused = findRefusedStarts(memory, job, findUnstartedRun, nowMs);
+    if (refused === undefined) {
+        return memory.jobs.get(job);
+    }
+    const { starts, starvation } = refused;
+    memory.unconfirmed.delete(job);
+    memory.jobs.set(job, starvation);
+    if (starts.some(({ start }) => starvation.refusedBy.has(start.worker))) {
+        starvation.refusedBy.clear();
+    }
+    starts.forEach(({ start }) => starvation.refusedBy.add(start.worker));
+    return starvation;
+}
+
 /**
  * Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. Starts that workers have refused do not end
  * its wait.
@@ -186,8 +209,7 @@
     findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): Starvation {
-    const { jobs } = memory;
-    const known = findRefusedStarts(memory, job, findUnstartedRun, nowMs)?.starvation ?? jobs.get(job);
+    const known = observeWait(memory, job, findUnstartedRun, nowMs);
     if (known === undefined) {
         const starvation = {
             sinceMs: nowMs,
@@ -195,15 +217,16 @@
             triedAtMs: new WeakMap(),
             withoutRunSinceMs: nowMs,
             foundAtMs: nowMs,
+            refusedBy: new Set<WorkerId>(),
         };
-        jobs.set(job, starvation);
+        memory.jobs.set(job, starvation);
         return starvation;
     }
     if (nowMs - known.foundAtMs > retryMs) {
         known.withoutRunSinceMs = nowMs;
+        known.refusedBy.clear();
     }
     known.foundAtMs = nowMs;
-    jobs.set(job, known);
     return known;
 }
 
@@ -269,6 +292,21 @@
     return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
 }
 
+/** Records the starts of a job without a run, so that its wait goes on if workers refuse them. */
+function recordStarts(
+    { unconfirmed }: StarvationMemory,
+    job: JobRecord,
+    starts: readonly RunStart[],
+    starvation: Starvation,
+    nowMs: number,
+): void {
+    const withTasks = starts.flatMap(start => {
+        const task = job.occurrences.get(start.occurrence)?.steps[start.step]?.tasks[start.position];
+        return task === undefined ? [] : [{ start, task }];
+    });
+    unconfirmed.set(job, { atMs: nowMs, starts: withTasks, starvation });
+}
+
 /**
  * Forgets that a job has waited, because tasks of it start at `nowMs` without disturbing serving tasks. The wait of a job without a run
  * goes on if workers refuse these starts.
@@ -284,19 +322,14 @@
         memory.unconfirmed.delete(job);
     }
     else {
-        const tasks = starts.flatMap(start => {
-            const task = job.occurrences.get(start.occurrence)?.steps[start.step]?.tasks[start.position];
-            return task === undefined ? [] : [{ start, task }];
-        });
-        const starvation = observeWithoutRun(memory, job, findUnstartedRun, nowMs);
-        memory.unconfirmed.set(job, { atMs: nowMs, starts: tasks, starvation });
+        recordStarts(memory, job, starts, observeWithoutRun(memory, job, findUnstartedRun, nowMs), nowMs);
     }
     memory.jobs.delete(job);
 }
 
 /**
- * Lists the workers that are left out for a best-effort step at `nowMs`: they have just refused the starts of its job, which has waited
- * for too long in a pool of which most is free. Otherwise the only worker on which it disturbs nothing is chosen each time.
+ * Lists the workers that are left out for a best-effort step at `nowMs`: they have refused the starts of its job since it has had no run,
+ * for too long in a pool of which most is free. Otherwise the few workers on which it disturbs nothing are chosen in turn.
  */
 export function listRefusingWorkers(
     memory: StarvationMemory,
@@ -304,9 +337,11 @@
     findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): readonly WorkerId[] {
-    const refused = step.spec.usesIdleCpu ? findRefusedStarts(memory, job, findUnstartedRun, nowMs) : undefined;
-    return refused !== undefined && isOverdueInFreePool(memory, job, refused.starvation, nowMs)
-        ? refused.starts.map(({ start }) => start.worker)
+    const wait = step.spec.usesIdleCpu && job.runsInProgress === 0
+        ? observeWait(memory, job, findUnstartedRun, nowMs)
+        : undefined;
+    return wait !== undefined && nowMs - wait.foundAtMs <= retryMs && isOverdueInFreePool(memory, job, wait, nowMs)
+        ? [...wait.refusedBy]
         : [];
 }
 
@@ -336,23 +371,24 @@
 }
 
 /**
- * Records that a number of tasks of a starved step start at `nowMs`. `expeditedJobs` counts the jobs of the service whose starts
+ * Records that tasks of a starved step start at `nowMs`. `expeditedJobs` counts the jobs of the service whose starts
  * the pass expedites: the rate of these starts grows with them, so that each job gets one in a round.
  */
 export function recordStarvedStart(
     memory: StarvationMemory,
     { waiting: { job }, starvation, isExpedited }: StarvedStep,
-    tasks: number,
+    starts: readonly RunStart[],
     expeditedJobs: number,
     nowMs: number,
 ): void {
     starvation.startedAtMs = nowMs;
-    memory.summary = { ...memory.summary, starts: memory.summary.starts + tasks };
+    recordStarts(memory, job, starts, starvation, nowMs);
+    memory.summary = { ...memory.summary, starts: memory.summary.starts + starts.length };
     const ofService = getServiceStarvation(memory, job.queue.service);
     if (nowMs - ofService.interval.beganAtMs >= intervalMs) {
         ofService.interval = { beganAtMs: nowMs, starts: 0 };
     }
-    ofService.interval.starts += tasks;
+    ofService.interval.starts += starts.length;
     if (!isExpedited) {
         return;
     }
