Limit the time for which held workers keep a job without a run waiting

What callers saw: a job has no run although its worker has room and most of the pool is free, because the worker is held for an overdue long-running task that waits for the end of a run that lasts: no start in 60 s of simulated time, with a thirty-second part of the processors reserved.

Cause: a held worker takes no other task until the long-running task has started, however long the runs there last.

Change: a step of a job without a run that has found no room for 1.5 s while workers are held may take a held one, if most of the pool is free. The hold itself goes on, so that neither jobs with a run nor jobs that have just arrived take the place.

A new test guards that jobs with a run do not take the place.

--- a/packages/plan-jobs/src/delayed-steps.test.ts
+++ b/packages/plan-jobs/src/delayed-steps.test.ts
@@ -156,3 +156,21 @@
     const delayMs = planned.find(({ job }) => job === "small")?.atMs ?? Number.POSITIVE_INFINITY;
     assert.ok(delayMs <= longestDelayMs, `the job waits for ${delayMs} ms`);
 });
+
+// Guards against an overdue long-running task that never finds room because the tasks of jobs that have runs take the place that is held
+// for it once they have waited.
+test("tasks of a job with a run do not take the place that is held for an overdue long-running task", () => {
+    const machine = makeMachine(
+        Array.from({ length: 8 }, (item, number) => makeWorker(`w${number}`, number === 0 ? { labels: ["rare"] } : {})),
+    );
+    const start = (job: string): RunStart => ({ job, occurrence: 0, step: 0, position: 0, run: 1, worker: "w0" });
+    const resources = { milliCpu: 1_000, memoryMib: 10, accelerators: 0 };
+    const whole = { ...resources, milliCpu: 4_000 };
+    machine.submit(makeJob("serving", [makeStep({ longRunning: true, requiredLabel: "rare", resources: whole })]));
+    machine.apply({ kind: "startRuns", starts: [start("serving")] });
+    const { worker, ...run } = start("serving");
+    machine.apply({ kind: "endRuns", worker, ends: [{ ...run, outcome: "stopped", checkpoint: "" }] });
+    machine.submit(makeJob("wide", [makeStep({ requiredLabel: "rare", resources, count: 20 })]));
+    machine.apply({ kind: "startRuns", starts: [start("wide")] });
+    assert.deepEqual(simulatePasses(machine, 10_000), []);
+});
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -1,5 +1,6 @@
 import type { JobStep } from "@chestnutspool/job-state";
 import { type ContentionMemory, createContentionMemory } from "./contended-pools.js";
+import type { HoldWaits } from "./hold-waits.js";
 import type { PendingMoves } from "./pending-moves.js";
 import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
 import type { TrialWaits } from "./trial-waits.js";
@@ -35,6 +36,7 @@
     readonly starvation: StarvationMemory;
     readonly contention: ContentionMemory;
     readonly trialWaits: TrialWaits;
+    readonly holdWaits: HoldWaits;
     readonly moves: PendingMoves;
 }
 
@@ -49,6 +51,7 @@
         starvation: createStarvationMemory(),
         contention: createContentionMemory(),
         trialWaits: new WeakMap(),
+        holdWaits: new WeakMap(),
         moves: new Map(),
     };
 }
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -2,6 +2,7 @@
 import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
+import { observeHoldWait } from "./hold-waits.js";
 import { holdWorkers } from "./hold-workers.js";
 import { listKeptWorkers } from "./keep-workers.js";
 import { expireMoves, type PendingMove, type PendingMoves, reserveMove } from "./pending-moves.js";
@@ -225,6 +226,29 @@
     }
 }
 
+/**
+ * Plans starts of a step of a job without a run on workers that are held for long-running tasks, if it has found no room for too long
+ * although most of the pool is free: the runs whose end the hold waits for may last without end.
+ */
+function planDespiteHolds(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
+    const { job, step } = waiting;
+    const isMostlyFree = pass.pools.get(job.queue.service)?.isMostlyFree === true;
+    if (step.spec.longRunning || !isMostlyFree || hasRun(job, pass.starts)) {
+        return;
+    }
+    const held = listStepCandidates(pass, waiting).filter(({ isHeld }) => isHeld);
+    if (held.length === 0 || !pass.observeHoldWait(step)) {
+        return;
+    }
+    held.forEach(candidate => {
+        candidate.isHeld = false;
+    });
+    planStep(pass, waiting, isStarved);
+    held.forEach(candidate => {
+        candidate.isHeld = true;
+    });
+}
+
 /** Groups starts by their job. */
 function groupByJob({ openJobs }: JobState, starts: readonly RunStart[]): ReadonlyMap<JobRecord, readonly RunStart[]> {
     const startsByJob = new Map<JobRecord, RunStart[]>();
@@ -252,6 +276,7 @@
     const attempt = (waiting: WaitingStep): StarvedAttempt => {
         const startsBefore = pass.starts.length;
         planStep(starvedPass, waiting, true);
+        planDespiteHolds(starvedPass, waiting, true);
         if (pass.starts.length === startsBefore && pass.listRefusingWorkers(waiting).length > 0) {
             // No other worker has room, and those that have refused a start may have recovered.
             const refusingPass = { ...starvedPass, listRefusingWorkers: () => [] };
@@ -264,7 +289,7 @@
         memory.starvation,
         waitingSteps,
         {
-            pools: summarizePools(state),
+            pools: pass.pools,
             findUnstartedRun: pass.input.findUnstartedRun,
             startsByJob: groupByJob(state, pass.starts),
             ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
@@ -326,6 +351,8 @@
         blockedGangs: new Set(),
         movedTasks: new Set(),
         listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, findUnstartedRun, nowMs),
+        observeHoldWait: step => observeHoldWait(memory.holdWaits, step, nowMs),
+        pools: summarizePools(input.state),
         observeTrialWait: step => observeTrialWait(memory.trialWaits, step, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
@@ -337,6 +364,7 @@
         if (!hasNoRoom(pass, waiting)) {
             planStep(pass, waiting);
         }
+        planDespiteHolds(pass, waiting);
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
         return pass.ratings - ratingsBefore;
     });
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -5,6 +5,7 @@
 import type { PlanInput } from "./plan-input.js";
 import { formatWaitingKey } from "./rack-wants.js";
 import type { RatingContext } from "./rate-workers.js";
+import type { PoolUse } from "./starved-steps.js";
 import type { StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { startTrial, type TrialCounts } from "./trials.js";
@@ -33,6 +34,10 @@
     readonly listRefusingWorkers: (waiting: WaitingStep) => readonly WorkerId[];
     /** Records that no trial is free for a step; returns whether it has waited for long. */
     readonly observeTrialWait: (step: JobStep) => boolean;
+    /** Records that a step found no room while workers are held; returns whether it has waited for too long. */
+    readonly observeHoldWait: (step: JobStep) => boolean;
+    /** Use of the pools, by service. */
+    readonly pools: ReadonlyMap<string, PoolUse>;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
