Expedite long-running tasks one by one, also if others of their job run

What callers saw: a task of a job that lasts has no run although workers have room, while other tasks of its job run. The users count each such task from 6 s after its last run.

Cause: a best-effort task that would disturb serving tasks, finds contended workers or too few idle processors on each worker starts all the same only once its job has been without any run for some time. A job with one run was never starved.

Change: each long-running best-effort task that waits counts by itself. Its start is expedited after 3 s while most of the pool is free, and it is starved after 4 s in a pool in use; the limits on the rate of such starts are the same as for jobs, and refused starts keep its wait as they do that of a job. A task that needs a trial may take one at that time, if one is free.

Measured: starved-steps.test.ts has five new cases, one for each obstacle, for a pool in use and for a worker that refuses.

--- a/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
+++ b/packages/plan-jobs/src/fakes/make-disturbed-pool.ts
@@ -1,6 +1,8 @@
+import { formatTaskKey } from "@chestnutspool/job-state";
 import { makeJob, makeMachine, makeQueue, makeStep, makeWorker, testStartMs } from "@chestnutspool/job-state/fakes";
 import { createInterferenceModel } from "@chestnutspool/learn-interference";
-import type { Resources, RunEnd, RunStart, StepSpec } from "@chestnutspool/types";
+import type { RunStatuses } from "@chestnutspool/track-workers";
+import type { Resources, RunEnd, RunStart, StepSpec, TaskKey } from "@chestnutspool/types";
 import { createPlanMemory } from "../plan-memory.js";
 import { planStarts } from "../plan-starts.js";
 import { makePlanInput } from "./make-plan-input.js";
@@ -43,7 +45,13 @@
     machine.apply({ kind: "startRuns", starts: servingStarts });
     const interference = createInterferenceModel();
     interference.addPairs([{ image: "web", other: "forecast", disturbance: 12, variance: 0.1 }]);
-    const input = { ...makePlanInput(machine.state), interference };
+    /** State of the runs on each worker; empty while the workers have reported none. */
+    const statuses = new Map<string, RunStatuses>();
+    const findRunStatuses = (worker: string): RunStatuses | undefined => statuses.get(worker);
+    /** Number of the last run of each task that workers have refused, by task key. */
+    const unstartedRuns = new Map<string, number>();
+    const findUnstartedRun = (task: TaskKey): number | undefined => unstartedRuns.get(formatTaskKey(task));
+    const input = { ...makePlanInput(machine.state), interference, findRunStatuses, findUnstartedRun };
     const memory = createPlanMemory(ratingsPerPass);
     const submitForecast = (job: string, changes: Partial<StepSpec>): void => {
         const resources = { milliCpu: 1_000, memoryMib: 10, accelerators: 0 };
@@ -75,7 +83,7 @@
         }
         return planned;
     };
-    return { machine, interference, submitForecast, planUntil, memory };
+    return { machine, interference, statuses, unstartedRuns, submitForecast, planUntil, memory };
 }
 
 /** A pool of `makeDisturbedPool`. */
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -39,9 +39,17 @@
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
+/** What of a starved step may start although it disturbs serving tasks. */
+interface StarvedScope {
+    /** The only task that may; undefined if any may. */
+    readonly task: JobTask | undefined;
+}
+
 /** Plans starts of the tasks of a step one by one until no worker is suitable; only of one task if it is starved. */
-function planTasks(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
-    const tasks = listStartable(waiting).filter(task => !pass.movedTasks.has(task));
+function planTasks(pass: PlanningPass, waiting: WaitingStep, starved: StarvedScope | undefined): void {
+    const isStarved = starved !== undefined;
+    const tasks = listStartable(waiting)
+        .filter(task => !pass.movedTasks.has(task) && (starved?.task === undefined || starved.task === task));
     if (tasks.length === 0 || pass.starts.length >= startsPerPass) {
         return;
     }
@@ -51,7 +59,7 @@
         tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
     }
     const limit = Math.min(isStarved ? 1 : startsPerPass - pass.starts.length, countStartable(pass, waiting));
-    planTaskStarts(pass, plan, tasks.slice(0, limit), true);
+    planTaskStarts(pass, plan, tasks.slice(0, limit), starved?.task === undefined);
 }
 
 function planTaskStarts(pass: PlanningPass, plan: StepPlan, tasks: readonly JobTask[], defersTrials: boolean): void {
@@ -214,15 +222,15 @@
 }
 
 /** Plans starts of a step; a starved one may disturb serving tasks. */
-function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
+function planStep(pass: PlanningPass, waiting: WaitingStep, starved?: StarvedScope): void {
     if (countStartable(pass, waiting) === 0) {
         return;
     }
     if (waiting.step.spec.gang) {
-        planGang(pass, waiting, isStarved);
+        planGang(pass, waiting, starved !== undefined);
     }
     else {
-        planTasks(pass, waiting, isStarved);
+        planTasks(pass, waiting, starved);
     }
 }
 
@@ -230,7 +238,7 @@
  * Plans starts of a step of a job without a run on workers that are held for long-running tasks, if it has found no room for too long
  * although most of the pool is free: the runs whose end the hold waits for may last without end.
  */
-function planDespiteHolds(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
+function planDespiteHolds(pass: PlanningPass, waiting: WaitingStep, starved?: StarvedScope): void {
     const { job, step } = waiting;
     const isMostlyFree = pass.pools.get(job.queue.service)?.isMostlyFree === true;
     if (step.spec.longRunning || !isMostlyFree || hasRun(job, pass.starts)) {
@@ -243,7 +251,7 @@
     held.forEach(candidate => {
         candidate.isHeld = false;
     });
-    planStep(pass, waiting, isStarved);
+    planStep(pass, waiting, starved);
     held.forEach(candidate => {
         candidate.isHeld = true;
     });
@@ -273,14 +281,14 @@
     const { state } = pass.input;
     // The requirements that are unmet in the pass may be met by disturbing serving tasks.
     const starvedPass = { ...pass, unmet: createUnmetRequirements(), ratings: 0 };
-    const attempt = (waiting: WaitingStep): StarvedAttempt => {
+    const attempt = (waiting: WaitingStep, task: JobTask | undefined): StarvedAttempt => {
         const startsBefore = pass.starts.length;
-        planStep(starvedPass, waiting, true);
-        planDespiteHolds(starvedPass, waiting, true);
+        planStep(starvedPass, waiting, { task });
+        planDespiteHolds(starvedPass, waiting, { task });
         if (pass.starts.length === startsBefore && pass.listRefusingWorkers(waiting).length > 0) {
             // No other worker has room, and those that have refused a start may have recovered.
             const refusingPass = { ...starvedPass, listRefusingWorkers: () => [] };
-            planStep(refusingPass, waiting, true);
+            planStep(refusingPass, waiting, { task });
             starvedPass.ratings = refusingPass.ratings;
         }
         return { starts: pass.starts.slice(startsBefore), ratings: starvedPass.ratings };
--- a/packages/plan-jobs/src/plan-starved-steps.ts
+++ b/packages/plan-jobs/src/plan-starved-steps.ts
@@ -1,8 +1,9 @@
-import type { JobRecord } from "@chestnutspool/job-state";
+import type { JobRecord, JobTask } from "@chestnutspool/job-state";
 import type { RunStart } from "@chestnutspool/types";
 import {
     canStartStarved,
-    countExpeditedJobs,
+    countExpedited,
+    listStartedTasks,
     listStarvedSteps,
     recordStarvedAttempt,
     recordStarvedStart,
@@ -28,42 +29,43 @@
     readonly ratingsLimit: number;
     /** Whether no worker has room for a step. */
     readonly isUnmet: (waiting: WaitingStep) => boolean;
-    /** Plans a step although its tasks may disturb serving tasks. */
-    readonly attempt: (waiting: WaitingStep) => StarvedAttempt;
+    /** Plans a step, or only one long-running task of it, although its tasks may disturb serving tasks. */
+    readonly attempt: (waiting: WaitingStep, task: JobTask | undefined) => StarvedAttempt;
 }
 
-/** Plans starts of starved steps at `nowMs`, wall-clock time in milliseconds: of each job one task or one gang. */
+/** Plans starts of starved steps at `nowMs`, wall-clock time in milliseconds: of each job one task or one gang, and long-running tasks. */
 export function planStarvedSteps(
     memory: StarvationMemory,
     waitingSteps: readonly WaitingStep[],
     pass: StarvedPass,
     nowMs: number,
 ): void {
-    const started = new Set(pass.startsByJob.keys());
-    pass.startsByJob.forEach((starts, job) =>
-        recordUndisturbedStarts(memory, job, starts, pass.findUnstartedRun, nowMs)
-    );
+    const started = new Set<JobRecord | JobTask>();
+    pass.startsByJob.forEach((starts, job) => {
+        recordUndisturbedStarts(memory, job, starts, pass.findUnstartedRun, nowMs);
+        [job, ...listStartedTasks(job, starts)].forEach(key => started.add(key));
+    });
     const starved = listStarvedSteps(memory, waitingSteps, pass, nowMs);
-    const expeditedJobs = countExpeditedJobs(starved);
+    const expedited = countExpedited(starved);
     let ratings = 0;
     for (const step of starved) {
         if (ratings >= pass.ratingsLimit) {
             return;
         }
-        const { waiting } = step;
+        const { waiting, task } = step;
         const { job } = waiting;
         const { service } = job.queue;
         const workers = pass.pools.get(service)?.workers ?? 0;
-        if (started.has(job) || pass.isUnmet(waiting) || !canStartStarved(memory, step, workers, nowMs)) {
+        if (started.has(task ?? job) || pass.isUnmet(waiting) || !canStartStarved(memory, step, workers, nowMs)) {
             continue;
         }
         // Also after an attempt without a start, so that others get their turn.
         recordStarvedAttempt(step, nowMs);
-        const attempt = pass.attempt(waiting);
+        const attempt = pass.attempt(waiting, task);
         ratings = attempt.ratings;
         if (attempt.starts.length > 0) {
-            started.add(job);
-            recordStarvedStart(memory, step, attempt.starts, expeditedJobs.get(service) ?? 0, nowMs);
+            [job, ...listStartedTasks(job, attempt.starts)].forEach(key => started.add(key));
+            recordStarvedStart(memory, step, attempt.starts, expedited.get(service) ?? 0, nowMs);
         }
     }
 }
--- a/packages/plan-jobs/src/starved-steps.test.ts
+++ b/packages/plan-jobs/src/starved-steps.test.ts
@@ -1,6 +1,10 @@
+import { createRunKey, formatRunKey, formatTaskKey } from "@chestnutspool/job-state";
+import { makeJob, makeStep, makeWorker } from "@chestnutspool/job-state/fakes";
+import { createRunStatus } from "@chestnutspool/track-workers";
+import type { StepSpec } from "@chestnutspool/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { makeDisturbedPool, passMs } from "./fakes/make-disturbed-pool.js";
+import { type DisturbedPool, makeDisturbedPool, passMs, type PoolUse } from "./fakes/make-disturbed-pool.js";
 import { takeStarvationSummary } from "./starved-steps.js";
 
 // Guards against an accepted job of which nothing ever runs, although all workers have room: it would disturb the serving
@@ -106,3 +110,89 @@
     submitForecast("gang", { count: 4, gang: true, expectedRunMs: 1_000 });
     assert.equal(planUntil(10_000).length, 4);
 });
+
+/** Longest time for which a long-running task may have no run while there is room for it, by the users' terms, in milliseconds. */
+const longestTaskWaitMs = 6_000;
+
+/** Starts a best-effort task on each worker and lets the readings show that it gets hardly any processor time. */
+function contendWorkers({ machine, statuses }: DisturbedPool): void {
+    const workers = [...machine.state.workers.keys()];
+    const resources = { milliCpu: 1_000, memoryMib: 10, accelerators: 0 };
+    machine.submit(makeJob("slowed", [makeStep({ usesIdleCpu: true, count: workers.length, resources })]));
+    const starts = workers.map((worker, position) => ({
+        job: "slowed",
+        occurrence: 0,
+        step: 0,
+        position,
+        run: 1,
+        worker,
+    }));
+    machine.apply({ kind: "startRuns", starts });
+    for (const [worker, { runs }] of machine.state.workers) {
+        const ofWorker = [...runs].map(([key, run]) => {
+            const status = createRunStatus(createRunKey(run), "confirmed", 0);
+            return [key, Object.assign(status, { readAtMs: 10_000, lastReading: 1 })] as const;
+        });
+        statuses.set(worker, new Map(ofWorker));
+    }
+}
+
+const tooLarge = { milliCpu: 12_000, memoryMib: 10, accelerators: 0 };
+/** What keeps best-effort tasks from each worker of a pool: its serving tasks, its load, or the size of the tasks. */
+const obstacles: readonly {
+    readonly name: string;
+    readonly use: PoolUse;
+    readonly changes: Partial<StepSpec>;
+    readonly prepare: (pool: DisturbedPool) => void;
+}[] = [
+    { name: "disturb serving tasks", use: "mostlyFree", changes: {}, prepare: () => undefined },
+    { name: "disturb serving tasks in a pool in use", use: "inUse", changes: {}, prepare: () => undefined },
+    { name: "find contended workers", use: "mostlyFree", changes: { image: "calm" }, prepare: contendWorkers },
+    {
+        name: "find too few idle processors",
+        use: "mostlyFree",
+        changes: { image: "calm", resources: tooLarge },
+        prepare: () => undefined,
+    },
+];
+
+for (const { name, use, changes, prepare } of obstacles) {
+    // Guards against tasks of a job that lasts that never run again beside workers with room, because another task of their job has a run.
+    test(`each long-running task that would ${name} has a run within 6 s, though another task of its job runs`, () => {
+        const pool = makeDisturbedPool(8, undefined, use);
+        prepare(pool);
+        pool.submitForecast("lasting", { longRunning: true, count: 3, ...changes });
+        const key = { job: "lasting", occurrence: 0, step: 0, run: 1 };
+        const starts = [0, 1].map(position => ({ ...key, position, worker: "w0" }));
+        pool.machine.apply({ kind: "startRuns", starts });
+        const lapsed = { ...key, position: 1, outcome: "lapsed" as const, checkpoint: "" };
+        pool.machine.apply({ kind: "endRuns", worker: "w0", ends: [lapsed] });
+        const planned = pool.planUntil(longestTaskWaitMs);
+        assert.equal(planned.length, 2, JSON.stringify(planned));
+        assert.deepEqual(
+            [...pool.machine.state.openJobs.get("lasting")?.occurrences.get(0)?.steps[0]?.waiting ?? []],
+            [],
+        );
+    });
+}
+
+// Guards against a long-running task without a run because only the workers on which it disturbs nothing are tried, and they refuse it.
+test("a long-running task whose starts are refused by the only undisturbed worker has a run elsewhere within 6 s", () => {
+    const pool = makeDisturbedPool(8);
+    const { machine } = pool;
+    machine.apply({ kind: "registerWorker", worker: makeWorker("refusing") });
+    pool.submitForecast("lasting", { longRunning: true, count: 2 });
+    const key = { job: "lasting", occurrence: 0, step: 0, position: 0, run: 1 };
+    machine.apply({ kind: "startRuns", starts: [{ ...key, worker: "w0" }] });
+    machine.apply({ kind: "beginJobs", jobs: ["lasting"] });
+    pool.planUntil(longestTaskWaitMs, undefined, () => {
+        for (const [runKey, { run }] of [...machine.state.workers.get("refusing")?.runs ?? []]) {
+            const refused = { ...key, position: 1, run };
+            pool.unstartedRuns.set(formatTaskKey(refused), run);
+            assert.equal(runKey, formatRunKey(refused));
+            const end = { ...refused, outcome: "neverStarted" as const, checkpoint: "" };
+            machine.apply({ kind: "endRuns", worker: "refusing", ends: [end] });
+        }
+    });
+    assert.equal(machine.state.openJobs.get("lasting")?.runsInProgress, 2);
+});
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -15,6 +15,13 @@
 const expeditedMs = 2_000;
 /** The same for a job that has had runs: the end of its last one was reported up to a second late. */
 const expeditedAfterRunMs = 1_200;
+/**
+ * The same for a long-running task, whether others of its job run or not. With a report that is a second late, a round and a start that is
+ * refused it stays below the 6 s after which users count each such task without a run.
+ */
+const expeditedTaskMs = 3_000;
+/** Time for which a long-running task has had no run in a pool that is in use until it is starved, in milliseconds. */
+const starvedTaskMs = 4_000;
 /** Time in which each job whose start is expedited gets one, in milliseconds. */
 const roundMs = 600;
 /** Share of the processors of a pool that is reserved at most while most of it is free. */
@@ -32,7 +39,14 @@
  */
 const workerShare = 0.03;
 
-/** A job without a start that disturbs no serving task. */
+/** A job without a run, or a long-running task without one, whether others of its job run or not. */
+interface Waiter {
+    readonly job: JobRecord;
+    /** The long-running task; undefined for the job. */
+    readonly task: JobTask | undefined;
+}
+
+/** A job or a long-running task without a start that disturbs no serving task. */
 interface Starvation {
     /** Wall-clock time at which a pass first found it without a run, in milliseconds since the epoch. */
     readonly sinceMs: number;
@@ -48,7 +62,7 @@
     readonly refusedBy: Set<WorkerId>;
 }
 
-/** The last starts of a job; workers may refuse all of them. */
+/** The last starts of a job or a task; workers may refuse all of them. */
 interface UnconfirmedStarts {
     readonly atMs: number;
     readonly starts: readonly { readonly start: RunStart; readonly task: JobTask; }[];
@@ -98,11 +112,11 @@
     readonly findUnstartedRun: ((task: TaskKey) => number | undefined) | undefined;
 }
 
-/** What the planner remembers of jobs without a run. */
+/** What the planner remembers of jobs and of long-running tasks without a run. */
 export interface StarvationMemory {
-    readonly jobs: WeakMap<JobRecord, Starvation>;
-    /** The last starts of jobs without a run. */
-    readonly unconfirmed: WeakMap<JobRecord, UnconfirmedStarts>;
+    readonly waits: WeakMap<JobRecord | JobTask, Starvation>;
+    /** Their last starts. */
+    readonly unconfirmed: WeakMap<JobRecord | JobTask, UnconfirmedStarts>;
     readonly services: Map<string, ServiceStarvation>;
     summary: StarvationSummary;
 }
@@ -110,15 +124,17 @@
 /** A step that may start although it disturbs serving tasks. */
 export interface StarvedStep {
     readonly waiting: WaitingStep;
+    /** The long-running task that may start; undefined if any task of the job may, which has no run. */
+    readonly task: JobTask | undefined;
     readonly starvation: Starvation;
-    /** Whether the job has had no run for too long in a pool of which most is free. */
+    /** Whether the job or the task has had no run for too long in a pool of which most is free. */
     readonly isExpedited: boolean;
 }
 
 /** Creates a memory without jobs. */
 export function createStarvationMemory(): StarvationMemory {
     return {
-        jobs: new WeakMap(),
+        waits: new WeakMap(),
         unconfirmed: new WeakMap(),
         services: new Map(),
         summary: { jobs: 0, longestMs: 0, starts: 0 },
@@ -159,39 +175,48 @@
     return known;
 }
 
+function getKey({ job, task }: Waiter): JobRecord | JobTask {
+    return task ?? job;
+}
+
+function hasRun({ job, task }: Waiter): boolean {
+    return task === undefined ? job.runsInProgress > 0 : task.runs.length > 0;
+}
+
 /**
- * Finds the last starts of a job without a run if all of them have ended and none of them has started, within `retryMs` before
+ * Finds the last starts of a job or a task without a run if all of them have ended and none of them has started, within `retryMs` before
  * `nowMs`: workers have refused them. A start that was planned and not recorded is none of them. No run of a job that has not begun
  * has started; for the others the state does not tell a refused run from one that was stopped.
  */
 function findRefusedStarts(
     { unconfirmed }: StarvationMemory,
-    job: JobRecord,
+    waiter: Waiter,
     findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): UnconfirmedStarts | undefined {
-    const last = job.runsInProgress > 0 ? undefined : unconfirmed.get(job);
-    const isRefused = (start: RunStart): boolean => !job.hasBegun || findUnstartedRun?.(start) === start.run;
+    const last = hasRun(waiter) ? undefined : unconfirmed.get(getKey(waiter));
+    const isRefused = (start: RunStart): boolean => !waiter.job.hasBegun || findUnstartedRun?.(start) === start.run;
     return last !== undefined && nowMs - last.atMs <= retryMs
             && last.starts.every(({ task, start }) => task.lastRun === start.run && isRefused(start))
         ? last
         : undefined;
 }
 
-/** Records the workers that have refused the last starts of a job without a run; returns its wait, if one is known. */
+/** Records the workers that have refused the last starts of a job or a task without a run; returns its wait, if one is known. */
 function observeWait(
     memory: StarvationMemory,
-    job: JobRecord,
+    waiter: Waiter,
     findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): Starvation | undefined {
-    const refused = findRefusedStarts(memory, job, findUnstartedRun, nowMs);
+    const key = getKey(waiter);
+    const refused = findRefusedStarts(memory, waiter, findUnstartedRun, nowMs);
     if (refused === undefined) {
-        return memory.jobs.get(job);
+        return memory.waits.get(key);
     }
     const { starts, starvation } = refused;
-    memory.unconfirmed.delete(job);
-    memory.jobs.set(job, starvation);
+    memory.unconfirmed.delete(key);
+    memory.waits.set(key, starvation);
     if (starts.some(({ start }) => starvation.refusedBy.has(start.worker))) {
         starvation.refusedBy.clear();
     }
@@ -200,16 +225,16 @@
 }
 
 /**
- * Finds or creates what is remembered of a job that a pass at `nowMs` finds without a run. Starts that workers have refused do not end
+ * Finds or creates what is remembered of a job or a task that a pass at `nowMs` finds without a run. Starts that workers have refused do not end
  * its wait.
  */
 function observeWithoutRun(
     memory: StarvationMemory,
-    job: JobRecord,
+    waiter: Waiter,
     findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): Starvation {
-    const known = observeWait(memory, job, findUnstartedRun, nowMs);
+    const known = observeWait(memory, waiter, findUnstartedRun, nowMs);
     if (known === undefined) {
         const starvation = {
             sinceMs: nowMs,
@@ -219,7 +244,7 @@
             foundAtMs: nowMs,
             refusedBy: new Set<WorkerId>(),
         };
-        memory.jobs.set(job, starvation);
+        memory.waits.set(getKey(waiter), starvation);
         return starvation;
     }
     if (nowMs - known.foundAtMs > retryMs) {
@@ -230,15 +255,16 @@
     return known;
 }
 
-/** Whether a job without a run has waited for too long at `nowMs` in a pool of which most is free. */
+/** Whether a job or a task without a run has waited for too long at `nowMs` in a pool of which most is free. */
 function isOverdueInFreePool(
     memory: StarvationMemory,
-    { queue, phase }: JobRecord,
+    { job: { queue, phase }, task }: Waiter,
     { withoutRunSinceMs }: Starvation,
     nowMs: number,
 ): boolean {
     const { freeSinceMs = nowMs } = getServiceStarvation(memory, queue.service);
-    const expeditedAfterMs = phase === "queued" ? expeditedMs : expeditedAfterRunMs;
+    const expeditedJobAfterMs = phase === "queued" ? expeditedMs : expeditedAfterRunMs;
+    const expeditedAfterMs = task === undefined ? expeditedJobAfterMs : expeditedTaskMs;
     return nowMs - Math.max(withoutRunSinceMs, freeSinceMs) >= expeditedAfterMs;
 }
 
@@ -255,9 +281,26 @@
     starvation.triedAtMs.set(waiting.step, nowMs);
 }
 
+/** Lists the long-running tasks of a best-effort step that wait for a run; of a gang, which starts whole, only one. */
+function listTaskWaiters({ job, step }: WaitingStep): Waiter[] {
+    if (!step.spec.longRunning || !step.spec.usesIdleCpu) {
+        return [];
+    }
+    const tasks = [...step.waiting].flatMap(position => step.tasks[position] ?? []);
+    return (step.spec.gang ? tasks.slice(0, 1) : tasks).map(task => ({ job, task }));
+}
+
+/** Lists the job of a best-effort step if it has no run, and the long-running tasks of the step that wait for one. */
+function listWaiters(waiting: WaitingStep): Waiter[] {
+    const ofJob = { job: waiting.job, task: undefined };
+    return waiting.step.spec.usesIdleCpu && !hasRun(ofJob)
+        ? [ofJob, ...listTaskWaiters(waiting)]
+        : listTaskWaiters(waiting);
+}
+
 /**
  * Lists the steps that are starved at `nowMs`, those of the jobs that have waited longest first: the best-effort steps
- * of jobs that have had no run for some time. Without it a step whose tasks would disturb serving tasks on each worker
+ * of jobs that have had no run for some time, and those of each long-running task that has had none. Without it a step whose tasks would disturb serving tasks on each worker
  * waits without end, because its job goes behind smaller ones. A job stays starved until a start that disturbs nothing.
  */
 export function listStarvedSteps(
@@ -274,15 +317,22 @@
     const withoutRun = new Map<JobRecord, number>();
     for (const waiting of waitingSteps) {
         const { job, step, lateness } = waiting;
-        if (!step.spec.usesIdleCpu || job.runsInProgress > 0) {
-            continue;
-        }
-        const starvation = observeWithoutRun(memory, job, findUnstartedRun, nowMs);
-        withoutRun.set(job, nowMs - starvation.withoutRunSinceMs);
-        const isExpedited = isOverdueInFreePool(memory, job, starvation, nowMs);
-        const isLongWithoutStart = nowMs - starvation.sinceMs >= starvedMs[lateness];
-        if ((isExpedited || isLongWithoutStart) && nowMs - findTriedMs(starvation, step) >= retryMs) {
-            starved.push({ waiting, starvation, isExpedited });
+        for (const waiter of listWaiters(waiting)) {
+            const { task } = waiter;
+            const starvation = observeWithoutRun(memory, waiter, findUnstartedRun, nowMs);
+            if (task === undefined) {
+                withoutRun.set(job, nowMs - starvation.withoutRunSinceMs);
+            }
+            else if (job.runsInProgress === 0) {
+                // One of them starts for the job, which has the shorter time.
+                continue;
+            }
+            const isExpedited = isOverdueInFreePool(memory, waiter, starvation, nowMs);
+            const starvedAfterMs = task === undefined ? starvedMs[lateness] : starvedTaskMs;
+            const isStarved = isExpedited || nowMs - starvation.sinceMs >= starvedAfterMs;
+            if (isStarved && nowMs - findTriedMs(starvation, step) >= retryMs) {
+                starved.push({ waiting, task, starvation, isExpedited });
+            }
         }
     }
     const longestMs = Math.max(0, ...withoutRun.values());
@@ -292,24 +342,48 @@
     return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
 }
 
-/** Records the starts of a job without a run, so that its wait goes on if workers refuse them. */
+/** Finds the step and the task of a start of a job. */
+function findStarted(job: JobRecord, { occurrence, step: position, position: ofTask }: RunStart) {
+    const step = job.occurrences.get(occurrence)?.steps[position];
+    const task = step?.tasks[ofTask];
+    return step === undefined || task === undefined ? undefined : { step, task };
+}
+
+/** Lists the tasks of starts of a job. */
+export function listStartedTasks(job: JobRecord, starts: readonly RunStart[]): JobTask[] {
+    return starts.flatMap(start => findStarted(job, start)?.task ?? []);
+}
+
+/** Records the starts of a job or a task without a run, so that its wait goes on if workers refuse them. */
 function recordStarts(
     { unconfirmed }: StarvationMemory,
-    job: JobRecord,
+    waiter: Waiter,
     starts: readonly RunStart[],
     starvation: Starvation,
     nowMs: number,
 ): void {
     const withTasks = starts.flatMap(start => {
-        const task = job.occurrences.get(start.occurrence)?.steps[start.step]?.tasks[start.position];
+        const task = findStarted(waiter.job, start)?.task;
         return task === undefined ? [] : [{ start, task }];
     });
-    unconfirmed.set(job, { atMs: nowMs, starts: withTasks, starvation });
+    unconfirmed.set(getKey(waiter), { atMs: nowMs, starts: withTasks, starvation });
+}
+
+/** Forgets that a job or a task has waited, unless workers refuse its starts. */
+function endWait(
+    memory: StarvationMemory,
+    waiter: Waiter,
+    starts: readonly RunStart[],
+    findUnstartedRun: StarvationInput["findUnstartedRun"],
+    nowMs: number,
+): void {
+    recordStarts(memory, waiter, starts, observeWithoutRun(memory, waiter, findUnstartedRun, nowMs), nowMs);
+    memory.waits.delete(getKey(waiter));
 }
 
 /**
- * Forgets that a job has waited, because tasks of it start at `nowMs` without disturbing serving tasks. The wait of a job without a run
- * goes on if workers refuse these starts.
+ * Forgets that a job and its long-running tasks have waited, because tasks of it start at `nowMs` without disturbing serving tasks. The
+ * wait of those without a run goes on if workers refuse these starts.
  */
 export function recordUndisturbedStarts(
     memory: StarvationMemory,
@@ -320,38 +394,46 @@
 ): void {
     if (job.runsInProgress > 0) {
         memory.unconfirmed.delete(job);
+        memory.waits.delete(job);
     }
     else {
-        recordStarts(memory, job, starts, observeWithoutRun(memory, job, findUnstartedRun, nowMs), nowMs);
+        endWait(memory, { job, task: undefined }, starts, findUnstartedRun, nowMs);
+    }
+    for (const start of starts) {
+        const started = findStarted(job, start);
+        if (started?.step.spec.longRunning === true && started.step.spec.usesIdleCpu) {
+            endWait(memory, { job, task: started.task }, [start], findUnstartedRun, nowMs);
+        }
     }
-    memory.jobs.delete(job);
 }
 
 /**
- * Lists the workers that are left out for a best-effort step at `nowMs`: they have refused the starts of its job since it has had no run,
- * for too long in a pool of which most is free. Otherwise the few workers on which it disturbs nothing are chosen in turn.
+ * Lists the workers that are left out for a best-effort step at `nowMs`: they have refused the starts of its job, or of its long-running
+ * tasks, since these have had no run, for too long in a pool of which most is free. Otherwise the few workers on which it disturbs nothing are chosen in turn.
  */
 export function listRefusingWorkers(
     memory: StarvationMemory,
-    { job, step }: WaitingStep,
+    waiting: WaitingStep,
     findUnstartedRun: StarvationInput["findUnstartedRun"],
     nowMs: number,
 ): readonly WorkerId[] {
-    const wait = step.spec.usesIdleCpu && job.runsInProgress === 0
-        ? observeWait(memory, job, findUnstartedRun, nowMs)
-        : undefined;
-    return wait !== undefined && nowMs - wait.foundAtMs <= retryMs && isOverdueInFreePool(memory, job, wait, nowMs)
-        ? [...wait.refusedBy]
-        : [];
+    return listWaiters(waiting).flatMap(waiter => {
+        const wait = observeWait(memory, waiter, findUnstartedRun, nowMs);
+        return wait !== undefined && nowMs - wait.foundAtMs <= retryMs
+                && isOverdueInFreePool(memory, waiter, wait, nowMs)
+            ? [...wait.refusedBy]
+            : [];
+    });
 }
 
-/** Counts the jobs of each service whose starts are expedited. */
-export function countExpeditedJobs(starved: readonly StarvedStep[]): ReadonlyMap<string, number> {
-    const jobs = new Map<string, Set<JobRecord>>();
-    for (const { waiting: { job } } of starved.filter(({ isExpedited }) => isExpedited)) {
-        jobs.set(job.queue.service, (jobs.get(job.queue.service) ?? new Set()).add(job));
+/** Counts the jobs and the long-running tasks of each service whose starts are expedited. */
+export function countExpedited(starved: readonly StarvedStep[]): ReadonlyMap<string, number> {
+    const waiters = new Map<string, Set<JobRecord | JobTask>>();
+    for (const { waiting: { job }, task } of starved.filter(({ isExpedited }) => isExpedited)) {
+        const { service } = job.queue;
+        waiters.set(service, (waiters.get(service) ?? new Set()).add(getKey({ job, task })));
     }
-    return new Map([...jobs].map(([service, ofService]) => [service, ofService.size]));
+    return new Map([...waiters].map(([service, ofService]) => [service, ofService.size]));
 }
 
 function hasLimitLeft({ interval }: ServiceStarvation, workers: number, nowMs: number): boolean {
@@ -371,18 +453,18 @@
 }
 
 /**
- * Records that tasks of a starved step start at `nowMs`. `expeditedJobs` counts the jobs of the service whose starts
- * the pass expedites: the rate of these starts grows with them, so that each job gets one in a round.
+ * Records that tasks of a starved step start at `nowMs`. `expedited` counts the jobs and long-running tasks of the service whose starts
+ * the pass expedites: the rate of these starts grows with them, so that each gets one in a round.
  */
 export function recordStarvedStart(
     memory: StarvationMemory,
-    { waiting: { job }, starvation, isExpedited }: StarvedStep,
+    { waiting: { job }, task, starvation, isExpedited }: StarvedStep,
     starts: readonly RunStart[],
-    expeditedJobs: number,
+    expedited: number,
     nowMs: number,
 ): void {
     starvation.startedAtMs = nowMs;
-    recordStarts(memory, job, starts, starvation, nowMs);
+    recordStarts(memory, { job, task }, starts, starvation, nowMs);
     memory.summary = { ...memory.summary, starts: memory.summary.starts + starts.length };
     const ofService = getServiceStarvation(memory, job.queue.service);
     if (nowMs - ofService.interval.beganAtMs >= intervalMs) {
@@ -393,10 +475,10 @@
         return;
     }
     const earlierMs = ofService.expeditedStartsMs.filter(atMs => nowMs - atMs < roundMs);
-    // Those of this pass are still among the expedited jobs.
-    const jobsInRound = expeditedJobs + earlierMs.filter(atMs => atMs !== nowMs).length;
+    // Those of this pass are still among the expedited ones.
+    const startsInRound = expedited + earlierMs.filter(atMs => atMs !== nowMs).length;
     // Within a round, passes that come late make up for the starts that were due.
     const dueAtMs = earlierMs.length === 0 ? nowMs : ofService.expeditedAtMs;
-    ofService.expeditedAtMs = dueAtMs + roundMs / jobsInRound;
+    ofService.expeditedAtMs = dueAtMs + roundMs / startsInRound;
     ofService.expeditedStartsMs = [...earlierMs, nowMs];
 }
