--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -2,6 +2,7 @@
 import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
+import { observeHoldWait } from "./hold-waits.js";
 import { holdWorkers } from "./hold-workers.js";
 import { listKeptWorkers } from "./keep-workers.js";
 import { expireMoves, type PendingMove, type PendingMoves, reserveMove } from "./pending-moves.js";
@@ -38,9 +39,17 @@
 /** Ratings of workers for starved steps in a pass, in addition to the others, as a share of the limit of these. */
 const starvedRatingsShare = 0.25;
 
+/** What of a starved step may start although it disturbs serving tasks. */
+interface StarvedScope {
+    /** The only task that may; undefined if any may. */
+    readonly task: JobTask | undefined;
+}
+
 /** Plans starts of the tasks of a step one by one until no worker is suitable; only of one task if it is starved. */
-function planTasks(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
-    const tasks = listStartable(waiting).filter(task => !pass.movedTasks.has(task));
+function planTasks(pass: PlanningPass, waiting: WaitingStep, starved: StarvedScope | undefined): void {
+    const isStarved = starved !== undefined;
+    const tasks = listStartable(waiting)
+        .filter(task => !pass.movedTasks.has(task) && (starved?.task === undefined || starved.task === task));
     if (tasks.length === 0 || pass.starts.length >= startsPerPass) {
         return;
     }
@@ -50,7 +59,7 @@
         tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
     }
     const limit = Math.min(isStarved ? 1 : startsPerPass - pass.starts.length, countStartable(pass, waiting));
-    planTaskStarts(pass, plan, tasks.slice(0, limit), true);
+    planTaskStarts(pass, plan, tasks.slice(0, limit), starved?.task === undefined);
 }
 
 function planTaskStarts(pass: PlanningPass, plan: StepPlan, tasks: readonly JobTask[], defersTrials: boolean): void {
@@ -213,16 +222,39 @@
 }
 
 /** Plans starts of a step; a starved one may disturb serving tasks. */
-function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
+function planStep(pass: PlanningPass, waiting: WaitingStep, starved?: StarvedScope): void {
     if (countStartable(pass, waiting) === 0) {
         return;
     }
     if (waiting.step.spec.gang) {
-        planGang(pass, waiting, isStarved);
+        planGang(pass, waiting, starved !== undefined);
     }
     else {
-        planTasks(pass, waiting, isStarved);
+        planTasks(pass, waiting, starved);
+    }
+}
+
+/**
+ * Plans starts of a step of a job without a run on workers that are held for long-running tasks, if it has found no room for too long
+ * although most of the pool is free: the runs whose end the hold waits for may last without end.
+ */
+function planDespiteHolds(pass: PlanningPass, waiting: WaitingStep, starved?: StarvedScope): void {
+    const { job, step } = waiting;
+    const isMostlyFree = pass.pools.get(job.queue.service)?.isMostlyFree === true;
+    if (step.spec.longRunning || !isMostlyFree || hasRun(job, pass.starts)) {
+        return;
+    }
+    const held = listStepCandidates(pass, waiting).filter(({ isHeld }) => isHeld);
+    if (held.length === 0 || !pass.observeHoldWait(step)) {
+        return;
     }
+    held.forEach(candidate => {
+        candidate.isHeld = false;
+    });
+    planStep(pass, waiting, starved);
+    held.forEach(candidate => {
+        candidate.isHeld = true;
+    });
 }
 
 /** Groups starts by their job. */
@@ -249,16 +281,24 @@
     const { state } = pass.input;
     // The requirements that are unmet in the pass may be met by disturbing serving tasks.
     const starvedPass = { ...pass, unmet: createUnmetRequirements(), ratings: 0 };
-    const attempt = (waiting: WaitingStep): StarvedAttempt => {
+    const attempt = (waiting: WaitingStep, task: JobTask | undefined): StarvedAttempt => {
         const startsBefore = pass.starts.length;
-        planStep(starvedPass, waiting, true);
-        return { tasks: pass.starts.length - startsBefore, ratings: starvedPass.ratings };
+        planStep(starvedPass, waiting, { task });
+        planDespiteHolds(starvedPass, waiting, { task });
+        if (pass.starts.length === startsBefore && pass.listRefusingWorkers(waiting).length > 0) {
+            // No other worker has room, and those that have refused a start may have recovered.
+            const refusingPass = { ...starvedPass, listRefusingWorkers: () => [] };
+            planStep(refusingPass, waiting, { task });
+            starvedPass.ratings = refusingPass.ratings;
+        }
+        return { starts: pass.starts.slice(startsBefore), ratings: starvedPass.ratings };
     };
     planStarvedSteps(
         memory.starvation,
         waitingSteps,
         {
-            pools: summarizePools(state),
+            pools: pass.pools,
+            findUnstartedRun: pass.input.findUnstartedRun,
             startsByJob: groupByJob(state, pass.starts),
             ratingsLimit: memory.ratingsPerPass * starvedRatingsShare,
             isUnmet: waiting => isUnmet(starvedPass, waiting),
@@ -296,12 +336,13 @@
  * earlier passes; by default there are none.
  */
 export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
+    const { findUnstartedRun } = input;
     expireMoves(memory.moves, nowMs);
     const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
     const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
         memory.hasStepsLeft = false;
-        listStarvedSteps(memory.starvation, [], new Map(), nowMs);
+        listStarvedSteps(memory.starvation, [], { pools: new Map(), findUnstartedRun }, nowMs);
         return [];
     }
     const candidates = listCandidates(input);
@@ -317,7 +358,9 @@
         blockedTrials: [],
         blockedGangs: new Set(),
         movedTasks: new Set(),
-        listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, nowMs),
+        listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, findUnstartedRun, nowMs),
+        observeHoldWait: step => observeHoldWait(memory.holdWaits, step, nowMs),
+        pools: summarizePools(input.state),
         observeTrialWait: step => observeTrialWait(memory.trialWaits, step, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
@@ -329,6 +372,7 @@
         if (!hasNoRoom(pass, waiting)) {
             planStep(pass, waiting);
         }
+        planDespiteHolds(pass, waiting);
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
         return pass.ratings - ratingsBefore;
     });
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -5,6 +5,7 @@
 import type { PlanInput } from "./plan-input.js";
 import { formatWaitingKey } from "./rack-wants.js";
 import type { RatingContext } from "./rate-workers.js";
+import type { PoolUse } from "./starved-steps.js";
 import type { StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import { startTrial, type TrialCounts } from "./trials.js";
@@ -29,10 +30,14 @@
     readonly blockedGangs: Set<string>;
     /** Tasks that the pass starts where a place was kept for them. */
     readonly movedTasks: Set<JobTask>;
-    /** Lists the workers that are left out for a step, because they have just refused the starts of its job, which has waited for long. */
+    /** Lists the workers that are left out for a step, because they have refused the starts of its job, which has waited for long. */
     readonly listRefusingWorkers: (waiting: WaitingStep) => readonly WorkerId[];
     /** Records that no trial is free for a step; returns whether it has waited for long. */
     readonly observeTrialWait: (step: JobStep) => boolean;
+    /** Records that a step found no room while workers are held; returns whether it has waited for too long. */
+    readonly observeHoldWait: (step: JobStep) => boolean;
+    /** Use of the pools, by service. */
+    readonly pools: ReadonlyMap<string, PoolUse>;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
