Blame no task for the crash of most workers of a zone or rack at once

Cause: each crash was judged by itself. The estimate of crashes without a task spreads those of the last minute evenly over time and workers, so that an outage explains its own crashes to a few hundredths only.

Change: a crash keeps zone, rack, time and what it added to the counts of each task. Once three workers and two thirds of a zone or rack have crashed within a second, and so many are unlikely by the crashes of the last minute, the counts are taken back for each task that cannot have caused two of these crashes. Copies of a task that started together stay blamed; so do tasks that were suspected in an earlier outage of the last minute, unless two crashes of this one have no suspect. Crashes of workers without runs are recorded too.

A test of worker-crashes.test.ts took an empty list of recent crashes as the sign that a crash counts for no task. Such crashes are now kept; it checks the counts of the task and that the crash lists no run.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -8,7 +8,7 @@
     subtractResources,
     type WorkerCrash,
 } from "@chestnutspool/types";
-import { recordCrashHistory } from "./crash-history.js";
+import { addRecentCrash, recordCrashHistory } from "./crash-history.js";
 import { recordCheckpoint, unifyCheckpoint } from "./gang-checkpoints.js";
 import type {
     JobOccurrence,
@@ -21,6 +21,7 @@
     WorkerState,
 } from "./job-state.js";
 import { acceptsStarts, computeReservation, createEmptyDefinition, isJobEnded, isStepReady } from "./job-state.js";
+import { createCountedRun, subtractOutage } from "./outages.js";
 import { moveJob } from "./queue-services.js";
 import { formatRunKey, formatTaskKey } from "./run-keys.js";
 
@@ -199,7 +200,7 @@
     task.crashHistory = undefined;
 }
 
-/** Counts the crash of a worker for the runs that were on it. Passed trials do not clear the histories. */
+/** Counts the crash of a worker for the runs that were on it, unless most workers of its zone or rack crash with it. Passed trials do not clear the histories. */
 function recordCrashes(
     state: JobState,
     worker: WorkerState,
@@ -208,10 +209,8 @@
     const { suspectedRuns, isCertain, clearedRuns, laterRuns = [] } = crash;
     const later = new Set(laterRuns.map(formatRunKey));
     const runs = [...worker.runs].filter(([key]) => !later.has(key));
-    if (runs.length === 0) {
-        return;
-    }
-    recordCrashHistory(state, worker.info.service, runs.map(([, run]) => run), crash);
+    const before = runs.map(([, { task }]) => ({ crashes: task.crashes, crashHistory: task.crashHistory }));
+    const recentCrash = recordCrashHistory(state, worker.info, runs.map(([, run]) => run), crash);
     const suspected = new Set(suspectedRuns.map(formatRunKey));
     const cleared = new Set(clearedRuns.map(formatRunKey));
     for (const [key, run] of runs) {
@@ -227,6 +226,9 @@
             });
         }
     }
+    const countedRuns = runs.map(([, run], position) => createCountedRun(run, before[position] ?? run.task));
+    addRecentCrash(state, { ...recentCrash, runs: countedRuns });
+    subtractOutage(state);
 }
 
 /** Applies the end of a run that is in progress. */
--- a/packages/job-state/src/crash-history.ts
+++ b/packages/job-state/src/crash-history.ts
@@ -1,13 +1,15 @@
-import type { WorkerCrash } from "@chestnutspool/types";
-import type { CrashHistory, JobState, JobStep, JobTask, WorkerRun } from "./job-state.js";
+import type { WorkerCrash, WorkerInfo } from "@chestnutspool/types";
+import type { CrashHistory, JobState, JobStep, JobTask, RecentCrash, WorkerRun } from "./job-state.js";
+import { forgetRuns } from "./outages.js";
 
 /** Odds that a task of which nothing is known crashes its workers; far above its share, so that few crashes suffice. */
 const priorOdds = 0.01;
 /** Crashes per millisecond that a worker has for other reasons, at least. */
 const leastCrashRate = 1 / 200_000;
-/** Time for which crashes are kept to estimate how many have other reasons, in milliseconds, and how many at most. */
+/** Time for which crashes are kept to estimate how many have other reasons, in milliseconds. */
 const recentMs = 60_000;
-const recentLimit = 64;
+/** Crashes that are kept at most; above the number of workers of a zone, which may crash at once. */
+const recentLimit = 512;
 /** Least probability of a crash for other reasons, so that one crash is never a proof. */
 const leastProbability = 0.02;
 /**
@@ -33,6 +35,11 @@
     return odds / (1 + odds);
 }
 
+/** Probability that one of the tasks crashes its workers, in percent. */
+function computeExplainedPercent(runs: readonly WorkerRun[]): number {
+    return Math.round(100 * Math.max(0, ...runs.map(({ task }) => computeProbability(task))));
+}
+
 /** Runs that are blamed as one: a run, or those of a gang. */
 interface Suspect {
     readonly runs: WorkerRun[];
@@ -93,15 +100,16 @@
 /**
  * Counts the crash of a worker of a service in the histories of the tasks of `runs`, weighed by likelihood: each gains as much
  * evidence as the crash would be unlikely without it, given the age of its run, the crashes of other workers and the other tasks
- * on the worker. A crash after a long time is likely without it and lowers the evidence.
+ * on the worker. A crash after a long time is likely without it and lowers the evidence. Returns the crash without the runs.
  */
 export function recordCrashHistory(
     state: JobState,
-    service: string,
+    { id, service, availabilityZone, labels }: WorkerInfo,
     runs: readonly WorkerRun[],
-    { silentMs = 0 }: WorkerCrash,
-): void {
-    state.recentCrashes = state.recentCrashes.filter(({ atMs }) => state.clockMs - atMs < recentMs);
+    { silentMs = 0, suspectedRuns }: WorkerCrash,
+): RecentCrash {
+    state.recentCrashes = state.recentCrashes.filter(({ atMs }) => state.clockMs - atMs < recentMs)
+        .map(crash => forgetRuns(crash, state.clockMs));
     const suspects = listSuspects(runs);
     const total = suspects.reduce((sum, { probability }) => sum + probability, 0);
     const counted = suspects.flatMap(({ runs: ofSuspect, probability }) =>
@@ -110,10 +118,24 @@
             history: addCrash(state, service, run, { byOtherTasks: total - probability, silentMs }),
         }))
     );
+    const expectedPercent = computeExplainedPercent(runs);
     for (const { run, history } of counted) {
         run.task.crashHistory = history;
     }
-    const explained = Math.max(0, ...runs.map(({ task }) => computeProbability(task)));
-    const crash = { atMs: state.clockMs, service, explainedPercent: Math.round(100 * explained) };
+    return {
+        atMs: state.clockMs,
+        service,
+        explainedPercent: computeExplainedPercent(runs),
+        expectedPercent,
+        worker: id,
+        availabilityZone,
+        rack: labels[1],
+        crashedAtMs: state.clockMs - silentMs,
+        hasSuspects: suspectedRuns.length > 0,
+    };
+}
+
+/** Adds a crash to those of the last minute. */
+export function addRecentCrash(state: JobState, crash: RecentCrash): void {
     state.recentCrashes = [...state.recentCrashes, crash].slice(-recentLimit);
 }
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -8,6 +8,7 @@
     QueueConfiguration,
     QueueSettings,
     Resources,
+    RunKey,
     StepSpec,
     WorkerId,
     WorkerInfo,
@@ -48,13 +49,41 @@
     readonly run: number;
 }
 
-/** Crash of a worker with runs. */
+/** A run on a worker that has crashed, and what the crash added to the counts of its task. */
+export interface CountedRun {
+    readonly key: RunKey;
+    /** As in `RunInProgress`. */
+    readonly startedAtMs: number;
+    readonly crashes: number;
+    readonly suspicions: number;
+    readonly certain: number;
+    /** Added to the crashes and the evidence of its history. */
+    readonly historyCrashes: number;
+    readonly evidence: number;
+}
+
+/** Crash of a worker. Earlier builds do not record the optional fields. */
 export interface RecentCrash {
     /** Wall-clock time at which it was recorded, in milliseconds since the epoch. */
     readonly atMs: number;
     readonly service: string;
     /** Probability that one of its tasks was the cause, in percent. */
     readonly explainedPercent: number;
+    /** The same before the crash was counted. */
+    readonly expectedPercent?: number;
+    readonly worker?: WorkerId;
+    readonly availabilityZone?: string;
+    readonly rack?: string | undefined;
+    /** Wall-clock time from which the worker was silent, in milliseconds since the epoch. */
+    readonly crashedAtMs?: number;
+    /** Whether a run on the worker was suspected. */
+    readonly hasSuspects?: boolean;
+    /** Absent once the crash is too old to be part of an outage. */
+    readonly runs?: readonly CountedRun[] | undefined;
+    /** Workers that crashed in the same outage of their zone or rack; absent if it is not part of one. */
+    readonly outageWorkers?: number;
+    /** Suspected tasks, by their text form, that are not blamed, because the crash is part of an outage. */
+    readonly sparedTasks?: readonly string[];
 }
 
 /** State of one task of a step. */
--- /dev/null
+++ b/packages/job-state/src/outages.ts
@@ -0,0 +1,231 @@
+import type { WorkerInfo } from "@chestnutspool/types";
+import type { CountedRun, JobState, JobTask, RecentCrash, WorkerRun } from "./job-state.js";
+import { createRunKey, formatStepKey, formatTaskKey } from "./run-keys.js";
+
+/**
+ * Time within which crashes count as one outage, in milliseconds. The leader notices a crash when the next renewal has no answer, up
+ * to a second later.
+ */
+const outageMs = 1_000;
+/** Workers of a zone or rack that crash in an outage, at least, as a number and as a share of its workers. */
+const leastOutageWorkers = 3;
+const leastOutageShare = 2 / 3;
+/**
+ * Probability, by the crashes of the last minute, below which so many do not happen in one moment by chance. Where many tasks crash their
+ * workers, several do so at once now and then.
+ */
+const chanceLimit = 1e-6;
+/** Time in which the crashes of the last minute are counted, in milliseconds. */
+const minuteMs = 60_000;
+/** Crashes of a zone or rack per minute for other reasons, at least. */
+const leastCrashesPerMinute = 0.3;
+/** Crashes of an outage that a task cannot have caused from which it is not blamed; one may be due to another such task. */
+const leastOtherCrashes = 2;
+/** Time between the starts of copies of a task from which they do not crash their workers in the same moment, in milliseconds. */
+const sameStartMs = 1_000;
+/**
+ * Crashes of an outage without a suspected run from which a task is not blamed even if it has been suspected in another outage of the
+ * last minute. Otherwise tasks that start in the same moment and crash their workers would never be found.
+ */
+const leastUnsuspected = 2;
+/** Time for which the runs of a crash are kept, in milliseconds; the crash of a worker is recorded when its lease has ended, at the latest. */
+const runsKeptMs = 10_000;
+/** Probability in percent from which a task on a worker, by its earlier crashes, explains the next one. */
+const expectedLimitPercent = 50;
+
+/** Counts of a task. */
+type TaskCounts = Pick<JobTask, "crashes" | "crashHistory">;
+
+/** Describes what a crash has added to the counts of the task of a run, which were `before` without it. */
+export function createCountedRun(run: WorkerRun, before: TaskCounts): CountedRun {
+    const { crashes, crashHistory } = run.task;
+    const isNewlyCounted = crashes !== undefined && crashes !== before.crashes;
+    const isNewInHistory = crashHistory !== undefined && crashHistory !== before.crashHistory;
+    return {
+        key: createRunKey(run),
+        startedAtMs: run.startedAtMs,
+        crashes: isNewlyCounted ? crashes.crashes - (before.crashes?.crashes ?? 0) : 0,
+        suspicions: isNewlyCounted ? crashes.suspicions - (before.crashes?.suspicions ?? 0) : 0,
+        certain: isNewlyCounted ? crashes.certain - (before.crashes?.certain ?? 0) : 0,
+        historyCrashes: isNewInHistory ? crashHistory.crashes - (before.crashHistory?.crashes ?? 0) : 0,
+        evidence: isNewInHistory ? crashHistory.evidence - (before.crashHistory?.evidence ?? 0) : 0,
+    };
+}
+
+function findTask({ jobs }: JobState, { key }: CountedRun): JobTask | undefined {
+    return jobs.get(key.job)?.occurrences.get(key.occurrence)?.steps[key.step]?.tasks[key.position];
+}
+
+/** Takes back what a crash has added to the counts of a task. */
+function removeCounts(task: JobTask, counted: CountedRun): void {
+    const { crashes, crashHistory } = task;
+    if (crashes !== undefined) {
+        const left = crashes.crashes - counted.crashes;
+        task.crashes = left <= 0 ? undefined : {
+            crashes: left,
+            suspicions: Math.max(0, crashes.suspicions - counted.suspicions),
+            certain: Math.max(0, crashes.certain - counted.certain),
+            run: crashes.run,
+        };
+    }
+    if (crashHistory !== undefined) {
+        const left = crashHistory.crashes - counted.historyCrashes;
+        const evidence = crashHistory.evidence - counted.evidence;
+        task.crashHistory = left <= 0 || evidence <= 0 ? undefined : { ...crashHistory, crashes: left, evidence };
+    }
+}
+
+function isSameTime(left: RecentCrash, right: RecentCrash): boolean {
+    return left.crashedAtMs !== undefined && right.crashedAtMs !== undefined
+        && Math.abs(left.crashedAtMs - right.crashedAtMs) <= outageMs;
+}
+
+/** What the workers of an outage have in common. */
+type Domain = "zone" | "rack";
+
+function isInDomain(domain: Domain, crash: RecentCrash, { availabilityZone, labels }: WorkerInfo): boolean {
+    switch (domain) {
+        case "zone":
+            return availabilityZone === crash.availabilityZone;
+        case "rack":
+            return availabilityZone === crash.availabilityZone && labels[1] !== undefined && labels[1] === crash.rack;
+    }
+}
+
+/** Probability of at least `count` independent events where `expected` are expected. */
+function computeTail(count: number, expected: number): number {
+    let probability = Math.exp(-expected);
+    for (let factor = 1; factor <= count; factor += 1) {
+        probability *= expected / factor;
+    }
+    let sum = 0;
+    for (let next = count; probability > sum * Number.EPSILON; next += 1) {
+        sum += probability;
+        probability *= expected / (next + 1);
+    }
+    return sum;
+}
+
+/** Whether several crashes in one moment are due to chance, by the other crashes of the last minute; an outage counts as one. */
+function isChance(crashes: readonly RecentCrash[], together: readonly RecentCrash[]): boolean {
+    const perMinute = crashes.filter(crash => !together.includes(crash))
+        .reduce((sum, { outageWorkers = 1 }) => sum + 1 / outageWorkers, leastCrashesPerMinute);
+    return computeTail(together.length, perMinute * 2 * outageMs / minuteMs) >= chanceLimit;
+}
+
+/** Lists the crashes of the outage of a zone or rack to which the last one belongs; empty if too few of its workers have crashed. */
+function listOutage(state: JobState, last: RecentCrash, domain: Domain): readonly RecentCrash[] {
+    const inDomain = state.recentCrashes.filter(({ availabilityZone, rack }) =>
+        availabilityZone === last.availabilityZone
+        && (domain === "zone" || (last.rack !== undefined && rack === last.rack))
+    );
+    const crashes = inDomain.filter(crash => isSameTime(crash, last));
+    const crashed = new Set(crashes.map(({ worker }) => worker));
+    // A crashed worker may be back under another id.
+    const bornBeforeMs = Math.min(...crashes.map(({ crashedAtMs = 0 }) => crashedAtMs)) - outageMs;
+    const others = [...state.workers.values()].filter(({ info }) =>
+        isInDomain(domain, last, info) && !crashed.has(info.id) && (info.bornAtMs ?? 0) <= bornBeforeMs
+    );
+    const share = crashed.size / (crashed.size + others.length);
+    const isOutage = crashed.size >= leastOutageWorkers && share >= leastOutageShare && !isChance(inDomain, crashes);
+    return isOutage ? crashes : [];
+}
+
+/** Groups the runs of an outage by their steps, each with its crash. */
+function groupRuns(
+    outage: readonly RecentCrash[],
+): Map<string, { readonly crash: RecentCrash; readonly run: CountedRun; }[]> {
+    const byStep = new Map<string, { readonly crash: RecentCrash; readonly run: CountedRun; }[]>();
+    for (const crash of outage) {
+        for (const run of crash.runs ?? []) {
+            const stepKey = formatStepKey(run.key);
+            const ofStep = byStep.get(stepKey) ?? [];
+            byStep.set(stepKey, ofStep);
+            ofStep.push({ crash, run });
+        }
+    }
+    return byStep;
+}
+
+/** Whether a task has not been blamed in another outage of the last minute, though it was suspected. */
+function hasBeenSpared(state: JobState, last: RecentCrash, task: string): boolean {
+    return state.recentCrashes.some(crash => !isSameTime(crash, last) && crash.sparedTasks?.includes(task));
+}
+
+/**
+ * Lists the runs of an outage that are not blamed for it, by crash: tasks cannot have caused the crashes of workers on which no copy of
+ * theirs started with them.
+ */
+function listSpared(
+    state: JobState,
+    outage: readonly RecentCrash[],
+    last: RecentCrash,
+): Map<RecentCrash, CountedRun[]> {
+    const spared = new Map<RecentCrash, CountedRun[]>();
+    const unexplained = outage.filter(({ expectedPercent = 0 }) => expectedPercent < expectedLimitPercent);
+    const isUnsuspected = outage.filter(({ hasSuspects }) => hasSuspects === false).length >= leastUnsuspected;
+    for (const ofStep of groupRuns(outage).values()) {
+        for (const { crash, run } of ofStep) {
+            const own = new Set(
+                ofStep.filter(copy => Math.abs(copy.run.startedAtMs - run.startedAtMs) <= sameStartMs)
+                    .map(copy => copy.crash),
+            );
+            const others = unexplained.filter(other => !own.has(other)).length;
+            const isCounted = run.crashes + run.historyCrashes > 0;
+            if (
+                isCounted && others >= leastOtherCrashes
+                && (run.suspicions === 0 || isUnsuspected || !hasBeenSpared(state, last, formatTaskKey(run.key)))
+            ) {
+                spared.set(crash, [...spared.get(crash) ?? [], run]);
+            }
+        }
+    }
+    return spared;
+}
+
+function takeBackRuns(state: JobState, crash: RecentCrash, spared: readonly CountedRun[]): RecentCrash {
+    for (const run of spared) {
+        const task = findTask(state, run);
+        if (task !== undefined) {
+            removeCounts(task, run);
+        }
+    }
+    const suspected = spared.filter(({ suspicions }) => suspicions > 0).map(({ key }) => formatTaskKey(key));
+    return {
+        ...crash,
+        runs: crash.runs?.map(run =>
+            spared.includes(run)
+                ? { ...run, crashes: 0, suspicions: 0, certain: 0, historyCrashes: 0, evidence: 0 }
+                : run
+        ),
+        sparedTasks: [...crash.sparedTasks ?? [], ...suspected],
+    };
+}
+
+/**
+ * Takes back the counts for crashes that hit most workers of a zone or rack in one moment: they have a cause of their own, while tasks
+ * that crash their workers hit those on which they run. The first crashes of an outage were counted before the others were known.
+ */
+export function subtractOutage(state: JobState): void {
+    const last = state.recentCrashes.at(-1);
+    if (last === undefined) {
+        return;
+    }
+    for (const domain of ["zone", "rack"] as const) {
+        const outage = listOutage(state, last, domain);
+        const spared = listSpared(state, outage, last);
+        state.recentCrashes = state.recentCrashes.map(crash =>
+            outage.includes(crash)
+                ? {
+                    ...takeBackRuns(state, crash, spared.get(crash) ?? []),
+                    outageWorkers: Math.max(crash.outageWorkers ?? 0, outage.length),
+                }
+                : crash
+        );
+    }
+}
+
+/** Drops the runs of crashes that are too old to be part of a later outage. */
+export function forgetRuns(crash: RecentCrash, nowMs: number): RecentCrash {
+    return crash.runs === undefined || nowMs - crash.atMs <= runsKeptMs ? crash : { ...crash, runs: undefined };
+}
--- a/packages/lead-jobs/src/expire-worker.ts
+++ b/packages/lead-jobs/src/expire-worker.ts
@@ -3,7 +3,7 @@
 import { readMonotonicMs, type RenewAnswer, type RunEnd, type RunKey } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
-import { logRunEnded, logWorkerCrash } from "./log-decisions.js";
+import { logRunEnded, logSharedCrash, logWorkerCrash } from "./log-decisions.js";
 import { recordOpenOrder } from "./open-orders.js";
 import { propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
@@ -69,7 +69,8 @@
     const checkpoints = lapsed.filter(end => end.checkpoint !== "");
     const nowMs = yield* readMonotonicMs;
     const silentSinceMs = session.silentSinceMs ?? nowMs;
-    const crash = isCrash && state.runs.size > 0
+    // Also without runs, because it shows whether the workers of a zone crash together.
+    const crash = isCrash
         ? {
             ...findCrashSuspects(state, session.runStatuses, silentSinceMs, crashedBeforeMs),
             silentMs: Math.round(nowMs - silentSinceMs),
@@ -95,6 +96,7 @@
     session.runStatuses.clear();
     wakePlanner(term);
     if (crash !== undefined) {
+        logSharedCrash(term, session);
         yield* giveUpDeadlyJobs(term);
     }
 });
--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -134,6 +134,19 @@
     });
 }
 
+/** Logs that a worker has crashed in an outage of its zone or rack, and the suspected tasks that are not blamed for it. */
+export function logSharedCrash(term: Term, { info }: WorkerSession): void {
+    const crash = term.machine.state.recentCrashes.findLast(({ worker }) => worker === info.id);
+    if (crash?.outageWorkers !== undefined) {
+        term.logger.info("worker has crashed in an outage", {
+            worker: info.id,
+            availabilityZone: info.availabilityZone,
+            workers: crash.outageWorkers,
+            notBlamed: crash.sparedTasks?.join(" ") ?? "",
+        });
+    }
+}
+
 /** Time below full pace from which the end of a successful run is logged at level info, in milliseconds. */
 const loggedSlowedMs = 1_000;
 
--- a/packages/track-workers/src/worker-crashes.test.ts
+++ b/packages/track-workers/src/worker-crashes.test.ts
@@ -220,7 +220,12 @@
     assert.deepEqual(found.suspectedRuns, []);
     assert.equal(found.isCertain, false);
     machine.apply({ kind: "expireWorker", worker, isGone: false, checkpoints: [], crash: found });
-    assert.deepEqual(machine.state.recentCrashes, []);
+    const task = machine.state.jobs.get("a")?.occurrences.get(0)?.steps[0]?.tasks[0];
+    assert.deepEqual([task?.crashes, task?.crashHistory], [undefined, undefined]);
+    assert.deepEqual(
+        machine.state.recentCrashes.map(({ runs, explainedPercent }) => ({ runs, explainedPercent })),
+        [{ runs: [], explainedPercent: 0 }],
+    );
 });
 
 // Guards against a job that is given up because its starts were ordered on workers that had fallen silent before.
