Take back the crash that was counted for a run whose order was not carried out

Cause: the restart of a worker is recorded at once, and judges runs whose order has no answer yet; the answer, which the closed connection brings a moment later, ended the run and left the count.

Change: the end of a run tells whether no worker has carried out its order, because it was not sent or was refused. Each recent crash takes back what it added for that run. The field is optional: replicas of earlier builds ignore it, and keep the count as before. The end of a run that no report lists takes nothing back: it may have crashed the worker. What a crash adds to the counts moves from outages.ts to a module of its own.

Measured: the two tests of unsent-orders.test.ts and the first new one of worker-crashes.test.ts (job-state) fail without the change.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -8,6 +8,7 @@
     subtractResources,
     type WorkerCrash,
 } from "@chestnutspool/types";
+import { createCountedRun, subtractRun } from "./counted-runs.js";
 import { addRecentCrash, recordCrashHistory } from "./crash-history.js";
 import { recordCheckpoint, unifyCheckpoint } from "./gang-checkpoints.js";
 import type {
@@ -21,7 +22,7 @@
     WorkerState,
 } from "./job-state.js";
 import { acceptsStarts, computeReservation, createEmptyDefinition, isJobEnded, isStepReady } from "./job-state.js";
-import { createCountedRun, subtractOutage } from "./outages.js";
+import { subtractOutage } from "./outages.js";
 import { moveJob } from "./queue-services.js";
 import { formatRunKey, formatTaskKey } from "./run-keys.js";
 
@@ -293,6 +294,10 @@
 
 /** Applies the end of a run on a worker; an end of a run that is not in progress there changes nothing. */
 export function endRun(state: JobState, workerId: string, end: RunEnd): void {
+    if (end.hasNotRun === true) {
+        // The answer to its order may arrive after the crash of the worker was counted for it, and its end recorded.
+        subtractRun(state, end);
+    }
     const worker = state.workers.get(workerId);
     const key = formatRunKey(end);
     const run = worker?.runs.get(key);
--- a/packages/job-state/src/crash-history.ts
+++ b/packages/job-state/src/crash-history.ts
@@ -1,6 +1,6 @@
 import type { WorkerCrash, WorkerInfo } from "@chestnutspool/types";
+import { forgetRuns } from "./counted-runs.js";
 import type { CrashHistory, JobState, JobStep, JobTask, RecentCrash, WorkerRun } from "./job-state.js";
-import { forgetRuns } from "./outages.js";
 
 /** Odds that a task of which nothing is known crashes its workers; far above its share, so that few crashes suffice. */
 const priorOdds = 0.01;
--- a/packages/job-state/src/outages.ts
+++ b/packages/job-state/src/outages.ts
@@ -1,6 +1,7 @@
 import type { WorkerInfo } from "@chestnutspool/types";
-import type { CountedRun, JobState, JobTask, RecentCrash, WorkerRun } from "./job-state.js";
-import { createRunKey, formatStepKey, formatTaskKey } from "./run-keys.js";
+import { takeBackRuns } from "./counted-runs.js";
+import type { CountedRun, JobState, RecentCrash } from "./job-state.js";
+import { formatStepKey, formatTaskKey } from "./run-keys.js";
 
 /**
  * Time within which crashes count as one outage, in milliseconds. The leader notices a crash when the next renewal has no answer, up
@@ -28,53 +29,9 @@
  * last minute. Otherwise tasks that start in the same moment and crash their workers would never be found.
  */
 const leastUnsuspected = 2;
-/** Time for which the runs of a crash are kept, in milliseconds; the crash of a worker is recorded when its lease has ended, at the latest. */
-const runsKeptMs = 10_000;
 /** Probability in percent from which a task on a worker, by its earlier crashes, explains the next one. */
 const expectedLimitPercent = 50;
 
-/** Counts of a task. */
-type TaskCounts = Pick<JobTask, "crashes" | "crashHistory">;
-
-/** Describes what a crash has added to the counts of the task of a run, which were `before` without it. */
-export function createCountedRun(run: WorkerRun, before: TaskCounts): CountedRun {
-    const { crashes, crashHistory } = run.task;
-    const isNewlyCounted = crashes !== undefined && crashes !== before.crashes;
-    const isNewInHistory = crashHistory !== undefined && crashHistory !== before.crashHistory;
-    return {
-        key: createRunKey(run),
-        startedAtMs: run.startedAtMs,
-        crashes: isNewlyCounted ? crashes.crashes - (before.crashes?.crashes ?? 0) : 0,
-        suspicions: isNewlyCounted ? crashes.suspicions - (before.crashes?.suspicions ?? 0) : 0,
-        certain: isNewlyCounted ? crashes.certain - (before.crashes?.certain ?? 0) : 0,
-        historyCrashes: isNewInHistory ? crashHistory.crashes - (before.crashHistory?.crashes ?? 0) : 0,
-        evidence: isNewInHistory ? crashHistory.evidence - (before.crashHistory?.evidence ?? 0) : 0,
-    };
-}
-
-function findTask({ jobs }: JobState, { key }: CountedRun): JobTask | undefined {
-    return jobs.get(key.job)?.occurrences.get(key.occurrence)?.steps[key.step]?.tasks[key.position];
-}
-
-/** Takes back what a crash has added to the counts of a task. */
-function removeCounts(task: JobTask, counted: CountedRun): void {
-    const { crashes, crashHistory } = task;
-    if (crashes !== undefined) {
-        const left = crashes.crashes - counted.crashes;
-        task.crashes = left <= 0 ? undefined : {
-            crashes: left,
-            suspicions: Math.max(0, crashes.suspicions - counted.suspicions),
-            certain: Math.max(0, crashes.certain - counted.certain),
-            run: crashes.run,
-        };
-    }
-    if (crashHistory !== undefined) {
-        const left = crashHistory.crashes - counted.historyCrashes;
-        const evidence = crashHistory.evidence - counted.evidence;
-        task.crashHistory = left <= 0 || evidence <= 0 ? undefined : { ...crashHistory, crashes: left, evidence };
-    }
-}
-
 function isSameTime(left: RecentCrash, right: RecentCrash): boolean {
     return left.crashedAtMs !== undefined && right.crashedAtMs !== undefined
         && Math.abs(left.crashedAtMs - right.crashedAtMs) <= outageMs;
@@ -183,21 +140,16 @@
     return spared;
 }
 
-function takeBackRuns(state: JobState, crash: RecentCrash, spared: readonly CountedRun[]): RecentCrash {
-    for (const run of spared) {
-        const task = findTask(state, run);
-        if (task !== undefined) {
-            removeCounts(task, run);
-        }
-    }
+function addToOutage(
+    state: JobState,
+    crash: RecentCrash,
+    workers: number,
+    spared: readonly CountedRun[],
+): RecentCrash {
     const suspected = spared.filter(({ suspicions }) => suspicions > 0).map(({ key }) => formatTaskKey(key));
     return {
-        ...crash,
-        runs: crash.runs?.map(run =>
-            spared.includes(run)
-                ? { ...run, crashes: 0, suspicions: 0, certain: 0, historyCrashes: 0, evidence: 0 }
-                : run
-        ),
+        ...takeBackRuns(state, crash, spared),
+        outageWorkers: Math.max(crash.outageWorkers ?? 0, workers),
         sparedTasks: [...crash.sparedTasks ?? [], ...suspected],
     };
 }
@@ -216,16 +168,8 @@
         const spared = listSpared(state, outage, last);
         state.recentCrashes = state.recentCrashes.map(crash =>
             outage.includes(crash)
-                ? {
-                    ...takeBackRuns(state, crash, spared.get(crash) ?? []),
-                    outageWorkers: Math.max(crash.outageWorkers ?? 0, outage.length),
-                }
+                ? addToOutage(state, crash, outage.length, spared.get(crash) ?? [])
                 : crash
         );
     }
 }
-
-/** Drops the runs of crashes that are too old to be part of a later outage. */
-export function forgetRuns(crash: RecentCrash, nowMs: number): RecentCrash {
-    return crash.runs === undefined || nowMs - crash.atMs <= runsKeptMs ? crash : { ...crash, runs: undefined };
-}
--- a/packages/job-state/src/worker-crashes.test.ts
+++ b/packages/job-state/src/worker-crashes.test.ts
@@ -120,3 +120,42 @@
     assert.equal(restored.state.jobs.get("b")?.phase, "failed");
     assert.deepEqual(restored.state.jobs.get("b")?.failure, failure);
 });
+
+// Guards against a task that is suspected because of a run whose order was never sent, and against taking back other crashes with it.
+test("a crash that was counted for a run that has not run is taken back, earlier ones stay", () => {
+    const machine = setUp();
+    crash(machine, [makeKey(0)]);
+    const before = listCrashes(machine)[0];
+    start(machine, 0, 2);
+    for (const kept of [[makeKey(0, 2)], []]) {
+        machine.apply({
+            kind: "expireWorker",
+            worker: "w1",
+            isGone: false,
+            checkpoints: [],
+            kept,
+            crash: { suspectedRuns: [makeKey(0, 2)], isCertain: true, clearedRuns: [] },
+        });
+        assert.equal(listCrashes(machine)[0]?.crashes, 2);
+    }
+    const end = { ...makeKey(0, 2), outcome: "neverStarted", checkpoint: "", hasNotRun: true } as const;
+    machine.apply({ kind: "endRuns", worker: "w1", ends: [end] });
+    assert.deepEqual(listCrashes(machine)[0], { ...before, run: 2 });
+    machine.apply({ kind: "endRuns", worker: "w1", ends: [end] });
+    assert.deepEqual(listCrashes(machine)[0], { ...before, run: 2 });
+});
+
+test("the end of a run that may have run takes nothing back", () => {
+    const machine = setUp();
+    const key = makeKey(0);
+    machine.apply({
+        kind: "expireWorker",
+        worker: "w1",
+        isGone: false,
+        checkpoints: [],
+        kept: [key],
+        crash: { suspectedRuns: [key], isCertain: true, clearedRuns: [] },
+    });
+    machine.apply({ kind: "endRuns", worker: "w1", ends: [{ ...key, outcome: "neverStarted", checkpoint: "" }] });
+    assert.deepEqual(listCrashes(machine)[0], { crashes: 1, suspicions: 1, certain: 1, run: 1 });
+});
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -52,9 +52,19 @@
     run: RunKey,
     outcome: RunOutcome,
     checkpoint: string,
+    hasNotRun?: boolean,
 ) {
     const { job, occurrence, step, position, run: number } = run;
-    const end: RunEnd = { job, occurrence, step, position, run: number, outcome, checkpoint };
+    const end: RunEnd = {
+        job,
+        occurrence,
+        step,
+        position,
+        run: number,
+        outcome,
+        checkpoint,
+        ...(hasNotRun === true ? { hasNotRun } : {}),
+    };
     yield* propose(term, { kind: "endRuns", worker: session.info.id, ends: [end] });
     logRunEnded(term, session, end);
     session.runStatuses.delete(formatRunKey(run));
@@ -152,7 +162,7 @@
         case "notSent":
             // If the log refuses the end, the next report that does not list the run leads to it.
             yield* Effect.onError(
-                recordEnd(term, session, status.key, "neverStarted", ""),
+                recordEnd(term, session, status.key, "neverStarted", "", true),
                 () => Effect.sync(() => setStart(status, "excluded", nowMs)),
             );
             return;
@@ -160,7 +170,7 @@
             setStart(status, "excluded", nowMs);
             // The next report may list the end of a stale run. No other refusal leaves a record on the worker.
             if (answer.reason !== "staleRun" && answer.reason !== "staleToken" && answer.reason !== "otherWorker") {
-                yield* recordEnd(term, session, status.key, "neverStarted", "");
+                yield* recordEnd(term, session, status.key, "neverStarted", "", true);
             }
             return;
     }
--- /dev/null
+++ b/packages/lead-jobs/src/unsent-orders.test.ts
@@ -0,0 +1,62 @@
+import { makeJob, makeStep, testStartMs } from "@chestnutspool/job-state/fakes";
+import { readMonotonicMs } from "@chestnutspool/types";
+import { Effect } from "effect";
+import { TestClock } from "effect/testing";
+import assert from "node:assert/strict";
+import { makeWorker, startTestSystemWith, type TestSystem, testWithClock } from "./fakes/index.js";
+
+/** Time for which a crashed worker is silent until it starts again under its id, in milliseconds. */
+const silentMs = 600;
+
+const listCrashes = (system: TestSystem) =>
+    (system.machine.state.jobs.get("a")?.occurrences.get(0)?.steps[0]?.tasks ?? [])
+        .map(({ crashes, crashHistory }) => [crashes?.crashes, crashHistory?.crashes]);
+
+const answers = [
+    { kind: "notSent", detail: "socket hang up" },
+    { kind: "refused", reason: "leaseOver", clockMs: undefined },
+] as const;
+
+for (const answer of answers) {
+    // Guards against a task that is suspected of a crash, and waits for a trial, though its order was never carried out: the crash was
+    // counted some milliseconds before the answer arrived.
+    testWithClock(
+        `the crash of a worker does not count for a run whose order turns out to be ${answer.kind}`,
+        Effect.gen(function*() {
+            yield* TestClock.setTime(testStartMs);
+            let isHeld = false;
+            const system = yield* startTestSystemWith(port => ({
+                ...port,
+                startRun: Effect.fnUntraced(function*(worker, order, limitMs) {
+                    if (!isHeld) {
+                        return yield* port.startRun(worker, order, limitMs);
+                    }
+                    while (isHeld) {
+                        yield* Effect.sleep(5);
+                    }
+                    return answer;
+                }),
+            }));
+            const nextInfo = (crashed: ReturnType<typeof makeWorker>, nowMs: number) => ({
+                ...crashed,
+                bornAtMs: nowMs,
+            });
+            const restart = { afterMs: silentMs, nextInfo, keepsConnections: true };
+            system.workers.setCrashingRuns(() => false, restart, system.announce);
+            system.workers.setBehaviour(() => ({ runMs: 600_000, outcome: "succeeded" }));
+            yield* system.addWorker(makeWorker("w1", { bornAtMs: 1 }));
+            yield* system.pass(1_000);
+            system.workers.crashWorker("w1", yield* readMonotonicMs);
+            isHeld = true;
+            yield* system.submit(makeJob("a", [makeStep({ count: 2, longRunning: true })]));
+            yield* system.pass(silentMs + 50);
+            assert.deepEqual(listCrashes(system), [[1, 1], [1, 1]]);
+            isHeld = false;
+            yield* system.pass(50);
+            assert.deepEqual(listCrashes(system), [[undefined, undefined], [undefined, undefined]]);
+            yield* system.pass(1_000);
+            const runs = yield* system.readStartedRuns;
+            assert.deepEqual(runs.map(({ task }) => task).sort(), ["a.0.0.0", "a.0.0.1"]);
+        }),
+    );
+}
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -175,6 +175,11 @@
     readonly outcome: RunOutcome;
     /** Progress from which the next run can resume; empty when there is none. */
     readonly checkpoint: string;
+    /**
+     * Whether no worker has carried out the order to start the run, so that it has crashed none. Absent if that is not certain; earlier
+     * builds neither tell nor use it.
+     */
+    readonly hasNotRun?: boolean;
 }
 
 /** A run that is to start on a worker. */
