--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -52,9 +52,19 @@
     run: RunKey,
     outcome: RunOutcome,
     checkpoint: string,
+    hasNotRun?: boolean,
 ) {
     const { job, occurrence, step, position, run: number } = run;
-    const end: RunEnd = { job, occurrence, step, position, run: number, outcome, checkpoint };
+    const end: RunEnd = {
+        job,
+        occurrence,
+        step,
+        position,
+        run: number,
+        outcome,
+        checkpoint,
+        ...(hasNotRun === true ? { hasNotRun } : {}),
+    };
     if (outcome === "neverStarted") {
         // Before the end is applied, so that no pass takes the run for one that was stopped.
         recordUnstartedRun(term, run);
@@ -156,7 +166,7 @@
         case "notSent":
             // If the log refuses the end, the next report that does not list the run leads to it.
             yield* Effect.onError(
-                recordEnd(term, session, status.key, "neverStarted", ""),
+                recordEnd(term, session, status.key, "neverStarted", "", true),
                 () => Effect.sync(() => setStart(status, "excluded", nowMs)),
             );
             return;
@@ -164,7 +174,7 @@
             setStart(status, "excluded", nowMs);
             // The next report may list the end of a stale run. No other refusal leaves a record on the worker.
             if (answer.reason !== "staleRun" && answer.reason !== "staleToken" && answer.reason !== "otherWorker") {
-                yield* recordEnd(term, session, status.key, "neverStarted", "");
+                yield* recordEnd(term, session, status.key, "neverStarted", "", true);
             }
             return;
     }
