Do not send a start to a worker that fell silent while it was committed

Cause: the planner checks whether a worker answers, then waits until the starts are committed; the order was sent whatever had happened meanwhile, unless the session had been replaced.

Change: a start whose worker no longer answers, or has left, is not sent. It ends as never started at once, so that the next pass plans its task elsewhere, and the line `start is not sent` tells why.

Measured: the new test of unsent-orders.test.ts fails without the change (the order goes to the silent worker).

--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -191,6 +191,22 @@
         setStart(status, "excluded", sentAtMs);
         return;
     }
+    if (!session.isResponsive || session.leftAtMs !== undefined) {
+        // The worker fell silent or left while the start was committed, and may give no report for long.
+        const detail = session.leftAtMs === undefined ? "the worker does not answer" : "the worker has left";
+        term.logger.info("start is not sent", {
+            job: status.key.job,
+            task: formatTaskKey(status.key),
+            run: status.key.run,
+            worker: session.info.id,
+            reason: detail,
+        });
+        yield* Effect.catch(
+            applyStartAnswer(term, session, status, { kind: "notSent", detail }, sentAtMs),
+            error => logStepError(term.logger, "record start", error),
+        );
+        return;
+    }
     session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
     session.leaseOrderSentAtMs = sentAtMs;
     logRunOrdered(term, session, run, status.key, sentAtMs);
--- a/packages/lead-jobs/src/unsent-orders.test.ts
+++ b/packages/lead-jobs/src/unsent-orders.test.ts
@@ -60,3 +60,43 @@
         }),
     );
 }
+
+// Guards against an order that is sent to a worker that fell silent while its start was committed: the task waits for the lease of that
+// worker, or is suspected of its crash, beside workers that answer.
+testWithClock(
+    "a start whose worker falls silent while it is committed is not sent, and its task starts elsewhere at once",
+    Effect.gen(function*() {
+        yield* TestClock.setTime(testStartMs);
+        let commitMs = 0;
+        const ordered: string[] = [];
+        const system = yield* startTestSystemWith(port => ({
+            ...port,
+            startRun: (worker, order, limitMs) => {
+                ordered.push(worker.id);
+                return port.startRun(worker, order, limitMs);
+            },
+        }), {
+            wrapLog: log => ({
+                ...log,
+                proposeCommand: command =>
+                    Effect.andThen(
+                        Effect.suspend(() => Effect.sleep(command.kind === "startRuns" ? commitMs : 0)),
+                        log.proposeCommand(command),
+                    ),
+            }),
+        });
+        system.workers.setBehaviour(() => ({ runMs: 600_000, outcome: "succeeded" }));
+        yield* system.addWorker(makeWorker("w1", { bornAtMs: 1 }));
+        yield* system.pass(1_000);
+        commitMs = 3_000;
+        yield* system.submit(makeJob("a", [makeStep({ longRunning: true })]));
+        yield* system.pass(100);
+        system.workers.setFault("w1", "cut");
+        yield* system.addWorker(makeWorker("w2", { bornAtMs: 1 }));
+        yield* system.pass(2_500);
+        commitMs = 0;
+        yield* system.pass(1_000);
+        assert.deepEqual(ordered, ["w2"]);
+        assert.deepEqual(listCrashes(system), [[undefined, undefined]]);
+    }),
+);
