Give a job up after certain crashes only if they are unlikely without its task

Three crashes with a certain one already needed odds of 10.

Change: both limits ask for odds of 10. Two crashes soon after the start, each the only known explanation, have odds of 25.

The new test of worker-crashes.test.ts fails without the odds.

--- a/packages/track-workers/src/worker-crashes.test.ts
+++ b/packages/track-workers/src/worker-crashes.test.ts
@@ -246,3 +246,19 @@
         assert.equal(found.isCertain, isCertain, `${state} after ${changedAtMs} ms`);
     }
 });
+
+// Guards against a job that is given up for crashes that have other causes: a task without another suspect counts as the certain cause,
+// also where workers crash without it, or under a task that is less suspected.
+test("a task is given up after certain crashes only if they are unlikely without it", () => {
+    const machine = setUp();
+    const task = machine.state.jobs.get("a")?.occurrences.get(0)?.steps[0]?.tasks[0];
+    assert.ok(task !== undefined);
+    for (const [crashes, certain] of [[2, 2], [3, 1], [3, 3]] as const) {
+        task.crashes = { crashes, suspicions: crashes, certain, run: crashes };
+        const given = [undefined, 150, 290, 310].map((evidence): boolean => {
+            task.crashHistory = evidence === undefined ? undefined : { crashes, evidence, ageMs: 100, run: crashes };
+            return isDeadly(task);
+        });
+        assert.deepEqual(given, [false, false, false, true]);
+    }
+});
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -16,10 +16,13 @@
 const longTrialMs = 3_000;
 /** Crashes under a task in succession from which it is on trial even if others were suspected of them. */
 const crashesForTrial = 2;
-/** Certain crashes of a task in succession from which it is given up. */
-const certainCrashesToGiveUp = 2;
-/** Crashes in succession from which it is given up if one of them is certain, and odds that it is the cause. */
-const oneCertainLimit = { crashes: 3, odds: 10 } as const;
+/**
+ * Crashes of a task in succession, and certain ones among them, from which it is given up. A certain crash is one without another suspect;
+ * the worker may still have crashed for another reason.
+ */
+const certainLimits = [{ crashes: 2, certain: 2 }, { crashes: 3, certain: 1 }] as const;
+/** Odds that a task is the cause of its crashes from which it is given up after these. */
+const certainOdds = 10;
 /**
  * Longest time from the end of the time in which a run proves itself until its worker falls silent, in milliseconds; if it takes
  * longer, the leader was held up and the run may have ended before the crash.
@@ -67,8 +70,8 @@
 
 function hasLatelyCrashed(task: JobTask): boolean {
     const { crashes = 0, certain = 0 } = task.crashes ?? {};
-    return certain >= certainCrashesToGiveUp
-        || (certain > 0 && crashes >= oneCertainLimit.crashes && computeCrashOdds(task) >= oneCertainLimit.odds);
+    return certainLimits.some(limit => crashes >= limit.crashes && certain >= limit.certain)
+        && computeCrashOdds(task) >= certainOdds;
 }
 
 /** Whether a task crashes the workers that start it, so that its job is given up. */
