Let the line `step waits` say what held a step back that some worker suits

What operators saw: `step waits` with the reason `notAllFit` for one task, one to three suitable workers and no start.

Cause: the line compares the step with the workers after the pass, and took each step with a suitable worker for one of which not all tasks fit. The steps of one check often name the same one to three workers.

Change: the planner keeps its last pass, and the line asks it: not reached for the limit of ratings (notReached), starts that are refused or a wait for a rack (startsDelayed), a worker that is held or kept for other tasks (workersHeld, workersKept), or no worker that suited the step in its turn, so that the room is newer than the pass (freedSincePass). It costs nothing in the pass. Steps with a task that needs a trial keep `notAllFit` here. The pass lists the workers that it holds, so that jobs without a run are not compared with all workers to find these.

--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -10,9 +10,11 @@
 import {
     describeWait,
     findRack,
+    findWaitReason,
     listCandidates,
     listWaitingSteps,
     type PlanInput,
+    type PlanMemory,
     type WaitingStep,
 } from "@chestnutspool/plan-jobs";
 import { countUnprovedRuns } from "@chestnutspool/track-workers";
@@ -163,7 +165,13 @@
  * Logs the reason why a step waits if it has waited for at least `loggedWaitMs`, and again when the reason changes.
  * `loggedReasons` holds the last logged reason by step key; `nowMs` is wall-clock time in milliseconds.
  */
-export function logWaitingSteps(term: Term, input: PlanInput, loggedReasons: Map<string, string>, nowMs: number): void {
+export function logWaitingSteps(
+    term: Term,
+    input: PlanInput,
+    memory: PlanMemory,
+    loggedReasons: Map<string, string>,
+    nowMs: number,
+): void {
     const computeWaitedMs = ({ job, occurrence }: WaitingStep): number =>
         nowMs - (occurrence.dueAtMs ?? job.acceptedAtMs);
     const waitingLong = listWaitingSteps(input.state, nowMs)
@@ -183,7 +191,7 @@
             ? "noRoom"
             : suitable === 0
             ? "disturbs"
-            : "notAllFit";
+            : findWaitReason(memory, waiting) ?? "notAllFit";
         if (loggedReasons.get(key) === reason) {
             continue;
         }
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -288,7 +288,7 @@
         // Those that this or an earlier leader could not give up at once.
         yield* giveUpDeadlyJobs(term);
         logGivenTurns(term, planner.memory.contention);
-        logWaitingSteps(term, input, planner.loggedReasons, wallMs);
+        logWaitingSteps(term, input, planner.memory, planner.loggedReasons, wallMs);
     }
     return tookMs;
 });
--- a/packages/plan-jobs/src/hold-workers.ts
+++ b/packages/plan-jobs/src/hold-workers.ts
@@ -23,24 +23,26 @@
 
 /**
  * Holds a worker for each of `tasks` long-running tasks that found no room: the ones with the most free processors that
- * have room once their short tasks have ended. Without it, smaller tasks take each part of the room that becomes free.
+ * have room once their short tasks have ended. Without it, smaller tasks take each part of the room that becomes free. Returns the held
+ * ones.
  */
 export function holdWorkers(
     candidates: readonly WorkerCandidate[],
     spec: StepSpec,
     stepKey: string,
     tasks: number,
-): void {
+): readonly WorkerCandidate[] {
     const held = candidates.filter(({ isHeld }) => isHeld).length;
     const limit = Math.min(tasks, Math.max(1, Math.floor(candidates.length * heldShare)) - held);
     if (limit <= 0) {
-        return;
+        return [];
     }
-    candidates
+    const chosen = candidates
         .filter(candidate => canHold(candidate, spec, stepKey))
         .sort((left, right) => right.free.milliCpu - left.free.milliCpu)
-        .slice(0, limit)
-        .forEach(candidate => {
-            candidate.isHeld = true;
-        });
+        .slice(0, limit);
+    chosen.forEach(candidate => {
+        candidate.isHeld = true;
+    });
+    return chosen;
 }
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -1,5 +1,6 @@
 export type { ContentionMemory } from "./contended-pools.js";
 export { describeWait } from "./describe-wait.js";
+export { findWaitReason } from "./find-wait-reason.js";
 export { computeFreeLater } from "./hold-workers.js";
 export { isNewLongRunning, listKeptWorkers, selectCandidates } from "./keep-workers.js";
 export { listObsoleteRuns } from "./list-obsolete-runs.js";
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -2,6 +2,7 @@
 import { type ContentionMemory, createContentionMemory } from "./contended-pools.js";
 import type { HoldWaits } from "./hold-waits.js";
 import type { PendingMoves } from "./pending-moves.js";
+import type { PlanningPass } from "./planning-pass.js";
 import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
 import type { TrialWaits } from "./trial-waits.js";
 
@@ -33,6 +34,8 @@
     passes: number;
     /** Whether there are waiting steps that were not reached yet, so that the next pass should follow soon. */
     hasStepsLeft: boolean;
+    /** The last pass, as it ended; undefined if no step was waiting. */
+    lastPass: PlanningPass | undefined;
     readonly starvation: StarvationMemory;
     readonly contention: ContentionMemory;
     readonly trialWaits: TrialWaits;
@@ -52,6 +55,7 @@
         contention: createContentionMemory(),
         trialWaits: new WeakMap(),
         holdWaits: new WeakMap(),
+        lastPass: undefined,
         moves: new Map(),
     };
 }
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -244,7 +244,7 @@
     if (step.spec.longRunning || !isMostlyFree || hasRun(job, pass.starts)) {
         return;
     }
-    const held = listStepCandidates(pass, waiting).filter(({ isHeld }) => isHeld);
+    const held = pass.held.filter(({ state }) => state.info.service === job.queue.service);
     if (held.length === 0 || !pass.observeHoldWait(step)) {
         return;
     }
@@ -327,7 +327,7 @@
     const unplanned = countWithoutRoom(pass, waiting, planned);
     if (unplanned > 0) {
         const stepKey = formatWaitingKey(waiting);
-        holdWorkers(listStepCandidates(pass, waiting), step.spec, stepKey, unplanned);
+        pass.held.push(...holdWorkers(listStepCandidates(pass, waiting), step.spec, stepKey, unplanned));
     }
 }
 
@@ -342,6 +342,7 @@
     const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
         memory.hasStepsLeft = false;
+        memory.lastPass = undefined;
         listStarvedSteps(memory.starvation, [], { pools: new Map(), findUnstartedRun }, nowMs);
         return [];
     }
@@ -359,12 +360,14 @@
         blockedGangs: new Set(),
         movedTasks: new Set(),
         listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, findUnstartedRun, nowMs),
+        held: [],
         observeHoldWait: step => observeHoldWait(memory.holdWaits, step, nowMs),
         pools: summarizePools(input.state),
         observeTrialWait: step => observeTrialWait(memory.trialWaits, step, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
+    memory.lastPass = pass;
     planMoves(pass, memory.moves, candidates, waitingSteps);
     planWithinLimit(memory, waitingSteps, waiting => {
         const ratingsBefore = pass.ratings;
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -34,6 +34,8 @@
     readonly listRefusingWorkers: (waiting: WaitingStep) => readonly WorkerId[];
     /** Records that no trial is free for a step; returns whether it has waited for long. */
     readonly observeTrialWait: (step: JobStep) => boolean;
+    /** Workers that the pass holds for long-running tasks. */
+    readonly held: WorkerCandidate[];
     /** Records that a step found no room while workers are held; returns whether it has waited for too long. */
     readonly observeHoldWait: (step: JobStep) => boolean;
     /** Use of the pools, by service. */
