Order a pace again whose order was not answered

What callers saw: a best-effort run stays at pace 0 without end, with margin to spare for the serving tasks beside it: 60 s in the test.

Cause: an order to change a pace that gets no answer counted as not carried out, and the pace was set back to the last confirmed one. If the worker had carried it out, the planner saw the run at full pace and ordered nothing.

Change: the status of a run tells whether the worker may have another pace than the last confirmed one, after an order without an answer or one that ended with an exception. The planner orders the pace that it wants again until the worker confirms one. Orders that were refused or not sent change nothing.

A new leader still takes all runs for running at full pace.

--- a/packages/lead-jobs/src/order-pace.ts
+++ b/packages/lead-jobs/src/order-pace.ts
@@ -20,7 +20,8 @@
 /**
  * Changes the pace of a run. One order of a run is in progress at a time, because orders through different relays may
  * overtake each other; the pace that is wanted when it ends is sent after it. A pace that fails is replaced by the last
- * confirmed one, so that the next planning repeats it.
+ * confirmed one, so that the next planning repeats it. Without an answer it may have been carried out, so that the next planning
+ * repeats the last confirmed one as well.
  */
 export const orderPace = Effect.fnUntraced(function*(
     status: RunStatus,
@@ -42,8 +43,11 @@
             isLatest = status.pacePercent === sent;
             if (answer.kind === "done") {
                 confirmed = sent;
+                status.isPaceUncertain = false;
+                continue;
             }
-            else if (isLatest) {
+            status.isPaceUncertain ||= answer.kind === "unknown";
+            if (isLatest) {
                 status.pacePercent = confirmed;
             }
         }
@@ -52,6 +56,7 @@
         Effect.onError(sendUntilLatest, () =>
             Effect.sync(() => {
                 status.pacePercent = confirmed;
+                status.isPaceUncertain = true;
             })),
         Effect.sync(() => {
             status.isPaceOrdered = false;
--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -143,7 +143,7 @@
 
 /**
  * Plans the paces of the best-effort tasks on a worker. Those that disturb a serving task most are slowed down before
- * it exceeds its target, and are sped up again once its margin allows it.
+ * it exceeds its target, and are sped up again once its margin allows it. A pace that the worker may not have is ordered again.
  */
 export function planPaces(state: WorkerState, statuses: RunStatuses, interference: InterferenceModel): PaceChange[] {
     const bestEffort = listBestEffortRuns(state, statuses);
@@ -157,6 +157,8 @@
         raisePace(servingImages, bestEffort);
     }
     return runs
-        .filter(run => run.percent !== run.status.pacePercent)
+        .filter(({ percent, status: { pacePercent, isPaceUncertain, isPaceOrdered } }) =>
+            percent !== pacePercent || (isPaceUncertain && !isPaceOrdered)
+        )
         .map(({ runKey, percent }) => ({ runKey, percent }));
 }
--- a/packages/track-workers/src/run-statuses.ts
+++ b/packages/track-workers/src/run-statuses.ts
@@ -42,6 +42,8 @@
     pacePercent: number;
     /** Whether an order to change the pace is in progress. */
     isPaceOrdered: boolean;
+    /** Whether the worker may have another pace than `pacePercent`, because it has not answered an order. */
+    isPaceUncertain: boolean;
     /** When `pacePercent` last changed. */
     paceChangedAtMs: number;
     /** Lowest pace so far, in percent. */
@@ -70,6 +72,7 @@
         readAtMs: nowMs,
         pacePercent: 100,
         isPaceOrdered: false,
+        isPaceUncertain: false,
         paceChangedAtMs: nowMs,
         lowestPacePercent: 100,
         slowedMs: 0,
