Log which rule keeps a task from its trial, and since when

The log did not tell why: either no line named the job, or `step waits` said `notAllFit` beside one to three suitable workers.

Cause: the planner kept no record of why a trial did not start. `step waits` describes only the first 20 steps, and counted workers as suitable that the limit of trials, or the order of the pass, keeps a suspected task from.

Change: each pass records for a step the rule that holds its trials back (noFreeTrial, jobHasRun, workersOnTrial or noRoom). The line `step waits for a trial` tells the rule, since when it holds and for how long the tasks wait, within its own limit of lines, and whether other tasks of the job run or not. `step waits` gives the reason `needsTrial` instead of `notAllFit`, `disturbs` or `noRoom`, and counts no worker as suitable while the limit of trials keeps the next task from all of them. No decision changes.

--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -13,6 +13,8 @@
     listCandidates,
     listWaitingSteps,
     type PlanInput,
+    type PlanMemory,
+    type TrialObstacle,
     type WaitingStep,
 } from "@chestnutspool/plan-jobs";
 import { countUnprovedRuns } from "@chestnutspool/track-workers";
@@ -163,7 +165,13 @@
  * Logs the reason why a step waits if it has waited for at least `loggedWaitMs`, and again when the reason changes.
  * `loggedReasons` holds the last logged reason by step key; `nowMs` is wall-clock time in milliseconds.
  */
-export function logWaitingSteps(term: Term, input: PlanInput, loggedReasons: Map<string, string>, nowMs: number): void {
+export function logWaitingSteps(
+    { logger }: Pick<Term, "logger">,
+    input: PlanInput,
+    { blockedTrials }: PlanMemory,
+    loggedReasons: Map<string, string>,
+    nowMs: number,
+): void {
     const computeWaitedMs = ({ job, occurrence }: WaitingStep): number =>
         nowMs - (occurrence.dueAtMs ?? job.acceptedAtMs);
     const waitingLong = listWaitingSteps(input.state, nowMs)
@@ -177,8 +185,11 @@
         describedKeys.add(key);
         const wait = describeWait(candidates, waiting, input);
         const { workers, withRoom, suitable } = wait;
+        const obstacle = blockedTrials.get(step)?.obstacle;
         const reason = workers === 0
             ? "noWorker"
+            : obstacle !== undefined && (withRoom > 0 || obstacle !== "noRoom")
+            ? "needsTrial"
             : withRoom === 0
             ? "noRoom"
             : suitable === 0
@@ -188,7 +199,7 @@
             continue;
         }
         loggedReasons.set(key, reason);
-        term.logger.info("step waits", {
+        logger.info("step waits", {
             job: job.id,
             queue: job.queue.name,
             occurrence: occurrence.number,
@@ -207,3 +218,44 @@
         }
     }
 }
+
+/**
+ * Logs which rule keeps tasks from their trials if they have waited for at least `loggedWaitMs`, and again when the rule changes, whether
+ * other tasks of their job run or not. `loggedObstacles` holds the last logged rule by step key; `nowMs` is wall-clock time in milliseconds.
+ */
+export function logBlockedTrials(
+    { logger }: Pick<Term, "logger">,
+    { blockedTrials }: PlanMemory,
+    loggedObstacles: Map<string, TrialObstacle>,
+    nowMs: number,
+): void {
+    const waitingLong = [...blockedTrials.values()].filter(({ sinceMs }) => nowMs - sinceMs >= loggedWaitMs);
+    const describedKeys = new Set<string>();
+    for (const blocked of waitingLong.slice(0, stepsPerCheck)) {
+        const { job, occurrence, step, obstacle } = blocked;
+        const key = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
+        describedKeys.add(key);
+        if (loggedObstacles.get(key) === obstacle) {
+            continue;
+        }
+        loggedObstacles.set(key, obstacle);
+        logger.info("step waits for a trial", {
+            job: job.id,
+            queue: job.queue.name,
+            occurrence: occurrence.number,
+            step: step.position,
+            tasks: blocked.tasks,
+            runsInProgress: job.runsInProgress,
+            waitedMs: nowMs - blocked.sinceMs,
+            obstacle,
+            obstacleMs: nowMs - blocked.obstacleSinceMs,
+            milliCpu: step.spec.resources.milliCpu,
+            memoryMib: step.spec.resources.memoryMib,
+        });
+    }
+    for (const key of loggedObstacles.keys()) {
+        if (!describedKeys.has(key)) {
+            loggedObstacles.delete(key);
+        }
+    }
+}
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -8,6 +8,7 @@
     type PlanMemory,
     planStarts,
     takeStarvationSummary,
+    type TrialObstacle,
 } from "@chestnutspool/plan-jobs";
 import {
     createPreemptionMemory,
@@ -23,7 +24,7 @@
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
 import { createSpeedReader } from "./learn-speeds.js";
 import { logCopies, logCopyOutcomes } from "./log-copies.js";
-import { logStarts, logWaitingSteps } from "./log-decisions.js";
+import { logBlockedTrials, logStarts, logWaitingSteps } from "./log-decisions.js";
 import { logGivenTurns } from "./log-shares.js";
 import { computePassPauseMs } from "./pass-pause.js";
 import { computeIdlePauseMs, logEndedWaits } from "./placement-waits.js";
@@ -200,6 +201,8 @@
     readonly preemption: PreemptionMemory;
     /** Last logged reason why each step waits, by its key. */
     readonly loggedReasons: Map<string, string>;
+    /** Last logged rule that keeps each step from its trial, by its key. */
+    readonly loggedObstacles: Map<string, TrialObstacle>;
     /** When the reasons were last checked. */
     reasonsCheckedAtMs: number;
     /** When all runs were last scanned for unneeded ones and unanswered starts. */
@@ -226,6 +229,7 @@
         memory: createPlanMemory(),
         preemption: createPreemptionMemory(),
         loggedReasons: new Map(),
+        loggedObstacles: new Map(),
         reasonsCheckedAtMs: Number.NEGATIVE_INFINITY,
         scannedAtMs: Number.NEGATIVE_INFINITY,
         passMs: 0,
@@ -287,7 +291,8 @@
         // Those that this or an earlier leader could not give up at once.
         yield* giveUpDeadlyJobs(term);
         logGivenTurns(term, planner.memory.contention);
-        logWaitingSteps(term, input, planner.loggedReasons, wallMs);
+        logWaitingSteps(term, input, planner.memory, planner.loggedReasons, wallMs);
+        logBlockedTrials(term, planner.memory, planner.loggedObstacles, wallMs);
     }
     return tookMs;
 });
--- a/packages/plan-jobs/src/describe-wait.ts
+++ b/packages/plan-jobs/src/describe-wait.ts
@@ -1,7 +1,10 @@
 import { computeReservation, formatStepKey } from "@chestnutspool/job-state";
+import { needsTrial } from "@chestnutspool/track-workers";
 import type { PlanInput } from "./plan-input.js";
 import type { Lateness } from "./predict-lateness.js";
 import { findObstacle, type Obstacle } from "./rate-workers.js";
+import { listStartable } from "./startable-tasks.js";
+import { canTry, countTrials } from "./trials.js";
 import type { WaitingStep } from "./waiting-steps.js";
 import { hasCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
@@ -16,7 +19,10 @@
     readonly trusted: number;
     /** Workers among these with enough free resources. */
     readonly withRoom: number;
-    /** Workers with enough free resources on which the task would disturb no serving task and make progress. */
+    /**
+     * Workers with enough free resources on which the task would disturb no serving task and make progress; none while the next task
+     * of the step needs a trial that the limit of trials does not allow.
+     */
     readonly suitable: number;
     /**
      * Workers with enough free resources on which its best-effort tasks get too little processor time already, on which
@@ -28,6 +34,16 @@
     readonly lateness: Lateness;
 }
 
+/** Whether the limit of trials lets a task of a step start. */
+function canStartNext(waiting: WaitingStep, { state, findRunStatuses }: PlanInput): boolean {
+    const tasks = listStartable(waiting);
+    if (tasks.length === 0 || tasks.some(task => !needsTrial(task))) {
+        return true;
+    }
+    const trials = countTrials(state, findRunStatuses);
+    return tasks.some(task => canTry(trials, waiting.job.queue.service, task));
+}
+
 /** Counts the workers that could run a task of a waiting step. */
 export function describeWait(
     candidates: readonly WorkerCandidate[],
@@ -49,7 +65,7 @@
         withMemory: count(({ free }) => free.memoryMib >= needed.memoryMib),
         trusted: count(({ startsLeft }) => startsLeft !== 0),
         withRoom: withRoom.length,
-        suitable: countObstacle(undefined),
+        suitable: canStartNext(waiting, input) ? countObstacle(undefined) : 0,
         contended: countObstacle("contended"),
         noIdleProcessors: countObstacle("noIdleProcessors"),
         disturbed: countObstacle("disturbs"),
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -22,6 +22,7 @@
 export { findObstacle } from "./rate-workers.js";
 export { listStartable } from "./startable-tasks.js";
 export { type StarvationSummary, takeStarvationSummary } from "./starved-steps.js";
+export type { BlockedTrial, TrialObstacle } from "./trial-obstacles.js";
 export { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 export {
     type CapacityReservation,
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -2,6 +2,7 @@
 import { type ContentionMemory, createContentionMemory } from "./contended-pools.js";
 import type { PendingMoves } from "./pending-moves.js";
 import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
+import type { BlockedTrials } from "./trial-obstacles.js";
 import type { TrialWaits } from "./trial-waits.js";
 
 /**
@@ -35,6 +36,8 @@
     readonly starvation: StarvationMemory;
     readonly contention: ContentionMemory;
     readonly trialWaits: TrialWaits;
+    /** Steps with tasks that wait for a trial, for the log. */
+    readonly blockedTrials: BlockedTrials;
     readonly moves: PendingMoves;
 }
 
@@ -49,6 +52,7 @@
         starvation: createStarvationMemory(),
         contention: createContentionMemory(),
         trialWaits: new WeakMap(),
+        blockedTrials: new Map(),
         moves: new Map(),
     };
 }
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -24,6 +24,7 @@
 import { createStart, listStartable } from "./startable-tasks.js";
 import { listRefusingWorkers, listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
+import { expireBlockedTrials, recordBlockedTrial } from "./trial-obstacles.js";
 import { observeTrialWait } from "./trial-waits.js";
 import { cancelGangTrial, canTry, canTryAfterWait, countTrials, hasRun } from "./trials.js";
 import { createUnmetRequirements } from "./unmet-requirements.js";
@@ -59,6 +60,7 @@
         if (needsTrial(task)) {
             if (!canTry(pass.trials, waiting.job.queue.service, task)) {
                 pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
+                pass.recordBlockedTrial(waiting, tasks.length - position, "noFreeTrial");
                 return;
             }
             if (defersTrials && hasRun(waiting.job, pass.starts)) {
@@ -71,6 +73,8 @@
             recordUnmet(pass, plan);
             if (needsTrial(task)) {
                 pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
+                const obstacle = plan.ratings.hasRoomOnTrial ? "workersOnTrial" : "noRoom";
+                pass.recordBlockedTrial(waiting, tasks.length - position, obstacle);
             }
             return;
         }
@@ -123,9 +127,13 @@
 function planDeferredTrials(pass: PlanningPass): void {
     for (const { waiting, tasks } of pass.deferredTrials) {
         const [first] = tasks;
-        if (
-            first !== undefined && canTry(pass.trials, waiting.job.queue.service, first) && !isUnmet(pass, waiting)
-        ) {
+        if (first === undefined || !canTry(pass.trials, waiting.job.queue.service, first)) {
+            pass.recordBlockedTrial(waiting, tasks.length, "jobHasRun");
+        }
+        else if (isUnmet(pass, waiting)) {
+            pass.recordBlockedTrial(waiting, tasks.length, "noRoom");
+        }
+        else {
             planTaskStarts(pass, createStepPlan(pass, waiting), tasks, false);
         }
     }
@@ -178,6 +186,7 @@
         const hasWaited = pass.observeTrialWait(step);
         if (!hasWaited || !canTryAfterWait(pass.trials, service)) {
             pass.blockedGangs.add(service);
+            pass.recordBlockedTrial(waiting, suspected.length, "noFreeTrial");
             return;
         }
     }
@@ -212,6 +221,13 @@
     return isUnmet(pass, waiting) && !hasReservation(pass.input.reservations ?? [], formatWaitingKey(waiting));
 }
 
+function recordTrialsWithoutRoom(pass: PlanningPass, waiting: WaitingStep): void {
+    const suspected = listStartable(waiting).filter(needsTrial).length;
+    if (suspected > 0) {
+        pass.recordBlockedTrial(waiting, suspected, "noRoom");
+    }
+}
+
 /** Plans starts of a step; a starved one may disturb serving tasks. */
 function planStep(pass: PlanningPass, waiting: WaitingStep, isStarved = false): void {
     if (countStartable(pass, waiting) === 0) {
@@ -297,6 +313,7 @@
  */
 export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
     expireMoves(memory.moves, nowMs);
+    expireBlockedTrials(memory.blockedTrials, nowMs);
     const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
     const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
     if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
@@ -319,6 +336,8 @@
         movedTasks: new Set(),
         listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, nowMs),
         observeTrialWait: step => observeTrialWait(memory.trialWaits, step, nowMs),
+        recordBlockedTrial: (waiting, tasks, obstacle) =>
+            recordBlockedTrial(memory.blockedTrials, waiting, tasks, obstacle, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
         ratings: 0,
     };
@@ -329,6 +348,9 @@
         if (!hasNoRoom(pass, waiting)) {
             planStep(pass, waiting);
         }
+        else if (waiting.isOverdue) {
+            recordTrialsWithoutRoom(pass, waiting);
+        }
         holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
         return pass.ratings - ratingsBefore;
     });
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -7,6 +7,7 @@
 import type { RatingContext } from "./rate-workers.js";
 import type { StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
+import type { TrialObstacle } from "./trial-obstacles.js";
 import { startTrial, type TrialCounts } from "./trials.js";
 import type { UnmetRequirements } from "./unmet-requirements.js";
 import type { WaitingStep } from "./waiting-steps.js";
@@ -33,6 +34,8 @@
     readonly listRefusingWorkers: (waiting: WaitingStep) => readonly WorkerId[];
     /** Records that no trial is free for a step; returns whether it has waited for long. */
     readonly observeTrialWait: (step: JobStep) => boolean;
+    /** Records which rule keeps the trials of a number of tasks from starting. */
+    readonly recordBlockedTrial: (waiting: WaitingStep, tasks: number, obstacle: TrialObstacle) => void;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
--- a/packages/plan-jobs/src/step-ratings.ts
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -1,7 +1,7 @@
 import { countUnprovedRuns } from "@chestnutspool/track-workers";
 import type { StepSpec, WorkerId } from "@chestnutspool/types";
 import { rateWorker, type RatingContext } from "./rate-workers.js";
-import { findRack, hasCapacity, type WorkerCandidate } from "./worker-candidate.js";
+import { findRack, hasCapacity, hasRoomBesideTrial, type WorkerCandidate } from "./worker-candidate.js";
 
 /** Ratings of the workers for the tasks of one step in a planning pass. */
 export interface StepRatings {
@@ -12,6 +12,8 @@
      * themselves, then with the fewest runs. Members of a gang join those that are on trial already.
      */
     readonly chooseTrialWorker: () => WorkerCandidate | undefined;
+    /** Whether a worker has room for a task of the step but takes none because of a trial there. */
+    readonly hasRoomOnTrial: boolean;
     /** Updates the ratings after a task was planned on a worker. */
     readonly updateAfterStart: (started: WorkerCandidate) => void;
 }
@@ -52,13 +54,16 @@
             : undefined;
     };
     const suitable: { readonly candidate: WorkerCandidate; rating: number; }[] = [];
+    let hasRoomOnTrial = false;
     for (const candidate of candidates) {
+        hasRoomOnTrial ||= candidate.isOnTrial && hasRoomBesideTrial(candidate, spec, stepKey);
         const rating = rate(candidate);
         if (rating !== undefined) {
             suitable.push({ candidate, rating });
         }
     }
     return {
+        hasRoomOnTrial,
         chooseWorker: excluded => {
             let best: WorkerCandidate | undefined;
             let bestRating = Number.NEGATIVE_INFINITY;
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -273,7 +273,11 @@
  * starts only where there is one that it may share.
  */
 export function isEligible(candidate: WorkerCandidate, spec: StepSpec, stepKey: string, joinsTrial = false): boolean {
-    if (!allowsTrial(candidate, stepKey, joinsTrial) || candidate.startsLeft === 0) {
+    return allowsTrial(candidate, stepKey, joinsTrial) && isEligibleBesideTrial(candidate, spec, stepKey);
+}
+
+function isEligibleBesideTrial(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
+    if (candidate.startsLeft === 0) {
         return false;
     }
     if (candidate.isHeld && !spec.longRunning && !hasReservation(candidate.reservations, stepKey)) {
@@ -303,8 +307,16 @@
 
 /** Whether the limits, labels and free resources of a worker allow a task of a step to start there. */
 export function hasCapacity(candidate: WorkerCandidate, spec: StepSpec, stepKey: string, joinsTrial = false): boolean {
-    return isEligible(candidate, spec, stepKey, joinsTrial)
-        && findShortage(computeReservation(spec), computeUnreserved(candidate, stepKey)) === undefined;
+    return isEligible(candidate, spec, stepKey, joinsTrial) && hasResources(candidate, spec, stepKey);
+}
+
+function hasResources(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
+    return findShortage(computeReservation(spec), computeUnreserved(candidate, stepKey)) === undefined;
+}
+
+/** Whether a worker has capacity for a task of a step if its trial does not count. */
+export function hasRoomBesideTrial(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
+    return isEligibleBesideTrial(candidate, spec, stepKey) && hasResources(candidate, spec, stepKey);
 }
 
 /** Reserves the capacity for one more task of a step. */
