Let a task take the worker that is held for its trial

Cause: the trial of a task whose job has another run goes last in each pass, and the pass holds a worker for it meanwhile (a tenth of the workers at most: three of 32). Smaller steps that end by themselves may not start on a held worker. If they found no other room, they were recorded as requirements that no worker meets; the deferred trial requires more of the same kind, so that it was left out without a look at the worker that is held for it. The worker stayed idle, in each pass anew, as long as there was a backlog. Likewise a long-running step of a later priority was left out.

Change: a step that ends by itself leaves out only others that do; long-running steps leave out both.

Measured: zone-crashes.test.ts (eight of 32 workers crash under a backlog) failed with tasks of 1000 and 1600 milliCPU and with the smallest case, no start in 20 s; all four cases pass now, the smallest in the first pass.

--- a/packages/plan-jobs/src/unmet-requirements.ts
+++ b/packages/plan-jobs/src/unmet-requirements.ts
@@ -25,21 +25,27 @@
 }
 
 /** Formats what must be equal so that two steps can be compared by their resources alone. */
-function formatRequirementKind(service: string, spec: StepSpec, choice: WorkerChoice): string {
+function formatRequirementKind(
+    service: string,
+    spec: StepSpec,
+    choice: WorkerChoice,
+    longRunning: boolean,
+): string {
     // The image decides which serving tasks a best-effort task disturbs; the other ratings exclude no worker.
     return JSON.stringify([
         service,
         spec.requiredLabel ?? null,
         spec.usesIdleCpu ? spec.image ?? "" : null,
         choice,
+        longRunning,
     ]);
 }
 
 /** Creates an empty record. */
 export function createUnmetRequirements(): UnmetRequirements {
     const unmetByKind = new Map<string, Resources[]>();
-    const isCoveredByKind = (service: string, spec: StepSpec, choice: WorkerChoice): boolean =>
-        unmetByKind.get(formatRequirementKind(service, spec, choice))
+    const isCoveredByKind = (service: string, spec: StepSpec, choice: WorkerChoice, longRunning: boolean): boolean =>
+        unmetByKind.get(formatRequirementKind(service, spec, choice, longRunning))
             ?.some(unmet => isCovered(spec.resources, unmet)) ?? false;
     return {
         recordUnmet: (service, spec, choice = "all") => {
@@ -47,12 +53,16 @@
             if (spec.perWorkerLimit !== undefined) {
                 return;
             }
-            const kind = formatRequirementKind(service, spec, choice);
+            const kind = formatRequirementKind(service, spec, choice, spec.longRunning);
             const others = (unmetByKind.get(kind) ?? []).filter(unmet => !isCovered(unmet, spec.resources));
             unmetByKind.set(kind, [...others, spec.resources]);
         },
         isUnmet: (service, spec, choice = "all") =>
             workerChoices.slice(0, workerChoices.indexOf(choice) + 1)
-                .some(wider => isCoveredByKind(service, spec, wider)),
+                .some(wider =>
+                    isCoveredByKind(service, spec, wider, true)
+                    // A worker that is held for long-running tasks is one that only others lack.
+                    || (!spec.longRunning && isCoveredByKind(service, spec, wider, false))
+                ),
     };
 }
