--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -15,6 +15,7 @@
     listWaitingSteps,
     type PlanInput,
     type PlanMemory,
+    type TrialObstacle,
     type WaitingStep,
 } from "@chestnutspool/plan-jobs";
 import { countUnprovedRuns } from "@chestnutspool/track-workers";
@@ -179,7 +180,7 @@
  * `loggedReasons` holds the last logged reason by step key; `nowMs` is wall-clock time in milliseconds.
  */
 export function logWaitingSteps(
-    term: Term,
+    { logger }: Pick<Term, "logger">,
     input: PlanInput,
     memory: PlanMemory,
     loggedReasons: Map<string, string>,
@@ -198,8 +199,11 @@
         describedKeys.add(key);
         const wait = describeWait(candidates, waiting, input);
         const { workers, withRoom, suitable } = wait;
+        const obstacle = memory.blockedTrials.get(step)?.obstacle;
         const reason = workers === 0
             ? "noWorker"
+            : obstacle !== undefined && (withRoom > 0 || obstacle !== "noRoom")
+            ? "needsTrial"
             : withRoom === 0
             ? "noRoom"
             : suitable === 0
@@ -209,7 +213,7 @@
             continue;
         }
         loggedReasons.set(key, reason);
-        term.logger.info("step waits", {
+        logger.info("step waits", {
             job: job.id,
             queue: job.queue.name,
             occurrence: occurrence.number,
@@ -228,3 +232,44 @@
         }
     }
 }
+
+/**
+ * Logs which rule keeps tasks from their trials if they have waited for at least `loggedWaitMs`, and again when the rule changes, whether
+ * other tasks of their job run or not. `loggedObstacles` holds the last logged rule by step key; `nowMs` is wall-clock time in milliseconds.
+ */
+export function logBlockedTrials(
+    { logger }: Pick<Term, "logger">,
+    { blockedTrials }: PlanMemory,
+    loggedObstacles: Map<string, TrialObstacle>,
+    nowMs: number,
+): void {
+    const waitingLong = [...blockedTrials.values()].filter(({ sinceMs }) => nowMs - sinceMs >= loggedWaitMs);
+    const describedKeys = new Set<string>();
+    for (const blocked of waitingLong.slice(0, stepsPerCheck)) {
+        const { job, occurrence, step, obstacle } = blocked;
+        const key = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
+        describedKeys.add(key);
+        if (loggedObstacles.get(key) === obstacle) {
+            continue;
+        }
+        loggedObstacles.set(key, obstacle);
+        logger.info("step waits for a trial", {
+            job: job.id,
+            queue: job.queue.name,
+            occurrence: occurrence.number,
+            step: step.position,
+            tasks: blocked.tasks,
+            runsInProgress: job.runsInProgress,
+            waitedMs: nowMs - blocked.sinceMs,
+            obstacle,
+            obstacleMs: nowMs - blocked.obstacleSinceMs,
+            milliCpu: step.spec.resources.milliCpu,
+            memoryMib: step.spec.resources.memoryMib,
+        });
+    }
+    for (const key of loggedObstacles.keys()) {
+        if (!describedKeys.has(key)) {
+            loggedObstacles.delete(key);
+        }
+    }
+}
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -4,6 +4,7 @@
 import type { PendingMoves } from "./pending-moves.js";
 import type { PlanningPass } from "./planning-pass.js";
 import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
+import type { BlockedTrials } from "./trial-obstacles.js";
 import type { TrialWaits } from "./trial-waits.js";
 
 /**
@@ -40,6 +41,8 @@
     readonly contention: ContentionMemory;
     readonly trialWaits: TrialWaits;
     readonly holdWaits: HoldWaits;
+    /** Steps with tasks that wait for a trial, for the log. */
+    readonly blockedTrials: BlockedTrials;
     readonly moves: PendingMoves;
 }
 
@@ -56,6 +59,7 @@
         trialWaits: new WeakMap(),
         holdWaits: new WeakMap(),
         lastPass: undefined,
+        blockedTrials: new Map(),
         moves: new Map(),
     };
 }
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -8,6 +8,7 @@
 import type { PoolUse } from "./starved-steps.js";
 import type { StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
+import type { TrialObstacle } from "./trial-obstacles.js";
 import { startTrial, type TrialCounts } from "./trials.js";
 import type { UnmetRequirements } from "./unmet-requirements.js";
 import type { WaitingStep } from "./waiting-steps.js";
@@ -40,6 +41,8 @@
     readonly observeHoldWait: (step: JobStep) => boolean;
     /** Use of the pools, by service. */
     readonly pools: ReadonlyMap<string, PoolUse>;
+    /** Records which rule keeps the trials of a number of tasks from starting. */
+    readonly recordBlockedTrial: (waiting: WaitingStep, tasks: number, obstacle: TrialObstacle) => void;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
     /** Number of ratings of workers. */
