Order the paces of runs again that a new leader takes over

What callers saw: nothing yet; found by reading. A best-effort run that the earlier leader has slowed down stays slow without end under the next one, if that expects margin to spare from the first pass on.

Cause: the pace of a run is no part of the state or of the reports, and a new leader took all runs for running at full pace, so that it ordered nothing.

Change: the pace of a recorded best-effort run that this leader has not ordered itself counts as uncertain, so that the planner orders the one that it wants until the worker confirms it.

All tests of lead-jobs, plan-jobs and track-workers: 321 passed, 0 failed, 5 known red. The cost of the orders in a large pool was not measured.

--- a/packages/lead-jobs/src/add-recorded-runs.ts
+++ b/packages/lead-jobs/src/add-recorded-runs.ts
@@ -6,7 +6,10 @@
 export function addRecordedRuns(term: Term, session: WorkerSession, start: StartState, nowMs: number): void {
     for (const [key, recorded] of term.machine.state.workers.get(session.info.id)?.runs ?? []) {
         if (!session.runStatuses.has(key)) {
-            session.runStatuses.set(key, createRunStatus(createRunKey(recorded), start, nowMs));
+            const status = createRunStatus(createRunKey(recorded), start, nowMs);
+            // An earlier leader may have slowed it down.
+            status.isPaceUncertain = recorded.step.spec.usesIdleCpu;
+            session.runStatuses.set(key, status);
         }
     }
 }
--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -55,10 +55,21 @@
  */
 const workersPerTurn = 50;
 
+/**
+ * Number of paces that are ordered again in a round because the worker may have another one, so that a new leader, which knows the pace of
+ * no run, does not send thousands of orders at once.
+ */
+const repeatsPerRound = 20;
+
+function isRepeat({ runStatuses }: WorkerSession, { runKey, percent }: PaceChange): boolean {
+    return runStatuses.get(runKey)?.pacePercent === percent;
+}
+
 /** Plans and sends the paces of best-effort tasks until the term ends, so that serving tasks meet their targets. */
 export const runPacing = Effect.fnUntraced(function*(term: Term) {
     while (canSendOrders(term, yield* readMonotonicMs)) {
         let workersInTurn = 0;
+        let repeatsLeft = repeatsPerRound;
         for (const session of term.sessions.values()) {
             const state = term.machine.state.workers.get(session.info.id);
             if (state === undefined || !session.isResponsive) {
@@ -70,6 +81,12 @@
                 return planPaces(state, session.runStatuses, term.interference);
             });
             for (const change of changes) {
+                if (isRepeat(session, change)) {
+                    if (repeatsLeft === 0) {
+                        continue;
+                    }
+                    repeatsLeft -= 1;
+                }
                 const context = { term: term.number, worker: session.info.id };
                 const order = superviseOrder(term, "pace", context, changePace(term, session, change));
                 yield* Effect.forkIn(order, term.scope);
