Start long-running tasks on workers that have answered lately

Cause: a worker is usable up to the first renewal without an answer, and the choice among usable ones does not look at the age of the last answer.

Change: a worker whose last answer is 0.5 s old or more counts as quiet, once per pass. Its rating for long-running tasks is lower by 0.1, as much as a tenth of its processors. Racks, data, images and room weigh more, other tasks start as before, and no task waits for a worker that is not quiet. The penalty is small, because long-running tasks that spread over emptier workers leave no room for large ones.

--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -59,6 +59,14 @@
         && session.isReconciled && session.lease !== undefined && session.leftAtMs === undefined;
 }
 
+/** Age of the last answer from which a worker may have crashed, in milliseconds; one that has nothing to tell answers after 0.9 s. */
+const quietMs = 500;
+
+function isQuiet(term: Term, worker: WorkerId, nowMs: number): boolean {
+    const answeredAtMs = term.sessions.get(worker)?.answeredAtMs;
+    return answeredAtMs !== undefined && nowMs - answeredAtMs >= quietMs;
+}
+
 /** Creates the statuses of recorded runs at once, so that a report that arrives before an order is sent knows its run. */
 function createRunStatuses(term: Term, starts: readonly RunStart[], nowMs: number) {
     return starts.flatMap(start => {
@@ -244,6 +252,7 @@
     const input: PlanInput = {
         state: term.machine.state,
         isUsable: (worker: WorkerId) => isUsable(term, worker),
+        isQuiet: (worker: WorkerId) => isQuiet(term, worker, nowMs),
         findFailedWorker: (task: TaskKey) => term.failedWorkerByTask.get(formatTaskKey(task)),
         findStartLimit: (worker: WorkerId) => startLimits.get(worker),
         countStepStarts: term.refusedSteps.size === 0
--- a/packages/lead-jobs/src/unsent-orders.test.ts
+++ b/packages/lead-jobs/src/unsent-orders.test.ts
@@ -100,3 +100,29 @@
         assert.deepEqual(listCrashes(system), [[undefined, undefined]]);
     }),
 );
+
+// Guards against a long-running task that starts on a worker that has crashed, though another one has reported since.
+testWithClock(
+    "a long-running task starts on a worker that has reported lately, not on one that is silent since its crash",
+    Effect.gen(function*() {
+        yield* TestClock.setTime(testStartMs);
+        const system = yield* startTestSystemWith(port => port);
+        const nextInfo = (crashed: ReturnType<typeof makeWorker>, nowMs: number) => ({ ...crashed, bornAtMs: nowMs });
+        system.workers.setCrashingRuns(
+            () => false,
+            { afterMs: 5_000, nextInfo, keepsConnections: true },
+            system.announce,
+        );
+        system.workers.setBehaviour(({ job }) => ({ runMs: job === "short" ? 600 : 600_000, outcome: "succeeded" }));
+        yield* system.addWorker(makeWorker("w1", { bornAtMs: 1 }));
+        yield* system.addWorker(makeWorker("w2", { bornAtMs: 1, labels: ["b", "r0"] }));
+        yield* system.pass(1_000);
+        system.workers.crashWorker("w1", yield* readMonotonicMs);
+        yield* system.submit(makeJob("short", [makeStep({ requiredLabel: "b" })]));
+        yield* system.pass(650);
+        yield* system.submit(makeJob("a", [makeStep({ longRunning: true })]));
+        yield* system.pass(50);
+        const runs = yield* system.readStartedRuns;
+        assert.deepEqual(runs.map(({ task, worker }) => [task, worker]), [["short.0.0.0", "w2"], ["a.0.0.0", "w2"]]);
+    }),
+);
--- a/packages/plan-jobs/src/plan-input.ts
+++ b/packages/plan-jobs/src/plan-input.ts
@@ -11,6 +11,8 @@
     readonly state: JobState;
     /** Whether tasks may start on a worker now. */
     readonly isUsable: (worker: WorkerId) => boolean;
+    /** Whether a worker has not reported for so long that it may have crashed; absent if no worker has. */
+    readonly isQuiet?: ((worker: WorkerId) => boolean) | undefined;
     /** Number of runs that may start on a worker now; undefined if only its capacity limits them. */
     readonly findStartLimit: (worker: WorkerId) => number | undefined;
     /** Number of tasks of a step that may start now, by step key; absent or undefined if workers refuse none of its starts. */
@@ -43,6 +45,11 @@
             candidate.reservations = [...candidate.reservations, reservation];
         }
     }
+    if (input.isQuiet !== undefined) {
+        for (const candidate of candidates) {
+            candidate.isQuiet = input.isQuiet(candidate.state.info.id);
+        }
+    }
     if (input.predictSpeed !== undefined) {
         applySpeeds(candidates, input.predictSpeed);
     }
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -16,6 +16,11 @@
  * one image tolerate the same neighbours.
  */
 const sameImageBonus = 1;
+/**
+ * Rating subtracted for a long-running task on a worker that may have crashed, where a tenth of its processors is as much: the task would
+ * lose time, but large tasks need workers with room.
+ */
+const quietPenalty = 0.1;
 /**
  * Least share of its declared processors that must be idle for a best-effort task to start; with less it progresses too
  * slowly.
@@ -178,6 +183,7 @@
     const rack = findRack(candidate.state.info);
     let rating = spec.rackOfData !== undefined && spec.rackOfData === rack ? rackBonus : 0;
     rating -= candidate.speed < 1 ? computeSpeedPenalty(candidate.speed) : 0;
+    rating -= spec.longRunning && candidate.isQuiet ? quietPenalty : 0;
     rating += spec.prefersOneRack ? (context.tasksByRack.get(rack) ?? 0) * rackBonus : 0;
     if (spec.usesIdleCpu) {
         const bestEffortRating = rateForBestEffortTask(candidate, spec, context);
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -58,6 +58,8 @@
     startsLeft: number | undefined;
     /** Speed of the worker compared with others, as far as the planner avoids slow ones; 1 is normal. */
     speed: number;
+    /** Whether the worker has not reported for so long that it may have crashed. */
+    isQuiet: boolean;
     /** Whether a long-running task waits for room here, so that no other task may start in this pass. */
     isHeld: boolean;
     /** Whether a task that may crash the worker is on trial here, so that no other task may start. */
@@ -226,6 +228,7 @@
         reservations: [],
         startsLeft: startLimit,
         speed: 1,
+        isQuiet: false,
         isHeld: false,
         isOnTrial,
         sharesTrial: isOnTrial && hasSharedTrial(state, statuses),
