Give each start of a worker a fencing token above those of its earlier starts

Callers see tasks run again that have succeeded: a renewal to the earlier start of a worker is carried out seconds later by the next one, after the leader has reached it, and makes it forget ends that the leader has not seen. The same holds for delayed starts and for renewals that extend the lease.

Cause: within a term all orders to a worker carry the same token, so that the later start takes the orders to the earlier one for its own.

Leaders record restarts of workers under their ids, and a session uses the term plus their number. The first answered call to the later start excludes all calls to the earlier ones, of this leader and of those before it; from then on they cannot extend its lease either, so that a worker that is cut off later is not waited for longer. A refusal of a call to the earlier start no longer fences the term. Replicas of earlier builds ignore the number; if one leads after a restart, workers refuse its term, and it gives up the leadership.

--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -41,6 +41,9 @@
 
 function expireWorker(state: JobState, command: Extract<JobCommand, { kind: "expireWorker"; }>): void {
     expireRuns(state, command);
+    if (command.hasRestarted === true) {
+        state.workerRestarts += 1;
+    }
     if (command.isGone) {
         state.workers.delete(command.worker);
         state.workerSpeeds.delete(command.worker);
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -181,6 +181,11 @@
     readonly disturbances: Map<string, DisturbanceEstimate>;
     /** Speeds of workers as the last leaders recorded them, by worker. */
     readonly workerSpeeds: Map<WorkerId, RecordedSpeed>;
+    /**
+     * Restarts of workers under their identities. Leaders add it to their term, so that the token of a session is above those of all
+     * orders to earlier starts of the worker; earlier builds do not record it.
+     */
+    workerRestarts: number;
     /** Crashes of the last minute; earlier builds do not record them. */
     recentCrashes: readonly RecentCrash[];
     /** All services that a queue has ever been configured with, the latest one last, by `formatQueueKey`. */
@@ -205,6 +210,7 @@
         waves: new Map(),
         disturbances: new Map(),
         workerSpeeds: new Map(),
+        workerRestarts: 0,
         recentCrashes: [],
         servicesByQueue: new Map(),
         cancelledSubmissions: new Map(),
--- a/packages/job-state/src/snapshot.test.ts
+++ b/packages/job-state/src/snapshot.test.ts
@@ -93,7 +93,13 @@
             return;
         }
         case "expire":
-            machine.apply({ kind: "expireWorker", worker: `w${action.worker + 1}`, isGone: false, checkpoints: [] });
+            machine.apply({
+                kind: "expireWorker",
+                worker: `w${action.worker + 1}`,
+                isGone: false,
+                checkpoints: [],
+                ...(action.worker === 0 ? { hasRestarted: true } : {}),
+            });
             return;
         case "drain":
             machine.apply({ kind: "drainWorker", worker: `w${action.worker + 1}` });
@@ -131,6 +137,7 @@
             }
             const restored = createJobMachine();
             restored.restoreSnapshot(machine.takeSnapshot());
+            assert.equal(restored.state.workerRestarts, machine.state.workerRestarts);
             assert.deepEqual(Buffer.from(restored.takeSnapshot()), Buffer.from(machine.takeSnapshot()));
             assert.deepEqual(
                 [...restored.state.workers].map(([id, { used, runs }]) => [id, used, [...runs.keys()].sort()]),
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -115,6 +115,8 @@
     readonly disturbances: readonly DisturbanceEstimate[];
     /** Earlier builds do not write it. */
     readonly workerSpeeds?: readonly RecordedSpeed[];
+    /** Absent if there are none; earlier builds do not write it. */
+    readonly workerRestarts?: number;
     /** Earlier builds do not write it. */
     readonly recentCrashes?: readonly RecentCrash[];
     readonly services: readonly (readonly [string, readonly string[]])[];
@@ -243,6 +245,7 @@
         })),
         disturbances: [...state.disturbances.values()],
         workerSpeeds: [...state.workerSpeeds.values()],
+        ...(state.workerRestarts === 0 ? {} : { workerRestarts: state.workerRestarts }),
         recentCrashes: state.recentCrashes,
         services: [...state.servicesByQueue].map(([queue, services]) => [queue, [...services]]),
         cancelledSubmissions: [...state.cancelledSubmissions],
@@ -372,6 +375,7 @@
     }
     state.clockMs = saved.clockMs;
     state.configuration = saved.configuration ?? undefined;
+    state.workerRestarts = saved.workerRestarts ?? 0;
     state.recentCrashes = saved.recentCrashes ?? [];
     for (const { info, isDraining, largestCapacity = info.capacity, sequence = 0 } of saved.workers) {
         const used = noResources;
--- a/packages/lead-jobs/src/expire-worker.ts
+++ b/packages/lead-jobs/src/expire-worker.ts
@@ -38,6 +38,8 @@
     readonly isGone: boolean;
     /** Whether it has certainly crashed. */
     readonly isCrash: boolean;
+    /** Whether it has started again under its identity; false if absent. */
+    readonly hasRestarted?: boolean;
     /** When it had certainly crashed, in monotonic milliseconds; undefined if that is not known. */
     readonly crashedBeforeMs?: number;
 }
@@ -49,11 +51,11 @@
 export const expireWorker = Effect.fnUntraced(function*(
     term: Term,
     session: WorkerSession,
-    { reason, isGone, isCrash, crashedBeforeMs }: WorkerEnd,
+    { reason, isGone, isCrash, hasRestarted = false, crashedBeforeMs }: WorkerEnd,
     kept: readonly RunKey[] = [],
 ) {
     const state = findWorkerState(term, session);
-    if (state === undefined || (state.runs.size === 0 && !isGone)) {
+    if (state === undefined || (state.runs.size === 0 && !isGone && !hasRestarted)) {
         return;
     }
     term.logger.warn("runs of a worker have ended with its lease", {
@@ -83,6 +85,7 @@
         worker: session.info.id,
         isGone,
         checkpoints,
+        ...(hasRestarted ? { hasRestarted } : {}),
         ...(crash === undefined ? {} : { crash }),
         ...(kept.length === 0 ? {} : { kept }),
     });
@@ -99,6 +102,11 @@
     }
 });
 
+/** Finds until when foreign orders may extend the lease of a worker, in monotonic milliseconds; its first answer excludes them. */
+function findForeignOrdersEnd({ foreignOrdersUntilMs, fencedAtMs = foreignOrdersUntilMs }: WorkerSession): number {
+    return Math.min(foreignOrdersUntilMs, fencedAtMs);
+}
+
 /**
  * Finds out whether a worker has ended: another one answers at its address, it announced that it leaves, its lease is over, or
  * it has been silent for too long. A worker whose lease is over may come back. It has crashed if it has ended, as the answers
@@ -117,7 +125,7 @@
     if (session.leftAtMs !== undefined && nowMs - session.leftAtMs >= leaveGraceMs) {
         return { reason: "the worker has left", isGone: true, isCrash: false };
     }
-    if (nowMs <= computeLeaseEndMs(session.lease, session.foreignOrdersUntilMs, term.limits.longestLeaseMs)) {
+    if (nowMs <= computeLeaseEndMs(session.lease, findForeignOrdersEnd(session), term.limits.longestLeaseMs)) {
         return undefined;
     }
     const lastContactAtMs = Math.max(session.heartbeatAtMs, session.answeredAtMs ?? 0);
--- a/packages/lead-jobs/src/open-session.ts
+++ b/packages/lead-jobs/src/open-session.ts
@@ -89,8 +89,8 @@
     return [...runStatuses.values()].filter(({ firstPercent }) => firstPercent === undefined);
 }
 
-/** Finds until when orders to the earlier start of a worker may extend the lease of the later one, in monotonic milliseconds. */
-function findForeignOrdersEnd(term: Term, earlier: WorkerSession, nowMs: number): number {
+/** Computes until when orders to the earlier start of a worker may extend the lease of the later one, in monotonic milliseconds. */
+function computeForeignOrdersEnd(term: Term, earlier: WorkerSession, nowMs: number): number {
     // The earlier start may have had orders of an earlier leader, which sent the last ones before this term was opened.
     const lastSentAtMs = Math.max(term.openedAtMs, earlier.leaseOrderSentAtMs);
     return Math.max(nowMs, earlier.foreignOrdersUntilMs, lastSentAtMs + orderDelayLimitMs);
@@ -117,7 +117,7 @@
     const uncertain = listUncertainRuns(earlier);
     const openStarts = uncertain.filter(isStartOpen).map(({ key }) => key);
     const crashedBeforeMs = yield* findBirthMs(info, nowMs);
-    const foreignOrdersUntilMs = findForeignOrdersEnd(term, earlier, nowMs);
+    const foreignOrdersUntilMs = computeForeignOrdersEnd(term, earlier, nowMs);
     term.logger.warn("worker has started again", {
         worker: info.id,
         bornAtMs: info.bornAtMs,
@@ -134,6 +134,7 @@
         reason: "the worker has started again",
         isGone: uncertain.length === 0,
         isCrash: !hasAnnouncedEnd(term, earlier),
+        hasRestarted: true,
         ...(crashedBeforeMs === undefined ? {} : { crashedBeforeMs }),
     };
     const kept = uncertain.map(({ key }) => key);
--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -19,7 +19,7 @@
     percent: number,
     before: number,
 ) {
-    const answer = yield* term.workers.paceRun(session.info, status.key, percent, term.number, paceTimeoutMs);
+    const answer = yield* term.workers.paceRun(session.info, status.key, percent, session.fencingToken, paceTimeoutMs);
     recordAnswer(term, session, answer, yield* readMonotonicMs);
     // Pace changes are frequent, so that confirmed ones are logged as debug lines; the line "run ended" sums them up.
     const write = answer.kind === "done" ? term.logger.debug : term.logger.info;
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -21,7 +21,7 @@
 import { observeBegunJob } from "./record-begun-jobs.js";
 import { recordConfirmedStep, recordRefusedStep } from "./refused-steps.js";
 import { superviseLoop, superviseOrder } from "./supervise-loop.js";
-import { canSendOrders, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
+import { canSendOrders, fenceTerm, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Timeout of an order, in milliseconds; far above a round trip, so that only a lost answer exceeds it. */
 const orderTimeoutMs = 1_000;
@@ -35,12 +35,8 @@
             session.lease = recordClock(session.lease, answer.clockMs, nowMs);
             session.answeredAtMs = nowMs;
         }
-        if (answer.kind === "refused" && answer.reason === "staleToken" && !term.isFenced) {
-            term.isFenced = true;
-            term.logger.warn("a worker has accepted a later leader; no more orders are sent", {
-                term: term.number,
-                worker: session.info.id,
-            });
+        if (answer.kind === "refused" && answer.reason === "staleToken") {
+            fenceTerm(term, session, nowMs);
         }
     }
 }
@@ -189,7 +185,7 @@
         payload: run.job.definition.payload,
         checkpoint: run.task.checkpoint,
         leaseUntilMs: session.lease.grantedUntilClockMs,
-        fencingToken: term.number,
+        fencingToken: session.fencingToken,
         ticket,
     }, orderTimeoutMs);
     const nowMs = yield* readMonotonicMs;
@@ -226,7 +222,7 @@
     while (
         isPending() && canSendOrders(term, yield* readMonotonicMs) && term.sessions.get(session.info.id) === session
     ) {
-        const answer = yield* term.workers.stopRun(session.info, run, term.number, orderTimeoutMs);
+        const answer = yield* term.workers.stopRun(session.info, run, session.fencingToken, orderTimeoutMs);
         const nowMs = yield* readMonotonicMs;
         recordAnswer(term, session, answer, nowMs);
         if (answer.kind === "done" || (answer.kind === "refused" && answer.reason === "staleRun")) {
@@ -266,7 +262,7 @@
 
 const stopOpenOrder = Effect.fnUntraced(function*(term: Term, session: WorkerSession, run: RunKey) {
     while (canSendOrders(term, yield* readMonotonicMs) && term.sessions.get(session.info.id) === session) {
-        const answer = yield* term.workers.stopRun(session.info, run, term.number, orderTimeoutMs);
+        const answer = yield* term.workers.stopRun(session.info, run, session.fencingToken, orderTimeoutMs);
         recordAnswer(term, session, answer, yield* readMonotonicMs);
         if (answer.kind === "done" || (answer.kind === "refused" && answer.reason === "staleRun")) {
             return;
--- a/packages/lead-jobs/src/silent-restart.test.ts
+++ b/packages/lead-jobs/src/silent-restart.test.ts
@@ -142,6 +142,35 @@
     }),
 );
 
+// Guards against calls to an earlier start that the later one carries out seconds after the leader knows of the restart: it has seen no
+// fencing token that is above theirs.
+testWithClock(
+    "orders to a later start of a worker have a higher fencing token than all orders before, also under the next leader",
+    Effect.gen(function*() {
+        const tokens: number[] = [];
+        const system = yield* startTestSystemWith(port => ({
+            ...port,
+            renewLease: (worker, order, limitMs) => {
+                tokens.push(order.fencingToken);
+                return port.renewLease(worker, order, limitMs);
+            },
+        }));
+        const takeTokens = () => [...new Set(tokens.splice(0))];
+        yield* setUpWorker(system);
+        const beforeCrash = takeTokens();
+        yield* crash(system);
+        yield* system.pass(silentMs + announceMs + 100);
+        tokens.length = 0;
+        yield* system.pass(2_000);
+        const afterRestart = takeTokens();
+        system.log.setLeader("b");
+        yield* system.pass(2_000);
+        const all = [...beforeCrash, ...afterRestart, ...takeTokens()];
+        assert.equal(all.length, 3);
+        assert.deepEqual([...new Set(all)].sort((left, right) => left - right), all);
+    }),
+);
+
 const readTasks = (
     system: TestSystem,
 ) => [...system.machine.state.jobs.get("a")?.occurrences.get(0)?.steps[0]?.tasks ?? []];
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -75,13 +75,18 @@
     isAnnounced: boolean;
     /** Whether the worker has started again, so that another session takes the place of this one. */
     isSuperseded: boolean;
+    /** Fencing token of the orders to the worker, above those of all orders to its earlier starts and of earlier leaders. */
+    readonly fencingToken: number;
     lease: WorkerLease | undefined;
     /** When the latest order that extends the lease was sent, in monotonic milliseconds. */
     leaseOrderSentAtMs: number;
     /**
-     * Until when orders of earlier leaders, or to an earlier start of the worker, may extend its lease, in monotonic milliseconds.
+     * Until when orders of earlier leaders, or to an earlier start of the worker, may extend its lease, in monotonic milliseconds,
+     * unless it has answered.
      */
     readonly foreignOrdersUntilMs: number;
+    /** When it first answered a renewal, in monotonic milliseconds, so that it refuses all foreign orders; undefined before. */
+    fencedAtMs: number | undefined;
     readonly runStatuses: RunStatuses;
     /** Sequence number up to which the ends of runs are recorded. */
     acknowledgedSequence: number;
@@ -171,6 +176,23 @@
     return !term.isFenced && term.log.isLeading(nowMs) && term.log.readStatus().term === term.number;
 }
 
+/**
+ * Fences the term because a worker has accepted a later leader. A call to an earlier start that the later one refuses says nothing
+ * about the leader.
+ */
+export function fenceTerm(term: Term, session: WorkerSession, nowMs: number): void {
+    if (term.isFenced || session.isSuperseded || term.sessions.get(session.info.id) !== session) {
+        return;
+    }
+    term.isFenced = true;
+    term.logger.warn("a worker has accepted a later leader; no more orders are sent", {
+        term: term.number,
+        worker: session.info.id,
+        fencingToken: session.fencingToken,
+        nowMs,
+    });
+}
+
 /** Whether a replica with this status leads the term. */
 export function isLeaderOfTerm(status: ReplicaStatus, number: number): boolean {
     return status.role === "leader" && status.term === number;
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -32,6 +32,7 @@
 import { measurePart } from "./term-load.js";
 import {
     canSendOrders,
+    fenceTerm,
     logStepError,
     propose,
     registerWorker,
@@ -83,9 +84,11 @@
         openedAtMs: nowMs,
         isAnnounced: true,
         isSuperseded: false,
+        fencingToken: term.number + term.machine.state.workerRestarts,
         lease: undefined,
         leaseOrderSentAtMs: Number.NEGATIVE_INFINITY,
         foreignOrdersUntilMs,
+        fencedAtMs: undefined,
         runStatuses: new Map(),
         acknowledgedSequence: 0,
         confirmedSequence: 0,
@@ -158,12 +161,14 @@
     }
     session.lease = recordClock(session.lease, answer.clockMs, nowMs);
     session.answeredAtMs = nowMs;
+    session.fencedAtMs ??= nowMs;
     if (!session.isResponsive) {
         term.logger.info("worker answers", {
             worker: session.info.id,
             bornAtMs: answer.bornAtMs,
             acknowledgedSequence: session.acknowledgedSequence,
             lastSequence: answer.ended.at(-1)?.sequence,
+            fencingToken: session.fencingToken,
             term: term.number,
         });
     }
@@ -285,7 +290,7 @@
     session.unansweredSequence = Math.max(session.unansweredSequence, acknowledgedSequence);
     const answer = yield* term.workers.renewLease(session.info, {
         leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
-        fencingToken: term.number,
+        fencingToken: session.fencingToken,
         acknowledgedSequence,
         waitMs,
     }, limitMs);
@@ -347,11 +352,7 @@
     term.load.failedRenewals += 1;
     const nowMs = yield* readMonotonicMs;
     if (answer.kind === "refused" && answer.reason === "staleToken") {
-        term.isFenced = true;
-        term.logger.warn("a worker has accepted a later leader; no more orders are sent", {
-            worker: session.info.id,
-            nowMs,
-        });
+        fenceTerm(term, session, nowMs);
         return { kind: "ended" } as const;
     }
     const isKept = yield* applyRenewFailure(term, session, answer);
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -271,6 +271,11 @@
             readonly checkpoints: readonly RunEnd[];
             /** Runs that go on; absent if none does. Replicas of earlier builds end them too. */
             readonly kept?: readonly RunKey[];
+            /**
+             * Set if the worker has started again under its identity, so that later orders to it get a higher fencing token. Replicas of
+             * earlier builds ignore it.
+             */
+            readonly hasRestarted?: true;
             /** Set if the worker has certainly crashed. Records of earlier builds do not have it. */
             readonly crash?: WorkerCrash;
         }
--- a/packages/types/src/worker-port.ts
+++ b/packages/types/src/worker-port.ts
@@ -9,7 +9,7 @@
     readonly checkpoint: string;
     /** End of the lease for all runs on the worker, as a reading of the worker's clock in milliseconds. */
     readonly leaseUntilMs: number;
-    /** Term of the leader; the worker refuses orders with a lower one. */
+    /** Rises with the term of the leader and with restarts of the worker; the worker refuses orders with a lower one. */
     readonly fencingToken: number;
     /** Ticket of the advice service that permits the run; undefined when the queue needs none. */
     readonly ticket: string | undefined;
