--- a/packages/lead-jobs/src/fakes/fake-workers.ts
+++ b/packages/lead-jobs/src/fakes/fake-workers.ts
@@ -78,6 +78,9 @@
         }
         if (leaseEndMs <= nowMs) {
             [...worker.running.keys()].forEach(key => endRun(worker, key, "lapsed", leaseEndMs));
+            worker.ended.forEach(({ record }) => {
+                record.hasLapsedSince = true;
+            });
         }
     };
 
@@ -171,6 +174,7 @@
             outcome: undefined,
             hasCrashed: false,
             isAcknowledged: false,
+            hasLapsedSince: false,
         };
         startedRuns.push(record);
         if (isCrashing(order)) {
@@ -297,7 +301,7 @@
         worker.acknowledged = Math.max(worker.acknowledged, order.acknowledgedSequence);
         const isListed = ({ end }: ListedEnd): boolean => end.sequence > order.acknowledgedSequence;
         worker.ended.filter(listed => !isListed(listed)).forEach(({ record }) => {
-            record.isAcknowledged = true;
+            record.isAcknowledged = !record.hasLapsedSince;
         });
         worker.ended = worker.ended.filter(isListed);
         return { kind: "done", clockMs: readClock(worker, nowMs) };
--- a/packages/lead-jobs/src/fakes/worker-types.ts
+++ b/packages/lead-jobs/src/fakes/worker-types.ts
@@ -30,8 +30,10 @@
     outcome: RunOutcome | undefined;
     /** Whether the run was in progress when its worker crashed. */
     hasCrashed: boolean;
-    /** Whether the number that the leader acknowledged has reached the end. */
+    /** Whether the number that the leader acknowledged has reached the end, without a lapse of the lease between the two. */
     isAcknowledged: boolean;
+    /** Whether the lease of the worker has lapsed after the end and before it was acknowledged. */
+    hasLapsedSince: boolean;
 }
 
 /** Longest lease of the fake workers, in milliseconds; a longer one is shortened to that. */
