Start no tasks for good on a worker that may not list its first ends

Callers see tasks run again that have succeeded, up to seven times. A renewal that acknowledges an end hangs when its worker crashes, or is delayed, and reaches the next start, which then forgets ends that the leader has not seen. Whether it forgets ends that come later is an open question; the design no longer depends on it.

Cause: the number of an end says nothing about the start that it belongs to, and a leader took runs that a worker neither runs nor lists for lost.

A start that it may have reached gets one run at a time, which is stopped right after its start: once the worker lists an end it lists all later ones, because it refuses older calls by their fencing token. Long-running and speculative tasks are not stopped, since they may be repeated. Whether the first ends of a start may be missing is recorded with the worker, so that the next leader knows it; replicas of earlier builds ignore it. A restart without such calls costs nothing.

Short runs ended on the later start before the leader knew of it. An answer whose clock shows less than when the call was sent is of another start, so that the worker is then asked at once.

--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -25,7 +25,7 @@
 }
 
 function registerWorker(state: JobState, command: Extract<JobCommand, { kind: "registerWorker"; }>): void {
-    const { worker, sequence = 0 } = command;
+    const { worker, sequence = 0, mayOmitEnds = false } = command;
     const known = state.workers.get(worker.id);
     // Of an earlier start only those runs are left whose start may yet be carried out.
     const same = known !== undefined && compareStarts(worker, known.info) === "same" ? known : undefined;
@@ -33,6 +33,7 @@
         info: worker,
         largestCapacity: computeLargest(worker.capacity, same?.largestCapacity ?? noResources),
         sequence: Math.max(sequence, same?.sequence ?? 0),
+        mayOmitEnds,
         isDraining: same?.isDraining ?? false,
         used: known?.used ?? noResources,
         runs: known?.runs ?? new Map<string, WorkerRun>(),
--- a/packages/job-state/src/job-state.ts
+++ b/packages/job-state/src/job-state.ts
@@ -132,6 +132,11 @@
     readonly largestCapacity: Resources;
     /** Sequence number of the heartbeat that `info` is from; 0 if it is not known. */
     readonly sequence: number;
+    /**
+     * Whether it may not list its first ends, because an acknowledgement to an earlier start may have reached it and it has listed
+     * none yet; earlier builds do not record it.
+     */
+    readonly mayOmitEnds: boolean;
     isDraining: boolean;
     /** Resources that its runs reserve. */
     used: Resources;
--- a/packages/job-state/src/snapshot.test.ts
+++ b/packages/job-state/src/snapshot.test.ts
@@ -127,6 +127,15 @@
     }
 }
 
+// Guards against a leader that takes the first ends of a worker for lost after it has restored a snapshot.
+test("a restored snapshot tells which workers may not list their first ends", () => {
+    const machine = makeMachine(workers);
+    machine.apply({ kind: "registerWorker", worker: makeWorker("w1", { bornAtMs: 2 }), mayOmitEnds: true });
+    const restored = createJobMachine();
+    restored.restoreSnapshot(machine.takeSnapshot());
+    assert.deepEqual([...restored.state.workers.values()].map(({ mayOmitEnds }) => mayOmitEnds), [true, false]);
+});
+
 test("random commands keep capacity and runs consistent, and a restored snapshot encodes to the same bytes", () => {
     fc.assert(
         fc.property(fc.array(actions, { maxLength: 60 }), sequence => {
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -96,6 +96,8 @@
     /** Earlier builds write neither of these. */
     readonly largestCapacity?: Resources;
     readonly sequence?: number;
+    /** Absent for false; earlier builds do not write it. */
+    readonly mayOmitEnds?: true;
 }
 
 interface SavedModel {
@@ -231,11 +233,12 @@
         clockMs: state.clockMs,
         configuration: state.configuration,
         closed: [...state.closedJobs],
-        workers: [...state.workers.values()].map(({ info, isDraining, largestCapacity, sequence }) => ({
+        workers: [...state.workers.values()].map(({ info, isDraining, largestCapacity, sequence, mayOmitEnds }) => ({
             info,
             isDraining,
             largestCapacity,
             sequence,
+            ...(mayOmitEnds ? { mayOmitEnds } : {}),
         })),
         evacuatedZones: [...state.evacuatedZones],
         waves: [...state.waves.values()].map(({ wave, requestedAtMs, begun }) => ({
@@ -377,9 +380,11 @@
     state.configuration = saved.configuration ?? undefined;
     state.workerRestarts = saved.workerRestarts ?? 0;
     state.recentCrashes = saved.recentCrashes ?? [];
-    for (const { info, isDraining, largestCapacity = info.capacity, sequence = 0 } of saved.workers) {
+    for (
+        const { info, isDraining, largestCapacity = info.capacity, sequence = 0, mayOmitEnds = false } of saved.workers
+    ) {
         const used = noResources;
-        state.workers.set(info.id, { info, isDraining, largestCapacity, sequence, used, runs: new Map() });
+        state.workers.set(info.id, { info, isDraining, largestCapacity, sequence, mayOmitEnds, used, runs: new Map() });
     }
     saved.evacuatedZones?.forEach(zone => state.evacuatedZones.add(zone));
     saved.jobs.forEach(job => restoreJob(state, job));
--- a/packages/lead-jobs/src/open-session.ts
+++ b/packages/lead-jobs/src/open-session.ts
@@ -6,7 +6,7 @@
 import { requestStop, stopOpenOrders } from "./send-orders.js";
 import { superviseLoop } from "./supervise-loop.js";
 import { logStepError, type Term, type WorkerSession } from "./term.js";
-import { createSession, resumeSession, runSession } from "./worker-session.js";
+import { createSession, type ForeignCalls, resumeSession, runSession } from "./worker-session.js";
 
 /** Pause before a restart of a worker that could not be recorded is recorded again, in milliseconds. */
 const retryPauseMs = 200;
@@ -20,7 +20,7 @@
     /** Runs whose start may yet be carried out, by a delayed order to an earlier start. */
     readonly openStarts: readonly RunKey[];
     /** As in `WorkerSession`. */
-    readonly foreignOrdersUntilMs: number;
+    readonly foreignCalls: ForeignCalls;
 }
 
 /** Runs a session, and records the restart when a report shows that the worker has started again. */
@@ -49,18 +49,28 @@
     });
 };
 
+/** What is known of a start that no session of this term was for. Only a worker that is recorded had calls of an earlier leader. */
+function createSessionStart({ openedAtMs, machine }: Term, { id }: WorkerInfo): SessionStart {
+    const isRecorded = machine.state.workers.has(id);
+    return {
+        isAnnounced: true,
+        openStarts: [],
+        foreignCalls: {
+            foreignOrdersUntilMs: openedAtMs,
+            foreignAcknowledgementsUntilMs: isRecorded ? openedAtMs + orderDelayLimitMs : Number.NEGATIVE_INFINITY,
+            mayOmitEnds: false,
+        },
+    };
+}
+
 /** Opens the session of a worker and starts the fiber that renews its lease, in place of that of an earlier start. */
 export const openSession = Effect.fnUntraced(function*(
     term: Term,
     info: WorkerInfo,
-    { isAnnounced, openStarts, foreignOrdersUntilMs }: SessionStart = {
-        isAnnounced: true,
-        openStarts: [],
-        foreignOrdersUntilMs: term.openedAtMs,
-    },
+    { isAnnounced, openStarts, foreignCalls }: SessionStart = createSessionStart(term, info),
 ) {
     const nowMs = yield* readMonotonicMs;
-    const session = yield* createSession(term, info, foreignOrdersUntilMs, nowMs);
+    const session = yield* createSession(term, info, foreignCalls, nowMs);
     session.isAnnounced = isAnnounced;
     term.sessions.set(info.id, session);
     for (const key of openStarts) {
@@ -96,6 +106,14 @@
     return Math.max(nowMs, earlier.foreignOrdersUntilMs, lastSentAtMs + orderDelayLimitMs);
 }
 
+/** Computes until when acknowledgements to earlier starts of a worker may arrive, in monotonic milliseconds. */
+function computeForeignAcknowledgementsEnd(earlier: WorkerSession): number {
+    const { foreignAcknowledgementsUntilMs, unansweredAcknowledgement } = earlier;
+    return unansweredAcknowledgement === undefined
+        ? foreignAcknowledgementsUntilMs
+        : Math.max(foreignAcknowledgementsUntilMs, unansweredAcknowledgement.sentAtMs + orderDelayLimitMs);
+}
+
 /** Finds when the later start of a worker was born, in monotonic milliseconds; undefined if it does not say so. */
 const findBirthMs = Effect.fnUntraced(function*({ bornAtMs }: WorkerInfo, nowMs: number) {
     return bornAtMs === undefined ? undefined : nowMs - Math.max(0, (yield* readWallMs) - bornAtMs);
@@ -118,12 +136,15 @@
     const openStarts = uncertain.filter(isStartOpen).map(({ key }) => key);
     const crashedBeforeMs = yield* findBirthMs(info, nowMs);
     const foreignOrdersUntilMs = computeForeignOrdersEnd(term, earlier, nowMs);
+    const foreignAcknowledgementsUntilMs = computeForeignAcknowledgementsEnd(earlier);
+    const mayOmitEnds = foreignAcknowledgementsUntilMs > nowMs;
     term.logger.warn("worker has started again", {
         worker: info.id,
         bornAtMs: info.bornAtMs,
         bornBeforeMs: earlier.info.bornAtMs,
         acknowledgedSequence: earlier.acknowledgedSequence,
-        unansweredSequence: earlier.unansweredSequence,
+        unansweredSequence: earlier.unansweredAcknowledgement?.sequence ?? 0,
+        mayOmitEnds,
         heartbeatSequence: earlier.heartbeatSequence,
         uncertainRuns: uncertain.length,
         openStarts: openStarts.length,
@@ -132,7 +153,8 @@
     term.workers.closeConnections(earlier.info);
     const end = {
         reason: "the worker has started again",
-        isGone: uncertain.length === 0,
+        // The record of the earlier start shows the next leader that the worker has started again.
+        isGone: uncertain.length === 0 && !mayOmitEnds,
         isCrash: !hasAnnouncedEnd(term, earlier),
         hasRestarted: true,
         ...(crashedBeforeMs === undefined ? {} : { crashedBeforeMs }),
@@ -142,5 +164,6 @@
         Effect.sync(() => {
             earlier.isSuperseded = false;
         }));
-    return yield* openSession(term, info, { isAnnounced, openStarts, foreignOrdersUntilMs });
+    const foreignCalls = { foreignOrdersUntilMs, foreignAcknowledgementsUntilMs, mayOmitEnds };
+    return yield* openSession(term, info, { isAnnounced, openStarts, foreignCalls });
 });
--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -30,6 +30,12 @@
  */
 const maxSuspectedShare = 0.34;
 
+/**
+ * Time from its restart in which a worker that may not list its first ends gets one run at a time, in milliseconds. It is limited, because
+ * members of a gang that start together on the worker would otherwise never start.
+ */
+const provingMs = 2_000;
+
 /** Records the run time of a successful run; true if it took far longer than earlier runs of its step. */
 function observeRunTime(term: Term, end: RunEnd, tookMs: number): boolean {
     const key = formatStepKey(end);
@@ -163,6 +169,10 @@
         if (limit !== undefined) {
             limits.set(info.id, Math.min(limit, limits.get(info.id) ?? limit));
         }
+        if (session.mayOmitEnds && nowMs - session.openedAtMs < provingMs) {
+            const ordered = countStartsSince(session, session.openedAtMs);
+            limits.set(info.id, Math.min(Math.max(0, 1 - ordered), limits.get(info.id) ?? 1));
+        }
     }
     return limits;
 }
--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -19,8 +19,9 @@
     percent: number,
     before: number,
 ) {
+    const sentAtMs = yield* readMonotonicMs;
     const answer = yield* term.workers.paceRun(session.info, status.key, percent, session.fencingToken, paceTimeoutMs);
-    recordAnswer(term, session, answer, yield* readMonotonicMs);
+    recordAnswer(term, session, answer, sentAtMs, yield* readMonotonicMs);
     // Pace changes are frequent, so that confirmed ones are logged as debug lines; the line "run ended" sums them up.
     const write = answer.kind === "done" ? term.logger.debug : term.logger.info;
     term.load.paces += 1;
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -1,5 +1,6 @@
 import { formatRunKey, formatTaskKey, type WorkerRun } from "@chestnutspool/job-state";
 import {
+    isOfOtherStart,
     recordClock,
     recordConfirmedStart,
     recordStartRejection,
@@ -13,8 +14,9 @@
     type RunEnd,
     type RunKey,
     type RunOutcome,
+    type StepSpec,
 } from "@chestnutspool/types";
-import { Effect } from "effect";
+import { Effect, Queue } from "effect";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
 import { listOpenOrders, recordOpenOrder } from "./open-orders.js";
 import { recordFailedWorker } from "./rate-run-ends.js";
@@ -29,9 +31,18 @@
 const retryPauseMs = 250;
 
 /** Records the worker's clock from an answer, and fences the term if the worker has accepted a later leader. */
-export function recordAnswer(term: Term, session: WorkerSession, answer: OrderAnswer, nowMs: number): void {
+export function recordAnswer(
+    term: Term,
+    session: WorkerSession,
+    answer: OrderAnswer,
+    sentAtMs: number,
+    nowMs: number,
+): void {
     if (answer.kind === "done" || answer.kind === "refused") {
         if (answer.clockMs !== undefined) {
+            if (isOfOtherStart(session.lease, answer.clockMs, sentAtMs)) {
+                Queue.offerUnsafe(session.restartSigns, undefined);
+            }
             session.lease = recordClock(session.lease, answer.clockMs, nowMs);
             session.answeredAtMs = nowMs;
         }
@@ -189,7 +200,7 @@
         ticket,
     }, orderTimeoutMs);
     const nowMs = yield* readMonotonicMs;
-    recordAnswer(term, session, answer, nowMs);
+    recordAnswer(term, session, answer, sentAtMs, nowMs);
     term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
     observeStartAnswer(term, session, status, answer, nowMs);
     if (answer.kind === "done") {
@@ -210,6 +221,9 @@
         applyStartAnswer(term, session, status, answer, nowMs),
         error => logStepError(term.logger, "record start", error),
     );
+    if (session.mayOmitEnds && !session.isSuperseded) {
+        yield* stopUnprovenRuns(term, session, nowMs);
+    }
 });
 
 /** Sends the order to stop a run, repeatedly until the worker answers or the run has ended. */
@@ -222,9 +236,10 @@
     while (
         isPending() && canSendOrders(term, yield* readMonotonicMs) && term.sessions.get(session.info.id) === session
     ) {
+        const sentAtMs = yield* readMonotonicMs;
         const answer = yield* term.workers.stopRun(session.info, run, session.fencingToken, orderTimeoutMs);
         const nowMs = yield* readMonotonicMs;
-        recordAnswer(term, session, answer, nowMs);
+        recordAnswer(term, session, answer, sentAtMs, nowMs);
         if (answer.kind === "done" || (answer.kind === "refused" && answer.reason === "staleRun")) {
             const status = session.runStatuses.get(key);
             if (status !== undefined) {
@@ -260,10 +275,28 @@
     return Effect.forkIn(superviseLoop(term, "stop", context, sendStop(term, session, status.key)), term.scope);
 }
 
+/** Whether a run of a step may be followed by another one after it has succeeded. */
+function canRepeat({ longRunning, speculative }: StepSpec): boolean {
+    return longRunning || speculative;
+}
+
+/**
+ * Stops the runs of a worker that may not list its first ends, right after they have started: an end that it lists shows that it lists
+ * all, and one that it omits is known to be no success.
+ */
+export const stopUnprovenRuns = Effect.fnUntraced(function*(term: Term, session: WorkerSession, nowMs: number) {
+    for (const [key, { step }] of term.machine.state.workers.get(session.info.id)?.runs ?? []) {
+        if (session.runStatuses.get(key)?.start === "confirmed" && !canRepeat(step.spec)) {
+            yield* requestStop(term, session, key, "endNotListed", nowMs);
+        }
+    }
+});
+
 const stopOpenOrder = Effect.fnUntraced(function*(term: Term, session: WorkerSession, run: RunKey) {
     while (canSendOrders(term, yield* readMonotonicMs) && term.sessions.get(session.info.id) === session) {
+        const sentAtMs = yield* readMonotonicMs;
         const answer = yield* term.workers.stopRun(session.info, run, session.fencingToken, orderTimeoutMs);
-        recordAnswer(term, session, answer, yield* readMonotonicMs);
+        recordAnswer(term, session, answer, sentAtMs, yield* readMonotonicMs);
         if (answer.kind === "done" || (answer.kind === "refused" && answer.reason === "staleRun")) {
             return;
         }
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -65,6 +65,12 @@
     readonly acknowledgedSequence: number;
 }
 
+/** An acknowledgement that got no answer: the sequence number, and when it was sent, in monotonic milliseconds. */
+export interface UnansweredAcknowledgement {
+    readonly sequence: number;
+    readonly sentAtMs: number;
+}
+
 /** State of one worker in the term of a leader. */
 export interface WorkerSession {
     /** What the worker last said of itself; a session is for one start of a worker. */
@@ -92,8 +98,17 @@
     acknowledgedSequence: number;
     /** Sequence number whose acknowledgement has certainly arrived, because the worker has answered it. */
     confirmedSequence: number;
-    /** Sequence number that renewals without an answer have acknowledged; 0 if each of them was answered. */
-    unansweredSequence: number;
+    /** The latest acknowledgement without an answer, which may yet arrive; undefined if each of them was answered. */
+    unansweredAcknowledgement: UnansweredAcknowledgement | undefined;
+    /**
+     * Until when acknowledgements of earlier leaders, or to an earlier start of the worker, may arrive, in monotonic milliseconds.
+     */
+    readonly foreignAcknowledgementsUntilMs: number;
+    /**
+     * Whether the worker may not list its first ends, because an acknowledgement to an earlier start may have reached it. Until it has
+     * listed an end, it runs only what may be repeated.
+     */
+    mayOmitEnds: boolean;
     /** When the worker last answered an order, in monotonic milliseconds; undefined before the first answer. */
     answeredAtMs: number | undefined;
     /** Whether the worker answered the last renewal of its lease. */
@@ -106,6 +121,8 @@
     isRefusing: boolean;
     /** Answers to renewals that were sent since the worker missed one, and are not applied yet. */
     readonly lateAnswers: Queue.Queue<RenewalAnswer>;
+    /** Signals that an answer came from another start of the worker, so that it is called at once. */
+    readonly restartSigns: Queue.Queue<void>;
     /** When the latest renewal was sent, in monotonic milliseconds. */
     renewalSentAtMs: number;
     /** When the last heartbeat arrived, in monotonic milliseconds. */
@@ -225,8 +242,13 @@
 });
 
 /** Records what a worker last said of itself. */
-export function registerWorker(term: Term, { info, heartbeatSequence }: WorkerSession) {
-    return propose(term, { kind: "registerWorker", worker: info, sequence: heartbeatSequence });
+export function registerWorker(term: Term, { info, heartbeatSequence, mayOmitEnds }: WorkerSession) {
+    return propose(term, {
+        kind: "registerWorker",
+        worker: info,
+        sequence: heartbeatSequence,
+        ...(mayOmitEnds ? { mayOmitEnds } : {}),
+    });
 }
 
 /**
--- a/packages/lead-jobs/src/unlisted-ends.test.ts
+++ b/packages/lead-jobs/src/unlisted-ends.test.ts
@@ -10,11 +10,13 @@
 const announceMs = 200;
 /** Step in which a test waits for an event, in milliseconds. */
 const stepMs = 10;
+/** A time until its first heartbeat arrives in which short runs on the later start have ended, in milliseconds. */
+const lateAnnounceMs = 900;
 /** Tasks of the job whose ends are acknowledged right before the crash. */
 const acknowledgedTasks = 3;
 
 /** A system with one worker, which starts again under its id and whose connections stay open when it crashes. */
-const setUpWorker = Effect.fnUntraced(function*(system: TestSystem) {
+const setUpWorker = Effect.fnUntraced(function*(system: TestSystem, afterMs: number = announceMs) {
     const restart = {
         afterMs: silentMs,
         nextInfo: (crashed: WorkerInfo, nowMs: number) => ({ ...crashed, bornAtMs: nowMs }),
@@ -23,7 +25,7 @@
     system.workers.setCrashingRuns(
         () => false,
         restart,
-        worker => Effect.andThen(Effect.sleep(announceMs), system.announce(worker)),
+        worker => Effect.andThen(Effect.sleep(afterMs), system.announce(worker)),
     );
     system.workers.setBehaviour(({ job }) => ({ runMs: job === "a" ? 1_000 : 1_500, outcome: "succeeded" }));
     yield* system.addWorker(makeWorker("w1", { bornAtMs: 1 }));
@@ -34,8 +36,8 @@
  * Lets the tasks of a job end and the worker crash right after their report, so that the renewal that acknowledges their numbers hangs
  * and reaches the next start.
  */
-const crashBeforeAcknowledgement = Effect.fnUntraced(function*(system: TestSystem) {
-    yield* setUpWorker(system);
+const crashBeforeAcknowledgement = Effect.fnUntraced(function*(system: TestSystem, afterMs: number = announceMs) {
+    yield* setUpWorker(system, afterMs);
     yield* system.submit(makeJob("a", [makeStep({ count: acknowledgedTasks })]));
     while (system.machine.state.jobs.get("a")?.phase !== "completed") {
         yield* system.pass(stepMs);
@@ -81,6 +83,20 @@
         }),
 );
 
+// Guards against the same for short runs, which ended on the later start before its first heartbeat.
+testSystem(
+    "a success of a short run that was ordered while its worker started again is not repeated",
+    system =>
+        Effect.gen(function*() {
+            yield* crashBeforeAcknowledgement(system, lateAnnounceMs);
+            system.workers.setBehaviour(() => ({ runMs: 400, outcome: "succeeded" }));
+            yield* system.pass(silentMs - 100);
+            yield* submit(system);
+            yield* system.pass(20_000);
+            yield* assertRunsOnce(system);
+        }),
+);
+
 // Guards against the same if another leader finds the restart, which does not know what the one before it had acknowledged.
 testSystem(
     "a success on a worker that started again is not repeated after a change of leader",
@@ -130,3 +146,21 @@
             yield* assertRunsOnce(system);
         }),
 );
+
+// Guards against a worker that gets no work after a restart: tasks that last, or work only together, run there all the same.
+testSystem(
+    "a gang and a long-running task run on a worker that may not list its first ends",
+    system =>
+        Effect.gen(function*() {
+            yield* crashBeforeAcknowledgement(system);
+            yield* system.pass(silentMs + announceMs + 1_000);
+            system.workers.setBehaviour(({ job }) => ({ runMs: job === "c" ? 1_500 : 600_000, outcome: "succeeded" }));
+            yield* system.submit(makeJob("c", [makeStep({ count: 2, gang: true })]));
+            yield* system.submit(makeJob("d", [makeStep({ longRunning: true })]));
+            yield* system.pass(8_000);
+            assert.equal(system.machine.state.jobs.get("c")?.phase, "completed");
+            const runs = yield* system.readStartedRuns;
+            assert.deepEqual(listOverlaps(runs), []);
+            assert.deepEqual(runs.filter(({ task }) => task.startsWith("d.")).map(({ run }) => run), [1]);
+        }),
+);
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -23,6 +23,7 @@
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
 import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
+import { checkListedEnds, hasStoppedRun, provingIntervalMs } from "./listed-ends.js";
 import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { observeBegunJobs } from "./record-begun-jobs.js";
@@ -71,14 +72,21 @@
 /** Pause after a renewal that was not answered or whose answer could not be applied, in milliseconds. */
 const retryPauseMs = 200;
 
+/** What calls of earlier leaders, or to earlier starts of a worker, may do to it; the fields are those of its session. */
+export type ForeignCalls = Pick<
+    WorkerSession,
+    "foreignOrdersUntilMs" | "foreignAcknowledgementsUntilMs" | "mayOmitEnds"
+>;
+
 /** Creates the session of a worker. The first report shows which runs that an earlier leader recorded have started. */
 export const createSession = Effect.fnUntraced(function*(
     term: Term,
     info: WorkerInfo,
-    foreignOrdersUntilMs: number,
+    { foreignOrdersUntilMs, foreignAcknowledgementsUntilMs, mayOmitEnds }: ForeignCalls,
     nowMs: number,
 ) {
     const recorded = term.machine.state.workers.get(info.id);
+    const same = recorded !== undefined && compareStarts(info, recorded.info) === "same" ? recorded : undefined;
     const session: WorkerSession = {
         info,
         openedAtMs: nowMs,
@@ -92,19 +100,20 @@
         runStatuses: new Map(),
         acknowledgedSequence: 0,
         confirmedSequence: 0,
-        unansweredSequence: 0,
+        unansweredAcknowledgement: undefined,
+        foreignAcknowledgementsUntilMs,
+        mayOmitEnds: mayOmitEnds || same?.mayOmitEnds === true,
         answeredAtMs: undefined,
         isResponsive: false,
         isReconciled: false,
         silentSinceMs: undefined,
         isRefusing: false,
         lateAnswers: yield* Queue.sliding<RenewalAnswer>(lateAnswerLimit),
+        restartSigns: yield* Queue.sliding<void>(1),
         renewalSentAtMs: Number.NEGATIVE_INFINITY,
         heartbeatAtMs: nowMs,
         // A delayed heartbeat from before the last change must not undo it.
-        heartbeatSequence: recorded !== undefined && compareStarts(info, recorded.info) === "same"
-            ? recorded.sequence
-            : 0,
+        heartbeatSequence: same?.sequence ?? 0,
         leftAtMs: undefined,
         usage: createUsageHistory(),
         health: createWorkerHealth(),
@@ -207,6 +216,7 @@
         });
     }
     yield* recordEnds(term, session, outcome);
+    yield* checkListedEnds(term, session, outcome, nowMs);
     session.isReconciled ||= answer.isComplete;
     for (const orphan of outcome.orphanedRuns) {
         // The next report that lists the run repeats a stop that failed.
@@ -254,6 +264,9 @@
 
 function chooseWaitMs(term: Term, session: WorkerSession, nowMs: number): number {
     const state = findWorkerState(term, session);
+    if (session.mayOmitEnds && hasStoppedRun(session)) {
+        return provingIntervalMs;
+    }
     if (state !== undefined && hasTrial(state, session.runStatuses)) {
         return trialIntervalMs;
     }
@@ -271,6 +284,19 @@
     return isResponsive && acknowledgedSequence > confirmedSequence ? acknowledgedSequence : 0;
 }
 
+/** Whether an answer shows that a renewal has arrived at the start that a session is for, or will never arrive. */
+function isAnsweredBy({ info }: WorkerSession, answer: RenewAnswer): boolean {
+    switch (answer.kind) {
+        case "report":
+            return compareStarts(answer, info) === "same";
+        case "refused":
+        case "notSent":
+            return true;
+        case "unknown":
+            return false;
+    }
+}
+
 /** Sends one renewal; the answer carries the time at which it was sent and what it acknowledged. */
 const sendRenewal = Effect.fnUntraced(function*(
     term: Term,
@@ -287,16 +313,39 @@
         session.leaseOrderSentAtMs = sentAtMs;
     }
     const acknowledgedSequence = findSequenceToAcknowledge(session);
-    session.unansweredSequence = Math.max(session.unansweredSequence, acknowledgedSequence);
+    const unansweredBefore = session.unansweredAcknowledgement;
+    if (acknowledgedSequence > 0) {
+        session.unansweredAcknowledgement = { sequence: acknowledgedSequence, sentAtMs };
+    }
     const answer = yield* term.workers.renewLease(session.info, {
         leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
         fencingToken: session.fencingToken,
         acknowledgedSequence,
         waitMs,
     }, limitMs);
+    if (acknowledgedSequence > 0 && isAnsweredBy(session, answer)) {
+        session.unansweredAcknowledgement = unansweredBefore;
+    }
     return { answer, sentAtMs, acknowledgedSequence } satisfies RenewalAnswer;
 });
 
+/** Sends a renewal that changes nothing as soon as another start of the worker seems to have answered an order. */
+const checkRestart = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    yield* Queue.take(session.restartSigns);
+    const sentAtMs = yield* readMonotonicMs;
+    term.logger.info("another start of a worker seems to answer", {
+        worker: session.info.id,
+        bornAtMs: session.info.bornAtMs,
+    });
+    const answer = yield* term.workers.renewLease(session.info, {
+        leaseUntilMs: undefined,
+        fencingToken: session.fencingToken,
+        acknowledgedSequence: 0,
+        waitMs: 0,
+    }, renewGraceMs);
+    return { answer, sentAtMs, acknowledgedSequence: 0 } satisfies RenewalAnswer;
+});
+
 /**
  * Sends a renewal to a worker that has missed one. It waits no longer for the answer than usual, so that the next renewal
  * finds a worker that is back, but takes the answers to the earlier ones as well.
@@ -327,7 +376,10 @@
 const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     const waitMs = session.isResponsive ? chooseWaitMs(term, session, yield* readMonotonicMs) : 0;
     const { answer, sentAtMs, acknowledgedSequence } = session.isResponsive
-        ? yield* sendRenewal(term, session, waitMs, waitMs + renewGraceMs)
+        ? yield* Effect.raceFirst(
+            sendRenewal(term, session, waitMs, waitMs + renewGraceMs),
+            checkRestart(term, session),
+        )
         : yield* renewSilentWorker(term, session);
     term.load.renewals += 1;
     if (answer.kind === "report") {
@@ -342,9 +394,6 @@
             return { kind: "kept" } as const;
         }
         session.confirmedSequence = Math.max(session.confirmedSequence, acknowledgedSequence);
-        if (session.confirmedSequence >= session.unansweredSequence) {
-            session.unansweredSequence = 0;
-        }
         yield* applyRenewAnswer(term, session, answer, sentAtMs);
         yield* Effect.sleep(renewPauseMs);
         return { kind: "kept" } as const;
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -1,6 +1,7 @@
 export {
     computeLeaseEndMs,
     estimateClockMs,
+    isOfOtherStart,
     maxClockDrift,
     recordClock,
     renewLease,
--- a/packages/track-workers/src/lease.test.ts
+++ b/packages/track-workers/src/lease.test.ts
@@ -1,7 +1,14 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { computeLeaseEndMs, estimateClockMs, recordClock, renewLease, type WorkerLease } from "./lease.js";
+import {
+    computeLeaseEndMs,
+    estimateClockMs,
+    isOfOtherStart,
+    recordClock,
+    renewLease,
+    type WorkerLease,
+} from "./lease.js";
 
 const longestLeaseMs = 6_000;
 
@@ -64,3 +71,13 @@
     assert.equal(recordClock(lease, 1_200, 4_000), lease);
     assert.equal(recordClock(lease, 5_000, 4_000).clockMs, 5_000);
 });
+
+// Guards against a restart that is noticed a second late, while the later start carries out orders to the earlier one.
+test("an answer whose clock shows less than it did when the call was sent is of another start", () => {
+    const lease = recordClock(undefined, 60_000, 1_000);
+    assert.equal(isOfOtherStart(undefined, 0, 1_000), false);
+    assert.equal(isOfOtherStart(lease, 100, 2_000), true);
+    // A delayed answer shows the clock as it was after the call.
+    assert.equal(isOfOtherStart(lease, 60_980, 2_000), false);
+    assert.equal(isOfOtherStart(recordClock(lease, 65_000, 6_000), 60_980, 2_000), false);
+});
--- a/packages/track-workers/src/lease.ts
+++ b/packages/track-workers/src/lease.ts
@@ -3,6 +3,9 @@
 /** Allowance for timers that fire late and for rounding, in milliseconds. */
 const timerMarginMs = 50;
 
+/** Allowance for the estimate of an earlier reading from one that is up to some seconds later, in milliseconds. */
+const readingMarginMs = 100;
+
 /**
  * Clock and lease of a worker as tracked by the leader. Times with "clock" in their name are readings of the worker's
  * clock; all other times are monotonic times of this process. Both are in milliseconds.
@@ -24,6 +27,14 @@
     return isDelayed ? lease : { clockMs, readAtMs: nowMs, grantedUntilClockMs };
 }
 
+/**
+ * Whether an answer to a call that was sent at `sentAtMs` shows that another start of the worker gave it: the clock of a start never goes
+ * back.
+ */
+export function isOfOtherStart(lease: WorkerLease | undefined, clockMs: number, sentAtMs: number): boolean {
+    return lease !== undefined && clockMs < estimateClockMs(lease, sentAtMs) - readingMarginMs;
+}
+
 /** Estimates the lowest reading that the worker's clock can show at `nowMs`. */
 export function estimateClockMs(lease: WorkerLease, nowMs: number): number {
     return Math.floor(lease.clockMs + (nowMs - lease.readAtMs) * (1 - maxClockDrift));
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -259,6 +259,8 @@
             readonly worker: WorkerInfo;
             /** Sequence number of the heartbeat that said so; absent in records of earlier builds. */
             readonly sequence?: number;
+            /** As in `WorkerState`; absent for false. Replicas of earlier builds ignore it. */
+            readonly mayOmitEnds?: true;
         }
         | { readonly kind: "drainWorker"; readonly worker: WorkerId; }
         | {
