Do not count a crash against runs that a later start of the worker has begun

Callers see a job fail with `workerCrashes` though its task crashed no worker, or one. An order that is sent after a worker has crashed and before it starts again is carried out by the next start; the crash counted for it, because it was ordered before the birth of that start.

The clock in the answer shows that another start has confirmed the order. The run then counts as ordered at that time, which is after the crash.

The directed test fails without the change.

--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -30,17 +30,22 @@
 /** Pause before a stop order without an answer is sent again, in milliseconds. */
 const retryPauseMs = 250;
 
-/** Records the worker's clock from an answer, and fences the term if the worker has accepted a later leader. */
+/**
+ * Records the worker's clock from an answer, and fences the term if the worker has accepted a later leader. Returns whether another start
+ * of the worker than that of the session has answered.
+ */
 export function recordAnswer(
     term: Term,
     session: WorkerSession,
     answer: OrderAnswer,
     sentAtMs: number,
     nowMs: number,
-): void {
+): boolean {
+    let isFromOther = false;
     if (answer.kind === "done" || answer.kind === "refused") {
         if (answer.clockMs !== undefined) {
-            if (isOfOtherStart(session.lease, answer.clockMs, sentAtMs)) {
+            isFromOther = isOfOtherStart(session.lease, answer.clockMs, sentAtMs);
+            if (isFromOther) {
                 Queue.offerUnsafe(session.restartSigns, undefined);
             }
             session.lease = recordClock(session.lease, answer.clockMs, nowMs);
@@ -50,6 +55,7 @@
             fenceTerm(term, session, nowMs);
         }
     }
+    return isFromOther;
 }
 
 /** Records the end of a run that the worker will not report. */
@@ -200,7 +206,10 @@
         ticket,
     }, orderTimeoutMs);
     const nowMs = yield* readMonotonicMs;
-    recordAnswer(term, session, answer, sentAtMs, nowMs);
+    if (recordAnswer(term, session, answer, sentAtMs, nowMs)) {
+        // The crash of the earlier start does not count for a run that has begun on the later one.
+        status.orderedAtMs = nowMs;
+    }
     term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
     observeStartAnswer(term, session, status, answer, nowMs);
     if (answer.kind === "done") {
--- a/packages/lead-jobs/src/silent-restart.test.ts
+++ b/packages/lead-jobs/src/silent-restart.test.ts
@@ -190,6 +190,18 @@
         yield* assertRunsOnce(system);
     }));
 
+// Guards against the same for a run that was ordered between the crash and the next start, which has begun it: the job was given up after
+// one more crash.
+testSystem("a crash does not count for runs that a later start has begun", system =>
+    Effect.gen(function*() {
+        yield* submitDuringSilence(system);
+        yield* system.pass(announceMs + 500);
+        const tasks = readTasks(system);
+        assert.equal(tasks.length, 2);
+        assert.deepEqual(tasks.filter(({ crashes, crashHistory }) => crashes ?? crashHistory), []);
+        yield* assertRunsOnce(system);
+    }));
+
 testSystem("a crash counts for runs that were ordered right before it", system =>
     Effect.gen(function*() {
         yield* setUpWorker(system);
--- a/packages/track-workers/src/run-statuses.ts
+++ b/packages/track-workers/src/run-statuses.ts
@@ -15,7 +15,8 @@
 /** State of one run on a worker as tracked by the leader. Times are monotonic, in milliseconds. */
 export interface RunStatus {
     readonly key: RunKey;
-    readonly orderedAtMs: number;
+    /** When it was ordered, or when a later start of the worker has confirmed the order, in monotonic milliseconds. */
+    orderedAtMs: number;
     start: StartState;
     /** When `start` last changed. */
     startChangedAtMs: number;
