Complete a task by the success of a run that is not recorded any more

Callers see a task run again after it has succeeded: an order that was given up is carried out by a later start of its worker, or a worker that was silent beyond its lease comes back, and lists the success.

Cause: the leader ignored ends of runs that are not recorded, acknowledged them with the others, and started the task again.

Such a success now completes its task, unless it is in a gang or lasts; other runs of the task are stopped as not needed. It is a field of its own in the command, which replicas of earlier builds ignore.

--- a/packages/job-state/src/change-runs.test.ts
+++ b/packages/job-state/src/change-runs.test.ts
@@ -165,3 +165,36 @@
     assert.ok(!start(machine, { position: 2 }));
     assert.deepEqual(machine.state.workers.get("w1")?.used, { milliCpu: 0, memoryMib: 800, accelerators: 0 });
 });
+
+function succeedLate(machine: TestMachine, run: number): void {
+    const lateSuccesses = [{ job: "a", occurrence: 0, step: 0, position: 0, run }];
+    machine.apply({ kind: "endRuns", worker: "w1", ends: [], lateSuccesses });
+}
+
+// Guards against a task that starts again after a run that was taken for lost has succeeded.
+test("a late success of a run that is not recorded any more completes its task, also while the next run is in progress", () => {
+    const machine = makeMachine([makeWorker("w1"), makeWorker("w2")]);
+    machine.submit(makeJob("a"));
+    assert.ok(start(machine));
+    end(machine, "neverStarted");
+    assert.ok(start(machine, { run: 2, worker: "w2" }));
+    succeedLate(machine, 1);
+    assert.equal(machine.state.jobs.get("a")?.phase, "completed");
+    assert.equal(machine.state.workers.get("w2")?.runs.size, 1);
+    end(machine, "stopped", { run: 2, worker: "w2" });
+    assert.equal(machine.state.workers.get("w2")?.runs.size, 0);
+    assert.ok(machine.state.closedJobs.has("a"));
+});
+
+test("a late success of a run that was never recorded, or of a member of a gang, changes nothing", () => {
+    const machine = makeMachine();
+    machine.submit(makeJob("a"));
+    succeedLate(machine, 1);
+    assert.equal(machine.state.jobs.get("a")?.phase, "queued");
+    const gangs = makeMachine();
+    gangs.submit(makeJob("a", [makeStep({ count: 2, gang: true })]));
+    assert.ok(start(gangs));
+    end(gangs, "neverStarted");
+    succeedLate(gangs, 1);
+    assert.ok(gangs.state.openJobs.has("a"));
+});
--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -4,8 +4,10 @@
     type JobCommand,
     type JobResult,
     type RunEnd,
+    type RunKey,
     type RunStart,
     subtractResources,
+    type TaskKey,
     type WorkerCrash,
 } from "@chestnutspool/types";
 import { recordCrashHistory } from "./crash-history.js";
@@ -36,7 +38,7 @@
     }
 }
 
-function findTask(state: JobState, key: RunStart | RunEnd) {
+function findTask(state: JobState, key: TaskKey) {
     const job = state.jobs.get(key.job);
     const occurrence = job?.occurrences.get(key.occurrence);
     const step = occurrence?.steps[key.step];
@@ -289,6 +291,25 @@
     worker.used = subtractResources(worker.used, computeReservation(run.step.spec));
 }
 
+/** Whether a success of a run that is not recorded any more completes its task. A gang needs all of its members. */
+export function canCompleteLate(state: JobState, key: RunKey): boolean {
+    const found = findTask(state, key);
+    return found !== undefined && !found.task.isDone && !isJobEnded(found.job) && key.run <= found.task.lastRun
+        && !found.step.spec.gang && !found.step.spec.longRunning;
+}
+
+/** Completes the task of a run that has succeeded though it is not recorded any more. Other runs of the task are not needed then. */
+export function completeLateRun(state: JobState, key: RunKey): void {
+    const found = findTask(state, key);
+    if (found === undefined || !canCompleteLate(state, key)) {
+        return;
+    }
+    found.job.hasBegun = true;
+    clearCrashes(found.task);
+    completeTasks(state, { ...found, run: key.run, startedAtMs: 0 });
+    closeEndedJob(state, found.job);
+}
+
 /** Applies the end of a run on a worker; an end of a run that is not in progress there changes nothing. */
 export function endRun(state: JobState, workerId: string, end: RunEnd): void {
     const worker = state.workers.get(workerId);
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -6,7 +6,7 @@
     isQueuePath,
     isSubmissionCancelled,
 } from "./change-jobs.js";
-export { canCopyRun, countFailures } from "./change-runs.js";
+export { canCompleteLate, canCopyRun, countFailures } from "./change-runs.js";
 export { computeCrashOdds } from "./crash-history.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
 export {
--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -8,7 +8,7 @@
     type StateMachine,
 } from "@chestnutspool/types";
 import { cancelJob, cancelSubmission, setConfiguration, submitJob } from "./change-jobs.js";
-import { beginJobs, endRun, expireRuns, startRuns } from "./change-runs.js";
+import { beginJobs, completeLateRun, endRun, expireRuns, startRuns } from "./change-runs.js";
 import { createJobState, type JobState, type WorkerRun } from "./job-state.js";
 import { moveJobs } from "./queue-services.js";
 import { encodeSnapshot, restoreSnapshot } from "./snapshot.js";
@@ -117,6 +117,7 @@
             return { kind: "done" };
         case "endRuns":
             command.ends.forEach(end => endRun(state, command.worker, end));
+            command.lateSuccesses?.forEach(key => completeLateRun(state, key));
             return { kind: "done" };
         case "registerWorker":
             registerWorker(state, command);
--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -86,7 +86,7 @@
 }
 
 /** Reads the phases of the jobs of the given ends, to compare them after the ends are recorded. */
-export function readPhases(term: Term, ends: readonly RunEnd[]): ReadonlyMap<JobRecord, JobPhase> {
+export function readPhases(term: Term, ends: readonly RunKey[]): ReadonlyMap<JobRecord, JobPhase> {
     const phases = new Map<JobRecord, JobPhase>();
     for (const { job: id } of ends) {
         const job = term.machine.state.jobs.get(id);
@@ -97,6 +97,18 @@
     return phases;
 }
 
+/** Logs the runs that were not recorded any more and have completed their tasks. */
+export function logLateSuccesses(term: Term, { info }: WorkerSession, keys: readonly RunKey[]): void {
+    for (const key of keys) {
+        term.logger.info("late success completes a task", {
+            job: key.job,
+            task: formatTaskKey(key),
+            run: key.run,
+            worker: info.id,
+        });
+    }
+}
+
 /** Logs the jobs that have ended since `before` was read. */
 export function logEndedJobs(term: Term, before: ReadonlyMap<JobRecord, JobPhase>): void {
     for (const [job, phase] of before) {
--- a/packages/lead-jobs/src/unlisted-ends.test.ts
+++ b/packages/lead-jobs/src/unlisted-ends.test.ts
@@ -2,7 +2,7 @@
 import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
-import { listOverlaps, listRepeated, makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
+import { lateOrderMs, listOverlaps, listRepeated, makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
 
 /** Time for which a worker that crashed is silent until it starts again, in milliseconds. */
 const silentMs = 300;
@@ -164,3 +164,17 @@
             assert.deepEqual(runs.filter(({ task }) => task.startsWith("d.")).map(({ run }) => run), [1]);
         }),
 );
+
+// Guards against a task that runs again after a run of it that was given up has succeeded: the order was delayed until its worker had
+// started again, and its end was acknowledged without being recorded.
+testSystem("a success of a run that is not recorded any more completes its task", system =>
+    Effect.gen(function*() {
+        yield* setUpWorker(system, lateAnnounceMs);
+        system.workers.setBehaviour(() => ({ runMs: 200, outcome: "succeeded" }));
+        system.workers.setFault("w1", "startsVeryLate");
+        yield* submit(system);
+        yield* system.pass(2 * lateOrderMs - silentMs - 100);
+        system.workers.crashWorker("w1", yield* readMonotonicMs);
+        yield* system.pass(20_000);
+        yield* assertRunsOnce(system);
+    }));
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,4 +1,4 @@
-import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
+import { canCompleteLate, formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
 import { observeRunEnd } from "@chestnutspool/plan-copies";
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
@@ -17,6 +17,7 @@
     readMonotonicMs,
     type RenewAnswer,
     type RunEnd,
+    type RunKey,
     type WorkerInfo,
 } from "@chestnutspool/types";
 import { Effect, Option, Queue } from "effect";
@@ -24,7 +25,7 @@
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
 import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
 import { checkListedEnds, hasStoppedRun, provingIntervalMs } from "./listed-ends.js";
-import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
+import { logEndedJobs, logLateSuccesses, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { observeBegunJobs } from "./record-begun-jobs.js";
 import { sendStop } from "./send-orders.js";
@@ -125,7 +126,9 @@
 
 /** Records the ends of runs in a report, then allows them to be acknowledged. */
 const recordEnds = Effect.fnUntraced(function*(term: Term, session: WorkerSession, outcome: ReportOutcome) {
-    if (outcome.ends.length > 0) {
+    const lateSuccesses = outcome.lateSuccesses.filter(key => canCompleteLate(term.machine.state, key))
+        .map(({ job, occurrence, step, position, run }): RunKey => ({ job, occurrence, step, position, run }));
+    if (outcome.ends.length > 0 || lateSuccesses.length > 0) {
         const ends = outcome.ends.map((
             { job, occurrence, step, position, run, outcome: runOutcome, checkpoint },
         ): RunEnd => ({
@@ -145,12 +148,18 @@
             const status = session.runStatuses.get(formatRunKey(end));
             observeRunEnd(term.copies, session.info, run, status, end, nowMs, wallMs);
         }
-        const phases = readPhases(term, ends);
-        yield* propose(term, { kind: "endRuns", worker: session.info.id, ends });
+        const phases = readPhases(term, [...ends, ...lateSuccesses]);
+        yield* propose(term, {
+            kind: "endRuns",
+            worker: session.info.id,
+            ends,
+            ...(lateSuccesses.length === 0 ? {} : { lateSuccesses }),
+        });
         for (const end of ends) {
             logRunEnded(term, session, end);
             session.runStatuses.delete(formatRunKey(end));
         }
+        logLateSuccesses(term, session, lateSuccesses);
         logEndedJobs(term, phases);
         wakePlanner(term);
     }
--- a/packages/track-workers/src/run-statuses.ts
+++ b/packages/track-workers/src/run-statuses.ts
@@ -117,6 +117,8 @@
 export interface ReportOutcome {
     /** Ends of runs, to be recorded before they are acknowledged. */
     readonly ends: readonly RunEnd[];
+    /** Successes of runs that are not recorded for the worker. */
+    readonly lateSuccesses: readonly RunKey[];
     /** Highest sequence number that may be acknowledged once the ends are recorded. */
     readonly lastSequence: number;
     /** Runs that the worker lists but that are not recorded for it; they are to be stopped. */
@@ -187,6 +189,7 @@
         }
     }
     const ends: RunEnd[] = [];
+    const lateSuccesses: RunKey[] = [];
     const unlistedRuns: RunKey[] = [];
     let lastSequence = 0;
     for (const end of report.ended) {
@@ -196,6 +199,9 @@
         if (state.runs.has(key)) {
             ends.push(end);
         }
+        else if (end.outcome === "succeeded") {
+            lateSuccesses.push(end);
+        }
     }
     if (report.isComplete) {
         for (const [key, run] of state.runs) {
@@ -209,5 +215,5 @@
             }
         }
     }
-    return { ends, lastSequence, orphanedRuns, unlistedRuns };
+    return { ends, lateSuccesses, lastSequence, orphanedRuns, unlistedRuns };
 }
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -252,7 +252,16 @@
         | { readonly kind: "startRuns"; readonly starts: readonly RunStart[]; }
         /** Jobs of which a worker has listed or confirmed a run. Replicas of earlier builds ignore it. */
         | { readonly kind: "beginJobs"; readonly jobs: readonly JobId[]; }
-        | { readonly kind: "endRuns"; readonly worker: WorkerId; readonly ends: readonly RunEnd[]; }
+        | {
+            readonly kind: "endRuns";
+            readonly worker: WorkerId;
+            readonly ends: readonly RunEnd[];
+            /**
+             * Successes of runs that are not recorded any more, because their start was given up or their worker was silent; absent if
+             * there are none. Replicas of earlier builds ignore them.
+             */
+            readonly lateSuccesses?: readonly RunKey[];
+        }
         | {
             /** Records a worker, or what has changed of it. */
             readonly kind: "registerWorker";
