--- a/packages/job-state/src/job-machine.ts
+++ b/packages/job-state/src/job-machine.ts
@@ -8,7 +8,7 @@
     type StateMachine,
 } from "@chestnutspool/types";
 import { cancelJob, cancelSubmission, setConfiguration, submitJob } from "./change-jobs.js";
-import { beginJobs, endRun, expireRuns, startRuns } from "./change-runs.js";
+import { beginJobs, completeLateRun, endRun, expireRuns, startRuns } from "./change-runs.js";
 import { createJobState, type JobState, type WorkerRun } from "./job-state.js";
 import { moveJobs } from "./queue-services.js";
 import { encodeSnapshot, restoreSnapshot } from "./snapshot.js";
@@ -25,7 +25,7 @@
 }
 
 function registerWorker(state: JobState, command: Extract<JobCommand, { kind: "registerWorker"; }>): void {
-    const { worker, sequence = 0 } = command;
+    const { worker, sequence = 0, mayOmitEnds = false } = command;
     const known = state.workers.get(worker.id);
     // Of an earlier start only those runs are left whose start may yet be carried out.
     const same = known !== undefined && compareStarts(worker, known.info) === "same" ? known : undefined;
@@ -33,6 +33,7 @@
         info: worker,
         largestCapacity: computeLargest(worker.capacity, same?.largestCapacity ?? noResources),
         sequence: Math.max(sequence, same?.sequence ?? 0),
+        mayOmitEnds,
         isDraining: same?.isDraining ?? false,
         used: known?.used ?? noResources,
         runs: known?.runs ?? new Map<string, WorkerRun>(),
@@ -41,6 +42,9 @@
 
 function expireWorker(state: JobState, command: Extract<JobCommand, { kind: "expireWorker"; }>): void {
     expireRuns(state, command);
+    if (command.hasRestarted === true) {
+        state.workerRestarts += 1;
+    }
     if (command.isGone) {
         state.workers.delete(command.worker);
         state.workerSpeeds.delete(command.worker);
@@ -113,6 +117,7 @@
             return { kind: "done" };
         case "endRuns":
             command.ends.forEach(end => endRun(state, command.worker, end));
+            command.lateSuccesses?.forEach(key => completeLateRun(state, key));
             return { kind: "done" };
         case "registerWorker":
             registerWorker(state, command);
--- a/packages/job-state/src/snapshot.test.ts
+++ b/packages/job-state/src/snapshot.test.ts
@@ -93,7 +93,13 @@
             return;
         }
         case "expire":
-            machine.apply({ kind: "expireWorker", worker: `w${action.worker + 1}`, isGone: false, checkpoints: [] });
+            machine.apply({
+                kind: "expireWorker",
+                worker: `w${action.worker + 1}`,
+                isGone: false,
+                checkpoints: [],
+                ...(action.worker === 0 ? { hasRestarted: true } : {}),
+            });
             return;
         case "drain":
             machine.apply({ kind: "drainWorker", worker: `w${action.worker + 1}` });
@@ -121,6 +127,15 @@
     }
 }
 
+// Guards against a leader that takes the first ends of a worker for lost after it has restored a snapshot.
+test("a restored snapshot tells which workers may not list their first ends", () => {
+    const machine = makeMachine(workers);
+    machine.apply({ kind: "registerWorker", worker: makeWorker("w1", { bornAtMs: 2 }), mayOmitEnds: true });
+    const restored = createJobMachine();
+    restored.restoreSnapshot(machine.takeSnapshot());
+    assert.deepEqual([...restored.state.workers.values()].map(({ mayOmitEnds }) => mayOmitEnds), [true, false]);
+});
+
 test("random commands keep capacity and runs consistent, and a restored snapshot encodes to the same bytes", () => {
     fc.assert(
         fc.property(fc.array(actions, { maxLength: 60 }), sequence => {
@@ -131,6 +146,7 @@
             }
             const restored = createJobMachine();
             restored.restoreSnapshot(machine.takeSnapshot());
+            assert.equal(restored.state.workerRestarts, machine.state.workerRestarts);
             assert.deepEqual(Buffer.from(restored.takeSnapshot()), Buffer.from(machine.takeSnapshot()));
             assert.deepEqual(
                 [...restored.state.workers].map(([id, { used, runs }]) => [id, used, [...runs.keys()].sort()]),
--- a/packages/job-state/src/snapshot.ts
+++ b/packages/job-state/src/snapshot.ts
@@ -96,6 +96,8 @@
     /** Earlier builds write neither of these. */
     readonly largestCapacity?: Resources;
     readonly sequence?: number;
+    /** Absent for false; earlier builds do not write it. */
+    readonly mayOmitEnds?: true;
 }
 
 interface SavedModel {
@@ -115,6 +117,8 @@
     readonly disturbances: readonly DisturbanceEstimate[];
     /** Earlier builds do not write it. */
     readonly workerSpeeds?: readonly RecordedSpeed[];
+    /** Absent if there are none; earlier builds do not write it. */
+    readonly workerRestarts?: number;
     /** Earlier builds do not write it. */
     readonly recentCrashes?: readonly RecentCrash[];
     readonly services: readonly (readonly [string, readonly string[]])[];
@@ -229,11 +233,12 @@
         clockMs: state.clockMs,
         configuration: state.configuration,
         closed: [...state.closedJobs],
-        workers: [...state.workers.values()].map(({ info, isDraining, largestCapacity, sequence }) => ({
+        workers: [...state.workers.values()].map(({ info, isDraining, largestCapacity, sequence, mayOmitEnds }) => ({
             info,
             isDraining,
             largestCapacity,
             sequence,
+            ...(mayOmitEnds ? { mayOmitEnds } : {}),
         })),
         evacuatedZones: [...state.evacuatedZones],
         waves: [...state.waves.values()].map(({ wave, requestedAtMs, begun }) => ({
@@ -243,6 +248,7 @@
         })),
         disturbances: [...state.disturbances.values()],
         workerSpeeds: [...state.workerSpeeds.values()],
+        ...(state.workerRestarts === 0 ? {} : { workerRestarts: state.workerRestarts }),
         recentCrashes: state.recentCrashes,
         services: [...state.servicesByQueue].map(([queue, services]) => [queue, [...services]]),
         cancelledSubmissions: [...state.cancelledSubmissions],
@@ -372,10 +378,13 @@
     }
     state.clockMs = saved.clockMs;
     state.configuration = saved.configuration ?? undefined;
+    state.workerRestarts = saved.workerRestarts ?? 0;
     state.recentCrashes = saved.recentCrashes ?? [];
-    for (const { info, isDraining, largestCapacity = info.capacity, sequence = 0 } of saved.workers) {
+    for (
+        const { info, isDraining, largestCapacity = info.capacity, sequence = 0, mayOmitEnds = false } of saved.workers
+    ) {
         const used = noResources;
-        state.workers.set(info.id, { info, isDraining, largestCapacity, sequence, used, runs: new Map() });
+        state.workers.set(info.id, { info, isDraining, largestCapacity, sequence, mayOmitEnds, used, runs: new Map() });
     }
     saved.evacuatedZones?.forEach(zone => state.evacuatedZones.add(zone));
     saved.jobs.forEach(job => restoreJob(state, job));
--- a/packages/lead-jobs/src/silent-restart.test.ts
+++ b/packages/lead-jobs/src/silent-restart.test.ts
@@ -142,6 +142,35 @@
     }),
 );
 
+// Guards against calls to an earlier start that the later one carries out seconds after the leader knows of the restart: it has seen no
+// fencing token that is above theirs.
+testWithClock(
+    "orders to a later start of a worker have a higher fencing token than all orders before, also under the next leader",
+    Effect.gen(function*() {
+        const tokens: number[] = [];
+        const system = yield* startTestSystemWith(port => ({
+            ...port,
+            renewLease: (worker, order, limitMs) => {
+                tokens.push(order.fencingToken);
+                return port.renewLease(worker, order, limitMs);
+            },
+        }));
+        const takeTokens = () => [...new Set(tokens.splice(0))];
+        yield* setUpWorker(system);
+        const beforeCrash = takeTokens();
+        yield* crash(system);
+        yield* system.pass(silentMs + announceMs + 100);
+        tokens.length = 0;
+        yield* system.pass(2_000);
+        const afterRestart = takeTokens();
+        system.log.setLeader("b");
+        yield* system.pass(2_000);
+        const all = [...beforeCrash, ...afterRestart, ...takeTokens()];
+        assert.equal(all.length, 3);
+        assert.deepEqual([...new Set(all)].sort((left, right) => left - right), all);
+    }),
+);
+
 const readTasks = (
     system: TestSystem,
 ) => [...system.machine.state.jobs.get("a")?.occurrences.get(0)?.steps[0]?.tasks ?? []];
@@ -161,6 +190,18 @@
         yield* assertRunsOnce(system);
     }));
 
+// Guards against the same for a run that was ordered between the crash and the next start, which has begun it: the job was given up after
+// one more crash.
+testSystem("a crash does not count for runs that a later start has begun", system =>
+    Effect.gen(function*() {
+        yield* submitDuringSilence(system);
+        yield* system.pass(announceMs + 500);
+        const tasks = readTasks(system);
+        assert.equal(tasks.length, 2);
+        assert.deepEqual(tasks.filter(({ crashes, crashHistory }) => crashes ?? crashHistory), []);
+        yield* assertRunsOnce(system);
+    }));
+
 testSystem("a crash counts for runs that were ordered right before it", system =>
     Effect.gen(function*() {
         yield* setUpWorker(system);
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -65,6 +65,12 @@
     readonly acknowledgedSequence: number;
 }
 
+/** An acknowledgement that got no answer: the sequence number, and when it was sent, in monotonic milliseconds. */
+export interface UnansweredAcknowledgement {
+    readonly sequence: number;
+    readonly sentAtMs: number;
+}
+
 /** State of one worker in the term of a leader. */
 export interface WorkerSession {
     /** What the worker last said of itself; a session is for one start of a worker. */
@@ -75,18 +81,34 @@
     isAnnounced: boolean;
     /** Whether the worker has started again, so that another session takes the place of this one. */
     isSuperseded: boolean;
+    /** Fencing token of the orders to the worker, above those of all orders to its earlier starts and of earlier leaders. */
+    readonly fencingToken: number;
     lease: WorkerLease | undefined;
     /** When the latest order that extends the lease was sent, in monotonic milliseconds. */
     leaseOrderSentAtMs: number;
     /**
-     * Until when orders of earlier leaders, or to an earlier start of the worker, may extend its lease, in monotonic milliseconds.
+     * Until when orders of earlier leaders, or to an earlier start of the worker, may extend its lease, in monotonic milliseconds,
+     * unless it has answered.
      */
     readonly foreignOrdersUntilMs: number;
+    /** When it first answered a renewal, in monotonic milliseconds, so that it refuses all foreign orders; undefined before. */
+    fencedAtMs: number | undefined;
     readonly runStatuses: RunStatuses;
     /** Sequence number up to which the ends of runs are recorded. */
     acknowledgedSequence: number;
     /** Sequence number whose acknowledgement has certainly arrived, because the worker has answered it. */
     confirmedSequence: number;
+    /** The latest acknowledgement without an answer, which may yet arrive; undefined if each of them was answered. */
+    unansweredAcknowledgement: UnansweredAcknowledgement | undefined;
+    /**
+     * Until when acknowledgements of earlier leaders, or to an earlier start of the worker, may arrive, in monotonic milliseconds.
+     */
+    readonly foreignAcknowledgementsUntilMs: number;
+    /**
+     * Whether the worker may not list its first ends, because an acknowledgement to an earlier start may have reached it. Until it has
+     * listed an end, it runs only what may be repeated.
+     */
+    mayOmitEnds: boolean;
     /** When the worker last answered an order, in monotonic milliseconds; undefined before the first answer. */
     answeredAtMs: number | undefined;
     /** Whether the worker answered the last renewal of its lease. */
@@ -99,6 +121,8 @@
     isRefusing: boolean;
     /** Answers to renewals that were sent since the worker missed one, and are not applied yet. */
     readonly lateAnswers: Queue.Queue<RenewalAnswer>;
+    /** Signals that an answer came from another start of the worker, so that it is called at once. */
+    readonly restartSigns: Queue.Queue<void>;
     /** When the latest renewal was sent, in monotonic milliseconds. */
     renewalSentAtMs: number;
     /** When the last heartbeat arrived, in monotonic milliseconds. */
@@ -171,6 +195,23 @@
     return !term.isFenced && term.log.isLeading(nowMs) && term.log.readStatus().term === term.number;
 }
 
+/**
+ * Fences the term because a worker has accepted a later leader. A call to an earlier start that the later one refuses says nothing
+ * about the leader.
+ */
+export function fenceTerm(term: Term, session: WorkerSession, nowMs: number): void {
+    if (term.isFenced || session.isSuperseded || term.sessions.get(session.info.id) !== session) {
+        return;
+    }
+    term.isFenced = true;
+    term.logger.warn("a worker has accepted a later leader; no more orders are sent", {
+        term: term.number,
+        worker: session.info.id,
+        fencingToken: session.fencingToken,
+        nowMs,
+    });
+}
+
 /** Whether a replica with this status leads the term. */
 export function isLeaderOfTerm(status: ReplicaStatus, number: number): boolean {
     return status.role === "leader" && status.term === number;
@@ -203,8 +244,13 @@
 });
 
 /** Records what a worker last said of itself. */
-export function registerWorker(term: Term, { info, heartbeatSequence }: WorkerSession) {
-    return propose(term, { kind: "registerWorker", worker: info, sequence: heartbeatSequence });
+export function registerWorker(term: Term, { info, heartbeatSequence, mayOmitEnds }: WorkerSession) {
+    return propose(term, {
+        kind: "registerWorker",
+        worker: info,
+        sequence: heartbeatSequence,
+        ...(mayOmitEnds ? { mayOmitEnds } : {}),
+    });
 }
 
 /**
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,4 +1,4 @@
-import { formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
+import { canCompleteLate, formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
 import { observeRunEnd } from "@chestnutspool/plan-copies";
 import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
@@ -17,13 +17,15 @@
     readMonotonicMs,
     type RenewAnswer,
     type RunEnd,
+    type RunKey,
     type WorkerInfo,
 } from "@chestnutspool/types";
 import { Effect, Option, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
 import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
-import { logEndedJobs, logRunEnded, readPhases } from "./log-decisions.js";
+import { checkListedEnds, hasStoppedRun, provingIntervalMs } from "./listed-ends.js";
+import { logEndedJobs, logLateSuccesses, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
 import { observeBegunJobs } from "./record-begun-jobs.js";
 import { sendStop } from "./send-orders.js";
@@ -32,6 +34,7 @@
 import { measurePart } from "./term-load.js";
 import {
     canSendOrders,
+    fenceTerm,
     logStepError,
     propose,
     registerWorker,
@@ -70,37 +73,48 @@
 /** Pause after a renewal that was not answered or whose answer could not be applied, in milliseconds. */
 const retryPauseMs = 200;
 
+/** What calls of earlier leaders, or to earlier starts of a worker, may do to it; the fields are those of its session. */
+export type ForeignCalls = Pick<
+    WorkerSession,
+    "foreignOrdersUntilMs" | "foreignAcknowledgementsUntilMs" | "mayOmitEnds"
+>;
+
 /** Creates the session of a worker. The first report shows which runs that an earlier leader recorded have started. */
 export const createSession = Effect.fnUntraced(function*(
     term: Term,
     info: WorkerInfo,
-    foreignOrdersUntilMs: number,
+    { foreignOrdersUntilMs, foreignAcknowledgementsUntilMs, mayOmitEnds }: ForeignCalls,
     nowMs: number,
 ) {
     const recorded = term.machine.state.workers.get(info.id);
+    const same = recorded !== undefined && compareStarts(info, recorded.info) === "same" ? recorded : undefined;
     const session: WorkerSession = {
         info,
         openedAtMs: nowMs,
         isAnnounced: true,
         isSuperseded: false,
+        fencingToken: term.number + term.machine.state.workerRestarts,
         lease: undefined,
         leaseOrderSentAtMs: Number.NEGATIVE_INFINITY,
         foreignOrdersUntilMs,
+        fencedAtMs: undefined,
         runStatuses: new Map(),
         acknowledgedSequence: 0,
         confirmedSequence: 0,
+        unansweredAcknowledgement: undefined,
+        foreignAcknowledgementsUntilMs,
+        mayOmitEnds: mayOmitEnds || same?.mayOmitEnds === true,
         answeredAtMs: undefined,
         isResponsive: false,
         isReconciled: false,
         silentSinceMs: undefined,
         isRefusing: false,
         lateAnswers: yield* Queue.sliding<RenewalAnswer>(lateAnswerLimit),
+        restartSigns: yield* Queue.sliding<void>(1),
         renewalSentAtMs: Number.NEGATIVE_INFINITY,
         heartbeatAtMs: nowMs,
         // A delayed heartbeat from before the last change must not undo it.
-        heartbeatSequence: recorded !== undefined && compareStarts(info, recorded.info) === "same"
-            ? recorded.sequence
-            : 0,
+        heartbeatSequence: same?.sequence ?? 0,
         leftAtMs: undefined,
         usage: createUsageHistory(),
         health: createWorkerHealth(),
@@ -112,7 +126,9 @@
 
 /** Records the ends of runs in a report, then allows them to be acknowledged. */
 const recordEnds = Effect.fnUntraced(function*(term: Term, session: WorkerSession, outcome: ReportOutcome) {
-    if (outcome.ends.length > 0) {
+    const lateSuccesses = outcome.lateSuccesses.filter(key => canCompleteLate(term.machine.state, key))
+        .map(({ job, occurrence, step, position, run }): RunKey => ({ job, occurrence, step, position, run }));
+    if (outcome.ends.length > 0 || lateSuccesses.length > 0) {
         const ends = outcome.ends.map((
             { job, occurrence, step, position, run, outcome: runOutcome, checkpoint },
         ): RunEnd => ({
@@ -132,12 +148,18 @@
             const status = session.runStatuses.get(formatRunKey(end));
             observeRunEnd(term.copies, session.info, run, status, end, nowMs, wallMs);
         }
-        const phases = readPhases(term, ends);
-        yield* propose(term, { kind: "endRuns", worker: session.info.id, ends });
+        const phases = readPhases(term, [...ends, ...lateSuccesses]);
+        yield* propose(term, {
+            kind: "endRuns",
+            worker: session.info.id,
+            ends,
+            ...(lateSuccesses.length === 0 ? {} : { lateSuccesses }),
+        });
         for (const end of ends) {
             logRunEnded(term, session, end);
             session.runStatuses.delete(formatRunKey(end));
         }
+        logLateSuccesses(term, session, lateSuccesses);
         logEndedJobs(term, phases);
         wakePlanner(term);
     }
@@ -157,12 +179,14 @@
     }
     session.lease = recordClock(session.lease, answer.clockMs, nowMs);
     session.answeredAtMs = nowMs;
+    session.fencedAtMs ??= nowMs;
     if (!session.isResponsive) {
         term.logger.info("worker answers", {
             worker: session.info.id,
             bornAtMs: answer.bornAtMs,
             acknowledgedSequence: session.acknowledgedSequence,
             lastSequence: answer.ended.at(-1)?.sequence,
+            fencingToken: session.fencingToken,
             term: term.number,
         });
     }
@@ -190,7 +214,18 @@
         observeReportedRuns(term, session, state, nowMs);
         return applied;
     });
+    if (outcome.unlistedRuns.length > 0) {
+        term.logger.warn("runs are not listed any more", {
+            worker: session.info.id,
+            bornAtMs: session.info.bornAtMs,
+            tasks: outcome.unlistedRuns.map(formatTaskKey).join(" "),
+            acknowledgedSequence: session.acknowledgedSequence,
+            confirmedSequence: session.confirmedSequence,
+            sessionAgeMs: Math.round(nowMs - session.openedAtMs),
+        });
+    }
     yield* recordEnds(term, session, outcome);
+    yield* checkListedEnds(term, session, outcome, nowMs);
     session.isReconciled ||= answer.isComplete;
     for (const orphan of outcome.orphanedRuns) {
         // The next report that lists the run repeats a stop that failed.
@@ -238,6 +273,9 @@
 
 function chooseWaitMs(term: Term, session: WorkerSession, nowMs: number): number {
     const state = findWorkerState(term, session);
+    if (session.mayOmitEnds && hasStoppedRun(session)) {
+        return provingIntervalMs;
+    }
     if (state !== undefined && hasTrial(state, session.runStatuses)) {
         return trialIntervalMs;
     }
@@ -255,6 +293,19 @@
     return isResponsive && acknowledgedSequence > confirmedSequence ? acknowledgedSequence : 0;
 }
 
+/** Whether an answer shows that a renewal has arrived at the start that a session is for, or will never arrive. */
+function isAnsweredBy({ info }: WorkerSession, answer: RenewAnswer): boolean {
+    switch (answer.kind) {
+        case "report":
+            return compareStarts(answer, info) === "same";
+        case "refused":
+        case "notSent":
+            return true;
+        case "unknown":
+            return false;
+    }
+}
+
 /** Sends one renewal; the answer carries the time at which it was sent and what it acknowledged. */
 const sendRenewal = Effect.fnUntraced(function*(
     term: Term,
@@ -271,15 +322,39 @@
         session.leaseOrderSentAtMs = sentAtMs;
     }
     const acknowledgedSequence = findSequenceToAcknowledge(session);
+    const unansweredBefore = session.unansweredAcknowledgement;
+    if (acknowledgedSequence > 0) {
+        session.unansweredAcknowledgement = { sequence: acknowledgedSequence, sentAtMs };
+    }
     const answer = yield* term.workers.renewLease(session.info, {
         leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
-        fencingToken: term.number,
+        fencingToken: session.fencingToken,
         acknowledgedSequence,
         waitMs,
     }, limitMs);
+    if (acknowledgedSequence > 0 && isAnsweredBy(session, answer)) {
+        session.unansweredAcknowledgement = unansweredBefore;
+    }
     return { answer, sentAtMs, acknowledgedSequence } satisfies RenewalAnswer;
 });
 
+/** Sends a renewal that changes nothing as soon as another start of the worker seems to have answered an order. */
+const checkRestart = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    yield* Queue.take(session.restartSigns);
+    const sentAtMs = yield* readMonotonicMs;
+    term.logger.info("another start of a worker seems to answer", {
+        worker: session.info.id,
+        bornAtMs: session.info.bornAtMs,
+    });
+    const answer = yield* term.workers.renewLease(session.info, {
+        leaseUntilMs: undefined,
+        fencingToken: session.fencingToken,
+        acknowledgedSequence: 0,
+        waitMs: 0,
+    }, renewGraceMs);
+    return { answer, sentAtMs, acknowledgedSequence: 0 } satisfies RenewalAnswer;
+});
+
 /**
  * Sends a renewal to a worker that has missed one. It waits no longer for the answer than usual, so that the next renewal
  * finds a worker that is back, but takes the answers to the earlier ones as well.
@@ -310,7 +385,10 @@
 const renewOnce = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     const waitMs = session.isResponsive ? chooseWaitMs(term, session, yield* readMonotonicMs) : 0;
     const { answer, sentAtMs, acknowledgedSequence } = session.isResponsive
-        ? yield* sendRenewal(term, session, waitMs, waitMs + renewGraceMs)
+        ? yield* Effect.raceFirst(
+            sendRenewal(term, session, waitMs, waitMs + renewGraceMs),
+            checkRestart(term, session),
+        )
         : yield* renewSilentWorker(term, session);
     term.load.renewals += 1;
     if (answer.kind === "report") {
@@ -332,11 +410,7 @@
     term.load.failedRenewals += 1;
     const nowMs = yield* readMonotonicMs;
     if (answer.kind === "refused" && answer.reason === "staleToken") {
-        term.isFenced = true;
-        term.logger.warn("a worker has accepted a later leader; no more orders are sent", {
-            worker: session.info.id,
-            nowMs,
-        });
+        fenceTerm(term, session, nowMs);
         return { kind: "ended" } as const;
     }
     const isKept = yield* applyRenewFailure(term, session, answer);
--- a/packages/track-workers/src/run-statuses.ts
+++ b/packages/track-workers/src/run-statuses.ts
@@ -15,7 +15,8 @@
 /** State of one run on a worker as tracked by the leader. Times are monotonic, in milliseconds. */
 export interface RunStatus {
     readonly key: RunKey;
-    readonly orderedAtMs: number;
+    /** When it was ordered, or when a later start of the worker has confirmed the order, in monotonic milliseconds. */
+    orderedAtMs: number;
     start: StartState;
     /** When `start` last changed. */
     startChangedAtMs: number;
@@ -119,10 +120,14 @@
 export interface ReportOutcome {
     /** Ends of runs, to be recorded before they are acknowledged. */
     readonly ends: readonly RunEnd[];
+    /** Successes of runs that are not recorded for the worker. */
+    readonly lateSuccesses: readonly RunKey[];
     /** Highest sequence number that may be acknowledged once the ends are recorded. */
     readonly lastSequence: number;
     /** Runs that the worker lists but that are not recorded for it; they are to be stopped. */
     readonly orphanedRuns: readonly RunKey[];
+    /** Runs that had started and that the worker lists neither as running nor as ended; their ends count as lapsed. */
+    readonly unlistedRuns: readonly RunKey[];
 }
 
 function recordProgress(status: RunStatus, progress: RunProgress, nowMs: number): void {
@@ -187,6 +192,8 @@
         }
     }
     const ends: RunEnd[] = [];
+    const lateSuccesses: RunKey[] = [];
+    const unlistedRuns: RunKey[] = [];
     let lastSequence = 0;
     for (const end of report.ended) {
         const key = formatRunKey(end);
@@ -195,6 +202,9 @@
         if (state.runs.has(key)) {
             ends.push(end);
         }
+        else if (end.outcome === "succeeded") {
+            lateSuccesses.push(end);
+        }
     }
     if (report.isComplete) {
         for (const [key, run] of state.runs) {
@@ -202,8 +212,11 @@
             if (!listed.has(key) && isStartResolvedBefore(status, sentAtMs) && status !== undefined) {
                 const outcome = status.start === "confirmed" ? "lapsed" : "neverStarted";
                 ends.push({ ...status.key, run: run.run, outcome, checkpoint: status.checkpoint });
+                if (outcome === "lapsed") {
+                    unlistedRuns.push(status.key);
+                }
             }
         }
     }
-    return { ends, lastSequence, orphanedRuns };
+    return { ends, lateSuccesses, lastSequence, orphanedRuns, unlistedRuns };
 }
--- a/packages/types/src/jobs.ts
+++ b/packages/types/src/jobs.ts
@@ -257,13 +257,24 @@
         | { readonly kind: "startRuns"; readonly starts: readonly RunStart[]; }
         /** Jobs of which a worker has listed or confirmed a run. Replicas of earlier builds ignore it. */
         | { readonly kind: "beginJobs"; readonly jobs: readonly JobId[]; }
-        | { readonly kind: "endRuns"; readonly worker: WorkerId; readonly ends: readonly RunEnd[]; }
+        | {
+            readonly kind: "endRuns";
+            readonly worker: WorkerId;
+            readonly ends: readonly RunEnd[];
+            /**
+             * Successes of runs that are not recorded any more, because their start was given up or their worker was silent; absent if
+             * there are none. Replicas of earlier builds ignore them.
+             */
+            readonly lateSuccesses?: readonly RunKey[];
+        }
         | {
             /** Records a worker, or what has changed of it. */
             readonly kind: "registerWorker";
             readonly worker: WorkerInfo;
             /** Sequence number of the heartbeat that said so; absent in records of earlier builds. */
             readonly sequence?: number;
+            /** As in `WorkerState`; absent for false. Replicas of earlier builds ignore it. */
+            readonly mayOmitEnds?: true;
         }
         | { readonly kind: "drainWorker"; readonly worker: WorkerId; }
         | {
@@ -276,6 +287,11 @@
             readonly checkpoints: readonly RunEnd[];
             /** Runs that go on; absent if none does. Replicas of earlier builds end them too. */
             readonly kept?: readonly RunKey[];
+            /**
+             * Set if the worker has started again under its identity, so that later orders to it get a higher fencing token. Replicas of
+             * earlier builds ignore it.
+             */
+            readonly hasRestarted?: true;
             /** Set if the worker has certainly crashed. Records of earlier builds do not have it. */
             readonly crash?: WorkerCrash;
         }
