Let a start that was never carried out not end the wait of its job

What callers saw: nothing yet; found on the path of refused starts.

Cause: only ends within a second of the start counted as refusals. A start without an answer, or on a worker that is dead already, is given up later, so that it counted as a run that ended the wait, and the next start went to the same worker.

Change: an end of which the leader knows that the run has not started counts however late it comes, and the wait goes on from where it began. The limit of a second is left for jobs that have not begun and of which the leader knows no such end.

--- a/packages/plan-jobs/src/expedited-jobs.test.ts
+++ b/packages/plan-jobs/src/expedited-jobs.test.ts
@@ -1,3 +1,4 @@
+import { formatTaskKey } from "@chestnutspool/job-state";
 import { makeJob, makeStep, makeWorker } from "@chestnutspool/job-state/fakes";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -63,6 +64,36 @@
     assert.ok(startedAtMs <= recoveryMs + longestWithoutRunMs, `${startedAtMs} ms`);
 });
 
+// Guards against a job that never runs because the only worker on which it disturbs nothing gives no answer to its starts: each is given up
+// after more than a second, so that it counted as a run that ended the wait.
+test("a job without a run starts on another worker within 3 s if the only undisturbed one does not carry out its starts", () => {
+    const givenUpAfterMs = 2_000;
+    const pool = makeDisturbedPool(8);
+    const { machine, unstartedRuns } = pool;
+    machine.apply({ kind: "registerWorker", worker: makeWorker("silent") });
+    pool.submitForecast("forecast", { expectedRunMs: 1_000 });
+    machine.apply({ kind: "beginJobs", jobs: ["forecast"] });
+    let startedAtMs = Number.POSITIVE_INFINITY;
+    const foundAtMs = new Map<string, number>();
+    pool.planUntil(watchedMs, undefined, atMs => {
+        const [silent] = machine.state.workers.get("silent")?.runs ?? [];
+        if (silent === undefined) {
+            const isRunning = (machine.state.openJobs.get("forecast")?.runsInProgress ?? 0) > 0;
+            startedAtMs = Math.min(startedAtMs, isRunning ? atMs : Number.POSITIVE_INFINITY);
+            return;
+        }
+        const [runKey, { run }] = silent;
+        foundAtMs.set(runKey, foundAtMs.get(runKey) ?? atMs);
+        if (atMs - (foundAtMs.get(runKey) ?? atMs) >= givenUpAfterMs) {
+            const key = { job: "forecast", occurrence: 0, step: 0, position: 0, run };
+            unstartedRuns.set(formatTaskKey(key), run);
+            const end = { ...key, outcome: "neverStarted" as const, checkpoint: "" };
+            machine.apply({ kind: "endRuns", worker: "silent", ends: [end] });
+        }
+    });
+    assert.ok(startedAtMs <= longestWithoutRunMs, `${startedAtMs} ms`);
+});
+
 // Guards against a job that never runs because the first of its steps fits nowhere and takes all ratings of starved steps: the attempt
 // counts for the whole job, so that each further one begins with the same step.
 test("a job without a run starts the step that fits although an earlier one takes the ratings of a pass", () => {
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -184,9 +184,10 @@
 }
 
 /**
- * Finds the last starts of a job or a task without a run if all of them have ended and none of them has started, within `retryMs` before
- * `nowMs`: workers have refused them. A start that was planned and not recorded is none of them. No run of a job that has not begun
- * has started; for the others the state does not tell a refused run from one that was stopped.
+ * Finds the last starts of a job or a task without a run if all of them have ended and none of them has started: workers have refused
+ * them or have not carried them out. A start that was planned and not recorded is none of them. Where no such end is known, no run of a job
+ * that has not begun has started; the state does not tell for how long it seemed to run, so that only the starts within `retryMs` before
+ * `nowMs` count.
  */
 function findRefusedStarts(
     { unconfirmed }: StarvationMemory,
@@ -195,11 +196,12 @@
     nowMs: number,
 ): UnconfirmedStarts | undefined {
     const last = hasRun(waiter) ? undefined : unconfirmed.get(getKey(waiter));
-    const isRefused = (start: RunStart): boolean => !waiter.job.hasBegun || findUnstartedRun?.(start) === start.run;
-    return last !== undefined && nowMs - last.atMs <= retryMs
-            && last.starts.every(({ task, start }) => task.lastRun === start.run && isRefused(start))
-        ? last
-        : undefined;
+    if (last === undefined) {
+        return undefined;
+    }
+    const isShort = !waiter.job.hasBegun && nowMs - last.atMs <= retryMs;
+    const isRefused = (start: RunStart): boolean => isShort || findUnstartedRun?.(start) === start.run;
+    return last.starts.every(({ task, start }) => task.lastRun === start.run && isRefused(start)) ? last : undefined;
 }
 
 /** Records the workers that have refused the last starts of a job or a task without a run; returns its wait, if one is known. */
@@ -217,6 +219,8 @@
     const { starts, starvation } = refused;
     memory.unconfirmed.delete(key);
     memory.waits.set(key, starvation);
+    // It had no run all the while.
+    starvation.foundAtMs = nowMs;
     if (starts.some(({ start }) => starvation.refusedBy.has(start.worker))) {
         starvation.refusedBy.clear();
     }
