Part how long a worker takes nothing else from how long a run stays suspected

Cause: a task with three crashes in its life kept its worker from all other starts for 1.25 times its longest run before a crash, 76 s at most, on a quarter of the workers; a task that shares no trial waited in line for one. A trial of a job with another run was deferred in each pass anew, so that a backlog took each place that became free.

Change: a worker with a run on trial takes nothing else for 3 s at most. The run stays suspected as long as before; meanwhile no task starts there that needs a trial of its own. A long-running task that has waited for 1 s starts beside other suspected long-running ones, on the worker with the lowest sum of odds; one with odds from 0.3 on takes a worker without suspects first, and joins after 3 s. The first task of a job without a run takes after 3 s a worker beside runs that stay suspected. A deferred trial takes its turn after 1 s. Since a crash may be shared now, the fourth crash in the life of a task gives its job up from odds of 3 on instead of 1; the fifth as before.

--- a/packages/lead-jobs/src/late-crashes.test.ts
+++ b/packages/lead-jobs/src/late-crashes.test.ts
@@ -176,3 +176,38 @@
         }),
     );
 }
+
+// Guards against a long-running task that crashes its worker late and is started without end, or takes innocent ones with it, because
+// long-running tasks that have waited for their trials share them.
+for (const workerCount of [4, 8]) {
+    for (const crashAfterMs of [10_000, 20_000]) {
+        testWithClock(
+            `a long-running task that crashes its worker after ${crashAfterMs} ms is found among others like it, on ${workerCount} workers`,
+            Effect.gen(function*() {
+                yield* TestClock.setTime(testStartMs);
+                const system = yield* startTestSystem;
+                yield* setUpWorkers(system, workerCount);
+                system.workers.setBehaviour(() => ({ runMs: Number.POSITIVE_INFINITY, outcome: "succeeded" }));
+                const resources = { milliCpu: 100, memoryMib: 10, accelerators: 0 };
+                const jobs = Array.from({ length: workerCount }, (none, number) => `lasting${number}`);
+                for (const job of jobs) {
+                    yield* system.submit(makeJob(job, [makeStep({ count: 3, longRunning: true, resources })]));
+                }
+                yield* system.submit(makeJob("deadly", [makeStep({ longRunning: true, resources })]));
+                yield* passWithCrashes(system, crashAfterMs, 3_000);
+                for (let round = 0; round < 3; round += 1) {
+                    yield* passWithCrashes(system, crashAfterMs, 4_000);
+                    yield* crashHalf(system, workerCount);
+                }
+                yield* passWithCrashes(system, crashAfterMs, 7 * (crashAfterMs + 5_000) + 20_000);
+                const late = yield* countLateStarts(system, "deadly.0.0.0");
+                assert.ok(late <= startsAfterLimit, `started ${late} times after the third crash`);
+                const phases: string[] = [];
+                for (const job of ["deadly", ...jobs]) {
+                    phases.push(yield* readPhase(system, job));
+                }
+                assert.deepEqual(phases, ["failed", ...jobs.map(() => "running")]);
+            }),
+        );
+    }
+}
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,5 +1,5 @@
 import type { JobRecord, JobState, JobTask } from "@chestnutspool/job-state";
-import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
+import { canShareTrial, isLikelyCause, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
 import { holdWorkers } from "./hold-workers.js";
@@ -24,12 +24,12 @@
 import { createStart, listStartable } from "./startable-tasks.js";
 import { listRefusingWorkers, listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
-import { expireBlockedTrials, recordBlockedTrial } from "./trial-obstacles.js";
-import { observeTrialWait } from "./trial-waits.js";
+import { expireBlockedTrials, recordBlockedTrial, type TrialObstacle } from "./trial-obstacles.js";
+import { observeTrialWait, type TrialPatience } from "./trial-waits.js";
 import { cancelGangTrial, canTry, canTryAfterWait, countTrials, hasRun } from "./trials.js";
 import { createUnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
-import { hasReservation, releaseCapacity, type WorkerCandidate } from "./worker-candidate.js";
+import { hasReservation, type JoinedTrial, releaseCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
 /**
  * Limit of starts per pass, so that a burst of tasks does not block the process. The starts of gangs count, but are not
@@ -54,16 +54,75 @@
     planTaskStarts(pass, plan, tasks.slice(0, limit), true);
 }
 
+/** Decides what a task that finds no trial of its own joins after a wait; undefined if it waits on. */
+function decideJoinedTrial(
+    pass: PlanningPass,
+    { job, step }: WaitingStep,
+    task: JobTask,
+    patience: TrialPatience,
+): JoinedTrial | undefined {
+    const { service } = job.queue;
+    switch (patience) {
+        case "waits":
+            return undefined;
+        case "shares":
+            // A likely cause takes a worker without other suspects first, so that the next crash does not speak against these.
+            return !step.spec.longRunning
+                ? undefined
+                : !isLikelyCause(task)
+                ? "lasting"
+                : canTryAfterWait(pass.trials, service)
+                ? "none"
+                : undefined;
+        case "sharesAll":
+            return step.spec.longRunning ? "lasting" : canTry(pass.trials, service, task) ? "beside" : undefined;
+    }
+}
+
+/**
+ * Plans trials of tasks that find none of their own and have waited for long. Long-running ones join others like them: the users' bound on
+ * the time without a run holds for each task, and their number does not depend on that of the workers. The others stay blocked.
+ */
+function planTrialsAfterWait(
+    pass: PlanningPass,
+    waiting: WaitingStep,
+    tasks: readonly JobTask[],
+    obstacle: TrialObstacle,
+): void {
+    const isLate = waiting.step.spec.longRunning || !hasRun(waiting.job, pass.starts);
+    const patience = isLate ? pass.observeTrialWait(waiting.step) : "waits";
+    const started = new Set<JobTask>();
+    const withoutWorker = new Set<JoinedTrial>();
+    for (const task of tasks) {
+        const joins = decideJoinedTrial(pass, waiting, task, patience);
+        if (joins === undefined || withoutWorker.has(joins)) {
+            continue;
+        }
+        const candidate = reserveTrialWorker(pass, createStepPlan(pass, waiting, { joins }), task);
+        if (candidate === undefined) {
+            withoutWorker.add(joins);
+            continue;
+        }
+        started.add(task);
+        pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
+    }
+    const blocked = tasks.filter(task => !started.has(task));
+    if (blocked.length > 0) {
+        pass.blockedTrials.push({ waiting, tasks: blocked });
+        pass.recordBlockedTrial(waiting, blocked.length, obstacle);
+    }
+}
+
 function planTaskStarts(pass: PlanningPass, plan: StepPlan, tasks: readonly JobTask[], defersTrials: boolean): void {
     const { waiting } = plan;
     for (const [position, task] of tasks.entries()) {
         if (needsTrial(task)) {
             if (!canTry(pass.trials, waiting.job.queue.service, task)) {
-                pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
-                pass.recordBlockedTrial(waiting, tasks.length - position, "noFreeTrial");
+                planTrialsAfterWait(pass, waiting, tasks.slice(position), "noFreeTrial");
                 return;
             }
-            if (defersTrials && hasRun(waiting.job, pass.starts)) {
+            // A trial that has been deferred for long takes its turn, so that the steps of each pass do not take its place without end.
+            if (defersTrials && hasRun(waiting.job, pass.starts) && pass.observeTrialWait(waiting.step) === "waits") {
                 pass.deferredTrials.push({ waiting, tasks: tasks.slice(position) });
                 return;
             }
@@ -72,9 +131,8 @@
         if (candidate === undefined) {
             recordUnmet(pass, plan);
             if (needsTrial(task)) {
-                pass.blockedTrials.push({ waiting, tasks: tasks.slice(position) });
                 const obstacle = plan.ratings.hasRoomOnTrial ? "workersOnTrial" : "noRoom";
-                pass.recordBlockedTrial(waiting, tasks.length - position, obstacle);
+                planTrialsAfterWait(pass, waiting, tasks.slice(position), obstacle);
             }
             return;
         }
@@ -157,11 +215,10 @@
         if (!step.spec.longRunning && hasRun(job, pass.starts)) {
             continue;
         }
-        const mayShare = pass.observeTrialWait(step);
-        if (!mayShare || pass.blockedGangs.has(job.queue.service)) {
+        if (pass.observeTrialWait(step) === "waits" || pass.blockedGangs.has(job.queue.service)) {
             continue;
         }
-        const plan = createStepPlan(pass, waiting, { joinsTrial: true });
+        const plan = createStepPlan(pass, waiting, { joins: "shared" });
         for (const task of tasks.filter(canShareTrial).slice(0, step.spec.longRunning ? tasks.length : 1)) {
             const candidate = reserveTrialWorker(pass, plan, task) ?? reserveFirstOfShared(pass, waiting, task);
             if (candidate === undefined) {
@@ -183,8 +240,7 @@
     const [suspect] = suspected;
     const { service } = job.queue;
     if (suspect !== undefined && !canTry(pass.trials, service, suspect)) {
-        const hasWaited = pass.observeTrialWait(step);
-        if (!hasWaited || !canTryAfterWait(pass.trials, service)) {
+        if (pass.observeTrialWait(step) === "waits" || !canTryAfterWait(pass.trials, service)) {
             pass.blockedGangs.add(service);
             pass.recordBlockedTrial(waiting, suspected.length, "noFreeTrial");
             return;
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -1,5 +1,5 @@
 import type { JobStep, JobTask } from "@chestnutspool/job-state";
-import { needsTrial } from "@chestnutspool/track-workers";
+import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
 import { chooseWorkers, selectCandidates } from "./keep-workers.js";
 import type { PlanInput } from "./plan-input.js";
@@ -8,10 +8,11 @@
 import type { StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import type { TrialObstacle } from "./trial-obstacles.js";
+import type { TrialPatience } from "./trial-waits.js";
 import { startTrial, type TrialCounts } from "./trials.js";
 import type { UnmetRequirements } from "./unmet-requirements.js";
 import type { WaitingStep } from "./waiting-steps.js";
-import { findRack, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
+import { findRack, type JoinedTrial, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
 /** State of one planning pass. */
 export interface PlanningPass {
@@ -32,8 +33,8 @@
     readonly movedTasks: Set<JobTask>;
     /** Lists the workers that are left out for a step, because they have just refused the starts of its job, which has waited for long. */
     readonly listRefusingWorkers: (waiting: WaitingStep) => readonly WorkerId[];
-    /** Records that no trial is free for a step; returns whether it has waited for long. */
-    readonly observeTrialWait: (step: JobStep) => boolean;
+    /** Records that no trial is free for a step; returns how long it has waited. */
+    readonly observeTrialWait: (step: JobStep) => TrialPatience;
     /** Records which rule keeps the trials of a number of tasks from starting. */
     readonly recordBlockedTrial: (waiting: WaitingStep, tasks: number, obstacle: TrialObstacle) => void;
     /** Workers, and those on trial, by service. */
@@ -68,8 +69,8 @@
 /** How a step is planned; by default its tasks disturb no serving task, join no trial and start on any worker. */
 export interface StepPlanOptions {
     readonly acceptsDisturbance?: boolean;
-    /** Whether tasks that need a trial join one that others have begun. */
-    readonly joinsTrial?: boolean;
+    /** Trials of other tasks that those which need one join. */
+    readonly joins?: JoinedTrial;
     /** The only worker on which they may start. */
     readonly target?: WorkerId;
 }
@@ -78,7 +79,7 @@
 export function createStepPlan(
     pass: PlanningPass,
     waiting: WaitingStep,
-    { acceptsDisturbance = false, joinsTrial = false, target }: StepPlanOptions = {},
+    { acceptsDisturbance = false, joins = "none", target }: StepPlanOptions = {},
 ): StepPlan {
     const { step } = waiting;
     const stepKey = formatWaitingKey(waiting);
@@ -90,7 +91,7 @@
         interference: pass.input.interference,
         tasksByRack,
         acceptsDisturbance,
-        joinsTrial,
+        joins,
     };
     const listed = listStepCandidates(pass, waiting);
     const refusing = pass.listRefusingWorkers(waiting);
@@ -119,9 +120,9 @@
     task: JobTask,
 ): WorkerCandidate | undefined {
     const { job, step } = waiting;
-    const candidate = ratings.chooseTrialWorker();
+    const candidate = ratings.chooseTrialWorker(step.spec.gang || canShareTrial(task));
     if (candidate !== undefined) {
-        startTrial(pass.trials, candidate, task, step.spec.gang ? stepKey : undefined);
+        startTrial(pass.trials, candidate, task, step.spec, stepKey);
         reserveCapacity(candidate, job.id, step.spec, stepKey);
         ratings.updateAfterStart(candidate);
     }
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -1,7 +1,7 @@
 import type { InterferenceModel, PairEstimate } from "@chestnutspool/learn-interference";
 import type { StepSpec } from "@chestnutspool/types";
 import { type AddedShare, computeMarginGoal, predictExpectedMargin, predictMarginWithShare } from "./predict-margin.js";
-import { findRack, type ServingMargin, type WorkerCandidate } from "./worker-candidate.js";
+import { findRack, type JoinedTrial, type ServingMargin, type WorkerCandidate } from "./worker-candidate.js";
 
 /** Margin (target / tail latency) that each serving task must keep when a task starts on its worker. */
 const leastMargin = 1;
@@ -40,8 +40,8 @@
     readonly tasksByRack: ReadonlyMap<string, number>;
     /** Whether a best-effort task may start although it disturbs serving tasks or finds few idle processors. */
     readonly acceptsDisturbance: boolean;
-    /** Whether a task that needs a trial joins one that other tasks have begun. */
-    readonly joinsTrial: boolean;
+    /** Trials of other tasks that a task which needs one joins. */
+    readonly joins: JoinedTrial;
 }
 
 /** Pairs of one serving image, as estimated when a rating of the worker first needed them. */
--- a/packages/plan-jobs/src/step-ratings.ts
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -9,9 +9,10 @@
     readonly chooseWorker: (excluded: WorkerId | undefined) => WorkerCandidate | undefined;
     /**
      * Chooses the worker on which a task that may crash it does the least harm: with the fewest runs that have not proved
-     * themselves, then with the fewest runs. Members of a gang join those that are on trial already.
+     * themselves, then with the fewest runs. Members of a gang join those that are on trial already. Only a task that may share its trial
+     * is placed beside runs that are still suspected, and only if no other worker is suitable, unless it joins them.
      */
-    readonly chooseTrialWorker: () => WorkerCandidate | undefined;
+    readonly chooseTrialWorker: (canShare: boolean) => WorkerCandidate | undefined;
     /** Whether a worker has room for a task of the step but takes none because of a trial there. */
     readonly hasRoomOnTrial: boolean;
     /** Updates the ratings after a task was planned on a worker. */
@@ -20,20 +21,23 @@
 
 /** What a crash of a worker would cost. */
 interface Harm {
+    /** Odds of the tasks there that are suspected, which hide the cause of a crash. */
+    readonly suspectedOdds: number;
     /** Runs that would be suspected as well. */
     readonly unprovedRuns: number;
     readonly runs: number;
 }
 
-function estimateHarm({ state, statuses, plannedRuns }: WorkerCandidate): Harm {
+function estimateHarm({ state, statuses, plannedRuns, suspected }: WorkerCandidate): Harm {
     return {
+        suspectedOdds: suspected.odds,
         unprovedRuns: countUnprovedRuns(state, statuses) + plannedRuns,
         runs: state.runs.size + plannedRuns,
     };
 }
 
 function compareHarm(left: Harm, right: Harm): number {
-    return left.unprovedRuns - right.unprovedRuns || left.runs - right.runs;
+    return left.suspectedOdds - right.suspectedOdds || left.unprovedRuns - right.unprovedRuns || left.runs - right.runs;
 }
 
 /**
@@ -49,14 +53,15 @@
 ): StepRatings {
     const rate = (candidate: WorkerCandidate): number | undefined => {
         countRating();
-        return hasCapacity(candidate, spec, stepKey, context.joinsTrial)
+        return hasCapacity(candidate, spec, stepKey, context.joins)
             ? rateWorker(candidate, spec, context)
             : undefined;
     };
     const suitable: { readonly candidate: WorkerCandidate; rating: number; }[] = [];
     let hasRoomOnTrial = false;
     for (const candidate of candidates) {
-        hasRoomOnTrial ||= candidate.isOnTrial && hasRoomBesideTrial(candidate, spec, stepKey);
+        hasRoomOnTrial ||= (candidate.isOnTrial || candidate.suspected.count > 0)
+            && hasRoomBesideTrial(candidate, spec, stepKey);
         const rating = rate(candidate);
         if (rating !== undefined) {
             suitable.push({ candidate, rating });
@@ -79,13 +84,16 @@
             }
             return best ?? excludedCandidate;
         },
-        chooseTrialWorker: () => {
+        chooseTrialWorker: canShare => {
             let best: WorkerCandidate | undefined;
             let leastHarm: Harm | undefined;
             for (const { candidate } of suitable) {
                 if (candidate.trialGang === stepKey) {
                     return candidate;
                 }
+                if (candidate.suspected.count > 0 && context.joins === "none" && !canShare) {
+                    continue;
+                }
                 const harm = estimateHarm(candidate);
                 if (leastHarm === undefined || compareHarm(harm, leastHarm) < 0) {
                     best = candidate;
--- a/packages/plan-jobs/src/trial-runs.test.ts
+++ b/packages/plan-jobs/src/trial-runs.test.ts
@@ -12,6 +12,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { makePlanInput } from "./fakes/make-plan-input.js";
+import { createPlanMemory } from "./plan-memory.js";
 import { planStarts } from "./plan-starts.js";
 
 function planNow(machine: TestMachine): RunStart[] {
@@ -153,3 +154,42 @@
     const { suspectedRuns, isCertain } = findCrashSuspects(worker, statuses, 20);
     assert.deepEqual([suspectedRuns.length, isCertain], [3, true]);
 });
+
+// Guards against a task whose trial goes after the other steps in each pass without end, because these take each place that becomes free.
+test("a deferred trial takes its turn before a backlog after a second", () => {
+    const machine = makeMachine([makeWorker("w0"), makeWorker("w1")]);
+    const makeStart = (job: string, position: number, worker: string): RunStart => ({
+        job,
+        occurrence: 0,
+        step: 0,
+        position,
+        run: 1,
+        worker,
+    });
+    const whole = { milliCpu: 4_000, memoryMib: 10, accelerators: 0 };
+    machine.submit(makeJob("suspects", [makeStep({ count: 2, resources: whole })]));
+    const suspectedRuns = [makeStart("suspects", 1, "w1")];
+    machine.apply({ kind: "startRuns", starts: [makeStart("suspects", 0, "w0"), ...suspectedRuns] });
+    const crash = { suspectedRuns, isCertain: false, clearedRuns: [] };
+    machine.apply({ kind: "expireWorker", worker: "w1", isGone: false, checkpoints: [], crash });
+    machine.submit(makeJob("backlog", [makeStep({ count: 100, resources: whole })]));
+    const memory = createPlanMemory();
+    const planned: (readonly string[])[] = [];
+    for (let atMs = 0; atMs <= 1_000; atMs += 100) {
+        const starts = planStarts(makePlanInput(machine.state), testStartMs + atMs, memory);
+        machine.apply({ kind: "startRuns", starts });
+        planned.push(starts.map(({ job }) => job));
+        const ends = starts.filter(({ job }) => job === "backlog")
+            .map(({ job, occurrence, step, position, run }) => ({
+                job,
+                occurrence,
+                step,
+                position,
+                run,
+                outcome: "succeeded" as const,
+                checkpoint: "",
+            }));
+        machine.apply({ kind: "endRuns", worker: "w1", ends });
+    }
+    assert.deepEqual(planned, [...Array.from({ length: 10 }, () => ["backlog"]), ["suspects"]]);
+});
--- a/packages/plan-jobs/src/trials.ts
+++ b/packages/plan-jobs/src/trials.ts
@@ -1,6 +1,6 @@
-import type { JobRecord, JobState, JobTask } from "@chestnutspool/job-state";
-import { canShareTrial, hasTrial, type RunStatuses } from "@chestnutspool/track-workers";
-import type { RunStart, WorkerId } from "@chestnutspool/types";
+import { computeCrashOdds, type JobRecord, type JobState, type JobTask } from "@chestnutspool/job-state";
+import { canShareTrial, hasTrial, type RunStatuses, sumSuspectedRuns } from "@chestnutspool/track-workers";
+import type { RunStart, StepSpec, WorkerId } from "@chestnutspool/types";
 import type { WorkerCandidate } from "./worker-candidate.js";
 
 /**
@@ -73,14 +73,22 @@
     return runsInProgress > 0 || starts.some(({ job }) => job === id);
 }
 
-/** Puts a worker on the trial of a task; the members of the gang of the step `gangKey` may join it. */
+/** Puts a worker on the trial of a task of a step; the members of a gang may join it. */
 export function startTrial(
     trials: TrialCounts,
     candidate: WorkerCandidate,
     task: JobTask,
-    gangKey: string | undefined,
+    spec: StepSpec,
+    stepKey: string,
 ): void {
+    const { count, odds, areLasting } = candidate.suspected;
+    candidate.suspected = {
+        count: count + 1,
+        odds: odds + computeCrashOdds(task),
+        areLasting: areLasting && spec.longRunning && !spec.gang,
+    };
     if (!candidate.isOnTrial) {
+        const gangKey = spec.gang ? stepKey : undefined;
         candidate.sharesTrial = gangKey === undefined && canShareTrial(task);
         candidate.isOnTrial = true;
         candidate.trialGang = gangKey;
@@ -92,6 +100,7 @@
 export function cancelGangTrial(trials: TrialCounts, candidate: WorkerCandidate, gangKey: string): void {
     if (candidate.trialGang === gangKey) {
         candidate.isOnTrial = false;
+        candidate.suspected = sumSuspectedRuns(candidate.state, candidate.statuses);
         candidate.sharesTrial = false;
         candidate.trialGang = undefined;
         addTrial(trials, candidate, -1);
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -1,6 +1,13 @@
 import { computeReservation, formatStepKey, type WorkerState } from "@chestnutspool/job-state";
 import type { PairEstimate } from "@chestnutspool/learn-interference";
-import { hasSharedTrial, hasTrial, type RunStatus, type RunStatuses } from "@chestnutspool/track-workers";
+import {
+    hasSharedTrial,
+    hasTrial,
+    type RunStatus,
+    type RunStatuses,
+    sumSuspectedRuns,
+    type SuspectedRuns,
+} from "@chestnutspool/track-workers";
 import {
     addResources,
     findShortage,
@@ -62,6 +69,8 @@
     isHeld: boolean;
     /** Whether a task that may crash the worker is on trial here, so that no other task may start. */
     isOnTrial: boolean;
+    /** Runs here that are still suspected of crashes, planned ones included; after a time they leave the worker to others. */
+    suspected: SuspectedRuns;
     /** Whether tasks that have waited for a trial may join the one here. */
     sharesTrial: boolean;
     /** Step of the gang whose members share the trial that the pass plans here, as written by `formatStepKey`. */
@@ -228,6 +237,7 @@
         speed: 1,
         isHeld: false,
         isOnTrial,
+        suspected: sumSuspectedRuns(state, statuses),
         sharesTrial: isOnTrial && hasSharedTrial(state, statuses),
         trialGang: undefined,
         statuses,
@@ -263,17 +273,36 @@
     addTask(candidate, job, spec, stepKey, change);
 }
 
+/**
+ * Trials that a task joins: none, none but beside runs that stay suspected after theirs, those that their tasks share, or those of
+ * long-running tasks.
+ */
+export type JoinedTrial = "none" | "beside" | "shared" | "lasting";
+
 /** Whether a worker is free of trials, or takes a task of a step into the one that it has. */
-function allowsTrial(candidate: WorkerCandidate, stepKey: string, joinsTrial: boolean): boolean {
-    return joinsTrial ? candidate.sharesTrial : !candidate.isOnTrial || candidate.trialGang === stepKey;
+function allowsTrial(candidate: WorkerCandidate, stepKey: string, joins: JoinedTrial): boolean {
+    switch (joins) {
+        case "none":
+        case "beside":
+            return !candidate.isOnTrial || candidate.trialGang === stepKey;
+        case "shared":
+            return candidate.isOnTrial && candidate.sharesTrial;
+        case "lasting":
+            return candidate.suspected.areLasting && candidate.trialGang === undefined;
+    }
 }
 
 /**
  * Whether the limits and labels of a worker allow a task of a step to start there if its resources suffice. A task that joins a trial
  * starts only where there is one that it may share.
  */
-export function isEligible(candidate: WorkerCandidate, spec: StepSpec, stepKey: string, joinsTrial = false): boolean {
-    return allowsTrial(candidate, stepKey, joinsTrial) && isEligibleBesideTrial(candidate, spec, stepKey);
+export function isEligible(
+    candidate: WorkerCandidate,
+    spec: StepSpec,
+    stepKey: string,
+    joins: JoinedTrial = "none",
+): boolean {
+    return allowsTrial(candidate, stepKey, joins) && isEligibleBesideTrial(candidate, spec, stepKey);
 }
 
 function isEligibleBesideTrial(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
@@ -306,8 +335,13 @@
 }
 
 /** Whether the limits, labels and free resources of a worker allow a task of a step to start there. */
-export function hasCapacity(candidate: WorkerCandidate, spec: StepSpec, stepKey: string, joinsTrial = false): boolean {
-    return isEligible(candidate, spec, stepKey, joinsTrial) && hasResources(candidate, spec, stepKey);
+export function hasCapacity(
+    candidate: WorkerCandidate,
+    spec: StepSpec,
+    stepKey: string,
+    joins: JoinedTrial = "none",
+): boolean {
+    return isEligible(candidate, spec, stepKey, joins) && hasResources(candidate, spec, stepKey);
 }
 
 function hasResources(candidate: WorkerCandidate, spec: StepSpec, stepKey: string): boolean {
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -32,7 +32,10 @@
     hasSharedTrial,
     hasTrial,
     isDeadly,
+    isLikelyCause,
     needsTrial,
+    sumSuspectedRuns,
+    type SuspectedRuns,
 } from "./worker-crashes.js";
 export {
     countAllowedStarts,
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -35,9 +35,9 @@
 const lifeTrialFactor = 1.25;
 /**
  * Crashes in the life of a task, and odds that it is their cause, from which it is given up. It may start twice after three
- * crashes, and is alone then, so that less is asked of the fifth.
+ * crashes, so that less is asked of the fifth. The fourth is not enough for the odds that a long-running task reaches beside the cause.
  */
-const lifeLimits = [{ crashes: 4, odds: 1 }, { crashes: 5, odds: 0.3 }] as const;
+const lifeLimits = [{ crashes: 4, odds: 3 }, { crashes: 5, odds: 0.3 }] as const;
 
 function exceedsLifeLimit(
     task: JobTask,
@@ -87,26 +87,73 @@
     return (crashes?.crashes ?? 0) >= crashesForTrial ? longTrialMs : trialMs;
 }
 
+/** Odds that a task crashes its workers from which it counts as a likely cause. */
+const likelyCauseOdds = 0.3;
+
+/**
+ * Time for which a run on trial keeps other runs from its worker, in milliseconds. It may stay suspected for longer, because some tasks
+ * crash their worker late; most of them are innocent, and a worker for each for all of that time leaves none to others.
+ */
+function computeAloneMs(task: JobTask): number {
+    return Math.min(computeProvingMs(task), longTrialMs);
+}
+
+function hasBeenReportedFor(status: RunStatus | undefined, durationMs: number): boolean {
+    return status?.start === "confirmed" && status.readAtMs - status.orderedAtMs >= durationMs;
+}
+
 /** Whether the worker has reported a run for so long that the run does not crash it. */
 function hasProvedItself(task: JobTask, status: RunStatus | undefined): boolean {
-    return status?.start === "confirmed" && status.readAtMs - status.orderedAtMs >= computeProvingMs(task);
+    return hasBeenReportedFor(status, computeProvingMs(task));
+}
+
+function isOnTrial(task: JobTask, status: RunStatus | undefined): boolean {
+    return needsTrial(task) && !hasBeenReportedFor(status, computeAloneMs(task));
 }
 
 /** Whether a worker has a run on trial, so that no other run may start on it. */
 export function hasTrial({ runs }: WorkerState, statuses: RunStatuses | undefined): boolean {
     for (const [key, { task }] of runs) {
-        if (needsTrial(task) && !hasProvedItself(task, statuses?.get(key))) {
+        if (isOnTrial(task, statuses?.get(key))) {
             return true;
         }
     }
     return false;
 }
 
+/** Whether a task is so likely to crash its workers that a long-running one shares them only after a longer wait. */
+export function isLikelyCause(task: JobTask): boolean {
+    return computeCrashOdds(task) >= likelyCauseOdds;
+}
+
+/** The runs on a worker that are suspected of the crashes of their tasks and have not proved themselves. */
+export interface SuspectedRuns {
+    readonly count: number;
+    /** Sum of the odds that their tasks crash their workers. */
+    readonly odds: number;
+    /** Whether all of them are long-running and none is of a gang. */
+    readonly areLasting: boolean;
+}
+
+/** Sums up the suspected runs on a worker. */
+export function sumSuspectedRuns({ runs }: WorkerState, statuses: RunStatuses | undefined): SuspectedRuns {
+    let count = 0;
+    let odds = 0;
+    let areLasting = true;
+    for (const [key, { task, step }] of runs) {
+        if (needsTrial(task) && !hasProvedItself(task, statuses?.get(key))) {
+            count += 1;
+            odds += computeCrashOdds(task);
+            areLasting &&= step.spec.longRunning && !step.spec.gang;
+        }
+    }
+    return { count, odds, areLasting };
+}
+
 /** Whether all runs that are on trial on a worker may share it with further ones. The members of a gang share it with each other only. */
 export function hasSharedTrial({ runs }: WorkerState, statuses: RunStatuses | undefined): boolean {
     for (const [key, { task, step }] of runs) {
-        const isOnTrial = needsTrial(task) && !hasProvedItself(task, statuses?.get(key));
-        if (isOnTrial && (step.spec.gang || !canShareTrial(task))) {
+        if (isOnTrial(task, statuses?.get(key)) && (step.spec.gang || !canShareTrial(task))) {
             return false;
         }
     }
