Plan urgent steps in short passes beside a long backlog that no pass reaches

Cause: a pass that its limit of ratings ends gives its second half to the steps that no pass has reached, and first to all that ten passes have not reached. Behind a long backlog of them an urgent step waited for up to ten passes, although three quarters of a pass could plan all urgent steps. Read while looking for who is served last in a leader without processor time.

Change: such steps take turns with the other unreached ones in order.

Conclusion: the order is kept in short passes.

--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -15,7 +15,7 @@
  */
 const firstStepsShare = 0.5;
 /**
- * Number of passes after which a step that none of them has reached goes before the other such steps, so that new steps
+ * Number of passes after which a step that none of them has reached takes turns with the other such steps, so that new steps
  * of a higher priority do not keep it out without end.
  */
 const longestPassesUnreached = 10;
@@ -53,7 +53,10 @@
     };
 }
 
-/** Lists the steps that were not reached: those that have waited for too many passes first, the others in order. */
+/**
+ * Lists the steps that were not reached: one that has waited for too many passes, then the next one in order, in turns. Behind all
+ * steps of a long backlog an urgent step would wait for as many passes as they have.
+ */
 function listUnreached<Step extends { readonly step: JobStep; }>(memory: PlanMemory, ordered: readonly Step[]): Step[] {
     const starving: Step[] = [];
     const others: Step[] = [];
@@ -65,7 +68,11 @@
         memory.unreachedSince.set(waiting.step, since);
         (memory.passes - since >= longestPassesUnreached ? starving : others).push(waiting);
     }
-    return [...starving, ...others];
+    const listed: Step[] = [];
+    for (let position = 0; position < Math.max(starving.length, others.length); position += 1) {
+        listed.push(...starving.slice(position, position + 1), ...others.slice(position, position + 1));
+    }
+    return listed;
 }
 
 /**
