Split the planner of starts, starved steps and worker sessions by their jobs

The starts of single tasks with their trials, the waits of starved jobs and tasks, and the sending of renewals are modules of their own now; the waits for a trial and for held workers share their count.

--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -8,7 +8,6 @@
     createWorkerHealth,
     hasTrial,
     recordClock,
-    renewLease,
     type ReportOutcome,
 } from "@chestnutspool/track-workers";
 import {
@@ -20,7 +19,7 @@
     type RunKey,
     type WorkerInfo,
 } from "@chestnutspool/types";
-import { Effect, Option, Queue } from "effect";
+import { Effect, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
 import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
@@ -29,6 +28,7 @@
 import { rateRunEnd } from "./rate-run-ends.js";
 import { observeBegunJobs } from "./record-begun-jobs.js";
 import { sendStop } from "./send-orders.js";
+import { checkRestart, renewGraceMs, renewSilentWorker, sendRenewal } from "./send-renewals.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
 import { measurePart } from "./term-load.js";
@@ -57,13 +57,6 @@
 const doubtfulSpeed = 0.9;
 /** Longest such delay while a run is on trial, so that others may soon start on the worker, in milliseconds. */
 const trialIntervalMs = 200;
-/** Time beyond this delay after which a renewal counts as lost, in milliseconds. */
-const renewGraceMs = 600;
-/**
- * Share of a lease for which the answer of a worker that has missed a renewal is awaited, while further renewals are sent.
- * The work of a worker that only answers slowly must not end with its lease.
- */
-const slowAnswerShare = 0.5;
 /** Answers of a silent worker that are kept until they are applied; more renewals than this are never in progress. */
 const lateAnswerLimit = 8;
 /** Time after the opening of a session in which answers of an earlier start of the worker arrive, in milliseconds. */
@@ -283,101 +276,6 @@
     return isLearning || isSpeedDoubtful(term, state, nowMs) ? learningIntervalMs : reportIntervalMs;
 }
 
-/**
- * Finds the sequence number that the next renewal acknowledges; 0 for none. The worker may have started again, and would forget
- * its first ends, so that nothing is acknowledged to one that has missed a renewal, and nothing twice.
- */
-function findSequenceToAcknowledge(
-    { isResponsive, acknowledgedSequence, confirmedSequence }: WorkerSession,
-): number {
-    return isResponsive && acknowledgedSequence > confirmedSequence ? acknowledgedSequence : 0;
-}
-
-/** Whether an answer shows that a renewal has arrived at the start that a session is for, or will never arrive. */
-function isAnsweredBy({ info }: WorkerSession, answer: RenewAnswer): boolean {
-    switch (answer.kind) {
-        case "report":
-            return compareStarts(answer, info) === "same";
-        case "refused":
-        case "notSent":
-            return true;
-        case "unknown":
-            return false;
-    }
-}
-
-/** Sends one renewal; the answer carries the time at which it was sent and what it acknowledged. */
-const sendRenewal = Effect.fnUntraced(function*(
-    term: Term,
-    session: WorkerSession,
-    waitMs: number,
-    limitMs: number,
-) {
-    const sentAtMs = yield* readMonotonicMs;
-    session.renewalSentAtMs = sentAtMs;
-    // The lease of a worker that does not answer is not extended: orders may arrive while the answers are lost.
-    const mayRenew = session.lease !== undefined && session.isResponsive;
-    if (session.lease !== undefined && mayRenew) {
-        session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
-        session.leaseOrderSentAtMs = sentAtMs;
-    }
-    const acknowledgedSequence = findSequenceToAcknowledge(session);
-    const unansweredBefore = session.unansweredAcknowledgement;
-    if (acknowledgedSequence > 0) {
-        session.unansweredAcknowledgement = { sequence: acknowledgedSequence, sentAtMs };
-    }
-    const answer = yield* term.workers.renewLease(session.info, {
-        leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
-        fencingToken: session.fencingToken,
-        acknowledgedSequence,
-        waitMs,
-    }, limitMs);
-    if (acknowledgedSequence > 0 && isAnsweredBy(session, answer)) {
-        session.unansweredAcknowledgement = unansweredBefore;
-    }
-    return { answer, sentAtMs, acknowledgedSequence } satisfies RenewalAnswer;
-});
-
-/** Sends a renewal that changes nothing as soon as another start of the worker seems to have answered an order. */
-const checkRestart = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
-    yield* Queue.take(session.restartSigns);
-    const sentAtMs = yield* readMonotonicMs;
-    term.logger.info("another start of a worker seems to answer", {
-        worker: session.info.id,
-        bornAtMs: session.info.bornAtMs,
-    });
-    const answer = yield* term.workers.renewLease(session.info, {
-        leaseUntilMs: undefined,
-        fencingToken: session.fencingToken,
-        acknowledgedSequence: 0,
-        waitMs: 0,
-    }, renewGraceMs);
-    return { answer, sentAtMs, acknowledgedSequence: 0 } satisfies RenewalAnswer;
-});
-
-/**
- * Sends a renewal to a worker that has missed one. It waits no longer for the answer than usual, so that the next renewal
- * finds a worker that is back, but takes the answers to the earlier ones as well.
- */
-const renewSilentWorker = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
-    const renewal = sendRenewal(term, session, 0, term.limits.longestLeaseMs * slowAnswerShare);
-    const order = Effect.map(renewal, renewed => {
-        const isFailure = renewed.answer.kind === "unknown" || renewed.answer.kind === "notSent";
-        const isLatest = renewed.sentAtMs === session.renewalSentAtMs;
-        if (!session.isResponsive && (isLatest || !isFailure)) {
-            Queue.offerUnsafe(session.lateAnswers, renewed);
-        }
-    });
-    const context = { term: term.number, worker: session.info.id };
-    yield* Effect.forkIn(superviseOrder(term, "renewal", context, order), term.scope);
-    const answered = yield* Effect.timeoutOption(Queue.take(session.lateAnswers), renewGraceMs);
-    return Option.getOrElse(answered, (): RenewalAnswer => ({
-        answer: { kind: "unknown", detail: `no answer within ${renewGraceMs} ms` },
-        sentAtMs: session.renewalSentAtMs,
-        acknowledgedSequence: 0,
-    }));
-});
-
 /**
  * Renews the lease of a worker once and applies its report. Tells whether the session is kept or has ended, or that the worker has
  * started again.
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -1,11 +1,10 @@
 import type { JobStep } from "@chestnutspool/job-state";
 import { type ContentionMemory, createContentionMemory } from "./contended-pools.js";
-import type { HoldWaits } from "./hold-waits.js";
 import type { PendingMoves } from "./pending-moves.js";
 import type { PlanningPass } from "./planning-pass.js";
 import { createStarvationMemory, type StarvationMemory } from "./starved-steps.js";
+import type { StepWaits } from "./step-waits.js";
 import type { BlockedTrials } from "./trial-obstacles.js";
-import type { TrialWaits } from "./trial-waits.js";
 
 /**
  * First limit of the ratings of workers in one pass, so that a long backlog does not block the process. At 1,300 workers
@@ -39,8 +38,8 @@
     lastPass: PlanningPass | undefined;
     readonly starvation: StarvationMemory;
     readonly contention: ContentionMemory;
-    readonly trialWaits: TrialWaits;
-    readonly holdWaits: HoldWaits;
+    readonly trialWaits: StepWaits;
+    readonly holdWaits: StepWaits;
     /** Steps with tasks that wait for a trial, for the log. */
     readonly blockedTrials: BlockedTrials;
     readonly moves: PendingMoves;
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -1,5 +1,5 @@
 import type { JobRecord, JobState, JobTask } from "@chestnutspool/job-state";
-import { canShareTrial, isLikelyCause, needsTrial } from "@chestnutspool/track-workers";
+import { needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart } from "@chestnutspool/types";
 import { orderContended, recordContendedStarts } from "./contended-pools.js";
 import { observeHoldWait } from "./hold-waits.js";
@@ -9,6 +9,7 @@
 import { groupByService, listCandidates, type PlanInput } from "./plan-input.js";
 import { createPlanMemory, type PlanMemory, planWithinLimit } from "./plan-memory.js";
 import { planStarvedSteps, type StarvedAttempt } from "./plan-starved-steps.js";
+import { planDeferredTrials, planSharedTrials, planTaskStarts, recordTrialsWithoutRoom } from "./plan-task-starts.js";
 import {
     countAfterRefusal,
     countStartable,
@@ -17,20 +18,18 @@
     listStepCandidates,
     type PlanningPass,
     recordUnmet,
-    reserveTrialWorker,
     reserveWorker,
-    type StepPlan,
 } from "./planning-pass.js";
 import { formatWaitingKey } from "./rack-wants.js";
 import { createStart, listStartable } from "./startable-tasks.js";
 import { listRefusingWorkers, listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
-import { expireBlockedTrials, recordBlockedTrial, type TrialObstacle } from "./trial-obstacles.js";
-import { observeTrialWait, type TrialPatience } from "./trial-waits.js";
+import { expireBlockedTrials, recordBlockedTrial } from "./trial-obstacles.js";
+import { observeTrialWait } from "./trial-waits.js";
 import { cancelGangTrial, canTry, canTryAfterWait, countTrials, hasRun } from "./trials.js";
 import { createUnmetRequirements } from "./unmet-requirements.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
-import { hasReservation, type JoinedTrial, releaseCapacity, type WorkerCandidate } from "./worker-candidate.js";
+import { hasReservation, releaseCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
 /**
  * Limit of starts per pass, so that a burst of tasks does not block the process. The starts of gangs count, but are not
@@ -63,92 +62,6 @@
     planTaskStarts(pass, plan, tasks.slice(0, limit), starved?.task === undefined);
 }
 
-/** Decides what a task that finds no trial of its own joins after a wait; undefined if it waits on. */
-function decideJoinedTrial(
-    pass: PlanningPass,
-    { job, step }: WaitingStep,
-    task: JobTask,
-    patience: TrialPatience,
-): JoinedTrial | undefined {
-    const { service } = job.queue;
-    switch (patience) {
-        case "waits":
-            return undefined;
-        case "shares":
-            // A likely cause takes a worker without other suspects first, so that the next crash does not speak against these.
-            return !step.spec.longRunning
-                ? undefined
-                : !isLikelyCause(task)
-                ? "lasting"
-                : canTryAfterWait(pass.trials, service)
-                ? "none"
-                : undefined;
-        case "sharesAll":
-            return step.spec.longRunning ? "lasting" : canTry(pass.trials, service, task) ? "beside" : undefined;
-    }
-}
-
-/**
- * Plans trials of tasks that find none of their own and have waited for long. Long-running ones join others like them: the users' bound on
- * the time without a run holds for each task, and their number does not depend on that of the workers. The others stay blocked.
- */
-function planTrialsAfterWait(
-    pass: PlanningPass,
-    waiting: WaitingStep,
-    tasks: readonly JobTask[],
-    obstacle: TrialObstacle,
-): void {
-    const isLate = waiting.step.spec.longRunning || !hasRun(waiting.job, pass.starts);
-    const patience = isLate ? pass.observeTrialWait(waiting.step) : "waits";
-    const started = new Set<JobTask>();
-    const withoutWorker = new Set<JoinedTrial>();
-    for (const task of tasks) {
-        const joins = decideJoinedTrial(pass, waiting, task, patience);
-        if (joins === undefined || withoutWorker.has(joins)) {
-            continue;
-        }
-        const candidate = reserveTrialWorker(pass, createStepPlan(pass, waiting, { joins }), task);
-        if (candidate === undefined) {
-            withoutWorker.add(joins);
-            continue;
-        }
-        started.add(task);
-        pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
-    }
-    const blocked = tasks.filter(task => !started.has(task));
-    if (blocked.length > 0) {
-        pass.blockedTrials.push({ waiting, tasks: blocked });
-        pass.recordBlockedTrial(waiting, blocked.length, obstacle);
-    }
-}
-
-function planTaskStarts(pass: PlanningPass, plan: StepPlan, tasks: readonly JobTask[], defersTrials: boolean): void {
-    const { waiting } = plan;
-    for (const [position, task] of tasks.entries()) {
-        if (needsTrial(task)) {
-            if (!canTry(pass.trials, waiting.job.queue.service, task)) {
-                planTrialsAfterWait(pass, waiting, tasks.slice(position), "noFreeTrial");
-                return;
-            }
-            // A trial that has been deferred for long takes its turn, so that the steps of each pass do not take its place without end.
-            if (defersTrials && hasRun(waiting.job, pass.starts) && pass.observeTrialWait(waiting.step) === "waits") {
-                pass.deferredTrials.push({ waiting, tasks: tasks.slice(position) });
-                return;
-            }
-        }
-        const candidate = reserveWorker(pass, plan, task);
-        if (candidate === undefined) {
-            recordUnmet(pass, plan);
-            if (needsTrial(task)) {
-                const obstacle = plan.ratings.hasRoomOnTrial ? "workersOnTrial" : "noRoom";
-                planTrialsAfterWait(pass, waiting, tasks.slice(position), obstacle);
-            }
-            return;
-        }
-        pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
-    }
-}
-
 /**
  * Plans the start of a task that was stopped for a move: on the worker that kept a place for it, or, if its job has no other run, wherever
  * there is room now, because it ran until the planner stopped it.
@@ -190,54 +103,6 @@
     }
 }
 
-/** Plans the trials that other steps have left workers for. */
-function planDeferredTrials(pass: PlanningPass): void {
-    for (const { waiting, tasks } of pass.deferredTrials) {
-        const [first] = tasks;
-        if (first === undefined || !canTry(pass.trials, waiting.job.queue.service, first)) {
-            pass.recordBlockedTrial(waiting, tasks.length, "jobHasRun");
-        }
-        else if (isUnmet(pass, waiting)) {
-            pass.recordBlockedTrial(waiting, tasks.length, "noRoom");
-        }
-        else {
-            planTaskStarts(pass, createStepPlan(pass, waiting), tasks, false);
-        }
-    }
-}
-
-/** Reserves a worker for a trial that others may join, if the number of trials at a time allows one. */
-function reserveFirstOfShared(pass: PlanningPass, waiting: WaitingStep, task: JobTask): WorkerCandidate | undefined {
-    return canTryAfterWait(pass.trials, waiting.job.queue.service)
-        ? reserveTrialWorker(pass, createStepPlan(pass, waiting), task)
-        : undefined;
-}
-
-/**
- * Plans trials of tasks that have waited for long: they join those of others, because the number of trials at a time depends on the
- * workers, and the number of tasks that wait does not. Of a job that ends by itself only one task does, and none does while a gang waits
- * for the end of these trials.
- */
-function planSharedTrials(pass: PlanningPass): void {
-    for (const { waiting, tasks } of pass.blockedTrials) {
-        const { job, step } = waiting;
-        if (!step.spec.longRunning && hasRun(job, pass.starts)) {
-            continue;
-        }
-        if (pass.observeTrialWait(step) === "waits" || pass.blockedGangs.has(job.queue.service)) {
-            continue;
-        }
-        const plan = createStepPlan(pass, waiting, { joins: "shared" });
-        for (const task of tasks.filter(canShareTrial).slice(0, step.spec.longRunning ? tasks.length : 1)) {
-            const candidate = reserveTrialWorker(pass, plan, task) ?? reserveFirstOfShared(pass, waiting, task);
-            if (candidate === undefined) {
-                break;
-            }
-            pass.starts.push(createStart(waiting, task, task.lastRun + 1, candidate));
-        }
-    }
-}
-
 /** Plans starts of all tasks of a gang with the same run number, or of none. */
 function planGang(pass: PlanningPass, waiting: WaitingStep, isStarved: boolean): void {
     const { job, step } = waiting;
@@ -286,13 +151,6 @@
     return isUnmet(pass, waiting) && !hasReservation(pass.input.reservations ?? [], formatWaitingKey(waiting));
 }
 
-function recordTrialsWithoutRoom(pass: PlanningPass, waiting: WaitingStep): void {
-    const suspected = listStartable(waiting).filter(needsTrial).length;
-    if (suspected > 0) {
-        pass.recordBlockedTrial(waiting, suspected, "noRoom");
-    }
-}
-
 /** Plans starts of a step; a starved one may disturb serving tasks. */
 function planStep(pass: PlanningPass, waiting: WaitingStep, starved?: StarvedScope): void {
     if (countStartable(pass, waiting) === 0) {
--- a/packages/plan-jobs/src/starved-steps.ts
+++ b/packages/plan-jobs/src/starved-steps.ts
@@ -1,6 +1,20 @@
 import type { JobRecord, JobState, JobStep, JobTask } from "@chestnutspool/job-state";
-import type { RunStart, TaskKey, WorkerId } from "@chestnutspool/types";
+import type { RunStart, WorkerId } from "@chestnutspool/types";
 import type { Lateness } from "./predict-lateness.js";
+import {
+    endWait,
+    findStarted,
+    type FindUnstartedRun,
+    getKey,
+    hasRun,
+    observeWait,
+    observeWithoutRun,
+    recordStarts,
+    retryMs,
+    type Starvation,
+    type StarvationWaits,
+    type Waiter,
+} from "./starvation-waits.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
 /**
@@ -26,11 +40,6 @@
 const roundMs = 600;
 /** Share of the processors of a pool that is reserved at most while most of it is free. */
 const freeShare = 0.5;
-/**
- * Least time between two attempts to start a starved step of a job, in milliseconds. A run of a shorter time, such as a start that
- * the worker refuses, does not end the wait of the job.
- */
-const retryMs = 1_000;
 /** Length of the intervals for which the starts of starved steps of a service are limited, in milliseconds. */
 const intervalMs = 1_000;
 /**
@@ -39,37 +48,6 @@
  */
 const workerShare = 0.03;
 
-/** A job without a run, or a long-running task without one, whether others of its job run or not. */
-interface Waiter {
-    readonly job: JobRecord;
-    /** The long-running task; undefined for the job. */
-    readonly task: JobTask | undefined;
-}
-
-/** A job or a long-running task without a start that disturbs no serving task. */
-interface Starvation {
-    /** Wall-clock time at which a pass first found it without a run, in milliseconds since the epoch. */
-    readonly sinceMs: number;
-    /** Wall-clock time of the last start of one of its steps although it disturbs. */
-    startedAtMs: number;
-    /** Wall-clock time of the last attempt to start a step although it disturbs, by step. */
-    readonly triedAtMs: WeakMap<JobStep, number>;
-    /** Wall-clock time since which it has had no run, but for short ones. */
-    withoutRunSinceMs: number;
-    /** Wall-clock time of the last pass that found it without a run. */
-    foundAtMs: number;
-    /** Workers that have refused its starts since then; a worker that is tried again although it has refused begins a new set. */
-    readonly refusedBy: Set<WorkerId>;
-}
-
-/** The last starts of a job or a task; workers may refuse all of them. */
-interface UnconfirmedStarts {
-    readonly atMs: number;
-    readonly starts: readonly { readonly start: RunStart; readonly task: JobTask; }[];
-    /** The wait that the starts end unless workers refuse all of them. */
-    readonly starvation: Starvation;
-}
-
 /** Best-effort jobs without a run, for the log. */
 export interface StarvationSummary {
     /** Jobs without a run whose turn has come in the last pass, also those that are not starved yet. */
@@ -109,14 +87,11 @@
     /** Use of the pools, by service. */
     readonly pools: ReadonlyMap<string, PoolUse>;
     /** Number of the last run of a task that ended without having started; absent or undefined if none is known. */
-    readonly findUnstartedRun: ((task: TaskKey) => number | undefined) | undefined;
+    readonly findUnstartedRun: FindUnstartedRun;
 }
 
 /** What the planner remembers of jobs and of long-running tasks without a run. */
-export interface StarvationMemory {
-    readonly waits: WeakMap<JobRecord | JobTask, Starvation>;
-    /** Their last starts. */
-    readonly unconfirmed: WeakMap<JobRecord | JobTask, UnconfirmedStarts>;
+export interface StarvationMemory extends StarvationWaits {
     readonly services: Map<string, ServiceStarvation>;
     summary: StarvationSummary;
 }
@@ -175,90 +150,6 @@
     return known;
 }
 
-function getKey({ job, task }: Waiter): JobRecord | JobTask {
-    return task ?? job;
-}
-
-function hasRun({ job, task }: Waiter): boolean {
-    return task === undefined ? job.runsInProgress > 0 : task.runs.length > 0;
-}
-
-/**
- * Finds the last starts of a job or a task without a run if all of them have ended and none of them has started: workers have refused
- * them or have not carried them out. A start that was planned and not recorded is none of them. Where no such end is known, no run of a job
- * that has not begun has started; the state does not tell for how long it seemed to run, so that only the starts within `retryMs` before
- * `nowMs` count.
- */
-function findRefusedStarts(
-    { unconfirmed }: StarvationMemory,
-    waiter: Waiter,
-    findUnstartedRun: StarvationInput["findUnstartedRun"],
-    nowMs: number,
-): UnconfirmedStarts | undefined {
-    const last = hasRun(waiter) ? undefined : unconfirmed.get(getKey(waiter));
-    if (last === undefined) {
-        return undefined;
-    }
-    const isShort = !waiter.job.hasBegun && nowMs - last.atMs <= retryMs;
-    const isRefused = (start: RunStart): boolean => isShort || findUnstartedRun?.(start) === start.run;
-    return last.starts.every(({ task, start }) => task.lastRun === start.run && isRefused(start)) ? last : undefined;
-}
-
-/** Records the workers that have refused the last starts of a job or a task without a run; returns its wait, if one is known. */
-function observeWait(
-    memory: StarvationMemory,
-    waiter: Waiter,
-    findUnstartedRun: StarvationInput["findUnstartedRun"],
-    nowMs: number,
-): Starvation | undefined {
-    const key = getKey(waiter);
-    const refused = findRefusedStarts(memory, waiter, findUnstartedRun, nowMs);
-    if (refused === undefined) {
-        return memory.waits.get(key);
-    }
-    const { starts, starvation } = refused;
-    memory.unconfirmed.delete(key);
-    memory.waits.set(key, starvation);
-    // It had no run all the while.
-    starvation.foundAtMs = nowMs;
-    if (starts.some(({ start }) => starvation.refusedBy.has(start.worker))) {
-        starvation.refusedBy.clear();
-    }
-    starts.forEach(({ start }) => starvation.refusedBy.add(start.worker));
-    return starvation;
-}
-
-/**
- * Finds or creates what is remembered of a job or a task that a pass at `nowMs` finds without a run. Starts that workers have refused do not end
- * its wait.
- */
-function observeWithoutRun(
-    memory: StarvationMemory,
-    waiter: Waiter,
-    findUnstartedRun: StarvationInput["findUnstartedRun"],
-    nowMs: number,
-): Starvation {
-    const known = observeWait(memory, waiter, findUnstartedRun, nowMs);
-    if (known === undefined) {
-        const starvation = {
-            sinceMs: nowMs,
-            startedAtMs: Number.NEGATIVE_INFINITY,
-            triedAtMs: new WeakMap(),
-            withoutRunSinceMs: nowMs,
-            foundAtMs: nowMs,
-            refusedBy: new Set<WorkerId>(),
-        };
-        memory.waits.set(getKey(waiter), starvation);
-        return starvation;
-    }
-    if (nowMs - known.foundAtMs > retryMs) {
-        known.withoutRunSinceMs = nowMs;
-        known.refusedBy.clear();
-    }
-    known.foundAtMs = nowMs;
-    return known;
-}
-
 /** Whether a job or a task without a run has waited for too long at `nowMs` in a pool of which most is free. */
 function isOverdueInFreePool(
     memory: StarvationMemory,
@@ -346,45 +237,11 @@
     return starved.sort((left, right) => computeTurnMs(left) - computeTurnMs(right));
 }
 
-/** Finds the step and the task of a start of a job. */
-function findStarted(job: JobRecord, { occurrence, step: position, position: ofTask }: RunStart) {
-    const step = job.occurrences.get(occurrence)?.steps[position];
-    const task = step?.tasks[ofTask];
-    return step === undefined || task === undefined ? undefined : { step, task };
-}
-
 /** Lists the tasks of starts of a job. */
 export function listStartedTasks(job: JobRecord, starts: readonly RunStart[]): JobTask[] {
     return starts.flatMap(start => findStarted(job, start)?.task ?? []);
 }
 
-/** Records the starts of a job or a task without a run, so that its wait goes on if workers refuse them. */
-function recordStarts(
-    { unconfirmed }: StarvationMemory,
-    waiter: Waiter,
-    starts: readonly RunStart[],
-    starvation: Starvation,
-    nowMs: number,
-): void {
-    const withTasks = starts.flatMap(start => {
-        const task = findStarted(waiter.job, start)?.task;
-        return task === undefined ? [] : [{ start, task }];
-    });
-    unconfirmed.set(getKey(waiter), { atMs: nowMs, starts: withTasks, starvation });
-}
-
-/** Forgets that a job or a task has waited, unless workers refuse its starts. */
-function endWait(
-    memory: StarvationMemory,
-    waiter: Waiter,
-    starts: readonly RunStart[],
-    findUnstartedRun: StarvationInput["findUnstartedRun"],
-    nowMs: number,
-): void {
-    recordStarts(memory, waiter, starts, observeWithoutRun(memory, waiter, findUnstartedRun, nowMs), nowMs);
-    memory.waits.delete(getKey(waiter));
-}
-
 /**
  * Forgets that a job and its long-running tasks have waited, because tasks of it start at `nowMs` without disturbing serving tasks. The
  * wait of those without a run goes on if workers refuse these starts.
@@ -393,7 +250,7 @@
     memory: StarvationMemory,
     job: JobRecord,
     starts: readonly RunStart[],
-    findUnstartedRun: StarvationInput["findUnstartedRun"],
+    findUnstartedRun: FindUnstartedRun,
     nowMs: number,
 ): void {
     if (job.runsInProgress > 0) {
@@ -418,7 +275,7 @@
 export function listRefusingWorkers(
     memory: StarvationMemory,
     waiting: WaitingStep,
-    findUnstartedRun: StarvationInput["findUnstartedRun"],
+    findUnstartedRun: FindUnstartedRun,
     nowMs: number,
 ): readonly WorkerId[] {
     return listWaiters(waiting).flatMap(waiter => {
