--- a/packages/job-state/src/crash-history.ts
+++ b/packages/job-state/src/crash-history.ts
@@ -1,5 +1,6 @@
 import type { WorkerCrash, WorkerInfo } from "@chestnutspool/types";
 import { forgetRuns } from "./counted-runs.js";
+import { findRack } from "./find-rack.js";
 import type { CrashHistory, JobState, JobStep, JobTask, RecentCrash, WorkerRun } from "./job-state.js";
 
 /** Odds that a task of which nothing is known crashes its workers; far above its share, so that few crashes suffice. */
@@ -104,10 +105,11 @@
  */
 export function recordCrashHistory(
     state: JobState,
-    { id, service, availabilityZone, labels }: WorkerInfo,
+    worker: WorkerInfo,
     runs: readonly WorkerRun[],
     { silentMs = 0, suspectedRuns }: WorkerCrash,
 ): RecentCrash {
+    const { service, availabilityZone } = worker;
     state.recentCrashes = state.recentCrashes.filter(({ atMs }) => state.clockMs - atMs < recentMs)
         .map(crash => forgetRuns(crash, state.clockMs));
     const suspects = listSuspects(runs);
@@ -127,9 +129,9 @@
         service,
         explainedPercent: computeExplainedPercent(runs),
         expectedPercent,
-        worker: id,
+        worker: worker.id,
         availabilityZone,
-        rack: labels[1],
+        rack: findRack(worker),
         crashedAtMs: state.clockMs - silentMs,
         hasSuspects: suspectedRuns.length > 0,
     };
--- a/packages/job-state/src/index.ts
+++ b/packages/job-state/src/index.ts
@@ -8,6 +8,7 @@
 } from "./change-jobs.js";
 export { canCompleteLate, canCopyRun, countFailures } from "./change-runs.js";
 export { computeCrashOdds } from "./crash-history.js";
+export { findRack } from "./find-rack.js";
 export { createJobMachine, type JobMachine } from "./job-machine.js";
 export {
     acceptsStarts,
--- a/packages/job-state/src/outages.ts
+++ b/packages/job-state/src/outages.ts
@@ -1,5 +1,6 @@
 import type { WorkerInfo } from "@chestnutspool/types";
 import { takeBackRuns } from "./counted-runs.js";
+import { findRack } from "./find-rack.js";
 import type { CountedRun, JobState, RecentCrash } from "./job-state.js";
 import { formatStepKey, formatTaskKey } from "./run-keys.js";
 
@@ -40,12 +41,14 @@
 /** What the workers of an outage have in common. */
 type Domain = "zone" | "rack";
 
-function isInDomain(domain: Domain, crash: RecentCrash, { availabilityZone, labels }: WorkerInfo): boolean {
+function isInDomain(domain: Domain, crash: RecentCrash, worker: WorkerInfo): boolean {
+    const { availabilityZone } = worker;
+    const rack = findRack(worker);
     switch (domain) {
         case "zone":
             return availabilityZone === crash.availabilityZone;
         case "rack":
-            return availabilityZone === crash.availabilityZone && labels[1] !== undefined && labels[1] === crash.rack;
+            return availabilityZone === crash.availabilityZone && rack !== "" && rack === crash.rack;
     }
 }
 
@@ -74,7 +77,7 @@
 function listOutage(state: JobState, last: RecentCrash, domain: Domain): readonly RecentCrash[] {
     const inDomain = state.recentCrashes.filter(({ availabilityZone, rack }) =>
         availabilityZone === last.availabilityZone
-        && (domain === "zone" || (last.rack !== undefined && rack === last.rack))
+        && (domain === "zone" || (last.rack !== "" && rack === last.rack))
     );
     const crashes = inDomain.filter(crash => isSameTime(crash, last));
     const crashed = new Set(crashes.map(({ worker }) => worker));
--- a/packages/lead-jobs/src/late-crashes.test.ts
+++ b/packages/lead-jobs/src/late-crashes.test.ts
@@ -143,6 +143,18 @@
     [...busy].slice(0, workerCount / 2).forEach(worker => system.workers.crashWorker(worker, nowMs));
 });
 
+/** Crashes half of the workers three times beside the deadly task, and checks how often it starts after its third crash. */
+const checkLateStarts = Effect.fnUntraced(function*(system: TestSystem, workerCount: number, crashAfterMs: number) {
+    yield* passWithCrashes(system, crashAfterMs, 3_000);
+    for (let round = 0; round < 3; round += 1) {
+        yield* passWithCrashes(system, crashAfterMs, 4_000);
+        yield* crashHalf(system, workerCount);
+    }
+    yield* passWithCrashes(system, crashAfterMs, 7 * (crashAfterMs + 5_000) + 20_000);
+    const late = yield* countLateStarts(system, "deadly.0.0.0");
+    assert.ok(late <= startsAfterLimit, `started ${late} times after the third crash`);
+});
+
 // Guards against trials that are too short, or shared by too many, to tell a deadly task from long-running ones that have met as many
 // crashes.
 for (const workerCount of [4, 8]) {
@@ -164,14 +176,7 @@
                 );
             }
             yield* system.submit(makeJob("deadly", [makeStep({ resources })]));
-            yield* passWithCrashes(system, crashAfterMs, 3_000);
-            for (let round = 0; round < 3; round += 1) {
-                yield* passWithCrashes(system, crashAfterMs, 4_000);
-                yield* crashHalf(system, workerCount);
-            }
-            yield* passWithCrashes(system, crashAfterMs, 7 * (crashAfterMs + 5_000) + 20_000);
-            const late = yield* countLateStarts(system, "deadly.0.0.0");
-            assert.ok(late <= startsAfterLimit, `started ${late} times after the third crash`);
+            yield* checkLateStarts(system, workerCount, crashAfterMs);
             assert.equal(yield* readPhase(system, "deadly"), "failed");
         }),
     );
@@ -194,14 +199,7 @@
                     yield* system.submit(makeJob(job, [makeStep({ count: 3, longRunning: true, resources })]));
                 }
                 yield* system.submit(makeJob("deadly", [makeStep({ longRunning: true, resources })]));
-                yield* passWithCrashes(system, crashAfterMs, 3_000);
-                for (let round = 0; round < 3; round += 1) {
-                    yield* passWithCrashes(system, crashAfterMs, 4_000);
-                    yield* crashHalf(system, workerCount);
-                }
-                yield* passWithCrashes(system, crashAfterMs, 7 * (crashAfterMs + 5_000) + 20_000);
-                const late = yield* countLateStarts(system, "deadly.0.0.0");
-                assert.ok(late <= startsAfterLimit, `started ${late} times after the third crash`);
+                yield* checkLateStarts(system, workerCount, crashAfterMs);
                 const phases: string[] = [];
                 for (const job of ["deadly", ...jobs]) {
                     phases.push(yield* readPhase(system, job));
--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -1,4 +1,5 @@
 import {
+    findRack,
     formatRunKey,
     formatStepKey,
     formatTaskKey,
@@ -9,7 +10,6 @@
 } from "@chestnutspool/job-state";
 import {
     describeWait,
-    findRack,
     findWaitReason,
     listCandidates,
     listWaitingSteps,
--- a/packages/lead-jobs/src/silent-restart.test.ts
+++ b/packages/lead-jobs/src/silent-restart.test.ts
@@ -1,10 +1,11 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
-import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
+import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
 import {
     listOverlaps,
     makeWorker,
+    restartAfterCrashes,
     startTestSystemWith,
     type TestSystem,
     testSystem,
@@ -24,16 +25,7 @@
 
 /** A system with one worker whose connections stay open when it crashes, and whose clock has run for a while. */
 const setUpWorker = Effect.fnUntraced(function*(system: TestSystem) {
-    const restart = {
-        afterMs: silentMs,
-        nextInfo: (crashed: WorkerInfo, nowMs: number) => ({ ...crashed, bornAtMs: nowMs }),
-        keepsConnections: true,
-    };
-    system.workers.setCrashingRuns(
-        () => false,
-        restart,
-        worker => Effect.andThen(Effect.sleep(announceMs), system.announce(worker)),
-    );
+    restartAfterCrashes(system, silentMs, announceMs);
     system.workers.setBehaviour(() => ({ runMs: 600_000, outcome: "succeeded" }));
     yield* system.addWorker(first);
     yield* system.pass(20_000);
--- a/packages/lead-jobs/src/unlisted-ends.test.ts
+++ b/packages/lead-jobs/src/unlisted-ends.test.ts
@@ -1,8 +1,16 @@
 import { makeJob, makeStep } from "@chestnutspool/job-state/fakes";
-import { readMonotonicMs, type WorkerInfo } from "@chestnutspool/types";
+import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import assert from "node:assert/strict";
-import { lateOrderMs, listOverlaps, listRepeated, makeWorker, type TestSystem, testSystem } from "./fakes/index.js";
+import {
+    lateOrderMs,
+    listOverlaps,
+    listRepeated,
+    makeWorker,
+    restartAfterCrashes,
+    type TestSystem,
+    testSystem,
+} from "./fakes/index.js";
 
 /** Time for which a worker that crashed is silent until it starts again, in milliseconds. */
 const silentMs = 300;
@@ -17,16 +25,7 @@
 
 /** A system with one worker, which starts again under its id and whose connections stay open when it crashes. */
 const setUpWorker = Effect.fnUntraced(function*(system: TestSystem, afterMs: number = announceMs) {
-    const restart = {
-        afterMs: silentMs,
-        nextInfo: (crashed: WorkerInfo, nowMs: number) => ({ ...crashed, bornAtMs: nowMs }),
-        keepsConnections: true,
-    };
-    system.workers.setCrashingRuns(
-        () => false,
-        restart,
-        worker => Effect.andThen(Effect.sleep(afterMs), system.announce(worker)),
-    );
+    restartAfterCrashes(system, silentMs, afterMs);
     system.workers.setBehaviour(({ job }) => ({ runMs: job === "a" ? 1_000 : 1_500, outcome: "succeeded" }));
     yield* system.addWorker(makeWorker("w1", { bornAtMs: 1 }));
     yield* system.pass(13_000);
--- a/packages/plan-copies/src/copy-memory.ts
+++ b/packages/plan-copies/src/copy-memory.ts
@@ -1,5 +1,11 @@
-import { formatRunKey, type JobRecord, type JobStep, type JobTask, type WorkerRun } from "@chestnutspool/job-state";
-import { findRack } from "@chestnutspool/plan-jobs";
+import {
+    findRack,
+    formatRunKey,
+    type JobRecord,
+    type JobStep,
+    type JobTask,
+    type WorkerRun,
+} from "@chestnutspool/job-state";
 import type { RunStatus } from "@chestnutspool/track-workers";
 import type { RunEnd, RunKey, RunStart, WorkerId, WorkerInfo } from "@chestnutspool/types";
 import { computeElapsedMs, type RunTime } from "./estimate-runs.js";
--- a/packages/plan-copies/src/find-copy-worker.ts
+++ b/packages/plan-copies/src/find-copy-worker.ts
@@ -1,8 +1,7 @@
-import { computeReservation, formatStepKey, type JobState } from "@chestnutspool/job-state";
+import { computeReservation, findRack, formatStepKey, type JobState } from "@chestnutspool/job-state";
 import {
     computeFreeLater,
     findObstacle,
-    findRack,
     hasCapacity,
     isNewLongRunning,
     listWaitingSteps,
--- a/packages/plan-copies/src/find-stragglers.ts
+++ b/packages/plan-copies/src/find-stragglers.ts
@@ -1,5 +1,5 @@
-import { canCopyRun, isJobEnded, type JobStep, type WorkerRun } from "@chestnutspool/job-state";
-import { findRack, type PlanInput } from "@chestnutspool/plan-jobs";
+import { canCopyRun, findRack, isJobEnded, type JobStep, type WorkerRun } from "@chestnutspool/job-state";
+import type { PlanInput } from "@chestnutspool/plan-jobs";
 import type { RunStatus } from "@chestnutspool/track-workers";
 import type { WorkerId } from "@chestnutspool/types";
 import { canCopyTasks, type CopyMemory, followCopy } from "./copy-memory.js";
--- a/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
+++ b/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
@@ -3,7 +3,7 @@
  * planner with it.
  */
 
-import { formatStepKey, type JobTask } from "@chestnutspool/job-state";
+import { findRack, formatStepKey, type JobTask } from "@chestnutspool/job-state";
 import type { InterferenceModel } from "@chestnutspool/learn-interference";
 import type { RunStart, StepSpec } from "@chestnutspool/types";
 import { createContentionMemory, orderContended } from "../contended-pools.js";
@@ -12,7 +12,7 @@
 import { listCandidates, type PlanInput } from "../plan-input.js";
 import { createStart, listStartable } from "../startable-tasks.js";
 import { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "../waiting-steps.js";
-import { findRack, hasCapacity, releaseCapacity, reserveCapacity, type WorkerCandidate } from "../worker-candidate.js";
+import { hasCapacity, releaseCapacity, reserveCapacity, type WorkerCandidate } from "../worker-candidate.js";
 import { computeMarginGoal, predictMargin } from "./predict-margin-plainly.js";
 
 const startsPerPass = 500;
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -27,7 +27,6 @@
 export { listWaitingSteps, sortWaitingSteps, type WaitingStep } from "./waiting-steps.js";
 export {
     type CapacityReservation,
-    findRack,
     hasCapacity,
     isEligible,
     reserveCapacity,
--- a/packages/plan-jobs/src/observe-speeds.ts
+++ b/packages/plan-jobs/src/observe-speeds.ts
@@ -1,4 +1,4 @@
-import { formatStepKey, type WorkerRun, type WorkerState } from "@chestnutspool/job-state";
+import { findRack, formatStepKey, type WorkerRun, type WorkerState } from "@chestnutspool/job-state";
 import {
     isProgressDue,
     type ObservedRun,
@@ -8,7 +8,6 @@
 } from "@chestnutspool/learn-worker-speed";
 import type { RunStatus, RunStatuses } from "@chestnutspool/track-workers";
 import type { WorkerInfo } from "@chestnutspool/types";
-import { findRack } from "./worker-candidate.js";
 
 /**
  * Evidence of a best-effort task at full pace. The processors that others leave idle decide about its progress at least as
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -1,4 +1,4 @@
-import type { JobStep, JobTask } from "@chestnutspool/job-state";
+import { findRack, type JobStep, type JobTask } from "@chestnutspool/job-state";
 import { canShareTrial, needsTrial } from "@chestnutspool/track-workers";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
 import { chooseWorkers, selectCandidates } from "./keep-workers.js";
@@ -13,7 +13,7 @@
 import { startTrial, type TrialCounts } from "./trials.js";
 import type { UnmetRequirements } from "./unmet-requirements.js";
 import type { WaitingStep } from "./waiting-steps.js";
-import { findRack, type JoinedTrial, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
+import { type JoinedTrial, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
 
 /** State of one planning pass. */
 export interface PlanningPass {
--- a/packages/plan-jobs/src/rack-wants.ts
+++ b/packages/plan-jobs/src/rack-wants.ts
@@ -1,5 +1,6 @@
 import {
     computeReservation,
+    findRack,
     findReadyAtMs,
     formatRunKey,
     formatStepKey,
@@ -25,7 +26,7 @@
 import { computeChainMs } from "./predict-lateness.js";
 import { listStartable } from "./startable-tasks.js";
 import type { WaitingStep } from "./waiting-steps.js";
-import { findRack, type WorkerCandidate } from "./worker-candidate.js";
+import type { WorkerCandidate } from "./worker-candidate.js";
 
 /** What lets tasks wait for the rack that they prefer. */
 export interface PlacementWaits {
--- a/packages/plan-jobs/src/rate-workers.ts
+++ b/packages/plan-jobs/src/rate-workers.ts
@@ -1,7 +1,8 @@
+import { findRack } from "@chestnutspool/job-state";
 import type { InterferenceModel, PairEstimate } from "@chestnutspool/learn-interference";
 import type { StepSpec } from "@chestnutspool/types";
 import { type AddedShare, computeMarginGoal, predictExpectedMargin, predictMarginWithShare } from "./predict-margin.js";
-import { findRack, type JoinedTrial, type ServingMargin, type WorkerCandidate } from "./worker-candidate.js";
+import type { JoinedTrial, ServingMargin, WorkerCandidate } from "./worker-candidate.js";
 
 /** Margin (target / tail latency) that each serving task must keep when a task starts on its worker. */
 const leastMargin = 1;
--- a/packages/plan-jobs/src/step-placements.ts
+++ b/packages/plan-jobs/src/step-placements.ts
@@ -1,10 +1,10 @@
-import { computeReservation, isJobEnded } from "@chestnutspool/job-state";
+import { computeReservation, findRack, isJobEnded } from "@chestnutspool/job-state";
 import { type PlacementPlan, planPlacementWaits, type StepPlacement } from "@chestnutspool/plan-placement-waits";
 import { findShortage, type StepSpec } from "@chestnutspool/types";
 import type { PlanInput } from "./plan-input.js";
 import { createRackContext, formatWaitingKey, listRackWorkers, listWants } from "./rack-wants.js";
 import type { WaitingStep } from "./waiting-steps.js";
-import { findRack, type WorkerCandidate } from "./worker-candidate.js";
+import type { WorkerCandidate } from "./worker-candidate.js";
 
 /** Where the tasks of the steps may start in one pass. */
 export interface StepPlacements {
--- a/packages/plan-jobs/src/step-ratings.ts
+++ b/packages/plan-jobs/src/step-ratings.ts
@@ -1,7 +1,8 @@
+import { findRack } from "@chestnutspool/job-state";
 import { countUnprovedRuns } from "@chestnutspool/track-workers";
 import type { StepSpec, WorkerId } from "@chestnutspool/types";
 import { rateWorker, type RatingContext } from "./rate-workers.js";
-import { findRack, hasCapacity, hasRoomBesideTrial, type WorkerCandidate } from "./worker-candidate.js";
+import { hasCapacity, hasRoomBesideTrial, type WorkerCandidate } from "./worker-candidate.js";
 
 /** Ratings of the workers for the tasks of one step in a planning pass. */
 export interface StepRatings {
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -16,7 +16,6 @@
     type StepSpec,
     subtractResources,
     type WorkerId,
-    type WorkerInfo,
 } from "@chestnutspool/types";
 
 /**
@@ -110,14 +109,6 @@
     count: number;
 }
 
-/** Position of the rack in the labels of a worker. */
-const rackLabel = 1;
-
-/** Returns the rack of a worker; empty if it has no label for it. */
-export function findRack({ labels }: WorkerInfo): string {
-    return labels[rackLabel] ?? "";
-}
-
 function addTask(
     candidate: RunSums & Pick<WorkerCandidate, "state">,
     job: string,
--- a/packages/plan-preemption/src/plan-preemptions.ts
+++ b/packages/plan-preemption/src/plan-preemptions.ts
@@ -1,6 +1,5 @@
-import { computeReservation, formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
+import { computeReservation, findRack, formatStepKey, type JobState, type JobTask } from "@chestnutspool/job-state";
 import {
-    findRack,
     hasCapacity,
     isEligible,
     listCandidates,
