Compare the runs of an outage once for each time at which they started

When the workers of a zone crashed together, each crash kept every control replica busy for up to a quarter of a second: each run that the crashes of the outage had counted was compared with each other run of its step, also those whose counts were taken back, and the runs of all crashes were copied for each new one.

Runs without a count are skipped, the count of other crashes is kept for each start time of a step, and a crash of which nothing is taken back is left as it is. The result is the same.

--- a/packages/job-state/src/counted-runs.ts
+++ b/packages/job-state/src/counted-runs.ts
@@ -49,6 +49,9 @@
 
 /** Takes back what a crash has added to the counts of the tasks of some of its runs. */
 export function takeBackRuns(state: JobState, crash: RecentCrash, counted: readonly CountedRun[]): RecentCrash {
+    if (counted.length === 0) {
+        return crash;
+    }
     for (const run of counted) {
         const task = findTask(state, run);
         if (task !== undefined) {
--- a/packages/job-state/src/outages.test.ts
+++ b/packages/job-state/src/outages.test.ts
@@ -166,3 +166,39 @@
     crash(machine, "z0", [makeKey("j0")], testStartMs + 50);
     assert.equal(isBlamed(machine, makeKey("j0")), true);
 });
+
+// Guards against crashes that keep each replica busy for a quarter of a second: in the outage of a zone whose workers run one wide step,
+// each run was compared with each other one.
+test("a crash in an outage compares the runs of a step only once for each time at which they started", () => {
+    const workers = Array.from({ length: 40 }, (item, number) => makeWorker(`z${number}`, { availabilityZone: "z" }));
+    const runsPerWorker = 10;
+    const runCount = workers.length * runsPerWorker;
+    const machine = makeMachine(workers);
+    machine.submit(
+        makeJob("j0", [makeStep({ resources: { milliCpu: 1, memoryMib: 1, accelerators: 0 }, count: runCount })]),
+    );
+    const keys = Array.from({ length: runCount }, (item, position) => makeKey("j0", position));
+    keys.forEach((key, position) => start(machine, key, `z${Math.floor(position / runsPerWorker)}`, testStartMs));
+    const crashNext = (number: number): void =>
+        crash(
+            machine,
+            `z${number}`,
+            keys.slice(number * runsPerWorker, (number + 1) * runsPerWorker),
+            testStartMs + 50,
+        );
+    workers.slice(1).forEach((worker, position) => crashNext(position));
+    let reads = 0;
+    machine.state.recentCrashes = machine.state.recentCrashes.map(recent => ({
+        ...recent,
+        runs: recent.runs?.map(({ startedAtMs, ...run }) => ({
+            ...run,
+            get startedAtMs() {
+                reads += 1;
+                return startedAtMs;
+            },
+        })),
+    }));
+    crashNext(workers.length - 1);
+    assert.equal(countBlamed(machine, keys), runCount);
+    assert.ok(reads <= 6 * runCount, `${reads} reads of ${runCount} runs`);
+});
--- a/packages/job-state/src/outages.ts
+++ b/packages/job-state/src/outages.ts
@@ -88,11 +88,17 @@
     return isOutage ? crashes : [];
 }
 
+/** A run on a worker that crashed in an outage. */
+interface OutageRun {
+    readonly crash: RecentCrash;
+    readonly run: CountedRun;
+}
+
 /** Groups the runs of an outage by their steps, each with its crash. */
 function groupRuns(
     outage: readonly RecentCrash[],
-): Map<string, { readonly crash: RecentCrash; readonly run: CountedRun; }[]> {
-    const byStep = new Map<string, { readonly crash: RecentCrash; readonly run: CountedRun; }[]>();
+): Map<string, OutageRun[]> {
+    const byStep = new Map<string, OutageRun[]>();
     for (const crash of outage) {
         for (const run of crash.runs ?? []) {
             const stepKey = formatStepKey(run.key);
@@ -109,6 +115,30 @@
     return state.recentCrashes.some(crash => !isSameTime(crash, last) && crash.sparedTasks?.includes(task));
 }
 
+/**
+ * Creates a function that counts the crashes of workers on which no copy of a step started with a run that began at a given time. Most
+ * runs of a wide step begin at the same few times, so that the counts are kept.
+ */
+function createOtherCrashCounter(
+    ofStep: readonly OutageRun[],
+    crashes: readonly RecentCrash[],
+): (startedAtMs: number) => number {
+    const counts = new Map<number, number>();
+    return startedAtMs => {
+        const known = counts.get(startedAtMs);
+        if (known !== undefined) {
+            return known;
+        }
+        const own = new Set(
+            ofStep.filter(({ run }) => Math.abs(run.startedAtMs - startedAtMs) <= sameStartMs)
+                .map(({ crash }) => crash),
+        );
+        const count = crashes.filter(crash => !own.has(crash)).length;
+        counts.set(startedAtMs, count);
+        return count;
+    };
+}
+
 /**
  * Lists the runs of an outage that are not blamed for it, by crash: tasks cannot have caused the crashes of workers on which no copy of
  * theirs started with them.
@@ -122,18 +152,16 @@
     const unexplained = outage.filter(({ expectedPercent = 0 }) => expectedPercent < expectedLimitPercent);
     const isUnsuspected = outage.filter(({ hasSuspects }) => hasSuspects === false).length >= leastUnsuspected;
     for (const ofStep of groupRuns(outage).values()) {
-        for (const { crash, run } of ofStep) {
-            const own = new Set(
-                ofStep.filter(copy => Math.abs(copy.run.startedAtMs - run.startedAtMs) <= sameStartMs)
-                    .map(copy => copy.crash),
-            );
-            const others = unexplained.filter(other => !own.has(other)).length;
-            const isCounted = run.crashes + run.historyCrashes > 0;
+        const countOtherCrashes = createOtherCrashCounter(ofStep, unexplained);
+        const countedRuns = ofStep.filter(({ run }) => run.crashes + run.historyCrashes > 0);
+        for (const { crash, run } of countedRuns) {
             if (
-                isCounted && others >= leastOtherCrashes
+                countOtherCrashes(run.startedAtMs) >= leastOtherCrashes
                 && (run.suspicions === 0 || isUnsuspected || !hasBeenSpared(state, last, formatTaskKey(run.key)))
             ) {
-                spared.set(crash, [...spared.get(crash) ?? [], run]);
+                const ofCrash = spared.get(crash) ?? [];
+                spared.set(crash, ofCrash);
+                ofCrash.push(run);
             }
         }
     }
