Let suspected long-running tasks of a step share workers while many are on trial

A step of long-running tasks that crash their workers some seconds after each start took a whole service down at once.

While as many workers are on trial as may be, such a task now first joins a worker on which only tasks of its own step are suspected. They have a cause in common, and their job ends as a whole. Where these have no room, it takes any other as before, so that no task waits longer. To let tasks of all steps join each other was tried and taken back: four tests with one such task among innocent ones fail.

--- a/packages/lead-jobs/src/late-crashes.test.ts
+++ b/packages/lead-jobs/src/late-crashes.test.ts
@@ -211,3 +211,33 @@
         );
     }
 }
+
+/** Counts the workers that crashed under deadly tasks and were down at once, at most. */
+const countMostDown = Effect.fnUntraced(function*(system: TestSystem) {
+    const crashed = (yield* system.readStartedRuns).filter(({ task, hasCrashed }) => isDeadlyTask(task) && hasCrashed);
+    const counts = crashed.map(({ endedAtMs: atMs = 0 }) => {
+        const down = crashed.filter(({ endedAtMs = 0 }) => endedAtMs <= atMs && endedAtMs > atMs - restartMs);
+        return new Set(down.map(({ worker }) => worker)).size;
+    });
+    return Math.max(0, ...counts);
+});
+
+// Guards against a step of long-running tasks that crash their workers late and take most of a service down at once, because each of them
+// has a worker of its own once it has waited for its trial.
+for (const crashAfterMs of [2_500, 8_000]) {
+    testWithClock(
+        `long-running tasks of a step that crash their worker after ${crashAfterMs} ms are on at most half of the workers at once`,
+        Effect.gen(function*() {
+            yield* TestClock.setTime(testStartMs);
+            const system = yield* startTestSystem;
+            const workerCount = 16;
+            yield* setUpWorkers(system, workerCount);
+            const resources = { milliCpu: 100, memoryMib: 10, accelerators: 0 };
+            yield* system.submit(makeJob("deadly", [makeStep({ count: workerCount, longRunning: true, resources })]));
+            yield* passWithCrashes(system, crashAfterMs, 60_000);
+            assert.equal(yield* readPhase(system, "deadly"), "failed");
+            const mostDown = yield* countMostDown(system);
+            assert.ok(mostDown <= workerCount / 2, `${mostDown} of ${workerCount} workers down at once`);
+        }),
+    );
+}
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -17,6 +17,7 @@
     listStepCandidates,
     type PlanningPass,
     recordUnmet,
+    reserveJoinedTrial,
     reserveTrialWorker,
     reserveWorker,
     type StepPlan,
@@ -107,7 +108,7 @@
         if (joins === undefined || withoutWorker.has(joins)) {
             continue;
         }
-        const candidate = reserveTrialWorker(pass, createStepPlan(pass, waiting, { joins }), task);
+        const candidate = reserveJoinedTrial(pass, waiting, task, joins);
         if (candidate === undefined) {
             withoutWorker.add(joins);
             continue;
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -10,7 +10,7 @@
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
 import type { TrialObstacle } from "./trial-obstacles.js";
 import type { TrialPatience } from "./trial-waits.js";
-import { startTrial, type TrialCounts } from "./trials.js";
+import { canTryAfterWait, startTrial, type TrialCounts } from "./trials.js";
 import type { UnmetRequirements } from "./unmet-requirements.js";
 import type { WaitingStep } from "./waiting-steps.js";
 import { findRack, type JoinedTrial, reserveCapacity, type WorkerCandidate } from "./worker-candidate.js";
@@ -78,6 +78,8 @@
     readonly acceptsDisturbance?: boolean;
     /** Trials of other tasks that those which need one join. */
     readonly joins?: JoinedTrial;
+    /** Whether they start only on workers on which tasks of the step, and no others, are suspected. */
+    readonly joinsSiblings?: boolean;
     /** The only worker on which they may start. */
     readonly target?: WorkerId;
 }
@@ -86,7 +88,7 @@
 export function createStepPlan(
     pass: PlanningPass,
     waiting: WaitingStep,
-    { acceptsDisturbance = false, joins = "none", target }: StepPlanOptions = {},
+    { acceptsDisturbance = false, joins = "none", joinsSiblings = false, target }: StepPlanOptions = {},
 ): StepPlan {
     const { step } = waiting;
     const stepKey = formatWaitingKey(waiting);
@@ -100,7 +102,9 @@
         acceptsDisturbance,
         joins,
     };
-    const listed = listStepCandidates(pass, waiting);
+    const hasOnlySiblings = ({ suspected: { steps } }: WorkerCandidate): boolean => steps.size === 1 && steps.has(step);
+    const ofStep = listStepCandidates(pass, waiting);
+    const listed = joinsSiblings ? ofStep.filter(hasOnlySiblings) : ofStep;
     const refusing = pass.listRefusingWorkers(waiting);
     const leavesOutWorkers = refusing.length > 0;
     const candidates = target === undefined && !leavesOutWorkers
@@ -129,7 +133,7 @@
     const { job, step } = waiting;
     const candidate = ratings.chooseTrialWorker(step.spec.gang || canShareTrial(task));
     if (candidate !== undefined) {
-        startTrial(pass.trials, candidate, task, step.spec, stepKey);
+        startTrial(pass.trials, candidate, task, step, stepKey);
         reserveCapacity(candidate, job.id, step.spec, stepKey);
         ratings.updateAfterStart(candidate);
     }
@@ -189,3 +193,21 @@
     const afterRefusal = countAfterRefusal(pass, waiting) ?? Number.POSITIVE_INFINITY;
     return Math.min(pass.placements.countStartable(waiting), afterRefusal);
 }
+
+/**
+ * Reserves capacity for the trial of a task that joins others. While as many workers are on trial as may be, a long-running one first
+ * joins suspected tasks of its own step, with which it has a cause in common; otherwise a step whose tasks all crash their workers takes
+ * a service down.
+ */
+export function reserveJoinedTrial(
+    pass: PlanningPass,
+    waiting: WaitingStep,
+    task: JobTask,
+    joins: JoinedTrial,
+): WorkerCandidate | undefined {
+    const joinsSiblings = joins === "lasting" && !canTryAfterWait(pass.trials, waiting.job.queue.service);
+    const besideSiblings = joinsSiblings
+        ? reserveTrialWorker(pass, createStepPlan(pass, waiting, { joins, joinsSiblings }), task)
+        : undefined;
+    return besideSiblings ?? reserveTrialWorker(pass, createStepPlan(pass, waiting, { joins }), task);
+}
--- a/packages/plan-jobs/src/trials.ts
+++ b/packages/plan-jobs/src/trials.ts
@@ -1,6 +1,6 @@
-import { computeCrashOdds, type JobRecord, type JobState, type JobTask } from "@chestnutspool/job-state";
+import { computeCrashOdds, type JobRecord, type JobState, type JobStep, type JobTask } from "@chestnutspool/job-state";
 import { canShareTrial, hasTrial, type RunStatuses, sumSuspectedRuns } from "@chestnutspool/track-workers";
-import type { RunStart, StepSpec, WorkerId } from "@chestnutspool/types";
+import type { RunStart, WorkerId } from "@chestnutspool/types";
 import type { WorkerCandidate } from "./worker-candidate.js";
 
 /**
@@ -78,14 +78,16 @@
     trials: TrialCounts,
     candidate: WorkerCandidate,
     task: JobTask,
-    spec: StepSpec,
+    step: JobStep,
     stepKey: string,
 ): void {
-    const { count, odds, areLasting } = candidate.suspected;
+    const { spec } = step;
+    const { count, odds, areLasting, steps } = candidate.suspected;
     candidate.suspected = {
         count: count + 1,
         odds: odds + computeCrashOdds(task),
         areLasting: areLasting && spec.longRunning && !spec.gang,
+        steps: new Set([...steps, step]),
     };
     if (!candidate.isOnTrial) {
         const gangKey = spec.gang ? stepKey : undefined;
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -1,5 +1,6 @@
 import {
     computeCrashOdds,
+    type JobStep,
     type JobTask,
     type TaskCrashes,
     type WorkerRun,
@@ -136,6 +137,8 @@
     readonly odds: number;
     /** Whether all of them are long-running and none is of a gang. */
     readonly areLasting: boolean;
+    /** Their steps. */
+    readonly steps: ReadonlySet<JobStep>;
 }
 
 /** Sums up the suspected runs on a worker. */
@@ -143,14 +146,16 @@
     let count = 0;
     let odds = 0;
     let areLasting = true;
+    const steps = new Set<JobStep>();
     for (const [key, { task, step }] of runs) {
         if (needsTrial(task) && !hasProvedItself(task, statuses?.get(key))) {
+            steps.add(step);
             count += 1;
             odds += computeCrashOdds(task);
             areLasting &&= step.spec.longRunning && !step.spec.gang;
         }
     }
-    return { count, odds, areLasting };
+    return { count, odds, areLasting, steps };
 }
 
 /** Whether all runs that are on trial on a worker may share it with further ones. The members of a gang share it with each other only. */
