--- a/packages/plan-jobs/src/plan-task-starts.ts
+++ b/packages/plan-jobs/src/plan-task-starts.ts
@@ -5,6 +5,7 @@
     isUnmet,
     type PlanningPass,
     recordUnmet,
+    reserveJoinedTrial,
     reserveTrialWorker,
     reserveWorker,
     type StepPlan,
@@ -60,7 +61,7 @@
         if (joins === undefined || withoutWorker.has(joins)) {
             continue;
         }
-        const candidate = reserveTrialWorker(pass, createStepPlan(pass, waiting, { joins }), task);
+        const candidate = reserveJoinedTrial(pass, waiting, task, joins);
         if (candidate === undefined) {
             withoutWorker.add(joins);
             continue;
