--- a/packages/lead-jobs/src/rate-run-ends.ts
+++ b/packages/lead-jobs/src/rate-run-ends.ts
@@ -25,7 +25,7 @@
 const runTimeStepLimit = 2_000;
 /** Limit of the failed tasks whose worker is kept; with free capacity a task waits only seconds for its next run. */
 const failedTaskLimit = 10_000;
-/** Limit of the tasks whose last run without a start is kept; the planner asks for those of the last second. */
+/** Limit of the tasks whose last run without a start is kept; the planner asks for the last starts of jobs without a run. */
 const unstartedTaskLimit = 10_000;
 /**
  * Largest share of the workers that may be suspected. Above it the cause is not a single worker, so that all are used.
