--- a/packages/plan-jobs/src/trial-runs.test.ts
+++ b/packages/plan-jobs/src/trial-runs.test.ts
@@ -12,6 +12,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { makePlanInput } from "./fakes/make-plan-input.js";
+import { makeRunStart } from "./fakes/make-run-start.js";
 import { createPlanMemory } from "./plan-memory.js";
 import { planStarts } from "./plan-starts.js";
 
@@ -158,18 +159,10 @@
 // Guards against a task whose trial goes after the other steps in each pass without end, because these take each place that becomes free.
 test("a deferred trial takes its turn before a backlog after a second", () => {
     const machine = makeMachine([makeWorker("w0"), makeWorker("w1")]);
-    const makeStart = (job: string, position: number, worker: string): RunStart => ({
-        job,
-        occurrence: 0,
-        step: 0,
-        position,
-        run: 1,
-        worker,
-    });
     const whole = { milliCpu: 4_000, memoryMib: 10, accelerators: 0 };
     machine.submit(makeJob("suspects", [makeStep({ count: 2, resources: whole })]));
-    const suspectedRuns = [makeStart("suspects", 1, "w1")];
-    machine.apply({ kind: "startRuns", starts: [makeStart("suspects", 0, "w0"), ...suspectedRuns] });
+    const suspectedRuns = [makeRunStart("suspects", 1, "w1")];
+    machine.apply({ kind: "startRuns", starts: [makeRunStart("suspects", 0, "w0"), ...suspectedRuns] });
     const crash = { suspectedRuns, isCertain: false, clearedRuns: [] };
     machine.apply({ kind: "expireWorker", worker: "w1", isGone: false, checkpoints: [], crash });
     machine.submit(makeJob("backlog", [makeStep({ count: 100, resources: whole })]));
--- a/packages/plan-jobs/src/zone-crashes.test.ts
+++ b/packages/plan-jobs/src/zone-crashes.test.ts
@@ -1,7 +1,7 @@
 import { makeJob, makeMachine, makeStep, makeWorker } from "@chestnutspool/job-state/fakes";
-import type { RunStart } from "@chestnutspool/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { makeRunStart } from "./fakes/make-run-start.js";
 import { simulatePasses } from "./fakes/simulate-passes.js";
 import { type Scenario, type SimulatedJob, simulatePool } from "./fakes/simulated-pool.js";
 
@@ -50,22 +50,14 @@
 function setUpBacklog(): ReturnType<typeof makeMachine> {
     const workerIds = Array.from({ length: 12 }, (item, number) => `w${number}`);
     const machine = makeMachine(workerIds.map(id => makeWorker(id)));
-    const makeStart = (job: string, position: number, worker: string): RunStart => ({
-        job,
-        occurrence: 0,
-        step: 0,
-        position,
-        run: 1,
-        worker,
-    });
     const makeResources = (milliCpu: number) => ({ milliCpu, memoryMib: 10, accelerators: 0 });
     machine.submit(makeJob("lasting", [makeStep({ longRunning: true, count: 2, resources: makeResources(2_500) })]));
-    const suspectedRuns = [makeStart("lasting", 1, "w1")];
-    machine.apply({ kind: "startRuns", starts: [makeStart("lasting", 0, "w0"), ...suspectedRuns] });
+    const suspectedRuns = [makeRunStart("lasting", 1, "w1")];
+    machine.apply({ kind: "startRuns", starts: [makeRunStart("lasting", 0, "w0"), ...suspectedRuns] });
     const crash = { suspectedRuns, isCertain: true, clearedRuns: [] };
     machine.apply({ kind: "expireWorker", worker: "w1", isGone: false, checkpoints: [], crash });
     machine.submit(makeJob("others", [makeStep({ count: workerIds.length, resources: makeResources(1_500) })]));
-    machine.apply({ kind: "startRuns", starts: workerIds.map((id, number) => makeStart("others", number, id)) });
+    machine.apply({ kind: "startRuns", starts: workerIds.map((id, number) => makeRunStart("others", number, id)) });
     machine.submit(makeJob("backlog", [makeStep({ count: 100, resources: makeResources(1_400) })]));
     return machine;
 }
