Scan the runs of a worker once for its candidate

Each pass read all runs of each worker twice to tell suspected ones from those on trial, and made a set for each worker. A run on trial is always a suspected one, because its worker is left to others no later than it proves itself, so that workers without suspected runs need one scan and share one empty sum. The planner adds a planned run by the same function as the sum.

--- a/packages/plan-jobs/src/trials.ts
+++ b/packages/plan-jobs/src/trials.ts
@@ -1,5 +1,11 @@
-import { computeCrashOdds, type JobRecord, type JobState, type JobStep, type JobTask } from "@chestnutspool/job-state";
-import { canShareTrial, hasTrial, type RunStatuses, sumSuspectedRuns } from "@chestnutspool/track-workers";
+import type { JobRecord, JobState, JobStep, JobTask } from "@chestnutspool/job-state";
+import {
+    addSuspectedRun,
+    canShareTrial,
+    hasTrial,
+    type RunStatuses,
+    sumSuspectedRuns,
+} from "@chestnutspool/track-workers";
 import type { RunStart, WorkerId } from "@chestnutspool/types";
 import type { WorkerCandidate } from "./worker-candidate.js";
 
@@ -82,13 +88,7 @@
     stepKey: string,
 ): void {
     const { spec } = step;
-    const { count, odds, areLasting, steps } = candidate.suspected;
-    candidate.suspected = {
-        count: count + 1,
-        odds: odds + computeCrashOdds(task),
-        areLasting: areLasting && spec.longRunning && !spec.gang,
-        steps: new Set([...steps, step]),
-    };
+    candidate.suspected = addSuspectedRun(candidate.suspected, step, task);
     if (!candidate.isOnTrial) {
         const gangKey = spec.gang ? stepKey : undefined;
         candidate.sharesTrial = gangKey === undefined && canShareTrial(task);
--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -221,7 +221,9 @@
     startLimit?: number,
 ): WorkerCandidate {
     const { tasksByStep, idleMilliCpu, lastingMilliCpu, ending, servingGroups, bestEffortShares } = getRunSums(state);
-    const isOnTrial = hasTrial(state, statuses);
+    const suspected = sumSuspectedRuns(state, statuses);
+    // A run on trial is a suspected one.
+    const isOnTrial = suspected.count > 0 && hasTrial(state, statuses);
     return {
         state,
         free: subtractResources(state.info.capacity, state.used),
@@ -231,7 +233,7 @@
         isQuiet: false,
         isHeld: false,
         isOnTrial,
-        suspected: sumSuspectedRuns(state, statuses),
+        suspected,
         sharesTrial: isOnTrial && hasSharedTrial(state, statuses),
         trialGang: undefined,
         statuses,
--- a/packages/track-workers/src/index.ts
+++ b/packages/track-workers/src/index.ts
@@ -27,6 +27,7 @@
     type StartRejections,
 } from "./start-rejections.js";
 export {
+    addSuspectedRun,
     canShareTrial,
     countUnprovedRuns,
     findCrashSuspects,
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -141,21 +141,31 @@
     readonly steps: ReadonlySet<JobStep>;
 }
 
+const noSuspectedRuns: SuspectedRuns = { count: 0, odds: 0, areLasting: true, steps: new Set() };
+
 /** Sums up the suspected runs on a worker. */
 export function sumSuspectedRuns({ runs }: WorkerState, statuses: RunStatuses | undefined): SuspectedRuns {
-    let count = 0;
-    let odds = 0;
-    let areLasting = true;
-    const steps = new Set<JobStep>();
+    let sum = noSuspectedRuns;
     for (const [key, { task, step }] of runs) {
         if (needsTrial(task) && !hasProvedItself(task, statuses?.get(key))) {
-            steps.add(step);
-            count += 1;
-            odds += computeCrashOdds(task);
-            areLasting &&= step.spec.longRunning && !step.spec.gang;
+            sum = addSuspectedRun(sum, step, task);
         }
     }
-    return { count, odds, areLasting, steps };
+    return sum;
+}
+
+/** Adds a run of a task of a step to the suspected ones on its worker. */
+export function addSuspectedRun(
+    { count, odds, areLasting, steps }: SuspectedRuns,
+    step: JobStep,
+    task: JobTask,
+): SuspectedRuns {
+    return {
+        count: count + 1,
+        odds: odds + computeCrashOdds(task),
+        areLasting: areLasting && step.spec.longRunning && !step.spec.gang,
+        steps: new Set([...steps, step]),
+    };
 }
 
 /** Whether all runs that are on trial on a worker may share it with further ones. The members of a gang share it with each other only. */
