Find the task of a key, and the place of a crash, in one way each

The counts of crashes looked a task up as changes of runs do, and an outage compared zone and rack of crashes and of workers in two forms. A crash that is part of no outage no longer copies the list of the recent ones twice. No decision changes.

--- a/packages/job-state/src/change-runs.ts
+++ b/packages/job-state/src/change-runs.ts
@@ -7,11 +7,11 @@
     type RunKey,
     type RunStart,
     subtractResources,
-    type TaskKey,
     type WorkerCrash,
 } from "@chestnutspool/types";
 import { createCountedRun, subtractRun } from "./counted-runs.js";
 import { addRecentCrash, recordCrashHistory } from "./crash-history.js";
+import { findTask } from "./find-task.js";
 import { recordCheckpoint, unifyCheckpoint } from "./gang-checkpoints.js";
 import type {
     JobOccurrence,
@@ -40,17 +40,6 @@
     }
 }
 
-function findTask(state: JobState, key: TaskKey) {
-    const job = state.jobs.get(key.job);
-    const occurrence = job?.occurrences.get(key.occurrence);
-    const step = occurrence?.steps[key.step];
-    const task = step?.tasks[key.position];
-    if (job === undefined || occurrence === undefined || step === undefined || task === undefined) {
-        return undefined;
-    }
-    return { job, occurrence, step, task };
-}
-
 /**
  * Whether a task with one run in progress may get a second one: only while the job does not fail by the failure of the first
  * one, so that both failures together do not exceed the limit. No build plans any other copy, so that replicas of
--- a/packages/job-state/src/counted-runs.ts
+++ b/packages/job-state/src/counted-runs.ts
@@ -1,4 +1,5 @@
 import type { RunKey } from "@chestnutspool/types";
+import { findTask } from "./find-task.js";
 import type { CountedRun, JobState, JobTask, RecentCrash, WorkerRun } from "./job-state.js";
 import { createRunKey } from "./run-keys.js";
 
@@ -24,10 +25,6 @@
     };
 }
 
-function findTask({ jobs }: JobState, { key }: CountedRun): JobTask | undefined {
-    return jobs.get(key.job)?.occurrences.get(key.occurrence)?.steps[key.step]?.tasks[key.position];
-}
-
 /** Takes back what a crash has added to the counts of a task. */
 function removeCounts(task: JobTask, counted: CountedRun): void {
     const { crashes, crashHistory } = task;
@@ -53,9 +50,9 @@
         return crash;
     }
     for (const run of counted) {
-        const task = findTask(state, run);
-        if (task !== undefined) {
-            removeCounts(task, run);
+        const found = findTask(state, run.key);
+        if (found !== undefined) {
+            removeCounts(found.task, run);
         }
     }
     return {
--- a/packages/job-state/src/outages.ts
+++ b/packages/job-state/src/outages.ts
@@ -1,4 +1,3 @@
-import type { WorkerInfo } from "@chestnutspool/types";
 import { takeBackRuns } from "./counted-runs.js";
 import { findRack } from "./find-rack.js";
 import type { CountedRun, JobState, RecentCrash } from "./job-state.js";
@@ -41,14 +40,18 @@
 /** What the workers of an outage have in common. */
 type Domain = "zone" | "rack";
 
-function isInDomain(domain: Domain, crash: RecentCrash, worker: WorkerInfo): boolean {
-    const { availabilityZone } = worker;
-    const rack = findRack(worker);
+/** Whether a worker or a crash was in the zone or rack of a crash. */
+function isInDomain(
+    domain: Domain,
+    crash: RecentCrash,
+    place: Pick<RecentCrash, "availabilityZone" | "rack">,
+): boolean {
+    const isInZone = place.availabilityZone === crash.availabilityZone;
     switch (domain) {
         case "zone":
-            return availabilityZone === crash.availabilityZone;
+            return isInZone;
         case "rack":
-            return availabilityZone === crash.availabilityZone && rack !== "" && rack === crash.rack;
+            return isInZone && crash.rack !== "" && place.rack === crash.rack;
     }
 }
 
@@ -75,16 +78,14 @@
 
 /** Lists the crashes of the outage of a zone or rack to which the last one belongs; empty if too few of its workers have crashed. */
 function listOutage(state: JobState, last: RecentCrash, domain: Domain): readonly RecentCrash[] {
-    const inDomain = state.recentCrashes.filter(({ availabilityZone, rack }) =>
-        availabilityZone === last.availabilityZone
-        && (domain === "zone" || (last.rack !== "" && rack === last.rack))
-    );
+    const inDomain = state.recentCrashes.filter(crash => isInDomain(domain, last, crash));
     const crashes = inDomain.filter(crash => isSameTime(crash, last));
     const crashed = new Set(crashes.map(({ worker }) => worker));
     // A crashed worker may be back under another id.
     const bornBeforeMs = Math.min(...crashes.map(({ crashedAtMs = 0 }) => crashedAtMs)) - outageMs;
     const others = [...state.workers.values()].filter(({ info }) =>
-        isInDomain(domain, last, info) && !crashed.has(info.id) && (info.bornAtMs ?? 0) <= bornBeforeMs
+        isInDomain(domain, last, { availabilityZone: info.availabilityZone, rack: findRack(info) })
+        && !crashed.has(info.id) && (info.bornAtMs ?? 0) <= bornBeforeMs
     );
     const share = crashed.size / (crashed.size + others.length);
     const isOutage = crashed.size >= leastOutageWorkers && share >= leastOutageShare && !isChance(inDomain, crashes);
@@ -196,6 +197,9 @@
     }
     for (const domain of ["zone", "rack"] as const) {
         const outage = listOutage(state, last, domain);
+        if (outage.length === 0) {
+            continue;
+        }
         const spared = listSpared(state, outage, last);
         state.recentCrashes = state.recentCrashes.map(crash =>
             outage.includes(crash)
