Share what two logs, two waits and two tests of restarts did each

Both logs of waiting steps drop what no longer waits by one function, a wait is forgotten after one time, and the two properties of open connections are one, with the seeds and numbers of plays as before.

--- a/packages/lead-jobs/src/log-decisions.ts
+++ b/packages/lead-jobs/src/log-decisions.ts
@@ -187,6 +187,15 @@
     });
 }
 
+/** Drops what was logged of the steps that no longer wait, so that it is logged again once they do. */
+function dropOthers(logged: Map<string, unknown>, keptKeys: ReadonlySet<string>): void {
+    for (const key of logged.keys()) {
+        if (!keptKeys.has(key)) {
+            logged.delete(key);
+        }
+    }
+}
+
 /**
  * Logs the reason why a step waits if it has waited for at least `loggedWaitMs`, and again when the reason changes.
  * `loggedReasons` holds the last logged reason by step key; `nowMs` is wall-clock time in milliseconds.
@@ -238,11 +247,7 @@
             ...wait,
         });
     }
-    for (const key of loggedReasons.keys()) {
-        if (!describedKeys.has(key)) {
-            loggedReasons.delete(key);
-        }
-    }
+    dropOthers(loggedReasons, describedKeys);
 }
 
 /**
@@ -279,9 +284,5 @@
             memoryMib: step.spec.resources.memoryMib,
         });
     }
-    for (const key of loggedObstacles.keys()) {
-        if (!describedKeys.has(key)) {
-            loggedObstacles.delete(key);
-        }
-    }
+    dropOthers(loggedObstacles, describedKeys);
 }
--- a/packages/lead-jobs/src/random-faults.test.ts
+++ b/packages/lead-jobs/src/random-faults.test.ts
@@ -112,25 +112,21 @@
         endOnFailure: true,
     }));
 
+/** Checks plays in which workers start again while their connections stay open. */
+function checkOpenConnections(seed: number, numRuns: number): Promise<void> {
+    const property = fc.asyncProperty(
+        makeTimedEvents(eventsWithRestarts),
+        fc.integer({ min: 10, max: 1_000 }),
+        (list, announceMs) => playEvents(list, run => run === 1, { keepsConnections: true, announceMs }),
+    );
+    return fc.assert(property, { seed, numRuns, endOnFailure: true });
+}
+
 // Guards against orders to an earlier start that reach the later one before the leader knows of it.
 test("with workers that start again while their connections stay open, no runs of a task overlap", () =>
-    fc.assert(
-        fc.asyncProperty(
-            makeTimedEvents(eventsWithRestarts),
-            fc.integer({ min: 10, max: 1_000 }),
-            (list, announceMs) => playEvents(list, run => run === 1, { keepsConnections: true, announceMs }),
-        ),
-        { seed: 20_261_206, numRuns: 30, endOnFailure: true },
-    ));
+    checkOpenConnections(20_261_206, 30));
 
 // Guards against an acknowledgement to an earlier start that reaches the later one, which then never lists its first ends; with this
 // seed the leader repeated a task seven times.
 test("with workers that start again while their connections stay open, no success is repeated", () =>
-    fc.assert(
-        fc.asyncProperty(
-            makeTimedEvents(eventsWithRestarts),
-            fc.integer({ min: 10, max: 1_000 }),
-            (list, announceMs) => playEvents(list, run => run === 1, { keepsConnections: true, announceMs }),
-        ),
-        { seed: 8_104, numRuns: 40, endOnFailure: true },
-    ));
+    checkOpenConnections(8_104, 40));
--- a/packages/plan-jobs/src/step-waits.ts
+++ b/packages/plan-jobs/src/step-waits.ts
@@ -1,7 +1,7 @@
 import type { JobStep } from "@chestnutspool/job-state";
 
 /** Time after which a step that no pass has found waiting begins a new wait, in milliseconds. */
-const forgottenAfterMs = 1_000;
+export const forgottenAfterMs = 1_000;
 
 /** Times of a wait are wall-clock times in milliseconds since the epoch. */
 interface StepWait {
--- a/packages/plan-jobs/src/trial-obstacles.ts
+++ b/packages/plan-jobs/src/trial-obstacles.ts
@@ -1,4 +1,5 @@
 import type { JobOccurrence, JobRecord, JobStep } from "@chestnutspool/job-state";
+import { forgottenAfterMs } from "./step-waits.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
 /**
@@ -7,9 +8,6 @@
  */
 export type TrialObstacle = "noFreeTrial" | "jobHasRun" | "workersOnTrial" | "noRoom";
 
-/** Time after which a step that no pass has found waiting begins a new wait, in milliseconds. */
-const forgottenAfterMs = 1_000;
-
 /** A step with tasks that wait for a trial. Times are wall-clock times in milliseconds since the epoch. */
 export interface BlockedTrial {
     readonly job: JobRecord;
