Do not count a crash for a run whose start another start of its worker refused

Cause: of the refusals only those that end the run at once take back the crash that was counted for it. An order that was refused as otherWorker did not end its run, so that the two crashes of workers that had not carried it out stayed counted.

Change: such a refusal ends the run as never started, like the other refusals that leave no record on the worker.

Evidence: the test of orders that turn out not to be carried out has a third answer; it failed before (crash counted for both runs) and passes now.

--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -186,7 +186,7 @@
         case "refused":
             setStart(status, "excluded", nowMs);
             // The next report may list the end of a stale run. No other refusal leaves a record on the worker.
-            if (answer.reason !== "staleRun" && answer.reason !== "staleToken" && answer.reason !== "otherWorker") {
+            if (answer.reason !== "staleRun" && answer.reason !== "staleToken") {
                 yield* recordEnd(term, session, status.key, "neverStarted", "", true);
             }
             return;
--- a/packages/lead-jobs/src/unsent-orders.test.ts
+++ b/packages/lead-jobs/src/unsent-orders.test.ts
@@ -15,13 +15,18 @@
 const answers = [
     { kind: "notSent", detail: "socket hang up" },
     { kind: "refused", reason: "leaseOver", clockMs: undefined },
+    { kind: "refused", reason: "otherWorker", clockMs: undefined },
 ] as const;
 
+function describeAnswer(answer: (typeof answers)[number]): string {
+    return answer.kind === "notSent" ? answer.kind : `${answer.kind} as ${answer.reason}`;
+}
+
 for (const answer of answers) {
     // Guards against a task that is suspected of a crash, and waits for a trial, though its order was never carried out: the crash was
     // counted some milliseconds before the answer arrived.
     testWithClock(
-        `the crash of a worker does not count for a run whose order turns out to be ${answer.kind}`,
+        `the crash of a worker does not count for a run whose order turns out to be ${describeAnswer(answer)}`,
         Effect.gen(function*() {
             yield* TestClock.setTime(testStartMs);
             let isHeld = false;
