Change paces less often while the leader has no processor time left

Each costs the leader and a follower as much as a start, so that starts come later, more tasks wait, and more paces change.

Change: while the smoothed delay of the leader's timers is 8 ms or more, paces are planned every 300 ms instead of 150, in steps of 50% instead of 20%; below 4 ms as before.

--- a/packages/lead-jobs/src/lost-pace.test.ts
+++ b/packages/lead-jobs/src/lost-pace.test.ts
@@ -45,7 +45,7 @@
         yield* orderPace(status, 0, carryOut({ kind: "unknown", detail: "no answer" }), () => true);
         for (let atMs = 0; atMs < 60_000; atMs += 250) {
             interference.observeMargin("web", "web", 6, [], atMs);
-            for (const { percent } of planPaces(state, statuses, interference)) {
+            for (const { percent } of planPaces(state, statuses, interference, "fine")) {
                 yield* orderPace(status, percent, carryOut({ kind: "done", clockMs: atMs }), () => true);
             }
         }
--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -1,9 +1,10 @@
 import { formatTaskKey } from "@chestnutspool/job-state";
-import { type PaceChange, planPaces, recordUsage } from "@chestnutspool/plan-jobs";
+import { type PaceChange, type PaceDetail, planPaces, recordUsage } from "@chestnutspool/plan-jobs";
 import type { RunStatus } from "@chestnutspool/track-workers";
 import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { orderPace, type SendPaceOrder } from "./order-pace.js";
+import { choosePaceDetail, paceIntervalMs } from "./pace-detail.js";
 import { recordAnswer } from "./send-orders.js";
 import { superviseOrder } from "./supervise-loop.js";
 import { measurePart } from "./term-load.js";
@@ -47,9 +48,6 @@
     yield* orderPace(status, percent, sendOrder, mayContinue);
 });
 
-/** Interval at which paces are planned, in milliseconds; the load of a serving job changes within seconds. */
-const paceIntervalMs = 150;
-
 /**
  * Number of workers whose paces are planned before other work gets the thread, so that a round over 1,300 workers does
  * not delay leases and answers.
@@ -68,7 +66,9 @@
 
 /** Plans and sends the paces of best-effort tasks until the term ends, so that serving tasks meet their targets. */
 export const runPacing = Effect.fnUntraced(function*(term: Term) {
+    let detail: PaceDetail = "fine";
     while (canSendOrders(term, yield* readMonotonicMs)) {
+        detail = choosePaceDetail(detail, term.admission.busyness.delayMs);
         let workersInTurn = 0;
         let repeatsLeft = repeatsPerRound;
         for (const session of term.sessions.values()) {
@@ -79,7 +79,7 @@
             const nowMs = yield* readMonotonicMs;
             const { value: changes } = yield* measurePart(term.load, "paces", () => {
                 recordUsage(state, session.runStatuses, session.usage, nowMs);
-                return planPaces(state, session.runStatuses, term.interference);
+                return planPaces(state, session.runStatuses, term.interference, detail);
             });
             for (const change of changes) {
                 if (isRepeat(session, change)) {
@@ -98,6 +98,6 @@
                 yield* Effect.yieldNow;
             }
         }
-        yield* Effect.sleep(paceIntervalMs);
+        yield* Effect.sleep(paceIntervalMs[detail]);
     }
 });
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -9,7 +9,7 @@
 export { describeObservedRun, getWorkerPlace, observeSpeeds } from "./observe-speeds.js";
 export { listCandidates, type PlanInput } from "./plan-input.js";
 export { createPlanMemory, type PlanMemory } from "./plan-memory.js";
-export { type PaceChange, planPaces } from "./plan-paces.js";
+export { type PaceChange, type PaceDetail, planPaces } from "./plan-paces.js";
 export { planStarts } from "./plan-starts.js";
 export {
     computeChainMs,
--- a/packages/plan-jobs/src/plan-paces-choices.test.ts
+++ b/packages/plan-jobs/src/plan-paces-choices.test.ts
@@ -59,7 +59,7 @@
             const state = machine.state.workers.get("w1");
             assert.ok(state !== undefined);
             const expected = planPacesPlainly(state, statuses, interference);
-            assert.deepEqual(planPaces(state, statuses, interference), expected);
+            assert.deepEqual(planPaces(state, statuses, interference, "fine"), expected);
             changes += expected.length;
         }),
         { seed, numRuns: 1_500 },
--- a/packages/plan-jobs/src/plan-paces.ts
+++ b/packages/plan-jobs/src/plan-paces.ts
@@ -9,8 +9,11 @@
 const wantedMargin = 1.1;
 /** How far ahead the headroom is predicted, in milliseconds, because readings lag and a change of pace takes time. */
 const lookAheadMs = 800;
+/** How finely paces are planned: coarse ones waste some idle processors, and change less often. */
+export type PaceDetail = "fine" | "coarse";
+
 /** Smallest change of a pace, in percent. */
-const paceStepPercent = 20;
+const paceStepPercent: Readonly<Record<PaceDetail, number>> = { fine: 20, coarse: 50 };
 const fullPacePercent = 100;
 
 /** A new pace of a run, as a percentage of its full speed. */
@@ -106,7 +109,11 @@
 }
 
 /** Slows down the neighbours that disturb most until every serving task is expected to meet its target. */
-function slowNeighbours(servingImages: readonly ServingImage[], bestEffort: BestEffortRuns): void {
+function slowNeighbours(
+    servingImages: readonly ServingImage[],
+    bestEffort: BestEffortRuns,
+    stepPercent: number,
+): void {
     for (const serving of servingImages) {
         if (predictPacedMargin(serving, bestEffort) >= computeMarginGoal(serving.headroom, lowMargin)) {
             continue;
@@ -117,18 +124,18 @@
             mostDisturbing !== undefined && predictPacedMargin(serving, bestEffort) < goal;
             mostDisturbing = findMostDisturbing(serving, bestEffort)
         ) {
-            mostDisturbing.percent = Math.max(0, mostDisturbing.percent - paceStepPercent);
+            mostDisturbing.percent = Math.max(0, mostDisturbing.percent - stepPercent);
         }
     }
 }
 
 /** Raises the pace of slowed neighbours as long as every serving task is expected to stay above its target. */
-function raisePace(servingImages: readonly ServingImage[], bestEffort: BestEffortRuns): void {
+function raisePace(servingImages: readonly ServingImage[], bestEffort: BestEffortRuns, stepPercent: number): void {
     const goals = servingImages.map(({ headroom }) => computeMarginGoal(headroom, wantedMargin));
     for (const run of bestEffort.runs) {
         while (run.percent < fullPacePercent) {
             const before = run.percent;
-            run.percent = Math.min(fullPacePercent, before + paceStepPercent);
+            run.percent = Math.min(fullPacePercent, before + stepPercent);
             if (
                 servingImages.some((serving, position) =>
                     predictPacedMargin(serving, bestEffort) < (goals[position] ?? 0)
@@ -145,16 +152,22 @@
  * Plans the paces of the best-effort tasks on a worker. Those that disturb a serving task most are slowed down before
  * it exceeds its target, and are sped up again once its margin allows it. A pace that the worker may not have is ordered again.
  */
-export function planPaces(state: WorkerState, statuses: RunStatuses, interference: InterferenceModel): PaceChange[] {
+export function planPaces(
+    state: WorkerState,
+    statuses: RunStatuses,
+    interference: InterferenceModel,
+    detail: PaceDetail,
+): PaceChange[] {
+    const stepPercent = paceStepPercent[detail];
     const bestEffort = listBestEffortRuns(state, statuses);
     const { runs } = bestEffort;
     if (runs.length === 0) {
         return [];
     }
     const servingImages = listServingImages(state, bestEffort.images, interference);
-    slowNeighbours(servingImages, bestEffort);
+    slowNeighbours(servingImages, bestEffort, stepPercent);
     if (runs.every(run => run.percent === run.status.pacePercent)) {
-        raisePace(servingImages, bestEffort);
+        raisePace(servingImages, bestEffort, stepPercent);
     }
     return runs
         .filter(({ percent, status: { pacePercent, isPaceUncertain, isPaceOrdered } }) =>
--- a/packages/replay-jobs/src/replay.ts
+++ b/packages/replay-jobs/src/replay.ts
@@ -159,7 +159,7 @@
             continue;
         }
         recordUsage(state, statuses, history, nowMs);
-        for (const change of planPaces(state, statuses, simulation.interference)) {
+        for (const change of planPaces(state, statuses, simulation.interference, "fine")) {
             const status = statuses.get(change.runKey);
             const run = runs.get(change.runKey);
             if (status !== undefined && run !== undefined) {
