Log when paces are planned more coarsely, or finely again

On-call engineers had no line for the choice that now depends on how busy the leader is. Each change writes one, with the delay it was taken on; the two limits differ, so that lines stay few. The choice itself is as before.

--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -64,11 +64,21 @@
     return runStatuses.get(runKey)?.pacePercent === percent;
 }
 
+/** Chooses how finely paces are planned from now on. */
+function updateDetail({ admission, logger }: Term, before: PaceDetail): PaceDetail {
+    const { delayMs } = admission.busyness;
+    const detail = choosePaceDetail(before, delayMs);
+    if (detail !== before) {
+        logger.info("paces are planned differently", { detail, before, delayMs: Math.round(delayMs) });
+    }
+    return detail;
+}
+
 /** Plans and sends the paces of best-effort tasks until the term ends, so that serving tasks meet their targets. */
 export const runPacing = Effect.fnUntraced(function*(term: Term) {
     let detail: PaceDetail = "fine";
     while (canSendOrders(term, yield* readMonotonicMs)) {
-        detail = choosePaceDetail(detail, term.admission.busyness.delayMs);
+        detail = updateDetail(term, detail);
         let workersInTurn = 0;
         let repeatsLeft = repeatsPerRound;
         for (const session of term.sessions.values()) {
