--- a/packages/plan-jobs/src/plan-paces.test.ts
+++ b/packages/plan-jobs/src/plan-paces.test.ts
@@ -158,7 +158,7 @@
 }
 
 /** Time on end for which callers may find a serving task over its target, in milliseconds; the shortest one of the deployments. */
-const harmLimitMs = 4_500;
+const harmLimitMs = 4_000;
 
 // Guards against a busy leader whose changes of pace take the processor time that starts need; half of the cost is the target.
 test("coarse paces that are planned half as often need at most half of the changes, and keep the target of serving tasks", () => {
