--- a/packages/lead-jobs/src/pace-detail.ts
+++ b/packages/lead-jobs/src/pace-detail.ts
@@ -5,7 +5,7 @@
 
 /**
  * Smoothed delay of timers from which the thread of the leader has no time left, in milliseconds. Each change of a pace then delays starts,
- * which cost the leader as much and are worth more to callers.
+ * which are worth more to callers.
  */
 const busyDelayMs = 8;
 /** Delay below which paces are fine again, in milliseconds; half of the above, so that they do not alternate. */
