review: case 13 becomes a delayed order that runs beside the next run

Done: a script in which a start without an answer is carried out after its minion has started again.

--- a/review/lib-3/checks.mjs
+++ b/review/lib-3/checks.mjs
@@ -7,12 +7,13 @@
     for (const run of runs) {
         const earlier = byTask.get(run.task) ?? [];
         for (const other of earlier) {
-            const overlapMs = (other.endedAtMs ?? performance.now()) - run.startedAtMs;
+            const nowMs = performance.now();
+            const overlapMs = Math.min(other.endedAtMs ?? nowMs, run.endedAtMs ?? nowMs) - run.startedAtMs;
             if (overlapMs > 0) {
                 findings.push(
                     `TWICE: run ${run.run} of ${run.task} was started on ${run.minion} while run ${other.run} was at work on `
-                        + `${other.minion}, which went on for ${Math.round(overlapMs)} ms (${
-                            other.how ?? "still at work"
+                        + `${other.minion}; both were for ${Math.round(overlapMs)} ms (ends: ${run.how ?? "none"}, ${
+                            other.how ?? "none"
                         })`,
                 );
             }
--- a/review/lib-3/minion.mjs
+++ b/review/lib-3/minion.mjs
@@ -92,12 +92,6 @@
     /** Carries out an order that was under way for long, on the minion that runs now. */
     faults.runLate = (path, body) => {
         if (life !== undefined) {
-            const handlers = {
-                "/api/run-start": startRun,
-                "/api/run-stop": stopRun,
-                "/api/hold": hold,
-                "/api/pace": pace,
-            };
             void handlers[path]?.(life, body);
         }
     };
