lead-jobs: tell urgent from deferrable work in the line about the leader's load

Change: a queue below the highest priority of its pool is deferrable. The line gives, for both kinds, the starts, the time from the arrival of a report with an end to its commit, from the readiness of a task to the commit of its start, and from the order to its answer, and the share of the time for which the event loop was busy. No decision changes.

--- /dev/null
+++ b/packages/lead-jobs/src/job-urgency.ts
@@ -0,0 +1,41 @@
+import { findUrgency, type Urgency } from "@chestnutspool/plan-jobs";
+import type { JobId, RunStart } from "@chestnutspool/types";
+import { recordStage } from "./term-load.js";
+import type { Term } from "./term.js";
+
+/** Finds how urgent a job is; one that is not known is urgent, so that nothing is held back for it. */
+export function findJobUrgency({ machine }: Pick<Term, "machine">, id: JobId): Urgency {
+    const { configuration, jobs } = machine.state;
+    const job = jobs.get(id);
+    return job === undefined ? "urgent" : findUrgency(configuration, job.queue);
+}
+
+/** Since when a task of a step has been ready to start, as wall-clock time in milliseconds; undefined for later runs of a task. */
+function findReadyMs(
+    { machine }: Term,
+    { job: id, occurrence: number, step: position, run }: RunStart,
+): number | undefined {
+    const job = machine.state.jobs.get(id);
+    const occurrence = job?.occurrences.get(number);
+    const step = occurrence?.steps[position];
+    if (job === undefined || step === undefined || run > 1) {
+        return undefined;
+    }
+    const dueMs = Math.max(job.acceptedAtMs, occurrence?.dueAtMs ?? 0);
+    return step.spec.dependsOn.reduce(
+        (readyMs, earlier) => Math.max(readyMs, occurrence?.steps[earlier]?.doneAtMs ?? 0),
+        dueMs,
+    );
+}
+
+/** Records committed starts by urgency, and how long each task had been ready at `wallMs`, wall-clock time in milliseconds. */
+export function recordStarts(term: Term, starts: readonly RunStart[], wallMs: number): void {
+    for (const start of starts) {
+        const urgency = findJobUrgency(term, start.job);
+        term.load.startsByUrgency[urgency] += 1;
+        const readyMs = findReadyMs(term, start);
+        if (readyMs !== undefined) {
+            recordStage(term.load, urgency, "startCommit", wallMs - readyMs);
+        }
+    }
+}
--- a/packages/lead-jobs/src/report-load.ts
+++ b/packages/lead-jobs/src/report-load.ts
@@ -1,11 +1,11 @@
 import { recordDelay } from "@chestnutspool/admit-jobs";
 import { countDelayedSchedules } from "@chestnutspool/job-state";
-import { listWaitingSteps } from "@chestnutspool/plan-jobs";
+import { listWaitingSteps, type Urgency } from "@chestnutspool/plan-jobs";
 import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { observeWaitingWork } from "./admission.js";
 import { readTermMs } from "./steady-clock.js";
-import { createTermLoad } from "./term-load.js";
+import { createTermLoad, type HandoverStage } from "./term-load.js";
 import { canSendOrders, type Term } from "./term.js";
 
 /** Interval of the lines about the load of the leader, in milliseconds. */
@@ -19,10 +19,21 @@
     return (user + system) / microsecondsPerMillisecond;
 }
 
-function logLoad(term: Term, intervalMs: number, processorMs: number, wallMs: number): void {
+/** What the process has used since the last line, in milliseconds. */
+interface ProcessorUse {
+    readonly processorMs: number;
+    /** Time for which the event loop was busy; undefined if it is not known. */
+    readonly busyMs: number | undefined;
+}
+
+function logLoad(term: Term, intervalMs: number, { processorMs, busyMs }: ProcessorUse, wallMs: number): void {
     const { load } = term;
     const waiting = listWaitingSteps(term.machine.state, wallMs);
     const mean = (total: number, count: number): number => count === 0 ? 0 : Math.round(total / count);
+    const meanOfStage = (urgency: Urgency, stage: HandoverStage): number => {
+        const { count, totalMs } = load.stages[urgency][stage];
+        return mean(totalMs, count);
+    };
     term.metrics.recordDuration("loopDelayMs", "", "leader", load.longestDelayMs);
     term.metrics.recordDuration("passMs", "", "leader", load.longestPassMs);
     term.metrics.recordDuration("commitMs", "", "leader", load.longestCommitMs);
@@ -31,6 +42,7 @@
         term: term.number,
         intervalMs: Math.round(intervalMs),
         processorMs: Math.round(processorMs),
+        busyPercent: busyMs === undefined ? undefined : Math.round(100 * busyMs / intervalMs),
         longestDelayMs: Math.round(load.longestDelayMs),
         delayMs: Math.round(term.admission.busyness.delayMs),
         waitingCommits: term.admission.busyness.waitingCommits,
@@ -47,6 +59,13 @@
         meanCommitMs: mean(load.commitMs, load.commits),
         longestCommitMs: Math.round(load.longestCommitMs),
         starts: load.starts,
+        urgentStarts: load.startsByUrgency.urgent,
+        urgentReportCommitMs: meanOfStage("urgent", "reportCommit"),
+        urgentStartCommitMs: meanOfStage("urgent", "startCommit"),
+        urgentStartOrderMs: meanOfStage("urgent", "startOrder"),
+        deferrableReportCommitMs: meanOfStage("deferrable", "reportCommit"),
+        deferrableStartCommitMs: meanOfStage("deferrable", "startCommit"),
+        deferrableStartOrderMs: meanOfStage("deferrable", "startOrder"),
         refusedStarts: load.refusedStarts,
         unconfirmedStarts: load.unconfirmedStarts,
         renewals: load.renewals,
@@ -72,6 +91,7 @@
 export const runLoadReport = Effect.fnUntraced(function*(term: Term) {
     let reportedAtMs = yield* readMonotonicMs;
     let processorMs = readProcessorMs();
+    let busyMs = term.readBusyMs?.();
     while (canSendOrders(term, yield* readMonotonicMs)) {
         const sleptAtMs = yield* readMonotonicMs;
         yield* Effect.sleep(sampleIntervalMs);
@@ -82,8 +102,14 @@
         observeWaitingWork(term, nowMs, yield* readTermMs(term));
         if (nowMs - reportedAtMs >= reportIntervalMs) {
             const usedMs = readProcessorMs();
-            logLoad(term, nowMs - reportedAtMs, usedMs - processorMs, yield* readTermMs(term));
+            const busyUntilNowMs = term.readBusyMs?.();
+            const use = {
+                processorMs: usedMs - processorMs,
+                busyMs: busyMs === undefined || busyUntilNowMs === undefined ? undefined : busyUntilNowMs - busyMs,
+            };
+            logLoad(term, nowMs - reportedAtMs, use, yield* readTermMs(term));
             reportedAtMs = nowMs;
+            busyMs = busyUntilNowMs;
             processorMs = usedMs;
         }
     }
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -17,12 +17,14 @@
     type StepSpec,
 } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
+import { findJobUrgency } from "./job-urgency.js";
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
 import { listOpenOrders, recordOpenOrder } from "./open-orders.js";
 import { recordFailedWorker, recordUnstartedRun } from "./rate-run-ends.js";
 import { observeBegunJob } from "./record-begun-jobs.js";
 import { recordConfirmedStep, recordRefusedStep } from "./refused-steps.js";
 import { superviseLoop, superviseOrder } from "./supervise-loop.js";
+import { recordStage } from "./term-load.js";
 import { canSendOrders, fenceTerm, logStepError, propose, type Term, wakePlanner, type WorkerSession } from "./term.js";
 
 /** Timeout of an order, in milliseconds; far above a round trip, so that only a lost answer exceeds it. */
@@ -241,6 +243,7 @@
         status.orderedAtMs = nowMs;
     }
     term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
+    recordStage(term.load, findJobUrgency(term, run.job.id), "startOrder", nowMs - sentAtMs);
     observeStartAnswer(term, session, status, answer, nowMs);
     if (answer.kind === "done") {
         observeBegunJob(term, run.job);
--- a/packages/lead-jobs/src/term-load.ts
+++ b/packages/lead-jobs/src/term-load.ts
@@ -1,9 +1,24 @@
-import type { StarvationSummary } from "@chestnutspool/plan-jobs";
+import type { StarvationSummary, Urgency } from "@chestnutspool/plan-jobs";
 import { Effect } from "effect";
 
 /** Work of the leader whose time is measured apart: parts of a pass of the planner, reports of workers, and paces. */
 export type LoadPart = "stops" | "starts" | "preemptions" | "copies" | "reports" | "paces";
 
+/** A stage on the way from the end of a task to the start of the next one. */
+export type HandoverStage =
+    /** From the arrival of a report with an end to the commit of the end. */
+    | "reportCommit"
+    /** From the proposal of the end that a step waited for, or of its job, to the commit of the first start of a task. */
+    | "startCommit"
+    /** From the order to start a task to the answer of its worker. */
+    | "startOrder";
+
+/** Number and total duration of what was measured. */
+export interface DurationSum {
+    count: number;
+    totalMs: number;
+}
+
 /** Work of a leader since its last line about it. Durations are in milliseconds. */
 export interface TermLoad {
     passes: number;
@@ -28,12 +43,20 @@
     /** Runs that were stopped because they made no progress, and those among them that were the only run of their job. */
     stalledStops: number;
     onlyRunsStopped: number;
+    /** Starts of tasks by urgency; `starts` counts both. */
+    readonly startsByUrgency: Record<Urgency, number>;
+    readonly stages: Record<Urgency, Record<HandoverStage, DurationSum>>;
     /** Time for which each part has kept the thread. */
     readonly partMs: Record<LoadPart, number>;
     /** Longest time by which a timer fired late; the event loop was busy for at least this time. */
     longestDelayMs: number;
 }
 
+function createStages(): Record<HandoverStage, DurationSum> {
+    const createSum = (): DurationSum => ({ count: 0, totalMs: 0 });
+    return { reportCommit: createSum(), startCommit: createSum(), startOrder: createSum() };
+}
+
 /** Creates a record without any work. */
 export function createTermLoad(): TermLoad {
     return {
@@ -54,6 +77,8 @@
         starvedStarts: 0,
         stalledStops: 0,
         onlyRunsStopped: 0,
+        startsByUrgency: { urgent: 0, deferrable: 0 },
+        stages: { urgent: createStages(), deferrable: createStages() },
         partMs: { stops: 0, starts: 0, preemptions: 0, copies: 0, reports: 0, paces: 0 },
         longestDelayMs: 0,
     };
@@ -98,6 +123,13 @@
     load.onlyRunsStopped += runsOfJob === 1 ? 1 : 0;
 }
 
+/** Records how long a stage has taken for work of an urgency. */
+export function recordStage(load: TermLoad, urgency: Urgency, stage: HandoverStage, tookMs: number): void {
+    const sum = load.stages[urgency][stage];
+    sum.count += 1;
+    sum.totalMs += tookMs;
+}
+
 /** Records a command that was committed `tookMs` after it was proposed. */
 export function recordCommit(load: TermLoad, tookMs: number): void {
     load.commits += 1;
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -54,6 +54,11 @@
     readonly limits: LeaderLimits;
     readonly logger: Logger;
     readonly metrics: Metrics;
+    /**
+     * Reads for how long the event loop has been busy since the start of the process, in milliseconds. Undefined if that is not known: the
+     * processor time of the leader is then not rationed.
+     */
+    readonly readBusyMs?: (() => number) | undefined;
 }
 
 /** Answer of a worker to a renewal of its lease. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -22,6 +22,7 @@
 import { Effect, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
+import { findJobUrgency } from "./job-urgency.js";
 import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
 import { checkListedEnds, hasStoppedRun, provingIntervalMs } from "./listed-ends.js";
 import { logEndedJobs, logLateSuccesses, logRunEnded, readPhases } from "./log-decisions.js";
@@ -31,7 +32,7 @@
 import { checkRestart, renewGraceMs, renewSilentWorker, sendRenewal } from "./send-renewals.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
-import { measurePart } from "./term-load.js";
+import { measurePart, recordStage } from "./term-load.js";
 import {
     canSendOrders,
     fenceTerm,
@@ -142,12 +143,15 @@
             observeRunEnd(term.copies, session.info, run, status, end, nowMs, wallMs);
         }
         const phases = readPhases(term, [...ends, ...lateSuccesses]);
+        const urgencies = ends.map(({ job }) => findJobUrgency(term, job));
         yield* propose(term, {
             kind: "endRuns",
             worker: session.info.id,
             ends,
             ...(lateSuccesses.length === 0 ? {} : { lateSuccesses }),
         });
+        const committedMs = yield* readMonotonicMs;
+        urgencies.forEach(urgency => recordStage(term.load, urgency, "reportCommit", committedMs - nowMs));
         for (const end of ends) {
             logRunEnded(term, session, end);
             session.runStatuses.delete(formatRunKey(end));
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -19,6 +19,7 @@
     type Lateness,
     predictLateness,
 } from "./predict-lateness.js";
+export { findUrgency, type Urgency } from "./queue-urgency.js";
 export { isOutsideRack, type PlacementWaits } from "./rack-wants.js";
 export { findObstacle } from "./rate-workers.js";
 export { listStartable } from "./startable-tasks.js";
--- a/packages/run-job-process/src/create-job-process.ts
+++ b/packages/run-job-process/src/create-job-process.ts
@@ -20,6 +20,7 @@
     WorkerRef,
 } from "@chestnutspool/types";
 import { Effect } from "effect";
+import { performance } from "node:perf_hooks";
 import { getHeapStatistics } from "node:v8";
 import { computeStateBudget } from "./compute-state-budget.js";
 import { type ControlSettings, type JobProcessSettings, logTiming } from "./process-settings.js";
@@ -111,6 +112,7 @@
                 limits: control,
                 logger: logger.forService("leader"),
                 metrics,
+                readBusyMs: () => performance.eventLoopUtilization().active,
             });
             kernel.findService(linkKey).openChannel<JobRequest, JobReply>("jobs", {
                 handleCall: (from, request) => leadership.handleRequest(request),
