track-workers, plan-jobs: a pass looks up the status of a run only if it decides by it

Cause: each pass of the planner reads all runs of all workers twice to find trials and held back tasks, and built the text key of a status for each of them first, although nearly no task needs a trial and serving tasks are never held back.

Change: the task is asked before the status. The decisions are the same.

--- a/packages/plan-jobs/src/worker-candidate.ts
+++ b/packages/plan-jobs/src/worker-candidate.ts
@@ -160,7 +160,7 @@
 
 function isContended(state: WorkerState, statuses: RunStatuses | undefined): boolean {
     for (const [key, { step }] of state.runs) {
-        const status = statuses?.get(key);
+        const status = step.spec.usesIdleCpu ? statuses?.get(key) : undefined;
         if (status !== undefined && isHeldBack(step.spec, status)) {
             return true;
         }
--- a/packages/track-workers/src/worker-crashes.ts
+++ b/packages/track-workers/src/worker-crashes.ts
@@ -52,7 +52,10 @@
 
 /** Whether the next runs of a task are on trial: each on a worker that gets no other runs meanwhile. */
 export function needsTrial(task: JobTask): boolean {
-    const { crashes } = task;
+    const { crashes, crashHistory } = task;
+    if (crashes === undefined && crashHistory === undefined) {
+        return false;
+    }
     return (crashes !== undefined && (crashes.suspicions > 0 || crashes.crashes >= crashesForTrial))
         || exceedsLifeLimit(task, lifeTrialLimit);
 }
@@ -118,7 +121,8 @@
 /** Whether a worker has a run on trial, so that no other run may start on it. */
 export function hasTrial({ runs }: WorkerState, statuses: RunStatuses | undefined): boolean {
     for (const [key, { task }] of runs) {
-        if (isOnTrial(task, statuses?.get(key))) {
+        // Before the status is looked up, because each pass of the planner asks for all runs.
+        if (needsTrial(task) && isOnTrial(task, statuses?.get(key))) {
             return true;
         }
     }
