relay-worker-calls: calls that can wait share a message with others

Change: a caller may say for how long a call and its answer wait for others. A call that does not wait takes all others along. Relays of earlier builds ignore it. The time that a call has waited counts for its limit, so that calls of a process that was suspended meanwhile are dropped as before. Nothing waits yet.

--- a/packages/relay-worker-calls/src/batch.ts
+++ b/packages/relay-worker-calls/src/batch.ts
@@ -1,12 +1,16 @@
-/** Collects items and sends those of one turn of the event loop together. */
+/** Collects items and sends them together. */
 export interface Batch<Item> {
-    readonly add: (item: Item) => void;
+    /**
+     * Adds an item. It is sent at the end of the current turn of the event loop, or at the latest after `patienceMs` together with what is
+     * added until then.
+     */
+    readonly add: (item: Item, patienceMs?: number) => void;
     /** Drops the items that have not been sent. */
     readonly drop: () => void;
 }
 
-/** Runs a function at the end of the current turn of the event loop. */
-export type ScheduleFlush = (flush: () => void) => void;
+/** Runs a function after a delay in milliseconds; with 0 at the end of the current turn of the event loop. */
+export type ScheduleFlush = (flush: () => void, delayMs: number) => void;
 
 /** Creates a batch. `send` gets at most `limit` items at once. */
 export function createBatch<Item>(
@@ -15,9 +19,10 @@
     schedule: ScheduleFlush,
 ): Batch<Item> {
     let items: Item[] = [];
-    let isScheduled = false;
+    /** Delay of the flush that is scheduled for the items; undefined if none is. */
+    let scheduledMs: number | undefined;
     const flush = (): void => {
-        isScheduled = false;
+        scheduledMs = undefined;
         const taken = items;
         items = [];
         for (let first = 0; first < taken.length; first += limit) {
@@ -25,11 +30,12 @@
         }
     };
     return {
-        add: item => {
+        add: (item, patienceMs = 0) => {
             items.push(item);
-            if (!isScheduled) {
-                isScheduled = true;
-                schedule(flush);
+            // A flush that an earlier one has made needless finds nothing, or sends patient items a little early.
+            if (scheduledMs === undefined || patienceMs < scheduledMs) {
+                scheduledMs = patienceMs;
+                schedule(flush, patienceMs);
             }
         },
         drop: () => {
--- a/packages/relay-worker-calls/src/fakes/test-pool.ts
+++ b/packages/relay-worker-calls/src/fakes/test-pool.ts
@@ -78,7 +78,10 @@
 export function startStop(testPool: TestPool, outcomes: string[], called: RelayedWorker = worker): string | undefined {
     const relay = testPool.pool.findRelay(called);
     if (relay !== undefined) {
-        testPool.pool.startCall(relay, called, { kind: "stopRun", run, fencingToken: 1 }, 1_000, answer => {
+        testPool.pool.startCall(relay, called, { kind: "stopRun", run, fencingToken: 1 }, {
+            limitMs: 1_000,
+            patienceMs: 0,
+        }, answer => {
             outcomes.push(answer.kind);
         });
     }
--- a/packages/relay-worker-calls/src/open-worker-calls.ts
+++ b/packages/relay-worker-calls/src/open-worker-calls.ts
@@ -17,7 +17,7 @@
 import { Clock, Effect } from "effect";
 import { randomUUID } from "node:crypto";
 import { probeIntervalMs } from "./relay-health.js";
-import { createRelayPool, type RelayAddress, type RelayPool } from "./relay-pool.js";
+import { type CallTimes, createRelayPool, type RelayAddress, type RelayPool } from "./relay-pool.js";
 import { serveWorkerCalls } from "./serve-worker-calls.js";
 
 const nanosecondsPerMillisecond = 1e6;
@@ -39,7 +39,7 @@
     const relayCall = <Answer>(
         worker: WorkerInfo,
         call: WorkerCall,
-        limitMs: number,
+        { limitMs, patienceMs }: CallTimes,
         convert: (answer: RelayedAnswer["answer"]) => Answer,
         callLocally: () => Effect.Effect<Answer>,
     ): Effect.Effect<Answer> =>
@@ -50,17 +50,17 @@
                 return callLocally();
             }
             return Effect.callback<Answer>(resume => {
-                const cancel = pool.startCall(relay, worker, call, limitMs, answer =>
+                const cancel = pool.startCall(relay, worker, call, { limitMs, patienceMs }, answer =>
                     resume(Effect.succeed(convert(answer))));
                 return Effect.sync(cancel);
             });
         });
     return {
-        startRun: (worker, order, limitMs) =>
+        startRun: (worker, order, limitMs, patienceMs = 0) =>
             relayCall(
                 worker,
                 { kind: "startRun", order },
-                limitMs,
+                { limitMs, patienceMs },
                 convertOrderAnswer,
                 () => local.startRun(worker, order, limitMs),
             ),
@@ -68,23 +68,23 @@
             relayCall(
                 worker,
                 { kind: "stopRun", run: convertToRunKey(run), fencingToken },
-                limitMs,
+                { limitMs, patienceMs: 0 },
                 convertOrderAnswer,
                 () => local.stopRun(worker, run, fencingToken, limitMs),
             ),
-        paceRun: (worker, run, percent, fencingToken, limitMs) =>
+        paceRun: (worker, run, percent, fencingToken, limitMs, patienceMs = 0) =>
             relayCall(
                 worker,
                 { kind: "paceRun", run: convertToRunKey(run), percent, fencingToken },
-                limitMs,
+                { limitMs, patienceMs },
                 convertOrderAnswer,
                 () => local.paceRun(worker, run, percent, fencingToken, limitMs),
             ),
-        renewLease: (worker, order, limitMs) =>
+        renewLease: (worker, order, limitMs, patienceMs = 0) =>
             relayCall(
                 worker,
                 { kind: "renewLease", order },
-                limitMs,
+                { limitMs, patienceMs },
                 convertRenewAnswer,
                 () => local.renewLease(worker, order, limitMs),
             ),
@@ -137,8 +137,13 @@
     const { link, log, workers, availabilityZone, logger, metrics } = dependencies;
     const clock = yield* Clock.Clock;
     const readNowMs = (): number => Number(clock.monotonicTimeNanosUnsafe()) / nanosecondsPerMillisecond;
-    const scheduleFlush = (flush: () => void): void => {
-        setImmediate(flush);
+    const scheduleFlush = (flush: () => void, delayMs: number): void => {
+        if (delayMs === 0) {
+            setImmediate(flush);
+        }
+        else {
+            setTimeout(flush, delayMs);
+        }
     };
     const sendMessage = (to: string, message: WorkerCallMessage): boolean => channel.sendMessage(to, message);
     const relay = yield* serveWorkerCalls({ workers, availabilityZone, sendMessage, scheduleFlush, logger });
--- a/packages/relay-worker-calls/src/relay-pool-model.test.ts
+++ b/packages/relay-worker-calls/src/relay-pool-model.test.ts
@@ -82,7 +82,13 @@
                     const job = String(outcomes.push(results) - 1);
                     const call = { kind: "stopRun", run: { ...run, job }, fencingToken: 1 } as const;
                     cancels.push(
-                        testPool.pool.startCall(relay, called, call, 1_000, answer => results.push(answer.kind)),
+                        testPool.pool.startCall(
+                            relay,
+                            called,
+                            call,
+                            { limitMs: 1_000, patienceMs: 0 },
+                            answer => results.push(answer.kind),
+                        ),
                     );
                 }
                 break;
--- a/packages/relay-worker-calls/src/relay-pool.ts
+++ b/packages/relay-worker-calls/src/relay-pool.ts
@@ -28,6 +28,14 @@
 
 type Answer = RelayedAnswer["answer"];
 
+/** How long a call may take, in milliseconds. */
+export interface CallTimes {
+    /** Time from the sending of the call until its answer. */
+    readonly limitMs: number;
+    /** Time for which the call waits for others before it is sent, and its answer as well; 0 if neither waits. */
+    readonly patienceMs: number;
+}
+
 /** A control process to which the leader may hand calls. */
 export interface RelayAddress {
     readonly id: PeerId;
@@ -40,6 +48,8 @@
     /** Running time at which the call counts as lost. */
     readonly expiresAtMs: number;
     readonly settle: (answer: Answer) => void;
+    /** When it was added to the outbox, in monotonic milliseconds. */
+    readonly addedAtMs: number;
     isSent: boolean;
 }
 
@@ -82,7 +92,7 @@
         relay: PeerId,
         worker: RelayedWorker,
         call: WorkerCall,
-        limitMs: number,
+        times: CallTimes,
         settle: (answer: Answer) => void,
     ) => () => void;
     /** Has the connections to a worker closed where they are. */
@@ -127,7 +137,12 @@
 
     const sendCalls = (relay: Relay, calls: readonly RelayedCall[]): void => {
         const content = relay.sharesPayloads ? takePayloads(calls) : { calls };
-        const isSent = sendMessage(relay.id, { kind: "calls", incarnation, sentAtMs: readNowMs(), ...content });
+        // The time for which they have waited counts, so that the relay drops them if this process was suspended meanwhile.
+        const sentAtMs = calls.reduce(
+            (earliestMs, { id }) => Math.min(earliestMs, relay.pending.get(id)?.addedAtMs ?? earliestMs),
+            readNowMs(),
+        );
+        const isSent = sendMessage(relay.id, { kind: "calls", incarnation, sentAtMs, ...content });
         if (isSent) {
             countCalls("relayed", calls.length);
         }
@@ -276,24 +291,33 @@
     const findRelay = (worker: RelayedWorker): PeerId | undefined =>
         chooseRelay(getRanking(worker), isUsable, avoided.get(worker.id)?.relay);
 
-    const addCall = (relay: Relay, worker: RelayedWorker, call: WorkerCall, limitMs: number): number => {
+    const addCall = (
+        relay: Relay,
+        worker: RelayedWorker,
+        call: WorkerCall,
+        { limitMs, patienceMs }: CallTimes,
+    ): number => {
         const id = nextId;
         nextId += 1;
-        relay.outbox.add({ id, worker: { id: worker.id, address: worker.address }, limitMs, call });
+        const patience = patienceMs === 0 ? {} : { patienceMs };
+        relay.outbox.add(
+            { id, worker: { id: worker.id, address: worker.address }, limitMs, call, ...patience },
+            patienceMs,
+        );
         return id;
     };
 
     return {
         findRelay,
-        startCall: (relayId, worker, call, limitMs, settle) => {
+        startCall: (relayId, worker, call, times, settle) => {
             const relay = relays.get(relayId);
             if (relay === undefined) {
                 settle({ kind: "notSent", detail: `relay ${relayId} is not known` });
                 return () => undefined;
             }
-            const id = addCall(relay, worker, call, limitMs);
-            const expiresAtMs = runningMs + limitMs + answerGraceMs;
-            relay.pending.set(id, { worker: worker.id, expiresAtMs, settle, isSent: false });
+            const id = addCall(relay, worker, call, times);
+            const expiresAtMs = runningMs + times.limitMs + answerGraceMs;
+            relay.pending.set(id, { worker: worker.id, expiresAtMs, settle, addedAtMs: readNowMs(), isSent: false });
             return () => {
                 relay.pending.delete(id);
             };
@@ -303,7 +327,7 @@
             for (const id of new Set([avoided.get(worker.id)?.relay, findRelay(worker)])) {
                 const relay = id === undefined ? undefined : relays.get(id);
                 if (relay !== undefined && isUsable(relay.id)) {
-                    addCall(relay, worker, { kind: "closeConnections" }, 0);
+                    addCall(relay, worker, { kind: "closeConnections" }, { limitMs: 0, patienceMs: 0 });
                 }
             }
         },
--- a/packages/relay-worker-calls/src/serve-worker-calls.ts
+++ b/packages/relay-worker-calls/src/serve-worker-calls.ts
@@ -18,6 +18,8 @@
 const answersPerMessage = 50;
 /** Number of processes whose calls are served at the same time; above the control processes of any deployment. */
 const callerLimit = 64;
+/** Longest time for which an answer waits for others, in milliseconds; a caller counts its call as lost only far later. */
+const longestPatienceMs = 50;
 /** Time for which calls that were sent before the announcement to leave may arrive, in milliseconds. */
 const leaveNoticeMs = 100;
 /**
@@ -130,7 +132,7 @@
         }
         let dropped = 0;
         for (const relayed of calls) {
-            const { id, limitMs, call } = relayed;
+            const { id, limitMs, call, patienceMs = 0 } = relayed;
             if (delayMs >= limitMs && call.kind !== "closeConnections") {
                 dropped += 1;
                 const detail = `the call was under way for ${Math.round(delayMs)} ms`;
@@ -154,7 +156,7 @@
                 ),
                 Effect.map(answer => {
                     inProgress -= 1;
-                    caller.answers.add({ id, answer });
+                    caller.answers.add({ id, answer }, isLeaving ? 0 : Math.min(patienceMs, longestPatienceMs));
                 }),
             );
             yield* Effect.forkIn(answered, scope);
--- a/packages/relay-worker-calls/src/share-payloads.test.ts
+++ b/packages/relay-worker-calls/src/share-payloads.test.ts
@@ -77,7 +77,7 @@
         ...(relaySharesPayloads ? { sharesPayloads: true } : {}),
     });
     for (const id of [0, 1]) {
-        pool.startCall("r", worker, makeStart(id, "payload").call, 1_000, () => undefined);
+        pool.startCall("r", worker, makeStart(id, "payload").call, { limitMs: 1_000, patienceMs: 0 }, () => undefined);
     }
     flushes.forEach(flush => flush());
     const message = sent.at(-1);
--- a/packages/types/src/messages.ts
+++ b/packages/types/src/messages.ts
@@ -178,6 +178,8 @@
     /** Time allowed for the call since the message was sent, in milliseconds. */
     readonly limitMs: number;
     readonly call: WorkerCall;
+    /** Time for which the answer may wait for others, in milliseconds; absent: none. Earlier builds ignore it. */
+    readonly patienceMs?: number;
     /** Position of the payload of a start in `payloads` of the message; absent if the order has its payload. */
     readonly payloadPosition?: number;
 }
--- a/packages/types/src/worker-port.ts
+++ b/packages/types/src/worker-port.ts
@@ -91,7 +91,12 @@
 
 /** Calls to workers. Each call is one attempt, which ends within `limitMs`. */
 export interface WorkerPort<Worker extends WorkerRef = WorkerInfo> {
-    readonly startRun: (worker: Worker, order: StartOrder, limitMs: number) => Effect.Effect<OrderAnswer>;
+    readonly startRun: (
+        worker: Worker,
+        order: StartOrder,
+        limitMs: number,
+        patienceMs?: number,
+    ) => Effect.Effect<OrderAnswer>;
     readonly stopRun: (
         worker: Worker,
         run: RunKey,
@@ -105,8 +110,14 @@
         percent: number,
         fencingToken: number,
         limitMs: number,
+        patienceMs?: number,
     ) => Effect.Effect<OrderAnswer>;
-    readonly renewLease: (worker: Worker, order: RenewOrder, limitMs: number) => Effect.Effect<RenewAnswer>;
+    readonly renewLease: (
+        worker: Worker,
+        order: RenewOrder,
+        limitMs: number,
+        patienceMs?: number,
+    ) => Effect.Effect<RenewAnswer>;
     /** Closes the connections to a worker, so that the next call opens a new one. */
     readonly closeConnections: (worker: Worker) => void;
 }
