--- a/packages/admit-jobs/src/decide-admission.test.ts
+++ b/packages/admit-jobs/src/decide-admission.test.ts
@@ -165,3 +165,14 @@
     assert.equal(decide(makeInputs({ backlog: [...larger, ...late], isShared: true })).cause, undefined);
     assert.equal(decide(makeInputs({ backlog: [...larger, ...late], isShared: false })).cause, "tooLate");
 });
+
+// Guards against accepting work that the workers have room for and a leader without processor time cannot start before it has lost its
+// value.
+test("in a contended pool a job is refused when the leader cannot start what goes first in time", () => {
+    const backlog = Array.from({ length: 100 }, () => makeEntry(0.1, { coreMs: 1 }));
+    const decideAt = (startsPerSecond: number | undefined) =>
+        decide(makeInputs({ backlog, isShared: true, startsPerSecond })).cause;
+    assert.equal(decideAt(undefined), undefined);
+    assert.equal(decideAt(50), undefined);
+    assert.equal(decideAt(5), "tooLate");
+});
--- a/packages/admit-jobs/src/decide-admission.ts
+++ b/packages/admit-jobs/src/decide-admission.ts
@@ -62,6 +62,8 @@
     readonly priorities: readonly number[];
     /** Whether the pool has queues of several priorities, so that the planner orders contended work by value; by default it has not. */
     readonly isShared?: boolean;
+    /** Tasks of the queue that the leader starts in a second while its processor time is rationed; absent or undefined while it is not. */
+    readonly startsPerSecond?: number | undefined;
     /** Number of workers; each may have one command in progress, such as the ends of its latest report. */
     readonly workers: number;
 }
@@ -125,11 +127,12 @@
 
 /**
  * Decides about a job in a full pool with queues of several priorities. It is refused if the work that goes first there, without what
- * others send later, keeps it waiting beyond the time after which its result has no value: the planner may yet serve any other.
+ * others send later, keeps it waiting beyond the time after which its result has no value, by the processors of the pool or by the starts
+ * that the leader has time for: the planner may yet serve any other.
  */
 function decideContended(
     entry: BacklogEntry,
-    { backlog, throughput }: AdmissionInputs,
+    { backlog, throughput, startsPerSecond = Number.POSITIVE_INFINITY }: AdmissionInputs,
     id: string,
     objectiveMs: number,
     remainingMs: number,
@@ -138,7 +141,8 @@
     const ofPool = backlog.filter(({ service }) => service === entry.service);
     const ahead = sumWork(ofPool, other => isBeforeContended(other, entry));
     const { tasksPerSecond, cores } = readRatesWhileFull(throughput, nowMs) ?? { tasksPerSecond: 0, cores: 0 };
-    const waitMs = cores === 0 ? 0 : ahead.coreMs / cores;
+    const startMs = ahead.tasks * millisecondsPerSecond / startsPerSecond;
+    const waitMs = Math.max(startMs, cores === 0 ? 0 : ahead.coreMs / cores);
     const isTooLate = waitMs > acceptedWaitMs && waitMs + remainingMs > lateFactor * objectiveMs;
     return {
         cause: isTooLate ? "tooLate" : undefined,
--- a/packages/lead-jobs/src/admission.ts
+++ b/packages/lead-jobs/src/admission.ts
@@ -22,6 +22,8 @@
     isJobOfRequest,
     type JobState,
 } from "@chestnutspool/job-state";
+import { findUrgency } from "@chestnutspool/plan-jobs";
+import { isRationed, readRationedRate } from "@chestnutspool/ration-leader-time";
 import {
     addResources,
     type JobCommand,
@@ -173,7 +175,7 @@
 
 /** Lists the waiting work again if the last list is older than `observeIntervalMs`. */
 export function observeWaitingWork(term: Term, nowMs: number, wallMs: number): void {
-    const { admission, machine } = term;
+    const { admission, machine, ration } = term;
     if (nowMs - admission.observedAtMs < observeIntervalMs) {
         return;
     }
@@ -188,7 +190,7 @@
             getThroughput(admission, service),
             waitingTasks.get(service) ?? 0,
             computeUsedShare(pool),
-            admission.busyness.delayMs >= limitingDelayMs,
+            admission.busyness.delayMs >= limitingDelayMs || isRationed(ration),
             pool.coresInUse,
             nowMs,
         );
@@ -277,6 +279,9 @@
         throughput: getThroughput(admission, queue.service),
         busyness: admission.busyness,
         priorities: listPriorities(machine.state),
+        startsPerSecond: findUrgency(machine.state.configuration, queue) === "deferrable"
+            ? readRationedRate(term.ration)
+            : undefined,
         workers: machine.state.workers.size,
         isShared: hasSeveralPriorities(machine.state, queue.service),
     };
--- a/packages/lead-jobs/src/fakes/test-system.ts
+++ b/packages/lead-jobs/src/fakes/test-system.ts
@@ -7,6 +7,7 @@
     type JobReply,
     type JobRequest,
     type JobResult,
+    type QueueSettings,
     readMonotonicMs,
     type ReplicatedLog,
     type WorkerInfo,
@@ -86,15 +87,26 @@
     readonly limits?: Partial<LeaderLimits>;
     /** Memory for the state in bytes; without a limit by default. */
     readonly budgetBytes?: number;
+    /** By default one queue, `main`. */
+    readonly queues?: readonly QueueSettings[];
+    /** By default it is not known for how long the event loop has been busy. */
+    readonly readBusyMs?: () => number;
 }
 
 /** Starts a system without workers in which replica `a` leads; `wrapPort` may observe the calls to workers. */
 export const startTestSystemWith = Effect.fnUntraced(function*(
     wrapPort: (port: FakeWorkers["port"]) => FakeWorkers["port"],
-    { wrapLog = log => log, logger = silentLogger, metrics = createMetrics(), limits = {}, budgetBytes }: TestParts =
-        {},
+    {
+        wrapLog = log => log,
+        logger = silentLogger,
+        metrics = createMetrics(),
+        limits = {},
+        budgetBytes,
+        queues = [makeQueue()],
+        readBusyMs,
+    }: TestParts = {},
 ) {
-    const machine = makeMachine([], [makeQueue()], budgetBytes);
+    const machine = makeMachine([], queues, budgetBytes);
     const workers = yield* createFakeWorkers;
     const log = createTestLog(machine);
     const leaderships = new Map<string, Leadership>();
@@ -108,6 +120,7 @@
                 limits: { longestLeaseMs: testLeaseMs, stopMs: 200, availabilityZones: ["z", "z2"], ...limits },
                 logger,
                 metrics,
+                readBusyMs,
             }),
         );
     }
--- a/packages/lead-jobs/src/handle-request.ts
+++ b/packages/lead-jobs/src/handle-request.ts
@@ -33,6 +33,7 @@
 } from "./admission.js";
 import { checkConfiguration } from "./check-configuration.js";
 import { checkJob } from "./check-job.js";
+import { findJobUrgency } from "./job-urgency.js";
 import { readShownPhase } from "./record-begun-jobs.js";
 import { recordHeartbeat, removeWorker } from "./record-heartbeat.js";
 import { readTermMs } from "./steady-clock.js";
@@ -157,7 +158,7 @@
     if (result.kind === "otherQueue" || result.kind === "cancelled") {
         logRefusedJob(term, request, result.kind);
     }
-    wakePlanner(term);
+    wakePlanner(term, findJobUrgency(term, spec.id));
     return convertResult(result);
 });
 
--- a/packages/lead-jobs/src/report-load.ts
+++ b/packages/lead-jobs/src/report-load.ts
@@ -4,6 +4,7 @@
 import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { observeWaitingWork } from "./admission.js";
+import { observeBusyTime } from "./ration-term.js";
 import { readTermMs } from "./steady-clock.js";
 import { createTermLoad, type HandoverStage } from "./term-load.js";
 import { canSendOrders, type Term } from "./term.js";
@@ -49,6 +50,8 @@
         passes: load.passes,
         meanPassMs: mean(load.passMs, load.passes),
         longestPassMs: Math.round(load.longestPassMs),
+        urgentPasses: load.urgentPasses,
+        meanUrgentPassMs: mean(load.urgentPassMs, load.urgentPasses),
         stopsMs: Math.round(load.partMs.stops),
         startsMs: Math.round(load.partMs.starts),
         preemptionsMs: Math.round(load.partMs.preemptions),
@@ -66,6 +69,10 @@
         deferrableReportCommitMs: meanOfStage("deferrable", "reportCommit"),
         deferrableStartCommitMs: meanOfStage("deferrable", "startCommit"),
         deferrableStartOrderMs: meanOfStage("deferrable", "startOrder"),
+        rationedStartsPerSecond: term.ration.limits === undefined
+            ? undefined
+            : Math.round(term.ration.limits.startsPerSecond),
+        heldRaises: load.heldRaises,
         refusedStarts: load.refusedStarts,
         unconfirmedStarts: load.unconfirmedStarts,
         renewals: load.renewals,
@@ -92,6 +99,7 @@
     let reportedAtMs = yield* readMonotonicMs;
     let processorMs = readProcessorMs();
     let busyMs = term.readBusyMs?.();
+    let lastBusyMs = busyMs;
     while (canSendOrders(term, yield* readMonotonicMs)) {
         const sleptAtMs = yield* readMonotonicMs;
         yield* Effect.sleep(sampleIntervalMs);
@@ -99,6 +107,11 @@
         const delayMs = nowMs - sleptAtMs - sampleIntervalMs;
         term.load.longestDelayMs = Math.max(term.load.longestDelayMs, delayMs);
         recordDelay(term.admission.busyness, delayMs);
+        const sampledBusyMs = term.readBusyMs?.();
+        if (sampledBusyMs !== undefined && lastBusyMs !== undefined) {
+            observeBusyTime(term, sampledBusyMs - lastBusyMs, nowMs);
+        }
+        lastBusyMs = sampledBusyMs;
         observeWaitingWork(term, nowMs, yield* readTermMs(term));
         if (nowMs - reportedAtMs >= reportIntervalMs) {
             const usedMs = readProcessorMs();
--- a/packages/lead-jobs/src/run-pacing.ts
+++ b/packages/lead-jobs/src/run-pacing.ts
@@ -1,10 +1,12 @@
 import { formatTaskKey } from "@chestnutspool/job-state";
 import { type PaceChange, type PaceDetail, planPaces, recordUsage } from "@chestnutspool/plan-jobs";
+import { countAffordableRaises, isRationed, recordRaises } from "@chestnutspool/ration-leader-time";
 import type { RunStatus } from "@chestnutspool/track-workers";
 import { readMonotonicMs } from "@chestnutspool/types";
 import { Effect } from "effect";
 import { orderPace, type SendPaceOrder } from "./order-pace.js";
 import { choosePaceDetail, paceIntervalMs } from "./pace-detail.js";
+import { choosePatienceMs } from "./ration-term.js";
 import { recordAnswer } from "./send-orders.js";
 import { superviseOrder } from "./supervise-loop.js";
 import { measurePart } from "./term-load.js";
@@ -21,7 +23,14 @@
     before: number,
 ) {
     const sentAtMs = yield* readMonotonicMs;
-    const answer = yield* term.workers.paceRun(session.info, status.key, percent, session.fencingToken, paceTimeoutMs);
+    const answer = yield* term.workers.paceRun(
+        session.info,
+        status.key,
+        percent,
+        session.fencingToken,
+        paceTimeoutMs,
+        choosePatienceMs(term, "deferrable"),
+    );
     recordAnswer(term, session, answer, sentAtMs, yield* readMonotonicMs);
     // Pace changes are frequent, so that confirmed ones are logged as debug lines; the line "run ended" sums them up.
     const write = answer.kind === "done" ? term.logger.debug : term.logger.info;
@@ -60,20 +69,52 @@
  */
 const repeatsPerRound = 20;
 
+/** A raised pace that waits for the end of a round. */
+interface PendingRaise {
+    readonly session: WorkerSession;
+    readonly change: PaceChange;
+    readonly before: number;
+}
+
 function isRepeat({ runStatuses }: WorkerSession, { runKey, percent }: PaceChange): boolean {
     return runStatuses.get(runKey)?.pacePercent === percent;
 }
 
 /** Chooses how finely paces are planned from now on. */
-function updateDetail({ admission, logger }: Term, before: PaceDetail): PaceDetail {
+function updateDetail({ admission, logger, ration }: Term, before: PaceDetail): PaceDetail {
     const { delayMs } = admission.busyness;
-    const detail = choosePaceDetail(before, delayMs);
+    const detail = isRationed(ration) ? "coarse" : choosePaceDetail(before, delayMs);
     if (detail !== before) {
         logger.info("paces are planned differently", { detail, before, delayMs: Math.round(delayMs) });
     }
     return detail;
 }
 
+const startPaceOrder = (term: Term, session: WorkerSession, change: PaceChange) =>
+    Effect.forkIn(
+        superviseOrder(
+            term,
+            "pace",
+            { term: term.number, worker: session.info.id },
+            changePace(term, session, change),
+        ),
+        term.scope,
+    );
+
+/**
+ * Sends the raised paces of a round that the ration allows, those of the slowest runs first. The others are planned again in the next round;
+ * paces that are lowered for serving tasks do not wait.
+ */
+const sendRaises = Effect.fnUntraced(function*(term: Term, raises: readonly PendingRaise[]) {
+    const affordable = countAffordableRaises(term.ration, yield* readMonotonicMs);
+    const chosen = [...raises].sort((left, right) => left.before - right.before).slice(0, affordable);
+    recordRaises(term.ration, chosen.length);
+    term.load.heldRaises += raises.length - chosen.length;
+    for (const { session, change } of chosen) {
+        yield* startPaceOrder(term, session, change);
+    }
+});
+
 /** Plans and sends the paces of best-effort tasks until the term ends, so that serving tasks meet their targets. */
 export const runPacing = Effect.fnUntraced(function*(term: Term) {
     let detail: PaceDetail = "fine";
@@ -81,6 +122,7 @@
         detail = updateDetail(term, detail);
         let workersInTurn = 0;
         let repeatsLeft = repeatsPerRound;
+        const raises: PendingRaise[] = [];
         for (const session of term.sessions.values()) {
             const state = term.machine.state.workers.get(session.info.id);
             if (state === undefined || !session.isResponsive) {
@@ -98,9 +140,12 @@
                     }
                     repeatsLeft -= 1;
                 }
-                const context = { term: term.number, worker: session.info.id };
-                const order = superviseOrder(term, "pace", context, changePace(term, session, change));
-                yield* Effect.forkIn(order, term.scope);
+                const before = session.runStatuses.get(change.runKey)?.pacePercent ?? change.percent;
+                if (change.percent > before && isRationed(term.ration)) {
+                    raises.push({ session, change, before });
+                    continue;
+                }
+                yield* startPaceOrder(term, session, change);
             }
             workersInTurn += 1;
             if (workersInTurn === workersPerTurn) {
@@ -108,6 +153,7 @@
                 yield* Effect.yieldNow;
             }
         }
+        yield* sendRaises(term, raises);
         yield* Effect.sleep(paceIntervalMs[detail]);
     }
 });
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -7,6 +7,7 @@
     type PlanInput,
     type PlanMemory,
     planStarts,
+    planUrgentStarts,
     takeStarvationSummary,
     type TrialObstacle,
 } from "@chestnutspool/plan-jobs";
@@ -16,6 +17,7 @@
     planPreemptions,
     type PreemptionMemory,
 } from "@chestnutspool/plan-preemption";
+import { isRationed, recordRationShortage } from "@chestnutspool/ration-leader-time";
 import { createRunStatus, isStartTimedOut } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RunStart, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
@@ -27,15 +29,23 @@
 import { logCopies, logCopyOutcomes } from "./log-copies.js";
 import { logBlockedTrials, logStarts, logWaitingSteps } from "./log-decisions.js";
 import { logGivenTurns } from "./log-shares.js";
-import { computePassPauseMs } from "./pass-pause.js";
+import { computeFullPassPauseMs, computePassPauseMs, computeUrgentPassPauseMs } from "./pass-pause.js";
 import { computeIdlePauseMs, logEndedWaits } from "./placement-waits.js";
 import { carryOutPreemptions } from "./preempt-runs.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
+import { readStartRation } from "./ration-term.js";
 import { countStepStarts } from "./refused-steps.js";
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
 import { superviseOrder } from "./supervise-loop.js";
-import { type LoadPart, measurePart, recordPass, recordStalledStop, recordStarvation } from "./term-load.js";
+import {
+    type LoadPart,
+    measurePart,
+    recordPass,
+    recordStalledStop,
+    recordStarvation,
+    recordUrgentPass,
+} from "./term-load.js";
 import { canSendOrders, logStepError, propose, type Term, type WorkerSession } from "./term.js";
 
 /** Longest pause between two passes, in milliseconds, because some decisions depend on time alone. */
@@ -217,6 +227,10 @@
     reasonsCheckedAtMs: number;
     /** When all runs were last scanned for unneeded ones and unanswered starts. */
     scannedAtMs: number;
+    /** When the last pass over all tasks ended, and for how long it and the last one over urgent tasks have kept the thread. */
+    fullPassEndedAtMs: number;
+    fullPassMs: number;
+    urgentPassMs: number;
     /** Time for which the current pass has kept the thread until now, in milliseconds. */
     passMs: number;
 }
@@ -242,18 +256,16 @@
         loggedObstacles: new Map(),
         reasonsCheckedAtMs: Number.NEGATIVE_INFINITY,
         scannedAtMs: Number.NEGATIVE_INFINITY,
+        fullPassEndedAtMs: Number.NEGATIVE_INFINITY,
+        fullPassMs: 0,
+        urgentPassMs: 0,
         passMs: 0,
     };
 }
 
-/**
- * Makes one pass; returns the time in milliseconds for which it planned. Other fibers that ran in between do not count,
- * so that a busy leader does not plan less often.
- */
-const runPass = Effect.fnUntraced(function*(term: Term, planner: PlannerState) {
-    const nowMs = yield* readMonotonicMs;
+/** Reads what a pass plans from. */
+const readPlanInput = Effect.fnUntraced(function*(term: Term, planner: PlannerState, nowMs: number) {
     const { stopMs } = term.limits;
-    planner.passMs = 0;
     const startLimits = yield* measureStep(term, planner, "starts", () => listStartLimits(term, nowMs));
     const input: PlanInput = {
         state: term.machine.state,
@@ -270,7 +282,40 @@
         predictSpeed: createSpeedReader(term, nowMs),
         reservations: listReservations(planner.preemption, term.machine.state, stopMs, nowMs),
         placementWaits: term.placementWaits,
+        startRation: readStartRation(term, nowMs),
     };
+    return input;
+});
+
+/** Makes a pass over urgent tasks alone; returns the time in milliseconds for which it planned. */
+const runUrgentPass = Effect.fnUntraced(function*(term: Term, planner: PlannerState) {
+    const nowMs = yield* readMonotonicMs;
+    planner.passMs = 0;
+    const input = yield* readPlanInput(term, planner, nowMs);
+    const wallMs = yield* readTermMs(term);
+    const starts = yield* measureStep(
+        term,
+        planner,
+        "starts",
+        () => planUrgentStarts(input, wallMs, planner.memory),
+    );
+    const tookMs = planner.passMs;
+    planner.urgentPassMs = starts.length > 0 ? tookMs : planner.urgentPassMs;
+    term.urgentStepsLeft = planner.memory.urgentStepsLeft;
+    recordUrgentPass(term.load, tookMs);
+    yield* carryOutStarts(term, starts);
+    return tookMs;
+});
+
+/**
+ * Makes one pass over all tasks; returns the time in milliseconds for which it planned. Other fibers that ran in between do not count,
+ * so that a busy leader does not plan less often.
+ */
+const runPass = Effect.fnUntraced(function*(term: Term, planner: PlannerState) {
+    const nowMs = yield* readMonotonicMs;
+    const { stopMs } = term.limits;
+    planner.passMs = 0;
+    const input = yield* readPlanInput(term, planner, nowMs);
     yield* stopRuns(term, planner, input, nowMs);
     const wallMs = yield* readTermMs(term);
     const starts = yield* measureStep(term, planner, "starts", () => planStarts(input, wallMs, planner.memory));
@@ -291,6 +336,10 @@
         () => planCopies({ ...input, starts, wallMs, memory: term.copies }, nowMs),
     );
     const tookMs = planner.passMs;
+    term.urgentStepsLeft = planner.memory.urgentStepsLeft;
+    if (planner.memory.stepsLeftOut > 0) {
+        recordRationShortage(term.ration, nowMs);
+    }
     planner.memory.ratingsPerPass = adaptRatings(planner.memory.ratingsPerPass, tookMs, planner.memory.hasStepsLeft);
     recordPass(term.load, tookMs);
     recordStarvation(term.load, takeStarvationSummary(planner.memory.starvation));
@@ -306,9 +355,24 @@
         logWaitingSteps(term, input, planner.memory, planner.loggedReasons, wallMs);
         logBlockedTrials(term, planner.memory, planner.loggedObstacles, wallMs);
     }
+    planner.fullPassMs = tookMs;
+    planner.fullPassEndedAtMs = yield* readMonotonicMs;
     return tookMs;
 });
 
+/**
+ * Whether passes over urgent tasks alone are made between those over all tasks: the processor time of the leader is rationed, and no task
+ * waits for a rack, which is decided for all tasks together.
+ */
+function splitsPasses({ ration, placementWaits }: Term): boolean {
+    return isRationed(ration) && (placementWaits?.memory.waits.size ?? 0) === 0;
+}
+
+/** Whether the next pass is over urgent tasks alone, because one over all tasks is not due yet. */
+function isPassUrgent(term: Term, planner: PlannerState, nowMs: number): boolean {
+    return splitsPasses(term) && nowMs - planner.fullPassEndedAtMs < computeFullPassPauseMs(planner.fullPassMs);
+}
+
 /**
  * Runs the planner until the term ends: a pass after each change, and at least one per `idlePauseMs`. A pass that left
  * out waiting steps is followed by another one without a change.
@@ -319,8 +383,9 @@
     const startedMs = yield* readMonotonicMs;
     term.sessions.forEach(session => addRecordedRuns(term, session, "unanswered", startedMs));
     while (canSendOrders(term, yield* readMonotonicMs)) {
+        const isUrgent = isPassUrgent(term, planner, yield* readMonotonicMs);
         const tookMs = yield* Effect.catch(
-            runPass(term, planner),
+            isUrgent ? runUrgentPass(term, planner) : runPass(term, planner),
             (error: ErrorData) => Effect.as(logStepError(term.logger, "plan", error), undefined),
         );
         if (tookMs === undefined) {
@@ -328,10 +393,15 @@
             continue;
         }
         const endedMs = yield* readMonotonicMs;
-        if (!planner.memory.hasStepsLeft) {
+        if (isUrgent || !planner.memory.hasStepsLeft) {
             const pauseMs = computeIdlePauseMs(term, idlePauseMs, yield* readTermMs(term));
             yield* Effect.timeoutOption(Queue.take(term.plannerWakeups), pauseMs);
         }
-        yield* Effect.sleep(computePassPauseMs(tookMs, (yield* readMonotonicMs) - endedMs));
+        // Urgent tasks do not wait for as long as a pass over all tasks would ask for.
+        const sinceEndMs = (yield* readMonotonicMs) - endedMs;
+        const nextPauseMs = splitsPasses(term)
+            ? computeUrgentPassPauseMs(planner.urgentPassMs, sinceEndMs)
+            : computePassPauseMs(tookMs, sinceEndMs);
+        yield* Effect.sleep(nextPauseMs);
     }
 });
--- a/packages/lead-jobs/src/send-orders.ts
+++ b/packages/lead-jobs/src/send-orders.ts
@@ -21,6 +21,7 @@
 import { logRunEnded, logRunOrdered } from "./log-decisions.js";
 import { listOpenOrders, recordOpenOrder } from "./open-orders.js";
 import { recordFailedWorker, recordUnstartedRun } from "./rate-run-ends.js";
+import { choosePatienceMs } from "./ration-term.js";
 import { observeBegunJob } from "./record-begun-jobs.js";
 import { recordConfirmedStep, recordRefusedStep } from "./refused-steps.js";
 import { superviseLoop, superviseOrder } from "./supervise-loop.js";
@@ -229,21 +230,30 @@
     session.lease = renewLease(session.lease, term.limits.longestLeaseMs, sentAtMs);
     session.leaseOrderSentAtMs = sentAtMs;
     logRunOrdered(term, session, run, status.key, sentAtMs);
-    const answer = yield* term.workers.startRun(session.info, {
-        ...status.key,
-        payload: run.job.definition.payload,
-        checkpoint: run.task.checkpoint,
-        leaseUntilMs: session.lease.grantedUntilClockMs,
-        fencingToken: session.fencingToken,
-        ticket,
-    }, orderTimeoutMs);
+    const urgency = findJobUrgency(term, run.job.id);
+    if (urgency === "urgent" && !run.step.spec.longRunning) {
+        Queue.offerUnsafe(session.renewalWakeups, undefined);
+    }
+    const answer = yield* term.workers.startRun(
+        session.info,
+        {
+            ...status.key,
+            payload: run.job.definition.payload,
+            checkpoint: run.task.checkpoint,
+            leaseUntilMs: session.lease.grantedUntilClockMs,
+            fencingToken: session.fencingToken,
+            ticket,
+        },
+        orderTimeoutMs,
+        choosePatienceMs(term, urgency),
+    );
     const nowMs = yield* readMonotonicMs;
     if (recordAnswer(term, session, answer, sentAtMs, nowMs)) {
         // The crash of the earlier start does not count for a run that has begun on the later one.
         status.orderedAtMs = nowMs;
     }
     term.metrics.recordDuration("startOrderMs", run.job.queue.name, run.job.queue.service, nowMs - sentAtMs);
-    recordStage(term.load, findJobUrgency(term, run.job.id), "startOrder", nowMs - sentAtMs);
+    recordStage(term.load, urgency, "startOrder", nowMs - sentAtMs);
     observeStartAnswer(term, session, status, answer, nowMs);
     if (answer.kind === "done") {
         observeBegunJob(term, run.job);
--- a/packages/lead-jobs/src/send-renewals.ts
+++ b/packages/lead-jobs/src/send-renewals.ts
@@ -41,6 +41,7 @@
     session: WorkerSession,
     waitMs: number,
     limitMs: number,
+    patienceMs: number,
 ) {
     const sentAtMs = yield* readMonotonicMs;
     session.renewalSentAtMs = sentAtMs;
@@ -55,12 +56,17 @@
     if (acknowledgedSequence > 0) {
         session.unansweredAcknowledgement = { sequence: acknowledgedSequence, sentAtMs };
     }
-    const answer = yield* term.workers.renewLease(session.info, {
-        leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
-        fencingToken: session.fencingToken,
-        acknowledgedSequence,
-        waitMs,
-    }, limitMs);
+    const answer = yield* term.workers.renewLease(
+        session.info,
+        {
+            leaseUntilMs: mayRenew ? session.lease?.grantedUntilClockMs : undefined,
+            fencingToken: session.fencingToken,
+            acknowledgedSequence,
+            waitMs,
+        },
+        limitMs,
+        patienceMs,
+    );
     if (acknowledgedSequence > 0 && isAnsweredBy(session, answer)) {
         session.unansweredAcknowledgement = unansweredBefore;
     }
@@ -89,7 +95,7 @@
  * finds a worker that is back, but takes the answers to the earlier ones as well.
  */
 export const renewSilentWorker = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
-    const renewal = sendRenewal(term, session, 0, term.limits.longestLeaseMs * slowAnswerShare);
+    const renewal = sendRenewal(term, session, 0, term.limits.longestLeaseMs * slowAnswerShare, 0);
     const order = Effect.map(renewal, renewed => {
         const isFailure = renewed.answer.kind === "unknown" || renewed.answer.kind === "notSent";
         const isLatest = renewed.sentAtMs === session.renewalSentAtMs;
--- a/packages/lead-jobs/src/start-leadership.ts
+++ b/packages/lead-jobs/src/start-leadership.ts
@@ -1,6 +1,7 @@
 import { describeError } from "@chestnutspool/errors";
 import { createInterferenceModel } from "@chestnutspool/learn-interference";
 import { createCopyMemory } from "@chestnutspool/plan-copies";
+import { createLeaderRation } from "@chestnutspool/ration-leader-time";
 import {
     type ErrorData,
     type JobReply,
@@ -90,6 +91,8 @@
         placementWaits: createPlacementWaits(dependencies.limits),
         load: createTermLoad(),
         admission: createAdmission(),
+        ration: createLeaderRation(),
+        urgentStepsLeft: 0,
         isFenced: false,
     };
     term.interference.addPairs([...dependencies.machine.state.disturbances.values()]);
--- a/packages/lead-jobs/src/term-load.ts
+++ b/packages/lead-jobs/src/term-load.ts
@@ -24,6 +24,9 @@
     passes: number;
     passMs: number;
     longestPassMs: number;
+    /** Passes over urgent tasks alone; the others are not counted here. */
+    urgentPasses: number;
+    urgentPassMs: number;
     commits: number;
     commitMs: number;
     longestCommitMs: number;
@@ -34,6 +37,8 @@
     renewals: number;
     failedRenewals: number;
     paces: number;
+    /** Raised paces that were not ordered in a round because the ration was spent. */
+    heldRaises: number;
     /** Best-effort jobs without a run, as the last pass found them. */
     jobsWithoutRun: number;
     /** Longest time for which such a job has had no run. */
@@ -63,6 +68,8 @@
         passes: 0,
         passMs: 0,
         longestPassMs: 0,
+        urgentPasses: 0,
+        urgentPassMs: 0,
         commits: 0,
         commitMs: 0,
         longestCommitMs: 0,
@@ -72,6 +79,7 @@
         renewals: 0,
         failedRenewals: 0,
         paces: 0,
+        heldRaises: 0,
         jobsWithoutRun: 0,
         longestWithoutRunMs: 0,
         starvedStarts: 0,
@@ -110,6 +118,12 @@
     load.longestPassMs = Math.max(load.longestPassMs, tookMs);
 }
 
+/** Records a pass over urgent tasks alone that planned for `tookMs`. */
+export function recordUrgentPass(load: TermLoad, tookMs: number): void {
+    load.urgentPasses += 1;
+    load.urgentPassMs += tookMs;
+}
+
 /** Records the best-effort jobs that a pass found without a run. */
 export function recordStarvation(load: TermLoad, { jobs, longestMs, starts }: StarvationSummary): void {
     load.jobsWithoutRun = jobs;
--- a/packages/lead-jobs/src/term.ts
+++ b/packages/lead-jobs/src/term.ts
@@ -4,7 +4,8 @@
 import type { SpeedModel } from "@chestnutspool/learn-worker-speed";
 import type { Logger } from "@chestnutspool/logger";
 import type { CopyMemory } from "@chestnutspool/plan-copies";
-import type { PlacementWaits } from "@chestnutspool/plan-jobs";
+import type { PlacementWaits, Urgency } from "@chestnutspool/plan-jobs";
+import { isRationed, type LeaderRation } from "@chestnutspool/ration-leader-time";
 import type { Metrics } from "@chestnutspool/record-metrics";
 import type { RunStatuses, StartRejections, WorkerHealth, WorkerLease } from "@chestnutspool/track-workers";
 import {
@@ -128,6 +129,8 @@
     readonly lateAnswers: Queue.Queue<RenewalAnswer>;
     /** Signals that an answer came from another start of the worker, so that it is called at once. */
     readonly restartSigns: Queue.Queue<void>;
+    /** Ends the pause before the next renewal, because an urgent task starts on the worker. */
+    readonly renewalWakeups: Queue.Queue<void>;
     /** When the latest renewal was sent, in monotonic milliseconds. */
     renewalSentAtMs: number;
     /** When the last heartbeat arrived, in monotonic milliseconds. */
@@ -191,6 +194,10 @@
     readonly load: TermLoad;
     /** What the decision about new jobs needs. */
     readonly admission: Admission;
+    /** What deferrable work may take of the processor time. */
+    readonly ration: LeaderRation;
+    /** Urgent steps of which the last pass found no room for a task, so that each end of a run may give it to them. */
+    urgentStepsLeft: number;
     /** Whether a worker has accepted the fencing token of a later leader, so that this one sends no more orders. */
     isFenced: boolean;
 }
@@ -222,9 +229,14 @@
     return status.role === "leader" && status.term === number;
 }
 
-/** Wakes the planner for another pass. */
-export function wakePlanner(term: Term): void {
-    Queue.offerUnsafe(term.plannerWakeups, undefined);
+/**
+ * Wakes the planner for another pass. While the processor time of the leader is rationed, deferrable work waits for the next pass that is due
+ * or that urgent work asks for, because most of the time of a pass does not depend on what has changed.
+ */
+export function wakePlanner(term: Term, urgency: Urgency = "urgent"): void {
+    if (urgency === "urgent" || !isRationed(term.ration) || term.urgentStepsLeft > 0) {
+        Queue.offerUnsafe(term.plannerWakeups, undefined);
+    }
 }
 
 /** Content of a command before the present time is added. */
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -1,7 +1,8 @@
 import { canCompleteLate, formatRunKey, formatTaskKey, type WorkerState } from "@chestnutspool/job-state";
 import { createUsageHistory } from "@chestnutspool/learn-interference";
 import { observeRunEnd } from "@chestnutspool/plan-copies";
-import { hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
+import { findUrgency, hasUncertainPairs, observeMargins, recordUsage } from "@chestnutspool/plan-jobs";
+import { isRationed } from "@chestnutspool/ration-leader-time";
 import {
     applyReport,
     createStartRejections,
@@ -22,11 +23,12 @@
 import { Effect, Queue } from "effect";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { expireWorker, findWorkerEnd, findWorkerState, isStartRecorded, leaveGraceMs } from "./expire-worker.js";
-import { findJobUrgency } from "./job-urgency.js";
+import { findEndUrgency, findJobUrgency } from "./job-urgency.js";
 import { createSpeedReader, hasComparableRuns, observeReportedRuns } from "./learn-speeds.js";
 import { checkListedEnds, hasStoppedRun, provingIntervalMs } from "./listed-ends.js";
 import { logEndedJobs, logLateSuccesses, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
+import { choosePatienceMs } from "./ration-term.js";
 import { observeBegunJobs } from "./record-begun-jobs.js";
 import { sendStop } from "./send-orders.js";
 import { checkRestart, renewGraceMs, renewSilentWorker, sendRenewal } from "./send-renewals.js";
@@ -50,6 +52,11 @@
  * reports.
  */
 const reportIntervalMs = 900;
+/**
+ * The same while the processor time of the leader is rationed, in milliseconds; with the time after which a renewal counts as lost it is a
+ * third of the shortest lease that users set.
+ */
+const rationedIntervalMs = 1_300;
 /**
  * Longest such delay while the worker runs tasks whose interference is not known yet, or while it seems slow, in milliseconds.
  */
@@ -64,6 +71,11 @@
 const delayedAnswerMs = 3_000;
 /** Pause between two renewals, in milliseconds, so that ends of runs in quick succession share one report. */
 const renewPauseMs = 30;
+/**
+ * The same while the processor time of the leader is rationed and the worker runs no urgent task that ends by itself, in milliseconds; most
+ * of the time that a report takes does not depend on the number of ends in it.
+ */
+const rationedPauseMs = 250;
 /** Pause after a renewal that was not answered or whose answer could not be applied, in milliseconds. */
 const retryPauseMs = 200;
 
@@ -105,6 +117,7 @@
         isRefusing: false,
         lateAnswers: yield* Queue.sliding<RenewalAnswer>(lateAnswerLimit),
         restartSigns: yield* Queue.sliding<void>(1),
+        renewalWakeups: yield* Queue.sliding<void>(1),
         renewalSentAtMs: Number.NEGATIVE_INFINITY,
         heartbeatAtMs: nowMs,
         // A delayed heartbeat from before the last change must not undo it.
@@ -158,7 +171,7 @@
         }
         logLateSuccesses(term, session, lateSuccesses);
         logEndedJobs(term, phases);
-        wakePlanner(term);
+        wakePlanner(term, findEndUrgency(term, [...ends, ...lateSuccesses]));
     }
     session.acknowledgedSequence = Math.max(session.acknowledgedSequence, outcome.lastSequence);
 });
@@ -276,10 +289,33 @@
     if (state !== undefined && hasTrial(state, session.runStatuses)) {
         return trialIntervalMs;
     }
+    if (isRationed(term.ration)) {
+        return rationedIntervalMs;
+    }
     const isLearning = state !== undefined && hasUncertainPairs(state, session.runStatuses, term.interference);
     return isLearning || isSpeedDoubtful(term, state, nowMs) ? learningIntervalMs : reportIntervalMs;
 }
 
+/** Whether a worker runs an urgent task that ends by itself, so that its end should be known at once. */
+function hasUrgentRun(term: Term, session: WorkerSession): boolean {
+    for (const { job, step } of findWorkerState(term, session)?.runs.values() ?? []) {
+        if (!step.spec.longRunning && findUrgency(term.machine.state.configuration, job.queue) === "urgent") {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Waits before the next renewal of a worker that has answered one. */
+const pauseRenewals = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+    if (!isRationed(term.ration) || hasUrgentRun(term, session)) {
+        yield* Effect.sleep(renewPauseMs);
+        return;
+    }
+    yield* Queue.clear(session.renewalWakeups);
+    yield* Effect.timeoutOption(Queue.take(session.renewalWakeups), rationedPauseMs);
+});
+
 /**
  * Renews the lease of a worker once and applies its report. Tells whether the session is kept or has ended, or that the worker has
  * started again.
@@ -288,7 +324,13 @@
     const waitMs = session.isResponsive ? chooseWaitMs(term, session, yield* readMonotonicMs) : 0;
     const { answer, sentAtMs, acknowledgedSequence } = session.isResponsive
         ? yield* Effect.raceFirst(
-            sendRenewal(term, session, waitMs, waitMs + renewGraceMs),
+            sendRenewal(
+                term,
+                session,
+                waitMs,
+                waitMs + renewGraceMs,
+                choosePatienceMs(term, hasUrgentRun(term, session) ? "urgent" : "deferrable"),
+            ),
             checkRestart(term, session),
         )
         : yield* renewSilentWorker(term, session);
@@ -306,7 +348,7 @@
         }
         session.confirmedSequence = Math.max(session.confirmedSequence, acknowledgedSequence);
         yield* applyRenewAnswer(term, session, answer, sentAtMs);
-        yield* Effect.sleep(renewPauseMs);
+        yield* pauseRenewals(term, session);
         return { kind: "kept" } as const;
     }
     term.load.failedRenewals += 1;
--- a/packages/plan-jobs/src/contended-pools.ts
+++ b/packages/plan-jobs/src/contended-pools.ts
@@ -10,7 +10,9 @@
     type WaitingWork,
 } from "@chestnutspool/share-capacity";
 import type { RunStart } from "@chestnutspool/types";
+import type { PlanInput } from "./plan-input.js";
 import { predictCompletion } from "./predict-lateness.js";
+import { findUrgency } from "./queue-urgency.js";
 import type { WaitingStep } from "./waiting-steps.js";
 
 /**
@@ -21,6 +23,7 @@
 /** Interval at which contention is checked, in milliseconds; a check reads all runs. */
 const checkIntervalMs = 200;
 const milliCpuPerCore = 1_000;
+const millisecondsPerSecond = 1_000;
 
 /** Queues of one priority in one pool. */
 export interface PriorityClass {
@@ -28,7 +31,7 @@
     readonly priority: number;
     readonly shares: ShareMemory;
     isContended: boolean;
-    /** Time that the processors need for the waiting work, in milliseconds. */
+    /** Time that the processors, or the leader, need for the waiting work, in milliseconds. */
     drainMs: number;
 }
 
@@ -116,11 +119,23 @@
     return (own + Math.max(0, free)) / milliCpuPerCore;
 }
 
-function updateContention(state: JobState, ofClass: PriorityClass, works: readonly StepWork[]): void {
+/** Computes the time in which a leader that rations starts can start the waiting tasks of deferrable queues, in milliseconds. */
+function computeStartMs({ state, startRation }: PlanInput, ofClass: PriorityClass, works: readonly StepWork[]): number {
+    if (startRation === undefined || findUrgency(state.configuration, ofClass) === "urgent") {
+        return 0;
+    }
+    const tasks = works.reduce((sum, { waiting: { step } }) => sum + step.waiting.size, 0);
+    return tasks * millisecondsPerSecond / startRation.startsPerSecond;
+}
+
+function updateContention(input: PlanInput, ofClass: PriorityClass, works: readonly StepWork[]): void {
+    const startMs = computeStartMs(input, ofClass, works);
     const byKey = new Map(works.map(work => [work.key, work.workToStart]));
     const waitingWork = [...byKey.values()].reduce((sum, work) => sum + work, 0);
-    const cores = computeCores(state, ofClass);
-    ofClass.drainMs = waitingWork === 0 ? 0 : waitingWork / cores;
+    // Counting the cores reads all runs.
+    ofClass.drainMs = waitingWork === 0 || startMs >= contendedDrainMs
+        ? startMs
+        : Math.max(startMs, waitingWork / computeCores(input.state, ofClass));
     ofClass.isContended = ofClass.drainMs >= contendedDrainMs;
 }
 
@@ -157,16 +172,16 @@
  */
 export function orderContended(
     memory: ContentionMemory,
-    state: JobState,
+    input: PlanInput,
     sorted: readonly WaitingStep[],
     nowMs: number,
 ): readonly WaitingStep[] {
     const isCheckDue = Math.abs(nowMs - memory.checkedAtMs) >= checkIntervalMs;
     const replaced = new Map<WaitingStep, WaitingStep>();
-    const works = groupByClass(memory, state, sorted, nowMs);
+    const works = groupByClass(memory, input.state, sorted, nowMs);
     if (isCheckDue) {
         memory.checkedAtMs = nowMs;
-        memory.classes.forEach(ofClass => updateContention(state, ofClass, works.get(ofClass) ?? []));
+        memory.classes.forEach(ofClass => updateContention(input, ofClass, works.get(ofClass) ?? []));
     }
     for (const [ofClass, ofWorks] of works) {
         if (!ofClass.isContended) {
--- a/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
+++ b/packages/plan-jobs/src/fakes/plan-starts-plainly.ts
@@ -231,7 +231,7 @@
     const candidates = listCandidates(input);
     const pass: PlanningPass = { input, candidates, kept: listKeptWorkers(input.state, candidates), starts: [] };
     const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
-    for (const waiting of orderContended(createContentionMemory(), input.state, sorted, nowMs)) {
+    for (const waiting of orderContended(createContentionMemory(), input, sorted, nowMs)) {
         const { job, occurrence, step } = waiting;
         const stepKey = formatStepKey({ job: job.id, occurrence: occurrence.number, step: step.position });
         if (step.spec.gang) {
--- a/packages/plan-jobs/src/index.ts
+++ b/packages/plan-jobs/src/index.ts
@@ -7,10 +7,10 @@
 export { listStalledRuns } from "./list-stalled-runs.js";
 export { hasUncertainPairs, observeMargins, recordUsage } from "./observe-report.js";
 export { describeObservedRun, getWorkerPlace, observeSpeeds } from "./observe-speeds.js";
-export { listCandidates, type PlanInput } from "./plan-input.js";
+export { listCandidates, type PlanInput, type StartRation } from "./plan-input.js";
 export { createPlanMemory, type PlanMemory } from "./plan-memory.js";
 export { type PaceChange, type PaceDetail, planPaces } from "./plan-paces.js";
-export { planStarts } from "./plan-starts.js";
+export { planStarts, planUrgentStarts } from "./plan-starts.js";
 export {
     computeChainMs,
     computeObjectiveMs,
--- a/packages/plan-jobs/src/plan-input.ts
+++ b/packages/plan-jobs/src/plan-input.ts
@@ -6,6 +6,14 @@
 import { type CapacityReservation, createWorkerCandidate, type WorkerCandidate } from "./worker-candidate.js";
 import { applySpeeds } from "./worker-speeds.js";
 
+/** Limit of the starts of deferrable tasks, because the leader has no time for more. */
+export interface StartRation {
+    /** Number of these tasks that may start now. */
+    readonly starts: number;
+    /** How many of them may start in a second from now on. */
+    readonly startsPerSecond: number;
+}
+
 /** Input of the planner. */
 export interface PlanInput {
     readonly state: JobState;
@@ -33,6 +41,8 @@
     readonly reservations?: readonly CapacityReservation[];
     /** Lets tasks wait for the rack that they prefer; without it they start wherever there is room. */
     readonly placementWaits?: PlacementWaits | undefined;
+    /** Absent or undefined if deferrable tasks may start wherever there is room. */
+    readonly startRation?: StartRation | undefined;
 }
 
 /** Lists the workers on which tasks may start. */
--- a/packages/plan-jobs/src/plan-memory.ts
+++ b/packages/plan-jobs/src/plan-memory.ts
@@ -40,6 +40,12 @@
     readonly contention: ContentionMemory;
     readonly trialWaits: StepWaits;
     readonly holdWaits: StepWaits;
+    /** Steps of jobs without a run that wait for the ration of starts. */
+    readonly rationWaits: StepWaits;
+    /** Steps of which the last pass left out tasks because of the ration of starts. */
+    stepsLeftOut: number;
+    /** Urgent steps of which the last pass found no room for a task. */
+    urgentStepsLeft: number;
     /** Steps with tasks that wait for a trial, for the log. */
     readonly blockedTrials: BlockedTrials;
     readonly moves: PendingMoves;
@@ -57,6 +63,9 @@
         contention: createContentionMemory(),
         trialWaits: new WeakMap(),
         holdWaits: new WeakMap(),
+        rationWaits: new WeakMap(),
+        stepsLeftOut: 0,
+        urgentStepsLeft: 0,
         lastPass: undefined,
         blockedTrials: new Map(),
         moves: new Map(),
--- a/packages/plan-jobs/src/plan-starts.ts
+++ b/packages/plan-jobs/src/plan-starts.ts
@@ -20,7 +20,9 @@
     recordUnmet,
     reserveWorker,
 } from "./planning-pass.js";
+import { findUrgency } from "./queue-urgency.js";
 import { formatWaitingKey } from "./rack-wants.js";
+import { countRationed, createRationedStarts, recordPlannedStarts } from "./ration-starts.js";
 import { createStart, listStartable } from "./startable-tasks.js";
 import { listRefusingWorkers, listStarvedSteps, summarizePools } from "./starved-steps.js";
 import { planStepPlacements } from "./step-placements.js";
@@ -46,7 +48,12 @@
 }
 
 /** Plans starts of the tasks of a step one by one until no worker is suitable; only of one task if it is starved. */
-function planTasks(pass: PlanningPass, waiting: WaitingStep, starved: StarvedScope | undefined): void {
+function planTasks(
+    pass: PlanningPass,
+    waiting: WaitingStep,
+    starved: StarvedScope | undefined,
+    rationed: number,
+): void {
     const isStarved = starved !== undefined;
     const tasks = listStartable(waiting)
         .filter(task => !pass.movedTasks.has(task) && (starved?.task === undefined || starved.task === task));
@@ -58,7 +65,8 @@
         // They go last, because the first task without a worker ends the step.
         tasks.sort((left, right) => Number(needsTrial(left)) - Number(needsTrial(right)));
     }
-    const limit = Math.min(isStarved ? 1 : startsPerPass - pass.starts.length, countStartable(pass, waiting));
+    const ofPass = isStarved ? 1 : startsPerPass - pass.starts.length;
+    const limit = Math.min(ofPass, rationed, countStartable(pass, waiting));
     planTaskStarts(pass, plan, tasks.slice(0, limit), starved?.task === undefined);
 }
 
@@ -151,17 +159,23 @@
     return isUnmet(pass, waiting) && !hasReservation(pass.input.reservations ?? [], formatWaitingKey(waiting));
 }
 
-/** Plans starts of a step; a starved one may disturb serving tasks. */
+/** Plans starts of a step; a starved one may disturb serving tasks, and the ration of starts does not limit it. */
 function planStep(pass: PlanningPass, waiting: WaitingStep, starved?: StarvedScope): void {
     if (countStartable(pass, waiting) === 0) {
         return;
     }
+    const rationed = starved === undefined ? pass.countRationed(waiting) : Number.POSITIVE_INFINITY;
+    if (rationed === 0) {
+        return;
+    }
+    const startsBefore = pass.starts.length;
     if (waiting.step.spec.gang) {
         planGang(pass, waiting, starved !== undefined);
     }
     else {
-        planTasks(pass, waiting, starved);
+        planTasks(pass, waiting, starved, rationed);
     }
+    recordPlannedStarts(pass, waiting, pass.starts.length - startsBefore);
 }
 
 /**
@@ -261,31 +275,27 @@
     }
 }
 
-/**
- * Plans the starts of one pass; `nowMs` is wall-clock time in milliseconds since the epoch. The memory is that of the
- * earlier passes; by default there are none.
- */
-export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
+/** Creates the state of a pass over waiting steps. */
+function createPass(
+    input: PlanInput,
+    waitingSteps: readonly WaitingStep[],
+    candidates: readonly WorkerCandidate[],
+    nowMs: number,
+    memory: PlanMemory,
+): PlanningPass {
     const { findUnstartedRun } = input;
-    expireMoves(memory.moves, nowMs);
-    expireBlockedTrials(memory.blockedTrials, nowMs);
-    const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
-    const waitingSteps = orderContended(memory.contention, input.state, sorted, nowMs);
-    if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
-        memory.hasStepsLeft = false;
-        memory.lastPass = undefined;
-        listStarvedSteps(memory.starvation, [], { pools: new Map(), findUnstartedRun }, nowMs);
-        return [];
-    }
-    const candidates = listCandidates(input);
     const candidatesByService = groupByService(candidates);
-    const pass: PlanningPass = {
+    const pools = summarizePools(input.state);
+    const starts: RunStart[] = [];
+    const rationed = createRationedStarts(input);
+    const { rationWaits } = memory;
+    return {
         input,
         candidatesByService,
         kept: listKeptWorkers(input.state, candidates),
         unmet: createUnmetRequirements(),
         placements: planStepPlacements(input, candidatesByService, waitingSteps, nowMs),
-        starts: [],
+        starts,
         deferredTrials: [],
         blockedTrials: [],
         blockedGangs: new Set(),
@@ -293,31 +303,86 @@
         listRefusingWorkers: waiting => listRefusingWorkers(memory.starvation, waiting, findUnstartedRun, nowMs),
         held: [],
         observeHoldWait: step => observeHoldWait(memory.holdWaits, step, nowMs),
-        pools: summarizePools(input.state),
+        pools,
         observeTrialWait: step => observeTrialWait(memory.trialWaits, step, nowMs),
         recordBlockedTrial: (waiting, tasks, obstacle) =>
             recordBlockedTrial(memory.blockedTrials, waiting, tasks, obstacle, nowMs),
         trials: countTrials(input.state, input.findRunStatuses),
+        rationed,
+        countRationed: waiting => countRationed({ input, pools, starts, rationed, rationWaits }, waiting, nowMs),
         ratings: 0,
     };
+}
+
+/** Plans the starts of a step where there is room, and holds workers for those that find none; returns the number of ratings. */
+function planWaitingStep(pass: PlanningPass, waiting: WaitingStep): number {
+    const ratingsBefore = pass.ratings;
+    const startsBefore = pass.starts.length;
+    if (!hasNoRoom(pass, waiting)) {
+        planStep(pass, waiting);
+    }
+    else if (waiting.isOverdue) {
+        recordTrialsWithoutRoom(pass, waiting);
+    }
+    planDespiteHolds(pass, waiting);
+    holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
+    return pass.ratings - ratingsBefore;
+}
+
+/**
+ * Plans the starts of urgent tasks alone, between two passes over all tasks. It takes a part of the time of such a pass, because it does not
+ * read the backlog of deferrable tasks. Neither starved tasks nor trials that wait for others get a start.
+ */
+export function planUrgentStarts(input: PlanInput, nowMs: number, memory: PlanMemory): RunStart[] {
+    const { configuration } = input.state;
+    const waitingSteps = sortWaitingSteps(
+        listWaitingSteps(input.state, nowMs, ({ queue }) => findUrgency(configuration, queue) === "urgent"),
+    );
+    memory.urgentStepsLeft = 0;
+    if (waitingSteps.length === 0) {
+        return [];
+    }
+    const candidates = listCandidates(input);
+    const pass = createPass(input, waitingSteps, candidates, nowMs, memory);
+    memory.moves.forEach(move => reserveMove(move, candidates));
+    for (const waiting of waitingSteps) {
+        if (pass.ratings >= memory.ratingsPerPass) {
+            break;
+        }
+        planWaitingStep(pass, waiting);
+    }
+    memory.urgentStepsLeft = pass.rationed.urgentStepsLeft;
+    return pass.starts;
+}
+
+/**
+ * Plans the starts of one pass; `nowMs` is wall-clock time in milliseconds since the epoch. The memory is that of the
+ * earlier passes; by default there are none.
+ */
+export function planStarts(input: PlanInput, nowMs: number, memory = createPlanMemory()): RunStart[] {
+    const { findUnstartedRun } = input;
+    expireMoves(memory.moves, nowMs);
+    expireBlockedTrials(memory.blockedTrials, nowMs);
+    const sorted = sortWaitingSteps(listWaitingSteps(input.state, nowMs));
+    const waitingSteps = orderContended(memory.contention, input, sorted, nowMs);
+    memory.stepsLeftOut = 0;
+    memory.urgentStepsLeft = 0;
+    if (waitingSteps.length === 0 && (input.placementWaits?.memory.waits.size ?? 0) === 0) {
+        memory.hasStepsLeft = false;
+        memory.lastPass = undefined;
+        listStarvedSteps(memory.starvation, [], { pools: new Map(), findUnstartedRun }, nowMs);
+        return [];
+    }
+    const candidates = listCandidates(input);
+    const pass = createPass(input, waitingSteps, candidates, nowMs, memory);
     memory.lastPass = pass;
     planMoves(pass, memory.moves, candidates, waitingSteps);
-    planWithinLimit(memory, waitingSteps, waiting => {
-        const ratingsBefore = pass.ratings;
-        const startsBefore = pass.starts.length;
-        if (!hasNoRoom(pass, waiting)) {
-            planStep(pass, waiting);
-        }
-        else if (waiting.isOverdue) {
-            recordTrialsWithoutRoom(pass, waiting);
-        }
-        planDespiteHolds(pass, waiting);
-        holdForUnplanned(pass, waiting, pass.starts.length - startsBefore);
-        return pass.ratings - ratingsBefore;
-    });
+    planWithinLimit(memory, waitingSteps, waiting => planWaitingStep(pass, waiting));
     planDeferredTrials(pass);
     planSharedTrials(pass);
     planStarved(pass, waitingSteps, memory, nowMs);
     recordContendedStarts(memory.contention, input.state, pass.starts);
+    memory.stepsLeftOut = pass.rationed.stepsLeftOut;
+    memory.urgentStepsLeft = pass.rationed.urgentStepsLeft;
     return pass.starts;
 }
--- a/packages/plan-jobs/src/planning-pass.ts
+++ b/packages/plan-jobs/src/planning-pass.ts
@@ -5,6 +5,7 @@
 import type { PlanInput } from "./plan-input.js";
 import { formatWaitingKey } from "./rack-wants.js";
 import type { RatingContext } from "./rate-workers.js";
+import type { RationedStarts } from "./ration-starts.js";
 import type { PoolUse } from "./starved-steps.js";
 import type { StepPlacements } from "./step-placements.js";
 import { createStepRatings, type StepRatings } from "./step-ratings.js";
@@ -46,6 +47,9 @@
     readonly recordBlockedTrial: (waiting: WaitingStep, tasks: number, obstacle: TrialObstacle) => void;
     /** Workers, and those on trial, by service. */
     readonly trials: TrialCounts;
+    readonly rationed: RationedStarts;
+    /** Counts the tasks of a step that the ration of starts allows. */
+    readonly countRationed: (waiting: WaitingStep) => number;
     /** Number of ratings of workers. */
     ratings: number;
 }
--- a/packages/replay-jobs/src/simulated-workers.ts
+++ b/packages/replay-jobs/src/simulated-workers.ts
@@ -12,6 +12,8 @@
     readonly distance: RunDistance;
     readonly workMs: number;
     doneMs: number;
+    /** Whether it has ended on its worker, and the leader does not know it yet. */
+    hasEnded?: boolean;
     /** When its stop was ordered; undefined before. */
     stopOrderedAtMs: number | undefined;
     /** Share of the declared processors that a run on idle processors uses at full pace when enough are idle. */
--- a/packages/replay-jobs/src/simulation.ts
+++ b/packages/replay-jobs/src/simulation.ts
@@ -9,11 +9,13 @@
 import { createPlanMemory, type PlacementWaits, type PlanMemory } from "@chestnutspool/plan-jobs";
 import { createPreemptionMemory, type PreemptionMemory } from "@chestnutspool/plan-preemption";
 import type { RunStatuses } from "@chestnutspool/track-workers";
+import type { RunOutcome } from "@chestnutspool/types";
 import type { SimulatedJob } from "./generate-jobs.js";
 import type { Load } from "./load.js";
 import { createRandom, type Random } from "./random.js";
 import { createSimulatedAdmission, type SimulatedAdmission } from "./simulated-admission.js";
 import { createSimulatedCopies, type SimulatedCopies } from "./simulated-copies.js";
+import { createSimulatedLeader, type LeaderProcessor, type SimulatedLeader } from "./simulated-leader.js";
 import { createQueue, createWorkerInfo, service } from "./simulated-pool.js";
 import { createSimulatedWaits } from "./simulated-racks.js";
 import { createSimulatedSpeeds, type SimulatedSpeeds } from "./simulated-speeds.js";
@@ -23,6 +25,8 @@
 
 /** Interval at which a worker reports while none of its runs ends, in milliseconds. */
 export const reportIntervalMs = 900;
+/** Length of one simulation step, in milliseconds. */
+export const stepMs = 20;
 /** Start of the simulated wall clock, in milliseconds; above 0, so that no timestamp is 0. */
 export const epochMs = 1_000_000;
 
@@ -48,10 +52,18 @@
     readonly observeCopy?: (outcome: CopyOutcome) => void;
     /** Whether the speeds of workers are learnt and used; by default they are not. */
     readonly learnsSpeeds?: boolean;
+    /** Processor of the leader; by default its work takes no time. */
+    readonly leader?: LeaderProcessor | undefined;
     /** Is shown the state after each step of the replay, at a time in milliseconds since its start; by default nothing is done. */
     readonly observeState?: (state: JobState, nowMs: number) => void;
 }
 
+/** A run that has ended on its worker. */
+export interface EndedRun {
+    readonly run: SimulatedRun;
+    readonly outcome: RunOutcome;
+}
+
 /** State of a replay. */
 export interface Simulation {
     readonly load: Load;
@@ -78,13 +90,23 @@
     readonly admission: SimulatedAdmission | undefined;
     /** Memory of the planner of preemptions; undefined if nothing is preempted. */
     readonly preemption: PreemptionMemory | undefined;
+    /** Undefined if the work of the leader takes no time. */
+    readonly leader: SimulatedLeader | undefined;
+    /** Runs that have ended on each worker and that no report has listed yet. */
+    readonly endedRuns: Map<string, EndedRun[]>;
+    /** Workers whose report is on its way to the leader, or that it renews after a pause, by the time of the next renewal. */
+    readonly renewableAtMs: Map<string, number>;
     /** Starts that the leader can still order at this moment. */
     startAllowance: number;
     commandIndex: number;
 }
 
 /** Creates a replay of a load at its begin. */
-export function createSimulation(load: Load, seed: number, options: Required<ReplayOptions>): Simulation {
+export function createSimulation(
+    load: Load,
+    seed: number,
+    options: Required<Omit<ReplayOptions, "leader">> & Pick<ReplayOptions, "leader">,
+): Simulation {
     const { hasAdmission, hasPreemption, hasWaits, runCall, hasCopies, observeCopy, learnsSpeeds } = options;
     const random = createRandom(seed);
     const machine = createJobMachine();
@@ -109,6 +131,9 @@
         tally: createTally(load),
         admission: hasAdmission ? createSimulatedAdmission(load) : undefined,
         preemption: hasPreemption ? createPreemptionMemory() : undefined,
+        leader: options.leader === undefined ? undefined : createSimulatedLeader(options.leader),
+        endedRuns: new Map(),
+        renewableAtMs: new Map(),
         startAllowance: 0,
         commandIndex: 0,
     };
