--- a/packages/lead-jobs/src/job-urgency.ts
+++ b/packages/lead-jobs/src/job-urgency.ts
@@ -1,6 +1,6 @@
 import { isStepReady } from "@chestnutspool/job-state";
 import { findUrgency, type Urgency } from "@chestnutspool/plan-jobs";
-import { recordStarts as recordStartsOfRation } from "@chestnutspool/ration-leader-time";
+import { recordStarts } from "@chestnutspool/ration-leader-time";
 import type { JobId, RunStart } from "@chestnutspool/types";
 import { recordStage } from "./term-load.js";
 import type { Term } from "./term.js";
@@ -27,7 +27,7 @@
     return false;
 }
 
-/** Finds how urgent the next pass of the planner is after the ends of some runs: their jobs may go on, or others take their place. */
+/** Finds how urgent a pass of the planner is after the ends of some runs: urgent if a job of one of them goes on with urgent tasks. */
 export function findEndUrgency(term: Pick<Term, "machine">, ends: readonly { readonly job: JobId; }[]): Urgency {
     return ends.some(({ job }) => hasStartableTask(term, job)) ? "urgent" : "deferrable";
 }
@@ -51,7 +51,7 @@
 }
 
 /** Records committed starts by urgency, and how long each task had been ready at `wallMs`, wall-clock time in milliseconds. */
-export function recordStarts(term: Term, starts: readonly RunStart[], wallMs: number): void {
+export function recordCommittedStarts(term: Term, starts: readonly RunStart[], wallMs: number): void {
     const counts = { urgent: 0, deferrable: 0 };
     for (const start of starts) {
         const urgency = findJobUrgency(term, start.job);
@@ -62,5 +62,5 @@
             recordStage(term.load, urgency, "startCommit", wallMs - readyMs);
         }
     }
-    recordStartsOfRation(term.ration, counts);
+    recordStarts(term.ration, counts);
 }
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -24,7 +24,7 @@
 import { adaptRatings } from "./adapt-ratings.js";
 import { addRecordedRuns } from "./add-recorded-runs.js";
 import { giveUpDeadlyJobs } from "./give-up-jobs.js";
-import { recordStarts } from "./job-urgency.js";
+import { recordCommittedStarts } from "./job-urgency.js";
 import { createSpeedReader } from "./learn-speeds.js";
 import { logCopies, logCopyOutcomes } from "./log-copies.js";
 import { logBlockedTrials, logStarts, logWaitingSteps } from "./log-decisions.js";
@@ -105,7 +105,7 @@
     term.load.refusedStarts += refused.size;
     const recorded = starts.filter((start, position) => !refused.has(position));
     logStarts(term, recorded);
-    recordStarts(term, recorded, yield* readTermMs(term));
+    recordCommittedStarts(term, recorded, yield* readTermMs(term));
     const recordedMs = yield* readMonotonicMs;
     logCopies(term, recorded, recordedMs);
     const ordered = createRunStatuses(term, recorded, recordedMs);
--- a/packages/plan-jobs/src/ration-starts.ts
+++ b/packages/plan-jobs/src/ration-starts.ts
@@ -28,7 +28,7 @@
 }
 
 /** Whether a step belongs to a queue below the highest priority of its pool. */
-export function isDeferrable({ state }: PlanInput, { job }: WaitingStep): boolean {
+function isDeferrable({ state }: PlanInput, { job }: WaitingStep): boolean {
     return findUrgency(state.configuration, job.queue) === "deferrable";
 }
 
--- a/packages/replay-jobs/src/simulated-leader.ts
+++ b/packages/replay-jobs/src/simulated-leader.ts
@@ -48,7 +48,7 @@
 const idlePauseMs = 100;
 /** Least time from the end of a pass to the next one, as a multiple of its duration. */
 const pauseFactor = 2;
-/** The same between two passes over all tasks while deferrable work is rationed, and at least this many milliseconds. */
+/** The same between two passes over all tasks while deferrable work is rationed, and its bounds in milliseconds, as `lead-jobs` has them. */
 const fullPassPauseFactor = 5;
 const leastFullPassPauseMs = 200;
 const longestFullPassPauseMs = 300;
