--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -364,13 +364,13 @@
  * Whether passes over urgent tasks alone are made between those over all tasks: the processor time of the leader is rationed, and no task
  * waits for a rack, which is decided for all tasks together.
  */
-function splitsPasses({ ration, placementWaits }: Term): boolean {
+function hasUrgentPasses({ ration, placementWaits }: Term): boolean {
     return isRationed(ration) && (placementWaits?.memory.waits.size ?? 0) === 0;
 }
 
 /** Whether the next pass is over urgent tasks alone, because one over all tasks is not due yet. */
 function isPassUrgent(term: Term, planner: PlannerState, nowMs: number): boolean {
-    return splitsPasses(term) && nowMs - planner.fullPassEndedAtMs < computeFullPassPauseMs(planner.fullPassMs);
+    return hasUrgentPasses(term) && nowMs - planner.fullPassEndedAtMs < computeFullPassPauseMs(planner.fullPassMs);
 }
 
 /**
@@ -399,7 +399,7 @@
         }
         // Urgent tasks do not wait for as long as a pass over all tasks would ask for.
         const sinceEndMs = (yield* readMonotonicMs) - endedMs;
-        const nextPauseMs = splitsPasses(term)
+        const nextPauseMs = hasUrgentPasses(term)
             ? computeUrgentPassPauseMs(planner.urgentPassMs, sinceEndMs)
             : computePassPauseMs(tookMs, sinceEndMs);
         yield* Effect.sleep(nextPauseMs);
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -307,7 +307,7 @@
 }
 
 /** Waits before the next renewal of a worker that has answered one. */
-const pauseRenewals = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
+const awaitNextRenewal = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
     if (!isRationed(term.ration) || hasUrgentRun(term, session)) {
         yield* Effect.sleep(renewPauseMs);
         return;
@@ -348,7 +348,7 @@
         }
         session.confirmedSequence = Math.max(session.confirmedSequence, acknowledgedSequence);
         yield* applyRenewAnswer(term, session, answer, sentAtMs);
-        yield* pauseRenewals(term, session);
+        yield* awaitNextRenewal(term, session);
         return { kind: "kept" } as const;
     }
     term.load.failedRenewals += 1;
