lead-jobs, replay-jobs: call what exists, and read the runs of a worker only while the time of the leader is rationed

- Each renewal read all runs of its worker to choose how long its call may wait, although nothing waits unless deferrable work is rationed.
- The readiness of a task comes from findReadyAtMs of job-state in place of a copy; only a figure of `leader load` depends on it, and it differs only for a job whose first occurrence was due before it was accepted.
- The leader and the replay read the ration of starts by one function of ration-leader-time.
- endRun and finishRun of the replay take an ended run, as the reports hold it.

No decision changes.

--- a/packages/lead-jobs/src/job-urgency.ts
+++ b/packages/lead-jobs/src/job-urgency.ts
@@ -1,4 +1,4 @@
-import { isStepReady } from "@chestnutspool/job-state";
+import { findReadyAtMs, isStepReady } from "@chestnutspool/job-state";
 import { findUrgency, type Urgency } from "@chestnutspool/plan-jobs";
 import { recordStarts } from "@chestnutspool/ration-leader-time";
 import type { JobId, RunStart } from "@chestnutspool/types";
@@ -40,14 +40,10 @@
     const job = machine.state.jobs.get(id);
     const occurrence = job?.occurrences.get(number);
     const step = occurrence?.steps[position];
-    if (job === undefined || step === undefined || run > 1) {
+    if (job === undefined || occurrence === undefined || step === undefined || run > 1) {
         return undefined;
     }
-    const dueMs = Math.max(job.acceptedAtMs, occurrence?.dueAtMs ?? 0);
-    return step.spec.dependsOn.reduce(
-        (readyMs, earlier) => Math.max(readyMs, occurrence?.steps[earlier]?.doneAtMs ?? 0),
-        dueMs,
-    );
+    return findReadyAtMs(job, occurrence, step);
 }
 
 /** Records committed starts by urgency, and how long each task had been ready at `wallMs`, wall-clock time in milliseconds. */
--- a/packages/lead-jobs/src/ration-term.ts
+++ b/packages/lead-jobs/src/ration-term.ts
@@ -1,14 +1,7 @@
-import type { StartRation, Urgency } from "@chestnutspool/plan-jobs";
-import { adaptRation, countAffordableStarts, isRationed } from "@chestnutspool/ration-leader-time";
+import type { Urgency } from "@chestnutspool/plan-jobs";
+import { adaptRation, isRationed } from "@chestnutspool/ration-leader-time";
 import type { Term } from "./term.js";
 
-/** Reads how many deferrable tasks may start at `nowMs`, in monotonic milliseconds; undefined while nothing is rationed. */
-export function readStartRation({ ration }: Pick<Term, "ration">, nowMs: number): StartRation | undefined {
-    return ration.limits === undefined
-        ? undefined
-        : { starts: countAffordableStarts(ration, nowMs), startsPerSecond: ration.limits.startsPerSecond };
-}
-
 /** Adapts the ration of a term at `nowMs` after the event loop was busy for `busyMs`, both in milliseconds; logs when it begins and ends. */
 export function observeBusyTime(term: Term, busyMs: number, nowMs: number): void {
     const { ration, logger } = term;
@@ -32,7 +25,7 @@
  * Time for which calls that are not urgent, and their answers, wait for others while the processor time of the leader is rationed, in
  * milliseconds: most of the time that a message takes does not depend on the number of calls in it.
  */
-const rationedPatienceMs = 25;
+export const rationedPatienceMs = 25;
 
 /** Chooses for how long a call of an urgency may wait for others, in milliseconds. */
 export function choosePatienceMs({ ration }: Pick<Term, "ration">, urgency: Urgency): number {
--- a/packages/lead-jobs/src/run-planner.ts
+++ b/packages/lead-jobs/src/run-planner.ts
@@ -17,7 +17,7 @@
     planPreemptions,
     type PreemptionMemory,
 } from "@chestnutspool/plan-preemption";
-import { isRationed, recordRationShortage } from "@chestnutspool/ration-leader-time";
+import { isRationed, readStartRation, recordRationShortage } from "@chestnutspool/ration-leader-time";
 import { createRunStatus, isStartTimedOut } from "@chestnutspool/track-workers";
 import { type ErrorData, readMonotonicMs, type RunStart, type TaskKey, type WorkerId } from "@chestnutspool/types";
 import { Effect, Queue } from "effect";
@@ -33,7 +33,6 @@
 import { computeIdlePauseMs, logEndedWaits } from "./placement-waits.js";
 import { carryOutPreemptions } from "./preempt-runs.js";
 import { listStartLimits, recordStalledRun } from "./rate-run-ends.js";
-import { readStartRation } from "./ration-term.js";
 import { countStepStarts } from "./refused-steps.js";
 import { recordLostStart, requestStop, sendStart } from "./send-orders.js";
 import { readTermMs } from "./steady-clock.js";
@@ -282,7 +281,7 @@
         predictSpeed: createSpeedReader(term, nowMs),
         reservations: listReservations(planner.preemption, term.machine.state, stopMs, nowMs),
         placementWaits: term.placementWaits,
-        startRation: readStartRation(term, nowMs),
+        startRation: readStartRation(term.ration, nowMs),
     };
     return input;
 });
--- a/packages/lead-jobs/src/worker-session.ts
+++ b/packages/lead-jobs/src/worker-session.ts
@@ -28,7 +28,7 @@
 import { checkListedEnds, hasStoppedRun, provingIntervalMs } from "./listed-ends.js";
 import { logEndedJobs, logLateSuccesses, logRunEnded, readPhases } from "./log-decisions.js";
 import { rateRunEnd } from "./rate-run-ends.js";
-import { choosePatienceMs } from "./ration-term.js";
+import { rationedPatienceMs } from "./ration-term.js";
 import { observeBegunJobs } from "./record-begun-jobs.js";
 import { sendStop } from "./send-orders.js";
 import { checkRestart, renewGraceMs, renewSilentWorker, sendRenewal } from "./send-renewals.js";
@@ -306,9 +306,14 @@
     return false;
 }
 
+/** Whether the calls of a session are not urgent and the processor time of the leader is rationed. */
+function mayDefer(term: Term, session: WorkerSession): boolean {
+    return isRationed(term.ration) && !hasUrgentRun(term, session);
+}
+
 /** Waits before the next renewal of a worker that has answered one. */
 const awaitNextRenewal = Effect.fnUntraced(function*(term: Term, session: WorkerSession) {
-    if (!isRationed(term.ration) || hasUrgentRun(term, session)) {
+    if (!mayDefer(term, session)) {
         yield* Effect.sleep(renewPauseMs);
         return;
     }
@@ -329,7 +334,7 @@
                 session,
                 waitMs,
                 waitMs + renewGraceMs,
-                choosePatienceMs(term, hasUrgentRun(term, session) ? "urgent" : "deferrable"),
+                mayDefer(term, session) ? rationedPatienceMs : 0,
             ),
             checkRestart(term, session),
         )
--- a/packages/ration-leader-time/src/index.ts
+++ b/packages/ration-leader-time/src/index.ts
@@ -8,4 +8,4 @@
     recordStarts,
     type Starts,
 } from "./leader-ration.js";
-export { countAffordableRaises, countAffordableStarts, recordRaises } from "./spend-ration.js";
+export { countAffordableRaises, readStartRation, recordRaises, type StartRation } from "./spend-ration.js";
--- a/packages/ration-leader-time/src/spend-ration.ts
+++ b/packages/ration-leader-time/src/spend-ration.ts
@@ -19,6 +19,21 @@
     return hasQueuedWork(ration) ? Math.floor(affordable * queuedShare) : affordable;
 }
 
+/** Limit of the starts of deferrable tasks. */
+export interface StartRation {
+    /** Number of these tasks that may start now. */
+    readonly starts: number;
+    /** How many of them may start in a second from now on. */
+    readonly startsPerSecond: number;
+}
+
+/** Reads how many deferrable tasks may start at `nowMs`, in monotonic milliseconds; undefined while nothing is rationed. */
+export function readStartRation(ration: LeaderRation, nowMs: number): StartRation | undefined {
+    return ration.limits === undefined
+        ? undefined
+        : { starts: countAffordableStarts(ration, nowMs), startsPerSecond: ration.limits.startsPerSecond };
+}
+
 /** Counts the deferrable runs whose pace may be raised at `nowMs`, in monotonic milliseconds. */
 export function countAffordableRaises({ limits }: LeaderRation, nowMs: number): number {
     return limits === undefined
--- a/packages/replay-jobs/src/simulated-leader.ts
+++ b/packages/replay-jobs/src/simulated-leader.ts
@@ -1,14 +1,14 @@
-import type { StartRation } from "@chestnutspool/plan-jobs";
 import {
     adaptRation,
     countAffordableRaises,
-    countAffordableStarts,
     createLeaderRation,
     isRationed,
     type LeaderRation,
+    readStartRation,
     recordRaises,
     recordRationShortage,
     recordStarts,
+    type StartRation,
     type Starts,
 } from "@chestnutspool/ration-leader-time";
 
@@ -154,10 +154,7 @@
                 },
             });
         },
-        readStartRation: nowMs =>
-            ration.limits === undefined
-                ? undefined
-                : { starts: countAffordableStarts(ration, nowMs), startsPerSecond: ration.limits.startsPerSecond },
+        readStartRation: nowMs => readStartRation(ration, nowMs),
         recordStarts: starts => recordStarts(ration, starts),
         recordPass: (stepsLeftOut, nowMs) => {
             if (stepsLeftOut > 0) {
--- a/packages/replay-jobs/src/simulated-reports.ts
+++ b/packages/replay-jobs/src/simulated-reports.ts
@@ -119,7 +119,7 @@
     simulation.endedRuns.delete(worker);
     const isUrgent = hasUrgentRun(simulation, state);
     readReport(simulation, worker, state, statuses, history, nowMs);
-    ended.forEach(({ run, outcome }) => endRun(simulation, worker, run, outcome, nowMs));
+    ended.forEach(endedRun => endRun(simulation, worker, endedRun, nowMs));
     const isLimited = isRationed(leader.ration);
     simulation.renewableAtMs.set(worker, nowMs + (isLimited && !isUrgent ? rationedRenewPauseMs : renewPauseMs));
     simulation.reportedAtMs.set(worker, nowMs);
--- a/packages/replay-jobs/src/simulated-runs.ts
+++ b/packages/replay-jobs/src/simulated-runs.ts
@@ -1,10 +1,9 @@
 import { createRunKey, formatRunKey } from "@chestnutspool/job-state";
-import type { RunEnd, RunOutcome, RunStart } from "@chestnutspool/types";
+import type { RunEnd, RunStart } from "@chestnutspool/types";
 import { drawWorkMs, getRunRandom } from "./simulated-copies.js";
 import { findDistance, recordRunTime } from "./simulated-racks.js";
 import { computeResumedMs, formatCheckpoint, isStopped } from "./simulated-stops.js";
-import type { SimulatedRun } from "./simulated-workers.js";
-import { epochMs, type Simulation } from "./simulation.js";
+import { type EndedRun, epochMs, type Simulation } from "./simulation.js";
 
 /** Share of the runs on idle processors that use only a part of their declared processors. */
 const partialUseTaskShare = 0.4;
@@ -12,13 +11,7 @@
 const partialUse = 0.68;
 
 /** Applies the end of a run. */
-export function endRun(
-    simulation: Simulation,
-    worker: string,
-    run: SimulatedRun,
-    outcome: RunOutcome,
-    nowMs: number,
-): void {
+export function endRun(simulation: Simulation, worker: string, { run, outcome }: EndedRun, nowMs: number): void {
     const key = createRunKey(run.run);
     const end: RunEnd = { ...key, outcome, checkpoint: formatCheckpoint(run, simulation.load) };
     if (outcome === "succeeded") {
@@ -50,7 +43,7 @@
     sendOrder(simulation, nowMs, arrivesAtMs => {
         run.stopOrderedAtMs = arrivesAtMs;
         if (run.hasEnded !== true && isStopped(run, simulation.load, arrivesAtMs)) {
-            finishRun(simulation, worker, run, "stopped", arrivesAtMs);
+            finishRun(simulation, worker, { run, outcome: "stopped" }, arrivesAtMs);
         }
     });
 }
@@ -66,20 +59,14 @@
 }
 
 /** Ends a run on its worker; a leader whose work takes time learns it by the next report. */
-function finishRun(
-    simulation: Simulation,
-    worker: string,
-    run: SimulatedRun,
-    outcome: RunOutcome,
-    nowMs: number,
-): void {
+function finishRun(simulation: Simulation, worker: string, endedRun: EndedRun, nowMs: number): void {
     if (simulation.leader === undefined) {
-        endRun(simulation, worker, run, outcome, nowMs);
+        endRun(simulation, worker, endedRun, nowMs);
         return;
     }
-    run.hasEnded = true;
+    endedRun.run.hasEnded = true;
     const ended = simulation.endedRuns.get(worker) ?? [];
-    ended.push({ run, outcome });
+    ended.push(endedRun);
     simulation.endedRuns.set(worker, ended);
 }
 
@@ -89,13 +76,13 @@
         for (const run of [...runs.values()].filter(({ hasEnded }) => hasEnded !== true)) {
             const isServing = run.job.kind.execution.kind === "serving";
             if (run.failsAfterShare !== undefined && run.doneMs >= run.workMs * run.failsAfterShare) {
-                finishRun(simulation, worker, run, "failed", nowMs);
+                finishRun(simulation, worker, { run, outcome: "failed" }, nowMs);
             }
             else if (!isServing && run.doneMs >= run.workMs) {
-                finishRun(simulation, worker, run, "succeeded", nowMs);
+                finishRun(simulation, worker, { run, outcome: "succeeded" }, nowMs);
             }
             else if (isStopped(run, simulation.load, nowMs)) {
-                finishRun(simulation, worker, run, "stopped", nowMs);
+                finishRun(simulation, worker, { run, outcome: "stopped" }, nowMs);
             }
         }
     }
